--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Commands for people. CI calls .ci/run.
+
+.PHONY: test demo proto lint measure build
+
+# test passes the whole suite; it needs nothing but Go.
+test:
+	go test ./...
+
+# build puts the programs into ./bin.
+build:
+	go build -o bin/ ./cmd/...
+
+# demo starts a small fleet on loopback, serves one request through it and shows the bill.
+demo:
+	sh scripts/demo.sh
+
+# measure prints the tables of docs/design from fixed seeds in virtual time.
+measure:
+	go run ./cmd/measure
+
+lint:
+	test -z "$$(gofmt -l .)"
+	go vet ./...
+	go tool staticcheck ./...
+
+# proto regenerates internal/pb; only needed when proto/ changes.
+proto:
+	protoc --go_out=. --go_opt=module=github.com/bluebellsail/bluebellsail \
+	  --go-grpc_out=. --go-grpc_opt=module=github.com/bluebellsail/bluebellsail \
+	  proto/bluebellsail.proto
