--- /dev/null
+++ b/internal/grant/acquire.go
@@ -0,0 +1,210 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// When refused requests may come back.
+const (
+	// RetryExhausted: a budget without tokens needs a top-up or the end of requests
+	// whose worst case is set aside.
+	RetryExhausted = 5 * time.Second
+	// RetryUnreachable: a cut often ends sooner.
+	RetryUnreachable = time.Second
+)
+
+// acquire is the one outstanding request for tokens of a budget. All waiters share it.
+type acquire struct {
+	msg *pb.Acquire // nil: none outstanding
+	seq uint64      // last number that the ledger answered
+	// first is when it was first sent, last when it was last sent, next when it is sent
+	// again, wait the present backoff.
+	first, last, next time.Time
+	wait              time.Duration
+	// failed tells that a send of it ended without an answer. It may have taken effect all
+	// the same, so it stays outstanding under its number and content.
+	failed bool
+}
+
+// advance moves a budget's waiters on: grant, ask the ledger, ask the peers, refuse.
+func (h *Holder) advance(now time.Time, b *budget, out *Output) {
+	h.serve(b, out)
+	if h.draining {
+		return
+	}
+	h.endRound(b, out)
+	if len(b.waiters) == 0 {
+		h.fetchAhead(now, b, out)
+		return
+	}
+	if b.acquire.msg != nil && !b.ledgerSilent(now, h.cfg) {
+		return
+	}
+	if b.acquire.msg != nil {
+		h.probeLedger(now, b, out)
+		b.giveUpOnLedger()
+	}
+	if b.untried() {
+		h.sendAcquire(now, b, b.shortage(), out)
+	}
+	if b.round == nil {
+		h.startRound(now, b, out)
+	}
+}
+
+// ledgerSilent tells whether waiters should no longer wait for the outstanding acquire.
+func (b *budget) ledgerSilent(now time.Time, cfg Config) bool {
+	return b.acquire.failed || now.Sub(b.acquire.first) >= cfg.LedgerWait
+}
+
+func (b *budget) giveUpOnLedger() {
+	for _, w := range b.waiters {
+		if !w.tried {
+			w.tried, w.why = true, errkind.BudgetUnreachable
+		}
+	}
+}
+
+func (b *budget) untried() bool {
+	for _, w := range b.waiters {
+		if !w.tried {
+			return true
+		}
+	}
+	return false
+}
+
+// shortage is what is missing to grant every waiter.
+func (b *budget) shortage() uint64 {
+	var sum uint64
+	for _, w := range b.waiters {
+		sum += w.tokens
+	}
+	return sum - min(sum, b.free)
+}
+
+// sendAcquire asks the ledger for need and, if it has plenty, for the demand of the
+// policy's horizon as well.
+func (h *Holder) sendAcquire(now time.Time, b *budget, need uint64, out *Output) {
+	a := &b.acquire
+	a.msg = &pb.Acquire{
+		Holder: h.self, Budget: b.name, Seq: a.seq + 1,
+		Need: need, Want: need + h.ahead(now, b),
+	}
+	a.first, a.last = now, now
+	a.wait = h.cfg.ResendAfter
+	a.next = now.Add(a.wait)
+	a.failed = false
+	out.Acquires = append(out.Acquires, a.msg)
+}
+
+// ahead is how many tokens the host would hold beyond its present need. It shrinks
+// with what the ledger has left, so that the last tokens aren't stranded on hosts
+// that don't need them.
+func (h *Holder) ahead(now time.Time, b *budget) uint64 {
+	target := b.demand.tokens(now, b.policy.Horizon)
+	if b.levelKnown {
+		target = min(target, b.level/h.cfg.LevelShare)
+	}
+	return target - min(target, b.free)
+}
+
+// fetchAhead asks for tokens before the host runs short, so that requests don't wait
+// for the ledger.
+func (h *Holder) fetchAhead(now time.Time, b *budget, out *Output) {
+	if b.acquire.msg != nil || !b.levelKnown || b.level == 0 || now.Sub(b.fetched) < h.cfg.ResendAfter {
+		return
+	}
+	missing := h.ahead(now, b)
+	if missing > b.free {
+		b.fetched = now
+		h.sendAcquire(now, b, 1, out)
+	}
+}
+
+// AcquireAnswered takes the ledger's grant. An answer to any but the outstanding
+// number is a duplicate and is dropped: its tokens were counted before.
+func (h *Holder) AcquireAnswered(now time.Time, budgetName string, seq uint64, r *pb.AcquireResult) Output {
+	var out Output
+	b, ok := h.outstanding(budgetName, seq)
+	if !ok {
+		return out
+	}
+	need := b.acquire.msg.GetNeed()
+	b.acquire = acquire{seq: seq}
+	b.free += r.GetAmount()
+	b.level, b.levelKnown = r.GetFree(), true
+	h.serve(b, &out)
+	if r.GetAmount() < need {
+		b.markExhausted()
+	}
+	h.advance(now, b, &out)
+	return out
+}
+
+func (b *budget) markExhausted() {
+	for _, w := range b.waiters {
+		w.tried, w.why = true, errkind.BudgetExhausted
+	}
+}
+
+// AcquireRefused takes the ledger's definite refusal: nothing was granted and the
+// number is free again. All waiters are refused with kind.
+func (h *Holder) AcquireRefused(now time.Time, budgetName string, seq uint64, kind errkind.Kind, message string) Output {
+	var out Output
+	b, ok := h.outstanding(budgetName, seq)
+	if !ok {
+		return out
+	}
+	b.acquire = acquire{seq: seq - 1}
+	h.refuseAll(b, errkind.New(kind, "budget %s: %s", budgetName, message), &out)
+	return out
+}
+
+// AcquireFailed tells that the outstanding acquire got no answer: no quorum, or none in
+// time. It may still have taken effect, so it is resent the same until it is answered.
+func (h *Holder) AcquireFailed(now time.Time, budgetName string, seq uint64) Output {
+	var out Output
+	b, ok := h.outstanding(budgetName, seq)
+	if !ok {
+		return out
+	}
+	b.acquire.failed = true
+	h.advance(now, b, &out)
+	return out
+}
+
+func (h *Holder) outstanding(budgetName string, seq uint64) (*budget, bool) {
+	b, ok := h.budgets[budgetName]
+	if !ok || b.acquire.msg == nil || b.acquire.msg.GetSeq() != seq {
+		return nil, false
+	}
+	return b, true
+}
+
+func (h *Holder) resendAcquire(now time.Time, b *budget, out *Output) {
+	a := &b.acquire
+	if a.msg == nil || now.Before(a.next) {
+		return
+	}
+	a.wait = min(2*a.wait, h.cfg.ResendMax)
+	h.sendAgain(now, a, out)
+}
+
+// probeLedger resends the outstanding acquire for a waiter that comes during a cut, so
+// that the end of the cut is noticed by the first requests after it rather than at the
+// end of a long backoff.
+func (h *Holder) probeLedger(now time.Time, b *budget, out *Output) {
+	if b.untried() && now.Sub(b.acquire.last) >= h.cfg.ResendAfter {
+		h.sendAgain(now, &b.acquire, out)
+	}
+}
+
+func (h *Holder) sendAgain(now time.Time, a *acquire, out *Output) {
+	a.last = now
+	a.next = now.Add(a.wait)
+	out.Acquires = append(out.Acquires, a.msg)
+}
--- /dev/null
+++ b/internal/grant/grant.go
@@ -0,0 +1,154 @@
+// Package grant is the entry host's side of prepaid budgets: the tokens that one
+// incarnation of a host holds, and what it asks of the ledger and of its peers.
+//
+// Holder is a pure state machine. Every method takes the present time and an input
+// and returns an Output with the messages to send and the requests decided. It has
+// no goroutine, no socket and no clock of its own.
+//
+// A holder spends only tokens that the ledger granted to it or that a peer
+// transferred to it. For each budget this sum never changes but by what came in
+// and what went out:
+//
+//	free + reserved + unsettled + returning = granted + received - given - billed - returned
+//
+// so a host can't overspend a budget as long as the ledger and the peers don't hand
+// the same token out twice.
+package grant
+
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// Defaults of Policy, as settings.Grant documents them.
+const (
+	DefaultHorizon    = 10 * time.Second
+	DefaultIdleReturn = time.Minute
+)
+
+// Policy says how a host holds tokens of one budget.
+type Policy struct {
+	// Horizon is how much of its recent demand the host holds ahead.
+	Horizon time.Duration
+	// IdleReturn is how long a budget may go unused before its free tokens go back.
+	IdleReturn time.Duration
+	// Transfers lets the host ask peers when the ledger can't serve it.
+	Transfers bool
+}
+
+// PolicyFrom fills in the defaults of a team's grant settings; g may be nil.
+func PolicyFrom(g *settings.Grant) Policy {
+	p := Policy{Horizon: DefaultHorizon, IdleReturn: DefaultIdleReturn, Transfers: true}
+	if g == nil {
+		return p
+	}
+	if g.Horizon > 0 {
+		p.Horizon = g.Horizon.Std()
+	}
+	if g.IdleReturn > 0 {
+		p.IdleReturn = g.IdleReturn.Std()
+	}
+	if g.Transfers != nil {
+		p.Transfers = *g.Transfers
+	}
+	return p
+}
+
+// Config bounds a holder's messages. The zero value of a field means its default.
+type Config struct {
+	// BatchBills is the greatest number of bills in one settlement batch; default 256.
+	BatchBills int
+	// BatchWait is how long the first bill of a batch waits for others; default 50ms.
+	BatchWait time.Duration
+	// ResendAfter is when an unanswered message is sent again, doubled each time up to
+	// ResendMax; defaults 200ms and 5s.
+	ResendAfter time.Duration
+	ResendMax   time.Duration
+	// LedgerWait is how long waiting requests wait for an unanswered acquire before the
+	// ledger counts as out of reach; default 250ms.
+	LedgerWait time.Duration
+	// AskFanout is the number of peers asked at a time; default 3.
+	AskFanout int
+	// LevelShare divides what the ledger last said it could still grant: no more than
+	// level/LevelShare is wanted ahead of need, so the last tokens stay where every host
+	// can reach them; default 8.
+	LevelShare uint64
+	// AskAhead lets an ask to a peer include the host's own horizon demand, not just its
+	// shortage.
+	AskAhead bool
+}
+
+func (c Config) withDefaults() Config {
+	setInt(&c.BatchBills, 256)
+	setDuration(&c.BatchWait, 50*time.Millisecond)
+	setDuration(&c.ResendAfter, 200*time.Millisecond)
+	setDuration(&c.ResendMax, 5*time.Second)
+	setDuration(&c.LedgerWait, 250*time.Millisecond)
+	setInt(&c.AskFanout, 3)
+	if c.LevelShare == 0 {
+		c.LevelShare = 8
+	}
+	return c
+}
+
+func setInt(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func setDuration(v *time.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Output is what one step asks its runtime to do.
+type Output struct {
+	// Acquires go to the ledger.
+	Acquires []*pb.Acquire
+	// Batch goes to the ledger; nil: nothing to settle now.
+	Batch *pb.Settle
+	// Asks go to peers.
+	Asks []Ask
+	// Decisions end waiting requests.
+	Decisions []Decision
+}
+
+// Ask is a request for tokens to one peer.
+type Ask struct {
+	// Peer is the name of the host asked.
+	Peer    string
+	Request *pb.AskTokensRequest
+}
+
+// Decision ends the wait of one Reserve.
+type Decision struct {
+	Request string
+	// Err is nil if the tokens are reserved.
+	Err *errkind.Error
+}
+
+func (o *Output) grant(request string) {
+	o.Decisions = append(o.Decisions, Decision{Request: request})
+}
+
+func (o *Output) refuse(request string, err *errkind.Error) {
+	o.Decisions = append(o.Decisions, Decision{Request: request, Err: err})
+}
+
+// Level is what a holder has of one budget, in tokens.
+type Level struct {
+	Budget string
+	// Free can be reserved at once; Reserved belongs to requests that run; Unsettled is
+	// billed here but not yet acknowledged by the ledger; Returning is on its way back.
+	Free, Reserved, Unsettled, Returning uint64
+	// Waiting is the number of requests that wait for tokens.
+	Waiting int
+}
+
+// Held is everything the holder answers for.
+func (l Level) Held() uint64 { return l.Free + l.Reserved + l.Unsettled + l.Returning }
--- /dev/null
+++ b/internal/grant/settle.go
@@ -0,0 +1,137 @@
+package grant
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// settlement collects bills, returns and accepted transfers and sends them in numbered
+// batches, one at a time. A batch is resent the same until the ledger acknowledges it.
+type settlement struct {
+	bills    []*pb.Bill
+	returns  map[string]uint64
+	accepted []*pb.Transfer
+	pending  bool      // any of the above is there
+	since    time.Time // when the oldest of them was added
+
+	seq      uint64     // last number given
+	batch    *pb.Settle // outstanding; nil: none
+	nextSend time.Time
+	wait     time.Duration
+}
+
+func (s *settlement) touch(now time.Time) {
+	if !s.pending {
+		s.since, s.pending = now, true
+	}
+}
+
+func (s *settlement) add(now time.Time, bill *pb.Bill) {
+	s.touch(now)
+	s.bills = append(s.bills, bill)
+}
+
+func (s *settlement) giveBack(now time.Time, budgetName string, tokens uint64) {
+	s.touch(now)
+	if s.returns == nil {
+		s.returns = make(map[string]uint64)
+	}
+	s.returns[budgetName] += tokens
+}
+
+func (s *settlement) accept(now time.Time, t *pb.Transfer) {
+	s.touch(now)
+	s.accepted = append(s.accepted, t)
+}
+
+func (s *settlement) busy() bool {
+	return s.batch != nil || s.pending
+}
+
+// sendBatch starts the next batch if none is outstanding and it is full or old enough.
+//
+// Every transfer accepted so far goes into the batch: its bills may spend those tokens,
+// and the ledger, which applies transfers first, would else find too little granted.
+func (h *Holder) sendBatch(now time.Time, out *Output) {
+	s := &h.settlement
+	due := len(s.bills) >= h.cfg.BatchBills || now.Sub(s.since) >= h.cfg.BatchWait || h.draining
+	if s.batch != nil || !s.pending || !due {
+		return
+	}
+	n := min(len(s.bills), h.cfg.BatchBills)
+	s.seq++
+	s.batch = &pb.Settle{Holder: h.self, Seq: s.seq, Bills: s.bills[:n:n], Transfers: s.accepted}
+	for _, name := range slices.Sorted(maps.Keys(s.returns)) {
+		s.batch.Returns = append(s.batch.Returns, &pb.Return{Budget: name, Tokens: s.returns[name]})
+	}
+	s.bills = slices.Clone(s.bills[n:])
+	s.returns, s.accepted = nil, nil
+	s.pending = len(s.bills) > 0
+	s.since = now
+	s.wait = h.cfg.ResendAfter
+	s.nextSend = now.Add(s.wait)
+	out.Batch = s.batch
+}
+
+func (h *Holder) resendBatch(now time.Time, out *Output) {
+	s := &h.settlement
+	if s.batch == nil || now.Before(s.nextSend) {
+		return
+	}
+	s.wait = min(2*s.wait, h.cfg.ResendMax)
+	s.nextSend = now.Add(s.wait)
+	out.Batch = s.batch
+}
+
+// SettleAnswered takes the ledger's acknowledgement of a batch. Bills of identities
+// that were billed before stay with the holder: their tokens are free again. It returns
+// the acknowledged batch, nil for a duplicate answer.
+func (h *Holder) SettleAnswered(now time.Time, seq uint64, r *pb.SettleResult) (Output, *pb.Settle) {
+	var out Output
+	s := &h.settlement
+	if s.batch == nil || s.batch.GetSeq() != seq {
+		return out, nil
+	}
+	done := s.batch
+	s.batch = nil
+	h.settleBills(done, r.GetDuplicates())
+	for _, ret := range done.GetReturns() {
+		h.budget(ret.GetBudget()).returning -= ret.GetTokens()
+	}
+	for _, l := range r.GetLevels() {
+		h.noteLevel(l)
+	}
+	for _, bill := range done.GetBills() {
+		h.advance(now, h.budget(bill.GetBudget()), &out)
+	}
+	h.sendBatch(now, &out)
+	return out, done
+}
+
+// settleBills takes acknowledged bills off the books. One identity that stands twice in
+// a batch is listed as a duplicate once for each bill that was not billed.
+func (h *Holder) settleBills(batch *pb.Settle, duplicates []string) {
+	again := make(map[string]int, len(duplicates))
+	for _, id := range duplicates {
+		again[id]++
+	}
+	for _, bill := range slices.Backward(batch.GetBills()) {
+		b := h.budget(bill.GetBudget())
+		b.unsettled -= bill.GetTokens()
+		if again[bill.GetIdentity()] > 0 {
+			again[bill.GetIdentity()]--
+			b.free += bill.GetTokens()
+		}
+	}
+}
+
+func (h *Holder) noteLevel(l *pb.BudgetLevel) {
+	b, ok := h.budgets[l.GetBudget()]
+	if !ok {
+		return
+	}
+	b.level, b.levelKnown = l.GetFree(), true
+}
--- /dev/null
+++ b/internal/grant/transfer.go
@@ -0,0 +1,363 @@
+package grant
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// givenWindow is how long a giver answers a repeated ask the same. After it a repeated
+// ask is answered with nothing; the tokens then stay where they are, never doubled.
+const givenWindow = 15 * time.Minute
+
+// askWindow is how long the outcome of an unanswered ask is asked for. What the peer
+// may have given then stays stranded until the peer's incarnation is recovered.
+const askWindow = 24 * time.Hour
+
+// transfers is what the holder knows of tokens moved between holders.
+type transfers struct {
+	// given remembers each ask answered as a giver, by id, those answered with nothing too.
+	given map[string]*given
+	// open are this holder's own asks without an answer. Only an open ask can bring
+	// tokens, and its first definite answer closes it, so a doubled answer brings none.
+	open map[string]*openAsk
+	// lastAsk numbers this holder's asks.
+	lastAsk uint64
+}
+
+type given struct {
+	transfer *pb.Transfer
+	at       time.Time
+	// ready: the copies of the transfer are in place and it may be answered.
+	ready bool
+}
+
+type openAsk struct {
+	peer   string
+	budget string
+	tokens uint64
+	since  time.Time
+	next   time.Time
+	wait   time.Duration
+}
+
+func newTransfers() transfers {
+	return transfers{
+		given: make(map[string]*given),
+		open:  make(map[string]*openAsk),
+	}
+}
+
+// prune forgets old asks. It is safe: an ask repeated later gets nothing, and an answer
+// to a forgotten ask is dropped.
+func (t *transfers) prune(now time.Time) {
+	for id, g := range t.given {
+		if now.Sub(g.at) > givenWindow {
+			delete(t.given, id)
+		}
+	}
+	for id, ask := range t.open {
+		if now.Sub(ask.since) > askWindow {
+			delete(t.open, id)
+		}
+	}
+}
+
+// round is one search among the peers for the shortage of a budget's waiters.
+type round struct {
+	// candidates may still have tokens; a peer that gave less than it was asked is out.
+	candidates []string
+	// asks without an answer, by id.
+	asks map[string]struct{}
+}
+
+// startRound looks to the peers for the waiters that the ledger couldn't serve.
+func (h *Holder) startRound(now time.Time, b *budget, out *Output) {
+	covered := false
+	for _, w := range b.waiters {
+		w.asked = w.tried
+		covered = covered || w.asked
+	}
+	if !covered {
+		return
+	}
+	b.round = &round{asks: make(map[string]struct{})}
+	if b.policy.Transfers {
+		b.round.candidates = h.shuffledPeers()
+	}
+	h.askPeers(now, b, out)
+	h.endRound(b, out)
+}
+
+func (h *Holder) shuffledPeers() []string {
+	peers := slices.Clone(h.peers)
+	h.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
+// askPeers asks the next few candidates for equal parts of the shortage.
+func (h *Holder) askPeers(now time.Time, b *budget, out *Output) {
+	n := min(h.cfg.AskFanout, len(b.round.candidates))
+	short := b.askedShortage()
+	if n == 0 || short == 0 {
+		return
+	}
+	part := (short + uint64(n) - 1) / uint64(n)
+	if h.cfg.AskAhead {
+		part += h.ahead(now, b) / uint64(n)
+	}
+	for _, peer := range b.round.candidates[:n] {
+		id := h.newAsk(now, b, peer, part, out)
+		b.round.asks[id] = struct{}{}
+	}
+}
+
+// askedShortage is what the covered waiters miss.
+func (b *budget) askedShortage() uint64 {
+	var sum uint64
+	for _, w := range b.waiters {
+		if w.asked {
+			sum += w.tokens
+		}
+	}
+	return sum - min(sum, b.free)
+}
+
+func (h *Holder) newAsk(now time.Time, b *budget, peer string, tokens uint64, out *Output) string {
+	h.transfers.lastAsk++
+	id := fmt.Sprintf("%s%d", h.askPrefix(), h.transfers.lastAsk)
+	wait := 2 * h.cfg.LedgerWait
+	h.transfers.open[id] = &openAsk{peer: peer, budget: b.name, tokens: tokens, since: now, wait: wait, next: now.Add(wait)}
+	out.Asks = append(out.Asks, Ask{Peer: peer, Request: &pb.AskTokensRequest{
+		From: h.self, Budget: b.name, Tokens: tokens, Id: id,
+	}})
+	return id
+}
+
+// askPrefix makes ids unique over all incarnations.
+func (h *Holder) askPrefix() string {
+	return fmt.Sprintf("%s/%d/", h.self.GetHost(), h.self.GetIncarnation())
+}
+
+// AskAnswered takes a peer's answer to an ask: t, or nil if the peer gave nothing.
+//
+// A transfer is accepted once by its id, also when its answer comes late, doubled or
+// after the round ended. One that was lost stays deducted at the giver: stranded until
+// the ask is answered, never in two places.
+func (h *Holder) AskAnswered(now time.Time, id string, t *pb.Transfer) Output {
+	var out Output
+	ask, open := h.transfers.open[id]
+	if !open {
+		return out
+	}
+	delete(h.transfers.open, id)
+	got := h.accept(now, id, ask, t)
+	if got > 0 {
+		b := h.budget(ask.budget)
+		b.free += got
+		h.advance(now, b, &out)
+	}
+	h.roundAnswered(now, ask, id, got, &out)
+	return out
+}
+
+// accept returns the tokens of t if it answers the ask, for this holder and from a live one.
+func (h *Holder) accept(now time.Time, id string, ask *openAsk, t *pb.Transfer) uint64 {
+	if t.GetTokens() == 0 || t.GetId() != id || t.GetBudget() != ask.budget {
+		return 0
+	}
+	if keyOf(t.GetTo()) != keyOf(h.self) || h.isFenced(t.GetFrom()) {
+		return 0
+	}
+	h.settlement.accept(now, t)
+	return t.GetTokens()
+}
+
+// AskFailed tells that an ask got no answer. The round goes on without that peer; the
+// ask stays open, since the peer may have given.
+func (h *Holder) AskFailed(now time.Time, id string) Output {
+	var out Output
+	if ask, ok := h.transfers.open[id]; ok {
+		h.roundAnswered(now, ask, id, 0, &out)
+	}
+	return out
+}
+
+func (h *Holder) roundAnswered(now time.Time, ask *openAsk, id string, got uint64, out *Output) {
+	b := h.budget(ask.budget)
+	if b.round == nil {
+		return
+	}
+	if _, ok := b.round.asks[id]; !ok {
+		return
+	}
+	delete(b.round.asks, id)
+	if got < ask.tokens {
+		b.round.candidates = slices.DeleteFunc(b.round.candidates, func(p string) bool { return p == ask.peer })
+	}
+	if len(b.round.asks) > 0 {
+		return
+	}
+	h.askPeers(now, b, out)
+	h.endRound(b, out)
+	h.advance(now, b, out)
+}
+
+// endRound closes a round that has no ask left and refuses the waiters it covered.
+func (h *Holder) endRound(b *budget, out *Output) {
+	if b.round == nil {
+		return
+	}
+	if len(b.round.asks) > 0 && b.askedShortage() > 0 {
+		return
+	}
+	b.round = nil
+	kept := b.waiters[:0]
+	for _, w := range b.waiters {
+		if !w.asked {
+			kept = append(kept, w)
+			continue
+		}
+		out.refuse(w.request, refusal(w, b))
+	}
+	clear(b.waiters[len(kept):])
+	b.waiters = kept
+}
+
+func refusal(w *waiter, b *budget) *errkind.Error {
+	if w.why == errkind.BudgetUnreachable {
+		return errkind.New(w.why, "budget %s: %d tokens needed, %d held here, ledger out of reach",
+			b.name, w.tokens, b.free).After(RetryUnreachable)
+	}
+	return errkind.New(w.why, "budget %s: %d tokens needed, none left to grant", b.name, w.tokens).After(RetryExhausted)
+}
+
+// resendAsks asks again for the outcome of asks without an answer. A repeated ask asks
+// for no tokens: a giver that knows the id answers as before, one that doesn't gives
+// nothing and remembers that, so that the first message gives nothing either if it
+// arrives later.
+func (h *Holder) resendAsks(now time.Time, out *Output) {
+	for _, id := range slices.Sorted(maps.Keys(h.transfers.open)) {
+		ask := h.transfers.open[id]
+		if now.Before(ask.next) {
+			continue
+		}
+		ask.wait = min(2*ask.wait, 6*h.cfg.ResendMax)
+		ask.next = now.Add(ask.wait)
+		out.Asks = append(out.Asks, Ask{Peer: ask.peer, Request: &pb.AskTokensRequest{
+			From: h.self, Budget: ask.budget, Id: id,
+		}})
+		h.roundAnswered(now, ask, id, 0, out)
+	}
+}
+
+// GiveState says what the giver's runtime must do with an ask.
+type GiveState int
+
+// States of an ask at the giver.
+const (
+	// GiveNothing: answer without a transfer.
+	GiveNothing GiveState = iota
+	// GiveNew: the tokens are deducted; copy the transfer to peers, then call GiveReady
+	// and answer, or GiveUndone and answer without.
+	GiveNew
+	// GiveKnown: answer with the transfer.
+	GiveKnown
+	// GivePending: its copies are not yet in place; copy again, or let the asker come back.
+	GivePending
+)
+
+// TransferAsked is the giver's side: it deducts tokens before anyone else may have them.
+// A holder with waiters of its own gives only to a host whose name comes first, so that
+// of two short hosts one gets enough.
+func (h *Holder) TransferAsked(now time.Time, req *pb.AskTokensRequest) (*pb.Transfer, GiveState) {
+	if h.isFenced(req.GetFrom()) {
+		return nil, GiveNothing
+	}
+	if g, ok := h.transfers.given[req.GetId()]; ok {
+		return g.state()
+	}
+	tokens := h.spare(req)
+	t := &pb.Transfer{Id: req.GetId(), Budget: req.GetBudget(), From: h.self, To: req.GetFrom(), Tokens: tokens}
+	h.transfers.given[req.GetId()] = &given{transfer: t, at: now, ready: tokens == 0}
+	if tokens == 0 {
+		return nil, GiveNothing
+	}
+	h.budgets[req.GetBudget()].free -= tokens
+	return t, GiveNew
+}
+
+func (g *given) state() (*pb.Transfer, GiveState) {
+	if g.transfer.GetTokens() == 0 {
+		return nil, GiveNothing
+	}
+	if !g.ready {
+		return g.transfer, GivePending
+	}
+	return g.transfer, GiveKnown
+}
+
+func (h *Holder) spare(req *pb.AskTokensRequest) uint64 {
+	b, ok := h.budgets[req.GetBudget()]
+	if !ok {
+		return 0
+	}
+	if len(b.waiters) > 0 && h.self.GetHost() < req.GetFrom().GetHost() {
+		return 0
+	}
+	return min(req.GetTokens(), b.free)
+}
+
+// GiveReady tells that the copies of a new transfer are in place.
+func (h *Holder) GiveReady(id string) {
+	if g, ok := h.transfers.given[id]; ok {
+		g.ready = true
+	}
+}
+
+// GiveUndone takes a transfer back that was never answered and never will be: from now
+// on its id is answered with nothing.
+func (h *Holder) GiveUndone(now time.Time, id string) Output {
+	var out Output
+	g, ok := h.transfers.given[id]
+	if !ok || g.ready {
+		return out
+	}
+	b := h.budget(g.transfer.GetBudget())
+	b.free += g.transfer.GetTokens()
+	g.transfer = &pb.Transfer{Id: id}
+	g.ready = true
+	h.advance(now, b, &out)
+	return out
+}
+
+// Fence refuses from now on every transfer from or to a dead incarnation, and returns
+// those that this holder accepted from it and the ledger hasn't acknowledged.
+//
+// Without it, a transfer still under way when the dead holder's tokens are released
+// would put the same tokens in two places.
+func (h *Holder) Fence(dead *pb.Holder) []*pb.Transfer {
+	h.fenced[keyOf(dead)] = struct{}{}
+	var from []*pb.Transfer
+	pending := slices.Concat(h.settlement.batch.GetTransfers(), h.settlement.accepted)
+	for _, t := range pending {
+		if keyOf(t.GetFrom()) == keyOf(dead) {
+			from = append(from, t)
+		}
+	}
+	return from
+}
+
+func (h *Holder) isFenced(holder *pb.Holder) bool {
+	_, dead := h.fenced[keyOf(holder)]
+	return dead
+}
+
+// RefuseReason is the refusal that an AskTokensReply carries while copies are under way.
+func RefuseReason() *errkind.Error {
+	return errkind.New(errkind.InProgress, "the transfer is being copied").After(RetryUnreachable)
+}
