--- a/internal/controller/grants/grants_test.go
+++ b/internal/controller/grants/grants_test.go
@@ -104,12 +104,14 @@
 		for _, m := range c.managers {
 			wg.Go(func() { m.Run(ctx) })
 		}
+		defer func() {
+			cancel()
+			wg.Wait()
+			if len(c.ledger.Faults) > 0 {
+				t.Errorf("ledger: %v", c.ledger.Faults)
+			}
+		}()
 		f(t, c)
-		cancel()
-		wg.Wait()
-		if len(c.ledger.Faults) > 0 {
-			t.Errorf("ledger: %v", c.ledger.Faults)
-		}
 	})
 }
 
--- /dev/null
+++ b/internal/controller/records/records.go
@@ -0,0 +1,182 @@
+// Package records runs an inflight.Store: it implements the request chain's Records
+// port, copies records to peers over gRPC, and answers the peers' calls about records.
+package records
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/inflight"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// metrics counts records, copies and what went wrong with them in this process.
+var metrics = expvar.NewMap("records")
+
+// Dialer finds the connection to a peer.
+type Dialer interface {
+	// Dial returns a client of the host's Peer service; false if there is no such host.
+	Dial(host string) (pb.PeerClient, bool)
+}
+
+// Grants is the holder of tokens beside the records; a dead holder's transfers are
+// fenced together with its records.
+type Grants interface {
+	Fence(dead *pb.Holder) []*pb.Transfer
+	GiveSettled(id string)
+}
+
+// Defaults of Config, and bounds.
+const (
+	defaultBeginWait = 60 * time.Millisecond
+	defaultCallWait  = 25 * time.Millisecond
+	defaultSyncEvery = 25 * time.Millisecond
+	sweepEvery       = time.Second
+	settledWait      = time.Second
+	syncRecords      = 512
+	// lookupCopies is the greatest number of copies a team may set; a lookup without
+	// knowledge of the team asks the hosts of so many.
+	lookupCopies = 2
+	// raceWait is how long to wait before asking again whether another host that began the
+	// same identity has decided.
+	raceWait = 2 * time.Millisecond
+)
+
+// Config of a Controller. Zero durations mean the defaults.
+type Config struct {
+	Store inflight.Config
+	Peers Dialer
+	Log   zerolog.Logger
+	// BeginWait bounds how long Begin and Find wait for peers, CallWait one call of theirs.
+	BeginWait time.Duration
+	CallWait  time.Duration
+	// SyncEvery is how often updates are sent to copies.
+	SyncEvery time.Duration
+}
+
+// Controller keeps the records of one incarnation. Its methods are safe for concurrent use.
+type Controller struct {
+	cfg  Config
+	self *pb.Holder
+
+	mu    sync.Mutex
+	store *inflight.Store
+	// grants may be nil.
+	grants Grants
+}
+
+var _ filter.Records = (*Controller)(nil)
+
+// New makes a controller without records; it copies nothing until SetHosts.
+func New(cfg Config) *Controller {
+	setDefault(&cfg.BeginWait, defaultBeginWait)
+	setDefault(&cfg.CallWait, defaultCallWait)
+	setDefault(&cfg.SyncEvery, defaultSyncEvery)
+	return &Controller{cfg: cfg, self: cfg.Store.Self, store: inflight.New(cfg.Store)}
+}
+
+func setDefault(v *time.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// SetGrants names the holder that Gather fences together with the records.
+func (c *Controller) SetGrants(g Grants) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.grants = g
+}
+
+// SetHosts replaces the live hosts, this one included: those that take copies.
+func (c *Controller) SetHosts(hosts []inflight.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.SetHosts(hosts)
+}
+
+// Size is the number of records kept and their estimated bytes.
+func (c *Controller) Size() (records, bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Len(), c.store.Bytes()
+}
+
+// Run sends updates to copies until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.cfg.SyncEvery)
+	defer ticker.Stop()
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.sync(ctx)
+		case <-sweep.C:
+			c.mu.Lock()
+			c.store.Tick(time.Now())
+			c.mu.Unlock()
+		}
+	}
+}
+
+// sync sends one round of updates, to all hosts at once. A host that doesn't answer holds
+// up the next round by CallWait x 4 at most.
+func (c *Controller) sync(ctx context.Context) {
+	c.mu.Lock()
+	sends := c.store.Plan(time.Now(), syncRecords)
+	c.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, send := range sends {
+		wg.Go(func() { c.sendBatch(ctx, send) })
+	}
+	wg.Wait()
+}
+
+// sendBatch puts records to one host, one by one if the host refuses one of them.
+func (c *Controller) sendBatch(ctx context.Context, send inflight.Send) {
+	ctx, cancel := context.WithTimeout(ctx, 4*c.cfg.CallWait)
+	defer cancel()
+	if len(send.Records) > 1 {
+		outcome := c.put(ctx, send.Host, send.Records)
+		if outcome == putDone || outcome == putUnanswered {
+			return
+		}
+	}
+	for _, rec := range send.Records {
+		c.put(ctx, send.Host, []*pb.InflightRecord{rec})
+	}
+}
+
+// Settled marks records whose bills the ledger acknowledged; grants.Config.OnSettled.
+func (c *Controller) Settled(bills []*pb.Bill) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, bill := range bills {
+		c.store.MarkSettled(now, bill.GetRequestId())
+	}
+}
+
+// Update implements filter.Records.
+func (c *Controller) Update(rec *pb.InflightRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.store.Update(time.Now(), rec) {
+		metrics.Add("late_updates", 1)
+	}
+}
+
+// Abandon implements filter.Records.
+func (c *Controller) Abandon(_, requestID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.Abandon(time.Now(), requestID)
+}
--- /dev/null
+++ b/internal/controller/records/records_test.go
@@ -0,0 +1,325 @@
+package records
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/inflight"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// fleet is controllers that reach each other in memory, 1 ms apart one way.
+type fleet struct {
+	mu     sync.Mutex
+	nodes  map[string]*Controller
+	hosts  []inflight.Host
+	silent map[string]bool // takes calls and never answers
+	lost   map[string]bool // takes calls, its answers are lost
+	wg     sync.WaitGroup
+}
+
+// link is a pb.PeerClient to one host.
+type link struct {
+	pb.PeerClient
+	f    *fleet
+	host string
+}
+
+// peers is a Dialer.
+type peers struct{ f *fleet }
+
+func (p peers) Dial(host string) (pb.PeerClient, bool) {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	_, ok := p.f.nodes[host]
+	return link{f: p.f, host: host}, ok
+}
+
+// deliver runs handle at the host unless it is silent, and loses its answer if so set.
+func (l link) deliver(ctx context.Context, handle func(*Controller)) error {
+	time.Sleep(time.Millisecond)
+	l.f.mu.Lock()
+	node, silent, lost := l.f.nodes[l.host], l.f.silent[l.host], l.f.lost[l.host]
+	l.f.mu.Unlock()
+	if !silent {
+		handle(node)
+	}
+	if silent || lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	return nil
+}
+
+func (l link) PutRecords(ctx context.Context, in *pb.PutRecordsRequest, _ ...grpc.CallOption) (out *pb.PutRecordsReply, err error) {
+	in = proto.CloneOf(in)
+	err = l.deliver(ctx, func(c *Controller) { out = c.HandlePutRecords(in) })
+	return out, err
+}
+
+func (l link) FindRecord(ctx context.Context, in *pb.FindRecordRequest, _ ...grpc.CallOption) (out *pb.FindRecordReply, err error) {
+	err = l.deliver(ctx, func(c *Controller) { out = c.HandleFindRecord(in) })
+	return out, err
+}
+
+// withFleet runs f in a bubble with n hosts spread over three availability zones, which
+// send updates every sync.
+func withFleet(t *testing.T, n int, sync time.Duration, f func(t *testing.T, fl *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := &fleet{nodes: make(map[string]*Controller), silent: make(map[string]bool), lost: make(map[string]bool)}
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range n {
+			h := inflight.Host{Name: fmt.Sprintf("h%d", i), Zone: string("xyz"[i%3]), Incarnation: 1}
+			fl.hosts = append(fl.hosts, h)
+			c := New(Config{
+				Store: inflight.Config{Self: &pb.Holder{Host: h.Name, Incarnation: 1}, Zone: h.Zone},
+				Peers: peers{fl}, Log: zerolog.Nop(), SyncEvery: sync,
+			})
+			fl.nodes[h.Name] = c
+			fl.wg.Go(func() { c.Run(ctx) })
+		}
+		fl.setHosts(fl.hosts)
+		defer fl.wg.Wait()
+		defer cancel()
+		f(t, fl)
+	})
+}
+
+func (fl *fleet) setHosts(hosts []inflight.Host) {
+	for _, c := range fl.nodes {
+		c.SetHosts(hosts)
+	}
+}
+
+func (fl *fleet) set(fault map[string]bool, host string, on bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fault[host] = on
+}
+
+// kill removes a host for good.
+func (fl *fleet) kill(name string) {
+	fl.mu.Lock()
+	delete(fl.nodes, name)
+	fl.mu.Unlock()
+	var left []inflight.Host
+	for _, h := range fl.hosts {
+		if h.Name != name {
+			left = append(left, h)
+		}
+	}
+	fl.hosts = left
+	fl.setHosts(left)
+}
+
+func (fl *fleet) holders(identity string) []string {
+	var names []string
+	for _, h := range fl.hosts {
+		if fl.nodes[h.Name].HandleFindRecord(&pb.FindRecordRequest{Identity: identity}).GetFound() {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+func record(i int, host string) *pb.InflightRecord {
+	return &pb.InflightRecord{
+		Identity: fmt.Sprintf("acc/key%d", i), RequestId: fmt.Sprintf("%s-r%d", host, i),
+		Budget: "x", Reserved: 100, BodyHash: 7, EngineRequestId: "e", Server: "s",
+	}
+}
+
+// TestRetryAnywhereFindsTheRecord
+//
+// Symptom: a caller that retries at another host runs its request again.
+// Sequence: h0 begins; a retry comes to every other host in turn.
+// Cause: owners in different zones choose different hosts, and the retry asks the wrong ones.
+func TestRetryAnywhereFindsTheRecord(t *testing.T) {
+	for _, copies := range []int{1, 2} {
+		withFleet(t, 7, defaultSyncEvery, func(t *testing.T, fl *fleet) {
+			for i := range 40 {
+				owner := fmt.Sprintf("h%d", i%7)
+				if _, begun, err := fl.nodes[owner].Begin(t.Context(), record(i, owner), copies); !begun || err != nil {
+					t.Fatalf("begin %d: %v %v", i, begun, err)
+				}
+				for name, c := range fl.nodes {
+					existing, begun, err := c.Begin(t.Context(), record(i, name+"-again"), copies)
+					if begun || err != nil || existing.GetRequestId() != record(i, owner).GetRequestId() {
+						t.Fatalf("copies %d: retry of %d at %s: begun %v, %v, %v", copies, i, name, begun, existing, err)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestOneOfRacersRuns
+//
+// Symptom: one key runs at two hosts, or at none.
+// Sequence: the same request arrives at two hosts at once.
+// Cause: each puts its record to a different peer and then sees, or misses, the other's.
+func TestOneOfRacersRuns(t *testing.T) {
+	withFleet(t, 7, defaultSyncEvery, func(t *testing.T, fl *fleet) {
+		for i := range 60 {
+			var begun [2]bool
+			var wg sync.WaitGroup
+			for j := range 2 {
+				host := fmt.Sprintf("h%d", (i+j*(1+i%5))%7)
+				wg.Go(func() { _, begun[j], _ = fl.nodes[host].Begin(t.Context(), record(i, host), 1) })
+			}
+			wg.Wait()
+			if begun[0] == begun[1] {
+				t.Errorf("key %d: begun %v", i, begun)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// TestRecordSurvivesHosts
+//
+// Symptom: a request in flight is forgotten after two hosts were lost one after another.
+// Sequence: a copy's host dies; a second later the owner dies; a retry comes.
+// Cause: no new copy made after the first loss.
+func TestRecordSurvivesHosts(t *testing.T) {
+	withFleet(t, 7, defaultSyncEvery, func(t *testing.T, fl *fleet) {
+		rec := record(1, "h0")
+		if _, begun, err := fl.nodes["h0"].Begin(t.Context(), rec, 1); !begun || err != nil {
+			t.Fatal(begun, err)
+		}
+		for _, name := range fl.holders(rec.GetIdentity()) {
+			if name != "h0" {
+				fl.kill(name)
+			}
+		}
+		time.Sleep(time.Second)
+		fl.kill("h0")
+		found, ok, err := fl.nodes[fl.hosts[0].Name].Find(t.Context(), rec.GetIdentity())
+		if !ok || err != nil || found.GetEngineRequestId() != "e" {
+			t.Fatalf("found %v, %v, %v", found, ok, err)
+		}
+	})
+}
+
+// TestSilentCopyHostReplaced
+//
+// Symptom: a request waits for a silent peer, or runs without a copy though others could take it.
+// Sequence: the first host in rendezvous order takes calls and never answers.
+// Cause: the next in order not tried within the bounded wait.
+func TestSilentCopyHostReplaced(t *testing.T) {
+	withFleet(t, 7, time.Hour, func(t *testing.T, fl *fleet) {
+		first := fl.nodes["h0"].lookup("acc/key1", 1)
+		for _, h := range first[:1] {
+			fl.set(fl.silent, h.Name, true)
+		}
+		rec := record(1, "h0")
+		start := time.Now()
+		_, begun, err := fl.nodes["h0"].Begin(t.Context(), rec, 1)
+		if !begun || err != nil || time.Since(start) > defaultBeginWait {
+			t.Fatalf("begun %v, %v after %v", begun, err, time.Since(start))
+		}
+		if got := fl.holders(rec.GetIdentity()); len(got) != 2 {
+			t.Errorf("held at %v, want the owner and one copy", got)
+		}
+	})
+}
+
+// TestAbandonedIsTold
+//
+// Symptom: a request that did not run blocks its key, or is billed when its owner dies.
+// Sequence: the record reached a peer whose answer was lost; the request is abandoned.
+// Cause: a peer that may hold the record not told, because it never acknowledged it.
+func TestAbandonedIsTold(t *testing.T) {
+	withFleet(t, 7, defaultSyncEvery, func(t *testing.T, fl *fleet) {
+		target, _ := fl.nodes["h0"].targetsOfNew("acc/key1")
+		fl.set(fl.lost, target, true)
+		rec := record(1, "h0")
+		if _, begun, err := fl.nodes["h0"].Begin(t.Context(), rec, 1); !begun || err != nil {
+			t.Fatal(begun, err)
+		}
+		fl.nodes["h0"].Abandon(rec.GetIdentity(), rec.GetRequestId())
+		fl.set(fl.lost, target, false)
+		time.Sleep(3 * time.Second)
+		if got := fl.holders(rec.GetIdentity()); len(got) != 0 {
+			t.Errorf("still known at %v", got)
+		}
+		if _, begun, err := fl.nodes["h1"].Begin(t.Context(), record(1, "h1"), 1); !begun || err != nil {
+			t.Errorf("the key is blocked: %v %v", begun, err)
+		}
+	})
+}
+
+// targetsOfNew is the first copy's host of an identity that h0 would begin.
+func (c *Controller) targetsOfNew(identity string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	probe := &pb.InflightRecord{Identity: identity, RequestId: "probe"}
+	if err := c.store.Adopt(time.Now(), probe, 1); err != nil {
+		return "", false
+	}
+	targets := c.store.Targets(time.Now(), "probe", nil)
+	c.store.Abandon(time.Now(), "probe")
+	return targets[0].Name, true
+}
+
+// TestOtherBodyRefused
+//
+// Symptom: a caller gets the answer to another request.
+// Sequence: one key comes with another body, here and at another host.
+// Cause: the body not compared.
+func TestOtherBodyRefused(t *testing.T) {
+	withFleet(t, 7, defaultSyncEvery, func(t *testing.T, fl *fleet) {
+		if _, begun, err := fl.nodes["h0"].Begin(t.Context(), record(1, "h0"), 1); !begun || err != nil {
+			t.Fatal(begun, err)
+		}
+		for name, c := range fl.nodes {
+			other := record(1, name+"-other")
+			other.BodyHash = 8
+			if _, begun, err := c.Begin(t.Context(), other, 1); begun || !errkind.Is(err, errkind.KeyConflict) {
+				t.Errorf("%s: begun %v, %v, want idempotency_key_conflict", name, begun, err)
+			}
+		}
+	})
+}
+
+// TestTransferCopied: a transfer is held by a third host, settled ones are let go, and one
+// that no third host took is undone only when every host that may hold it knows.
+func TestTransferCopied(t *testing.T) {
+	withFleet(t, 3, defaultSyncEvery, func(t *testing.T, fl *fleet) {
+		giver := fl.nodes["h0"]
+		tr := func(id string) *pb.Transfer {
+			return &pb.Transfer{Id: id, Budget: "x", From: giver.self, To: fl.nodes["h1"].self, Tokens: 5}
+		}
+		if err := giver.CopyTransfer(t.Context(), tr("1")); err != nil {
+			t.Fatal(err)
+		}
+		dead := &pb.GatherRequest{Dead: &pb.Holder{Host: "h1", Incarnation: 1}}
+		if got := fl.nodes["h2"].HandleGather(dead).GetRecords(); len(got) != 1 || got[0].GetTransfer().GetTokens() != 5 {
+			t.Fatalf("third host gathered %v", got)
+		}
+		fl.set(fl.lost, "h2", true)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if err := giver.CopyTransfer(ctx, tr("2")); err == nil {
+			t.Error("copied though the third host did not acknowledge")
+		}
+		if err := giver.AbandonTransfer(ctx, tr("2")); err == nil {
+			t.Error("void though the third host may hold the copy")
+		}
+		fl.set(fl.lost, "h2", false)
+		time.Sleep(2 * time.Second)
+		if err := giver.AbandonTransfer(t.Context(), tr("2")); err != nil {
+			t.Errorf("after the third host knows: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/records/serve.go
@@ -0,0 +1,67 @@
+package records
+
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/inflight"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// HandlePutRecords stores copies for a peer. Every record is tried; the reply carries the
+// first refusal.
+func (c *Controller) HandlePutRecords(req *pb.PutRecordsRequest) *pb.PutRecordsReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := &pb.PutRecordsReply{Self: c.self}
+	for _, rec := range req.GetRecords() {
+		err := c.take(rec)
+		if err != nil && reply.Error == nil {
+			reply.Error = wireError(errkind.From(err))
+		}
+	}
+	return reply
+}
+
+// take stores one record of a peer; c.mu is held. A transfer's receiver tells its giver
+// in the same way that the ledger knows the transfer.
+func (c *Controller) take(rec *pb.InflightRecord) error {
+	own := rec.GetHolder().GetHost() == c.self.GetHost() && rec.GetHolder().GetIncarnation() == c.self.GetIncarnation()
+	if t := rec.GetTransfer(); own && t != nil {
+		c.store.MarkSettled(time.Now(), inflight.TransferIdentity(t.GetId()))
+		if c.grants != nil {
+			c.grants.GiveSettled(t.GetId())
+		}
+		return nil
+	}
+	return c.store.PutCopy(time.Now(), rec)
+}
+
+// HandleFindRecord looks an identity up here.
+func (c *Controller) HandleFindRecord(req *pb.FindRecordRequest) *pb.FindRecordReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rec, ok := c.store.Find(time.Now(), req.GetIdentity())
+	return &pb.FindRecordReply{Record: rec, Found: ok}
+}
+
+// HandleGather fences a dead holder's records and transfers and returns them.
+func (c *Controller) HandleGather(req *pb.GatherRequest) *pb.GatherReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	dead := req.GetDead()
+	if dead.GetHost() == c.self.GetHost() && dead.GetIncarnation() == c.self.GetIncarnation() {
+		return &pb.GatherReply{Self: c.self, Error: wireError(errkind.New(errkind.BadRequest, "holder %s/%d is alive", dead.GetHost(), dead.GetIncarnation()))}
+	}
+	reply := &pb.GatherReply{Self: c.self, Records: c.store.Gather(time.Now(), dead)}
+	if c.grants != nil {
+		reply.Transfers = c.grants.Fence(dead)
+	}
+	c.cfg.Log.Info().Str("event", "gathered").Str("dead", dead.GetHost()).Uint64("incarnation", dead.GetIncarnation()).
+		Int("records", len(reply.Records)).Int("transfers", len(reply.Transfers)).Send()
+	return reply
+}
+
+func wireError(e *errkind.Error) *pb.Error {
+	return &pb.Error{Kind: string(e.Kind), Message: e.Message, RetryAfterMs: e.RetryAfter.Milliseconds()}
+}
--- /dev/null
+++ b/internal/inflight/bounds.go
@@ -0,0 +1,63 @@
+package inflight
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+)
+
+// makeRoom frees space for a new record: first answers, then finished records whose bill
+// is settled, oldest first. A record that may still have to be billed is never dropped;
+// if nothing else is left the new one is refused.
+func (s *Store) makeRoom(size, records int) error {
+	for s.over(size, records) {
+		short := s.bytes+size > s.cfg.MaxBytes
+		if !(short && s.dropAnswer()) && !s.dropBilled() {
+			return errkind.New(errkind.Overloaded, "this host keeps %d in-flight records, %d bytes", s.count, s.bytes)
+		}
+	}
+	return nil
+}
+
+func (s *Store) over(size, records int) bool {
+	return s.count+records > s.cfg.MaxRecords || s.bytes+size > s.cfg.MaxBytes
+}
+
+// trimAnswers keeps the bytes in bounds after a record grew by its answer. The usage and
+// the state of an update are always taken, so the bytes may pass the bound by a few dozen
+// for each record.
+func (s *Store) trimAnswers() {
+	for s.bytes > s.cfg.MaxBytes && s.dropAnswer() {
+	}
+}
+
+// dropAnswer drops the oldest kept answer; a retry is then told that the answer is no
+// longer kept.
+func (s *Store) dropAnswer() bool {
+	for len(s.answers) > 0 {
+		e := s.answers[0]
+		s.answers = s.answers[1:]
+		if e.gone || len(e.rec.GetAnswer()) == 0 {
+			continue
+		}
+		rec := proto.CloneOf(e.rec)
+		rec.Answer = nil
+		size := proto.Size(rec) + entryOverhead
+		s.bytes += size - e.size
+		e.rec, e.size = rec, size
+		return true
+	}
+	return false
+}
+
+func (s *Store) dropBilled() bool {
+	for i, e := range s.finished {
+		if e.gone || !e.billed() {
+			continue
+		}
+		s.finished = append(s.finished[:i], s.finished[i+1:]...)
+		s.remove(e)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/inflight/copies.go
@@ -0,0 +1,313 @@
+package inflight
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// avoidFor is how long a host that could not be reached gets no copies.
+const avoidFor = time.Second
+
+// transferPrefix marks the identities of records that copy a transfer.
+const transferPrefix = "\x00transfer/"
+
+// TransferIdentity is the identity of the record that copies a transfer.
+func TransferIdentity(id string) string { return transferPrefix + id }
+
+// Send is the records that one host should get.
+type Send struct {
+	Host    Host
+	Records []*pb.InflightRecord
+}
+
+// PutCopy stores another host's record, if it is newer than what is here.
+//
+// AlreadyExists: the record is the first of a request whose identity another request
+// has; KeyConflict: with another body; StaleFence: its holder's grants are being
+// released, so a bill from it could no longer be taken in; Overloaded: no room.
+func (s *Store) PutCopy(now time.Time, rec *pb.InflightRecord) error {
+	if s.touchesFenced(rec) {
+		return errkind.New(errkind.StaleFence, "holder %s/%d is dead", rec.GetHolder().GetHost(), rec.GetHolder().GetIncarnation())
+	}
+	if e := s.copyOf(rec); e != nil {
+		if rec.GetVersion() > e.rec.GetVersion() {
+			s.setRecord(now, e, proto.CloneOf(rec))
+		}
+		return nil
+	}
+	if known := s.find(rec.GetIdentity()); known != nil && rec.GetVersion() == 1 {
+		if err := conflict(known.rec, rec); err != nil {
+			return err
+		}
+		return errkind.New(errkind.AlreadyExists, "identity %s is known", rec.GetIdentity())
+	}
+	return s.addCopy(now, rec)
+}
+
+func (s *Store) addCopy(now time.Time, rec *pb.InflightRecord) error {
+	size := proto.Size(rec) + entryOverhead
+	if err := s.makeRoom(size, 1); err != nil {
+		return err
+	}
+	age := time.Duration(rec.GetAgeMs()) * time.Millisecond
+	e := &entry{rec: &pb.InflightRecord{}, made: now.Add(-age)}
+	s.copied[rec.GetIdentity()] = append(s.copied[rec.GetIdentity()], e)
+	s.count++
+	s.setRecord(now, e, proto.CloneOf(rec))
+	return nil
+}
+
+func (s *Store) copyOf(rec *pb.InflightRecord) *entry {
+	for _, e := range s.copied[rec.GetIdentity()] {
+		if e.rec.GetRequestId() == rec.GetRequestId() && keyOf(e.rec.GetHolder()) == keyOf(rec.GetHolder()) {
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *Store) removeCopy(identity string, e *entry) {
+	left := slices.DeleteFunc(s.copied[identity], func(x *entry) bool { return x == e })
+	if len(left) == 0 {
+		delete(s.copied, identity)
+		return
+	}
+	s.copied[identity] = left
+}
+
+// touchesFenced tells whether a record belongs to a fenced holder or moves its tokens.
+func (s *Store) touchesFenced(rec *pb.InflightRecord) bool {
+	t := rec.GetTransfer()
+	return s.isFenced(rec.GetHolder()) || s.isFenced(t.GetFrom()) || s.isFenced(t.GetTo())
+}
+
+func (s *Store) isFenced(h *pb.Holder) bool {
+	_, ok := s.fenced[keyOf(h)]
+	return ok
+}
+
+// Gather fences a dead holder and returns every record that it owned and every record
+// of a transfer from or to it.
+//
+// Without the fence a record that arrives after the answer would be a bill that the
+// recovery doesn't know: its tokens would be released and spent a second time.
+func (s *Store) Gather(now time.Time, dead *pb.Holder) []*pb.InflightRecord {
+	key := keyOf(dead)
+	s.fenced[key] = struct{}{}
+	var found []*pb.InflightRecord
+	consider := func(e *entry) {
+		t := e.rec.GetTransfer()
+		if keyOf(e.rec.GetHolder()) == key || keyOf(t.GetFrom()) == key || keyOf(t.GetTo()) == key {
+			found = append(found, e.snapshot(now))
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.copied)) {
+		for _, e := range s.copied[id] {
+			consider(e)
+		}
+	}
+	for _, request := range slices.Sorted(maps.Keys(s.own)) {
+		consider(s.own[request])
+	}
+	return found
+}
+
+// SetHosts replaces the live hosts. Own records whose copies were on a host that is gone
+// or restarted need new ones.
+func (s *Store) SetHosts(hosts []Host) {
+	s.ring = newRing(hosts)
+	live := make(map[string]uint64, len(hosts))
+	for _, h := range hosts {
+		live[h.Name] = h.Incarnation
+	}
+	for request, e := range s.own {
+		for host, h := range e.sent {
+			if incarnation, ok := live[host]; ok && incarnation == h.incarnation {
+				continue
+			}
+			delete(e.sent, host)
+			s.dirty[request] = struct{}{}
+		}
+	}
+}
+
+// Lookup is the hosts that would hold the identity's record for any owner, without self.
+func (s *Store) Lookup(identity string, n int) []Host {
+	hosts := s.ring.lookup(identity, n)
+	return slices.DeleteFunc(hosts, func(h Host) bool { return h.Name == s.cfg.Self.GetHost() })
+}
+
+// Host returns the live host of a name.
+func (s *Store) Host(name string) (Host, bool) {
+	for _, h := range s.ring.hosts {
+		if h.Name == name {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
+
+// Targets are the hosts that should get the present version of an own record now: those
+// that hold an older one, and as many new ones as copies are missing. Hosts in except
+// are passed over.
+func (s *Store) Targets(now time.Time, requestID string, except map[string]bool) []Host {
+	e, ok := s.own[requestID]
+	if !ok {
+		return nil
+	}
+	skip := func(name string) bool { return except[name] || now.Before(s.avoid[name]) }
+	var targets []Host
+	for _, name := range slices.Sorted(maps.Keys(e.sent)) {
+		h, live := s.Host(name)
+		if live && e.sent[name].version < e.rec.GetVersion() && !skip(name) {
+			targets = append(targets, h)
+		}
+	}
+	if e.rec.GetState() == pb.InflightState_INFLIGHT_STATE_ABANDONED {
+		return targets
+	}
+	missing := e.wanted - e.held() - len(targets)
+	skipHost := func(h Host) bool {
+		_, has := e.sent[h.Name]
+		_, declined := e.declined[h.Name]
+		return has || declined || skip(h.Name) || e.partyOf(h.Name)
+	}
+	identity := e.rec.GetIdentity()
+	fresh := s.ring.copies(identity, s.cfg.Self.GetHost(), s.cfg.Zone, missing, skipHost)
+	return append(targets, fresh...)
+}
+
+// held is the number of hosts known to hold the record's present version.
+func (e *entry) held() int {
+	n := 0
+	for _, h := range e.sent {
+		if h.version == e.rec.GetVersion() {
+			n++
+		}
+	}
+	return n
+}
+
+// partyOf tells whether host takes part in the transfer that the record copies; its copy
+// must survive the loss of both ends.
+func (e *entry) partyOf(host string) bool {
+	t := e.rec.GetTransfer()
+	return t != nil && (t.GetFrom().GetHost() == host || t.GetTo().GetHost() == host)
+}
+
+// Record is the present version of an own record for sending.
+func (s *Store) Record(now time.Time, requestID string) (*pb.InflightRecord, bool) {
+	e, ok := s.own[requestID]
+	if !ok {
+		return nil, false
+	}
+	return e.snapshot(now), true
+}
+
+// Sending notes that a host is being sent an own record: it may hold it from now on,
+// also if it doesn't answer.
+func (s *Store) Sending(requestID string, to Host) {
+	e, ok := s.own[requestID]
+	if !ok {
+		return
+	}
+	if h, known := e.sent[to.Name]; !known || h.incarnation != to.Incarnation {
+		e.sent[to.Name] = holding{incarnation: to.Incarnation}
+	}
+}
+
+// Acked notes that a host's incarnation holds a version of an own record.
+func (s *Store) Acked(requestID string, host string, incarnation, version uint64) {
+	e, ok := s.own[requestID]
+	if !ok {
+		return
+	}
+	h, known := e.sent[host]
+	if known && h.incarnation == incarnation && h.version < version {
+		e.sent[host] = holding{incarnation: incarnation, version: version}
+	}
+}
+
+// Declined notes that a host refused an own record; it isn't asked again.
+func (s *Store) Declined(requestID, host string) {
+	e, ok := s.own[requestID]
+	if !ok {
+		return
+	}
+	delete(e.sent, host)
+	if e.declined == nil {
+		e.declined = make(map[string]struct{})
+	}
+	e.declined[host] = struct{}{}
+}
+
+// Unreachable notes that a host didn't answer: it gets nothing for a while.
+func (s *Store) Unreachable(now time.Time, host string) { s.avoid[host] = now.Add(avoidFor) }
+
+// HeldBy tells whether a host holds the present version of an own record.
+func (s *Store) HeldBy(requestID, host string) bool {
+	e, ok := s.own[requestID]
+	return ok && e.sent[host].version == e.rec.GetVersion()
+}
+
+// Complete tells whether every host that may hold an own record holds its present
+// version and, unless it is abandoned, the wanted number do.
+func (s *Store) Complete(requestID string) bool {
+	e, ok := s.own[requestID]
+	return !ok || s.complete(e)
+}
+
+// Copies is the number of hosts that hold the present version of an own record.
+func (s *Store) Copies(requestID string) int {
+	e, ok := s.own[requestID]
+	if !ok {
+		return 0
+	}
+	return e.held()
+}
+
+func (s *Store) complete(e *entry) bool {
+	if e.held() < len(e.sent) {
+		return false
+	}
+	abandoned := e.rec.GetState() == pb.InflightState_INFLIGHT_STATE_ABANDONED
+	return abandoned || e.held() >= e.wanted
+}
+
+// Plan lists at most limit records that have to be sent, by host. Records that need
+// nothing more leave the list of dirty ones.
+func (s *Store) Plan(now time.Time, limit int) []Send {
+	byHost := make(map[string]*Send)
+	for _, request := range slices.Sorted(maps.Keys(s.dirty)) {
+		if limit == 0 {
+			break
+		}
+		if s.Complete(request) {
+			delete(s.dirty, request)
+			continue
+		}
+		targets := s.Targets(now, request, nil)
+		if len(targets) == 0 {
+			continue
+		}
+		limit--
+		rec, _ := s.Record(now, request)
+		for _, h := range targets {
+			if byHost[h.Name] == nil {
+				byHost[h.Name] = &Send{Host: h}
+			}
+			byHost[h.Name].Records = append(byHost[h.Name].Records, rec)
+		}
+	}
+	var sends []Send
+	for _, name := range slices.Sorted(maps.Keys(byHost)) {
+		sends = append(sends, *byHost[name])
+	}
+	return sends
+}
--- /dev/null
+++ b/internal/inflight/store.go
@@ -0,0 +1,322 @@
+// Package inflight keeps in-flight records: what a host must know of a request to lead a
+// retry to it, to take it over or to bill it after its owner's death. It holds a host's
+// own records, the copies that other hosts entrusted to it, and decides where copies go.
+//
+// Store is a pure state machine without goroutines, sockets or a clock.
+package inflight
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// entryOverhead estimates the bytes of an entry besides its encoded record.
+const entryOverhead = 400
+
+// unsettledWindow is how long a copy is kept whose bill isn't known to be settled; its
+// owner may be dead and its recovery may wait for the end of a long cut.
+const unsettledWindow = 24 * time.Hour
+
+// Config of a store. The zero value of a field means its default.
+type Config struct {
+	Self *pb.Holder
+	Zone string
+	// Window is how long a finished record is kept; default 10m.
+	Window time.Duration
+	// MaxRecords and MaxBytes bound own records and copies together; defaults 100,000
+	// and 64 MiB.
+	MaxRecords int
+	MaxBytes   int
+}
+
+// Store is not safe for concurrent use.
+type Store struct {
+	cfg  Config
+	ring ring
+	// own holds this host's records by request id, current the latest one of an identity.
+	own     map[string]*entry
+	current map[string]*entry
+	// copied holds other hosts' records by identity.
+	copied map[string][]*entry
+	fenced map[holderKey]struct{}
+	// finished holds entries in the order in which they finished, oldest first.
+	finished []*entry
+	// answers holds the entries that keep an answer, oldest first.
+	answers []*entry
+	// dirty are the request ids of own records whose copies are not all up to date.
+	dirty map[string]struct{}
+	// avoid says until when a host gets nothing because it could not be reached.
+	avoid map[string]time.Time
+	count int
+	bytes int
+}
+
+type holderKey struct {
+	host        string
+	incarnation uint64
+}
+
+func keyOf(h *pb.Holder) holderKey { return holderKey{h.GetHost(), h.GetIncarnation()} }
+
+// entry is one record with its bookkeeping.
+type entry struct {
+	rec *pb.InflightRecord
+	// made is when the request began, by this host's clock.
+	made time.Time
+	done time.Time // zero while it runs
+	size int
+	gone bool
+	// beginning: this host hasn't yet decided whether its record stands or yields to
+	// another host's for the same identity.
+	beginning bool
+	// wanted copies, and what each host that was sent one is known to hold; own records only.
+	wanted int
+	sent   map[string]holding
+	// declined are hosts that refused the record.
+	declined map[string]struct{}
+}
+
+// holding is the newest version that a host's incarnation acknowledged; 0: it was sent
+// one and didn't answer, so it may hold it or not.
+type holding struct {
+	incarnation, version uint64
+}
+
+// New makes an empty store.
+func New(cfg Config) *Store {
+	if cfg.Window == 0 {
+		cfg.Window = 10 * time.Minute
+	}
+	if cfg.MaxRecords == 0 {
+		cfg.MaxRecords = 100_000
+	}
+	if cfg.MaxBytes == 0 {
+		cfg.MaxBytes = 64 << 20
+	}
+	return &Store{
+		cfg: cfg, own: make(map[string]*entry), current: make(map[string]*entry), copied: make(map[string][]*entry),
+		fenced: make(map[holderKey]struct{}), dirty: make(map[string]struct{}),
+		avoid: make(map[string]time.Time),
+	}
+}
+
+// Len is the number of records and Bytes their estimated size.
+func (s *Store) Len() int { return s.count }
+
+// Bytes is the estimated size of all records.
+func (s *Store) Bytes() int { return s.bytes }
+
+// Begin stores a new own record that wants n copies. If the identity is known here it
+// returns that record instead. Until Begun the record is found in state NONE, though it
+// is copied as RUNNING. KeyConflict: the identity is known with another body.
+func (s *Store) Begin(now time.Time, rec *pb.InflightRecord, n int) (*pb.InflightRecord, error) {
+	if e := s.find(rec.GetIdentity()); e != nil {
+		if err := conflict(e.rec, rec); err != nil {
+			return nil, err
+		}
+		return e.answer(now), nil
+	}
+	if err := s.Adopt(now, rec, n); err != nil {
+		return nil, err
+	}
+	s.own[rec.GetRequestId()].beginning = true
+	return nil, nil
+}
+
+// Begun ends the beginning of an own record: it stands.
+func (s *Store) Begun(requestID string) {
+	if e, ok := s.own[requestID]; ok {
+		e.beginning = false
+	}
+}
+
+// Adopt stores a new own record though the identity may be known: this host takes over
+// the request of a dead one.
+func (s *Store) Adopt(now time.Time, rec *pb.InflightRecord, n int) error {
+	rec = proto.CloneOf(rec)
+	rec.Holder, rec.Version = s.cfg.Self, 1
+	e := &entry{rec: rec, made: now, wanted: n, sent: make(map[string]holding)}
+	if rec.GetState() == pb.InflightState_INFLIGHT_STATE_NONE {
+		rec.State = pb.InflightState_INFLIGHT_STATE_RUNNING
+	}
+	e.size = proto.Size(rec) + entryOverhead
+	if err := s.makeRoom(e.size, 1); err != nil {
+		return err
+	}
+	if old, ok := s.own[rec.GetRequestId()]; ok {
+		s.remove(old)
+	}
+	s.own[rec.GetRequestId()] = e
+	s.current[rec.GetIdentity()] = e
+	s.count++
+	s.bytes += e.size
+	s.dirty[rec.GetRequestId()] = struct{}{}
+	return nil
+}
+
+// conflict is the refusal of one idempotency key with two bodies.
+func conflict(known, asked *pb.InflightRecord) error {
+	if known.GetBodyHash() == asked.GetBodyHash() {
+		return nil
+	}
+	return errkind.New(errkind.KeyConflict, "the idempotency key of %s was used with another body", known.GetIdentity())
+}
+
+// Update replaces an own record. An update of a record that is not known or already
+// finished is dropped and reported as false.
+func (s *Store) Update(now time.Time, rec *pb.InflightRecord) bool {
+	e, ok := s.own[rec.GetRequestId()]
+	if !ok || e.rec.GetIdentity() != rec.GetIdentity() || !e.done.IsZero() {
+		return false
+	}
+	next := proto.CloneOf(rec)
+	next.Holder, next.Version = s.cfg.Self, e.rec.GetVersion()+1
+	s.replace(now, e, next)
+	return true
+}
+
+// MarkSettled notes that the ledger acknowledged the bill, or the transfer, of an own
+// record, which is therefore done.
+func (s *Store) MarkSettled(now time.Time, requestID string) bool {
+	e, ok := s.own[requestID]
+	if !ok || e.rec.GetSettled() {
+		return false
+	}
+	next := proto.CloneOf(e.rec)
+	next.Settled = true
+	next.State = pb.InflightState_INFLIGHT_STATE_DONE
+	next.Version++
+	s.replace(now, e, next)
+	return true
+}
+
+// Abandon marks an own record whose request surely did not run; its copies are told.
+// Until they know, the record stays as abandoned, which no lookup reports.
+func (s *Store) Abandon(now time.Time, requestID string) bool {
+	e, ok := s.own[requestID]
+	if !ok || !e.done.IsZero() {
+		return false
+	}
+	next := proto.CloneOf(e.rec)
+	next.State = pb.InflightState_INFLIGHT_STATE_ABANDONED
+	next.Version++
+	s.replace(now, e, next)
+	return true
+}
+
+func (s *Store) replace(now time.Time, e *entry, next *pb.InflightRecord) {
+	s.setRecord(now, e, next)
+	s.dirty[next.GetRequestId()] = struct{}{}
+}
+
+func (s *Store) setRecord(now time.Time, e *entry, next *pb.InflightRecord) {
+	size := proto.Size(next) + entryOverhead
+	s.bytes += size - e.size
+	e.rec, e.size = next, size
+	if e.done.IsZero() && next.GetState() != pb.InflightState_INFLIGHT_STATE_RUNNING {
+		e.done = now
+		s.finished = append(s.finished, e)
+	}
+	if len(next.GetAnswer()) > 0 {
+		s.answers = append(s.answers, e)
+	}
+	s.trimAnswers()
+}
+
+// Find returns the record of an identity here: an own one or a copy.
+func (s *Store) Find(now time.Time, identity string) (*pb.InflightRecord, bool) {
+	e := s.find(identity)
+	if e == nil {
+		return nil, false
+	}
+	return e.answer(now), true
+}
+
+// find prefers a finished record to a running one, and of running ones the own.
+func (s *Store) find(identity string) *entry {
+	var found *entry
+	consider := func(e *entry) {
+		if e == nil || e.rec.GetState() == pb.InflightState_INFLIGHT_STATE_ABANDONED {
+			return
+		}
+		if found == nil || found.done.IsZero() && !e.done.IsZero() {
+			found = e
+		}
+	}
+	consider(s.current[identity])
+	for _, e := range s.copied[identity] {
+		consider(e)
+	}
+	return found
+}
+
+// snapshot is the record with its present age.
+func (e *entry) snapshot(now time.Time) *pb.InflightRecord {
+	rec := proto.CloneOf(e.rec)
+	rec.AgeMs = now.Sub(e.made).Milliseconds()
+	return rec
+}
+
+// answer is the snapshot for those who ask for the identity.
+func (e *entry) answer(now time.Time) *pb.InflightRecord {
+	rec := e.snapshot(now)
+	if e.beginning && rec.GetState() == pb.InflightState_INFLIGHT_STATE_RUNNING {
+		rec.State = pb.InflightState_INFLIGHT_STATE_NONE
+	}
+	return rec
+}
+
+// Tick drops finished records whose window is over.
+func (s *Store) Tick(now time.Time) {
+	n, removed := 0, false
+	for n < len(s.finished) && now.Sub(s.finished[n].done) >= s.cfg.Window {
+		e := s.finished[n]
+		if now.Sub(e.done) >= s.window(e) {
+			s.remove(e)
+			removed = true
+		}
+		n++
+	}
+	if removed {
+		s.finished = slices.DeleteFunc(s.finished, func(e *entry) bool { return e.gone })
+	}
+}
+
+// window is longer for a record that may still have to be billed, and for an abandoned
+// one that a host may still hold as running.
+func (s *Store) window(e *entry) time.Duration {
+	told := e.rec.GetState() != pb.InflightState_INFLIGHT_STATE_ABANDONED || s.complete(e)
+	if e.billed() && told {
+		return s.cfg.Window
+	}
+	return max(s.cfg.Window, unsettledWindow)
+}
+
+// billed tells whether the record is no longer needed for a bill.
+func (e *entry) billed() bool {
+	return e.rec.GetSettled() || e.rec.GetState() == pb.InflightState_INFLIGHT_STATE_ABANDONED
+}
+
+func (s *Store) remove(e *entry) {
+	if e.gone {
+		return
+	}
+	e.gone = true
+	s.count--
+	s.bytes -= e.size
+	id, request := e.rec.GetIdentity(), e.rec.GetRequestId()
+	if s.own[request] != e {
+		s.removeCopy(id, e)
+		return
+	}
+	delete(s.own, request)
+	delete(s.dirty, request)
+	if s.current[id] == e {
+		delete(s.current, id)
+	}
+}
