--- /dev/null
+++ b/internal/controller/scheduler/scheduler.go
@@ -0,0 +1,307 @@
+// Package scheduler binds the registry of backend servers, the scheduling core and
+// the retry allowances to a host's clock and goroutines. It implements
+// filter.Scheduler and filter.Retries.
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/backend"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/retry"
+	"github.com/bluebellsail/bluebellsail/internal/sched"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// sweepEvery is how often an announcement makes the registry drop forgotten servers.
+const sweepEvery = 10 * time.Second
+
+// Options of a Scheduler.
+type Options struct {
+	Sched   sched.Config
+	Backend backend.Config
+	// Now is the clock; default time.Now.
+	Now func() time.Time
+	// Seed of the sampled choice; give each host its own.
+	Seed int64
+}
+
+// Scheduler is safe for concurrent use. Close it when the host ends.
+type Scheduler struct {
+	now     func() time.Time
+	metrics Metrics
+
+	mu      sync.Mutex
+	reg     *backend.Registry
+	core    *sched.Core
+	retries *retry.Allowance
+	waiters map[uint64]chan sched.Result
+	ticket  uint64
+	timer   *time.Timer
+	wakeAt  time.Time
+	swept   time.Time
+	closed  bool
+}
+
+var (
+	_ filter.Scheduler = (*Scheduler)(nil)
+	_ filter.Retries   = (*Scheduler)(nil)
+)
+
+// New makes a Scheduler without servers.
+func New(o Options) *Scheduler {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	reg := backend.New(o.Backend)
+	return &Scheduler{
+		now:     o.Now,
+		reg:     reg,
+		core:    sched.New(o.Sched, reg, rand.New(rand.NewSource(o.Seed))),
+		retries: retry.NewAllowance(),
+		waiters: make(map[uint64]chan sched.Result),
+	}
+}
+
+// Close refuses all waiting requests and later ones.
+func (s *Scheduler) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	for ticket, ch := range s.waiters {
+		s.core.Cancel(ticket)
+		delete(s.waiters, ticket)
+		ch <- sched.Result{Ticket: ticket, Err: leaving()}
+	}
+}
+
+func leaving() error { return errkind.New(errkind.HostLeaving, "this host is shutting down") }
+
+// Announce takes an announcement of a backend server; false: it was out of date.
+func (s *Scheduler) Announce(st *pb.ServerState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	ok := s.reg.Announce(now, st)
+	if !ok {
+		s.metrics.OldAnnouncements.Add(1)
+	}
+	if now.Sub(s.swept) >= sweepEvery {
+		s.swept = now
+		s.reg.Expire(now)
+	}
+	s.step(now)
+	return ok
+}
+
+// Merge takes the servers in a peer's heartbeat. transit is an upper bound of the
+// time on the way: the round trip for the state in a reply, backend.TransitUnknown
+// for a heartbeat that the peer sent by itself.
+func (s *Scheduler) Merge(states []*pb.ServerState, transit time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.reg.Merge(now, transit, states)
+	s.step(now)
+}
+
+// MergeRecent replaces what is known of a peer's work that server reports can't show yet.
+func (s *Scheduler) MergeRecent(host string, work []*pb.RecentWork) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reg.MergeRecent(s.now(), host, work)
+}
+
+// CacheEvent takes a numbered event of a server's prefix cache.
+func (s *Scheduler) CacheEvent(ev backend.CacheEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reg.CacheEvent(ev)
+}
+
+// SetHosts sets the live hosts that share the servers.
+func (s *Scheduler) SetHosts(hosts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.SetHosts(hosts)
+	s.step(s.now())
+}
+
+// Servers returns the known backend servers with the age of their announcements.
+func (s *Scheduler) Servers() []*pb.ServerState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reg.Snapshot(s.now())
+}
+
+// Usable tells whether the server at addr may get new work.
+func (s *Scheduler) Usable(addr string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reg.Usable(s.now(), addr)
+}
+
+// RecentWork is this host's work that the servers' last reports can't show yet.
+func (s *Scheduler) RecentWork() []*pb.RecentWork {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reg.RecentWork()
+}
+
+// Waiting and Running are the present numbers of requests.
+func (s *Scheduler) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Waiting()
+}
+
+// Running is the number of leases not yet done.
+func (s *Scheduler) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Running()
+}
+
+// First counts a first try of the team.
+func (s *Scheduler) First(team string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries.First(s.now(), team)
+}
+
+// Allow takes one retry from the team's allowance, or says no.
+func (s *Scheduler) Allow(team string, r settings.Retry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ok := s.retries.Allow(s.now(), team, r)
+	if !ok {
+		s.metrics.RetriesRefused.Add(1)
+	}
+	return ok
+}
+
+// Acquire implements filter.Scheduler. It returns at the latest when ctx ends or
+// the request can no longer be finished before its deadline.
+func (s *Scheduler) Acquire(ctx context.Context, w filter.Work) (filter.ServerLease, error) {
+	ticket, ch, res, decided := s.submit(w)
+	if !decided {
+		select {
+		case res = <-ch:
+		case <-ctx.Done():
+			res = s.abandon(ctx, ticket, ch)
+		}
+	}
+	if res.Err != nil {
+		s.metrics.refused(res.Err)
+		return nil, res.Err
+	}
+	s.metrics.Granted.Add(1)
+	s.metrics.QueueWait.observe(res.Grant.Waited)
+	return &lease{scheduler: s, ticket: ticket, server: res.Grant.State, reason: reason(res.Grant)}, nil
+}
+
+func (s *Scheduler) submit(w filter.Work) (uint64, chan sched.Result, sched.Result, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return 0, nil, sched.Result{Err: leaving()}, true
+	}
+	s.ticket++
+	ticket := s.ticket
+	now := s.now()
+	res, decided := s.core.Submit(now, workOf(ticket, w))
+	if decided {
+		return ticket, nil, res, true
+	}
+	// Room for one result: whoever decides never blocks on a waiter.
+	ch := make(chan sched.Result, 1)
+	s.waiters[ticket] = ch
+	s.arm(now)
+	return ticket, ch, sched.Result{}, false
+}
+
+func workOf(ticket uint64, w filter.Work) sched.Work {
+	kind := backend.Model
+	if w.Kind == filter.WorkService {
+		kind = backend.Service
+	}
+	return sched.Work{
+		Ticket: ticket, Account: w.Account, Weight: w.Weight, Class: sched.ClassOf(w.Priority),
+		Target: backend.Target{Kind: kind, Name: w.Target}, Adapter: w.Adapter,
+		PromptTokens: w.PromptTokens, OutputCap: w.OutputCap, PromptHashes: w.PromptHashes,
+		Deadline: w.Deadline, Exclude: w.Exclude, Prefer: w.Prefer,
+	}
+}
+
+// abandon withdraws a request whose context ended. If it was granted at the same
+// moment the room is given back.
+func (s *Scheduler) abandon(ctx context.Context, ticket uint64, ch chan sched.Result) sched.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, ticket)
+	if !s.core.Cancel(ticket) {
+		if res := <-ch; res.Grant == nil {
+			return res
+		}
+		now := s.now()
+		s.core.Release(now, ticket, sched.End{})
+		s.step(now)
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		err := errkind.New(errkind.DeadlineUnreachable, "the deadline passed while the request waited for a backend server")
+		return sched.Result{Ticket: ticket, Err: err}
+	}
+	err := errkind.New(errkind.CallerGone, "the caller left while the request waited").WithRan(errkind.RanNo)
+	return sched.Result{Ticket: ticket, Err: err}
+}
+
+// step lets the core decide and hands out the results; mu is held.
+func (s *Scheduler) step(now time.Time) {
+	for _, res := range s.core.Step(now) {
+		ch := s.waiters[res.Ticket]
+		delete(s.waiters, res.Ticket)
+		if ch != nil {
+			ch <- res
+		}
+	}
+	s.arm(now)
+}
+
+// arm sets the timer to the time at which the core has to decide again; mu is held.
+func (s *Scheduler) arm(now time.Time) {
+	at := s.core.NextWake(now)
+	if at.IsZero() || s.closed || at.Equal(s.wakeAt) {
+		return
+	}
+	s.wakeAt = at
+	d := max(at.Sub(now), 0)
+	if s.timer == nil {
+		s.timer = time.AfterFunc(d, s.wake)
+		return
+	}
+	s.timer.Reset(d)
+}
+
+func (s *Scheduler) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wakeAt = time.Time{}
+	if !s.closed {
+		s.step(s.now())
+	}
+}
+
+func reason(g *sched.Grant) string {
+	return fmt.Sprintf("of %d servers compared: load %d of %d, %.0f%% of the prompt cached, waited %v, to end by %s",
+		g.Considered, g.Load, g.State.GetSlots(), 100*g.Cached, g.Waited.Round(time.Millisecond),
+		g.Finish.Format("15:04:05.000"))
+}
--- /dev/null
+++ b/internal/controller/scheduler/scheduler_test.go
@@ -0,0 +1,180 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/sched"
+)
+
+func newScheduler(slots uint32) *Scheduler {
+	s := New(Options{Sched: sched.Config{Host: "h1", Zone: "olinda"}, Seed: 1})
+	s.Announce(state(1, slots))
+	return s
+}
+
+// state announces a model server that takes 10 ms per token.
+func state(seq uint64, slots uint32) *pb.ServerState {
+	return &pb.ServerState{
+		Address: "127.0.0.1:9001", Incarnation: 1, Seq: seq, Zone: "olinda",
+		Models: []string{"m"}, Slots: slots, TokensPerSecond: 100, PrefillPerSecond: 10000,
+	}
+}
+
+func work(timeout time.Duration) filter.Work {
+	return filter.Work{Account: "a", Target: "m", PromptTokens: 100, OutputCap: 10, Deadline: time.Now().Add(timeout)}
+}
+
+func mustAcquire(t *testing.T, s *Scheduler, timeout time.Duration) filter.ServerLease {
+	t.Helper()
+	l, err := s.Acquire(t.Context(), work(timeout))
+	if err != nil {
+		t.Fatalf("not granted: %v", err)
+	}
+	return l
+}
+
+// Symptom: a request waits although room was freed.
+// Sequence: one slot, held; a second request queues; the first is done.
+// Cause: a release that wakes no waiter.
+func TestReleaseWakesWaiter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(1)
+		defer s.Close()
+		first := mustAcquire(t, s, time.Second)
+		started := time.Now()
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			first.Done(filter.Outcome{OK: true})
+			first.Done(filter.Outcome{OK: true})
+		}()
+		second := mustAcquire(t, s, time.Second)
+		if waited := time.Since(started); waited != 100*time.Millisecond {
+			t.Errorf("waited %v, want 100ms", waited)
+		}
+		second.Done(filter.Outcome{OK: true})
+		if n := s.Running(); n != 0 {
+			t.Errorf("%d leases left", n)
+		}
+	})
+}
+
+// Symptom: a caller gets its refusal only after its deadline, or never.
+// Sequence: all room is held for good; requests wait with a deadline or a context that ends.
+// Cause: a waiter that nothing wakes in time.
+func TestAcquireOutlivesNeitherDeadlineNorContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(1)
+		defer s.Close()
+		mustAcquire(t, s, time.Second)
+		defer keepAnnouncing(s, 1)()
+		started := time.Now()
+
+		_, err := s.Acquire(t.Context(), work(time.Second))
+		if !errkind.Is(err, errkind.DeadlineUnreachable) || errkind.From(err).Ran() != errkind.RanNo {
+			t.Errorf("got %v, want deadline_unreachable, ran no", err)
+		}
+		if took := time.Since(started); took >= time.Second {
+			t.Errorf("refused after %v, the deadline was 1s", took)
+		}
+
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		started = time.Now()
+		_, err = s.Acquire(ctx, work(time.Second))
+		if err == nil || time.Since(started) != 200*time.Millisecond {
+			t.Errorf("context ended after 200ms, Acquire after %v with %v", time.Since(started), err)
+		}
+		if s.Waiting() != 0 {
+			t.Errorf("%d still wait", s.Waiting())
+		}
+	})
+}
+
+// keepAnnouncing announces the server each 500 ms until the returned function is called.
+func keepAnnouncing(s *Scheduler, slots uint32) (stop func()) {
+	quit := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for seq := uint64(2); ; seq++ {
+			select {
+			case <-quit:
+				return
+			case <-time.After(500 * time.Millisecond):
+				s.Announce(state(seq, slots))
+			}
+		}
+	})
+	return func() { close(quit); wg.Wait() }
+}
+
+// Symptom: a server runs more requests than it has slots, or room is lost.
+// Sequence: many callers at once, some of which leave while they wait.
+// Cause: a grant that crosses a cancelled context and is never given back.
+func TestConcurrentCallersKeepTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots = 4
+		s := newScheduler(slots)
+		defer s.Close()
+		defer keepAnnouncing(s, slots)()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		running, most, served := 0, 0, 0
+		for i := range 200 {
+			wg.Go(func() {
+				// Every third caller leaves just when rooms become free.
+				ctx := t.Context()
+				if i%3 == 0 {
+					var cancel context.CancelFunc
+					ctx, cancel = context.WithTimeout(ctx, time.Duration(i%7)*50*time.Millisecond)
+					defer cancel()
+				}
+				l, err := s.Acquire(ctx, work(10*time.Second))
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				running++
+				most = max(most, running)
+				served++
+				mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+				mu.Lock()
+				running--
+				mu.Unlock()
+				l.Done(filter.Outcome{OK: true})
+			})
+		}
+		wg.Wait()
+		if most > slots || served < 40 {
+			t.Errorf("%d ran at once with %d slots, %d served", most, slots, served)
+		}
+		if s.Running() != 0 || s.Waiting() != 0 {
+			t.Errorf("%d run and %d wait at the end", s.Running(), s.Waiting())
+		}
+	})
+}
+
+func TestRefusalsOfTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(1)
+		defer s.Close()
+		w := work(time.Second)
+		w.Target = "other"
+		_, err := s.Acquire(t.Context(), w)
+		if !errkind.Is(err, errkind.UnknownModel) {
+			t.Errorf("got %v, want unknown_model", err)
+		}
+		time.Sleep(2 * time.Second)
+		_, err = s.Acquire(t.Context(), work(time.Second))
+		if !errkind.Is(err, errkind.NoBackendServer) {
+			t.Errorf("got %v, want no_backend_server", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sched/choose.go
@@ -0,0 +1,200 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellsail/bluebellsail/internal/backend"
+)
+
+// homes is how many servers a prompt prefix belongs to by rendezvous hash. All
+// hosts compute the same ones, so that requests with one prefix meet its cache.
+const homes = 2
+
+// lentPart of a server's slots, one part in so many, is left free by hosts that go
+// beyond their own share, so that a host that comes back to its share finds room.
+//
+// Symptom this prevents: one busy host refills every slot it borrowed the moment
+// it ends, and a second host waits forever for its own share.
+const lentPart = 8
+
+// choice is a server with the figures of the prediction.
+type choice struct {
+	server *backend.Server
+	finish time.Time
+	cached float64
+	load   int
+}
+
+// hasRoom tells whether this host may send one more request of class to m. due
+// lifts the slots kept for more pressing classes.
+func (c *Core) hasRoom(now time.Time, m member, class Class, due bool) bool {
+	s := m.server
+	own := s.Own()
+	if s.LoadAge(now) > c.cfg.FreshLoad {
+		// What other hosts do is not known: only the own share is safe.
+		return own < m.share
+	}
+	limit := s.Slots()
+	if !due {
+		limit = room(limit, class)
+	}
+	load := s.Corrected()
+	if own < m.share {
+		return load < limit
+	}
+	lent := (s.Slots() + lentPart - 1) / lentPart
+	return load < limit-lent
+}
+
+// eligible tells whether s may run w at all.
+func (c *Core) eligible(now time.Time, s *backend.Server, w *Work) bool {
+	if !c.reg.UsableServer(now, s) || slices.Contains(w.Exclude, s.Address()) {
+		return false
+	}
+	return w.Adapter == "" || slices.Contains(s.State().GetAdapters(), w.Adapter)
+}
+
+// runTime predicts how long w runs on s from dispatch to the whole answer: way,
+// prompts before it, its own prompt less what is cached, and its output up to the
+// cap at the speed of a full batch.
+func (c *Core) runTime(s *backend.Server, w *Work, cached float64) time.Duration {
+	way := c.way(s)
+	if w.Target.Kind == backend.Service {
+		return way + s.ServiceTime()
+	}
+	prompt := float64(w.PromptTokens) * (1 - cached)
+	prefill := s.PrefillTime(float64(s.PendingPrompt()) + prompt)
+	return way + prefill + time.Duration(w.OutputCap)*s.TokenTime()
+}
+
+// bareTime is runTime on s with no other prompt pending.
+func (c *Core) bareTime(s *backend.Server, w *Work) time.Duration {
+	if w.Target.Kind == backend.Service {
+		return c.way(s) + s.ServiceTime()
+	}
+	prompt := float64(w.PromptTokens) * (1 - s.CachedShare(w.PromptHashes))
+	return c.way(s) + s.PrefillTime(prompt) + time.Duration(w.OutputCap)*s.TokenTime()
+}
+
+// way is the round trip to s.
+func (c *Core) way(s *backend.Server) time.Duration {
+	if s.State().GetZone() == c.cfg.Zone {
+		return 0
+	}
+	return 2 * c.cfg.ZoneDelay
+}
+
+// withMargin adds the share kept back before the deadline.
+func (c *Core) withMargin(d time.Duration) time.Duration {
+	return d + time.Duration(c.cfg.Margin*float64(d))
+}
+
+// consider adds m to the comparison if it may run w in time and beats best.
+func (c *Core) consider(now time.Time, m member, w *Work, due bool, best *choice) bool {
+	if !c.eligible(now, m.server, w) || !c.hasRoom(now, m, w.Class, due) {
+		return false
+	}
+	cached := m.server.CachedShare(w.PromptHashes)
+	d := c.withMargin(c.runTime(m.server, w, cached))
+	finish := now.Add(d)
+	if finish.After(w.Deadline) {
+		return false
+	}
+	load := m.server.Corrected()
+	better := best.server == nil || finish.Before(best.finish) ||
+		(finish.Equal(best.finish) && load*best.server.Slots() < best.load*m.server.Slots())
+	if better {
+		*best = choice{server: m.server, finish: finish, cached: cached, load: load}
+	}
+	return true
+}
+
+// choose picks the server for w among those with room; no server: none has room
+// in which w would end in time.
+func (c *Core) choose(now time.Time, p *pool, w *Work, due bool) (choice, int) {
+	var best choice
+	considered := 0
+	if w.Prefer != "" {
+		if m, ok := p.find(w.Prefer); ok && c.consider(now, m, w, due, &best) {
+			return best, 1
+		}
+	}
+	for _, i := range p.homesOf(w) {
+		if c.consider(now, p.members[i], w, due, &best) {
+			considered++
+		}
+	}
+	n := len(p.members)
+	if n == 0 {
+		return best, 0
+	}
+	// Sampled servers come from a random place on: the first ones with room are
+	// compared, and if few have room all are looked at.
+	at := c.rng.Intn(n)
+	step := c.stride(n)
+	sampled := 0
+	for k := 0; k < n && sampled < c.cfg.Samples; k++ {
+		if c.consider(now, p.members[at], w, due, &best) {
+			sampled++
+		}
+		at = (at + step) % n
+	}
+	return best, considered + sampled
+}
+
+// stride is a random step that visits each of n places once.
+func (c *Core) stride(n int) int {
+	for {
+		step := 1 + c.rng.Intn(n)
+		if gcd(step, n) == 1 {
+			return step
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+func (p *pool) find(addr string) (member, bool) {
+	for _, m := range p.members {
+		if m.server.Address() == addr {
+			return m, true
+		}
+	}
+	return member{}, false
+}
+
+// homesOf returns the indexes of the members that w's prefix belongs to.
+func (p *pool) homesOf(w *Work) []int {
+	if len(w.PromptHashes) == 0 {
+		return nil
+	}
+	var top [homes]int
+	var score [homes]uint64
+	found := 0
+	for i := range p.members {
+		r := rank(w.PromptHashes[0], p.members[i].hash)
+		j := found
+		for j > 0 && score[j-1] < r {
+			j--
+		}
+		if j >= homes {
+			continue
+		}
+		copy(score[j+1:], score[j:homes-1])
+		copy(top[j+1:], top[j:homes-1])
+		score[j], top[j] = r, i
+		found = min(found+1, homes)
+	}
+	return top[:found]
+}
+
+// hashOf names a server in rendezvous hashes.
+func hashOf(addr string) uint64 { return xxhash.Sum64String(addr) }
