--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,104 @@
+// Package telemetry holds what a process shows of itself: the event log (one line
+// of key=value pairs per event), traces with a span for each hop, and metrics.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/propagation"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Config says what a process logs and traces, and where to.
+type Config struct {
+	// Service is the program's name, in every span.
+	Service string
+	// Host and Zone name the process in every log line and span.
+	Host, Zone string
+	// LogLevel is "debug", "info" (default), "warn" or "error".
+	LogLevel string
+	// LogWriter receives the event log; default os.Stderr.
+	LogWriter io.Writer
+	// Trace says where spans go.
+	Trace TraceConfig
+}
+
+// Telemetry is a process's log, tracer and metrics. It is safe for concurrent use.
+type Telemetry struct {
+	Log     zerolog.Logger
+	Tracer  trace.Tracer
+	Metrics *Metrics
+
+	provider   trace.TracerProvider
+	sdk        *sdktrace.TracerProvider
+	traceFile  io.Closer
+	propagator propagation.TextMapPropagator
+}
+
+// New builds the telemetry of a process. It fails on an unknown log level or
+// exporter, a malformed URL or a trace file that can't be opened.
+func New(cfg Config) (*Telemetry, error) {
+	log, err := newLogger(cfg)
+	if err != nil {
+		return nil, err
+	}
+	t := &Telemetry{Log: log, Metrics: NewMetrics(), propagator: propagation.TraceContext{}}
+	if err := t.startTracing(cfg); err != nil {
+		return nil, err
+	}
+	t.Tracer = t.provider.Tracer(tracerName)
+	return t, nil
+}
+
+// Discard returns telemetry that logs and traces nothing, for tests and tools.
+func Discard() *Telemetry {
+	t, err := New(Config{LogWriter: io.Discard, LogLevel: "error"})
+	if err != nil {
+		panic(err) // the configuration above is constant and valid
+	}
+	return t
+}
+
+// Shutdown sends the spans still held and closes the trace file. Spans ended
+// later are lost.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	if t.sdk == nil {
+		return nil
+	}
+	err := errors.Wrap(t.sdk.Shutdown(ctx), "shut tracer provider down")
+	if t.traceFile == nil {
+		return err
+	}
+	if cerr := t.traceFile.Close(); err == nil {
+		err = errors.Wrap(cerr, "close trace file")
+	}
+	return err
+}
+
+func newLogger(cfg Config) (zerolog.Logger, error) {
+	level := zerolog.InfoLevel
+	if cfg.LogLevel != "" {
+		var err error
+		level, err = zerolog.ParseLevel(cfg.LogLevel)
+		if err != nil {
+			return zerolog.Logger{}, errors.Wrap(err, "log level")
+		}
+	}
+	w := cfg.LogWriter
+	if w == nil {
+		w = os.Stderr
+	}
+	c := zerolog.New(&lineWriter{out: w}).Level(level).With().Timestamp()
+	if cfg.Host != "" {
+		c = c.Str("host", cfg.Host)
+	}
+	if cfg.Zone != "" {
+		c = c.Str("zone", cfg.Zone)
+	}
+	return c.Logger(), nil
+}
