--- /dev/null
+++ b/internal/membership/addresses.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Address is one address that a caller may use.
+type Address struct {
+	Host    string
+	Zone    string
+	Address string
+	// Until is when the caller should ask again.
+	Until time.Time
+}
+
+// minWeight keeps a host without spare room in the draw: reports are late.
+const minWeight = 20 // thousandths
+
+type candidate struct {
+	address Address
+	class   int
+	// key orders the candidates of one class: a draw without replacement in which
+	// a host's chance is its share of the spare room.
+	key float64
+}
+
+// Classes of addresses, best first.
+const (
+	classSameZone = iota
+	classOtherZone
+	classSuspect
+	classLeaving
+)
+
+// Addresses answers a caller in the given availability zone: first the hosts of
+// that zone, then the others, each drawn at random by spare room so that callers
+// spread; suspects last. Leaving and dead hosts are left out. It is empty only if
+// neither this host nor any other is there to serve: when all that live are
+// leaving, those are named, since a refusal from one is better than no address.
+func (t *Table) Addresses(now time.Time, zone string, ttl time.Duration) []Address {
+	candidates := make([]candidate, 0, len(t.order)+1)
+	candidates = append(candidates, t.selfCandidate(zone))
+	for _, e := range t.order {
+		if e.caller != "" && !t.dead(e) {
+			candidates = append(candidates, t.candidate(e, zone))
+		}
+	}
+	candidates = withoutLeaving(candidates)
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.key, b.key))
+	})
+	addresses := make([]Address, 0, len(candidates))
+	for _, c := range candidates {
+		c.address.Until = now.Add(ttl)
+		addresses = append(addresses, c.address)
+	}
+	return addresses
+}
+
+func withoutLeaving(all []candidate) []candidate {
+	leaving := func(c candidate) bool { return c.class == classLeaving }
+	staying := slices.DeleteFunc(slices.Clone(all), leaving)
+	if len(staying) == 0 {
+		return all
+	}
+	return staying
+}
+
+func (t *Table) selfCandidate(zone string) candidate {
+	self := t.cfg.Self
+	c := candidate{
+		address: Address{Host: self.Host, Zone: self.Zone, Address: self.CallerAddress},
+		class:   classOf(zone, self.Zone),
+		key:     t.draw(t.spare),
+	}
+	if t.leaving {
+		c.class = classLeaving
+	}
+	return c
+}
+
+func (t *Table) candidate(e *entry, zone string) candidate {
+	c := candidate{
+		address: Address{Host: e.host, Zone: e.zone, Address: e.caller},
+		class:   classOf(zone, e.zone),
+		key:     t.draw(e.spare),
+	}
+	if t.health(e) == pb.HostHealth_HOST_HEALTH_SUSPECT {
+		c.class = classSuspect
+	}
+	if e.leaving {
+		c.class = classLeaving
+	}
+	return c
+}
+
+func classOf(callerZone, hostZone string) int {
+	if callerZone == hostZone {
+		return classSameZone
+	}
+	return classOtherZone
+}
+
+// draw gives an exponential variate with rate spare (Efraimidis and Spirakis,
+// "Weighted random sampling with a reservoir", 2006): ordering by it draws without
+// replacement by weight.
+func (t *Table) draw(sparePermille uint32) float64 {
+	weight := float64(max(sparePermille, minWeight))
+	return -math.Log(1-t.rng.Float64()) / weight
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,260 @@
+package membership
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	testTTL = 30 * time.Second
+	alive   = pb.HostHealth_HOST_HEALTH_ALIVE
+	dead    = pb.HostHealth_HOST_HEALTH_DEAD
+)
+
+var testNow = time.Unix(1_800_000_000, 0)
+
+// settled is a fleet of n in which everybody knows everybody.
+func settled(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := newFleet(n, 1, Config{})
+	f.run(30 + 2*n)
+	for i := range f.hosts {
+		if got := f.names(i); !slices.Equal(got, f.truth()) {
+			t.Fatalf("host %d starts with %d of %d addresses", i, len(got), n)
+		}
+	}
+	return f
+}
+
+// Symptom: a host that callers can reach is dropped from the address answers.
+// Sequence: messages from host 0 to host 1 (then both ways) are lost for a minute;
+// five others reach both.
+// Cause: host 0 took its own unanswered heartbeats for the death of host 1.
+func TestCutBetweenTwoHostsRemovesNeither(t *testing.T) {
+	for name, both := range map[string]bool{"one way": false, "both ways": true} {
+		t.Run(name, func(t *testing.T) {
+			f := settled(t, 7)
+			f.cut[[2]int{0, 1}] = true
+			f.cut[[2]int{1, 0}] = both
+			for tick := range 120 {
+				f.run(1)
+				for i := range f.hosts {
+					if got := f.names(i); len(got) != 7 {
+						t.Fatalf("tick %d: host %d answers only %v", tick, i, got)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Symptom: callers are sent to hosts that they can't reach, or a side answers nothing.
+// Sequence: hosts 0 to 2 and 3 to 6 are cut apart, then the cut is mended.
+// Cause: a side without evidence of the other must drop it, and must ask again.
+func TestTwoSidesDropAndFindEachOther(t *testing.T) {
+	f := settled(t, 7)
+	side := func(i int) bool { return i < 3 }
+	setCut := func(on bool) {
+		for i := range 7 {
+			for j := range 7 {
+				if side(i) != side(j) {
+					f.cut[[2]int{i, j}] = on
+				}
+			}
+		}
+	}
+	setCut(true)
+	f.run(DefaultDeadAfter + 3)
+	if got := f.names(0); len(got) != 3 {
+		t.Errorf("side of 3 answers %v", got)
+	}
+	if got := f.names(5); len(got) != 4 {
+		t.Errorf("side of 4 answers %v", got)
+	}
+	setCut(false)
+	f.run(8)
+	for i := range f.hosts {
+		if got := f.names(i); len(got) != 7 {
+			t.Errorf("host %d answers %v after the cut", i, got)
+		}
+	}
+}
+
+// Symptom: new callers come to a host that is shutting down.
+// Sequence: host 2 marks itself leaving and beats once more.
+// Cause: the flag didn't travel, or stale word of the same incarnation cleared it.
+func TestLeavingHostIsGoneAfterOneHeartbeat(t *testing.T) {
+	f := settled(t, 7)
+	old := f.hosts[3].Message("")
+	f.leave(2)
+	f.run(1)
+	// Word from before the leave, through a host that had not heard of it.
+	f.hosts[0].takeState(&pb.HostState{
+		Holder: &pb.Holder{Host: simName(2), Incarnation: 1}, Health: alive, PeerAddress: simAddress(2),
+	}, f.hosts[0].Now())
+	f.hosts[0].ReceiveRequest(old)
+	for i := range f.hosts {
+		if got := f.names(i); slices.Contains(got, simName(2)) {
+			t.Errorf("host %d still answers %v", i, got)
+		}
+	}
+	f.start(2) // a new incarnation is not leaving
+	f.run(2)
+	for i := range f.hosts {
+		if got := f.names(i); len(got) != 7 {
+			t.Errorf("host %d answers %v after the restart", i, got)
+		}
+	}
+}
+
+// Symptom: a dead host stays in the answers, or comes back into them.
+// Sequence: requests of host 6 lie in silent connections; it dies; all others find
+// it dead; the requests arrive.
+// Cause: an old request was taken for a sign of life.
+func TestDeadHostIsFoundAndNotRevivedByStaleWord(t *testing.T) {
+	f := settled(t, 7)
+	stale := f.hosts[5].Message("") // says that host 6 lives
+	f.holdFrom = 6
+	f.run(2)
+	f.hosts[6].running = false
+	f.run(DefaultDeadAfter + 1)
+	for i := range 6 {
+		if got := f.health(i, 6); got != dead {
+			t.Fatalf("host %d has the dead host as %v after %d ticks", i, got, DefaultDeadAfter+1)
+		}
+	}
+	stale.Seq = f.hosts[5].seq + 1
+	f.hosts[0].ReceiveRequest(stale)
+	f.deliverHeld()
+	for range 20 {
+		for i := range 6 {
+			if got := f.health(i, 6); got != dead {
+				t.Fatalf("host %d has the dead host as %v", i, got)
+			}
+		}
+		f.run(1)
+	}
+}
+
+// Symptom: right after a pause of one process its whole view is dead, and callers
+// get one address.
+// Sequence: a process is stopped for a minute and goes on.
+// Cause: time was counted by the clock rather than by own heartbeats.
+func TestPausedHostKeepsItsView(t *testing.T) {
+	f := settled(t, 7)
+	f.hosts[0].running = false
+	f.run(120)
+	f.hosts[0].running = true
+	f.run(1)
+	if got := f.names(0); len(got) != 7 {
+		t.Errorf("the paused host answers %v", got)
+	}
+}
+
+// A registration alone must neither make a host's addresses preferred nor be passed
+// on; an operator's word that a host is dead must hold against stale word.
+func TestLearnedAndRemovedHosts(t *testing.T) {
+	f := settled(t, 3)
+	h := f.hosts[0]
+	h.Learn([]*pb.HostInfo{
+		{Host: "new", Incarnation: 4, Zone: "olinda", CallerAddress: "10.9.0.1:80", PeerAddress: "10.9.0.1:81"},
+		{Host: simName(1), Incarnation: 1, Removed: true},
+	})
+	addresses := h.Addresses(testNow, "olinda", testTTL)
+	if len(addresses) != 3 || addresses[2].Host != "new" {
+		t.Errorf("answer %v, want the new host last and the removed one left out", addresses)
+	}
+	for _, s := range h.Message("").GetHosts() {
+		if s.GetHolder().GetHost() == "new" {
+			t.Errorf("passed on: %v", s)
+		}
+	}
+	h.ReceiveRequest(f.hosts[1].Message(""))
+	if got := f.names(0); slices.Contains(got, simName(1)) {
+		t.Errorf("the removed host is back: %v", got)
+	}
+}
+
+// Symptom: all callers of a zone go to one host, or to another zone's, or nobody
+// is named while all hosts are leaving.
+// Sequence: many answers are drawn; then every host leaves.
+// Cause: order without regard to zone and spare room; an empty answer.
+func TestAddressesSpreadByZoneAndSpareRoom(t *testing.T) {
+	f := settled(t, 7) // zones in turn; olinda has hosts 2 and 5
+	f.hosts[2].SetLoad(900, 1)
+	f.hosts[5].SetLoad(100, 1)
+	f.run(2)
+	first := make(map[string]int)
+	for range 1000 {
+		got := f.hosts[0].Addresses(testNow, "olinda", testTTL)
+		if got[0].Zone != "olinda" || got[1].Zone != "olinda" || got[2].Zone == "olinda" {
+			t.Fatalf("zones out of order: %v", got)
+		}
+		if !got[0].Until.Equal(testNow.Add(testTTL)) {
+			t.Fatalf("until %v", got[0].Until)
+		}
+		first[got[0].Host]++
+	}
+	if n := first[simName(2)]; n < 850 || n > 950 {
+		t.Errorf("the host with 9 of 10 parts of the room came first %d times of 1000", n)
+	}
+	for i := range f.hosts {
+		f.leave(i)
+	}
+	f.run(2)
+	if got := f.names(0); len(got) != 7 {
+		t.Errorf("answer %v while all are leaving", got)
+	}
+}
+
+// In a large fleet nobody watches everybody: a death must reach all all the same,
+// one cut must remove nobody, and a message must keep its bound.
+func TestSampledFleet(t *testing.T) {
+	const n = 60
+	f := settled(t, n)
+	f.cut[[2]int{0, 1}] = true
+	f.isolate(7, true) // cut off, with its own view of everybody as dead
+	f.hosts[9].running = false
+	f.leave(11)
+	f.run(60)
+	for i := range n {
+		if i == 7 || i == 9 {
+			continue
+		}
+		got := f.names(i)
+		for _, gone := range []int{7, 9, 11} {
+			if slices.Contains(got, simName(gone)) {
+				t.Errorf("host %d still answers host %d", i, gone)
+			}
+		}
+		if len(got) != n-3 {
+			t.Errorf("host %d answers %d hosts, want %d", i, len(got), n-3)
+		}
+	}
+	f.isolate(7, false)
+	for tick := range 80 {
+		f.run(1)
+		for i := range n {
+			if i != 7 && i != 9 && len(f.names(i)) < n-3 {
+				t.Fatalf("tick %d: the returned host made host %d drop others", tick, i)
+			}
+		}
+	}
+	for i := range n {
+		if i != 9 && !slices.Equal(f.names(i), f.truth()) {
+			t.Errorf("host %d: %d hosts, want %d", i, len(f.names(i)), len(f.truth()))
+		}
+	}
+}
+
+func TestSameSeedSameChoices(t *testing.T) {
+	a, b := newFleet(40, 3, Config{}), newFleet(40, 3, Config{})
+	a.run(20)
+	b.run(20)
+	if a.bytes != b.bytes || a.messages != b.messages {
+		t.Errorf("two runs of one seed differ: %d and %d bytes", a.bytes, b.bytes)
+	}
+}
--- /dev/null
+++ b/internal/membership/merge.go
@@ -0,0 +1,285 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	// notHeard as a tick: no evidence at all.
+	notHeard = 0
+	// tickPhase is added to every age from another host. Ticks of two hosts don't
+	// begin together, so an age in whole ticks can be short by almost one. Word that
+	// got younger on its way would go round for ever, and a doubt or a dead host
+	// with it.
+	tickPhase = 1
+)
+
+// Learn takes hosts that the control group has registered. Removed ones are dropped
+// for good. The others count as suspect here until a word of them comes, and are
+// not passed on: a registration says nothing of whether a host lives, and a
+// newcomer that doubted everybody would make the whole fleet ask.
+func (t *Table) Learn(hosts []*pb.HostInfo) {
+	for _, info := range hosts {
+		if info.GetHost() == t.cfg.Self.Host {
+			continue
+		}
+		if info.GetRemoved() {
+			t.remove(info.GetHost(), info.GetIncarnation())
+			continue
+		}
+		if e := t.hosts[info.GetHost()]; e != nil && e.incarnation >= info.GetIncarnation() {
+			continue
+		}
+		e := t.enter(&pb.Holder{Host: info.GetHost(), Incarnation: info.GetIncarnation()})
+		e.zone = info.GetZone()
+		e.caller = info.GetCallerAddress()
+		e.peer = info.GetPeerAddress()
+		e.unheard = true
+		e.newsLeft = 0
+	}
+}
+
+func (t *Table) remove(host string, incarnation uint64) {
+	t.removed[host] = max(t.removed[host], incarnation)
+	e := t.hosts[host]
+	if e == nil || e.incarnation > t.removed[host] {
+		return
+	}
+	t.drop(e)
+}
+
+func (t *Table) drop(e *entry) {
+	delete(t.hosts, e.host)
+	isIt := func(x *entry) bool { return x == e }
+	t.order = slices.DeleteFunc(t.order, isIt)
+	t.neighbours = slices.DeleteFunc(t.neighbours, isIt)
+}
+
+// enter makes an entry for a new host, or resets that of a former incarnation.
+// Nothing of a former run holds for the new one, least of all its leaving flag.
+func (t *Table) enter(h *pb.Holder) *entry {
+	e := t.hosts[h.GetHost()]
+	if e == nil {
+		e = &entry{host: h.GetHost()}
+		t.hosts[e.host] = e
+		at, _ := slices.BinarySearchFunc(t.order, e.host, func(x *entry, host string) int {
+			return strings.Compare(x.host, host)
+		})
+		t.order = slices.Insert(t.order, at, e)
+	}
+	*e = entry{
+		host: e.host, hash: xxhash.Sum64String(e.host), incarnation: h.GetIncarnation(),
+		zone: e.zone, caller: e.caller, peer: e.peer, heard: notHeard,
+	}
+	t.spread(e, true)
+	return e
+}
+
+// ReceiveRequest takes a heartbeat request that another host sent. Its age is not
+// known: it may have been held up on the way. So its host entries bring no
+// evidence, only incarnations, flags and doubts.
+func (t *Table) ReceiveRequest(m *pb.HeartbeatRequest) {
+	e := t.sender(m)
+	if e == nil {
+		return
+	}
+	if m.GetSeq() <= e.seq {
+		return // an older one than already taken, held up or sent twice
+	}
+	t.takeHeader(e, m)
+	t.hearRequest(e)
+	for _, s := range m.GetHosts() {
+		t.takeState(s, notHeard)
+	}
+}
+
+// hearRequest counts the arrival of a request as evidence of its sender. A dead
+// host is not revived by a single one.
+//
+// What goes wrong otherwise: a request that lay in a silent connection arrives
+// long after its host died, and callers are sent there again. One would notice a
+// host that turns alive for a few seconds after its death. A second request in a
+// later tick, or a reply to the probe, can't come from a dead host's past.
+func (t *Table) hearRequest(e *entry) {
+	recent := t.now-e.lastRequest < t.cfg.DeadAfter && e.lastRequest < t.now
+	e.lastRequest = t.now
+	if t.dead(e) && !recent {
+		e.probe = true
+		return
+	}
+	t.hear(e, t.now)
+}
+
+// ReceiveReply takes the answer to a heartbeat that was sent at tick sentAt. All
+// that it says was true at sentAt or later, so its ages count from there: evidence
+// can only be taken for older than it is, never for younger, however many hosts it
+// passes through.
+func (t *Table) ReceiveReply(sentAt int64, reply *pb.HeartbeatReply) {
+	m := reply.GetState()
+	e := t.sender(m)
+	if e == nil {
+		return
+	}
+	t.takeHeader(e, m)
+	t.hear(e, sentAt)
+	for _, s := range m.GetHosts() {
+		t.takeState(s, sentAt)
+	}
+}
+
+// Unanswered takes that the heartbeat to a host, sent at tick sentAt, got no reply in time.
+func (t *Table) Unanswered(sentAt int64, host string) {
+	e := t.hosts[host]
+	if e == nil || e.heard > sentAt {
+		return
+	}
+	t.startDoubt(e, sentAt)
+}
+
+// sender returns the entry of the host that sent m; nil if m must be ignored:
+// this host's own, without incarnation, of a removed host or a former run.
+func (t *Table) sender(m *pb.HeartbeatRequest) *entry {
+	return t.accept(m.GetFrom())
+}
+
+func (t *Table) accept(h *pb.Holder) *entry {
+	if h.GetHost() == "" || h.GetHost() == t.cfg.Self.Host || h.GetIncarnation() == 0 {
+		return nil
+	}
+	if h.GetIncarnation() <= t.removed[h.GetHost()] {
+		return nil
+	}
+	e := t.hosts[h.GetHost()]
+	if e == nil || e.incarnation < h.GetIncarnation() {
+		return t.enter(h)
+	}
+	if e.incarnation > h.GetIncarnation() {
+		return nil
+	}
+	return e
+}
+
+func (t *Table) takeHeader(e *entry, m *pb.HeartbeatRequest) {
+	e.seq = max(e.seq, m.GetSeq())
+	e.zone = m.GetZone()
+	e.caller = m.GetCallerAddress()
+	e.peer = m.GetPeerAddress()
+	e.spare = m.GetSparePermille()
+	e.revision = max(e.revision, m.GetConfigRevision())
+	if m.GetLeaving() {
+		t.setLeaving(e)
+	}
+}
+
+// setLeaving is one-way: stale word can't make a leaving host eligible again.
+func (t *Table) setLeaving(e *entry) {
+	if e.leaving {
+		return
+	}
+	e.leaving = true
+	t.spread(e, false)
+}
+
+// takeState merges another host's word about a third. sentAt is the tick from
+// which ages count; notHeard: the ages are no evidence.
+func (t *Table) takeState(s *pb.HostState, sentAt int64) {
+	known := t.hosts[s.GetHolder().GetHost()] != nil
+	alive := s.GetHealth() == pb.HostHealth_HOST_HEALTH_ALIVE
+	if !known && (!alive || s.GetPeerAddress() == "") {
+		return // nothing to make an entry of: a dead host that was forgotten here, or no address
+	}
+	e := t.accept(s.GetHolder())
+	if e == nil {
+		return
+	}
+	if s.GetPeerAddress() != "" {
+		e.zone = s.GetZone()
+		e.caller = s.GetCallerAddress()
+		e.peer = s.GetPeerAddress()
+	}
+	e.revision = max(e.revision, s.GetConfigRevision())
+	if s.GetLeaving() {
+		t.setLeaving(e)
+	}
+	if alive {
+		t.takeEvidence(e, s, sentAt)
+		return
+	}
+	t.takeDoubt(e, s)
+}
+
+func (t *Table) takeEvidence(e *entry, s *pb.HostState, sentAt int64) {
+	t.known(e)
+	if sentAt == notHeard {
+		return
+	}
+	heard := sentAt - t.ticks(s.GetHeardMs()) - tickPhase
+	if heard > e.heard {
+		e.spare = s.GetSparePermille()
+	}
+	t.hear(e, heard)
+}
+
+// takeDoubt adopts a doubt that is later than anything this host has heard. If this
+// host has later evidence it spreads that instead; if it watches the host, it asks.
+func (t *Table) takeDoubt(e *entry, s *pb.HostState) {
+	unanswered := t.now - t.ticks(s.GetHeardMs()) - tickPhase
+	if e.heard >= unanswered {
+		t.spread(e, false)
+		return
+	}
+	if slices.Contains(t.neighbours, e) {
+		e.probe = true
+	}
+	t.startDoubt(e, unanswered)
+}
+
+// startDoubt takes that a heartbeat of tick at stayed unanswered. The first one of a
+// doubt counts for how long it lasts, the last one is told to others: only a host
+// that still gets no reply keeps a doubt going.
+func (t *Table) startDoubt(e *entry, at int64) {
+	e.unanswered = max(e.unanswered, at)
+	if e.doubted {
+		return
+	}
+	e.doubted = true
+	e.doubt = at
+	if !e.unheard {
+		t.spread(e, false)
+	}
+}
+
+// hear takes evidence that e ran at tick at; it ends a doubt that began before.
+func (t *Table) hear(e *entry, at int64) {
+	t.known(e)
+	e.heard = max(e.heard, at)
+	if !e.doubted || e.heard <= e.doubt {
+		return
+	}
+	e.doubted = false
+	t.spread(e, false)
+}
+
+// known takes that there is word of a host that was only registered so far.
+func (t *Table) known(e *entry) {
+	if !e.unheard {
+		return
+	}
+	e.unheard = false
+	t.spread(e, true)
+}
+
+// ticks converts an age in milliseconds, rounded up: evidence never gets younger.
+func (t *Table) ticks(ms int64) int64 {
+	interval := int64(t.cfg.Interval / time.Millisecond)
+	if ms <= 0 {
+		return 0
+	}
+	return min((ms+interval-1)/interval, firstTick/2)
+}
--- /dev/null
+++ b/internal/membership/targets.go
@@ -0,0 +1,191 @@
+package membership
+
+import "slices"
+
+const (
+	// ringNeighbours are watched by position in the order of hashed names, so that
+	// every host is surely watched; the other neighbours are chosen at random.
+	ringNeighbours = 2
+	// doubtedPerTick bounds the extra heartbeats to doubted neighbours per tick, so
+	// that the loss of an availability zone doesn't multiply the cost.
+	doubtedPerTick = 2
+	// rotateEvery is the number of ticks after which one random neighbour is replaced.
+	rotateEvery = 240
+)
+
+// Target is a host to send a heartbeat to.
+type Target struct {
+	// Host is empty for a seed whose host isn't known yet.
+	Host string
+	// Address is the peer address.
+	Address string
+}
+
+// Tick advances time by one interval and returns to whom heartbeats go now. The
+// replies are passed on with the tick returned by Now.
+func (t *Table) Tick() []Target {
+	t.now++
+	t.forget()
+	t.chooseNeighbours()
+	targets := new(targetSet)
+	t.addBeats(targets)
+	t.addDoubted(targets)
+	t.addProbed(targets)
+	t.addDead(targets)
+	t.addSeed(targets)
+	return targets.list
+}
+
+// Now is the present tick.
+func (t *Table) Now() int64 { return t.now }
+
+// forget drops hosts that have been dead for long.
+func (t *Table) forget() {
+	for i := len(t.order) - 1; i >= 0; i-- {
+		if e := t.order[i]; t.missed(e) > t.cfg.ForgetAfter {
+			t.drop(e)
+		}
+	}
+}
+
+// chooseNeighbours keeps the set of watched hosts at its size. In a full mesh it
+// is everybody.
+func (t *Table) chooseNeighbours() {
+	if t.fullMesh() {
+		t.neighbours = append(t.neighbours[:0], t.order...)
+		return
+	}
+	t.neighbours = slices.DeleteFunc(t.neighbours, t.unfit)
+	if t.now%rotateEvery == 0 && len(t.neighbours) > 0 {
+		at := t.rng.IntN(len(t.neighbours))
+		t.neighbours = slices.Delete(t.neighbours, at, at+1)
+	}
+	for _, e := range t.successors() {
+		if !slices.Contains(t.neighbours, e) {
+			t.neighbours = append(t.neighbours, e)
+		}
+	}
+	t.fillNeighbours()
+	if extra := len(t.neighbours) - t.cfg.Neighbours; extra > 0 {
+		t.neighbours = slices.Delete(t.neighbours, 0, extra)
+	}
+}
+
+func (t *Table) unfit(e *entry) bool { return e.leaving || t.dead(e) }
+
+func (t *Table) fillNeighbours() {
+	const triesPerPlace = 8 // enough to find a fit one unless most of the fleet is gone
+	tries := triesPerPlace * t.cfg.Neighbours
+	for len(t.neighbours) < t.cfg.Neighbours && tries > 0 {
+		tries--
+		e := t.order[t.rng.IntN(len(t.order))]
+		if t.unfit(e) || slices.Contains(t.neighbours, e) {
+			continue
+		}
+		t.neighbours = append(t.neighbours, e)
+	}
+}
+
+// successors are the fit hosts that follow this one in the order of hashed names.
+func (t *Table) successors() []*entry {
+	var nearest []*entry
+	var distances []uint64
+	for _, e := range t.order {
+		if t.unfit(e) {
+			continue
+		}
+		distance := e.hash - t.selfHash // wraps round the ring
+		at, _ := slices.BinarySearch(distances, distance)
+		if at >= ringNeighbours {
+			continue
+		}
+		nearest = slices.Insert(nearest, at, e)
+		distances = slices.Insert(distances, at, distance)
+		nearest = nearest[:min(len(nearest), ringNeighbours)]
+		distances = distances[:min(len(distances), ringNeighbours)]
+	}
+	return nearest
+}
+
+// addBeats adds every live neighbour in a full mesh, otherwise the next one in turn.
+func (t *Table) addBeats(targets *targetSet) {
+	if t.fullMesh() {
+		for _, e := range t.neighbours {
+			if !t.dead(e) {
+				targets.add(e)
+			}
+		}
+		return
+	}
+	if len(t.neighbours) == 0 {
+		return
+	}
+	t.nextBeat = (t.nextBeat + 1) % len(t.neighbours)
+	targets.add(t.neighbours[t.nextBeat])
+}
+
+// addDoubted asks doubted neighbours again each tick.
+func (t *Table) addDoubted(targets *targetSet) {
+	added := 0
+	for _, e := range t.neighbours {
+		if !e.doubted || t.dead(e) || added == doubtedPerTick {
+			continue
+		}
+		targets.add(e)
+		added++
+	}
+}
+
+func (t *Table) addProbed(targets *targetSet) {
+	added := 0
+	for _, e := range t.order {
+		if !e.probe || added == doubtedPerTick {
+			continue
+		}
+		e.probe = false
+		targets.add(e)
+		added++
+	}
+}
+
+// addDead asks one dead host per tick, in turn, so that the two sides of a mended
+// network partition find each other again.
+func (t *Table) addDead(targets *targetSet) {
+	for range t.order {
+		t.nextProbe = (t.nextProbe + 1) % len(t.order)
+		if e := t.order[t.nextProbe]; t.dead(e) {
+			targets.add(e)
+			return
+		}
+	}
+}
+
+// addSeed asks one seed per tick, in turn, whose host isn't known.
+func (t *Table) addSeed(targets *targetSet) {
+	for range t.cfg.Seeds {
+		t.nextSeed = (t.nextSeed + 1) % len(t.cfg.Seeds)
+		address := t.cfg.Seeds[t.nextSeed]
+		if address == t.cfg.Self.PeerAddress || t.knowsAddress(address) {
+			continue
+		}
+		targets.addSeed(address)
+		return
+	}
+}
+
+func (t *Table) knowsAddress(address string) bool {
+	return slices.ContainsFunc(t.order, func(e *entry) bool { return e.peer == address })
+}
+
+type targetSet struct{ list []Target }
+
+func (s *targetSet) add(e *entry) {
+	if e.peer == "" || slices.ContainsFunc(s.list, func(x Target) bool { return x.Host == e.host }) {
+		return
+	}
+	s.list = append(s.list, Target{Host: e.host, Address: e.peer})
+}
+
+func (s *targetSet) addSeed(address string) {
+	s.list = append(s.list, Target{Address: address})
+}
