--- /dev/null
+++ b/internal/httpserver/server.go
@@ -0,0 +1,244 @@
+// Package httpserver runs an http.Handler on nbio's nbhttp. It adds what callers
+// of a router need and nbhttp leaves open: bounded bodies and slow senders that
+// get a plain answer, a drain that cuts nothing in flight, and a way to see that
+// a caller has gone.
+package httpserver
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog/log"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+)
+
+// Defaults of a Config.
+const (
+	DefaultMaxBodyBytes   = 4 << 20
+	DefaultReadTimeout    = 10 * time.Second
+	DefaultIdleTimeout    = 2 * time.Minute
+	DefaultStreams        = 4096
+	DefaultMaxQueuedBytes = 16 << 20
+	drainPoll             = 5 * time.Millisecond
+	overloadedRetry       = time.Second
+	headerRoom            = 1 << 20
+)
+
+// Config of a Server. Zero fields take the defaults above.
+type Config struct {
+	// Name stands in log lines.
+	Name string
+	// Address to listen on, an IP number and port; port 0 picks a free one.
+	Address string
+	// TLS makes the server speak TLS. The type is that of nbio's own TLS stack.
+	TLS     *tls.Config
+	Handler http.Handler
+	// MaxBodyBytes bounds a request body; a longer one is refused with BodyTooLarge.
+	MaxBodyBytes int64
+	// ReadTimeout bounds the time from the first byte of a request to its last.
+	ReadTimeout time.Duration
+	// IdleTimeout closes a connection on which no request begins.
+	IdleTimeout time.Duration
+	// Streams bounds the handlers that run at once; each holds a goroutine. Further
+	// requests are refused as Overloaded rather than queued: a queue here would hold
+	// them past their deadlines unseen.
+	Streams int
+	// Always names requests that Streams doesn't refuse, such as announcements and
+	// health checks, which an overloaded host still has to answer. Nil: none.
+	Always func(r *http.Request) bool
+	// MaxQueuedBytes bounds what is kept for a caller who does not read; then its
+	// connection is closed.
+	MaxQueuedBytes int
+}
+
+func (c Config) withDefaults() Config {
+	if c.Name == "" {
+		c.Name = "http"
+	}
+	if c.MaxBodyBytes <= 0 {
+		c.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if c.ReadTimeout <= 0 {
+		c.ReadTimeout = DefaultReadTimeout
+	}
+	if c.IdleTimeout <= 0 {
+		c.IdleTimeout = DefaultIdleTimeout
+	}
+	if c.Streams <= 0 {
+		c.Streams = DefaultStreams
+	}
+	if c.MaxQueuedBytes <= 0 {
+		c.MaxQueuedBytes = DefaultMaxQueuedBytes
+	}
+	return c
+}
+
+// Server serves one address.
+type Server struct {
+	cfg      Config
+	engine   *nbhttp.Engine
+	address  string
+	inFlight atomic.Int64
+	draining atomic.Bool
+	conns    connSet
+	stopOnce sync.Once
+}
+
+// New makes a server; Start makes it listen.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg.withDefaults()}
+	conf := nbhttp.Config{
+		Name:               s.cfg.Name,
+		Network:            "tcp",
+		Handler:            http.HandlerFunc(s.serve),
+		ServerExecutor:     func(f func()) { go f() },
+		KeepaliveTime:      s.cfg.IdleTimeout,
+		ReadLimit:          int(s.cfg.MaxBodyBytes) + headerRoom,
+		MaxWriteBufferSize: s.cfg.MaxQueuedBytes,
+		SupportServerOnly:  true,
+	}
+	if s.cfg.TLS != nil {
+		conf.AddrsTLS = []string{s.cfg.Address}
+		conf.TLSConfig = s.cfg.TLS
+	} else {
+		conf.Addrs = []string{s.cfg.Address}
+	}
+	setLibraryLog()
+	s.engine = nbhttp.NewEngine(conf)
+	s.engine.Engine.OnOpen(s.onOpen)
+	s.engine.Engine.OnWrittenSize(onWritten)
+	s.engine.OnClose(s.onClose)
+	return s
+}
+
+// Start listens and serves in the background.
+func (s *Server) Start() error {
+	if err := s.engine.Start(); err != nil {
+		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
+	}
+	if s.cfg.TLS != nil {
+		s.address = s.engine.AddrsTLS[0]
+	} else {
+		s.address = s.engine.Addrs[0]
+	}
+	log.Info().Str("server", s.cfg.Name).Str("address", s.address).Bool("tls", s.cfg.TLS != nil).Msg("listening")
+	return nil
+}
+
+// Address is the address listened on, with the port that was picked.
+func (s *Server) Address() string { return s.address }
+
+// InFlight is the number of requests whose handler has not returned.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// serve wraps the handler: it counts the request, takes the read deadline off the
+// connection and turns a panic into an answer.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	running := s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	res := &response{ResponseWriter: w}
+	// nbhttp closes the connection right after an answer to "Connection: close", also
+	// when part of the answer still waits in its queue; the caller would see a cut
+	// answer. The caller is told to close instead, which it does after the last byte.
+	if r.Close || s.draining.Load() {
+		r.Close = false
+		w.Header().Set("Connection", "close")
+	}
+	clearReadDeadline(w)
+	defer s.recoverPanic(res)
+	if r.ContentLength == bodyTooLong {
+		WriteError(res, "", errkind.New(errkind.BodyTooLarge, "the body is over %d bytes", s.cfg.MaxBodyBytes))
+		return
+	}
+	if s.draining.Load() {
+		WriteError(res, "", errkind.New(errkind.HostLeaving, "this host is shutting down"))
+		return
+	}
+	if running > int64(s.cfg.Streams) && !s.always(r) {
+		WriteError(res, "", errkind.New(errkind.Overloaded, "%d requests are in flight at this host", running).After(overloadedRetry))
+		return
+	}
+	s.cfg.Handler.ServeHTTP(res, r)
+}
+
+func (s *Server) always(r *http.Request) bool {
+	return s.cfg.Always != nil && s.cfg.Always(r)
+}
+
+// recoverPanic answers a panicking handler's request. Without it nbhttp swallows
+// the panic and the caller waits for an answer that never comes.
+func (s *Server) recoverPanic(w *response) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	log.Error().Str("server", s.cfg.Name).Interface("panic", p).Str("stack", string(debug.Stack())).Msg("handler panicked")
+	if !w.begun {
+		WriteError(w, "", errkind.New(errkind.Internal, "a fault of the server"))
+		return
+	}
+	// The caller has part of an answer: only a broken connection tells it so.
+	if c := nbioConn(w); c != nil {
+		_ = c.Close()
+	}
+}
+
+// Drain stops taking work and waits until every handler has returned and every
+// answer is handed to the kernel, then closes. Requests that arrive meanwhile are
+// refused with HostLeaving. When ctx ends first, what is left is cut and ctx's
+// error returned.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	err := s.awaitQuiet(ctx)
+	if err != nil {
+		// Stop waits for handlers; those left see their connections closed and end.
+		go s.stop()
+		return err
+	}
+	s.stop()
+	return nil
+}
+
+func (s *Server) stop() { s.stopOnce.Do(s.engine.Stop) }
+
+func (s *Server) awaitQuiet(ctx context.Context) error {
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for {
+		if s.InFlight() == 0 && s.conns.quiet() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "drain with %d requests in flight", s.InFlight())
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Server) onOpen(c *nbio.Conn) {
+	p, ok := c.Session().(*nbhttp.Parser)
+	if !ok {
+		return
+	}
+	hc, ok := p.Conn.(*nbhttp.Conn)
+	if !ok {
+		return
+	}
+	tracked := &trackedConn{Conn: c}
+	s.conns.add(tracked)
+	if hc.Conn == c {
+		hc.Conn = tracked
+	}
+	p.Processor = newProcessor(s.cfg, tracked)
+	tracked.opened.Store(true)
+}
--- /dev/null
+++ b/internal/httpserver/server_test.go
@@ -0,0 +1,278 @@
+package httpserver
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lesismal/llib/std/crypto/tls"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+)
+
+const patience = 5 * time.Second
+
+func start(t *testing.T, cfg Config) *Server {
+	t.Helper()
+	cfg.Address = "127.0.0.1:0"
+	s := New(cfg)
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_ = s.Drain(ctx)
+	})
+	return s
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+func readKind(t *testing.T, r *bufio.Reader) (int, ErrorFields) {
+	t.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	var a ErrorAnswer
+	if err := json.NewDecoder(res.Body).Decode(&a); err != nil {
+		t.Fatalf("answer is no refusal: %v", err)
+	}
+	return res.StatusCode, a.Error
+}
+
+func text(s string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, s) }
+}
+
+func TestBodyOverLimitIsRefusedInFull(t *testing.T) {
+	// Symptom: a caller with too long a prompt sees a reset connection and doesn't know whether it ran.
+	// Sequence: the body is declared, or sent in chunks, past the limit.
+	// Cause: nbhttp closes the connection without an answer.
+	s := start(t, Config{MaxBodyBytes: 1000, Handler: text("ran")})
+	long := strings.Repeat("x", 3<<20)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 1<<15, long[:1<<15])
+	for name, req := range map[string]string{
+		"declared": fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(long), long),
+		"chunked":  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk, 96) + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, s)
+			go func() { _, _ = io.WriteString(c, req) }()
+			status, e := readKind(t, bufio.NewReader(c))
+			if status != 413 || e.Kind != errkind.BodyTooLarge || e.Ran != errkind.RanNo {
+				t.Fatalf("got %d %+v", status, e)
+			}
+		})
+	}
+}
+
+func TestSlowSenderIsRefusedAndClosed(t *testing.T) {
+	// Symptom: connections pile up on the host until it can't accept.
+	// Sequence: a caller sends half a request and then nothing, or goes without a close.
+	// Cause: nothing bounds the reading of a request.
+	s := start(t, Config{ReadTimeout: 50 * time.Millisecond, Handler: text("ran")})
+	for _, half := range []string{"POST / HT", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n12345"} {
+		c := dial(t, s)
+		_, _ = io.WriteString(c, half)
+		r := bufio.NewReader(c)
+		status, e := readKind(t, r)
+		if status != 400 || e.Ran != errkind.RanNo {
+			t.Fatalf("got %d %+v", status, e)
+		}
+		if _, err := r.ReadByte(); err != io.EOF {
+			t.Fatalf("connection left open: %v", err)
+		}
+	}
+}
+
+func TestPanicBecomesInternal(t *testing.T) {
+	s := start(t, Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("boom") })})
+	c := dial(t, s)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, e := readKind(t, bufio.NewReader(c))
+	if status != 500 || e.Kind != errkind.Internal {
+		t.Fatalf("got %d %+v", status, e)
+	}
+}
+
+func TestHandlerOutlivesIdleTimeout(t *testing.T) {
+	// Symptom: long streams break after exactly the idle timeout.
+	// Sequence: a request is handled for longer than the idle and the read timeout.
+	// Cause: nbhttp's read deadline stays set while the handler runs.
+	s := start(t, Config{IdleTimeout: 50 * time.Millisecond, ReadTimeout: 50 * time.Millisecond,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(200 * time.Millisecond)
+			if ConnClosed(w) {
+				return
+			}
+			_, _ = io.WriteString(w, "whole")
+		})})
+	res, err := http.Get("http://" + s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if b, _ := io.ReadAll(res.Body); string(b) != "whole" {
+		t.Fatalf("got %q", b)
+	}
+}
+
+func TestConnClosedSeesCallerGo(t *testing.T) {
+	// Symptom: engines go on generating for callers who have hung up.
+	// Sequence: the caller closes its connection in the middle of a stream.
+	// Cause: nbhttp cancels no context and fails no write.
+	gone := make(chan struct{})
+	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for !ConnClosed(w) {
+			_, _ = io.WriteString(w, "data: x\n\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(time.Millisecond)
+		}
+		close(gone)
+	})})
+	c := dial(t, s)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, err := bufio.NewReader(c).ReadString('x'); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Fatal("handler never saw the caller go")
+	}
+	if ConnClosed(httptest.NewRecorder()) {
+		t.Fatal("a recorder has no connection to be closed")
+	}
+}
+
+func TestUnknownStatusStaysInItsClass(t *testing.T) {
+	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(499) })})
+	res, err := http.Get("http://" + s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != 400 {
+		t.Fatalf("got %d", res.StatusCode)
+	}
+}
+
+func TestDrainCutsNoAnswer(t *testing.T) {
+	// Symptom: callers get the first part of an answer when a host is restarted.
+	// Sequence: a stream is under way and a large answer waits for a slow reader when the host drains.
+	// Cause: nbhttp's shutdown closes connections without regard to handlers or queued bytes.
+	const size = 12 << 20
+	begun, finish := make(chan struct{}), make(chan struct{})
+	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(bytes.Repeat([]byte("y"), size))
+			return
+		}
+		_, _ = io.WriteString(w, "first ")
+		w.(http.Flusher).Flush()
+		close(begun)
+		<-finish
+		_, _ = io.WriteString(w, "last")
+	})})
+	large, stream := dial(t, s), dial(t, s)
+	_, _ = io.WriteString(stream, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-begun
+	_, _ = io.WriteString(large, "GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	if _, err := io.ReadFull(large, make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(context.Background()) }()
+	for !s.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	late := dial(t, s)
+	_, _ = io.WriteString(late, "GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+	if status, e := readKind(t, bufio.NewReader(late)); e.Kind != errkind.HostLeaving {
+		t.Fatalf("new work while draining got %d %+v", status, e)
+	}
+	close(finish)
+	res, err := http.ReadResponse(bufio.NewReader(stream), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(res.Body); string(b) != "first last" {
+		t.Fatalf("stream was cut: %q %v", b, err)
+	}
+	select {
+	case <-drained:
+		t.Fatal("drained while an answer waited for its reader")
+	case <-time.After(20 * drainPoll):
+	}
+	if n, _ := io.Copy(io.Discard, large); n < size {
+		t.Fatalf("large answer cut at %d of %d bytes", n, size)
+	}
+	if err := <-drained; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestStreamsBoundRefusesAtOnceButNotAlways(t *testing.T) {
+	release := make(chan struct{})
+	entered := make(chan struct{}, 2)
+	s := start(t, Config{Streams: 1, Always: func(r *http.Request) bool { return r.URL.Path == "/healthz" },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/hold" {
+				entered <- struct{}{}
+				<-release
+			}
+			_, _ = io.WriteString(w, "ok")
+		})})
+	held := dial(t, s)
+	_, _ = io.WriteString(held, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-entered
+	defer close(release)
+	for path, want := range map[string]int{"/x": 429, "/healthz": 200} {
+		res, err := http.Get("http://" + s.Address() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != want {
+			t.Errorf("%s: got %d, want %d", path, res.StatusCode, want)
+		}
+	}
+}
+
+func TestTLSServes(t *testing.T) {
+	src := httptest.NewTLSServer(nil)
+	defer src.Close()
+	pair := src.TLS.Certificates[0]
+	s := start(t, Config{Handler: text("whole"), TLS: &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: pair.Certificate, PrivateKey: pair.PrivateKey}}}})
+	res, err := src.Client().Get("https://" + s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if b, _ := io.ReadAll(res.Body); string(b) != "whole" {
+		t.Fatalf("got %q", b)
+	}
+}
