--- /dev/null
+++ b/internal/procconfig/check.go
@@ -0,0 +1,315 @@
+package procconfig
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// Bounds of values that a process could not run with.
+const (
+	minTick          = 10 * time.Millisecond
+	maxTick          = 5 * time.Second
+	minElectionTicks = 5
+	maxElectionTicks = 200
+	minMaxLogBytes   = 64 << 10
+	minMaxBodyBytes  = 1 << 10
+	maxMaxBodyBytes  = 256 << 20
+	// heartbeatsBeforeSuspect is how many heartbeats may be lost before a peer is suspected.
+	heartbeatsBeforeSuspect = 2
+	maxNameBytes            = 63
+	hashBytes               = 32
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// Check returns every fault in the values of c, in the order of the fields; none
+// when a process can start with them. It reads no files.
+func (c *Config) Check() []Fault {
+	k := &checker{}
+	k.name("/fleet", c.Fleet)
+	k.name("/host", c.Host)
+	k.name("/zone", c.Zone)
+	k.roles(c)
+	k.listen(c)
+	k.dataDir(c)
+	k.control(c)
+	k.peers(c)
+	k.tls(c.TLS)
+	k.keyHashes(c.OperatorKeyHashes)
+	k.log(c.Log)
+	k.trace(c.Trace)
+	k.limits(c.Limits)
+	k.timing(c.Timing)
+	return k.faults
+}
+
+// checker gathers faults.
+type checker struct{ faults []Fault }
+
+func (k *checker) fault(path, format string, args ...any) {
+	k.faults = append(k.faults, Fault{path, fmt.Sprintf(format, args...)})
+}
+
+func (k *checker) name(path, v string) {
+	if v == "" {
+		k.fault(path, "is required")
+		return
+	}
+	if len(v) > maxNameBytes || !namePattern.MatchString(v) {
+		k.fault(path, "%q is no name; use up to %d of a-z, 0-9 and -, not at the ends", v, maxNameBytes)
+	}
+}
+
+// address checks an "ip:port" that other hosts are told.
+func (k *checker) address(path, v string) {
+	if v == "" {
+		k.fault(path, "is required")
+		return
+	}
+	a, err := netip.ParseAddrPort(v)
+	switch {
+	case err != nil:
+		k.fault(path, `%q is no address; write "ip:port" with an IP number`, v)
+	case a.Addr().IsUnspecified():
+		k.fault(path, "%q can't be told to others; write the host's own IP number", v)
+	case a.Addr().IsMulticast():
+		k.fault(path, "%q is a multicast address", v)
+	case a.Port() == 0:
+		k.fault(path, "%q has port 0, which others can't be told", v)
+	case a.String() != v:
+		k.fault(path, "%q is not in the usual form; write %q", v, a)
+	}
+}
+
+func (k *checker) duration(path string, v settings.Duration, least, most time.Duration) {
+	if v.Std() < least || v.Std() > most {
+		k.fault(path, "%s is out of range; use %s to %s", v.Std(), least, most)
+	}
+}
+
+func (k *checker) roles(c *Config) {
+	if len(c.Roles) == 0 {
+		k.fault("/roles", `is required: "entry", "control" or both`)
+	}
+	for i, r := range c.Roles {
+		path := fmt.Sprintf("/roles/%d", i)
+		if r != RoleEntry && r != RoleControl {
+			k.fault(path, `%q is no role; use "entry" or "control"`, r)
+		}
+		if slices.Contains(c.Roles[:i], r) {
+			k.fault(path, "%q stands twice", r)
+		}
+	}
+}
+
+func (k *checker) listen(c *Config) {
+	l := c.Listen
+	switch {
+	case c.Has(RoleEntry):
+		k.address("/listen/callers", l.Callers)
+	case l.Callers != "":
+		k.fault("/listen/callers", "this process has no role entry and serves no callers")
+	}
+	k.address("/listen/operators", l.Operators)
+	k.address("/listen/peers", l.Peers)
+	seen := map[string]string{}
+	k.once(seen, "/listen/callers", l.Callers)
+	k.once(seen, "/listen/operators", l.Operators)
+	k.once(seen, "/listen/peers", l.Peers)
+}
+
+// once refuses a value that stands at an earlier path already.
+func (k *checker) once(seen map[string]string, path, v string) {
+	if v == "" {
+		return
+	}
+	if first, ok := seen[v]; ok {
+		k.fault(path, "%s stands at %s already", v, first)
+		return
+	}
+	seen[v] = path
+}
+
+// dataDir refuses a relative folder: a process started from another working
+// directory would find an empty one and take its replica for new.
+func (k *checker) dataDir(c *Config) {
+	switch {
+	case !c.Has(RoleControl) && c.DataDir != "":
+		k.fault("/data_dir", "this process has no role control and keeps nothing on disk")
+	case c.Has(RoleControl) && c.DataDir == "":
+		k.fault("/data_dir", "is required with the role control")
+	case c.DataDir != "" && !filepath.IsAbs(c.DataDir):
+		k.fault("/data_dir", "%q is not an absolute path", c.DataDir)
+	}
+}
+
+func (k *checker) control(c *Config) {
+	if len(c.Control.Members) == 0 {
+		k.fault("/control/members", "is required: the replicas of the control group")
+	}
+	ids, hosts, addresses := map[string]string{}, map[string]string{}, map[string]string{}
+	for i, m := range c.Control.Members {
+		path := fmt.Sprintf("/control/members/%d", i)
+		if m.ID == 0 {
+			k.fault(path+"/id", "is required, 1 or more")
+		} else {
+			k.once(ids, path+"/id", fmt.Sprint(m.ID))
+		}
+		k.name(path+"/host", m.Host)
+		k.once(hosts, path+"/host", m.Host)
+		k.address(path+"/address", m.Address)
+		k.once(addresses, path+"/address", m.Address)
+		k.hostAddress(c, path+"/address", m.Host, m.Address)
+	}
+	k.self(c)
+	k.duration("/control/tick", c.Control.Tick, minTick, maxTick)
+	if n := c.Control.ElectionTicks; n < minElectionTicks || n > maxElectionTicks {
+		k.fault("/control/election_ticks", "%d is out of range; use %d to %d", n, minElectionTicks, maxElectionTicks)
+	}
+	if n := c.Control.MaxLogBytes; n < minMaxLogBytes {
+		k.fault("/control/max_log_bytes", "%d is too small; use at least %d", n, minMaxLogBytes)
+	}
+}
+
+// self checks that role and membership agree: a replica that the group doesn't know
+// would never be sent a log, and a member without the role would never answer.
+func (k *checker) self(c *Config) {
+	_, isMember := c.Self()
+	switch {
+	case c.Has(RoleControl) && !isMember && len(c.Control.Members) > 0:
+		k.fault("/control/members", "no member is on host %q, which has the role control", c.Host)
+	case !c.Has(RoleControl) && isMember:
+		k.fault("/control/members", "host %q is a member without the role control", c.Host)
+	case !c.Has(RoleControl) && c.Control.Join:
+		k.fault("/control/join", "only a host with the role control can join")
+	case c.Control.Join && len(c.Control.Members) == 1:
+		k.fault("/control/join", "there is no other member to join")
+	}
+}
+
+// hostAddress refuses an address for this host, or a second one for a control
+// member, that differs from where the host listens.
+func (k *checker) hostAddress(c *Config, path, host, address string) {
+	if host == c.Host && address != c.Listen.Peers {
+		k.fault(path, "%s is not listen.peers of this host, %s", address, c.Listen.Peers)
+	}
+	if host != c.Host && address != "" && address == c.Listen.Peers {
+		k.fault(path, "%s is this host's own address", address)
+	}
+}
+
+func (k *checker) peers(c *Config) {
+	hosts, addresses := map[string]string{}, map[string]string{}
+	for i, p := range c.Peers {
+		path := fmt.Sprintf("/peers/%d", i)
+		k.name(path+"/host", p.Host)
+		k.once(hosts, path+"/host", p.Host)
+		k.name(path+"/zone", p.Zone)
+		k.address(path+"/address", p.Address)
+		k.once(addresses, path+"/address", p.Address)
+		k.hostAddress(c, path+"/address", p.Host, p.Address)
+		if p.Host == c.Host && p.Zone != c.Zone {
+			k.fault(path+"/zone", "%q is not the zone of this host, %q", p.Zone, c.Zone)
+		}
+		k.agreesWithMembers(c, path, p)
+	}
+}
+
+func (k *checker) agreesWithMembers(c *Config, path string, p Peer) {
+	for i, m := range c.Control.Members {
+		sameHost, sameAddress := m.Host == p.Host, m.Address == p.Address
+		if sameHost != sameAddress {
+			k.fault(path, "host and address disagree with /control/members/%d", i)
+		}
+	}
+}
+
+func (k *checker) tls(t TLS) {
+	if t.Callers != nil {
+		k.file("/tls/callers/cert", t.Callers.Cert)
+		k.file("/tls/callers/key", t.Callers.Key)
+	}
+	if t.Operators != nil {
+		k.file("/tls/operators/cert", t.Operators.Cert)
+		k.file("/tls/operators/key", t.Operators.Key)
+	}
+	if t.Peers != nil {
+		k.file("/tls/peers/cert", t.Peers.Cert)
+		k.file("/tls/peers/key", t.Peers.Key)
+		k.file("/tls/peers/ca", t.Peers.CA)
+	}
+}
+
+func (k *checker) file(path, v string) {
+	if v == "" {
+		k.fault(path, "is required: the path of a PEM file")
+	}
+}
+
+func (k *checker) keyHashes(hashes []string) {
+	seen := map[string]string{}
+	for i, h := range hashes {
+		path := fmt.Sprintf("/operator_key_hashes/%d", i)
+		b, err := hex.DecodeString(h)
+		if err != nil || len(b) != hashBytes || strings.ToLower(h) != h {
+			// The value is not repeated: someone may have put a key here.
+			k.fault(path, "is no SHA-256 hash in lower-case hex (%d digits)", 2*hashBytes)
+			continue
+		}
+		k.once(seen, path, h)
+	}
+}
+
+func (k *checker) log(l Log) {
+	if !slices.Contains(logLevels, l.Level) {
+		k.fault("/log/level", "%q is no level; use %s", l.Level, strings.Join(logLevels, ", "))
+	}
+}
+
+func (k *checker) trace(t Trace) {
+	if t.OTLPURL == "" {
+		return
+	}
+	if t.File != "" {
+		k.fault("/trace", "give otlp_url or file, not both")
+	}
+	u, err := url.Parse(t.OTLPURL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		k.fault("/trace/otlp_url", "%q is no http or https URL", t.OTLPURL)
+	}
+}
+
+func (k *checker) limits(l Limits) {
+	if l.MaxBodyBytes < minMaxBodyBytes || l.MaxBodyBytes > maxMaxBodyBytes {
+		k.fault("/limits/max_body_bytes", "%d is out of range; use %d to %d", l.MaxBodyBytes, minMaxBodyBytes, maxMaxBodyBytes)
+	}
+	if l.Streams < 1 {
+		k.fault("/limits/streams", "%d is too small; use at least 1", l.Streams)
+	}
+	k.duration("/limits/drain_timeout", l.DrainTimeout, time.Second, time.Hour)
+}
+
+func (k *checker) timing(t Timing) {
+	k.duration("/timing/heartbeat", t.Heartbeat, 50*time.Millisecond, 10*time.Second)
+	if t.SuspectAfter <= heartbeatsBeforeSuspect*t.Heartbeat {
+		k.fault("/timing/suspect_after", "%s is not more than %d heartbeats of %s",
+			t.SuspectAfter.Std(), heartbeatsBeforeSuspect, t.Heartbeat.Std())
+	}
+	if t.DeadAfter <= t.SuspectAfter {
+		k.fault("/timing/dead_after", "%s is not more than suspect_after, %s", t.DeadAfter.Std(), t.SuspectAfter.Std())
+	}
+	k.duration("/timing/server_lapse", t.ServerLapse, time.Second, time.Minute)
+	k.duration("/timing/settle_every", t.SettleEvery, 10*time.Millisecond, 10*time.Second)
+	k.duration("/timing/rpc_timeout", t.RPCTimeout, 50*time.Millisecond, 30*time.Second)
+}
--- /dev/null
+++ b/internal/procconfig/config.go
@@ -0,0 +1,239 @@
+// Package procconfig is the settings file of one bluebellsaild process: its typed
+// form, its defaults and the checks that it passes before the process starts. What
+// holds for the whole fleet stands in the settings tree (package settings) instead.
+//
+// The file is JSON. The comments of the fields below are its reference. Every key
+// that is not listed here is refused, so that a misspelt key is never taken for an
+// absent one. Durations are strings with a unit, such as "500ms". Addresses are
+// "ip:port" with an IP number, never a name.
+package procconfig
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// Role is one job of a process.
+type Role string
+
+// The roles.
+const (
+	// RoleEntry serves callers and routes their requests.
+	RoleEntry Role = "entry"
+	// RoleControl runs a replica of the control group and needs a disk.
+	RoleControl Role = "control"
+)
+
+// Config is the whole settings file.
+type Config struct {
+	// Fleet is the fleet's name, the same on all its hosts. A process refuses peers of
+	// another fleet. Required.
+	Fleet string `json:"fleet"`
+	// Host is this host's name, unique in the fleet. Required.
+	Host string `json:"host"`
+	// Zone is the availability zone that this host stands in. Required.
+	Zone string `json:"zone"`
+	// Roles of this process: "entry", "control" or both. Required.
+	Roles []Role `json:"roles"`
+	// Listen has the addresses that this process serves.
+	Listen Listen `json:"listen"`
+	// DataDir is the absolute path of the folder for the replica's log and snapshots.
+	// Required with the role control and refused without it.
+	DataDir string `json:"data_dir,omitempty"`
+	// Control names the control group's replicas. Required on every host.
+	Control Control `json:"control"`
+	// Peers are hosts to contact first; the others are learned from them. The list may
+	// name this host too, so that one list fits all files. Default: none.
+	Peers []Peer `json:"peers,omitempty"`
+	// TLS has the certificates; absent: plain TCP. See docs/OPERATIONS.md.
+	TLS TLS `json:"tls,omitzero"`
+	// OperatorKeyHashes are SHA-256 hashes, in lower-case hex, of keys that operators
+	// may use before and beside those in the settings tree. Default: none.
+	OperatorKeyHashes []string `json:"operator_key_hashes,omitempty"`
+	// Log says where events go.
+	Log Log `json:"log,omitzero"`
+	// Trace says where spans go; absent: nowhere.
+	Trace Trace `json:"trace,omitzero"`
+	// Limits bounds what this process takes on.
+	Limits Limits `json:"limits,omitzero"`
+	// Timing has the periods and timeouts between hosts.
+	Timing Timing `json:"timing,omitzero"`
+}
+
+// Listen has the addresses that a process serves. They are told to callers and
+// peers, so neither 0.0.0.0 nor port 0 will do.
+type Listen struct {
+	// Callers is the address for callers and for announcements of backend servers.
+	// Required with the role entry and refused without it.
+	Callers string `json:"callers,omitempty"`
+	// Operators is the address of the operators' API. Required.
+	Operators string `json:"operators"`
+	// Peers is the address for the fleet's other processes. Required.
+	Peers string `json:"peers"`
+}
+
+// Control names the control group.
+type Control struct {
+	// Members are the replicas that the group was founded with or, on a host that
+	// joins, those it has now. Required. With the role control one member must be this
+	// host, with the address of listen.peers.
+	Members []Member `json:"members"`
+	// Join starts this host's replica empty and without a vote, until an operator adds
+	// and promotes it. Use it, with an id never used before, for every replica that is
+	// not a founding one and for one whose disk was lost. Default false.
+	Join bool `json:"join,omitempty"`
+	// Tick is the period of the consensus clock, 10ms to 5s; default 50ms.
+	Tick settings.Duration `json:"tick,omitempty"`
+	// ElectionTicks without word from a leader start an election, 5 to 200; default 10.
+	ElectionTicks int `json:"election_ticks,omitempty"`
+	// MaxLogBytes is the size of the log at which a snapshot is taken and the log
+	// truncated, at least 65536; default 64 MiB.
+	MaxLogBytes int64 `json:"max_log_bytes,omitempty"`
+}
+
+// Member is one replica of the control group.
+type Member struct {
+	// ID of the replica, 1 or more. An id is never used again after its disk is lost.
+	ID uint64 `json:"id"`
+	// Host that the replica runs on.
+	Host string `json:"host"`
+	// Address is the host's listen.peers.
+	Address string `json:"address"`
+}
+
+// Peer is a host to contact first.
+type Peer struct {
+	// Host is the peer's name.
+	Host string `json:"host"`
+	// Zone is the availability zone that the peer stands in.
+	Zone string `json:"zone"`
+	// Address is the peer's listen.peers.
+	Address string `json:"address"`
+}
+
+// TLS has the certificate files of each listener. Files are read again when they
+// change, without a restart.
+type TLS struct {
+	// Callers is the server certificate towards callers; absent: plain HTTP.
+	Callers *KeyPair `json:"callers,omitempty"`
+	// Operators is the server certificate towards operators; absent: plain HTTP.
+	Operators *KeyPair `json:"operators,omitempty"`
+	// Peers is the certificate for mutual TLS between the fleet's processes; absent: plain TCP.
+	Peers *MutualKeyPair `json:"peers,omitempty"`
+}
+
+// KeyPair is a certificate and its key.
+type KeyPair struct {
+	// Cert is the path of a PEM file with the certificate and its chain.
+	Cert string `json:"cert"`
+	// Key is the path of a PEM file with the private key.
+	Key string `json:"key"`
+}
+
+// MutualKeyPair is a certificate, its key and the authority that peers must show.
+type MutualKeyPair struct {
+	// Cert is the path of a PEM file with the certificate and its chain.
+	Cert string `json:"cert"`
+	// Key is the path of a PEM file with the private key.
+	Key string `json:"key"`
+	// CA is the path of a PEM file with the authorities whose certificates peers may show.
+	CA string `json:"ca"`
+}
+
+// Log says where events go.
+type Log struct {
+	// Level is the least level written: "debug", "info", "warn" or "error"; default "info".
+	Level string `json:"level,omitempty"`
+	// File is the path that events are appended to; absent: standard error.
+	File string `json:"file,omitempty"`
+}
+
+// Trace says where spans go. At most one of the two may be given.
+type Trace struct {
+	// OTLPURL is the http or https URL of an OpenTelemetry collector.
+	OTLPURL string `json:"otlp_url,omitempty"`
+	// File is the path that spans are appended to as JSON lines.
+	File string `json:"file,omitempty"`
+}
+
+// Limits bounds what one process takes on.
+type Limits struct {
+	// MaxBodyBytes bounds a request body, 1024 to 256 MiB; default 4 MiB. The settings
+	// tree may bound it further.
+	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
+	// Streams bounds the requests in flight on this host, at least 1; default 4096.
+	Streams int `json:"streams,omitempty"`
+	// DrainTimeout bounds a graceful shutdown: the time that callers keep addresses and
+	// the rest of the streams in flight. 1s to 1h; default 2m.
+	DrainTimeout settings.Duration `json:"drain_timeout,omitempty"`
+}
+
+// Timing has the periods and timeouts between hosts.
+type Timing struct {
+	// Heartbeat is the period of heartbeats between hosts, 50ms to 10s; default 500ms.
+	Heartbeat settings.Duration `json:"heartbeat,omitempty"`
+	// SuspectAfter is the silence after which a peer gets no new work; more than two
+	// heartbeats; default 2s.
+	SuspectAfter settings.Duration `json:"suspect_after,omitempty"`
+	// DeadAfter is the silence after which a peer counts as dead; more than
+	// suspect_after; default 10s.
+	DeadAfter settings.Duration `json:"dead_after,omitempty"`
+	// ServerLapse is the silence of a backend server's announcements after which it
+	// gets no new work, 1s to 1m; default 3s.
+	ServerLapse settings.Duration `json:"server_lapse,omitempty"`
+	// SettleEvery is the longest wait before bills are sent to the ledger, 10ms to 10s;
+	// default 200ms.
+	SettleEvery settings.Duration `json:"settle_every,omitempty"`
+	// RPCTimeout bounds one call between hosts, 50ms to 30s; default 1s.
+	RPCTimeout settings.Duration `json:"rpc_timeout,omitempty"`
+}
+
+// Default values of optional fields.
+const (
+	defaultTick          = settings.Duration(50 * time.Millisecond)
+	defaultElectionTicks = 10
+	defaultMaxLogBytes   = 64 << 20
+	defaultLogLevel      = "info"
+	defaultMaxBodyBytes  = 4 << 20
+	defaultStreams       = 4096
+	defaultDrainTimeout  = settings.Duration(2 * time.Minute)
+	defaultHeartbeat     = settings.Duration(500 * time.Millisecond)
+	defaultSuspectAfter  = settings.Duration(2 * time.Second)
+	defaultDeadAfter     = settings.Duration(10 * time.Second)
+	defaultServerLapse   = settings.Duration(3 * time.Second)
+	defaultSettleEvery   = settings.Duration(200 * time.Millisecond)
+	defaultRPCTimeout    = settings.Duration(time.Second)
+)
+
+// Default returns a Config with every optional field at its default and the
+// required ones empty.
+func Default() *Config {
+	return &Config{
+		Control: Control{Tick: defaultTick, ElectionTicks: defaultElectionTicks, MaxLogBytes: defaultMaxLogBytes},
+		Log:     Log{Level: defaultLogLevel},
+		Limits:  Limits{MaxBodyBytes: defaultMaxBodyBytes, Streams: defaultStreams, DrainTimeout: defaultDrainTimeout},
+		Timing: Timing{
+			Heartbeat:    defaultHeartbeat,
+			SuspectAfter: defaultSuspectAfter,
+			DeadAfter:    defaultDeadAfter,
+			ServerLapse:  defaultServerLapse,
+			SettleEvery:  defaultSettleEvery,
+			RPCTimeout:   defaultRPCTimeout,
+		},
+	}
+}
+
+// Has tells whether the process has role r.
+func (c *Config) Has(r Role) bool { return slices.Contains(c.Roles, r) }
+
+// Self returns the control group's member on this host, if there is one.
+func (c *Config) Self() (Member, bool) {
+	for _, m := range c.Control.Members {
+		if m.Host == c.Host {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
--- /dev/null
+++ b/internal/procconfig/decode.go
@@ -0,0 +1,197 @@
+package procconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+)
+
+// maxFileBytes bounds a settings file, so that a wrong path (a log, a device) is
+// refused instead of read into memory.
+const maxFileBytes = 1 << 20
+
+// Load reads and checks the settings file at path. The error is Faults when the
+// file was read and something in it is wrong.
+func Load(path string) (*Config, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open settings file")
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read settings file %s", path)
+	}
+	if len(b) > maxFileBytes {
+		return nil, errors.Errorf("settings file %s is longer than %d bytes", path, maxFileBytes)
+	}
+	return Decode(b)
+}
+
+// Decode parses b, fills in the defaults and checks the result. It returns all
+// faults of the file's form at once, or else all faults of its values.
+func Decode(b []byte) (*Config, error) {
+	if faults := checkSyntax(b); len(faults) > 0 {
+		return nil, faults
+	}
+	if faults := checkForm(b, reflect.TypeFor[Config](), ""); len(faults) > 0 {
+		return nil, faults
+	}
+	c := Default()
+	if err := json.Unmarshal(b, c); err != nil {
+		return nil, Faults{{Message: err.Error()}}
+	}
+	if faults := c.Check(); len(faults) > 0 {
+		return nil, Faults(faults)
+	}
+	return c, nil
+}
+
+func checkSyntax(b []byte) Faults {
+	if !utf8.Valid(b) {
+		return Faults{{Message: "the file is not UTF-8 text"}}
+	}
+	var v any
+	err := json.Unmarshal(b, &v)
+	if err == nil {
+		return nil
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		line := 1 + bytes.Count(b[:min(int(syntax.Offset), len(b))], []byte("\n"))
+		return Faults{{Message: fmt.Sprintf("line %d: %v", line, err)}}
+	}
+	return Faults{{Message: err.Error()}}
+}
+
+// checkForm compares the JSON value raw with the Go type t and returns a fault for
+// each unknown or repeated key and each value of the wrong type. encoding/json stops
+// at the first of these, names no path, takes the last of two equal keys and matches
+// keys in any case.
+func checkForm(raw json.RawMessage, t reflect.Type, path string) Faults {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if string(bytes.TrimSpace(raw)) == "null" {
+		return Faults{{path, "null is no value; leave the key out"}}
+	}
+	if reflect.PointerTo(t).Implements(reflect.TypeFor[json.Unmarshaler]()) {
+		return checkLeaf(raw, t, path)
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return checkObject(raw, t, path)
+	case reflect.Slice:
+		return checkArray(raw, t, path)
+	default:
+		return checkLeaf(raw, t, path)
+	}
+}
+
+func checkObject(raw json.RawMessage, t reflect.Type, path string) Faults {
+	members, ok := readObject(raw)
+	if !ok {
+		return Faults{{path, "want an object"}}
+	}
+	fields := fieldTypes(t)
+	seen := map[string]bool{}
+	var faults Faults
+	for _, m := range members {
+		at := path + "/" + m.key
+		field, known := fields[m.key]
+		switch {
+		case !known:
+			faults = append(faults, Fault{at, "unknown key"})
+		case seen[m.key]:
+			faults = append(faults, Fault{at, "the key stands twice"})
+		default:
+			faults = append(faults, checkForm(m.value, field, at)...)
+		}
+		seen[m.key] = true
+	}
+	return faults
+}
+
+func checkArray(raw json.RawMessage, t reflect.Type, path string) Faults {
+	var items []json.RawMessage
+	if err := json.Unmarshal(raw, &items); err != nil {
+		return Faults{{path, "want a list"}}
+	}
+	var faults Faults
+	for i, item := range items {
+		faults = append(faults, checkForm(item, t.Elem(), path+"/"+strconv.Itoa(i))...)
+	}
+	return faults
+}
+
+func checkLeaf(raw json.RawMessage, t reflect.Type, path string) Faults {
+	err := json.Unmarshal(raw, reflect.New(t).Interface())
+	if err == nil {
+		return nil
+	}
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return Faults{{path, fmt.Sprintf("want %s, got %s", wanted(t), wrong.Value)}}
+	}
+	return Faults{{path, err.Error()}}
+}
+
+func wanted(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Uint64:
+		return "a whole number, 0 or more"
+	default:
+		return "a whole number"
+	}
+}
+
+// member is one key of a JSON object with its value as written.
+type member struct {
+	key   string
+	value json.RawMessage
+}
+
+// readObject returns the members of a JSON object in order, repeated keys included.
+func readObject(raw json.RawMessage) ([]member, bool) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	start, err := d.Token()
+	if err != nil || start != json.Delim('{') {
+		return nil, false
+	}
+	var members []member
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return nil, false
+		}
+		m := member{key: key.(string)}
+		if err := d.Decode(&m.value); err != nil {
+			return nil, false
+		}
+		members = append(members, m)
+	}
+	return members, true
+}
+
+// fieldTypes returns the type of each JSON key of the struct type t.
+func fieldTypes(t reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		f := t.Field(i)
+		key, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		fields[key] = f.Type
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/procconfig/examples_test.go
@@ -0,0 +1,120 @@
+package procconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+const (
+	examplesDir     = "../../examples"
+	exampleHosts    = 7
+	exampleReplicas = 3
+	exampleAccounts = 10
+)
+
+// Documentation ranges of RFC 5737: an example copied as it is reaches nobody's host.
+var documentationRanges = []netip.Prefix{
+	netip.MustParsePrefix("192.0.2.0/24"),
+	netip.MustParsePrefix("198.51.100.0/24"),
+}
+
+func TestExamplesAreWholeFleets(t *testing.T) {
+	for _, fleet := range []string{"recife", "santiago"} {
+		t.Run(fleet, func(t *testing.T) {
+			hosts := loadExample(t, fleet)
+			if len(hosts) != exampleHosts {
+				t.Fatalf("%d hosts, want %d", len(hosts), exampleHosts)
+			}
+			diskZones := map[string]bool{}
+			for _, c := range hosts {
+				checkExampleHost(t, c, hosts[0])
+				if c.Fleet != fleet {
+					t.Errorf("%s is of fleet %s", c.Host, c.Fleet)
+				}
+				if c.Has(RoleControl) {
+					diskZones[c.Zone] = true
+				}
+			}
+			if len(diskZones) != exampleReplicas || len(hosts[0].Control.Members) != exampleReplicas {
+				t.Errorf("replicas stand in zones %v, want %d different ones", diskZones, exampleReplicas)
+			}
+		})
+	}
+}
+
+func loadExample(t *testing.T, fleet string) []*Config {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(examplesDir, fleet, "*-*.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var hosts []*Config
+	for _, f := range files {
+		c, err := Load(f)
+		if err != nil {
+			t.Fatalf("%s:\n%v", f, err)
+		}
+		if filepath.Base(f) != c.Host+".json" {
+			t.Errorf("%s is the file of host %s", f, c.Host)
+		}
+		hosts = append(hosts, c)
+	}
+	return hosts
+}
+
+// checkExampleHost checks that c agrees with the fleet's other files.
+func checkExampleHost(t *testing.T, c, first *Config) {
+	t.Helper()
+	if !reflect.DeepEqual(c.Control.Members, first.Control.Members) || !reflect.DeepEqual(c.Peers, first.Peers) {
+		t.Errorf("%s and %s name other members or peers", c.Host, first.Host)
+	}
+	listed := false
+	for _, p := range c.Peers {
+		listed = listed || p.Host == c.Host
+	}
+	if !listed {
+		t.Errorf("%s is not in the list of peers", c.Host)
+	}
+	ip := netip.MustParseAddrPort(c.Listen.Callers).Addr()
+	if !documentationRanges[0].Contains(ip) && !documentationRanges[1].Contains(ip) {
+		t.Errorf("%s: %s is in no documentation range", c.Host, ip)
+	}
+}
+
+func TestExampleTreesAreComplete(t *testing.T) {
+	for _, fleet := range []string{"recife", "santiago"} {
+		b, err := os.ReadFile(filepath.Join(examplesDir, fleet, "tree.json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var tree settings.Tree
+		d := json.NewDecoder(bytes.NewReader(b))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&tree); err != nil {
+			t.Fatalf("%s: %v", fleet, err)
+		}
+		if len(tree.Accounts) != exampleAccounts {
+			t.Errorf("%s: %d accounts, want %d", fleet, len(tree.Accounts), exampleAccounts)
+		}
+		priorities := map[settings.Priority]bool{}
+		for name, a := range tree.Accounts {
+			team := tree.Teams[a.Team]
+			if team == nil || a.Budget == "" {
+				t.Fatalf("%s: account %s has no team or budget", fleet, name)
+			}
+			priorities[team.Priority] = true
+		}
+		for _, p := range []settings.Priority{settings.Urgent, settings.Normal, settings.Batch} {
+			if !priorities[p] {
+				t.Errorf("%s: no account has work of priority %s", fleet, p)
+			}
+		}
+	}
+}
