--- /dev/null
+++ b/internal/adminapi/accounts.go
@@ -0,0 +1,264 @@
+package adminapi
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+const (
+	// keyPrefix marks an account's key, so that one pasted into a wrong place is found.
+	keyPrefix = "bbs_"
+	keyBytes  = 32
+	// keyTries bounds how often a change of an account's keys is tried again after
+	// another operator changed the account meanwhile.
+	keyTries = 5
+	// keyHistory is how many changes of an account are searched for a resend.
+	keyHistory = 100
+)
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// NewKey makes a key of 256 random bits.
+func NewKey() string {
+	b := make([]byte, keyBytes)
+	_, _ = rand.Read(b) // never fails, as its documentation says
+	return keyPrefix + hex.EncodeToString(b)
+}
+
+func accountPath(name string) string { return "/accounts/" + name }
+
+func (h *Handler) listAccounts(ctx context.Context, _ *request) (any, error) {
+	accounts, err := readMap[settings.Account](ctx, h, "/accounts")
+	if err != nil {
+		return nil, err
+	}
+	list := AccountList{Accounts: []Account{}}
+	for name, a := range accounts {
+		list.Accounts = append(list.Accounts, Account{Name: name, Account: a})
+	}
+	slices.SortFunc(list.Accounts, func(a, b Account) int { return cmp.Compare(a.Name, b.Name) })
+	return list, nil
+}
+
+func (h *Handler) listTeams(ctx context.Context, _ *request) (any, error) {
+	teams, err := readMap[settings.Team](ctx, h, "/teams")
+	if err != nil {
+		return nil, err
+	}
+	list := TeamList{Teams: []Team{}}
+	for name, t := range teams {
+		list.Teams = append(list.Teams, Team{Name: name, Team: t})
+	}
+	slices.SortFunc(list.Teams, func(a, b Team) int { return cmp.Compare(a.Name, b.Name) })
+	return list, nil
+}
+
+// readMap returns the subtrees below path by name; none when path is absent.
+func readMap[T any](ctx context.Context, h *Handler, path string) (map[string]T, error) {
+	res, found, err := h.readConfig(ctx, path)
+	if err != nil || !found {
+		return nil, err
+	}
+	var m map[string]T
+	if err := json.Unmarshal(res.GetValueJson(), &m); err != nil {
+		return nil, errors.Wrapf(err, "decode the settings at %s", path)
+	}
+	return m, nil
+}
+
+// createAccount commits the account with the hash of its first key. The expected
+// version is that of an absent subtree, so that an account is never replaced.
+func (h *Handler) createAccount(ctx context.Context, q *request) (any, error) {
+	var body CreateAccount
+	if err := decodeBody(q, &body); err != nil {
+		return nil, err
+	}
+	if body.Name == "" {
+		return nil, errkind.New(errkind.BadRequest, "an account needs a name").At("/name")
+	}
+	key, hash, err := chooseKey(body.KeyHash)
+	if err != nil {
+		return nil, err
+	}
+	path := accountPath(body.Name)
+	present, found, err := h.readConfig(ctx, path)
+	if err != nil {
+		return nil, err
+	}
+	change := &pb.SetConfig{Path: path}
+	if !found {
+		change.ExpectedVersion = present.GetVersion()
+	}
+	change.ValueJson, err = json.Marshal(settings.Account{
+		Team: body.Team, Budget: body.Budget, Weight: body.Weight, KeyHashes: []string{hash}})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the account")
+	}
+	// With an account present the version 0 conflicts, unless this is a resend, which
+	// gets its first answer.
+	res, err := h.propose(ctx, q, &pb.Command{Body: &pb.Command_SetConfig{SetConfig: change}})
+	if errkind.Is(err, errkind.VersionConflict) {
+		return nil, errkind.New(errkind.AlreadyExists, "account %s exists", body.Name).At(path)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return h.keyAnswer(ctx, q, res, body.Name, key, hash)
+}
+
+// chooseKey takes the operator's hash, or makes a key.
+func chooseKey(given string) (key, hash string, err error) {
+	if given == "" {
+		key = NewKey()
+		return key, HashKey(key), nil
+	}
+	if !hashPattern.MatchString(given) {
+		return "", "", errkind.New(errkind.BadRequest, "key_hash is no SHA-256 hash in lower-case hex").At("/key_hash")
+	}
+	return "", given, nil
+}
+
+// keyAnswer answers a change that should have put hash in force. After a resend the
+// key made this time is not the one of the first answer: it is told only if the tree
+// has its hash, or the operator would hand out a key that opens nothing.
+func (h *Handler) keyAnswer(ctx context.Context, q *request, res *pb.CommandResult, account, key, hash string) (any, error) {
+	answer := KeyAnswer{ChangeAnswer: changeAnswer(q, res), Account: account, Key: key, KeyHash: hash}
+	if !res.GetResend() {
+		return answer, nil
+	}
+	hashes, _, _, err := h.keyHashes(ctx, account)
+	if err != nil {
+		return nil, err
+	}
+	if !slices.Contains(hashes, hash) {
+		answer.Key, answer.KeyHash = "", ""
+	}
+	return answer, nil
+}
+
+// keyHashes returns the hashes of an account's keys and the account's version.
+func (h *Handler) keyHashes(ctx context.Context, account string) (hashes []string, version uint64, found bool, err error) {
+	res, found, err := h.readConfig(ctx, accountPath(account))
+	if err != nil || !found {
+		return nil, 0, found, err
+	}
+	var a settings.Account
+	if err := json.Unmarshal(res.GetValueJson(), &a); err != nil {
+		return nil, 0, true, errors.Wrapf(err, "decode account %s", account)
+	}
+	return a.KeyHashes, res.GetVersion(), true, nil
+}
+
+func (h *Handler) addKey(ctx context.Context, q *request) (any, error) {
+	var body AddKey
+	if err := decodeBody(q, &body); err != nil {
+		return nil, err
+	}
+	key, hash, err := chooseKey(body.KeyHash)
+	if err != nil {
+		return nil, err
+	}
+	name := q.http.PathValue("name")
+	res, err := h.editKeys(ctx, q, name, func(hashes []string) ([]string, error) {
+		if slices.Contains(hashes, hash) {
+			return hashes, nil
+		}
+		return append(hashes, hash), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return h.keyAnswer(ctx, q, res, name, key, hash)
+}
+
+func (h *Handler) dropKey(ctx context.Context, q *request) (any, error) {
+	name, hash := q.http.PathValue("name"), q.http.PathValue("hash")
+	res, err := h.editKeys(ctx, q, name, func(hashes []string) ([]string, error) {
+		i := slices.Index(hashes, hash)
+		if i < 0 {
+			return nil, errkind.New(errkind.NotFound, "account %s has no key with this hash", name)
+		}
+		return slices.Delete(hashes, i, i+1), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return KeyAnswer{ChangeAnswer: changeAnswer(q, res), Account: name, KeyHash: hash}, nil
+}
+
+// editKeys reads an account's key hashes, lets edit change them and commits the
+// list under the version read. When another change came between, it reads again and
+// tries under a further operation id, because the group remembers the conflict as
+// the answer to the first. A resend walks the same ids and so finds its first answer.
+func (h *Handler) editKeys(ctx context.Context, q *request, account string, edit func([]string) ([]string, error)) (*pb.CommandResult, error) {
+	if res, err := h.madeBefore(ctx, q, accountPath(account)); res != nil || err != nil {
+		return res, err
+	}
+	var conflict error
+	for try := range keyTries {
+		hashes, version, found, err := h.keyHashes(ctx, account)
+		if err != nil {
+			return nil, err
+		}
+		if !found {
+			return nil, errkind.New(errkind.NotFound, "there is no account %s", account)
+		}
+		hashes, err = edit(hashes)
+		if err != nil {
+			return nil, err
+		}
+		value, err := json.Marshal(hashes)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode key hashes")
+		}
+		res, err := h.proposeAs(ctx, tryID(q.opID, try), q.actor, &pb.Command{Body: &pb.Command_SetConfig{SetConfig: &pb.SetConfig{
+			Path: accountPath(account) + "/key_hashes", ValueJson: value, ExpectedVersion: version}}})
+		if !errkind.Is(err, errkind.VersionConflict) {
+			return res, err
+		}
+		conflict = err
+	}
+	return nil, conflict
+}
+
+// tryID is the operation id of a try; the first has the request's own.
+func tryID(opID string, try int) string {
+	if try == 0 {
+		return opID
+	}
+	return fmt.Sprintf("%s#%d", opID, try)
+}
+
+// madeBefore finds the change that an earlier request with this operation id made;
+// nil if there is none. Without it the resend of a dropped key would be told that
+// there is no such key.
+func (h *Handler) madeBefore(ctx context.Context, q *request, path string) (*pb.CommandResult, error) {
+	changes, err := h.history(ctx, path, keyHistory)
+	if errkind.Is(err, errkind.NotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range changes {
+		for try := range keyTries {
+			if c.OpID == tryID(q.opID, try) {
+				return &pb.CommandResult{Resend: true, Body: &pb.CommandResult_SetConfig{
+					SetConfig: &pb.SetConfigResult{Revision: c.Revision, Version: c.Version}}}, nil
+			}
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/adminapi/accounts_test.go
@@ -0,0 +1,156 @@
+package adminapi
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+)
+
+func (a *api) createAccount() KeyAnswer {
+	a.t.Helper()
+	var made KeyAnswer
+	a.must(a.call("POST", "/v1/accounts", `{"name":"acme","team":"t","budget":"b"}`, "Idempotency-Key", "make"), &made)
+	return made
+}
+
+func (a *api) hashes() []string {
+	a.t.Helper()
+	var list AccountList
+	a.must(a.call("GET", "/v1/accounts", ""), &list)
+	if len(list.Accounts) != 1 || list.Accounts[0].Team != "t" || list.Accounts[0].Budget != "b" {
+		a.t.Fatalf("accounts %+v", list)
+	}
+	return list.Accounts[0].KeyHashes
+}
+
+// Symptom: a key is found in a log, a command or a later answer.
+// Sequence: an account is made, keys are added and dropped, answers are read.
+// Cause: something other than the hash is stored, logged or answered.
+func TestKeyIsShownOnceAndStoredNowhere(t *testing.T) {
+	a := newAPI(t)
+	first := a.createAccount()
+	var second KeyAnswer
+	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "add"), &second)
+	if got := a.hashes(); len(got) != 2 || got[0] != HashKey(first.Key) || got[1] != HashKey(second.Key) {
+		t.Fatalf("hashes %v", got)
+	}
+	var dropped KeyAnswer
+	a.must(a.call("DELETE", "/v1/accounts/acme/keys/"+first.KeyHash, "", "Idempotency-Key", "drop"), &dropped)
+	if got := a.hashes(); len(got) != 1 || got[0] != second.KeyHash {
+		t.Fatalf("hashes after the drop %v", got)
+	}
+	a.must(a.call("GET", "/v1/config-history/accounts/acme", ""), &HistoryAnswer{})
+	a.call("PUT", "/v1/config/x", "{", "Idempotency-Key", "bad", "If-Match", "*")
+	for _, key := range []string{first.Key, second.Key} {
+		if len(key) < 64 {
+			t.Fatalf("no key: %q", key)
+		}
+		if n := strings.Count(a.answers.String(), key); n != 1 {
+			t.Errorf("a key stands in %d answers, want 1", n)
+		}
+		for _, c := range a.group.commands {
+			if strings.Contains(c.String(), key) {
+				t.Errorf("a command has a key: %v", c)
+			}
+		}
+	}
+	for _, secret := range []string{first.Key, second.Key, operatorKey} {
+		if a.log.Len() == 0 || strings.Contains(a.log.String(), secret) {
+			t.Errorf("the log is empty or has a key:\n%s", a.log.String())
+		}
+	}
+	if strings.Contains(a.answers.String(), operatorKey) {
+		t.Error("an answer has the operator's key")
+	}
+}
+
+// Symptom: an operator hands out a key that opens nothing.
+// Sequence: an account is made, the answer is lost, the request is sent again.
+// Cause: the resend answers with the key it made, whose hash was never committed.
+func TestResendNeverShowsAKeyThatIsNotInForce(t *testing.T) {
+	a := newAPI(t)
+	a.group.loseAnswer = true
+	body := `{"name":"acme","team":"t","budget":"b"}`
+	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), errkind.NoQuorum)
+	var again KeyAnswer
+	a.must(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), &again)
+	if !again.Resend || again.Key != "" || again.KeyHash != "" {
+		t.Errorf("the resend answered %+v", again)
+	}
+	if len(a.hashes()) != 1 {
+		t.Error("the account has not exactly one key")
+	}
+	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o2"), errkind.AlreadyExists)
+}
+
+func TestOperatorsOwnHashIsConfirmedOnResend(t *testing.T) {
+	a := newAPI(t)
+	hash := HashKey("mine")
+	a.group.loseAnswer = true
+	body := `{"name":"acme","team":"t","budget":"b","key_hash":"` + hash + `"}`
+	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), errkind.NoQuorum)
+	var again KeyAnswer
+	a.must(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), &again)
+	if again.KeyHash != hash || again.Key != "" {
+		t.Errorf("the resend answered %+v", again)
+	}
+}
+
+// Symptom: a new key vanishes, or a dropped key works again.
+// Sequence: two operators change one account's keys at the same time.
+// Cause: the list is written back without the version it was read under.
+func TestKeysChangedByTwoOperatorsAtOnce(t *testing.T) {
+	a := newAPI(t)
+	first := a.createAccount()
+	var other KeyAnswer
+	a.group.beforePropose = func() {
+		a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "other"), &other)
+	}
+	var mine KeyAnswer
+	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "mine"), &mine)
+	want := []string{first.KeyHash, other.KeyHash, mine.KeyHash}
+	if got := a.hashes(); strings.Join(got, " ") != strings.Join(want, " ") {
+		t.Fatalf("hashes %v, want %v", got, want)
+	}
+	var again KeyAnswer
+	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "mine"), &again)
+	if !again.Resend || again.Version != mine.Version || len(a.hashes()) != 3 {
+		t.Errorf("the resend of a change that met a conflict answered %+v", again)
+	}
+}
+
+// Symptom: an operator drops a key, is told that it never existed and drops another.
+// Sequence: the drop commits, its answer is lost, the drop is sent again.
+// Cause: the resend looks for the hash before it looks for its own first change.
+func TestResentDropIsConfirmed(t *testing.T) {
+	a := newAPI(t)
+	first := a.createAccount()
+	path := "/v1/accounts/acme/keys/" + first.KeyHash
+	a.group.loseAnswer = true
+	a.mustRefuse(a.call("DELETE", path, "", "Idempotency-Key", "o"), errkind.NoQuorum)
+	var again KeyAnswer
+	a.must(a.call("DELETE", path, "", "Idempotency-Key", "o"), &again)
+	if !again.Resend || len(a.hashes()) != 0 {
+		t.Errorf("%+v", again)
+	}
+	a.mustRefuse(a.call("DELETE", path, "", "Idempotency-Key", "o2"), errkind.NotFound)
+	a.mustRefuse(a.call("DELETE", "/v1/accounts/none/keys/"+first.KeyHash, "", "Idempotency-Key", "o3"), errkind.NotFound)
+}
+
+func TestTeamsAreListedByName(t *testing.T) {
+	a := newAPI(t)
+	var none TeamList
+	a.must(a.call("GET", "/v1/teams", ""), &none)
+	for _, name := range []string{"b", "a"} {
+		a.must(a.call("PUT", "/v1/config/teams/"+name, `{"priority":"batch"}`, "Idempotency-Key", name, "If-Match", "0"), &ChangeAnswer{})
+	}
+	var l TeamList
+	a.must(a.call("GET", "/v1/teams", ""), &l)
+	if len(none.Teams) != 0 || len(l.Teams) != 2 || l.Teams[0].Name != "a" || l.Teams[0].Priority != "batch" {
+		t.Errorf("%+v", l)
+	}
+	if got := a.group.commands[0].GetSetConfig(); got.GetPath() != "/teams/b" || got.GetAnyVersion() {
+		t.Errorf("proposed %v", got)
+	}
+}
--- /dev/null
+++ b/internal/adminapi/answer.go
@@ -0,0 +1,92 @@
+package adminapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// tagged answers carry the version of the subtree they show as the header ETag,
+// which a change gives back as If-Match.
+type tagged interface{ versionTag() uint64 }
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	b, err := json.Marshal(answer)
+	if err != nil {
+		writeError(w, errkind.New(errkind.Internal, "encode the answer: %v", err))
+		return
+	}
+	if t, ok := answer.(tagged); ok {
+		w.Header().Set("ETag", `"`+strconv.FormatUint(t.versionTag(), 10)+`"`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(b, '\n'))
+}
+
+func writeError(w http.ResponseWriter, e *errkind.Error) {
+	if e.RetryAfter > 0 {
+		seconds := (e.RetryAfter + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	writeJSON(w, e.Status(), ErrorAnswer{Error: ErrorFields{
+		Kind:           e.Kind,
+		Message:        e.Message,
+		Path:           e.Path,
+		Ran:            e.Ran(),
+		Retry:          errkind.Lookup(e.Kind).Retry,
+		RetryAfterMS:   e.RetryAfter.Milliseconds(),
+		PresentVersion: e.PresentVersion,
+	}})
+}
+
+// readBody returns the whole body, or the refusal of one that is too long.
+func readBody(q *request) ([]byte, error) {
+	b, err := io.ReadAll(q.http.Body)
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return nil, errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", tooLong.Limit)
+	}
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "read the body: %v", err)
+	}
+	return b, nil
+}
+
+// decodeBody parses the body into v and refuses unknown keys: a misspelt key would
+// otherwise be taken for an absent one.
+func decodeBody(q *request, v any) error {
+	b, err := readBody(q)
+	if err != nil {
+		return err
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return errkind.New(errkind.BadRequest, "the body is not understood: %v", err)
+	}
+	if d.More() {
+		return errkind.New(errkind.BadRequest, "the body has more than one value")
+	}
+	return nil
+}
+
+// refusal turns an error that crossed a process boundary into the one it was; nil
+// for nil.
+func refusal(e *pb.Error) error {
+	if e == nil {
+		return nil
+	}
+	r := errkind.New(errkind.Kind(e.GetKind()), "%s", e.GetMessage()).At(e.GetPath())
+	r.RetryAfter = time.Duration(e.GetRetryAfterMs()) * time.Millisecond
+	r.PresentVersion = e.GetPresentVersion()
+	return r
+}
--- /dev/null
+++ b/internal/adminapi/auth.go
@@ -0,0 +1,43 @@
+package adminapi
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+)
+
+// actorHashDigits of an operator key's hash name the operator in logs and history.
+const actorHashDigits = 12
+
+// HashKey returns the hex SHA-256 hash under which a key is known.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// actor returns the name of the operator whose key r bears.
+func (h *Handler) actor(r *http.Request) (string, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return "", errkind.New(errkind.Unauthenticated, "give an operator's key as Authorization: Bearer KEY")
+	}
+	hash := HashKey(key)
+	if !containsHash(h.cfg.OperatorKeyHashes(), hash) {
+		return "", errkind.New(errkind.Unauthenticated, "no operator has this key")
+	}
+	return "operator-" + hash[:actorHashDigits], nil
+}
+
+// containsHash compares with every hash, each in constant time: the time taken must
+// not tell how close a guessed key came.
+func containsHash(hashes []string, hash string) bool {
+	found := 0
+	for _, h := range hashes {
+		found |= subtle.ConstantTimeCompare([]byte(h), []byte(hash))
+	}
+	return found == 1
+}
--- /dev/null
+++ b/internal/adminapi/config.go
@@ -0,0 +1,165 @@
+package adminapi
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	// anyVersion in If-Match changes the subtree whatever its version is.
+	anyVersion = "*"
+	// Bounds on the lines of a history or statement.
+	defaultLines = 50
+	maxLines     = 1000
+)
+
+// treePath is the path in the settings tree that the request addresses.
+func treePath(q *request) string {
+	return "/" + strings.Trim(q.http.PathValue("path"), "/")
+}
+
+func (h *Handler) getConfig(ctx context.Context, q *request) (any, error) {
+	path := treePath(q)
+	res, found, err := h.readConfig(ctx, path)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		e := errkind.New(errkind.NotFound, "the settings tree has nothing at %s", path).At(path)
+		e.PresentVersion = res.GetVersion()
+		return nil, e
+	}
+	return ConfigAnswer{Path: path, Version: res.GetVersion(), Revision: res.GetRevision(), Value: res.GetValueJson()}, nil
+}
+
+func (h *Handler) putConfig(ctx context.Context, q *request) (any, error) {
+	body, err := readBody(q)
+	if err != nil {
+		return nil, err
+	}
+	path := treePath(q)
+	if !json.Valid(body) {
+		return nil, errkind.New(errkind.InvalidSettings, "the value is not JSON").At(path)
+	}
+	return h.setConfig(ctx, q, &pb.SetConfig{Path: path, ValueJson: body})
+}
+
+func (h *Handler) deleteConfig(ctx context.Context, q *request) (any, error) {
+	return h.setConfig(ctx, q, &pb.SetConfig{Path: treePath(q), Delete: true})
+}
+
+// setConfig commits s under the version that If-Match gives.
+func (h *Handler) setConfig(ctx context.Context, q *request, s *pb.SetConfig) (any, error) {
+	if err := expectVersion(q, s); err != nil {
+		return nil, err
+	}
+	res, err := h.propose(ctx, q, &pb.Command{Body: &pb.Command_SetConfig{SetConfig: s}})
+	if err != nil {
+		return nil, err
+	}
+	return changeAnswer(q, res), nil
+}
+
+// expectVersion demands If-Match: a change without one would silently undo what
+// another operator changed meanwhile.
+func expectVersion(q *request, s *pb.SetConfig) error {
+	match := q.http.Header.Get("If-Match")
+	if match == anyVersion {
+		s.AnyVersion = true
+		return nil
+	}
+	v, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
+	if err != nil {
+		return errkind.New(errkind.BadRequest,
+			`a change needs the header If-Match with the subtree's version, such as "7", "0" for none yet, or * for any`)
+	}
+	s.ExpectedVersion = v
+	return nil
+}
+
+func changeAnswer(q *request, res *pb.CommandResult) ChangeAnswer {
+	set := res.GetSetConfig()
+	return ChangeAnswer{OpID: q.opID, Resend: res.GetResend(), Revision: set.GetRevision(), Version: set.GetVersion()}
+}
+
+func (h *Handler) configHistory(ctx context.Context, q *request) (any, error) {
+	limit, err := lines(q)
+	if err != nil {
+		return nil, err
+	}
+	path := treePath(q)
+	changes, err := h.history(ctx, path, limit)
+	if err != nil {
+		return nil, err
+	}
+	return HistoryAnswer{Path: path, Changes: changes}, nil
+}
+
+func (h *Handler) history(ctx context.Context, path string, limit uint32) ([]ConfigChange, error) {
+	res, err := h.query(ctx, &pb.Query{Body: &pb.Query_History{History: &pb.HistoryQuery{Path: path, Limit: limit}}})
+	if err != nil {
+		return nil, err
+	}
+	changes := make([]ConfigChange, 0, len(res.GetHistory()))
+	for _, c := range res.GetHistory() {
+		changes = append(changes, ConfigChange{
+			Revision: c.GetRevision(),
+			Version:  c.GetVersion(),
+			Path:     c.GetPath(),
+			Value:    c.GetValueJson(),
+			Delete:   c.GetDelete(),
+			OpID:     c.GetOpId(),
+			Actor:    c.GetActor(),
+			Time:     time.UnixMilli(c.GetTimeMs()).UTC(),
+		})
+	}
+	return changes, nil
+}
+
+// lines reads the query parameter limit.
+func lines(q *request) (uint32, error) {
+	v := q.http.URL.Query().Get("limit")
+	if v == "" {
+		return defaultLines, nil
+	}
+	n, err := strconv.ParseUint(v, 10, 32)
+	if err != nil || n == 0 || n > maxLines {
+		return 0, errkind.New(errkind.BadRequest, "limit is 1 to %d", maxLines)
+	}
+	return uint32(n), nil
+}
+
+// configStatus compares the committed revision with the one each host says it has
+// in force. Without a quorum the committed revision is not known, and said so.
+func (h *Handler) configStatus(ctx context.Context, _ *request) (any, error) {
+	answer := ConfigStatus{}
+	res, _, err := h.readConfig(ctx, "/fleet")
+	if err != nil {
+		answer.CommittedError = errkind.From(timedOut(err, false)).Error()
+	} else {
+		answer.CommittedKnown = true
+		answer.CommittedRevision = res.GetRevision()
+	}
+	for _, s := range h.cfg.Fleet.Hosts() {
+		answer.Hosts = append(answer.Hosts, hostRevision(s, answer))
+	}
+	return answer, nil
+}
+
+func hostRevision(s *pb.HostState, c ConfigStatus) HostRevision {
+	inContact := s.GetHealth() == pb.HostHealth_HOST_HEALTH_ALIVE
+	return HostRevision{
+		Host:      s.GetHolder().GetHost(),
+		Zone:      s.GetZone(),
+		Revision:  s.GetConfigRevision(),
+		InForce:   c.CommittedKnown && inContact && s.GetConfigRevision() >= c.CommittedRevision,
+		InContact: inContact,
+		HeardMS:   s.GetHeardMs(),
+	}
+}
--- /dev/null
+++ b/internal/adminapi/handler_test.go
@@ -0,0 +1,346 @@
+package adminapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const operatorKey = "op-key-of-the-tests"
+
+// api is a Handler over fakes; its log and answers are kept.
+type api struct {
+	t       *testing.T
+	group   *fakeGroup
+	handler *Handler
+	log     bytes.Buffer
+	answers bytes.Buffer
+	ready   error
+}
+
+func newAPI(t *testing.T) *api {
+	a := &api{t: t, group: newFakeGroup()}
+	a.handler = New(Config{
+		Group: a.group, Fleet: fakeFleet{}, Explain: fakeExplainer{},
+		OperatorKeyHashes: func() []string { return []string{HashKey("other"), HashKey(operatorKey)} },
+		Ready:             func() error { return a.ready },
+		Log:               zerolog.New(&a.log),
+	})
+	return a
+}
+
+// call sends one request with the operator's key; header is pairs of name and value.
+func (a *api) call(method, path, body string, header ...string) *httptest.ResponseRecorder {
+	a.t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+operatorKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	a.handler.ServeHTTP(w, r)
+	a.answers.Write(w.Body.Bytes())
+	return w
+}
+
+// must decodes a 200 answer into v.
+func (a *api) must(w *httptest.ResponseRecorder, v any) {
+	a.t.Helper()
+	if w.Code != http.StatusOK {
+		a.t.Fatalf("status %d: %s", w.Code, w.Body)
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), v); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// mustRefuse checks the status, the kind and the path of a refusal and returns it.
+func (a *api) mustRefuse(w *httptest.ResponseRecorder, kind errkind.Kind) ErrorFields {
+	a.t.Helper()
+	var e ErrorAnswer
+	if err := json.Unmarshal(w.Body.Bytes(), &e); err != nil {
+		a.t.Fatalf("status %d, body %s: %v", w.Code, w.Body, err)
+	}
+	if e.Error.Kind != kind || w.Code != errkind.Lookup(kind).Status {
+		a.t.Fatalf("status %d, want kind %s: %s", w.Code, kind, w.Body)
+	}
+	return e.Error
+}
+
+func TestEveryPathButHealthNeedsAKey(t *testing.T) {
+	a := newAPI(t)
+	paths := []string{
+		"GET /v1/config/fleet", "PUT /v1/config/fleet", "DELETE /v1/config/fleet", "GET /v1/config-history/fleet",
+		"GET /v1/config-status", "GET /v1/budgets", "POST /v1/budgets", "GET /v1/budgets/b", "POST /v1/budgets/b/top-ups",
+		"GET /v1/budgets/b/statement", "GET /v1/accounts", "POST /v1/accounts", "POST /v1/accounts/a/keys",
+		"DELETE /v1/accounts/a/keys/h", "GET /v1/teams", "GET /v1/hosts", "POST /v1/hosts/h/remove", "GET /v1/servers",
+		"POST /v1/servers/192.0.2.9:1/orders", "GET /v1/status", "GET /v1/explain/x", "GET /v1/control/members",
+		"POST /v1/control/members", "GET /debug/vars",
+	}
+	for _, p := range paths {
+		method, path, _ := strings.Cut(p, " ")
+		for _, bearer := range []string{"", "Bearer ", "Bearer wrong", "Bearer " + HashKey(operatorKey), operatorKey} {
+			w := a.call(method, path, "{}", "Authorization", bearer, "Idempotency-Key", "op", "If-Match", "*")
+			a.mustRefuse(w, errkind.Unauthenticated)
+		}
+	}
+	if len(a.group.commands) != 0 {
+		t.Fatalf("a request without a key proposed %v", a.group.commands)
+	}
+	if w := a.call("GET", "/healthz", "", "Authorization", ""); w.Code != http.StatusOK {
+		t.Errorf("healthz: %d", w.Code)
+	}
+	a.ready = errkind.New(errkind.HostNotReady, "no settings yet")
+	a.mustRefuse(a.call("GET", "/healthz", "", "Authorization", ""), errkind.HostNotReady)
+}
+
+func TestUnknownPathsAndMethodsAreRefusedInJSON(t *testing.T) {
+	a := newAPI(t)
+	a.mustRefuse(a.call("GET", "/v1/nothing", ""), errkind.UnknownPath)
+	a.mustRefuse(a.call("PATCH", "/v1/budgets", ""), errkind.UnknownPath)
+}
+
+func TestFaultyRequestsAreRefusedBeforeTheGroup(t *testing.T) {
+	tests := []struct {
+		name, method, path, body string
+		header                   []string
+		kind                     errkind.Kind
+		faultPath                string
+	}{
+		{"no operation id", "POST", "/v1/budgets", `{"name":"b"}`, nil, errkind.BadRequest, ""},
+		{"long operation id", "POST", "/v1/budgets", `{"name":"b"}`, []string{"Idempotency-Key", strings.Repeat("x", 129)}, errkind.BadRequest, ""},
+		{"no version", "PUT", "/v1/config/teams/t", `{}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, ""},
+		{"version in words", "PUT", "/v1/config/teams/t", `{}`, []string{"Idempotency-Key", "o", "If-Match", "new"}, errkind.BadRequest, ""},
+		{"value no JSON", "PUT", "/v1/config/teams/t", `{`, []string{"Idempotency-Key", "o", "If-Match", "*"}, errkind.InvalidSettings, "/teams/t"},
+		{"unknown field", "POST", "/v1/budgets", `{"name":"b","token":1}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, ""},
+		{"two values", "POST", "/v1/budgets", `{"name":"b"} {}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, ""},
+		{"negative tokens", "POST", "/v1/budgets", `{"name":"b","tokens":-1}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, ""},
+		{"budget without a name", "POST", "/v1/budgets", `{}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, "/name"},
+		{"top-up of 0", "POST", "/v1/budgets/b/top-ups", `{}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, "/tokens"},
+		{"long body", "POST", "/v1/budgets", `"` + strings.Repeat("x", maxBodyBytes) + `"`, []string{"Idempotency-Key", "o"}, errkind.BodyTooLarge, ""},
+		{"account without a name", "POST", "/v1/accounts", `{}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, "/name"},
+		{"key for hash", "POST", "/v1/accounts", `{"name":"a","key_hash":"bbs_1"}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, "/key_hash"},
+		{"limit of 0", "GET", "/v1/budgets/b/statement?limit=0", ``, nil, errkind.BadRequest, ""},
+		{"order without a verb", "POST", "/v1/servers/192.0.2.9:1/orders", `{}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, "/verb"},
+		{"member verb", "POST", "/v1/control/members", `{"verb":"kill","id":1}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, "/verb"},
+		{"member 0", "POST", "/v1/control/members", `{"verb":"remove"}`, []string{"Idempotency-Key", "o"}, errkind.BadRequest, "/id"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newAPI(t)
+			e := a.mustRefuse(a.call(tt.method, tt.path, tt.body, tt.header...), tt.kind)
+			if e.Path != tt.faultPath || e.Ran != errkind.RanNo {
+				t.Errorf("path %q, ran %s: %s", e.Path, e.Ran, e.Message)
+			}
+			if len(a.group.commands) > 0 {
+				t.Errorf("proposed %v", a.group.commands)
+			}
+		})
+	}
+}
+
+// Symptom: a change of one operator is undone by another's.
+// Sequence: both read version 1, both write under it.
+// Cause: the version is not passed on, or its conflict is taken for a success.
+func TestOfTwoWritersUnderOneVersionOneWins(t *testing.T) {
+	a := newAPI(t)
+	var first ChangeAnswer
+	a.must(a.call("PUT", "/v1/config/teams/t", `{"priority":"urgent"}`, "Idempotency-Key", "o1", "If-Match", `"0"`), &first)
+	w := a.call("GET", "/v1/config/teams/t", "")
+	var read ConfigAnswer
+	a.must(w, &read)
+	tag := w.Header().Get("ETag")
+	if tag != `"1"` || first.Version != 1 || string(read.Value) != `{"priority":"urgent"}` || read.Path != "/teams/t" {
+		t.Fatalf("ETag %s, %+v, %+v", tag, first, read)
+	}
+	var won ChangeAnswer
+	a.must(a.call("PUT", "/v1/config/teams/t", `{"priority":"batch"}`, "Idempotency-Key", "o2", "If-Match", tag), &won)
+	e := a.mustRefuse(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "o3", "If-Match", tag), errkind.VersionConflict)
+	if e.PresentVersion != 2 {
+		t.Errorf("present version %d, want 2", e.PresentVersion)
+	}
+	a.mustRefuse(a.call("DELETE", "/v1/config/teams/t", ``, "Idempotency-Key", "o4", "If-Match", tag), errkind.VersionConflict)
+	a.must(a.call("DELETE", "/v1/config/teams/t", ``, "Idempotency-Key", "o5", "If-Match", "*"), &won)
+	a.mustRefuse(a.call("GET", "/v1/config/teams/t", ""), errkind.NotFound)
+	var h HistoryAnswer
+	a.must(a.call("GET", "/v1/config-history/teams/t", ""), &h)
+	if len(h.Changes) != 3 || h.Changes[2].OpID != "o5" || !strings.HasPrefix(h.Changes[0].Actor, "operator-") {
+		t.Errorf("history %+v", h)
+	}
+}
+
+// Symptom: a budget is funded twice.
+// Sequence: a top-up commits, its answer is lost, the operator sends it again.
+// Cause: the resend goes out under another operation id.
+func TestResentTopUpFundsOnce(t *testing.T) {
+	a := newAPI(t)
+	var made BudgetAnswer
+	a.must(a.call("POST", "/v1/budgets", `{"name":"b","tokens":100}`, "Idempotency-Key", "o1"), &made)
+	a.group.loseAnswer = true
+	e := a.mustRefuse(a.call("POST", "/v1/budgets/b/top-ups", `{"tokens":50}`, "Idempotency-Key", "o2"), errkind.NoQuorum)
+	if e.Ran != errkind.RanUnknown || e.Retry != errkind.RetrySameKey {
+		t.Errorf("a lost answer says ran %s, retry %s", e.Ran, e.Retry)
+	}
+	var again BudgetAnswer
+	a.must(a.call("POST", "/v1/budgets/b/top-ups", `{"tokens":50}`, "Idempotency-Key", "o2"), &again)
+	if again.Budget.Funded != 150 || !again.Resend || again.OpID != "o2" {
+		t.Errorf("after the resend: %+v", again)
+	}
+	a.mustRefuse(a.call("GET", "/v1/budgets/none", ""), errkind.NotFound)
+}
+
+func TestBudgetShowsWhatHostsHold(t *testing.T) {
+	a := newAPI(t)
+	a.group.budgets["b"] = &pb.Budget{Name: "b", Funded: 100, Billed: 20, Granted: []*pb.Granted{
+		{Holder: &pb.Holder{Host: "h1", Incarnation: 4}, Tokens: 30}, {Holder: &pb.Holder{Host: "h2"}, Tokens: 0}}}
+	var b Budget
+	a.must(a.call("GET", "/v1/budgets/b", ""), &b)
+	if b.Granted != 30 || b.Free != 50 || len(b.Holders) != 1 || b.Holders[0].Incarnation != 4 {
+		t.Errorf("%+v", b)
+	}
+	var s Statement
+	a.must(a.call("GET", "/v1/budgets/b/statement?limit=7", ""), &s)
+	if len(s.Lines) != 1 || s.Lines[0].Tokens != 7 {
+		t.Errorf("the limit is not passed on: %+v", s)
+	}
+}
+
+// Symptom: nothing can be asked during a cut.
+// Sequence: the host that answers has lost the control group.
+// Cause: status waits for the group, or takes its silence for an empty fleet.
+func TestStatusWithoutQuorumTellsWhatIsNotKnown(t *testing.T) {
+	a := newAPI(t)
+	a.group.readErr = errkind.New(errkind.NoQuorum, "cut off")
+	var s Status
+	a.must(a.call("GET", "/v1/status", ""), &s)
+	if s.Control != nil || s.ControlError == "" || s.HostsAlive != 1 || len(s.HostsOut) != 1 || s.ServersLeaving != 1 {
+		t.Errorf("status %+v", s)
+	}
+	var c ConfigStatus
+	a.must(a.call("GET", "/v1/config-status", ""), &c)
+	if c.CommittedKnown || c.Hosts[0].InForce || c.CommittedError == "" {
+		t.Errorf("config status %+v", c)
+	}
+	var l HostList
+	a.must(a.call("GET", "/v1/hosts", ""), &l)
+	if l.RegisteredKnown || len(l.Hosts) != 2 || l.Hosts[1].Health != "dead" {
+		t.Errorf("hosts %+v", l)
+	}
+	e := a.mustRefuse(a.call("GET", "/v1/budgets", ""), errkind.NoQuorum)
+	if e.Ran != errkind.RanNo || strings.Count(e.Message, "read") != 1 {
+		t.Errorf("a read says ran %s: %s", e.Ran, e.Message)
+	}
+}
+
+func TestConfigStatusTellsWhoIsBehind(t *testing.T) {
+	a := newAPI(t)
+	a.group.revision = 1
+	var c ConfigStatus
+	a.must(a.call("GET", "/v1/config-status", ""), &c)
+	if !c.CommittedKnown || !c.Hosts[0].InForce || c.Hosts[1].InForce || c.Hosts[1].InContact || c.Hosts[1].HeardMS != 9000 {
+		t.Errorf("%+v", c)
+	}
+	a.group.revision = 2
+	a.must(a.call("GET", "/v1/config-status", ""), &c)
+	if c.Hosts[0].InForce {
+		t.Errorf("a host at revision 1 counts as in force at 2: %+v", c)
+	}
+}
+
+func TestFleetAndControlAnswers(t *testing.T) {
+	a := newAPI(t)
+	a.group.hosts = []*pb.HostInfo{{Host: "h3", Unrecovered: []uint64{2}}}
+	var l HostList
+	a.must(a.call("GET", "/v1/hosts", ""), &l)
+	if len(l.Hosts) != 3 || l.Hosts[2].Unrecovered[0] != 2 || l.Hosts[2].Health != "unknown" {
+		t.Errorf("hosts %+v", l)
+	}
+	var removed HostRemoved
+	a.must(a.call("POST", "/v1/hosts/h3/remove", "", "Idempotency-Key", "o1"), &removed)
+	if got := a.group.commands[0].GetRemoveHost().GetHost(); got != "h3" {
+		t.Errorf("removed %q", got)
+	}
+	var servers ServerList
+	a.must(a.call("GET", "/v1/servers", ""), &servers)
+	if len(servers.Servers) != 2 || !servers.Servers[0].Leaving {
+		t.Errorf("servers %+v", servers)
+	}
+	var g GroupStatus
+	a.must(a.call("POST", "/v1/control/members", `{"verb":"promote","id":7}`, "Idempotency-Key", "o2"), &g)
+	if g.Members[0].ID != 7 {
+		t.Errorf("group %+v", g)
+	}
+	a.must(a.call("GET", "/v1/control/members", ""), &g)
+	if g.Leader != 2 {
+		t.Errorf("group %+v", g)
+	}
+	a.mustRefuse(a.call("POST", "/v1/servers/192.0.2.9:1/orders", `{"verb":"load"}`, "Idempotency-Key", "o3"), errkind.UnknownPath)
+}
+
+func TestExplainAddsTheLedgersBill(t *testing.T) {
+	a := newAPI(t)
+	a.group.bills["acme/k1"] = &pb.Bill{Budget: "b", Tokens: 12, RequestId: "r1"}
+	var e Explanation
+	a.must(a.call("GET", "/v1/explain/acme/k1", ""), &e)
+	if e.Ledger == nil || e.Ledger.Tokens != 12 {
+		t.Errorf("%+v", e)
+	}
+	a.group.readErr = errkind.New(errkind.NoQuorum, "cut off")
+	e = Explanation{}
+	a.must(a.call("GET", "/v1/explain/acme/k1", ""), &e)
+	if e.Ledger != nil || !strings.Contains(e.LedgerNote, "could not be asked") {
+		t.Errorf("without a quorum: %+v", e)
+	}
+	a.mustRefuse(a.call("GET", "/v1/explain/other", ""), errkind.NotFound)
+}
+
+// slowGroup answers no proposal before its context ends.
+type slowGroup struct{ *fakeGroup }
+
+func (slowGroup) Propose(ctx context.Context, _ *pb.Command) (*pb.CommandResult, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Symptom: an operator is told that a change failed, and it takes effect later.
+// Sequence: the group is slow, the request's time is over, the command commits.
+// Cause: a timeout is answered like a refusal.
+func TestTimeoutIsAnUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAPI(t)
+		a.handler.cfg.Group = slowGroup{a.group}
+		began := time.Now()
+		e := a.mustRefuse(a.call("POST", "/v1/budgets", `{"name":"b"}`, "Idempotency-Key", "o"), errkind.NoQuorum)
+		if e.Ran != errkind.RanUnknown || e.Retry != errkind.RetrySameKey || time.Since(began) != DefaultTimeout {
+			t.Errorf("after %s: %+v", time.Since(began), e)
+		}
+	})
+}
+
+func TestRefusalKeepsItsFieldsAcrossProcesses(t *testing.T) {
+	e := errkind.From(refusal(&pb.Error{Kind: "overloaded", Message: "m", Path: "/p", RetryAfterMs: 1500, PresentVersion: 3}))
+	w := httptest.NewRecorder()
+	writeError(w, e)
+	want := `{"error":{"kind":"overloaded","message":"m","path":"/p","ran":"no","retry":"after","retry_after_ms":1500,"present_version":3}}` + "\n"
+	if w.Body.String() != want || w.Header().Get("Retry-After") != "2" || w.Code != 429 {
+		t.Errorf("%d %v\n%s", w.Code, w.Header(), w.Body)
+	}
+	if refusal(nil) != nil {
+		t.Error("no error became one")
+	}
+	if got := fmt.Sprint(e.RetryAfter); got != "1.5s" {
+		t.Error(got)
+	}
+}
