--- /dev/null
+++ b/internal/controller/settings/controller_test.go
@@ -0,0 +1,142 @@
+package settings
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// fakeWatcher hands out what the test puts in.
+type fakeWatcher struct{ events chan *pb.WatchEvent }
+
+func (f *fakeWatcher) Watch(ctx context.Context, _ uint64, fn func(*pb.WatchEvent) error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-f.events:
+			if err := fn(e); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func team(revision uint64, timeout string) *pb.ConfigChange {
+	return &pb.ConfigChange{Revision: revision, Version: revision, Path: "/teams/a", ValueJson: []byte(`{"default_timeout":"` + timeout + `"}`)}
+}
+
+func started(t *testing.T) (*Controller, *fakeWatcher) {
+	f := &fakeWatcher{events: make(chan *pb.WatchEvent)}
+	c := New(f, zerolog.Nop(), time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return c, f
+}
+
+// Symptom: a host serves under rules that were replaced long ago.
+// Sequence: it restarts beside a replica that is cut off from the quorum and watches it.
+// Cause: a revision that no quorum confirmed was taken as the one in force.
+func TestNotReadyBeforeAQuorumConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, f := started(t)
+		f.events <- &pb.WatchEvent{Revision: 1, Changes: []*pb.ConfigChange{team(1, "1s")}}
+		synctest.Wait()
+		if err := c.Ready(); !errkind.Is(err, errkind.HostNotReady) {
+			t.Fatalf("ready on an unconfirmed revision: %v", err)
+		}
+		f.events <- &pb.WatchEvent{Confirmed: true}
+		synctest.Wait()
+		if err := c.Ready(); err != nil {
+			t.Fatalf("not ready though confirmed: %v", err)
+		}
+	})
+}
+
+// Symptom: an accepted change is undone at one host.
+// Sequence: the host applied revision 2, then watches a peer that is still at 1.
+// Cause: an older snapshot or change was applied over a newer one.
+func TestViewNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, f := started(t)
+		f.events <- &pb.WatchEvent{Revision: 2, Changes: []*pb.ConfigChange{team(1, "1s"), team(2, "2s")}}
+		synctest.Wait()
+		f.events <- &pb.WatchEvent{Revision: 1, Changes: []*pb.ConfigChange{team(1, "1s")}}
+		synctest.Wait()
+		old := New(&fakeWatcher{}, zerolog.Nop(), time.Now)
+		if err := old.take(&pb.WatchEvent{Revision: 1, Changes: []*pb.ConfigChange{team(1, "1s")}}); err != nil {
+			t.Fatal(err)
+		}
+		body, err := old.View().SnapshotJSON()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.events <- &pb.WatchEvent{Revision: 1, SnapshotJson: body}
+		synctest.Wait()
+		got, _ := c.Team("a")
+		if c.Revision() != 2 || got.DefaultTimeout.Std() != 2*time.Second {
+			t.Fatalf("went back: revision %d, timeout %s", c.Revision(), got.DefaultTimeout.Std())
+		}
+	})
+}
+
+// stream collects what a relay sends.
+type stream struct {
+	grpc.ServerStream
+	ctx context.Context
+	fn  func(*pb.WatchEvent)
+}
+
+func (s *stream) Send(e *pb.WatchEvent) error  { s.fn(e); return nil }
+func (s *stream) Context() context.Context     { return s.ctx }
+func (s *stream) SetHeader(metadata.MD) error  { return nil }
+func (s *stream) SendHeader(metadata.MD) error { return nil }
+
+// relayWatcher watches another controller through its relay.
+type relayWatcher struct{ of *Controller }
+
+func (r *relayWatcher) Watch(ctx context.Context, from uint64, fn func(*pb.WatchEvent) error) error {
+	s := &stream{ctx: ctx, fn: func(e *pb.WatchEvent) { _ = fn(e) }}
+	return NewRelay(r.of).Watch(&pb.WatchRequest{FromRevision: from}, s)
+}
+
+// Symptom: two hosts cut off from the control group never notice it.
+// Sequence: each watches the other; the control group confirmed a revision before the cut.
+// Cause: the quorum's word did not age on its way through relays.
+func TestHostsThatWatchEachOtherGrowStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := New(nil, zerolog.Nop(), time.Now), New(nil, zerolog.Nop(), time.Now)
+		a.watcher, b.watcher = &relayWatcher{b}, &relayWatcher{a}
+		if err := a.take(&pb.WatchEvent{Revision: 1, Confirmed: true, Changes: []*pb.ConfigChange{team(1, "1s")}}); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{}, 2)
+		for _, c := range []*Controller{a, b} {
+			go func() { c.Run(ctx); done <- struct{}{} }()
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if b.Revision() != 1 {
+			t.Fatalf("relay did not pass revision 1 on: %d", b.Revision())
+		}
+		for name, c := range map[string]*Controller{"a": a, "b": b} {
+			if age, ok := c.ContactAge(); !ok || age < 59*time.Second {
+				t.Errorf("%s: contact seems %s old (%v) after a minute's cut", name, age, ok)
+			}
+		}
+		cancel()
+		<-done
+		<-done
+	})
+}
--- /dev/null
+++ b/internal/controller/settings/relay.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// relayEvery is how often a relay repeats its state to a watcher without a change.
+const relayEvery = time.Second
+
+// Relay implements the Watch of pb.ControlServer on hosts without a replica.
+type Relay struct {
+	pb.UnimplementedControlServer
+	c *Controller
+}
+
+// NewRelay serves what c holds.
+func NewRelay(c *Controller) *Relay { return &Relay{c: c} }
+
+// Watch sends the view and then each newer one, until the watcher goes.
+func (r *Relay) Watch(req *pb.WatchRequest, stream grpc.ServerStreamingServer[pb.WatchEvent]) error {
+	ticker := time.NewTicker(relayEvery)
+	defer ticker.Stop()
+	sent := req.FromRevision
+	for {
+		changed := r.c.Changed()
+		event, err := r.event(sent)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(event); err != nil {
+			return err
+		}
+		sent = max(sent, event.Revision)
+		select {
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// event is the view as one message; without its body if the watcher has it.
+func (r *Relay) event(have uint64) (*pb.WatchEvent, error) {
+	v := r.c.View()
+	age, confirmed := r.c.ContactAge()
+	e := &pb.WatchEvent{Revision: v.Revision(), Confirmed: confirmed, ConfirmedAgeMs: age.Milliseconds()}
+	if v.Revision() <= have {
+		e.Revision = 0
+		return e, nil
+	}
+	return e, fill(e, v)
+}
+
+func fill(e *pb.WatchEvent, v *settings.View) error {
+	body, err := v.SnapshotJSON()
+	e.SnapshotJson = body
+	return err
+}
--- a/internal/procconfig/check.go
+++ b/internal/procconfig/check.go
@@ -25,6 +25,8 @@
 	maxMaxBodyBytes  = 256 << 20
 	// heartbeatsBeforeSuspect is how many heartbeats may be lost before a peer is suspected.
 	heartbeatsBeforeSuspect = 2
+	minServerLapse          = 500 * time.Millisecond
+	maxServerLapse          = 2 * time.Second
 	maxNameBytes            = 63
 	hashBytes               = 32
 )
@@ -309,7 +311,7 @@
 	if t.DeadAfter <= t.SuspectAfter {
 		k.fault("/timing/dead_after", "%s is not more than suspect_after, %s", t.DeadAfter.Std(), t.SuspectAfter.Std())
 	}
-	k.duration("/timing/server_lapse", t.ServerLapse, time.Second, time.Minute)
+	k.duration("/timing/server_lapse", t.ServerLapse, minServerLapse, maxServerLapse)
 	k.duration("/timing/settle_every", t.SettleEvery, 10*time.Millisecond, 10*time.Second)
 	k.duration("/timing/rpc_timeout", t.RPCTimeout, 50*time.Millisecond, 30*time.Second)
 }
--- a/internal/procconfig/config.go
+++ b/internal/procconfig/config.go
@@ -181,7 +181,8 @@
 	// suspect_after; default 10s.
 	DeadAfter settings.Duration `json:"dead_after,omitempty"`
 	// ServerLapse is the silence of a backend server's announcements after which it
-	// gets no new work, 1s to 1m; default 3s.
+	// gets no new work, 500ms to 2s; default 1.5s. More than 2s would break the promise
+	// that a server which has left gets nothing new after two seconds.
 	ServerLapse settings.Duration `json:"server_lapse,omitempty"`
 	// SettleEvery is the longest wait before bills are sent to the ledger, 10ms to 10s;
 	// default 200ms.
@@ -202,7 +203,7 @@
 	defaultHeartbeat     = settings.Duration(500 * time.Millisecond)
 	defaultSuspectAfter  = settings.Duration(2 * time.Second)
 	defaultDeadAfter     = settings.Duration(10 * time.Second)
-	defaultServerLapse   = settings.Duration(3 * time.Second)
+	defaultServerLapse   = settings.Duration(1500 * time.Millisecond)
 	defaultSettleEvery   = settings.Duration(200 * time.Millisecond)
 	defaultRPCTimeout    = settings.Duration(time.Second)
 )
