--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/raft"
+)
+
+// run is the loop that owns the consensus state.
+func (r *Replica) run() {
+	defer close(r.stopped)
+	ticker := time.NewTicker(r.cfg.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.stop:
+			r.shutDown(nil)
+			return
+		case <-ticker.C:
+		case <-r.wake:
+		}
+		if err := r.turn(); err != nil {
+			r.log.Error().Err(err).Msg("replica_stopped")
+			r.shutDown(err)
+			return
+		}
+	}
+}
+
+// shutDown ends what waits on the loop.
+func (r *Replica) shutDown(err error) {
+	r.err = err
+	r.view.Store(&view{id: r.id.ID})
+	r.inMu.Lock()
+	r.closed = true
+	waiting := r.proposals
+	r.proposals = nil
+	r.inMu.Unlock()
+	for _, p := range waiting {
+		p.finish(nil, &NotLeaderError{})
+	}
+	r.failPending("this replica is shutting down")
+	_ = r.wal.Close()
+}
+
+// turn does everything that is due.
+func (r *Replica) turn() error {
+	if r.formation == nil {
+		// Time comes first. A process that was frozen must know how long, before
+		// it takes a message that waited as fresh or acts as a leader.
+		r.catchUp()
+	}
+	messages, proposals := r.takeInput()
+	for _, m := range messages {
+		if err := r.step(m); err != nil {
+			return err
+		}
+	}
+	if r.formation != nil {
+		return r.formationTurn()
+	}
+	r.propose(proposals)
+	r.core.Flush()
+	if err := r.process(); err != nil {
+		return err
+	}
+	r.resetSilent()
+	return r.maybeSnapshot()
+}
+
+// catchUp feeds the ticks that have passed.
+func (r *Replica) catchUp() {
+	now := r.ticksNow()
+	for r.core.Now() < now {
+		r.core.Tick()
+	}
+}
+
+func (r *Replica) takeInput() ([]*pb.RaftMessage, []*proposal) {
+	r.inMu.Lock()
+	defer r.inMu.Unlock()
+	messages, proposals := r.inbox, r.proposals
+	r.inbox, r.proposals = nil, nil
+	return messages, proposals
+}
+
+// step hands a message to where it belongs.
+func (r *Replica) step(m *pb.RaftMessage) error {
+	if m.To != r.id.ID {
+		return nil // for a former replica at this address
+	}
+	switch m.Type {
+	case pb.RaftType_RAFT_TYPE_FORMATION_ASK:
+		r.send(answerFormation(r.id, m))
+		return nil
+	case pb.RaftType_RAFT_TYPE_FORMATION_ANSWER:
+		if r.formation != nil {
+			r.formation.answer(m)
+		}
+		return nil
+	}
+	if r.formation != nil {
+		return nil // takes no part yet
+	}
+	if m.Type == pb.RaftType_RAFT_TYPE_APPEND && !r.roomFor(int64(proto.Size(m))) {
+		r.log.Warn().Int64("log_bytes", r.wal.Bytes()).Msg("append_dropped_log_full")
+		return nil // not acknowledged; the leader sends it again
+	}
+	r.core.Step(m)
+	return nil
+}
+
+// process carries out what the consensus asks for until nothing is left.
+func (r *Replica) process() error {
+	for {
+		rd := r.core.Ready()
+		// The lease is withdrawn from readers before any message goes out: a vote
+		// or answer of this replica may let another lead at once.
+		r.publish()
+		if rd.Empty() {
+			return nil
+		}
+		r.sendAll(rd.Early)
+		if err := r.persist(rd); err != nil {
+			return err
+		}
+		r.sendAll(rd.Synced)
+		if err := r.apply(rd.Committed); err != nil {
+			return err
+		}
+		r.core.Advance(rd)
+	}
+}
+
+func (r *Replica) persist(rd raft.Ready) error {
+	if rd.Snapshot != nil {
+		if err := r.installSnapshot(rd.Snapshot); err != nil {
+			return err
+		}
+		if err := r.wal.Reset(rd.HardState); err != nil {
+			return err
+		}
+	}
+	if rd.HardState == nil && len(rd.Entries) == 0 {
+		return nil
+	}
+	return r.wal.Append(rd.HardState, rd.Entries)
+}
+
+func (r *Replica) apply(entries []*pb.LogEntry) error {
+	for _, e := range entries {
+		res, err := r.applyOne(e)
+		if err != nil {
+			return err
+		}
+		p := r.pending[e.Index]
+		if p == nil {
+			continue
+		}
+		delete(r.pending, e.Index)
+		if p.term != e.Term {
+			// Another leader's entry took this index: the proposal is lost for good.
+			p.finish(nil, errOutcomeUnknown("leadership was lost"))
+			continue
+		}
+		p.finish(res, nil)
+	}
+	return nil
+}
+
+func (r *Replica) applyOne(e *pb.LogEntry) (*pb.CommandResult, error) {
+	r.stateMu.Lock()
+	defer r.stateMu.Unlock()
+	defer r.setApplied(e.Index)
+	if e.Type != pb.EntryType_ENTRY_TYPE_COMMAND {
+		return &pb.CommandResult{Index: e.Index}, nil
+	}
+	var cmd pb.Command
+	if err := proto.Unmarshal(e.Data, &cmd); err != nil {
+		return nil, errors.Wrapf(err, "control: decode command at %d", e.Index)
+	}
+	r.lastTime = max(r.lastTime, cmd.TimeMs)
+	res := r.cfg.StateMachine.Apply(e.Index, &cmd)
+	r.hub.observe(&cmd, res)
+	return res, nil
+}
+
+// setApplied needs stateMu.
+func (r *Replica) setApplied(index uint64) {
+	r.applied = index
+	close(r.appliedCh)
+	r.appliedCh = make(chan struct{})
+}
+
+func (r *Replica) sendAll(messages []*pb.RaftMessage) {
+	for _, m := range messages {
+		if m.Type == pb.RaftType_RAFT_TYPE_SNAPSHOT && !r.attachSnapshot(m) {
+			continue
+		}
+		r.send(m)
+	}
+}
+
+func (r *Replica) send(m *pb.RaftMessage) {
+	if address := r.addressOf(m.To); address != "" {
+		r.cfg.Transport.Send(m, address)
+	}
+}
+
+// addressOf finds a replica's address: the membership's, or where it was last heard from.
+func (r *Replica) addressOf(id uint64) string {
+	for _, m := range r.core.Members().Members {
+		if m.Id == id {
+			return m.Address
+		}
+	}
+	for _, m := range r.id.Members {
+		if m.Id == id {
+			return m.Address
+		}
+	}
+	r.inMu.Lock()
+	defer r.inMu.Unlock()
+	return r.addresses[id]
+}
+
+// resetSilent has the leader give up connections to members that don't answer.
+// A connection that something in between has forgotten stays silent for good,
+// while a new one would work.
+func (r *Replica) resetSilent() {
+	if r.role != raft.Leader {
+		return
+	}
+	now := r.core.Now()
+	for _, m := range r.core.Status().Members {
+		if m.Active || now-r.resetTick[m.Member.Id] < int64(r.cfg.ElectionTicks) {
+			continue
+		}
+		r.resetTick[m.Member.Id] = now
+		r.cfg.Transport.Reset(m.Member.Address)
+	}
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/raft"
+)
+
+// Verbs of ChangeMembers.
+const (
+	VerbAddLearner = "add-learner"
+	VerbPromote    = "promote"
+	VerbRemove     = "remove"
+)
+
+// ChangeMembers changes the group's membership by one member and returns once
+// the change is committed. To repeat a change that is in force already is no error.
+func (r *Replica) ChangeMembers(ctx context.Context, req *pb.ChangeMembersRequest) (*pb.GroupStatus, error) {
+	edit, err := memberEdit(req)
+	if err != nil {
+		return nil, err
+	}
+	_, err = r.submit(ctx, &proposal{members: edit, done: make(chan struct{})})
+	if err != nil {
+		return nil, err
+	}
+	return r.Status(), nil
+}
+
+// memberEdit turns a request into a function from the old to the new membership.
+func memberEdit(req *pb.ChangeMembersRequest) (func(*pb.Members) *pb.Members, error) {
+	m := req.GetMember()
+	if m.GetId() == 0 {
+		return nil, errkind.New(errkind.BadRequest, "a membership change needs the replica's id")
+	}
+	switch req.Verb {
+	case VerbAddLearner:
+		if m.Address == "" {
+			return nil, errkind.New(errkind.BadRequest, "a new replica needs an address")
+		}
+		return func(old *pb.Members) *pb.Members { return addLearner(old, m) }, nil
+	case VerbPromote:
+		return func(old *pb.Members) *pb.Members { return promote(old, m.Id) }, nil
+	case VerbRemove:
+		return func(old *pb.Members) *pb.Members { return remove(old, m.Id) }, nil
+	}
+	return nil, errkind.New(errkind.BadRequest, "%q isn't a membership change", req.Verb)
+}
+
+func addLearner(old *pb.Members, m *pb.Member) *pb.Members {
+	for _, o := range old.Members {
+		if o.Id == m.Id {
+			return old
+		}
+	}
+	added := &pb.Member{Id: m.Id, Address: m.Address, Host: m.Host, Learner: true}
+	return &pb.Members{Members: append(old.Members, added)}
+}
+
+func promote(old *pb.Members, id uint64) *pb.Members {
+	next := &pb.Members{}
+	for _, o := range old.Members {
+		learner := o.Learner && o.Id != id
+		next.Members = append(next.Members, &pb.Member{Id: o.Id, Address: o.Address, Host: o.Host, Learner: learner})
+	}
+	return next
+}
+
+func remove(old *pb.Members, id uint64) *pb.Members {
+	next := &pb.Members{}
+	for _, o := range old.Members {
+		if o.Id != id {
+			next.Members = append(next.Members, o)
+		}
+	}
+	return next
+}
+
+// proposeMembers appends a membership change to the log.
+func (r *Replica) proposeMembers(p *proposal) error {
+	old := r.core.Members()
+	next := p.members(r.core.Members())
+	if sameMembers(old, next) {
+		p.finish(&pb.CommandResult{}, nil)
+		return nil
+	}
+	index, term, err := r.core.ProposeMembers(next)
+	switch {
+	case errors.Is(err, raft.ErrNotLeader):
+		return r.currentView().notLeader()
+	case errors.Is(err, raft.ErrBadChange):
+		return errkind.New(errkind.NotFound, "%v", err)
+	case err != nil:
+		return errkind.New(errkind.Overloaded, "%v", err).After(r.cfg.TickInterval * 10)
+	}
+	r.await(p, index, term)
+	return nil
+}
+
+func sameMembers(a, b *pb.Members) bool {
+	if len(a.Members) != len(b.Members) {
+		return false
+	}
+	for i, m := range a.Members {
+		if m.Id != b.Members[i].Id || m.Learner != b.Members[i].Learner {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/raft"
+)
+
+// view is what the loop last published of the consensus state, for readers on
+// other goroutines.
+type view struct {
+	id        uint64
+	joining   bool
+	role      raft.Role
+	leader    uint64
+	address   string // leader's
+	term      uint64
+	commit    uint64
+	leaseEnd  int64 // tick at which the lease for reads ends; 0: none
+	members   []raft.MemberStatus
+	logBytes  int64
+	snapIndex uint64
+}
+
+func (v *view) notLeader() *NotLeaderError {
+	return &NotLeaderError{Leader: v.leader, Address: v.address}
+}
+
+// currentView builds the view of this moment. Only the loop calls it.
+func (r *Replica) currentView() *view {
+	st := r.core.Status()
+	v := &view{
+		id: st.ID, role: st.Role, leader: st.Leader, term: st.Term, commit: st.Commit,
+		leaseEnd: r.core.LeaseUntil(), members: st.Members, logBytes: r.wal.Bytes(), snapIndex: r.snapIndex,
+		joining: true,
+	}
+	for _, m := range st.Members {
+		if m.Member.Id == st.Leader {
+			v.address = m.Member.Address
+		}
+		if m.Member.Id == st.ID && !m.Member.Learner {
+			v.joining = false
+		}
+	}
+	return v
+}
+
+// publish makes the present consensus state visible to readers and ends what
+// hung on a leadership that is over.
+func (r *Replica) publish() {
+	v := r.currentView()
+	r.view.Store(v)
+	if v.role == r.role {
+		return
+	}
+	if r.role == raft.Leader {
+		r.failPending("leadership was lost")
+	}
+	r.role = v.role
+	if v.role == raft.Leader {
+		r.log.Info().Uint64("term", v.term).Uint64("replica", v.id).Msg("became_leader")
+	}
+	if v.role == raft.Follower {
+		r.log.Info().Uint64("term", v.term).Uint64("leader", v.leader).Msg("became_follower")
+	}
+}
+
+// leased tells whether a lease for reads holds at this moment.
+func (r *Replica) leased(v *view) bool {
+	// The clock is asked now. Ticks fed to the consensus stand still while the
+	// process is frozen or the disk hangs, and a lease counted in them would
+	// outlive another leader's election.
+	return v.leaseEnd > 0 && r.cfg.Now().Sub(r.start) < time.Duration(v.leaseEnd)*r.cfg.TickInterval
+}
+
+// Status is this replica's view of the group; the members' state is known at the leader only.
+func (r *Replica) Status() *pb.GroupStatus {
+	v := r.view.Load()
+	r.stateMu.RLock()
+	applied := r.applied
+	r.stateMu.RUnlock()
+	st := &pb.GroupStatus{
+		Leader: v.leader, Term: v.term, Commit: v.commit, Applied: applied, Self: v.id,
+		LogBytes: uint64(v.logBytes), SnapshotIndex: v.snapIndex,
+	}
+	for _, m := range v.members {
+		st.Members = append(st.Members, &pb.MemberStatus{
+			Member: m.Member, Match: m.Match, Active: m.Active, Repaired: m.Repaired,
+		})
+	}
+	return st
+}
--- /dev/null
+++ b/internal/raft/election.go
@@ -0,0 +1,116 @@
+package raft
+
+import "github.com/bluebellsail/bluebellsail/internal/pb"
+
+// promised tells whether this voter must refuse other candidates, because it
+// heard a leader less than ElectionTicks ago. The leader's lease rests on it.
+func (r *Raft) promised() bool {
+	return r.role == Leader || r.now-r.heardLeader < int64(r.cfg.ElectionTicks)
+}
+
+// campaignPre asks whether an election could be won, without touching the term.
+// Without it a replica that was cut off would come back with a high term and
+// depose a leader that works.
+func (r *Raft) campaignPre() {
+	r.role = PreCandidate
+	r.leader = 0
+	r.votes = map[uint64]bool{r.cfg.ID: true}
+	r.resetElectionTimer()
+	if r.won() {
+		r.campaign()
+		return
+	}
+	r.askVotes(pb.RaftType_RAFT_TYPE_PRE_VOTE, r.term+1)
+}
+
+func (r *Raft) campaign() {
+	r.role = Candidate
+	r.term++
+	r.vote = r.cfg.ID
+	r.leader = 0
+	r.votes = map[uint64]bool{r.cfg.ID: true}
+	r.resetElectionTimer()
+	if r.won() {
+		r.becomeLeader()
+		return
+	}
+	r.askVotes(pb.RaftType_RAFT_TYPE_VOTE, r.term)
+}
+
+func (r *Raft) askVotes(t pb.RaftType, term uint64) {
+	for _, id := range r.members.current().voters() {
+		if id == r.cfg.ID {
+			continue
+		}
+		r.sendSynced(&pb.RaftMessage{Type: t, To: id, Term: term, LogIndex: r.log.lastIndex(), LogTerm: r.log.lastTerm()})
+	}
+}
+
+func (r *Raft) won() bool {
+	return r.members.current().quorum(func(id uint64) bool { return r.votes[id] })
+}
+
+func (r *Raft) handlePreVote(m *pb.RaftMessage) {
+	granted := m.Term > r.term && !r.promised() && r.log.upToDate(m.LogIndex, m.LogTerm)
+	reply := &pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_PRE_VOTE_REPLY, To: m.From, Reject: !granted}
+	if granted {
+		reply.Term = m.Term
+	}
+	r.sendSynced(reply)
+}
+
+func (r *Raft) handleVote(m *pb.RaftMessage) {
+	free := r.vote == 0 || r.vote == m.From
+	granted := free && !r.promised() && r.log.upToDate(m.LogIndex, m.LogTerm)
+	if granted {
+		r.vote = m.From
+		r.resetElectionTimer()
+	}
+	r.sendSynced(&pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_VOTE_REPLY, To: m.From, Reject: !granted})
+}
+
+func (r *Raft) handlePreVoteReply(m *pb.RaftMessage) {
+	if r.role != PreCandidate || m.Reject || m.Term != r.term+1 {
+		return
+	}
+	r.votes[m.From] = true
+	if r.won() {
+		r.campaign()
+	}
+}
+
+func (r *Raft) handleVoteReply(m *pb.RaftMessage) {
+	if r.role != Candidate || m.Reject {
+		return
+	}
+	r.votes[m.From] = true
+	if r.won() {
+		r.becomeLeader()
+	}
+}
+
+func (r *Raft) becomeLeader() {
+	r.role = Leader
+	r.leader = r.cfg.ID
+	r.votes = nil
+	r.lease = lease{quorumTick: r.now}
+	r.progress = map[uint64]*progress{}
+	r.syncProgress()
+	self := r.progress[r.cfg.ID]
+	if self != nil {
+		self.match = r.log.stable
+	}
+	var data []byte
+	if r.cfg.FirstEntry != nil {
+		data = r.cfg.FirstEntry(r.term)
+	}
+	t := pb.EntryType_ENTRY_TYPE_COMMAND
+	if len(data) == 0 {
+		t = pb.EntryType_ENTRY_TYPE_EMPTY
+	}
+	// An entry of an earlier term counts as committed only beneath a committed
+	// one of the leader's own (thesis, figure 3.7); this is that entry.
+	r.termStart = r.appendOwn(t, data)
+	r.broadcastHeartbeat()
+	r.broadcastAppend()
+}
--- /dev/null
+++ b/internal/raft/log.go
@@ -0,0 +1,138 @@
+package raft
+
+import (
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// entryLog holds the entries after a snapshot. Terms of earlier entries are unknown.
+type entryLog struct {
+	snapIndex uint64
+	snapTerm  uint64
+	entries   []*pb.LogEntry // entries[i] has the index snapIndex+1+i
+	stable    uint64         // last index handed to the disk and synced
+	commit    uint64
+	handed    uint64 // last index handed out to be applied
+}
+
+func newLog(st State) (*entryLog, error) {
+	l := &entryLog{}
+	if st.Snapshot != nil {
+		l.snapIndex = st.Snapshot.Index
+		l.snapTerm = st.Snapshot.Term
+	}
+	for _, e := range st.Entries {
+		if e.Index == l.snapIndex && e.Term != l.snapTerm {
+			// A leader's snapshot was made durable, and the replica stopped before
+			// its log was reset: the log from here on contradicts the snapshot.
+			break
+		}
+		if e.Index <= l.snapIndex {
+			continue
+		}
+		if e.Index != l.lastIndex()+1 {
+			return nil, ErrBadPersistence
+		}
+		l.entries = append(l.entries, e)
+	}
+	l.stable = l.lastIndex()
+	l.commit = l.snapIndex
+	l.handed = l.snapIndex
+	if st.Hard != nil && st.Hard.Commit > l.lastIndex() {
+		// The hard state is written with the entries or after the snapshot that it
+		// covers, so what it counts as committed was on this disk and is gone.
+		return nil, ErrBadPersistence
+	}
+	if st.Hard != nil {
+		l.commit = max(l.commit, st.Hard.Commit)
+	}
+	return l, nil
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.snapIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.lastIndex())
+	return t
+}
+
+// term of the entry at index; false if it isn't known.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index == l.snapIndex {
+		return l.snapTerm, true
+	}
+	if index < l.snapIndex || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.snapIndex-1].Term, true
+}
+
+func (l *entryLog) append(e *pb.LogEntry) { l.entries = append(l.entries, e) }
+
+// between returns the entries with from <= index <= to.
+func (l *entryLog) between(from, to uint64) []*pb.LogEntry {
+	if from > to {
+		return nil
+	}
+	return l.entries[from-l.snapIndex-1 : to-l.snapIndex]
+}
+
+// batch returns entries from index on, at least one and up to about maxBytes.
+func (l *entryLog) batch(from uint64, maxBytes int) []*pb.LogEntry {
+	all := l.between(from, l.lastIndex())
+	size := 0
+	for i, e := range all {
+		size += len(e.Data)
+		if i > 0 && size > maxBytes {
+			return all[:i:i]
+		}
+	}
+	return all[:len(all):len(all)]
+}
+
+// truncateFrom drops the entries from index on.
+func (l *entryLog) truncateFrom(index uint64) {
+	n := index - l.snapIndex - 1
+	l.entries = append([]*pb.LogEntry(nil), l.entries[:n]...)
+	l.stable = min(l.stable, index-1)
+}
+
+// upToDate tells whether a log that ends at (index, term) holds at least as much as l.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.lastIndex()
+}
+
+// conflictHint is the last index at or before index that could match a leader
+// whose entry at index has another term.
+func (l *entryLog) conflictHint(index uint64) uint64 {
+	if index > l.lastIndex() {
+		return l.lastIndex()
+	}
+	bad, _ := l.term(index)
+	for index > l.commit {
+		t, ok := l.term(index)
+		if !ok || t != bad {
+			break
+		}
+		index--
+	}
+	return index
+}
+
+// compact forgets the entries up to index, which a snapshot holds.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.snapIndex || index > l.handed {
+		return
+	}
+	t, _ := l.term(index)
+	l.entries = append([]*pb.LogEntry(nil), l.entries[index-l.snapIndex:]...)
+	l.snapIndex = index
+	l.snapTerm = t
+}
+
+// restore replaces the log by a snapshot.
+func (l *entryLog) restore(s *pb.Snapshot) {
+	*l = entryLog{snapIndex: s.Index, snapTerm: s.Term, stable: s.Index, commit: s.Index, handed: s.Index}
+}
--- /dev/null
+++ b/internal/raft/members.go
@@ -0,0 +1,230 @@
+package raft
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// memberSet is one membership of the group.
+type memberSet struct {
+	list []*pb.Member
+}
+
+func (s memberSet) find(id uint64) *pb.Member {
+	for _, m := range s.list {
+		if m.Id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (s memberSet) voter(id uint64) bool {
+	m := s.find(id)
+	return m != nil && !m.Learner
+}
+
+func (s memberSet) voters() []uint64 {
+	var ids []uint64
+	for _, m := range s.list {
+		if !m.Learner {
+			ids = append(ids, m.Id)
+		}
+	}
+	return ids
+}
+
+// quorumOf returns the largest value that a majority of voters reach; 0 without voters.
+func (s memberSet) quorumOf(value func(id uint64) uint64) uint64 {
+	var values []uint64
+	for _, id := range s.voters() {
+		values = append(values, value(id))
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// quorum tells whether a majority of voters satisfy ok.
+func (s memberSet) quorum(ok func(id uint64) bool) bool {
+	n := 0
+	voters := s.voters()
+	for _, id := range voters {
+		if ok(id) {
+			n++
+		}
+	}
+	return n > len(voters)/2
+}
+
+// memberHistory is every membership since the snapshot. The newest is in force
+// as soon as it stands in the log, committed or not (thesis, section 4.1); when
+// its entry is truncated the one before it is in force again.
+type memberHistory struct {
+	at   []uint64 // index of the entry; 0 or the snapshot's for the first
+	sets []memberSet
+}
+
+func newMemberHistory(st State) *memberHistory {
+	h := &memberHistory{}
+	switch {
+	case st.Snapshot != nil && st.Snapshot.Members != nil:
+		h.push(st.Snapshot.Index, st.Snapshot.Members)
+	case st.Members != nil:
+		h.push(0, st.Members)
+	default:
+		h.push(0, &pb.Members{})
+	}
+	return h
+}
+
+func (h *memberHistory) push(index uint64, m *pb.Members) {
+	h.at = append(h.at, index)
+	h.sets = append(h.sets, memberSet{list: m.GetMembers()})
+}
+
+// observe takes over the membership of e, if it carries one.
+func (h *memberHistory) observe(e *pb.LogEntry) {
+	if e.Type != pb.EntryType_ENTRY_TYPE_MEMBERSHIP {
+		return
+	}
+	var m pb.Members
+	if err := proto.Unmarshal(e.Data, &m); err != nil {
+		return
+	}
+	h.push(e.Index, &m)
+}
+
+func (h *memberHistory) current() memberSet { return h.sets[len(h.sets)-1] }
+
+// index of the entry that carries the current membership.
+func (h *memberHistory) index() uint64 { return h.at[len(h.at)-1] }
+
+// truncateFrom forgets memberships of entries from index on.
+func (h *memberHistory) truncateFrom(index uint64) {
+	for len(h.at) > 1 && h.index() >= index {
+		h.at = h.at[:len(h.at)-1]
+		h.sets = h.sets[:len(h.sets)-1]
+	}
+}
+
+// asOf returns the membership in force at index.
+func (h *memberHistory) asOf(index uint64) memberSet {
+	found := h.sets[0]
+	for i, at := range h.at {
+		if at <= index {
+			found = h.sets[i]
+		}
+	}
+	return found
+}
+
+// compact forgets memberships that were replaced at or before index.
+func (h *memberHistory) compact(index uint64) {
+	for len(h.at) > 1 && h.at[1] <= index {
+		h.at = h.at[1:]
+		h.sets = h.sets[1:]
+	}
+}
+
+// Members returns the membership in force.
+func (r *Raft) Members() *pb.Members {
+	return &pb.Members{Members: slices.Clone(r.members.current().list)}
+}
+
+// MembersAt returns the membership in force at index, for a snapshot taken there.
+func (r *Raft) MembersAt(index uint64) *pb.Members {
+	return &pb.Members{Members: slices.Clone(r.members.asOf(index).list)}
+}
+
+// ProposeMembers changes the membership by one member: adds a learner, promotes
+// a learner that holds everything committed, or removes a member.
+func (r *Raft) ProposeMembers(next *pb.Members) (index, term uint64, err error) {
+	if r.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	// Two memberships may only differ by one while the elder isn't committed,
+	// or two disjoint majorities could each elect a leader. The leader must also
+	// have committed in its own term: an uncommitted change of an earlier leader
+	// could come back otherwise (Ongaro, raft-dev, July 2015).
+	if r.members.index() > r.log.commit || r.log.commit < r.termStart {
+		return 0, 0, ErrChangePending
+	}
+	if err := r.checkChange(next); err != nil {
+		return 0, 0, err
+	}
+	data, err := proto.Marshal(next)
+	if err != nil {
+		return 0, 0, err
+	}
+	index = r.appendOwn(pb.EntryType_ENTRY_TYPE_MEMBERSHIP, data)
+	r.takeMembers(r.log.between(index, index))
+	return index, r.term, nil
+}
+
+func (r *Raft) checkChange(next *pb.Members) error {
+	cur := r.members.current()
+	changes := 0
+	for _, m := range next.GetMembers() {
+		old := cur.find(m.Id)
+		switch {
+		case old == nil && m.Learner && m.Id != 0:
+			changes++
+		case old != nil && old.Learner == m.Learner:
+		case old != nil && old.Learner && !m.Learner:
+			if !r.holdsCommitted(m.Id) {
+				return ErrNotCaughtUp
+			}
+			changes++
+		default:
+			return ErrBadChange
+		}
+	}
+	nextSet := memberSet{list: next.GetMembers()}
+	for _, m := range cur.list {
+		if nextSet.find(m.Id) == nil {
+			changes++
+		}
+	}
+	if changes != 1 || len(nextSet.voters()) == 0 {
+		return ErrBadChange
+	}
+	return nil
+}
+
+// takeMembers puts memberships of new entries in force.
+func (r *Raft) takeMembers(entries []*pb.LogEntry) {
+	for _, e := range entries {
+		if e.Type != pb.EntryType_ENTRY_TYPE_MEMBERSHIP {
+			continue
+		}
+		r.members.observe(e)
+		if r.role == Leader {
+			r.syncProgress()
+		}
+	}
+}
+
+// syncProgress makes the leader's view of the followers fit the membership.
+func (r *Raft) syncProgress() {
+	cur := r.members.current()
+	for _, m := range cur.list {
+		if r.progress[m.Id] == nil {
+			r.progress[m.Id] = &progress{next: r.log.lastIndex() + 1}
+		}
+	}
+	for id := range r.progress {
+		if cur.find(id) == nil && id != r.cfg.ID {
+			delete(r.progress, id)
+		}
+	}
+	// The lease was counted under the former membership, whose majorities need
+	// not overlap those after two changes. It is counted anew.
+	r.lease.held = false
+	r.observeQuorum()
+}
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,191 @@
+// Package snapshot keeps a replica's snapshots in files. A snapshot is written
+// to a temporary file, synced, renamed, and the folder synced: after a crash
+// there is the whole file or none. The two newest are kept, so that a damaged
+// newest one can be made up for by the one before and the log.
+package snapshot
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wal"
+)
+
+const (
+	suffix    = ".snap"
+	temporary = ".tmp"
+	magic     = 0x5aa95b07
+	header    = 12
+	kept      = 2
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// DamagedError says that no snapshot can be used together with the log.
+type DamagedError struct {
+	File string
+	// LogFirst is the first index that the log still has; 0: none.
+	LogFirst uint64
+}
+
+// Error implements error.
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("snapshot: %s is damaged and the log, which starts at %d, doesn't reach back to an older one; this replica's disk must be replaced", e.File, e.LogFirst)
+}
+
+// Store is a folder of snapshots. It isn't safe for concurrent use.
+type Store struct {
+	fs  wal.FS
+	dir string
+}
+
+// Open opens the folder and removes temporary files that a crash left.
+func Open(fs wal.FS, dir string) (*Store, error) {
+	if err := fs.MkdirAll(dir); err != nil {
+		return nil, errors.Wrap(err, "snapshot: make folder")
+	}
+	s := &Store{fs: fs, dir: dir}
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot: list")
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, temporary) {
+			if err := fs.Remove(filepath.Join(dir, name)); err != nil {
+				return nil, errors.Wrap(err, "snapshot: remove temporary file")
+			}
+		}
+	}
+	return s, nil
+}
+
+func fileName(s *pb.Snapshot) string {
+	return fmt.Sprintf("%016x-%016x%s", s.Index, s.Term, suffix)
+}
+
+// files returns the names of the snapshots, newest first.
+func (s *Store) files() ([]string, error) {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot: list")
+	}
+	var out []string
+	for i := len(names) - 1; i >= 0; i-- {
+		if strings.HasSuffix(names[i], suffix) {
+			out = append(out, names[i])
+		}
+	}
+	return out, nil
+}
+
+// Save makes snap durable and removes all but the two newest.
+func (s *Store) Save(snap *pb.Snapshot) error {
+	body, err := proto.Marshal(snap)
+	if err != nil {
+		return errors.Wrap(err, "snapshot: encode")
+	}
+	name := filepath.Join(s.dir, fileName(snap))
+	if err := s.writeFile(name+temporary, body); err != nil {
+		return err
+	}
+	if err := s.fs.Rename(name+temporary, name); err != nil {
+		return errors.Wrap(err, "snapshot: rename")
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return errors.Wrap(err, "snapshot: sync folder")
+	}
+	return s.prune()
+}
+
+func (s *Store) writeFile(name string, body []byte) error {
+	f, err := s.fs.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "snapshot: make file")
+	}
+	defer f.Close()
+	head := make([]byte, header)
+	binary.BigEndian.PutUint32(head, magic)
+	binary.BigEndian.PutUint32(head[4:], uint32(len(body)))
+	binary.BigEndian.PutUint32(head[8:], crc32.Checksum(body, castagnoli))
+	if _, err := f.Write(append(head, body...)); err != nil {
+		return errors.Wrap(err, "snapshot: write")
+	}
+	return errors.Wrap(f.Sync(), "snapshot: sync")
+}
+
+func (s *Store) prune() error {
+	names, err := s.files()
+	if err != nil {
+		return err
+	}
+	for _, name := range names[min(kept, len(names)):] {
+		if err := s.fs.Remove(filepath.Join(s.dir, name)); err != nil {
+			return errors.Wrap(err, "snapshot: remove")
+		}
+	}
+	return nil
+}
+
+// Load returns the newest snapshot that is valid, nil if there never was one.
+// If the newest is damaged, an older one is used only if the log reaches it:
+// logFirst is the first index in the log, 0 for an empty log.
+func (s *Store) Load(logFirst uint64) (*pb.Snapshot, error) {
+	names, err := s.files()
+	if err != nil || len(names) == 0 {
+		return nil, err
+	}
+	for i, name := range names {
+		snap, err := s.read(name)
+		if err != nil {
+			continue
+		}
+		// Entries between an older snapshot and the log would be missing, and
+		// the replica would serve a state that committed changes have left.
+		if i > 0 && (logFirst == 0 || logFirst > snap.Index+1) {
+			break
+		}
+		return snap, nil
+	}
+	if logFirst == 1 {
+		return nil, nil // the log still holds everything
+	}
+	return nil, &DamagedError{File: filepath.Join(s.dir, names[0]), LogFirst: logFirst}
+}
+
+func (s *Store) read(name string) (*pb.Snapshot, error) {
+	data, err := s.fs.ReadFile(filepath.Join(s.dir, name))
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot: read")
+	}
+	if len(data) < header || binary.BigEndian.Uint32(data) != magic {
+		return nil, errors.Errorf("snapshot: %s has no valid header", name)
+	}
+	body := data[header:]
+	if int(binary.BigEndian.Uint32(data[4:])) != len(body) {
+		return nil, errors.Errorf("snapshot: %s has the wrong length", name)
+	}
+	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(data[8:]) {
+		return nil, errors.Errorf("snapshot: %s has the wrong checksum", name)
+	}
+	var snap pb.Snapshot
+	return &snap, errors.Wrap(proto.Unmarshal(body, &snap), "snapshot: decode")
+}
+
+// Oldest returns the index of the oldest snapshot kept, 0 if there is none: the
+// log must reach back to it.
+func (s *Store) Oldest() (uint64, error) {
+	names, err := s.files()
+	if err != nil || len(names) == 0 {
+		return 0, err
+	}
+	var index, term uint64
+	_, err = fmt.Sscanf(names[len(names)-1], "%016x-%016x"+suffix, &index, &term)
+	return index, errors.Wrap(err, "snapshot: name")
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,346 @@
+// Package wal is the write-ahead log of one replica: hard states and log
+// entries in segment files. Each Append is one frame and one sync, however many
+// records it holds.
+//
+// At open a torn last frame is cut off: it was never synced, so nothing was
+// acknowledged on it. A bad frame with a valid one after it means that synced
+// bytes were damaged; Open then refuses with the file and the offset. Damage to
+// the very last synced frame can't be told from a torn write.
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const segmentSuffix = ".wal"
+
+// hardStateReserve of bytes beyond the cap is kept for frames without entries,
+// so that a replica with a full log can still vote.
+const hardStateReserve = 64 << 10
+
+// Options of a log; a zero field takes the default.
+type Options struct {
+	// SegmentBytes after which a new segment is begun; default 4 MiB.
+	SegmentBytes int64
+	// MaxBytes is the cap on all segments together; default 256 MiB.
+	MaxBytes int64
+}
+
+// FullError says that an append would go over the cap.
+type FullError struct {
+	Bytes, Wanted, Max int64
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("wal: the log has %d bytes, %d more are over the cap of %d", e.Bytes, e.Wanted, e.Max)
+}
+
+// CorruptError says that synced bytes of a segment are damaged.
+type CorruptError struct {
+	File   string
+	Offset int64
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("wal: %s is damaged at offset %d, with valid records after it; this replica's disk must be replaced", e.File, e.Offset)
+}
+
+// Contents is what a log holds.
+type Contents struct {
+	Hard    *pb.HardState // nil: none was written
+	Entries []*pb.LogEntry
+	// TornBytes were cut off the end.
+	TornBytes int64
+}
+
+type segment struct {
+	name  string
+	seq   uint64
+	bytes int64
+	last  uint64 // highest index of an entry written to it; 0: none
+}
+
+// Log is an open write-ahead log. It isn't safe for concurrent use.
+type Log struct {
+	fs       FS
+	dir      string
+	opts     Options
+	segments []*segment
+	out      File
+	hard     *pb.HardState
+	syncs    uint64
+	broken   error
+}
+
+// Open reads the log in dir, making it if there is none.
+func Open(fs FS, dir string, opts Options) (*Log, Contents, error) {
+	if opts.SegmentBytes <= 0 {
+		opts.SegmentBytes = 4 << 20
+	}
+	if opts.MaxBytes <= 0 {
+		opts.MaxBytes = 256 << 20
+	}
+	l := &Log{fs: fs, dir: dir, opts: opts}
+	if err := fs.MkdirAll(dir); err != nil {
+		return nil, Contents{}, errors.Wrap(err, "wal: make folder")
+	}
+	c, err := l.load()
+	if err != nil {
+		return nil, Contents{}, err
+	}
+	l.hard = c.Hard
+	return l, c, l.openLast()
+}
+
+func (l *Log) load() (Contents, error) {
+	names, err := l.fs.List(l.dir)
+	if err != nil {
+		return Contents{}, errors.Wrap(err, "wal: list segments")
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, segmentSuffix) {
+			continue
+		}
+		s := &segment{name: name}
+		if _, err := fmt.Sscanf(name, "%016x"+segmentSuffix, &s.seq); err != nil {
+			return Contents{}, errors.Errorf("wal: %s isn't the name of a segment", name)
+		}
+		l.segments = append(l.segments, s)
+	}
+	var c Contents
+	for i, s := range l.segments {
+		if i > 0 && s.seq != l.segments[i-1].seq+1 {
+			return Contents{}, errors.Errorf("wal: the segment before %s is missing", l.path(s))
+		}
+		if err := l.loadSegment(s, i == len(l.segments)-1, &c); err != nil {
+			return Contents{}, err
+		}
+	}
+	return c, nil
+}
+
+func (l *Log) loadSegment(s *segment, last bool, c *Contents) error {
+	data, err := l.fs.ReadFile(l.path(s))
+	if err != nil {
+		return errors.Wrap(err, "wal: read segment")
+	}
+	off := 0
+	for off < len(data) {
+		payload, err := framePayload(data[off:])
+		if err != nil {
+			return l.cutTorn(s, data, off, last, c)
+		}
+		records, err := decodeRecords(payload)
+		if err != nil {
+			return errors.Wrapf(err, "wal: %s at offset %d", l.path(s), off)
+		}
+		if err := c.take(records, s); err != nil {
+			return errors.Wrapf(err, "wal: %s at offset %d", l.path(s), off)
+		}
+		off += frameHeader + len(payload)
+	}
+	s.bytes = int64(off)
+	return nil
+}
+
+// cutTorn cuts a bad end off the last segment, or refuses.
+func (l *Log) cutTorn(s *segment, data []byte, off int, last bool, c *Contents) error {
+	// To cut here with synced records behind would silently lose entries that
+	// this replica has acknowledged. A segment is left only after a whole synced
+	// frame, so a bad frame in an earlier segment is damage too.
+	if !last || hasFrame(data[off:]) {
+		return &CorruptError{File: l.path(s), Offset: int64(off)}
+	}
+	c.TornBytes = int64(len(data) - off)
+	s.bytes = int64(off)
+	return errors.Wrap(l.fs.Truncate(l.path(s), int64(off)), "wal: cut torn end")
+}
+
+// take applies records in the order of writing; an entry replaces all from its index on.
+func (c *Contents) take(records []record, s *segment) error {
+	for _, r := range records {
+		if r.reset {
+			c.Entries = nil
+			continue
+		}
+		if r.hard != nil {
+			c.Hard = r.hard
+			continue
+		}
+		if err := c.takeEntry(r.entry); err != nil {
+			return err
+		}
+		s.last = max(s.last, r.entry.Index)
+	}
+	return nil
+}
+
+func (c *Contents) takeEntry(e *pb.LogEntry) error {
+	if n := len(c.Entries); n > 0 {
+		first := c.Entries[0].Index
+		next := c.Entries[n-1].Index + 1
+		switch {
+		case e.Index < first:
+			c.Entries = nil
+		case e.Index <= next:
+			c.Entries = c.Entries[:e.Index-first]
+		default:
+			return errors.Errorf("entry %d follows entry %d", e.Index, next-1)
+		}
+	}
+	c.Entries = append(c.Entries, e)
+	return nil
+}
+
+func (l *Log) path(s *segment) string { return filepath.Join(l.dir, s.name) }
+
+func (l *Log) openLast() error {
+	if len(l.segments) == 0 {
+		return l.begin(1)
+	}
+	out, err := l.fs.Append(l.path(l.segments[len(l.segments)-1]))
+	l.out = out
+	return errors.Wrap(err, "wal: open segment")
+}
+
+// begin makes the segment seq. It starts with the hard state, so that the
+// segments before it can be removed.
+func (l *Log) begin(seq uint64) error {
+	s := &segment{name: fmt.Sprintf("%016x%s", seq, segmentSuffix), seq: seq}
+	out, err := l.fs.Create(l.path(s))
+	if err != nil {
+		return errors.Wrap(err, "wal: make segment")
+	}
+	if l.out != nil {
+		_ = l.out.Close()
+	}
+	l.out = out
+	l.segments = append(l.segments, s)
+	if l.hard != nil {
+		if err := l.write(false, l.hard, nil); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(l.fs.SyncDir(l.dir), "wal: sync folder")
+}
+
+// Append writes hs (if not nil) and entries, and returns once they are synced.
+// After a failed write or sync the log refuses everything: what is on the disk
+// is then unknown, and a later sync that succeeds would not prove anything.
+func (l *Log) Append(hs *pb.HardState, entries []*pb.LogEntry) error {
+	if err := l.prepare(hs); err != nil {
+		return err
+	}
+	return l.write(false, hs, entries)
+}
+
+// Reset writes that a leader's snapshot, durable already, replaces all entries
+// before, and hs. Entries that contradict the snapshot would otherwise be found
+// behind it at the next start, and their older terms would let a candidate that
+// lacks committed entries win this replica's vote.
+func (l *Log) Reset(hs *pb.HardState) error {
+	if err := l.prepare(hs); err != nil {
+		return err
+	}
+	return l.write(true, hs, nil)
+}
+
+// prepare gets the log ready for a frame that sets the hard state hs.
+func (l *Log) prepare(hs *pb.HardState) error {
+	if l.broken != nil {
+		return l.broken
+	}
+	if l.segments[len(l.segments)-1].bytes >= l.opts.SegmentBytes {
+		if err := l.Cut(); err != nil {
+			return err
+		}
+	}
+	if hs != nil {
+		l.hard = hs
+	}
+	return nil
+}
+
+func (l *Log) write(reset bool, hs *pb.HardState, entries []*pb.LogEntry) error {
+	frame, err := encodeFrame(reset, hs, entries)
+	if err != nil {
+		return err
+	}
+	limit := l.opts.MaxBytes
+	if len(entries) == 0 {
+		limit += hardStateReserve
+	}
+	if l.Bytes()+int64(len(frame)) > limit {
+		return &FullError{Bytes: l.Bytes(), Wanted: int64(len(frame)), Max: limit}
+	}
+	if _, err := l.out.Write(frame); err != nil {
+		l.broken = errors.Wrap(err, "wal: write")
+		return l.broken
+	}
+	if err := l.out.Sync(); err != nil {
+		l.broken = errors.Wrap(err, "wal: sync")
+		return l.broken
+	}
+	l.syncs++
+	s := l.segments[len(l.segments)-1]
+	s.bytes += int64(len(frame))
+	for _, e := range entries {
+		s.last = max(s.last, e.Index)
+	}
+	return nil
+}
+
+// Cut begins a new segment, so that the ones before can be removed.
+func (l *Log) Cut() error {
+	err := l.begin(l.segments[len(l.segments)-1].seq + 1)
+	if err != nil {
+		l.broken = err
+	}
+	return err
+}
+
+// Release removes leading segments that hold no entry after index.
+func (l *Log) Release(index uint64) error {
+	n := 0
+	for n < len(l.segments)-1 && l.segments[n].last <= index {
+		n++
+	}
+	for _, s := range l.segments[:n] {
+		if err := l.fs.Remove(l.path(s)); err != nil {
+			return errors.Wrap(err, "wal: remove segment")
+		}
+		// Removals must reach the disk in order, or a crash could leave a gap
+		// between segments, which Open refuses.
+		if err := l.fs.SyncDir(l.dir); err != nil {
+			return errors.Wrap(err, "wal: sync folder")
+		}
+	}
+	l.segments = l.segments[n:]
+	return nil
+}
+
+// Bytes of all segments.
+func (l *Log) Bytes() int64 {
+	var n int64
+	for _, s := range l.segments {
+		n += s.bytes
+	}
+	return n
+}
+
+// Room is how many more bytes of entries fit under the cap.
+func (l *Log) Room() int64 { return l.opts.MaxBytes - l.Bytes() }
+
+// Syncs is the number of syncs of records so far.
+func (l *Log) Syncs() uint64 { return l.syncs }
+
+// Close closes the last segment.
+func (l *Log) Close() error { return l.out.Close() }
