--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -37,8 +38,8 @@
 		"the control group's log holds %d bytes and its cap is %d, also after a snapshot; nothing was appended", bytes, limit)
 }
 
-// toWire turns an error into the form that crosses a process boundary.
-func toWire(err error) *pb.Error {
+// ToWire turns an error into the form that crosses a process boundary.
+func ToWire(err error) *pb.Error {
 	e := errkind.From(err)
 	if e == nil {
 		return nil
@@ -49,6 +50,17 @@
 	}
 }
 
+// FromWire turns an error that crossed a process boundary back into a refusal; nil for nil.
+func FromWire(e *pb.Error) error {
+	if e == nil {
+		return nil
+	}
+	return &errkind.Error{
+		Kind: errkind.Kind(e.Kind), Message: e.Message, Path: e.Path,
+		RetryAfter: time.Duration(e.RetryAfterMs) * time.Millisecond, PresentVersion: e.PresentVersion,
+	}
+}
+
 // refusal is the error as a refusal of its kind.
 func (e *NotLeaderError) refusal() *errkind.Error {
 	return errkind.New(errkind.NoQuorum, "%s", e.Error()).WithRan(errkind.RanNo)
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -10,9 +10,8 @@
 // registers is a small state machine: SetConfig writes a register, ConfigQuery
 // reads one, "/" reads all. An op id is applied once.
 type registers struct {
-	mu      sync.Mutex
-	State   registerState
-	applied []string // op ids in the order of applying
+	mu    sync.Mutex
+	State registerState
 }
 
 type registerState struct {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -34,7 +34,7 @@
 	if nl := asNotLeader(err); nl != nil {
 		return &pb.ProposeReply{Leader: nl.Leader, LeaderAddress: nl.Address}, nil
 	}
-	return &pb.ProposeReply{Result: res, Error: toWire(err)}, nil
+	return &pb.ProposeReply{Result: res, Error: ToWire(err)}, nil
 }
 
 // Read answers a query at the leader; elsewhere the trailer names the leader.
@@ -91,10 +91,10 @@
 func (s *service) refusal(ctx context.Context, err error) *pb.Error {
 	nl := asNotLeader(err)
 	if nl == nil {
-		return toWire(err)
+		return ToWire(err)
 	}
 	_ = grpc.SetTrailer(ctx, metadata.Pairs(LeaderAddressKey, nl.Address))
-	return toWire(nl.refusal())
+	return ToWire(nl.refusal())
 }
 
 func asNotLeader(err error) *NotLeaderError {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -18,6 +18,7 @@
 	term      uint64
 	commit    uint64
 	leaseEnd  int64 // tick at which the lease for reads ends; 0: none
+	confirm   raft.Confirmation
 	members   []raft.MemberStatus
 	logBytes  int64
 	snapIndex uint64
@@ -33,7 +34,7 @@
 	v := &view{
 		id: st.ID, role: st.Role, leader: st.Leader, term: st.Term, commit: st.Commit,
 		leaseEnd: r.core.LeaseUntil(), members: st.Members, logBytes: r.wal.Bytes(), snapIndex: r.snapIndex,
-		joining: true,
+		joining: true, confirm: r.core.Confirmed(),
 	}
 	for _, m := range st.Members {
 		if m.Member.Id == st.Leader {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -152,13 +152,19 @@
 const rootPath = "/"
 
 // confirmed tells whether this replica's state, as it is after the call, holds
-// everything committed: it leads under a lease and has applied all it committed.
+// everything that was committed at some moment of the last two election
+// timeouts: it leads under a lease, or a leader with a lease told it how much
+// that was, and it has applied as much.
 func (r *Replica) confirmed() bool {
 	v := r.view.Load()
+	index := v.commit
 	if !r.leased(v) {
-		return false
+		if !v.confirm.Valid || r.ticksNow()-v.confirm.Tick > 2*int64(r.cfg.ElectionTicks) {
+			return false
+		}
+		index = v.confirm.Index
 	}
 	r.stateMu.RLock()
 	defer r.stateMu.RUnlock()
-	return r.applied >= v.commit
+	return r.applied >= index
 }
--- /dev/null
+++ b/internal/controlclient/calls.go
@@ -0,0 +1,129 @@
+package controlclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/control"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	firstPause = 10 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+	// maxHops bounds how many hints are followed before the next pause.
+	maxHops = 3
+)
+
+// errTryAgain makes the next attempt.
+var errTryAgain = errors.New("controlclient: no answer yet")
+
+// Propose commits a command and returns its result. It is sent again, under the
+// same operation id, until ctx ends. A refusal is an *errkind.Error; one of kind
+// NoQuorum says by Ran whether the command may still take effect.
+func (c *Client) Propose(ctx context.Context, cmd *pb.Command) (*pb.CommandResult, error) {
+	res, err := call(ctx, c, func(ctx context.Context, target string) answer[*pb.CommandResult] {
+		return c.proposeAt(ctx, target, cmd)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return res, control.FromWire(res.GetError())
+}
+
+// Read answers a query linearizably, from the leader.
+func (c *Client) Read(ctx context.Context, q *pb.Query) (*pb.QueryResult, error) {
+	res, err := call(ctx, c, func(ctx context.Context, target string) answer[*pb.QueryResult] {
+		return c.readAt(ctx, target, q)
+	})
+	if errkind.Is(err, errkind.NoQuorum) {
+		return nil, errkind.From(err).WithRan(errkind.RanNo) // a read changes nothing
+	}
+	return res, err
+}
+
+// ChangeMembers changes the group's membership by one member.
+func (c *Client) ChangeMembers(ctx context.Context, req *pb.ChangeMembersRequest) (*pb.GroupStatus, error) {
+	return call(ctx, c, func(ctx context.Context, target string) answer[*pb.GroupStatus] {
+		return c.changeMembersAt(ctx, target, req)
+	})
+}
+
+// call makes attempts until one is answered or ctx ends.
+func call[T any](ctx context.Context, c *Client, at func(context.Context, string) answer[T]) (T, error) {
+	var zero T
+	unknown := false // an attempt may have been carried out without our knowing
+	operation := func() (T, error) {
+		for range maxHops {
+			a := attempt(ctx, c, at)
+			switch {
+			case a.notLeader && a.hint != "":
+				continue
+			case a.notLeader:
+			case a.broken != nil || a.refusal.GetKind() == string(errkind.NoQuorum):
+				unknown = true
+			case a.refusal != nil && unknown && overloaded(a.refusal):
+				// An earlier attempt may have got in: "did not run" would be untrue.
+			case a.refusal != nil:
+				return zero, backoff.Permanent(control.FromWire(a.refusal))
+			default:
+				return a.value, nil
+			}
+			return zero, errTryAgain
+		}
+		return zero, errTryAgain
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstPause
+	pause.MaxInterval = maxPause
+	value, err := backoff.Retry(ctx, operation, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(0))
+	if err == nil {
+		return value, nil
+	}
+	var refusal *errkind.Error
+	if errors.As(err, &refusal) {
+		return zero, refusal
+	}
+	return zero, noAnswer(unknown)
+}
+
+// attempt asks the most likely leader once and remembers what it learnt.
+func attempt[T any](ctx context.Context, c *Client, at func(context.Context, string) answer[T]) answer[T] {
+	target := c.pick()
+	if target == "" {
+		return answer[T]{notLeader: true}
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	a := at(ctx, target)
+	switch {
+	case a.notLeader:
+		c.noteLeader(a.hint)
+	case a.broken != nil:
+		c.noteLeader("")
+		if suspect(a.broken) {
+			c.drop(target)
+		}
+	case a.refusal.GetKind() == string(errkind.NoQuorum):
+		c.noteLeader("")
+	default:
+		c.noteLeader(target)
+	}
+	return a
+}
+
+// overloaded refusals are made before the command is looked at, so they say
+// nothing of earlier attempts.
+func overloaded(e *pb.Error) bool { return e.Kind == string(errkind.Overloaded) }
+
+// noAnswer is the refusal after the last attempt.
+func noAnswer(unknown bool) error {
+	if unknown {
+		return errkind.New(errkind.NoQuorum, "no leader answered in time; the change may still take effect")
+	}
+	return errkind.New(errkind.NoQuorum, "no leader was found in time; nothing was done").WithRan(errkind.RanNo)
+}
--- /dev/null
+++ b/internal/controlclient/client.go
@@ -0,0 +1,129 @@
+// Package controlclient reaches the control group from any host: it finds and
+// remembers the leader, proposes and reads there, and watches the settings at any
+// replica or, if none can be reached, at hosts that relay what they hold.
+package controlclient
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"github.com/bluebellsail/bluebellsail/internal/control"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	// attemptTimeout of one call to one replica. A call that reaches it gives up
+	// the connection too: it may have gone silent for good.
+	attemptTimeout = time.Second
+	// localTarget is the replica in this process.
+	localTarget = "local"
+)
+
+// Client is safe for concurrent use.
+type Client struct {
+	addresses []string
+	opts      []grpc.DialOption
+	local     *control.Replica
+
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	leader string // target that last answered as the leader, or a hint
+	next   int
+	relays func() []string
+	closed bool
+}
+
+// New makes a client of the group with replicas at addresses. opts must hold the
+// transport credentials. local is the replica in this process, nil if there is none.
+func New(addresses []string, opts []grpc.DialOption, local *control.Replica) *Client {
+	opts = append(append([]grpc.DialOption(nil), opts...), grpc.WithDefaultCallOptions(
+		grpc.MaxCallRecvMsgSize(control.MaxMessageBytes), grpc.MaxCallSendMsgSize(control.MaxMessageBytes)))
+	return &Client{
+		addresses: addresses, opts: opts, local: local,
+		conns: map[string]*grpc.ClientConn{}, relays: func() []string { return nil },
+	}
+}
+
+// SetRelays gives the peer addresses of hosts that relay the settings, asked
+// anew each time no replica can be reached.
+func (c *Client) SetRelays(relays func() []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relays = relays
+}
+
+// Close closes the connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for target, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, target)
+	}
+}
+
+// pick returns the target to try: the leader if known, else one after another.
+func (c *Client) pick() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	all := c.addresses
+	if c.local != nil {
+		all = append([]string{localTarget}, all...)
+	}
+	if len(all) == 0 {
+		return ""
+	}
+	c.next++
+	return all[(c.next-1)%len(all)]
+}
+
+// noteLeader remembers where the leader is; empty: not known.
+func (c *Client) noteLeader(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = target
+}
+
+// Leader returns the address that last answered as the leader, "local" for the
+// replica in this process, empty if none is known.
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+// service returns the gRPC client of a target.
+func (c *Client) service(target string) (pb.ControlClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errors.New("controlclient: closed")
+	}
+	conn := c.conns[target]
+	if conn == nil {
+		fresh, err := grpc.NewClient(target, c.opts...)
+		if err != nil {
+			return nil, errors.Wrap(err, "controlclient: address")
+		}
+		c.conns[target] = fresh
+		conn = fresh
+	}
+	return pb.NewControlClient(conn), nil
+}
+
+// drop gives up the connection to a target; the next call makes a new one.
+func (c *Client) drop(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[target]; conn != nil {
+		_ = conn.Close()
+		delete(c.conns, target)
+	}
+}
--- /dev/null
+++ b/internal/controlclient/client_test.go
@@ -0,0 +1,164 @@
+package controlclient
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// fakeReplica answers as it's told to.
+type fakeReplica struct {
+	pb.UnimplementedControlServer
+	mu      sync.Mutex
+	propose func(n int, cmd *pb.Command) (*pb.ProposeReply, error)
+	watch   func(from uint64, out grpc.ServerStreamingServer[pb.WatchEvent]) error
+	calls   int
+	opIDs   []string
+}
+
+func (f *fakeReplica) Propose(_ context.Context, req *pb.ProposeRequest) (*pb.ProposeReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	f.opIDs = append(f.opIDs, req.Command.OpId)
+	return f.propose(f.calls, req.Command)
+}
+
+func (f *fakeReplica) Watch(req *pb.WatchRequest, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
+	return f.watch(req.FromRevision, out)
+}
+
+func serve(t *testing.T, f *fakeReplica) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := grpc.NewServer()
+	pb.RegisterControlServer(srv, f)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+	return l.Addr().String()
+}
+
+func newClient(t *testing.T, addresses ...string) *Client {
+	t.Helper()
+	c := New(addresses, []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, nil)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestProposeFollowsHint(t *testing.T) {
+	leader := &fakeReplica{propose: func(int, *pb.Command) (*pb.ProposeReply, error) {
+		return &pb.ProposeReply{Result: &pb.CommandResult{Index: 7}}, nil
+	}}
+	leaderAddr := serve(t, leader)
+	follower := &fakeReplica{propose: func(int, *pb.Command) (*pb.ProposeReply, error) {
+		return &pb.ProposeReply{Leader: 1, LeaderAddress: leaderAddr}, nil
+	}}
+	c := newClient(t, serve(t, follower))
+	for range 3 {
+		res, err := c.Propose(t.Context(), &pb.Command{OpId: "a"})
+		if err != nil || res.Index != 7 {
+			t.Fatalf("got %v, %v", res, err)
+		}
+	}
+	if follower.calls != 1 || leader.calls != 3 {
+		t.Fatalf("follower asked %d times, leader %d times", follower.calls, leader.calls)
+	}
+}
+
+// Symptom: an operator's change is made twice.
+// Sequence: the leader commits the change and dies before it answers; the client sends it again.
+// Cause: the second try carried another operation id.
+func TestProposeRetriesUnderTheSameID(t *testing.T) {
+	f := &fakeReplica{propose: func(n int, _ *pb.Command) (*pb.ProposeReply, error) {
+		if n < 3 {
+			return nil, errors.New("lost")
+		}
+		return &pb.ProposeReply{Result: &pb.CommandResult{Index: 1}}, nil
+	}}
+	c := newClient(t, serve(t, f))
+	if _, err := c.Propose(t.Context(), &pb.Command{OpId: "once"}); err != nil {
+		t.Fatal(err)
+	}
+	if fmt.Sprint(f.opIDs) != "[once once once]" {
+		t.Fatalf("operation ids %v", f.opIDs)
+	}
+}
+
+func TestFinalFailures(t *testing.T) {
+	version := &pb.ProposeReply{Error: &pb.Error{Kind: string(errkind.VersionConflict), PresentVersion: 9}}
+	cases := []struct {
+		name    string
+		replies []*pb.ProposeReply // nil: no answer; the last repeats
+		kind    errkind.Kind
+		ran     errkind.Ran
+	}{
+		{"refusal passes through", []*pb.ProposeReply{version}, errkind.VersionConflict, errkind.RanNo},
+		{"no leader known", []*pb.ProposeReply{{}}, errkind.NoQuorum, errkind.RanNo},
+		{"no answer", []*pb.ProposeReply{nil}, errkind.NoQuorum, errkind.RanUnknown},
+		{"overloaded after no answer", []*pb.ProposeReply{nil, {Error: &pb.Error{Kind: string(errkind.Overloaded)}}}, errkind.NoQuorum, errkind.RanUnknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := &fakeReplica{propose: func(n int, _ *pb.Command) (*pb.ProposeReply, error) {
+				reply := tc.replies[min(n, len(tc.replies))-1]
+				if reply == nil {
+					return nil, errors.New("lost")
+				}
+				return reply, nil
+			}}
+			c := newClient(t, serve(t, f))
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
+			if got := errkind.From(err); got == nil || got.Kind != tc.kind || got.Ran() != tc.ran {
+				t.Fatalf("got %v, ran %q", err, got.Ran())
+			}
+		})
+	}
+}
+
+// Symptom: a host runs under settings older than those it had.
+// Sequence: it watches one replica up to revision 5, loses it, and watches one that is at 4.
+// Cause: the older tree was handed on.
+func TestWatchNeverGoesBack(t *testing.T) {
+	send := func(revision uint64) string {
+		return serve(t, &fakeReplica{watch: func(_ uint64, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
+			_ = out.Send(&pb.WatchEvent{Revision: revision, SnapshotJson: []byte("{}"), Confirmed: true})
+			return errors.New("lost")
+		}})
+	}
+	c := newClient(t, send(4), send(5))
+	done := errors.New("enough")
+	var seen []uint64
+	err := c.Watch(t.Context(), 0, func(e *pb.WatchEvent) error {
+		seen = append(seen, e.Revision)
+		if len(seen) == 4 {
+			return done
+		}
+		return nil
+	})
+	if !errors.Is(err, done) {
+		t.Fatal(err)
+	}
+	for i := 1; i < len(seen); i++ {
+		if seen[i] < seen[i-1] {
+			t.Fatalf("revisions %v", seen)
+		}
+	}
+	if seen[len(seen)-1] != 5 {
+		t.Fatalf("revision 5 never came: %v", seen)
+	}
+}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -96,6 +96,9 @@
 	lease     lease
 	termStart uint64
 
+	epoch        uint64 // random offset of this run's stamps
+	confirmation Confirmation
+
 	early    []*pb.RaftMessage
 	synced   []*pb.RaftMessage
 	saved    *pb.HardState
@@ -124,6 +127,7 @@
 	// still answers reads under its lease. heardLeader = now = 0 counts the start
 	// as if a leader had been heard, so the promise outlives the restart.
 	r.resetElectionTimer()
+	r.epoch = 1 + uint64(cfg.Rand.Int63())
 	return r, nil
 }
 
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -24,7 +24,8 @@
 	waiting  bool // probing or installing: a message is out
 	sentTick int64
 	ackRound uint64
-	heard    int64 // tick of its last answer; 0: none
+	echo     uint64 // stamp of its last heartbeat answer
+	heard    int64  // tick of its last answer; 0: none
 }
 
 func (r *Raft) others() []uint64 {
@@ -41,8 +42,16 @@
 func (r *Raft) broadcastHeartbeat() {
 	r.lease.startRound(r.now)
 	for _, id := range r.others() {
-		commit := min(r.log.commit, r.progress[id].match)
-		r.send(&pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_HEARTBEAT, To: id, Commit: commit, Context: r.lease.round})
+		p := r.progress[id]
+		m := &pb.RaftMessage{
+			Type: pb.RaftType_RAFT_TYPE_HEARTBEAT, To: id,
+			Commit: min(r.log.commit, p.match), Context: r.lease.round,
+		}
+		if r.now < r.LeaseUntil() {
+			m.LogIndex = r.log.commit
+			m.Hint = p.echo
+		}
+		r.send(m)
 	}
 	r.observeQuorum()
 }
@@ -130,8 +139,9 @@
 
 func (r *Raft) handleHeartbeat(m *pb.RaftMessage) {
 	r.commitTo(min(m.Commit, r.log.lastIndex()))
+	r.takeConfirmation(m)
 	r.sendSynced(&pb.RaftMessage{
-		Type: pb.RaftType_RAFT_TYPE_HEARTBEAT_REPLY, To: m.From, Context: m.Context,
+		Type: pb.RaftType_RAFT_TYPE_HEARTBEAT_REPLY, To: m.From, Context: m.Context, Hint: r.epoch + uint64(r.now),
 	})
 }
 
@@ -210,6 +220,7 @@
 	}
 	p.heard = r.now
 	p.ackRound = max(p.ackRound, m.Context)
+	p.echo = m.Hint
 	r.observeQuorum()
 	// A lost append message would leave the follower behind for good: nothing
 	// asks for it again. It shows as an answering follower whose match stands
