--- /dev/null
+++ b/internal/raft/rapid_test.go
@@ -0,0 +1,172 @@
+package raft
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// TestMain fixes the seed and the bounds of the stateful run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.seed": "20261202", "rapid.checks": "120", "rapid.steps": "300", "rapid.nofailfile": "true", "rapid.shrinktime": "5s",
+	} {
+		if !set[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// faults draws the actions of the stateful run against one simulated group.
+type faults struct {
+	s     *sim
+	n     int
+	next  uint64
+	dead  map[uint64]bool
+	fresh uint64
+}
+
+func (f *faults) node(t *rapid.T) *simNode {
+	nodes := f.s.sorted()
+	return nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "replica")]
+}
+
+func (f *faults) actions() map[string]func(*rapid.T) {
+	s := f.s
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			if s.violation != "" {
+				t.Fatal(s.violation)
+			}
+		},
+		"run":     func(t *rapid.T) { s.run(rapid.IntRange(1, 8).Draw(t, "ticks")) },
+		"runLong": func(t *rapid.T) { s.run(rapid.IntRange(10, 40).Draw(t, "ticks")) },
+		"propose": func(t *rapid.T) {
+			for range rapid.IntRange(1, 5).Draw(t, "count") {
+				f.n++
+				for _, n := range s.sorted() {
+					if n.up && !n.frozen {
+						s.propose(n, fmt.Sprintf("command %d", f.n))
+					}
+				}
+			}
+			s.run(rapid.IntRange(0, 4).Draw(t, "ticks"))
+		},
+		"network": func(t *rapid.T) {
+			s.drop = rapid.SampledFrom([]int{0, 0, 50, 300}).Draw(t, "drop")
+			s.dup = rapid.SampledFrom([]int{0, 200}).Draw(t, "dup")
+			s.delay = rapid.SampledFrom([]int64{unit / 10, unit, 6 * unit}).Draw(t, "delay")
+		},
+		"cutOneWay": func(t *rapid.T) { s.cut[[2]uint64{f.node(t).id, f.node(t).id}] = true },
+		"isolate":   func(t *rapid.T) { s.isolate(f.node(t).id, true) },
+		"heal":      func(*rapid.T) { clear(s.cut) },
+		"recover":   func(*rapid.T) { f.recover(); s.run(2 * simElection) },
+		"crash": func(t *rapid.T) {
+			f.node(t).crash = rapid.SampledFrom([]crashPoint{beforeSync, afterSync}).Draw(t, "point")
+		},
+		"restart": func(t *rapid.T) {
+			for _, n := range s.sorted() {
+				if !f.dead[n.id] && !n.up {
+					s.start(n)
+				}
+			}
+		},
+		"freeze": func(t *rapid.T) { f.node(t).frozen = true },
+		"wake":   func(t *rapid.T) { f.node(t).frozen = false },
+		"rate": func(t *rapid.T) {
+			if n := f.node(t); !n.up && !f.dead[n.id] {
+				n.rate = rapid.Int64Range(900, 1100).Draw(t, "permille")
+			}
+		},
+		"compact": func(t *rapid.T) {
+			if n := f.node(t); n.up && !n.frozen {
+				s.compact(n)
+			}
+		},
+		"loseDisk": f.loseDisk,
+		"repair": func(*rapid.T) {
+			for range 6 {
+				s.repair(f.dead)
+				s.run(3)
+			}
+		},
+	}
+}
+
+// loseDisk destroys a replica's disk for good, if the leader reports the group
+// as repaired. A new replica under a new id starts in its place.
+func (f *faults) loseDisk(t *rapid.T) {
+	n := f.node(t)
+	if f.dead[n.id] || !f.s.repaired() {
+		return
+	}
+	f.s.stop(n)
+	f.dead[n.id] = true
+	f.fresh++
+	f.s.add(f.next, &pb.Members{})
+	f.next++
+	// The leader can't know of a loss before the replica misses heartbeats.
+	f.s.run(simElection)
+}
+
+// TestMixedFaults runs the core under drawn faults. In every state: committed
+// entries are neither lost nor reverted and applied in one order, a term has one
+// leader, and no replica would answer a read without all that is committed. At
+// the end, with the faults gone, the group commits again.
+func TestMixedFaults(t *testing.T) {
+	commits, elections, losses := 0, 0, uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		f := &faults{s: newSim(rapid.Int64().Draw(t, "seed"), 1, 2, 3), next: 4, dead: map[uint64]bool{}}
+		t.Repeat(f.actions())
+		f.finish(t)
+		commits += len(f.s.committed)
+		elections += len(f.s.leaders)
+		losses += f.fresh
+	})
+	t.Logf("%d entries committed, %d leaders elected, %d disks lost", commits, elections, losses)
+	if commits == 0 || elections == 0 || losses == 0 {
+		t.Fatal("the run brought about too little")
+	}
+}
+
+// recover ends all faults but lost disks.
+func (f *faults) recover() {
+	clear(f.s.cut)
+	f.s.drop, f.s.dup, f.s.delay = 0, 0, unit/10
+	for _, n := range f.s.sorted() {
+		n.frozen, n.crash = false, noCrash
+		if !n.up && !f.dead[n.id] {
+			f.s.start(n)
+		}
+	}
+}
+
+func (f *faults) finish(t *rapid.T) {
+	s := f.s
+	f.recover()
+	s.run(30 * simElection)
+	l := s.leader()
+	if l == nil {
+		t.Fatalf("no leader without faults (%s)", s.violation)
+	}
+	before := len(s.committed)
+	s.propose(l, "last")
+	s.run(simElection)
+	if s.violation != "" || len(s.committed) <= before {
+		t.Fatalf("nothing is committed without faults (%s)", s.violation)
+	}
+	for _, m := range l.r.Members().Members {
+		if n := s.nodes[m.Id]; n.up && n.applied != l.applied {
+			t.Fatalf("replica %d applied %d, the leader %d", n.id, n.applied, l.applied)
+		}
+	}
+}
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -95,7 +95,8 @@
 	Member *pb.Member
 	Match  uint64
 	Active bool
-	// Repaired is true for a voter that answered lately and holds everything committed.
+	// Repaired is true for a voter that answered lately and holds everything
+	// committed, its membership included.
 	Repaired bool
 }
 
@@ -105,12 +106,16 @@
 		ID: r.cfg.ID, Role: r.role, Term: r.term, Leader: r.leader,
 		Commit: r.log.commit, LastIndex: r.log.lastIndex(), TermStart: r.termStart,
 	}
+	// While a membership change isn't committed, voters may still count by the
+	// one before. If replicas were lost now on the word "repaired", the rest could
+	// lack a majority of the older membership and never elect a leader.
+	settled := r.members.index() <= r.log.commit
 	for _, m := range r.members.current().list {
 		ms := MemberStatus{Member: m}
 		if p := r.progress[m.Id]; r.role == Leader && p != nil {
 			ms.Match = p.match
 			ms.Active = m.Id == r.cfg.ID || r.active(p)
-			ms.Repaired = !m.Learner && r.holdsCommitted(m.Id)
+			ms.Repaired = settled && !m.Learner && r.holdsCommitted(m.Id)
 		}
 		st.Members = append(st.Members, ms)
 	}
--- /dev/null
+++ b/internal/raft/sim_test.go
@@ -0,0 +1,345 @@
+package raft
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	simElection = 10
+	unit        = 1000 // simulated time units in one tick at rate 1
+	slice       = 100  // the simulation's step
+)
+
+// crashPoint is where in carrying out a Ready a replica stops.
+type crashPoint int
+
+const (
+	noCrash crashPoint = iota
+	beforeSync
+	afterSync
+)
+
+// simNode is one replica with its disk. What the disk holds outlasts a crash.
+type simNode struct {
+	id      uint64
+	r       *Raft
+	disk    State
+	rate    int64 // of its clock, in permille
+	started int64
+	up      bool
+	frozen  bool
+	held    []*pb.RaftMessage // arrived while frozen
+	crash   crashPoint
+	applied uint64
+}
+
+// ticks is the replica's true clock, which runs on while it is frozen.
+func (n *simNode) ticks(now int64) int64 { return (now - n.started) * n.rate / (unit * 1000) }
+
+type flight struct {
+	at int64
+	m  *pb.RaftMessage
+}
+
+// sim is a group in virtual time. After every step it checks what must always
+// hold and keeps the first violation.
+type sim struct {
+	rnd       *rand.Rand
+	now       int64
+	nodes     map[uint64]*simNode
+	flights   []flight
+	cut       map[[2]uint64]bool
+	drop, dup int   // permille
+	delay     int64 // most, in time units
+
+	leaders   map[uint64]uint64 // term -> leader
+	committed []*pb.LogEntry    // committed[i] has index i+1
+	violation string
+	maxCommit uint64
+	sent      map[pb.RaftType]int
+}
+
+func newSim(seed int64, ids ...uint64) *sim {
+	s := &sim{
+		rnd: rand.New(rand.NewSource(seed)), nodes: map[uint64]*simNode{}, cut: map[[2]uint64]bool{},
+		leaders: map[uint64]uint64{}, delay: unit / 2, sent: map[pb.RaftType]int{},
+	}
+	members := &pb.Members{}
+	for _, id := range ids {
+		members.Members = append(members.Members, &pb.Member{Id: id})
+	}
+	for _, id := range ids {
+		s.add(id, members)
+	}
+	return s
+}
+
+func (s *sim) add(id uint64, members *pb.Members) *simNode {
+	n := &simNode{id: id, rate: 1000, disk: State{Members: members}}
+	s.nodes[id] = n
+	s.start(n)
+	return n
+}
+
+func (s *sim) start(n *simNode) {
+	r, err := New(Config{
+		ID: n.id, ElectionTicks: simElection, HeartbeatTicks: 1, Rand: rand.New(rand.NewSource(s.rnd.Int63())),
+		MaxBatchBytes: 64, MaxInflight: 4,
+	}, n.disk)
+	if err != nil {
+		s.fail("replica %d doesn't start: %v", n.id, err)
+		return
+	}
+	n.r, n.up, n.frozen, n.held, n.crash, n.started = r, true, false, nil, noCrash, s.now
+	n.applied = 0
+	if n.disk.Snapshot != nil {
+		n.applied = n.disk.Snapshot.Index
+	}
+}
+
+func (s *sim) stop(n *simNode) { n.up, n.held = false, nil }
+
+func (s *sim) fail(format string, args ...any) {
+	if s.violation == "" {
+		s.violation = fmt.Sprintf("t=%d: ", s.now/unit) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (s *sim) sorted() []*simNode {
+	var out []*simNode
+	for _, n := range s.nodes {
+		out = append(out, n)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
+	return out
+}
+
+func (s *sim) send(n *simNode, messages []*pb.RaftMessage) {
+	for _, m := range messages {
+		s.sent[m.Type]++
+		if m.Type == pb.RaftType_RAFT_TYPE_SNAPSHOT {
+			m.Snapshot = n.disk.Snapshot
+		}
+		if s.cut[[2]uint64{m.From, m.To}] || s.rnd.Intn(1000) < s.drop {
+			continue
+		}
+		s.flights = append(s.flights, flight{s.now + s.rnd.Int63n(s.delay+1), m})
+		if s.rnd.Intn(1000) < s.dup {
+			s.flights = append(s.flights, flight{s.now + s.rnd.Int63n(4*s.delay+1), m})
+		}
+	}
+}
+
+// run lets time pass, in ticks.
+func (s *sim) run(ticks int) {
+	for end := s.now + int64(ticks)*unit; s.now < end && s.violation == ""; {
+		s.now += slice
+		s.step()
+	}
+}
+
+func (s *sim) step() {
+	flights := s.flights
+	s.flights = nil
+	for _, f := range flights {
+		switch n := s.nodes[f.m.To]; {
+		case f.at > s.now:
+			s.flights = append(s.flights, f)
+		case n != nil && n.up:
+			n.held = append(n.held, f.m)
+		}
+	}
+	for _, n := range s.sorted() {
+		if n.up && !n.frozen {
+			s.turn(n)
+		}
+	}
+	s.check()
+}
+
+func (s *sim) turn(n *simNode) {
+	for n.r.Now() < n.ticks(s.now) {
+		n.r.Tick()
+	}
+	for _, m := range n.held {
+		n.r.Step(m)
+	}
+	n.held = nil
+	s.process(n)
+}
+
+func (s *sim) process(n *simNode) {
+	for n.up {
+		rd := n.r.Ready()
+		if rd.Empty() {
+			return
+		}
+		s.send(n, rd.Early)
+		if n.crash == beforeSync {
+			s.stop(n)
+			return
+		}
+		n.persist(rd)
+		if n.crash == afterSync {
+			s.stop(n)
+			return
+		}
+		s.send(n, rd.Synced)
+		s.apply(n, rd.Committed)
+		n.r.Advance(rd)
+	}
+}
+
+func (n *simNode) persist(rd Ready) {
+	if rd.Snapshot != nil {
+		n.disk.Snapshot = rd.Snapshot
+		n.disk.Entries = nil
+		n.applied = rd.Snapshot.Index
+	}
+	for _, e := range rd.Entries {
+		keep := 0
+		for keep < len(n.disk.Entries) && n.disk.Entries[keep].Index < e.Index {
+			keep++
+		}
+		n.disk.Entries = append(n.disk.Entries[:keep:keep], e)
+	}
+	if rd.HardState != nil {
+		n.disk.Hard = rd.HardState
+	}
+}
+
+func (s *sim) apply(n *simNode, entries []*pb.LogEntry) {
+	for _, e := range entries {
+		if e.Index != n.applied+1 {
+			s.fail("replica %d applies %d after %d", n.id, e.Index, n.applied)
+		}
+		n.applied = e.Index
+		if e.Index == uint64(len(s.committed))+1 {
+			s.committed = append(s.committed, e)
+		}
+		known := s.committed[e.Index-1]
+		if known.Term != e.Term || string(known.Data) != string(e.Data) {
+			s.fail("replica %d applies term %d at %d, where term %d was committed", n.id, e.Term, e.Index, known.Term)
+		}
+	}
+}
+
+// compact has a replica take a snapshot of what it applied.
+func (s *sim) compact(n *simNode) {
+	term, ok := n.r.TermAt(n.applied)
+	if !ok || n.applied == 0 {
+		return
+	}
+	n.disk.Snapshot = &pb.Snapshot{Index: n.applied, Term: term, Members: n.r.MembersAt(n.applied)}
+	var rest []*pb.LogEntry
+	for _, e := range n.disk.Entries {
+		if e.Index > n.applied {
+			rest = append(rest, e)
+		}
+	}
+	n.disk.Entries = rest
+	n.r.Compact(n.applied)
+}
+
+func (s *sim) check() {
+	for _, n := range s.nodes {
+		if n.r != nil {
+			s.maxCommit = max(s.maxCommit, n.r.Status().Commit)
+		}
+	}
+	for _, n := range s.sorted() {
+		st := n.r.Status()
+		if !n.up || st.Role != Leader {
+			continue
+		}
+		if other, ok := s.leaders[st.Term]; ok && other != n.id {
+			s.fail("term %d has two leaders, %d and %d", st.Term, other, n.id)
+		}
+		s.leaders[st.Term] = n.id
+		if s.leased(n) && st.Commit < s.maxCommit {
+			s.fail("replica %d of term %d would answer a read at %d, but %d is committed", n.id, st.Term, st.Commit, s.maxCommit)
+		}
+	}
+}
+
+// leased tells whether the replica would answer a read at this moment. It may
+// be frozen: it is asked as if it woke up now.
+func (s *sim) leased(n *simNode) bool {
+	return n.up && n.ticks(s.now) < n.r.LeaseUntil()
+}
+
+// leader returns the leader with a lease, nil if there is none.
+func (s *sim) leader() *simNode {
+	for _, n := range s.sorted() {
+		if n.up && !n.frozen && s.leased(n) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *sim) propose(n *simNode, data string) bool {
+	_, _, err := n.r.Propose([]byte(data))
+	n.r.Flush()
+	s.process(n)
+	return err == nil
+}
+
+// isolate cuts or heals all links of a replica.
+func (s *sim) isolate(id uint64, on bool) {
+	for other := range s.nodes {
+		s.cut[[2]uint64{id, other}] = on
+		s.cut[[2]uint64{other, id}] = on
+	}
+}
+
+// wholeGroup is the number of voters that a repair restores.
+const wholeGroup = 3
+
+// repair takes the next step to replace dead replicas by learners under new ids.
+func (s *sim) repair(dead map[uint64]bool) {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	next := l.r.Members()
+	set := memberSet{list: next.Members}
+	for i, m := range next.Members {
+		if dead[m.Id] {
+			next.Members = append(next.Members[:i], next.Members[i+1:]...)
+			break
+		}
+		if m.Learner {
+			next.Members[i] = &pb.Member{Id: m.Id}
+			break
+		}
+	}
+	for _, n := range s.sorted() {
+		if n.up && set.find(n.id) == nil && len(set.list) < wholeGroup {
+			next.Members = append(next.Members, &pb.Member{Id: n.id, Learner: true})
+			break
+		}
+	}
+	_, _, _ = l.r.ProposeMembers(next)
+	l.r.Flush()
+	s.process(l)
+}
+
+// repaired tells whether the leader reports a whole group.
+func (s *sim) repaired() bool {
+	l := s.leader()
+	if l == nil {
+		return false
+	}
+	st := l.r.Status()
+	for _, m := range st.Members {
+		if !m.Repaired {
+			return false
+		}
+	}
+	return len(st.Members) >= wholeGroup
+}
