--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -224,3 +224,24 @@
 		t.Fatalf("committed entries are missing from the disk, got %v", err)
 	}
 }
+
+// Symptom: a follower applies an entry that was never committed.
+// Sequence: it holds entries of a leader that failed; the new leader's commit index is beyond where their logs meet.
+// Cause: the follower took the commit index for its own entries, or the leader sent more than it knows to match.
+func TestFollowerCommitsOnlyWhatMatches(t *testing.T) {
+	stale := []*pb.LogEntry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}}
+	r := start(t, State{Members: members(1, 2, 3), Hard: &pb.HardState{Term: 1}, Entries: stale})
+	r.Step(&pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_APPEND, From: 2, To: 1, Term: 2, LogIndex: 1, LogTerm: 1, Commit: 3})
+	if r.log.commit != 1 {
+		t.Fatalf("committed %d", r.log.commit)
+	}
+	l := start(t, State{Members: members(1, 2, 3), Hard: &pb.HardState{Term: 2}, Entries: stale})
+	lead(t, l)
+	holds(l, 2, 4)
+	l.Tick()
+	for _, m := range carryOut(l) {
+		if m.Type == pb.RaftType_RAFT_TYPE_HEARTBEAT && m.To == 3 && m.Commit != 0 {
+			t.Fatalf("a follower of unknown log is told to commit %d", m.Commit)
+		}
+	}
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -125,12 +125,15 @@
 	if err != nil {
 		return err
 	}
-	for _, name := range names[min(kept, len(names)):] {
+	if len(names) <= kept {
+		return nil
+	}
+	for _, name := range names[kept:] {
 		if err := s.fs.Remove(filepath.Join(s.dir, name)); err != nil {
 			return errors.Wrap(err, "snapshot: remove")
 		}
 	}
-	return nil
+	return errors.Wrap(s.fs.SyncDir(s.dir), "snapshot: sync folder")
 }
 
 // Load returns the newest snapshot that is valid, nil if there never was one.
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,234 @@
+package wal_test
+
+import (
+	"fmt"
+	"math/rand"
+	"path/filepath"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wal"
+	"github.com/bluebellsail/bluebellsail/internal/wal/memfs"
+)
+
+const dir = "/log"
+
+func open(t testing.TB, fs wal.FS, opts wal.Options) (*wal.Log, wal.Contents) {
+	t.Helper()
+	l, c, err := wal.Open(fs, dir, opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, c
+}
+
+func entries(from, to, term uint64) []*pb.LogEntry {
+	var out []*pb.LogEntry
+	for i := from; i <= to; i++ {
+		out = append(out, &pb.LogEntry{Index: i, Term: term, Data: []byte(fmt.Sprintf("entry %d of term %d", i, term))})
+	}
+	return out
+}
+
+func write(t testing.TB, l *wal.Log, from, to, term uint64) {
+	t.Helper()
+	if err := l.Append(&pb.HardState{Term: term, Commit: from - 1}, entries(from, to, term)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// terms lists the terms of the entries, which must be contiguous.
+func terms(t *testing.T, c wal.Contents) []uint64 {
+	t.Helper()
+	var out []uint64
+	for i, e := range c.Entries {
+		if e.Index != c.Entries[0].Index+uint64(i) {
+			t.Fatalf("entry %d at place %d", e.Index, i)
+		}
+		out = append(out, e.Term)
+	}
+	return out
+}
+
+func TestReopen(t *testing.T) {
+	for name, fs := range map[string]wal.FS{"memory": memfs.New(), "disk": rooted{wal.OS{}, t.TempDir()}} {
+		t.Run(name, func(t *testing.T) {
+			l, _ := open(t, fs, wal.Options{})
+			write(t, l, 1, 4, 1)
+			write(t, l, 5, 9, 2)
+			write(t, l, 7, 8, 3) // a later leader's entries replace 7 to 9
+			if l.Syncs() != 3 {
+				t.Fatalf("%d syncs for 3 batches of 11 entries", l.Syncs())
+			}
+			_, c := open(t, fs, wal.Options{})
+			if got := fmt.Sprint(terms(t, c)); got != "[1 1 1 1 2 2 3 3]" || c.Hard.Term != 3 {
+				t.Fatalf("terms %s, hard state %v", got, c.Hard)
+			}
+			if err := l.Reset(&pb.HardState{Term: 4}); err != nil {
+				t.Fatal(err)
+			}
+			write(t, l, 21, 22, 4)
+			_, c = open(t, fs, wal.Options{})
+			if got := fmt.Sprint(terms(t, c)); got != "[4 4]" || c.Entries[0].Index != 21 {
+				t.Fatalf("after a reset: %s", got)
+			}
+		})
+	}
+}
+
+// rooted puts a file system below a folder.
+type rooted struct {
+	wal.FS
+	root string
+}
+
+func (r rooted) MkdirAll(d string) error           { return r.FS.MkdirAll(filepath.Join(r.root, d)) }
+func (r rooted) List(d string) ([]string, error)   { return r.FS.List(filepath.Join(r.root, d)) }
+func (r rooted) ReadFile(p string) ([]byte, error) { return r.FS.ReadFile(filepath.Join(r.root, p)) }
+func (r rooted) Create(p string) (wal.File, error) { return r.FS.Create(filepath.Join(r.root, p)) }
+func (r rooted) Append(p string) (wal.File, error) { return r.FS.Append(filepath.Join(r.root, p)) }
+func (r rooted) SyncDir(d string) error            { return r.FS.SyncDir(filepath.Join(r.root, d)) }
+func (r rooted) Truncate(p string, n int64) error  { return r.FS.Truncate(filepath.Join(r.root, p), n) }
+
+// Symptom: a replica doesn't start after a power cut, or starts without entries it acknowledged.
+// Sequence: the power fails while a batch is being written, at any byte.
+// Cause: the torn end was taken for damage, or too much was cut off.
+func TestTornEndIsCut(t *testing.T) {
+	rnd := rand.New(rand.NewSource(1))
+	torn := 0
+	for i := range 200 {
+		fs := memfs.New()
+		l, _ := open(t, fs, wal.Options{SegmentBytes: int64(100 + i)})
+		for n := uint64(0); n < 6; n++ {
+			write(t, l, 3*n+1, 3*n+3, 1)
+		}
+		fs.OnSync = func(string) error { return errors.New("power fails") }
+		if err := l.Append(nil, entries(19, 21, 1)); err == nil {
+			t.Fatal("a failed sync was acknowledged")
+		}
+		fs.OnSync = nil
+		if err := l.Append(nil, entries(19, 21, 1)); err == nil {
+			t.Fatal("the log goes on after a failed sync")
+		}
+		fs.Crash(rnd)
+		l, c := open(t, fs, wal.Options{})
+		if n := len(terms(t, c)); n != 18 && n != 21 {
+			t.Fatalf("run %d: %d entries of 18 acknowledged", i, n)
+		}
+		if c.TornBytes > 0 {
+			torn++
+		}
+		next := c.Entries[len(c.Entries)-1].Index + 1
+		write(t, l, next, next, 2)
+		if _, c = open(t, fs, wal.Options{}); c.Entries[len(c.Entries)-1].Term != 2 {
+			t.Fatal("what was appended behind the cut is gone")
+		}
+	}
+	if torn < 40 {
+		t.Fatalf("only %d torn ends", torn)
+	}
+}
+
+// Symptom: a replica starts without entries it acknowledged, and votes.
+// Sequence: a byte in the middle of the log goes bad on the disk; the replica restarts.
+// Cause: the log was cut there as if its end were torn.
+func TestDamagedMiddleRefuses(t *testing.T) {
+	fs := memfs.New()
+	l, _ := open(t, fs, wal.Options{SegmentBytes: 150})
+	for n := uint64(1); n <= 12; n++ {
+		write(t, l, n, n, 1)
+	}
+	names, _ := fs.List(dir)
+	if len(names) < 3 {
+		t.Fatal("too few segments")
+	}
+	for i, name := range names {
+		path := filepath.Join(dir, name)
+		data, _ := fs.ReadFile(path)
+		end := len(data)
+		if i == len(names)-1 {
+			end /= 2 // its last frame can't be told from a torn one
+		}
+		for off := 0; off < end; off++ {
+			fs.Overwrite(path, off, data[off]^0x40)
+			_, _, err := wal.Open(fs, dir, wal.Options{})
+			var damage *wal.CorruptError
+			if !errors.As(err, &damage) || damage.File != path || damage.Offset > int64(off) {
+				t.Fatalf("%s with a bad byte at %d: %v", path, off, err)
+			}
+			fs.Overwrite(path, off, data[off])
+		}
+	}
+	open(t, fs, wal.Options{})
+	if err := fs.Remove(filepath.Join(dir, names[1])); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := wal.Open(fs, dir, wal.Options{}); err == nil {
+		t.Fatal("started with a segment missing")
+	}
+}
+
+func TestCapAndRelease(t *testing.T) {
+	fs := memfs.New()
+	l, _ := open(t, fs, wal.Options{SegmentBytes: 200, MaxBytes: 1000})
+	n := uint64(1)
+	var full *wal.FullError
+	for ; n < 100; n++ {
+		if err := l.Append(nil, entries(n, n, 1)); errors.As(err, &full) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if full == nil || l.Bytes() > 1000 {
+		t.Fatalf("%d bytes under a cap of 1000", l.Bytes())
+	}
+	if err := l.Append(&pb.HardState{Term: 2}, nil); err != nil {
+		t.Fatalf("a full log must still take a vote: %v", err)
+	}
+	if err := l.Cut(); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Release(n - 5); err != nil {
+		t.Fatal(err)
+	}
+	fs.Crash(nil)
+	l, c := open(t, fs, wal.Options{})
+	write(t, l, n, n, 2)
+	if c.Entries[0].Index > n-4 || c.Entries[0].Index == 1 || c.Hard.GetTerm() != 2 {
+		t.Fatalf("after release the log starts at %d, hard state %v", c.Entries[0].Index, c.Hard)
+	}
+	if err := l.Cut(); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Release(n); err != nil {
+		t.Fatal(err)
+	}
+	if _, c = open(t, fs, wal.Options{}); len(c.Entries) != 0 || c.Hard.GetTerm() != 2 {
+		t.Fatalf("all released, and there are %d entries and hard state %v", len(c.Entries), c.Hard)
+	}
+}
+
+func BenchmarkAppend(b *testing.B) {
+	for _, batch := range []int{1, 16, 64} {
+		b.Run(fmt.Sprint(batch), func(b *testing.B) {
+			l, _ := open(b, rooted{wal.OS{}, b.TempDir()}, wal.Options{MaxBytes: 1 << 40})
+			data := make([]byte, 100)
+			next := uint64(1)
+			for b.Loop() {
+				var es []*pb.LogEntry
+				for range batch {
+					es = append(es, &pb.LogEntry{Index: next, Term: 1, Data: data})
+					next++
+				}
+				if err := l.Append(&pb.HardState{Term: 1, Commit: next}, es); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(l.Bytes())/float64(next-1), "bytes/entry")
+			b.ReportMetric(float64(next-1)/b.Elapsed().Seconds(), "entries/s")
+		})
+	}
+}
