--- a/internal/ledger/hosts.go
+++ b/internal/ledger/hosts.go
@@ -124,7 +124,9 @@
 	}
 }
 
-// RemoveHost takes an operator's word that a host is dead.
+// RemoveHost takes an operator's word that a host is dead. Should it live on, cut
+// off, it goes on spending what it holds, and what it spends after its recovery
+// can't be billed any more: the word must be true.
 func (s *State) RemoveHost(c *pb.RemoveHost) error {
 	h := s.hosts.hosts[c.Host]
 	if h == nil {
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"reflect"
 	"strings"
 
@@ -32,14 +31,10 @@
 }
 
 func checkSyntax(path string, raw []byte) error {
-	d := json.NewDecoder(bytes.NewReader(raw))
 	var value json.RawMessage
-	if err := d.Decode(&value); err != nil {
+	if err := json.Unmarshal(raw, &value); err != nil {
 		return fault(path, "not JSON: %v", err)
 	}
-	if _, err := d.Token(); err != io.EOF {
-		return fault(path, "more than one JSON value")
-	}
 	return nil
 }
 
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -89,9 +89,6 @@
 	case len(value) == 0:
 		return nil, fault(c.Path, "no value given")
 	default:
-		if err := checkSyntax(c.Path, value); err != nil {
-			return nil, err
-		}
 		var compact bytes.Buffer
 		if err := json.Compact(&compact, value); err != nil {
 			return nil, fault(c.Path, "not JSON: %v", err)
