--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,136 @@
+package claims
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	done   = pb.ClaimState_CLAIM_STATE_DONE
+	notRun = pb.ClaimState_CLAIM_STATE_NOT_RUN
+)
+
+func wins(t *testing.T, s *State, identity, request string, now int64) bool {
+	t.Helper()
+	c := &pb.Claim{Identity: identity, RequestId: request, Holder: &pb.Holder{Host: "h", Incarnation: 1}}
+	first, err := s.Claim(c, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := s.Claim(c, now)
+	if err != nil || fmt.Sprint(first) != fmt.Sprint(again) {
+		t.Errorf("first answer %v, resend %v, %v", first, again, err)
+	}
+	return first.Won
+}
+
+func finish(s *State, identity, request string, state pb.ClaimState, now int64) error {
+	_, err := s.Finish(&pb.FinishClaim{Identity: identity, RequestId: request, State: state}, now)
+	return err
+}
+
+// Symptom: a ledger entry is posted twice.
+// Sequence: two hosts claim one identity; the winner finishes; late copies of every
+// message arrive.
+// Cause: a claim is won again by a loser, by a repeated message, or after its end.
+func TestOneClaimWins(t *testing.T) {
+	s := New()
+	steps := []struct {
+		request string
+		won     bool
+	}{{"r1", true}, {"r2", false}, {"r1", true}, {"r3", false}}
+	for _, step := range steps {
+		if won := wins(t, s, "a/1", step.request, 1); won != step.won {
+			t.Errorf("%s won: %v", step.request, won)
+		}
+	}
+	if err := finish(s, "a/1", "r2", notRun, 1); !errkind.Is(err, errkind.KeyConflict) {
+		t.Errorf("a loser finished the claim: %v", err)
+	}
+	for range 2 {
+		if err := finish(s, "a/1", "r1", done, 1); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := finish(s, "a/1", "r1", notRun, 1); !errkind.Is(err, errkind.KeyConflict) {
+		t.Errorf("a run that ended became one that never ran: %v", err)
+	}
+	if wins(t, s, "a/1", "r4", 1) || s.Lookup("a/1").State != done {
+		t.Error("a claim that is done was won again")
+	}
+	if err := finish(s, "a/2", "r1", done, 1); !errkind.Is(err, errkind.NotFound) {
+		t.Errorf("an unknown claim finished: %v", err)
+	}
+}
+
+// Symptom: a request whose caller was told "it did not run" runs after all.
+// Sequence: r1 wins and is finished as not run, r2 wins and is not run either; a
+// delayed copy of r1's claim arrives.
+// Cause: after NOT_RUN anybody could win, also those who had given up.
+func TestNotRunLetsOnlyNewRequestsWin(t *testing.T) {
+	s := New()
+	for i := range 3 {
+		request := fmt.Sprint("r", i)
+		if !wins(t, s, "a/1", request, 1) {
+			t.Fatalf("%s did not win after not run", request)
+		}
+		if err := finish(s, "a/1", request, notRun, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		if wins(t, s, "a/1", fmt.Sprint("r", i), 1) {
+			t.Errorf("r%d won again", i)
+		}
+	}
+	if err := finish(s, "a/1", "r2", done, 1); !errkind.Is(err, errkind.KeyConflict) {
+		t.Errorf("a claim that did not run became done: %v", err)
+	}
+}
+
+// Symptom: a late retry runs a second time.
+// Sequence: a claim is won; the memory of claims runs full, or an hour passes.
+// Cause: a claim inside its window was forgotten to make room.
+func TestClaimsInsideTheWindowAreNeverForgotten(t *testing.T) {
+	s := New()
+	s.max = 100
+	for i := range 100 {
+		wins(t, s, fmt.Sprint("a/", i), "r1", int64(i)*time.Hour.Milliseconds()/10)
+	}
+	now := 10 * time.Hour.Milliseconds()
+	over := &pb.Claim{Identity: "a/new", RequestId: "r1", Holder: &pb.Holder{Host: "h", Incarnation: 1}}
+	if _, err := s.Claim(over, now); !errkind.Is(err, errkind.ClaimUnavailable) {
+		t.Errorf("a claim past the bound got %v", err)
+	}
+	for i := range 100 {
+		if wins(t, s, fmt.Sprint("a/", i), "r2", now) {
+			t.Fatalf("claim %d was forgotten", i)
+		}
+	}
+	if !wins(t, s, "a/new", "r1", now+2*MinWindow.Milliseconds()) || s.Len() != 1 {
+		t.Errorf("%d claims are remembered after the window", s.Len())
+	}
+}
+
+func TestRestoredClaimsAnswerAlike(t *testing.T) {
+	s, restored := New(), New()
+	s.SetWindow(48 * time.Hour)
+	wins(t, s, "a/1", "r1", 1)
+	wins(t, s, "a/2", "r1", 2)
+	if err := finish(s, "a/2", "r1", notRun, 3); err != nil {
+		t.Fatal(err)
+	}
+	if err := restored.Restore(s.Image()); err != nil {
+		t.Fatal(err)
+	}
+	if fmt.Sprint(s.Image()) != fmt.Sprint(restored.Image()) {
+		t.Error("a restored state has another image")
+	}
+	if wins(t, restored, "a/1", "r2", 4) || wins(t, restored, "a/2", "r1", 4) || !wins(t, restored, "a/2", "r2", 4) {
+		t.Error("restored claims are answered in another way")
+	}
+}
