--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -11,10 +11,12 @@
 
 // driver feeds a State the records of a log and keeps the log.
 type driver struct {
-	t     *testing.T
-	state *State
-	log   []*pb.Command
-	now   int64
+	t      testing.TB
+	state  *State
+	index  uint64
+	log    []*pb.Command
+	now    int64
+	forget bool // keep no log
 }
 
 func newDriver(t *testing.T) *driver {
@@ -26,8 +28,11 @@
 	d.now++
 	cmd := &pb.Command{OpId: opID, Actor: "operator", TimeMs: d.now}
 	set(cmd)
-	d.log = append(d.log, cmd)
-	return d.state.Apply(uint64(len(d.log)), cmd)
+	d.index++
+	if !d.forget {
+		d.log = append(d.log, cmd)
+	}
+	return d.state.Apply(d.index, cmd)
 }
 
 func (d *driver) must(opID string, set func(*pb.Command)) *pb.CommandResult {
@@ -231,6 +236,31 @@
 	}
 }
 
+// Symptom: a snapshot holds half of a later record, or encoding it races with the log.
+// Sequence: the state is captured; every kind of record is applied; the copy is encoded.
+// Cause: the copy shares memory with the state.
+func TestCaptureIsACopy(t *testing.T) {
+	d := newDriver(t)
+	play(d)
+	for i := range 10 { // more boots than are remembered
+		d.must("", register("h1", fmt.Sprint("boot-a", i)))
+	}
+	want := snapshotOf(t, d.state)
+	encode, err := d.state.Capture()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 10 {
+		d.must("", register("h1", fmt.Sprint("boot-b", i)))
+	}
+	d.must("", acquire(&pb.Holder{Host: "h2", Incarnation: 2}, 2, 10, 10))
+	d.must("", settle(&pb.Holder{Host: "h2", Incarnation: 2}, 41, &pb.Bill{Budget: "b", Identity: "late", Tokens: 1}))
+	d.must("op-late", setConfig("/teams/x/copies", `2`, 1))
+	if got, err := encode(); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("the copy changed (%v)", err)
+	}
+}
+
 func TestDamagedSnapshotIsRefused(t *testing.T) {
 	d := newDriver(t)
 	play(d)
--- a/internal/apply/snapshot.go
+++ b/internal/apply/snapshot.go
@@ -28,16 +28,30 @@
 
 // Snapshot encodes the whole state; equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
+	encode, err := s.Capture()
+	if err != nil {
+		return nil, err
+	}
+	return encode()
+}
+
+// Capture copies the state and returns a function that encodes the copy. Encoding
+// takes most of the time; the function may run beside later calls of Apply, so that
+// a large snapshot doesn't hold up the log.
+func (s *State) Capture() (encode func() ([]byte, error), err error) {
 	tree, err := s.settings.Image()
 	if err != nil {
 		return nil, err
 	}
-	data, err := json.Marshal(image{
+	im := image{
 		Format: snapshotFormat, Applied: s.applied, Now: s.now,
 		Settings: tree, Ledger: s.ledger.Image(), Claims: s.claims.Image(), Fence: s.fence.Image(),
 		Operations: s.operations.image(),
-	})
-	return data, errors.Wrap(err, "apply: snapshot")
+	}
+	return func() ([]byte, error) {
+		data, err := json.Marshal(im)
+		return data, errors.Wrap(err, "apply: snapshot")
+	}, nil
 }
 
 // Restore replaces the state by a snapshot's. On an error the state is unchanged.
@@ -57,9 +71,7 @@
 	if err := fresh.ledger.Restore(im.Ledger); err != nil {
 		return err
 	}
-	if err := fresh.claims.Restore(im.Claims); err != nil {
-		return err
-	}
+	fresh.claims.Restore(im.Claims)
 	fresh.fence.Restore(im.Fence)
 	if err := fresh.operations.restore(im.Operations); err != nil {
 		return err
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -133,17 +133,17 @@
 	return c.result(false)
 }
 
-// Image is the whole state in a fixed order, for snapshots.
+// Image is a copy of the state, for snapshots.
 type Image struct {
 	Keep   int64               `json:"keep"`
 	Memory window.Image[claim] `json:"memory"`
 }
 
-// Image returns the state's content.
+// Image copies the state's content.
 func (s *State) Image() Image { return Image{Keep: s.keep, Memory: s.memory.Image()} }
 
 // Restore replaces the state's content.
-func (s *State) Restore(im Image) error {
+func (s *State) Restore(im Image) {
 	s.keep = im.Keep
-	return s.memory.Restore(im.Memory)
+	s.memory.Restore(im.Memory)
 }
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -1,6 +1,8 @@
 package claims
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -124,11 +126,20 @@
 	if err := finish(s, "a/2", "r1", notRun, 3); err != nil {
 		t.Fatal(err)
 	}
-	if err := restored.Restore(s.Image()); err != nil {
+	data, err := json.Marshal(s.Image())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var im Image
+	if err := json.Unmarshal(data, &im); err != nil {
 		t.Fatal(err)
 	}
-	if fmt.Sprint(s.Image()) != fmt.Sprint(restored.Image()) {
-		t.Error("a restored state has another image")
+	restored.Restore(im)
+	if restored.Len() != 2 {
+		t.Errorf("%d claims restored, want 2", restored.Len())
+	}
+	if again, err := json.Marshal(restored.Image()); err != nil || !bytes.Equal(data, again) {
+		t.Errorf("a restored state has another image (%v)", err)
 	}
 	if wins(t, restored, "a/1", "r2", 4) || wins(t, restored, "a/2", "r1", 4) || !wins(t, restored, "a/2", "r2", 4) {
 		t.Error("restored claims are answered in another way")
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -58,7 +58,7 @@
 	Billed uint64 `json:"billed"`
 }
 
-// Image returns the ledger's content.
+// Image copies the ledger's content; later records don't change the copy.
 func (s *State) Image() Image {
 	im := Image{
 		LastHolder: s.hosts.last, Recovered: slices.Clone(s.hosts.recovered),
@@ -69,7 +69,9 @@
 		im.Budgets = append(im.Budgets, b.image())
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.hosts.hosts)) {
-		im.Hosts = append(im.Hosts, *s.hosts.hosts[name])
+		h := *s.hosts.hosts[name]
+		h.Boots = slices.Clone(h.Boots)
+		im.Hosts = append(im.Hosts, h)
 	}
 	for _, number := range slices.Sorted(maps.Keys(s.hosts.open)) {
 		im.Open = append(im.Open, *s.hosts.open[number])
@@ -126,9 +128,7 @@
 			return err
 		}
 	}
-	if err := fresh.billed.memory.Restore(im.Billed); err != nil {
-		return err
-	}
+	fresh.billed.memory.Restore(im.Billed)
 	fresh.billed.windowMs, fresh.billed.keepMs, fresh.billed.nextForget = im.WindowMs, im.KeepMs, im.NextForget
 	fresh.counters = im.Counters
 	*s = *fresh
--- a/internal/ledger/window/window.go
+++ b/internal/ledger/window/window.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding/json"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -134,57 +135,85 @@
 	m.gens = slices.Delete(m.gens, 0, 1)
 }
 
-// Image is the whole of a Memory in a fixed order, for snapshots.
+// Image is a copy of a Memory, for snapshots: images of equal memories have equal JSON.
 type Image[V any] struct {
 	Length      int64                `json:"length"`
 	Horizon     int64                `json:"horizon"`
 	Generations []GenerationImage[V] `json:"generations"`
 }
 
-// GenerationImage is one generation; Keys holds the sorted keys end to end.
+// GenerationImage is a copy of one generation. Its entries are put in order only
+// when it is encoded, as sorting takes far longer than copying and the copy is made
+// while the log waits.
 type GenerationImage[V any] struct {
+	start, last int64
+	entries     []entry[V]
+}
+
+type entry[V any] struct {
+	key   Key
+	value V
+}
+
+// generationJSON is the encoded form; Keys holds the sorted keys end to end.
+type generationJSON[V any] struct {
 	Start  int64  `json:"start"`
 	Last   int64  `json:"last"`
 	Keys   []byte `json:"keys"`
 	Values []V    `json:"values"`
 }
 
-// Image returns the memory's content; equal memories have equal images.
+// Image copies the memory's content.
 func (m *Memory[V]) Image() Image[V] {
 	im := Image[V]{Length: m.length, Horizon: m.horizon, Generations: []GenerationImage[V]{}}
 	for _, g := range m.gens {
-		im.Generations = append(im.Generations, g.image())
+		gi := GenerationImage[V]{start: g.start, last: g.last, entries: make([]entry[V], 0, len(g.entries))}
+		for k, v := range g.entries {
+			gi.entries = append(gi.entries, entry[V]{k, v})
+		}
+		im.Generations = append(im.Generations, gi)
 	}
 	return im
 }
 
-func (g *generation[V]) image() GenerationImage[V] {
-	keys := make([]Key, 0, len(g.entries))
-	for k := range g.entries {
-		keys = append(keys, k)
+// MarshalJSON implements json.Marshaler.
+func (g GenerationImage[V]) MarshalJSON() ([]byte, error) {
+	sorted := slices.Clone(g.entries)
+	slices.SortFunc(sorted, func(a, b entry[V]) int { return bytes.Compare(a.key[:], b.key[:]) })
+	out := generationJSON[V]{Start: g.start, Last: g.last, Keys: make([]byte, 0, KeySize*len(sorted)), Values: make([]V, 0, len(sorted))}
+	for _, e := range sorted {
+		out.Keys = append(out.Keys, e.key[:]...)
+		out.Values = append(out.Values, e.value)
+	}
+	return json.Marshal(out)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (g *GenerationImage[V]) UnmarshalJSON(data []byte) error {
+	var in generationJSON[V]
+	if err := json.Unmarshal(data, &in); err != nil {
+		return err
 	}
-	slices.SortFunc(keys, func(a, b Key) int { return bytes.Compare(a[:], b[:]) })
-	im := GenerationImage[V]{Start: g.start, Last: g.last, Keys: make([]byte, 0, KeySize*len(keys)), Values: make([]V, 0, len(keys))}
-	for _, k := range keys {
-		im.Keys = append(im.Keys, k[:]...)
-		im.Values = append(im.Values, g.entries[k])
+	if len(in.Keys) != KeySize*len(in.Values) {
+		return errors.Errorf("window image: %d bytes of keys for %d values", len(in.Keys), len(in.Values))
 	}
-	return im
+	g.start, g.last = in.Start, in.Last
+	g.entries = make([]entry[V], 0, len(in.Values))
+	for i, v := range in.Values {
+		g.entries = append(g.entries, entry[V]{Key(in.Keys[i*KeySize : (i+1)*KeySize]), v})
+	}
+	return nil
 }
 
 // Restore replaces the memory's content by im.
-func (m *Memory[V]) Restore(im Image[V]) error {
+func (m *Memory[V]) Restore(im Image[V]) {
 	m.length, m.horizon, m.size, m.gens = im.Length, im.Horizon, 0, nil
 	for _, gi := range im.Generations {
-		if len(gi.Keys) != KeySize*len(gi.Values) {
-			return errors.Errorf("window image: %d bytes of keys for %d values", len(gi.Keys), len(gi.Values))
-		}
-		g := &generation[V]{start: gi.Start, last: gi.Last, entries: make(map[Key]V, len(gi.Values))}
-		for i, v := range gi.Values {
-			g.entries[Key(gi.Keys[i*KeySize:(i+1)*KeySize])] = v
+		g := &generation[V]{start: gi.start, last: gi.last, entries: make(map[Key]V, len(gi.entries))}
+		for _, e := range gi.entries {
+			g.entries[e.key] = e.value
 		}
 		m.gens = append(m.gens, g)
 		m.size += len(g.entries)
 	}
-	return nil
 }
