--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -152,6 +152,12 @@
 	if !again.Resend || again.GetBudget().Funded != first.Funded || first.Funded != 1570 {
 		t.Errorf("first answer %v, resend %v", first, again)
 	}
+	if got := d.do("op-team", setConfig("/teams/x", `{"priority":"batch"}`, 1)); got.GetSetConfig().GetRevision() != 1 || !got.Resend {
+		t.Errorf("a resend with another value got %v", got)
+	}
+	if got := d.do("op-team", setConfig("/teams/y", `{}`, 0)); got.Error.GetKind() != string(errkind.KeyConflict) {
+		t.Errorf("another change under the same id got %v", got)
+	}
 	if got := d.do("op-late", topUp("b", 71)); got.Error.GetKind() != string(errkind.KeyConflict) {
 		t.Errorf("another top-up under the same id got %v", got)
 	}
--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -80,9 +80,14 @@
 	}
 }
 
-// fingerprint hashes what a command asks for, without who and when.
+// fingerprint hashes what a command asks for, without who and when. Of a change of
+// settings only the path counts, as in package settings.
 func fingerprint(cmd *pb.Command) uint64 {
-	key := window.KeyOf(string(encode(&pb.Command{Body: cmd.Body})))
+	asked := &pb.Command{Body: cmd.Body}
+	if set := cmd.GetSetConfig(); set != nil {
+		asked.Body = &pb.Command_SetConfig{SetConfig: &pb.SetConfig{Path: set.Path}}
+	}
+	key := window.KeyOf(string(encode(asked)))
 	return binary.BigEndian.Uint64(key[:])
 }
 
--- a/internal/apply/query.go
+++ b/internal/apply/query.go
@@ -20,7 +20,7 @@
 	case *pb.Query_Budget:
 		out.Budgets, err = s.budgets(body.Budget.GetName())
 	case *pb.Query_Statement:
-		out.Statement, err = s.ledger.Statement(body.Statement.GetBudget(), int(body.Statement.GetLimit()))
+		out.Statement, err = s.statement(body.Statement)
 	case *pb.Query_Config:
 		out.ValueJson, out.Version, err = s.View().Value(body.Config.GetPath())
 	case *pb.Query_Hosts:
@@ -51,3 +51,11 @@
 	}
 	return []*pb.Budget{b}, nil
 }
+
+func (s *State) statement(q *pb.StatementQuery) ([]*pb.StatementLine, error) {
+	lines, err := s.ledger.Statement(q.GetBudget(), int(q.GetLimit()))
+	if err != nil {
+		return nil, errkind.New(errkind.NotFound, "no budget %q", q.GetBudget())
+	}
+	return lines, nil
+}
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -33,7 +33,7 @@
 
 // operation is the remembered answer to one operation id.
 type operation struct {
-	// print tells a resend from another change under the same id.
+	// print tells a resend from a change elsewhere under the same id.
 	print    uint64
 	revision uint64 // 0: refused with a version conflict
 	version  uint64 // of the subtree: after the change, or present at the conflict
@@ -137,29 +137,14 @@
 	}
 }
 
-// fingerprint is a hash of what a change asks for.
+// fingerprint is a hash of the path that a change concerns. The value and version
+// don't count: a host may make part of the value itself (a new key's hash), or read
+// the version anew, when it sends an operator's request again.
 func fingerprint(c *pb.SetConfig) uint64 {
-	var b bytes.Buffer
-	b.WriteString(c.Path)
-	b.WriteByte(0)
-	b.Write(c.ValueJson)
-	b.WriteByte(0)
-	b.Write(binary.AppendUvarint(nil, c.ExpectedVersion))
-	b.Write(boolBytes(c.AnyVersion, c.Delete))
-	key := window.KeyOf(b.String())
+	key := window.KeyOf(strings.TrimSuffix(c.Path, "/"))
 	return binary.BigEndian.Uint64(key[:])
 }
 
-func boolBytes(bools ...bool) []byte {
-	out := make([]byte, len(bools))
-	for i, b := range bools {
-		if b {
-			out[i] = 1
-		}
-	}
-	return out
-}
-
 // ChangesSince returns the changes after revision rev. ok is false when they are no
 // longer kept (or rev is ahead): the asker needs a snapshot.
 func (m *Machine) ChangesSince(rev uint64) (changes []*pb.ConfigChange, ok bool) {
