--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,69 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// Symptom: servers that fail get several times the load of the callers.
+// Sequence: every attempt fails, and each is tried again as often as allowed.
+// Cause: retries that are bounded per request only, not as a share of first tries.
+func TestRetriesStayWithinTheAllowanceWhileAllFails(t *testing.T) {
+	for _, share := range []float64{0.05, 0.1, 1} {
+		a := NewAllowance()
+		r := settings.Retry{Share: share, MaxAttempts: 5}
+		const firstTries = 10000
+		retries := 0
+		for i := range firstTries {
+			now := t0.Add(time.Duration(i) * time.Millisecond)
+			a.First(now, "team")
+			at := Attempt{Number: 1, NotRun: true}
+			for Safe(now, at, r, now.Add(time.Minute), time.Second) && a.Allow(now, "team", r) {
+				retries++
+				at.Number++
+			}
+		}
+		most := int(share*firstTries) + 2*int(burst)
+		if retries > most || retries < most/2 {
+			t.Errorf("share %v: %d retries for %d first tries, at most %d allowed", share, retries, firstTries, most)
+		}
+	}
+}
+
+func TestTeamsDoNotShareAnAllowance(t *testing.T) {
+	a := NewAllowance()
+	for range 1000 {
+		a.Allow(t0, "greedy", settings.Retry{})
+	}
+	if !a.Allow(t0, "other", settings.Retry{}) {
+		t.Error("one team's retries used up another's allowance")
+	}
+}
+
+// Symptom: a ledger entry is posted twice, or an answer begins anew in its middle.
+// Sequence: an attempt fails in a state in which it may have run.
+// Cause: a retry of what neither surely did not run nor may run twice.
+func TestOnlySafeAttemptsAreRetried(t *testing.T) {
+	left := t0.Add(time.Second)
+	for _, c := range []struct {
+		name string
+		at   Attempt
+		run  time.Duration
+		want bool
+	}{
+		{"surely not run", Attempt{Number: 1, NotRun: true}, 0, true},
+		{"idempotent", Attempt{Number: 1, Idempotent: true}, 0, true},
+		{"may have run", Attempt{Number: 1}, 0, false},
+		{"answer begun", Attempt{Number: 1, Idempotent: true, Started: true}, 0, false},
+		{"attempts used up", Attempt{Number: 3, NotRun: true}, 0, false},
+		{"no time left for a run", Attempt{Number: 1, NotRun: true}, 2 * time.Second, false},
+	} {
+		if got := Safe(t0, c.at, settings.Retry{}, left, c.run); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/silence/silence.go
@@ -0,0 +1,245 @@
+// Package silence finds connections that went silent for good while new ones to
+// the same server work, as when something between the two ends lost track of them.
+// It learns the gaps to expect per server, asks for a probe over a new connection
+// when a stream is quiet for longer, and says when to replace the connection. It is
+// pure: the caller passes the time in, serialises the calls and does the probing.
+package silence
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultFloor        = 250 * time.Millisecond
+	DefaultCeiling      = 5 * time.Second
+	DefaultProbeTimeout = 500 * time.Millisecond
+	DefaultFirstFactor  = 4.0
+	DefaultFirstCeiling = time.Minute
+)
+
+// Learning of gaps.
+const (
+	gapWeight = 0.05
+	// gapDeviations above the mean gap that are still usual.
+	gapDeviations = 8
+	// gapFactor times the mean is usual in any case.
+	gapFactor  = 4
+	minGaps    = 8
+	maxServers = 8192
+)
+
+// Config bounds what is taken for silence; zero fields get the defaults.
+type Config struct {
+	// Floor and Ceiling bound the quiet time between bytes after which a stream is probed.
+	Floor, Ceiling time.Duration
+	// ProbeTimeout is how long a probe may take.
+	ProbeTimeout time.Duration
+	// FirstFactor times the predicted time to the first token is waited for it.
+	FirstFactor float64
+	// FirstCeiling bounds the wait for a first token if the server can't tell of progress.
+	FirstCeiling time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Floor <= 0 {
+		c.Floor = DefaultFloor
+	}
+	if c.Ceiling <= 0 {
+		c.Ceiling = DefaultCeiling
+	}
+	if c.ProbeTimeout <= 0 {
+		c.ProbeTimeout = DefaultProbeTimeout
+	}
+	if c.FirstFactor <= 0 {
+		c.FirstFactor = DefaultFirstFactor
+	}
+	if c.FirstCeiling <= 0 {
+		c.FirstCeiling = DefaultFirstCeiling
+	}
+	return c
+}
+
+// Verdict is what to do about a stream.
+type Verdict int
+
+// Verdicts.
+const (
+	// Wait: nothing is wrong as far as can be told.
+	Wait Verdict = iota
+	// Probe: ask the server over a new connection and report with Probed.
+	Probe
+	// Replace: close the connection and resume its request over a new one, at
+	// another server if the probe had no answer.
+	Replace
+)
+
+// Progress is what a probe over a new connection found.
+type Progress int
+
+// Results of a probe.
+const (
+	// NoAnswer: the server did not answer in time.
+	NoAnswer Progress = iota
+	// Answers: the server answers but can't tell how far the request is.
+	Answers
+	// Waiting: the request still waits or its prompt is computed; no token beyond
+	// those received exists.
+	Waiting
+	// Ahead: the server made tokens that never arrived here.
+	Ahead
+	// Gone: the server does not know the request.
+	Gone
+)
+
+// Detector watches the streams of one host.
+type Detector struct {
+	cfg     Config
+	gaps    map[string]*gap
+	streams map[string]*stream
+}
+
+// gap is the learnt time between bytes from one server, in seconds.
+type gap struct {
+	mean, dev float64
+	n         int
+}
+
+type stream struct {
+	server  string
+	first   time.Duration // predicted time to the first byte
+	opened  time.Time
+	last    time.Time // last byte, or when a probe showed that nothing is wrong
+	begun   bool
+	probing time.Time // when a probe began; zero: none under way
+	replace bool
+}
+
+// New makes a Detector.
+func New(cfg Config) *Detector {
+	return &Detector{cfg: cfg.withDefaults(), gaps: make(map[string]*gap), streams: make(map[string]*stream)}
+}
+
+// Open begins to watch a request sent to server; first is the predicted time to
+// its first byte.
+func (d *Detector) Open(now time.Time, id, server string, first time.Duration) {
+	d.streams[id] = &stream{server: server, first: first, opened: now, last: now}
+}
+
+// Close ends the watch.
+func (d *Detector) Close(id string) { delete(d.streams, id) }
+
+// Byte notes that any byte came on the stream, a keepalive included; token tells
+// that it carried a part of the answer, whose gaps are learnt.
+func (d *Detector) Byte(now time.Time, id string, token bool) {
+	s := d.streams[id]
+	if s == nil {
+		return
+	}
+	if token && s.begun {
+		d.learn(s.server, now.Sub(s.last))
+	}
+	s.begun = s.begun || token
+	s.last = now
+	s.probing = time.Time{}
+	s.replace = false
+}
+
+func (d *Detector) learn(server string, v time.Duration) {
+	g := d.gaps[server]
+	if g == nil {
+		if len(d.gaps) >= maxServers {
+			clear(d.gaps)
+		}
+		g = &gap{mean: v.Seconds()}
+		d.gaps[server] = g
+	}
+	g.n++
+	diff := v.Seconds() - g.mean
+	g.mean += gapWeight * diff
+	g.dev += gapWeight * (math.Abs(diff) - g.dev)
+}
+
+// usual is the quiet time that is nothing unusual after the first byte.
+func (d *Detector) usual(server string) time.Duration {
+	g := d.gaps[server]
+	if g == nil || g.n < minGaps {
+		return d.cfg.Ceiling
+	}
+	seconds := max(gapFactor*g.mean, g.mean+gapDeviations*g.dev)
+	return min(max(time.Duration(seconds*float64(time.Second)), d.cfg.Floor), d.cfg.Ceiling)
+}
+
+// allowed is how long the stream may be quiet before it is probed.
+//
+// Symptom this prevents: a long prompt is being computed, the connection is quiet
+// meanwhile, and the request is moved again and again without ever starting.
+func (d *Detector) allowed(s *stream) time.Duration {
+	if s.begun {
+		return d.usual(s.server)
+	}
+	wait := time.Duration(d.cfg.FirstFactor * float64(s.first))
+	return min(max(wait, d.cfg.Floor), d.cfg.FirstCeiling)
+}
+
+// Check says what to do about the stream now. Probe is said once per quiet time.
+func (d *Detector) Check(now time.Time, id string) Verdict {
+	s := d.streams[id]
+	switch {
+	case s == nil:
+		return Wait
+	case s.replace:
+		return Replace
+	case !s.probing.IsZero():
+		if now.Sub(s.probing) >= d.cfg.ProbeTimeout {
+			return Replace
+		}
+		return Wait
+	case now.Sub(s.last) >= d.allowed(s):
+		s.probing = now
+		return Probe
+	}
+	return Wait
+}
+
+// Probed takes the result of a probe and returns what to do.
+func (d *Detector) Probed(now time.Time, id string, p Progress) Verdict {
+	s := d.streams[id]
+	if s == nil || s.probing.IsZero() {
+		// A byte came while the probe was under way.
+		return Wait
+	}
+	s.probing = time.Time{}
+	switch p {
+	case Waiting:
+		s.last = now
+		return Wait
+	case Answers:
+		// Before the first token quiet is no proof: the prompt may be long.
+		if !s.begun && now.Sub(s.opened) < d.cfg.FirstCeiling {
+			s.last = now
+			return Wait
+		}
+	}
+	s.replace = true
+	return Replace
+}
+
+// NextCheck is when Check has to be called for the stream; zero: not watched.
+func (d *Detector) NextCheck(id string) time.Time {
+	s := d.streams[id]
+	switch {
+	case s == nil:
+		return time.Time{}
+	case s.replace:
+		return s.last
+	case !s.probing.IsZero():
+		return s.probing.Add(d.cfg.ProbeTimeout)
+	}
+	return s.last.Add(d.allowed(s))
+}
+
+// Bound is the longest time from the last byte of a stream that has begun until
+// Replace is said, if the server answers probes truly.
+func (d *Detector) Bound() time.Duration { return d.cfg.Ceiling + d.cfg.ProbeTimeout }
--- /dev/null
+++ b/internal/silence/silence_test.go
@@ -0,0 +1,110 @@
+package silence
+
+import (
+	"testing"
+	"time"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// drive calls Check each millisecond from when it is due until it says something
+// other than Wait, or until the end.
+func drive(d *Detector, id string, until time.Time) (Verdict, time.Time) {
+	at := d.NextCheck(id)
+	if at.IsZero() {
+		return Wait, until
+	}
+	for ; !at.After(until); at = at.Add(time.Millisecond) {
+		if v := d.Check(at, id); v != Wait {
+			return v, at
+		}
+	}
+	return Wait, until
+}
+
+// begun opens a stream and feeds n tokens, every apart.
+func begun(d *Detector, n int, every time.Duration) time.Time {
+	now := t0
+	d.Open(now, "s", "server", 100*time.Millisecond)
+	for range n {
+		now = now.Add(every)
+		d.Byte(now, "s", true)
+	}
+	return now
+}
+
+// Symptom: a stream stops in its middle and its caller waits until the deadline.
+// Sequence: tokens come each 30 ms, then nothing; a new connection works.
+// Cause: something between the two ends has lost track of the connection.
+func TestSilentStreamIsReplacedWithinItsBound(t *testing.T) {
+	for _, tokens := range []int{3, 100} {
+		d := New(Config{})
+		last := begun(d, tokens, 30*time.Millisecond)
+		v, at := drive(d, "s", last.Add(time.Minute))
+		if v != Probe {
+			t.Fatalf("after %d tokens: %v, want Probe", tokens, v)
+		}
+		if tokens >= minGaps && at.Sub(last) > 2*DefaultFloor {
+			t.Errorf("a stream with known gaps of 30ms was probed only after %v", at.Sub(last))
+		}
+		v, at = drive(d, "s", last.Add(time.Minute))
+		if v != Replace || at.Sub(last) > d.Bound() {
+			t.Errorf("no probe answer: %v after %v, the bound is %v", v, at.Sub(last), d.Bound())
+		}
+	}
+}
+
+func TestProbeResultsAfterTheFirstToken(t *testing.T) {
+	want := map[Progress]Verdict{NoAnswer: Replace, Answers: Replace, Waiting: Wait, Ahead: Replace, Gone: Replace}
+	for p, v := range want {
+		d := New(Config{})
+		last := begun(d, 20, 30*time.Millisecond)
+		_, at := drive(d, "s", last.Add(time.Minute))
+		if got := d.Probed(at, "s", p); got != v {
+			t.Errorf("progress %d: got %d, want %d", p, got, v)
+		}
+		if got := d.Check(at, "s"); got != v {
+			t.Errorf("progress %d: Check says %d afterwards, want %d", p, got, v)
+		}
+	}
+}
+
+// Symptom: a request with a long prompt is moved from server to server and never starts.
+// Sequence: the prompt takes 20 s where 2 s were predicted; the connection is quiet meanwhile.
+// Cause: quiet before the first token is taken for a lost connection.
+func TestLongPrefillIsNoSilence(t *testing.T) {
+	for _, p := range []Progress{Waiting, Answers} {
+		d := New(Config{})
+		begun(d, 100, 30*time.Millisecond)
+		d.Open(t0, "long", "server", 2*time.Second)
+		probes := 0
+		end := t0.Add(20 * time.Second)
+		for {
+			v, at := drive(d, "long", end)
+			if v == Wait {
+				break
+			}
+			probes++
+			if v != Probe || d.Probed(at, "long", p) != Wait {
+				t.Fatalf("progress %d: replaced after %v", p, at.Sub(t0))
+			}
+		}
+		if probes == 0 {
+			t.Error("20s of quiet without one probe")
+		}
+	}
+}
+
+func TestByteDuringProbeEndsIt(t *testing.T) {
+	d := New(Config{})
+	last := begun(d, 20, 30*time.Millisecond)
+	_, at := drive(d, "s", last.Add(time.Minute))
+	d.Byte(at.Add(time.Millisecond), "s", false)
+	if v := d.Probed(at.Add(2*time.Millisecond), "s", NoAnswer); v != Wait {
+		t.Errorf("a stream that goes on was given %d", v)
+	}
+	d.Close("s")
+	if v, _ := drive(d, "s", t0); v != Wait || !d.NextCheck("s").IsZero() {
+		t.Error("a closed stream is still watched")
+	}
+}
