--- /dev/null
+++ b/internal/peerconn/link.go
@@ -0,0 +1,173 @@
+package peerconn
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/status"
+)
+
+// link is the way to one address: the present connection and what speaks for its
+// being silent. It implements grpc.ClientConnInterface.
+type link struct {
+	pool    *Pool
+	address string
+
+	mu       sync.Mutex
+	conn     *grpc.ClientConn
+	timeouts int // calls in a row that got no answer in time on conn
+	trying   bool
+	shut     bool
+}
+
+var _ grpc.ClientConnInterface = (*link)(nil)
+
+// Invoke makes a unary call on the present connection and notes how it ended.
+func (l *link) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
+	conn, err := l.get()
+	if err != nil {
+		return err
+	}
+	err = conn.Invoke(ctx, method, args, reply, opts...)
+	l.note(conn, err)
+	return err
+}
+
+// NewStream opens a stream on the present connection. A stream ends with an error
+// when its connection is replaced.
+func (l *link) NewStream(ctx context.Context, desc *grpc.StreamDesc, method string, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+	conn, err := l.get()
+	if err != nil {
+		return nil, err
+	}
+	return conn.NewStream(ctx, desc, method, opts...)
+}
+
+func (l *link) get() (*grpc.ClientConn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.shut {
+		return nil, status.Error(codes.Canceled, "connections are closed")
+	}
+	if l.conn != nil {
+		return l.conn, nil
+	}
+	conn, err := l.pool.dial(l.address)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	l.conn = conn
+	return conn, nil
+}
+
+// note counts timed-out calls of the present connection. Any answer, also a refusal,
+// shows that it is not silent. A call that was cancelled shows nothing.
+func (l *link) note(conn *grpc.ClientConn, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if conn != l.conn {
+		return
+	}
+	switch status.Code(err) {
+	case codes.DeadlineExceeded:
+		l.timeouts++
+	case codes.Canceled, codes.Unavailable:
+		return
+	default:
+		l.timeouts = 0
+	}
+	if l.timeouts < l.pool.cfg.SilentAfter || l.trying {
+		return
+	}
+	l.trying = true
+	l.pool.start(l.tryFresh)
+}
+
+// tryFresh opens a second connection to find out whether the peer or the old
+// connection is at fault. Ready means that the peer's server sent its HTTP/2 settings.
+func (l *link) tryFresh() {
+	fresh, err := l.pool.dial(l.address)
+	if err != nil {
+		l.endTry()
+		return
+	}
+	if !waitReady(fresh, l.pool.cfg.TryTimeout, l.pool.done) {
+		_ = fresh.Close()
+		l.endTry()
+		return
+	}
+	l.replace(fresh)
+}
+
+func (l *link) endTry() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.trying = false
+	l.timeouts = 0
+}
+
+func (l *link) replace(fresh *grpc.ClientConn) {
+	l.mu.Lock()
+	l.trying = false
+	l.timeouts = 0
+	old := l.conn
+	if l.shut {
+		l.mu.Unlock()
+		_ = fresh.Close()
+		return
+	}
+	l.conn = fresh
+	l.mu.Unlock()
+	l.pool.cfg.Log.Warn().Str("peer", l.address).Msg("silent connection replaced")
+	if l.pool.cfg.OnSilent != nil {
+		l.pool.cfg.OnSilent(l.address)
+	}
+	l.closeLater(old)
+}
+
+// closeLater gives calls that are merely slow the time to end. Streams on the old
+// connection end with it: on a silent connection they would wait for ever.
+func (l *link) closeLater(old *grpc.ClientConn) {
+	grace := time.NewTimer(l.pool.cfg.Grace)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case <-l.pool.done:
+	}
+	_ = old.Close()
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shut = true
+	if l.conn != nil {
+		_ = l.conn.Close()
+	}
+}
+
+func waitReady(conn *grpc.ClientConn, timeout time.Duration, done <-chan struct{}) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	conn.Connect()
+	for {
+		state := conn.GetState()
+		if state == connectivity.Ready {
+			return true
+		}
+		if !conn.WaitForStateChange(ctx, state) {
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/peerconn/peerconn.go
@@ -0,0 +1,213 @@
+// Package peerconn holds one gRPC connection to each other process of the fleet
+// and replaces a connection that has gone silent.
+//
+// What goes wrong: something between two hosts loses track of a connection. Its
+// packets vanish, or are acknowledged and go nowhere, while a new connection to the
+// same address works. One notices calls that all time out although the peer is well
+// in everybody else's eyes. Three things prevent a long outage:
+//
+//   - TCP gives up on data that nobody acknowledges (gRPC sets TCP_USER_TIMEOUT to
+//     the keepalive timeout), which finds vanishing packets within pingTimeout.
+//   - Keepalive pings find a silent connection that has no traffic of its own.
+//     Clients may not ping more often than every 10 s, servers every 1 s.
+//   - When several calls in a row time out, a fresh connection is tried beside the old
+//     one. If it becomes ready, it takes the old one's place; if not, the peer itself
+//     is out of reach, and the old one stays.
+package peerconn
+
+import (
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Times of connections.
+const (
+	clientPingEvery = 10 * time.Second // gRPC's lower bound for clients
+	serverPingEvery = 2 * time.Second
+	pingTimeout     = time.Second
+	// reconnectMax bounds gRPC's pause between attempts. Its default of two minutes
+	// would keep hosts apart that long after a cut is mended.
+	reconnectMin = 100 * time.Millisecond
+	reconnectMax = time.Second
+	dialTimeout  = time.Second
+	// idleAfter closes connections to hosts that are no longer talked to.
+	idleAfter = 2 * time.Minute
+)
+
+// Defaults of Config.
+const (
+	DefaultSilentAfter = 3
+	DefaultTryTimeout  = time.Second
+	DefaultGrace       = time.Second
+)
+
+// Buffers are small: a host holds connections to many peers whose messages are
+// mostly under a kilobyte.
+const (
+	bufferBytes     = 8 << 10
+	maxMessageBytes = 64 << 20 // snapshots and gathered records
+)
+
+// Config of a Pool. Zero fields get the defaults.
+type Config struct {
+	// TLS for mutual authentication; nil: plain TCP.
+	TLS *tls.Config
+	// Stats makes spans of calls; nil: none.
+	Stats stats.Handler
+	Log   zerolog.Logger
+	// SilentAfter is the number of timed-out calls in a row after which a fresh
+	// connection is tried.
+	SilentAfter int
+	// TryTimeout bounds the try of a fresh connection.
+	TryTimeout time.Duration
+	// Grace is how long calls on a replaced connection may still end.
+	Grace time.Duration
+	// OnSilent is called for each connection that was replaced; nil: nothing.
+	OnSilent func(address string)
+}
+
+// Pool holds the connections. It is safe for concurrent use.
+type Pool struct {
+	cfg  Config
+	done chan struct{}
+	work sync.WaitGroup
+
+	mu     sync.Mutex
+	links  map[string]*link
+	closed bool
+}
+
+// New returns a pool without connections.
+func New(cfg Config) *Pool {
+	if cfg.SilentAfter <= 0 {
+		cfg.SilentAfter = DefaultSilentAfter
+	}
+	if cfg.TryTimeout <= 0 {
+		cfg.TryTimeout = DefaultTryTimeout
+	}
+	if cfg.Grace <= 0 {
+		cfg.Grace = DefaultGrace
+	}
+	return &Pool{cfg: cfg, done: make(chan struct{}), links: make(map[string]*link)}
+}
+
+// Client returns a client of the Peer service at address. It connects with the
+// first call and stays valid when the connection is replaced.
+func (p *Pool) Client(address string) pb.PeerClient { return pb.NewPeerClient(p.link(address)) }
+
+// Control returns a client of the Control service at address.
+func (p *Pool) Control(address string) pb.ControlClient { return pb.NewControlClient(p.link(address)) }
+
+// Forget closes the connection to an address that is not used any more. Clients of
+// it made before are closed with it; Client makes new ones.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	l := p.links[address]
+	delete(p.links, address)
+	p.mu.Unlock()
+	if l != nil {
+		l.close()
+	}
+}
+
+// Close closes all connections; calls in flight fail.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil
+	}
+	p.closed = true
+	close(p.done)
+	links := p.links
+	p.links = make(map[string]*link)
+	p.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+	p.work.Wait()
+	return nil
+}
+
+func (p *Pool) link(address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[address]
+	if l == nil {
+		l = &link{pool: p, address: address, shut: p.closed}
+		p.links[address] = l
+	}
+	return l
+}
+
+// start runs f unless the pool is closed; Close waits for it.
+func (p *Pool) start(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.work.Go(f)
+}
+
+func (p *Pool) dial(address string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address, p.dialOptions()...)
+	return conn, errors.Wrapf(err, "connect to %s", address)
+}
+
+func (p *Pool) dialOptions() []grpc.DialOption {
+	creds := insecure.NewCredentials()
+	if p.cfg.TLS != nil {
+		creds = credentials.NewTLS(p.cfg.TLS)
+	}
+	delays := backoff.Config{BaseDelay: reconnectMin, Multiplier: 1.6, Jitter: 0.2, MaxDelay: reconnectMax}
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: clientPingEvery, Timeout: pingTimeout, PermitWithoutStream: true,
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: delays, MinConnectTimeout: dialTimeout}),
+		grpc.WithIdleTimeout(idleAfter),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+	}
+	if p.cfg.Stats != nil {
+		options = append(options, grpc.WithStatsHandler(p.cfg.Stats))
+	}
+	return options
+}
+
+// ServerOptions are what a gRPC server needs to go with this package's clients: it
+// allows their pings and pings silent clients itself. A nil tlsConfig means plain TCP.
+func ServerOptions(tlsConfig *tls.Config, handler stats.Handler) []grpc.ServerOption {
+	options := []grpc.ServerOption{
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime: clientPingEvery / 2, PermitWithoutStream: true,
+		}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPingEvery, Timeout: pingTimeout}),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+	}
+	if tlsConfig != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(tlsConfig)))
+	}
+	if handler != nil {
+		options = append(options, grpc.StatsHandler(handler))
+	}
+	return options
+}
--- /dev/null
+++ b/internal/peerconn/peerconn_test.go
@@ -0,0 +1,212 @@
+package peerconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const callTimeout = 100 * time.Millisecond
+
+type fakePeer struct {
+	pb.UnimplementedPeerServer
+}
+
+func (fakePeer) Heartbeat(_ context.Context, m *pb.HeartbeatRequest) (*pb.HeartbeatReply, error) {
+	return &pb.HeartbeatReply{Seq: m.GetSeq()}, nil
+}
+
+func serve(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer(ServerOptions(nil, nil)...)
+	pb.RegisterPeerServer(server, fakePeer{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+// middle forwards connections; mute makes those it has silent, and new ones too if all.
+type middle struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	muteFrom int // connections numbered below are silent
+	count    int
+	conns    []net.Conn
+}
+
+func newMiddle(t *testing.T, target string) *middle {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &middle{listener: listener, target: target}
+	go m.accept()
+	t.Cleanup(m.close)
+	return m
+}
+
+func (m *middle) accept() {
+	for {
+		in, err := m.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", m.target)
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		number := m.count
+		m.count++
+		m.conns = append(m.conns, in, out)
+		m.mu.Unlock()
+		go m.copy(number, out, in)
+		go m.copy(number, in, out)
+	}
+}
+
+// copy swallows what comes over a silent connection: its ends see acknowledgements only.
+func (m *middle) copy(number int, to io.Writer, from io.Reader) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		silent := number < m.muteFrom
+		m.mu.Unlock()
+		if !silent {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+func (m *middle) mute(all bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.muteFrom = m.count
+	if all {
+		m.muteFrom = 1 << 30
+	}
+}
+
+func (m *middle) close() {
+	_ = m.listener.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.conns {
+		_ = c.Close()
+	}
+}
+
+func call(client pb.PeerClient) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err := client.Heartbeat(ctx, &pb.HeartbeatRequest{})
+	return err
+}
+
+// Symptom: one host finds another dead although everybody else reaches it.
+// Sequence: the connection between them goes silent; new ones work.
+// Cause: the silent connection was kept, since TCP saw its data acknowledged.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	silent := make(chan string, 8)
+	address := serve(t)
+	m := newMiddle(t, address)
+	defer m.close()
+	pool := New(Config{OnSilent: func(a string) { silent <- a }, Grace: time.Millisecond})
+	defer func() { _ = pool.Close() }()
+	client := pool.Client(m.listener.Addr().String())
+	if err := call(client); err != nil {
+		t.Fatal(err)
+	}
+	m.mute(false)
+	for i := range DefaultSilentAfter {
+		if err := call(client); status.Code(err) != codes.DeadlineExceeded {
+			t.Fatalf("call %d over the silent connection: %v", i, err)
+		}
+	}
+	select {
+	case <-silent:
+	case <-time.After(5 * time.Second):
+		t.Fatal("not replaced")
+	}
+	if err := call(client); err != nil {
+		t.Errorf("after the replacement: %v", err)
+	}
+}
+
+// Symptom: connections are opened over and over to a host that is out of reach.
+// Sequence: everything to the host is lost; calls time out; then the cut is mended.
+// Cause: a fresh connection that works no better was taken for the old one's repair.
+func TestConnectionStaysWhileThePeerIsOutOfReach(t *testing.T) {
+	address := serve(t)
+	m := newMiddle(t, address)
+	replaced := make(chan string, 8)
+	pool := New(Config{OnSilent: func(a string) { replaced <- a }, TryTimeout: callTimeout})
+	defer func() { _ = pool.Close() }()
+	client := pool.Client(m.listener.Addr().String())
+	if err := call(client); err != nil {
+		t.Fatal(err)
+	}
+	m.mute(true)
+	for range 2 * DefaultSilentAfter {
+		_ = call(client)
+	}
+	l := pool.link(m.listener.Addr().String())
+	for deadline := time.Now().Add(5 * time.Second); ; {
+		l.mu.Lock()
+		trying := l.trying
+		l.mu.Unlock()
+		if !trying || time.Now().After(deadline) {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if len(replaced) != 0 {
+		t.Error("replaced by a connection that gave no answer")
+	}
+	m.mu.Lock()
+	tried := m.count > 1
+	m.muteFrom = 0
+	m.mu.Unlock()
+	if !tried {
+		t.Error("no fresh connection was tried")
+	}
+}
+
+func TestClosedPoolRefusesCalls(t *testing.T) {
+	pool := New(Config{})
+	client := pool.Client(serve(t))
+	if err := call(client); err != nil {
+		t.Fatal(err)
+	}
+	if err := pool.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := call(client); status.Code(err) != codes.Canceled {
+		t.Errorf("call after Close: %v", err)
+	}
+	if err := call(pool.Client("127.0.0.1:1")); status.Code(err) != codes.Canceled {
+		t.Errorf("new client after Close: %v", err)
+	}
+}
