--- /dev/null
+++ b/internal/controller/members/beat.go
@@ -0,0 +1,88 @@
+package members
+
+import (
+	"context"
+
+	"github.com/bluebellsail/bluebellsail/internal/membership"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// beat is one heartbeat on its way.
+type beat struct {
+	target  membership.Target
+	sentAt  int64
+	request *pb.HeartbeatRequest
+}
+
+// tick advances membership by one interval and makes the heartbeats to send.
+func (c *Controller) tick() []beat {
+	servers := c.cfg.Registry.Servers()
+	work := c.cfg.Registry.RecentWork()
+	var load Load
+	if c.cfg.Load != nil {
+		load = c.cfg.Load()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.SetLoad(load.SparePermille, load.ConfigRevision)
+	targets := c.table.Tick()
+	hosts := c.table.Hosts()
+	c.delta.Keep(hosts, servers)
+	holders := holdersOf(hosts)
+	beats := make([]beat, 0, len(targets))
+	for _, target := range targets {
+		request := c.table.Message(target.Host)
+		request.Recent = work
+		request.Servers = servers
+		if holder := holders[target.Host]; holder != nil {
+			request.Servers = c.delta.Select(holder, servers)
+		}
+		beats = append(beats, beat{target: target, sentAt: c.table.Now(), request: request})
+	}
+	c.publish()
+	return beats
+}
+
+func holdersOf(hosts []membership.Host) map[string]*pb.Holder {
+	holders := make(map[string]*pb.Holder, len(hosts))
+	for _, h := range hosts {
+		holders[h.Holder.GetHost()] = h.Holder
+	}
+	return holders
+}
+
+// send makes the call and takes its outcome.
+func (c *Controller) send(ctx context.Context, b beat) {
+	callCtx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	reply, err := c.cfg.Peers.Client(b.target.Address).Heartbeat(callCtx, b.request)
+	if ctx.Err() != nil {
+		return // this process stops; it says nothing of the peer
+	}
+	c.cfg.Metrics.HeartbeatsSent.Add(1)
+	c.countBytes(b.request)
+	if err != nil {
+		c.unanswered(b, err)
+		return
+	}
+	c.answered(b, reply)
+}
+
+func (c *Controller) unanswered(b beat, err error) {
+	c.cfg.Metrics.HeartbeatsFailed.Add(1)
+	c.cfg.Log.Debug().Str("peer", b.target.Host).Str("address", b.target.Address).Err(err).Msg("heartbeat unanswered")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Unanswered(b.sentAt, b.target.Host)
+	c.publishChanges()
+}
+
+func (c *Controller) answered(b beat, reply *pb.HeartbeatReply) {
+	c.countBytes(reply)
+	c.cfg.Registry.Merge(reply.GetState().GetServers())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.ReceiveReply(b.sentAt, b.target.Host, reply)
+	c.delta.Has(reply.GetFrom(), b.request.GetServers())
+	c.publishChanges()
+}
--- /dev/null
+++ b/internal/controller/members/members.go
@@ -0,0 +1,222 @@
+// Package members runs the membership of hosts: it exchanges heartbeats with peers,
+// carries the backend servers' states and the settings revisions along, and answers
+// which hosts live and which addresses callers should use. What is decided stands in
+// package membership.
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/membership"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/telemetry"
+)
+
+// DefaultTimeout is how long a heartbeat's reply is waited for.
+const DefaultTimeout = 250 * time.Millisecond
+
+// Registry is the host's registry of backend servers.
+type Registry interface {
+	// Servers returns the states to pass on.
+	Servers() []*pb.ServerState
+	// Merge takes states that another host passed on.
+	Merge(servers []*pb.ServerState)
+	// RecentWork returns what this host sent to each server since its last report.
+	RecentWork() []*pb.RecentWork
+	// MergeWork replaces what is known of another host's recent work.
+	MergeWork(from *pb.Holder, work []*pb.RecentWork)
+}
+
+// Peers gives clients of the Peer service; *peerconn.Pool implements it.
+type Peers interface {
+	Client(address string) pb.PeerClient
+}
+
+// Load is what this host tells of itself with each heartbeat.
+type Load struct {
+	// SparePermille is its spare room in thousandths.
+	SparePermille uint32
+	// ConfigRevision is the settings revision in force here.
+	ConfigRevision uint64
+}
+
+// Config of a Controller.
+type Config struct {
+	// Membership of this host; its Interval is the time between heartbeats.
+	Membership membership.Config
+	// Seed of the random choices; distinct per process.
+	Seed uint64
+	// Timeout of a heartbeat; below the interval. Default DefaultTimeout.
+	Timeout  time.Duration
+	Peers    Peers
+	Registry Registry
+	// Load is asked once per interval; nil: no load is told.
+	Load    func() Load
+	Log     zerolog.Logger
+	Metrics *telemetry.Metrics
+}
+
+// PeerInfo is what is known of one other host.
+type PeerInfo struct {
+	Host           string
+	Incarnation    uint64
+	Zone           string
+	PeerAddress    string
+	CallerAddress  string
+	Health         pb.HostHealth
+	Leaving        bool
+	ConfigRevision uint64
+	SparePermille  uint32
+}
+
+// Controller exchanges heartbeats. It is safe for concurrent use.
+type Controller struct {
+	cfg  Config
+	kick chan struct{}
+	// peers is the present view, for readers that must not wait.
+	peers atomic.Pointer[[]PeerInfo]
+
+	mu    sync.Mutex
+	table *membership.Table
+	delta *membership.ServerDelta
+	// published is the table's count of changes that peers shows.
+	published uint64
+}
+
+// New returns a controller that doesn't send yet.
+func New(cfg Config) *Controller {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.Membership.Interval <= 0 {
+		cfg.Membership.Interval = membership.DefaultInterval
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = telemetry.NewMetrics()
+	}
+	c := &Controller{
+		cfg:   cfg,
+		kick:  make(chan struct{}, 1),
+		table: membership.New(cfg.Membership, rand.New(rand.NewPCG(cfg.Seed, 0))),
+		delta: membership.NewServerDelta(),
+	}
+	c.publish()
+	return c
+}
+
+// Run sends heartbeats until ctx ends, and then waits for those in flight.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.cfg.Membership.Interval)
+	defer ticker.Stop()
+	var beats sync.WaitGroup
+	defer beats.Wait()
+	for {
+		for _, b := range c.tick() {
+			beats.Go(func() { c.send(ctx, b) })
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-c.kick:
+		}
+	}
+}
+
+// Leave marks this host as leaving and tells its peers at once.
+func (c *Controller) Leave() {
+	c.mu.Lock()
+	c.table.Leave()
+	c.mu.Unlock()
+	select {
+	case c.kick <- struct{}{}:
+	default: // a heartbeat is about to go out
+	}
+}
+
+// SetIncarnation sets the incarnation that the control group gave this run.
+// Heartbeats before it are answered but tell nothing of this host.
+func (c *Controller) SetIncarnation(n uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.SetIncarnation(n)
+}
+
+// Learn takes the hosts registered with the control group.
+func (c *Controller) Learn(hosts []*pb.HostInfo) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Learn(hosts)
+	c.publish()
+}
+
+// Peers returns what is known of the other hosts, ordered by name. It must not be changed.
+func (c *Controller) Peers() []PeerInfo { return *c.peers.Load() }
+
+// Addresses answers a caller of the given availability zone; see membership.Table.
+func (c *Controller) Addresses(zone string, ttl time.Duration) []membership.Address {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Addresses(time.Now(), zone, ttl)
+}
+
+// HandleHeartbeat takes a peer's heartbeat and returns the reply. The reply carries no
+// backend servers: this host's own heartbeats bring them, and their replies show that
+// they arrived.
+func (c *Controller) HandleHeartbeat(m *pb.HeartbeatRequest) *pb.HeartbeatReply {
+	c.cfg.Registry.Merge(m.GetServers())
+	if m.GetFrom().GetIncarnation() > 0 {
+		c.cfg.Registry.MergeWork(m.GetFrom(), m.GetRecent())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.ReceiveRequest(m)
+	c.delta.Has(m.GetFrom(), m.GetServers())
+	state := c.table.Message(m.GetFrom().GetHost())
+	c.publishChanges()
+	reply := &pb.HeartbeatReply{From: state.GetFrom(), Seq: m.GetSeq(), State: state}
+	c.countBytes(m, reply)
+	return reply
+}
+
+// publish renews the view for readers; c.mu is held or c not shared yet.
+func (c *Controller) publish() {
+	hosts := c.table.Hosts()
+	peers := make([]PeerInfo, 0, len(hosts))
+	for _, h := range hosts {
+		peers = append(peers, PeerInfo{
+			Host:           h.Holder.GetHost(),
+			Incarnation:    h.Holder.GetIncarnation(),
+			Zone:           h.Zone,
+			PeerAddress:    h.PeerAddress,
+			CallerAddress:  h.CallerAddress,
+			Health:         h.Health,
+			Leaving:        h.Leaving,
+			ConfigRevision: h.ConfigRevision,
+			SparePermille:  h.SparePermille,
+		})
+	}
+	c.peers.Store(&peers)
+	c.published = c.table.Changes()
+}
+
+// publishChanges leaves the view as it is, until the next tick, when nothing changed
+// in who lives or leaves.
+func (c *Controller) publishChanges() {
+	if c.table.Changes() != c.published {
+		c.publish()
+	}
+}
+
+func (c *Controller) countBytes(messages ...proto.Message) {
+	for _, m := range messages {
+		c.cfg.Metrics.HeartbeatBytes.Add(int64(proto.Size(m)))
+	}
+}
--- /dev/null
+++ b/internal/controller/members/members_test.go
@@ -0,0 +1,221 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
+
+	"github.com/bluebellsail/bluebellsail/internal/membership"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// fakeRegistry keeps the newest announcement of each server.
+type fakeRegistry struct {
+	mu      sync.Mutex
+	servers map[string]*pb.ServerState
+	work    map[string][]*pb.RecentWork
+	merged  int
+}
+
+func (r *fakeRegistry) Servers() []*pb.ServerState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []*pb.ServerState
+	for _, s := range r.servers {
+		all = append(all, s)
+	}
+	return all
+}
+
+func (r *fakeRegistry) Merge(servers []*pb.ServerState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.merged += len(servers)
+	for _, s := range servers {
+		if old := r.servers[s.GetAddress()]; old.GetSeq() < s.GetSeq() {
+			r.servers[s.GetAddress()] = s
+		}
+	}
+}
+
+// summary is the server's newest seq, the number of peers whose work is known and the
+// number of states merged so far.
+func (r *fakeRegistry) summary(server string) (seq uint64, work, merged int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.servers[server].GetSeq(), len(r.work), r.merged
+}
+
+func (r *fakeRegistry) RecentWork() []*pb.RecentWork {
+	return []*pb.RecentWork{{Server: "10.1.0.1:8000", Requests: 3}}
+}
+
+func (r *fakeRegistry) MergeWork(from *pb.Holder, work []*pb.RecentWork) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.work[from.GetHost()] = work
+}
+
+// network connects controllers without sockets. A silent host takes calls and never answers.
+type network struct {
+	mu     sync.Mutex
+	hosts  map[string]*Controller
+	silent map[string]bool // by address; a silent host isn't heard either
+}
+
+type networkClient struct {
+	pb.PeerClient
+	net     *network
+	address string
+}
+
+func (n *network) Client(address string) pb.PeerClient {
+	return networkClient{net: n, address: address}
+}
+
+func (c networkClient) Heartbeat(ctx context.Context, m *pb.HeartbeatRequest, _ ...grpc.CallOption) (*pb.HeartbeatReply, error) {
+	c.net.mu.Lock()
+	peer, silent := c.net.hosts[c.address], c.net.silent[c.address] || c.net.silent[m.GetPeerAddress()]
+	c.net.mu.Unlock()
+	if silent || peer == nil {
+		<-ctx.Done()
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+	return peer.HandleHeartbeat(m), nil
+}
+
+func (n *network) setSilent(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[address] = true
+}
+
+type testFleet struct {
+	*network
+	controllers []*Controller
+	registries  []*fakeRegistry
+}
+
+func testAddress(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+
+// startFleet runs n controllers until the test ends.
+func startFleet(t *testing.T, n int) *testFleet {
+	f := &testFleet{network: &network{hosts: make(map[string]*Controller), silent: make(map[string]bool)}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range n {
+		registry := &fakeRegistry{servers: make(map[string]*pb.ServerState), work: make(map[string][]*pb.RecentWork)}
+		c := New(Config{
+			Membership: membership.Config{
+				Self:  membership.Self{Host: fmt.Sprint("h", i), Incarnation: 1, Zone: "renca", CallerAddress: testAddress(i), PeerAddress: testAddress(i)},
+				Seeds: []string{testAddress(0), testAddress(1)},
+			},
+			Seed: uint64(i), Peers: f.network, Registry: registry,
+			Load: func() Load { return Load{SparePermille: 700, ConfigRevision: 42} },
+		})
+		f.hosts[testAddress(i)] = c
+		f.controllers = append(f.controllers, c)
+		f.registries = append(f.registries, registry)
+	}
+	for _, c := range f.controllers {
+		running.Go(func() { c.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return f
+}
+
+func intervals(n int) { time.Sleep(time.Duration(n)*membership.DefaultInterval + time.Millisecond) }
+
+func TestHeartbeatsCarryHostsServersWorkAndRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 4)
+		intervals(6)
+		f.registries[3].Merge([]*pb.ServerState{{Address: "10.1.0.1:8000", Incarnation: 1, Seq: 9}})
+		intervals(2)
+		for i, r := range f.registries {
+			seq, work, before := r.summary("10.1.0.1:8000")
+			if seq != 9 || work != 3 {
+				t.Errorf("host %d has the server at seq %d, the work of %d peers", i, seq, work)
+			}
+			for _, p := range f.controllers[i].Peers() {
+				if p.ConfigRevision != 42 || p.SparePermille != 700 || p.Health != pb.HostHealth_HOST_HEALTH_ALIVE {
+					t.Errorf("host %d sees %+v", i, p)
+				}
+			}
+			if got := len(f.controllers[i].Addresses("renca", time.Minute)); got != 4 {
+				t.Errorf("host %d answers %d addresses", i, got)
+			}
+			intervals(10)
+			if _, _, after := r.summary(""); after-before > 3 {
+				t.Errorf("host %d got an unchanged server %d times in 10 intervals", i, after-before)
+			}
+		}
+	})
+}
+
+// Symptom: callers are sent to a host for half a second after it began to leave.
+// Sequence: Leave is called between two heartbeats.
+// Cause: the flag waited for the next one.
+func TestLeaveIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3)
+		intervals(6)
+		time.Sleep(10 * time.Millisecond)
+		f.controllers[1].Leave()
+		synctest.Wait()
+		for _, i := range []int{0, 2} {
+			for _, a := range f.controllers[i].Addresses("renca", time.Minute) {
+				if a.Host == "h1" {
+					t.Errorf("host %d still answers h1", i)
+				}
+			}
+		}
+	})
+}
+
+// Symptom: one silent host delays the heartbeats to all others, and they doubt each other.
+// Sequence: three hosts of seven take calls and never answer.
+// Cause: heartbeats waited for one another, or the timeout was over the interval.
+func TestSilentHostIsFoundAndDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 7)
+		intervals(6)
+		for _, i := range []int{2, 4, 5} {
+			f.setSilent(testAddress(i))
+		}
+		intervals(membership.DefaultDeadAfter + 2)
+		for _, i := range []int{0, 1, 3, 6} {
+			for _, p := range f.controllers[i].Peers() {
+				want := pb.HostHealth_HOST_HEALTH_ALIVE
+				if p.Host == "h2" || p.Host == "h4" || p.Host == "h5" {
+					want = pb.HostHealth_HOST_HEALTH_DEAD
+				}
+				if p.Health != want {
+					t.Errorf("host %d sees %s as %v", i, p.Host, p.Health)
+				}
+			}
+		}
+	})
+}
+
+func TestBeatErrorsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 2)
+		intervals(4)
+		f.setSilent(testAddress(1))
+		intervals(2)
+		m := f.controllers[0].cfg.Metrics
+		if m.HeartbeatsFailed.Value() == 0 || m.HeartbeatsSent.Value() <= m.HeartbeatsFailed.Value() || m.HeartbeatBytes.Value() == 0 {
+			t.Errorf("sent %v failed %v bytes %v", m.HeartbeatsSent.Value(), m.HeartbeatsFailed.Value(), m.HeartbeatBytes.Value())
+		}
+	})
+}
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -17,6 +17,7 @@
 // spread puts e among the entries that go first; full tells whether its addresses
 // are news too.
 func (t *Table) spread(e *entry, full bool) {
+	t.changes++
 	e.newsLeft = newsPerRound * t.rounds()
 	e.newsFull = e.newsFull || full
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -120,6 +120,7 @@
 	leaving  bool
 	spare    uint32
 	rev      uint64
+	changes  uint64
 
 	hosts map[string]*entry
 	// order holds the entries in a stable order for rotation and choice.
@@ -187,6 +188,10 @@
 // Leaving tells whether Leave was called.
 func (t *Table) Leaving() bool { return t.leaving }
 
+// Changes counts changes in who lives, leaves or is known. A reader of Hosts whose
+// count is still the same, in the same tick, has missed nothing of these.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // Hosts returns what is known of the other hosts, in a stable order.
 func (t *Table) Hosts() []Host {
 	hosts := make([]Host, 0, len(t.order))
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -29,6 +30,22 @@
 	return f
 }
 
+// Symptom: two hosts stay apart although nothing is between them any more.
+// Sequence: a fleet of two is cut for a minute; the cut is mended.
+// Cause: each had stopped asking the other, and there was no third.
+func TestTwoHostsFindEachOtherAgain(t *testing.T) {
+	f := settled(t, 2)
+	f.isolate(0, true)
+	f.run(120)
+	f.isolate(0, false)
+	f.run(2)
+	for i := range f.hosts {
+		if got := f.names(i); len(got) != 2 {
+			t.Errorf("host %d answers %v", i, got)
+		}
+	}
+}
+
 // Symptom: a host that callers can reach is dropped from the address answers.
 // Sequence: messages from host 0 to host 1 (then both ways) are lost for a minute;
 // five others reach both.
@@ -128,8 +145,8 @@
 	}
 	stale.Seq = f.hosts[5].seq + 1
 	f.hosts[0].ReceiveRequest(stale)
-	f.deliverHeld()
 	for range 20 {
+		f.deliverHeld()
 		for i := range 6 {
 			if got := f.health(i, 6); got != dead {
 				t.Fatalf("host %d has the dead host as %v", i, got)
@@ -172,6 +189,13 @@
 			t.Errorf("passed on: %v", s)
 		}
 	}
+	large := New(Config{Self: Self{Host: "h"}}, rand.New(rand.NewPCG(1, 1)))
+	for i := range 20 {
+		large.Learn([]*pb.HostInfo{{Host: simName(i), Incarnation: 1, PeerAddress: simAddress(i)}})
+	}
+	if got := large.Message("").GetHosts(); len(got) != 0 || large.fullMesh() {
+		t.Errorf("passed on in a large fleet: %v", got)
+	}
 	h.ReceiveRequest(f.hosts[1].Message(""))
 	if got := f.names(0); slices.Contains(got, simName(1)) {
 		t.Errorf("the removed host is back: %v", got)
@@ -215,6 +239,7 @@
 func TestSampledFleet(t *testing.T) {
 	const n = 60
 	f := settled(t, n)
+	f.digest = 0 // while it was small, whole views were sent
 	f.cut[[2]int{0, 1}] = true
 	f.isolate(7, true) // cut off, with its own view of everybody as dead
 	f.hosts[9].running = false
@@ -243,6 +268,9 @@
 			}
 		}
 	}
+	if f.digest > DefaultDigestBytes {
+		t.Errorf("a digest of %d bytes", f.digest)
+	}
 	for i := range n {
 		if i != 9 && !slices.Equal(f.names(i), f.truth()) {
 			t.Errorf("host %d: %d hosts, want %d", i, len(f.names(i)), len(f.truth()))
@@ -258,3 +286,38 @@
 		t.Errorf("two runs of one seed differ: %d and %d bytes", a.bytes, b.bytes)
 	}
 }
+
+// Symptom: some hosts of a large fleet never drop a dead host; or drop live ones in waves.
+// Sequence: host x is heard by all, then stays silent for host r alone, or for good.
+// Host q, which doesn't watch x, hears of it from r only.
+// Cause: the doubt carried the age of its beginning, which q's evidence outlived for
+// ever; or an age lost up to a tick on the way and beat evidence of the same time.
+func TestDoubtCountsOnlyAgainstOlderEvidence(t *testing.T) {
+	var registered []*pb.HostInfo
+	for i := range 20 {
+		registered = append(registered, &pb.HostInfo{Host: simName(i), Incarnation: 1, PeerAddress: simAddress(i)})
+	}
+	r := New(Config{Self: Self{Host: "r", Incarnation: 1}}, rand.New(rand.NewPCG(1, 1)))
+	q := New(Config{Self: Self{Host: "q", Incarnation: 1}}, rand.New(rand.NewPCG(1, 2)))
+	x := New(Config{Self: Self{Host: simName(3), Incarnation: 1}}, rand.New(rand.NewPCG(1, 3)))
+	for _, table := range []*Table{r, q} {
+		table.Learn(registered)
+		table.ReceiveRequest(x.Message(""))
+	}
+	r.Tick()
+	q.Tick() // x's heartbeat of this tick is still on its way to q
+	r.Unanswered(r.Now(), simName(3))
+	q.ReceiveRequest(r.Message("q"))
+	if q.hosts[simName(3)].doubted {
+		t.Error("a doubt beat evidence of the same tick")
+	}
+	for range 3 * DefaultDeadAfter {
+		q.Tick()
+		r.Tick()
+		r.Unanswered(r.Now(), simName(3))
+		q.ReceiveRequest(r.Message("q"))
+	}
+	if got := q.health(q.hosts[simName(3)]); got != dead {
+		t.Errorf("the dead host is %v for a host that doesn't watch it", got)
+	}
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -57,6 +57,7 @@
 func (t *Table) drop(e *entry) {
 	delete(t.hosts, e.host)
 	isIt := func(x *entry) bool { return x == e }
+	t.changes++
 	t.order = slices.DeleteFunc(t.order, isIt)
 	t.neighbours = slices.DeleteFunc(t.neighbours, isIt)
 }
@@ -116,12 +117,17 @@
 	t.hear(e, t.now)
 }
 
-// ReceiveReply takes the answer to a heartbeat that was sent at tick sentAt. All
+// ReceiveReply takes the answer to a heartbeat that was sent to host to (empty: not
+// known) at tick sentAt. An answer by another host, or by a run of the host that isn't
+// registered yet, shows that the run which was asked is gone. All
 // that it says was true at sentAt or later, so its ages count from there: evidence
 // can only be taken for older than it is, never for younger, however many hosts it
 // passes through.
-func (t *Table) ReceiveReply(sentAt int64, reply *pb.HeartbeatReply) {
+func (t *Table) ReceiveReply(sentAt int64, to string, reply *pb.HeartbeatReply) {
 	m := reply.GetState()
+	if m.GetFrom().GetHost() != to || m.GetFrom().GetIncarnation() == 0 {
+		t.Unanswered(sentAt, to)
+	}
 	e := t.sender(m)
 	if e == nil {
 		return
@@ -234,7 +240,7 @@
 		t.spread(e, false)
 		return
 	}
-	if slices.Contains(t.neighbours, e) {
+	if !t.dead(e) && slices.Contains(t.neighbours, e) {
 		e.probe = true
 	}
 	t.startDoubt(e, unanswered)
--- /dev/null
+++ b/internal/membership/rapid_test.go
@@ -0,0 +1,157 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	rapidHosts = 6
+	// quietTicks is enough for a fleet without faults to agree.
+	quietTicks = 3 * DefaultDeadAfter
+)
+
+// rapidFleet drives a fleet through random faults. The oracle is plain: which hosts
+// run and leave, and when each was last running.
+type rapidFleet struct {
+	*fleet
+	// lastRun is the tick count of the world at which a host last ran.
+	lastRun map[int]int
+	world   int
+	// delivered is the tick count at which held-up requests last arrived.
+	delivered int
+	// seen holds what each view has shown: incarnations and leaving flags.
+	seen map[[2]int]seenView
+}
+
+// seenView is what a run of a host has shown of another.
+type seenView struct {
+	run  uint64
+	host Host
+}
+
+// TestMain fixes the seed, so that every run checks the same sequences.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+func TestViewsUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &rapidFleet{
+			fleet:   newFleet(rapidHosts, rapid.Uint64().Draw(t, "seed"), Config{}),
+			lastRun: make(map[int]int), seen: make(map[[2]int]seenView),
+		}
+		f.tick(t, quietTicks)
+		t.Repeat(map[string]func(*rapid.T){
+			"run":     func(t *rapid.T) { f.tick(t, rapid.IntRange(1, 15).Draw(t, "ticks")) },
+			"cut":     f.setCut,
+			"stop":    f.stop,
+			"restart": f.restart,
+			"leave":   f.leaveOne,
+			"stale":   f.stale,
+			"hold":    f.holdOne,
+			"quiet":   f.quiet,
+			"":        f.check,
+		})
+	})
+}
+
+func anyHost(t *rapid.T, name string) int { return rapid.IntRange(0, rapidHosts-1).Draw(t, name) }
+
+func (f *rapidFleet) tick(t *rapid.T, n int) {
+	for range n {
+		f.run(1)
+		f.world++
+		for i, h := range f.hosts {
+			if h.running {
+				f.lastRun[i] = f.world
+			}
+		}
+		f.check(t)
+	}
+}
+
+func (f *rapidFleet) setCut(t *rapid.T) {
+	pair := [2]int{anyHost(t, "from"), anyHost(t, "to")}
+	f.cut[pair] = !f.cut[pair]
+}
+
+func (f *rapidFleet) stop(t *rapid.T)     { f.hosts[anyHost(t, "stop")].running = false }
+func (f *rapidFleet) restart(t *rapid.T)  { f.start(anyHost(t, "restart")) }
+func (f *rapidFleet) leaveOne(t *rapid.T) { f.leave(anyHost(t, "leave")) }
+
+// holdOne makes a host's requests lie somewhere on their way; its former ones are lost.
+func (f *rapidFleet) holdOne(t *rapid.T) {
+	f.held = nil
+	f.holdFrom = anyHost(t, "hold")
+}
+
+func (f *rapidFleet) stale(*rapid.T) {
+	f.deliverHeld()
+	f.delivered = f.world
+}
+
+// quiet ends all faults; then every view must be the truth.
+func (f *rapidFleet) quiet(t *rapid.T) {
+	clear(f.cut)
+	f.holdFrom = nobody
+	f.held = nil
+	f.tick(t, quietTicks)
+	want := f.truth()
+	for i, h := range f.hosts {
+		if !h.running || len(want) == 0 {
+			continue
+		}
+		if got := f.names(i); !slices.Equal(got, want) {
+			t.Fatalf("host %d answers %v, want %v", i, got, want)
+		}
+	}
+}
+
+// check holds in every state.
+func (f *rapidFleet) check(t *rapid.T) {
+	for i, h := range f.hosts {
+		if !h.running {
+			continue
+		}
+		if len(h.Addresses(testNow, "olinda", testTTL)) == 0 {
+			t.Fatalf("host %d answers nothing", i)
+		}
+		for j := range f.hosts {
+			f.checkView(t, i, j)
+		}
+	}
+}
+
+func (f *rapidFleet) checkView(t *rapid.T, i, j int) {
+	v := f.view(i, j)
+	if i == j || v.Holder == nil {
+		return
+	}
+	key := [2]int{i, j}
+	run := f.hosts[i].incarnation
+	now, was := v.Holder.GetIncarnation(), f.seen[key].host
+	if f.seen[key].run == run {
+		if now < was.Holder.GetIncarnation() {
+			t.Fatalf("host %d went back to incarnation %d of host %d", i, now, j)
+		}
+		if was.Leaving && !v.Leaving && now == was.Holder.GetIncarnation() {
+			t.Fatalf("host %d forgot that host %d is leaving", i, j)
+		}
+	}
+	f.seen[key] = seenView{run: run, host: v}
+	// A host that stopped long ago is alive to nobody but one whom held-up requests
+	// reached in two ticks; those can't carry it further than one more death.
+	silent := f.world - f.lastRun[j]
+	if v.Health == alive && silent > 2*DefaultDeadAfter+rapidHosts && f.world-f.delivered > DefaultDeadAfter+rapidHosts {
+		t.Fatalf("host %d has host %d alive, which stopped %d ticks ago", i, j, silent)
+	}
+}
--- /dev/null
+++ b/internal/membership/serverdelta.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	// resendEvery is the number of heartbeats to a peer after which it gets all
+	// states again, in case it has lost some.
+	resendEvery = 20
+	// maxServers bounds the states in one heartbeat; the rest goes with the next ones.
+	maxServers = 64
+)
+
+// serverVersion orders the announcements of one backend server.
+type serverVersion struct{ incarnation, seq uint64 }
+
+func versionOf(s *pb.ServerState) serverVersion {
+	return serverVersion{incarnation: s.GetIncarnation(), seq: s.GetSeq()}
+}
+
+func (v serverVersion) before(w serverVersion) bool {
+	return cmp.Or(cmp.Compare(v.incarnation, w.incarnation), cmp.Compare(v.seq, w.seq)) < 0
+}
+
+// peerKnowledge is what one run of a peer surely has.
+type peerKnowledge struct {
+	incarnation uint64
+	beats       int
+	servers     map[string]serverVersion
+}
+
+// ServerDelta chooses the backend servers' states that a heartbeat to a peer must
+// carry: those that the peer isn't known to have. It is not safe for concurrent use.
+type ServerDelta struct {
+	peers map[string]*peerKnowledge
+}
+
+// NewServerDelta returns a delta that takes every peer for ignorant.
+func NewServerDelta() *ServerDelta {
+	return &ServerDelta{peers: make(map[string]*peerKnowledge)}
+}
+
+// Select returns the states to send to a peer now, at most maxServers: leaving
+// servers first, then those that the peer never had, then the others.
+func (d *ServerDelta) Select(peer *pb.Holder, all []*pb.ServerState) []*pb.ServerState {
+	k := d.knowledge(peer)
+	k.beats++
+	if k.beats%resendEvery == 0 {
+		clear(k.servers)
+	}
+	var missing []*pb.ServerState
+	for _, s := range all {
+		known, ok := k.servers[s.GetAddress()]
+		if !ok || known.before(versionOf(s)) {
+			missing = append(missing, s)
+		}
+	}
+	if len(missing) <= maxServers {
+		return missing
+	}
+	slices.SortStableFunc(missing, func(a, b *pb.ServerState) int {
+		return cmp.Compare(k.urgency(a), k.urgency(b))
+	})
+	return missing[:maxServers]
+}
+
+// urgency is lower for states that must go first.
+func (k *peerKnowledge) urgency(s *pb.ServerState) int {
+	if s.GetLeaving() {
+		return 0
+	}
+	known, ok := k.servers[s.GetAddress()]
+	if !ok || known.incarnation < s.GetIncarnation() {
+		return 1
+	}
+	return 2
+}
+
+// Has takes that the peer has these states: it answered the heartbeat that carried
+// them, or sent them itself.
+func (d *ServerDelta) Has(peer *pb.Holder, states []*pb.ServerState) {
+	k := d.knowledge(peer)
+	for _, s := range states {
+		if v := versionOf(s); k.servers[s.GetAddress()].before(v) {
+			k.servers[s.GetAddress()] = v
+		}
+	}
+}
+
+// Keep forgets all peers and servers but these.
+func (d *ServerDelta) Keep(peers []Host, servers []*pb.ServerState) {
+	hosts := make(map[string]bool, len(peers))
+	for _, p := range peers {
+		hosts[p.Holder.GetHost()] = true
+	}
+	addresses := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		addresses[s.GetAddress()] = true
+	}
+	for host, k := range d.peers {
+		if !hosts[host] {
+			delete(d.peers, host)
+		}
+		for address := range k.servers {
+			if !addresses[address] {
+				delete(k.servers, address)
+			}
+		}
+	}
+}
+
+// knowledge of a peer begins anew with each of its incarnations.
+func (d *ServerDelta) knowledge(peer *pb.Holder) *peerKnowledge {
+	k := d.peers[peer.GetHost()]
+	if k == nil || k.incarnation != peer.GetIncarnation() {
+		k = &peerKnowledge{incarnation: peer.GetIncarnation(), servers: make(map[string]serverVersion)}
+		d.peers[peer.GetHost()] = k
+	}
+	return k
+}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -24,6 +24,7 @@
 
 	bytes    int
 	messages int
+	digest   int // bytes of the largest digest
 }
 
 type simHost struct {
@@ -103,7 +104,7 @@
 			h.Unanswered(h.Now(), target.Host)
 			continue
 		}
-		h.ReceiveReply(h.Now(), reply)
+		h.ReceiveReply(h.Now(), target.Host, reply)
 	}
 }
 
@@ -130,16 +131,19 @@
 func (f *fleet) count(m proto.Message) {
 	f.bytes += proto.Size(m)
 	f.messages++
+	if request, ok := m.(*pb.HeartbeatRequest); ok {
+		f.digest = max(f.digest, proto.Size(&pb.HeartbeatRequest{Hosts: request.GetHosts()}))
+	}
 }
 
-// deliverHeld delivers all held requests at once, as a silent connection that works again would.
+// deliverHeld delivers all held requests at once, as a silent connection that works
+// again would. It may be called again: something may send them twice.
 func (f *fleet) deliverHeld() {
 	for _, h := range f.held {
 		if f.hosts[h.to].running {
 			f.hosts[h.to].ReceiveRequest(h.m)
 		}
 	}
-	f.held = nil
 }
 
 // view is what host i thinks of host j.
