--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -110,13 +110,51 @@
 	Attempts int
 	// Usage is what the backend server reported or what was counted.
 	Usage Usage
-	// Dispatched tells whether any byte of the request may have reached a backend server.
+	// Dispatched tells whether any byte of the request may have reached a backend
+	// server that has not said that it didn't run it.
 	Dispatched bool
+	// Outcome of the last attempt.
+	Outcome Outcome
+
+	// Method and Query of a plain service's call; ContentType of the caller's body.
+	Method      string
+	Query       string
+	ContentType string
+	// WantsUsage: the caller asked for the usage chunk of a stream.
+	WantsUsage bool
+
+	// Record is the call's in-flight record, once begun.
+	Record *pb.InflightRecord
+	// Resume names the engine's stream of a former holder that this call takes over.
+	Resume *ResumePoint
+	// Answer is what the caller was sent.
+	Answer Answer
 
 	// Span-like record of decisions for explain.
 	Notes []Note
 }
 
+// ResumePoint is a run at a backend server that can be read again from its start.
+type ResumePoint struct {
+	Server          string
+	EngineRequestID string
+}
+
+// Answer is what has been sent to the caller so far.
+type Answer struct {
+	// Begun: the status line has left, so a refusal can only be the stream's last event.
+	Begun       bool
+	Status      int
+	ContentType string
+	// Body is kept up to a bound for callers that ask again; Truncated: it went past.
+	Body      []byte
+	Truncated bool
+	// Tokens relayed of a stream, and the hash of their texts: a second run is
+	// continued only if it repeats what the caller has.
+	Tokens   uint64
+	TextHash uint64
+}
+
 // Usage of a finished run, in tokens.
 type Usage struct{ Prompt, Output uint64 }
 
@@ -188,6 +226,14 @@
 	Finish(ctx context.Context, identity, requestID string, state pb.ClaimState) error
 }
 
+// Hosts tells whether a holder of in-flight records is still at work.
+type Hosts interface {
+	// Self is this run of this host.
+	Self() *pb.Holder
+	// Alive is false only for a holder that counts as dead.
+	Alive(h *pb.Holder) bool
+}
+
 // Work is what scheduling needs to know of a call.
 type Work struct {
 	ID           string
