--- /dev/null
+++ b/internal/engineclient/client.go
@@ -0,0 +1,327 @@
+// Package engineclient calls backend servers over HTTP: model engines, whose streams
+// it starts, resumes and cancels, and plain services. Its errors say whether the
+// request can have run, which decides whether it may be sent again.
+package engineclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+)
+
+// Headers between a host and a backend server.
+const (
+	// HeaderEngineRequest names a run at its engine, for resume and cancel.
+	HeaderEngineRequest = "Bluebellsail-Engine-Request"
+	// HeaderRan set to "no" by a backend server says that it did not run the request.
+	HeaderRan = "Bluebellsail-Ran"
+)
+
+// Defaults of a Config.
+const (
+	DefaultDialTimeout   = time.Second
+	DefaultHeaderTimeout = 60 * time.Second
+	DefaultIdlePerServer = 64
+	DefaultIdleTimeout   = 90 * time.Second
+	DefaultMaxAnswer     = 16 << 20
+	keepAliveIdle        = 5 * time.Second
+	keepAliveInterval    = 2 * time.Second
+	keepAliveCount       = 3
+	maxErrorBody         = 4 << 10
+	maxHeaderBytes       = 64 << 10
+)
+
+// Config of a Client. Zero fields take the defaults above.
+type Config struct {
+	DialTimeout time.Duration
+	// HeaderTimeout bounds the time from the request's last byte to the answer's first.
+	HeaderTimeout time.Duration
+	// IdlePerServer is how many idle connections are kept per backend server.
+	IdlePerServer int
+	// Dial opens connections; nil: TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaxAnswer bounds the body of a plain service's answer, in bytes.
+	MaxAnswer int64
+}
+
+// Client calls any number of backend servers, each over connections of its own.
+type Client struct {
+	cfg     Config
+	mu      sync.Mutex
+	pools   map[string]*http.Transport
+	oneShot *http.Transport
+}
+
+// New makes a Client.
+func New(cfg Config) *Client {
+	if cfg.DialTimeout <= 0 {
+		cfg.DialTimeout = DefaultDialTimeout
+	}
+	if cfg.HeaderTimeout <= 0 {
+		cfg.HeaderTimeout = DefaultHeaderTimeout
+	}
+	if cfg.IdlePerServer <= 0 {
+		cfg.IdlePerServer = DefaultIdlePerServer
+	}
+	if cfg.MaxAnswer <= 0 {
+		cfg.MaxAnswer = DefaultMaxAnswer
+	}
+	c := &Client{cfg: cfg, pools: make(map[string]*http.Transport)}
+	c.oneShot = c.newTransport()
+	c.oneShot.DisableKeepAlives = true
+	return c
+}
+
+func (c *Client) newTransport() *http.Transport {
+	dial := c.cfg.Dial
+	if dial == nil {
+		dial = tcpDialer(c.cfg.DialTimeout).DialContext
+	}
+	return &http.Transport{
+		DialContext:            dial,
+		ResponseHeaderTimeout:  c.cfg.HeaderTimeout,
+		MaxIdleConnsPerHost:    c.cfg.IdlePerServer,
+		IdleConnTimeout:        DefaultIdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// tcpDialer notices a connection that the network has lost by its missing keepalive
+// answers, after keepAliveIdle + keepAliveCount*keepAliveInterval.
+func tcpDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
+}
+
+func (c *Client) pool(address string) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t, ok := c.pools[address]
+	if !ok {
+		t = c.newTransport()
+		c.pools[address] = t
+	}
+	return t
+}
+
+// Renew makes further calls to address use new connections. Idle ones are closed;
+// those in use close when their call ends.
+//
+// What goes wrong without it: something between the two ends forgets its
+// connections. The one in use is noticed by its silence, but the idle ones beside
+// it are as dead, and each next call would find that out anew.
+func (c *Client) Renew(address string) {
+	c.mu.Lock()
+	old := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if old != nil {
+		// Also makes connections in use close when they come back.
+		old.CloseIdleConnections()
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.pools {
+		t.CloseIdleConnections()
+	}
+	c.pools = make(map[string]*http.Transport)
+}
+
+// Request is one call of a backend server.
+type Request struct {
+	Address string
+	Method  string
+	// Path with its query.
+	Path        string
+	ContentType string
+	Body        []byte
+	// EngineRequestID names the run.
+	EngineRequestID string
+	// Remaining is the time left until the caller's deadline; 0: not said.
+	Remaining time.Duration
+	// Fresh asks for a connection of its own. For requests that must not run twice:
+	// net/http may send a request again by itself when an idle connection turns out
+	// to be closed, and an idle connection that went silent leaves the outcome unknown.
+	Fresh bool
+}
+
+// Error of a call, with what is known of the run.
+type Error struct {
+	Ran errkind.Ran
+	// Status of the answer; 0: there was none.
+	Status int
+	// Refused: the server itself said that it did not run the request.
+	Refused bool
+	Message string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Message }
+
+// send runs one exchange. A nil error comes with an open body. The error's Ran is
+// "no" only if no connection was ever taken for the request.
+func (c *Client) send(ctx context.Context, r Request) (*http.Response, error) {
+	var taken atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { taken.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Address+r.Path, nil)
+	if err != nil {
+		return nil, &Error{Ran: errkind.RanNo, Message: err.Error()}
+	}
+	if len(r.Body) > 0 {
+		// No GetBody: net/http must not send the body a second time by itself.
+		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+		req.ContentLength = int64(len(r.Body))
+	}
+	setHeaders(ctx, req, r)
+	transport := c.oneShot
+	if !r.Fresh {
+		transport = c.pool(r.Address)
+	}
+	res, err := transport.RoundTrip(req)
+	if err == nil {
+		return res, nil
+	}
+	ran := errkind.RanNo
+	if taken.Load() {
+		ran = errkind.RanUnknown
+	}
+	return nil, &Error{Ran: ran, Message: err.Error()}
+}
+
+func setHeaders(ctx context.Context, req *http.Request, r Request) {
+	if r.ContentType != "" {
+		req.Header.Set("Content-Type", r.ContentType)
+	}
+	if r.EngineRequestID != "" {
+		req.Header.Set(HeaderEngineRequest, r.EngineRequestID)
+	}
+	if r.Remaining > 0 {
+		req.Header.Set(filter.HeaderTimeout, strconv.FormatInt(r.Remaining.Milliseconds(), 10))
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+}
+
+// statusError reads a refusal of the server and closes its body.
+func statusError(res *http.Response) *Error {
+	body, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBody))
+	_ = res.Body.Close()
+	refused := strings.EqualFold(res.Header.Get(HeaderRan), string(errkind.RanNo))
+	e := &Error{Ran: errkind.RanUnknown, Status: res.StatusCode, Refused: refused}
+	if refused {
+		e.Ran = errkind.RanNo
+	}
+	e.Message = "status " + strconv.Itoa(res.StatusCode) + ": " + string(body)
+	return e
+}
+
+// Open starts a run and returns its stream.
+func (c *Client) Open(ctx context.Context, r Request) (*Stream, error) {
+	res, err := c.send(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(res, r.EngineRequestID)
+}
+
+// Resume reads the stream of a run again from its token number from on, over a new
+// connection.
+func (c *Client) Resume(ctx context.Context, address, engineRequestID string, from uint64) (*Stream, error) {
+	path := streamPath(engineRequestID) + "?from=" + strconv.FormatUint(from, 10)
+	res, err := c.send(ctx, Request{Address: address, Method: http.MethodGet, Path: path, Fresh: true})
+	if err != nil {
+		return nil, err
+	}
+	return newStream(res, engineRequestID)
+}
+
+// Cancel stops a run. It returns the usage if the engine reports it.
+func (c *Client) Cancel(ctx context.Context, address, engineRequestID string) (*Usage, error) {
+	r := Request{Address: address, Method: http.MethodPost, Path: streamPath(engineRequestID) + "/cancel", Fresh: true}
+	res, err := c.send(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return nil, statusError(res)
+	}
+	defer func() { _ = res.Body.Close() }()
+	var answer struct {
+		Usage *Usage `json:"usage"`
+	}
+	if json.NewDecoder(io.LimitReader(res.Body, maxErrorBody)).Decode(&answer) != nil {
+		return nil, nil
+	}
+	return answer.Usage, nil
+}
+
+func streamPath(id string) string { return "/v1/streams/" + url.PathEscape(id) }
+
+// Answer of a plain service.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Call makes one call of a plain service and reads its whole answer.
+func (c *Client) Call(ctx context.Context, r Request) (*Answer, error) {
+	res, err := c.send(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if strings.EqualFold(res.Header.Get(HeaderRan), string(errkind.RanNo)) {
+		return nil, statusError(res)
+	}
+	if err := checkID(res, r.EngineRequestID); err != nil {
+		return nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, c.cfg.MaxAnswer+1))
+	if err != nil {
+		return nil, &Error{Ran: errkind.RanUnknown, Status: res.StatusCode, Message: err.Error()}
+	}
+	if int64(len(body)) > c.cfg.MaxAnswer {
+		return nil, &Error{Ran: errkind.RanYes, Status: res.StatusCode, Message: "the answer is too long"}
+	}
+	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// ErrOtherAnswer is returned for an answer that names another run: one that came
+// late or crossed on the connection. It is dropped.
+var ErrOtherAnswer = errors.New("the answer belongs to another run")
+
+// CrossedAnswers counts answers dropped as ErrOtherAnswer.
+var CrossedAnswers atomic.Int64
+
+// checkID makes sure that the answer is for this run, by id and not by its position
+// on the connection. On a mismatch the body is closed.
+func checkID(res *http.Response, id string) error {
+	got := res.Header.Get(HeaderEngineRequest)
+	if id == "" || got == "" || got == id {
+		return nil
+	}
+	CrossedAnswers.Add(1)
+	_ = res.Body.Close()
+	return errors.Wrapf(ErrOtherAnswer, "want %s, got %s", id, got)
+}
--- /dev/null
+++ b/internal/engineclient/stream.go
@@ -0,0 +1,135 @@
+package engineclient
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+)
+
+// Bounds of one event of a stream.
+const (
+	lineBuffer = 8 << 10
+	maxEvent   = 1 << 20
+)
+
+// ErrEventTooLong ends a stream whose engine sends an event over the bound.
+var ErrEventTooLong = errors.New("event over the limit")
+
+// Usage of tokens as engines report it.
+type Usage struct {
+	PromptTokens     uint64 `json:"prompt_tokens"`
+	CompletionTokens uint64 `json:"completion_tokens"`
+	TotalTokens      uint64 `json:"total_tokens"`
+}
+
+// Event is one server-sent event. Data is valid until the next call of Next.
+type Event struct {
+	Name string
+	Data []byte
+}
+
+// Stream is an open answer of an engine. One goroutine reads it; Close may come
+// from any.
+type Stream struct {
+	res  *http.Response
+	r    *bufio.Reader
+	data []byte
+}
+
+func newStream(res *http.Response, id string) (*Stream, error) {
+	if err := checkID(res, id); err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, statusError(res)
+	}
+	if ct := res.Header.Get("Content-Type"); !strings.HasPrefix(ct, "text/event-stream") {
+		_ = res.Body.Close()
+		return nil, &Error{Ran: errkind.RanUnknown, Status: res.StatusCode, Message: "answer is no event stream but " + ct}
+	}
+	return &Stream{res: res, r: bufio.NewReaderSize(res.Body, lineBuffer)}, nil
+}
+
+// Close ends the stream. It closes the connection unless the stream was read to its end.
+func (s *Stream) Close() { _ = s.res.Body.Close() }
+
+// Buffered tells whether more of the stream has arrived already.
+func (s *Stream) Buffered() bool { return s.r.Buffered() > 0 }
+
+// Next reads the next event. io.EOF is the end of the stream.
+func (s *Stream) Next() (Event, error) {
+	var ev Event
+	s.data = s.data[:0]
+	for {
+		line, err := s.line()
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			if len(s.data) == 0 {
+				ev = Event{}
+				continue
+			}
+			ev.Data = s.data[:len(s.data)-1]
+			return ev, nil
+		}
+		s.field(&ev, line)
+		if len(s.data) > maxEvent {
+			return Event{}, ErrEventTooLong
+		}
+	}
+}
+
+// field takes one line of an event; comments and unknown fields are skipped.
+func (s *Stream) field(ev *Event, line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "data":
+		s.data = append(s.data, value...)
+		s.data = append(s.data, '\n')
+	case "event":
+		ev.Name = string(value)
+	}
+}
+
+// line reads one line without its end. The result is valid until the next call.
+func (s *Stream) line() ([]byte, error) {
+	line, err := s.r.ReadSlice('\n')
+	if err == nil {
+		return trimEnd(line), nil
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return nil, readError(err)
+	}
+	long := append([]byte(nil), line...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(long) > maxEvent {
+			return nil, ErrEventTooLong
+		}
+		line, err = s.r.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	if err != nil {
+		return nil, readError(err)
+	}
+	return trimEnd(long), nil
+}
+
+func trimEnd(line []byte) []byte {
+	line = bytes.TrimSuffix(line, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r"))
+}
+
+func readError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.EOF
+	}
+	return errors.Wrap(err, "read stream")
+}
--- /dev/null
+++ b/internal/filter/deadline/deadline.go
@@ -0,0 +1,56 @@
+// Package deadline sets the time by which a call must be answered. It is relative to
+// the request's arrival, so that no clocks need agree.
+package deadline
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+)
+
+// Share of the time kept back for the answer's way to the caller, at most MaxMargin.
+const (
+	marginShare = 50
+	MaxMargin   = 10 * time.Millisecond
+)
+
+// Filter puts the deadline on the call and its context.
+type Filter struct{}
+
+// ServeHTTP implements filter.Filter. The context ends a little before the caller's
+// deadline: an answer begun at the deadline itself would arrive after it.
+func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
+	c := filter.CallFrom(r.Context())
+	timeout, err := Timeout(c, r.Header.Get(filter.HeaderTimeout))
+	if err != nil {
+		return err
+	}
+	c.Deadline = c.Arrived.Add(timeout - min(timeout/marginShare, MaxMargin))
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	return next.ServeHTTP(w, r.WithContext(ctx))
+}
+
+// Timeout is the time the call has from its arrival.
+func Timeout(c *filter.Call, header string) (time.Duration, error) {
+	longest := c.Team.MaxTimeout.Std()
+	if header == "" {
+		d := c.Team.DefaultTimeout.Std()
+		if d <= 0 {
+			return 0, errkind.New(errkind.DeadlineMissing, "header %s is missing and team %s has no default", filter.HeaderTimeout, c.TeamName)
+		}
+		return min(d, longest), nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, errkind.New(errkind.DeadlineInvalid, "header %s is not a positive number of milliseconds", filter.HeaderTimeout)
+	}
+	if ms > longest.Milliseconds() {
+		return 0, errkind.New(errkind.DeadlineInvalid, "header %s is over the team's limit of %d ms", filter.HeaderTimeout, longest.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
@@ -100,6 +102,8 @@
 	// OutputCap is sent to the engine; PromptTokens bound + OutputCap is reserved.
 	OutputCap uint64
 	Reserved  uint64
+	// ReservationHeld: the budget has set Reserved aside for ID.
+	ReservationHeld bool
 
 	Arrived  time.Time
 	Deadline time.Time
@@ -129,6 +133,11 @@
 	Resume *ResumePoint
 	// Answer is what the caller was sent.
 	Answer Answer
+	// Final: no further attempt may be made, since the caller has part of an answer
+	// that another run does not repeat.
+	Final bool
+	// Replayed: the answer is that of an earlier arrival, whose record stands.
+	Replayed bool
 
 	// Span-like record of decisions for explain.
 	Notes []Note
@@ -170,6 +179,26 @@
 	c.Notes = append(c.Notes, Note{At: at, Step: step, Text: text})
 }
 
+// NextRecord makes the next version of the call's in-flight record. Versions handed
+// to Records are never changed afterwards.
+func (c *Call) NextRecord() *pb.InflightRecord {
+	rec := proto.CloneOf(c.Record)
+	rec.Version++
+	c.Record = rec
+	return rec
+}
+
+// Clock gives the time. Its zero value is the machine's clock.
+type Clock struct{ NowFunc func() time.Time }
+
+// Now is the present time.
+func (c Clock) Now() time.Time {
+	if c.NowFunc == nil {
+		return time.Now()
+	}
+	return c.NowFunc()
+}
+
 type callKey struct{}
 
 // WithCall returns r's context with c in it.
@@ -187,6 +216,7 @@
 type Settings interface {
 	// AccountByKey finds the client account whose key hashes contain hash (hex SHA-256).
 	AccountByKey(hash string) (name string, a *settings.Account, ok bool)
+	// Team returns the team's settings with their defaults filled in.
 	Team(name string) (*settings.Team, bool)
 	Fleet() settings.Fleet
 	Revision() uint64
--- /dev/null
+++ b/internal/filter/route/route.go
@@ -0,0 +1,115 @@
+// Package route gets a call room at a backend server and, when an attempt fails,
+// tries again at another one: only if the call surely did not run or may run twice,
+// within the team's retry allowance and the deadline.
+package route
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+)
+
+// Filter runs the loop of attempts.
+type Filter struct {
+	Scheduler filter.Scheduler
+	Retries   filter.Retries
+	Records   filter.Records
+	Clock     filter.Clock
+}
+
+// ServeHTTP implements filter.Filter.
+func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
+	c := filter.CallFrom(r.Context())
+	if c.Resume != nil {
+		err := f.resume(w, r, next)
+		if !again(c, err) {
+			return final(c, err)
+		}
+		c.Resume = nil
+	}
+	f.Retries.First(c.TeamName)
+	work := workOf(c)
+	for {
+		err := f.attempt(w, r, next, &work)
+		if err == nil || !again(c, err) {
+			return final(c, err)
+		}
+		if c.Attempts >= c.Team.Retry.MaxAttempts || !f.Retries.Allow(c.TeamName, *c.Team.Retry) {
+			return final(c, err)
+		}
+	}
+}
+
+func workOf(c *filter.Call) filter.Work {
+	target := c.Model
+	if c.Kind == filter.WorkService {
+		target = c.Service
+	}
+	return filter.Work{
+		ID: c.ID, Account: c.AccountName, Weight: c.Account.Weight, Team: c.TeamName, Priority: c.Team.Priority,
+		Kind: c.Kind, Target: target, Adapter: c.Adapter,
+		PromptTokens: c.PromptTokens, OutputCap: c.OutputCap, PromptHashes: c.PromptHashes, Deadline: c.Deadline,
+	}
+}
+
+// again tells whether the call may be sent to another server after err.
+func again(c *filter.Call, err error) bool {
+	if c.Final || !errkind.Is(err, errkind.BackendServerFailed) {
+		return false
+	}
+	return c.Idempotent || !c.Dispatched
+}
+
+// final is the refusal when no attempt is left. A run that must not be repeated and
+// may have happened has an unknown outcome.
+func final(c *filter.Call, err error) error {
+	if errkind.Is(err, errkind.BackendServerFailed) && !c.Idempotent && c.Dispatched {
+		return errkind.New(errkind.OutcomeUnknown, "%s", errkind.From(err).Message)
+	}
+	return err
+}
+
+// attempt gets room at one server and runs the call there.
+func (f *Filter) attempt(w http.ResponseWriter, r *http.Request, next filter.Handler, work *filter.Work) error {
+	c := filter.CallFrom(r.Context())
+	lease, err := f.Scheduler.Acquire(r.Context(), *work)
+	if err != nil {
+		if r.Context().Err() != nil {
+			return filter.ContextError(r.Context())
+		}
+		return err
+	}
+	c.Lease = lease
+	c.Attempts++
+	c.Outcome = filter.Outcome{}
+	began := f.Clock.Now()
+	defer func() {
+		c.Outcome.Took = f.Clock.Now().Sub(began)
+		lease.Done(c.Outcome)
+	}()
+	work.Exclude = append(work.Exclude, lease.Address())
+	f.noteServer(c, began)
+	return next.ServeHTTP(w, r)
+}
+
+// noteServer lets the peers that hold the record know where the run is.
+func (f *Filter) noteServer(c *filter.Call, now time.Time) {
+	c.Note(now, "route", "attempt "+strconv.Itoa(c.Attempts)+" at "+c.Lease.Address()+": "+c.Lease.Reason())
+	rec := c.NextRecord()
+	rec.Server = c.Lease.Address()
+	rec.EngineRequestId = EngineRequestID(c)
+	f.Records.Update(rec)
+}
+
+// EngineRequestID names the call's present attempt at its engine.
+func EngineRequestID(c *filter.Call) string { return c.ID + "-" + strconv.Itoa(c.Attempts) }
+
+// resume reads the stream of a former holder. It takes no room: the run has its own.
+func (f *Filter) resume(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
+	c := filter.CallFrom(r.Context())
+	c.Note(f.Clock.Now(), "route", "resumed "+c.Resume.EngineRequestID+" at "+c.Resume.Server)
+	return next.ServeHTTP(w, r)
+}
--- /dev/null
+++ b/internal/filter/settle/settle.go
@@ -0,0 +1,123 @@
+// Package settle ends each call that began a record: it bills once what was used,
+// frees the rest of the reservation and writes down how the call ended.
+//
+// What is billed:
+//
+//   - a whole answer: the usage that the engine reports, else the tokens counted;
+//   - a stream that was cut or cancelled after at least one token: the usage that the
+//     engine reports on cancelling, else the bound of the prompt plus the tokens
+//     received, since the engine stops there;
+//   - a stream that passed its output cap: the whole reservation;
+//   - a call of a plain service: its fixed price once it has answered, and also if it
+//     may not be repeated and its outcome is unknown, since it may have run;
+//   - anything else: nothing.
+package settle
+
+import (
+	"net/http"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Filter stands inside idempotency, so that a replay is never billed, and around
+// budget, so that every reservation is ended.
+type Filter struct {
+	Budget  filter.Budget
+	Records filter.Records
+	Clock   filter.Clock
+}
+
+// ServeHTTP implements filter.Filter.
+func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
+	c := filter.CallFrom(r.Context())
+	ended := false
+	defer func() {
+		if !ended { // a panic further in: nothing is known of the run
+			f.end(c, errkind.New(errkind.Internal, "a fault of the host"))
+		}
+	}()
+	err := next.ServeHTTP(w, r)
+	ended = true
+	refusal := filter.Truthful(c, err)
+	f.end(c, refusal)
+	if refusal == nil {
+		return nil
+	}
+	return refusal
+}
+
+func (f *Filter) end(c *filter.Call, e *errkind.Error) {
+	f.bill(c, e)
+	f.record(c, e)
+}
+
+// bill ends the reservation.
+func (f *Filter) bill(c *filter.Call, e *errkind.Error) {
+	if !c.ReservationHeld {
+		return
+	}
+	tokens := billed(c, e)
+	if tokens == 0 {
+		f.Budget.Release(c.ID)
+		return
+	}
+	f.Budget.Settle(&pb.Bill{
+		Budget: c.Account.Budget, Identity: c.Identity, Tokens: tokens, RequestId: c.ID, Team: c.TeamName,
+		PromptTokens: c.Usage.Prompt, OutputTokens: c.Usage.Output, TimeMs: f.Clock.Now().UnixMilli(),
+	})
+}
+
+func billed(c *filter.Call, e *errkind.Error) uint64 {
+	if !c.Dispatched {
+		return 0
+	}
+	if c.Kind == filter.WorkService {
+		if e == nil || (!c.Idempotent && e.Ran() != errkind.RanNo) {
+			return c.Reserved
+		}
+		return 0
+	}
+	if e != nil && e.Kind == errkind.ReservationExhausted {
+		return c.Reserved
+	}
+	return min(c.Usage.Prompt+c.Usage.Output, c.Reserved)
+}
+
+// record writes down how the call ended, for callers that ask again.
+func (f *Filter) record(c *filter.Call, e *errkind.Error) {
+	if c.Replayed {
+		return
+	}
+	if e != nil && !c.Dispatched {
+		f.Records.Abandon(c.Identity, c.ID)
+		return
+	}
+	rec := c.NextRecord()
+	rec.PromptTokens, rec.OutputTokens = c.Usage.Prompt, c.Usage.Output
+	switch {
+	case e == nil:
+		rec.State = pb.InflightState_INFLIGHT_STATE_DONE
+		keepAnswer(rec, c)
+	case c.Idempotent && errkind.Lookup(e.Kind).Retry != errkind.RetryNever:
+		// No whole answer went out and the work may be repeated: a retry runs anew.
+		rec.State = pb.InflightState_INFLIGHT_STATE_ABANDONED
+	default:
+		rec.State = pb.InflightState_INFLIGHT_STATE_DONE
+		rec.AnswerStatus = int32(e.Status())
+		rec.AnswerContentType = "application/json"
+		rec.Answer = httpserver.ErrorBody(c.ID, e)
+	}
+	f.Records.Update(rec)
+}
+
+func keepAnswer(rec *pb.InflightRecord, c *filter.Call) {
+	if c.Answer.Truncated {
+		return
+	}
+	rec.AnswerStatus = int32(c.Answer.Status)
+	rec.AnswerContentType = c.Answer.ContentType
+	rec.Answer = c.Answer.Body
+}
