--- /dev/null
+++ b/internal/callerapi/engine_test.go
@@ -0,0 +1,148 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+)
+
+// fakeEngine is a model engine and plain service within the process. Its tokens are
+// "t1 ", "t2 " and so on.
+type fakeEngine struct {
+	mu      sync.Mutex
+	conns   chan net.Conn
+	server  *http.Server
+	resumes bool
+	// fault breaks the run at a token number; tokens is the run's length.
+	fault   string
+	at      int
+	tokens  int
+	prefix  string // before each token's text
+	down    bool
+	burst   bool // sends what it has at the run's end
+	runs    int // requests that reached the engine and ran
+	cancels int
+	resumed []string // "from" of each resume
+	bodies  []string
+	open    int // streams being generated
+}
+
+func (f *fakeFleet) engine(resumes bool, fault string, at int) *fakeEngine {
+	e := &fakeEngine{conns: make(chan net.Conn, 16), resumes: resumes, fault: fault, at: at, tokens: 5}
+	e.server = &http.Server{Handler: e}
+	f.engines[engineAddress(len(f.engines))] = e
+	go func() { _ = e.server.Serve(e) }()
+	return e
+}
+
+func (e *fakeEngine) refuse() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down || e.fault == "refuses connections"
+}
+
+// Accept, Close and Addr make the engine its own listener.
+func (e *fakeEngine) Accept() (net.Conn, error) {
+	c, ok := <-e.conns
+	if !ok {
+		return nil, io.EOF
+	}
+	return c, nil
+}
+func (e *fakeEngine) Close() error   { return nil }
+func (e *fakeEngine) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	path := strings.TrimPrefix(r.URL.Path, "/v1/streams/")
+	switch {
+	case strings.HasSuffix(path, "/cancel"):
+		e.count(func() { e.cancels++ })
+		_, _ = io.WriteString(w, `{}`)
+	case path != r.URL.Path:
+		from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+		e.count(func() { e.resumed = append(e.resumed, r.URL.Query().Get("from")) })
+		e.stream(w, r, from, "")
+	default:
+		e.run(w, r)
+	}
+}
+
+func (e *fakeEngine) count(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+}
+
+func (e *fakeEngine) run(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if e.fault == "refuses before running" {
+		w.Header().Set(engineclient.HeaderRan, "no")
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	}
+	e.count(func() { e.runs++; e.bodies = append(e.bodies, string(body)) })
+	w.Header().Set(engineclient.HeaderEngineRequest, r.Header.Get(engineclient.HeaderEngineRequest))
+	switch e.fault {
+	case "dies without an answer":
+		panic(http.ErrAbortHandler)
+	case "says nothing":
+		<-r.Context().Done()
+		return
+	case "answers 500":
+		http.Error(w, "broken", http.StatusInternalServerError)
+		return
+	case "answers 400":
+		http.Error(w, "bad field", http.StatusBadRequest)
+		return
+	case "answers another run":
+		w.Header().Set(engineclient.HeaderEngineRequest, "other")
+	}
+	if strings.HasPrefix(r.URL.Path, "/services/") {
+		_, _ = io.WriteString(w, "service:"+string(body))
+		return
+	}
+	e.stream(w, r, 0, e.fault)
+}
+
+func (e *fakeEngine) stream(w http.ResponseWriter, r *http.Request, from int, fault string) {
+	e.count(func() { e.open++ })
+	defer e.count(func() { e.open-- })
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	if from == 0 {
+		e.send(w, `{"id":"x","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"role":"assistant","content":""}}]}`)
+	}
+	for i := from + 1; i <= e.tokens; i++ {
+		if i > e.at && fault != "" {
+			switch fault {
+			case "dies in the stream":
+				panic(http.ErrAbortHandler)
+			case "falls silent":
+				<-r.Context().Done()
+				return
+			case "reports an error":
+				e.send(w, `{"error":{"message":"out of memory"}}`)
+				return
+			}
+		}
+		text, _ := json.Marshal(e.prefix + "t" + strconv.Itoa(i) + " ")
+		e.send(w, fmt.Sprintf(`{"id":"x","choices":[{"index":0,"delta":{"content":%s}}]}`, text))
+	}
+	e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)
+	e.send(w, fmt.Sprintf(`{"id":"x","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":%d,"total_tokens":%d}}`, e.tokens, e.tokens+3))
+	e.send(w, "[DONE]")
+}
+
+func (e *fakeEngine) send(w http.ResponseWriter, data string) {
+	_, _ = io.WriteString(w, "data: "+data+"\n\n")
+	if !e.burst {
+		w.(http.Flusher).Flush()
+	}
+}
--- /dev/null
+++ b/internal/callerapi/fake_test.go
@@ -0,0 +1,270 @@
+package callerapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/backend"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/filter/dispatch"
+	"github.com/bluebellsail/bluebellsail/internal/membership"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+const testKey = "secret"
+
+// fakeFleet is the state that all hosts of a test share.
+type fakeFleet struct {
+	mu      sync.Mutex
+	records map[string]*pb.InflightRecord
+	claims  map[string]*pb.ClaimResult
+	billed  map[string]uint64 // by identity: the ledger takes the first bill only
+	double  int
+	dead    map[string]bool
+	engines map[string]*fakeEngine
+	noQuor  bool
+	hang    string // name of the port that blocks until its context ends
+}
+
+func newFleet() *fakeFleet {
+	return &fakeFleet{records: map[string]*pb.InflightRecord{}, claims: map[string]*pb.ClaimResult{},
+		billed: map[string]uint64{}, dead: map[string]bool{}, engines: map[string]*fakeEngine{}}
+}
+
+// fakeHost implements the ports of one host.
+type fakeHost struct {
+	*fakeFleet
+	name     string
+	team     settings.Team
+	held     map[string]uint64
+	settled  int
+	outcomes []filter.Outcome
+	status   int
+	call     *filter.Call
+	closed   bool
+	noRetry  bool
+	client   *engineclient.Client
+	api      *API
+}
+
+func (f *fakeFleet) host(name string) *fakeHost {
+	h := &fakeHost{fakeFleet: f, name: name, held: map[string]uint64{}}
+	h.team = settings.Team{DefaultTimeout: settings.Duration(10 * time.Second), MaxOutputTokens: 8}.WithDefaults()
+	h.client = engineclient.New(engineclient.Config{Dial: f.dial})
+	h.api = New(Deps{Settings: h, Budget: h, Records: h, Hosts: h, Claims: h, Scheduler: h, Retries: h, Explainer: h,
+		Registry: h, Addresses: h, Models: h, CallerClosed: func(http.ResponseWriter) bool { return h.isClosed() },
+		Dispatch: &dispatch.Filter{Client: h.client, Silence: dispatch.FixedSilence{First: time.Second, Gap: time.Second}}})
+	return h
+}
+
+func (h *fakeHost) isClosed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.closed
+}
+
+func (f *fakeFleet) blocked(ctx context.Context, port string) error {
+	if f.hang != port {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (h *fakeHost) AccountByKey(hash string) (string, *settings.Account, bool) {
+	return "school", &settings.Account{Team: "books", Budget: "b"}, hash == settings.HashKey(testKey)
+}
+func (h *fakeHost) Team(string) (*settings.Team, bool) { return &h.team, true }
+func (h *fakeHost) Fleet() settings.Fleet              { return settings.Fleet{}.WithDefaults() }
+func (h *fakeHost) Revision() uint64                   { return 1 }
+func (h *fakeHost) Ready() error                       { return nil }
+func (h *fakeHost) Self() *pb.Holder                   { return &pb.Holder{Host: h.name, Incarnation: 1} }
+func (h *fakeHost) Alive(o *pb.Holder) bool            { return !h.dead[o.GetHost()] }
+func (h *fakeHost) First(string)                       {}
+func (h *fakeHost) Allow(string, settings.Retry) bool  { return !h.noRetry }
+func (h *fakeHost) Announce(*pb.ServerState) bool      { return true }
+func (h *fakeHost) CacheEvent(backend.CacheEvent)      {}
+func (h *fakeHost) Models() []string                   { return []string{"m"} }
+func (h *fakeHost) Addresses(string) []membership.Address {
+	return []membership.Address{{Host: h.name, Address: "127.0.0.1:1", Until: time.Now().Add(time.Minute)}}
+}
+func (h *fakeHost) Record(c *filter.Call, status int, _ error) { h.call, h.status = c, status }
+
+func (h *fakeHost) Reserve(ctx context.Context, _, id string, tokens uint64) error {
+	if err := h.blocked(ctx, "budget"); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held[id] = tokens
+	return nil
+}
+
+func (h *fakeHost) Settle(b *pb.Bill) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.held[b.RequestId]; !ok {
+		panic("settled without a reservation")
+	}
+	delete(h.held, b.RequestId)
+	h.settled++
+	if _, ok := h.billed[b.Identity]; ok {
+		h.double++
+		return
+	}
+	h.billed[b.Identity] = b.Tokens
+}
+
+func (h *fakeHost) Release(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.held, id)
+}
+
+func (h *fakeHost) Begin(ctx context.Context, rec *pb.InflightRecord, _ int) (*pb.InflightRecord, bool, error) {
+	if err := h.blocked(ctx, "records"); err != nil {
+		return nil, false, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if old, ok := h.records[rec.Identity]; ok {
+		return old, false, nil
+	}
+	h.records[rec.Identity] = rec
+	return nil, true, nil
+}
+
+func (h *fakeHost) Update(rec *pb.InflightRecord) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.dead[h.name] {
+		h.records[rec.Identity] = rec
+	}
+}
+
+func (h *fakeHost) Abandon(identity, id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if rec := h.records[identity]; rec.GetRequestId() == id {
+		delete(h.records, identity)
+	}
+}
+
+func (h *fakeHost) Find(_ context.Context, identity string) (*pb.InflightRecord, bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	rec, ok := h.records[identity]
+	return rec, ok, nil
+}
+
+func (h *fakeHost) Claim(ctx context.Context, identity, id string) (*pb.ClaimResult, error) {
+	if err := h.blocked(ctx, "claims"); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.noQuor {
+		return nil, errkind.New(errkind.NoQuorum, "no quorum")
+	}
+	if res, ok := h.claims[identity]; ok {
+		return res, nil
+	}
+	h.claims[identity] = &pb.ClaimResult{State: pb.ClaimState_CLAIM_STATE_CLAIMED, RequestId: id, Holder: h.Self()}
+	return &pb.ClaimResult{Won: true}, nil
+}
+
+func (h *fakeHost) Finish(_ context.Context, identity, _ string, state pb.ClaimState) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if state == pb.ClaimState_CLAIM_STATE_NOT_RUN {
+		delete(h.claims, identity)
+	} else if res, ok := h.claims[identity]; ok {
+		res.State = state
+	}
+	return nil
+}
+
+type fakeLease struct {
+	h  *fakeHost
+	st *pb.ServerState
+}
+
+func (l *fakeLease) Address() string          { return l.st.Address }
+func (l *fakeLease) Server() *pb.ServerState  { return l.st }
+func (l *fakeLease) Reason() string           { return "first" }
+func (l *fakeLease) FirstToken(time.Duration) {}
+func (l *fakeLease) Done(o filter.Outcome) {
+	l.h.mu.Lock()
+	defer l.h.mu.Unlock()
+	l.h.outcomes = append(l.h.outcomes, o)
+}
+
+// Acquire gives the first engine by address that is not excluded.
+func (h *fakeHost) Acquire(ctx context.Context, w filter.Work) (filter.ServerLease, error) {
+	if err := h.blocked(ctx, "scheduler"); err != nil {
+		return nil, err
+	}
+	for i := range len(h.engines) {
+		address := engineAddress(i)
+		if !strings.Contains(strings.Join(w.Exclude, " "), address) {
+			return &fakeLease{h: h, st: &pb.ServerState{Address: address, Resumes: h.engines[address].resumes}}, nil
+		}
+	}
+	return nil, errkind.New(errkind.NoBackendServer, "none left")
+}
+
+func engineAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+
+// dial connects to an engine within the process, so that virtual time holds.
+func (f *fakeFleet) dial(_ context.Context, _, address string) (net.Conn, error) {
+	f.mu.Lock()
+	e := f.engines[address]
+	f.mu.Unlock()
+	if e == nil || e.refuse() {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	e.conns <- far
+	return near, nil
+}
+
+// do sends one request through a host's chain.
+func (h *fakeHost) do(path, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.api.ServeHTTP(w, r)
+	return w
+}
+
+// end checks that nothing is left behind and lets a bubble's goroutines end.
+func (f *fakeFleet) end(t *testing.T, hosts ...*fakeHost) {
+	t.Helper()
+	for _, h := range hosts {
+		h.api.Wait()
+		h.client.Close()
+		if len(h.held) > 0 {
+			t.Errorf("host %s still holds reservations: %v", h.name, maps.Clone(h.held))
+		}
+	}
+	time.Sleep(time.Second) // virtual: the watch for callers that go ends by itself
+	for _, e := range f.engines {
+		close(e.conns)
+		_ = e.server.Close()
+	}
+}
