--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 )
@@ -26,8 +27,9 @@
 	tokens  int
 	prefix  string // before each token's text
 	down    bool
+	stuck   bool // resumes meet the same fault
 	burst   bool // sends what it has at the run's end
-	runs    int // requests that reached the engine and ran
+	runs    int  // requests that reached the engine and ran
 	cancels int
 	resumed []string // "from" of each resume
 	bodies  []string
@@ -68,7 +70,15 @@
 	case path != r.URL.Path:
 		from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 		e.count(func() { e.resumed = append(e.resumed, r.URL.Query().Get("from")) })
-		e.stream(w, r, from, "")
+		fault := ""
+		if e.stuck {
+			fault = e.fault
+		}
+		if fault == "says nothing" {
+			<-r.Context().Done()
+			return
+		}
+		e.stream(w, r, from, fault)
 	default:
 		e.run(w, r)
 	}
@@ -101,6 +111,8 @@
 	case "answers 400":
 		http.Error(w, "bad field", http.StatusBadRequest)
 		return
+	case "is slow":
+		time.Sleep(time.Second)
 	case "answers another run":
 		w.Header().Set(engineclient.HeaderEngineRequest, "other")
 	}
--- /dev/null
+++ b/internal/callerapi/outcome_test.go
@@ -0,0 +1,248 @@
+package callerapi
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/filter/idempotency"
+	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
+)
+
+const service = "/services/ledger/post"
+
+func TestNobodyIsUnansweredAtTheDeadline(t *testing.T) {
+	// Symptom: a caller's deadline passes without an answer or a refusal.
+	// Sequence: any one thing that the chain waits for never comes.
+	// Cause: a wait that is not bounded by the deadline.
+	for _, c := range []struct {
+		hang, path string
+		ran        errkind.Ran
+	}{
+		{"records", parse.PathChat, errkind.RanNo}, {"budget", parse.PathChat, errkind.RanNo},
+		{"claims", parse.PathChat, errkind.RanNo}, {"scheduler", parse.PathChat, errkind.RanNo},
+		{"says nothing", parse.PathChat, errkind.RanUnknown}, {"falls silent", parse.PathChat, errkind.RanYes},
+		{"says nothing", service, errkind.RanUnknown},
+	} {
+		for _, notIdempotent := range []string{"true", "false"} {
+			if c.hang == "claims" && notIdempotent == "false" {
+				continue
+			}
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet()
+				f.hang = c.hang
+				for range 9 {
+					f.engine(true, c.hang, 2).stuck = true
+				}
+				h := f.host("a")
+				began := time.Now()
+				w := h.do(c.path, chatBody, filter.HeaderNotIdempotent, notIdempotent, filter.HeaderTimeout, "3000")
+				if took := time.Since(began); took > 3*time.Second {
+					t.Errorf("%s at %s: answered after %v", c.hang, c.path, took)
+				}
+				if got := refusalOf(t, w.Body.String()); got.Kind != errkind.DeadlineExceeded || got.Ran != c.ran {
+					t.Errorf("%s at %s, not idempotent %s: got %s, ran %s, want ran %s", c.hang, c.path, notIdempotent, got.Kind, got.Ran, c.ran)
+				}
+				f.end(t, h)
+			})
+		}
+	}
+}
+
+func TestCallerGoneCancelsTheRun(t *testing.T) {
+	// Symptom: engines generate for callers who have hung up.
+	// Sequence: the caller closes its connection in the stream.
+	// Cause: nothing looks at the caller's connection while the engine is awaited.
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		e := f.engine(true, "falls silent", 2)
+		e.stuck = true
+		h := f.host("a")
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.closed = true
+		}()
+		w := h.do(parse.PathChat, chatBody)
+		if got := refusalOf(t, w.Body.String()); got.Kind != errkind.CallerGone || got.Ran != errkind.RanYes {
+			t.Errorf("got %+v", got)
+		}
+		h.api.Wait()
+		if e.cancels != 1 {
+			t.Errorf("%d cancel orders", e.cancels)
+		}
+		// Two tokens and the bound of the prompt are billed.
+		want := h.call.PromptTokens + 2
+		if got := f.billed[h.call.Identity]; got != want {
+			t.Errorf("billed %d, want %d", got, want)
+		}
+		f.end(t, h)
+	})
+}
+
+func TestUnrepeatableRunGoesOnWithoutItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		e := f.engine(false, "is slow", 2)
+		h := f.host("a")
+		time.AfterFunc(100*time.Millisecond, func() { h.mu.Lock(); h.closed = true; h.mu.Unlock() })
+		h.do(service, "entry 1", filter.HeaderNotIdempotent, "true", filter.HeaderIdempotencyKey, "k")
+		h.mu.Lock()
+		h.closed = false
+		h.mu.Unlock()
+		again := h.do(service, "entry 1", filter.HeaderNotIdempotent, "true", filter.HeaderIdempotencyKey, "k")
+		if again.Body.String() != "service:entry 1" || e.runs != 1 || h.settled != 1 {
+			t.Errorf("got %q after %d runs and %d bills", again.Body, e.runs, h.settled)
+		}
+		f.end(t, h)
+	})
+}
+
+func TestRetryAtAnotherHostRunsAndBillsOnce(t *testing.T) {
+	// Symptom: a caller whose router died pays twice, or its work runs twice.
+	// Sequence: host a dies with the stream open; the caller retries at host b with its key.
+	// Cause: b doesn't know of the run, or starts another one.
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		e := f.engine(true, "falls silent", 2)
+		a, b := f.host("a"), f.host("b")
+		first := make(chan struct{})
+		go func() {
+			defer close(first)
+			a.do(parse.PathChat, chatBody, filter.HeaderIdempotencyKey, "k")
+		}()
+		time.Sleep(500 * time.Millisecond)
+		if got := refusalOf(t, b.do(parse.PathChat, chatBody, filter.HeaderIdempotencyKey, "k").Body.String()); got.Kind != errkind.InProgress {
+			t.Errorf("while a lives: %+v", got)
+		}
+		f.mu.Lock()
+		f.dead["a"] = true
+		f.mu.Unlock()
+		w := b.do(parse.PathChat, chatBody, filter.HeaderIdempotencyKey, "k")
+		if text, whole := textOf(w.Body.String()); text != wholeText || !whole {
+			t.Errorf("got %q, whole %v", text, whole)
+		}
+		<-first // a was only cut off: it ends its call too
+		if e.runs != 1 || f.billed["school/k"] != wholeUsage || a.settled+b.settled != 2 || f.double != 1 {
+			t.Errorf("runs %d, billed %v, bills %d and %d, of which double %d", e.runs, f.billed, a.settled, b.settled, f.double)
+		}
+		if got := refusalOf(t, b.do(parse.PathChat, plainBody, filter.HeaderIdempotencyKey, "k").Body.String()); got.Kind != errkind.KeyConflict {
+			t.Errorf("same key, another body: %+v", got)
+		}
+		f.end(t, a, b)
+	})
+}
+
+func TestUnrepeatableCallRunsAtMostOnce(t *testing.T) {
+	// Symptom: a ledger entry stands twice.
+	// Sequence: the caller sends it to two hosts that don't see each other's records, or while there is no quorum.
+	// Cause: dispatch before the claim is committed, or in spite of losing it.
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		e := f.engine(false, "", 0)
+		a, b := f.host("a"), f.host("b")
+		marked := []string{filter.HeaderNotIdempotent, "true", filter.HeaderIdempotencyKey, "k"}
+		f.noQuor = true
+		if got := refusalOf(t, a.do(service, "x", marked...).Body.String()); got.Kind != errkind.ClaimUnavailable || got.Ran != errkind.RanNo || e.runs != 0 {
+			t.Errorf("without a quorum: %+v, runs %d", got, e.runs)
+		}
+		a.api.Wait()
+		f.noQuor = false
+		if w := a.do(service, "x", marked...); w.Code != 200 {
+			t.Errorf("got %d %s", w.Code, w.Body)
+		}
+		clear(f.records) // b is cut off from what a knows
+		if got := refusalOf(t, b.do(service, "x", marked...).Body.String()); got.Kind != errkind.AnswerNotKept && got.Kind != errkind.OutcomeUnknown {
+			t.Errorf("claim lost: %+v", got)
+		}
+		if e.runs != 1 {
+			t.Errorf("%d runs", e.runs)
+		}
+		f.end(t, a, b)
+	})
+}
+
+func TestRunPastItsReservationIsCut(t *testing.T) {
+	// Symptom: a budget is overspent by an engine that ignores max_tokens.
+	// Sequence: the engine sends more tokens than the cap that was reserved.
+	// Cause: the cap is only sent, never checked.
+	for _, body := range []string{chatBody, plainBody} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			e := f.engine(true, "", 0)
+			e.tokens = 20
+			h := f.host("a")
+			w := h.do(parse.PathChat, body)
+			if got := refusalOf(t, w.Body.String()); got.Kind != errkind.ReservationExhausted || got.Ran != errkind.RanYes {
+				t.Errorf("got %+v", got)
+			}
+			if text, _ := textOf(w.Body.String()); strings.Count(text, "t") > 5 {
+				t.Errorf("relayed %q", text)
+			}
+			h.api.Wait()
+			if e.cancels != 1 || f.billed[h.call.Identity] != h.call.Reserved {
+				t.Errorf("%d cancel orders, billed %v of %d", e.cancels, f.billed, h.call.Reserved)
+			}
+			f.end(t, h)
+		})
+	}
+}
+
+func TestSecondAttemptDoesNotHideTheFirst(t *testing.T) {
+	// Symptom: "did not run" about work that may have run.
+	// Sequence: the first server dies with the request; no other server is there.
+	// Cause: the scheduler's refusal says "did not run" of the second attempt alone.
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.engine(false, "dies without an answer", 0)
+		h := f.host("a")
+		if got := refusalOf(t, h.do(parse.PathChat, chatBody).Body.String()); got.Kind != errkind.NoBackendServer || got.Ran != errkind.RanUnknown {
+			t.Errorf("got %+v", got)
+		}
+		f.end(t, h)
+	})
+}
+
+func TestRefusalsBeforeDispatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		e := f.engine(false, "", 0)
+		h := f.host("a")
+		h.team.DefaultTimeout = 0
+		deadline := []string{filter.HeaderTimeout, "1000"}
+		old := idempotency.NewKey(time.Now().Add(-time.Hour))
+		for name, c := range map[string]struct {
+			path, body string
+			header     []string
+			kind       errkind.Kind
+		}{
+			"no key":           {parse.PathChat, chatBody, []string{"Authorization", "Bearer other"}, errkind.Unauthenticated},
+			"no deadline":      {parse.PathChat, chatBody, nil, errkind.DeadlineMissing},
+			"bad deadline":     {parse.PathChat, chatBody, []string{filter.HeaderTimeout, "-1"}, errkind.DeadlineInvalid},
+			"far deadline":     {parse.PathChat, chatBody, []string{filter.HeaderTimeout, "99999999"}, errkind.DeadlineInvalid},
+			"no JSON":          {parse.PathChat, "{", deadline, errkind.BadRequest},
+			"no messages":      {parse.PathChat, `{"model":"m"}`, deadline, errkind.BadRequest},
+			"other case":       {parse.PathChat, strings.Replace(chatBody, "max_tokens", "Max_Tokens", 1), deadline, errkind.BadRequest},
+			"several outputs":  {parse.PathChat, strings.Replace(chatBody, `"seed":7`, `"n":2`, 1), deadline, errkind.BadRequest},
+			"image":            {parse.PathChat, strings.Replace(chatBody, `"hello"`, `[{"type":"image_url"}]`, 1), deadline, errkind.BadRequest},
+			"too long":         {parse.PathChat, strings.Repeat(" ", 5<<20), deadline, errkind.BodyTooLarge},
+			"dots in the path": {"/services/a/../b", "", deadline, errkind.BadRequest},
+			"expired key":      {parse.PathChat, chatBody, append(deadline, filter.HeaderIdempotencyKey, old), errkind.KeyExpired},
+			"bad key":          {parse.PathChat, chatBody, append(deadline, filter.HeaderIdempotencyKey, "a b"), errkind.BadRequest},
+			"unknown path":     {"/v2", "", deadline, errkind.UnknownPath},
+		} {
+			w := h.do(c.path, c.body, c.header...)
+			if got := refusalOf(t, w.Body.String()); got.Kind != c.kind || got.Ran != errkind.RanNo {
+				t.Errorf("%s: got %s, ran %s: %s", name, got.Kind, got.Ran, got.Message)
+			}
+		}
+		if e.runs != 0 || len(f.records) != 0 {
+			t.Errorf("%d runs, %d records", e.runs, len(f.records))
+		}
+		f.end(t, h)
+	})
+}
