--- a/internal/adminapi/accounts.go
+++ b/internal/adminapi/accounts.go
@@ -6,9 +6,10 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"regexp"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -108,7 +109,7 @@
 	}
 	// With an account present the version 0 conflicts, unless this is a resend, which
 	// gets its first answer.
-	res, err := h.propose(ctx, q, &pb.Command{Body: &pb.Command_SetConfig{SetConfig: change}})
+	res, err := h.proposeKeys(ctx, q, q.opID, body.Name, change)
 	if errkind.Is(err, errkind.VersionConflict) {
 		return nil, errkind.New(errkind.AlreadyExists, "account %s exists", body.Name).At(path)
 	}
@@ -118,6 +119,21 @@
 	return h.keyAnswer(ctx, q, res, body.Name, key, hash)
 }
 
+// proposeKeys commits a change that may carry the hash of a key made just now. The
+// group refuses a resend of such a change as another one under the same id, since
+// each request makes another key; the history tells whether it was this operation.
+func (h *Handler) proposeKeys(ctx context.Context, q *request, opID, account string, s *pb.SetConfig) (*pb.CommandResult, error) {
+	res, err := h.proposeAs(ctx, opID, q.actor, &pb.Command{Body: &pb.Command_SetConfig{SetConfig: s}})
+	if !errkind.Is(err, errkind.KeyConflict) {
+		return res, err
+	}
+	first, lookupErr := h.madeBefore(ctx, q, account)
+	if first != nil || lookupErr != nil {
+		return first, lookupErr
+	}
+	return nil, err
+}
+
 // chooseKey takes the operator's hash, or makes a key.
 func chooseKey(given string) (key, hash string, err error) {
 	if given == "" {
@@ -199,15 +215,15 @@
 }
 
 // editKeys reads an account's key hashes, lets edit change them and commits the
-// list under the version read. When another change came between, it reads again and
-// tries under a further operation id, because the group remembers the conflict as
-// the answer to the first. A resend walks the same ids and so finds its first answer.
+// list under the version read; when another change came between, it tries again. The
+// group remembers a conflict as the answer to its operation id, so that each version
+// is tried under an id of its own.
 func (h *Handler) editKeys(ctx context.Context, q *request, account string, edit func([]string) ([]string, error)) (*pb.CommandResult, error) {
-	if res, err := h.madeBefore(ctx, q, accountPath(account)); res != nil || err != nil {
+	if res, err := h.madeBefore(ctx, q, account); res != nil || err != nil {
 		return res, err
 	}
 	var conflict error
-	for try := range keyTries {
+	for range keyTries {
 		hashes, version, found, err := h.keyHashes(ctx, account)
 		if err != nil {
 			return nil, err
@@ -223,8 +239,8 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "encode key hashes")
 		}
-		res, err := h.proposeAs(ctx, tryID(q.opID, try), q.actor, &pb.Command{Body: &pb.Command_SetConfig{SetConfig: &pb.SetConfig{
-			Path: accountPath(account) + "/key_hashes", ValueJson: value, ExpectedVersion: version}}})
+		res, err := h.proposeKeys(ctx, q, versionedID(q.opID, version), account, &pb.SetConfig{
+			Path: accountPath(account) + "/key_hashes", ValueJson: value, ExpectedVersion: version})
 		if !errkind.Is(err, errkind.VersionConflict) {
 			return res, err
 		}
@@ -233,31 +249,25 @@
 	return nil, conflict
 }
 
-// tryID is the operation id of a try; the first has the request's own.
-func tryID(opID string, try int) string {
-	if try == 0 {
-		return opID
-	}
-	return fmt.Sprintf("%s#%d", opID, try)
+// versionSeparator stands between an operation id and the version it was tried under.
+const versionSeparator = "@"
+
+func versionedID(opID string, version uint64) string {
+	return opID + versionSeparator + strconv.FormatUint(version, 10)
 }
 
-// madeBefore finds the change that an earlier request with this operation id made;
-// nil if there is none. Without it the resend of a dropped key would be told that
-// there is no such key.
-func (h *Handler) madeBefore(ctx context.Context, q *request, path string) (*pb.CommandResult, error) {
-	changes, err := h.history(ctx, path, keyHistory)
-	if errkind.Is(err, errkind.NotFound) {
-		return nil, nil
-	}
+// madeBefore finds the change of an account that an earlier request with this
+// operation id made; nil if there is none. Without it the resend of a dropped key
+// would be told that there is no such key.
+func (h *Handler) madeBefore(ctx context.Context, q *request, account string) (*pb.CommandResult, error) {
+	changes, err := h.history(ctx, accountPath(account), keyHistory)
 	if err != nil {
 		return nil, err
 	}
 	for _, c := range changes {
-		for try := range keyTries {
-			if c.OpID == tryID(q.opID, try) {
-				return &pb.CommandResult{Resend: true, Body: &pb.CommandResult_SetConfig{
-					SetConfig: &pb.SetConfigResult{Revision: c.Revision, Version: c.Version}}}, nil
-			}
+		if c.OpID == q.opID || strings.HasPrefix(c.OpID, q.opID+versionSeparator) {
+			return &pb.CommandResult{Resend: true, Body: &pb.CommandResult_SetConfig{
+				SetConfig: &pb.SetConfigResult{Revision: c.Revision, Version: c.Version}}}, nil
 		}
 	}
 	return nil, nil
--- a/internal/adminapi/accounts_test.go
+++ b/internal/adminapi/accounts_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
 func (a *api) createAccount() KeyAnswer {
@@ -82,6 +83,9 @@
 		t.Error("the account has not exactly one key")
 	}
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o2"), errkind.AlreadyExists)
+	var b BudgetAnswer
+	a.must(a.call("POST", "/v1/budgets", `{"name":"b"}`, "Idempotency-Key", "o3"), &b)
+	a.mustRefuse(a.call("POST", "/v1/accounts", `{"name":"new"}`, "Idempotency-Key", "o3"), errkind.KeyConflict)
 }
 
 func TestOperatorsOwnHashIsConfirmedOnResend(t *testing.T) {
@@ -120,6 +124,25 @@
 	}
 }
 
+// Symptom: a resend is refused as another change, though the first took effect never.
+// Sequence: a key change meets a conflict, the host dies before it tries again, the
+// operator sends the change to another host.
+// Cause: the group remembers the conflict as the answer to the operation id.
+func TestKeyChangeGoesOnAfterARememberedConflict(t *testing.T) {
+	a := newAPI(t)
+	a.createAccount()
+	stale := &pb.SetConfig{Path: "/accounts/acme/key_hashes", ValueJson: []byte(`[]`), ExpectedVersion: 0}
+	res, err := a.group.Propose(t.Context(), &pb.Command{OpId: versionedID("o", 0), Body: &pb.Command_SetConfig{SetConfig: stale}})
+	if err != nil || res.GetError().GetKind() != string(errkind.VersionConflict) {
+		t.Fatalf("%v %v", res, err)
+	}
+	var added KeyAnswer
+	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "o"), &added)
+	if got := a.hashes(); len(got) != 2 || got[1] != added.KeyHash {
+		t.Errorf("hashes %v", got)
+	}
+}
+
 // Symptom: an operator drops a key, is told that it never existed and drops another.
 // Sequence: the drop commits, its answer is lost, the drop is sent again.
 // Cause: the resend looks for the hash before it looks for its own first change.
--- a/internal/procconfig/check.go
+++ b/internal/procconfig/check.go
@@ -25,11 +25,13 @@
 	maxMaxBodyBytes  = 256 << 20
 	// heartbeatsBeforeSuspect is how many heartbeats may be lost before a peer is suspected.
 	heartbeatsBeforeSuspect = 2
-	maxNameBytes            = 63
+	maxNameBytes            = 64
 	hashBytes               = 32
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+// namePattern is the rule for names in the settings tree. A letter with a detached
+// accent doesn't match it: two zones would look the same and differ.
+var namePattern = regexp.MustCompile(`^[\pL\p{Nd}][\pL\p{Nd}._-]*$`)
 
 var logLevels = []string{"debug", "info", "warn", "error"}
 
@@ -67,7 +69,7 @@
 		return
 	}
 	if len(v) > maxNameBytes || !namePattern.MatchString(v) {
-		k.fault(path, "%q is no name; use up to %d of a-z, 0-9 and -, not at the ends", v, maxNameBytes)
+		k.fault(path, "%q is no name; it has 1 to %d bytes: letters, digits and . _ - after the first", v, maxNameBytes)
 	}
 }
 
