--- a/internal/adminapi/accounts.go
+++ b/internal/adminapi/accounts.go
@@ -138,7 +138,7 @@
 func chooseKey(given string) (key, hash string, err error) {
 	if given == "" {
 		key = NewKey()
-		return key, HashKey(key), nil
+		return key, settings.HashKey(key), nil
 	}
 	if !hashPattern.MatchString(given) {
 		return "", "", errkind.New(errkind.BadRequest, "key_hash is no SHA-256 hash in lower-case hex").At("/key_hash")
--- a/internal/adminapi/accounts_test.go
+++ b/internal/adminapi/accounts_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 func (a *api) createAccount() KeyAnswer {
@@ -33,7 +34,7 @@
 	first := a.createAccount()
 	var second KeyAnswer
 	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "add"), &second)
-	if got := a.hashes(); len(got) != 2 || got[0] != HashKey(first.Key) || got[1] != HashKey(second.Key) {
+	if got := a.hashes(); len(got) != 2 || got[0] != settings.HashKey(first.Key) || got[1] != settings.HashKey(second.Key) {
 		t.Fatalf("hashes %v", got)
 	}
 	var dropped KeyAnswer
@@ -90,7 +91,7 @@
 
 func TestOperatorsOwnHashIsConfirmedOnResend(t *testing.T) {
 	a := newAPI(t)
-	hash := HashKey("mine")
+	hash := settings.HashKey("mine")
 	a.group.loseAnswer = true
 	body := `{"name":"acme","team":"t","budget":"b","key_hash":"` + hash + `"}`
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), errkind.NoQuorum)
--- a/internal/adminapi/answer.go
+++ b/internal/adminapi/answer.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -32,21 +33,7 @@
 	_, _ = w.Write(append(b, '\n'))
 }
 
-func writeError(w http.ResponseWriter, e *errkind.Error) {
-	if e.RetryAfter > 0 {
-		seconds := (e.RetryAfter + time.Second - 1) / time.Second
-		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
-	}
-	writeJSON(w, e.Status(), ErrorAnswer{Error: ErrorFields{
-		Kind:           e.Kind,
-		Message:        e.Message,
-		Path:           e.Path,
-		Ran:            e.Ran(),
-		Retry:          errkind.Lookup(e.Kind).Retry,
-		RetryAfterMS:   e.RetryAfter.Milliseconds(),
-		PresentVersion: e.PresentVersion,
-	}})
-}
+func writeError(w http.ResponseWriter, err error) { httpserver.WriteError(w, "", err) }
 
 // readBody returns the whole body, or the refusal of one that is too long.
 func readBody(q *request) ([]byte, error) {
--- a/internal/adminapi/auth.go
+++ b/internal/adminapi/auth.go
@@ -1,31 +1,24 @@
 package adminapi
 
 import (
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 // actorHashDigits of an operator key's hash name the operator in logs and history.
 const actorHashDigits = 12
 
-// HashKey returns the hex SHA-256 hash under which a key is known.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // actor returns the name of the operator whose key r bears.
 func (h *Handler) actor(r *http.Request) (string, error) {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
 		return "", errkind.New(errkind.Unauthenticated, "give an operator's key as Authorization: Bearer KEY")
 	}
-	hash := HashKey(key)
+	hash := settings.HashKey(key)
 	if !containsHash(h.cfg.OperatorKeyHashes(), hash) {
 		return "", errkind.New(errkind.Unauthenticated, "no operator has this key")
 	}
--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -208,7 +208,7 @@
 func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
 	if h.cfg.Ready != nil {
 		if err := h.cfg.Ready(); err != nil {
-			writeError(w, errkind.From(err))
+			writeError(w, err)
 			return
 		}
 	}
--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -15,7 +15,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 const operatorKey = "op-key-of-the-tests"
@@ -34,7 +36,7 @@
 	a := &api{t: t, group: newFakeGroup()}
 	a.handler = New(Config{
 		Group: a.group, Fleet: fakeFleet{}, Explain: fakeExplainer{},
-		OperatorKeyHashes: func() []string { return []string{HashKey("other"), HashKey(operatorKey)} },
+		OperatorKeyHashes: func() []string { return []string{settings.HashKey("other"), settings.HashKey(operatorKey)} },
 		Ready:             func() error { return a.ready },
 		Log:               zerolog.New(&a.log),
 	})
@@ -67,9 +69,9 @@
 }
 
 // mustRefuse checks the status, the kind and the path of a refusal and returns it.
-func (a *api) mustRefuse(w *httptest.ResponseRecorder, kind errkind.Kind) ErrorFields {
+func (a *api) mustRefuse(w *httptest.ResponseRecorder, kind errkind.Kind) httpserver.ErrorFields {
 	a.t.Helper()
-	var e ErrorAnswer
+	var e httpserver.ErrorAnswer
 	if err := json.Unmarshal(w.Body.Bytes(), &e); err != nil {
 		a.t.Fatalf("status %d, body %s: %v", w.Code, w.Body, err)
 	}
@@ -91,7 +93,7 @@
 	}
 	for _, p := range paths {
 		method, path, _ := strings.Cut(p, " ")
-		for _, bearer := range []string{"", "Bearer ", "Bearer wrong", "Bearer " + HashKey(operatorKey), operatorKey} {
+		for _, bearer := range []string{"", "Bearer ", "Bearer wrong", "Bearer " + settings.HashKey(operatorKey), operatorKey} {
 			w := a.call(method, path, "{}", "Authorization", bearer, "Idempotency-Key", "op", "If-Match", "*")
 			a.mustRefuse(w, errkind.Unauthenticated)
 		}
@@ -333,7 +335,7 @@
 	e := errkind.From(refusal(&pb.Error{Kind: "overloaded", Message: "m", Path: "/p", RetryAfterMs: 1500, PresentVersion: 3}))
 	w := httptest.NewRecorder()
 	writeError(w, e)
-	want := `{"error":{"kind":"overloaded","message":"m","path":"/p","ran":"no","retry":"after","retry_after_ms":1500,"present_version":3}}` + "\n"
+	want := `{"error":{"kind":"overloaded","message":"m","ran":"no","retry":"after","retry_after_ms":1500,"path":"/p","present_version":3}}`
 	if w.Body.String() != want || w.Header().Get("Retry-After") != "2" || w.Code != 429 {
 		t.Errorf("%d %v\n%s", w.Code, w.Header(), w.Body)
 	}
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -4,28 +4,9 @@
 	"encoding/json"
 	"time"
 
-	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
-// ErrorAnswer is the body of every refusal.
-type ErrorAnswer struct {
-	Error ErrorFields `json:"error"`
-}
-
-// ErrorFields says what was refused, whether it ran and when to come back.
-type ErrorFields struct {
-	Kind    errkind.Kind  `json:"kind"`
-	Message string        `json:"message"`
-	Path    string        `json:"path,omitempty"`
-	Ran     errkind.Ran   `json:"ran"`
-	Retry   errkind.Retry `json:"retry"`
-	// RetryAfterMS is when to come back, in milliseconds; 0: not said.
-	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
-	// PresentVersion of the subtree, with a version conflict.
-	PresentVersion uint64 `json:"present_version,omitempty"`
-}
-
 // Health answers /healthz.
 type Health struct {
 	Status string `json:"status"`
