--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -203,6 +203,48 @@
 	a.mustRefuse(a.call("GET", "/v1/budgets/none", ""), errkind.NotFound)
 }
 
+// TestAPIOverNBHTTP shows that paths, headers, missing bodies and answers pass through
+// the server that the daemon uses.
+func TestAPIOverNBHTTP(t *testing.T) {
+	a := newAPI(t)
+	s := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: a.handler})
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Drain(context.Background()) }()
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	for _, tt := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"PUT", "/v1/config/teams/t", `{"priority":"batch"}`, 200},
+		{"GET", "/v1/config/teams/t", "", 200},
+		{"POST", "/v1/accounts/a/keys", "", 400},
+		{"DELETE", "/v1/config/teams/t", "", 200},
+		{"GET", "/v1/config/teams/t", "", 404},
+		{"GET", "/v1/nothing", "", 404},
+		{"GET", "/debug/vars", "", 200},
+		{"GET", "/healthz", "", 200},
+	} {
+		r, err := http.NewRequest(tt.method, "http://"+s.Address()+tt.path, strings.NewReader(tt.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer "+operatorKey)
+		r.Header.Set("Idempotency-Key", tt.method)
+		r.Header.Set("If-Match", "*")
+		res, err := client.Do(r)
+		if err != nil {
+			t.Fatalf("%s %s: %v", tt.method, tt.path, err)
+		}
+		if res.StatusCode != tt.status || res.Header.Get("Content-Type") == "" {
+			t.Errorf("%s %s: status %d, want %d", tt.method, tt.path, res.StatusCode, tt.status)
+		}
+		res.Body.Close()
+	}
+}
+
 func TestBudgetShowsWhatHostsHold(t *testing.T) {
 	a := newAPI(t)
 	a.group.budgets["b"] = &pb.Budget{Name: "b", Funded: 100, Billed: 20, Granted: []*pb.Granted{
--- /dev/null
+++ b/internal/admincli/app.go
@@ -0,0 +1,269 @@
+// Package admincli is the operators' command-line tool: its command tree, its client
+// of the operators' API and the files it prepares for a fleet.
+//
+// Every change has an operation id, printed with the answer. When an answer is lost
+// the tool sends the change again under the same id until its time is over; then it
+// says that the outcome is unknown, with the id for a resend.
+package admincli
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const defaultTimeout = 30 * time.Second
+
+// Names of the global flags.
+const (
+	flagAddress = "address"
+	flagKey     = "key"
+	flagKeyFile = "key-file"
+	flagCA      = "ca"
+	flagTimeout = "timeout"
+	flagJSON    = "json"
+	flagOpID    = "op-id"
+)
+
+const description = `Exit codes: 0 done; 1 refused, nothing was changed; 2 wrong usage, nothing was sent;
+3 no host reached, or the outcome of a change is unknown.
+
+Every change prints its operation id. The same command with --op-id ID asks for its
+outcome and changes nothing twice.`
+
+// app is one run of the tool.
+type app struct {
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// Run runs the tool with args, the program's name first, and returns its exit code.
+func Run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	a := &app{stdin: stdin, stdout: stdout, stderr: stderr}
+	err := a.root().Run(ctx, args)
+	if err != nil {
+		fmt.Fprintf(stderr, "bluebellsail: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) root() *cli.Command {
+	root := &cli.Command{
+		Name:                  "bluebellsail",
+		Usage:                 "drive a bluebellsail fleet",
+		Description:           description,
+		EnableShellCompletion: true,
+		Suggest:               true,
+		Reader:                a.stdin,
+		Writer:                a.stdout,
+		ErrWriter:             a.stderr,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Flags:                 globalFlags(),
+		Commands: []*cli.Command{
+			a.statusCommand(), a.hostCommand(), a.serverCommand(), a.budgetCommand(), a.accountCommand(),
+			a.teamCommand(), a.configCommand(), a.controlCommand(), a.explainCommand(),
+			a.keysCommand(), a.tlsCommand(), a.devCommand(),
+		},
+	}
+	_ = root.Walk(prepare)
+	return root
+}
+
+// prepare gives every command the same answer to a wrong command line.
+func prepare(c *cli.Command) error {
+	c.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return usage("%v; see %s --help", err, cmd.FullName())
+	}
+	if c.Action == nil {
+		c.Action = func(_ context.Context, cmd *cli.Command) error {
+			if !cmd.Args().Present() {
+				return usage("say which command; see %s --help", cmd.FullName())
+			}
+			return usage("there is no command %q; see %s --help", cmd.Args().First(), cmd.FullName())
+		}
+	}
+	return nil
+}
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: flagAddress, Aliases: []string{"a"}, Sources: cli.EnvVars("BLUEBELLSAIL_ADDRESS"),
+			Usage: "operators' `ADDRESS` of a host, ip:port or https://ip:port; several are tried in turn"},
+		&cli.StringFlag{Name: flagKey, Sources: cli.EnvVars("BLUEBELLSAIL_KEY"),
+			Usage: "operator's `KEY`; other users of this machine may see it, rather use --key-file"},
+		&cli.StringFlag{Name: flagKeyFile, Sources: cli.EnvVars("BLUEBELLSAIL_KEY_FILE"), Usage: "`FILE` with the operator's key"},
+		&cli.StringFlag{Name: flagCA, Sources: cli.EnvVars("BLUEBELLSAIL_CA"),
+			Usage: "PEM `FILE` with the authority of the hosts' certificates; addresses are https then"},
+		&cli.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "`TIME` in which to get an answer, resends included"},
+		&cli.BoolFlag{Name: flagJSON, Usage: "print the answer as JSON"},
+		&cli.StringFlag{Name: flagOpID, Usage: "operation `ID` of a change, to send it again"},
+	}
+}
+
+// client makes the client that the global flags describe.
+func (a *app) client(cmd *cli.Command) (*client, error) {
+	key, err := operatorKey(cmd)
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{}
+	scheme := "http://"
+	if file := cmd.String(flagCA); file != "" {
+		pool, err := readPool(file)
+		if err != nil {
+			return nil, err
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+		scheme = "https://"
+	}
+	addresses, err := baseURLs(cmd.StringSlice(flagAddress), scheme)
+	if err != nil {
+		return nil, err
+	}
+	if cmd.Duration(flagTimeout) <= 0 {
+		return nil, usage("--%s must be above 0", flagTimeout)
+	}
+	return &client{
+		addresses: addresses,
+		key:       key,
+		http:      newHTTPClient(transport),
+		timeout:   cmd.Duration(flagTimeout),
+		progress:  &progress{out: a.stderr},
+	}, nil
+}
+
+func operatorKey(cmd *cli.Command) (string, error) {
+	if key := cmd.String(flagKey); key != "" {
+		return key, nil
+	}
+	file := cmd.String(flagKeyFile)
+	if file == "" {
+		return "", usage("give an operator's key with --%s, or BLUEBELLSAIL_KEY_FILE", flagKeyFile)
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return "", usage("read the key: %v", err)
+	}
+	key := strings.TrimSpace(string(b))
+	if key == "" {
+		return "", usage("the key file %s is empty", file)
+	}
+	return key, nil
+}
+
+func readPool(file string) (*x509.CertPool, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, usage("read the authority: %v", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(b) {
+		return nil, usage("%s has no certificate in PEM", file)
+	}
+	return pool, nil
+}
+
+func baseURLs(addresses []string, scheme string) ([]string, error) {
+	if len(addresses) == 0 {
+		return nil, usage("give a host's operators' address with --%s, or BLUEBELLSAIL_ADDRESS", flagAddress)
+	}
+	urls := make([]string, len(addresses))
+	for i, address := range addresses {
+		if rest, ok := strings.CutPrefix(address, "https://"); ok {
+			scheme, address = "https://", rest
+		}
+		if rest, ok := strings.CutPrefix(address, "http://"); ok {
+			scheme, address = "http://", rest
+		}
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nil, usage("address %q is not ip:port with an IP number", address)
+		}
+		urls[i] = scheme + address
+	}
+	return urls, nil
+}
+
+// read asks and prints the answer.
+func (a *app) read(ctx context.Context, cmd *cli.Command, path string, out any, text func(w io.Writer)) error {
+	cl, err := a.client(cmd)
+	if err != nil {
+		return err
+	}
+	if err := cl.do(ctx, call{method: http.MethodGet, path: path}, out); err != nil {
+		return err
+	}
+	return a.print(cmd, out, text)
+}
+
+// change sends a change under its operation id and prints the answer.
+func (a *app) change(ctx context.Context, cmd *cli.Command, c call, out any, text func(w io.Writer)) error {
+	cl, err := a.client(cmd)
+	if err != nil {
+		return err
+	}
+	c.opID = operationID(cmd)
+	if err := cl.do(ctx, c, out); err != nil {
+		return err
+	}
+	return a.print(cmd, out, text)
+}
+
+// operationID is the one given, or a new one.
+func operationID(cmd *cli.Command) string {
+	if id := cmd.String(flagOpID); id != "" {
+		return id
+	}
+	return "op-" + strings.ToLower(rand.Text())
+}
+
+// print writes out as JSON or as text.
+func (a *app) print(cmd *cli.Command, out any, text func(w io.Writer)) error {
+	if cmd.Bool(flagJSON) {
+		b, err := json.MarshalIndent(out, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode the answer")
+		}
+		_, err = fmt.Fprintln(a.stdout, string(b))
+		return err
+	}
+	w := tabwriter.NewWriter(a.stdout, 0, 0, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+// printOperation writes the operation id of a change.
+func printOperation(w io.Writer, opID string, resend bool) {
+	if resend {
+		fmt.Fprintf(w, "op_id %s (done by an earlier request)\n", opID)
+		return
+	}
+	fmt.Fprintf(w, "op_id %s\n", opID)
+}
+
+// arguments returns the command's arguments, which must be as many as names.
+func arguments(cmd *cli.Command, names ...string) ([]string, error) {
+	if cmd.Args().Len() != len(names) {
+		return nil, usage("want %s; see %s --help", strings.Join(names, " "), cmd.FullName())
+	}
+	return cmd.Args().Slice(), nil
+}
+
+// encode returns v as the body of a call.
+func encode(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	return b, errors.Wrap(err, "encode the request")
+}
--- /dev/null
+++ b/internal/admincli/client.go
@@ -0,0 +1,239 @@
+package admincli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+)
+
+const (
+	// attemptTimeout bounds one try at one address, so that an address which takes
+	// connections and answers nothing doesn't use up the whole time.
+	attemptTimeout = 5 * time.Second
+	dialTimeout    = 2 * time.Second
+	// Pause after a round through all addresses.
+	firstPause = 100 * time.Millisecond
+	maxPause   = 2 * time.Second
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// call is one request to the operators' API.
+type call struct {
+	method string
+	path   string
+	// ifMatch is the header If-Match; empty: none.
+	ifMatch string
+	// body is sent as it is.
+	body []byte
+	// opID identifies a change; empty for a read.
+	opID string
+}
+
+func (c call) changes() bool { return c.opID != "" }
+
+// client sends calls to the first address that answers.
+type client struct {
+	// addresses are base URLs such as "http://192.0.2.1:8081".
+	addresses []string
+	key       string
+	http      *http.Client
+	timeout   time.Duration
+	progress  *progress
+}
+
+// attempt is what one try at one address came to.
+type attempt struct {
+	body []byte
+	err  error
+	// again: another address, or the same one later, may answer otherwise.
+	again bool
+	// unknown: the change may have taken effect.
+	unknown bool
+	pause   time.Duration
+}
+
+// refusal is an answer that is no success.
+type refusal struct{ fields httpserver.ErrorFields }
+
+func (r *refusal) Error() string {
+	message := string(r.fields.Kind) + ": " + r.fields.Message
+	if r.fields.Path != "" {
+		message = string(r.fields.Kind) + ": " + r.fields.Path + ": " + r.fields.Message
+	}
+	if r.fields.PresentVersion != 0 {
+		message += fmt.Sprintf(" (present version %d)", r.fields.PresentVersion)
+	}
+	return message
+}
+
+// refusedAs returns the refusal in err if it is of kind k.
+func refusedAs(err error, k errkind.Kind) (*refusal, bool) {
+	var r *refusal
+	if errors.As(err, &r) && r.fields.Kind == k {
+		return r, true
+	}
+	return nil, false
+}
+
+// do sends c until it is answered or the time is over, and decodes the answer into
+// out. A change is sent again only under its own operation id, which makes a second
+// arrival harmless.
+func (cl *client) do(ctx context.Context, c call, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
+	defer cancel()
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = firstPause, maxPause
+	last := errors.New("nothing was tried")
+	unknown := false
+	for try := 0; ctx.Err() == nil; try++ {
+		address := cl.addresses[try%len(cl.addresses)]
+		a := cl.try(ctx, address, c)
+		if a.err == nil {
+			return decodeAnswer(a.body, out)
+		}
+		if !a.again && (!unknown || decidedByGroup(a.err)) {
+			return &exitError{code: ExitRefused, err: a.err}
+		}
+		unknown = unknown || a.unknown
+		if try == 0 || ctx.Err() == nil {
+			last = a.err
+		}
+		cl.progress.say("%s: %v", address, a.err)
+		if (try+1)%len(cl.addresses) == 0 {
+			wait(ctx, max(pauses.NextBackOff(), a.pause))
+		}
+	}
+	return cl.gaveUp(c, last, unknown)
+}
+
+// decidedByGroup tells whether a refusal is the control group's own answer to the
+// operation. After an attempt with an unknown outcome only such a refusal says that
+// the change didn't take effect: another host may refuse a key or a path before it
+// asks the group at all.
+func decidedByGroup(err error) bool {
+	var r *refusal
+	if !errors.As(err, &r) {
+		return false
+	}
+	switch r.fields.Kind {
+	case errkind.VersionConflict, errkind.InvalidSettings, errkind.AlreadyExists, errkind.NotFound, errkind.KeyConflict:
+		return true
+	}
+	return false
+}
+
+// gaveUp says what is known after the last attempt.
+func (cl *client) gaveUp(c call, last error, unknown bool) error {
+	message := "no host answered within " + cl.timeout.String()
+	if c.changes() {
+		message += "; nothing was changed"
+	}
+	if unknown {
+		message = fmt.Sprintf("the outcome is unknown, the change may have taken effect; "+
+			"to learn it, send the same command again with --op-id %s", c.opID)
+	}
+	return &exitError{code: ExitUnreachable, err: errors.Errorf("%s (last: %v)", message, last)}
+}
+
+// try sends c to one address.
+func (cl *client) try(ctx context.Context, address string, c call) attempt {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	defer cl.progress.wait(address)()
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, address+c.path, bytes.NewReader(c.body))
+	if err != nil {
+		return attempt{err: err}
+	}
+	cl.setHeader(r, c)
+	res, err := cl.http.Do(r)
+	if err != nil {
+		return attempt{err: errors.New(plainError(err)), again: true, unknown: connected && c.changes()}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return attempt{err: errors.Wrap(err, "read the answer"), again: true, unknown: c.changes()}
+	}
+	if res.StatusCode == http.StatusOK {
+		return attempt{body: body}
+	}
+	return judge(res.StatusCode, body, c.changes())
+}
+
+func (cl *client) setHeader(r *http.Request, c call) {
+	r.Header.Set("Authorization", "Bearer "+cl.key)
+	if c.ifMatch != "" {
+		r.Header.Set("If-Match", c.ifMatch)
+	}
+	if c.changes() {
+		r.Header.Set("Idempotency-Key", c.opID)
+	}
+	if len(c.body) > 0 {
+		r.Header.Set("Content-Type", "application/json")
+	}
+}
+
+// judge decides from a refusal whether to go on.
+func judge(status int, body []byte, changes bool) attempt {
+	var answer httpserver.ErrorAnswer
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Error.Kind == "" {
+		return attempt{err: errors.Errorf("status %d without an error that is understood", status), again: true, unknown: changes}
+	}
+	f := answer.Error
+	a := attempt{err: &refusal{f}, pause: time.Duration(f.RetryAfterMs) * time.Millisecond}
+	a.unknown = changes && f.Ran != errkind.RanNo
+	a.again = a.unknown || f.Retry == errkind.RetryElsewhere || f.Retry == errkind.RetryAfter || f.Kind == errkind.NoQuorum
+	return a
+}
+
+func decodeAnswer(body []byte, out any) error {
+	if err := json.Unmarshal(body, out); err != nil {
+		return &exitError{code: ExitUnreachable, err: errors.Wrap(err, "the answer is not understood")}
+	}
+	return nil
+}
+
+// plainError takes the method and URL off an error of net/http.
+func plainError(err error) string {
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err.Error()
+	}
+	return err.Error()
+}
+
+// wait sleeps for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// newHTTPClient uses no proxy and follows no redirect: either would show the
+// operator's key to another machine.
+func newHTTPClient(transport *http.Transport) *http.Client {
+	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- /dev/null
+++ b/internal/admincli/progress.go
@@ -0,0 +1,44 @@
+package admincli
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// progressPeriod is how often a wait is told.
+const progressPeriod = 2 * time.Second
+
+// progress tells on the error stream what a command waits for. It is safe for
+// concurrent use.
+type progress struct {
+	mu  sync.Mutex
+	out io.Writer
+}
+
+func (p *progress) say(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fmt.Fprintf(p.out, format+"\n", args...)
+}
+
+// wait tells every progressPeriod that what is still waited for, until the returned
+// function is called.
+func (p *progress) wait(what string) (stop func()) {
+	done := make(chan struct{})
+	began := time.Now()
+	go func() {
+		t := time.NewTicker(progressPeriod)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				p.say("waiting for %s, %s so far", what, time.Since(began).Round(time.Second))
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
--- /dev/null
+++ b/internal/admincli/script_test.go
@@ -0,0 +1,250 @@
+package admincli
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rs/zerolog"
+
+	"github.com/bluebellsail/bluebellsail/internal/adminapi"
+	"github.com/bluebellsail/bluebellsail/internal/apply"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"bluebellsail": func() {
+			os.Exit(Run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr))
+		},
+	})
+}
+
+// TestScripts runs testdata against an operators' API over the control group's real
+// state machine. $A and $B are two hosts' addresses, $DEAD one where nobody listens.
+// The servers are net/http's: nbio's accepted sockets are inherited by processes that
+// the scripts start, keep their epoll registration through them and so close later
+// connections that get the same descriptor.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setupFleet,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"exits": exits,
+			"fault": setFault,
+		},
+	})
+}
+
+const scriptKey = "script-operator-key"
+
+type fleetKey struct{}
+
+func setupFleet(env *testscript.Env) error {
+	group := &stateGroup{state: apply.New(apply.Options{})}
+	hosts := map[string]*host{}
+	for _, name := range []string{"a", "b"} {
+		h := newHost(group, name)
+		env.Defer(h.server.Close)
+		env.Setenv(strings.ToUpper(name), h.address())
+		hosts[name] = h
+	}
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	dead.Close()
+	keyFile := filepath.Join(env.WorkDir, "operator.key")
+	if err := os.WriteFile(keyFile, []byte(scriptKey+"\n"), 0o600); err != nil {
+		return err
+	}
+	env.Setenv("DEAD", dead.Addr().String())
+	env.Setenv("BLUEBELLSAIL_ADDRESS", hosts["a"].address())
+	env.Setenv("BLUEBELLSAIL_KEY_FILE", keyFile)
+	env.Values[fleetKey{}] = hosts
+	return nil
+}
+
+// host is one host's operators' API with faults in front.
+type host struct {
+	server *httptest.Server
+	api    http.Handler
+
+	mu    sync.Mutex
+	fault string
+	left  int
+}
+
+func newHost(group adminapi.Group, name string) *host {
+	h := &host{api: adminapi.New(adminapi.Config{
+		Group: group, Fleet: fleetView{name}, Explain: explainer{name}, Orders: orders{},
+		OperatorKeyHashes: func() []string { return []string{settings.HashKey(scriptKey)} },
+		Log:               zerolog.Nop(),
+	})}
+	h.server = httptest.NewServer(h)
+	return h
+}
+
+func (h *host) address() string { return h.server.Listener.Addr().String() }
+
+func (h *host) next() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.left == 0 {
+		return ""
+	}
+	h.left--
+	return h.fault
+}
+
+// ServeHTTP serves, or brings about the fault set: "lose" does the work and closes
+// the connection, "garble" answers what is no error body, and the name of an error
+// kind refuses before anything is done.
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch fault := h.next(); fault {
+	case "":
+		h.api.ServeHTTP(w, r)
+	case "lose":
+		h.api.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	case "garble":
+		w.WriteHeader(http.StatusBadGateway)
+	default:
+		httpserver.WriteError(w, "", errkind.New(errkind.Kind(fault), "fault of the test"))
+	}
+}
+
+// setFault: fault HOST FAULT COUNT.
+func setFault(ts *testscript.TestScript, _ bool, args []string) {
+	h := ts.Value(fleetKey{}).(map[string]*host)[args[0]]
+	n, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fault, h.left = args[1], n
+}
+
+// exits: exits CODE COMMAND... runs the command and checks its exit code.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	var failed *exec.ExitError
+	got := 0
+	if errors.As(err, &failed) {
+		got = failed.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// stateGroup is the control group's state machine without a log or a network.
+type stateGroup struct {
+	mu    sync.Mutex
+	state *apply.State
+}
+
+func (g *stateGroup) Propose(_ context.Context, c *pb.Command) (*pb.CommandResult, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.TimeMs = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
+	return g.state.Apply(g.state.Applied()+1, c), nil
+}
+
+func (g *stateGroup) Read(_ context.Context, q *pb.Query) (*pb.QueryResult, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	res := g.state.Query(q)
+	if q.GetMembers() != nil {
+		res.Group = &pb.GroupStatus{Leader: 1, Term: 3, Members: []*pb.MemberStatus{{Member: &pb.Member{Id: 1, Host: "a"}, Active: true}}}
+	}
+	return res, nil
+}
+
+func (g *stateGroup) ChangeMembers(_ context.Context, r *pb.ChangeMembersRequest) (*pb.ChangeMembersReply, error) {
+	return &pb.ChangeMembersReply{Group: &pb.GroupStatus{Members: []*pb.MemberStatus{{Member: r.GetMember()}}}}, nil
+}
+
+type fleetView struct{ host string }
+
+func (f fleetView) Self() *pb.HostState {
+	return &pb.HostState{Holder: &pb.Holder{Host: f.host, Incarnation: 1}, Zone: "z", Health: pb.HostHealth_HOST_HEALTH_ALIVE, ConfigRevision: 1}
+}
+
+func (f fleetView) Hosts() []*pb.HostState {
+	return []*pb.HostState{f.Self(), {Holder: &pb.Holder{Host: "c"}, Health: pb.HostHealth_HOST_HEALTH_SUSPECT, HeardMs: 4000}}
+}
+
+func (f fleetView) Servers() []*pb.ServerState {
+	return []*pb.ServerState{{Address: "192.0.2.9:1", Models: []string{"m"}, Zone: "z"}}
+}
+
+// explainer of host b knows one request.
+type explainer struct{ host string }
+
+func (e explainer) Explain(_ context.Context, id string) (json.RawMessage, error) {
+	if e.host != "b" || id != "r1" {
+		return nil, errkind.New(errkind.NotFound, "nothing about %s", id)
+	}
+	return json.RawMessage(`{"request_id":"r1","identity":"acme/k"}`), nil
+}
+
+type orders struct{}
+
+func (orders) Order(_ context.Context, _, _ string, o *pb.PlaceOrder) (*pb.PlaceOrderResult, error) {
+	return &pb.PlaceOrderResult{Fence: uint64(len(o.GetVerb() + o.GetObject() + o.GetRole()))}, nil
+}
+
+// Symptom: an operator is told that nothing was changed, and a budget is funded.
+// Sequence: the first attempt has an unknown outcome, the second meets a host that
+// refuses before it asks the control group.
+// Cause: the last refusal is taken for the outcome of the operation.
+func TestRefusalAfterUnknownOutcomeIsNoOutcome(t *testing.T) {
+	for _, kind := range []errkind.Kind{errkind.Unauthenticated, errkind.UnknownPath, errkind.BadRequest, errkind.HostLeaving} {
+		if decidedByGroup(judge(0, httpserver.ErrorBody("", errkind.New(kind, "x")), true).err) {
+			t.Errorf("%s counts as the group's own answer", kind)
+		}
+	}
+	a := judge(502, []byte("<html>"), true)
+	if !a.again || !a.unknown {
+		t.Errorf("an answer that is not understood: %+v", a)
+	}
+	if a := judge(502, []byte("<html>"), false); a.unknown {
+		t.Errorf("a read has an unknown outcome: %+v", a)
+	}
+}
+
+func TestEveryKindIsJudgedByItsTable(t *testing.T) {
+	for _, row := range errkind.Table {
+		a := judge(row.Status, httpserver.ErrorBody("", errkind.New(row.Kind, "x")), true)
+		ranNo := errkind.New(row.Kind, "x").Ran() == errkind.RanNo
+		if a.unknown == ranNo {
+			t.Errorf("%s: unknown %t, though ran no is %t", row.Kind, a.unknown, ranNo)
+		}
+		if row.Retry == errkind.RetryNever && ranNo && a.again {
+			t.Errorf("%s is tried again", row.Kind)
+		}
+		if row.Retry == errkind.RetryElsewhere && !a.again {
+			t.Errorf("%s is not tried elsewhere", row.Kind)
+		}
+	}
+	if !strings.Contains((&refusal{httpserver.ErrorFields{Kind: "k", Path: "/p", PresentVersion: 3}}).Error(), "/p: ") {
+		t.Error("the path of the fault is not told")
+	}
+}
--- /dev/null
+++ b/internal/devfleet/devfleet.go
@@ -0,0 +1,190 @@
+// Package devfleet writes the settings files of a small fleet on loopback, for the
+// demo, for end-to-end tests and for trials on one machine.
+package devfleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/adminapi"
+	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+const (
+	fleetName    = "dev"
+	maxHosts     = 200
+	loopback     = "127.0.0.1"
+	portsPerHost = 3
+
+	fileMode = 0o600
+	dirMode  = 0o700
+)
+
+// Options of a fleet.
+type Options struct {
+	// Dir is the folder for all files; made if absent, else it must be empty.
+	Dir string
+	// Hosts is how many hosts there are; the first Controls of them have a replica.
+	Hosts    int
+	Controls int
+	// Zones that the hosts are spread over in turn.
+	Zones []string
+}
+
+// Layout says where things are.
+type Layout struct {
+	Dir string `json:"dir"`
+	// KeyFile has the operator's key.
+	KeyFile string `json:"key_file"`
+	// EnvFile is a shell script that sets what bluebellsail needs.
+	EnvFile string `json:"env_file"`
+	Hosts   []Host `json:"hosts"`
+}
+
+// Host is one host of the fleet.
+type Host struct {
+	Host    string `json:"host"`
+	Zone    string `json:"zone"`
+	Control bool   `json:"control"`
+	// Settings is the path of the host's settings file.
+	Settings  string `json:"settings"`
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+}
+
+// Init writes the files of a fleet. The ports were free when it looked; a process
+// that starts later may find one taken.
+func Init(o Options) (*Layout, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	dir, err := emptyDir(o.Dir)
+	if err != nil {
+		return nil, err
+	}
+	addresses, err := freeAddresses(o.Hosts * portsPerHost)
+	if err != nil {
+		return nil, err
+	}
+	layout := &Layout{Dir: dir, KeyFile: filepath.Join(dir, "operator.key"), EnvFile: filepath.Join(dir, "env.sh")}
+	for i := range o.Hosts {
+		name := fmt.Sprintf("host-%d", i+1)
+		a := addresses[i*portsPerHost:]
+		layout.Hosts = append(layout.Hosts, Host{
+			Host: name, Zone: o.Zones[i%len(o.Zones)], Control: i < o.Controls,
+			Settings: filepath.Join(dir, name+".json"), Callers: a[0], Operators: a[1], Peers: a[2]})
+	}
+	return layout, layout.write()
+}
+
+func (o Options) check() error {
+	if o.Hosts < 1 || o.Hosts > maxHosts {
+		return errors.Errorf("%d hosts; use 1 to %d", o.Hosts, maxHosts)
+	}
+	if o.Controls < 1 || o.Controls > o.Hosts {
+		return errors.Errorf("%d control replicas; use 1 to the number of hosts, %d", o.Controls, o.Hosts)
+	}
+	if len(o.Zones) == 0 {
+		return errors.New("give at least one zone")
+	}
+	return nil
+}
+
+// emptyDir makes dir and refuses one that has files: they may be a fleet in use.
+func emptyDir(dir string) (string, error) {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return "", errors.Wrap(err, "folder")
+	}
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return "", errors.Wrap(err, "make the folder")
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return "", errors.Wrap(err, "read the folder")
+	}
+	if len(entries) > 0 {
+		return "", errors.Errorf("the folder %s is not empty", dir)
+	}
+	return dir, nil
+}
+
+// freeAddresses listens on n ports at once, so that no port comes twice, and lets
+// them go.
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (l *Layout) write() error {
+	key := adminapi.NewKey()
+	if err := os.WriteFile(l.KeyFile, []byte(key+"\n"), fileMode); err != nil {
+		return errors.Wrap(err, "write the operator's key")
+	}
+	if err := os.WriteFile(l.EnvFile, []byte(l.environment()), fileMode); err != nil {
+		return errors.Wrap(err, "write the environment")
+	}
+	for _, h := range l.Hosts {
+		c := l.config(h, settings.HashKey(key))
+		if faults := c.Check(); len(faults) > 0 {
+			return procconfig.Faults(faults)
+		}
+		b, err := json.MarshalIndent(c, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode settings")
+		}
+		if err := os.WriteFile(h.Settings, append(b, '\n'), fileMode); err != nil {
+			return errors.Wrap(err, "write settings")
+		}
+	}
+	return nil
+}
+
+// config is the settings of host h.
+func (l *Layout) config(h Host, keyHash string) *procconfig.Config {
+	c := procconfig.Default()
+	c.Fleet, c.Host, c.Zone = fleetName, h.Host, h.Zone
+	c.Roles = []procconfig.Role{procconfig.RoleEntry}
+	c.Listen = procconfig.Listen{Callers: h.Callers, Operators: h.Operators, Peers: h.Peers}
+	c.OperatorKeyHashes = []string{keyHash}
+	c.Log.File = filepath.Join(l.Dir, h.Host+".log")
+	c.Trace.File = filepath.Join(l.Dir, h.Host+".trace")
+	if h.Control {
+		c.Roles = append(c.Roles, procconfig.RoleControl)
+		c.DataDir = filepath.Join(l.Dir, h.Host+".data")
+	}
+	for i, other := range l.Hosts {
+		c.Peers = append(c.Peers, procconfig.Peer{Host: other.Host, Zone: other.Zone, Address: other.Peers})
+		if other.Control {
+			c.Control.Members = append(c.Control.Members, procconfig.Member{ID: uint64(i + 1), Host: other.Host, Address: other.Peers})
+		}
+	}
+	return c
+}
+
+func (l *Layout) environment() string {
+	operators := make([]string, len(l.Hosts))
+	for i, h := range l.Hosts {
+		operators[i] = h.Operators
+	}
+	return fmt.Sprintf("export BLUEBELLSAIL_ADDRESS=%s\nexport BLUEBELLSAIL_KEY_FILE=%s\n",
+		strings.Join(operators, ","), shellQuote(l.KeyFile))
+}
+
+func shellQuote(s string) string { return "'" + strings.ReplaceAll(s, "'", `'\''`) + "'" }
--- /dev/null
+++ b/internal/tlsutil/tlsutil_test.go
@@ -0,0 +1,252 @@
+package tlsutil
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+)
+
+func mustInit(t *testing.T, dir string, renew bool, specs ...string) *Files {
+	t.Helper()
+	var hosts []Host
+	for _, s := range specs {
+		hosts = append(hosts, parse(t, s))
+	}
+	files, err := Init(InitOptions{Dir: dir, Hosts: hosts, Validity: time.Hour, Renew: renew})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+func mustPeers(t *testing.T, ca string, h HostFile) *Peers {
+	t.Helper()
+	p, err := LoadPeers(h.Cert, h.Key, ca, func(err error) { t.Logf("reading again: %v", err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// forget makes the next use look at the files at once.
+func (p *Peers) forget() {
+	p.pair.mu.Lock()
+	p.pair.checked = time.Time{}
+	p.pair.mu.Unlock()
+	p.pool.mu.Lock()
+	p.pool.checked = time.Time{}
+	p.pool.mu.Unlock()
+}
+
+// serve starts a grpc health service on loopback and returns its address.
+func serve(t *testing.T, c credentials.TransportCredentials) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := grpc.NewServer(grpc.Creds(c))
+	healthpb.RegisterHealthServer(s, health.NewServer())
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Stop)
+	return l.Addr().String()
+}
+
+// check makes one call on a new connection.
+func check(address string, c credentials.TransportCredentials) error {
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(c))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err = healthpb.NewHealthClient(conn).Check(ctx, &healthpb.HealthCheckRequest{})
+	return err
+}
+
+func TestPeersTakeOnlyTheFleetsCertificates(t *testing.T) {
+	fleet := mustInit(t, t.TempDir(), false, "a=127.0.0.1", "b=127.0.0.2")
+	other := mustInit(t, t.TempDir(), false, "a=127.0.0.1")
+	a, b := mustPeers(t, fleet.CA, fleet.Hosts[0]), mustPeers(t, fleet.CA, fleet.Hosts[1])
+	foreign := mustPeers(t, other.CA, other.Hosts[0])
+	trusting := mustPeers(t, fleet.CA, other.Hosts[0])
+	address := serve(t, a.Credentials())
+	if err := check(address, b.Credentials()); err != nil {
+		t.Errorf("a peer is refused: %v", err)
+	}
+	if err := check(address, foreign.Credentials()); err == nil {
+		t.Error("a client of another authority trusts this server")
+	}
+	if err := check(address, trusting.Credentials()); err == nil {
+		t.Error("the server takes a client of another authority")
+	}
+	noCertificate := credentials.NewTLS(&tls.Config{RootCAs: b.pool.Certificates()})
+	if err := check(address, noCertificate); err == nil {
+		t.Error("the server takes a client without a certificate")
+	}
+	wrongAddress := serve(t, b.Credentials()) // the certificate says 127.0.0.2
+	if err := check(wrongAddress, a.Credentials()); err == nil {
+		t.Error("the client takes a server under another's address")
+	}
+}
+
+// Symptom: a fleet falls apart when its certificates are replaced, or until every
+// process is restarted.
+// Sequence: authority and certificates are replaced on disk while processes run.
+// Cause: files are read only at the start.
+func TestReplacedFilesAreTakenWithoutARestart(t *testing.T) {
+	dir := t.TempDir()
+	old := mustInit(t, dir, false, "a=127.0.0.1", "b=127.0.0.2")
+	a, b := mustPeers(t, old.CA, old.Hosts[0]), mustPeers(t, old.CA, old.Hosts[1])
+	address := serve(t, a.Credentials())
+	for _, f := range []string{old.CA, old.CAKey} {
+		if err := os.Remove(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	mustInit(t, dir, true, "a=127.0.0.1", "b=127.0.0.2")
+	a.forget()
+	if err := check(address, b.Credentials()); err == nil {
+		t.Fatal("the client still trusts a replaced authority's server")
+	}
+	b.forget()
+	if err := check(address, b.Credentials()); err != nil {
+		t.Errorf("after both read again: %v", err)
+	}
+}
+
+// Symptom: a running process goes off the net while someone copies certificates.
+// Sequence: the key is replaced, the certificate not yet, a connection comes.
+// Cause: what was in force is dropped before the new pair is known to be good.
+func TestHalfReplacedPairLeavesTheFormerInForce(t *testing.T) {
+	files := mustInit(t, t.TempDir(), false, "a=127.0.0.1", "b=127.0.0.2")
+	a, b := files.Hosts[0], files.Hosts[1]
+	pair, err := LoadKeyPair(a.Cert, a.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var failures []error
+	pair.OnError = func(err error) { failures = append(failures, err) }
+	before := pair.Certificate()
+	copyFile(t, b.Key, a.Key)
+	pair.checked = time.Time{}
+	if pair.Certificate() != before || len(failures) != 1 {
+		t.Fatalf("half replaced: %v", failures)
+	}
+	copyFile(t, b.Cert, a.Cert)
+	pair.checked = time.Time{}
+	if pair.Certificate() == before {
+		t.Error("the whole new pair is not taken")
+	}
+	if err := os.Remove(a.Cert); err != nil {
+		t.Fatal(err)
+	}
+	pair.checked = time.Time{}
+	if pair.Certificate() == nil || len(failures) != 2 {
+		t.Errorf("removed: %v", failures)
+	}
+	if pool, err := LoadPool(a.Key); err == nil {
+		t.Errorf("a key passes for authorities: %v", pool)
+	}
+}
+
+func copyFile(t *testing.T, from, to string) {
+	t.Helper()
+	b, err := os.ReadFile(from)
+	if err == nil {
+		// Another size, so that a coarse clock of the file system hides no change.
+		err = os.WriteFile(to, append(b, '\n'), keyMode)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestNBServerServesTheHostsCertificate(t *testing.T) {
+	files := mustInit(t, t.TempDir(), false, "a=127.0.0.1")
+	pair, err := LoadKeyPair(files.Hosts[0].Cert, files.Hosts[0].Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool, err := LoadPool(files.CA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", TLS: pair.NBServerConfig(),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("served")) })})
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Drain(t.Context()) }()
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool.Certificates()}}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
+	res, err := client.Get("https://" + s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if got := res.TLS.PeerCertificates[0].Subject.CommonName; got != "a" {
+		t.Errorf("the server showed the certificate of %s", got)
+	}
+}
+
+func TestInitKeepsTheAuthorityAndRefusesToReplace(t *testing.T) {
+	dir := t.TempDir()
+	files := mustInit(t, dir, false, "a=127.0.0.1")
+	ca, err := os.ReadFile(files.CA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := parse(t, "a=127.0.0.1")
+	if _, err := Init(InitOptions{Dir: dir, Hosts: []Host{host}, Validity: time.Hour}); err == nil {
+		t.Error("a certificate was replaced unasked")
+	}
+	mustInit(t, dir, false, "b=127.0.0.2")
+	again, err := os.ReadFile(files.CA)
+	if err != nil || string(again) != string(ca) {
+		t.Error("the authority was replaced")
+	}
+	if info, err := os.Stat(files.CAKey); err != nil || info.Mode().Perm() != keyMode {
+		t.Errorf("mode of the authority's key: %v, %v", info.Mode(), err)
+	}
+	for _, o := range []InitOptions{
+		{Dir: dir, Validity: time.Hour},
+		{Dir: dir, Hosts: []Host{{Name: "c", IP: host.IP}}},
+		{Dir: dir, Hosts: []Host{{Name: "ca", IP: host.IP}}, Validity: time.Hour, Renew: true},
+	} {
+		if _, err := Init(o); err == nil {
+			t.Errorf("taken: %+v", o)
+		}
+	}
+}
+
+func parse(t *testing.T, spec string) Host {
+	t.Helper()
+	h, err := ParseHost(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func TestParseHost(t *testing.T) {
+	for _, spec := range []string{"", "a", "a=", "=127.0.0.1", "a=name", "../a=127.0.0.1", "a/b=127.0.0.1"} {
+		if h, err := ParseHost(spec); err == nil || !strings.Contains(err.Error(), "NAME=IP") {
+			t.Errorf("%q is taken as %v, %v", spec, h, err)
+		}
+	}
+}
