--- /dev/null
+++ b/internal/standin/completions.go
@@ -0,0 +1,185 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// maxBody bounds a request's body.
+const maxBody = 16 << 20
+
+// endlessOutput is added to four times the cap when the cap is ignored.
+const endlessOutput = 16
+
+// completionRequest is the body of both completion calls; a chat has messages, a
+// plain completion has a prompt.
+type completionRequest struct {
+	Model               string          `json:"model"`
+	Adapter             string          `json:"adapter"`
+	Messages            []chatMessage   `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	IgnoreEOS           bool            `json:"ignore_eos"`
+	Priority            int             `json:"priority"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Text string `json:"text"`
+}
+
+// ParsePrompt reads the prompt out of the body of a completion call.
+func ParsePrompt(body []byte) (Prompt, error) {
+	var req completionRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return Prompt{}, errors.Wrap(err, "body")
+	}
+	return req.prompt()
+}
+
+func (c *completionRequest) prompt() (Prompt, error) {
+	var p Prompt
+	if len(c.Messages) == 0 {
+		text, err := contentText(c.Prompt)
+		if err != nil {
+			return p, errors.Wrap(err, "prompt")
+		}
+		return Prompt{Roles: []string{""}, Contents: []string{text}}, nil
+	}
+	for _, m := range c.Messages {
+		text, err := contentText(m.Content)
+		if err != nil {
+			return p, errors.Wrap(err, "content")
+		}
+		p.Roles = append(p.Roles, m.Role)
+		p.Contents = append(p.Contents, text)
+	}
+	return p, nil
+}
+
+// contentText reads a content that is a string, a list of strings or a list of parts.
+func contentText(raw json.RawMessage) (string, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return "", nil
+	}
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var texts []string
+	if json.Unmarshal(raw, &texts) == nil {
+		return strings.Join(texts, ""), nil
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", errors.New("neither a string nor a list of texts")
+	}
+	for _, p := range parts {
+		text += p.Text
+	}
+	return text, nil
+}
+
+func (c *completionRequest) maxTokens() int {
+	if c.MaxCompletionTokens > 0 {
+		return c.MaxCompletionTokens
+	}
+	return c.MaxTokens
+}
+
+// postCompletion serves POST /v1/chat/completions and /v1/completions.
+func (s *Server) postCompletion(w http.ResponseWriter, r *http.Request) {
+	var req completionRequest
+	body := http.MaxBytesReader(w, r.Body, maxBody)
+	if err := json.NewDecoder(body).Decode(&req); err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	prompt, err := req.prompt()
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	if !s.serves(w, &req) {
+		return
+	}
+	st := s.newRun(&req, prompt, r)
+	err = s.engine.submit(st, BlockHashes(prompt.Text()), req.Priority)
+	if err != nil {
+		refuseRun(w, err)
+		return
+	}
+	s.serveRun(w, r, st, req.Stream)
+}
+
+// serves refuses work that this server does not take.
+func (s *Server) serves(w http.ResponseWriter, req *completionRequest) bool {
+	if !s.takesWork(w) {
+		return false
+	}
+	models, adapters := s.offer.lists()
+	if !slices.Contains(models, req.Model) {
+		refuse(w, http.StatusNotFound, "unknown_model", "model "+req.Model+" is not loaded")
+		return false
+	}
+	if req.Adapter != "" && !slices.Contains(adapters, req.Adapter) {
+		refuse(w, http.StatusNotFound, "unknown_adapter", "adapter "+req.Adapter+" is not loaded")
+		return false
+	}
+	return true
+}
+
+func (s *Server) newRun(req *completionRequest, prompt Prompt, r *http.Request) *stream {
+	id := r.Header.Get(HeaderEngineRequest)
+	if id == "" {
+		id = fmt.Sprintf("unnamed-%d", s.unnamed.Add(1))
+	}
+	st := newStream(id)
+	st.model = req.Model
+	st.chat = len(req.Messages) > 0
+	st.hash = prompt.Hash()
+	st.promptTokens = prompt.Tokens()
+	limit := req.maxTokens()
+	st.limit = OutputTokens(st.hash, limit, req.IgnoreEOS)
+	st.capped = st.limit == limit
+	if limit > 0 && s.faults.get().IgnoreMaxTokens {
+		st.limit = 4*limit + endlessOutput
+	}
+	return st
+}
+
+// serveRun answers with the stream's whole text or streams it. The run of a named
+// stream outlives its connection, so that another host can read on; that of an
+// unnamed one is cancelled with it.
+func (s *Server) serveRun(w http.ResponseWriter, r *http.Request, st *stream, streamed bool) {
+	w.Header().Set(HeaderEngineRequest, st.id)
+	if r.Header.Get(HeaderEngineRequest) == "" {
+		defer s.engine.cancel(st)
+	}
+	if streamed {
+		s.writeStream(w, r, st, 0)
+		return
+	}
+	s.writeWhole(w, r, st)
+}
+
+func refuseRun(w http.ResponseWriter, err error) {
+	if errors.Is(err, errKnown) {
+		w.Header().Set(HeaderRan, "yes")
+		writeJSON(w, http.StatusConflict, errorBody("already_known", err.Error()))
+		return
+	}
+	w.Header().Set("Retry-After", "1")
+	refuse(w, http.StatusServiceUnavailable, "overloaded", err.Error())
+}
--- /dev/null
+++ b/internal/standin/orders.go
@@ -0,0 +1,144 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Verbs of an order.
+const (
+	VerbLoadModel     = "load_model"
+	VerbUnloadModel   = "unload_model"
+	VerbLoadAdapter   = "load_adapter"
+	VerbUnloadAdapter = "unload_adapter"
+	VerbChangeRole    = "change_role"
+)
+
+// Order is one order of the control group. Object is another name for the model or
+// the adapter, whichever the verb is about.
+type Order struct {
+	Verb    string `json:"verb"`
+	Object  string `json:"object,omitempty"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Role    string `json:"role,omitempty"`
+	Fence   uint64 `json:"fence"`
+}
+
+// subject is what the order loads or unloads.
+func (o Order) subject() string {
+	if strings.HasSuffix(o.Verb, "_adapter") && o.Adapter != "" {
+		return o.Adapter
+	}
+	if strings.HasSuffix(o.Verb, "_model") && o.Model != "" {
+		return o.Model
+	}
+	return o.Object
+}
+
+// offer is what the server serves, and the orders that changed it.
+type offer struct {
+	mu       sync.Mutex
+	models   []string
+	adapters []string
+	role     string
+	fence    uint64
+	taken    []Order
+}
+
+func (o *offer) lists() (models, adapters []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.models), slices.Clone(o.adapters)
+}
+
+func (o *offer) currentRole() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.role
+}
+
+// accept notes an order; false means that its fencing number is older than one seen
+// and checks is on.
+func (o *offer) accept(order Order, checks bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if checks && order.Fence < o.fence {
+		return false
+	}
+	o.fence = max(o.fence, order.Fence)
+	o.taken = append(o.taken, order)
+	return true
+}
+
+// apply carries an accepted order out.
+func (o *offer) apply(order Order) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch order.Verb {
+	case VerbLoadModel:
+		o.models = with(o.models, order.subject())
+	case VerbUnloadModel:
+		o.models = without(o.models, order.subject())
+	case VerbLoadAdapter:
+		o.adapters = with(o.adapters, order.subject())
+	case VerbUnloadAdapter:
+		o.adapters = without(o.adapters, order.subject())
+	case VerbChangeRole:
+		o.role = order.Role
+	}
+}
+
+func with(list []string, name string) []string {
+	if slices.Contains(list, name) {
+		return list
+	}
+	return append(list, name)
+}
+
+func without(list []string, name string) []string {
+	return slices.DeleteFunc(list, func(s string) bool { return s == name })
+}
+
+var knownVerbs = []string{VerbLoadModel, VerbUnloadModel, VerbLoadAdapter, VerbUnloadAdapter, VerbChangeRole}
+
+func (s *Server) postOrder(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&order); err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	if !slices.Contains(knownVerbs, order.Verb) {
+		refuse(w, http.StatusBadRequest, "bad_request", "unknown verb "+order.Verb)
+		return
+	}
+	if !s.takesWork(w) {
+		return
+	}
+	if !s.offer.accept(order, s.opts.ChecksFence) {
+		refuse(w, http.StatusConflict, "stale_fence", "a later fencing number was seen")
+		return
+	}
+	s.carryOut(order)
+	writeJSON(w, http.StatusOK, order)
+}
+
+// carryOut applies the order, loads after LoadTime. The announcements show when it is done.
+func (s *Server) carryOut(order Order) {
+	if s.opts.LoadTime == 0 || !strings.HasPrefix(order.Verb, "load_") {
+		s.offer.apply(order)
+		return
+	}
+	time.AfterFunc(s.opts.LoadTime, func() { s.offer.apply(order) })
+}
+
+func (s *Server) getOrders(w http.ResponseWriter, _ *http.Request) {
+	s.offer.mu.Lock()
+	taken := slices.Clone(s.offer.taken)
+	s.offer.mu.Unlock()
+	writeJSON(w, http.StatusOK, taken)
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// idlePoll is how often a leaving server looks whether its streams are through.
+const idlePoll = 20 * time.Millisecond
+
+// Server is one stand-in backend server.
+type Server struct {
+	opts     Options
+	engine   *engine
+	offer    *offer
+	runs     *runCounts
+	faults   faultState
+	unnamed  atomic.Int64
+	calls    atomic.Int64
+	leaving  atomic.Bool
+	closed   atomic.Bool // no more work is taken
+	listener *faultListener
+	http     *http.Server
+	announce *announcer
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// New makes a stand-in that does not listen yet.
+func New(opts Options) *Server {
+	opts = opts.withDefaults(time.Now())
+	return &Server{
+		opts:   opts,
+		engine: newEngine(opts),
+		offer:  &offer{models: opts.Models, adapters: opts.Adapters, role: opts.Role},
+		runs:   &runCounts{entries: map[string]int{}},
+	}
+}
+
+// Handler is the server's whole HTTP API.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.postCompletion)
+	mux.HandleFunc("POST /v1/completions", s.postCompletion)
+	mux.HandleFunc("GET /v1/streams/{id}", s.getStream)
+	mux.HandleFunc("POST /v1/streams/{id}/cancel", s.cancelStream)
+	mux.HandleFunc("GET /kv/{id}", s.exportKV)
+	mux.HandleFunc("POST /kv/{id}", s.importKV)
+	mux.HandleFunc("POST /orders", s.postOrder)
+	mux.HandleFunc("GET /orders", s.getOrders)
+	mux.HandleFunc("/services/{name}/lookup", s.lookup)
+	mux.HandleFunc("POST /services/{name}/entries", s.postEntry)
+	mux.HandleFunc("POST /debug/faults", s.postFaults)
+	mux.HandleFunc("GET /debug/runs", s.getRuns)
+	return mux
+}
+
+// Start listens, serves and announces until Leave or Close.
+func (s *Server) Start() error {
+	l, err := net.Listen("tcp", s.opts.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.listener = newFaultListener(l)
+	s.announce = newAnnouncer(s, l.Addr().String())
+	s.http = &http.Server{
+		Handler:     s.Handler(),
+		ConnContext: withConn,
+		ErrorLog:    log.New(discard{}, "", 0),
+	}
+	s.done.Go(func() { s.engine.run(ctx) })
+	s.done.Go(func() { s.announce.run(ctx) })
+	s.done.Go(func() { _ = s.http.Serve(s.listener) })
+	return nil
+}
+
+// discard swallows net/http's notes on connections that a fault cut.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Leave announces that the server leaves, takes work for LeaveGrace on, then waits
+// until all streams are through and closes. It gives up when ctx ends.
+func (s *Server) Leave(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.announce.now()
+	sleepUntil(ctx, time.Now().Add(s.opts.LeaveGrace))
+	s.closed.Store(true)
+	for !s.idle() && ctx.Err() == nil {
+		sleepUntil(ctx, time.Now().Add(idlePoll))
+	}
+	if ctx.Err() == nil {
+		_ = s.http.Shutdown(ctx)
+	}
+	s.Close()
+	return errors.Wrap(ctx.Err(), "leave")
+}
+
+func (s *Server) idle() bool { return s.engine.idle() && s.calls.Load() == 0 }
+
+// Close ends everything at once.
+func (s *Server) Close() {
+	s.stop()
+	_ = s.http.Close()
+	s.listener.closeAll()
+	s.done.Wait()
+}
+
+// die ends the process as a crash would.
+func (s *Server) die() {
+	if s.opts.OnDie != nil {
+		s.opts.OnDie()
+	}
+}
+
+// takesWork refuses new work while a fault or the leaving forbids it.
+func (s *Server) takesWork(w http.ResponseWriter) bool {
+	if s.faults.get().Refuse {
+		refuse(w, http.StatusServiceUnavailable, "refused", "told to refuse")
+		return false
+	}
+	if s.closed.Load() {
+		refuse(w, http.StatusServiceUnavailable, "leaving", "this server is leaving")
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/services.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// runCounts counts the runs of ledger entries by their id. More than one run of an
+// id is a doubled entry.
+type runCounts struct {
+	mu      sync.Mutex
+	entries map[string]int
+	lookups int
+}
+
+func (c *runCounts) addEntry(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[id]++
+	return c.entries[id]
+}
+
+func (c *runCounts) addLookup() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lookups++
+}
+
+// Runs is what GET /debug/runs answers.
+type Runs struct {
+	// Entries counts the runs of each ledger entry.
+	Entries map[string]int `json:"entries"`
+	Lookups int            `json:"lookups"`
+	// Streams is how many completions were started, Output how many tokens were put out.
+	Streams   int `json:"streams"`
+	Output    int `json:"output_tokens"`
+	Cancelled int `json:"cancelled"`
+	// Running and Waiting are the present load.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+// Runs counts what ran so far.
+func (s *Server) Runs() Runs {
+	l := s.engine.load()
+	s.runs.mu.Lock()
+	r := Runs{Entries: maps.Clone(s.runs.entries), Lookups: s.runs.lookups}
+	s.runs.mu.Unlock()
+	r.Running, r.Waiting = l.running, l.waiting
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	r.Streams, r.Output, r.Cancelled = s.engine.runs, s.engine.output, s.engine.cancelled
+	return r
+}
+
+func (s *Server) getRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Runs())
+}
+
+type lookupAnswer struct {
+	Service string `json:"service"`
+	Query   string `json:"query"`
+	Code    string `json:"code"`
+}
+
+type entryRequest struct {
+	ID string `json:"id"`
+}
+
+type entryAnswer struct {
+	ID  string `json:"id"`
+	Run int    `json:"run"`
+}
+
+// lookup serves /services/{name}/lookup?q=...: an answer that follows from the question.
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
+	if !s.startService(w, r) {
+		return
+	}
+	s.runs.addLookup()
+	q := r.FormValue("q")
+	s.endService(w, r, lookupAnswer{Service: r.PathValue("name"), Query: q, Code: LookupCode(q)})
+}
+
+// LookupCode is the code that a lookup of q finds.
+func LookupCode(q string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(q))
+	return fmt.Sprintf("%08x", h.Sum32())
+}
+
+// postEntry serves POST /services/{name}/entries with {"id": ...}: it counts each run.
+func (s *Server) postEntry(w http.ResponseWriter, r *http.Request) {
+	var req entryRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&req); err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	if !s.startService(w, r) {
+		return
+	}
+	s.endService(w, r, entryAnswer{ID: req.ID, Run: s.runs.addEntry(req.ID)})
+}
+
+func (s *Server) startService(w http.ResponseWriter, r *http.Request) bool {
+	if !s.takesWork(w) {
+		return false
+	}
+	if !slices.Contains(s.opts.Services, r.PathValue("name")) {
+		refuse(w, http.StatusNotFound, "unknown_service", "no such service")
+		return false
+	}
+	return true
+}
+
+// endService takes the service's time and answers; the run is counted before it.
+func (s *Server) endService(w http.ResponseWriter, r *http.Request, answer any) {
+	s.calls.Add(1)
+	defer s.calls.Add(-1)
+	f := s.faults.get()
+	took := s.opts.ServiceTime
+	if f.Slow > 1 {
+		took = time.Duration(float64(took) * f.Slow)
+	}
+	sleepUntil(r.Context(), time.Now().Add(took))
+	if f.DropServiceAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
