--- /dev/null
+++ b/cmd/load/main.go
@@ -0,0 +1,10 @@
+// Command load sends work to a fleet and checks the answers.
+package main
+
+import (
+	"os"
+
+	"github.com/bluebellsail/bluebellsail/internal/load"
+)
+
+func main() { os.Exit(load.Main()) }
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,254 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/standin"
+)
+
+func startServer(t *testing.T) *standin.Server {
+	t.Helper()
+	s := standin.New(standin.Options{Models: []string{"m"}, Services: []string{"cash"}})
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// fakeHost answers for a host: addresses by itself, all else by serve.
+func fakeHost(t *testing.T, answer func() addressAnswer, serve http.Handler) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/addresses", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(answer())
+	})
+	mux.Handle("/", serve)
+	host := httptest.NewServer(mux)
+	t.Cleanup(host.Close)
+	return strings.TrimPrefix(host.URL, "http://")
+}
+
+func testOptions() Options {
+	return Options{
+		Accounts:    []Account{{Name: "a", Key: "ka"}, {Name: "b", Key: "kb"}},
+		Model:       "m",
+		Stream:      true,
+		MaxTokens:   20,
+		Seed:        "test",
+		Count:       40,
+		Concurrency: 4,
+		Timeout:     10 * time.Second,
+		Attempts:    3,
+	}
+}
+
+func run(t *testing.T, o Options) *Report {
+	t.Helper()
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestDirectRunCountsEveryToken(t *testing.T) {
+	s := startServer(t)
+	for _, stream := range []bool{true, false} {
+		o := testOptions()
+		o.Direct, o.Stream = s.Address(), stream
+		before := s.Runs().Output
+		r := run(t, o)
+		want := uint64(s.Runs().Output - before)
+		for n := range o.Count {
+			content := o.prompt(o.requestOf(n))
+			want += uint64(standin.Prompt{Roles: []string{"user"}, Contents: []string{content}}.Tokens())
+		}
+		if r.Answered != o.Count || r.BilledTotal != want || r.Billed["a"]+r.Billed["b"] != want {
+			t.Fatalf("stream %v: %+v, want %d answered and %d tokens", stream, r, o.Count, want)
+		}
+	}
+}
+
+func TestRunAtRateSendsTheCount(t *testing.T) {
+	o := testOptions()
+	o.Direct, o.Rate = startServer(t).Address(), 400
+	if r := run(t, o); r.Answered != o.Count || r.Seconds < 0.09 {
+		t.Fatalf("%+v", r)
+	}
+}
+
+func TestPlainServiceWork(t *testing.T) {
+	s := startServer(t)
+	for _, work := range []Work{WorkLookup, WorkEntry} {
+		o := testOptions()
+		o.Direct, o.Work, o.Service = s.Address(), work, "cash"
+		if r := run(t, o); r.Answered != o.Count {
+			t.Fatalf("%s: %+v", work, r)
+		}
+	}
+	again := testOptions()
+	again.Direct, again.Work, again.Service = s.Address(), WorkEntry, "cash"
+	if r := run(t, again); r.Wrong != again.Count || !r.Bad() {
+		t.Fatalf("entries that ran before must count as wrong: %+v", r)
+	}
+}
+
+// Symptom: a caller reads another caller's answer and takes it for its own.
+// Sequence: two answers cross on their way.
+// Cause: the answer is whole, so its end tells nothing.
+func TestCrossedAnswerIsWrong(t *testing.T) {
+	s := startServer(t)
+	cross := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := `{"model":"m","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"another"}]}`
+		s.Handler().ServeHTTP(w, httptest.NewRequest("POST", r.URL.Path, strings.NewReader(body)))
+	})
+	o := testOptions()
+	o.Direct = fakeHost(t, nil, cross)
+	if r := run(t, o); r.Wrong != o.Count || !r.Bad() {
+		t.Fatalf("%+v", r)
+	}
+}
+
+func TestCutStreamIsLost(t *testing.T) {
+	s := startServer(t)
+	s.SetFaults(standin.Faults{DropAfterTokens: 2}, nil)
+	o := testOptions()
+	o.Direct = s.Address()
+	if r := run(t, o); r.Lost != o.Count || r.Attempts != 3*o.Count || !r.Bad() {
+		t.Fatalf("%+v", r)
+	}
+	o.Direct = fakeHost(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}))
+	if r := run(t, o); r.Lost != o.Count {
+		t.Fatalf("a stream that ends well but without [DONE]: %+v", r)
+	}
+}
+
+func TestCallerTriesAgainElsewhereWithTheSameKey(t *testing.T) {
+	s := startServer(t)
+	var mu sync.Mutex
+	keys := map[string]int{}
+	note := func(r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		keys[r.Header.Get(filter.HeaderIdempotencyKey)]++
+	}
+	dead := fakeHost(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		note(r)
+		panic(http.ErrAbortHandler)
+	}))
+	var live string
+	answer := func() addressAnswer { return addressAnswer{Addresses: []string{dead, live}, TTLMS: 60000} }
+	live = fakeHost(t, answer, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		note(r)
+		if r.Header.Get("Authorization") == "" || r.Header.Get(filter.HeaderTimeout) == "" {
+			t.Error("key or deadline is missing")
+		}
+		s.Handler().ServeHTTP(w, r)
+	}))
+	o := testOptions()
+	o.Hosts, o.Concurrency = []string{live}, 1
+	r := run(t, o)
+	again := r.Attempts - o.Count
+	if r.Answered != o.Count || r.Addresses != 1 || again < 1 || again > o.Count/4 {
+		t.Fatalf("%+v, want all answered, few after two tries, on one answer of addresses", r)
+	}
+	if len(keys) != o.Count {
+		t.Fatalf("%d keys for %d requests", len(keys), o.Count)
+	}
+}
+
+func TestSilentHostIsLeftAfterThePatience(t *testing.T) {
+	s := startServer(t)
+	s.SetFaults(standin.Faults{Silent: true}, nil)
+	o := testOptions()
+	o.Direct, o.Count, o.Patience, o.Attempts = s.Address(), 1, 20*time.Millisecond, 2
+	r := run(t, o)
+	if r.Lost != 1 || !strings.Contains(r.Faults[0], errSilent.Error()) {
+		t.Fatalf("%+v", r)
+	}
+}
+
+func TestOncePrintsARefusal(t *testing.T) {
+	const body = `{"error":{"kind":"budget_exhausted","ran":"no","message":"empty","retry_after_ms":30000}}`
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusPaymentRequired)
+		_, _ = w.Write([]byte(body))
+	})
+	var out bytes.Buffer
+	err := command(&out).Run(context.Background(), []string{"load", "once", "--direct", fakeHost(t, nil, refuse), "--model", "m"})
+	if err != exitStatus(exitRefused) {
+		t.Fatalf("got %v", err)
+	}
+	if want := "refused: budget_exhausted, status 402, ran: no, come back in 30s\n"; !strings.HasPrefix(out.String(), want) {
+		t.Fatalf("got %q", out.String())
+	}
+}
+
+func TestNext(t *testing.T) {
+	refusedAs := func(k errkind.Kind, after time.Duration) *attempt {
+		return &attempt{refusal: &refusal{Kind: k, RetryAfter: after}}
+	}
+	for name, c := range map[string]struct {
+		a     *attempt
+		left  time.Duration
+		tries int
+		want  plan
+	}{
+		"success":             {&attempt{}, time.Second, 2, plan{}},
+		"broken":              {&attempt{broken: os.ErrClosed}, time.Second, 2, plan{true, brokenPause}},
+		"broken, last try":    {&attempt{broken: os.ErrClosed}, time.Second, 0, plan{}},
+		"broken, no time":     {&attempt{broken: os.ErrClosed}, 0, 2, plan{}},
+		"comes back in time":  {refusedAs(errkind.Overloaded, 200*time.Millisecond), time.Second, 2, plan{true, 200 * time.Millisecond}},
+		"comes back too late": {refusedAs(errkind.Overloaded, 2*time.Second), time.Second, 2, plan{}},
+		"told to go away":     {refusedAs(errkind.Forbidden, time.Millisecond), time.Second, 2, plan{}},
+		"host leaves":         {refusedAs(errkind.HostLeaving, 0), time.Second, 2, plan{again: true}},
+		"in progress":         {refusedAs(errkind.InProgress, 0), time.Second, 2, plan{true, askAgainPause}},
+	} {
+		if got := next(c.a, c.left, c.tries); got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
+		}
+	}
+}
+
+func TestAddressBookKeepsAnswersForTheirTime(t *testing.T) {
+	b, now := newAddressBook(), time.Unix(1000, 0)
+	if !b.stale(now) {
+		t.Fatal("an empty book must ask")
+	}
+	b.set(now, addressAnswer{Addresses: []string{"x", "y"}, TTLMS: 1000})
+	if b.stale(now.Add(999*time.Millisecond)) || !b.stale(now.Add(time.Second)) {
+		t.Fatal("the answer holds for one second")
+	}
+	b.fail(now, "x")
+	for range 4 {
+		if got, _ := b.pick(now, nil); got != "y" {
+			t.Fatalf("picked %s, which failed just now", got)
+		}
+	}
+	if got, _ := b.pick(now.Add(avoidFor), map[string]bool{"y": true}); got != "x" {
+		t.Fatalf("picked %s, which was tried", got)
+	}
+}
+
+func TestLateAnswerIsCountedAsLate(t *testing.T) {
+	r := &request{work: WorkLookup, query: "q"}
+	res := result{last: &attempt{code: standin.LookupCode("q")}, total: 2 * time.Second}
+	res.judge(r, time.Second)
+	if res.verdict != late {
+		t.Fatalf("verdict %d", res.verdict)
+	}
+}
--- /dev/null
+++ b/internal/load/once.go
@@ -0,0 +1,55 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// onceCommand sends one streamed chat and prints the answer as it comes.
+func onceCommand(ctx context.Context, c *cli.Command, out io.Writer) error {
+	o, err := optionsOf(c)
+	if err != nil {
+		return err
+	}
+	o.Count = 1
+	if err := o.check(); err != nil {
+		return err
+	}
+	r := o.requestOf(0)
+	r.setPrompt(&o, c.String("prompt"))
+	if c.IsSet("idempotency-key") {
+		r.key = c.String("idempotency-key")
+	}
+	caller := newCaller(&o)
+	defer caller.sender.client.CloseIdleConnections()
+	caller.sender.onText = func(s string) { fmt.Fprint(out, s) }
+	res := caller.call(ctx, r, time.Now())
+	return tellOnce(out, res)
+}
+
+// tellOnce says what came of the one request.
+func tellOnce(out io.Writer, res result) error {
+	a := res.last
+	switch res.verdict {
+	case refused:
+		f := a.refusal
+		fmt.Fprintf(out, "refused: %s, status %d, ran: %s, come back in %v\n", f.Kind, f.Status, f.Ran, f.RetryAfter)
+		fmt.Fprintf(out, "message: %s\nrequest id: %s\n", f.Message, a.requestID)
+		return exitStatus(exitRefused)
+	case wrong, lost:
+		fmt.Fprintf(out, "\nno whole answer: %s\nrequest id: %s\n", res.fault, a.requestID)
+		return exitStatus(exitBad)
+	}
+	word := "in time"
+	if res.verdict == late {
+		word = "late"
+	}
+	fmt.Fprintf(out, "\nwhole answer %s: %d prompt tokens, %d output tokens, first token after %d ms, all after %d ms, %d tries\n",
+		word, a.prompt, a.output, res.firstToken.Milliseconds(), res.total.Milliseconds(), res.attempts)
+	fmt.Fprintf(out, "request id: %s\n", a.requestID)
+	return nil
+}
