--- a/internal/load/addresses.go
+++ b/internal/load/addresses.go
@@ -19,8 +19,13 @@
 
 // addressAnswer is the answer to GET /v1/addresses.
 type addressAnswer struct {
-	Addresses []string `json:"addresses"`
-	TTLMS     int64    `json:"ttl_ms"`
+	// Addresses are in the order in which they are to be used.
+	Addresses []addressItem `json:"addresses"`
+	TTLMS     int64         `json:"ttl_ms"`
+}
+
+type addressItem struct {
+	Address string `json:"address"`
 }
 
 // addressBook keeps the addresses that a host gave for as long as the answer may be
@@ -30,7 +35,6 @@
 	list    []string
 	until   time.Time
 	failed  map[string]time.Time
-	turn    int
 	updates int
 }
 
@@ -48,7 +52,10 @@
 func (b *addressBook) set(now time.Time, a addressAnswer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.list = a.Addresses
+	b.list = nil
+	for _, item := range a.Addresses {
+		b.list = append(b.list, item.Address)
+	}
 	b.until = now.Add(time.Duration(a.TTLMS) * time.Millisecond)
 	b.updates++
 }
@@ -60,18 +67,16 @@
 	b.failed[address] = now
 }
 
-// pick returns the address to use: first choices spread over the list from its head,
-// without those that failed of late or were tried already, as long as others are there.
+// pick returns the first address of the list that neither was tried already nor failed
+// of late; if there is none, the first of those that only were tried, then of the rest.
 func (b *addressBook) pick(now time.Time, tried map[string]bool) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.list) == 0 {
 		return "", false
 	}
-	b.turn++
 	best, bestRank := "", 4
-	for i := range b.list {
-		a := b.list[(b.turn+i)%len(b.list)]
+	for _, a := range b.list {
 		rank := 0
 		if tried[a] {
 			rank++
--- a/internal/load/once.go
+++ b/internal/load/once.go
@@ -24,8 +24,9 @@
 	if c.IsSet("idempotency-key") {
 		r.key = c.String("idempotency-key")
 	}
-	caller := newCaller(&o)
-	defer caller.sender.client.CloseIdleConnections()
+	client := newClient(&o)
+	defer client.CloseIdleConnections()
+	caller := newCaller(&o, client)
 	caller.sender.onText = func(s string) { fmt.Fprint(out, s) }
 	res := caller.call(ctx, r, time.Now())
 	return tellOnce(out, res)
--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -50,8 +50,9 @@
 	Seed string
 
 	// Rate in requests per second starts requests on time, however long others take;
-	// 0: Concurrency callers send one after the other.
-	Rate        float64
+	// 0: each caller sends one after the other.
+	Rate float64
+	// Concurrency is the number of callers.
 	Concurrency int
 	// Count and Duration bound the run; at least one is set.
 	Count    int
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -33,6 +33,12 @@
 	MaxTokens int           `json:"max_tokens,omitempty"`
 	Stream    bool          `json:"stream"`
 	IgnoreEOS bool          `json:"ignore_eos,omitempty"`
+	// StreamOptions asks for the usage, which a stream else leaves out.
+	StreamOptions *streamOptions `json:"stream_options,omitempty"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 type chatMessage struct {
@@ -71,12 +77,18 @@
 
 // setPrompt makes r a chat with one message and works out its right answer.
 func (r *request) setPrompt(o *Options, content string) {
+	var options *streamOptions
+	if r.stream {
+		options = &streamOptions{IncludeUsage: true}
+	}
 	r.body = mustJSON(chatRequest{
 		Model:     o.Model,
 		Messages:  []chatMessage{{Role: "user", Content: content}},
 		MaxTokens: o.MaxTokens,
 		Stream:    r.stream,
 		IgnoreEOS: o.Exact,
+
+		StreamOptions: options,
 	})
 	r.hash = standin.Prompt{Roles: []string{"user"}, Contents: []string{content}}.Hash()
 	r.output = standin.OutputTokens(r.hash, o.MaxTokens, o.Exact)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,30 +14,50 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	c := newCaller(&o)
-	defer c.sender.client.CloseIdleConnections()
-	if c.asker != nil {
-		if err := c.asker.refresh(ctx); err != nil {
-			return nil, err
-		}
+	client := newClient(&o)
+	defer client.CloseIdleConnections()
+	callers, err := newCallers(ctx, &o, client)
+	if err != nil {
+		return nil, err
 	}
 	results := newCollector()
 	began := time.Now()
 	if o.Rate > 0 {
-		runAtRate(ctx, &o, c, results, began)
+		runAtRate(ctx, &o, callers, results, began)
 	} else {
-		runCallers(ctx, &o, c, results, began)
+		runCallers(ctx, &o, callers, results, began)
 	}
 	report := results.finish(time.Since(began))
-	report.Addresses = c.book.updates
+	for _, c := range callers {
+		report.Addresses += c.book.updates
+	}
 	return report, nil
 }
 
-func newCaller(o *Options) *caller {
-	client := &http.Client{Transport: &http.Transport{
+// newCallers makes callers that each know addresses of their own: a fleet spreads its
+// load by giving each caller another order.
+func newCallers(ctx context.Context, o *Options, client *http.Client) ([]*caller, error) {
+	callers := make([]*caller, o.Concurrency)
+	for i := range callers {
+		callers[i] = newCaller(o, client)
+		if callers[i].asker == nil {
+			continue
+		}
+		if err := callers[i].asker.refresh(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return callers, nil
+}
+
+func newClient(o *Options) *http.Client {
+	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: max(o.Concurrency, http.DefaultMaxIdleConnsPerHost),
 		DisableCompression:  true,
 	}}
+}
+
+func newCaller(o *Options, client *http.Client) *caller {
 	book := newAddressBook()
 	c := &caller{
 		sender:   &sender{client: client, patience: o.Patience},
@@ -58,7 +78,7 @@
 }
 
 // runAtRate starts each request at its time, so that slow answers do not thin the load.
-func runAtRate(ctx context.Context, o *Options, c *caller, results *collector, began time.Time) {
+func runAtRate(ctx context.Context, o *Options, callers []*caller, results *collector, began time.Time) {
 	var open sync.WaitGroup
 	for n := range o.Count {
 		due := began.Add(time.Duration(float64(n) / o.Rate * float64(time.Second)))
@@ -68,18 +88,18 @@
 		}
 		open.Go(func() {
 			r := o.requestOf(n)
-			results.add(r, c.call(ctx, r, due))
+			results.add(r, callers[n%len(callers)].call(ctx, r, due))
 		})
 	}
 	open.Wait()
 }
 
-// runCallers keeps Concurrency requests open.
-func runCallers(ctx context.Context, o *Options, c *caller, results *collector, began time.Time) {
-	var callers sync.WaitGroup
+// runCallers keeps one request of each caller open.
+func runCallers(ctx context.Context, o *Options, callers []*caller, results *collector, began time.Time) {
+	var open sync.WaitGroup
 	var numbers atomic.Int64
-	for range o.Concurrency {
-		callers.Go(func() {
+	for _, c := range callers {
+		open.Go(func() {
 			for !o.over(ctx, began) {
 				n := int(numbers.Add(1)) - 1
 				if n >= o.Count {
@@ -90,5 +110,5 @@
 			}
 		})
 	}
-	callers.Wait()
+	open.Wait()
 }
