--- a/internal/load/attempt.go
+++ b/internal/load/attempt.go
@@ -46,6 +46,7 @@
 	Status     int
 	Kind       errkind.Kind
 	Ran        errkind.Ran
+	Retry      errkind.Retry
 	Message    string
 	RetryAfter time.Duration
 }
@@ -184,6 +185,7 @@
 	Type         string `json:"type"`
 	Message      string `json:"message"`
 	Ran          string `json:"ran"`
+	Retry        string `json:"retry"`
 	RetryAfterMS int64  `json:"retry_after_ms"`
 }
 
@@ -267,12 +269,16 @@
 		Status:     status,
 		Kind:       errkind.Kind(e.Kind),
 		Ran:        errkind.Ran(e.Ran),
+		Retry:      errkind.Retry(e.Retry),
 		Message:    e.Message,
 		RetryAfter: time.Duration(e.RetryAfterMS) * time.Millisecond,
 	}
 	if f.Kind == "" {
 		f.Kind = errkind.Kind(e.Type)
 	}
+	if f.Retry == "" {
+		f.Retry = errkind.Lookup(f.Kind).Retry
+	}
 	if f.Ran == "" {
 		f.Ran = errkind.Ran(h.Get(headerRan))
 	}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -63,7 +63,7 @@
 	if a.refusal == nil {
 		return plan{}
 	}
-	switch errkind.Lookup(a.refusal.Kind).Retry {
+	switch a.refusal.Retry {
 	case errkind.RetryElsewhere:
 		return plan{again: true, wait: a.refusal.RetryAfter}
 	case errkind.RetryAfter:
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -208,7 +208,8 @@
 
 func TestNext(t *testing.T) {
 	refusedAs := func(k errkind.Kind, after time.Duration) *attempt {
-		return &attempt{refusal: &refusal{Kind: k, RetryAfter: after}}
+		e := errorJSON{Kind: string(k), RetryAfterMS: after.Milliseconds()}
+		return &attempt{refusal: e.refusal(http.StatusServiceUnavailable, nil)}
 	}
 	for name, c := range map[string]struct {
 		a     *attempt
@@ -223,8 +224,12 @@
 		"comes back in time":  {refusedAs(errkind.Overloaded, 200*time.Millisecond), time.Second, 2, plan{true, 200 * time.Millisecond}},
 		"comes back too late": {refusedAs(errkind.Overloaded, 2*time.Second), time.Second, 2, plan{}},
 		"told to go away":     {refusedAs(errkind.Forbidden, time.Millisecond), time.Second, 2, plan{}},
-		"host leaves":         {refusedAs(errkind.HostLeaving, 0), time.Second, 2, plan{again: true}},
-		"in progress":         {refusedAs(errkind.InProgress, 0), time.Second, 2, plan{true, askAgainPause}},
+		"the answer's word over the table's": {
+			&attempt{refusal: (&errorJSON{Kind: "overloaded", Retry: "never", RetryAfterMS: 1}).refusal(429, nil)},
+			time.Second, 2, plan{},
+		},
+		"host leaves": {refusedAs(errkind.HostLeaving, 0), time.Second, 2, plan{again: true}},
+		"in progress": {refusedAs(errkind.InProgress, 0), time.Second, 2, plan{true, askAgainPause}},
 	} {
 		if got := next(c.a, c.left, c.tries); got != c.want {
 			t.Errorf("%s: %+v, want %+v", name, got, c.want)
