--- /dev/null
+++ b/e2e/books_test.go
@@ -0,0 +1,93 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"strconv"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/bluebellsail/bluebellsail/internal/load"
+)
+
+func reportOf(ts *testscript.TestScript, file string) load.Report {
+	var r load.Report
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(file)), &r))
+	return r
+}
+
+var conditionPattern = regexp.MustCompile(`^([a-z_]+)(=|>|<)(\d+)$`)
+
+// reportCommand: report FILE FIELD=N FIELD>N FIELD<N... checks a load report's figures.
+func reportCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: report FILE CONDITION...")
+	}
+	var fields map[string]any
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0])), &fields))
+	for _, condition := range args[1:] {
+		m := conditionPattern.FindStringSubmatch(condition)
+		if m == nil {
+			ts.Fatalf("%q is no condition", condition)
+		}
+		got, ok := fields[m[1]].(float64)
+		want, err := strconv.ParseFloat(m[3], 64)
+		ts.Check(err)
+		holds := map[string]bool{"=": got == want, ">": got > want, "<": got < want}
+		if !ok || !holds[m[2]] {
+			ts.Fatalf("%s: want %s, got %v\n%s", args[0], condition, fields[m[1]], ts.ReadFile(args[0]))
+		}
+	}
+}
+
+// budget is what `bluebellsail --json budget show` prints.
+type budget struct {
+	Funded  uint64 `json:"funded"`
+	Billed  uint64 `json:"billed"`
+	Granted uint64 `json:"granted"`
+	Free    uint64 `json:"free"`
+	Bills   uint64 `json:"bills"`
+}
+
+func budgetOf(ts *testscript.TestScript, name string) (b budget, ok bool) {
+	if ts.Exec("bluebellsail", "--timeout", "5s", "--json", "budget", "show", name) != nil {
+		return b, false
+	}
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("stdout")), &b))
+	return b, true
+}
+
+// booksCommand: books BUDGET REPORT... waits until the ledger has billed exactly what the
+// callers know of, one bill for each answer, and checks that nothing is missing or too
+// much. The reports must be certain: a request whose outcome its caller doesn't know
+// could be billed or not.
+func booksCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: books BUDGET REPORT...")
+	}
+	var tokens, bills uint64
+	for _, file := range args[1:] {
+		r := reportOf(ts, file)
+		if r.Uncertain > 0 {
+			ts.Fatalf("%s: %d requests are uncertain\n%s", file, r.Uncertain, ts.ReadFile(file))
+		}
+		tokens += r.BilledTotal
+		bills += uint64(r.Answered + r.Late)
+	}
+	var last budget
+	poll(ts, "the ledger has all bills", func() bool {
+		b, ok := budgetOf(ts, args[0])
+		if !ok {
+			return false
+		}
+		last = b
+		return b.Billed >= tokens && b.Bills >= bills
+	})
+	if last.Billed != tokens || last.Bills != bills {
+		ts.Fatalf("billed %d in %d bills, callers know of %d in %d", last.Billed, last.Bills, tokens, bills)
+	}
+	if last.Billed+last.Granted+last.Free != last.Funded {
+		ts.Fatalf("books don't add up: %s", fmt.Sprintf("%+v", last))
+	}
+}
--- /dev/null
+++ b/e2e/main_test.go
@@ -0,0 +1,65 @@
+// Package e2e drives the whole path on real processes by testscript: hosts, stand-in
+// backend servers, the load tool and the operators' tool, all on loopback.
+package e2e
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/bluebellsail/bluebellsail/internal/load"
+	"github.com/bluebellsail/bluebellsail/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"standin": func() { os.Exit(standin.Main()) },
+		"load":    func() { os.Exit(load.Main()) },
+	})
+}
+
+// TestScripts runs the scripts one after the other: each starts a fleet of its own.
+func TestScripts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	testscript.RunT(serial{t}, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			ps := newProcesses(env.WorkDir, env.Vars)
+			env.Defer(ps.killAll)
+			env.Values[processesKey{}] = ps
+			env.Setenv("TMPDIR", filepath.Join(env.WorkDir, ".tmp"))
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"start":   startCommand,
+			"signal":  signalCommand,
+			"ended":   endedCommand,
+			"await":   awaitCommand,
+			"backend": backendCommand,
+			"runs":    runsCommand,
+			"running": runningCommand,
+			"fault":   faultCommand,
+			"report":  reportCommand,
+			"books":   booksCommand,
+			"fleet":   fleetCommand,
+		},
+	})
+}
+
+// serial is a testing.T whose subtests do not run in parallel.
+type serial struct{ *testing.T }
+
+// Parallel does nothing.
+func (serial) Parallel() {}
+
+// Run implements testscript.T.
+func (s serial) Run(name string, f func(testscript.T)) {
+	s.T.Run(name, func(t *testing.T) { f(serial{t}) })
+}
+
+// Verbose implements testscript.T.
+func (serial) Verbose() bool { return testing.Verbose() }
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -34,6 +34,7 @@
 type result struct {
 	verdict    verdict
 	attempts   int
+	broken     int // tries that brought no answer
 	last       *attempt
 	fault      string
 	firstToken time.Duration
@@ -95,6 +96,9 @@
 	for {
 		res.attempts++
 		res.last = c.try(ctx, r, time.Until(deadline), tried)
+		if res.last.broken != nil {
+			res.broken++
+		}
 		if res.firstToken == 0 && !res.last.firstToken.IsZero() {
 			res.firstToken = res.last.firstToken.Sub(started)
 		}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -134,7 +134,7 @@
 	s.SetFaults(standin.Faults{DropAfterTokens: 2}, nil)
 	o := testOptions()
 	o.Direct = s.Address()
-	if r := run(t, o); r.Lost != o.Count || r.Attempts != 3*o.Count || !r.Bad() {
+	if r := run(t, o); r.Lost != o.Count || r.Attempts != 3*o.Count || r.Broken != r.Attempts || !r.Bad() {
 		t.Fatalf("%+v", r)
 	}
 	o.Direct = fakeHost(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -48,8 +48,9 @@
 	Lost     int `json:"lost"`
 
 	Refusals []RefusalCount `json:"refusals,omitempty"`
-	// Attempts counts all tries.
+	// Attempts counts all tries, Broken those that were cut or brought no answer.
 	Attempts int `json:"attempts"`
+	Broken   int `json:"broken_attempts"`
 	// Billed is the tokens of whole answers by client account, as far as the caller knows.
 	Billed map[string]uint64 `json:"billed_tokens"`
 	// BilledTotal is the sum of Billed.
@@ -94,6 +95,7 @@
 	defer c.mu.Unlock()
 	c.report.Sent++
 	c.report.Attempts += res.attempts
+	c.report.Broken += res.broken
 	switch res.verdict {
 	case answered:
 		c.report.Answered++
@@ -165,7 +167,7 @@
 // Print writes the report for people.
 func (r *Report) Print(w io.Writer) {
 	line := func(format string, args ...any) { fmt.Fprintf(w, format+"\n", args...) }
-	line("sent                %d in %.1f s (%d tries)", r.Sent, r.Seconds, r.Attempts)
+	line("sent                %d in %.1f s (%d tries, %d of them broken)", r.Sent, r.Seconds, r.Attempts, r.Broken)
 	line("answered in time    %d (%.1f/s, %.0f output tokens/s)", r.Answered, r.PerSecond, r.TokensRate)
 	line("late                %d", r.Late)
 	line("refused             %d", r.Refused)
