--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -46,6 +46,12 @@
 			"report":  reportCommand,
 			"books":   booksCommand,
 			"fleet":   fleetCommand,
+			"account": accountCommand,
+			"inforce": inforceCommand,
+			"once":    onceCommand,
+			"grab":    grabCommand,
+			"equal":   equalCommand,
+			"pause":   pauseCommand,
 		},
 	})
 }
--- /dev/null
+++ b/e2e/operator_test.go
@@ -0,0 +1,95 @@
+package e2e
+
+import (
+	"encoding/json"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// accountCommand: account NAME TEAM BUDGET VAR creates a client account and sets VAR to NAME=KEY.
+func accountCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 4 {
+		ts.Fatalf("usage: account NAME TEAM BUDGET VAR")
+	}
+	ts.Check(ts.Exec("bluebellsail", "--json", "account", "create", args[0], "--team", args[1], "--budget", args[2]))
+	var answer struct {
+		Key string `json:"key"`
+	}
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("stdout")), &answer))
+	if answer.Key == "" {
+		ts.Fatalf("no key: %s", ts.ReadFile("stdout"))
+	}
+	ts.Setenv(args[3], args[0]+"="+answer.Key)
+}
+
+var inForcePattern = regexp.MustCompile(`(?m) true +yes$`)
+
+// inforceCommand: inforce N waits until N hosts have the newest settings in force.
+func inforceCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: inforce N")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	poll(ts, "settings are in force", func() bool {
+		if ts.Exec("bluebellsail", "--timeout", "2s", "config", "status") != nil {
+			return false
+		}
+		return len(inForcePattern.FindAllString(ts.ReadFile("stdout"), -1)) == want
+	})
+}
+
+// onceCommand: once NAME N checks that the stand-in has run N ledger entries, each once.
+func onceCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: once NAME N")
+	}
+	entries := runsOf(ts, args[0]).Entries
+	if want, err := strconv.Atoi(args[1]); err != nil || len(entries) != want {
+		ts.Fatalf("%d entries ran, want %s", len(entries), args[1])
+	}
+	for id, runs := range entries {
+		if runs != 1 {
+			ts.Fatalf("entry %s ran %d times", id, runs)
+		}
+	}
+}
+
+// grabCommand: grab VAR PATTERN sets VAR to the first group of PATTERN in the last
+// standard output.
+func grabCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: grab VAR PATTERN")
+	}
+	pattern, err := regexp.Compile("(?m)" + args[1])
+	ts.Check(err)
+	m := pattern.FindStringSubmatch(ts.ReadFile("stdout"))
+	if len(m) < 2 {
+		ts.Fatalf("no match of %q", args[1])
+	}
+	ts.Setenv(args[0], strings.TrimSpace(m[1]))
+}
+
+// equalCommand: [!] equal A B
+func equalCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: equal A B")
+	}
+	if (args[0] == args[1]) == neg {
+		ts.Fatalf("%q and %q", args[0], args[1])
+	}
+}
+
+// pauseCommand: pause DURATION lets time pass for what may not happen meanwhile.
+func pauseCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: pause DURATION")
+	}
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
