--- a/internal/controller/grants/calls.go
+++ b/internal/controller/grants/calls.go
@@ -75,8 +75,11 @@
 
 // callerKind is the refusal a caller gets for the ledger's refusal of an acquire.
 func callerKind(k errkind.Kind) errkind.Kind {
-	if k == errkind.NotFound {
+	switch k {
+	case errkind.NotFound:
 		return errkind.BudgetUnknown
+	case errkind.StaleFence: // this incarnation counts as dead
+		return errkind.HostNotReady
 	}
 	return k
 }
@@ -89,6 +92,11 @@
 		Actor: m.cfg.Self.GetHost(),
 		Body:  &pb.Command_Settle{Settle: batch},
 	})
+	if refused(err) {
+		metrics.Add("batches_refused", 1)
+		m.cfg.Log.Error().Str("event", "settle-refused").Uint64("seq", batch.GetSeq()).Err(err).Send()
+		return
+	}
 	if err != nil {
 		metrics.Add("batches_unanswered", 1)
 		m.cfg.Log.Warn().Str("event", "settle-unanswered").Uint64("seq", batch.GetSeq()).Err(err).Send()
@@ -190,6 +198,22 @@
 	return &pb.AskTokensReply{}
 }
 
+// retryGives ends the transfers whose copies could be neither made nor undone.
+func (m *Manager) retryGives() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
+	for _, t := range m.holder.PendingGives() {
+		if _, busy := m.giving[t.GetId()]; busy {
+			continue
+		}
+		m.giving[t.GetId()] = struct{}{}
+		m.wg.Go(func() { m.give(t) })
+	}
+}
+
 func (m *Manager) doneGiving(id string) {
 	m.mu.Lock()
 	delete(m.giving, id)
--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -49,6 +49,9 @@
 	defaultProposeTimeout = time.Second
 	defaultAskTimeout     = 250 * time.Millisecond
 	defaultCopyTimeout    = 150 * time.Millisecond
+	// giveRetry is how often a transfer without its copies is tried again, also when its
+	// asker is gone: its tokens would else stay deducted.
+	giveRetry = time.Second
 )
 
 // Config of a Manager. Zero durations mean the defaults.
@@ -122,11 +125,15 @@
 func (m *Manager) Run(ctx context.Context) {
 	ticker := time.NewTicker(m.cfg.Tick)
 	defer ticker.Stop()
+	gives := time.NewTicker(giveRetry)
+	defer gives.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			m.close()
 			return
+		case <-gives.C:
+			m.retryGives()
 		case <-ticker.C:
 			m.step(m.holder.Tick)
 		}
--- a/internal/controller/grants/grants_test.go
+++ b/internal/controller/grants/grants_test.go
@@ -224,6 +224,33 @@
 	})
 }
 
+// TestStuckTransferOfLostAsker
+//
+// Symptom: tokens stay deducted at the giver for as long as it lives.
+// Sequence: a transfer can be neither copied nor undone at once; its asker dies.
+// Cause: only the asker's return made the giver try again.
+func TestStuckTransferOfLostAsker(t *testing.T) {
+	withCluster(t, 1000, func(t *testing.T, c *cluster) {
+		m := c.managers["a"]
+		if err := m.Reserve(t.Context(), "x", "r1", 1000); err != nil {
+			t.Fatal(err)
+		}
+		m.Release("r1")
+		c.set(func() { c.noCopies, c.voidFail = true, true })
+		lost := &pb.Holder{Host: "z", Incarnation: 1}
+		m.HandleAskTokens(&pb.AskTokensRequest{From: lost, Budget: "x", Tokens: 300, Id: "z/1/1"})
+		if l := m.Levels()[0]; l.Free != 700 {
+			t.Fatalf("got %+v, want 300 deducted", l)
+		}
+		c.set(func() { c.voidFail = false })
+		time.Sleep(3 * time.Second)
+		if l := m.Levels()[0]; l.Free != 1000 {
+			t.Errorf("got %+v, want 1000 free", l)
+		}
+		c.drain(t)
+	})
+}
+
 // TestReserveEndsWithContext
 //
 // Symptom: a caller that gave up leaves its tokens set aside.
--- a/internal/controller/grants/port.go
+++ b/internal/controller/grants/port.go
@@ -71,8 +71,15 @@
 	return e
 }
 
-// Settle implements filter.Budget.
+// Settle implements filter.Budget. A bill without a time or an identity gets the present
+// time and its request id: the ledger refuses a whole batch for one such bill.
 func (m *Manager) Settle(bill *pb.Bill) {
+	if bill.GetTimeMs() <= 0 {
+		bill.TimeMs = time.Now().UnixMilli()
+	}
+	if bill.GetIdentity() == "" {
+		bill.Identity = bill.GetRequestId()
+	}
 	m.step(func(now time.Time) grant.Output {
 		asked := bill.GetTokens()
 		out, ok := m.holder.Settle(now, bill)
--- a/internal/controller/records/find.go
+++ b/internal/controller/records/find.go
@@ -143,8 +143,9 @@
 	here, _ := c.store.Find(time.Now(), identity)
 	c.mu.Unlock()
 	found := []*pb.InflightRecord{here}
-	if here == nil {
-		found = c.ask(ctx, identity, c.lookup(identity, lookupCopies))
+	if here == nil || !c.conclusive(here) {
+		found = append(c.ask(ctx, identity, c.lookup(identity, lookupCopies)), here)
+		c.sortByTruth(found)
 	}
 	for _, rec := range found {
 		if fresh, ok := c.freshest(ctx, rec); ok {
@@ -197,7 +198,7 @@
 	return reply.GetRecord(), same
 }
 
-// ask looks an identity up at several hosts; finished records come first. One answer isn't
+// ask looks an identity up at several hosts, the most telling record first. One answer isn't
 // enough: a host may still know a record that its owner has given up.
 func (c *Controller) ask(ctx context.Context, identity string, hosts []inflight.Host) []*pb.InflightRecord {
 	found := make([]*pb.InflightRecord, len(hosts))
@@ -207,10 +208,30 @@
 	}
 	wg.Wait()
 	found = slices.DeleteFunc(found, func(rec *pb.InflightRecord) bool { return rec == nil })
-	slices.SortStableFunc(found, func(a, b *pb.InflightRecord) int { return int(b.GetState()) - int(a.GetState()) })
+	c.sortByTruth(found)
 	return found
 }
 
+// conclusive tells whether a record here needs no look elsewhere: a running one of a dead
+// owner may have been taken over.
+func (c *Controller) conclusive(rec *pb.InflightRecord) bool {
+	return rec.GetState() == pb.InflightState_INFLIGHT_STATE_DONE || c.OwnerAlive(rec)
+}
+
+// sortByTruth puts finished records first, then running ones of living owners.
+func (c *Controller) sortByTruth(found []*pb.InflightRecord) {
+	truth := func(rec *pb.InflightRecord) int {
+		switch {
+		case rec.GetState() == pb.InflightState_INFLIGHT_STATE_DONE:
+			return 0
+		case c.OwnerAlive(rec):
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(found, func(a, b *pb.InflightRecord) int { return truth(a) - truth(b) })
+}
+
 func (c *Controller) askOne(ctx context.Context, host, identity string) *pb.InflightRecord {
 	reply, err := c.findAt(ctx, host, identity)
 	if err != nil || !reply.GetFound() {
--- a/internal/controller/records/records_test.go
+++ b/internal/controller/records/records_test.go
@@ -63,12 +63,12 @@
 
 func (l link) PutRecords(ctx context.Context, in *pb.PutRecordsRequest, _ ...grpc.CallOption) (out *pb.PutRecordsReply, err error) {
 	in = proto.CloneOf(in)
-	err = l.deliver(ctx, func(c *Controller) { out = c.HandlePutRecords(in) })
+	err = l.deliver(ctx, func(c *Controller) { out = c.HandlePut(in) })
 	return out, err
 }
 
 func (l link) FindRecord(ctx context.Context, in *pb.FindRecordRequest, _ ...grpc.CallOption) (out *pb.FindRecordReply, err error) {
-	err = l.deliver(ctx, func(c *Controller) { out = c.HandleFindRecord(in) })
+	err = l.deliver(ctx, func(c *Controller) { out = c.HandleFind(in) })
 	return out, err
 }
 
@@ -125,7 +125,7 @@
 func (fl *fleet) holders(identity string) []string {
 	var names []string
 	for _, h := range fl.hosts {
-		if fl.nodes[h.Name].HandleFindRecord(&pb.FindRecordRequest{Identity: identity}).GetFound() {
+		if fl.nodes[h.Name].HandleFind(&pb.FindRecordRequest{Identity: identity}).GetFound() {
 			names = append(names, h.Name)
 		}
 	}
@@ -272,6 +272,37 @@
 	return targets[0].Name, true
 }
 
+// TestTakeoverIsCopied
+//
+// Symptom: a request taken over is lost with its second host.
+// Sequence: the owner dies; a peer takes over; it dies too; a retry comes.
+// Cause: the new record refused by the hosts that hold the dead owner's.
+func TestTakeoverIsCopied(t *testing.T) {
+	withFleet(t, 7, defaultSyncEvery, func(t *testing.T, fl *fleet) {
+		if _, begun, err := fl.nodes["h0"].Begin(t.Context(), record(1, "h0"), 1); !begun || err != nil {
+			t.Fatal(begun, err)
+		}
+		fl.kill("h0")
+		old, found, _ := fl.nodes["h1"].Find(t.Context(), "acc/key1")
+		if !found {
+			t.Fatal("the record is lost")
+		}
+		next := proto.CloneOf(old)
+		next.RequestId, next.EngineRequestId = "again", "e2"
+		if err := fl.nodes["h1"].Takeover(t.Context(), next, 1); err != nil {
+			t.Fatal(err)
+		}
+		fl.kill("h1")
+		gathered := 0
+		for _, c := range fl.nodes {
+			gathered += len(c.HandleGather(&pb.GatherRequest{Dead: &pb.Holder{Host: "h1", Incarnation: 1}}).GetRecords())
+		}
+		if gathered == 0 {
+			t.Error("no copy of the new owner's record")
+		}
+	})
+}
+
 // TestOtherBodyRefused
 //
 // Symptom: a caller gets the answer to another request.
--- a/internal/controller/records/serve.go
+++ b/internal/controller/records/serve.go
@@ -8,14 +8,14 @@
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
-// HandlePutRecords stores copies for a peer. Every record is tried; the reply carries the
+// HandlePut stores copies for a peer. Every record is tried; the reply carries the
 // first refusal.
-func (c *Controller) HandlePutRecords(req *pb.PutRecordsRequest) *pb.PutRecordsReply {
+func (c *Controller) HandlePut(req *pb.PutRecordsRequest) *pb.PutRecordsReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply := &pb.PutRecordsReply{Self: c.self}
 	for _, rec := range req.GetRecords() {
-		err := c.take(rec)
+		err := c.take(rec, req.GetFrom())
 		if err != nil && reply.Error == nil {
 			reply.Error = wireError(errkind.From(err))
 		}
@@ -25,7 +25,7 @@
 
 // take stores one record of a peer; c.mu is held. A transfer's receiver tells its giver
 // in the same way that the ledger knows the transfer.
-func (c *Controller) take(rec *pb.InflightRecord) error {
+func (c *Controller) take(rec *pb.InflightRecord, from *pb.Holder) error {
 	own := rec.GetHolder().GetHost() == c.self.GetHost() && rec.GetHolder().GetIncarnation() == c.self.GetIncarnation()
 	if t := rec.GetTransfer(); own && t != nil {
 		c.store.MarkSettled(time.Now(), inflight.TransferIdentity(t.GetId()))
@@ -34,11 +34,11 @@
 		}
 		return nil
 	}
-	return c.store.PutCopy(time.Now(), rec)
+	return c.store.PutCopy(time.Now(), rec, from)
 }
 
-// HandleFindRecord looks an identity up here.
-func (c *Controller) HandleFindRecord(req *pb.FindRecordRequest) *pb.FindRecordReply {
+// HandleFind looks an identity up here.
+func (c *Controller) HandleFind(req *pb.FindRecordRequest) *pb.FindRecordReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rec, ok := c.store.Find(time.Now(), req.GetIdentity())
--- a/internal/controller/records/transfers.go
+++ b/internal/controller/records/transfers.go
@@ -53,6 +53,10 @@
 	c.spread(ctx, request)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	rec, ok := c.store.Record(time.Now(), request)
+	if ok && rec.GetState() != pb.InflightState_INFLIGHT_STATE_ABANDONED {
+		return errkind.New(errkind.Internal, "transfer %s is counted by its receiver's recovery", t.GetId())
+	}
 	if !c.store.Complete(request) {
 		return errkind.New(errkind.Internal, "a host that may hold the copy of transfer %s can't be reached", t.GetId())
 	}
--- /dev/null
+++ b/internal/controller/repair/repair.go
@@ -0,0 +1,227 @@
+// Package repair recovers the tokens of dead incarnations: it gathers their in-flight
+// records from every live host, bills what ran, and has the ledger release the rest.
+// docs/design/recovery.md says what is billed when and why.
+package repair
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Control is the control group.
+type Control interface {
+	// Hosts lists the registered hosts by a quorum-confirmed read.
+	Hosts(ctx context.Context) ([]*pb.HostInfo, error)
+	Propose(ctx context.Context, cmd *pb.Command) (*pb.CommandResult, error)
+}
+
+// Peers reaches every live host, this one included.
+type Peers interface {
+	Gather(ctx context.Context, host string, req *pb.GatherRequest) (*pb.GatherReply, error)
+}
+
+// Requests tells what became of a dead host's request.
+type Requests interface {
+	// Find looks for a record of the identity anywhere; a host that took the request over
+	// has one of its own.
+	Find(ctx context.Context, identity string) (*pb.InflightRecord, bool, error)
+}
+
+// Defaults of Config.
+const (
+	defaultLongestRequest = 15 * time.Minute
+	defaultMargin         = time.Minute
+	defaultGatherWait     = 2 * time.Second
+)
+
+// Config of a Controller. Zero durations mean the defaults.
+type Config struct {
+	Self     *pb.Holder
+	Control  Control
+	Peers    Peers
+	Requests Requests
+	// EngineUsage asks the backend server of a running record what it used; known is false
+	// while it runs or if the server doesn't say. May be nil.
+	EngineUsage func(ctx context.Context, rec *pb.InflightRecord) (prompt, output uint64, known bool)
+	// LongestRequest is the longest time that a request may run; Margin is added to it
+	// before a request of unknown usage is billed by its reservation.
+	LongestRequest time.Duration
+	Margin         time.Duration
+	GatherWait     time.Duration
+	Log            zerolog.Logger
+}
+
+// Controller is level-triggered: each Reconcile looks at the whole state anew.
+type Controller struct{ cfg Config }
+
+// New makes a controller.
+func New(cfg Config) *Controller {
+	setDefault(&cfg.LongestRequest, defaultLongestRequest)
+	setDefault(&cfg.Margin, defaultMargin)
+	setDefault(&cfg.GatherWait, defaultGatherWait)
+	return &Controller{cfg: cfg}
+}
+
+func setDefault(v *time.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Result of one Reconcile.
+type Result struct {
+	Recovered []Recovered
+	// Waiting lists the dead incarnations whose tokens stay locked, and why.
+	Waiting []Waiting
+}
+
+// Recovered is one dead incarnation that was settled and released.
+type Recovered struct {
+	Dead *pb.Holder
+	// Bills were proposed; Billed and Released are tokens as the ledger counted them.
+	Bills            int
+	Billed, Released uint64
+	// ByReservation lists the identities that were billed by their reservation because
+	// their real usage is not known.
+	ByReservation []string
+}
+
+// Waiting is one dead incarnation that can't be recovered yet.
+type Waiting struct {
+	Dead *pb.Holder
+	// Missing are live hosts that did not answer.
+	Missing []string
+	// Running are identities that may still run.
+	Running []string
+	// Reason is the ledger's refusal, if it refused.
+	Reason string
+}
+
+// Reconcile tries to recover every dead incarnation once. It returns an error only if the
+// hosts can't be read.
+func (c *Controller) Reconcile(ctx context.Context) (Result, error) {
+	var result Result
+	hosts, err := c.cfg.Control.Hosts(ctx)
+	if err != nil {
+		return result, err
+	}
+	live := liveHolders(hosts)
+	for _, dead := range deadHolders(hosts) {
+		c.recover(ctx, dead, live, &result)
+	}
+	for _, w := range result.Waiting {
+		c.cfg.Log.Warn().Str("event", "recovery-waits").Str("dead", w.Dead.GetHost()).
+			Uint64("incarnation", w.Dead.GetIncarnation()).Strs("missing", w.Missing).
+			Int("running", len(w.Running)).Str("reason", w.Reason).Send()
+	}
+	return result, nil
+}
+
+func liveHolders(hosts []*pb.HostInfo) []*pb.Holder {
+	var live []*pb.Holder
+	for _, h := range hosts {
+		if !h.GetRemoved() {
+			live = append(live, &pb.Holder{Host: h.GetHost(), Incarnation: h.GetIncarnation()})
+		}
+	}
+	return live
+}
+
+func deadHolders(hosts []*pb.HostInfo) []*pb.Holder {
+	var dead []*pb.Holder
+	for _, h := range hosts {
+		for _, incarnation := range h.GetUnrecovered() {
+			dead = append(dead, &pb.Holder{Host: h.GetHost(), Incarnation: incarnation})
+		}
+	}
+	return dead
+}
+
+func (c *Controller) recover(ctx context.Context, dead *pb.Holder, live []*pb.Holder, result *Result) {
+	replies, missing := c.gather(ctx, dead, live)
+	if len(missing) > 0 {
+		result.Waiting = append(result.Waiting, Waiting{Dead: dead, Missing: missing})
+		return
+	}
+	p := newPlan(dead, live, replies)
+	p.classify(time.Now(), c.cfg.LongestRequest+c.cfg.Margin, func(rec *pb.InflightRecord) fate {
+		return c.fateOf(ctx, dead, rec)
+	})
+	if len(p.running) > 0 {
+		result.Waiting = append(result.Waiting, Waiting{Dead: dead, Running: p.running})
+		return
+	}
+	done, err := c.propose(ctx, p.command(live))
+	if err != nil {
+		result.Waiting = append(result.Waiting, Waiting{Dead: dead, Reason: err.Error()})
+		return
+	}
+	r := Recovered{Dead: dead, Bills: len(p.bills), Billed: done.GetBilled(), Released: done.GetReleased(), ByReservation: p.byReservation}
+	result.Recovered = append(result.Recovered, r)
+	c.cfg.Log.Info().Str("event", "holder-recovered").Str("dead", dead.GetHost()).Uint64("incarnation", dead.GetIncarnation()).
+		Int("bills", r.Bills).Uint64("billed", r.Billed).Uint64("released", r.Released).Strs("by_reservation", r.ByReservation).Send()
+}
+
+// gather asks all live hosts at once, and names those that did not answer as the
+// incarnation that is registered.
+func (c *Controller) gather(ctx context.Context, dead *pb.Holder, live []*pb.Holder) (replies []*pb.GatherReply, missing []string) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.GatherWait)
+	defer cancel()
+	all := make([]*pb.GatherReply, len(live))
+	var wg sync.WaitGroup
+	for i, h := range live {
+		wg.Go(func() {
+			reply, err := c.cfg.Peers.Gather(ctx, h.GetHost(), &pb.GatherRequest{Dead: dead, From: c.cfg.Self})
+			if err == nil && reply.GetError() == nil && same(reply.GetSelf(), h) {
+				all[i] = reply
+			}
+		})
+	}
+	wg.Wait()
+	for i, reply := range all {
+		if reply == nil {
+			missing = append(missing, live[i].GetHost())
+			continue
+		}
+		replies = append(replies, reply)
+	}
+	return replies, missing
+}
+
+// fateOf finds out what became of a request that ran when its host died.
+func (c *Controller) fateOf(ctx context.Context, dead *pb.Holder, rec *pb.InflightRecord) fate {
+	other, ok, err := c.cfg.Requests.Find(ctx, rec.GetIdentity())
+	if err == nil && ok && !same(other.GetHolder(), dead) {
+		if other.GetState() == pb.InflightState_INFLIGHT_STATE_DONE {
+			return fate{billedElsewhere: true}
+		}
+		return fate{takenOver: true}
+	}
+	if c.cfg.EngineUsage == nil {
+		return fate{}
+	}
+	prompt, output, known := c.cfg.EngineUsage(ctx, rec)
+	return fate{prompt: prompt, output: output, known: known}
+}
+
+func (c *Controller) propose(ctx context.Context, cmd *pb.Command) (*pb.RecoverHolderResult, error) {
+	cmd.Actor = c.cfg.Self.GetHost()
+	r, err := c.cfg.Control.Propose(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	if e := r.GetError(); e != nil {
+		return nil, errkind.New(errkind.Kind(e.GetKind()), "%s", e.GetMessage())
+	}
+	return r.GetRecoverHolder(), nil
+}
+
+func same(a, b *pb.Holder) bool {
+	return a.GetHost() == b.GetHost() && a.GetIncarnation() == b.GetIncarnation()
+}
--- a/internal/grant/holder_test.go
+++ b/internal/grant/holder_test.go
@@ -396,3 +396,27 @@
 		t.Fatalf("got %+v, want 100 free and nothing unsettled", got)
 	}
 }
+
+// TestFencedHolder
+//
+// Symptom: a dead host's tokens are spent twice, by its receiver and after their release.
+// Sequence: the giver dies and is gathered here; its answer to an ask arrives after that.
+// Cause: the late transfer accepted, or a transfer given to a dead incarnation.
+func TestFencedHolder(t *testing.T) {
+	now := time.Unix(1, 0)
+	h := New(&pb.Holder{Host: "a", Incarnation: 1}, Config{}, rand.New(rand.NewSource(1)))
+	h.SetPeers([]string{"b"})
+	h.Reserve(now, "r", "x", 100, PolicyFrom(nil))
+	out := h.AcquireAnswered(now, "x", 1, &pb.AcquireResult{Amount: 10})
+	dead := &pb.Holder{Host: "b", Incarnation: 1}
+	h.Fence(dead)
+	id := out.Asks[0].Request.GetId()
+	late := &pb.Transfer{Id: id, Budget: "x", From: dead, To: h.Self(), Tokens: 90}
+	h.AskAnswered(now, id, late)
+	if got := h.Levels()[0]; got.Held() != 10 {
+		t.Errorf("got %+v, want the 10 of the ledger only", got)
+	}
+	if _, state := h.TransferAsked(now, &pb.AskTokensRequest{From: dead, Budget: "x", Tokens: 5, Id: "b/1/1"}); state != GiveNothing {
+		t.Errorf("gave to a dead incarnation: %v", state)
+	}
+}
--- a/internal/grant/transfer.go
+++ b/internal/grant/transfer.go
@@ -339,6 +339,17 @@
 // sub is x - y, 0 if y is greater.
 func sub(x, y uint64) uint64 { return x - min(x, y) }
 
+// PendingGives are the transfers deducted here whose copies are not yet in place.
+func (h *Holder) PendingGives() []*pb.Transfer {
+	var pending []*pb.Transfer
+	for _, id := range slices.Sorted(maps.Keys(h.transfers.given)) {
+		if g := h.transfers.given[id]; !g.ready {
+			pending = append(pending, g.transfer)
+		}
+	}
+	return pending
+}
+
 // GiveReady tells that the copies of a new transfer are in place.
 func (h *Holder) GiveReady(id string) {
 	if g, ok := h.transfers.given[id]; ok {
--- a/internal/inflight/bounds.go
+++ b/internal/inflight/bounds.go
@@ -6,13 +6,13 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 )
 
-// makeRoom frees space for a new record: first answers, then finished records whose bill
-// is settled, oldest first. A record that may still have to be billed is never dropped;
+// makeRoom frees space for a new record: first answers, then finished records that no
+// bill needs, oldest first. A record that may still have to be billed is never dropped;
 // if nothing else is left the new one is refused.
 func (s *Store) makeRoom(size, records int) error {
 	for s.over(size, records) {
 		short := s.bytes+size > s.cfg.MaxBytes
-		if !(short && s.dropAnswer()) && !s.dropBilled() {
+		if !(short && s.dropAnswer()) && !s.dropSpare() {
 			return errkind.New(errkind.Overloaded, "this host keeps %d in-flight records, %d bytes", s.count, s.bytes)
 		}
 	}
@@ -50,9 +50,9 @@
 	return false
 }
 
-func (s *Store) dropBilled() bool {
+func (s *Store) dropSpare() bool {
 	for i, e := range s.finished {
-		if e.gone || !e.billed() {
+		if e.gone || !s.spare(e) {
 			continue
 		}
 		s.finished = append(s.finished[:i], s.finished[i+1:]...)
--- a/internal/inflight/copies.go
+++ b/internal/inflight/copies.go
@@ -26,13 +26,15 @@
 	Records []*pb.InflightRecord
 }
 
-// PutCopy stores another host's record, if it is newer than what is here.
+// PutCopy stores another host's record, if it is newer than what is here. It comes from
+// the record's owner, or from a guardian of a dead one.
 //
 // AlreadyExists: the record is the first of a request whose identity another request
 // has; KeyConflict: with another body; StaleFence: its holder's grants are being
 // released, so a bill from it could no longer be taken in; Overloaded: no room.
-func (s *Store) PutCopy(now time.Time, rec *pb.InflightRecord) error {
-	if s.touchesFenced(rec) {
+func (s *Store) PutCopy(now time.Time, rec *pb.InflightRecord, from *pb.Holder) error {
+	fromOwner := keyOf(from) == keyOf(rec.GetHolder())
+	if fromOwner && s.touchesFenced(rec) {
 		return errkind.New(errkind.StaleFence, "holder %s/%d is dead", rec.GetHolder().GetHost(), rec.GetHolder().GetIncarnation())
 	}
 	if e := s.copyOf(rec); e != nil {
@@ -60,9 +62,37 @@
 	s.copied[rec.GetIdentity()] = append(s.copied[rec.GetIdentity()], e)
 	s.count++
 	s.setRecord(now, e, proto.CloneOf(rec))
+	s.guard(e)
 	return nil
 }
 
+// guard makes this host answer for a copy whose owner is dead: it sees to it that another
+// host holds the record as well.
+//
+// What goes wrong otherwise: the owner's recovery waits, for a cut or a running request,
+// the copy's host dies meanwhile, and the bill is lost with the only copy.
+func (s *Store) guard(e *entry) {
+	needless := !e.done.IsZero() && s.spare(e)
+	if len(s.ring.hosts) == 0 || needless || s.ownerLives(e.rec) {
+		return
+	}
+	if e.sent == nil {
+		e.sent = make(map[string]holding)
+	}
+	e.wanted = 1
+	s.guarded[e.rec.GetRequestId()] = e
+	s.dirty[e.rec.GetRequestId()] = struct{}{}
+}
+
+// kept is an own or a guarded record.
+func (s *Store) kept(requestID string) (*entry, bool) {
+	if e, ok := s.own[requestID]; ok {
+		return e, true
+	}
+	e, ok := s.guarded[requestID]
+	return e, ok
+}
+
 func (s *Store) copyOf(rec *pb.InflightRecord) *entry {
 	for _, e := range s.copied[rec.GetIdentity()] {
 		if e.rec.GetRequestId() == rec.GetRequestId() && keyOf(e.rec.GetHolder()) == keyOf(rec.GetHolder()) {
@@ -118,22 +148,34 @@
 	return found
 }
 
-// SetHosts replaces the live hosts. Own records whose copies were on a host that is gone
-// or restarted need new ones.
+// SetHosts replaces the live hosts. Own and guarded records whose copies were on a host
+// that is gone or restarted need new ones; copies whose owner is gone are guarded.
 func (s *Store) SetHosts(hosts []Host) {
 	s.ring = newRing(hosts)
 	live := make(map[string]uint64, len(hosts))
 	for _, h := range hosts {
 		live[h.Name] = h.Incarnation
 	}
+	for _, entries := range s.copied {
+		for _, e := range entries {
+			s.guard(e)
+		}
+	}
 	for request, e := range s.own {
-		for host, h := range e.sent {
-			if incarnation, ok := live[host]; ok && incarnation == h.incarnation {
-				continue
-			}
-			delete(e.sent, host)
-			s.dirty[request] = struct{}{}
+		s.forgetLost(request, e, live)
+	}
+	for request, e := range s.guarded {
+		s.forgetLost(request, e, live)
+	}
+}
+
+func (s *Store) forgetLost(request string, e *entry, live map[string]uint64) {
+	for host, h := range e.sent {
+		if incarnation, ok := live[host]; ok && incarnation == h.incarnation {
+			continue
 		}
+		delete(e.sent, host)
+		s.dirty[request] = struct{}{}
 	}
 }
 
@@ -157,7 +199,7 @@
 // that hold an older one, and as many new ones as copies are missing. Hosts in except
 // are passed over.
 func (s *Store) Targets(now time.Time, requestID string, except map[string]bool) []Host {
-	e, ok := s.own[requestID]
+	e, ok := s.kept(requestID)
 	if !ok {
 		return nil
 	}
@@ -203,7 +245,7 @@
 
 // Record is the present version of an own record for sending.
 func (s *Store) Record(now time.Time, requestID string) (*pb.InflightRecord, bool) {
-	e, ok := s.own[requestID]
+	e, ok := s.kept(requestID)
 	if !ok {
 		return nil, false
 	}
@@ -213,7 +255,7 @@
 // Sending notes that a host is being sent an own record: it may hold it from now on,
 // also if it doesn't answer.
 func (s *Store) Sending(requestID string, to Host) {
-	e, ok := s.own[requestID]
+	e, ok := s.kept(requestID)
 	if !ok {
 		return
 	}
@@ -224,7 +266,7 @@
 
 // Acked notes that a host's incarnation holds a version of an own record.
 func (s *Store) Acked(requestID string, host string, incarnation, version uint64) {
-	e, ok := s.own[requestID]
+	e, ok := s.kept(requestID)
 	if !ok {
 		return
 	}
@@ -236,7 +278,7 @@
 
 // Declined notes that a host refused an own record; it isn't asked again.
 func (s *Store) Declined(requestID, host string) {
-	e, ok := s.own[requestID]
+	e, ok := s.kept(requestID)
 	if !ok {
 		return
 	}
@@ -252,20 +294,20 @@
 
 // HeldBy tells whether a host holds the present version of an own record.
 func (s *Store) HeldBy(requestID, host string) bool {
-	e, ok := s.own[requestID]
+	e, ok := s.kept(requestID)
 	return ok && e.sent[host].version == e.rec.GetVersion()
 }
 
 // Complete tells whether every host that may hold an own record holds its present
 // version and, unless it is abandoned, the wanted number do.
 func (s *Store) Complete(requestID string) bool {
-	e, ok := s.own[requestID]
+	e, ok := s.kept(requestID)
 	return !ok || s.complete(e)
 }
 
 // Copies is the number of hosts that hold the present version of an own record.
 func (s *Store) Copies(requestID string) int {
-	e, ok := s.own[requestID]
+	e, ok := s.kept(requestID)
 	if !ok {
 		return 0
 	}
--- a/internal/inflight/store.go
+++ b/internal/inflight/store.go
@@ -6,6 +6,7 @@
 package inflight
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -43,7 +44,9 @@
 	current map[string]*entry
 	// copied holds other hosts' records by identity.
 	copied map[string][]*entry
-	fenced map[holderKey]struct{}
+	// guarded are those of the copies whose owner is dead, by request id.
+	guarded map[string]*entry
+	fenced  map[holderKey]struct{}
 	// finished holds entries in the order in which they finished, oldest first.
 	finished []*entry
 	// answers holds the entries that keep an answer, oldest first.
@@ -100,7 +103,7 @@
 	}
 	return &Store{
 		cfg: cfg, own: make(map[string]*entry), current: make(map[string]*entry), copied: make(map[string][]*entry),
-		fenced: make(map[holderKey]struct{}), dirty: make(map[string]struct{}),
+		guarded: make(map[string]*entry), fenced: make(map[holderKey]struct{}), dirty: make(map[string]struct{}),
 		avoid: make(map[string]time.Time),
 	}
 }
@@ -136,10 +139,12 @@
 }
 
 // Adopt stores a new own record though the identity may be known: this host takes over
-// the request of a dead one.
+// the request of a dead one, whose record rec continues under a new request id. Its version
+// goes on from there, as version 1 is refused by hosts that know the identity.
 func (s *Store) Adopt(now time.Time, rec *pb.InflightRecord, n int) error {
 	rec = proto.CloneOf(rec)
-	rec.Holder, rec.Version = s.cfg.Self, 1
+	rec.Holder = s.cfg.Self
+	rec.Version++
 	e := &entry{rec: rec, made: now, wanted: n, sent: make(map[string]holding)}
 	if rec.GetState() == pb.InflightState_INFLIGHT_STATE_NONE {
 		rec.State = pb.InflightState_INFLIGHT_STATE_RUNNING
@@ -189,7 +194,9 @@
 	}
 	next := proto.CloneOf(e.rec)
 	next.Settled = true
-	next.State = pb.InflightState_INFLIGHT_STATE_DONE
+	if next.GetState() == pb.InflightState_INFLIGHT_STATE_RUNNING {
+		next.State = pb.InflightState_INFLIGHT_STATE_DONE
+	}
 	next.Version++
 	s.replace(now, e, next)
 	return true
@@ -197,9 +204,11 @@
 
 // Abandon marks an own record whose request surely did not run; its copies are told.
 // Until they know, the record stays as abandoned, which no lookup reports.
+//
+// A transfer to a holder that was gathered can't be abandoned: its recovery counts it.
 func (s *Store) Abandon(now time.Time, requestID string) bool {
 	e, ok := s.own[requestID]
-	if !ok || !e.done.IsZero() {
+	if !ok || !e.done.IsZero() || s.touchesFenced(e.rec) {
 		return false
 	}
 	next := proto.CloneOf(e.rec)
@@ -237,15 +246,17 @@
 	return e.answer(now), true
 }
 
-// find prefers a finished record to a running one, and of running ones the own.
+// find prefers a finished record to a running one, and of running ones the own, then one
+// whose owner lives: it may have taken the request over from the owner of the others.
 func (s *Store) find(identity string) *entry {
 	var found *entry
+	best := 0
 	consider := func(e *entry) {
-		if e == nil || e.rec.GetState() == pb.InflightState_INFLIGHT_STATE_ABANDONED {
+		if e == nil {
 			return
 		}
-		if found == nil || found.done.IsZero() && !e.done.IsZero() {
-			found = e
+		if p := s.preference(e); p > best {
+			found, best = e, p
 		}
 	}
 	consider(s.current[identity])
@@ -255,6 +266,28 @@
 	return found
 }
 
+// preference orders the records of one identity; 0: it stands for no run.
+func (s *Store) preference(e *entry) int {
+	switch {
+	case e.rec.GetState() == pb.InflightState_INFLIGHT_STATE_ABANDONED:
+		return 0
+	case !e.done.IsZero():
+		return 3
+	case s.ownerLives(e.rec):
+		return 2
+	}
+	return 1
+}
+
+func (s *Store) ownerLives(rec *pb.InflightRecord) bool {
+	owner := rec.GetHolder()
+	if keyOf(owner) == keyOf(s.cfg.Self) {
+		return true
+	}
+	h, ok := s.Host(owner.GetHost())
+	return ok && h.Incarnation == owner.GetIncarnation()
+}
+
 // snapshot is the record with its present age.
 func (e *entry) snapshot(now time.Time) *pb.InflightRecord {
 	rec := proto.CloneOf(e.rec)
@@ -287,19 +320,34 @@
 	}
 }
 
-// window is longer for a record that may still have to be billed, and for an abandoned
-// one that a host may still hold as running.
+// window is longer for a record that may still be needed for a bill.
 func (s *Store) window(e *entry) time.Duration {
-	told := e.rec.GetState() != pb.InflightState_INFLIGHT_STATE_ABANDONED || s.complete(e)
-	if e.billed() && told {
+	if s.spare(e) {
 		return s.cfg.Window
 	}
 	return max(s.cfg.Window, unsettledWindow)
 }
 
-// billed tells whether the record is no longer needed for a bill.
-func (e *entry) billed() bool {
-	return e.rec.GetSettled() || e.rec.GetState() == pb.InflightState_INFLIGHT_STATE_ABANDONED
+// spare tells whether a finished record is needed for answers only. A copy is needed until
+// its bill is settled. An own record isn't needed for its bill, which the grants hold, but
+// until every host that may hold an older version has the last one.
+func (s *Store) spare(e *entry) bool {
+	if s.own[e.rec.GetRequestId()] == e {
+		return s.complete(e)
+	}
+	return e.rec.GetSettled() || !Billable(e.rec)
+}
+
+// Billable tells whether a finished record stands for tokens used: a usage, or a whole
+// answer of a service, which is billed by its fixed price.
+func Billable(rec *pb.InflightRecord) bool {
+	if rec.GetTransfer() != nil {
+		return rec.GetState() != pb.InflightState_INFLIGHT_STATE_ABANDONED
+	}
+	if rec.GetPromptTokens()+rec.GetOutputTokens() > 0 {
+		return true
+	}
+	return rec.GetState() == pb.InflightState_INFLIGHT_STATE_DONE && rec.GetAnswerStatus() < http.StatusBadRequest
 }
 
 func (s *Store) remove(e *entry) {
@@ -311,6 +359,10 @@
 	s.bytes -= e.size
 	id, request := e.rec.GetIdentity(), e.rec.GetRequestId()
 	if s.own[request] != e {
+		if s.guarded[request] == e {
+			delete(s.guarded, request)
+			delete(s.dirty, request)
+		}
 		s.removeCopy(id, e)
 		return
 	}
--- a/internal/inflight/store_test.go
+++ b/internal/inflight/store_test.go
@@ -44,7 +44,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"put": func(t *rapid.T) {
 				rec := drawRecord(t)
-				err := s.PutCopy(now, rec)
+				err := s.PutCopy(now, rec, rec.GetHolder())
 				owner := rec.GetHolder().GetIncarnation()
 				if dead[owner] != errkind.Is(err, errkind.StaleFence) {
 					t.Fatalf("record of incarnation %d, dead %v: %v", owner, dead[owner], err)
@@ -164,6 +164,13 @@
 	if s.MarkSettled(now, "r"); !s.own["r"].rec.GetSettled() {
 		t.Error("not settled")
 	}
+	s.Sending("r", Host{Name: "peer", Incarnation: 1})
+	s.Acked("r", "peer", 1, 2)
+	s.Tick(now.Add(11 * time.Minute))
+	if s.Len() != 1 {
+		t.Error("dropped before its copy knows the end")
+	}
+	s.Acked("r", "peer", 1, 3)
 	s.Tick(now.Add(11 * time.Minute))
 	if s.Len() != 0 || s.Bytes() != 0 {
 		t.Errorf("%d records, %d bytes after the window", s.Len(), s.Bytes())
