--- /dev/null
+++ b/internal/measure/budgets/budgets.go
@@ -0,0 +1,128 @@
+// Package budgets measures ways of spending prepaid budgets at many hosts: the same demand
+// and the same cuts, from fixed seeds, in virtual time. The ways with grants run the
+// product's own state machine, package grant, against a small ledger in memory.
+package budgets
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/grant"
+)
+
+// Row is what one run measured.
+type Row struct {
+	Way      string
+	Requests int
+	// Refused counts all refusals; RefusedInCut those during the cut. A false refusal is
+	// one while tokens were left somewhere: by the policy if they were in reach.
+	Refused, RefusedInCut, FalseByCut, FalseByPolicy int
+	// Overspend and Stranded are tokens; Left is what the ledger had as the cut ended.
+	Overspend, Stranded, Left uint64
+	Messages, Bytes           int
+	// Faults are rules of the ledger that were broken.
+	Faults int
+}
+
+// named is a way with its name in the table.
+type named struct {
+	name string
+	make func(*sim) way
+}
+
+// DefaultGrants is how the product is set.
+func DefaultGrants() Grants {
+	return Grants{Policy: grant.PolicyFrom(nil)}
+}
+
+func withGrants(name string, set Grants) named {
+	return named{name, func(s *sim) way { return newDemand(s, set) }}
+}
+
+func withoutTransfers(g Grants) Grants {
+	g.Policy.Transfers = false
+	return g
+}
+
+// fourWays are the ways that the table compares.
+func fourWays() []named {
+	return []named{
+		{"equal shares", newStatic},
+		withGrants("grants", withoutTransfers(DefaultGrants())),
+		withGrants("grants+transfers", DefaultGrants()),
+		{"quorum write", newQuorum},
+	}
+}
+
+// scenarios are the rows: cut, part of the budget spent, demand even or skewed.
+func scenarios(seed int64) []scenario {
+	var all []scenario
+	for _, skewed := range []bool{false, true} {
+		for _, cut := range []time.Duration{10 * time.Second, 5 * time.Minute, 2 * time.Hour} {
+			for _, spent := range []float64{0.05, 0.30, 0.90} {
+				all = append(all, scenario{cut: cut, spent: spent, skewed: skewed, seed: seed})
+			}
+		}
+	}
+	return all
+}
+
+// parallel bounds the runs at a time.
+const parallel = 4
+
+// Run writes the table of the four ways.
+func Run(w io.Writer, seed int64) error {
+	return writeTable(w, scenarios(seed), fourWays())
+}
+
+func writeTable(w io.Writer, rows []scenario, ways []named) error {
+	results := runAll(rows, ways)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "demand\tcut\tspent\tway\trequests\toverspend\tfalse by cut\tfalse by policy\trefused\trefused in cut %\tmessages/req\tbytes/req\tstranded\t")
+	for i, sc := range rows {
+		for _, r := range results[i] {
+			writeRow(t, sc, r)
+		}
+	}
+	return t.Flush()
+}
+
+func writeRow(w io.Writer, sc scenario, r Row) {
+	kind := "even"
+	if sc.skewed {
+		kind = "skewed"
+	}
+	inCut := sc.cut.Seconds() * totalRate
+	n := float64(max(r.Requests, 1))
+	fmt.Fprintf(w, "%s\t%v\t%.0f%%\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.0f\t%d\t\n",
+		kind, sc.cut, sc.spent*100, r.Way, r.Requests, r.Overspend, r.FalseByCut, r.FalseByPolicy, r.Refused,
+		100*float64(r.RefusedInCut)/inCut, float64(r.Messages)/n, float64(r.Bytes)/n, r.Stranded)
+	if r.Faults > 0 {
+		fmt.Fprintf(w, "\t\t\t%s: %d broken rules of the ledger\t\n", r.Way, r.Faults)
+	}
+}
+
+// runAll plays every scenario with every way; results stand in the order of both.
+func runAll(rows []scenario, ways []named) [][]Row {
+	results := make([][]Row, len(rows))
+	limit := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	for i, sc := range rows {
+		results[i] = make([]Row, len(ways))
+		for j, way := range ways {
+			wg.Go(func() {
+				limit <- struct{}{}
+				defer func() { <-limit }()
+				s := newSim(sc)
+				s.way = way.make(s)
+				s.result.Way = way.name
+				results[i][j] = s.run()
+			})
+		}
+	}
+	wg.Wait()
+	return results
+}
--- /dev/null
+++ b/internal/measure/budgets/scenario.go
@@ -0,0 +1,110 @@
+package budgets
+
+import (
+	"math/rand"
+	"time"
+)
+
+// The fleet measured: 7 hosts in three availability zones, as both users have today. The
+// ledger's leader is in zone 0; a cut separates zone 2, which has no quorum.
+const (
+	hostCount  = 7
+	cutZone    = 2
+	warmUp     = 10 * time.Minute
+	afterCut   = 30 * time.Second
+	totalRate  = 8.0 // requests a second, all accounts
+	budgetLife = 4 * time.Hour
+)
+
+var zoneOf = [hostCount]int{0, 0, 0, 1, 1, 2, 2}
+
+// accountShare is each account's part of the demand: 3 large ones, 7 small ones.
+var accountShare = [...]float64{0.22, 0.22, 0.22, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 0.04}
+
+// Sizes of requests in tokens. The output is cut at the cap, of which a third is used on
+// average.
+const (
+	promptLeast, promptMost = 300, 900
+	outputCap               = 1024
+	meanUsage               = (promptLeast+promptMost)/2 + outputCap/3
+	tokensPerSecond         = 30
+)
+
+// scenario is one row of the table.
+type scenario struct {
+	cut    time.Duration
+	spent  float64 // part of each budget that is billed when the cut begins
+	skewed bool    // 70% of an account's requests come to one host
+	seed   int64
+}
+
+// request is one caller's request.
+type request struct {
+	id       string
+	host     int
+	account  int
+	at       time.Duration
+	reserve  uint64
+	use      uint64
+	duration time.Duration
+	decided  bool
+}
+
+// cutFrom and cutTo bound the cut in virtual time.
+func (s scenario) cutFrom() time.Duration { return warmUp }
+func (s scenario) cutTo() time.Duration   { return warmUp + s.cut }
+func (s scenario) end() time.Duration     { return s.cutTo() + afterCut }
+
+// funded is the size of an account's budget: some hours of its mean demand.
+func funded(account int) uint64 {
+	return uint64(accountShare[account] * totalRate * meanUsage * budgetLife.Seconds())
+}
+
+// billedBefore is what was billed before the run, so that spent holds when the cut begins.
+func (s scenario) billedBefore(account int) uint64 {
+	part := s.spent - warmUp.Seconds()/budgetLife.Seconds()
+	return uint64(max(0, part) * float64(funded(account)))
+}
+
+// requests draws the demand: the same for every way of a scenario.
+func (s scenario) requests() []*request {
+	rng := rand.New(rand.NewSource(s.seed))
+	var all []*request
+	at := time.Duration(0)
+	for {
+		at += time.Duration(rng.ExpFloat64() / totalRate * float64(time.Second))
+		if at >= s.end() {
+			return all
+		}
+		all = append(all, s.draw(rng, len(all), at))
+	}
+}
+
+func (s scenario) draw(rng *rand.Rand, n int, at time.Duration) *request {
+	account := drawAccount(rng)
+	prompt := uint64(promptLeast + rng.Intn(promptMost-promptLeast))
+	output := uint64(rng.Intn(2 * outputCap / 3))
+	return &request{
+		id: requestID(n), account: account, at: at, host: s.drawHost(rng, account),
+		reserve: prompt + outputCap, use: prompt + output,
+		duration: time.Second + time.Duration(output)*time.Second/tokensPerSecond,
+	}
+}
+
+func drawAccount(rng *rand.Rand) int {
+	x := rng.Float64()
+	for i, share := range accountShare {
+		if x -= share; x < 0 {
+			return i
+		}
+	}
+	return len(accountShare) - 1
+}
+
+func (s scenario) drawHost(rng *rand.Rand, account int) int {
+	any := rng.Intn(hostCount)
+	if s.skewed && rng.Float64() < 0.7 {
+		return (account*3 + 5) % hostCount
+	}
+	return any
+}
--- /dev/null
+++ b/internal/measure/budgets/sim.go
@@ -0,0 +1,232 @@
+package budgets
+
+import (
+	"container/heap"
+	"fmt"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/grant/fakeledger"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Times of the network and of the runtime, one way where it is a latency.
+const (
+	inZone         = 300 * time.Microsecond
+	betweenZones   = 1100 * time.Microsecond
+	quorumWrite    = 3 * time.Millisecond // replication and sync
+	proposeTimeout = time.Second
+	askTimeout     = 250 * time.Millisecond
+	tickEvery      = 250 * time.Millisecond
+	suspectAfter   = 2 * time.Second // until a peer that was cut off isn't asked any more
+	messageBytes   = 100             // headers of one message: TCP, HTTP/2, gRPC
+	replicas       = 3
+)
+
+// way is one way of spending budgets at many hosts.
+type way interface {
+	// reserve ends in exactly one sim.decide, now or later.
+	reserve(r *request)
+	settle(r *request)
+	tick()
+	// free is what a host could reserve at once of an account's budget.
+	free(host, account int) uint64
+}
+
+// sim is one run in virtual time.
+type sim struct {
+	scenario scenario
+	now      time.Duration
+	queue    events
+	sequence int
+	ledger   *fakeledger.Ledger
+	way      way
+	result   Row
+	used     []uint64
+	// inTransit are tokens deducted at a giver and not yet at the receiver.
+	inTransit []uint64
+}
+
+type event struct {
+	at       time.Duration
+	sequence int
+	do       func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return x
+}
+
+func requestID(n int) string       { return "r" + strconv.Itoa(n) }
+func hostName(host int) string     { return "h" + strconv.Itoa(host) }
+func budgetName(a int) string      { return "b" + strconv.Itoa(a) }
+func holderOf(host int) *pb.Holder { return &pb.Holder{Host: hostName(host), Incarnation: 1} }
+
+// virtual is a time.Time for the state machines.
+func (s *sim) virtual() time.Time { return time.Unix(0, 0).Add(s.now) }
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.sequence++
+	heap.Push(&s.queue, event{at: s.now + d, sequence: s.sequence, do: do})
+}
+
+func (s *sim) cutNow() bool {
+	return s.now >= s.scenario.cutFrom() && s.now < s.scenario.cutTo()
+}
+
+// joined tells whether two zones reach each other now.
+func (s *sim) joined(a, b int) bool {
+	return !s.cutNow() || (a == cutZone) == (b == cutZone)
+}
+
+func (s *sim) reachesLedger(host int) bool { return s.joined(zoneOf[host], 0) }
+
+func latency(a, b int) time.Duration {
+	if a == b {
+		return inZone
+	}
+	return betweenZones
+}
+
+func (s *sim) count(messages int, bytes int) {
+	s.result.Messages += messages
+	s.result.Bytes += bytes + messages*messageBytes
+}
+
+// propose carries a command to the ledger. answered gets nil if there is no answer. A
+// command costs a message and its answer, and both again to each further replica.
+func (s *sim) propose(host int, cmd *pb.Command, answered func(*pb.CommandResult)) {
+	size := proto.Size(cmd)
+	if !s.reachesLedger(host) {
+		s.count(1, size)
+		s.after(proposeTimeout, func() { answered(nil) })
+		return
+	}
+	trip := latency(zoneOf[host], 0)
+	s.after(trip+quorumWrite, func() {
+		r := s.ledger.Apply(cmd)
+		s.count(2*replicas, size*replicas+proto.Size(r))
+		if !s.reachesLedger(host) {
+			s.after(proposeTimeout-trip-quorumWrite, func() { answered(nil) })
+			return
+		}
+		s.after(trip, func() { answered(r) })
+	})
+}
+
+// run plays the scenario and returns its row.
+func (s *sim) run() Row {
+	for _, r := range s.scenario.requests() {
+		s.after(r.at-s.now, func() {
+			s.result.Requests++
+			s.way.reserve(r)
+		})
+	}
+	s.after(tickEvery, s.tick)
+	s.after(s.scenario.cutTo()-time.Millisecond, s.noteStranded)
+	for len(s.queue) > 0 {
+		e := heap.Pop(&s.queue).(event)
+		if e.at > s.scenario.end() {
+			break
+		}
+		s.now = e.at
+		e.do()
+	}
+	s.checkOverspend()
+	return s.result
+}
+
+func (s *sim) tick() {
+	s.way.tick()
+	s.after(tickEvery, s.tick)
+}
+
+// decide ends a request's wait. A granted one runs and settles; a refused one is judged.
+func (s *sim) decide(r *request, err *errkind.Error) {
+	if r.decided {
+		panic(fmt.Sprintf("%s decided twice", r.id))
+	}
+	r.decided = true
+	if err == nil {
+		s.used[r.account] += r.use
+		s.after(r.duration, func() { s.way.settle(r) })
+		return
+	}
+	s.judge(r)
+}
+
+// judge tells a true refusal from a false one, and whose fault a false one is: of the
+// policy if the ledger and the hosts in reach held enough, else of the cut.
+func (s *sim) judge(r *request) {
+	s.result.Refused++
+	ledger := s.ledger.Budgets[budgetName(r.account)].Free()
+	everywhere, reachable := ledger+s.inTransit[r.account], uint64(0)
+	if s.reachesLedger(r.host) {
+		reachable = ledger
+	}
+	for host := range hostCount {
+		free := s.way.free(host, r.account)
+		everywhere += free
+		if s.joined(zoneOf[host], zoneOf[r.host]) {
+			reachable += free
+		}
+	}
+	switch {
+	case reachable >= r.reserve:
+		s.result.FalseByPolicy++
+	case everywhere >= r.reserve:
+		s.result.FalseByCut++
+	}
+	if s.cutNow() {
+		s.result.RefusedInCut++
+	}
+}
+
+// noteStranded counts the tokens that lie idle on hosts or in transit as the cut ends.
+func (s *sim) noteStranded() {
+	for account := range accountShare {
+		s.result.Stranded += s.inTransit[account]
+		for host := range hostCount {
+			s.result.Stranded += s.way.free(host, account)
+		}
+		s.result.Left += s.ledger.Budgets[budgetName(account)].Free()
+	}
+}
+
+// checkOverspend compares what runs took with the funds, and takes in the ledger's faults.
+func (s *sim) checkOverspend() {
+	for account, used := range s.used {
+		spent := used + s.scenario.billedBefore(account)
+		if f := funded(account); spent > f {
+			s.result.Overspend += spent - f
+		}
+	}
+	s.result.Faults = len(s.ledger.Faults)
+}
+
+func newSim(sc scenario) *sim {
+	s := &sim{
+		scenario: sc, ledger: fakeledger.New(),
+		used: make([]uint64, len(accountShare)), inTransit: make([]uint64, len(accountShare)),
+	}
+	for account := range accountShare {
+		s.ledger.Fund(budgetName(account), funded(account))
+		s.ledger.Budgets[budgetName(account)].Billed = sc.billedBefore(account)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/measure/budgets/ways.go
@@ -0,0 +1,247 @@
+package budgets
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/grant"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+var errRefused = errkind.New(errkind.BudgetExhausted, "refused")
+
+// static gives each host an equal share of what is left at the start, for good. Bills go to
+// the ledger one by one; that is all that it sends.
+type static struct {
+	s    *sim
+	left [hostCount][]uint64
+}
+
+func newStatic(s *sim) way {
+	w := &static{s: s}
+	for host := range hostCount {
+		for account := range accountShare {
+			name := budgetName(account)
+			share := (funded(account) - s.scenario.billedBefore(account)) / hostCount
+			w.left[host] = append(w.left[host], share)
+			s.ledger.Apply(&pb.Command{Body: &pb.Command_Acquire{Acquire: &pb.Acquire{
+				Holder: holderOf(host), Budget: name, Seq: 1, Need: share, Want: share,
+			}}})
+		}
+	}
+	return w
+}
+
+func (w *static) reserve(r *request) {
+	if w.left[r.host][r.account] < r.reserve {
+		w.s.decide(r, errRefused)
+		return
+	}
+	w.left[r.host][r.account] -= r.reserve
+	w.s.decide(r, nil)
+}
+
+func (w *static) settle(r *request) {
+	w.left[r.host][r.account] += r.reserve - r.use
+	w.s.count(2*replicas, 400)
+}
+
+func (w *static) tick()                         {}
+func (w *static) free(host, account int) uint64 { return w.left[host][account] }
+
+// quorum writes to the ledger before and after each request; hosts hold nothing.
+type quorum struct {
+	s       *sim
+	acquire [hostCount][]uint64 // last number of each budget
+	batch   [hostCount]uint64
+}
+
+func newQuorum(s *sim) way {
+	w := &quorum{s: s}
+	for host := range hostCount {
+		w.acquire[host] = make([]uint64, len(accountShare))
+	}
+	return w
+}
+
+func (w *quorum) reserve(r *request) {
+	if !w.s.reachesLedger(r.host) { // refused at once: the cut is known to the host
+		w.s.count(1, 100)
+		w.s.decide(r, errRefused)
+		return
+	}
+	w.acquire[r.host][r.account]++
+	cmd := &pb.Command{Body: &pb.Command_Acquire{Acquire: &pb.Acquire{
+		Holder: holderOf(r.host), Budget: budgetName(r.account),
+		Seq: w.acquire[r.host][r.account], Need: r.reserve, Want: r.reserve,
+	}}}
+	w.s.propose(r.host, cmd, func(result *pb.CommandResult) {
+		amount := result.GetAcquire().GetAmount()
+		if amount < r.reserve {
+			w.settleWith(r, nil, amount)
+			w.s.decide(r, errRefused)
+			return
+		}
+		w.s.decide(r, nil)
+	})
+}
+
+func (w *quorum) settle(r *request) {
+	bill := &pb.Bill{Budget: budgetName(r.account), Identity: r.id, RequestId: r.id, Tokens: r.use}
+	w.settleWith(r, bill, r.reserve-r.use)
+}
+
+// settleWith returns what was not used. In the cut the batch is kept and sent again.
+func (w *quorum) settleWith(r *request, bill *pb.Bill, back uint64) {
+	if !w.s.reachesLedger(r.host) {
+		w.s.after(proposeTimeout, func() { w.settleWith(r, bill, back) })
+		return
+	}
+	w.batch[r.host]++
+	batch := &pb.Settle{Holder: holderOf(r.host), Seq: w.batch[r.host]}
+	if bill != nil {
+		batch.Bills = []*pb.Bill{bill}
+	}
+	if back > 0 {
+		batch.Returns = []*pb.Return{{Budget: budgetName(r.account), Tokens: back}}
+	}
+	w.s.propose(r.host, &pb.Command{Body: &pb.Command_Settle{Settle: batch}}, func(*pb.CommandResult) {})
+}
+
+func (w *quorum) tick()                {}
+func (w *quorum) free(int, int) uint64 { return 0 }
+
+// Grants is how the ways with grants are set.
+type Grants struct {
+	Policy grant.Policy
+	Config grant.Config
+	// NeedThird refuses a transfer that no third host can hold a copy of.
+	NeedThird bool
+}
+
+// demand spends from grants by demand, and shares by transfers if the policy says so.
+type demand struct {
+	s       *sim
+	set     Grants
+	holders [hostCount]*grant.Holder
+	waiting map[string]*request
+	flush   [hostCount]bool
+	index   map[string]int
+	// levels caches each host's free tokens by account.
+	accounts map[string]int
+}
+
+func newDemand(s *sim, set Grants) way {
+	w := &demand{s: s, set: set, waiting: make(map[string]*request), index: make(map[string]int), accounts: make(map[string]int)}
+	for host := range hostCount {
+		w.index[hostName(host)] = host
+		w.holders[host] = grant.New(holderOf(host), set.Config, rand.New(rand.NewSource(s.scenario.seed+int64(host))))
+	}
+	for account := range accountShare {
+		w.accounts[budgetName(account)] = account
+	}
+	return w
+}
+
+// peers are the hosts that membership counts as reachable, two seconds late.
+func (w *demand) peers(host int) []string {
+	late := w.s.now - suspectAfter
+	apart := late >= w.s.scenario.cutFrom() && late < w.s.scenario.cutTo()
+	var peers []string
+	for other := range hostCount {
+		sameSide := (zoneOf[other] == cutZone) == (zoneOf[host] == cutZone)
+		if other != host && (!apart || sameSide) {
+			peers = append(peers, hostName(other))
+		}
+	}
+	return peers
+}
+
+func (w *demand) step(host int, input func(h *grant.Holder, now time.Time) grant.Output) {
+	h := w.holders[host]
+	h.SetPeers(w.peers(host))
+	w.carry(host, input(h, w.s.virtual()))
+}
+
+func (w *demand) reserve(r *request) {
+	w.waiting[r.id] = r
+	w.step(r.host, func(h *grant.Holder, now time.Time) grant.Output {
+		return h.Reserve(now, r.id, budgetName(r.account), r.reserve, w.set.Policy)
+	})
+}
+
+func (w *demand) settle(r *request) {
+	w.step(r.host, func(h *grant.Holder, now time.Time) grant.Output {
+		out, _ := h.Settle(now, &pb.Bill{Budget: budgetName(r.account), Identity: r.id, RequestId: r.id, Tokens: r.use, TimeMs: 1})
+		return out
+	})
+	w.scheduleFlush(r.host)
+}
+
+func (w *demand) scheduleFlush(host int) {
+	if w.flush[host] {
+		return
+	}
+	w.flush[host] = true
+	w.s.after(51*time.Millisecond, func() {
+		w.flush[host] = false
+		w.step(host, func(h *grant.Holder, now time.Time) grant.Output { return h.Flush(now) })
+	})
+}
+
+func (w *demand) tick() {
+	for host := range hostCount {
+		w.step(host, (*grant.Holder).Tick)
+	}
+}
+
+func (w *demand) free(host, account int) uint64 {
+	for _, l := range w.holders[host].Levels() {
+		if l.Budget == budgetName(account) {
+			return l.Free
+		}
+	}
+	return 0
+}
+
+func (w *demand) carry(host int, out grant.Output) {
+	for _, d := range out.Decisions {
+		r := w.waiting[d.Request]
+		delete(w.waiting, d.Request)
+		w.s.decide(r, d.Err)
+	}
+	for _, msg := range out.Acquires {
+		w.acquire(host, msg)
+	}
+	if out.Batch != nil {
+		w.sendBatch(host, out.Batch)
+	}
+	for _, ask := range out.Asks {
+		w.ask(host, ask)
+	}
+}
+
+func (w *demand) acquire(host int, msg *pb.Acquire) {
+	w.s.propose(host, &pb.Command{Body: &pb.Command_Acquire{Acquire: msg}}, func(r *pb.CommandResult) {
+		w.step(host, func(h *grant.Holder, now time.Time) grant.Output {
+			if r.GetAcquire() == nil {
+				return h.AcquireFailed(now, msg.GetBudget(), msg.GetSeq())
+			}
+			return h.AcquireAnswered(now, msg.GetBudget(), msg.GetSeq(), r.GetAcquire())
+		})
+	})
+}
+
+func (w *demand) sendBatch(host int, batch *pb.Settle) {
+	w.s.propose(host, &pb.Command{Body: &pb.Command_Settle{Settle: batch}}, func(r *pb.CommandResult) {
+		if r.GetSettle() == nil {
+			return
+		}
+		w.step(host, func(h *grant.Holder, now time.Time) grant.Output {
+			out, _ := h.SettleAnswered(now, batch.GetSeq(), r.GetSettle())
+			return out
+		})
+		w.scheduleFlush(host)
+	})
+}
