--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -32,7 +32,8 @@
 	if h.draining {
 		return
 	}
-	h.endRound(b, out)
+	h.endRound(now, b, out)
+	h.refuseHelpless(now, b, out)
 	if len(b.waiters) == 0 {
 		h.fetchAhead(now, b, out)
 		return
@@ -41,8 +42,7 @@
 		return
 	}
 	if b.acquire.msg != nil {
-		h.probeLedger(now, b, out)
-		b.giveUpOnLedger()
+		h.giveUpOnLedger(now, b, out)
 	}
 	if b.untried() {
 		h.sendAcquire(now, b, b.shortage(), out)
@@ -59,10 +59,21 @@
 	return now.Sub(b.acquire.first) >= cfg.LedgerWait
 }
 
-func (b *budget) giveUpOnLedger() {
+// giveUpOnLedger lets the new waiters look to the peers, and meanwhile sends the
+// outstanding acquire once more: they are refused only if that isn't answered in time.
+//
+// Without this probe the end of a cut would be noticed at the end of a long backoff, and
+// requests refused until then though the ledger has tokens.
+func (h *Holder) giveUpOnLedger(now time.Time, b *budget, out *Output) {
+	if !b.untried() {
+		return
+	}
+	if now.Sub(b.acquire.last) >= h.cfg.ProbeWait {
+		h.sendAgain(now, &b.acquire, out)
+	}
 	for _, w := range b.waiters {
 		if !w.tried {
-			w.tried, w.why = true, errkind.BudgetUnreachable
+			w.tried, w.why, w.notBefore = true, errkind.BudgetUnreachable, now.Add(h.cfg.ProbeWait)
 		}
 	}
 }
@@ -116,6 +127,9 @@
 	if b.acquire.msg != nil || !b.levelKnown || b.level == 0 || now.Sub(b.fetched) < h.cfg.ResendAfter {
 		return
 	}
+	if b.idle(now) { // else what an idle budget returned would be fetched again at once
+		return
+	}
 	missing := h.ahead(now, b)
 	if missing > b.free {
 		b.fetched = now
@@ -145,7 +159,7 @@
 
 func (b *budget) markExhausted() {
 	for _, w := range b.waiters {
-		w.tried, w.why = true, errkind.BudgetExhausted
+		w.tried, w.why, w.notBefore = true, errkind.BudgetExhausted, time.Time{}
 	}
 }
 
@@ -198,15 +212,6 @@
 	h.sendAgain(now, a, out)
 }
 
-// probeLedger resends the outstanding acquire for a waiter that comes during a cut, so
-// that the end of the cut is noticed by the first requests after it rather than at the
-// end of a long backoff.
-func (h *Holder) probeLedger(now time.Time, b *budget, out *Output) {
-	if b.untried() && now.Sub(b.acquire.last) >= h.cfg.ResendAfter {
-		h.sendAgain(now, &b.acquire, out)
-	}
-}
-
 func (h *Holder) sendAgain(now time.Time, a *acquire, out *Output) {
 	a.last = now
 	a.next = now.Add(a.wait)
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -70,6 +70,9 @@
 	// LedgerWait is how long waiting requests wait for an unanswered acquire before the
 	// ledger counts as out of reach; default 250ms.
 	LedgerWait time.Duration
+	// ProbeWait is how long a request waits for the ledger when it was out of reach for
+	// others before; default 50ms.
+	ProbeWait time.Duration
 	// AskFanout is the number of peers asked at a time; default 3.
 	AskFanout int
 	// LevelShare divides what the ledger last said it could still grant: no more than
@@ -87,6 +90,7 @@
 	setDuration(&c.ResendAfter, 200*time.Millisecond)
 	setDuration(&c.ResendMax, 5*time.Second)
 	setDuration(&c.LedgerWait, 250*time.Millisecond)
+	setDuration(&c.ProbeWait, 50*time.Millisecond)
 	setInt(&c.AskFanout, 3)
 	if c.LevelShare == 0 {
 		c.LevelShare = 8
--- a/internal/grant/holder.go
+++ b/internal/grant/holder.go
@@ -43,8 +43,10 @@
 	// come if they can't help either.
 	tried bool
 	why   errkind.Kind
-	// asked tells that the present round of asks covers the waiter.
-	asked bool
+	// asked tells that the present round of asks covers the waiter, helpless that a round
+	// did in vain. It is refused then, but not before notBefore.
+	asked, helpless bool
+	notBefore       time.Time
 }
 
 // budget is the holder's part of one budget.
@@ -279,8 +281,7 @@
 
 // returnIdle puts free tokens that nobody used for a while on their way back.
 func (h *Holder) returnIdle(now time.Time, b *budget) {
-	idle := now.Sub(b.lastUse) >= b.policy.IdleReturn
-	if b.free == 0 || len(b.waiters) > 0 || !(idle || h.draining) {
+	if b.free == 0 || len(b.waiters) > 0 || !(b.idle(now) || h.draining) {
 		return
 	}
 	h.settlement.giveBack(now, b.name, b.free)
@@ -288,6 +289,9 @@
 	b.free = 0
 }
 
+// idle tells whether nobody used the budget here for so long that its tokens go back.
+func (b *budget) idle(now time.Time) bool { return now.Sub(b.lastUse) >= b.policy.IdleReturn }
+
 // forget drops the state of a budget that holds nothing and was long unused. The
 // numbering of acquires must outlive it: the ledger would take a number that starts
 // again for a resend of an old acquire. So only a budget that was never granted any
--- a/internal/grant/transfer.go
+++ b/internal/grant/transfer.go
@@ -21,6 +21,8 @@
 	// it doesn't learn before that the ledger knows the transfer. It outlasts askWindow:
 	// a transfer forgotten while it is asked for would be stranded.
 	givenWindow = askWindow + time.Hour
+	// pruneEvery spaces the searches for asks that may be forgotten.
+	pruneEvery = time.Minute
 )
 
 // transfers is what the holder knows of tokens moved between holders.
@@ -32,6 +34,7 @@
 	open map[string]*openAsk
 	// lastAsk numbers this holder's asks.
 	lastAsk uint64
+	pruned  time.Time
 }
 
 type given struct {
@@ -60,6 +63,10 @@
 // prune forgets old asks. It is safe: an ask repeated later gets nothing, and an answer
 // to a forgotten ask is dropped.
 func (t *transfers) prune(now time.Time) {
+	if now.Sub(t.pruned) < pruneEvery {
+		return
+	}
+	t.pruned = now
 	for id, g := range t.given {
 		if now.Sub(g.at) > g.window() {
 			delete(t.given, id)
@@ -84,7 +91,7 @@
 func (h *Holder) startRound(now time.Time, b *budget, out *Output) {
 	covered := false
 	for _, w := range b.waiters {
-		w.asked = w.tried
+		w.asked = w.tried && !w.helpless
 		covered = covered || w.asked
 	}
 	if !covered {
@@ -95,7 +102,7 @@
 		b.round.candidates = h.shuffledPeers()
 	}
 	h.askPeers(now, b, out)
-	h.endRound(b, out)
+	h.endRound(now, b, out)
 }
 
 func (h *Holder) shuffledPeers() []string {
@@ -209,22 +216,29 @@
 		return
 	}
 	h.askPeers(now, b, out)
-	h.endRound(b, out)
+	h.endRound(now, b, out)
 	h.advance(now, b, out)
 }
 
-// endRound closes a round that has no ask left and refuses the waiters it covered.
-func (h *Holder) endRound(b *budget, out *Output) {
-	if b.round == nil {
-		return
-	}
-	if len(b.round.asks) > 0 && b.askedShortage() > 0 {
+// endRound closes a round that has no ask left; the peers can't help the waiters that it
+// covered.
+func (h *Holder) endRound(now time.Time, b *budget, out *Output) {
+	if b.round == nil || len(b.round.asks) > 0 && b.askedShortage() > 0 {
 		return
 	}
 	b.round = nil
+	for _, w := range b.waiters {
+		w.helpless = w.helpless || w.asked
+		w.asked = false
+	}
+	h.refuseHelpless(now, b, out)
+}
+
+// refuseHelpless refuses the waiters that neither the ledger nor the peers can serve.
+func (h *Holder) refuseHelpless(now time.Time, b *budget, out *Output) {
 	kept := b.waiters[:0]
 	for _, w := range b.waiters {
-		if !w.asked {
+		if !w.helpless || now.Before(w.notBefore) {
 			kept = append(kept, w)
 			continue
 		}
--- a/internal/measure/budgets/sim.go
+++ b/internal/measure/budgets/sim.go
@@ -20,7 +20,7 @@
 	quorumWrite    = 3 * time.Millisecond // replication and sync
 	proposeTimeout = time.Second
 	askTimeout     = 250 * time.Millisecond
-	tickEvery      = 250 * time.Millisecond
+	tickEvery      = 100 * time.Millisecond
 	suspectAfter   = 2 * time.Second // until a peer that was cut off isn't asked any more
 	messageBytes   = 100             // headers of one message: TCP, HTTP/2, gRPC
 	replicas       = 3
