--- a/internal/grant/fakeledger/fakeledger.go
+++ b/internal/grant/fakeledger/fakeledger.go
@@ -118,7 +118,22 @@
 	return &pb.CommandResult{Error: &pb.Error{Kind: string(k), Message: message}}
 }
 
-// acquire grants the need if it can, and of the rest no more than a quarter of what is left.
+// grantSize follows the real ledger: the need if it is there, and up to want within half of
+// what is free divided by the holders that have tokens.
+func (b *Budget) grantSize(g *Grant, need, want uint64) uint64 {
+	free := b.Free()
+	if free <= need {
+		return free
+	}
+	holders := uint64(0)
+	for _, other := range b.Granted {
+		if other.Tokens > 0 || other == g {
+			holders++
+		}
+	}
+	return max(need, min(want, free/(2*holders)))
+}
+
 func (l *Ledger) acquire(a *pb.Acquire) *pb.CommandResult {
 	k := KeyOf(a.GetHolder())
 	b, ok := l.Budgets[a.GetBudget()]
@@ -130,9 +145,7 @@
 	}
 	g := b.grant(k)
 	if a.GetSeq() == g.AcquireSeq+1 {
-		amount := min(a.GetNeed(), b.Free())
-		extra := a.GetWant() - min(a.GetWant(), a.GetNeed())
-		amount += min(extra, (b.Free()-amount)/4)
+		amount := b.grantSize(g, a.GetNeed(), a.GetWant())
 		g.Tokens += amount
 		g.AcquireSeq, g.LastAmount = a.GetSeq(), amount
 	} else if a.GetSeq() != g.AcquireSeq {
