--- a/internal/adminapi/accounts_test.go
+++ b/internal/adminapi/accounts_test.go
@@ -9,6 +9,13 @@
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
+// newAPIWithTeam has the team t.
+func newAPIWithTeam(t *testing.T) *api {
+	a := newAPI(t)
+	a.must(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "team", "If-Match", "0"), &ChangeAnswer{})
+	return a
+}
+
 func (a *api) createAccount() KeyAnswer {
 	a.t.Helper()
 	var made KeyAnswer
@@ -30,7 +37,7 @@
 // Sequence: an account is made, keys are added and dropped, answers are read.
 // Cause: something other than the hash is stored, logged or answered.
 func TestKeyIsShownOnceAndStoredNowhere(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	first := a.createAccount()
 	var second KeyAnswer
 	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "add"), &second)
@@ -71,7 +78,7 @@
 // Sequence: an account is made, the answer is lost, the request is sent again.
 // Cause: the resend answers with the key it made, whose hash was never committed.
 func TestResendNeverShowsAKeyThatIsNotInForce(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	a.group.loseAnswer = true
 	body := `{"name":"acme","team":"t","budget":"b"}`
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), errkind.NoQuorum)
@@ -90,7 +97,7 @@
 }
 
 func TestOperatorsOwnHashIsConfirmedOnResend(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	hash := settings.HashKey("mine")
 	a.group.loseAnswer = true
 	body := `{"name":"acme","team":"t","budget":"b","key_hash":"` + hash + `"}`
@@ -106,7 +113,7 @@
 // Sequence: two operators change one account's keys at the same time.
 // Cause: the list is written back without the version it was read under.
 func TestKeysChangedByTwoOperatorsAtOnce(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	first := a.createAccount()
 	var other KeyAnswer
 	a.group.beforePropose = func() {
@@ -130,7 +137,7 @@
 // operator sends the change to another host.
 // Cause: the group remembers the conflict as the answer to the operation id.
 func TestKeyChangeGoesOnAfterARememberedConflict(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	a.createAccount()
 	stale := &pb.SetConfig{Path: "/accounts/acme/key_hashes", ValueJson: []byte(`[]`), ExpectedVersion: 0}
 	res, err := a.group.Propose(t.Context(), &pb.Command{OpId: versionedID("o", 0), Body: &pb.Command_SetConfig{SetConfig: stale}})
@@ -148,7 +155,7 @@
 // Sequence: the drop commits, its answer is lost, the drop is sent again.
 // Cause: the resend looks for the hash before it looks for its own first change.
 func TestResentDropIsConfirmed(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	first := a.createAccount()
 	path := "/v1/accounts/acme/keys/" + first.KeyHash
 	a.group.loseAnswer = true
--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -245,19 +245,26 @@
 	}
 }
 
+// funded makes budget b with 100 tokens.
+func (a *api) funded() {
+	a.t.Helper()
+	a.must(a.call("POST", "/v1/budgets", `{"name":"b","tokens":100}`, "Idempotency-Key", "fund"), &BudgetAnswer{})
+}
+
 func TestBudgetShowsWhatHostsHold(t *testing.T) {
 	a := newAPI(t)
-	a.group.budgets["b"] = &pb.Budget{Name: "b", Funded: 100, Billed: 20, Granted: []*pb.Granted{
-		{Holder: &pb.Holder{Host: "h1", Incarnation: 4}, Tokens: 30}, {Holder: &pb.Holder{Host: "h2"}, Tokens: 0}}}
+	a.funded()
+	a.spend("b")
 	var b Budget
 	a.must(a.call("GET", "/v1/budgets/b", ""), &b)
-	if b.Granted != 30 || b.Free != 50 || len(b.Holders) != 1 || b.Holders[0].Incarnation != 4 {
+	if b.Billed != 20 || b.Granted != 30 || b.Free != 50 || len(b.Holders) != 1 || b.Holders[0].Host != "h3" {
 		t.Errorf("%+v", b)
 	}
-	var s Statement
-	a.must(a.call("GET", "/v1/budgets/b/statement?limit=7", ""), &s)
-	if len(s.Lines) != 1 || s.Lines[0].Tokens != 7 {
-		t.Errorf("the limit is not passed on: %+v", s)
+	var all, last Statement
+	a.must(a.call("GET", "/v1/budgets/b/statement", ""), &all)
+	a.must(a.call("GET", "/v1/budgets/b/statement?limit=1", ""), &last)
+	if len(all.Lines) < 2 || len(last.Lines) != 1 || last.Lines[0].Identity != "acme/k1" {
+		t.Errorf("%+v, the last %+v", all, last)
 	}
 }
 
@@ -290,13 +297,13 @@
 
 func TestConfigStatusTellsWhoIsBehind(t *testing.T) {
 	a := newAPI(t)
-	a.group.revision = 1
+	a.must(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "o1", "If-Match", "0"), &ChangeAnswer{})
 	var c ConfigStatus
 	a.must(a.call("GET", "/v1/config-status", ""), &c)
 	if !c.CommittedKnown || !c.Hosts[0].InForce || c.Hosts[1].InForce || c.Hosts[1].InContact || c.Hosts[1].HeardMS != 9000 {
 		t.Errorf("%+v", c)
 	}
-	a.group.revision = 2
+	a.must(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "o2", "If-Match", "1"), &ChangeAnswer{})
 	a.must(a.call("GET", "/v1/config-status", ""), &c)
 	if c.Hosts[0].InForce {
 		t.Errorf("a host at revision 1 counts as in force at 2: %+v", c)
@@ -305,17 +312,16 @@
 
 func TestFleetAndControlAnswers(t *testing.T) {
 	a := newAPI(t)
-	a.group.hosts = []*pb.HostInfo{{Host: "h3", Unrecovered: []uint64{2}}}
+	a.funded()
+	a.spend("b")
+	var removed HostRemoved
+	a.must(a.call("POST", "/v1/hosts/h3/remove", "", "Idempotency-Key", "o1"), &removed)
 	var l HostList
 	a.must(a.call("GET", "/v1/hosts", ""), &l)
-	if len(l.Hosts) != 3 || l.Hosts[2].Unrecovered[0] != 2 || l.Hosts[2].Health != "unknown" {
+	h3 := l.Hosts[len(l.Hosts)-1]
+	if len(l.Hosts) != 3 || h3.Health != "unknown" || !h3.Removed || len(h3.Unrecovered) != 1 {
 		t.Errorf("hosts %+v", l)
 	}
-	var removed HostRemoved
-	a.must(a.call("POST", "/v1/hosts/h3/remove", "", "Idempotency-Key", "o1"), &removed)
-	if got := a.group.commands[0].GetRemoveHost().GetHost(); got != "h3" {
-		t.Errorf("removed %q", got)
-	}
 	var servers ServerList
 	a.must(a.call("GET", "/v1/servers", ""), &servers)
 	if len(servers.Servers) != 2 || !servers.Servers[0].Leaving {
@@ -335,10 +341,11 @@
 
 func TestExplainAddsTheLedgersBill(t *testing.T) {
 	a := newAPI(t)
-	a.group.bills["acme/k1"] = &pb.Bill{Budget: "b", Tokens: 12, RequestId: "r1"}
+	a.funded()
+	a.spend("b")
 	var e Explanation
 	a.must(a.call("GET", "/v1/explain/acme/k1", ""), &e)
-	if e.Ledger == nil || e.Ledger.Tokens != 12 {
+	if e.Ledger == nil || e.Ledger.Tokens != 20 {
 		t.Errorf("%+v", e)
 	}
 	a.group.readErr = errkind.New(errkind.NoQuorum, "cut off")
