--- a/internal/admincli/config.go
+++ b/internal/admincli/config.go
@@ -33,6 +33,8 @@
 		{Name: "get", Usage: "show the settings at a path", ArgsUsage: "PATH", Action: a.configGet},
 		{Name: "set", Usage: "change the settings at a path", ArgsUsage: "PATH VALUE", Action: a.configSet, Flags: versions,
 			Description: "VALUE is JSON, @FILE, or - for standard input."},
+		{Name: "apply", Usage: "set the teams, accounts and fleet of a file, where they differ", ArgsUsage: "FILE", Action: a.configApply,
+			Description: "FILE is JSON such as examples/recife/tree.json. What it leaves out stays as it is, accounts' keys too."},
 		{Name: "delete", Usage: "delete the settings at a path", ArgsUsage: "PATH", Action: a.configDelete, Flags: versions},
 		{Name: "history", Usage: "list the changes at and below a path", ArgsUsage: "PATH", Action: a.configHistory, Flags: []cli.Flag{
 			&cli.UintFlag{Name: flagLimit, Value: 50, Usage: "`NUMBER` of changes, the last ones"}}},
--- a/internal/admincli/files.go
+++ b/internal/admincli/files.go
@@ -108,13 +108,14 @@
 			&cli.StringFlag{Name: "dir", Usage: "new or empty `FOLDER` for the files", Required: true},
 			&cli.IntFlag{Name: "hosts", Value: 5, Usage: "`NUMBER` of hosts"},
 			&cli.IntFlag{Name: "controls", Value: 3, Usage: "`NUMBER` of hosts with a replica of the control group"},
-			&cli.StringSliceFlag{Name: "zones", Value: []string{"a", "b", "c"}, Usage: "`ZONES`, separated by commas"}}},
+			&cli.StringSliceFlag{Name: "zones", Value: []string{"a", "b", "c"}, Usage: "`ZONES`, separated by commas"},
+			&cli.BoolFlag{Name: "tls", Usage: "give every listener a certificate"}}},
 	}}
 }
 
 func (a *app) devInit(_ context.Context, cmd *cli.Command) error {
 	layout, err := devfleet.Init(devfleet.Options{
-		Dir: cmd.String("dir"), Hosts: int(cmd.Int("hosts")), Controls: int(cmd.Int("controls")), Zones: cmd.StringSlice("zones")})
+		Dir: cmd.String("dir"), Hosts: int(cmd.Int("hosts")), Controls: int(cmd.Int("controls")), Zones: cmd.StringSlice("zones"), TLS: cmd.Bool("tls")})
 	if err != nil {
 		return usage("%v", err)
 	}
--- a/internal/admincli/team.go
+++ b/internal/admincli/team.go
@@ -72,10 +72,11 @@
 	if out, err := cl.madeBefore(ctx, cmd, path); out != nil || err != nil {
 		return a.printFound(cmd, out, err)
 	}
-	rules, version, err := cl.readObject(ctx, path)
+	present, err := cl.readObject(ctx, path)
 	if err != nil {
 		return err
 	}
+	rules, version := present.value, present.version
 	if cmd.IsSet(flagVersion) {
 		version = cmd.Uint64(flagVersion)
 	}
@@ -119,22 +120,32 @@
 	return nil, nil
 }
 
-// readObject returns the settings at path and their version; an empty object if
-// there are none.
-func (cl *client) readObject(ctx context.Context, path string) (map[string]any, uint64, error) {
-	object := map[string]any{}
-	var present adminapi.ConfigAnswer
-	err := cl.do(ctx, call{method: http.MethodGet, path: configPath(path)}, &present)
+// presentObject is what the settings tree has at a path.
+type presentObject struct {
+	// value is empty where nothing is set.
+	value map[string]any
+	// version that a change must expect.
+	version uint64
+	found   bool
+}
+
+// readObject returns the object at path; where nothing is set, an empty one.
+func (cl *client) readObject(ctx context.Context, path string) (presentObject, error) {
+	present := presentObject{value: map[string]any{}}
+	var answer adminapi.ConfigAnswer
+	err := cl.do(ctx, call{method: http.MethodGet, path: configPath(path)}, &answer)
 	if r, ok := refusedAs(err, errkind.NotFound); ok {
-		return object, r.fields.PresentVersion, nil
+		present.version = r.fields.PresentVersion
+		return present, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return present, err
 	}
-	if err := json.Unmarshal(present.Value, &object); err != nil {
-		return nil, 0, errors.Wrapf(err, "decode %s", path)
+	if err := json.Unmarshal(answer.Value, &present.value); err != nil {
+		return present, errors.Wrapf(err, "decode %s", path)
 	}
-	return object, present.Version, nil
+	present.version, present.found = answer.Version, true
+	return present, nil
 }
 
 // assign sets key=value in object, or deletes the key for an empty value.
--- a/internal/devfleet/devfleet.go
+++ b/internal/devfleet/devfleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/adminapi"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/tlsutil"
 )
 
 const (
@@ -36,6 +38,8 @@
 	Controls int
 	// Zones that the hosts are spread over in turn.
 	Zones []string
+	// TLS gives every listener a certificate of an authority made for the fleet.
+	TLS bool
 }
 
 // Layout says where things are.
@@ -45,7 +49,9 @@
 	KeyFile string `json:"key_file"`
 	// EnvFile is a shell script that sets what bluebellsail needs.
 	EnvFile string `json:"env_file"`
-	Hosts   []Host `json:"hosts"`
+	// CA is the authority's certificate; empty without TLS.
+	CA    string `json:"ca,omitempty"`
+	Hosts []Host `json:"hosts"`
 }
 
 // Host is one host of the fleet.
@@ -58,6 +64,8 @@
 	Callers   string `json:"callers"`
 	Operators string `json:"operators"`
 	Peers     string `json:"peers"`
+
+	tls procconfig.TLS
 }
 
 // Init writes the files of a fleet. The ports were free when it looked; a process
@@ -82,9 +90,35 @@
 			Host: name, Zone: o.Zones[i%len(o.Zones)], Control: i < o.Controls,
 			Settings: filepath.Join(dir, name+".json"), Callers: a[0], Operators: a[1], Peers: a[2]})
 	}
+	if o.TLS {
+		if err := layout.certify(); err != nil {
+			return nil, err
+		}
+	}
 	return layout, layout.write()
 }
 
+// certify makes an authority and a certificate for each host.
+func (l *Layout) certify() error {
+	options := tlsutil.InitOptions{Dir: filepath.Join(l.Dir, "tls"), Validity: tlsutil.DefaultHostValidity}
+	for _, h := range l.Hosts {
+		options.Hosts = append(options.Hosts, tlsutil.Host{Name: h.Host, IP: netip.MustParseAddr(loopback)})
+	}
+	files, err := tlsutil.Init(options)
+	if err != nil {
+		return err
+	}
+	l.CA = files.CA
+	for i, f := range files.Hosts {
+		l.Hosts[i].tls = procconfig.TLS{
+			Callers:   &procconfig.KeyPair{Cert: f.Cert, Key: f.Key},
+			Operators: &procconfig.KeyPair{Cert: f.Cert, Key: f.Key},
+			Peers:     &procconfig.MutualKeyPair{Cert: f.Cert, Key: f.Key, CA: files.CA},
+		}
+	}
+	return nil
+}
+
 func (o Options) check() error {
 	if o.Hosts < 1 || o.Hosts > maxHosts {
 		return errors.Errorf("%d hosts; use 1 to %d", o.Hosts, maxHosts)
@@ -163,6 +197,7 @@
 	c.Roles = []procconfig.Role{procconfig.RoleEntry}
 	c.Listen = procconfig.Listen{Callers: h.Callers, Operators: h.Operators, Peers: h.Peers}
 	c.OperatorKeyHashes = []string{keyHash}
+	c.TLS = h.tls
 	c.Log.File = filepath.Join(l.Dir, h.Host+".log")
 	c.Trace.File = filepath.Join(l.Dir, h.Host+".trace")
 	if h.Control {
@@ -183,8 +218,12 @@
 	for i, h := range l.Hosts {
 		operators[i] = h.Operators
 	}
-	return fmt.Sprintf("export BLUEBELLSAIL_ADDRESS=%s\nexport BLUEBELLSAIL_KEY_FILE=%s\n",
+	env := fmt.Sprintf("export BLUEBELLSAIL_ADDRESS=%s\nexport BLUEBELLSAIL_KEY_FILE=%s\n",
 		strings.Join(operators, ","), shellQuote(l.KeyFile))
+	if l.CA != "" {
+		env += fmt.Sprintf("export BLUEBELLSAIL_CA=%s\n", shellQuote(l.CA))
+	}
+	return env
 }
 
 func shellQuote(s string) string { return "'" + strings.ReplaceAll(s, "'", `'\''`) + "'" }
--- a/internal/devfleet/devfleet_test.go
+++ b/internal/devfleet/devfleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/tlsutil"
 )
 
 func TestInitWritesAFleetThatLoads(t *testing.T) {
@@ -49,6 +50,31 @@
 	}
 }
 
+func TestInitWithTLSCertifiesEveryListener(t *testing.T) {
+	l, err := Init(Options{Dir: t.TempDir(), Hosts: 2, Controls: 1, Zones: []string{"x"}, TLS: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range l.Hosts {
+		c, err := procconfig.Load(h.Settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, pair := range []*procconfig.KeyPair{c.TLS.Callers, c.TLS.Operators} {
+			if _, err := tlsutil.LoadKeyPair(pair.Cert, pair.Key); err != nil {
+				t.Error(err)
+			}
+		}
+		if _, err := tlsutil.LoadPeers(c.TLS.Peers.Cert, c.TLS.Peers.Key, c.TLS.Peers.CA, nil); err != nil {
+			t.Error(err)
+		}
+	}
+	env, err := os.ReadFile(l.EnvFile)
+	if err != nil || !strings.Contains(string(env), "BLUEBELLSAIL_CA='"+l.CA+"'") {
+		t.Errorf("%v\n%s", err, env)
+	}
+}
+
 func TestInitRefusesWhatMakesNoFleet(t *testing.T) {
 	used := t.TempDir()
 	if err := os.WriteFile(filepath.Join(used, "x"), nil, fileMode); err != nil {
--- a/internal/procconfig/examples_test.go
+++ b/internal/procconfig/examples_test.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"testing"
 
+	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
@@ -90,26 +91,21 @@
 
 func TestExampleTreesAreComplete(t *testing.T) {
 	for _, fleet := range []string{"recife", "santiago"} {
-		b, err := os.ReadFile(filepath.Join(examplesDir, fleet, "tree.json"))
-		if err != nil {
-			t.Fatal(err)
+		tree := loadTree(t, fleet)
+		m := settings.New()
+		for name, team := range tree.Teams {
+			setSubtree(t, m, "/teams/"+name, team)
 		}
-		var tree settings.Tree
-		d := json.NewDecoder(bytes.NewReader(b))
-		d.DisallowUnknownFields()
-		if err := d.Decode(&tree); err != nil {
-			t.Fatalf("%s: %v", fleet, err)
+		for name, account := range tree.Accounts {
+			setSubtree(t, m, "/accounts/"+name, account)
 		}
+		setSubtree(t, m, "/fleet", tree.Fleet)
 		if len(tree.Accounts) != exampleAccounts {
 			t.Errorf("%s: %d accounts, want %d", fleet, len(tree.Accounts), exampleAccounts)
 		}
 		priorities := map[settings.Priority]bool{}
-		for name, a := range tree.Accounts {
-			team := tree.Teams[a.Team]
-			if team == nil || a.Budget == "" {
-				t.Fatalf("%s: account %s has no team or budget", fleet, name)
-			}
-			priorities[team.Priority] = true
+		for _, a := range tree.Accounts {
+			priorities[tree.Teams[a.Team].Priority] = true
 		}
 		for _, p := range []settings.Priority{settings.Urgent, settings.Normal, settings.Batch} {
 			if !priorities[p] {
@@ -118,3 +114,30 @@
 		}
 	}
 }
+
+func loadTree(t *testing.T, fleet string) *settings.Tree {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join(examplesDir, fleet, "tree.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tree := new(settings.Tree)
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(tree); err != nil {
+		t.Fatalf("%s: %v", fleet, err)
+	}
+	return tree
+}
+
+// setSubtree makes the settings tree's own checks of v.
+func setSubtree(t *testing.T, m *settings.Machine, path string, v any) {
+	t.Helper()
+	b, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := m.Set(&pb.SetConfig{Path: path, ValueJson: b}, "op"+path, "test", 0); err != nil {
+		t.Errorf("%s: %v", path, err)
+	}
+}
