--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -108,6 +110,26 @@
 	a.mustRefuse(a.call("GET", "/healthz", "", "Authorization", ""), errkind.HostNotReady)
 }
 
+func TestOperationsPageListsEveryPath(t *testing.T) {
+	source, err := os.ReadFile("handler.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	paths := regexp.MustCompile(`"((?:GET|PUT|POST|DELETE) /[^"]*)"`).FindAllStringSubmatch(string(source), -1)
+	if len(paths) < 20 {
+		t.Fatalf("found only %d paths", len(paths))
+	}
+	for _, p := range paths {
+		if !strings.Contains(string(page), "`"+p[1]+"`") {
+			t.Errorf("docs/OPERATIONS.md lacks %s", p[1])
+		}
+	}
+}
+
 func TestUnknownPathsAndMethodsAreRefusedInJSON(t *testing.T) {
 	a := newAPI(t)
 	a.mustRefuse(a.call("GET", "/v1/nothing", ""), errkind.UnknownPath)
--- a/internal/tlsutil/tlsutil_test.go
+++ b/internal/tlsutil/tlsutil_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -128,6 +129,34 @@
 	}
 }
 
+// Symptom: half the fleet refuses the other while its authority is being replaced.
+// Sequence: hosts trust both authorities, their certificates are replaced one by one.
+// Cause: only the first authority in the file is trusted.
+func TestTwoAuthoritiesWhileOneIsReplaced(t *testing.T) {
+	old, fresh := mustInit(t, t.TempDir(), false, "a=127.0.0.1"), mustInit(t, t.TempDir(), false, "b=127.0.0.1")
+	both := filepath.Join(t.TempDir(), "ca.pem")
+	copyFile(t, old.CA, both)
+	f, err := os.OpenFile(both, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	b, err := os.ReadFile(fresh.CA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	first, second := mustPeers(t, both, old.Hosts[0]), mustPeers(t, both, fresh.Hosts[0])
+	if err := check(serve(t, first.Credentials()), second.Credentials()); err != nil {
+		t.Errorf("new client, old server: %v", err)
+	}
+	if err := check(serve(t, second.Credentials()), first.Credentials()); err != nil {
+		t.Errorf("old client, new server: %v", err)
+	}
+}
+
 // Symptom: a running process goes off the net while someone copies certificates.
 // Sequence: the key is replaced, the certificate not yet, a connection comes.
 // Cause: what was in force is dropped before the new pair is known to be good.
