--- a/internal/adminapi/accounts.go
+++ b/internal/adminapi/accounts.go
@@ -68,12 +68,12 @@
 
 // readMap returns the subtrees below path by name; none when path is absent.
 func readMap[T any](ctx context.Context, h *Handler, path string) (map[string]T, error) {
-	res, found, err := h.readConfig(ctx, path)
-	if err != nil || !found {
+	present, err := h.readConfig(ctx, path)
+	if err != nil || !present.found() {
 		return nil, err
 	}
 	var m map[string]T
-	if err := json.Unmarshal(res.GetValueJson(), &m); err != nil {
+	if err := json.Unmarshal(present.json, &m); err != nil {
 		return nil, errors.Wrapf(err, "decode the settings at %s", path)
 	}
 	return m, nil
@@ -94,13 +94,13 @@
 		return nil, err
 	}
 	path := accountPath(body.Name)
-	present, found, err := h.readConfig(ctx, path)
+	present, err := h.readConfig(ctx, path)
 	if err != nil {
 		return nil, err
 	}
 	change := &pb.SetConfig{Path: path}
-	if !found {
-		change.ExpectedVersion = present.GetVersion()
+	if !present.found() {
+		change.ExpectedVersion = present.version
 	}
 	change.ValueJson, err = json.Marshal(settings.Account{
 		Team: body.Team, Budget: body.Budget, Weight: body.Weight, KeyHashes: []string{hash}})
@@ -166,15 +166,15 @@
 
 // keyHashes returns the hashes of an account's keys and the account's version.
 func (h *Handler) keyHashes(ctx context.Context, account string) (hashes []string, version uint64, found bool, err error) {
-	res, found, err := h.readConfig(ctx, accountPath(account))
-	if err != nil || !found {
-		return nil, 0, found, err
+	present, err := h.readConfig(ctx, accountPath(account))
+	if err != nil || !present.found() {
+		return nil, 0, false, err
 	}
 	var a settings.Account
-	if err := json.Unmarshal(res.GetValueJson(), &a); err != nil {
+	if err := json.Unmarshal(present.json, &a); err != nil {
 		return nil, 0, true, errors.Wrapf(err, "decode account %s", account)
 	}
-	return a.KeyHashes, res.GetVersion(), true, nil
+	return a.KeyHashes, present.version, true, nil
 }
 
 func (h *Handler) addKey(ctx context.Context, q *request) (any, error) {
--- a/internal/adminapi/accounts_test.go
+++ b/internal/adminapi/accounts_test.go
@@ -140,9 +140,9 @@
 	a := newAPIWithTeam(t)
 	a.createAccount()
 	stale := &pb.SetConfig{Path: "/accounts/acme/key_hashes", ValueJson: []byte(`[]`), ExpectedVersion: 0}
-	res, err := a.group.Propose(t.Context(), &pb.Command{OpId: versionedID("o", 0), Body: &pb.Command_SetConfig{SetConfig: stale}})
-	if err != nil || res.GetError().GetKind() != string(errkind.VersionConflict) {
-		t.Fatalf("%v %v", res, err)
+	_, err := a.group.Propose(t.Context(), &pb.Command{OpId: versionedID("o", 0), Body: &pb.Command_SetConfig{SetConfig: stale}})
+	if !errkind.Is(err, errkind.VersionConflict) {
+		t.Fatal(err)
 	}
 	var added KeyAnswer
 	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "o"), &added)
--- a/internal/adminapi/config.go
+++ b/internal/adminapi/config.go
@@ -26,16 +26,16 @@
 
 func (h *Handler) getConfig(ctx context.Context, q *request) (any, error) {
 	path := treePath(q)
-	res, found, err := h.readConfig(ctx, path)
+	present, err := h.readConfig(ctx, path)
 	if err != nil {
 		return nil, err
 	}
-	if !found {
+	if !present.found() {
 		e := errkind.New(errkind.NotFound, "the settings tree has nothing at %s", path).At(path)
-		e.PresentVersion = res.GetVersion()
+		e.PresentVersion = present.version
 		return nil, e
 	}
-	return ConfigAnswer{Path: path, Version: res.GetVersion(), Revision: res.GetRevision(), Value: res.GetValueJson()}, nil
+	return ConfigAnswer{Path: path, Version: present.version, Revision: present.revision, Value: present.json}, nil
 }
 
 func (h *Handler) putConfig(ctx context.Context, q *request) (any, error) {
@@ -139,12 +139,12 @@
 // in force. Without a quorum the committed revision is not known, and said so.
 func (h *Handler) configStatus(ctx context.Context, _ *request) (any, error) {
 	answer := ConfigStatus{}
-	res, _, err := h.readConfig(ctx, "/fleet")
+	revision, err := h.committedRevision(ctx)
 	if err != nil {
 		answer.CommittedError = errkind.From(timedOut(err, false)).Error()
 	} else {
 		answer.CommittedKnown = true
-		answer.CommittedRevision = res.GetRevision()
+		answer.CommittedRevision = revision
 	}
 	for _, s := range h.cfg.Fleet.Hosts() {
 		answer.Hosts = append(answer.Hosts, hostRevision(s, answer))
--- a/internal/adminapi/group.go
+++ b/internal/adminapi/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -37,16 +38,31 @@
 	return res, nil
 }
 
-// readConfig returns the value at path; absent is told apart from a refusal.
-func (h *Handler) readConfig(ctx context.Context, path string) (res *pb.QueryResult, found bool, err error) {
-	res, err = h.cfg.Group.Read(ctx, &pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: path}}})
-	if err != nil {
-		return nil, false, err
+// configValue is what the settings tree has at a path.
+type configValue struct {
+	// json is nil where nothing is set.
+	json     json.RawMessage
+	version  uint64
+	revision uint64
+}
+
+func (v configValue) found() bool { return v.json != nil }
+
+// readConfig returns the value at path. A path with nothing set is no error here: its
+// version is what the change that sets it must expect.
+func (h *Handler) readConfig(ctx context.Context, path string) (configValue, error) {
+	res, err := h.query(ctx, &pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: path}}})
+	if errkind.Is(err, errkind.NotFound) {
+		return configValue{version: errkind.From(err).PresentVersion}, nil
 	}
-	if e := res.GetError(); e != nil && errkind.Kind(e.GetKind()) != errkind.NotFound {
-		return nil, false, refusal(e)
+	if err != nil {
+		return configValue{}, err
 	}
-	value := res.GetValueJson()
-	found = res.GetError() == nil && len(value) > 0 && string(value) != "null"
-	return res, found, nil
+	return configValue{json: res.GetValueJson(), version: res.GetVersion(), revision: res.GetRevision()}, nil
+}
+
+// committedRevision is the revision of the whole settings tree.
+func (h *Handler) committedRevision(ctx context.Context) (uint64, error) {
+	res, err := h.query(ctx, &pb.Query{Body: &pb.Query_History{History: &pb.HistoryQuery{Path: "/", Limit: 1}}})
+	return res.GetRevision(), err
 }
--- a/internal/adminapi/group_test.go
+++ b/internal/adminapi/group_test.go
@@ -13,6 +13,8 @@
 )
 
 // fakeGroup is the control group's state machine without consensus, with faults.
+// Like package controlclient it returns refusals as errors; the scripts of package
+// admincli leave them in the result, as a replica does.
 type fakeGroup struct {
 	mu       sync.Mutex
 	state    *apply.State
@@ -39,7 +41,7 @@
 		g.loseAnswer = false
 		return nil, errkind.New(errkind.NoQuorum, "no answer")
 	}
-	return res, nil
+	return res, refusal(res.GetError())
 }
 
 func (g *fakeGroup) Read(_ context.Context, q *pb.Query) (*pb.QueryResult, error) {
@@ -52,6 +54,9 @@
 	if q.GetMembers() != nil {
 		res.Group = &pb.GroupStatus{Leader: 2, Members: []*pb.MemberStatus{{Member: &pb.Member{Id: 2, Host: "h2"}}}}
 	}
+	if err := refusal(res.GetError()); err != nil {
+		return nil, err
+	}
 	return res, nil
 }
 
--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -321,7 +321,7 @@
 	a := newAPI(t)
 	a.must(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "o1", "If-Match", "0"), &ChangeAnswer{})
 	var c ConfigStatus
-	a.must(a.call("GET", "/v1/config-status", ""), &c)
+	a.must(a.call("GET", "/v1/config-status", ""), &c) // with nothing at /fleet
 	if !c.CommittedKnown || !c.Hosts[0].InForce || c.Hosts[1].InForce || c.Hosts[1].InContact || c.Hosts[1].HeardMS != 9000 {
 		t.Errorf("%+v", c)
 	}
--- a/internal/adminapi/ports.go
+++ b/internal/adminapi/ports.go
@@ -8,8 +8,8 @@
 )
 
 // Group reaches the control group: a client of it on an entry host, the replica
-// itself on a control host. A refusal of the group's state stands in the result; an
-// error means that no answer came, *errkind.Error where more is known.
+// itself on a control host. A refusal of the group's state stands in the result or is
+// returned as an *errkind.Error; any other error means that no answer came.
 type Group interface {
 	// Propose commits a command. After an error the command may still take effect,
 	// unless the error says that it did not run.
