--- a/internal/admincli/app.go
+++ b/internal/admincli/app.go
@@ -138,11 +138,12 @@
 		return nil, usage("--%s must be above 0", flagTimeout)
 	}
 	return &client{
-		addresses: addresses,
-		key:       key,
-		http:      newHTTPClient(transport),
-		timeout:   cmd.Duration(flagTimeout),
-		progress:  &progress{out: a.stderr},
+		addresses:      addresses,
+		key:            key,
+		http:           newHTTPClient(transport),
+		timeout:        cmd.Duration(flagTimeout),
+		attemptTimeout: defaultAttemptTimeout,
+		progress:       &progress{out: a.stderr},
 	}, nil
 }
 
--- a/internal/admincli/client.go
+++ b/internal/admincli/client.go
@@ -20,10 +20,8 @@
 )
 
 const (
-	// attemptTimeout bounds one try at one address, so that an address which takes
-	// connections and answers nothing doesn't use up the whole time.
-	attemptTimeout = 5 * time.Second
-	dialTimeout    = 2 * time.Second
+	defaultAttemptTimeout = 5 * time.Second
+	dialTimeout           = 2 * time.Second
 	// Pause after a round through all addresses.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 2 * time.Second
@@ -52,7 +50,10 @@
 	key       string
 	http      *http.Client
 	timeout   time.Duration
-	progress  *progress
+	// attemptTimeout bounds one try at one address, so that an address which takes
+	// connections and answers nothing doesn't use up the whole time.
+	attemptTimeout time.Duration
+	progress       *progress
 }
 
 // attempt is what one try at one address came to.
@@ -92,8 +93,8 @@
 // do sends c until it is answered or the time is over, and decodes the answer into
 // out. A change is sent again only under its own operation id, which makes a second
 // arrival harmless.
-func (cl *client) do(ctx context.Context, c call, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
+func (cl *client) do(parent context.Context, c call, out any) error {
+	ctx, cancel := context.WithTimeout(parent, cl.timeout)
 	defer cancel()
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval = firstPause, maxPause
@@ -117,7 +118,11 @@
 			wait(ctx, max(pauses.NextBackOff(), a.pause))
 		}
 	}
-	return cl.gaveUp(c, last, unknown)
+	end := "gave up after " + cl.timeout.String()
+	if parent.Err() != nil {
+		end = "interrupted"
+	}
+	return gaveUp(end, c, last, unknown)
 }
 
 // decidedByGroup tells whether a refusal is the control group's own answer to the
@@ -137,21 +142,20 @@
 }
 
 // gaveUp says what is known after the last attempt.
-func (cl *client) gaveUp(c call, last error, unknown bool) error {
-	message := "no host answered within " + cl.timeout.String()
-	if c.changes() {
-		message += "; nothing was changed"
-	}
-	if unknown {
-		message = fmt.Sprintf("the outcome is unknown, the change may have taken effect; "+
-			"to learn it, send the same command again with --op-id %s", c.opID)
-	}
-	return &exitError{code: ExitUnreachable, err: errors.Errorf("%s (last: %v)", message, last)}
+func gaveUp(end string, c call, last error, unknown bool) error {
+	switch {
+	case unknown:
+		end = fmt.Sprintf("%s; the outcome is unknown, the change may have taken effect; "+
+			"to learn it, send the same command again with --op-id %s", end, c.opID)
+	case c.changes():
+		end += "; nothing was changed"
+	}
+	return &exitError{code: ExitUnreachable, err: errors.Errorf("%s (last: %v)", end, last)}
 }
 
 // try sends c to one address.
 func (cl *client) try(ctx context.Context, address string, c call) attempt {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cl.attemptTimeout)
 	defer cancel()
 	defer cl.progress.wait(address)()
 	connected := false
