--- /dev/null
+++ b/internal/daemon/certificates.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	llibtls "github.com/lesismal/llib/std/crypto/tls"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/bluebellsail/bluebellsail/internal/peerconn"
+	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+	"github.com/bluebellsail/bluebellsail/internal/tlsutil"
+)
+
+// certificates are those of the settings file; nil parts mean plain TCP.
+type certificates struct {
+	callers   *tlsutil.KeyPair
+	operators *tlsutil.KeyPair
+	peers     *tlsutil.Peers
+}
+
+func loadCertificates(cfg *procconfig.Config, log zerolog.Logger) (*certificates, error) {
+	c := &certificates{}
+	onError := func(err error) { log.Error().Str("event", "certificate-not-read").Err(err).Send() }
+	var err error
+	if c.callers, err = loadPair(cfg.TLS.Callers, onError); err != nil {
+		return nil, errors.Wrap(err, "certificate for callers")
+	}
+	if c.operators, err = loadPair(cfg.TLS.Operators, onError); err != nil {
+		return nil, errors.Wrap(err, "certificate for operators")
+	}
+	if p := cfg.TLS.Peers; p != nil {
+		if c.peers, err = tlsutil.LoadPeers(p.Cert, p.Key, p.CA, onError); err != nil {
+			return nil, errors.Wrap(err, "certificate for peers")
+		}
+	}
+	return c, nil
+}
+
+func loadPair(k *procconfig.KeyPair, onError func(error)) (*tlsutil.KeyPair, error) {
+	if k == nil {
+		return nil, nil
+	}
+	pair, err := tlsutil.LoadKeyPair(k.Cert, k.Key)
+	if err == nil {
+		pair.OnError = onError
+	}
+	return pair, err
+}
+
+// serverTLS is the configuration of an nbhttp listener; nil for plain HTTP.
+func serverTLS(pair *tlsutil.KeyPair) *llibtls.Config {
+	if pair == nil {
+		return nil
+	}
+	return pair.NBServerConfig()
+}
+
+// peerCredentials are for both ends of connections between the fleet's processes.
+func (c *certificates) peerCredentials() credentials.TransportCredentials {
+	if c.peers == nil {
+		return insecure.NewCredentials()
+	}
+	return c.peers.Credentials()
+}
+
+// dialOptions are those of connections to control replicas.
+func (d *Daemon) dialOptions() []grpc.DialOption {
+	return []grpc.DialOption{peerconn.KeepaliveOption(),
+		grpc.WithTransportCredentials(d.tls.peerCredentials()),
+		grpc.WithStatsHandler(d.tel.ClientStats())}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,188 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/apply"
+	"github.com/bluebellsail/bluebellsail/internal/control"
+	"github.com/bluebellsail/bluebellsail/internal/controlclient"
+	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/peerconn"
+	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+	"github.com/bluebellsail/bluebellsail/internal/telemetry"
+)
+
+// Daemon is one process.
+type Daemon struct {
+	cfg  *procconfig.Config
+	tel  *telemetry.Telemetry
+	tls  *certificates
+	logs closer
+
+	pool      *peerconn.Pool
+	transport *control.GRPCTransport
+	replica   *control.Replica
+	client    *controlclient.Client
+	settings  *settingsctl.Controller
+	peers     *peerServer
+	operators *operatorServer
+	entry     *entry
+
+	tasks *tasks
+}
+
+// Run starts the process and serves until ctx ends; then it shuts down gracefully.
+func Run(ctx context.Context, cfg *procconfig.Config) error {
+	d, err := build(cfg)
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	d.tel.Log.Info().Str("event", "serving").Str("callers", cfg.Listen.Callers).
+		Str("operators", cfg.Listen.Operators).Str("peers", cfg.Listen.Peers).Send()
+	select {
+	case <-ctx.Done():
+	case <-d.replicaStopped():
+		return errors.Wrap(d.replica.Err(), "the replica stopped")
+	}
+	return d.shutDown()
+}
+
+// build makes the parts that every role has; nothing is sent yet.
+func build(cfg *procconfig.Config) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, tasks: newTasks()}
+	if err := d.openTelemetry(); err != nil {
+		return nil, err
+	}
+	certs, err := loadCertificates(cfg, d.tel.Log)
+	if err != nil {
+		d.close()
+		return nil, err
+	}
+	d.tls = certs
+	d.pool = peerconn.New(peerconn.Config{
+		Credentials: certs.peerCredentials(), Stats: d.tel.ClientStats(), Log: d.tel.Log,
+		OnSilent: func(string) { d.tel.Metrics.SilentConnections.Add(1) },
+	})
+	if err := d.openReplica(); err != nil {
+		d.close()
+		return nil, err
+	}
+	d.client = controlclient.New(memberAddresses(cfg), d.dialOptions(), d.replica)
+	d.settings = settingsctl.New(d.client, d.tel.Log, time.Now)
+	return d, nil
+}
+
+// start brings the parts up in the order that package doc gives.
+func (d *Daemon) start(ctx context.Context) error {
+	d.peers = newPeerServer(d)
+	if err := d.peers.start(d.tasks); err != nil {
+		return err
+	}
+	d.tasks.run(d.settings.Run)
+	if d.cfg.Has(procconfig.RoleEntry) {
+		d.entry = newEntry(d)
+		d.client.SetRelays(d.entry.peerAddresses)
+	}
+	d.operators = newOperatorServer(d)
+	if err := d.operators.start(); err != nil {
+		return err
+	}
+	if d.entry == nil {
+		return nil
+	}
+	return d.entry.start(ctx)
+}
+
+// openReplica opens this host's replica of the control group, if it has one.
+func (d *Daemon) openReplica() error {
+	if !d.cfg.Has(procconfig.RoleControl) {
+		return nil
+	}
+	d.transport = control.NewGRPCTransport(d.cfg.Listen.Peers, d.tel.Log, d.dialOptions()...)
+	members := make([]control.Member, 0, len(d.cfg.Control.Members))
+	for _, m := range d.cfg.Control.Members {
+		members = append(members, control.Member{ID: m.ID, Address: m.Address, Host: m.Host})
+	}
+	replica, err := control.Open(control.Config{
+		Fleet: d.cfg.Fleet, Host: d.cfg.Host, ReplicaAddress: d.cfg.Listen.Peers, DataDir: d.cfg.DataDir,
+		Members: members, Join: d.cfg.Control.Join,
+		TickInterval: d.cfg.Control.Tick.Std(), ElectionTicks: d.cfg.Control.ElectionTicks,
+		LogBytes:     d.cfg.Control.MaxLogBytes,
+		StateMachine: apply.New(apply.Options{}), Transport: d.transport, Logger: d.tel.Log,
+	})
+	if err != nil {
+		return errors.Wrap(err, "open the replica")
+	}
+	d.replica = replica
+	return nil
+}
+
+// replicaStopped is closed when the replica can't go on; nil without a replica.
+func (d *Daemon) replicaStopped() <-chan struct{} {
+	if d.replica == nil {
+		return nil
+	}
+	return d.replica.Done()
+}
+
+// shutDown stops the parts in the order that package doc gives, within the drain timeout.
+func (d *Daemon) shutDown() error {
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Limits.DrainTimeout.Std())
+	defer cancel()
+	d.tel.Log.Info().Str("event", "leaving").Dur("within", d.cfg.Limits.DrainTimeout.Std()).Send()
+	var err error
+	if d.entry != nil {
+		err = d.entry.drain(ctx)
+	}
+	d.tel.Log.Info().Str("event", "left").AnErr("error", err).Send()
+	return err
+}
+
+// close ends everything that build and start began; each part may be missing.
+func (d *Daemon) close() {
+	if d.operators != nil {
+		d.operators.stop()
+	}
+	d.tasks.stop()
+	if d.peers != nil {
+		d.peers.stop()
+	}
+	if d.client != nil {
+		d.client.Close()
+	}
+	if d.replica != nil {
+		_ = d.replica.Close()
+	}
+	if d.transport != nil {
+		d.transport.Close()
+	}
+	if d.pool != nil {
+		_ = d.pool.Close()
+	}
+	d.closeTelemetry()
+}
+
+// memberAddresses are the peer addresses of the control group's replicas.
+func memberAddresses(cfg *procconfig.Config) []string {
+	var out []string
+	for _, m := range cfg.Control.Members {
+		out = append(out, m.Address)
+	}
+	return out
+}
+
+// self is this run of this host; the incarnation is 0 before registration.
+func (d *Daemon) self() *pb.Holder {
+	if d.entry != nil {
+		return d.entry.holder()
+	}
+	return &pb.Holder{Host: d.cfg.Host}
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"context"
+	"hash/fnv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/backend"
+	"github.com/bluebellsail/bluebellsail/internal/callerapi"
+	"github.com/bluebellsail/bluebellsail/internal/controller/grants"
+	"github.com/bluebellsail/bluebellsail/internal/controller/members"
+	"github.com/bluebellsail/bluebellsail/internal/controller/records"
+	"github.com/bluebellsail/bluebellsail/internal/controller/scheduler"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter/dispatch"
+	"github.com/bluebellsail/bluebellsail/internal/grant"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/inflight"
+	"github.com/bluebellsail/bluebellsail/internal/membership"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/peerservice"
+	"github.com/bluebellsail/bluebellsail/internal/sched"
+	"github.com/bluebellsail/bluebellsail/internal/telemetry/explain"
+)
+
+const (
+	// explained is how many finished requests a host can explain.
+	explained = 4096
+	// announceEvery is what backend servers are told to announce in.
+	announceEvery = 500 * time.Millisecond
+	// fleetEvery is how often lists of hosts are passed to the parts that use them.
+	fleetEvery = 100 * time.Millisecond
+	// learnEvery is how often the registered hosts are read from the control group.
+	learnEvery = 5 * time.Second
+	// firstByteWait and gapWait are when a connection to a backend server counts as
+	// silent: before its first byte (a prefill may be long) and after it.
+	firstByteWait = 30 * time.Second
+	gapWait       = 5 * time.Second
+)
+
+// entry is what serves callers. Its controllers that belong to one incarnation are
+// made once the host is registered.
+type entry struct {
+	d       *Daemon
+	self    atomic.Pointer[pb.Holder]
+	leaving atomic.Bool
+
+	sched   *scheduler.Scheduler
+	members *members.Controller
+	explain *explain.Store
+
+	grants  *grants.Manager
+	records *records.Controller
+	api     *callerapi.API
+	http    *httpserver.Server
+}
+
+// newEntry makes the parts that need no incarnation.
+func newEntry(d *Daemon) *entry {
+	cfg := d.cfg
+	e := &entry{d: d}
+	e.self.Store(&pb.Holder{Host: cfg.Host})
+	e.explain = explain.New(cfg.Host, cfg.Zone, explained)
+	e.sched = scheduler.New(scheduler.Options{
+		Sched:   sched.Config{Host: cfg.Host, Zone: cfg.Zone},
+		Backend: backend.Config{Lapse: cfg.Timing.ServerLapse.Std()},
+		Seed:    int64(seedOf(cfg.Host)),
+	})
+	interval := cfg.Timing.Heartbeat.Std()
+	e.members = members.New(members.Config{
+		Membership: membership.Config{
+			Self: membership.Self{
+				Host: cfg.Host, Zone: cfg.Zone, CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers},
+			Seeds: e.seeds(), Interval: interval,
+			SuspectAfter: ticks(cfg.Timing.SuspectAfter.Std(), interval),
+			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
+		},
+		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: registry{e.sched}, Load: e.load,
+		Log: d.tel.Log, Metrics: d.tel.Metrics,
+	})
+	d.tel.Metrics.Set("scheduler", e.sched.Metrics().Map())
+	return e
+}
+
+// ticks is how many whole intervals d lasts, at least one.
+func ticks(d, interval time.Duration) int64 { return max(1, int64(d/interval)) }
+
+// seedOf gives each host a seed of its own, the same after a restart.
+func seedOf(host string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host))
+	return h.Sum64()
+}
+
+// seeds are the peer addresses to contact first, without this host's own.
+func (e *entry) seeds() []string {
+	var out []string
+	for _, p := range e.d.cfg.Peers {
+		if p.Address != e.d.cfg.Listen.Peers {
+			out = append(out, p.Address)
+		}
+	}
+	return out
+}
+
+// holder is this run; the incarnation is 0 before registration.
+func (e *entry) holder() *pb.Holder { return e.self.Load() }
+
+// start registers this run, makes what belongs to it and opens the callers' address.
+func (e *entry) start(ctx context.Context) error {
+	reg, err := e.d.register(ctx)
+	if err != nil {
+		return err
+	}
+	e.self.Store(reg.Holder)
+	e.members.SetIncarnation(reg.Holder.Incarnation)
+	e.members.Learn(reg.Hosts)
+	e.makeControllers(reg.Holder)
+	e.d.peers.setPeer(peerservice.New(e.records, e.grants, e.members))
+	t := e.d.tasks
+	t.run(e.members.Run)
+	t.run(e.records.Run)
+	t.run(e.grants.Run)
+	t.run(e.followFleet)
+	t.run(e.learnHosts)
+	e.serveRepair(t)
+	return errors.Wrap(e.http.Start(), "callers' address")
+}
+
+// makeControllers makes the controllers of one incarnation and the callers' API on them.
+func (e *entry) makeControllers(self *pb.Holder) {
+	cfg := e.d.cfg
+	e.records = records.New(records.Config{
+		Store: inflight.Config{Self: self, Zone: cfg.Zone, Window: e.d.settings.Fleet().IdempotencyWindow.Std()},
+		Peers: peers{e}, Log: e.d.tel.Log,
+	})
+	e.grants = grants.New(grants.Config{
+		Self: self, Holder: grant.Config{BatchWait: cfg.Timing.SettleEvery.Std()},
+		Proposer: group{e.d.client}, Asker: peers{e}, Recorder: e.records,
+		PolicyFor: e.policyFor, OnSettled: e.records.Settled, Log: e.d.tel.Log, Seed: int64(self.Incarnation),
+	})
+	e.records.SetGrants(e.grants)
+	e.api = callerapi.New(callerapi.Deps{
+		Settings: e.d.settings, Budget: e.grants, Records: e.records, Hosts: hosts{e},
+		Claims: claims{client: e.d.client, self: self}, Scheduler: e.sched, Retries: e.sched,
+		Explainer: e.explain, Registry: e.sched, Addresses: addresses{e}, Models: models{e.sched},
+		Health:           e.ready,
+		Dispatch:         e.dispatch(),
+		AnnounceInterval: announceEvery,
+	})
+	e.d.tel.Metrics.Set("callers_refused", &e.api.Refused)
+	e.d.tel.Metrics.Set("callers_requests", &e.api.Requests)
+	e.http = httpserver.New(httpserver.Config{
+		Name: "callers", Address: cfg.Listen.Callers, TLS: serverTLS(e.d.tls.callers), Handler: e.api,
+		MaxBodyBytes: cfg.Limits.MaxBodyBytes, Streams: cfg.Limits.Streams, Always: callerapi.Always,
+	})
+}
+
+func (e *entry) dispatch() *dispatch.Filter {
+	return &dispatch.Filter{
+		Client:  engineclient.New(engineclient.Config{}),
+		Silence: dispatch.FixedSilence{First: firstByteWait, Gap: gapWait},
+	}
+}
+
+// policyFor is the grant policy of the team whose accounts draw on the budget.
+func (e *entry) policyFor(budget string) grant.Policy {
+	team, ok := e.d.settings.View().TeamOfBudget(budget)
+	if ok {
+		return grant.PolicyFrom(team.Grant)
+	}
+	return grant.PolicyFrom(nil)
+}
+
+// ready is nil while this host takes new work from callers.
+func (e *entry) ready() error {
+	if e.holder().GetIncarnation() == 0 {
+		return errkind.New(errkind.HostNotReady, "not registered with the control group yet").After(time.Second)
+	}
+	if e.leaving.Load() {
+		return errkind.New(errkind.HostLeaving, "this host is shutting down")
+	}
+	return e.d.settings.Ready()
+}
+
+// load is what this host tells its peers of itself.
+func (e *entry) load() members.Load {
+	const full = 1000
+	spare := uint32(0)
+	limit, used := e.d.cfg.Limits.Streams, e.sched.Running()+e.sched.Waiting()
+	if used < limit {
+		spare = uint32(full * (limit - used) / limit)
+	}
+	return members.Load{SparePermille: spare, ConfigRevision: e.d.settings.Revision()}
+}
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,175 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/controller/members"
+	"github.com/bluebellsail/bluebellsail/internal/controller/scheduler"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/inflight"
+	"github.com/bluebellsail/bluebellsail/internal/membership"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// heartbeatTransit is taken as the age that states of backend servers gain on the way
+// between hosts; more than availability zones are apart.
+const heartbeatTransit = 5 * time.Millisecond
+
+// registry is the scheduler's registry of backend servers as the heartbeats see it.
+type registry struct{ s *scheduler.Scheduler }
+
+func (r registry) Servers() []*pb.ServerState      { return r.s.Servers() }
+func (r registry) Merge(servers []*pb.ServerState) { r.s.Merge(servers, heartbeatTransit) }
+func (r registry) RecentWork() []*pb.RecentWork    { return r.s.RecentWork() }
+func (r registry) MergeWork(from *pb.Holder, work []*pb.RecentWork) {
+	r.s.MergeRecent(from.GetHost(), work)
+}
+
+// peers reaches the other hosts by name.
+type peers struct{ e *entry }
+
+func (p peers) find(host string) (members.PeerInfo, bool) {
+	all := p.e.members.Peers()
+	i := slices.IndexFunc(all, func(m members.PeerInfo) bool { return m.Host == host })
+	if i < 0 || all[i].PeerAddress == "" {
+		return members.PeerInfo{}, false
+	}
+	return all[i], true
+}
+
+// Dial implements records.Dialer.
+func (p peers) Dial(host string) (pb.PeerClient, bool) {
+	m, ok := p.find(host)
+	if !ok {
+		return nil, false
+	}
+	return p.e.d.pool.Client(m.PeerAddress), true
+}
+
+// AskTokens implements grants.Asker.
+func (p peers) AskTokens(ctx context.Context, host string, req *pb.AskTokensRequest) (*pb.AskTokensReply, error) {
+	client, ok := p.Dial(host)
+	if !ok {
+		return nil, errkind.New(errkind.NotFound, "no address of host %s", host)
+	}
+	return client.AskTokens(ctx, req)
+}
+
+// Peers implements grants.Asker: the hosts that seem reachable.
+func (p peers) Peers() []string {
+	var out []string
+	for _, m := range p.e.members.Peers() {
+		if m.Health == pb.HostHealth_HOST_HEALTH_ALIVE {
+			out = append(out, m.Host)
+		}
+	}
+	return out
+}
+
+// hosts implements filter.Hosts.
+type hosts struct{ e *entry }
+
+func (h hosts) Self() *pb.Holder { return h.e.holder() }
+
+// Alive is false for a holder whose host is dead or runs under a newer incarnation.
+func (h hosts) Alive(holder *pb.Holder) bool {
+	self := h.e.holder()
+	if holder.GetHost() == self.GetHost() {
+		return holder.GetIncarnation() == self.GetIncarnation()
+	}
+	m, ok := peers(h).find(holder.GetHost())
+	return ok && m.Health != pb.HostHealth_HOST_HEALTH_DEAD && m.Incarnation <= holder.GetIncarnation()
+}
+
+// addresses implements callerapi.Addresses.
+type addresses struct{ e *entry }
+
+func (a addresses) Addresses(zone string) []membership.Address {
+	return a.e.members.Addresses(zone, a.e.d.settings.Fleet().AddressTTL.Std())
+}
+
+// models implements callerapi.Models.
+type models struct{ s *scheduler.Scheduler }
+
+func (m models) Models() []string {
+	var out []string
+	for _, server := range m.s.Servers() {
+		if m.s.Usable(server.Address) {
+			out = append(out, server.Models...)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// peerAddresses are where the other hosts relay the settings.
+func (e *entry) peerAddresses() []string {
+	out := e.seeds()
+	for _, m := range e.members.Peers() {
+		if m.PeerAddress != "" && !slices.Contains(out, m.PeerAddress) {
+			out = append(out, m.PeerAddress)
+		}
+	}
+	return out
+}
+
+// followFleet passes the list of hosts to those who choose among them.
+func (e *entry) followFleet(ctx context.Context) {
+	ticker := time.NewTicker(fleetEvery)
+	defer ticker.Stop()
+	var last []inflight.Host
+	for {
+		if now := e.liveHosts(); !slices.Equal(now, last) {
+			e.records.SetHosts(now)
+			e.sched.SetHosts(hostNames(now))
+			last = now
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// liveHosts are this host and the peers that may take copies of records.
+func (e *entry) liveHosts() []inflight.Host {
+	self := e.holder()
+	out := []inflight.Host{{Name: self.Host, Zone: e.d.cfg.Zone, Incarnation: self.Incarnation}}
+	for _, m := range e.members.Peers() {
+		if m.Health == pb.HostHealth_HOST_HEALTH_ALIVE && !m.Leaving && m.Incarnation > 0 {
+			out = append(out, inflight.Host{Name: m.Host, Zone: m.Zone, Incarnation: m.Incarnation})
+		}
+	}
+	return out
+}
+
+func hostNames(list []inflight.Host) []string {
+	out := make([]string, 0, len(list))
+	for _, h := range list {
+		out = append(out, h.Name)
+	}
+	return out
+}
+
+// learnHosts reads the registered hosts, so that a host finds peers which no seed and
+// no heartbeat named.
+func (e *entry) learnHosts(ctx context.Context) {
+	ticker := time.NewTicker(learnEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		readCtx, cancel := context.WithTimeout(ctx, time.Second)
+		res, err := e.d.client.Read(readCtx, &pb.Query{Body: &pb.Query_Hosts{Hosts: &pb.HostsQuery{}}})
+		cancel()
+		if err == nil {
+			e.members.Learn(res.Hosts)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/group.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/bluebellsail/bluebellsail/internal/control"
+	"github.com/bluebellsail/bluebellsail/internal/controlclient"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// group is the control group as the operators' API and the grants see it: a refusal
+// by the replicated state stands in the result and is no error, since it is the
+// definite answer, while an error leaves the outcome open.
+type group struct{ client *controlclient.Client }
+
+// Propose commits a command.
+func (g group) Propose(ctx context.Context, cmd *pb.Command) (*pb.CommandResult, error) {
+	res, err := g.client.Propose(ctx, cmd)
+	if res.GetError() != nil {
+		return res, nil
+	}
+	return res, err
+}
+
+// Read answers from the leader's state.
+func (g group) Read(ctx context.Context, q *pb.Query) (*pb.QueryResult, error) {
+	res, err := g.client.Read(ctx, q)
+	if err != nil && !errkind.Is(err, errkind.NoQuorum) {
+		return &pb.QueryResult{Error: control.ToWire(err)}, nil
+	}
+	return res, err
+}
+
+// ChangeMembers changes the group by one replica.
+func (g group) ChangeMembers(ctx context.Context, r *pb.ChangeMembersRequest) (*pb.ChangeMembersReply, error) {
+	status, err := g.client.ChangeMembers(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.ChangeMembersReply{Group: status}, nil
+}
+
+// claims implements filter.Claims.
+type claims struct {
+	client *controlclient.Client
+	self   *pb.Holder
+}
+
+// Claim asks for the single run of an identity.
+func (c claims) Claim(ctx context.Context, identity, requestID string) (*pb.ClaimResult, error) {
+	res, err := c.client.Propose(ctx, &pb.Command{Actor: c.self.GetHost(), Body: &pb.Command_Claim{
+		Claim: &pb.Claim{Identity: identity, Holder: c.self, RequestId: requestID}}})
+	return res.GetClaim(), err
+}
+
+// Finish records how the claimed run ended.
+func (c claims) Finish(ctx context.Context, identity, requestID string, state pb.ClaimState) error {
+	_, err := c.client.Propose(ctx, &pb.Command{Actor: c.self.GetHost(), Body: &pb.Command_FinishClaim{
+		FinishClaim: &pb.FinishClaim{Identity: identity, RequestId: requestID, State: state}}})
+	return err
+}
--- /dev/null
+++ b/internal/daemon/operators.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/adminapi"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// operatorDrain bounds the end of operators' requests in flight.
+const operatorDrain = 2 * time.Second
+
+// operatorServer serves the operators' address.
+type operatorServer struct{ http *httpserver.Server }
+
+func newOperatorServer(d *Daemon) *operatorServer {
+	handler := adminapi.New(adminapi.Config{
+		Group: group{d.client}, Fleet: fleetView{d}, Explain: explainer{d}, Orders: d.orders(),
+		OperatorKeyHashes: d.operatorKeyHashes, Ready: d.ready, Log: d.tel.Log,
+	})
+	return &operatorServer{http: httpserver.New(httpserver.Config{
+		Name: "operators", Address: d.cfg.Listen.Operators, TLS: serverTLS(d.tls.operators), Handler: handler,
+	})}
+}
+
+func (o *operatorServer) start() error { return o.http.Start() }
+
+func (o *operatorServer) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorDrain)
+	defer cancel()
+	_ = o.http.Drain(ctx)
+}
+
+// operatorKeyHashes are those of the settings file and of the settings tree.
+func (d *Daemon) operatorKeyHashes() []string {
+	tree := d.settings.Fleet().OperatorKeyHashes
+	out := make([]string, 0, len(d.cfg.OperatorKeyHashes)+len(tree))
+	out = append(out, d.cfg.OperatorKeyHashes...)
+	return append(out, tree...)
+}
+
+// ready is nil while this host serves callers; a host without the role entry serves
+// none and is ready when its settings are.
+func (d *Daemon) ready() error {
+	if d.entry != nil {
+		return d.entry.ready()
+	}
+	return d.settings.Ready()
+}
+
+// fleetView implements adminapi.Fleet.
+type fleetView struct{ d *Daemon }
+
+// Self is this host's own state.
+func (f fleetView) Self() *pb.HostState {
+	cfg := f.d.cfg
+	return &pb.HostState{
+		Holder: f.d.self(), Zone: cfg.Zone, CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers,
+		Health: pb.HostHealth_HOST_HEALTH_ALIVE, ConfigRevision: f.d.settings.Revision(),
+		Leaving: f.d.entry != nil && f.d.entry.leaving.Load(),
+	}
+}
+
+// Hosts are all hosts heard of, this one included.
+func (f fleetView) Hosts() []*pb.HostState {
+	out := []*pb.HostState{f.Self()}
+	if f.d.entry == nil {
+		return out
+	}
+	for _, p := range f.d.entry.members.Peers() {
+		out = append(out, &pb.HostState{
+			Holder: &pb.Holder{Host: p.Host, Incarnation: p.Incarnation}, Zone: p.Zone,
+			CallerAddress: p.CallerAddress, PeerAddress: p.PeerAddress, Health: p.Health, Leaving: p.Leaving,
+			ConfigRevision: p.ConfigRevision, SparePermille: p.SparePermille,
+		})
+	}
+	return out
+}
+
+// Servers are the backend servers whose announcements are known here.
+func (f fleetView) Servers() []*pb.ServerState {
+	if f.d.entry == nil {
+		return nil
+	}
+	return f.d.entry.sched.Servers()
+}
+
+// explainer implements adminapi.Explainer from this host's store.
+type explainer struct{ d *Daemon }
+
+// Explain finds what was decided for a request that this host served.
+func (e explainer) Explain(_ context.Context, id string) (json.RawMessage, error) {
+	if e.d.entry == nil {
+		return nil, errkind.New(errkind.NotFound, "this host serves no callers")
+	}
+	return e.d.entry.explain.JSON(id)
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/bluebellsail/bluebellsail/internal/control"
+	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/peerconn"
+)
+
+// peerServer serves the peer address: the Control service, and the Peer service once
+// this run has its incarnation.
+type peerServer struct {
+	address string
+	server  *grpc.Server
+	peer    atomic.Pointer[pb.PeerServer]
+}
+
+func newPeerServer(d *Daemon) *peerServer {
+	options := peerconn.ServerOptions(d.tls.peerCredentials(), d.tel.ServerStats())
+	p := &peerServer{address: d.cfg.Listen.Peers}
+	options = append(options, grpc.UnaryInterceptor(p.waitForPeer))
+	p.server = grpc.NewServer(options...)
+	if d.replica != nil {
+		pb.RegisterControlServer(p.server, control.NewService(d.replica))
+	} else {
+		pb.RegisterControlServer(p.server, settingsctl.NewRelay(d.settings))
+	}
+	pb.RegisterPeerServer(p.server, &latePeer{p: p})
+	return p
+}
+
+func (p *peerServer) start(t *tasks) error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	t.run(func(context.Context) { _ = p.server.Serve(listener) })
+	t.run(func(ctx context.Context) {
+		<-ctx.Done()
+		p.server.Stop()
+	})
+	return nil
+}
+
+// setPeer opens the Peer service.
+func (p *peerServer) setPeer(s pb.PeerServer) { p.peer.Store(&s) }
+
+func (p *peerServer) stop() { p.server.Stop() }
+
+// waitForPeer refuses peer calls while this run has no incarnation. Without it a
+// record could be taken in the name of a run that the control group does not know.
+func (p *peerServer) waitForPeer(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+	if _, isLate := info.Server.(*latePeer); isLate && p.peer.Load() == nil {
+		return nil, status.Error(codes.Unavailable, "this host has not registered yet")
+	}
+	return next(ctx, req)
+}
+
+// latePeer hands calls to the service set by setPeer; waitForPeer stands before it.
+type latePeer struct {
+	pb.UnimplementedPeerServer
+	p *peerServer
+}
+
+func (l *latePeer) service() pb.PeerServer { return *l.p.peer.Load() }
+
+func (l *latePeer) PutRecords(ctx context.Context, r *pb.PutRecordsRequest) (*pb.PutRecordsReply, error) {
+	return l.service().PutRecords(ctx, r)
+}
+
+func (l *latePeer) FindRecord(ctx context.Context, r *pb.FindRecordRequest) (*pb.FindRecordReply, error) {
+	return l.service().FindRecord(ctx, r)
+}
+
+func (l *latePeer) Gather(ctx context.Context, r *pb.GatherRequest) (*pb.GatherReply, error) {
+	return l.service().Gather(ctx, r)
+}
+
+func (l *latePeer) AskTokens(ctx context.Context, r *pb.AskTokensRequest) (*pb.AskTokensReply, error) {
+	return l.service().AskTokens(ctx, r)
+}
+
+func (l *latePeer) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatReply, error) {
+	return l.service().Heartbeat(ctx, r)
+}
--- /dev/null
+++ b/internal/daemon/register.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+)
+
+// registerTimeout bounds one attempt; attempts go on until the process is stopped.
+const registerTimeout = 5 * time.Second
+
+// register gets this run's incarnation from the control group. A host that reaches
+// no quorum waits here and serves nobody: without an incarnation of its own it could
+// spend what its former run held.
+func (d *Daemon) register(ctx context.Context) (*pb.RegisterHostResult, error) {
+	// bootID makes a resend after a lost answer give the same incarnation.
+	bootID := rand.Text()
+	attempt := func() (*pb.RegisterHostResult, error) {
+		tryCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+		defer cancel()
+		res, err := d.client.Propose(tryCtx, &pb.Command{Actor: d.cfg.Host, Body: &pb.Command_RegisterHost{
+			RegisterHost: &pb.RegisterHost{
+				Host: d.cfg.Host, Zone: d.cfg.Zone, CallerAddress: d.cfg.Listen.Callers,
+				PeerAddress: d.cfg.Listen.Peers, BootId: bootID, Control: d.cfg.Has(procconfig.RoleControl),
+			}}})
+		if err != nil {
+			d.tel.Log.Warn().Str("event", "not-registered").Err(err).Send()
+			return nil, err
+		}
+		return res.GetRegisterHost(), nil
+	}
+	res, err := backoff.Retry(ctx, attempt, backoff.WithMaxElapsedTime(0))
+	if err != nil {
+		return nil, errors.Wrap(err, "register this host")
+	}
+	d.tel.Log.Info().Str("event", "registered").Uint64("incarnation", res.GetHolder().GetIncarnation()).Send()
+	return res, nil
+}
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -16,7 +16,6 @@
 package peerconn
 
 import (
-	"crypto/tls"
 	"sync"
 	"time"
 
@@ -62,8 +61,8 @@
 
 // Config of a Pool. Zero fields get the defaults.
 type Config struct {
-	// TLS for mutual authentication; nil: plain TCP.
-	TLS *tls.Config
+	// Credentials for mutual authentication; nil: plain TCP.
+	Credentials credentials.TransportCredentials
 	// Stats makes spans of calls; nil: none.
 	Stats stats.Handler
 	Log   zerolog.Logger
@@ -168,16 +167,14 @@
 }
 
 func (p *Pool) dialOptions() []grpc.DialOption {
-	creds := insecure.NewCredentials()
-	if p.cfg.TLS != nil {
-		creds = credentials.NewTLS(p.cfg.TLS)
+	creds := p.cfg.Credentials
+	if creds == nil {
+		creds = insecure.NewCredentials()
 	}
 	delays := backoff.Config{BaseDelay: reconnectMin, Multiplier: 1.6, Jitter: 0.2, MaxDelay: reconnectMax}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{
-			Time: clientPingEvery, Timeout: pingTimeout, PermitWithoutStream: true,
-		}),
+		KeepaliveOption(),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: delays, MinConnectTimeout: dialTimeout}),
 		grpc.WithIdleTimeout(idleAfter),
 		grpc.WithReadBufferSize(bufferBytes),
@@ -191,9 +188,17 @@
 	return options
 }
 
+// KeepaliveOption makes a client ping its server, so that a connection which has
+// gone silent for good is given up even when no call waits on it.
+func KeepaliveOption() grpc.DialOption {
+	return grpc.WithKeepaliveParams(keepalive.ClientParameters{
+		Time: clientPingEvery, Timeout: pingTimeout, PermitWithoutStream: true,
+	})
+}
+
 // ServerOptions are what a gRPC server needs to go with this package's clients: it
-// allows their pings and pings silent clients itself. A nil tlsConfig means plain TCP.
-func ServerOptions(tlsConfig *tls.Config, handler stats.Handler) []grpc.ServerOption {
+// allows their pings and pings silent clients itself. Nil creds mean plain TCP.
+func ServerOptions(creds credentials.TransportCredentials, handler stats.Handler) []grpc.ServerOption {
 	options := []grpc.ServerOption{
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime: clientPingEvery / 2, PermitWithoutStream: true,
@@ -203,8 +208,8 @@
 		grpc.WriteBufferSize(bufferBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 	}
-	if tlsConfig != nil {
-		options = append(options, grpc.Creds(credentials.NewTLS(tlsConfig)))
+	if creds != nil {
+		options = append(options, grpc.Creds(creds))
 	}
 	if handler != nil {
 		options = append(options, grpc.StatsHandler(handler))
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -21,6 +21,7 @@
 	accounts map[string]*Account
 	fleet    Fleet
 	byKey    map[string]string // key hash -> account
+	byBudget map[string]string // budget -> the first account, by name, that draws on it
 }
 
 // NewView returns the empty tree at revision 0.
@@ -67,12 +68,16 @@
 	}
 	v.accounts = make(map[string]*Account, len(v.tree.Accounts))
 	v.byKey = make(map[string]string, len(v.tree.Accounts))
+	v.byBudget = make(map[string]string, len(v.tree.Accounts))
 	for name, a := range v.tree.Accounts {
 		filled := a.WithDefaults()
 		v.accounts[name] = &filled
 		for _, h := range a.KeyHashes {
 			v.byKey[h] = name
 		}
+		if first, ok := v.byBudget[a.Budget]; !ok || name < first {
+			v.byBudget[a.Budget] = name
+		}
 	}
 	v.fleet = Fleet{}.WithDefaults()
 	if v.tree.Fleet != nil {
@@ -98,6 +103,16 @@
 	return a, ok
 }
 
+// TeamOfBudget returns the team of the client account that draws on a budget; of
+// several accounts the first by name.
+func (v *View) TeamOfBudget(budget string) (*Team, bool) {
+	account, ok := v.accounts[v.byBudget[budget]]
+	if !ok {
+		return nil, false
+	}
+	return v.Team(account.Team)
+}
+
 // Team returns a team, with defaults. The caller must not change it.
 func (v *View) Team(name string) (*Team, bool) {
 	t, ok := v.teams[name]
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -146,7 +146,7 @@
   echo "no whole answer in time" >&2
   exit 1
 fi
-tokens=$((tokens))
+tokens=$(($tokens))
 
 say "the ledger has one bill of $tokens tokens"
 wait_for "$step_limit" "the bill is settled" \
