--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -49,6 +49,7 @@
 
 // turn does everything that is due.
 func (r *Replica) turn() error {
+	r.taken = 0
 	if r.formation == nil {
 		// Time comes first. A process that was frozen must know how long, before
 		// it takes a message that waited as fresh or acts as a leader.
@@ -106,7 +107,7 @@
 	if r.formation != nil {
 		return nil // takes no part yet
 	}
-	if m.Type == pb.RaftType_RAFT_TYPE_APPEND && !r.roomFor(int64(proto.Size(m))) {
+	if m.Type == pb.RaftType_RAFT_TYPE_APPEND && !r.roomFor(int64(proto.Size(m))+entryOverhead) {
 		r.log.Warn().Int64("log_bytes", r.wal.Bytes()).Msg("append_dropped_log_full")
 		return nil // not acknowledged; the leader sends it again
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -88,6 +89,9 @@
 		p.finish(&pb.CommandResult{}, nil)
 		return nil
 	}
+	if !r.roomFor(int64(proto.Size(next)) + entryOverhead) {
+		return errLogFull(r.wal.Bytes(), r.cfg.LogBytes)
+	}
 	index, term, err := r.core.ProposeMembers(next)
 	switch {
 	case errors.Is(err, raft.ErrNotLeader):
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -70,40 +70,34 @@
 
 // propose appends the proposals to the log.
 func (r *Replica) propose(proposals []*proposal) {
-	batch := int64(0)
 	for _, p := range proposals {
-		size, err := r.proposeOne(p, batch)
-		if err != nil {
+		if err := r.proposeOne(p); err != nil {
 			p.finish(nil, err)
-			continue
 		}
-		batch += size
 	}
 }
 
-// proposeOne returns the bytes that the proposal adds to the log.
-func (r *Replica) proposeOne(p *proposal, batch int64) (int64, error) {
-	if r.core.Status().Role != raft.Leader {
-		return 0, r.currentView().notLeader()
+func (r *Replica) proposeOne(p *proposal) error {
+	if !r.core.Leads() {
+		return r.currentView().notLeader()
 	}
 	if p.members != nil {
-		return entryOverhead, r.proposeMembers(p)
+		return r.proposeMembers(p)
 	}
 	stamped := &pb.Command{OpId: p.cmd.OpId, Actor: p.cmd.Actor, TimeMs: r.stampTime(), Body: p.cmd.Body}
 	data, err := proto.Marshal(stamped)
 	if err != nil {
-		return 0, errkind.New(errkind.BadRequest, "the command can't be encoded: %v", err)
+		return errkind.New(errkind.BadRequest, "the command can't be encoded: %v", err)
 	}
-	size := int64(len(data)) + entryOverhead
-	if !r.roomFor(batch + size) {
-		return 0, errLogFull(r.wal.Bytes(), r.cfg.LogBytes)
+	if !r.roomFor(int64(len(data)) + entryOverhead) {
+		return errLogFull(r.wal.Bytes(), r.cfg.LogBytes)
 	}
 	index, term, err := r.core.Propose(data)
 	if err != nil {
-		return 0, r.currentView().notLeader()
+		return r.currentView().notLeader()
 	}
 	r.await(p, index, term)
-	return size, nil
+	return nil
 }
 
 // await notes that a proposal stands in the log.
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -80,17 +80,20 @@
 	return true
 }
 
-// roomFor tells whether the log can take size more bytes, after a forced
-// snapshot if need be.
+// roomFor takes size bytes of the log's room for entries of this turn, after a
+// forced snapshot if need be; false if there is no room. A part of the cap is
+// left for the entries with which leaders begin their terms: without it a full
+// log could never commit again, and so never be cut.
 func (r *Replica) roomFor(size int64) bool {
-	if r.wal.Room() >= size {
-		return true
-	}
-	if r.applied > r.snapIndex {
+	wanted := r.taken + size + r.cfg.LogBytes/16
+	if r.wal.Room() < wanted && r.applied > r.snapIndex {
 		if err := r.takeSnapshot(true); err != nil {
 			r.log.Error().Err(err).Msg("forced_snapshot_failed")
-			return false
 		}
 	}
-	return r.wal.Room() >= size
+	if r.wal.Room() < wanted {
+		return false
+	}
+	r.taken += size
+	return true
 }
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -35,11 +35,11 @@
 		t.Fatalf("the first snapshot: %v, %v", snap, err)
 	}
 	s = store(t, fs, 10, 20, 30)
-	fs.OnSync = func(string) error { return errors.New("power fails") }
+	fs.SetOnSync(func(string) error { return errors.New("power fails") })
 	if err := s.Save(&pb.Snapshot{Index: 40}); err == nil {
 		t.Fatal("a failed sync was acknowledged")
 	}
-	fs.OnSync = nil
+	fs.SetOnSync(nil)
 	fs.Crash(nil)
 	s = store(t, fs)
 	snap, err := s.Load(0)
--- a/internal/wal/memfs/memfs.go
+++ b/internal/wal/memfs/memfs.go
@@ -27,9 +27,7 @@
 	durable map[string]*inode
 	crashes int
 	syncs   int
-	// OnSync, if set, is called before each sync of a file; its error fails the
-	// sync. It may block, which freezes the writer.
-	OnSync func(path string) error
+	onSync  func(path string) error
 }
 
 // New makes an empty file system.
@@ -68,6 +66,14 @@
 	return names
 }
 
+// SetOnSync has hook called before each sync of a file; its error fails the
+// sync. It may block, which freezes the writer. Nil: no hook.
+func (f *FS) SetOnSync(hook func(path string) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onSync = hook
+}
+
 // Syncs is the number of syncs of files so far.
 func (f *FS) Syncs() int {
 	f.mu.Lock()
@@ -200,7 +206,10 @@
 }
 
 func (f *file) Sync() error {
-	if hook := f.fs.OnSync; hook != nil {
+	f.fs.mu.Lock()
+	hook := f.fs.onSync
+	f.fs.mu.Unlock()
+	if hook != nil {
 		if err := hook(f.name); err != nil {
 			return err
 		}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -104,11 +104,11 @@
 		for n := uint64(0); n < 6; n++ {
 			write(t, l, 3*n+1, 3*n+3, 1)
 		}
-		fs.OnSync = func(string) error { return errors.New("power fails") }
+		fs.SetOnSync(func(string) error { return errors.New("power fails") })
 		if err := l.Append(nil, entries(19, 21, 1)); err == nil {
 			t.Fatal("a failed sync was acknowledged")
 		}
-		fs.OnSync = nil
+		fs.SetOnSync(nil)
 		if err := l.Append(nil, entries(19, 21, 1)); err == nil {
 			t.Fatal("the log goes on after a failed sync")
 		}
