--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -267,6 +267,29 @@
 	}
 }
 
+// Symptom: what was remembered is forgotten early, or a record counts twice.
+// Sequence: a new leader's clock is behind the old one's; a record is applied again.
+// Cause: applied time or the index went back.
+func TestTimeAndIndexNeverGoBack(t *testing.T) {
+	d := newDriver(t)
+	play(d)
+	want := d.state.Now()
+	d.now = 10
+	d.must("", func(c *pb.Command) { c.Body = &pb.Command_NewTerm{NewTerm: &pb.NewTerm{Term: 9}} })
+	if got := d.state.Now(); got != want {
+		t.Errorf("applied time went from %d to %d", want, got)
+	}
+	if got := d.do("", order("10.0.0.1:1", 8)); got.Error.GetKind() != string(errkind.StaleFence) {
+		t.Errorf("an order of the term before got %v", got)
+	}
+	defer func() {
+		if recover() == nil {
+			t.Error("a record was applied twice")
+		}
+	}()
+	d.state.Apply(d.state.Applied(), &pb.Command{})
+}
+
 func TestDamagedSnapshotIsRefused(t *testing.T) {
 	d := newDriver(t)
 	play(d)
