--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 // driver feeds a State the records of a log and keeps the log.
@@ -181,6 +182,41 @@
 	}
 }
 
+// Symptom: hosts never come to serve, or serve under another tree than the replicas hold.
+// Sequence: a host starts from the whole tree as read at "/" and follows the changes
+// as they were sent: with spaces, a slash at the end, null for a deletion.
+// Cause: the whole tree or a change has another form for hosts than for replicas.
+func TestHostFollowsWhatWasSent(t *testing.T) {
+	d := newDriver(t)
+	play(d)
+	whole := d.state.Query(&pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: "/"}}})
+	host, err := settings.ViewFromSnapshot(whole.ValueJson)
+	if err != nil || host.Revision() != whole.Revision {
+		t.Fatalf("from the tree at revision %d: %v", whole.Revision, err)
+	}
+	for i, c := range []struct{ path, value string }{
+		{"/teams/x/retry/", ` { "share" : 0.5 } `}, {"/teams/x/priority", " null "}, {"/accounts/school", "null"}, {"/teams/x", "null"},
+	} {
+		d.must(fmt.Sprint("change", i), func(cmd *pb.Command) {
+			cmd.Body = &pb.Command_SetConfig{SetConfig: &pb.SetConfig{Path: c.path, ValueJson: []byte(c.value), AnyVersion: true}}
+		})
+		set := d.log[len(d.log)-1].GetSetConfig()
+		version := d.state.View().Revision()
+		subtree := d.state.Query(&pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: c.path}}}).Version
+		change := &pb.ConfigChange{Revision: version, Version: subtree, Path: set.Path, ValueJson: set.ValueJson}
+		if host, err = host.Apply([]*pb.ConfigChange{change}); err != nil {
+			t.Fatalf("%s = %s: %v", c.path, c.value, err)
+		}
+		want, _, err := d.state.View().Value("/")
+		if got, _, err2 := host.Value("/"); err != nil || err2 != nil || !bytes.Equal(got, want) {
+			t.Fatalf("%s = %s: host has %s, replica %s", c.path, c.value, got, want)
+		}
+	}
+	if _, err := settings.ViewFromSnapshot([]byte(`{"teams":{}}`)); err == nil {
+		t.Error("a tree without versions was taken for a snapshot")
+	}
+}
+
 // Symptom: an operator is told that a top-up was refused, yet it is funded.
 // Sequence: the top-up comes before its budget exists and is refused; the budget is
 // made; a delayed copy of the top-up arrives.
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -30,6 +30,9 @@
 	return decodeValue(path, raw, reflect.ValueOf(v).Elem(), 0)
 }
 
+// isNull tells whether raw is the JSON value null, which deletes what a path names.
+func isNull(raw []byte) bool { return string(bytes.TrimSpace(raw)) == "null" }
+
 func checkSyntax(path string, raw []byte) error {
 	var value json.RawMessage
 	if err := json.Unmarshal(raw, &value); err != nil {
@@ -42,7 +45,7 @@
 	if depth > maxDepth {
 		return fault(path, "nested too deep")
 	}
-	if string(bytes.TrimSpace(raw)) == "null" {
+	if isNull(raw) {
 		return fault(path, "null is no value here; delete the key to get its default")
 	}
 	switch {
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -84,7 +84,7 @@
 	change := &pb.ConfigChange{Revision: m.view.revision + 1, Version: version, Path: path, Delete: c.Delete}
 	value := bytes.TrimSpace(c.ValueJson)
 	switch {
-	case c.Delete || string(value) == "null":
+	case c.Delete || isNull(value):
 		change.Delete = true
 	case len(value) == 0:
 		return nil, fault(c.Path, "no value given")
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -30,11 +30,11 @@
 	return v
 }
 
-// snapshot is the JSON form of a View.
+// snapshot is the JSON form of a View: the tree, its revision and its subtrees' versions.
 type snapshot struct {
 	Revision uint64            `json:"revision"`
 	Versions map[string]uint64 `json:"versions"`
-	Tree     Tree              `json:"tree"`
+	Tree
 }
 
 // ViewFromSnapshot reads what SnapshotJSON wrote.
@@ -43,6 +43,9 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return nil, errors.Wrap(err, "settings snapshot")
 	}
+	if s.Versions == nil {
+		return nil, errors.New("settings snapshot: no versions of subtrees")
+	}
 	v := NewView()
 	v.revision, v.tree.Fleet = s.Revision, s.Tree.Fleet
 	maps.Copy(v.versions, s.Versions)
@@ -110,13 +113,13 @@
 // Tree returns the tree as operators wrote it. The caller must not change it.
 func (v *View) Tree() *Tree { return &v.tree }
 
-// Value returns what operators set at a path ("/" is the whole tree) and the
-// version of the subtree that holds it. A path with nothing set is NotFound, with
+// Value returns what operators set at a path ("/" is the whole tree, in the form of
+// SnapshotJSON) and the version of the subtree that holds it. A path with nothing set is NotFound, with
 // the version to expect in the error.
 func (v *View) Value(path string) (value []byte, version uint64, err error) {
 	switch path {
 	case "", "/":
-		value, err = json.Marshal(v.tree)
+		value, err = v.SnapshotJSON()
 		return value, 0, err
 	case "/" + teamsPart:
 		value, err = json.Marshal(v.tree.Teams)
@@ -174,7 +177,7 @@
 	}
 	next.versions[p.subtree()] = c.Version
 	value := c.ValueJson
-	if c.Delete {
+	if c.Delete || isNull(value) {
 		value = nil
 	}
 	if err := next.tree.change(c.Path, p, value); err != nil {
