--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	if p.Identity == "" || p.TimeMs <= 0 {
-		return errkind.New(errkind.BadRequest, "a bill needs an identity and the time of the request's arrival")
+		return errkind.New(errkind.BadRequest, "a bill needs an identity and the time of its request")
 	}
 	d.touch(b)
 	key := window.KeyOf(p.Identity)
--- a/internal/ledger/identities.go
+++ b/internal/ledger/identities.go
@@ -8,12 +8,9 @@
 )
 
 const (
-	// clockMargin is how far the clocks of hosts may stand apart.
+	// clockMargin is how far the clocks of hosts may stand apart, and how long a batch
+	// may be on its way.
 	clockMargin = 2 * time.Minute
-	// keepMargins is how many margins identities are kept on top: one for the clock by
-	// which a bill says when its request arrived, one for the same doubt in expired, and
-	// one for the time a batch is on its way.
-	keepMargins = 3
 	// forgetEvery spaces the checks for what may be forgotten.
 	forgetEvery = time.Minute
 	// generationsPerWindow sets how finely identities are forgotten.
@@ -38,14 +35,18 @@
 // the identity runs on both sides, one side settles at once and the other hours
 // later. With a memory of the idempotency window alone the late bill would look
 // new and be billed again. So an identity is kept until no open incarnation can
-// still bring a duplicate of it: the idempotency window, plus the longest request,
-// plus margins for clocks, counted back from the oldest last settlement of any
-// open incarnation. The number of identities is bounded; past the bound the oldest
-// are forgotten, and bills that might duplicate a forgotten one are refused as
-// expired rather than perhaps billed twice.
+// still bring a duplicate of it: the idempotency window, plus the longest request
+// twice (once as long before the window a request may have arrived, once as a bill
+// may say when its request arrived or when it ended), plus margins for clocks, counted
+// back from the oldest last settlement of any open incarnation.
+//
+// What is kept for incarnations out of contact is bounded by a number; past it the
+// oldest are forgotten, and bills that might duplicate a forgotten one are refused as
+// expired rather than perhaps billed twice. What holders in contact need is always
+// kept, or at high load no bill at all would be accepted.
 type billedIdentities struct {
 	memory     *window.Memory[billRef]
-	windowMs   int64
+	reachMs    int64 // how long before its bill's time a duplicate may have been billed
 	keepMs     int64
 	nextForget int64
 }
@@ -57,27 +58,26 @@
 }
 
 func (b *billedIdentities) setLimits(idempotencyWindow, longestRequest time.Duration) {
-	b.windowMs = idempotencyWindow.Milliseconds()
-	b.keepMs = b.windowMs + longestRequest.Milliseconds() + keepMargins*clockMargin.Milliseconds()
+	b.reachMs = (idempotencyWindow + longestRequest + clockMargin).Milliseconds()
+	b.keepMs = b.reachMs + (longestRequest + 2*clockMargin).Milliseconds()
 	b.memory.SetLength(b.keepMs / generationsPerWindow)
 }
 
 func (b *billedIdentities) get(k window.Key) (billRef, bool) { return b.memory.Get(k) }
 
-// expired tells whether a duplicate of a bill might have been forgotten. arrived is
-// when the request reached the holder, in Unix milliseconds by the holder's clock.
-// A duplicate was billed at the earliest one idempotency window before that.
-func (b *billedIdentities) expired(arrived, now int64) bool {
+// expired tells whether a duplicate of a bill might have been forgotten. at is when the
+// request arrived at the holder or ended, in Unix milliseconds by the holder's clock.
+func (b *billedIdentities) expired(at, now int64) bool {
 	horizon := b.memory.Horizon()
 	if horizon == 0 {
 		return false
 	}
-	return min(arrived, now)-b.windowMs-clockMargin.Milliseconds() < horizon
+	return min(at, now)-b.reachMs < horizon
 }
 
 // forget drops what no open incarnation can bring again, and what is above the bound.
 func (b *billedIdentities) forget(now int64, hosts *registry) {
-	b.memory.Shrink()
+	b.memory.Shrink(now - b.keepMs)
 	if now < b.nextForget {
 		return
 	}
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -19,7 +19,7 @@
 	Open       []incarnation         `json:"open"`
 	Recovered  []recovery            `json:"recovered"`
 	Billed     window.Image[billRef] `json:"billed"`
-	WindowMs   int64                 `json:"window_ms"`
+	ReachMs    int64                 `json:"reach_ms"`
 	KeepMs     int64                 `json:"keep_ms"`
 	NextForget int64                 `json:"next_forget"`
 	Transfers  []transferImage       `json:"transfers"`
@@ -62,7 +62,7 @@
 func (s *State) Image() Image {
 	im := Image{
 		LastHolder: s.hosts.last, Recovered: slices.Clone(s.hosts.recovered),
-		Billed: s.billed.memory.Image(), WindowMs: s.billed.windowMs, KeepMs: s.billed.keepMs, NextForget: s.billed.nextForget,
+		Billed: s.billed.memory.Image(), ReachMs: s.billed.reachMs, KeepMs: s.billed.keepMs, NextForget: s.billed.nextForget,
 		Operators: s.operatorImages(), Counters: s.counters,
 	}
 	for _, b := range s.byNumber {
@@ -129,7 +129,7 @@
 		}
 	}
 	fresh.billed.memory.Restore(im.Billed)
-	fresh.billed.windowMs, fresh.billed.keepMs, fresh.billed.nextForget = im.WindowMs, im.KeepMs, im.NextForget
+	fresh.billed.reachMs, fresh.billed.keepMs, fresh.billed.nextForget = im.ReachMs, im.KeepMs, im.NextForget
 	fresh.counters = im.Counters
 	*s = *fresh
 	return nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -22,7 +22,7 @@
 const (
 	// DefaultStatementLines is how many lines of each budget's statement are kept.
 	DefaultStatementLines = 1000
-	// DefaultMaxIdentities bounds the identities remembered.
+	// DefaultMaxIdentities bounds the identities remembered for holders out of contact.
 	DefaultMaxIdentities = 4_000_000
 	// DefaultWindow is the idempotency window where the settings name none.
 	DefaultWindow = 10 * time.Minute
--- a/internal/ledger/window/window.go
+++ b/internal/ledger/window/window.go
@@ -121,9 +121,10 @@
 	}
 }
 
-// Shrink drops the oldest generations while there are more than maxSize keys.
-func (m *Memory[V]) Shrink() {
-	for m.maxSize > 0 && m.size > m.maxSize && len(m.gens) > 1 {
+// Shrink drops the oldest generations while there are more than maxSize keys, but
+// none with a key put at or after keep.
+func (m *Memory[V]) Shrink(keep int64) {
+	for m.maxSize > 0 && m.size > m.maxSize && len(m.gens) > 1 && m.gens[0].last < keep {
 		m.dropOldest()
 	}
 }
