--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -41,7 +41,7 @@
 	if !due {
 		limit = room(limit, class)
 	}
-	load := s.Corrected()
+	load := c.loadOf(s)
 	if own < m.share {
 		return load < limit
 	}
@@ -49,6 +49,22 @@
 	return load < limit-lent
 }
 
+// loadOf is the load that choices are made on.
+func (c *Core) loadOf(s *backend.Server) int {
+	if c.cfg.Parts.NoCorrection {
+		return s.Reported()
+	}
+	return s.Corrected()
+}
+
+// cachedShare is the share of w's prompt that s is expected to have cached.
+func (c *Core) cachedShare(s *backend.Server, w *Work) float64 {
+	if c.cfg.Parts.NoPrefix {
+		return 0
+	}
+	return s.CachedShare(w.PromptHashes)
+}
+
 // eligible tells whether s may run w at all.
 func (c *Core) eligible(now time.Time, s *backend.Server, w *Work) bool {
 	if !c.reg.UsableServer(now, s) || slices.Contains(w.Exclude, s.Address()) {
@@ -75,13 +91,13 @@
 	if w.Target.Kind == backend.Service {
 		return c.way(s) + s.ServiceTime()
 	}
-	prompt := float64(w.PromptTokens) * (1 - s.CachedShare(w.PromptHashes))
+	prompt := float64(w.PromptTokens) * (1 - c.cachedShare(s, w))
 	return c.way(s) + s.PrefillTime(prompt) + time.Duration(w.OutputCap)*s.TokenTime()
 }
 
 // way is the round trip to s.
 func (c *Core) way(s *backend.Server) time.Duration {
-	if s.State().GetZone() == c.cfg.Zone {
+	if c.cfg.Parts.NoDistance || s.State().GetZone() == c.cfg.Zone {
 		return 0
 	}
 	return 2 * c.cfg.ZoneDelay
@@ -97,13 +113,13 @@
 	if !c.eligible(now, m.server, w) || !c.hasRoom(now, m, w.Class, due) {
 		return false
 	}
-	cached := m.server.CachedShare(w.PromptHashes)
+	cached := c.cachedShare(m.server, w)
 	d := c.withMargin(c.runTime(m.server, w, cached))
 	finish := now.Add(d)
 	if finish.After(w.Deadline) {
 		return false
 	}
-	load := m.server.Corrected()
+	load := c.loadOf(m.server)
 	better := best.server == nil || finish.Before(best.finish) ||
 		(finish.Equal(best.finish) && load*best.server.Slots() < best.load*m.server.Slots())
 	if better {
@@ -122,7 +138,7 @@
 			return best, 1
 		}
 	}
-	for _, i := range p.homesOf(w) {
+	for _, i := range p.homesOf(w, c.cfg.Parts.NoPrefix) {
 		if c.consider(now, p.members[i], w, due, &best) {
 			considered++
 		}
@@ -172,8 +188,8 @@
 }
 
 // homesOf returns the indexes of the members that w's prefix belongs to.
-func (p *pool) homesOf(w *Work) []int {
-	if len(w.PromptHashes) == 0 {
+func (p *pool) homesOf(w *Work, noPrefix bool) []int {
+	if noPrefix || len(w.PromptHashes) == 0 {
 		return nil
 	}
 	var top [homes]int
--- a/internal/sched/work.go
+++ b/internal/sched/work.go
@@ -99,6 +99,18 @@
 	// FreshLoad is the age up to which a load report lets this host use room beyond
 	// its own share of a server; default 2 s.
 	FreshLoad time.Duration
+	// Parts switches parts of the policy off, for measuring what each is worth.
+	Parts Parts
+}
+
+// Parts of the choice that can be switched off. The zero value is the whole policy.
+type Parts struct {
+	// NoCorrection compares load as reported, uncorrected.
+	NoCorrection bool
+	// NoPrefix ignores prefix cache knowledge.
+	NoPrefix bool
+	// NoDistance ignores availability zones.
+	NoDistance bool
 }
 
 // Defaults of Config.
