--- /dev/null
+++ b/internal/controller/placement/placement.go
@@ -0,0 +1,184 @@
+// Package placement runs the placement of models on backend servers: on the leader of
+// the control group it commits the orders that package placement decides, each
+// under its fencing number, and sends them to the servers by HTTP.
+package placement
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/placement"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/telemetry"
+)
+
+// DefaultInterval is the time between two looks at what is wanted and what is there.
+const DefaultInterval = time.Second
+
+// Leadership tells whether this process leads the control group under a valid lease.
+type Leadership interface {
+	// Leading returns the term and when it began here; ok is false without a valid lease.
+	Leading() (term uint64, since time.Time, ok bool)
+}
+
+// Proposer commits a command with the control group. A refusal by the group is an
+// error of the result or the returned error.
+type Proposer interface {
+	Propose(ctx context.Context, cmd *pb.Command) (*pb.CommandResult, error)
+}
+
+// Servers gives the announced backend servers, without those that have lapsed.
+type Servers interface {
+	Servers() []*pb.ServerState
+}
+
+// Settings gives the fleet's settings in force.
+type Settings interface {
+	Fleet() settings.Fleet
+}
+
+// Config of a Controller.
+type Config struct {
+	Planner    placement.Config
+	Interval   time.Duration
+	Leadership Leadership
+	Proposer   Proposer
+	Servers    Servers
+	Settings   Settings
+	// Client sends the orders; default one without keep-alive connections, so that an
+	// order never waits in a silent one, and without redirects.
+	Client *http.Client
+	// Actor names this host in the log of the control group.
+	Actor   string
+	Log     zerolog.Logger
+	Metrics *telemetry.Metrics
+}
+
+// Controller places models. It is safe for concurrent use.
+type Controller struct {
+	cfg Config
+
+	mu      sync.Mutex
+	planner *placement.Planner
+}
+
+// New returns a controller that doesn't order yet.
+func New(cfg Config) *Controller {
+	if cfg.Interval <= 0 {
+		cfg.Interval = DefaultInterval
+	}
+	if cfg.Planner.LongestOrder <= 0 {
+		cfg.Planner.LongestOrder = placement.DefaultLongestOrder
+	}
+	if cfg.Client == nil {
+		cfg.Client = &http.Client{
+			Transport:     &http.Transport{DisableKeepAlives: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = telemetry.NewMetrics()
+	}
+	return &Controller{cfg: cfg, planner: placement.NewPlanner(cfg.Planner)}
+}
+
+// Run places until ctx ends, and then waits for the orders in flight.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.cfg.Interval)
+	defer ticker.Stop()
+	var orders sync.WaitGroup
+	defer orders.Wait()
+	for {
+		for _, o := range c.step() {
+			orders.Go(func() { c.carryOut(ctx, o) })
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Blocked returns the rules that aren't met and why no order goes out for them. It
+// is empty on processes that don't lead.
+func (c *Controller) Blocked() []placement.Blocked {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.planner.Blocked()
+}
+
+func (c *Controller) step() []placement.Order {
+	lead := c.leadership()
+	fleet := c.cfg.Settings.Fleet()
+	servers := c.cfg.Servers.Servers()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.planner.Step(placement.Input{
+		Now:        time.Now(),
+		Leadership: lead,
+		Rules:      fleet.Placement,
+		StoreRate:  fleet.WeightStoreBytesPerSecond,
+		Servers:    servers,
+	})
+}
+
+func (c *Controller) leadership() placement.Leadership {
+	term, since, ok := c.cfg.Leadership.Leading()
+	return placement.Leadership{Term: term, Since: since, OK: ok}
+}
+
+// carryOut commits an order, sends it and notes how it ended.
+func (c *Controller) carryOut(ctx context.Context, o placement.Order) {
+	result, fence, err := c.commitAndSend(ctx, o)
+	c.mu.Lock()
+	c.planner.Ended(time.Now(), o, result)
+	c.mu.Unlock()
+	c.cfg.Metrics.Orders.Add(1)
+	event := c.cfg.Log.Info()
+	if result != placement.Accepted {
+		c.cfg.Metrics.OrdersFailed.Add(1)
+		event = c.cfg.Log.Warn().Err(err)
+	}
+	event.Str("server", o.Server).Str("verb", string(o.Verb)).Str("model", o.Model).Str("adapter", o.Adapter).
+		Str("role", o.Role).Uint64("term", o.Term).Uint64("fence", fence).Str("result", result.String()).Msg("order")
+}
+
+func (c *Controller) commitAndSend(ctx context.Context, o placement.Order) (placement.Result, uint64, error) {
+	fence, err := c.commit(ctx, o)
+	if err != nil {
+		return placement.NotSent, 0, err
+	}
+	sendCtx, cancel := context.WithTimeout(ctx, c.cfg.Planner.LongestOrder)
+	defer cancel()
+	// The look at the lease comes after the deadline is set, so that the next leader's
+	// wait, which counts from the end of the lease, covers the whole order.
+	if !c.leadership().Allows(o) {
+		return placement.NotSent, fence, errkind.New(errkind.StaleFence, "term %d is over", o.Term)
+	}
+	result, err := c.send(sendCtx, o, fence)
+	return result, fence, err
+}
+
+func (c *Controller) commit(ctx context.Context, o placement.Order) (fence uint64, err error) {
+	commitCtx, cancel := context.WithTimeout(ctx, c.cfg.Planner.LongestOrder)
+	defer cancel()
+	result, err := c.cfg.Proposer.Propose(commitCtx, c.command(o))
+	if err != nil {
+		return 0, err
+	}
+	if e := result.GetError(); e != nil {
+		return 0, errkind.New(errkind.Kind(e.GetKind()), "%s", e.GetMessage())
+	}
+	fence = result.GetPlaceOrder().GetFence()
+	if fence == 0 {
+		return 0, errkind.New(errkind.Internal, "the control group gave no fencing number")
+	}
+	return fence, nil
+}
--- /dev/null
+++ b/internal/controller/placement/placement_test.go
@@ -0,0 +1,284 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/placement"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// group is a control group of two hosts: one leads, an index counts commits, and a
+// command of an older term is refused.
+type group struct {
+	mu    sync.Mutex
+	term  uint64
+	index uint64
+	terms map[uint64]uint64 // by fencing number
+}
+
+// seat is one host's place in the group.
+type seat struct {
+	group *group
+	mu    sync.Mutex
+	term  uint64
+	since time.Time
+	until time.Time     // end of the lease
+	late  time.Duration // how long a commit's answer takes
+	cut   bool
+}
+
+func (s *seat) Leading() (uint64, time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term, s.since, s.term > 0 && time.Now().Before(s.until)
+}
+
+func (s *seat) Propose(ctx context.Context, cmd *pb.Command) (*pb.CommandResult, error) {
+	s.mu.Lock()
+	cut, late := s.cut, s.late
+	s.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, errkind.New(errkind.NoQuorum, "no quorum")
+	}
+	fence, err := s.group.commit(cmd.GetPlaceOrder().GetTerm())
+	time.Sleep(late)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.CommandResult{Body: &pb.CommandResult_PlaceOrder{PlaceOrder: &pb.PlaceOrderResult{Fence: fence}}}, nil
+}
+
+func (g *group) commit(term uint64) (uint64, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if term < g.term {
+		return 0, errkind.New(errkind.StaleFence, "term %d is over", term)
+	}
+	g.index++
+	g.terms[g.index] = term
+	return g.index, nil
+}
+
+func (g *group) termOf(fence uint64) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.terms[fence]
+}
+
+// lead makes s the leader of a new term, with a lease of the given length.
+func (s *seat) lead(term uint64, lease time.Duration) {
+	s.group.mu.Lock()
+	s.group.term = term
+	s.group.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.term, s.since, s.until = term, time.Now(), time.Now().Add(lease)
+}
+
+func (s *seat) set(cut bool, late time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut, s.late = cut, late
+}
+
+// platform is the backend servers as HTTP sees them. Orders by a slow client arrive late.
+type platform struct {
+	mu      sync.Mutex
+	group   *group
+	servers []*pb.ServerState
+	fences  map[string]uint64
+	effects map[string][]uint64 // terms of the orders that took effect, by server
+	bodies  []orderBody
+	refused int
+}
+
+type wire struct {
+	platform *platform
+	mu       sync.Mutex
+	delay    time.Duration
+	status   int
+}
+
+func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
+	w.mu.Lock()
+	delay, status := w.delay, w.status
+	w.mu.Unlock()
+	time.Sleep(delay)
+	if status == 0 {
+		status = w.platform.take(r)
+	}
+	return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
+}
+
+func (w *wire) slow(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delay = d
+}
+
+// take carries an order out as a server does. Nothing shows in the announcements, so
+// that every leader goes on ordering.
+func (p *platform) take(r *http.Request) int {
+	var body orderBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || r.Method != http.MethodPost || r.URL.Path != "/orders" {
+		return http.StatusBadRequest
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	server := r.URL.Host
+	checks := slices.ContainsFunc(p.servers, func(s *pb.ServerState) bool { return s.Address == server && s.ChecksFence })
+	if checks && body.Fence < p.fences[server] {
+		p.refused++
+		return http.StatusConflict
+	}
+	p.fences[server] = max(p.fences[server], body.Fence)
+	p.effects[server] = append(p.effects[server], p.group.termOf(body.Fence))
+	p.bodies = append(p.bodies, body)
+	return http.StatusOK
+}
+
+func (p *platform) Servers() []*pb.ServerState { return p.servers }
+
+func (p *platform) Fleet() settings.Fleet {
+	return settings.Fleet{Placement: []settings.PlacementRule{{Pool: "llm", Model: "codes", Servers: len(p.servers)}}}
+}
+
+func (p *platform) terms(server string) []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.effects[server])
+}
+
+const (
+	checking = "10.1.0.1:8000"
+	ignoring = "10.1.0.2:8000"
+)
+
+func newPlatform() *platform {
+	p := &platform{
+		group:   &group{terms: make(map[uint64]uint64)},
+		fences:  make(map[string]uint64),
+		effects: make(map[string][]uint64),
+	}
+	for _, address := range []string{checking, ignoring} {
+		p.servers = append(p.servers, &pb.ServerState{Address: address, Pool: "llm", ChecksFence: address == checking})
+	}
+	for i := range 6 { // so that both may have an order at once
+		p.servers = append(p.servers, &pb.ServerState{Address: string(rune('a' + i)), Pool: "llm", Models: []string{"codes"}})
+	}
+	return p
+}
+
+// host starts a placement controller until the test ends.
+func (p *platform) host(t *testing.T, name string) (*seat, *wire, *Controller) {
+	s, w := &seat{group: p.group}, &wire{platform: p}
+	c := New(Config{
+		Planner:    placement.Config{ViewSettle: time.Second, Rest: time.Second, EffectTimeout: 3 * time.Second},
+		Leadership: s, Proposer: s, Servers: p, Settings: p,
+		Client: &http.Client{Transport: w}, Actor: name,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return s, w, c
+}
+
+// Symptom: a backend server carries out an order of a control host that was cut off,
+// after one of its successor: two masters.
+// Sequence: host a leads; its orders are slow on the way; it is cut off and its lease
+// ends; host b leads and orders; a's orders arrive; a comes back.
+// Cause: orders without fencing numbers; a successor that didn't wait for servers that
+// ignore them; a leader that didn't look at its lease again before sending.
+func TestCutOffLeadersOrdersDontTakeEffectAfterItsSuccessors(t *testing.T) {
+	const lease = placement.DefaultLease
+	cases := map[string]struct{ wireDelay, commitDelay time.Duration }{
+		"orders slow on the way":   {wireDelay: placement.DefaultLongestOrder - 100*time.Millisecond},
+		"commit answered too late": {commitDelay: 40 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlatform()
+				a, wireA, _ := p.host(t, "a")
+				b, _, _ := p.host(t, "b")
+				a.lead(1, time.Hour)
+				time.Sleep(20 * time.Second)
+				if len(p.terms(ignoring)) == 0 || len(p.terms(checking)) == 0 {
+					t.Fatal("the first leader gave no orders")
+				}
+				wireA.slow(c.wireDelay)
+				a.set(false, c.commitDelay)
+				time.Sleep(7 * time.Second) // long enough for an order to each server
+				a.set(true, c.commitDelay)
+				a.lead(1, lease) // the last that it renewed
+				time.Sleep(lease + 100*time.Millisecond)
+				b.lead(2, time.Hour)
+				time.Sleep(60 * time.Second)
+				a.set(false, 0)
+				time.Sleep(60 * time.Second)
+				for _, server := range []string{checking, ignoring} {
+					terms := p.terms(server)
+					if !slices.IsSorted(terms) || terms[len(terms)-1] != 2 {
+						t.Errorf("orders at %s took effect in terms %v", server, terms)
+					}
+				}
+				if c.wireDelay > 0 && p.refused == 0 {
+					t.Error("no order was late: the test shows nothing")
+				}
+			})
+		})
+	}
+}
+
+// A lease that is over must stop orders at once, though no successor is known yet.
+func TestNoOrderWithoutLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a, _, _ := p.host(t, "a")
+		a.lead(1, 20*time.Second)
+		time.Sleep(21 * time.Second)
+		n := len(p.terms(checking))
+		time.Sleep(time.Minute)
+		if got := len(p.terms(checking)); n == 0 || got != n {
+			t.Errorf("%d orders under the lease, %d after it", n, got-n)
+		}
+	})
+}
+
+func TestOrderCarriesVerbModelAndFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a, w, c := p.host(t, "a")
+		a.lead(1, time.Hour)
+		time.Sleep(10 * time.Second)
+		p.mu.Lock()
+		got := p.bodies[0]
+		p.mu.Unlock()
+		if got != (orderBody{Verb: placement.LoadModel, Model: "codes", Fence: 1}) {
+			t.Errorf("body %+v", got)
+		}
+		w.mu.Lock()
+		w.status = http.StatusInternalServerError
+		w.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if c.cfg.Metrics.OrdersFailed.Value() == 0 || c.cfg.Metrics.Orders.Value() <= c.cfg.Metrics.OrdersFailed.Value() {
+			t.Errorf("orders %v failed %v", c.cfg.Metrics.Orders.Value(), c.cfg.Metrics.OrdersFailed.Value())
+		}
+	})
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,377 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// TestMain fixes the seed, so that every run checks the same sequences.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+var testStart = time.Unix(1_800_000_000, 0)
+
+// world is a planner that leads and servers that do as they are told.
+type world struct {
+	planner *Planner
+	in      Input
+	// evicts: a server drops its other models when it loads one.
+	evicts bool
+	given  []Order
+}
+
+func newWorld(rules []settings.PlacementRule, servers ...*pb.ServerState) *world {
+	return &world{
+		planner: NewPlanner(Config{}),
+		in: Input{
+			Now: testStart, Rules: rules, Servers: servers,
+			Leadership: Leadership{Term: 1, Since: testStart, OK: true},
+		},
+	}
+}
+
+func testServer(i int, models ...string) *pb.ServerState {
+	return &pb.ServerState{Address: fmt.Sprintf("10.1.0.%d:8000", i), Pool: "llm", Models: models, ChecksFence: true}
+}
+
+// step lets a second pass and returns the orders; done carries them out before the next.
+func (w *world) step() []Order {
+	w.in.Now = w.in.Now.Add(time.Second)
+	return w.planner.Step(w.in)
+}
+
+func (w *world) carryOut(orders []Order) {
+	for _, o := range orders {
+		w.planner.Ended(w.in.Now, o, Accepted)
+		w.given = append(w.given, o)
+		w.apply(find(w.in.Servers, o.Server), o)
+	}
+}
+
+func (w *world) apply(s *pb.ServerState, o Order) {
+	switch o.Verb {
+	case LoadModel:
+		if w.evicts {
+			s.Models, s.Adapters = nil, nil
+		}
+		s.Models = append(s.Models, o.Model)
+	case UnloadModel:
+		s.Models = slices.DeleteFunc(s.Models, func(m string) bool { return m == o.Model })
+	case LoadAdapter:
+		s.Adapters = append(s.Adapters, o.Adapter)
+	case ChangeRole:
+		s.Role = o.Role
+	}
+}
+
+func (w *world) run(seconds int) {
+	for range seconds {
+		w.carryOut(w.step())
+	}
+}
+
+func TestServersComeToMeetTheRules(t *testing.T) {
+	rules := []settings.PlacementRule{
+		{Pool: "llm", Model: "ledger@v2", Servers: 4},
+		{Pool: "llm", Model: "ledger@v2", Adapter: "audit", Role: "decode", Servers: 2},
+	}
+	for _, evicts := range []bool{false, true} {
+		servers := []*pb.ServerState{testServer(1, "ledger@v1"), testServer(2, "ledger@v1"), testServer(3, "ledger@v1"), testServer(4, "ledger@v1")}
+		w := newWorld(rules, servers...)
+		w.evicts = evicts
+		w.run(60)
+		full := 0
+		for _, s := range servers {
+			if len(s.Models) != 1 || s.Models[0] != "ledger@v2" {
+				t.Errorf("evicts %v: %s serves %v", evicts, s.Address, s.Models)
+			}
+			if matches(s, rules[1]) {
+				full++
+			}
+		}
+		if full != 2 || len(w.planner.Blocked()) != 0 {
+			t.Errorf("evicts %v: %d servers with adapter and role; blocked: %v", evicts, full, w.planner.Blocked())
+		}
+		n := len(w.given)
+		w.run(60)
+		if len(w.given) != n {
+			t.Errorf("evicts %v: orders although all is met: %v", evicts, w.given[n:])
+		}
+	}
+}
+
+// Symptom: a model that callers use has no server any more.
+// Sequence: a rule wants another model; the engine drops what it has when it loads.
+// Cause: the only server of a model was taken for the other.
+func TestLastServerOfAModelIsNotTaken(t *testing.T) {
+	rules := []settings.PlacementRule{{Pool: "llm", Model: "codes", Servers: 2}}
+	w := newWorld(rules, testServer(1, "ledger"), testServer(2), testServer(3, "other"))
+	w.evicts = true
+	w.in.Servers[2].Leaving = true
+	w.run(30)
+	if len(w.given) != 1 || w.given[0].Server != "10.1.0.2:8000" {
+		t.Fatalf("orders: %v", w.given)
+	}
+	blocked := w.planner.Blocked()
+	if len(blocked) != 1 || blocked[0].Have != 1 || !strings.Contains(blocked[0].Reason, "last server of model ledger") {
+		t.Errorf("blocked: %+v", blocked)
+	}
+}
+
+// Symptom: a server that ignores fencing numbers carries out the orders of two leaders.
+// Sequence: a leader ends with an order on its way; the next begins at once.
+// Cause: the next leader didn't wait until the order must have ended.
+func TestNewLeaderWaitsForServersThatIgnoreNumbers(t *testing.T) {
+	rules := []settings.PlacementRule{{Pool: "llm", Model: "codes", Servers: 8}}
+	w := newWorld(rules)
+	for i := range 8 {
+		s := testServer(i)
+		s.ChecksFence = i >= 4
+		w.in.Servers = append(w.in.Servers, s)
+	}
+	for range int(DefaultViewSettle/time.Second) - 1 {
+		w.carryOut(w.step())
+	}
+	if len(w.given) != 0 {
+		t.Errorf("%d orders before the announcements were gathered", len(w.given))
+	}
+	for w.in.Now.Sub(testStart) < DefaultLease+DefaultDrift+DefaultLongestOrder-time.Second {
+		w.carryOut(w.step())
+	}
+	if len(w.given) != 4 {
+		t.Errorf("%d orders within the wait, want 4", len(w.given))
+	}
+	for _, o := range w.given {
+		if !find(w.in.Servers, o.Server).ChecksFence {
+			t.Errorf("%s was ordered %v after the term began", o.Server, w.in.Now.Sub(testStart))
+		}
+	}
+	w.run(20)
+	if len(w.given) != 8 {
+		t.Errorf("%d orders after the wait, want 8", len(w.given))
+	}
+}
+
+// Symptom: a server carries out an old order after a newer one.
+// Sequence: an order gets no answer; another for the same server follows at once.
+// Cause: the server was taken to be free.
+func TestServerWithAnUnansweredOrderGetsNoOther(t *testing.T) {
+	rules := []settings.PlacementRule{{Pool: "llm", Model: "codes", Servers: 1}}
+	w := newWorld(rules, testServer(1))
+	w.planner = NewPlanner(Config{Rest: time.Second})
+	w.planner.Ended(w.in.Now, w.until(t), Unknown)
+	for range int(DefaultLongestOrder / time.Second) {
+		if again := w.step(); len(again) != 0 {
+			t.Fatalf("ordered again after %v: %v", w.in.Now.Sub(testStart), again)
+		}
+	}
+	w.run(4)
+	if len(w.given) != 1 {
+		t.Errorf("not tried again: %v", w.given)
+	}
+}
+
+// Symptom: a server gets an order while another of the same leader is on its way.
+// Sequence: a leader is replaced and elected again; an order of its first term ends.
+// Cause: that end was taken for the end of the present order to the same server.
+func TestEndOfAFormerTermsOrderFreesNothing(t *testing.T) {
+	rules := []settings.PlacementRule{{Pool: "llm", Model: "codes", Servers: 1}}
+	w := newWorld(rules, testServer(1))
+	w.planner = NewPlanner(Config{Rest: time.Second})
+	first := w.until(t)
+	w.in.Leadership = Leadership{Term: 3, Since: w.in.Now, OK: true}
+	w.until(t)
+	w.planner.Ended(w.in.Now, first, Refused)
+	for range 4 {
+		if again := w.step(); len(again) != 0 {
+			t.Fatalf("ordered again: %v", again)
+		}
+	}
+}
+
+// until steps to the first order.
+func (w *world) until(t *testing.T) Order {
+	t.Helper()
+	for range 60 {
+		if orders := w.step(); len(orders) > 0 {
+			return orders[0]
+		}
+	}
+	t.Fatal("no order")
+	return Order{}
+}
+
+// Symptom: a change of settings makes a whole pool load at once, or takes both last
+// servers of a model in the same second.
+// Cause: orders of one step were each decided as if they were the only one.
+func TestOrdersOfOneStepSeeEachOther(t *testing.T) {
+	w := newWorld([]settings.PlacementRule{{Pool: "llm", Model: "codes", Servers: 16}})
+	for i := range 16 {
+		w.in.Servers = append(w.in.Servers, testServer(i))
+	}
+	w.until(t)
+	if n := len(w.planner.flights); n != 16/busyShare {
+		t.Errorf("%d of 16 servers load at once", n)
+	}
+	w.in.Rules = []settings.PlacementRule{{Pool: "llm", Model: "ledger", Servers: 14}, {Pool: "llm", Model: "codes", Servers: 16}}
+	for _, s := range w.in.Servers {
+		s.Models = []string{"ledger"}
+	}
+	w.planner = NewPlanner(Config{})
+	w.until(t)
+	w.step()
+	if n := len(w.planner.flights); n != 2 {
+		t.Errorf("%d servers taken from a rule that can spare 2", n)
+	}
+	w.in.Rules = w.in.Rules[1:]
+	for i, s := range w.in.Servers {
+		s.Models = []string{"ledger"}
+		s.Leaving = i >= 2
+	}
+	w.planner = NewPlanner(Config{})
+	w.until(t)
+	if n := len(w.planner.flights); n != 1 {
+		t.Errorf("%d of the last 2 servers of a model taken at once", n)
+	}
+}
+
+// Symptom: two rules take servers from each other for ever.
+// Sequence: the rules want more servers than there are; engines drop what they had.
+// Cause: a rule was served at the cost of another.
+func TestRulesBeyondThePoolDontTakeTurns(t *testing.T) {
+	w := newWorld([]settings.PlacementRule{{Pool: "llm", Model: "a", Servers: 3}, {Pool: "llm", Model: "b", Servers: 3}},
+		testServer(1, "a"), testServer(2, "a"), testServer(3, "a"), testServer(4, "a"))
+	w.evicts = true
+	w.run(200)
+	if len(w.given) != 1 || len(w.planner.Blocked()) != 1 {
+		t.Errorf("orders %v, blocked %v", w.given, w.planner.Blocked())
+	}
+}
+
+// Symptom: the weight store is asked for more than its limit when leaders change often.
+// Sequence: leaders alternate at random; each has models to load.
+// Cause: a leader began with a full bucket, or the bucket was paid after the order.
+func TestRateLimitHoldsAcrossLeaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, size = 100, 1000
+		var servers []*pb.ServerState
+		for i := range 40 {
+			servers = append(servers, testServer(i))
+		}
+		leaders := []*world{newWorld(nil, servers...), newWorld(nil, servers...)}
+		now, term := testStart, uint64(0)
+		type paid struct {
+			at    time.Time
+			bytes int64
+		}
+		var history []paid
+		for range rapid.IntRange(2, 5).Draw(t, "changes") {
+			term++
+			leader := leaders[rapid.IntRange(0, 1).Draw(t, "leader")]
+			leader.in.StoreRate = rate
+			leader.in.Leadership = Leadership{Term: term, Since: now, OK: true}
+			leader.in.Now = now
+			idle := rapid.IntRange(0, 40).Draw(t, "idle seconds")
+			for second := range idle + rapid.IntRange(1, 40).Draw(t, "busy seconds") {
+				leader.in.Rules = []settings.PlacementRule{{Pool: "llm", Model: "codes", Servers: 40, Bytes: size}}
+				if second < idle {
+					leader.in.Rules[0].Servers = 0
+				}
+				orders := leader.step()
+				leader.carryOut(orders)
+				for _, o := range orders {
+					history = append(history, paid{leader.in.Now, o.Bytes})
+				}
+			}
+			now = leader.in.Now
+		}
+		for i := range history {
+			var sum int64
+			for _, p := range history[i:] {
+				sum += p.bytes
+				if most := size + int64(p.at.Sub(history[i].at).Seconds()*rate); sum > most {
+					t.Fatalf("%d bytes in %v, the limit allows %d", sum, p.at.Sub(history[i].at), most)
+				}
+			}
+		}
+	})
+}
+
+// Whatever the rules, failures and engines: a model that was served stays served by a
+// server that isn't loading, no server has two orders, and the rules' orders end.
+func TestNoRuleEmptiesAModelWhateverFails(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a@1", "a@2", "b", "c"}
+		var rules []settings.PlacementRule
+		for _, m := range rapid.SliceOfDistinct(rapid.SampledFrom(names), rapid.ID[string]).Draw(t, "wanted") {
+			rules = append(rules, settings.PlacementRule{Pool: "llm", Model: m, Servers: rapid.IntRange(0, 5).Draw(t, "servers")})
+		}
+		w := newWorld(rules)
+		w.evicts = rapid.Bool().Draw(t, "evicts")
+		for i := range rapid.IntRange(1, 9).Draw(t, "n") {
+			w.in.Servers = append(w.in.Servers, testServer(i, rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 2, rapid.ID[string]).Draw(t, "models")...))
+		}
+		served := servedBases(w, nil)
+		for range 150 {
+			orders := w.step()
+			loading := make(map[string]bool)
+			for _, o := range orders {
+				if loading[o.Server] {
+					t.Fatalf("two orders to %s", o.Server)
+				}
+				loading[o.Server] = o.Verb == LoadModel
+			}
+			for _, name := range served {
+				if !slices.Contains(servedBases(w, loading), name) {
+					t.Fatalf("nobody serves %s while %v", name, orders)
+				}
+			}
+			if len(orders) > 0 && rapid.IntRange(0, 9).Draw(t, "fails") == 0 {
+				for _, o := range orders {
+					w.planner.Ended(w.in.Now, o, Result(rapid.IntRange(int(NotSent), int(Unknown)).Draw(t, "how")))
+				}
+				continue
+			}
+			w.carryOut(orders)
+		}
+		n := len(w.given)
+		w.run(100)
+		if len(w.given) != n {
+			t.Fatalf("orders don't end: %v", w.given[n:])
+		}
+	})
+}
+
+func servedBases(w *world, loading map[string]bool) []string {
+	var names []string
+	for _, s := range w.in.Servers {
+		if !loading[s.Address] {
+			names = append(names, bases(s)...)
+		}
+	}
+	return names
+}
+
+func TestNoOrderWithoutLease(t *testing.T) {
+	w := newWorld([]settings.PlacementRule{{Pool: "llm", Model: "codes", Servers: 1}}, testServer(1))
+	w.in.Leadership.OK = false
+	w.run(60)
+	if len(w.given) != 0 {
+		t.Errorf("orders without a lease: %v", w.given)
+	}
+}
