--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -43,7 +43,8 @@
 	resetTick map[uint64]int64
 	role      raft.Role
 
-	view atomic.Pointer[view]
+	view  atomic.Pointer[view]
+	leads atomic.Pointer[leadership] // nil unless this replica leads
 
 	inMu      sync.Mutex
 	inbox     []*pb.RaftMessage
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -52,6 +52,7 @@
 func (r *Replica) publish() {
 	v := r.currentView()
 	r.view.Store(v)
+	r.noteLeadership(v)
 	if v.role == r.role {
 		return
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/callerapi"
 	"github.com/bluebellsail/bluebellsail/internal/controller/grants"
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
+	"github.com/bluebellsail/bluebellsail/internal/controller/placement"
 	"github.com/bluebellsail/bluebellsail/internal/controller/records"
 	"github.com/bluebellsail/bluebellsail/internal/controller/scheduler"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
@@ -53,6 +54,8 @@
 	members *members.Controller
 	explain *explain.Store
 
+	placement *placement.Controller
+
 	grants  *grants.Manager
 	records *records.Controller
 	api     *callerapi.API
@@ -82,6 +85,7 @@
 		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: registry{e.sched}, Load: e.load,
 		Log: d.tel.Log, Metrics: d.tel.Metrics,
 	})
+	e.placement = e.newPlacement()
 	d.tel.Metrics.Set("scheduler", e.sched.Metrics().Map())
 	return e
 }
