--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -36,7 +36,13 @@
 
 func (b *budget) free() uint64 { return b.funded - b.billed - b.granted }
 
-// setGrant changes a holder's tokens and keeps the sums.
+// setGrant changes a holder's tokens of a budget.
+func (s *State) setGrant(b *budget, incarnation, tokens uint64) {
+	s.hosts.held(incarnation, b.holders[incarnation].tokens, tokens)
+	b.setGrant(incarnation, tokens)
+}
+
+// setGrant changes a holder's tokens and keeps the sums. Use State.setGrant.
 func (b *budget) setGrant(incarnation, tokens uint64) {
 	g := b.holders[incarnation]
 	b.count(g.tokens, tokens)
@@ -181,7 +187,7 @@
 	}
 	if a.Seq > g.seq {
 		amount := b.grantSize(inc, a.Need, a.Want)
-		b.setGrant(inc, g.tokens+amount)
+		s.setGrant(b, inc, g.tokens+amount)
 		g = b.holders[inc]
 		g.seq, g.lastAmount = a.Seq, amount
 		b.holders[inc] = g
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -240,7 +240,7 @@
 func (d *draft) commit() {
 	s := d.state
 	for key, tokens := range d.grants {
-		key.budget.setGrant(key.incarnation, tokens)
+		s.setGrant(key.budget, key.incarnation, tokens)
 	}
 	for b, sp := range d.spending {
 		b.billed += sp.tokens
--- a/internal/ledger/hosts.go
+++ b/internal/ledger/hosts.go
@@ -56,6 +56,8 @@
 	Result batchResult `json:"result"`
 	// Contact is when the last batch was applied (or the host registered).
 	Contact int64 `json:"contact"`
+	// budgets is the number of budgets of which it has tokens.
+	budgets int
 }
 
 // recovery is the result of recovering one incarnation.
@@ -214,15 +216,33 @@
 	return out
 }
 
-// oldestContact is the earliest time since when some open incarnation has not settled.
+// oldestContact is the earliest time since when some open incarnation that has tokens
+// has not settled. One without tokens has nothing to bill; were it counted, a host
+// that serves nobody would keep every identity from being forgotten.
 func (g *registry) oldestContact(now int64) int64 {
 	oldest := now
 	for _, inc := range g.open {
-		oldest = min(oldest, inc.Contact)
+		if inc.budgets > 0 {
+			oldest = min(oldest, inc.Contact)
+		}
 	}
 	return oldest
 }
 
+// held notes that an incarnation's tokens of one budget changed.
+func (g *registry) held(number, before, after uint64) {
+	inc := g.open[number]
+	if inc == nil {
+		return
+	}
+	if before > 0 {
+		inc.budgets--
+	}
+	if after > 0 {
+		inc.budgets++
+	}
+}
+
 func (g *registry) closeIncarnation(r recovery) {
 	delete(g.open, r.Incarnation)
 	g.recovered = append(g.recovered, r)
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -120,6 +120,11 @@
 	for _, inc := range im.Open {
 		fresh.hosts.open[inc.Number] = &inc
 	}
+	for _, b := range fresh.byNumber {
+		for inc, g := range b.holders {
+			fresh.hosts.held(inc, 0, g.tokens)
+		}
+	}
 	for _, t := range im.Transfers {
 		fresh.transfers[t.ID] = t.transfer
 	}
