--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -108,16 +108,16 @@
 // Cause: the ledger forgot the identity although a holder with an unsettled bill was out of contact.
 func TestIdentityOutlivesPartition(t *testing.T) {
 	r := newRig(t, Options{}, 1_000_000)
-	idle := r.register("idle") // has no tokens after this, so it holds nothing up
-	r.acquire(idle, 1, 10, 10)
-	if _, err := r.settle(idle, &pb.Settle{Returns: []*pb.Return{{Budget: testBudget, Tokens: 10}}}); err != nil {
-		t.Fatal(err)
-	}
+	idle := r.register("idle") // gives its tokens back, so it holds nothing up
 	cutOff, near := r.register("far"), r.register("near")
 	r.acquire(cutOff, 1, 100, 100)
 	r.acquire(near, 1, 10_000, 10_000)
 	arrived := r.now
 	r.restore()
+	r.acquire(idle, 1, 10, 10)
+	if _, err := r.settle(idle, &pb.Settle{Returns: []*pb.Return{{Budget: testBudget, Tokens: 10}}}); err != nil {
+		t.Fatal(err)
+	}
 	if r.bill(near, "school/1", 10, r.now) {
 		t.Fatal("the first bill is called a duplicate")
 	}
