--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -76,7 +76,7 @@
 type speed struct {
 	announced fit      // by batch size, from announcements
 	perToken  estimate // of this host's runs, seconds per token of one stream
-	service   estimate // this host's whole calls of plain services, seconds
+	run       estimate // this host's whole runs, seconds
 }
 
 // announce takes a new load report. TokensPerSecond is the speed of one stream at
@@ -90,6 +90,7 @@
 // Measured takes a finished run of a model: took from dispatch to the end, first
 // from dispatch to the first token (zero: not known), output in tokens.
 func (s *Server) Measured(first, took time.Duration, output uint64) {
+	s.speed.run.add(took.Seconds())
 	if output < 2 || first <= 0 || took <= first {
 		return
 	}
@@ -97,7 +98,7 @@
 }
 
 // MeasuredService takes a finished call of a plain service.
-func (s *Server) MeasuredService(took time.Duration) { s.speed.service.add(took.Seconds()) }
+func (s *Server) MeasuredService(took time.Duration) { s.speed.run.add(took.Seconds()) }
 
 // TokenTime is the time per output token of one stream to plan with: at a full
 // batch by the announced speeds, or as measured by this host if that is slower.
@@ -122,9 +123,26 @@
 
 // ServiceTime is the time of one call of a plain service, to plan with.
 func (s *Server) ServiceTime() time.Duration {
-	v, known := s.speed.service.upper()
+	v, known := s.speed.run.upper()
 	if !known {
 		return assumedServiceTime
 	}
 	return time.Duration(v * float64(time.Second))
 }
+
+// MeanRun is the mean time of this host's runs at s; 0 while too little was measured.
+func (s *Server) MeanRun() time.Duration {
+	if s.speed.run.n < minSamples {
+		return 0
+	}
+	return time.Duration(s.speed.run.mean * float64(time.Second))
+}
+
+// Depth is how many requests beyond its slots s works off within d.
+func (s *Server) Depth(d time.Duration) int {
+	run := s.MeanRun()
+	if run <= 0 {
+		return 0
+	}
+	return int(int64(s.Slots()) * int64(d) / int64(run))
+}
--- a/internal/measure/routing/server.go
+++ b/internal/measure/routing/server.go
@@ -169,7 +169,7 @@
 	}
 	s.active = keep
 	s.loadSum += float64(len(s.active) + len(s.queue))
-	if now <= arrivals {
+	if now > countFrom && now <= countUntil {
 		s.busySum += float64(len(s.active))
 	}
 	return done
--- a/internal/measure/routing/sim.go
+++ b/internal/measure/routing/sim.go
@@ -16,7 +16,7 @@
 	tick          = 20 * time.Millisecond
 	announceEvery = 500 * time.Millisecond
 	// faultAt is when servers are lost.
-	faultAt = 15 * time.Second
+	faultAt = 25 * time.Second
 	// noticeLoss is when a host sees that a connection to a lost server broke.
 	noticeLoss = 500 * time.Millisecond
 	eventDelay = 200 * time.Millisecond
@@ -137,20 +137,17 @@
 		}
 		m.work(now)
 		r.tick(now)
-		if next == len(m.jobs) && m.finished() {
+		if m.finished() {
 			return
 		}
 	}
 }
 
 func (m *sim) finished() bool {
-	if len(m.running) > 0 {
-		return false
-	}
 	for m.settled < len(m.jobs) && m.jobs[m.settled].result != open {
 		m.settled++
 	}
-	return m.settled == len(m.jobs)
+	return m.settled == len(m.jobs) || m.jobs[m.settled].arrive >= countUntil
 }
 
 func (m *sim) announceAll(now time.Duration) {
--- a/internal/measure/routing/table.go
+++ b/internal/measure/routing/table.go
@@ -105,6 +105,9 @@
 	var firsts []time.Duration
 	blocks, hits := 0, 0
 	for _, j := range jobs {
+		if j.arrive < countFrom || j.arrive >= countUntil {
+			continue
+		}
 		if j.target == serviceTarget {
 			r.services++
 			if j.result == inTime {
@@ -216,7 +219,7 @@
 			sum += s.busySum
 		}
 	}
-	return sum / float64(m.site.models*modelSlots) / float64(arrivals/tick)
+	return sum / float64(m.site.models*modelSlots) / float64((countUntil-countFrom)/tick)
 }
 
 func printRows(w io.Writer, rows []row) error {
--- a/internal/measure/routing/workload.go
+++ b/internal/measure/routing/workload.go
@@ -16,8 +16,14 @@
 // blockTokens is the size of a prefix block.
 const blockTokens = 128
 
-// arrivals is how long requests arrive in a run; the run goes on until all ended.
-const arrivals = 40 * time.Second
+// Requests arrive for the time arrivals. Those from countFrom to countUntil are in
+// the figures, and the run ends when all of them have ended: so queues are filled
+// before, and the load holds for as long as any of them may wait.
+const (
+	arrivals   = 75 * time.Second
+	countFrom  = 20 * time.Second
+	countUntil = 45 * time.Second
+)
 
 // site is one deployment.
 type site struct {
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -33,16 +33,19 @@
 func (c *Core) hasRoom(now time.Time, m member, class Class, due bool) bool {
 	s := m.server
 	own := s.Own()
+	depth := s.Depth(c.cfg.Ahead)
+	share := m.share(s.Slots() + depth)
 	if s.LoadAge(now) > c.cfg.FreshLoad {
 		// What other hosts do is not known: only the own share is safe.
-		return own < m.share
+		return own < share
 	}
 	limit := s.Slots()
 	if !due {
 		limit = room(limit, class)
 	}
+	limit += depth
 	load := c.loadOf(s)
-	if own < m.share {
+	if own < share {
 		return load < limit
 	}
 	lent := (s.Slots() + lentPart - 1) / lentPart
@@ -78,12 +81,22 @@
 // cap at the speed of a full batch.
 func (c *Core) runTime(s *backend.Server, w *Work, cached float64) time.Duration {
 	way := c.way(s)
+	wait := c.slotWait(s)
 	if w.Target.Kind == backend.Service {
-		return way + s.ServiceTime()
+		return way + wait + s.ServiceTime()
 	}
 	prompt := float64(w.PromptTokens) * (1 - cached)
 	prefill := s.PrefillTime(float64(s.PendingPrompt()) + prompt)
-	return way + prefill + time.Duration(w.OutputCap)*s.TokenTime()
+	return way + wait + prefill + time.Duration(w.OutputCap)*s.TokenTime()
+}
+
+// slotWait predicts how long a request waits at s for a slot.
+func (c *Core) slotWait(s *backend.Server) time.Duration {
+	over := c.loadOf(s) - s.Slots() + 1
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over) * s.MeanRun() / time.Duration(s.Slots())
 }
 
 // bareTime is runTime on s with no other prompt pending.
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -10,7 +10,7 @@
 // passed over by at most this many grants in a row to more pressing classes.
 const (
 	normalPassedBound = 4
-	batchPassedBound  = 12
+	batchPassedBound  = 64
 )
 
 // Shares of a server's slots kept free for more pressing classes, one part in so many.
--- a/internal/sched/subset.go
+++ b/internal/sched/subset.go
@@ -8,11 +8,11 @@
 	"github.com/bluebellsail/bluebellsail/internal/backend"
 )
 
-// member is a server of this host's subset of a target, with this host's share of it.
+// member is a server of this host's subset of a target.
 type member struct {
 	server *backend.Server
-	// share is the number of the server's slots that are this host's own.
-	share int
+	// cover is the number of hosts that use the server, place this host's among them.
+	cover, place int
 	// hash of the server's address.
 	hash uint64
 }
@@ -55,7 +55,7 @@
 		if place >= cover {
 			continue
 		}
-		out = append(out, member{server: s, share: shareOf(s.Slots(), cover, place), hash: hash})
+		out = append(out, member{server: s, cover: cover, place: place, hash: hash})
 	}
 	return out
 }
@@ -72,6 +72,9 @@
 	return place
 }
 
+// share is how much of the server's room is this host's own.
+func (m *member) share(room int) int { return shareOf(room, m.cover, m.place) }
+
 // shareOf splits slots among cover hosts; the remainder goes to the first places.
 func shareOf(slots, cover, place int) int {
 	share := slots / cover
