--- a/internal/standin/batch_test.go
+++ b/internal/standin/batch_test.go
@@ -1,8 +1,18 @@
 package standin
 
 import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 func TestBatchSlowsDownWithItsSize(t *testing.T) {
@@ -62,11 +72,42 @@
 	}
 }
 
-func TestBlockHashesShareAPrefix(t *testing.T) {
-	long := Prompt{Roles: []string{"user"}, Contents: []string{string(make([]byte, 3*blockBytes))}}.Text()
-	a, b := BlockHashes(long+"a"), BlockHashes(long[:2*blockBytes]+"b")
-	if len(a) != 3 || len(b) != 2 || a[1] != b[1] || a[0] == a[1] {
-		t.Fatalf("hashes %v and %v", a, b)
+// Symptom: no request ever finds its prefix cached, though each server reports hits.
+// Sequence: a host hashes a prompt's blocks to choose a server; the server reports its blocks.
+// Cause: the two put the prompt's text together differently.
+func TestHostAndServerHashTheSameBlocks(t *testing.T) {
+	long := strings.Repeat("ledger of may ", 100)
+	for path, body := range map[string]string{
+		parse.PathChat:        chatBody(long, 5),
+		parse.PathCompletions: fmt.Sprintf(`{"model":"m","prompt":%q}`, long),
+	} {
+		call := &filter.Call{Path: path, Team: &settings.Team{MaxOutputTokens: 10}}
+		r := httptest.NewRequest("POST", path, strings.NewReader(body))
+		seen := filter.HandlerFunc(func(http.ResponseWriter, *http.Request) error { return nil })
+		f := &parse.Filter{Settings: fleetSettings{}}
+		if err := f.ServeHTTP(nil, r.WithContext(filter.WithCall(r.Context(), call)), seen); err != nil {
+			t.Fatal(err)
+		}
+		var atServer completionRequest
+		if err := json.Unmarshal(call.Body, &atServer); err != nil {
+			t.Fatal(err)
+		}
+		got := parse.PrefixHashes(atServer.Model, atServer.cacheText())
+		if len(got) < 2 || !slices.Equal(got, call.PromptHashes) {
+			t.Errorf("%s: server has %x, host has %x", path, got, call.PromptHashes)
+		}
+	}
+}
+
+// fleetSettings bounds bodies only.
+type fleetSettings struct{ filter.Settings }
+
+func (fleetSettings) Fleet() settings.Fleet { return settings.Fleet{MaxBodyBytes: 1 << 20} }
+
+func TestCacheEventsAreWrittenInHex(t *testing.T) {
+	b, err := json.Marshal(CacheEvent{Seq: 1, Stored: []BlockHash{255}})
+	if want := `{"seq":1,"stored":["ff"]}`; err != nil || string(b) != want {
+		t.Fatalf("got %s, want %s", b, want)
 	}
 }
 
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -2,36 +2,28 @@
 
 import (
 	"container/list"
-
-	"github.com/cespare/xxhash/v2"
+	"strconv"
 )
 
-// blockBytes is how much of a prompt's text one cached block holds: 16 tokens.
-const blockBytes = 64
-
 // maxCacheEvents bounds the events kept for posting; older ones are lost, which
 // leaves a gap in the numbers.
 const maxCacheEvents = 10000
 
-// BlockHashes returns the hashes of the successive prefix blocks of a prompt's text.
-// Each is the hash of the whole text up to the end of the block. A last block that
-// is not full has none.
-func BlockHashes(text string) []uint64 {
-	var hashes []uint64
-	digest := xxhash.New()
-	for len(text) >= blockBytes {
-		_, _ = digest.WriteString(text[:blockBytes])
-		text = text[blockBytes:]
-		hashes = append(hashes, digest.Sum64())
-	}
-	return hashes
+// CacheEvent is one numbered change of the prefix cache. Blocks are named by their
+// hashes in hex.
+type CacheEvent struct {
+	Seq     uint64      `json:"seq"`
+	Stored  []BlockHash `json:"stored,omitempty"`
+	Removed []BlockHash `json:"removed,omitempty"`
 }
 
-// CacheEvent is one numbered change of the prefix cache.
-type CacheEvent struct {
-	Seq     uint64   `json:"seq"`
-	Stored  []uint64 `json:"stored,omitempty"`
-	Removed []uint64 `json:"removed,omitempty"`
+// BlockHash is the hash of a prompt's prefix up to the end of a block, as entry hosts
+// work it out. It is written in hex.
+type BlockHash uint64
+
+// MarshalText implements encoding.TextMarshaler.
+func (h BlockHash) MarshalText() ([]byte, error) {
+	return strconv.AppendUint(nil, uint64(h), 16), nil
 }
 
 // prefixCache keeps the blocks used last, within a bound, and the events not yet taken.
@@ -62,13 +54,13 @@
 		}
 		missed = true
 		c.blocks[h] = c.recent.PushFront(h)
-		ev.Stored = append(ev.Stored, h)
+		ev.Stored = append(ev.Stored, BlockHash(h))
 	}
 	for len(c.blocks) > c.bound {
 		oldest := c.recent.Back()
 		h := c.recent.Remove(oldest).(uint64)
 		delete(c.blocks, h)
-		ev.Removed = append(ev.Removed, h)
+		ev.Removed = append(ev.Removed, BlockHash(h))
 	}
 	if len(ev.Stored)+len(ev.Removed) > 0 {
 		c.seq++
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 )
 
 // maxBody bounds a request's body.
@@ -91,6 +93,23 @@
 	return text, nil
 }
 
+// cacheText is the text whose prefixes are cached. It is put together as entry hosts
+// do it, whose hashes have to agree with those in cache events.
+func (c *completionRequest) cacheText() []byte {
+	if len(c.Messages) == 0 {
+		text, _ := contentText(c.Prompt) // was read before
+		return []byte(text)
+	}
+	var text []byte
+	for _, m := range c.Messages {
+		text = append(text, m.Role...)
+		text = append(text, 0)
+		text = append(text, m.Content...)
+		text = append(text, 0)
+	}
+	return text
+}
+
 func (c *completionRequest) maxTokens() int {
 	if c.MaxCompletionTokens > 0 {
 		return c.MaxCompletionTokens
@@ -115,7 +134,7 @@
 		return
 	}
 	st := s.newRun(&req, prompt, r)
-	err = s.engine.submit(st, BlockHashes(prompt.Text()), req.Priority)
+	err = s.engine.submit(st, parse.PrefixHashes(req.Model, req.cacheText()), req.Priority)
 	if err != nil {
 		refuseRun(w, err)
 		return
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 )
 
 // Reasons why the engine takes no stream.
@@ -52,7 +54,7 @@
 	if err := e.admit(st); err != nil {
 		return err
 	}
-	st.cachedTokens = min(e.cache.use(hashes)*blockBytes/bytesPerToken, st.promptTokens)
+	st.cachedTokens = min(e.cache.use(hashes)*parse.BlockBytes/bytesPerToken, st.promptTokens)
 	e.start(&sequence{
 		stream:      st,
 		priority:    priority,
--- a/internal/standin/text.go
+++ b/internal/standin/text.go
@@ -24,7 +24,7 @@
 	Contents []string
 }
 
-// Text is the prompt as one string, in which prefixes are cached.
+// Text is the prompt as one string.
 func (p Prompt) Text() string {
 	var b strings.Builder
 	for i, c := range p.Contents {
