--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -124,7 +124,7 @@
 	e.members.SetIncarnation(reg.Holder.Incarnation)
 	e.members.Learn(reg.Hosts)
 	e.makeControllers(reg.Holder)
-	e.d.peers.setPeer(peerservice.New(e.records, e.grants, e.members))
+	e.d.peers.setPeer(peerservice.New(e.records, e.grants, e.members, e))
 	t := e.d.tasks
 	t.run(e.members.Run)
 	t.run(e.records.Run)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/adminapi"
-	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
@@ -88,14 +86,3 @@
 	}
 	return f.d.entry.sched.Servers()
 }
-
-// explainer implements adminapi.Explainer from this host's store.
-type explainer struct{ d *Daemon }
-
-// Explain finds what was decided for a request that this host served.
-func (e explainer) Explain(_ context.Context, id string) (json.RawMessage, error) {
-	if e.d.entry == nil {
-		return nil, errkind.New(errkind.NotFound, "this host serves no callers")
-	}
-	return e.d.entry.explain.JSON(id)
-}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -92,3 +92,7 @@
 func (l *latePeer) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatReply, error) {
 	return l.service().Heartbeat(ctx, r)
 }
+
+func (l *latePeer) Explain(ctx context.Context, r *pb.ExplainRequest) (*pb.ExplainReply, error) {
+	return l.service().Explain(ctx, r)
+}
--- a/internal/peerservice/peerservice.go
+++ b/internal/peerservice/peerservice.go
@@ -25,17 +25,28 @@
 	HandleHeartbeat(*pb.HeartbeatRequest) *pb.HeartbeatReply
 }
 
+// Explainer tells what was decided for requests that this host served.
+type Explainer interface {
+	HandleExplain(*pb.ExplainRequest) *pb.ExplainReply
+}
+
 // Service implements pb.PeerServer.
 type Service struct {
 	pb.UnimplementedPeerServer
 	records Records
 	grants  Grants
 	members Members
+	explain Explainer
+}
+
+// New makes the service. All parts are needed.
+func New(r Records, g Grants, m Members, e Explainer) *Service {
+	return &Service{records: r, grants: g, members: m, explain: e}
 }
 
-// New makes the service. All three parts are needed.
-func New(r Records, g Grants, m Members) *Service {
-	return &Service{records: r, grants: g, members: m}
+// Explain tells what this host decided for a request.
+func (s *Service) Explain(_ context.Context, r *pb.ExplainRequest) (*pb.ExplainReply, error) {
+	return s.explain.HandleExplain(r), nil
 }
 
 // PutRecords keeps copies of a peer's in-flight records.
