--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -36,13 +36,15 @@
 	wal       *wal.Log
 	snapshots *snapshot.Store
 	snapIndex uint64
+	taken     int64 // bytes of the log's room that this turn's entries take
 	pending   map[uint64]*proposal
 	lastTime  int64
 	askedTick int64
 	resetTick map[uint64]int64
 	role      raft.Role
 
-	view atomic.Pointer[view]
+	view  atomic.Pointer[view]
+	leads atomic.Pointer[leadership] // nil unless this replica leads
 
 	inMu      sync.Mutex
 	inbox     []*pb.RaftMessage
@@ -198,7 +200,7 @@
 // stampTime returns the wall time in Unix milliseconds, never less than what was
 // stamped or applied before.
 func (r *Replica) stampTime() int64 {
-	r.lastTime = max(r.lastTime, r.cfg.Now().UnixMilli())
+	r.lastTime = max(r.lastTime, r.cfg.Wall().UnixMilli())
 	return r.lastTime
 }
 
--- a/internal/peerservice/peerservice.go
+++ b/internal/peerservice/peerservice.go
@@ -10,8 +10,8 @@
 
 // Records keeps in-flight records and their copies.
 type Records interface {
-	HandlePut(*pb.PutRecordsRequest) *pb.PutRecordsReply
-	HandleFind(*pb.FindRecordRequest) *pb.FindRecordReply
+	HandlePutRecords(*pb.PutRecordsRequest) *pb.PutRecordsReply
+	HandleFindRecord(*pb.FindRecordRequest) *pb.FindRecordReply
 	HandleGather(*pb.GatherRequest) *pb.GatherReply
 }
 
@@ -25,27 +25,38 @@
 	HandleHeartbeat(*pb.HeartbeatRequest) *pb.HeartbeatReply
 }
 
+// Explainer tells what was decided for requests that this host served.
+type Explainer interface {
+	HandleExplain(*pb.ExplainRequest) *pb.ExplainReply
+}
+
 // Service implements pb.PeerServer.
 type Service struct {
 	pb.UnimplementedPeerServer
 	records Records
 	grants  Grants
 	members Members
+	explain Explainer
+}
+
+// New makes the service. All parts are needed.
+func New(r Records, g Grants, m Members, e Explainer) *Service {
+	return &Service{records: r, grants: g, members: m, explain: e}
 }
 
-// New makes the service. All three parts are needed.
-func New(r Records, g Grants, m Members) *Service {
-	return &Service{records: r, grants: g, members: m}
+// Explain tells what this host decided for a request.
+func (s *Service) Explain(_ context.Context, r *pb.ExplainRequest) (*pb.ExplainReply, error) {
+	return s.explain.HandleExplain(r), nil
 }
 
 // PutRecords keeps copies of a peer's in-flight records.
 func (s *Service) PutRecords(_ context.Context, r *pb.PutRecordsRequest) (*pb.PutRecordsReply, error) {
-	return s.records.HandlePut(r), nil
+	return s.records.HandlePutRecords(r), nil
 }
 
 // FindRecord looks up an identity among own and copied records.
 func (s *Service) FindRecord(_ context.Context, r *pb.FindRecordRequest) (*pb.FindRecordReply, error) {
-	return s.records.HandleFind(r), nil
+	return s.records.HandleFindRecord(r), nil
 }
 
 // Gather returns what this host knows of a dead holder and fences it.
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -21,6 +21,7 @@
 	accounts map[string]*Account
 	fleet    Fleet
 	byKey    map[string]string // key hash -> account
+	byBudget map[string]string // budget -> the first account, by name, that draws on it
 }
 
 // NewView returns the empty tree at revision 0.
@@ -30,11 +31,11 @@
 	return v
 }
 
-// snapshot is the JSON form of a View.
+// snapshot is the JSON form of a View: the tree, its revision and its subtrees' versions.
 type snapshot struct {
 	Revision uint64            `json:"revision"`
 	Versions map[string]uint64 `json:"versions"`
-	Tree     Tree              `json:"tree"`
+	Tree
 }
 
 // ViewFromSnapshot reads what SnapshotJSON wrote.
@@ -43,6 +44,9 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return nil, errors.Wrap(err, "settings snapshot")
 	}
+	if s.Versions == nil {
+		return nil, errors.New("settings snapshot: no versions of subtrees")
+	}
 	v := NewView()
 	v.revision, v.tree.Fleet = s.Revision, s.Tree.Fleet
 	maps.Copy(v.versions, s.Versions)
@@ -67,12 +71,16 @@
 	}
 	v.accounts = make(map[string]*Account, len(v.tree.Accounts))
 	v.byKey = make(map[string]string, len(v.tree.Accounts))
+	v.byBudget = make(map[string]string, len(v.tree.Accounts))
 	for name, a := range v.tree.Accounts {
 		filled := a.WithDefaults()
 		v.accounts[name] = &filled
 		for _, h := range a.KeyHashes {
 			v.byKey[h] = name
 		}
+		if first, ok := v.byBudget[a.Budget]; !ok || name < first {
+			v.byBudget[a.Budget] = name
+		}
 	}
 	v.fleet = Fleet{}.WithDefaults()
 	if v.tree.Fleet != nil {
@@ -98,6 +106,16 @@
 	return a, ok
 }
 
+// TeamOfBudget returns the team of the client account that draws on a budget; of
+// several accounts the first by name.
+func (v *View) TeamOfBudget(budget string) (*Team, bool) {
+	account, ok := v.accounts[v.byBudget[budget]]
+	if !ok {
+		return nil, false
+	}
+	return v.Team(account.Team)
+}
+
 // Team returns a team, with defaults. The caller must not change it.
 func (v *View) Team(name string) (*Team, bool) {
 	t, ok := v.teams[name]
@@ -110,13 +128,13 @@
 // Tree returns the tree as operators wrote it. The caller must not change it.
 func (v *View) Tree() *Tree { return &v.tree }
 
-// Value returns what operators set at a path ("/" is the whole tree) and the
-// version of the subtree that holds it. A path with nothing set is NotFound, with
+// Value returns what operators set at a path ("/" is the whole tree, in the form of
+// SnapshotJSON) and the version of the subtree that holds it. A path with nothing set is NotFound, with
 // the version to expect in the error.
 func (v *View) Value(path string) (value []byte, version uint64, err error) {
 	switch path {
 	case "", "/":
-		value, err = json.Marshal(v.tree)
+		value, err = v.SnapshotJSON()
 		return value, 0, err
 	case "/" + teamsPart:
 		value, err = json.Marshal(v.tree.Teams)
@@ -174,7 +192,7 @@
 	}
 	next.versions[p.subtree()] = c.Version
 	value := c.ValueJson
-	if c.Delete {
+	if c.Delete || isNull(value) {
 		value = nil
 	}
 	if err := next.tree.change(c.Path, p, value); err != nil {
