--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -35,7 +35,7 @@
 
 func errLogFull(bytes, limit int64) error {
 	return errkind.New(errkind.Overloaded,
-		"the control group's log holds %d bytes and its cap is %d, also after a snapshot; nothing was appended", bytes, limit)
+		"the control group's log holds %d bytes and its cap is %d, nothing was appended", bytes, limit).After(time.Second)
 }
 
 // ToWire turns an error into the form that crosses a process boundary.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -44,6 +44,9 @@
 		p.finish(nil, &NotLeaderError{})
 	}
 	r.failPending("this replica is shutting down")
+	if r.job != nil {
+		<-r.job.done
+	}
 	_ = r.wal.Close()
 }
 
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -36,7 +36,8 @@
 	wal       *wal.Log
 	snapshots *snapshot.Store
 	snapIndex uint64
-	taken     int64 // bytes of the log's room that this turn's entries take
+	job       *snapshotJob // under way; nil: none
+	taken     int64        // bytes of the log's room that this turn's entries take
 	pending   map[uint64]*proposal
 	lastTime  int64
 	askedTick int64
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -335,3 +335,36 @@
 		}
 	})
 }
+
+// slowSnapshots takes its time to encode a snapshot.
+type slowSnapshots struct{ *registers }
+
+func (s slowSnapshots) Capture() (func() ([]byte, error), error) {
+	data, err := s.Snapshot()
+	return func() ([]byte, error) {
+		time.Sleep(5 * time.Second)
+		return data, err
+	}, nil
+}
+
+// Symptom: every ten thousand changes the group is without a leader for seconds.
+// Sequence: the leader takes a snapshot of a large state, which takes longer than its lease.
+// Cause: the loop waits for it.
+func TestSlowSnapshotCostsNoLeadership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, func(cfg *Config) {
+			cfg.SnapshotEntries = 20
+			cfg.StateMachine = slowSnapshots{cfg.StateMachine.(*registers)}
+		})
+		term := c.leader().r.Status().Term
+		for i := range 60 {
+			c.mustSet(1, i)
+			time.Sleep(200 * time.Millisecond)
+		}
+		for _, h := range c.hosts {
+			if st := h.r.Status(); st.SnapshotIndex < 20 || st.Term != term {
+				t.Fatalf("%s: snapshot at %d, term %d after %d", h.address, st.SnapshotIndex, st.Term, term)
+			}
+		}
+	})
+}
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -10,54 +10,115 @@
 // so that a follower that is a little behind needs no snapshot.
 const keepBehind = 1000
 
-// maybeSnapshot takes a snapshot when enough was applied or the log has grown to
-// half its cap.
+// Capturer is a StateMachine whose snapshot can be encoded beside later calls of
+// Apply: Capture copies the state, encode turns the copy into bytes.
+type Capturer interface {
+	Capture() (encode func() ([]byte, error), err error)
+}
+
+// snapshotJob is a snapshot being encoded and written beside the loop. In the
+// loop a large one would take longer than the lease, and each snapshot would
+// cost the leader its leadership.
+type snapshotJob struct {
+	snap *pb.Snapshot
+	done chan error
+}
+
+// maybeSnapshot starts a snapshot when enough was applied or the log has grown
+// to half its cap, and takes over one that is finished.
 func (r *Replica) maybeSnapshot() error {
-	grown := r.wal.Bytes() > r.cfg.LogBytes/2 && r.applied > r.snapIndex
-	if r.applied-r.snapIndex < r.cfg.SnapshotEntries && !grown {
-		return nil
+	if err := r.finishSnapshot(); err != nil {
+		return err
 	}
-	return r.takeSnapshot(grown)
+	grown := r.wal.Bytes() > r.cfg.LogBytes/2
+	if r.applied-r.snapIndex >= r.cfg.SnapshotEntries || grown {
+		return r.startSnapshot()
+	}
+	return nil
 }
 
-// takeSnapshot makes the applied state durable and removes the log segments that
-// it replaces: those before the older of the two snapshots kept, or, if room is
-// short, those before the new one.
-func (r *Replica) takeSnapshot(short bool) error {
-	snap, err := r.makeSnapshot()
+// startSnapshot captures the state unless a snapshot is under way or nothing was
+// applied since the last.
+func (r *Replica) startSnapshot() error {
+	if r.job != nil || r.applied == r.snapIndex {
+		return nil
+	}
+	encode, err := r.capture()
 	if err != nil {
-		return err
+		return errors.Wrap(err, "control: capture state")
 	}
-	if err := r.snapshots.Save(snap); err != nil {
-		return err
+	term, ok := r.core.TermAt(r.applied)
+	if !ok {
+		return errors.Errorf("control: no term known for applied index %d", r.applied)
+	}
+	r.job = &snapshotJob{
+		snap: &pb.Snapshot{Index: r.applied, Term: term, Members: r.core.MembersAt(r.applied)},
+		done: make(chan error, 1),
+	}
+	go r.runSnapshot(r.job, encode)
+	return nil
+}
+
+func (r *Replica) capture() (func() ([]byte, error), error) {
+	if c, ok := r.cfg.StateMachine.(Capturer); ok {
+		return c.Capture()
 	}
-	r.snapIndex = snap.Index
-	if snap.Index > keepBehind {
-		r.core.Compact(snap.Index - keepBehind)
+	data, err := r.cfg.StateMachine.Snapshot()
+	return func() ([]byte, error) { return data, nil }, err
+}
+
+// runSnapshot encodes and writes a snapshot on a goroutine of its own.
+func (r *Replica) runSnapshot(job *snapshotJob, encode func() ([]byte, error)) {
+	data, err := encode()
+	if err == nil {
+		job.snap.Data = data
+		err = r.snapshots.Save(job.snap)
 	}
-	r.log.Info().Uint64("index", snap.Index).Int("bytes", len(snap.Data)).Msg("snapshot_taken")
-	release := snap.Index
-	if !short {
-		if release, err = r.snapshots.Oldest(); err != nil {
+	job.done <- err
+	r.wakeLoop()
+}
+
+// finishSnapshot removes what a finished snapshot replaces: the log segments
+// before the older of the two snapshots kept, or, if room is short, those before
+// the new one.
+func (r *Replica) finishSnapshot() error {
+	if r.job == nil {
+		return nil
+	}
+	job := r.job
+	select {
+	case err := <-job.done:
+		r.job = nil
+		if err != nil {
 			return err
 		}
+	default:
+		return nil
 	}
-	if err := r.wal.Cut(); err != nil {
-		return err
+	if job.snap.Index <= r.snapIndex {
+		return nil // a leader's newer one was installed meanwhile
 	}
-	return r.wal.Release(release)
+	r.snapIndex = job.snap.Index
+	r.log.Info().Uint64("index", job.snap.Index).Int("bytes", len(job.snap.Data)).Msg("snapshot_taken")
+	if job.snap.Index > keepBehind {
+		r.core.Compact(job.snap.Index - keepBehind)
+	}
+	return r.releaseLog(job.snap.Index)
 }
 
-func (r *Replica) makeSnapshot() (*pb.Snapshot, error) {
-	data, err := r.cfg.StateMachine.Snapshot()
-	if err != nil {
-		return nil, errors.Wrap(err, "control: take snapshot")
+func (r *Replica) releaseLog(newest uint64) error {
+	release := newest
+	if r.wal.Bytes() <= r.cfg.LogBytes/2 {
+		oldest, err := r.snapshots.Oldest()
+		if err != nil {
+			return err
+		}
+		release = oldest
 	}
-	term, ok := r.core.TermAt(r.applied)
-	if !ok {
-		return nil, errors.Errorf("control: no term known for applied index %d", r.applied)
+	if err := r.wal.Cut(); err != nil {
+		return err
 	}
-	return &pb.Snapshot{Index: r.applied, Term: term, Members: r.core.MembersAt(r.applied), Data: data}, nil
+	return r.wal.Release(release)
 }
 
 // installSnapshot makes a leader's snapshot durable and restores it.
@@ -80,18 +141,16 @@
 	return true
 }
 
-// roomFor takes size bytes of the log's room for entries of this turn, after a
-// forced snapshot if need be; false if there is no room. A part of the cap is
-// left for the entries with which leaders begin their terms: without it a full
-// log could never commit again, and so never be cut.
+// roomFor takes size bytes of the log's room for entries of this turn; false if
+// there is no room, and then a snapshot is under way. A part of the cap is left
+// for the entries with which leaders begin their terms: without it a full log
+// could never commit again, and so never be cut.
 func (r *Replica) roomFor(size int64) bool {
 	wanted := r.taken + size + r.cfg.LogBytes/16
-	if r.wal.Room() < wanted && r.applied > r.snapIndex {
-		if err := r.takeSnapshot(true); err != nil {
+	if r.wal.Room() < wanted {
+		if err := r.startSnapshot(); err != nil {
 			r.log.Error().Err(err).Msg("forced_snapshot_failed")
 		}
-	}
-	if r.wal.Room() < wanted {
 		return false
 	}
 	r.taken += size
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -20,6 +20,8 @@
 	streamLife = 2 * time.Second
 	// streamAck is how long the acknowledgement may take.
 	streamAck = time.Second
+	// snapshotAck is how long a snapshot may take until it's acknowledged.
+	snapshotAck = time.Minute
 	// redialPause after a connection failed.
 	redialPause = 100 * time.Millisecond
 	// MaxMessageBytes bounds one gRPC message; a snapshot is one message.
@@ -38,16 +40,24 @@
 	ack  time.Duration // streamAck
 
 	mu     sync.Mutex
-	peers  map[string]*peer
+	peers  map[peerKey]*peer
 	closed bool
 }
 
+// peerKey names one queue. Snapshots have a queue, connection and deadline of
+// their own: on the common stream a large one would hold up the heartbeats behind
+// it, and the stream's short life would cut it off each time.
+type peerKey struct {
+	address string
+	bulk    bool
+}
+
 // NewGRPCTransport makes a transport for the replica at address self. opts must
 // hold the transport credentials.
 func NewGRPCTransport(self string, log zerolog.Logger, opts ...grpc.DialOption) *GRPCTransport {
 	opts = append(opts, grpc.WithDefaultCallOptions(
 		grpc.MaxCallSendMsgSize(MaxMessageBytes), grpc.MaxCallRecvMsgSize(MaxMessageBytes)))
-	return &GRPCTransport{self: self, opts: opts, log: log, life: streamLife, ack: streamAck, peers: map[string]*peer{}}
+	return &GRPCTransport{self: self, opts: opts, log: log, life: streamLife, ack: streamAck, peers: map[peerKey]*peer{}}
 }
 
 // Send implements Transport.
@@ -57,10 +67,11 @@
 	if t.closed {
 		return
 	}
-	p := t.peers[address]
+	key := peerKey{address, m.Type == pb.RaftType_RAFT_TYPE_SNAPSHOT}
+	p := t.peers[key]
 	if p == nil {
-		p = newPeer(t, address)
-		t.peers[address] = p
+		p = newPeer(t, key)
+		t.peers[key] = p
 		go p.run()
 	}
 	select {
@@ -73,7 +84,7 @@
 func (t *GRPCTransport) Reset(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p := t.peers[address]; p != nil {
+	if p := t.peers[peerKey{address: address}]; p != nil {
 		p.cancelStream()
 	}
 }
@@ -94,6 +105,8 @@
 type peer struct {
 	t       *GRPCTransport
 	address string
+	life    time.Duration
+	ack     time.Duration
 	queue   chan *pb.RaftMessage
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -103,8 +116,13 @@
 	stream context.CancelFunc
 }
 
-func newPeer(t *GRPCTransport, address string) *peer {
-	p := &peer{t: t, address: address, queue: make(chan *pb.RaftMessage, peerQueue), done: make(chan struct{})}
+func newPeer(t *GRPCTransport, key peerKey) *peer {
+	p := &peer{t: t, address: key.address, life: t.life, ack: t.ack, done: make(chan struct{})}
+	size := peerQueue
+	if key.bulk {
+		size, p.life, p.ack = 1, 0, snapshotAck
+	}
+	p.queue = make(chan *pb.RaftMessage, size)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
@@ -156,7 +174,7 @@
 // useStream sends over one stream for its life. Send may block on a silent
 // connection; the stream's deadline ends that.
 func (p *peer) useStream(c pb.ControlClient, first *pb.RaftMessage) error {
-	ctx, cancel := context.WithTimeout(p.ctx, p.t.life+p.t.ack)
+	ctx, cancel := context.WithTimeout(p.ctx, p.life+p.ack)
 	defer cancel()
 	p.mu.Lock()
 	p.stream = cancel
@@ -177,7 +195,7 @@
 	if err := s.Send(first); err != nil {
 		return err
 	}
-	end := time.NewTimer(p.t.life)
+	end := time.NewTimer(p.life)
 	defer end.Stop()
 	for {
 		select {
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -235,7 +235,7 @@
 // resendTicks is how long an unanswered message is waited for.
 func (r *Raft) resendTicks(p *progress) int64 {
 	if p.state == installing {
-		return int64(10 * r.cfg.ElectionTicks)
+		return int64(30 * r.cfg.ElectionTicks)
 	}
 	return int64(max(2, r.cfg.ElectionTicks/2))
 }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -10,6 +10,7 @@
 	"hash/crc32"
 	"path/filepath"
 	"strings"
+	"sync"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -40,10 +41,11 @@
 	return fmt.Sprintf("snapshot: %s is damaged and the log, which starts at %d, doesn't reach back to an older one; this replica's disk must be replaced", e.File, e.LogFirst)
 }
 
-// Store is a folder of snapshots. It isn't safe for concurrent use.
+// Store is a folder of snapshots. It is safe for concurrent use.
 type Store struct {
 	fs  wal.FS
 	dir string
+	mu  sync.Mutex // guards the names, not the writing of a temporary file
 }
 
 // Open opens the folder and removes temporary files that a crash left.
@@ -95,6 +97,8 @@
 	if err := s.writeFile(name+temporary, body); err != nil {
 		return err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.fs.Rename(name+temporary, name); err != nil {
 		return errors.Wrap(err, "snapshot: rename")
 	}
@@ -140,6 +144,8 @@
 // If the newest is damaged, an older one is used only if the log reaches it:
 // logFirst is the first index in the log, 0 for an empty log.
 func (s *Store) Load(logFirst uint64) (*pb.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	names, err := s.files()
 	if err != nil || len(names) == 0 {
 		return nil, err
@@ -184,6 +190,8 @@
 // Oldest returns the index of the oldest snapshot kept, 0 if there is none: the
 // log must reach back to it.
 func (s *Store) Oldest() (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	names, err := s.files()
 	if err != nil || len(names) == 0 {
 		return 0, err
