--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -73,14 +73,18 @@
 
 func (h hosts) Self() *pb.Holder { return h.e.holder() }
 
-// Alive is false for a holder whose host is dead or runs under a newer incarnation.
+// Alive is false for a holder whose host is suspect or dead, or runs under a newer
+// incarnation. Suspicion is enough here: who takes a request over reads the engine's
+// stream of the same run again, and the ledger bills an identity once, so a holder
+// that was suspected wrongly costs a second reader and no second run. Waiting until it
+// counts as dead outlasted most deadlines, seen as in_progress until the caller gave up.
 func (h hosts) Alive(holder *pb.Holder) bool {
 	self := h.e.holder()
 	if holder.GetHost() == self.GetHost() {
 		return holder.GetIncarnation() == self.GetIncarnation()
 	}
 	m, ok := peers(h).find(holder.GetHost())
-	return ok && m.Health != pb.HostHealth_HOST_HEALTH_DEAD && m.Incarnation <= holder.GetIncarnation()
+	return ok && m.Health == pb.HostHealth_HOST_HEALTH_ALIVE && m.Incarnation <= holder.GetIncarnation()
 }
 
 // addresses implements callerapi.Addresses.
