--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,6 +10,9 @@
 	"github.com/bluebellsail/bluebellsail/internal/raft"
 )
 
+// handOverTicks bounds how long a stopping leader waits for the next one.
+const handOverTicks = 10
+
 // run is the loop that owns the consensus state.
 func (r *Replica) run() {
 	defer close(r.stopped)
@@ -18,6 +21,7 @@
 	for {
 		select {
 		case <-r.stop:
+			r.handOver(ticker.C)
 			r.shutDown(nil)
 			return
 		case <-ticker.C:
@@ -31,6 +35,24 @@
 	}
 }
 
+// handOver has a leader that stops pass its leadership on, and goes on until it
+// hears the next leader or handOverTicks have passed.
+func (r *Replica) handOver(ticks <-chan time.Time) {
+	if r.abrupt.Load() || r.formation != nil || !r.core.Transfer() {
+		return
+	}
+	until := r.core.Now() + handOverTicks
+	for r.core.Now() < until && r.core.Status().Leader == 0 {
+		if err := r.turn(); err != nil {
+			return
+		}
+		select {
+		case <-ticks:
+		case <-r.wake:
+		}
+	}
+}
+
 // shutDown ends what waits on the loop.
 func (r *Replica) shutDown(err error) {
 	r.err = err
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -61,7 +61,8 @@
 	stop    chan struct{}
 	stopped chan struct{}
 	once    sync.Once
-	err     error // why the loop stopped; read after stopped is closed
+	abrupt  atomic.Bool // stop without handing over, as a crash would
+	err     error       // why the loop stopped; read after stopped is closed
 }
 
 // Open starts a replica on its data folder.
@@ -229,7 +230,7 @@
 	}
 }
 
-// Close stops the replica. Proposals under way end with an unknown outcome.
+// Close stops the replica; a leader hands over first. Proposals under way end with an unknown outcome.
 func (r *Replica) Close() error {
 	r.once.Do(func() { close(r.stop) })
 	<-r.stopped
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -368,3 +368,18 @@
 		}
 	})
 }
+
+func TestClosedLeaderHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		old := c.leader()
+		c.mustSet(1, 0)
+		start := time.Now()
+		if err := old.r.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if c.leader() == old || time.Since(start) >= 20*50*time.Millisecond {
+			t.Fatalf("no other leader after %v", time.Since(start))
+		}
+	})
+}
--- a/internal/control/transport_test.go
+++ b/internal/control/transport_test.go
@@ -71,7 +71,8 @@
 
 type sink struct {
 	pb.UnimplementedControlServer
-	got chan uint64
+	got   chan uint64
+	whole chan bool // a snapshot's stream ended as it should
 }
 
 func (s *sink) Raft(in grpc.ClientStreamingServer[pb.RaftMessage, pb.RaftAck]) error {
@@ -83,6 +84,11 @@
 		if err != nil {
 			return err
 		}
+		if m.Type == pb.RaftType_RAFT_TYPE_SNAPSHOT {
+			time.Sleep(500 * time.Millisecond) // a slow disk
+			_, err := in.Recv()
+			s.whole <- err == io.EOF
+		}
 		select {
 		case s.got <- m.Term:
 		default:
@@ -102,7 +108,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &sink{got: make(chan uint64, 1)}
+	s := &sink{got: make(chan uint64, 1), whole: make(chan bool, 10)}
 	srv := grpc.NewServer()
 	pb.RegisterControlServer(srv, s)
 	go func() { _ = srv.Serve(target) }()
@@ -129,7 +135,12 @@
 		}
 		t.Fatalf("no message of term %d arrives", term)
 	}
+	// A snapshot that takes longer than a stream's life arrives whole.
+	tr.Send(&pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_SNAPSHOT}, front.Addr().String())
 	deliver(1)
+	if !<-s.whole {
+		t.Fatal("the snapshot's stream was cut off")
+	}
 	if box.forget() == 0 {
 		t.Fatal("no connection went through the middlebox")
 	}
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -42,7 +42,11 @@
 		if id == r.cfg.ID {
 			continue
 		}
-		r.sendSynced(&pb.RaftMessage{Type: t, To: id, Term: term, LogIndex: r.log.lastIndex(), LogTerm: r.log.lastTerm()})
+		m := &pb.RaftMessage{Type: t, To: id, Term: term, LogIndex: r.log.lastIndex(), LogTerm: r.log.lastTerm()}
+		if r.transferred {
+			m.Context = transferMark
+		}
+		r.sendSynced(m)
 	}
 }
 
@@ -61,7 +65,7 @@
 
 func (r *Raft) handleVote(m *pb.RaftMessage) {
 	free := r.vote == 0 || r.vote == m.From
-	granted := free && !r.promised() && r.log.upToDate(m.LogIndex, m.LogTerm)
+	granted := free && (!r.promised() || released(m)) && r.log.upToDate(m.LogIndex, m.LogTerm)
 	if granted {
 		r.vote = m.From
 		r.resetElectionTimer()
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -91,6 +91,7 @@
 	electionStart    int64
 	electionDeadline int64
 	votes            map[uint64]bool
+	transferred      bool // the campaign being started was asked for by the leader
 
 	progress  map[uint64]*progress
 	lease     lease
--- a/internal/raft/rapid_test.go
+++ b/internal/raft/rapid_test.go
@@ -92,6 +92,12 @@
 				s.compact(n)
 			}
 		},
+		"transfer": func(*rapid.T) {
+			if l := s.leader(); l != nil {
+				l.r.Transfer()
+				s.process(l)
+			}
+		},
 		"loseDisk": f.loseDisk,
 		"repair": func(*rapid.T) {
 			for range 6 {
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -193,3 +193,17 @@
 	m := &pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_HEARTBEAT, From: 1 << 63, To: 1 << 62, Term: 9, Commit: 1 << 20, Context: 1 << 20, LogIndex: 1 << 20, Hint: 1 << 62}
 	b.ReportMetric(float64(proto.Size(m)), "bytes/heartbeat")
 }
+
+func TestTransferTakesNoElectionTimeout(t *testing.T) {
+	s, l := group(t, 1)
+	commitSome(t, s, 3)
+	if !l.r.Transfer() || s.leased(l) {
+		t.Fatal("the leader didn't give up its lease")
+	}
+	s.process(l)
+	s.stop(l) // so the third replica's vote is needed
+	s.run(simElection / 2)
+	if now := s.leader(); now == nil || now == l || s.violation != "" {
+		t.Fatalf("no new leader within half an election timeout (%s)", s.violation)
+	}
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -28,7 +28,7 @@
 			return true
 		}
 	case pb.RaftType_RAFT_TYPE_VOTE:
-		if r.promised() {
+		if r.promised() && !released(m) {
 			return false
 		}
 	}
@@ -65,6 +65,8 @@
 	case pb.RaftType_RAFT_TYPE_SNAPSHOT:
 		r.followLeader(m)
 		r.handleSnapshot(m)
+	case pb.RaftType_RAFT_TYPE_TIMEOUT_NOW:
+		r.handleTimeoutNow()
 	case pb.RaftType_RAFT_TYPE_APPEND_REPLY:
 		r.handleAppendReply(m)
 	case pb.RaftType_RAFT_TYPE_HEARTBEAT_REPLY:
