--- a/internal/control/leading.go
+++ b/internal/control/leading.go
@@ -28,8 +28,8 @@
 // clock; ok is false without a valid lease. An isolated leader loses the lease before
 // another can be elected.
 func (r *Replica) Leading() (term uint64, since time.Time, ok bool) {
-	l := r.leads.Load()
-	if l == nil || !r.leased(r.view.Load()) {
+	l, v := r.leads.Load(), r.view.Load()
+	if l == nil || l.term != v.term || !r.leased(v) {
 		return 0, time.Time{}, false
 	}
 	return l.term, l.since, true
--- /dev/null
+++ b/internal/controlclient/join.go
@@ -0,0 +1,67 @@
+package controlclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/control"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// joinPause between two steps of a join.
+const joinPause = 200 * time.Millisecond
+
+// Join has a replica that waits to be added take its place in the group, and
+// returns once the leader reports it as repaired: a voter that holds everything
+// committed. A former replica at the same address is removed: its disk is known
+// to be lost, or another replica would run there. Join may be called again after
+// an error or a restart; it goes on where it was.
+func (c *Client) Join(ctx context.Context, self *pb.Member) error {
+	for {
+		if c.takeJoinStep(ctx, self) {
+			return nil
+		}
+		select {
+		case <-time.After(joinPause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// takeJoinStep carries out the next step and tells whether nothing is left to
+// do. Errors need no care: the next round looks at the membership anew.
+func (c *Client) takeJoinStep(ctx context.Context, self *pb.Member) (done bool) {
+	res, err := c.Read(ctx, &pb.Query{Body: &pb.Query_Members{Members: &pb.MembersQuery{}}})
+	if err != nil {
+		return false
+	}
+	req, done := joinStep(res.GetGroup(), self)
+	if req != nil {
+		_, _ = c.ChangeMembers(ctx, req)
+	}
+	return done
+}
+
+// joinStep decides the next change of the membership; nil: wait.
+func joinStep(group *pb.GroupStatus, self *pb.Member) (req *pb.ChangeMembersRequest, done bool) {
+	var own *pb.MemberStatus
+	for _, m := range group.GetMembers() {
+		if m.Member.Id == self.Id {
+			own = m
+			continue
+		}
+		// The former replica goes first. Beside it the group would have an even
+		// number of voters, of which one can never answer.
+		if m.Member.Address == self.Address {
+			return &pb.ChangeMembersRequest{Verb: control.VerbRemove, Member: m.Member}, false
+		}
+	}
+	switch {
+	case own == nil:
+		return &pb.ChangeMembersRequest{Verb: control.VerbAddLearner, Member: self}, false
+	case own.Member.Learner && own.Match >= group.Commit && own.Active:
+		return &pb.ChangeMembersRequest{Verb: control.VerbPromote, Member: self}, false
+	}
+	return nil, own.Repaired
+}
