--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -28,10 +28,11 @@
 
 func (f *fakeReplica) Propose(_ context.Context, req *pb.ProposeRequest) (*pb.ProposeReply, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.calls++
+	n := f.calls
 	f.opIDs = append(f.opIDs, req.Command.OpId)
-	return f.propose(f.calls, req.Command)
+	f.mu.Unlock()
+	return f.propose(n, req.Command)
 }
 
 func (f *fakeReplica) Watch(req *pb.WatchRequest, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
