--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -110,6 +110,10 @@
 // Own is this host's number of requests in flight at s.
 func (s *Server) Own() int { return len(s.load.own) }
 
+// SinceReport is by how many requests of this host s has more than when it measured
+// its reported load; negative if more ended than began.
+func (s *Server) SinceReport() int { return s.Own() - s.load.ownAtReport() }
+
 // Others estimates the requests of other hosts at s now.
 func (s *Server) Others() int {
 	peers, _ := s.load.fromPeers()
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -30,26 +30,52 @@
 
 // hasRoom tells whether this host may send one more request of class to m. due
 // lifts the slots kept for more pressing classes.
-func (c *Core) hasRoom(now time.Time, m member, class Class, due bool) bool {
+func (c *Core) hasRoom(now time.Time, p *pool, m member, class Class, due bool) bool {
 	s := m.server
 	own := s.Own()
-	depth := s.Depth(c.cfg.Ahead)
+	depth := c.depth(m)
 	share := m.share(s.Slots() + depth)
 	if s.LoadAge(now) > c.cfg.FreshLoad {
 		// What other hosts do is not known: only the own share is safe.
 		return own < share
 	}
 	limit := s.Slots()
-	if !due {
-		limit = room(limit, class)
+	if !due || class == Urgent {
+		limit = p.room(now, limit, class)
 	}
 	limit += depth
-	load := c.loadOf(s)
-	if own < share {
-		return load < limit
+	if own >= share && class != Urgent && !due {
+		limit -= (s.Slots() + lentPart - 1) / lentPart
 	}
-	lent := (s.Slots() + lentPart - 1) / lentPart
-	return load < limit-lent
+	return c.loadOf(s) < limit && c.isOurTurn(m, limit)
+}
+
+// depth is how many requests beyond its slots a server may be given by all hosts
+// together: what it works off in the time Ahead, at most as many as its slots or
+// as make one for each host. A host that has a server to itself needs none: it
+// sees each slot end at once.
+func (c *Core) depth(m member) int {
+	if m.cover <= 1 {
+		return 0
+	}
+	slots := m.server.Slots()
+	return min(m.server.Depth(c.cfg.Ahead), max(slots, m.cover-slots))
+}
+
+// isOurTurn splits the room that the last report shows between the hosts that
+// cover the server; who gets the remainder changes with each report. What this
+// host ended since the report it may begin again.
+//
+// Symptom this prevents: all hosts see the same three free slots in one report,
+// each sends a request, and most of them wait seconds for a slot.
+func (c *Core) isOurTurn(m member, limit int) bool {
+	if c.cfg.Parts.NoCorrection {
+		return true
+	}
+	s := m.server
+	free := max(limit-s.Reported(), 0)
+	turn := (m.place + int(s.State().GetSeq()%uint64(m.cover))) % m.cover
+	return s.SinceReport() < max(shareOf(free, m.cover, turn), 0)
 }
 
 // loadOf is the load that choices are made on.
@@ -79,9 +105,9 @@
 // runTime predicts how long w runs on s from dispatch to the whole answer: way,
 // prompts before it, its own prompt less what is cached, and its output up to the
 // cap at the speed of a full batch.
-func (c *Core) runTime(s *backend.Server, w *Work, cached float64) time.Duration {
+func (c *Core) runTime(now time.Time, s *backend.Server, w *Work, cached float64) time.Duration {
 	way := c.way(s)
-	wait := c.slotWait(s)
+	wait := c.slotWait(now, s)
 	if w.Target.Kind == backend.Service {
 		return way + wait + s.ServiceTime()
 	}
@@ -90,8 +116,13 @@
 	return way + wait + prefill + time.Duration(w.OutputCap)*s.TokenTime()
 }
 
-// slotWait predicts how long a request waits at s for a slot.
-func (c *Core) slotWait(s *backend.Server) time.Duration {
+// slotWait predicts how long a request waits at s for a slot. Without a fresh
+// report hosts keep to their own shares, which leaves no wait, and the estimated
+// load counts too much: what ended elsewhere is not known.
+func (c *Core) slotWait(now time.Time, s *backend.Server) time.Duration {
+	if s.LoadAge(now) > c.cfg.FreshLoad {
+		return 0
+	}
 	over := c.loadOf(s) - s.Slots() + 1
 	if over <= 0 {
 		return 0
@@ -122,12 +153,12 @@
 }
 
 // consider adds m to the comparison if it may run w in time and beats best.
-func (c *Core) consider(now time.Time, m member, w *Work, due bool, best *choice) bool {
-	if !c.eligible(now, m.server, w) || !c.hasRoom(now, m, w.Class, due) {
+func (c *Core) consider(now time.Time, p *pool, m member, w *Work, due bool, best *choice) bool {
+	if !c.eligible(now, m.server, w) || !c.hasRoom(now, p, m, w.Class, due) {
 		return false
 	}
 	cached := c.cachedShare(m.server, w)
-	d := c.withMargin(c.runTime(m.server, w, cached))
+	d := c.withMargin(c.runTime(now, m.server, w, cached))
 	finish := now.Add(d)
 	if finish.After(w.Deadline) {
 		return false
@@ -147,12 +178,12 @@
 	var best choice
 	considered := 0
 	if w.Prefer != "" {
-		if m, ok := p.find(w.Prefer); ok && c.consider(now, m, w, due, &best) {
+		if m, ok := p.find(w.Prefer); ok && c.consider(now, p, m, w, due, &best) {
 			return best, 1
 		}
 	}
 	for _, i := range p.homesOf(w, c.cfg.Parts.NoPrefix) {
-		if c.consider(now, p.members[i], w, due, &best) {
+		if c.consider(now, p, p.members[i], w, due, &best) {
 			considered++
 		}
 	}
@@ -166,7 +197,7 @@
 	step := c.stride(n)
 	sampled := 0
 	for k := 0; k < n && sampled < c.cfg.Samples; k++ {
-		if c.consider(now, p.members[at], w, due, &best) {
+		if c.consider(now, p, p.members[at], w, due, &best) {
 			sampled++
 		}
 		at = (at + step) % n
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -10,13 +10,16 @@
 // minRetryAfter is the least time to come back that a refusal names.
 const minRetryAfter = 50 * time.Millisecond
 
+// lastChance is how long before its latest start a waiting request is preferred.
+const lastChance = 3 * time.Second
+
 // Submit decides on a new request. A result comes at once if it is granted or
 // refused; otherwise it waits and Step gives the result later.
 func (c *Core) Submit(now time.Time, w Work) (Result, bool) {
-	p := c.pool(w.Target)
 	if len(c.reg.Serving(w.Target)) == 0 {
 		return Result{Ticket: w.Ticket, Err: unknownTarget(w.Target)}, true
 	}
+	p := c.pool(w.Target)
 	if c.usable(now, p, &w) == 0 {
 		return Result{Ticket: w.Ticket, Err: c.noServer(w.Target)}, true
 	}
@@ -25,11 +28,12 @@
 		return Result{Ticket: w.Ticket, Err: tooLong(bare, w.Deadline.Sub(now))}, true
 	}
 	if p.waiting == 0 || c.isFirst(p, &w) {
-		if r, ok := c.tryGrant(now, p, &w, now); ok {
+		if r, ok := c.tryGrant(now, p, &w, now, time.Time{}); ok {
 			return r, true
 		}
 	}
 	if err := c.refuse(now, p, &w, bare); err != nil {
+		p.pressed(now, w.Class)
 		return Result{Ticket: w.Ticket, Err: err}, true
 	}
 	c.enqueue(now, p, w, bare)
@@ -141,8 +145,13 @@
 }
 
 // tryGrant gives w room if a server has it.
-func (c *Core) tryGrant(now time.Time, p *pool, w *Work, queued time.Time) (Result, bool) {
+func (c *Core) tryGrant(now time.Time, p *pool, w *Work, queued, latest time.Time) (Result, bool) {
 	due := w.Class > Urgent && p.classOrder()[0] == w.Class && p.passed[w.Class] >= normalPassedBound
+	// The last chance of a request that waited: it may use what is kept for others,
+	// unless others are refused for want of it.
+	if !latest.IsZero() && latest.Sub(now) < lastChance && !now.Before(p.pressedUntil) {
+		due = true
+	}
 	ch, considered := c.choose(now, p, w, due)
 	if ch.server == nil {
 		return Result{}, false
@@ -161,7 +170,7 @@
 // Step gives the results of waiting requests that can be decided now.
 func (c *Core) Step(now time.Time) []Result {
 	var out []Result
-	for _, p := range c.pools {
+	for _, p := range c.order {
 		if p.waiting == 0 {
 			continue
 		}
@@ -188,7 +197,7 @@
 		var granted *item
 		var result Result
 		q.inOrder(func(it *item) bool {
-			r, ok := c.tryGrant(now, p, &it.work, it.queued)
+			r, ok := c.tryGrant(now, p, &it.work, it.queued, it.latest)
 			if ok {
 				granted, result = it, r
 			}
@@ -224,6 +233,7 @@
 	}
 	for _, it := range gone {
 		c.dequeue(it)
+		p.pressed(now, it.work.Class)
 		err := c.noServer(p.target)
 		if c.usable(now, p, &it.work) > 0 {
 			err = errkind.New(errkind.DeadlineUnreachable,
@@ -240,7 +250,7 @@
 // another input.
 func (c *Core) NextWake(now time.Time) time.Time {
 	var next time.Time
-	for _, p := range c.pools {
+	for _, p := range c.order {
 		if p.waiting > 0 && (next.IsZero() || p.nextExpiry.Before(next)) {
 			next = p.nextExpiry
 		}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -13,12 +13,21 @@
 	batchPassedBound  = 64
 )
 
-// Shares of a server's slots kept free for more pressing classes, one part in so many.
+// urgentPart: urgent may go beyond a server's slots by 1 in so many. The server puts
+// it first for the next slot, which on a big server comes soon; other hosts' slots
+// are out of this host's reach otherwise.
+const urgentPart = 16
+
+// batchPart: batch leaves 1 slot in so many of each server free, so that an urgent
+// request never finds all slots held by long jobs.
+const batchPart = 16
+
+// Under pressure, for pressureTime after a more pressing request was refused for
+// want of room, batch leaves 1 slot in pressedPart free: hosts whose own queues are
+// short would else fill with long jobs what other hosts refuse short ones for.
 const (
-	// urgentPart: normal and batch leave 1 slot in 16 to urgent.
-	urgentPart = 16
-	// batchPart: batch leaves 1 slot in 8 more.
-	batchPart = 8
+	pressedPart  = 4
+	pressureTime = 15 * time.Second
 )
 
 // pool is the scheduling state of one target.
@@ -36,6 +45,8 @@
 	usage float64
 	// nextExpiry is the earliest latest start of the waiting requests.
 	nextExpiry time.Time
+	// pressedUntil is when the pressure by refused requests ends.
+	pressedUntil time.Time
 }
 
 // slotUsage bounds and weight of the measured share.
@@ -50,6 +61,7 @@
 	if p == nil {
 		p = &pool{target: t, stale: true, usage: initialUsage}
 		c.pools[t] = p
+		c.order = append(c.order, p)
 	}
 	if p.stale || p.changes != c.reg.Changes() {
 		p.members = subsetOf(c.cfg.Host, c.hosts, c.reg.Serving(t), c.cfg.Subset)
@@ -85,13 +97,22 @@
 // room is how many requests of a class a server with slots may hold in all.
 // A server with few slots keeps none free: there the bound by passed grants and
 // short queues must do.
-func room(slots int, class Class) int {
-	kept := 0
-	if class >= Normal {
-		kept += slots / urgentPart
+func (p *pool) room(now time.Time, slots int, class Class) int {
+	if class == Urgent {
+		return slots + slots/urgentPart
+	}
+	if class == Normal {
+		return slots
 	}
-	if class >= Batch {
-		kept += slots / batchPart
+	if now.Before(p.pressedUntil) {
+		return slots - slots/pressedPart
+	}
+	return slots - slots/batchPart
+}
+
+// pressed notes that a request of the class was refused for want of room.
+func (p *pool) pressed(now time.Time, class Class) {
+	if class < Batch {
+		p.pressedUntil = now.Add(pressureTime)
 	}
-	return slots - kept
 }
--- a/internal/sched/work.go
+++ b/internal/sched/work.go
@@ -158,11 +158,14 @@
 
 // Core is one host's scheduling state.
 type Core struct {
-	cfg    Config
-	reg    *backend.Registry
-	rng    *rand.Rand
-	hosts  []string
-	pools  map[backend.Target]*pool
+	cfg   Config
+	reg   *backend.Registry
+	rng   *rand.Rand
+	hosts []string
+	pools map[backend.Target]*pool
+	// order has the pools in the order in which they were made: Step must not depend
+	// on the order of a map.
+	order  []*pool
 	queued map[uint64]*item
 	runs   map[uint64]*run
 }
