--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -183,9 +183,7 @@
 	if changes || !errkind.Is(err, errkind.NoQuorum) {
 		return err
 	}
-	read := *errkind.From(err) // a copy: the group may return the same error again
-	read.Message += "; this was a read and changed nothing"
-	return read.WithRan(errkind.RanNo)
+	return errkind.New(errkind.NoQuorum, "the control group gave no answer to this read in time").WithRan(errkind.RanNo)
 }
 
 // glance is the context for asking the group in an answer that goes out without it too.
--- a/internal/admincli/client.go
+++ b/internal/admincli/client.go
@@ -81,6 +81,11 @@
 	return message
 }
 
+func isRefusal(err error) bool {
+	var r *refusal
+	return errors.As(err, &r)
+}
+
 // refusedAs returns the refusal in err if it is of kind k.
 func refusedAs(err error, k errkind.Kind) (*refusal, bool) {
 	var r *refusal
@@ -110,8 +115,8 @@
 			return &exitError{code: ExitRefused, err: a.err}
 		}
 		unknown = unknown || a.unknown
-		if try == 0 || ctx.Err() == nil {
-			last = a.err
+		if try == 0 || isRefusal(a.err) || (!isRefusal(last) && ctx.Err() == nil) {
+			last = a.err // a host's reason says more than a later silence
 		}
 		cl.progress.say("%s: %v", address, a.err)
 		if (try+1)%len(cl.addresses) == 0 {
