--- a/internal/daemon/repair.go
+++ b/internal/daemon/repair.go
@@ -1,58 +1,112 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
-	"github.com/bluebellsail/bluebellsail/internal/adminapi"
-	"github.com/bluebellsail/bluebellsail/internal/controller/placement"
-	"github.com/bluebellsail/bluebellsail/internal/controller/scheduler"
+	"github.com/bluebellsail/bluebellsail/internal/controller/repair"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
-// usableServers are the backend servers that may get orders: announced, not lapsed.
-type usableServers struct{ s *scheduler.Scheduler }
+const (
+	// repairEvery is the time between two looks for dead incarnations.
+	repairEvery = 2 * time.Second
+	// repairTimeout bounds one look.
+	repairTimeout = 30 * time.Second
+	// usageWait bounds the question to a backend server about one run.
+	usageWait = 300 * time.Millisecond
+)
 
-// Servers implements placement.Servers.
-func (u usableServers) Servers() []*pb.ServerState {
-	var out []*pb.ServerState
-	for _, server := range u.s.Servers() {
-		if server.Leaving || u.s.Usable(server.Address) {
-			out = append(out, server)
+// serveRepair starts the controllers that mend what failed hosts left behind.
+func (e *entry) serveRepair(t *tasks) {
+	if e.d.replica != nil {
+		t.run(e.placement.Run)
+	}
+	t.run(e.repairLoop)
+}
+
+// repairLoop recovers dead incarnations while this host is the one to do so.
+func (e *entry) repairLoop(ctx context.Context) {
+	controller := repair.New(repair.Config{
+		Self: e.holder(), Control: repairGroup{group{e.d.client}}, Peers: gatherers{e}, Requests: e.records,
+		EngineUsage: engineUsage(engineclient.New(engineclient.Config{})), Log: e.d.tel.Log,
+	})
+	ticker := time.NewTicker(repairEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !e.repairs() {
+			continue
 		}
+		lookCtx, cancel := context.WithTimeout(ctx, repairTimeout)
+		if _, err := controller.Reconcile(lookCtx); err != nil {
+			e.d.tel.Log.Debug().Str("event", "recovery-not-looked").Err(err).Send()
+		}
+		cancel()
 	}
-	return out
 }
 
-// noLeadership is that of a host without a replica: it never orders by itself.
-type noLeadership struct{}
+// repairs tells whether this host is the first by name of those alive in its view.
+// Two hosts with different views may both repair: recovery is idempotent, so this
+// only saves work.
+func (e *entry) repairs() bool {
+	if e.leaving.Load() {
+		return false
+	}
+	self := e.holder().GetHost()
+	for _, h := range e.liveHosts() {
+		if h.Name < self {
+			return false
+		}
+	}
+	return true
+}
 
-// Leading implements placement.Leadership.
-func (noLeadership) Leading() (uint64, time.Time, bool) { return 0, time.Time{}, false }
+// repairGroup implements repair.Control.
+type repairGroup struct{ group }
 
-// newPlacement makes the controller of model placement. It plans only where the
-// control group's leader runs beside an entry host, which hears the announcements.
-func (e *entry) newPlacement() *placement.Controller {
-	cfg := placement.Config{
-		Leadership: noLeadership{}, Proposer: group{e.d.client}, Servers: usableServers{e.sched},
-		Settings: e.d.settings, Actor: e.d.cfg.Host, Log: e.d.tel.Log, Metrics: e.d.tel.Metrics,
+// Hosts lists the registered hosts.
+func (g repairGroup) Hosts(ctx context.Context) ([]*pb.HostInfo, error) {
+	res, err := g.Read(ctx, &pb.Query{Body: &pb.Query_Hosts{Hosts: &pb.HostsQuery{}}})
+	if err != nil {
+		return nil, err
 	}
-	if e.d.replica != nil {
-		cfg.Leadership = e.d.replica
+	if e := res.GetError(); e != nil {
+		return nil, errkind.New(errkind.Kind(e.Kind), "%s", e.Message)
 	}
-	return placement.New(cfg)
+	return res.GetHosts(), nil
 }
 
-// serveRepair starts the controllers that mend what failed hosts left behind.
-func (e *entry) serveRepair(t *tasks) {
-	if e.d.replica != nil {
-		t.run(e.placement.Run)
+// gatherers implements repair.Peers: every live host, this one included.
+type gatherers struct{ e *entry }
+
+// Gather asks one host for what it holds of a dead incarnation.
+func (g gatherers) Gather(ctx context.Context, host string, req *pb.GatherRequest) (*pb.GatherReply, error) {
+	if host == g.e.holder().GetHost() {
+		return g.e.records.HandleGather(req), nil
 	}
+	client, ok := peers(g).Dial(host)
+	if !ok {
+		return nil, errkind.New(errkind.NotFound, "no address of host %s", host)
+	}
+	return client.Gather(ctx, req)
 }
 
-// orders sends operators' orders to backend servers.
-func (d *Daemon) orders() adminapi.Orders {
-	if d.entry == nil {
-		return nil
+// engineUsage asks a backend server what a run that lost its host has used.
+func engineUsage(client *engineclient.Client) func(context.Context, *pb.InflightRecord) (uint64, uint64, bool) {
+	return func(ctx context.Context, rec *pb.InflightRecord) (prompt, output uint64, known bool) {
+		ctx, cancel := context.WithTimeout(ctx, usageWait)
+		defer cancel()
+		usage := client.FinalUsage(ctx, rec.GetServer(), rec.GetEngineRequestId())
+		if usage == nil {
+			return 0, 0, false
+		}
+		return usage.PromptTokens, usage.CompletionTokens, true
 	}
-	return placement.NewOperatorOrders(d.entry.placement, group{d.client})
 }
--- a/internal/peerservice/peerservice.go
+++ b/internal/peerservice/peerservice.go
@@ -10,8 +10,8 @@
 
 // Records keeps in-flight records and their copies.
 type Records interface {
-	HandlePutRecords(*pb.PutRecordsRequest) *pb.PutRecordsReply
-	HandleFindRecord(*pb.FindRecordRequest) *pb.FindRecordReply
+	HandlePut(*pb.PutRecordsRequest) *pb.PutRecordsReply
+	HandleFind(*pb.FindRecordRequest) *pb.FindRecordReply
 	HandleGather(*pb.GatherRequest) *pb.GatherReply
 }
 
@@ -51,12 +51,12 @@
 
 // PutRecords keeps copies of a peer's in-flight records.
 func (s *Service) PutRecords(_ context.Context, r *pb.PutRecordsRequest) (*pb.PutRecordsReply, error) {
-	return s.records.HandlePutRecords(r), nil
+	return s.records.HandlePut(r), nil
 }
 
 // FindRecord looks up an identity among own and copied records.
 func (s *Service) FindRecord(_ context.Context, r *pb.FindRecordRequest) (*pb.FindRecordReply, error) {
-	return s.records.HandleFindRecord(r), nil
+	return s.records.HandleFind(r), nil
 }
 
 // Gather returns what this host knows of a dead holder and fences it.
