--- a/internal/procconfig/check.go
+++ b/internal/procconfig/check.go
@@ -315,5 +315,4 @@
 	}
 	k.duration("/timing/server_lapse", t.ServerLapse, minServerLapse, maxServerLapse)
 	k.duration("/timing/settle_every", t.SettleEvery, 10*time.Millisecond, 10*time.Second)
-	k.duration("/timing/rpc_timeout", t.RPCTimeout, 50*time.Millisecond, 30*time.Second)
 }
--- a/internal/procconfig/config.go
+++ b/internal/procconfig/config.go
@@ -28,8 +28,8 @@
 
 // Config is the whole settings file.
 type Config struct {
-	// Fleet is the fleet's name, the same on all its hosts. A process refuses peers of
-	// another fleet. Required.
+	// Fleet is the fleet's name, the same on all its hosts. Ids of replicas are derived
+	// from it. It keeps no other fleet's processes out; certificates do. Required.
 	Fleet string `json:"fleet"`
 	// Host is this host's name, unique in the fleet. Required.
 	Host string `json:"host"`
@@ -187,8 +187,6 @@
 	// SettleEvery is the longest wait before bills are sent to the ledger, 10ms to 10s;
 	// default 200ms.
 	SettleEvery settings.Duration `json:"settle_every,omitempty"`
-	// RPCTimeout bounds one call between hosts, 50ms to 30s; default 1s.
-	RPCTimeout settings.Duration `json:"rpc_timeout,omitempty"`
 }
 
 // Default values of optional fields.
@@ -205,7 +203,6 @@
 	defaultDeadAfter     = settings.Duration(10 * time.Second)
 	defaultServerLapse   = settings.Duration(1500 * time.Millisecond)
 	defaultSettleEvery   = settings.Duration(200 * time.Millisecond)
-	defaultRPCTimeout    = settings.Duration(time.Second)
 )
 
 // Default returns a Config with every optional field at its default and the
@@ -221,7 +218,6 @@
 			DeadAfter:    defaultDeadAfter,
 			ServerLapse:  defaultServerLapse,
 			SettleEvery:  defaultSettleEvery,
-			RPCTimeout:   defaultRPCTimeout,
 		},
 	}
 }
