--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -31,7 +31,7 @@
 		return err
 	}
 	r.formation = nil
-	r.log.Info().Uint64("replica", r.id.ID).Msg("group_formed")
+	r.log.Info().Uint64("replica", r.id.ID).Str("event", "group-formed").Send()
 	return r.startCore(wal.Contents{Hard: hard})
 }
 
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	r.log.Warn().Uint64("old_replica", old).Uint64("replica", r.id.ID).Msg("lost_disk_joins_as_new_replica")
+	r.log.Warn().Uint64("old_replica", old).Uint64("replica", r.id.ID).Str("event", "lost-disk-joins-as-new-replica").Send()
 	return r.startCore(wal.Contents{Hard: hard})
 }
 
--- a/internal/control/inbound.go
+++ b/internal/control/inbound.go
@@ -15,6 +15,8 @@
 	}
 	if len(r.inbox) < maxInbox && !r.closed {
 		r.inbox = append(r.inbox, m)
+	} else {
+		r.metrics.MessagesDropped.Add(1)
 	}
 	r.inMu.Unlock()
 	r.wakeLoop()
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -28,7 +28,7 @@
 		case <-r.wake:
 		}
 		if err := r.turn(); err != nil {
-			r.log.Error().Err(err).Msg("replica_stopped")
+			r.log.Error().Err(err).Str("event", "replica-stopped").Send()
 			r.shutDown(err)
 			return
 		}
@@ -133,7 +133,7 @@
 		return nil // takes no part yet
 	}
 	if m.Type == pb.RaftType_RAFT_TYPE_APPEND && !r.roomFor(int64(proto.Size(m))+entryOverhead) {
-		r.log.Warn().Int64("log_bytes", r.wal.Bytes()).Msg("append_dropped_log_full")
+		r.log.Warn().Int64("log_bytes", r.wal.Bytes()).Str("event", "append-dropped-log-full").Send()
 		return nil // not acknowledged; the leader sends it again
 	}
 	r.core.Step(m)
@@ -174,6 +174,7 @@
 	if rd.HardState == nil && len(rd.Entries) == 0 {
 		return nil
 	}
+	r.metrics.Syncs.Add(1)
 	return r.wal.Append(rd.HardState, rd.Entries)
 }
 
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,50 @@
+package control
+
+import "expvar"
+
+// metrics counts what a replica did since its start.
+type metrics struct {
+	Elected          expvar.Int // terms that this replica led
+	Proposals        expvar.Int // commands appended as the leader
+	ProposalsUnknown expvar.Int // ended with an unknown outcome
+	ReadsRefused     expvar.Int // for want of leadership or lease
+	Syncs            expvar.Int // of the log
+	Snapshots        expvar.Int // taken of its own state
+	Installed        expvar.Int // snapshots taken over from a leader
+	MessagesDropped  expvar.Int // from other replicas, as too many waited
+}
+
+// Vars gives the replica's counters and present state for publication.
+func (r *Replica) Vars() expvar.Var {
+	m := new(expvar.Map).Init()
+	for name, v := range map[string]expvar.Var{
+		"elected": &r.metrics.Elected, "proposals": &r.metrics.Proposals,
+		"proposals_unknown": &r.metrics.ProposalsUnknown, "reads_refused": &r.metrics.ReadsRefused,
+		"log_syncs": &r.metrics.Syncs, "snapshots": &r.metrics.Snapshots,
+		"snapshots_installed": &r.metrics.Installed, "messages_dropped": &r.metrics.MessagesDropped,
+		"state": expvar.Func(r.stateVar),
+	} {
+		m.Set(name, v)
+	}
+	return m
+}
+
+// replicaState is the present state as it is published.
+type replicaState struct {
+	Replica  uint64 `json:"replica"`
+	Leader   uint64 `json:"leader"`
+	Term     uint64 `json:"term"`
+	Commit   uint64 `json:"commit"`
+	Applied  uint64 `json:"applied"`
+	LogBytes uint64 `json:"log_bytes"`
+	Snapshot uint64 `json:"snapshot_index"`
+	Joining  bool   `json:"joining"`
+}
+
+func (r *Replica) stateVar() any {
+	st := r.Status()
+	return replicaState{
+		Replica: st.Self, Leader: st.Leader, Term: st.Term, Commit: st.Commit, Applied: st.Applied,
+		LogBytes: st.LogBytes, Snapshot: st.SnapshotIndex, Joining: r.Joining(),
+	}
+}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -96,6 +96,7 @@
 	if err != nil {
 		return r.currentView().notLeader()
 	}
+	r.metrics.Proposals.Add(1)
 	r.await(p, index, term)
 	return nil
 }
@@ -113,6 +114,7 @@
 func (r *Replica) failPending(why string) {
 	for index, p := range r.pending {
 		delete(r.pending, index)
+		r.metrics.ProposalsUnknown.Add(1)
 		p.finish(nil, errOutcomeUnknown(why))
 	}
 }
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -13,6 +13,7 @@
 // is refused.
 func (r *Replica) Read(ctx context.Context, q *pb.Query) (*pb.QueryResult, error) {
 	if err := r.readPoint(ctx); err != nil {
+		r.metrics.ReadsRefused.Add(1)
 		return nil, err
 	}
 	if q.GetMembers() != nil {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -44,6 +44,8 @@
 	resetTick map[uint64]int64
 	role      raft.Role
 
+	metrics metrics
+
 	view  atomic.Pointer[view]
 	leads atomic.Pointer[leadership] // nil unless this replica leads
 
@@ -105,7 +107,7 @@
 		return err
 	}
 	if contents.TornBytes > 0 {
-		r.log.Warn().Int64("bytes", contents.TornBytes).Msg("torn_log_end_cut")
+		r.log.Warn().Int64("bytes", contents.TornBytes).Str("event", "torn-log-end-cut").Send()
 	}
 	if id == nil {
 		id = newIdentity(&r.cfg, r.rnd)
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -163,6 +163,9 @@
 		c.leader()
 		c.mustSet(1, 360)
 		time.Sleep(time.Second)
+		if vars := c.leader().r.Vars().String(); !strings.Contains(vars, `"commit":`) || strings.Contains(vars, `"proposals": 0`) {
+			t.Fatalf("published: %s", vars)
+		}
 		for _, h := range c.hosts {
 			order := h.sm.order()
 			if len(order) != 361 || order[360] != "op360" || order[200] != "op200" {
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -99,7 +99,8 @@
 		return nil // a leader's newer one was installed meanwhile
 	}
 	r.snapIndex = job.snap.Index
-	r.log.Info().Uint64("index", job.snap.Index).Int("bytes", len(job.snap.Data)).Msg("snapshot_taken")
+	r.metrics.Snapshots.Add(1)
+	r.log.Info().Uint64("index", job.snap.Index).Int("bytes", len(job.snap.Data)).Str("event", "snapshot-taken").Send()
 	if job.snap.Index > keepBehind {
 		r.core.Compact(job.snap.Index - keepBehind)
 	}
@@ -126,7 +127,8 @@
 	if err := r.snapshots.Save(s); err != nil {
 		return err
 	}
-	r.log.Info().Uint64("index", s.Index).Int("bytes", len(s.Data)).Msg("snapshot_installed")
+	r.metrics.Installed.Add(1)
+	r.log.Info().Uint64("index", s.Index).Int("bytes", len(s.Data)).Str("event", "snapshot-installed").Send()
 	return r.restore(s)
 }
 
@@ -134,7 +136,7 @@
 func (r *Replica) attachSnapshot(m *pb.RaftMessage) bool {
 	snap, err := r.snapshots.Load(0)
 	if err != nil || snap == nil {
-		r.log.Error().Err(err).Msg("snapshot_not_sent")
+		r.log.Error().Err(err).Str("event", "snapshot-not-sent").Send()
 		return false
 	}
 	m.Snapshot = snap
@@ -149,7 +151,7 @@
 	wanted := r.taken + size + r.cfg.LogBytes/16
 	if r.wal.Room() < wanted {
 		if err := r.startSnapshot(); err != nil {
-			r.log.Error().Err(err).Msg("forced_snapshot_failed")
+			r.log.Error().Err(err).Str("event", "forced-snapshot-failed").Send()
 		}
 		return false
 	}
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -141,7 +141,7 @@
 	for p.ctx.Err() == nil {
 		conn, err := grpc.NewClient(p.address, p.t.opts...)
 		if err != nil {
-			p.t.log.Error().Err(err).Str("peer", p.address).Msg("peer_address_unusable")
+			p.t.log.Error().Err(err).Str("peer", p.address).Str("event", "peer-address-unusable").Send()
 			return
 		}
 		err = p.useConn(pb.NewControlClient(conn))
@@ -149,7 +149,7 @@
 		if p.ctx.Err() != nil {
 			return
 		}
-		p.t.log.Debug().Err(err).Str("peer", p.address).Msg("peer_connection_replaced")
+		p.t.log.Debug().Err(err).Str("peer", p.address).Str("event", "peer-connection-replaced").Send()
 		select {
 		case <-time.After(redialPause):
 		case <-p.ctx.Done():
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -61,10 +61,11 @@
 	}
 	r.role = v.role
 	if v.role == raft.Leader {
-		r.log.Info().Uint64("term", v.term).Uint64("replica", v.id).Msg("became_leader")
+		r.metrics.Elected.Add(1)
+		r.log.Info().Uint64("term", v.term).Uint64("replica", v.id).Str("event", "became-leader").Send()
 	}
 	if v.role == raft.Follower {
-		r.log.Info().Uint64("term", v.term).Uint64("leader", v.leader).Msg("became_follower")
+		r.log.Info().Uint64("term", v.term).Uint64("leader", v.leader).Str("event", "became-follower").Send()
 	}
 }
 
