--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
 // drain lets this host go without cutting off a request.
@@ -26,9 +28,21 @@
 		err = settleErr
 	}
 	e.sched.Close()
+	if err == nil {
+		err = e.deregister(ctx)
+	}
 	return errors.Wrap(err, "drain")
 }
 
+// deregister tells the control group that this run has ended in order. A run that
+// could not settle does not say so: its grants stay locked until they are recovered.
+func (e *entry) deregister(ctx context.Context) error {
+	self := e.holder()
+	_, err := e.d.client.Propose(ctx, &pb.Command{Actor: self.Host, Body: &pb.Command_RemoveHost{
+		RemoveHost: &pb.RemoveHost{Host: self.Host, Incarnation: self.Incarnation}}})
+	return err
+}
+
 // waitKeptAddresses waits as long as callers may keep an address answer.
 func (e *entry) waitKeptAddresses(ctx context.Context) {
 	select {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/controller/placement"
 	"github.com/bluebellsail/bluebellsail/internal/controller/records"
 	"github.com/bluebellsail/bluebellsail/internal/controller/scheduler"
+	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter/dispatch"
@@ -37,6 +38,11 @@
 	fleetEvery = 100 * time.Millisecond
 	// learnEvery is how often the registered hosts are read from the control group.
 	learnEvery = 5 * time.Second
+	// settleLeast and settleMost bound how long a started host learns of backend
+	// servers before it serves: two announcements at least, and not for ever in a
+	// fleet that has none.
+	settleLeast = 2 * announceEvery
+	settleMost  = 3 * time.Second
 	// firstByteWait and gapWait are when a connection to a backend server counts as
 	// silent: before its first byte (a prefill may be long) and after it.
 	firstByteWait = 30 * time.Second
@@ -49,6 +55,8 @@
 	d       *Daemon
 	self    atomic.Pointer[pb.Holder]
 	leaving atomic.Bool
+	// settled tells that this run has heard of the fleet's backend servers.
+	settled atomic.Bool
 
 	sched   *scheduler.Scheduler
 	members *members.Controller
@@ -132,7 +140,50 @@
 	t.run(e.followFleet)
 	t.run(e.learnHosts)
 	e.serveRepair(t)
-	return errors.Wrap(e.http.Start(), "callers' address")
+	if err := e.http.Start(); err != nil {
+		return errors.Wrap(err, "callers' address")
+	}
+	return e.settle(ctx)
+}
+
+// settle waits until this run has heard of the fleet's backend servers. Without it a
+// restarted host refuses work as unknown_model, which tells callers not to come back,
+// because its registry is still empty.
+func (e *entry) settle(ctx context.Context) error {
+	begun := time.Now()
+	ticker := time.NewTicker(fleetEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		waited := time.Since(begun)
+		if waited >= settleMost || waited >= settleLeast && len(e.sched.Servers()) > 0 {
+			e.settled.Store(true)
+			return nil
+		}
+	}
+}
+
+// chainSettings are the settings as the request chain sees them: not ready before
+// this run has settled. A leaving host still serves who was sent to it.
+type chainSettings struct {
+	*settingsctl.Controller
+	e *entry
+}
+
+// Ready implements filter.Settings.
+func (c chainSettings) Ready() error {
+	if !c.e.settled.Load() {
+		return errNotSettled()
+	}
+	return c.Controller.Ready()
+}
+
+func errNotSettled() error {
+	return errkind.New(errkind.HostNotReady, "this host has just started and is still learning of the backend servers").After(time.Second)
 }
 
 // makeControllers makes the controllers of one incarnation and the callers' API on them.
@@ -149,7 +200,7 @@
 	})
 	e.records.SetGrants(e.grants)
 	e.api = callerapi.New(callerapi.Deps{
-		Settings: e.d.settings, Budget: e.grants, Records: e.records, Hosts: hosts{e},
+		Settings: chainSettings{e.d.settings, e}, Budget: e.grants, Records: e.records, Hosts: hosts{e},
 		Claims: claims{client: e.d.client, self: self}, Scheduler: e.sched, Retries: e.sched,
 		Explainer: e.explain, Registry: e.sched, Addresses: addresses{e}, Models: models{e.sched},
 		Health:           e.ready,
@@ -185,6 +236,9 @@
 	if e.holder().GetIncarnation() == 0 {
 		return errkind.New(errkind.HostNotReady, "not registered with the control group yet").After(time.Second)
 	}
+	if !e.settled.Load() {
+		return errNotSettled()
+	}
 	if e.leaving.Load() {
 		return errkind.New(errkind.HostLeaving, "this host is shutting down")
 	}
@@ -196,7 +250,7 @@
 	const full = 1000
 	spare := uint32(0)
 	limit, used := e.d.cfg.Limits.Streams, e.sched.Running()+e.sched.Waiting()
-	if used < limit {
+	if used < limit && e.settled.Load() {
 		spare = uint32(full * (limit - used) / limit)
 	}
 	return members.Load{SparePermille: spare, ConfigRevision: e.d.settings.Revision()}
--- a/internal/ledger/hosts.go
+++ b/internal/ledger/hosts.go
@@ -126,14 +126,19 @@
 	}
 }
 
-// RemoveHost takes an operator's word that a host is dead. Should it live on, cut
-// off, it goes on spending what it holds, and what it spends after its recovery
+// RemoveHost takes an operator's word that a host is dead, or a host's own that it
+// has left. A host that left in order holds nothing; while it counted as live, the
+// recovery of any other host waited for its answer for ever. Should a removed host live on,
+// cut off, it goes on spending what it holds, and what it spends after its recovery
 // can't be billed any more: the word must be true.
 func (s *State) RemoveHost(c *pb.RemoveHost) error {
 	h := s.hosts.hosts[c.Host]
 	if h == nil {
 		return errkind.New(errkind.NotFound, "no host %q", c.Host)
 	}
+	if c.Incarnation != 0 && c.Incarnation != h.Incarnation {
+		return errkind.New(errkind.StaleFence, "incarnation %d of host %q has been followed by %d", c.Incarnation, c.Host, h.Incarnation)
+	}
 	h.Removed = true
 	s.hosts.markDead(h.Incarnation)
 	return nil
