--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -30,6 +30,11 @@
 	own      []Run
 	ended    []span
 	peers    map[string]peerWork
+
+	// Sums kept for quick decisions.
+	ownAtReport  int // how many of the reported requests were this host's
+	peerRequests int
+	peerTokens   uint64
 }
 
 // span is an ended run of this host.
@@ -54,10 +59,13 @@
 			delete(l.peers, host)
 		}
 	}
+	l.countOwnAtReport()
+	l.sumPeers()
 }
 
-// ownAtReport is how many of the reported requests were this host's.
-func (l *load) ownAtReport() int {
+// countOwnAtReport counts the requests of this host that were at the server when it
+// measured: those still there and those that ended since. It changes with a report only.
+func (l *load) countOwnAtReport() {
 	n := 0
 	for i := range l.own {
 		if !l.own[i].start.After(l.at) {
@@ -69,15 +77,15 @@
 			n++
 		}
 	}
-	return n
+	l.ownAtReport = n
 }
 
-func (l *load) fromPeers() (requests int, tokens uint64) {
+func (l *load) sumPeers() {
+	l.peerRequests, l.peerTokens = 0, 0
 	for _, p := range l.peers {
-		requests += p.requests
-		tokens += p.tokens
+		l.peerRequests += p.requests
+		l.peerTokens += p.tokens
 	}
-	return requests, tokens
 }
 
 // Begin counts a request of this host as sent to s. prompt is in tokens to be computed.
@@ -112,12 +120,11 @@
 
 // SinceReport is by how many requests of this host s has more than when it measured
 // its reported load; negative if more ended than began.
-func (s *Server) SinceReport() int { return s.Own() - s.load.ownAtReport() }
+func (s *Server) SinceReport() int { return s.Own() - s.load.ownAtReport }
 
 // Others estimates the requests of other hosts at s now.
 func (s *Server) Others() int {
-	peers, _ := s.load.fromPeers()
-	return max(s.load.reported-s.load.ownAtReport(), 0) + peers
+	return max(s.load.reported-s.load.ownAtReport, 0) + s.load.peerRequests
 }
 
 // Corrected estimates all requests at s now.
@@ -131,7 +138,7 @@
 
 // PendingPrompt estimates the prompt tokens sent to s and not yet computed.
 func (s *Server) PendingPrompt() uint64 {
-	_, n := s.load.fromPeers()
+	n := s.load.peerTokens
 	for i := range s.load.own {
 		if !s.load.own[i].first {
 			n += s.load.own[i].Tokens
@@ -172,7 +179,10 @@
 // MergeRecent replaces what is known of a peer's recent work.
 func (r *Registry) MergeRecent(now time.Time, host string, work []*pb.RecentWork) {
 	for _, s := range r.servers {
-		delete(s.load.peers, host)
+		if _, ok := s.load.peers[host]; ok {
+			delete(s.load.peers, host)
+			s.load.sumPeers()
+		}
 	}
 	for _, w := range work {
 		s := r.servers[w.GetServer()]
@@ -183,5 +193,6 @@
 			s.load.peers = make(map[string]peerWork)
 		}
 		s.load.peers[host] = peerWork{at: now, requests: int(w.GetRequests()), tokens: w.GetTokens()}
+		s.load.sumPeers()
 	}
 }
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -69,6 +69,9 @@
 	servers  map[string]*Server
 	byTarget map[Target][]*Server
 	changes  uint64
+	// dirty: byTarget is out of date. It is rebuilt when next read, so that a burst of
+	// new servers, as when a host starts, costs one rebuild.
+	dirty bool
 }
 
 // New makes an empty registry.
@@ -83,7 +86,7 @@
 // Announce takes an announcement that a server sent to this host. It returns
 // false if it is older than what is known of the server.
 func (r *Registry) Announce(now time.Time, st *pb.ServerState) bool {
-	return r.take(now, now, st)
+	return r.take(now, st)
 }
 
 // Merge takes what a peer knows. transit is an upper bound of the time the states
@@ -102,7 +105,7 @@
 		if age >= r.cfg.Forget {
 			continue
 		}
-		r.take(now, now.Add(-age), st)
+		r.take(now.Add(-age), st)
 	}
 }
 
@@ -118,7 +121,7 @@
 }
 
 // take stores st, which reached the first host at heard, if it is news.
-func (r *Registry) take(now, heard time.Time, st *pb.ServerState) bool {
+func (r *Registry) take(heard time.Time, st *pb.ServerState) bool {
 	if st.GetAddress() == "" {
 		return false
 	}
@@ -126,7 +129,7 @@
 	if s == nil {
 		s = newServer(st, heard, r.cfg.CacheBlocks)
 		r.servers[st.GetAddress()] = s
-		r.reindex(now)
+		r.dirty = true
 		return true
 	}
 	known := s.state
@@ -134,8 +137,8 @@
 	case st.GetIncarnation() < known.GetIncarnation():
 		return false
 	case st.GetIncarnation() > known.GetIncarnation():
+		r.dirty = r.dirty || !sameTargets(st, known)
 		s.restart(st, heard)
-		r.reindex(now)
 		return true
 	}
 	// Announcements can overtake each other: leaving counts even from an older one.
@@ -143,11 +146,8 @@
 	if st.GetSeq() <= known.GetSeq() {
 		return false
 	}
-	changed := !sameTargets(st, known)
+	r.dirty = r.dirty || !sameTargets(st, known)
 	s.update(st, heard)
-	if changed {
-		r.reindex(now)
-	}
 	return true
 }
 
@@ -155,15 +155,15 @@
 	return slices.Equal(a.GetModels(), b.GetModels()) && slices.Equal(a.GetServices(), b.GetServices())
 }
 
-// reindex rebuilds the lists per target and forgets servers not heard of for long.
-func (r *Registry) reindex(now time.Time) {
+// reindex rebuilds the lists per target if they are out of date.
+func (r *Registry) reindex() {
+	if !r.dirty {
+		return
+	}
+	r.dirty = false
 	r.changes++
 	clear(r.byTarget)
-	for addr, s := range r.servers {
-		if now.Sub(s.heard) >= r.cfg.Forget && s.Own() == 0 {
-			delete(r.servers, addr)
-			continue
-		}
+	for _, s := range r.servers {
 		for _, m := range s.state.GetModels() {
 			t := Target{Model, m}
 			r.byTarget[t] = append(r.byTarget[t], s)
@@ -184,21 +184,27 @@
 }
 
 // Changes counts the changes of the lists that Serving returns.
-func (r *Registry) Changes() uint64 { return r.changes }
+func (r *Registry) Changes() uint64 {
+	r.reindex()
+	return r.changes
+}
 
 // Expire drops servers not heard of for the Forget time. Call it now and then.
 func (r *Registry) Expire(now time.Time) {
-	for _, s := range r.servers {
+	for addr, s := range r.servers {
 		if now.Sub(s.heard) >= r.cfg.Forget && s.Own() == 0 {
-			r.reindex(now)
-			return
+			delete(r.servers, addr)
+			r.dirty = true
 		}
 	}
 }
 
 // Serving returns the servers known to serve t, usable or not, in order of
 // address. The list is valid until the next change and must not be written to.
-func (r *Registry) Serving(t Target) []*Server { return r.byTarget[t] }
+func (r *Registry) Serving(t Target) []*Server {
+	r.reindex()
+	return r.byTarget[t]
+}
 
 // Server finds a server by address.
 func (r *Registry) Server(addr string) (*Server, bool) {
--- a/internal/measure/routing/table.go
+++ b/internal/measure/routing/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -35,9 +36,6 @@
 
 var loads = []float64{0.7, 1.0, 1.3, 2.0}
 
-// workers is how many runs go on at once.
-const workers = 4
-
 // row holds the figures of one run.
 type row struct {
 	site, fault, policy string
@@ -65,7 +63,8 @@
 	rows := make([]row, len(ss)*len(ls)*len(fs)*len(ps))
 	var wg sync.WaitGroup
 	next := make(chan func())
-	for range workers {
+	// Half of the processors: the table shares its machine with others.
+	for range max(runtime.GOMAXPROCS(0)/2, 1) {
 		wg.Go(func() {
 			for f := range next {
 				f()
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -191,7 +191,7 @@
 func (c *Core) grantNext(now time.Time, p *pool) (Result, bool) {
 	for _, class := range p.classOrder() {
 		q := &p.classes[class]
-		if q.waiting == 0 {
+		if q.waiting == 0 || !c.someRoom(now, p, class) {
 			continue
 		}
 		var granted *item
@@ -212,6 +212,17 @@
 	return Result{}, false
 }
 
+// someRoom tells whether any server may have room for the class at all: without
+// it no waiting request of the class need be tried.
+func (c *Core) someRoom(now time.Time, p *pool, class Class) bool {
+	for _, m := range p.members {
+		if c.reg.UsableServer(now, m.server) && c.hasRoom(now, p, m, class, true) {
+			return true
+		}
+	}
+	return false
+}
+
 // expire refuses the waiting requests that can no longer end in time, or for
 // which no server is left.
 func (c *Core) expire(now time.Time, p *pool, out []Result) []Result {
