--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -138,10 +138,11 @@
 	return time.Duration(s.speed.run.mean * float64(time.Second))
 }
 
-// Depth is how many requests beyond its slots s works off within d.
+// Depth is how many requests beyond its slots s works off within d; 0 if a run
+// takes longer than d.
 func (s *Server) Depth(d time.Duration) int {
 	run := s.MeanRun()
-	if run <= 0 {
+	if run <= 0 || run > d {
 		return 0
 	}
 	return int(int64(s.Slots()) * int64(d) / int64(run))
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -59,7 +59,7 @@
 		return 0
 	}
 	slots := m.server.Slots()
-	return min(m.server.Depth(c.cfg.Ahead), max(slots, m.cover-slots))
+	return min(m.server.Depth(c.cfg.Ahead), max(slots, 2*m.cover-slots))
 }
 
 // isOurTurn splits the room that the last report shows between the hosts that
--- a/internal/sched/work.go
+++ b/internal/sched/work.go
@@ -99,8 +99,10 @@
 	// FreshLoad is the age up to which a load report lets this host use room beyond
 	// its own share of a server; default 2 s.
 	FreshLoad time.Duration
-	// Ahead is how much work beyond its slots a server is given, in time, so that a
-	// slot that ends between two load reports finds its next request; default 250 ms.
+	// Ahead is how much work beyond its slots a server is given, in time, if its runs
+	// are shorter than that: so that a slot that ends between two load reports finds
+	// its next request. Slots of longer runs stand idle for a small part of a run only.
+	// Default 500 ms.
 	Ahead time.Duration
 	// Parts switches parts of the policy off, for measuring what each is worth.
 	Parts Parts
@@ -125,7 +127,7 @@
 	DefaultQueuePerTarget  = 512
 	DefaultMargin          = 0.05
 	DefaultFreshLoad       = 2 * time.Second
-	DefaultAhead           = 250 * time.Millisecond
+	DefaultAhead           = 500 * time.Millisecond
 )
 
 func (c Config) withDefaults() Config {
