--- a/internal/callerapi/chain_test.go
+++ b/internal/callerapi/chain_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
@@ -223,3 +224,39 @@
 		})
 	}
 }
+
+func TestConnectionsToServersAreUsedAgain(t *testing.T) {
+	// Symptom: each call waits for a new connection, and the host runs out of ports.
+	// Sequence: the end of a body comes a little after the stream's last event.
+	// Cause: a stream left at its last event closes its connection.
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.engine(true, "", 0).lateEnd = 10 * time.Millisecond
+		h := f.host("a")
+		for range 5 {
+			h.do(parse.PathChat, chatBody)
+			h.api.Wait()
+		}
+		if f.dials != 1 {
+			t.Errorf("%d connections for 5 calls", f.dials)
+		}
+		f.end(t, h)
+	})
+}
+
+func TestSilentConnectionOfAPlainService(t *testing.T) {
+	// Symptom: a kiosk's lookup fails although servers are idle.
+	// Sequence: something between host and server has lost track of the connection; the call on it gets no answer.
+	// Cause: the whole time up to the deadline is spent waiting on that connection.
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.engine(false, "says nothing", 0)
+		f.engine(false, "", 0)
+		h := f.host("a")
+		w := h.do("/services/codes/tv", "brand", filter.HeaderTimeout, "2000")
+		if w.Body.String() != "service:brand" || h.settled != 1 || !h.outcomes[0].Silent {
+			t.Errorf("got %d %s, bills %d, outcomes %+v", w.Code, w.Body, h.settled, h.outcomes)
+		}
+		f.end(t, h)
+	})
+}
--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
@@ -22,28 +24,43 @@
 	server  *http.Server
 	resumes bool
 	// fault breaks the run at a token number; tokens is the run's length.
-	fault   string
-	at      int
-	tokens  int
-	prefix  string // before each token's text
-	down    bool
-	stuck   bool // resumes meet the same fault
-	burst   bool // sends what it has at the run's end
-	runs    int  // requests that reached the engine and ran
-	cancels int
-	resumed []string // "from" of each resume
-	bodies  []string
-	open    int // streams being generated
+	fault  string
+	at     int
+	tokens int
+	prefix string // before each token's text
+	down   bool
+	delay  func(body string) time.Duration // before a plain service's answer
+	// tokenDelay is the time before each token.
+	tokenDelay time.Duration
+	lateEnd    time.Duration // between the last event and the body's end
+	stuck      bool          // resumes meet the same fault
+	burst      bool          // sends what it has at the run's end
+	runs       int           // requests that reached the engine and ran
+	cancels    int
+	resumed    []string // "from" of each resume
+	bodies     []string
+	open       int // streams being generated
 }
 
 func (f *fakeFleet) engine(resumes bool, fault string, at int) *fakeEngine {
 	e := &fakeEngine{conns: make(chan net.Conn, 16), resumes: resumes, fault: fault, at: at, tokens: 5}
 	e.server = &http.Server{Handler: e}
-	f.engines[engineAddress(len(f.engines))] = e
+	address := fmt.Sprintf("10.0.0.%d:80", len(f.order)+1)
+	f.engines[address], f.order = e, append(f.order, address)
 	go func() { _ = e.server.Serve(e) }()
 	return e
 }
 
+// tcpEngine is an engine on the loopback.
+func (f *fakeFleet) tcpEngine(t testing.TB, fault string, at int) *fakeEngine {
+	e := &fakeEngine{resumes: true, fault: fault, at: at, tokens: 5}
+	s := httptest.NewServer(e)
+	t.Cleanup(s.Close)
+	address := s.Listener.Addr().String()
+	f.engines[address], f.order = e, append(f.order, address)
+	return e
+}
+
 func (e *fakeEngine) refuse() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -117,6 +134,9 @@
 		w.Header().Set(engineclient.HeaderEngineRequest, "other")
 	}
 	if strings.HasPrefix(r.URL.Path, "/services/") {
+		if e.delay != nil {
+			time.Sleep(e.delay(string(body)))
+		}
 		_, _ = io.WriteString(w, "service:"+string(body))
 		return
 	}
@@ -144,12 +164,14 @@
 				return
 			}
 		}
+		time.Sleep(e.tokenDelay)
 		text, _ := json.Marshal(e.prefix + "t" + strconv.Itoa(i) + " ")
 		e.send(w, fmt.Sprintf(`{"id":"x","choices":[{"index":0,"delta":{"content":%s}}]}`, text))
 	}
 	e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)
 	e.send(w, fmt.Sprintf(`{"id":"x","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":%d,"total_tokens":%d}}`, e.tokens, e.tokens+3))
 	e.send(w, "[DONE]")
+	time.Sleep(e.lateEnd)
 }
 
 func (e *fakeEngine) send(w http.ResponseWriter, data string) {
--- a/internal/callerapi/fake_test.go
+++ b/internal/callerapi/fake_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -34,7 +33,9 @@
 	double  int
 	dead    map[string]bool
 	engines map[string]*fakeEngine
+	order   []string // addresses of engines, in the order they are tried
 	noQuor  bool
+	dials   int
 	hang    string // name of the port that blocks until its context ends
 }
 
@@ -100,7 +101,11 @@
 func (h *fakeHost) Addresses(string) []membership.Address {
 	return []membership.Address{{Host: h.name, Address: "127.0.0.1:1", Until: time.Now().Add(time.Minute)}}
 }
-func (h *fakeHost) Record(c *filter.Call, status int, _ error) { h.call, h.status = c, status }
+func (h *fakeHost) Record(c *filter.Call, status int, _ error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.call, h.status = c, status
+}
 
 func (h *fakeHost) Reserve(ctx context.Context, _, id string, tokens uint64) error {
 	if err := h.blocked(ctx, "budget"); err != nil {
@@ -216,8 +221,7 @@
 	if err := h.blocked(ctx, "scheduler"); err != nil {
 		return nil, err
 	}
-	for i := range len(h.engines) {
-		address := engineAddress(i)
+	for _, address := range h.order {
 		if !strings.Contains(strings.Join(w.Exclude, " "), address) {
 			return &fakeLease{h: h, st: &pb.ServerState{Address: address, Resumes: h.engines[address].resumes}}, nil
 		}
@@ -225,13 +229,15 @@
 	return nil, errkind.New(errkind.NoBackendServer, "none left")
 }
 
-func engineAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
-
-// dial connects to an engine within the process, so that virtual time holds.
-func (f *fakeFleet) dial(_ context.Context, _, address string) (net.Conn, error) {
+// dial connects to an engine on TCP, or to one within the process, so that virtual time holds.
+func (f *fakeFleet) dial(_ context.Context, network, address string) (net.Conn, error) {
 	f.mu.Lock()
 	e := f.engines[address]
+	f.dials++
 	f.mu.Unlock()
+	if e != nil && e.conns == nil {
+		return net.Dial(network, address)
+	}
 	if e == nil || e.refuse() {
 		return nil, errors.New("connection refused")
 	}
@@ -264,6 +270,9 @@
 	}
 	time.Sleep(time.Second) // virtual: the watch for callers that go ends by itself
 	for _, e := range f.engines {
+		if e.conns == nil {
+			continue
+		}
 		close(e.conns)
 		_ = e.server.Close()
 	}
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -59,6 +59,10 @@
 // Close ends the stream. It closes the connection unless the stream was read to its end.
 func (s *Stream) Close() { _ = s.res.Body.Close() }
 
+// Drain reads what little may follow the last event, so that the connection can be
+// used again.
+func (s *Stream) Drain() { _, _ = io.CopyN(io.Discard, s.r, lineBuffer) }
+
 // Buffered tells whether more of the stream has arrived already.
 func (s *Stream) Buffered() bool { return s.r.Buffered() > 0 }
 
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -54,11 +54,12 @@
 	// KeepBytes bounds the answer kept per call; 0: DefaultKeepBytes.
 	KeepBytes int
 
-	cancelling sync.WaitGroup
+	behind sync.WaitGroup
 }
 
-// Wait returns once every cancel order has been answered or given up.
-func (f *Filter) Wait() { f.cancelling.Wait() }
+// Wait returns once what goes on behind answers has ended: orders to cancel, and ends
+// of bodies.
+func (f *Filter) Wait() { f.behind.Wait() }
 
 // ServeHTTP implements filter.Handler.
 func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request) error {
@@ -131,7 +132,7 @@
 // order itself goes on after that.
 func (f *Filter) cancelRun(server, id string, wait time.Duration) *engineclient.Usage {
 	answer := make(chan *engineclient.Usage, 1)
-	f.cancelling.Go(func() {
+	f.behind.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		usage, _ := f.Client.Cancel(ctx, server, id) // the engine also stops at the run's own deadline
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -17,7 +17,9 @@
 // Bounds of reading a run again.
 const (
 	// maxResumes without a token in between, for a call that may run elsewhere.
-	maxResumes    = 3
+	maxResumes = 3
+	// endWait bounds the wait for the end of a body whose last event is there.
+	endWait       = time.Second
 	firstPause    = 50 * time.Millisecond
 	longestPause  = time.Second
 	noLimit       = 24 * time.Hour
@@ -135,31 +137,33 @@
 
 // read opens the run, or reads it again, and passes its events on until they end.
 func (a *attempt) read(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	l := newLink(ctx)
 	a.lastHeard = a.f.Clock.Now()
-	silent := time.AfterFunc(a.limit(), func() { cancel(errSilent) })
+	silent := time.AfterFunc(a.limit(), func() { l.cancel(errSilent) })
 	defer silent.Stop()
 	// What was taken as relayed has to be with the caller before another attempt.
 	defer a.sink.flush()
-	stream, err := a.open(ctx)
+	stream, err := a.open(l.ctx)
 	if err != nil {
+		defer l.end()
 		if ran, _, _ := judge(err); ran != errkind.RanNo {
 			a.reached = true
 		}
-		return a.silentOr(ctx, err)
+		return a.silentOr(l.ctx, err)
 	}
-	defer stream.Close()
 	a.reached = true
+	whole := false
+	defer func() { a.f.release(stream, l, whole) }()
 	for {
 		ev, err := stream.Next()
 		if err != nil {
-			return a.silentOr(ctx, err)
+			return a.silentOr(l.ctx, err)
 		}
 		a.heard()
 		silent.Reset(a.limit())
 		done, err := a.event(ev)
 		if done || err != nil {
+			whole = done
 			return err
 		}
 		if !stream.Buffered() {
@@ -168,6 +172,45 @@
 	}
 }
 
+// link is the context of one connection. Unlike a child of the call's context it may
+// outlive the call.
+type link struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// leave separates it from the call's context.
+	leave func() bool
+}
+
+func newLink(ctx context.Context) *link {
+	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	leave := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	return &link{ctx: own, cancel: cancel, leave: leave}
+}
+
+func (l *link) end() {
+	l.leave()
+	l.cancel(nil)
+}
+
+// release gives a connection back. After a whole answer the end of the body is still
+// to come; without reading it the connection would be closed, and each call would
+// have to open one. The answer doesn't wait for that.
+func (f *Filter) release(stream *engineclient.Stream, l *link, whole bool) {
+	if !whole {
+		l.end()
+		stream.Close()
+		return
+	}
+	l.leave()
+	f.behind.Go(func() {
+		limit := time.AfterFunc(endWait, l.end)
+		defer limit.Stop()
+		stream.Drain()
+		stream.Close()
+		l.end()
+	})
+}
+
 func (a *attempt) open(ctx context.Context) (*engineclient.Stream, error) {
 	if a.c.Resume != nil || a.resumes > 0 {
 		return a.f.Client.Resume(ctx, a.server, a.id, a.received)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -23,10 +23,6 @@
 	unsent atomic.Int64
 	// busy is the number of requests read and not yet answered in full.
 	busy atomic.Int64
-	// opened is stored by the accepting goroutine and loaded by the reading one.
-	// nbio hands a connection over through epoll, an order that the race detector
-	// and the memory model don't know of.
-	opened atomic.Bool
 }
 
 // Write counts and hands on.
@@ -35,6 +31,11 @@
 	return c.Conn.Write(b)
 }
 
+// handovers counts connections handed from the accepting goroutine to the reading
+// one, which loads it before it touches a connection. nbio orders the two through
+// epoll, which neither the memory model nor the race detector knows of.
+var handovers atomic.Int64
+
 func (c *trackedConn) quiet() bool {
 	if closed, _ := c.IsClosed(); closed {
 		return true
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -37,7 +37,7 @@
 
 // OnMethod is called with the first bytes of a request: the time to read it starts.
 func (p *processor) OnMethod(parser *nbhttp.Parser, method string) {
-	p.conn.opened.Load()
+	handovers.Load()
 	p.body, p.tooLong = 0, false
 	n := p.reading.Add(1)
 	p.slow = time.AfterFunc(p.cfg.ReadTimeout, func() { p.refuseSlow(parser, n) })
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -240,5 +240,5 @@
 		hc.Conn = tracked
 	}
 	p.Processor = newProcessor(s.cfg, tracked)
-	tracked.opened.Store(true)
+	handovers.Add(1)
 }
