--- a/internal/adminapi/accounts_test.go
+++ b/internal/adminapi/accounts_test.go
@@ -5,8 +5,17 @@
 	"testing"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
+// newAPIWithTeam has the team t.
+func newAPIWithTeam(t *testing.T) *api {
+	a := newAPI(t)
+	a.must(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "team", "If-Match", "0"), &ChangeAnswer{})
+	return a
+}
+
 func (a *api) createAccount() KeyAnswer {
 	a.t.Helper()
 	var made KeyAnswer
@@ -28,11 +37,11 @@
 // Sequence: an account is made, keys are added and dropped, answers are read.
 // Cause: something other than the hash is stored, logged or answered.
 func TestKeyIsShownOnceAndStoredNowhere(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	first := a.createAccount()
 	var second KeyAnswer
 	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "add"), &second)
-	if got := a.hashes(); len(got) != 2 || got[0] != HashKey(first.Key) || got[1] != HashKey(second.Key) {
+	if got := a.hashes(); len(got) != 2 || got[0] != settings.HashKey(first.Key) || got[1] != settings.HashKey(second.Key) {
 		t.Fatalf("hashes %v", got)
 	}
 	var dropped KeyAnswer
@@ -69,7 +78,7 @@
 // Sequence: an account is made, the answer is lost, the request is sent again.
 // Cause: the resend answers with the key it made, whose hash was never committed.
 func TestResendNeverShowsAKeyThatIsNotInForce(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	a.group.loseAnswer = true
 	body := `{"name":"acme","team":"t","budget":"b"}`
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), errkind.NoQuorum)
@@ -82,11 +91,14 @@
 		t.Error("the account has not exactly one key")
 	}
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o2"), errkind.AlreadyExists)
+	var b BudgetAnswer
+	a.must(a.call("POST", "/v1/budgets", `{"name":"b"}`, "Idempotency-Key", "o3"), &b)
+	a.mustRefuse(a.call("POST", "/v1/accounts", `{"name":"new"}`, "Idempotency-Key", "o3"), errkind.KeyConflict)
 }
 
 func TestOperatorsOwnHashIsConfirmedOnResend(t *testing.T) {
-	a := newAPI(t)
-	hash := HashKey("mine")
+	a := newAPIWithTeam(t)
+	hash := settings.HashKey("mine")
 	a.group.loseAnswer = true
 	body := `{"name":"acme","team":"t","budget":"b","key_hash":"` + hash + `"}`
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), errkind.NoQuorum)
@@ -101,7 +113,7 @@
 // Sequence: two operators change one account's keys at the same time.
 // Cause: the list is written back without the version it was read under.
 func TestKeysChangedByTwoOperatorsAtOnce(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	first := a.createAccount()
 	var other KeyAnswer
 	a.group.beforePropose = func() {
@@ -120,11 +132,30 @@
 	}
 }
 
+// Symptom: a resend is refused as another change, though the first took effect never.
+// Sequence: a key change meets a conflict, the host dies before it tries again, the
+// operator sends the change to another host.
+// Cause: the group remembers the conflict as the answer to the operation id.
+func TestKeyChangeGoesOnAfterARememberedConflict(t *testing.T) {
+	a := newAPIWithTeam(t)
+	a.createAccount()
+	stale := &pb.SetConfig{Path: "/accounts/acme/key_hashes", ValueJson: []byte(`[]`), ExpectedVersion: 0}
+	_, err := a.group.Propose(t.Context(), &pb.Command{OpId: versionedID("o", 0), Body: &pb.Command_SetConfig{SetConfig: stale}})
+	if !errkind.Is(err, errkind.VersionConflict) {
+		t.Fatal(err)
+	}
+	var added KeyAnswer
+	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "o"), &added)
+	if got := a.hashes(); len(got) != 2 || got[1] != added.KeyHash {
+		t.Errorf("hashes %v", got)
+	}
+}
+
 // Symptom: an operator drops a key, is told that it never existed and drops another.
 // Sequence: the drop commits, its answer is lost, the drop is sent again.
 // Cause: the resend looks for the hash before it looks for its own first change.
 func TestResentDropIsConfirmed(t *testing.T) {
-	a := newAPI(t)
+	a := newAPIWithTeam(t)
 	first := a.createAccount()
 	path := "/v1/accounts/acme/keys/" + first.KeyHash
 	a.group.loseAnswer = true
--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -15,7 +17,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 const operatorKey = "op-key-of-the-tests"
@@ -34,7 +38,7 @@
 	a := &api{t: t, group: newFakeGroup()}
 	a.handler = New(Config{
 		Group: a.group, Fleet: fakeFleet{}, Explain: fakeExplainer{},
-		OperatorKeyHashes: func() []string { return []string{HashKey("other"), HashKey(operatorKey)} },
+		OperatorKeyHashes: func() []string { return []string{settings.HashKey("other"), settings.HashKey(operatorKey)} },
 		Ready:             func() error { return a.ready },
 		Log:               zerolog.New(&a.log),
 	})
@@ -67,9 +71,9 @@
 }
 
 // mustRefuse checks the status, the kind and the path of a refusal and returns it.
-func (a *api) mustRefuse(w *httptest.ResponseRecorder, kind errkind.Kind) ErrorFields {
+func (a *api) mustRefuse(w *httptest.ResponseRecorder, kind errkind.Kind) httpserver.ErrorFields {
 	a.t.Helper()
-	var e ErrorAnswer
+	var e httpserver.ErrorAnswer
 	if err := json.Unmarshal(w.Body.Bytes(), &e); err != nil {
 		a.t.Fatalf("status %d, body %s: %v", w.Code, w.Body, err)
 	}
@@ -91,7 +95,7 @@
 	}
 	for _, p := range paths {
 		method, path, _ := strings.Cut(p, " ")
-		for _, bearer := range []string{"", "Bearer ", "Bearer wrong", "Bearer " + HashKey(operatorKey), operatorKey} {
+		for _, bearer := range []string{"", "Bearer ", "Bearer wrong", "Bearer " + settings.HashKey(operatorKey), operatorKey} {
 			w := a.call(method, path, "{}", "Authorization", bearer, "Idempotency-Key", "op", "If-Match", "*")
 			a.mustRefuse(w, errkind.Unauthenticated)
 		}
@@ -106,6 +110,26 @@
 	a.mustRefuse(a.call("GET", "/healthz", "", "Authorization", ""), errkind.HostNotReady)
 }
 
+func TestOperationsPageListsEveryPath(t *testing.T) {
+	source, err := os.ReadFile("handler.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	paths := regexp.MustCompile(`"((?:GET|PUT|POST|DELETE) /[^"]*)"`).FindAllStringSubmatch(string(source), -1)
+	if len(paths) < 20 {
+		t.Fatalf("found only %d paths", len(paths))
+	}
+	for _, p := range paths {
+		if !strings.Contains(string(page), "`"+p[1]+"`") {
+			t.Errorf("docs/OPERATIONS.md lacks %s", p[1])
+		}
+	}
+}
+
 func TestUnknownPathsAndMethodsAreRefusedInJSON(t *testing.T) {
 	a := newAPI(t)
 	a.mustRefuse(a.call("GET", "/v1/nothing", ""), errkind.UnknownPath)
@@ -201,19 +225,68 @@
 	a.mustRefuse(a.call("GET", "/v1/budgets/none", ""), errkind.NotFound)
 }
 
+// TestAPIOverNBHTTP shows that paths, headers, missing bodies and answers pass through
+// the server that the daemon uses.
+func TestAPIOverNBHTTP(t *testing.T) {
+	a := newAPI(t)
+	s := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: a.handler})
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Drain(context.Background()) }()
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	for _, tt := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"PUT", "/v1/config/teams/t", `{"priority":"batch"}`, 200},
+		{"GET", "/v1/config/teams/t", "", 200},
+		{"POST", "/v1/accounts/a/keys", "", 400},
+		{"DELETE", "/v1/config/teams/t", "", 200},
+		{"GET", "/v1/config/teams/t", "", 404},
+		{"GET", "/v1/nothing", "", 404},
+		{"GET", "/debug/vars", "", 200},
+		{"GET", "/healthz", "", 200},
+	} {
+		r, err := http.NewRequest(tt.method, "http://"+s.Address()+tt.path, strings.NewReader(tt.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer "+operatorKey)
+		r.Header.Set("Idempotency-Key", tt.method)
+		r.Header.Set("If-Match", "*")
+		res, err := client.Do(r)
+		if err != nil {
+			t.Fatalf("%s %s: %v", tt.method, tt.path, err)
+		}
+		if res.StatusCode != tt.status || res.Header.Get("Content-Type") == "" {
+			t.Errorf("%s %s: status %d, want %d", tt.method, tt.path, res.StatusCode, tt.status)
+		}
+		res.Body.Close()
+	}
+}
+
+// funded makes budget b with 100 tokens.
+func (a *api) funded() {
+	a.t.Helper()
+	a.must(a.call("POST", "/v1/budgets", `{"name":"b","tokens":100}`, "Idempotency-Key", "fund"), &BudgetAnswer{})
+}
+
 func TestBudgetShowsWhatHostsHold(t *testing.T) {
 	a := newAPI(t)
-	a.group.budgets["b"] = &pb.Budget{Name: "b", Funded: 100, Billed: 20, Granted: []*pb.Granted{
-		{Holder: &pb.Holder{Host: "h1", Incarnation: 4}, Tokens: 30}, {Holder: &pb.Holder{Host: "h2"}, Tokens: 0}}}
+	a.funded()
+	a.spend("b")
 	var b Budget
 	a.must(a.call("GET", "/v1/budgets/b", ""), &b)
-	if b.Granted != 30 || b.Free != 50 || len(b.Holders) != 1 || b.Holders[0].Incarnation != 4 {
+	if b.Billed != 20 || b.Granted != 30 || b.Free != 50 || len(b.Holders) != 1 || b.Holders[0].Host != "h3" {
 		t.Errorf("%+v", b)
 	}
-	var s Statement
-	a.must(a.call("GET", "/v1/budgets/b/statement?limit=7", ""), &s)
-	if len(s.Lines) != 1 || s.Lines[0].Tokens != 7 {
-		t.Errorf("the limit is not passed on: %+v", s)
+	var all, last Statement
+	a.must(a.call("GET", "/v1/budgets/b/statement", ""), &all)
+	a.must(a.call("GET", "/v1/budgets/b/statement?limit=1", ""), &last)
+	if len(all.Lines) < 2 || len(last.Lines) != 1 || last.Lines[0].Identity != "acme/k1" {
+		t.Errorf("%+v, the last %+v", all, last)
 	}
 }
 
@@ -246,13 +319,13 @@
 
 func TestConfigStatusTellsWhoIsBehind(t *testing.T) {
 	a := newAPI(t)
-	a.group.revision = 1
+	a.must(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "o1", "If-Match", "0"), &ChangeAnswer{})
 	var c ConfigStatus
-	a.must(a.call("GET", "/v1/config-status", ""), &c)
+	a.must(a.call("GET", "/v1/config-status", ""), &c) // with nothing at /fleet
 	if !c.CommittedKnown || !c.Hosts[0].InForce || c.Hosts[1].InForce || c.Hosts[1].InContact || c.Hosts[1].HeardMS != 9000 {
 		t.Errorf("%+v", c)
 	}
-	a.group.revision = 2
+	a.must(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "o2", "If-Match", "1"), &ChangeAnswer{})
 	a.must(a.call("GET", "/v1/config-status", ""), &c)
 	if c.Hosts[0].InForce {
 		t.Errorf("a host at revision 1 counts as in force at 2: %+v", c)
@@ -261,17 +334,16 @@
 
 func TestFleetAndControlAnswers(t *testing.T) {
 	a := newAPI(t)
-	a.group.hosts = []*pb.HostInfo{{Host: "h3", Unrecovered: []uint64{2}}}
+	a.funded()
+	a.spend("b")
+	var removed HostRemoved
+	a.must(a.call("POST", "/v1/hosts/h3/remove", "", "Idempotency-Key", "o1"), &removed)
 	var l HostList
 	a.must(a.call("GET", "/v1/hosts", ""), &l)
-	if len(l.Hosts) != 3 || l.Hosts[2].Unrecovered[0] != 2 || l.Hosts[2].Health != "unknown" {
+	h3 := l.Hosts[len(l.Hosts)-1]
+	if len(l.Hosts) != 3 || h3.Health != "unknown" || !h3.Removed || len(h3.Unrecovered) != 1 {
 		t.Errorf("hosts %+v", l)
 	}
-	var removed HostRemoved
-	a.must(a.call("POST", "/v1/hosts/h3/remove", "", "Idempotency-Key", "o1"), &removed)
-	if got := a.group.commands[0].GetRemoveHost().GetHost(); got != "h3" {
-		t.Errorf("removed %q", got)
-	}
 	var servers ServerList
 	a.must(a.call("GET", "/v1/servers", ""), &servers)
 	if len(servers.Servers) != 2 || !servers.Servers[0].Leaving {
@@ -291,10 +363,11 @@
 
 func TestExplainAddsTheLedgersBill(t *testing.T) {
 	a := newAPI(t)
-	a.group.bills["acme/k1"] = &pb.Bill{Budget: "b", Tokens: 12, RequestId: "r1"}
+	a.funded()
+	a.spend("b")
 	var e Explanation
 	a.must(a.call("GET", "/v1/explain/acme/k1", ""), &e)
-	if e.Ledger == nil || e.Ledger.Tokens != 12 {
+	if e.Ledger == nil || e.Ledger.Tokens != 20 {
 		t.Errorf("%+v", e)
 	}
 	a.group.readErr = errkind.New(errkind.NoQuorum, "cut off")
@@ -306,14 +379,38 @@
 	a.mustRefuse(a.call("GET", "/v1/explain/other", ""), errkind.NotFound)
 }
 
-// slowGroup answers no proposal before its context ends.
+// slowGroup answers nothing before the context ends.
 type slowGroup struct{ *fakeGroup }
 
+func (slowGroup) Read(ctx context.Context, _ *pb.Query) (*pb.QueryResult, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 func (slowGroup) Propose(ctx context.Context, _ *pb.Command) (*pb.CommandResult, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
 
+// Symptom: bluebellsail status gives up on every host while two of three replicas are
+// down.
+// Sequence: the handler waits for the group as long as for a change; the tool's time for
+// one host is over first.
+// Cause: what a host knows by itself waits for what it can't know.
+func TestAnswersWithoutQuorumComeSoon(t *testing.T) {
+	for _, path := range []string{"/v1/status", "/v1/config-status", "/v1/hosts", "/v1/explain/acme/k1"} {
+		synctest.Test(t, func(t *testing.T) {
+			a := newAPI(t)
+			a.handler.cfg.Group = slowGroup{a.group}
+			began := time.Now()
+			w := a.call("GET", path, "")
+			if took := time.Since(began); w.Code != http.StatusOK || took > time.Second {
+				t.Errorf("%s: status %d after %s", path, w.Code, took)
+			}
+		})
+	}
+}
+
 // Symptom: an operator is told that a change failed, and it takes effect later.
 // Sequence: the group is slow, the request's time is over, the command commits.
 // Cause: a timeout is answered like a refusal.
@@ -333,7 +430,7 @@
 	e := errkind.From(refusal(&pb.Error{Kind: "overloaded", Message: "m", Path: "/p", RetryAfterMs: 1500, PresentVersion: 3}))
 	w := httptest.NewRecorder()
 	writeError(w, e)
-	want := `{"error":{"kind":"overloaded","message":"m","path":"/p","ran":"no","retry":"after","retry_after_ms":1500,"present_version":3}}` + "\n"
+	want := `{"error":{"kind":"overloaded","message":"m","ran":"no","retry":"after","retry_after_ms":1500,"path":"/p","present_version":3}}`
 	if w.Body.String() != want || w.Header().Get("Retry-After") != "2" || w.Code != 429 {
 		t.Errorf("%d %v\n%s", w.Code, w.Header(), w.Body)
 	}
--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -7,14 +7,17 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 // driver feeds a State the records of a log and keeps the log.
 type driver struct {
-	t     *testing.T
-	state *State
-	log   []*pb.Command
-	now   int64
+	t      testing.TB
+	state  *State
+	index  uint64
+	log    []*pb.Command
+	now    int64
+	forget bool // keep no log
 }
 
 func newDriver(t *testing.T) *driver {
@@ -26,8 +29,11 @@
 	d.now++
 	cmd := &pb.Command{OpId: opID, Actor: "operator", TimeMs: d.now}
 	set(cmd)
-	d.log = append(d.log, cmd)
-	return d.state.Apply(uint64(len(d.log)), cmd)
+	d.index++
+	if !d.forget {
+		d.log = append(d.log, cmd)
+	}
+	return d.state.Apply(d.index, cmd)
 }
 
 func (d *driver) must(opID string, set func(*pb.Command)) *pb.CommandResult {
@@ -147,6 +153,12 @@
 	if !again.Resend || again.GetBudget().Funded != first.Funded || first.Funded != 1570 {
 		t.Errorf("first answer %v, resend %v", first, again)
 	}
+	if got := d.do("op-team", setConfig("/teams/x", `{"priority":"batch"}`, 1)); got.GetSetConfig().GetRevision() != 1 || !got.Resend {
+		t.Errorf("a resend with another value got %v", got)
+	}
+	if got := d.do("op-team", setConfig("/teams/y", `{}`, 0)); got.Error.GetKind() != string(errkind.KeyConflict) {
+		t.Errorf("another change under the same id got %v", got)
+	}
 	if got := d.do("op-late", topUp("b", 71)); got.Error.GetKind() != string(errkind.KeyConflict) {
 		t.Errorf("another top-up under the same id got %v", got)
 	}
@@ -170,6 +182,41 @@
 	}
 }
 
+// Symptom: hosts never come to serve, or serve under another tree than the replicas hold.
+// Sequence: a host starts from the whole tree as read at "/" and follows the changes
+// as they were sent: with spaces, a slash at the end, null for a deletion.
+// Cause: the whole tree or a change has another form for hosts than for replicas.
+func TestHostFollowsWhatWasSent(t *testing.T) {
+	d := newDriver(t)
+	play(d)
+	whole := d.state.Query(&pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: "/"}}})
+	host, err := settings.ViewFromSnapshot(whole.ValueJson)
+	if err != nil || host.Revision() != whole.Revision {
+		t.Fatalf("from the tree at revision %d: %v", whole.Revision, err)
+	}
+	for i, c := range []struct{ path, value string }{
+		{"/teams/x/retry/", ` { "share" : 0.5 } `}, {"/teams/x/priority", " null "}, {"/accounts/school", "null"}, {"/teams/x", "null"},
+	} {
+		d.must(fmt.Sprint("change", i), func(cmd *pb.Command) {
+			cmd.Body = &pb.Command_SetConfig{SetConfig: &pb.SetConfig{Path: c.path, ValueJson: []byte(c.value), AnyVersion: true}}
+		})
+		set := d.log[len(d.log)-1].GetSetConfig()
+		version := d.state.View().Revision()
+		subtree := d.state.Query(&pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: c.path}}}).Version
+		change := &pb.ConfigChange{Revision: version, Version: subtree, Path: set.Path, ValueJson: set.ValueJson}
+		if host, err = host.Apply([]*pb.ConfigChange{change}); err != nil {
+			t.Fatalf("%s = %s: %v", c.path, c.value, err)
+		}
+		want, _, err := d.state.View().Value("/")
+		if got, _, err2 := host.Value("/"); err != nil || err2 != nil || !bytes.Equal(got, want) {
+			t.Fatalf("%s = %s: host has %s, replica %s", c.path, c.value, got, want)
+		}
+	}
+	if _, err := settings.ViewFromSnapshot([]byte(`{"teams":{}}`)); err == nil {
+		t.Error("a tree without versions was taken for a snapshot")
+	}
+}
+
 // Symptom: an operator is told that a top-up was refused, yet it is funded.
 // Sequence: the top-up comes before its budget exists and is refused; the budget is
 // made; a delayed copy of the top-up arrives.
@@ -231,6 +278,54 @@
 	}
 }
 
+// Symptom: a snapshot holds half of a later record, or encoding it races with the log.
+// Sequence: the state is captured; every kind of record is applied; the copy is encoded.
+// Cause: the copy shares memory with the state.
+func TestCaptureIsACopy(t *testing.T) {
+	d := newDriver(t)
+	play(d)
+	for i := range 10 { // more boots than are remembered
+		d.must("", register("h1", fmt.Sprint("boot-a", i)))
+	}
+	want := snapshotOf(t, d.state)
+	encode, err := d.state.Capture()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 10 {
+		d.must("", register("h1", fmt.Sprint("boot-b", i)))
+	}
+	d.must("", acquire(&pb.Holder{Host: "h2", Incarnation: 2}, 2, 10, 10))
+	d.must("", settle(&pb.Holder{Host: "h2", Incarnation: 2}, 41, &pb.Bill{Budget: "b", Identity: "late", Tokens: 1}))
+	d.must("op-late", setConfig("/teams/x/copies", `2`, 1))
+	if got, err := encode(); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("the copy changed (%v)", err)
+	}
+}
+
+// Symptom: what was remembered is forgotten early, or a record counts twice.
+// Sequence: a new leader's clock is behind the old one's; a record is applied again.
+// Cause: applied time or the index went back.
+func TestTimeAndIndexNeverGoBack(t *testing.T) {
+	d := newDriver(t)
+	play(d)
+	want := d.state.Now()
+	d.now = 10
+	d.must("", func(c *pb.Command) { c.Body = &pb.Command_NewTerm{NewTerm: &pb.NewTerm{Term: 9}} })
+	if got := d.state.Now(); got != want {
+		t.Errorf("applied time went from %d to %d", want, got)
+	}
+	if got := d.do("", order("10.0.0.1:1", 8)); got.Error.GetKind() != string(errkind.StaleFence) {
+		t.Errorf("an order of the term before got %v", got)
+	}
+	defer func() {
+		if recover() == nil {
+			t.Error("a record was applied twice")
+		}
+	}()
+	d.state.Apply(d.state.Applied(), &pb.Command{})
+}
+
 func TestDamagedSnapshotIsRefused(t *testing.T) {
 	d := newDriver(t)
 	play(d)
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -19,7 +19,7 @@
 	Open       []incarnation         `json:"open"`
 	Recovered  []recovery            `json:"recovered"`
 	Billed     window.Image[billRef] `json:"billed"`
-	WindowMs   int64                 `json:"window_ms"`
+	ReachMs    int64                 `json:"reach_ms"`
 	KeepMs     int64                 `json:"keep_ms"`
 	NextForget int64                 `json:"next_forget"`
 	Transfers  []transferImage       `json:"transfers"`
@@ -58,18 +58,20 @@
 	Billed uint64 `json:"billed"`
 }
 
-// Image returns the ledger's content.
+// Image copies the ledger's content; later records don't change the copy.
 func (s *State) Image() Image {
 	im := Image{
 		LastHolder: s.hosts.last, Recovered: slices.Clone(s.hosts.recovered),
-		Billed: s.billed.memory.Image(), WindowMs: s.billed.windowMs, KeepMs: s.billed.keepMs, NextForget: s.billed.nextForget,
+		Billed: s.billed.memory.Image(), ReachMs: s.billed.reachMs, KeepMs: s.billed.keepMs, NextForget: s.billed.nextForget,
 		Operators: s.operatorImages(), Counters: s.counters,
 	}
 	for _, b := range s.byNumber {
 		im.Budgets = append(im.Budgets, b.image())
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.hosts.hosts)) {
-		im.Hosts = append(im.Hosts, *s.hosts.hosts[name])
+		h := *s.hosts.hosts[name]
+		h.Boots = slices.Clone(h.Boots)
+		im.Hosts = append(im.Hosts, h)
 	}
 	for _, number := range slices.Sorted(maps.Keys(s.hosts.open)) {
 		im.Open = append(im.Open, *s.hosts.open[number])
@@ -118,6 +120,11 @@
 	for _, inc := range im.Open {
 		fresh.hosts.open[inc.Number] = &inc
 	}
+	for _, b := range fresh.byNumber {
+		for inc, g := range b.holders {
+			fresh.hosts.held(inc, 0, g.tokens)
+		}
+	}
 	for _, t := range im.Transfers {
 		fresh.transfers[t.ID] = t.transfer
 	}
@@ -126,10 +133,8 @@
 			return err
 		}
 	}
-	if err := fresh.billed.memory.Restore(im.Billed); err != nil {
-		return err
-	}
-	fresh.billed.windowMs, fresh.billed.keepMs, fresh.billed.nextForget = im.WindowMs, im.KeepMs, im.NextForget
+	fresh.billed.memory.Restore(im.Billed)
+	fresh.billed.reachMs, fresh.billed.keepMs, fresh.billed.nextForget = im.ReachMs, im.KeepMs, im.NextForget
 	fresh.counters = im.Counters
 	*s = *fresh
 	return nil
--- a/internal/procconfig/check.go
+++ b/internal/procconfig/check.go
@@ -25,11 +25,15 @@
 	maxMaxBodyBytes  = 256 << 20
 	// heartbeatsBeforeSuspect is how many heartbeats may be lost before a peer is suspected.
 	heartbeatsBeforeSuspect = 2
-	maxNameBytes            = 63
+	minServerLapse          = 500 * time.Millisecond
+	maxServerLapse          = 2 * time.Second
+	maxNameBytes            = 64
 	hashBytes               = 32
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+// namePattern is the rule for names in the settings tree. A letter with a detached
+// accent doesn't match it: two zones would look the same and differ.
+var namePattern = regexp.MustCompile(`^[\pL\p{Nd}][\pL\p{Nd}._-]*$`)
 
 var logLevels = []string{"debug", "info", "warn", "error"}
 
@@ -67,7 +71,7 @@
 		return
 	}
 	if len(v) > maxNameBytes || !namePattern.MatchString(v) {
-		k.fault(path, "%q is no name; use up to %d of a-z, 0-9 and -, not at the ends", v, maxNameBytes)
+		k.fault(path, "%q is no name; it has 1 to %d bytes: letters, digits and . _ - after the first", v, maxNameBytes)
 	}
 }
 
@@ -309,7 +313,7 @@
 	if t.DeadAfter <= t.SuspectAfter {
 		k.fault("/timing/dead_after", "%s is not more than suspect_after, %s", t.DeadAfter.Std(), t.SuspectAfter.Std())
 	}
-	k.duration("/timing/server_lapse", t.ServerLapse, time.Second, time.Minute)
+	k.duration("/timing/server_lapse", t.ServerLapse, minServerLapse, maxServerLapse)
 	k.duration("/timing/settle_every", t.SettleEvery, 10*time.Millisecond, 10*time.Second)
 	k.duration("/timing/rpc_timeout", t.RPCTimeout, 50*time.Millisecond, 30*time.Second)
 }
--- a/internal/sched/work.go
+++ b/internal/sched/work.go
@@ -99,6 +99,21 @@
 	// FreshLoad is the age up to which a load report lets this host use room beyond
 	// its own share of a server; default 2 s.
 	FreshLoad time.Duration
+	// Ahead is how much work beyond its slots a server is given, in time, so that a
+	// slot that ends between two load reports finds its next request; default 250 ms.
+	Ahead time.Duration
+	// Parts switches parts of the policy off, for measuring what each is worth.
+	Parts Parts
+}
+
+// Parts of the choice that can be switched off. The zero value is the whole policy.
+type Parts struct {
+	// NoCorrection compares load as reported, uncorrected.
+	NoCorrection bool
+	// NoPrefix ignores prefix cache knowledge.
+	NoPrefix bool
+	// NoDistance ignores availability zones.
+	NoDistance bool
 }
 
 // Defaults of Config.
@@ -110,6 +125,7 @@
 	DefaultQueuePerTarget  = 512
 	DefaultMargin          = 0.05
 	DefaultFreshLoad       = 2 * time.Second
+	DefaultAhead           = 250 * time.Millisecond
 )
 
 func (c Config) withDefaults() Config {
@@ -134,16 +150,22 @@
 	if c.FreshLoad <= 0 {
 		c.FreshLoad = DefaultFreshLoad
 	}
+	if c.Ahead <= 0 {
+		c.Ahead = DefaultAhead
+	}
 	return c
 }
 
 // Core is one host's scheduling state.
 type Core struct {
-	cfg    Config
-	reg    *backend.Registry
-	rng    *rand.Rand
-	hosts  []string
-	pools  map[backend.Target]*pool
+	cfg   Config
+	reg   *backend.Registry
+	rng   *rand.Rand
+	hosts []string
+	pools map[backend.Target]*pool
+	// order has the pools in the order in which they were made: Step must not depend
+	// on the order of a map.
+	order  []*pool
 	queued map[uint64]*item
 	runs   map[uint64]*run
 }
--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"container/list"
+	"strconv"
+)
+
+// maxCacheEvents bounds the events kept for posting; older ones are lost, which
+// leaves a gap in the numbers.
+const maxCacheEvents = 10000
+
+// CacheEvent is one numbered change of the prefix cache. Blocks are named by their
+// hashes in hex.
+type CacheEvent struct {
+	Seq     uint64      `json:"seq"`
+	Stored  []BlockHash `json:"stored,omitempty"`
+	Removed []BlockHash `json:"removed,omitempty"`
+}
+
+// BlockHash is the hash of a prompt's prefix up to the end of a block, as entry hosts
+// work it out. It is written in hex.
+type BlockHash uint64
+
+// MarshalText implements encoding.TextMarshaler.
+func (h BlockHash) MarshalText() ([]byte, error) {
+	return strconv.AppendUint(nil, uint64(h), 16), nil
+}
+
+// prefixCache keeps the blocks used last, within a bound, and the events not yet taken.
+type prefixCache struct {
+	bound  int
+	blocks map[uint64]*list.Element
+	recent *list.List // front: used last
+	seq    uint64
+	events []CacheEvent
+}
+
+func newPrefixCache(bound int) *prefixCache {
+	return &prefixCache{bound: bound, blocks: map[uint64]*list.Element{}, recent: list.New()}
+}
+
+// use looks a prompt's blocks up, stores those that were missing and returns how
+// many leading blocks were there.
+func (c *prefixCache) use(hashes []uint64) (hits int) {
+	var ev CacheEvent
+	missed := false
+	for _, h := range hashes {
+		if el, ok := c.blocks[h]; ok {
+			c.recent.MoveToFront(el)
+			if !missed {
+				hits++
+			}
+			continue
+		}
+		missed = true
+		c.blocks[h] = c.recent.PushFront(h)
+		ev.Stored = append(ev.Stored, BlockHash(h))
+	}
+	for len(c.blocks) > c.bound {
+		oldest := c.recent.Back()
+		h := c.recent.Remove(oldest).(uint64)
+		delete(c.blocks, h)
+		ev.Removed = append(ev.Removed, BlockHash(h))
+	}
+	if len(ev.Stored)+len(ev.Removed) > 0 {
+		c.seq++
+		ev.Seq = c.seq
+		c.events = append(c.events, ev)
+	}
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[len(c.events)-maxCacheEvents:]
+	}
+	return hits
+}
+
+// take returns the events since the last take.
+func (c *prefixCache) take() []CacheEvent {
+	ev := c.events
+	c.events = nil
+	return ev
+}
