--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -242,6 +242,9 @@
 	// Begin makes the record known here and at the peers it is copied to. If the identity
 	// is known already, here or at a peer, it returns that record and begun is false.
 	Begin(ctx context.Context, rec *pb.InflightRecord, copies int) (existing *pb.InflightRecord, begun bool, err error)
+	// Takeover makes this host the owner of a record whose owner died. rec goes on from
+	// the dead owner's record under a request id of this host.
+	Takeover(ctx context.Context, rec *pb.InflightRecord, copies int) error
 	// Update replaces the record here and, soon, at its copies.
 	Update(rec *pb.InflightRecord)
 	// Abandon removes a record whose request surely did not run.
