--- a/internal/callerapi/chain_test.go
+++ b/internal/callerapi/chain_test.go
@@ -122,6 +122,8 @@
 	}{
 		{"refuses connections", model, errkind.BackendServerFailed, errkind.RanNo},
 		{"refuses before running", model, errkind.BackendServerFailed, errkind.RanNo},
+		{"refuses as wrong", model, errkind.BadRequest, errkind.RanNo},
+		{"is stopped", model, errkind.OutcomeUnknown, errkind.RanYes},
 		{"dies without an answer", model, errkind.OutcomeUnknown, errkind.RanUnknown},
 		{"answers 500", model, errkind.OutcomeUnknown, errkind.RanUnknown},
 		{"answers 400", model, errkind.BadRequest, errkind.RanUnknown},
@@ -196,6 +198,7 @@
 		{"broken, resumed", "dies in the stream", "", true, true},
 		{"silent, resumed", "falls silent", "", true, true},
 		{"error behind tokens, run again", "reports an error", "", false, true},
+		{"stopped from outside, run again", "is stopped", "", false, true},
 		{"broken, run again", "dies in the stream", "", false, true},
 		{"broken, run again with another text", "dies in the stream", "other ", false, false},
 	} {
--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -114,6 +114,11 @@
 		http.Error(w, "full", http.StatusServiceUnavailable)
 		return
 	}
+	if e.fault == "refuses as wrong" {
+		w.Header().Set(engineclient.HeaderRan, "no")
+		http.Error(w, "bad field", http.StatusBadRequest)
+		return
+	}
 	e.count(func() { e.runs++; e.bodies = append(e.bodies, string(body)) })
 	w.Header().Set(engineclient.HeaderEngineRequest, r.Header.Get(engineclient.HeaderEngineRequest))
 	switch e.fault {
@@ -159,6 +164,10 @@
 			case "falls silent":
 				<-r.Context().Done()
 				return
+			case "is stopped":
+				e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"cancelled"}]}`)
+				e.send(w, "[DONE]")
+				return
 			case "reports an error":
 				e.send(w, `{"error":{"message":"out of memory"}}`)
 				return
--- a/internal/callerapi/fake_test.go
+++ b/internal/callerapi/fake_test.go
@@ -144,7 +144,8 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if old, ok := h.records[rec.Identity]; ok {
+	old, ok := h.records[rec.Identity]
+	if ok && old.State != pb.InflightState_INFLIGHT_STATE_ABANDONED {
 		return old, false, nil
 	}
 	h.records[rec.Identity] = rec
@@ -154,11 +155,18 @@
 func (h *fakeHost) Update(rec *pb.InflightRecord) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.dead[h.name] {
+	if old := h.records[rec.Identity]; !h.dead[h.name] && old.GetRequestId() == rec.RequestId {
 		h.records[rec.Identity] = rec
 	}
 }
 
+func (h *fakeHost) Takeover(_ context.Context, rec *pb.InflightRecord, _ int) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records[rec.Identity] = rec
+	return nil
+}
+
 func (h *fakeHost) Abandon(identity, id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/filter/dispatch/chunk.go
+++ b/internal/filter/dispatch/chunk.go
@@ -59,3 +59,19 @@
 func (ch *chunk) finishes() bool {
 	return len(ch.Choices) > 0 && ch.Choices[0].FinishReason != ""
 }
+
+// stopped tells that the run was ended from outside, so that its answer is not whole.
+//
+// What goes wrong without it: a host that another one took for dead gives its call up
+// and cancels the run; the other host, which reads the same run, takes its end for
+// the answer's.
+func (ch *chunk) stopped() bool {
+	if len(ch.Choices) == 0 {
+		return false
+	}
+	switch ch.Choices[0].FinishReason {
+	case "cancelled", "abort", "error":
+		return true
+	}
+	return false
+}
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -32,6 +32,7 @@
 	errCut      = errors.New("the run passed its output cap")
 	errDiverged = errors.New("a second run does not repeat what the caller has")
 	errEngine   = errors.New("the engine reported an error in its stream")
+	errStopped  = errors.New("the run was stopped from outside")
 	errEarlyEnd = errors.New("the stream ended before its last event")
 )
 
@@ -108,7 +109,7 @@
 // mayResume tells whether the run may go on at the engine after err.
 func (a *attempt) mayResume(err error) bool {
 	switch {
-	case errors.Is(err, errCut), errors.Is(err, errDiverged), errors.Is(err, errEngine):
+	case errors.Is(err, errCut), errors.Is(err, errDiverged), errors.Is(err, errEngine), errors.Is(err, errStopped):
 		return false
 	case !a.resumable, !a.reached:
 		return false
@@ -281,6 +282,9 @@
 			a.c.Lease.FirstToken(a.lastHeard.Sub(a.began))
 		}
 	}
+	if ch.stopped() {
+		return false, errStopped
+	}
 	if ch.finishes() {
 		a.finished = true
 	}
@@ -320,6 +324,9 @@
 		if ctx.Err() != nil {
 			return filter.ContextError(ctx).WithRan(errkind.RanNo)
 		}
+		if status == http.StatusBadRequest || status == http.StatusUnprocessableEntity {
+			return errkind.New(errkind.BadRequest, "backend server %s refused the request: %s", a.server, err.Error())
+		}
 		return failed(errkind.RanNo, a.server, err.Error())
 	}
 	switch {
--- a/internal/filter/idempotency/idempotency.go
+++ b/internal/filter/idempotency/idempotency.go
@@ -98,12 +98,14 @@
 // takeOver makes this host the holder of the record and goes on.
 func (f *Filter) takeOver(w http.ResponseWriter, r *http.Request, next filter.Handler, known *pb.InflightRecord) error {
 	c := filter.CallFrom(r.Context())
-	c.Record.Version = known.Version + 1
+	c.Record.Version = known.Version
 	if c.Resume != nil {
 		c.Record.Server, c.Record.EngineRequestId = c.Resume.Server, c.Resume.EngineRequestID
 	}
 	c.Note(f.Clock.Now(), "idempotency", "took over request "+known.RequestId+" of host "+known.Holder.GetHost())
-	f.Records.Update(c.Record)
+	if err := f.Records.Takeover(r.Context(), c.Record, c.Team.Copies); err != nil {
+		return contextOr(r.Context(), err)
+	}
 	return next.ServeHTTP(w, r)
 }
 
--- a/internal/filter/settle/settle.go
+++ b/internal/filter/settle/settle.go
@@ -50,8 +50,9 @@
 }
 
 func (f *Filter) end(c *filter.Call, e *errkind.Error) {
-	f.bill(c, e)
+	// The record first: once it is billed it counts as done, with what it then says.
 	f.record(c, e)
+	f.bill(c, e)
 }
 
 // bill ends the reservation.
