--- a/internal/callerapi/outcome_test.go
+++ b/internal/callerapi/outcome_test.go
@@ -130,8 +130,8 @@
 		if e.runs != 1 || f.billed["school/k"] != wholeUsage || a.settled+b.settled != 2 || f.double != 1 {
 			t.Errorf("runs %d, billed %v, bills %d and %d, of which double %d", e.runs, f.billed, a.settled, b.settled, f.double)
 		}
-		if again := b.do(parse.PathChat, chatBody, filter.HeaderIdempotencyKey, "k"); again.Body.String() != w.Body.String() {
-			t.Errorf("the record did not pass to b: %q", again.Body)
+		if rec := f.records["school/k"]; rec.RequestId != b.call.ID || string(rec.Answer) != w.Body.String() {
+			t.Errorf("the record did not pass to b: %v", rec)
 		}
 		if got := refusalOf(t, b.do(parse.PathChat, plainBody, filter.HeaderIdempotencyKey, "k").Body.String()); got.Kind != errkind.KeyConflict {
 			t.Errorf("same key, another body: %+v", got)
