--- a/internal/adminapi/fleet.go
+++ b/internal/adminapi/fleet.go
@@ -121,6 +121,10 @@
 			answer.ServersLeaving++
 		}
 	}
+	if h.cfg.Replica != nil {
+		replica := h.cfg.Replica()
+		answer.Replica = &replica
+	}
 	group, err := h.groupStatus(ctx)
 	if err != nil {
 		answer.ControlError = errkind.From(timedOut(err, false)).Error()
--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -40,6 +40,8 @@
 	// OperatorKeyHashes returns the hex SHA-256 hashes of the operators' keys in force:
 	// those of the process's settings file and those in the settings tree.
 	OperatorKeyHashes func() []string
+	// Replica is the control group's replica on this host; nil function: it has none.
+	Replica func() LocalReplica
 	// Ready is nil while this host serves, else the refusal that callers get.
 	Ready func() error
 	// Log gets one event per change and per refused request.
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -275,6 +275,16 @@
 	ServersLeaving int          `json:"servers_leaving"`
 	Control        *GroupStatus `json:"control,omitempty"`
 	ControlError   string       `json:"control_error,omitempty"`
+	// Replica on the answering host; absent if it has none.
+	Replica *LocalReplica `json:"replica,omitempty"`
+}
+
+// LocalReplica is a host's own replica of the control group, as it knows it itself.
+// One whose disk was lost shows here with its new id, under which it has to be added.
+type LocalReplica struct {
+	ID uint64 `json:"id"`
+	// Standing is "forming", "outside", "learner" or "voter".
+	Standing string `json:"standing"`
 }
 
 // GroupStatus is the control group's state as its leader has it.
--- a/internal/admincli/fleet.go
+++ b/internal/admincli/fleet.go
@@ -25,6 +25,7 @@
 		fmt.Fprintf(w, "settings revision %d\n", out.ConfigRevision)
 		fmt.Fprintf(w, "hosts: %d alive, %d out of contact %s\n", out.HostsAlive, len(out.HostsOut), strings.Join(out.HostsOut, " "))
 		fmt.Fprintf(w, "backend servers: %d, %d of them leaving\n", out.Servers, out.ServersLeaving)
+		printReplica(w, out.Replica)
 		if out.Control == nil {
 			fmt.Fprintf(w, "control group: not reached: %s\n", out.ControlError)
 			return
@@ -33,6 +34,20 @@
 	})
 }
 
+// standings explains the standings of a host's own replica.
+var standings = map[string]string{
+	"forming": "no vote: it asks all other founding replicas whether its disk is new",
+	"outside": "no vote: it is not a member; add it with control add",
+	"learner": "no vote: it is a learner; promote it with control promote",
+	"voter":   "votes",
+}
+
+func printReplica(w io.Writer, r *adminapi.LocalReplica) {
+	if r != nil {
+		fmt.Fprintf(w, "replica %d on this host: %s, %s\n", r.ID, r.Standing, standings[r.Standing])
+	}
+}
+
 func (a *app) hostCommand() *cli.Command {
 	return &cli.Command{Name: "host", Usage: "hosts of the fleet", Commands: []*cli.Command{
 		{Name: "list", Usage: "list all hosts", Action: a.hostList},
@@ -123,7 +138,7 @@
 	id := &cli.Uint64Flag{Name: "id", Usage: "`ID` of the replica", Required: true}
 	return &cli.Command{Name: "control", Usage: "replicas of the control group", Commands: []*cli.Command{
 		{Name: "members", Usage: "list the replicas", Action: a.controlMembers},
-		{Name: "add", Usage: "add a replica without a vote; its id must never have been used", Action: a.controlAdd, Flags: []cli.Flag{id,
+		{Name: "add", Usage: "add a replica without a vote, by the id that status shows at its host", Action: a.controlAdd, Flags: []cli.Flag{id,
 			&cli.StringFlag{Name: "host", Usage: "`HOST` that it runs on", Required: true},
 			&cli.StringFlag{Name: "peer-address", Usage: "`ADDRESS` for peers of that host, ip:port", Required: true}}},
 		{Name: "promote", Usage: "give a replica its vote, once it holds everything committed", Action: a.controlPromote, Flags: []cli.Flag{id}},
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -122,12 +122,13 @@
 	if err != nil {
 		return err
 	}
-	if err := r.startCore(contents); err != nil {
-		return err
-	}
 	if !id.Formed {
 		r.formation = newFormation(id)
 	}
+	if err := r.startCore(contents); err != nil {
+		return err
+	}
+	r.log.Info().Uint64("replica", id.ID).Str("standing", string(r.Standing())).Msg("replica_opened")
 	return nil
 }
 
@@ -214,8 +215,14 @@
 // then before the replica has taken part.
 func (r *Replica) ID() uint64 { return r.view.Load().id }
 
-// Joining tells whether the replica isn't a voter: it waits to be added, or is a learner.
-func (r *Replica) Joining() bool { return r.view.Load().joining }
+// Standing is the replica's part in the group as it knows it itself.
+func (r *Replica) Standing() Standing { return r.view.Load().standing }
+
+// Joining tells whether the replica isn't a voter of a group: it waits to be added, or is a learner.
+func (r *Replica) Joining() bool {
+	s := r.Standing()
+	return s == StandingOutside || s == StandingLearner
+}
 
 // Done is closed when the replica has stopped, by Close or by a fault of its disk.
 func (r *Replica) Done() <-chan struct{} { return r.stopped }
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -11,7 +11,7 @@
 // other goroutines.
 type view struct {
 	id        uint64
-	joining   bool
+	standing  Standing
 	role      raft.Role
 	leader    uint64
 	address   string // leader's
@@ -34,16 +34,19 @@
 	v := &view{
 		id: st.ID, role: st.Role, leader: st.Leader, term: st.Term, commit: st.Commit,
 		leaseEnd: r.core.LeaseUntil(), members: st.Members, logBytes: r.wal.Bytes(), snapIndex: r.snapIndex,
-		joining: true, confirm: r.core.Confirmed(),
+		standing: StandingOutside, confirm: r.core.Confirmed(),
 	}
 	for _, m := range st.Members {
 		if m.Member.Id == st.Leader {
 			v.address = m.Member.Address
 		}
-		if m.Member.Id == st.ID && !m.Member.Learner {
-			v.joining = false
+		if m.Member.Id == st.ID {
+			v.standing = memberStanding(m.Member)
 		}
 	}
+	if r.formation != nil {
+		v.standing = StandingForming
+	}
 	return v
 }
 
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -18,6 +18,7 @@
 func newOperatorServer(d *Daemon) *operatorServer {
 	handler := adminapi.New(adminapi.Config{
 		Group: group{d.client}, Fleet: fleetView{d}, Explain: explainer{d}, Orders: d.orders(),
+		Replica:           d.localReplica(),
 		OperatorKeyHashes: d.operatorKeyHashes, Ready: d.ready, Log: d.tel.Log,
 	})
 	return &operatorServer{http: httpserver.New(httpserver.Config{
@@ -33,6 +34,16 @@
 	_ = o.http.Drain(ctx)
 }
 
+// localReplica tells of this host's replica; nil without one.
+func (d *Daemon) localReplica() func() adminapi.LocalReplica {
+	if d.replica == nil {
+		return nil
+	}
+	return func() adminapi.LocalReplica {
+		return adminapi.LocalReplica{ID: d.replica.ID(), Standing: string(d.replica.Standing())}
+	}
+}
+
 // operatorKeyHashes are those of the settings file and of the settings tree.
 func (d *Daemon) operatorKeyHashes() []string {
 	tree := d.settings.Fleet().OperatorKeyHashes
