--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,6 +10,9 @@
 	"github.com/bluebellsail/bluebellsail/internal/raft"
 )
 
+// handOverTicks bounds how long a stopping leader waits for the next one.
+const handOverTicks = 10
+
 // run is the loop that owns the consensus state.
 func (r *Replica) run() {
 	defer close(r.stopped)
@@ -18,19 +21,38 @@
 	for {
 		select {
 		case <-r.stop:
+			r.handOver(ticker.C)
 			r.shutDown(nil)
 			return
 		case <-ticker.C:
 		case <-r.wake:
 		}
 		if err := r.turn(); err != nil {
-			r.log.Error().Err(err).Msg("replica_stopped")
+			r.log.Error().Err(err).Str("event", "replica-stopped").Send()
 			r.shutDown(err)
 			return
 		}
 	}
 }
 
+// handOver has a leader that stops pass its leadership on, and goes on until it
+// hears the next leader or handOverTicks have passed.
+func (r *Replica) handOver(ticks <-chan time.Time) {
+	if r.abrupt.Load() || r.formation != nil || !r.core.Transfer() {
+		return
+	}
+	until := r.core.Now() + handOverTicks
+	for r.core.Now() < until && r.core.Status().Leader == 0 {
+		if err := r.turn(); err != nil {
+			return
+		}
+		select {
+		case <-ticks:
+		case <-r.wake:
+		}
+	}
+}
+
 // shutDown ends what waits on the loop.
 func (r *Replica) shutDown(err error) {
 	r.err = err
@@ -44,11 +66,15 @@
 		p.finish(nil, &NotLeaderError{})
 	}
 	r.failPending("this replica is shutting down")
+	if r.job != nil {
+		<-r.job.done
+	}
 	_ = r.wal.Close()
 }
 
 // turn does everything that is due.
 func (r *Replica) turn() error {
+	r.taken = 0
 	if r.formation == nil {
 		// Time comes first. A process that was frozen must know how long, before
 		// it takes a message that waited as fresh or acts as a leader.
@@ -106,8 +132,8 @@
 	if r.formation != nil {
 		return nil // takes no part yet
 	}
-	if m.Type == pb.RaftType_RAFT_TYPE_APPEND && !r.roomFor(int64(proto.Size(m))) {
-		r.log.Warn().Int64("log_bytes", r.wal.Bytes()).Msg("append_dropped_log_full")
+	if m.Type == pb.RaftType_RAFT_TYPE_APPEND && !r.roomFor(int64(proto.Size(m))+entryOverhead) {
+		r.log.Warn().Int64("log_bytes", r.wal.Bytes()).Str("event", "append-dropped-log-full").Send()
 		return nil // not acknowledged; the leader sends it again
 	}
 	r.core.Step(m)
@@ -148,6 +174,7 @@
 	if rd.HardState == nil && len(rd.Entries) == 0 {
 		return nil
 	}
+	r.metrics.Syncs.Add(1)
 	return r.wal.Append(rd.HardState, rd.Entries)
 }
 
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -36,13 +36,18 @@
 	wal       *wal.Log
 	snapshots *snapshot.Store
 	snapIndex uint64
+	job       *snapshotJob // under way; nil: none
+	taken     int64        // bytes of the log's room that this turn's entries take
 	pending   map[uint64]*proposal
 	lastTime  int64
 	askedTick int64
 	resetTick map[uint64]int64
 	role      raft.Role
 
-	view atomic.Pointer[view]
+	metrics metrics
+
+	view  atomic.Pointer[view]
+	leads atomic.Pointer[leadership] // nil unless this replica leads
 
 	inMu      sync.Mutex
 	inbox     []*pb.RaftMessage
@@ -59,7 +64,8 @@
 	stop    chan struct{}
 	stopped chan struct{}
 	once    sync.Once
-	err     error // why the loop stopped; read after stopped is closed
+	abrupt  atomic.Bool // stop without handing over, as a crash would
+	err     error       // why the loop stopped; read after stopped is closed
 }
 
 // Open starts a replica on its data folder.
@@ -101,7 +107,7 @@
 		return err
 	}
 	if contents.TornBytes > 0 {
-		r.log.Warn().Int64("bytes", contents.TornBytes).Msg("torn_log_end_cut")
+		r.log.Warn().Int64("bytes", contents.TornBytes).Str("event", "torn-log-end-cut").Send()
 	}
 	if id == nil {
 		id = newIdentity(&r.cfg, r.rnd)
@@ -119,12 +125,13 @@
 	if err != nil {
 		return err
 	}
-	if err := r.startCore(contents); err != nil {
-		return err
-	}
 	if !id.Formed {
 		r.formation = newFormation(id)
 	}
+	if err := r.startCore(contents); err != nil {
+		return err
+	}
+	r.log.Info().Uint64("replica", id.ID).Str("standing", string(r.Standing())).Msg("replica_opened")
 	return nil
 }
 
@@ -198,7 +205,7 @@
 // stampTime returns the wall time in Unix milliseconds, never less than what was
 // stamped or applied before.
 func (r *Replica) stampTime() int64 {
-	r.lastTime = max(r.lastTime, r.cfg.Now().UnixMilli())
+	r.lastTime = max(r.lastTime, r.cfg.Wall().UnixMilli())
 	return r.lastTime
 }
 
@@ -211,8 +218,14 @@
 // then before the replica has taken part.
 func (r *Replica) ID() uint64 { return r.view.Load().id }
 
-// Joining tells whether the replica isn't a voter: it waits to be added, or is a learner.
-func (r *Replica) Joining() bool { return r.view.Load().joining }
+// Standing is the replica's part in the group as it knows it itself.
+func (r *Replica) Standing() Standing { return r.view.Load().standing }
+
+// Joining tells whether the replica isn't a voter of a group: it waits to be added, or is a learner.
+func (r *Replica) Joining() bool {
+	s := r.Standing()
+	return s == StandingOutside || s == StandingLearner
+}
 
 // Done is closed when the replica has stopped, by Close or by a fault of its disk.
 func (r *Replica) Done() <-chan struct{} { return r.stopped }
@@ -227,7 +240,7 @@
 	}
 }
 
-// Close stops the replica. Proposals under way end with an unknown outcome.
+// Close stops the replica; a leader hands over first. Proposals under way end with an unknown outcome.
 func (r *Replica) Close() error {
 	r.once.Do(func() { close(r.stop) })
 	<-r.stopped
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -20,6 +20,8 @@
 	streamLife = 2 * time.Second
 	// streamAck is how long the acknowledgement may take.
 	streamAck = time.Second
+	// snapshotAck is how long a snapshot may take until it's acknowledged.
+	snapshotAck = time.Minute
 	// redialPause after a connection failed.
 	redialPause = 100 * time.Millisecond
 	// MaxMessageBytes bounds one gRPC message; a snapshot is one message.
@@ -34,18 +36,28 @@
 	self string
 	opts []grpc.DialOption
 	log  zerolog.Logger
+	life time.Duration // streamLife, less in tests
+	ack  time.Duration // streamAck
 
 	mu     sync.Mutex
-	peers  map[string]*peer
+	peers  map[peerKey]*peer
 	closed bool
 }
 
+// peerKey names one queue. Snapshots have a queue, connection and deadline of
+// their own: on the common stream a large one would hold up the heartbeats behind
+// it, and the stream's short life would cut it off each time.
+type peerKey struct {
+	address string
+	bulk    bool
+}
+
 // NewGRPCTransport makes a transport for the replica at address self. opts must
 // hold the transport credentials.
 func NewGRPCTransport(self string, log zerolog.Logger, opts ...grpc.DialOption) *GRPCTransport {
 	opts = append(opts, grpc.WithDefaultCallOptions(
 		grpc.MaxCallSendMsgSize(MaxMessageBytes), grpc.MaxCallRecvMsgSize(MaxMessageBytes)))
-	return &GRPCTransport{self: self, opts: opts, log: log, peers: map[string]*peer{}}
+	return &GRPCTransport{self: self, opts: opts, log: log, life: streamLife, ack: streamAck, peers: map[peerKey]*peer{}}
 }
 
 // Send implements Transport.
@@ -55,10 +67,11 @@
 	if t.closed {
 		return
 	}
-	p := t.peers[address]
+	key := peerKey{address, m.Type == pb.RaftType_RAFT_TYPE_SNAPSHOT}
+	p := t.peers[key]
 	if p == nil {
-		p = newPeer(t, address)
-		t.peers[address] = p
+		p = newPeer(t, key)
+		t.peers[key] = p
 		go p.run()
 	}
 	select {
@@ -71,7 +84,7 @@
 func (t *GRPCTransport) Reset(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p := t.peers[address]; p != nil {
+	if p := t.peers[peerKey{address: address}]; p != nil {
 		p.cancelStream()
 	}
 }
@@ -92,6 +105,8 @@
 type peer struct {
 	t       *GRPCTransport
 	address string
+	life    time.Duration
+	ack     time.Duration
 	queue   chan *pb.RaftMessage
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -101,8 +116,13 @@
 	stream context.CancelFunc
 }
 
-func newPeer(t *GRPCTransport, address string) *peer {
-	p := &peer{t: t, address: address, queue: make(chan *pb.RaftMessage, peerQueue), done: make(chan struct{})}
+func newPeer(t *GRPCTransport, key peerKey) *peer {
+	p := &peer{t: t, address: key.address, life: t.life, ack: t.ack, done: make(chan struct{})}
+	size := peerQueue
+	if key.bulk {
+		size, p.life, p.ack = 1, 0, snapshotAck
+	}
+	p.queue = make(chan *pb.RaftMessage, size)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
@@ -121,7 +141,7 @@
 	for p.ctx.Err() == nil {
 		conn, err := grpc.NewClient(p.address, p.t.opts...)
 		if err != nil {
-			p.t.log.Error().Err(err).Str("peer", p.address).Msg("peer_address_unusable")
+			p.t.log.Error().Err(err).Str("peer", p.address).Str("event", "peer-address-unusable").Send()
 			return
 		}
 		err = p.useConn(pb.NewControlClient(conn))
@@ -129,7 +149,7 @@
 		if p.ctx.Err() != nil {
 			return
 		}
-		p.t.log.Debug().Err(err).Str("peer", p.address).Msg("peer_connection_replaced")
+		p.t.log.Debug().Err(err).Str("peer", p.address).Str("event", "peer-connection-replaced").Send()
 		select {
 		case <-time.After(redialPause):
 		case <-p.ctx.Done():
@@ -154,7 +174,7 @@
 // useStream sends over one stream for its life. Send may block on a silent
 // connection; the stream's deadline ends that.
 func (p *peer) useStream(c pb.ControlClient, first *pb.RaftMessage) error {
-	ctx, cancel := context.WithTimeout(p.ctx, streamLife+streamAck)
+	ctx, cancel := context.WithTimeout(p.ctx, p.life+p.ack)
 	defer cancel()
 	p.mu.Lock()
 	p.stream = cancel
@@ -175,7 +195,7 @@
 	if err := s.Send(first); err != nil {
 		return err
 	}
-	end := time.NewTimer(streamLife)
+	end := time.NewTimer(p.life)
 	defer end.Stop()
 	for {
 		select {
