--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -110,13 +110,12 @@
 	out.Acquires = append(out.Acquires, a.msg)
 }
 
-// ahead is how many tokens the host would hold beyond its present need. It shrinks
-// with what the ledger has left, so that the last tokens aren't stranded on hosts
-// that don't need them.
+// ahead is how many tokens the host would hold beyond its present need, as far as the
+// ledger has them. The ledger itself gives less as a budget runs low.
 func (h *Holder) ahead(now time.Time, b *budget) uint64 {
 	target := b.demand.tokens(now, b.policy.Horizon)
 	if b.levelKnown {
-		target = min(target, b.level/h.cfg.LevelShare)
+		target = min(target, b.level)
 	}
 	return target - min(target, b.free)
 }
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -75,13 +75,6 @@
 	ProbeWait time.Duration
 	// AskFanout is the number of peers asked at a time; default 3.
 	AskFanout int
-	// LevelShare divides what the ledger last said it could still grant: no more than
-	// level/LevelShare is wanted ahead of need, so the last tokens stay where every host
-	// can reach them; default 8.
-	LevelShare uint64
-	// AskAhead lets an ask to a peer include the host's own horizon demand, not just its
-	// shortage.
-	AskAhead bool
 }
 
 func (c Config) withDefaults() Config {
@@ -92,9 +85,6 @@
 	setDuration(&c.LedgerWait, 250*time.Millisecond)
 	setDuration(&c.ProbeWait, 50*time.Millisecond)
 	setInt(&c.AskFanout, 3)
-	if c.LevelShare == 0 {
-		c.LevelShare = 8
-	}
 	return c
 }
 
--- a/internal/grant/transfer.go
+++ b/internal/grant/transfer.go
@@ -119,9 +119,6 @@
 		return
 	}
 	part := (short + uint64(n) - 1) / uint64(n)
-	if h.cfg.AskAhead {
-		part += h.ahead(now, b) / uint64(n)
-	}
 	for _, peer := range b.round.candidates[:n] {
 		id := h.newAsk(now, b, peer, part, out)
 		b.round.asks[id] = struct{}{}
