--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -23,12 +23,6 @@
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
-// Defaults of Policy, as settings.Grant documents them.
-const (
-	DefaultHorizon    = 10 * time.Second
-	DefaultIdleReturn = time.Minute
-)
-
 // Policy says how a host holds tokens of one budget.
 type Policy struct {
 	// Horizon is how much of its recent demand the host holds ahead.
@@ -41,7 +35,7 @@
 
 // PolicyFrom fills in the defaults of a team's grant settings; g may be nil.
 func PolicyFrom(g *settings.Grant) Policy {
-	p := Policy{Horizon: DefaultHorizon, IdleReturn: DefaultIdleReturn, Transfers: true}
+	p := Policy{Horizon: settings.DefaultGrantHorizon, IdleReturn: settings.DefaultIdleReturn, Transfers: true}
 	if g == nil {
 		return p
 	}
--- a/internal/grant/holder_test.go
+++ b/internal/grant/holder_test.go
@@ -31,6 +31,9 @@
 // maxWait bounds how long a request may wait while no message arrives at all.
 const maxWait = 3 * time.Second
 
+// testPolicy lets tokens go back within the steps that the stateful test takes.
+var testPolicy = Policy{Horizon: 10 * time.Second, IdleReturn: time.Minute, Transfers: true}
+
 // run is one request of the stateful test.
 type run struct {
 	host, id string
@@ -155,7 +158,7 @@
 	tokens := rapid.Uint64Range(0, 300).Draw(w.t, "tokens")
 	w.runs[id] = &run{host: host, id: id, tokens: tokens, since: w.now}
 	w.order = append(w.order, id)
-	w.carry(host, w.holders[host].Reserve(w.now, id, "x", tokens, PolicyFrom(nil)))
+	w.carry(host, w.holders[host].Reserve(w.now, id, "x", tokens, testPolicy))
 }
 
 func (w *world) running() []*run {
--- /dev/null
+++ b/internal/grant/policy_test.go
@@ -0,0 +1,62 @@
+package grant
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// TestEndOfCutNoticed
+//
+// Symptom: requests refused though the ledger is in reach again and has the tokens.
+// Sequence: an acquire goes unanswered for long; the cut ends; a request comes.
+// Cause: the refusal doesn't wait for one more try, or there is none.
+func TestEndOfCutNoticed(t *testing.T) {
+	now := time.Unix(1, 0)
+	h := New(&pb.Holder{Host: "a", Incarnation: 1}, Config{}, rand.New(rand.NewSource(1)))
+	h.Reserve(now, "r1", "x", 100, testPolicy)
+	now = now.Add(time.Minute)
+	h.Tick(now)
+	now = now.Add(time.Second)
+	out := h.Reserve(now, "r2", "x", 100, testPolicy)
+	if len(out.Acquires) != 1 || out.Acquires[0].GetSeq() != 1 || len(out.Decisions) != 0 {
+		t.Fatalf("got %+v, want the outstanding acquire sent again and no decision yet", out)
+	}
+	now = now.Add(10 * time.Millisecond)
+	out = h.AcquireAnswered(now, "x", 1, &pb.AcquireResult{Amount: 100})
+	if len(out.Decisions) != 1 || out.Decisions[0].Err != nil {
+		t.Fatalf("got %+v, want r2 granted", out)
+	}
+}
+
+// TestIdleBudgetStaysReturned
+//
+// Symptom: messages to the ledger many times a second for a budget that nobody uses.
+// Sequence: tokens go back after the idle time; the demand of the horizon isn't forgotten.
+// Cause: what was returned is fetched again, and returned again.
+func TestIdleBudgetStaysReturned(t *testing.T) {
+	now := time.Unix(1, 0)
+	policy := Policy{Horizon: time.Hour, IdleReturn: time.Minute, Transfers: true}
+	h := New(&pb.Holder{Host: "a", Incarnation: 1}, Config{}, rand.New(rand.NewSource(1)))
+	h.Reserve(now, "r1", "x", 100, policy)
+	h.AcquireAnswered(now, "x", 1, &pb.AcquireResult{Amount: 100, Free: 10_000})
+	h.Release(now, "r1")
+	acquires := 0
+	for range 100 {
+		now = now.Add(2 * time.Second)
+		out := h.Tick(now)
+		for _, a := range out.Acquires {
+			acquires++
+			more := h.AcquireAnswered(now, "x", a.GetSeq(), &pb.AcquireResult{Amount: a.GetWant(), Free: 10_000})
+			acquires += len(more.Acquires)
+		}
+		if out.Batch != nil {
+			h.SettleAnswered(now, out.Batch.GetSeq(), &pb.SettleResult{Seq: out.Batch.GetSeq()})
+		}
+	}
+	if got := h.Levels()[0]; acquires > 2 || got.Held() != 0 {
+		t.Errorf("%d acquires, %+v held, want 2 at most and nothing", acquires, got)
+	}
+}
