--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -12,7 +12,7 @@
 const (
 	maxDuration      = 24 * time.Hour
 	maxTimeoutBound  = 4 * time.Hour
-	maxHorizon       = time.Hour
+	maxHorizon       = 24 * time.Hour
 	maxAttempts      = 10
 	maxCopies        = 2
 	maxWeight        = 100
