--- a/internal/grant/policy_test.go
+++ b/internal/grant/policy_test.go
@@ -20,6 +20,10 @@
 	now = now.Add(time.Minute)
 	h.Tick(now)
 	now = now.Add(time.Second)
+	if gone := h.Tick(now); len(gone.Decisions) != 1 || gone.Decisions[0].Err == nil {
+		t.Fatalf("got %+v, want r1 refused", gone)
+	}
+	now = now.Add(time.Second)
 	out := h.Reserve(now, "r2", "x", 100, testPolicy)
 	if len(out.Acquires) != 1 || out.Acquires[0].GetSeq() != 1 || len(out.Decisions) != 0 {
 		t.Fatalf("got %+v, want the outstanding acquire sent again and no decision yet", out)
