--- a/internal/grant/demand.go
+++ b/internal/grant/demand.go
@@ -5,27 +5,37 @@
 	"time"
 )
 
-// demand is a decaying sum of the tokens asked for. With a steady rate r it settles
-// at r x horizon, which is how much the host wants to hold.
+// rateWindow is the time over which the rate of demand is averaged; a shorter horizon
+// shortens it. With the whole of a long horizon as the window, a new host would hold too
+// little for hours.
+const rateWindow = 10 * time.Minute
+
+// demand averages the tokens asked for, with older ones counting less.
 type demand struct {
+	// sum decays; with a steady rate r it settles at r x window.
 	sum float64
 	at  time.Time
 }
 
+func window(horizon time.Duration) time.Duration { return min(horizon, rateWindow) }
+
 func (d *demand) add(now time.Time, tokens uint64, horizon time.Duration) {
 	d.decay(now, horizon)
 	d.sum += float64(tokens)
 }
 
-// tokens returns the demand over the horizon.
+// tokens returns the demand that the horizon will bring at the present rate.
 func (d *demand) tokens(now time.Time, horizon time.Duration) uint64 {
+	if horizon <= 0 {
+		return 0
+	}
 	d.decay(now, horizon)
-	return uint64(d.sum)
+	return uint64(d.sum * float64(horizon) / float64(window(horizon)))
 }
 
 func (d *demand) decay(now time.Time, horizon time.Duration) {
 	if !d.at.IsZero() && horizon > 0 {
-		d.sum *= math.Exp(-float64(now.Sub(d.at)) / float64(horizon))
+		d.sum *= math.Exp(-float64(now.Sub(d.at)) / float64(window(horizon)))
 	}
 	d.at = now
 }
