--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -15,8 +15,8 @@
 	DefaultCopies            = 1
 	DefaultRetryAttempts     = 3
 	DefaultRetryShare        = 0.1
-	DefaultGrantHorizon      = 15 * time.Minute
-	DefaultIdleReturn        = time.Hour
+	DefaultGrantHorizon      = 4 * time.Hour
+	DefaultIdleReturn        = 4 * time.Hour
 	DefaultWeight            = 1
 	DefaultAddressTTL        = 30 * time.Second
 	DefaultMaxBodyBytes      = 4 << 20
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -87,12 +87,12 @@
 
 // Grant is the policy by which a host holds tokens of a team's budget.
 type Grant struct {
-	// Horizon is how much of its recent demand a host holds ahead; default 15m. It is about
+	// Horizon is how much of its recent demand a host holds ahead; default 4h. It is about
 	// how long a host that is cut off can serve.
 	Horizon Duration `json:"horizon,omitempty"`
 	// Transfers lets hosts that can't reach the ledger share by transfers; default true.
 	Transfers *bool `json:"transfers,omitempty"`
-	// IdleReturn is when an unused grant goes back; default 1h.
+	// IdleReturn is when an unused grant goes back; default 4h.
 	IdleReturn Duration `json:"idle_return,omitempty"`
 }
 
