--- a/internal/measure/budgets/budgets.go
+++ b/internal/measure/budgets/budgets.go
@@ -20,9 +20,9 @@
 	// Refused counts all refusals; RefusedInCut those during the cut. A false refusal is
 	// one while tokens were left somewhere: by the policy if they were in reach.
 	Refused, RefusedInCut, FalseByCut, FalseByPolicy int
-	// Overspend and Stranded are tokens; Left is what the ledger had as the cut ended.
-	Overspend, Stranded, Left uint64
-	Messages, Bytes           int
+	// Overspend is in tokens, OnHosts those that lay idle on hosts or in transit as the cut ended.
+	Overspend, OnHosts uint64
+	Messages, Bytes    int
 	// Faults are rules of the ledger that were broken.
 	Faults int
 }
@@ -81,7 +81,7 @@
 func writeTable(w io.Writer, rows []scenario, ways []named) error {
 	results := runAll(rows, ways)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "demand\tcut\tspent\tway\trequests\toverspend\tfalse by cut\tfalse by policy\trefused\trefused in cut %\tmessages/req\tbytes/req\tstranded\t")
+	fmt.Fprintln(t, "demand\tcut\tspent\tway\trequests\toverspend\tfalse by cut\tfalse by policy\trefused\trefused in cut %\tmessages/req\tbytes/req\ton hosts\t")
 	for i, sc := range rows {
 		for _, r := range results[i] {
 			writeRow(t, sc, r)
@@ -99,7 +99,7 @@
 	n := float64(max(r.Requests, 1))
 	fmt.Fprintf(w, "%s\t%v\t%.0f%%\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.0f\t%d\t\n",
 		kind, sc.cut, sc.spent*100, r.Way, r.Requests, r.Overspend, r.FalseByCut, r.FalseByPolicy, r.Refused,
-		100*float64(r.RefusedInCut)/inCut, float64(r.Messages)/n, float64(r.Bytes)/n, r.Stranded)
+		100*float64(r.RefusedInCut)/inCut, float64(r.Messages)/n, float64(r.Bytes)/n, r.OnHosts)
 	if r.Faults > 0 {
 		fmt.Fprintf(w, "\t\t\t%s: %d broken rules of the ledger\t\n", r.Way, r.Faults)
 	}
--- a/internal/measure/budgets/sim.go
+++ b/internal/measure/budgets/sim.go
@@ -138,7 +138,7 @@
 		})
 	}
 	s.after(tickEvery, s.tick)
-	s.after(s.scenario.cutTo()-time.Millisecond, s.noteStranded)
+	s.after(s.scenario.cutTo()-time.Millisecond, s.noteOnHosts)
 	for len(s.queue) > 0 {
 		e := heap.Pop(&s.queue).(event)
 		if e.at > s.scenario.end() {
@@ -197,14 +197,13 @@
 	}
 }
 
-// noteStranded counts the tokens that lie idle on hosts or in transit as the cut ends.
-func (s *sim) noteStranded() {
+// noteOnHosts counts the tokens that lie idle on hosts or in transit as the cut ends.
+func (s *sim) noteOnHosts() {
 	for account := range accountShare {
-		s.result.Stranded += s.inTransit[account]
+		s.result.OnHosts += s.inTransit[account]
 		for host := range hostCount {
-			s.result.Stranded += s.way.free(host, account)
+			s.result.OnHosts += s.way.free(host, account)
 		}
-		s.result.Left += s.ledger.Budgets[budgetName(account)].Free()
 	}
 }
 
--- a/internal/measure/budgets/transfers.go
+++ b/internal/measure/budgets/transfers.go
@@ -67,9 +67,7 @@
 	}
 	w.s.after(latency(zoneOf[asker], zoneOf[giver]), func() {
 		account := w.accounts[req.GetBudget()]
-		before := w.free(asker, account)
 		w.step(asker, func(h *grant.Holder, now time.Time) grant.Output { return h.AskAnswered(now, req.GetId(), t) })
-		_ = before
 		if t != nil {
 			w.s.inTransit[account] -= min(w.s.inTransit[account], t.GetTokens())
 		}
--- a/internal/measure/budgets/ways.go
+++ b/internal/measure/budgets/ways.go
@@ -128,7 +128,7 @@
 	waiting map[string]*request
 	flush   [hostCount]bool
 	index   map[string]int
-	// levels caches each host's free tokens by account.
+	// accounts finds the account of a budget's name.
 	accounts map[string]int
 }
 
