--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -16,6 +16,10 @@
 // monotonic clock at the moment of the read, not with ticks fed to the
 // consensus, so that a process that was frozen and woken finds it expired.
 //
+// The monotonic clock must run on while the process or the machine is stopped.
+// A virtual machine that is paused without its clock being set forward on resume
+// breaks this; such hosts must not carry a replica.
+//
 // # Identity and lost disks
 //
 // A replica's id stands for what its disk has promised: votes given, entries
--- a/internal/control/identity.go
+++ b/internal/control/identity.go
@@ -4,6 +4,8 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
+	"hash/crc32"
 	"path/filepath"
 
 	"github.com/pkg/errors"
@@ -71,16 +73,35 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control: read identity")
 	}
-	var id identity
-	if err := json.Unmarshal(data, &id); err != nil {
-		return nil, errors.Wrapf(err, "control: %s is damaged; this replica's disk must be replaced", path)
+	id, err := decodeIdentity(data)
+	return id, errors.Wrapf(err, "control: %s is damaged; this replica's disk must be replaced", path)
+}
+
+// checksumDigits is the length of the checksum in hex that ends the file.
+const checksumDigits = 8
+
+func encodeIdentity(id *identity) ([]byte, error) {
+	data, err := json.Marshal(id)
+	return fmt.Appendf(data, "\n%0*x", checksumDigits, crc32.ChecksumIEEE(data)), err
+}
+
+func decodeIdentity(data []byte) (*identity, error) {
+	end := len(data) - checksumDigits - 1
+	if end < 0 {
+		return nil, errors.New("too short")
+	}
+	// A digit of the id or a nonce that went bad would otherwise read as another
+	// identity.
+	if sum := fmt.Sprintf("\n%0*x", checksumDigits, crc32.ChecksumIEEE(data[:end])); sum != string(data[end:]) {
+		return nil, errors.New("wrong checksum")
 	}
-	return &id, nil
+	var id identity
+	return &id, json.Unmarshal(data[:end], &id)
 }
 
 // saveIdentity makes the identity durable: whole or not at all.
 func saveIdentity(fs wal.FS, dir string, id *identity) error {
-	data, err := json.Marshal(id)
+	data, err := encodeIdentity(id)
 	if err != nil {
 		return errors.Wrap(err, "control: encode identity")
 	}
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -144,6 +144,53 @@
 	})
 }
 
+// Symptom: a replica votes although it forgot what it promised.
+// Sequence: a part of its data folder is damaged or gone; it restarts.
+// Cause: it starts with what is left.
+func TestDamagedDiskRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		c.leader()
+		c.mustSet(3, 0)
+		for _, h := range c.hosts {
+			c.crash(h)
+		}
+		h := c.hosts[0]
+		// refuses tells whether the host doesn't start, for the reason given.
+		refuses := func(reason string) {
+			t.Helper()
+			r, err := Open(Config{
+				Fleet: "test", Host: "x", ReplicaAddress: "x", Members: []Member{{Address: "x", Host: "x"}}, DataDir: "/data",
+				StateMachine: newRegisters(), Transport: link{c, "x"}, FS: h.fs,
+			})
+			if err == nil {
+				_ = r.Close()
+			}
+			if err == nil || !strings.Contains(err.Error(), reason) {
+				t.Fatalf("got %v, want %q", err, reason)
+			}
+		}
+		const file = "/data/" + identityFile
+		whole, _ := h.fs.ReadFile(file)
+		for i := range whole {
+			h.fs.Overwrite(file, i, whole[i]^1)
+			refuses("damaged")
+			h.fs.Overwrite(file, i, whole[i])
+		}
+		names, _ := h.fs.List("/data/log")
+		for _, name := range names {
+			_ = h.fs.Rename("/data/log/"+name, "/kept/"+name)
+		}
+		refuses("the log is empty")
+		for _, name := range names {
+			_ = h.fs.Remove("/data/log/" + name)
+			_ = h.fs.Rename("/kept/"+name, "/data/log/"+name)
+		}
+		_ = h.fs.Remove(file)
+		refuses("the identity file is missing")
+	})
+}
+
 // Symptom: settings are back to an older state after the processes restarted.
 // Sequence: hundreds of changes, snapshots and log removals in between, all hosts crash and restart.
 // Cause: the snapshot and the log don't meet, or a change counted before it was synced.
