--- a/internal/adminapi/fleet.go
+++ b/internal/adminapi/fleet.go
@@ -123,6 +123,10 @@
 			answer.ServersLeaving++
 		}
 	}
+	if h.cfg.Replica != nil {
+		replica := h.cfg.Replica()
+		answer.Replica = &replica
+	}
 	ctx, cancel := glance(ctx)
 	defer cancel()
 	group, err := h.groupStatus(ctx)
--- a/internal/callerapi/fake_test.go
+++ b/internal/callerapi/fake_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -34,7 +33,9 @@
 	double  int
 	dead    map[string]bool
 	engines map[string]*fakeEngine
+	order   []string // addresses of engines, in the order they are tried
 	noQuor  bool
+	dials   int
 	hang    string // name of the port that blocks until its context ends
 }
 
@@ -100,7 +101,11 @@
 func (h *fakeHost) Addresses(string) []membership.Address {
 	return []membership.Address{{Host: h.name, Address: "127.0.0.1:1", Until: time.Now().Add(time.Minute)}}
 }
-func (h *fakeHost) Record(c *filter.Call, status int, _ error) { h.call, h.status = c, status }
+func (h *fakeHost) Record(c *filter.Call, status int, _ error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.call, h.status = c, status
+}
 
 func (h *fakeHost) Reserve(ctx context.Context, _, id string, tokens uint64) error {
 	if err := h.blocked(ctx, "budget"); err != nil {
@@ -139,7 +144,8 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if old, ok := h.records[rec.Identity]; ok {
+	old, ok := h.records[rec.Identity]
+	if ok && old.State != pb.InflightState_INFLIGHT_STATE_ABANDONED {
 		return old, false, nil
 	}
 	h.records[rec.Identity] = rec
@@ -149,11 +155,18 @@
 func (h *fakeHost) Update(rec *pb.InflightRecord) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.dead[h.name] {
+	if old := h.records[rec.Identity]; !h.dead[h.name] && old.GetRequestId() == rec.RequestId {
 		h.records[rec.Identity] = rec
 	}
 }
 
+func (h *fakeHost) Takeover(_ context.Context, rec *pb.InflightRecord, _ int) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records[rec.Identity] = rec
+	return nil
+}
+
 func (h *fakeHost) Abandon(identity, id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -216,8 +229,7 @@
 	if err := h.blocked(ctx, "scheduler"); err != nil {
 		return nil, err
 	}
-	for i := range len(h.engines) {
-		address := engineAddress(i)
+	for _, address := range h.order {
 		if !strings.Contains(strings.Join(w.Exclude, " "), address) {
 			return &fakeLease{h: h, st: &pb.ServerState{Address: address, Resumes: h.engines[address].resumes}}, nil
 		}
@@ -225,13 +237,15 @@
 	return nil, errkind.New(errkind.NoBackendServer, "none left")
 }
 
-func engineAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
-
-// dial connects to an engine within the process, so that virtual time holds.
-func (f *fakeFleet) dial(_ context.Context, _, address string) (net.Conn, error) {
+// dial connects to an engine on TCP, or to one within the process, so that virtual time holds.
+func (f *fakeFleet) dial(_ context.Context, network, address string) (net.Conn, error) {
 	f.mu.Lock()
 	e := f.engines[address]
+	f.dials++
 	f.mu.Unlock()
+	if e != nil && e.conns == nil {
+		return net.Dial(network, address)
+	}
 	if e == nil || e.refuse() {
 		return nil, errors.New("connection refused")
 	}
@@ -264,6 +278,9 @@
 	}
 	time.Sleep(time.Second) // virtual: the watch for callers that go ends by itself
 	for _, e := range f.engines {
+		if e.conns == nil {
+			continue
+		}
 		close(e.conns)
 		_ = e.server.Close()
 	}
