--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,6 +122,7 @@
 		return errors.Wrap(err, "open the replica")
 	}
 	d.replica = replica
+	d.tel.Metrics.Set("control", replica.Vars())
 	return nil
 }
 
