--- a/internal/controller/scheduler/scheduler.go
+++ b/internal/controller/scheduler/scheduler.go
@@ -118,7 +118,9 @@
 func (s *Scheduler) MergeRecent(host string, work []*pb.RecentWork) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reg.MergeRecent(s.now(), host, work)
+	now := s.now()
+	s.reg.MergeRecent(now, host, work)
+	s.step(now)
 }
 
 // CacheEvent takes a numbered event of a server's prefix cache.
