--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -5,10 +5,7 @@
 // pure: the caller passes the time in, serialises the calls and does the probing.
 package silence
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Defaults of Config.
 const (
@@ -16,20 +13,10 @@
 	DefaultCeiling      = 5 * time.Second
 	DefaultProbeTimeout = 500 * time.Millisecond
 	DefaultFirstFactor  = 4.0
+	DefaultFirstFloor   = 10 * time.Second
 	DefaultFirstCeiling = time.Minute
 )
 
-// Learning of gaps.
-const (
-	gapWeight = 0.05
-	// gapDeviations above the mean gap that are still usual.
-	gapDeviations = 8
-	// gapFactor times the mean is usual in any case.
-	gapFactor  = 4
-	minGaps    = 8
-	maxServers = 8192
-)
-
 // Config bounds what is taken for silence; zero fields get the defaults.
 type Config struct {
 	// Floor and Ceiling bound the quiet time between bytes after which a stream is probed.
@@ -38,6 +25,8 @@
 	ProbeTimeout time.Duration
 	// FirstFactor times the predicted time to the first token is waited for it.
 	FirstFactor float64
+	// FirstFloor is the least wait for a first token where none was predicted.
+	FirstFloor time.Duration
 	// FirstCeiling bounds the wait for a first token if the server can't tell of progress.
 	FirstCeiling time.Duration
 }
@@ -55,6 +44,9 @@
 	if c.FirstFactor <= 0 {
 		c.FirstFactor = DefaultFirstFactor
 	}
+	if c.FirstFloor <= 0 {
+		c.FirstFloor = DefaultFirstFloor
+	}
 	if c.FirstCeiling <= 0 {
 		c.FirstCeiling = DefaultFirstCeiling
 	}
@@ -96,16 +88,10 @@
 // Detector watches the streams of one host.
 type Detector struct {
 	cfg     Config
-	gaps    map[string]*gap
+	gaps    *Gaps
 	streams map[string]*stream
 }
 
-// gap is the learnt time between bytes from one server, in seconds.
-type gap struct {
-	mean, dev float64
-	n         int
-}
-
 type stream struct {
 	server  string
 	first   time.Duration // predicted time to the first byte
@@ -118,7 +104,7 @@
 
 // New makes a Detector.
 func New(cfg Config) *Detector {
-	return &Detector{cfg: cfg.withDefaults(), gaps: make(map[string]*gap), streams: make(map[string]*stream)}
+	return &Detector{cfg: cfg.withDefaults(), gaps: NewGaps(cfg), streams: make(map[string]*stream)}
 }
 
 // Open begins to watch a request sent to server; first is the predicted time to
@@ -138,7 +124,7 @@
 		return
 	}
 	if token && s.begun {
-		d.learn(s.server, now.Sub(s.last))
+		d.gaps.Heard(s.server, false, now.Sub(s.last))
 	}
 	s.begun = s.begun || token
 	s.last = now
@@ -146,38 +132,13 @@
 	s.replace = false
 }
 
-func (d *Detector) learn(server string, v time.Duration) {
-	g := d.gaps[server]
-	if g == nil {
-		if len(d.gaps) >= maxServers {
-			clear(d.gaps)
-		}
-		g = &gap{mean: v.Seconds()}
-		d.gaps[server] = g
-	}
-	g.n++
-	diff := v.Seconds() - g.mean
-	g.mean += gapWeight * diff
-	g.dev += gapWeight * (math.Abs(diff) - g.dev)
-}
-
-// usual is the quiet time that is nothing unusual after the first byte.
-func (d *Detector) usual(server string) time.Duration {
-	g := d.gaps[server]
-	if g == nil || g.n < minGaps {
-		return d.cfg.Ceiling
-	}
-	seconds := max(gapFactor*g.mean, g.mean+gapDeviations*g.dev)
-	return min(max(time.Duration(seconds*float64(time.Second)), d.cfg.Floor), d.cfg.Ceiling)
-}
-
 // allowed is how long the stream may be quiet before it is probed.
 //
 // Symptom this prevents: a long prompt is being computed, the connection is quiet
 // meanwhile, and the request is moved again and again without ever starting.
 func (d *Detector) allowed(s *stream) time.Duration {
 	if s.begun {
-		return d.usual(s.server)
+		return d.gaps.Limit(s.server, false)
 	}
 	wait := time.Duration(d.cfg.FirstFactor * float64(s.first))
 	return min(max(wait, d.cfg.Floor), d.cfg.FirstCeiling)
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -108,3 +108,35 @@
 		t.Error("a closed stream is still watched")
 	}
 }
+
+// Symptom: a server's first long prompt after many short ones is taken for silence.
+// Sequence: first bytes come after 50 ms, tokens each 30 ms; then a prompt takes 9 s.
+// Cause: one limit for both quiet times, or a first limit learnt from short prompts alone.
+func TestLimitsBeforeAndAfterTheFirstByte(t *testing.T) {
+	g := NewGaps(Config{})
+	if g.Limit("s", true) != DefaultFirstCeiling || g.Limit("s", false) != DefaultCeiling {
+		t.Error("an unknown server does not get the ceilings")
+	}
+	for range 100 {
+		g.Heard("s", true, 50*time.Millisecond)
+		g.Heard("s", false, 30*time.Millisecond)
+	}
+	if l := g.Limit("s", true); l != DefaultFirstFloor {
+		t.Errorf("%v before the first byte, want the floor, which a prompt of 9s fits", l)
+	}
+	if l := g.Limit("s", false); l > 2*DefaultFloor {
+		t.Errorf("%v between tokens that come each 30ms", l)
+	}
+	for range 100 {
+		g.Heard("s", false, 2*time.Second)
+	}
+	if l := g.Limit("s", false); l < 4*time.Second || l > DefaultCeiling {
+		t.Errorf("%v between tokens that come each 2s", l)
+	}
+	for i := range 2 * maxServers {
+		g.Heard(string(rune(i)), false, time.Second)
+	}
+	if len(g.servers) > maxServers {
+		t.Errorf("%d servers remembered", len(g.servers))
+	}
+}
