--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -24,6 +24,8 @@
 type choice struct {
 	server *backend.Server
 	finish time.Time
+	// score is what choices are compared by: finish, less the prefill at a home.
+	score  time.Time
 	cached float64
 	load   int
 }
@@ -153,7 +155,7 @@
 }
 
 // consider adds m to the comparison if it may run w in time and beats best.
-func (c *Core) consider(now time.Time, p *pool, m member, w *Work, due bool, best *choice) bool {
+func (c *Core) consider(now time.Time, p *pool, m member, w *Work, due, home bool, best *choice) bool {
 	if !c.eligible(now, m.server, w) || !c.hasRoom(now, p, m, w.Class, due) {
 		return false
 	}
@@ -164,10 +166,15 @@
 		return false
 	}
 	load := c.loadOf(m.server)
-	better := best.server == nil || finish.Before(best.finish) ||
-		(finish.Equal(best.finish) && load*best.server.Slots() < best.load*m.server.Slots())
+	score := finish
+	if home {
+		// What is computed at a home serves the next request with the prefix there.
+		score = score.Add(-m.server.PrefillTime(float64(w.PromptTokens) * (1 - cached)))
+	}
+	better := best.server == nil || score.Before(best.score) ||
+		(score.Equal(best.score) && load*best.server.Slots() < best.load*m.server.Slots())
 	if better {
-		*best = choice{server: m.server, finish: finish, cached: cached, load: load}
+		*best = choice{server: m.server, finish: finish, score: score, cached: cached, load: load}
 	}
 	return true
 }
@@ -178,12 +185,12 @@
 	var best choice
 	considered := 0
 	if w.Prefer != "" {
-		if m, ok := p.find(w.Prefer); ok && c.consider(now, p, m, w, due, &best) {
+		if m, ok := p.find(w.Prefer); ok && c.consider(now, p, m, w, due, false, &best) {
 			return best, 1
 		}
 	}
 	for _, i := range p.homesOf(w, c.cfg.Parts.NoPrefix) {
-		if c.consider(now, p, p.members[i], w, due, &best) {
+		if c.consider(now, p, p.members[i], w, due, true, &best) {
 			considered++
 		}
 	}
@@ -197,7 +204,7 @@
 	step := c.stride(n)
 	sampled := 0
 	for k := 0; k < n && sampled < c.cfg.Samples; k++ {
-		if c.consider(now, p, p.members[at], w, due, &best) {
+		if c.consider(now, p, p.members[at], w, due, false, &best) {
 			sampled++
 		}
 		at = (at + step) % n
