--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -31,7 +31,7 @@
 	holders := holdersOf(hosts)
 	beats := make([]beat, 0, len(targets))
 	for _, target := range targets {
-		request := c.table.Message(target.Host)
+		request := c.table.Request(target.Host)
 		request.Recent = work
 		request.Servers = servers
 		if holder := holders[target.Host]; holder != nil {
--- /dev/null
+++ b/internal/membership/bench_test.go
@@ -0,0 +1,271 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Benchmarks print figures for docs/CAPACITY.md; they assert nothing.
+
+// benchFleet is a fleet whose heartbeats also carry backend servers. Each server
+// announces itself to one host every second, in turn.
+type benchFleet struct {
+	*fleet
+	deltas []*ServerDelta
+	// newest[i][s] is the newest announcement of server s that host i has.
+	newest     [][]*pb.ServerState
+	hostBytes  int
+	stateBytes int
+}
+
+func benchState(s int, seq uint64) *pb.ServerState {
+	return &pb.ServerState{
+		Address: fmt.Sprintf("10.200.%d.%d:8000", s/250, s%250), Incarnation: 1_800_000_000, Seq: seq, Zone: "imbiribeira",
+		Pool: "llm", Models: []string{"ledger-70b@v3"}, Adapters: []string{"audit"}, ChecksFence: true, AgeMs: 350,
+		Running: 37, Waiting: 4, Slots: 64, TokensPerSecond: 1873.5, PrefillPerSecond: 21044, Role: "both", LoadAgeMs: 420, Resumes: true,
+	}
+}
+
+func newBenchFleet(hosts, servers int) *benchFleet {
+	f := &benchFleet{fleet: newFleet(hosts, 1, Config{})}
+	var registered []*pb.HostInfo
+	for i := range hosts {
+		f.hosts[i].cfg.Seeds = nil // all are registered
+		self := f.hosts[i].cfg.Self
+		registered = append(registered, &pb.HostInfo{
+			Host: self.Host, Zone: self.Zone, CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress, Incarnation: 1,
+		})
+		f.deltas = append(f.deltas, NewServerDelta())
+		f.newest = append(f.newest, make([]*pb.ServerState, servers))
+	}
+	for _, h := range f.hosts {
+		h.Learn(registered)
+	}
+	return f
+}
+
+// settle makes all hosts known to all, as after long running.
+func (f *benchFleet) settle() {
+	for _, h := range f.hosts {
+		for _, e := range h.order {
+			e.unheard = false
+			e.heard = h.now
+			e.newsLeft = 0
+			e.newsFull = false
+		}
+	}
+}
+
+func (f *benchFleet) announce(tick int) {
+	for s := range f.newest[0] {
+		if (s+tick)%2 == 0 { // every second tick is every second
+			f.newest[(s+tick/2)%len(f.hosts)][s] = benchState(s, uint64(tick+1))
+		}
+	}
+}
+
+func (f *benchFleet) have(i int) []*pb.ServerState {
+	var have []*pb.ServerState
+	for _, s := range f.newest[i] {
+		if s != nil {
+			have = append(have, s)
+		}
+	}
+	return have
+}
+
+func (f *benchFleet) merge(i int, states []*pb.ServerState, servers map[string]int) {
+	for _, s := range states {
+		at := servers[s.GetAddress()]
+		if f.newest[i][at].GetSeq() < s.GetSeq() {
+			f.newest[i][at] = s
+		}
+	}
+}
+
+// runTicks runs the fleet; the byte counts are of everything that hosts send.
+func (f *benchFleet) runTicks(ticks int) {
+	servers := make(map[string]int)
+	for s := range f.newest[0] {
+		servers[benchState(s, 0).GetAddress()] = s
+	}
+	for tick := range ticks {
+		f.announce(tick)
+		for i, h := range f.hosts {
+			if !h.running {
+				continue
+			}
+			for _, target := range h.Tick() {
+				f.exchangeStates(i, target, servers)
+			}
+		}
+	}
+}
+
+func (f *benchFleet) exchangeStates(i int, target Target, servers map[string]int) {
+	var j int
+	if _, err := fmt.Sscanf(target.Host, "host-%d", &j); err != nil {
+		return
+	}
+	h, peer := f.hosts[i], f.hosts[j]
+	if !peer.running || f.cut[[2]int{i, j}] {
+		h.Unanswered(h.Now(), target.Host)
+		return
+	}
+	m := h.Request(target.Host)
+	f.hostBytes += proto.Size(m)
+	holder := &pb.Holder{Host: target.Host, Incarnation: 1}
+	m.Servers = f.deltas[i].Select(holder, f.have(i))
+	f.stateBytes += proto.Size(&pb.HeartbeatRequest{Servers: m.GetServers()})
+	peer.ReceiveRequest(m)
+	f.merge(j, m.GetServers(), servers)
+	f.deltas[j].Has(m.GetFrom(), m.GetServers())
+	f.deltas[i].Has(holder, m.GetServers())
+	reply := &pb.HeartbeatReply{From: holder, Seq: m.GetSeq(), State: peer.Reply(m.GetFrom().GetHost())}
+	f.hostBytes += proto.Size(reply)
+	h.ReceiveReply(h.Now(), target.Host, reply)
+	f.messages += 2
+}
+
+// BenchmarkBytesPerHostSecond gives what one host sends; it receives as much.
+func BenchmarkBytesPerHostSecond(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1400} {
+		for _, servers := range []int{0, 18, 180, 3700} {
+			if hosts == 1400 && servers > 0 {
+				continue // not carried by heartbeats at that size; see docs/design/membership.md
+			}
+			b.Run(fmt.Sprintf("hosts=%d/servers=%d", hosts, servers), func(b *testing.B) {
+				for range b.N {
+					f := newBenchFleet(hosts, servers)
+					f.settle()
+					f.runTicks(20)
+					f.hostBytes, f.stateBytes, f.messages = 0, 0, 0
+					const ticks = 40
+					f.runTicks(ticks)
+					seconds := float64(hosts) * ticks * DefaultInterval.Seconds()
+					b.ReportMetric(float64(f.hostBytes)/seconds, "hostB/s")
+					b.ReportMetric(float64(f.stateBytes)/seconds, "serverB/s")
+					b.ReportMetric(float64(f.messages)/seconds, "msg/s")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkHeartbeatCPU is one exchange at a host: its tick's share, message, both
+// encodings and the merge of the reply. gRPC comes on top.
+func BenchmarkHeartbeatCPU(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1400} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			f := newBenchFleet(hosts, 0)
+			f.settle()
+			f.runTicks(10)
+			h, peer := f.hosts[0], f.hosts[1]
+			reply, err := proto.Marshal(&pb.HeartbeatReply{From: &pb.Holder{Host: simName(1), Incarnation: 1}, State: peer.Reply(simName(0))})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				targets := h.Tick()
+				for range targets {
+					if _, err := proto.Marshal(h.Request(simName(1))); err != nil {
+						b.Fatal(err)
+					}
+					var m pb.HeartbeatReply
+					if err := proto.Unmarshal(reply, &m); err != nil {
+						b.Fatal(err)
+					}
+					h.ReceiveReply(h.Now(), simName(1), &m)
+				}
+			}
+			b.ReportMetric(float64(len(h.Tick())), "beats/tick")
+		})
+	}
+}
+
+func BenchmarkMemoryPerHost(b *testing.B) {
+	const hosts = 1400
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		t := New(Config{Self: Self{Host: "h"}}, rand.New(rand.NewPCG(1, 1)))
+		for i := range hosts {
+			t.Learn([]*pb.HostInfo{{
+				Host: simName(i), Zone: "imbiribeira", CallerAddress: simAddress(i), PeerAddress: simAddress(i), Incarnation: 1,
+			}})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/hosts, "B/host")
+		runtime.KeepAlive(t)
+	}
+}
+
+// BenchmarkSpread gives, for a large fleet, the ticks until all have dropped a leaving
+// and a dead host, and how many live hosts anybody held dead on the way.
+func BenchmarkSpread(b *testing.B) {
+	for _, hosts := range []int{100, 1400} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for range b.N {
+				f := newBenchFleet(hosts, 0)
+				f.settle()
+				f.runTicks(20)
+				f.leave(1)
+				f.hosts[2].running = false
+				f.cut[[2]int{3, 4}] = true
+				f.cut[[2]int{4, 3}] = true
+				left, died, wrong := 0, 0, 0
+				for tick := 1; tick <= 60; tick++ {
+					f.hosts[5].running = tick > DefaultDeadAfter-2 // a pause just too short for death
+					f.runTicks(1)
+					staying, living, dead := f.survey()
+					if staying > 0 {
+						left = tick + 1
+					}
+					if living > 0 {
+						died = tick + 1
+					}
+					wrong = max(wrong, dead)
+				}
+				b.ReportMetric(float64(left), "ticks-to-leave")
+				b.ReportMetric(float64(died), "ticks-to-die")
+				b.ReportMetric(float64(wrong), "false-dead")
+			}
+		})
+	}
+}
+
+// survey counts the hosts that still hold host 1 staying, host 2 alive, and the most
+// pairs in which a live host is held dead.
+func (f *benchFleet) survey() (staying, living, wrong int) {
+	leaver, stopped := simName(1), simName(2)
+	for i, h := range f.hosts {
+		if i == 2 || i == 5 {
+			continue
+		}
+		for _, e := range h.order {
+			dead := h.dead(e)
+			switch {
+			case e.host == leaver:
+				if !e.leaving {
+					staying++
+				}
+			case e.host == stopped:
+				if !dead {
+					living++
+				}
+			case dead:
+				wrong++
+			}
+		}
+	}
+	return staying, living, wrong
+}
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -10,6 +10,9 @@
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
+// fullViewEvery is the number of whole views of which one, on average, has all addresses.
+const fullViewEvery = 20
+
 // newsPerRound is how often, per round of spreading, an entry with news is sent
 // before it only takes its turn.
 const newsPerRound = 3
@@ -22,16 +25,32 @@
 	e.newsFull = e.newsFull || full
 }
 
-// Message makes the heartbeat, or the state of a reply, for the host named to
-// (empty: not known). The caller adds what is not membership's.
-func (t *Table) Message(to string) *pb.HeartbeatRequest {
+// Request makes the heartbeat for the host named to (empty: not known). The caller
+// adds what is not membership's.
+func (t *Table) Request(to string) *pb.HeartbeatRequest {
+	if t.fullMesh() {
+		return t.message(t.onlyNews(to))
+	}
+	return t.message(t.digest(to))
+}
+
+// Reply makes the state that answers a heartbeat of the host named to. In a full
+// mesh it is the whole view: replies are what brings evidence of third hosts.
+func (t *Table) Reply(to string) *pb.HeartbeatRequest {
+	if t.fullMesh() {
+		return t.message(t.wholeView(to))
+	}
+	return t.message(t.digest(to))
+}
+
+func (t *Table) message(hosts []*pb.HostState) *pb.HeartbeatRequest {
 	t.seq++
 	self := t.cfg.Self
 	return &pb.HeartbeatRequest{
 		From:           &pb.Holder{Host: self.Host, Incarnation: self.Incarnation},
 		Zone:           self.Zone,
 		Seq:            t.seq,
-		Hosts:          t.digest(to),
+		Hosts:          hosts,
 		ConfigRevision: t.rev,
 		SparePermille:  t.spare,
 		Leaving:        t.leaving,
@@ -40,12 +59,9 @@
 	}
 }
 
-// digest is everybody in a full mesh; otherwise entries with news, those sent least
-// often first, and then others in turn, up to DigestBytes.
+// digest is the entries with news, of leaving and doubted hosts first, then
+// those sent least often, and then others in turn, up to DigestBytes.
 func (t *Table) digest(to string) []*pb.HostState {
-	if t.fullMesh() {
-		return t.wholeView(to)
-	}
 	d := &digestBuilder{table: t, to: to, room: t.cfg.DigestBytes, in: make(map[*entry]bool)}
 	for _, e := range t.news() {
 		if !d.add(e, e.newsFull) {
@@ -63,11 +79,25 @@
 	return d.states
 }
 
+func (t *Table) onlyNews(to string) []*pb.HostState {
+	var states []*pb.HostState
+	for _, e := range t.news() {
+		if e.host != to && !e.unheard {
+			states = append(states, t.state(e, e.newsFull))
+			t.sentNews(e)
+		}
+	}
+	return states
+}
+
+// wholeView has addresses where they are news, and all of them now and then for a peer
+// that missed the news.
 func (t *Table) wholeView(to string) []*pb.HostState {
+	full := t.rng.IntN(fullViewEvery) == 0
 	states := make([]*pb.HostState, 0, len(t.order))
 	for _, e := range t.order {
 		if e.host != to && !e.unheard {
-			states = append(states, t.state(e, true))
+			states = append(states, t.state(e, full || e.newsFull))
 		}
 	}
 	return states
@@ -80,10 +110,21 @@
 			news = append(news, e)
 		}
 	}
-	slices.SortStableFunc(news, func(a, b *entry) int { return cmp.Compare(b.newsLeft, a.newsLeft) })
+	slices.SortStableFunc(news, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(b.newsLeft, a.newsLeft))
+	})
 	return news
 }
 
+// urgency is lower for hosts that callers must not be sent to: their news must not
+// wait behind that of many hosts that join.
+func urgency(e *entry) int {
+	if e.leaving || e.doubted {
+		return 0
+	}
+	return 1
+}
+
 func (t *Table) sentNews(e *entry) {
 	e.newsLeft--
 	if e.newsLeft == 0 {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -42,8 +42,7 @@
 	// Interval is the length of one tick; it converts ages in messages.
 	Interval time.Duration
 	// SuspectAfter and DeadAfter are the numbers of own ticks that a doubt lasts
-	// until its host is suspect and dead. In a fleet with sampled heartbeats
-	// DeadAfter grows by the ticks that a refutation needs to get around.
+	// until its host is suspect and dead.
 	SuspectAfter, DeadAfter int64
 	// ForgetAfter is the number of ticks after which a dead host's entry is dropped.
 	ForgetAfter int64
@@ -72,8 +71,8 @@
 	Leaving        bool
 	ConfigRevision uint64
 	SparePermille  uint32
-	// Missed is the number of ticks since the last evidence or the beginning of
-	// the present doubt, whichever is later; 0 without a doubt.
+	// Missed is the number of ticks since the last evidence or this host
+	// learned of the present doubt, whichever is later; 0 without a doubt.
 	Missed int64
 }
 
@@ -95,9 +94,11 @@
 	// heard is the latest tick at which the host surely ran.
 	heard int64
 	// doubted tells whether heartbeats stay unanswered: the first at tick doubt, the
-	// last that is known of at tick unanswered.
+	// last that is known of at tick unanswered. This host knows of it since tick
+	// doubtSince: a doubt takes time to get here, and so does what refutes it.
 	doubted    bool
 	doubt      int64
+	doubtSince int64
 	unanswered int64
 	// seq is the highest number of its heartbeats; lastRequest the tick of the last one.
 	seq         uint64
@@ -219,17 +220,17 @@
 	if !e.doubted {
 		return 0
 	}
-	return t.now - max(e.heard, e.doubt)
+	return t.now - max(e.heard, e.doubtSince)
 }
 
 func (t *Table) health(e *entry) pb.HostHealth {
 	missed := t.missed(e)
 	switch {
-	case e.unheard && missed < t.deadAfter():
+	case e.unheard && missed < t.cfg.DeadAfter:
 		return pb.HostHealth_HOST_HEALTH_SUSPECT
 	case missed < t.cfg.SuspectAfter:
 		return pb.HostHealth_HOST_HEALTH_ALIVE
-	case missed < t.deadAfter():
+	case missed < t.cfg.DeadAfter:
 		return pb.HostHealth_HOST_HEALTH_SUSPECT
 	default:
 		return pb.HostHealth_HOST_HEALTH_DEAD
@@ -240,16 +241,6 @@
 	return t.health(e) == pb.HostHealth_HOST_HEALTH_DEAD
 }
 
-// deadAfter allows, in a large fleet, for the way of a doubt to the host's
-// watchers and of their refutation back. Without it hosts far from a watcher
-// would drop a live host and take it back again.
-func (t *Table) deadAfter() int64 {
-	if t.fullMesh() {
-		return t.cfg.DeadAfter
-	}
-	return t.cfg.DeadAfter + 2*int64(t.rounds())
-}
-
 // rounds is about the number of ticks in which news reaches every host.
 func (t *Table) rounds() int {
 	rounds := 1
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -105,7 +105,7 @@
 // Cause: the flag didn't travel, or stale word of the same incarnation cleared it.
 func TestLeavingHostIsGoneAfterOneHeartbeat(t *testing.T) {
 	f := settled(t, 7)
-	old := f.hosts[3].Message("")
+	old := f.hosts[3].Request("")
 	f.leave(2)
 	f.run(1)
 	// Word from before the leave, through a host that had not heard of it.
@@ -133,7 +133,7 @@
 // Cause: an old request was taken for a sign of life.
 func TestDeadHostIsFoundAndNotRevivedByStaleWord(t *testing.T) {
 	f := settled(t, 7)
-	stale := f.hosts[5].Message("") // says that host 6 lives
+	stale := f.hosts[5].Reply("") // says that host 6 lives
 	f.holdFrom = 6
 	f.run(2)
 	f.hosts[6].running = false
@@ -184,7 +184,12 @@
 	if len(addresses) != 3 || addresses[2].Host != "new" {
 		t.Errorf("answer %v, want the new host last and the removed one left out", addresses)
 	}
-	for _, s := range h.Message("").GetHosts() {
+	joined := New(Config{Self: Self{Host: "joined", Incarnation: 1, PeerAddress: "10.9.0.2:81"}}, rand.New(rand.NewPCG(1, 1)))
+	h.ReceiveRequest(joined.Request(""))
+	for _, s := range h.Reply("").GetHosts() {
+		if s.GetHolder().GetHost() == "joined" && s.GetPeerAddress() == "" {
+			t.Errorf("passed on without its address: %v", s)
+		}
 		if s.GetHolder().GetHost() == "new" {
 			t.Errorf("passed on: %v", s)
 		}
@@ -193,10 +198,10 @@
 	for i := range 20 {
 		large.Learn([]*pb.HostInfo{{Host: simName(i), Incarnation: 1, PeerAddress: simAddress(i)}})
 	}
-	if got := large.Message("").GetHosts(); len(got) != 0 || large.fullMesh() {
+	if got := large.Request("").GetHosts(); len(got) != 0 || large.fullMesh() {
 		t.Errorf("passed on in a large fleet: %v", got)
 	}
-	h.ReceiveRequest(f.hosts[1].Message(""))
+	h.ReceiveRequest(f.hosts[1].Request(""))
 	if got := f.names(0); slices.Contains(got, simName(1)) {
 		t.Errorf("the removed host is back: %v", got)
 	}
@@ -278,6 +283,44 @@
 	}
 }
 
+// Symptom: hosts far from a paused host's watchers drop it before its time, and take it
+// back a moment later.
+// Sequence: a host of a large fleet is paused for less than the ticks to death.
+// Cause: the ticks to death counted from the beginning of the doubt, by its age, which
+// grows with each host it passes.
+func TestShortPauseInALargeFleetDropsNobody(t *testing.T) {
+	f := newBenchFleet(100, 0)
+	f.settle()
+	f.runTicks(20)
+	for tick := range 50 {
+		f.hosts[5].running = tick >= DefaultDeadAfter-2
+		f.runTicks(1)
+		for i := range f.hosts {
+			if f.health(i, 5) == dead {
+				t.Fatalf("host %d dropped it %d ticks after the pause began", i, tick+1)
+			}
+		}
+	}
+}
+
+// Symptom: callers are sent to a leaving host for minutes after the whole fleet started.
+// Sequence: many hosts join at once; one of them leaves.
+// Cause: its news waited behind that of the others' joining.
+func TestNewsOfALeavingHostGoesFirst(t *testing.T) {
+	table := New(Config{Self: Self{Host: "h", Incarnation: 1}}, rand.New(rand.NewPCG(1, 1)))
+	for i := range 40 {
+		joined := New(Config{Self: Self{Host: simName(i), Incarnation: 1, PeerAddress: simAddress(i)}}, rand.New(rand.NewPCG(1, 1)))
+		if i == 39 {
+			joined.Leave()
+		}
+		table.ReceiveRequest(joined.Request(""))
+	}
+	first := table.Request("").GetHosts()
+	if len(first) == 0 || len(first) == 40 || !first[0].GetLeaving() {
+		t.Errorf("the digest begins with %v", first)
+	}
+}
+
 func TestSameSeedSameChoices(t *testing.T) {
 	a, b := newFleet(40, 3, Config{}), newFleet(40, 3, Config{})
 	a.run(20)
@@ -302,12 +345,12 @@
 	x := New(Config{Self: Self{Host: simName(3), Incarnation: 1}}, rand.New(rand.NewPCG(1, 3)))
 	for _, table := range []*Table{r, q} {
 		table.Learn(registered)
-		table.ReceiveRequest(x.Message(""))
+		table.ReceiveRequest(x.Request(""))
 	}
 	r.Tick()
 	q.Tick() // x's heartbeat of this tick is still on its way to q
 	r.Unanswered(r.Now(), simName(3))
-	q.ReceiveRequest(r.Message("q"))
+	q.ReceiveRequest(r.Request("q"))
 	if q.hosts[simName(3)].doubted {
 		t.Error("a doubt beat evidence of the same tick")
 	}
@@ -315,7 +358,7 @@
 		q.Tick()
 		r.Tick()
 		r.Unanswered(r.Now(), simName(3))
-		q.ReceiveRequest(r.Message("q"))
+		q.ReceiveRequest(r.Request("q"))
 	}
 	if got := q.health(q.hosts[simName(3)]); got != dead {
 		t.Errorf("the dead host is %v for a host that doesn't watch it", got)
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -256,6 +256,7 @@
 	}
 	e.doubted = true
 	e.doubt = at
+	e.doubtSince = t.now
 	if !e.unheard {
 		t.spread(e, false)
 	}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -99,7 +99,7 @@
 		if j == i {
 			continue
 		}
-		reply := f.exchange(i, j, h.Message(target.Host))
+		reply := f.exchange(i, j, h.Request(target.Host))
 		if reply == nil {
 			h.Unanswered(h.Now(), target.Host)
 			continue
@@ -120,7 +120,7 @@
 		return nil
 	}
 	peer.ReceiveRequest(m)
-	reply := &pb.HeartbeatReply{Seq: m.GetSeq(), State: peer.Message(m.GetFrom().GetHost())}
+	reply := &pb.HeartbeatReply{Seq: m.GetSeq(), State: peer.Reply(m.GetFrom().GetHost())}
 	f.count(reply)
 	if f.cut[[2]int{j, i}] {
 		return nil
