--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -4,28 +4,9 @@
 	"encoding/json"
 	"time"
 
-	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
-// ErrorAnswer is the body of every refusal.
-type ErrorAnswer struct {
-	Error ErrorFields `json:"error"`
-}
-
-// ErrorFields says what was refused, whether it ran and when to come back.
-type ErrorFields struct {
-	Kind    errkind.Kind  `json:"kind"`
-	Message string        `json:"message"`
-	Path    string        `json:"path,omitempty"`
-	Ran     errkind.Ran   `json:"ran"`
-	Retry   errkind.Retry `json:"retry"`
-	// RetryAfterMS is when to come back, in milliseconds; 0: not said.
-	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
-	// PresentVersion of the subtree, with a version conflict.
-	PresentVersion uint64 `json:"present_version,omitempty"`
-}
-
 // Health answers /healthz.
 type Health struct {
 	Status string `json:"status"`
@@ -294,6 +275,16 @@
 	ServersLeaving int          `json:"servers_leaving"`
 	Control        *GroupStatus `json:"control,omitempty"`
 	ControlError   string       `json:"control_error,omitempty"`
+	// Replica on the answering host; absent if it has none.
+	Replica *LocalReplica `json:"replica,omitempty"`
+}
+
+// LocalReplica is a host's own replica of the control group, as it knows it itself.
+// One whose disk was lost shows here with its new id, under which it has to be added.
+type LocalReplica struct {
+	ID uint64 `json:"id"`
+	// Standing is "forming", "outside", "learner" or "voter".
+	Standing string `json:"standing"`
 }
 
 // GroupStatus is the control group's state as its leader has it.
--- /dev/null
+++ b/internal/control/identity.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wal"
+)
+
+const identityFile = "replica.json"
+
+// identity is what a replica's disk says of itself. See the package comment.
+type identity struct {
+	ID uint64 `json:"id"`
+	// Nonce marks this disk.
+	Nonce uint64 `json:"nonce"`
+	// Joined is true for a replica that is added as a learner rather than by the
+	// bootstrap list.
+	Joined bool `json:"joined"`
+	// Formed is true once the replica takes part in consensus.
+	Formed bool `json:"formed"`
+	// Members is the bootstrap list at the first start; later changes of the
+	// settings don't change the membership from which the log starts.
+	Members []*pb.Member `json:"members,omitempty"`
+	// Nonces of the other replicas' disks at the formation, by id.
+	Nonces map[uint64]uint64 `json:"nonces,omitempty"`
+}
+
+// baseMembers is the membership before the first log entry.
+func (id *identity) baseMembers() *pb.Members {
+	if id.Joined {
+		return &pb.Members{}
+	}
+	return &pb.Members{Members: id.Members}
+}
+
+// randomID draws an id or nonce; never 0. It doesn't use the replica's seeded
+// source: with a seed that stays the same over restarts, a new disk would draw the
+// nonce of the lost one, pass for it, and vote under its id.
+func randomID() uint64 {
+	for {
+		var b [8]byte
+		_, _ = rand.Read(b[:]) // never fails
+		if id := binary.BigEndian.Uint64(b[:]); id != 0 {
+			return id
+		}
+	}
+}
+
+// loadIdentity reads the identity file; nil if there is none.
+func loadIdentity(fs wal.FS, dir string) (*identity, error) {
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "control: list data folder")
+	}
+	for _, name := range names {
+		if name == identityFile {
+			return readIdentity(fs, filepath.Join(dir, name))
+		}
+	}
+	return nil, nil
+}
+
+func readIdentity(fs wal.FS, path string) (*identity, error) {
+	data, err := fs.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "control: read identity")
+	}
+	id, err := decodeIdentity(data)
+	return id, errors.Wrapf(err, "control: %s is damaged; this replica's disk must be replaced", path)
+}
+
+// checksumDigits is the length of the checksum in hex that ends the file.
+const checksumDigits = 8
+
+func encodeIdentity(id *identity) ([]byte, error) {
+	data, err := json.Marshal(id)
+	return fmt.Appendf(data, "\n%0*x", checksumDigits, crc32.ChecksumIEEE(data)), err
+}
+
+func decodeIdentity(data []byte) (*identity, error) {
+	end := len(data) - checksumDigits - 1
+	if end < 0 {
+		return nil, errors.New("too short")
+	}
+	// A digit of the id or a nonce that went bad would otherwise read as another
+	// identity.
+	if sum := fmt.Sprintf("\n%0*x", checksumDigits, crc32.ChecksumIEEE(data[:end])); sum != string(data[end:]) {
+		return nil, errors.New("wrong checksum")
+	}
+	var id identity
+	return &id, json.Unmarshal(data[:end], &id)
+}
+
+// saveIdentity makes the identity durable: whole or not at all.
+func saveIdentity(fs wal.FS, dir string, id *identity) error {
+	data, err := encodeIdentity(id)
+	if err != nil {
+		return errors.Wrap(err, "control: encode identity")
+	}
+	path := filepath.Join(dir, identityFile)
+	f, err := fs.Create(path + ".tmp")
+	if err != nil {
+		return errors.Wrap(err, "control: make identity file")
+	}
+	defer f.Close()
+	if _, err := f.Write(data); err != nil {
+		return errors.Wrap(err, "control: write identity")
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "control: sync identity")
+	}
+	if err := fs.Rename(path+".tmp", path); err != nil {
+		return errors.Wrap(err, "control: rename identity")
+	}
+	return errors.Wrap(fs.SyncDir(dir), "control: sync data folder")
+}
+
+// newIdentity is the identity of an empty disk.
+func newIdentity(cfg *Config) *identity {
+	id := &identity{Nonce: randomID()}
+	own := cfg.ownMember()
+	if cfg.Join || own == nil {
+		id.ID = randomID()
+		id.Joined = true
+		return id
+	}
+	id.ID = own.Id
+	id.Members = cfg.bootstrapMembers()
+	return id
+}
+
+// afterLostDisk is the identity that takes the place of one whose disk was lost.
+func afterLostDisk() *identity {
+	return &identity{ID: randomID(), Nonce: randomID(), Joined: true}
+}
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	if p.Identity == "" || p.TimeMs <= 0 {
-		return errkind.New(errkind.BadRequest, "a bill needs an identity and the time of the request's arrival")
+		return errkind.New(errkind.BadRequest, "a bill needs an identity and the time of its request")
 	}
 	d.touch(b)
 	key := window.KeyOf(p.Identity)
@@ -240,7 +240,7 @@
 func (d *draft) commit() {
 	s := d.state
 	for key, tokens := range d.grants {
-		key.budget.setGrant(key.incarnation, tokens)
+		s.setGrant(key.budget, key.incarnation, tokens)
 	}
 	for b, sp := range d.spending {
 		b.billed += sp.tokens
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,114 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Run sends the load and reports what came of it. Requests under way when the
+// duration is over are still seen through.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	client := newClient(&o)
+	defer client.CloseIdleConnections()
+	callers, err := newCallers(ctx, &o, client)
+	if err != nil {
+		return nil, err
+	}
+	results := newCollector()
+	began := time.Now()
+	if o.Rate > 0 {
+		runAtRate(ctx, &o, callers, results, began)
+	} else {
+		runCallers(ctx, &o, callers, results, began)
+	}
+	report := results.finish(time.Since(began))
+	for _, c := range callers {
+		report.Addresses += c.book.updates
+	}
+	return report, nil
+}
+
+// newCallers makes callers that each know addresses of their own: a fleet spreads its
+// load by giving each caller another order.
+func newCallers(ctx context.Context, o *Options, client *http.Client) ([]*caller, error) {
+	callers := make([]*caller, o.Concurrency)
+	for i := range callers {
+		callers[i] = newCaller(o, client)
+		if callers[i].asker == nil {
+			continue
+		}
+		if err := callers[i].asker.refresh(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return callers, nil
+}
+
+func newClient(o *Options) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: max(o.Concurrency, http.DefaultMaxIdleConnsPerHost),
+		DisableCompression:  true,
+	}}
+}
+
+func newCaller(o *Options, client *http.Client) *caller {
+	book := newAddressBook()
+	c := &caller{
+		sender:   &sender{client: client, patience: o.Patience},
+		book:     book,
+		direct:   o.Direct,
+		timeout:  o.Timeout,
+		attempts: o.Attempts,
+	}
+	if o.Direct == "" {
+		c.asker = &asker{client: client, seeds: o.Hosts, zone: o.Zone, book: book}
+	}
+	return c
+}
+
+// over tells whether no more requests are to be started.
+func (o *Options) over(ctx context.Context, began time.Time) bool {
+	return ctx.Err() != nil || (o.Duration > 0 && time.Since(began) >= o.Duration)
+}
+
+// runAtRate starts each request at its time, so that slow answers do not thin the load.
+func runAtRate(ctx context.Context, o *Options, callers []*caller, results *collector, began time.Time) {
+	var open sync.WaitGroup
+	for n := range o.Count {
+		due := began.Add(time.Duration(float64(n) / o.Rate * float64(time.Second)))
+		pause(ctx, time.Until(due))
+		if o.over(ctx, began) {
+			break
+		}
+		open.Go(func() {
+			r := o.requestOf(n)
+			results.add(r, callers[n%len(callers)].call(ctx, r, due))
+		})
+	}
+	open.Wait()
+}
+
+// runCallers keeps one request of each caller open.
+func runCallers(ctx context.Context, o *Options, callers []*caller, results *collector, began time.Time) {
+	var open sync.WaitGroup
+	var numbers atomic.Int64
+	for _, c := range callers {
+		open.Go(func() {
+			for !o.over(ctx, began) {
+				n := int(numbers.Add(1)) - 1
+				if n >= o.Count {
+					return
+				}
+				r := o.requestOf(n)
+				results.add(r, c.call(ctx, r, time.Now()))
+			}
+		})
+	}
+	open.Wait()
+}
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -30,23 +30,68 @@
 
 // hasRoom tells whether this host may send one more request of class to m. due
 // lifts the slots kept for more pressing classes.
-func (c *Core) hasRoom(now time.Time, m member, class Class, due bool) bool {
+func (c *Core) hasRoom(now time.Time, p *pool, m member, class Class, due bool) bool {
 	s := m.server
 	own := s.Own()
+	depth := c.depth(m)
+	share := m.share(s.Slots() + depth)
 	if s.LoadAge(now) > c.cfg.FreshLoad {
 		// What other hosts do is not known: only the own share is safe.
-		return own < m.share
+		return own < share
 	}
 	limit := s.Slots()
-	if !due {
-		limit = room(limit, class)
+	if !due || class == Urgent {
+		limit = p.room(now, limit, class)
 	}
-	load := s.Corrected()
-	if own < m.share {
-		return load < limit
+	limit += depth
+	if own >= share && class != Urgent && !due {
+		limit -= (s.Slots() + lentPart - 1) / lentPart
 	}
-	lent := (s.Slots() + lentPart - 1) / lentPart
-	return load < limit-lent
+	return c.loadOf(s) < limit && c.isOurTurn(m, limit)
+}
+
+// depth is how many requests beyond its slots a server may be given by all hosts
+// together: what it works off in the time Ahead, at most as many as its slots or
+// as make one for each host. A host that has a server to itself needs none: it
+// sees each slot end at once.
+func (c *Core) depth(m member) int {
+	if m.cover <= 1 {
+		return 0
+	}
+	slots := m.server.Slots()
+	return min(m.server.Depth(c.cfg.Ahead), max(slots, 2*m.cover-slots))
+}
+
+// isOurTurn splits the room that the last report shows between the hosts that
+// cover the server; who gets the remainder changes with each report. What this
+// host ended since the report it may begin again.
+//
+// Symptom this prevents: all hosts see the same three free slots in one report,
+// each sends a request, and most of them wait seconds for a slot.
+func (c *Core) isOurTurn(m member, limit int) bool {
+	if c.cfg.Parts.NoCorrection {
+		return true
+	}
+	s := m.server
+	free := max(limit-s.Reported(), 0)
+	turn := (m.place + int(s.State().GetSeq()%uint64(m.cover))) % m.cover
+	return s.SinceReport() < max(shareOf(free, m.cover, turn), 0)
+}
+
+// loadOf is the load that choices are made on.
+func (c *Core) loadOf(s *backend.Server) int {
+	if c.cfg.Parts.NoCorrection {
+		return s.Reported()
+	}
+	return s.Corrected()
+}
+
+// cachedShare is the share of w's prompt that s is expected to have cached.
+func (c *Core) cachedShare(s *backend.Server, w *Work) float64 {
+	if c.cfg.Parts.NoPrefix {
+		return 0
+	}
+	return s.CachedShare(w.PromptHashes)
 }
 
 // eligible tells whether s may run w at all.
@@ -60,14 +105,29 @@
 // runTime predicts how long w runs on s from dispatch to the whole answer: way,
 // prompts before it, its own prompt less what is cached, and its output up to the
 // cap at the speed of a full batch.
-func (c *Core) runTime(s *backend.Server, w *Work, cached float64) time.Duration {
+func (c *Core) runTime(now time.Time, s *backend.Server, w *Work, cached float64) time.Duration {
 	way := c.way(s)
+	wait := c.slotWait(now, s)
 	if w.Target.Kind == backend.Service {
-		return way + s.ServiceTime()
+		return way + wait + s.ServiceTime()
 	}
 	prompt := float64(w.PromptTokens) * (1 - cached)
 	prefill := s.PrefillTime(float64(s.PendingPrompt()) + prompt)
-	return way + prefill + time.Duration(w.OutputCap)*s.TokenTime()
+	return way + wait + prefill + time.Duration(w.OutputCap)*s.TokenTime()
+}
+
+// slotWait predicts how long a request waits at s for a slot. Without a fresh
+// report hosts keep to their own shares, which leaves no wait, and the estimated
+// load counts too much: what ended elsewhere is not known.
+func (c *Core) slotWait(now time.Time, s *backend.Server) time.Duration {
+	if s.LoadAge(now) > c.cfg.FreshLoad {
+		return 0
+	}
+	over := c.loadOf(s) - s.Slots() + 1
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over) * s.MeanRun() / time.Duration(s.Slots())
 }
 
 // bareTime is runTime on s with no other prompt pending.
@@ -75,13 +135,13 @@
 	if w.Target.Kind == backend.Service {
 		return c.way(s) + s.ServiceTime()
 	}
-	prompt := float64(w.PromptTokens) * (1 - s.CachedShare(w.PromptHashes))
+	prompt := float64(w.PromptTokens) * (1 - c.cachedShare(s, w))
 	return c.way(s) + s.PrefillTime(prompt) + time.Duration(w.OutputCap)*s.TokenTime()
 }
 
 // way is the round trip to s.
 func (c *Core) way(s *backend.Server) time.Duration {
-	if s.State().GetZone() == c.cfg.Zone {
+	if c.cfg.Parts.NoDistance || s.State().GetZone() == c.cfg.Zone {
 		return 0
 	}
 	return 2 * c.cfg.ZoneDelay
@@ -93,17 +153,17 @@
 }
 
 // consider adds m to the comparison if it may run w in time and beats best.
-func (c *Core) consider(now time.Time, m member, w *Work, due bool, best *choice) bool {
-	if !c.eligible(now, m.server, w) || !c.hasRoom(now, m, w.Class, due) {
+func (c *Core) consider(now time.Time, p *pool, m member, w *Work, due bool, best *choice) bool {
+	if !c.eligible(now, m.server, w) || !c.hasRoom(now, p, m, w.Class, due) {
 		return false
 	}
-	cached := m.server.CachedShare(w.PromptHashes)
-	d := c.withMargin(c.runTime(m.server, w, cached))
+	cached := c.cachedShare(m.server, w)
+	d := c.withMargin(c.runTime(now, m.server, w, cached))
 	finish := now.Add(d)
 	if finish.After(w.Deadline) {
 		return false
 	}
-	load := m.server.Corrected()
+	load := c.loadOf(m.server)
 	better := best.server == nil || finish.Before(best.finish) ||
 		(finish.Equal(best.finish) && load*best.server.Slots() < best.load*m.server.Slots())
 	if better {
@@ -118,12 +178,12 @@
 	var best choice
 	considered := 0
 	if w.Prefer != "" {
-		if m, ok := p.find(w.Prefer); ok && c.consider(now, m, w, due, &best) {
+		if m, ok := p.find(w.Prefer); ok && c.consider(now, p, m, w, due, &best) {
 			return best, 1
 		}
 	}
-	for _, i := range p.homesOf(w) {
-		if c.consider(now, p.members[i], w, due, &best) {
+	for _, i := range p.homesOf(w, c.cfg.Parts.NoPrefix) {
+		if c.consider(now, p, p.members[i], w, due, &best) {
 			considered++
 		}
 	}
@@ -137,7 +197,7 @@
 	step := c.stride(n)
 	sampled := 0
 	for k := 0; k < n && sampled < c.cfg.Samples; k++ {
-		if c.consider(now, p.members[at], w, due, &best) {
+		if c.consider(now, p, p.members[at], w, due, &best) {
 			sampled++
 		}
 		at = (at + step) % n
@@ -172,8 +232,8 @@
 }
 
 // homesOf returns the indexes of the members that w's prefix belongs to.
-func (p *pool) homesOf(w *Work) []int {
-	if len(w.PromptHashes) == 0 {
+func (p *pool) homesOf(w *Work, noPrefix bool) []int {
+	if noPrefix || len(w.PromptHashes) == 0 {
 		return nil
 	}
 	var top [homes]int
