--- a/internal/callerapi/chain_test.go
+++ b/internal/callerapi/chain_test.go
@@ -9,8 +9,10 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/filter/dispatch"
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/silence"
 )
 
 const (
@@ -263,3 +265,34 @@
 		f.end(t, h)
 	})
 }
+
+func TestSilenceIsLearnedPerServer(t *testing.T) {
+	// Symptom: a connection that is lost in the stream costs seconds, or a stalled engine's work is thrown away.
+	// Sequence: after some streams with steady gaps, one falls silent; another only stalls for some seconds.
+	// Cause: one fixed limit for all, or giving a run up while its engine answers.
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		e, other := f.engine(true, "", 2), f.engine(true, "", 0)
+		e.tokenDelay = 30 * time.Millisecond
+		h := f.host("a")
+		h.api.deps.Dispatch.Silence = dispatch.NewLearnedSilence(silence.Config{})
+		for range 5 {
+			h.do(parse.PathChat, chatBody)
+		}
+		for _, c := range []struct {
+			fault string
+			limit time.Duration
+		}{{"falls silent", 600 * time.Millisecond}, {"stalls", 8 * time.Second}} {
+			e.fault, e.stuck = c.fault, c.fault == "stalls"
+			began := time.Now()
+			text, whole := textOf(h.do(parse.PathChat, chatBody).Body.String())
+			if took := time.Since(began); took > c.limit || text != wholeText || !whole {
+				t.Errorf("%s: got %q, whole %v, after %v", c.fault, text, whole, took)
+			}
+		}
+		if other.runs != 0 {
+			t.Errorf("%d runs elsewhere", other.runs)
+		}
+		f.end(t, h)
+	})
+}
--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -164,6 +164,10 @@
 			case "falls silent":
 				<-r.Context().Done()
 				return
+			case "stalls":
+				if i == e.at+1 {
+					time.Sleep(3 * time.Second)
+				}
 			case "is stopped":
 				e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"cancelled"}]}`)
 				e.send(w, "[DONE]")
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -35,17 +35,6 @@
 	goneWait   = time.Second
 )
 
-// Silence decides when a connection to a backend server counts as silent.
-type Silence interface {
-	// Limit is how long the connection may give no byte; first: before the first of
-	// an attempt.
-	Limit(server string, first bool) time.Duration
-	// Heard reports a gap that ended.
-	Heard(server string, first bool, gap time.Duration)
-	// Silent reports that the limit has passed.
-	Silent(server string)
-}
-
 // Filter is the last Handler of the chain.
 type Filter struct {
 	Client  *engineclient.Client
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -16,10 +16,10 @@
 
 // Bounds of reading a run again.
 const (
-	// maxResumes without a token in between, for a call that may run elsewhere.
-	maxResumes = 3
-	// endWait bounds the wait for the end of a body whose last event is there.
-	endWait       = time.Second
+	// maxFailures to read a run again without a token in between, and stuckAfter, the
+	// time without one while the engine answers: then a call that may run elsewhere does.
+	maxFailures   = 3
+	stuckAfter    = 10 * time.Second
 	firstPause    = 50 * time.Millisecond
 	longestPause  = time.Second
 	noLimit       = 24 * time.Hour
@@ -55,14 +55,17 @@
 	resumable  bool
 	// reached: a byte of the request may have reached the engine, which has not said
 	// that it did not run it.
-	reached   bool
-	began     time.Time
-	lastHeard time.Time
-	// received counts the run's tokens; resumes those readings of it that gave none.
+	reached bool
+	began   time.Time
+	// received counts the run's tokens.
 	received uint64
-	resumes  int
-	usage    *engineclient.Usage
-	finished bool
+	// rereads counts the readings after the first; failures and silences those since
+	// the last token that ended so.
+	rereads, failures, silences int
+	// lastToken is when the last one came, or when the run began.
+	lastToken time.Time
+	usage     *engineclient.Usage
+	finished  bool
 }
 
 // model runs a completion and relays its stream.
@@ -76,6 +79,9 @@
 	} else {
 		a.sink = newAssembly(f, w, c)
 	}
+	a.lastToken = a.began
+	f.Silence.Open(a.began, id, server, predicted(c))
+	defer f.Silence.Close(id)
 	before := c.Dispatched
 	c.Dispatched = true
 	c.Usage = filter.Usage{}
@@ -88,6 +94,14 @@
 	return a.judge(ctx, err, before)
 }
 
+// predicted is the time in which an idle engine would compute the prompt; 0: unknown.
+func predicted(c *filter.Call) time.Duration {
+	if c.Lease == nil || c.Lease.Server().GetPrefillPerSecond() <= 0 {
+		return 0
+	}
+	return time.Duration(float64(c.PromptTokens) / c.Lease.Server().GetPrefillPerSecond() * float64(time.Second))
+}
+
 // run reads the run to its end, again from where it stopped if need be.
 func (a *attempt) run(ctx context.Context) error {
 	for {
@@ -98,9 +112,9 @@
 		if ctx.Err() != nil || !a.mayResume(err) {
 			return err
 		}
-		a.resumes++
+		a.rereads++
 		a.c.Note(a.f.Clock.Now(), "dispatch", "reads the run again from token "+strconv.FormatUint(a.received, 10)+" after: "+err.Error())
-		if !pause(ctx, a.resumes) {
+		if !pause(ctx, a.failures) {
 			return err
 		}
 	}
@@ -117,11 +131,16 @@
 	if _, _, status := judge(err); status != 0 && status < http.StatusInternalServerError {
 		return false // the engine refuses, or doesn't know the run
 	}
-	// A call that may run elsewhere soon does; another has only this run.
-	return !a.c.Idempotent || a.resumes < maxResumes
+	if !a.c.Idempotent {
+		return true // the call has only this run
+	}
+	if errors.Is(err, errSilent) {
+		return a.f.Clock.Now().Sub(a.lastToken) < stuckAfter
+	}
+	return a.failures < maxFailures
 }
 
-// pause waits before the n-th resume; the first comes at once.
+// pause waits after the n-th failure in a row; after the first not at all.
 func pause(ctx context.Context, n int) bool {
 	if n <= 1 {
 		return ctx.Err() == nil
@@ -139,7 +158,7 @@
 // read opens the run, or reads it again, and passes its events on until they end.
 func (a *attempt) read(ctx context.Context) error {
 	l := newLink(ctx)
-	a.lastHeard = a.f.Clock.Now()
+	a.heard(false)
 	silent := time.AfterFunc(a.limit(), func() { l.cancel(errSilent) })
 	defer silent.Stop()
 	// What was taken as relayed has to be with the caller before another attempt.
@@ -160,9 +179,8 @@
 		if err != nil {
 			return a.silentOr(l.ctx, err)
 		}
-		a.heard()
-		silent.Reset(a.limit())
 		done, err := a.event(ev)
+		silent.Reset(a.limit())
 		if done || err != nil {
 			whole = done
 			return err
@@ -173,81 +191,48 @@
 	}
 }
 
-// link is the context of one connection. Unlike a child of the call's context it may
-// outlive the call.
-type link struct {
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	// leave separates it from the call's context.
-	leave func() bool
-}
-
-func newLink(ctx context.Context) *link {
-	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	leave := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
-	return &link{ctx: own, cancel: cancel, leave: leave}
-}
-
-func (l *link) end() {
-	l.leave()
-	l.cancel(nil)
-}
-
-// release gives a connection back. After a whole answer the end of the body is still
-// to come; without reading it the connection would be closed, and each call would
-// have to open one. The answer doesn't wait for that.
-func (f *Filter) release(stream *engineclient.Stream, l *link, whole bool) {
-	if !whole {
-		l.end()
-		stream.Close()
-		return
-	}
-	l.leave()
-	f.behind.Go(func() {
-		limit := time.AfterFunc(endWait, l.end)
-		defer limit.Stop()
-		stream.Drain()
-		stream.Close()
-		l.end()
-	})
-}
-
 func (a *attempt) open(ctx context.Context) (*engineclient.Stream, error) {
-	if a.c.Resume != nil || a.resumes > 0 {
+	if a.c.Resume != nil || a.rereads > 0 {
 		return a.f.Client.Resume(ctx, a.server, a.id, a.received)
 	}
 	return a.f.Client.Open(ctx, a.f.request(a.c, a.server, a.id))
 }
 
-// limit is how long the connection may stay silent now. It doubles with each resume
-// that brought nothing: then the engine is slow rather than the connection lost.
+// limit is how long the connection may stay silent now. It doubles with each new
+// connection that was as silent: then the engine is slow rather than a connection lost.
 func (a *attempt) limit() time.Duration {
-	doublings := a.resumes
+	doublings := a.silences
 	if !a.resumable && !a.c.Idempotent {
 		return noLimit // the run can neither be read again nor repeated: only waiting is left
 	}
 	if !a.resumable {
 		doublings = waitedSilence
 	}
-	return a.f.Silence.Limit(a.server, a.received == 0) << min(doublings, 8)
+	return a.f.Silence.Limit(a.f.Clock.Now(), a.id, a.received > 0) << min(doublings, 8)
 }
 
-func (a *attempt) heard() {
+// heard notes that the connection gave bytes, or that a new one begins.
+func (a *attempt) heard(token bool) {
 	now := a.f.Clock.Now()
-	a.f.Silence.Heard(a.server, a.received == 0, now.Sub(a.lastHeard))
-	a.lastHeard = now
+	a.f.Silence.Byte(now, a.id, token)
+	if token {
+		a.lastToken = now
+	}
 }
 
 // silentOr is err, or errSilent if it was the silence that ended the reading.
 func (a *attempt) silentOr(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), errSilent) {
+		a.silences++
 		a.c.Outcome.Silent = true
-		a.f.Silence.Silent(a.server)
 		a.f.Client.Renew(a.server)
 		return errSilent
 	}
 	if errors.Is(err, io.EOF) {
-		return a.ended()
+		err = a.ended()
+	}
+	if err != nil {
+		a.failures++
 	}
 	return err
 }
@@ -275,11 +260,12 @@
 	if ch.Usage != nil {
 		a.usage = ch.Usage
 	}
+	a.heard(ch.isToken())
 	if ch.isToken() {
 		a.received++
-		a.resumes = 0
+		a.failures, a.silences = 0, 0
 		if a.received == 1 && a.c.Lease != nil {
-			a.c.Lease.FirstToken(a.lastHeard.Sub(a.began))
+			a.c.Lease.FirstToken(a.lastToken.Sub(a.began))
 		}
 	}
 	if ch.stopped() {
@@ -302,74 +288,3 @@
 	}
 	return a.usage != nil && !a.finished && a.usage.CompletionTokens > a.c.OutputCap
 }
-
-// account writes down what the run has used as far as known.
-func (a *attempt) account() {
-	c := a.c
-	if a.received > 0 {
-		c.Usage = filter.Usage{Prompt: c.PromptTokens, Output: a.received}
-	}
-	if a.usage != nil {
-		c.Usage = filter.Usage{Prompt: a.usage.PromptTokens, Output: a.usage.CompletionTokens}
-	}
-	c.Outcome.Usage = c.Usage
-}
-
-// judge stops a run that did not end by itself and says why the attempt failed.
-func (a *attempt) judge(ctx context.Context, err error, before bool) error {
-	ran, refused, status := judge(err)
-	if !a.reached {
-		a.c.Dispatched = before
-		a.c.Outcome.Refused = refused
-		if ctx.Err() != nil {
-			return filter.ContextError(ctx).WithRan(errkind.RanNo)
-		}
-		if status == http.StatusBadRequest || status == http.StatusUnprocessableEntity {
-			return errkind.New(errkind.BadRequest, "backend server %s refused the request: %s", a.server, err.Error())
-		}
-		return failed(errkind.RanNo, a.server, err.Error())
-	}
-	switch {
-	case a.received > 0:
-		ran = errkind.RanYes
-	case ran == errkind.RanNo: // said of a resume, not of the run
-		ran = errkind.RanUnknown
-	}
-	switch {
-	case errors.Is(err, errCut):
-		a.f.cancelRun(a.server, a.id, 0)
-		return errkind.New(errkind.ReservationExhausted, "the backend server went past %d tokens", a.c.OutputCap)
-	case ctx.Err() != nil:
-		e := filter.ContextError(ctx).WithRan(ran)
-		a.cancelFor(e.Kind)
-		return e
-	case a.resumes == 0 && a.c.Resume == nil && callersFault(status):
-		return errkind.New(errkind.BadRequest, "backend server %s refused the request: %s", a.server, err.Error()).WithRan(ran)
-	}
-	a.c.Final = errors.Is(err, errDiverged)
-	a.f.cancelRun(a.server, a.id, 0)
-	a.c.Note(a.f.Clock.Now(), "dispatch", "attempt failed: "+err.Error())
-	return failed(ran, a.server, err.Error())
-}
-
-// callersFault: another server would refuse the request as well.
-func callersFault(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusTooManyRequests:
-		return false
-	}
-	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
-}
-
-// cancelFor stops the run of a call that is given up and takes the engine's own
-// count of what it used, if that comes soon enough.
-func (a *attempt) cancelFor(k errkind.Kind) {
-	wait := cancelWait
-	if k == errkind.CallerGone {
-		wait = goneWait
-	}
-	if usage := a.f.cancelRun(a.server, a.id, wait); usage != nil {
-		a.usage = usage
-		a.account()
-	}
-}
--- a/internal/filter/dispatch/service.go
+++ b/internal/filter/dispatch/service.go
@@ -38,7 +38,6 @@
 	}
 	if try.Err() != nil {
 		c.Outcome.Silent = true
-		f.Silence.Silent(server)
 		f.Client.Renew(server)
 	}
 	c.Note(f.Clock.Now(), "dispatch", "attempt failed with status "+strconv.Itoa(status)+": "+err.Error())
