--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -26,6 +26,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/peerservice"
 	"github.com/bluebellsail/bluebellsail/internal/sched"
+	"github.com/bluebellsail/bluebellsail/internal/silence"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry/explain"
 )
 
@@ -43,10 +44,6 @@
 	// fleet that has none.
 	settleLeast = 2 * announceEvery
 	settleMost  = 3 * time.Second
-	// firstByteWait and gapWait are when a connection to a backend server counts as
-	// silent: before its first byte (a prefill may be long) and after it.
-	firstByteWait = 30 * time.Second
-	gapWait       = 5 * time.Second
 )
 
 // entry is what serves callers. Its controllers that belong to one incarnation are
@@ -218,7 +215,7 @@
 func (e *entry) dispatch() *dispatch.Filter {
 	return &dispatch.Filter{
 		Client:  engineclient.New(engineclient.Config{}),
-		Silence: dispatch.FixedSilence{First: firstByteWait, Gap: gapWait},
+		Silence: dispatch.NewLearnedSilence(silence.Config{}),
 	}
 }
 
