--- a/internal/control/identity.go
+++ b/internal/control/identity.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"encoding/json"
-	"math/rand"
+	"fmt"
+	"hash/crc32"
 	"path/filepath"
 
 	"github.com/pkg/errors"
@@ -38,10 +41,14 @@
 	return &pb.Members{Members: id.Members}
 }
 
-// randomID draws an id or nonce; never 0.
-func randomID(rnd *rand.Rand) uint64 {
+// randomID draws an id or nonce; never 0. It doesn't use the replica's seeded
+// source: with a seed that stays the same over restarts, a new disk would draw the
+// nonce of the lost one, pass for it, and vote under its id.
+func randomID() uint64 {
 	for {
-		if id := rnd.Uint64(); id != 0 {
+		var b [8]byte
+		_, _ = rand.Read(b[:]) // never fails
+		if id := binary.BigEndian.Uint64(b[:]); id != 0 {
 			return id
 		}
 	}
@@ -66,16 +73,35 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control: read identity")
 	}
-	var id identity
-	if err := json.Unmarshal(data, &id); err != nil {
-		return nil, errors.Wrapf(err, "control: %s is damaged; this replica's disk must be replaced", path)
+	id, err := decodeIdentity(data)
+	return id, errors.Wrapf(err, "control: %s is damaged; this replica's disk must be replaced", path)
+}
+
+// checksumDigits is the length of the checksum in hex that ends the file.
+const checksumDigits = 8
+
+func encodeIdentity(id *identity) ([]byte, error) {
+	data, err := json.Marshal(id)
+	return fmt.Appendf(data, "\n%0*x", checksumDigits, crc32.ChecksumIEEE(data)), err
+}
+
+func decodeIdentity(data []byte) (*identity, error) {
+	end := len(data) - checksumDigits - 1
+	if end < 0 {
+		return nil, errors.New("too short")
+	}
+	// A digit of the id or a nonce that went bad would otherwise read as another
+	// identity.
+	if sum := fmt.Sprintf("\n%0*x", checksumDigits, crc32.ChecksumIEEE(data[:end])); sum != string(data[end:]) {
+		return nil, errors.New("wrong checksum")
 	}
-	return &id, nil
+	var id identity
+	return &id, json.Unmarshal(data[:end], &id)
 }
 
 // saveIdentity makes the identity durable: whole or not at all.
 func saveIdentity(fs wal.FS, dir string, id *identity) error {
-	data, err := json.Marshal(id)
+	data, err := encodeIdentity(id)
 	if err != nil {
 		return errors.Wrap(err, "control: encode identity")
 	}
@@ -98,11 +124,11 @@
 }
 
 // newIdentity is the identity of an empty disk.
-func newIdentity(cfg *Config, rnd *rand.Rand) *identity {
-	id := &identity{Nonce: randomID(rnd)}
+func newIdentity(cfg *Config) *identity {
+	id := &identity{Nonce: randomID()}
 	own := cfg.ownMember()
 	if cfg.Join || own == nil {
-		id.ID = randomID(rnd)
+		id.ID = randomID()
 		id.Joined = true
 		return id
 	}
@@ -112,6 +138,6 @@
 }
 
 // afterLostDisk is the identity that takes the place of one whose disk was lost.
-func afterLostDisk(rnd *rand.Rand) *identity {
-	return &identity{ID: randomID(rnd), Nonce: randomID(rnd), Joined: true}
+func afterLostDisk() *identity {
+	return &identity{ID: randomID(), Nonce: randomID(), Joined: true}
 }
