--- /dev/null
+++ b/internal/controller/scheduler/fleet.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/backend"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Announce takes an announcement of a backend server; false: it was out of date.
+func (s *Scheduler) Announce(st *pb.ServerState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	ok := s.reg.Announce(now, st)
+	if !ok {
+		s.metrics.OldAnnouncements.Add(1)
+	}
+	if now.Sub(s.swept) >= sweepEvery {
+		s.swept = now
+		s.reg.Expire(now)
+	}
+	s.step(now)
+	return ok
+}
+
+// Merge takes the servers in a peer's heartbeat. transit is an upper bound of the
+// time on the way: the round trip for the state in a reply, backend.TransitUnknown
+// for a heartbeat that the peer sent by itself.
+func (s *Scheduler) Merge(states []*pb.ServerState, transit time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.reg.Merge(now, transit, states)
+	s.step(now)
+}
+
+// MergeRecent replaces what is known of a peer's work that server reports can't show yet.
+func (s *Scheduler) MergeRecent(host string, work []*pb.RecentWork) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.reg.MergeRecent(now, host, work)
+	s.step(now)
+}
+
+// CacheEvent takes a numbered event of a server's prefix cache.
+func (s *Scheduler) CacheEvent(ev backend.CacheEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reg.CacheEvent(ev)
+}
+
+// SetHosts sets the live hosts that share the servers.
+func (s *Scheduler) SetHosts(hosts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.SetHosts(hosts)
+	s.step(s.now())
+}
+
+// Servers returns the known backend servers with the age of their announcements.
+func (s *Scheduler) Servers() []*pb.ServerState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reg.Snapshot(s.now())
+}
+
+// Usable tells whether the server at addr may get new work.
+func (s *Scheduler) Usable(addr string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reg.Usable(s.now(), addr)
+}
+
+// RecentWork is this host's work that the servers' last reports can't show yet.
+func (s *Scheduler) RecentWork() []*pb.RecentWork {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reg.RecentWork()
+}
--- /dev/null
+++ b/internal/sched/admit.go
@@ -0,0 +1,103 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/backend"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+)
+
+// minRetryAfter is the least time to come back that a refusal names.
+const minRetryAfter = 50 * time.Millisecond
+
+// usable counts the servers of this host's subset that may run w.
+func (c *Core) usable(now time.Time, p *pool, w *Work) int {
+	n := 0
+	for i := range p.members {
+		if c.eligible(now, p.members[i].server, w) {
+			n++
+		}
+	}
+	return n
+}
+
+// bestTime is the shortest bare run time of w among the usable servers.
+func (c *Core) bestTime(now time.Time, p *pool, w *Work) time.Duration {
+	best := time.Duration(-1)
+	for i := range p.members {
+		s := p.members[i].server
+		if !c.eligible(now, s, w) {
+			continue
+		}
+		if d := c.bareTime(s, w); best < 0 || d < best {
+			best = d
+		}
+	}
+	return best
+}
+
+// refuse returns the refusal of a request that has to wait, or nil if it may.
+func (c *Core) refuse(now time.Time, p *pool, w *Work, bare time.Duration) error {
+	wait := c.waitFor(now, p, w)
+	if now.Add(wait + bare).After(w.Deadline) {
+		over := now.Add(wait + bare).Sub(w.Deadline)
+		return errkind.New(errkind.DeadlineUnreachable,
+			"the wait for a backend server is about %v and the run takes up to %v, but %v are left",
+			wait.Round(time.Millisecond), bare.Round(time.Millisecond), w.Deadline.Sub(now).Round(time.Millisecond)).
+			After(max(over, minRetryAfter))
+	}
+	full := p.waiting >= c.cfg.QueuePerTarget
+	if a := p.classes[w.Class].accounts[w.Account]; a != nil && len(a.items) >= c.cfg.QueuePerAccount {
+		full = true
+	}
+	if full {
+		return errkind.New(errkind.Overloaded, "the queue of the account or of %q is full", w.Target.Name).
+			After(max(wait, minRetryAfter))
+	}
+	return nil
+}
+
+// waitFor predicts the time in the queue: the slot time granted before w, over
+// the slots that this host has.
+func (c *Core) waitFor(now time.Time, p *pool, w *Work) time.Duration {
+	slots := c.ownSlots(now, p)
+	if slots == 0 {
+		return 0
+	}
+	ahead := time.Duration(0)
+	for k := Urgent; k < w.Class; k++ {
+		ahead += p.classes[k].backlog
+	}
+	ahead += p.classes[w.Class].ahead(w.Account, w.Weight, w.Deadline)
+	return time.Duration(p.usage * float64(ahead) / float64(slots))
+}
+
+// ownSlots is the number of slots that this host can count on.
+func (c *Core) ownSlots(now time.Time, p *pool) int {
+	n := 0
+	for i := range p.members {
+		m := &p.members[i]
+		if c.reg.UsableServer(now, m.server) {
+			n += max(m.share(m.server.Slots()), m.server.Own())
+		}
+	}
+	return n
+}
+
+func unknownTarget(t backend.Target) error {
+	if t.Kind == backend.Service {
+		return errkind.New(errkind.UnknownService, "no backend server has announced service %q", t.Name)
+	}
+	return errkind.New(errkind.UnknownModel, "no backend server has announced model %q", t.Name)
+}
+
+func (c *Core) noServer(t backend.Target) error {
+	return errkind.New(errkind.NoBackendServer, "no backend server for %q is in service", t.Name).
+		After(c.reg.Lapse())
+}
+
+func tooLong(run, left time.Duration) error {
+	return errkind.New(errkind.DeadlineUnreachable,
+		"the run takes up to %v on a server that is free, but %v are left",
+		run.Round(time.Millisecond), left.Round(time.Millisecond))
+}
