--- a/internal/membership/addresses.go
+++ b/internal/membership/addresses.go
@@ -78,6 +78,9 @@
 		class:   classOf(zone, self.Zone),
 		key:     t.draw(t.spare),
 	}
+	if self.Incarnation == 0 {
+		c.class = classSuspect // not registered yet, so it refuses requests
+	}
 	if t.leaving {
 		c.class = classLeaving
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -230,6 +230,11 @@
 	if n := first[simName(2)]; n < 850 || n > 950 {
 		t.Errorf("the host with 9 of 10 parts of the room came first %d times of 1000", n)
 	}
+	f.hosts[2].SetIncarnation(0)
+	if got := f.hosts[2].Addresses(testNow, "olinda", testTTL); got[0].Host != simName(5) || got[6].Host != simName(2) {
+		t.Errorf("a host that isn't registered names itself before others: %v", got)
+	}
+	f.hosts[2].SetIncarnation(1)
 	for i := range f.hosts {
 		f.leave(i)
 	}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -143,3 +144,25 @@
 		t.Error("second published over the first")
 	}
 }
+
+// The spans must reach a collector by OTLP over HTTP, at the latest with Shutdown.
+func TestSpansReachTheCollector(t *testing.T) {
+	paths := make(chan string, 4)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { paths <- r.Method + " " + r.URL.Path }))
+	defer collector.Close()
+	tel, err := New(Config{Trace: TraceConfig{Exporter: ExporterOTLP, URL: collector.URL + "/v1/traces"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, span := tel.Tracer.Start(context.Background(), "hop")
+	span.End()
+	if err := tel.Shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if len(paths) != 1 {
+		t.Fatalf("%d requests to the collector", len(paths))
+	}
+	if got := <-paths; got != "POST /v1/traces" {
+		t.Errorf("the collector got %s", got)
+	}
+}
