--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -16,6 +16,8 @@
 package peerconn
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -73,6 +75,8 @@
 	TryTimeout time.Duration
 	// Grace is how long calls on a replaced connection may still end.
 	Grace time.Duration
+	// Dial opens the TCP connection; nil: the net package's.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnSilent is called for each connection that was replaced; nil: nothing.
 	OnSilent func(address string)
 }
@@ -171,23 +175,37 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	delays := backoff.Config{BaseDelay: reconnectMin, Multiplier: 1.6, Jitter: 0.2, MaxDelay: reconnectMax}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
 		KeepaliveOption(),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: delays, MinConnectTimeout: dialTimeout}),
+		ReconnectOption(),
 		grpc.WithIdleTimeout(idleAfter),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 	}
+	if p.cfg.Dial != nil {
+		options = append(options, grpc.WithContextDialer(p.cfg.Dial))
+	}
 	if p.cfg.Stats != nil {
 		options = append(options, grpc.WithStatsHandler(p.cfg.Stats))
 	}
 	return options
 }
 
+// ReconnectOption bounds the pause between attempts to connect, and each attempt.
+//
+// What goes wrong otherwise: gRPC's pause grows to two minutes while a cut lasts, and
+// the two ends stay apart that long after it is mended. One would notice hosts at old
+// settings, or a replica without its leader, long after everybody else is back.
+func ReconnectOption() grpc.DialOption {
+	return grpc.WithConnectParams(grpc.ConnectParams{
+		Backoff:           backoff.Config{BaseDelay: reconnectMin, Multiplier: 1.6, Jitter: 0.2, MaxDelay: reconnectMax},
+		MinConnectTimeout: dialTimeout,
+	})
+}
+
 // KeepaliveOption makes a client ping its server, so that a connection which has
 // gone silent for good is given up even when no call waits on it.
 func KeepaliveOption() grpc.DialOption {
