--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -32,6 +32,7 @@
 	delay  func(body string) time.Duration // before a plain service's answer
 	// tokenDelay is the time before each token.
 	tokenDelay time.Duration
+	until      time.Time     // end of a stall
 	lateEnd    time.Duration // between the last event and the body's end
 	stuck      bool          // resumes meet the same fault
 	burst      bool          // sends what it has at the run's end
@@ -153,6 +154,9 @@
 	defer e.count(func() { e.open-- })
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
+	if !e.burst {
+		w.(http.Flusher).Flush()
+	}
 	if from == 0 {
 		e.send(w, `{"id":"x","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"role":"assistant","content":""}}]}`)
 	}
@@ -166,7 +170,12 @@
 				return
 			case "stalls":
 				if i == e.at+1 {
-					time.Sleep(3 * time.Second)
+					e.count(func() {
+						if e.until.IsZero() {
+							e.until = time.Now().Add(3 * time.Second)
+						}
+					})
+					time.Sleep(time.Until(e.until))
 				}
 			case "is stopped":
 				e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"cancelled"}]}`)
--- /dev/null
+++ b/internal/callerapi/standin_test.go
@@ -0,0 +1,91 @@
+package callerapi
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter/dispatch"
+	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/standin"
+)
+
+const standinBody = `{"model":"m","stream":true,"max_tokens":12,"ignore_eos":true,"messages":[{"role":"user","content":"hello"}]}`
+
+// standins puts two stand-in backend servers behind a host, the first with a fault.
+func standins(t *testing.T, f *fakeFleet, faults standin.Faults) (first, second *standin.Server) {
+	t.Helper()
+	var servers []*standin.Server
+	for range 2 {
+		s := standin.New(standin.Options{Models: []string{"m"}, Services: []string{"ledger"}, DecodeSpeed: 500})
+		if err := s.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		f.engines[s.Address()], f.order = &fakeEngine{resumes: true}, append(f.order, s.Address())
+		servers = append(servers, s)
+	}
+	servers[0].SetFaults(faults, nil)
+	return servers[0], servers[1]
+}
+
+func TestStandinWithFaults(t *testing.T) {
+	// Symptom: the chain works with its own fake engine only.
+	// Sequence: the stand-in backend server breaks, silences or overruns a stream; another one is there.
+	// Cause: the two read the protocol between them differently.
+	body := []byte(standinBody)
+	prompt, err := standin.ParsePrompt(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := standin.Answer(prompt.Hash(), 0, 12)
+	for name, c := range map[string]struct {
+		faults standin.Faults
+		kind   errkind.Kind
+	}{
+		"none":            {},
+		"refuses":         {faults: standin.Faults{Refuse: true}},
+		"drops":           {faults: standin.Faults{DropAfterTokens: 4}},
+		"falls silent":    {faults: standin.Faults{SilentAfterTokens: 4}},
+		"all silent":      {faults: standin.Faults{Silent: true}},
+		"ignores its cap": {faults: standin.Faults{IgnoreMaxTokens: true}, kind: errkind.ReservationExhausted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet()
+			first, _ := standins(t, f, c.faults)
+			h := f.host("a")
+			h.team.MaxOutputTokens = 12
+			h.team.DefaultTimeout = settings.Duration(3 * time.Second)
+			h.api.deps.Dispatch.Silence = dispatch.FixedSilence{First: 300 * time.Millisecond, Gap: 100 * time.Millisecond}
+			s := serve(t, h)
+			res, err := post(s, parse.PathChat, standinBody)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, _ := io.ReadAll(res.Body)
+			_ = res.Body.Close()
+			if c.kind != "" {
+				if e := refusalOf(t, string(got)); e.Kind != c.kind {
+					t.Errorf("got %+v", e)
+				}
+				h.api.Wait()
+				if first.Runs().Cancelled != 1 {
+					t.Errorf("%+v", first.Runs())
+				}
+				return
+			}
+			if text, whole := textOf(string(got)); res.StatusCode != http.StatusOK || text != want || !whole {
+				t.Errorf("got %d %q, whole %v, want %q", res.StatusCode, text, whole, want)
+			}
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if h.settled != 1 || f.billed[h.call.Identity] != uint64(prompt.Tokens()+12) {
+				t.Errorf("billed %v, want %d", f.billed, prompt.Tokens()+12)
+			}
+		})
+	}
+}
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -16,10 +16,12 @@
 
 // Bounds of reading a run again.
 const (
-	// maxFailures to read a run again without a token in between, and stuckAfter, the
-	// time without one while the engine answers: then a call that may run elsewhere does.
-	maxFailures   = 3
-	stuckAfter    = 10 * time.Second
+	// maxFailures to read a run again without a token in between: then a call that may
+	// run elsewhere does; stuckAfter bounds its patience.
+	maxFailures = 3
+	stuckAfter  = 10 * time.Second
+	// answerWait bounds the wait for the answer when a run is read again.
+	answerWait    = 500 * time.Millisecond
 	firstPause    = 50 * time.Millisecond
 	longestPause  = time.Second
 	noLimit       = 24 * time.Hour
@@ -29,6 +31,7 @@
 // Ends of reading a stream, besides its whole end.
 var (
 	errSilent   = errors.New("no byte for longer than allowed")
+	errNoAnswer = errors.New("no answer for longer than allowed")
 	errCut      = errors.New("the run passed its output cap")
 	errDiverged = errors.New("a second run does not repeat what the caller has")
 	errEngine   = errors.New("the engine reported an error in its stream")
@@ -135,11 +138,18 @@
 		return true // the call has only this run
 	}
 	if errors.Is(err, errSilent) {
-		return a.f.Clock.Now().Sub(a.lastToken) < stuckAfter
+		return a.f.Clock.Now().Sub(a.lastToken) < a.patience()
 	}
 	return a.failures < maxFailures
 }
 
+// patience is how long a call that may run elsewhere waits for a token of an engine
+// that answers but gives none: half of the time that was left at the last one, so
+// that another engine has the other half.
+func (a *attempt) patience() time.Duration {
+	return min(stuckAfter, a.c.Deadline.Sub(a.lastToken)/2)
+}
+
 // pause waits after the n-th failure in a row; after the first not at all.
 func pause(ctx context.Context, n int) bool {
 	if n <= 1 {
@@ -159,7 +169,7 @@
 func (a *attempt) read(ctx context.Context) error {
 	l := newLink(ctx)
 	a.heard(false)
-	silent := time.AfterFunc(a.limit(), func() { l.cancel(errSilent) })
+	silent := time.AfterFunc(a.openLimit(), func() { l.cancel(errSilent) })
 	defer silent.Stop()
 	// What was taken as relayed has to be with the caller before another attempt.
 	defer a.sink.flush()
@@ -169,15 +179,16 @@
 		if ran, _, _ := judge(err); ran != errkind.RanNo {
 			a.reached = true
 		}
-		return a.silentOr(l.ctx, err)
+		return a.silentOr(l.ctx, err, errNoAnswer)
 	}
 	a.reached = true
+	silent.Reset(a.limit())
 	whole := false
 	defer func() { a.f.release(stream, l, whole) }()
 	for {
 		ev, err := stream.Next()
 		if err != nil {
-			return a.silentOr(l.ctx, err)
+			return a.silentOr(l.ctx, err, errSilent)
 		}
 		done, err := a.event(ev)
 		silent.Reset(a.limit())
@@ -198,6 +209,15 @@
 	return a.f.Client.Open(ctx, a.f.request(a.c, a.server, a.id))
 }
 
+// openLimit is how long the engine may take to answer at all. An engine that is asked
+// for a run it has answers at once, however far the run is.
+func (a *attempt) openLimit() time.Duration {
+	if a.rereads > 0 && a.c.Idempotent {
+		return answerWait
+	}
+	return a.limit()
+}
+
 // limit is how long the connection may stay silent now. It doubles with each new
 // connection that was as silent: then the engine is slow rather than a connection lost.
 func (a *attempt) limit() time.Duration {
@@ -220,13 +240,16 @@
 	}
 }
 
-// silentOr is err, or errSilent if it was the silence that ended the reading.
-func (a *attempt) silentOr(ctx context.Context, err error) error {
+// silentOr is err, or silence if it was that which ended the reading.
+func (a *attempt) silentOr(ctx context.Context, err, silence error) error {
 	if errors.Is(context.Cause(ctx), errSilent) {
 		a.silences++
+		if errors.Is(silence, errNoAnswer) && a.rereads > 0 {
+			a.failures++
+		}
 		a.c.Outcome.Silent = true
 		a.f.Client.Renew(a.server)
-		return errSilent
+		return silence
 	}
 	if errors.Is(err, io.EOF) {
 		err = a.ended()
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -91,6 +91,7 @@
 
 // Close is called when the connection has closed.
 func (p *processor) Close(parser *nbhttp.Parser, err error) {
+	handovers.Load()
 	p.stopTimer()
 	p.Processor.Close(parser, err)
 }
