--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -138,6 +138,15 @@
 	}
 }
 
+func TestRetryAfterIsRoundedUp(t *testing.T) {
+	w := httptest.NewRecorder()
+	WriteError(w, "r1", errkind.New(errkind.Overloaded, "full").After(1100*time.Millisecond))
+	want := `{"error":{"kind":"overloaded","message":"full","ran":"no","retry":"after","retry_after_ms":1100,"request_id":"r1"}}`
+	if got := w.Header().Get("Retry-After"); got != "2" || w.Code != 429 || w.Body.String() != want {
+		t.Fatalf("got %d, Retry-After %s, %s", w.Code, got, w.Body)
+	}
+}
+
 func TestConnClosedSeesCallerGo(t *testing.T) {
 	// Symptom: engines go on generating for callers who have hung up.
 	// Sequence: the caller closes its connection in the middle of a stream.
@@ -265,7 +274,18 @@
 	src := httptest.NewTLSServer(nil)
 	defer src.Close()
 	pair := src.TLS.Certificates[0]
-	s := start(t, Config{Handler: text("whole"), TLS: &tls.Config{
+	gone := make(chan struct{})
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "whole")
+		if r.URL.Path == "/hold" {
+			w.(http.Flusher).Flush()
+			for !ConnClosed(w) {
+				time.Sleep(time.Millisecond)
+			}
+			close(gone)
+		}
+	})
+	s := start(t, Config{Handler: h, TLS: &tls.Config{
 		Certificates: []tls.Certificate{{Certificate: pair.Certificate, PrivateKey: pair.PrivateKey}}}})
 	res, err := src.Client().Get("https://" + s.Address())
 	if err != nil {
@@ -275,4 +295,14 @@
 	if b, _ := io.ReadAll(res.Body); string(b) != "whole" {
 		t.Fatalf("got %q", b)
 	}
+	hold, err := src.Client().Get("https://" + s.Address() + "/hold")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = hold.Body.Close()
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Fatal("handler never saw the TLS caller go")
+	}
 }
