--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -130,6 +130,46 @@
 	}
 }
 
+// Symptom: a host that has started again says for good that it has no confirmed settings.
+// Sequence: it follows a relay that is cut off, or behind, or that answers nothing.
+// Cause: any word of the relay counted as one of the quorum about the watcher's revision.
+func TestOnlyFreshConfirmationsOfTheWatchersRevisionCount(t *testing.T) {
+	old := unconfirmedAfter.Milliseconds()
+	w := &watcher{revision: 5}
+	for want, events := range map[bool][]*pb.WatchEvent{
+		true:  {{Revision: 5, Confirmed: true}, {Revision: 6, Confirmed: true, ConfirmedAgeMs: old - 1}},
+		false: {{Revision: 5}, {Revision: 5, Confirmed: true, ConfirmedAgeMs: old}, {Revision: 4, Confirmed: true}, {Confirmed: true}},
+	} {
+		for _, e := range events {
+			if w.confirms(e) != want {
+				t.Errorf("%v: want %t", e, want)
+			}
+		}
+	}
+}
+
+// Symptom: a host that starts beside a frozen one is not ready for 20 seconds.
+// Sequence: the kernel of the frozen host takes the connection; its process says nothing.
+// Cause: the wait for the stream to open had no bound of its own.
+func TestWatchLeavesASourceThatNeverSpeaks(t *testing.T) {
+	t.Parallel()
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer frozen.Close()
+	healthy := serve(t, &fakeReplica{watch: func(_ uint64, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
+		return out.Send(&pb.WatchEvent{Revision: 1, SnapshotJson: []byte("{}"), Confirmed: true})
+	}})
+	ctx, cancel := context.WithTimeout(t.Context(), 4*silentAfter)
+	defer cancel()
+	done := errors.New("heard")
+	c := newClient(t, healthy, frozen.Addr().String()) // the second one is asked first
+	if err := c.Watch(ctx, 0, func(*pb.WatchEvent) error { return done }); !errors.Is(err, done) {
+		t.Fatal(err)
+	}
+}
+
 // Symptom: a host runs under settings older than those it had.
 // Sequence: it watches one replica up to revision 5, loses it, and watches one that is at 4.
 // Cause: the older tree was handed on.
--- a/internal/controlclient/watch.go
+++ b/internal/controlclient/watch.go
@@ -85,12 +85,15 @@
 func (w *watcher) follow(ctx context.Context, target string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// A source that is frozen takes the connection and says nothing; without the timer
+	// the opening would wait for it as long as gRPC waits for a connection, 20 seconds.
+	silent := time.AfterFunc(silentAfter, cancel)
+	defer silent.Stop()
 	recv, err := w.open(ctx, target)
 	if err != nil {
+		w.c.drop(target)
 		return err
 	}
-	silent := time.AfterFunc(silentAfter, cancel)
-	defer silent.Stop()
 	confirmed := time.Now()
 	for {
 		e, err := recv()
@@ -101,7 +104,7 @@
 		if !silent.Reset(silentAfter) {
 			return errSilent
 		}
-		if e.Confirmed {
+		if w.confirms(e) {
 			confirmed = time.Now()
 		}
 		if err := w.deliver(e); err != nil {
@@ -113,6 +116,15 @@
 	}
 }
 
+// confirms tells whether an event shows that its source is in contact with the quorum
+// and no older than the watcher. A relay that was cut off goes on saying when it last
+// heard the quorum, and two relays that follow each other would keep each other for
+// good; one that is behind confirms what the watcher no longer holds.
+func (w *watcher) confirms(e *pb.WatchEvent) bool {
+	age := time.Duration(e.ConfirmedAgeMs) * time.Millisecond
+	return e.Confirmed && age < unconfirmedAfter && e.Revision >= w.revision
+}
+
 func (w *watcher) open(ctx context.Context, target string) (receive, error) {
 	if target == localTarget {
 		sub := w.c.local.Subscribe(w.revision)
--- a/internal/controller/settings/controller_test.go
+++ b/internal/controller/settings/controller_test.go
@@ -140,3 +140,18 @@
 		<-done
 	})
 }
+
+// Symptom: a host that started again never gets ready, though it holds the newest settings.
+// Sequence: it follows a relay that holds the same revision and is in contact.
+// Cause: the relay's word of the quorum named no revision, so it was taken for one about
+// an older one.
+func TestRelayConfirmsTheRevisionThatTheWatcherHas(t *testing.T) {
+	c := New(nil, zerolog.Nop(), time.Now)
+	if err := c.take(&pb.WatchEvent{Revision: 1, Confirmed: true, Changes: []*pb.ConfigChange{team(1, "1s")}}); err != nil {
+		t.Fatal(err)
+	}
+	e, err := NewRelay(c).event(1)
+	if err != nil || e.Revision != 1 || !e.Confirmed || len(e.SnapshotJson) > 0 {
+		t.Fatalf("got %v, %v", e, err)
+	}
+}
--- a/internal/controller/settings/relay.go
+++ b/internal/controller/settings/relay.go
@@ -45,13 +45,14 @@
 	}
 }
 
-// event is the view as one message; without its body if the watcher has it.
+// event is the view as one message; without its body if the watcher has it. It names
+// the revision in any case: a watcher takes no word of the quorum about another one
+// than its own, and would stay unready beside a relay that has just what it has.
 func (r *Relay) event(have uint64) (*pb.WatchEvent, error) {
 	v := r.c.View()
 	age, confirmed := r.c.ContactAge()
 	e := &pb.WatchEvent{Revision: v.Revision(), Confirmed: confirmed, ConfirmedAgeMs: age.Milliseconds()}
 	if v.Revision() <= have {
-		e.Revision = 0
 		return e, nil
 	}
 	return e, fill(e, v)
