--- a/e2e/control/fleet_test.go
+++ b/e2e/control/fleet_test.go
@@ -23,8 +23,8 @@
 	hosts  map[string]*process
 }
 
-// newFleet writes the settings of a fleet, starts it and waits until it is up.
-func newFleet(t *testing.T, hosts int, tls bool) *fleet {
+// newFleet writes the settings of a fleet, edits them, starts it and waits until it is up.
+func newFleet(t *testing.T, hosts int, tls bool, edits ...func(*procconfig.Config)) *fleet {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts real processes")
@@ -37,6 +37,9 @@
 	f := &fleet{t: t, layout: layout, hosts: map[string]*process{}}
 	t.Cleanup(f.showLogs)
 	for _, h := range layout.Hosts {
+		for _, edit := range edits {
+			f.edit(h, edit)
+		}
 		f.start(h)
 	}
 	f.awaitUp(layout.Hosts...)
@@ -134,9 +137,11 @@
 	return c
 }
 
-// writeConfig replaces a host's settings file.
-func (f *fleet) writeConfig(h devfleet.Host, c *procconfig.Config) {
+// edit changes a host's settings file.
+func (f *fleet) edit(h devfleet.Host, edit func(*procconfig.Config)) {
 	f.t.Helper()
+	c := f.config(h)
+	edit(c)
 	b, err := json.Marshal(c)
 	if err != nil {
 		f.t.Fatal(err)
--- a/e2e/control/lostdisk_test.go
+++ b/e2e/control/lostdisk_test.go
@@ -10,8 +10,12 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/adminapi"
 	"github.com/bluebellsail/bluebellsail/internal/devfleet"
+	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 )
 
+// growth is how many tokens grow adds.
+const growth = 11
+
 // holding is what a fleet was told to keep.
 type holding struct {
 	revision uint64
@@ -29,7 +33,7 @@
 // grow commits one more top-up and one more change of the settings.
 func (f *fleet) grow(hosts []devfleet.Host) holding {
 	f.t.Helper()
-	topUp := decode[adminapi.BudgetAnswer](f.t, f.do(hosts, "--json", "budget", "top-up", "cash", "--tokens", "11"))
+	topUp := decode[adminapi.BudgetAnswer](f.t, f.do(hosts, "--json", "budget", "top-up", "cash", "--tokens", strconv.Itoa(growth)))
 	var present adminapi.ConfigAnswer
 	f.mustAsk(&present, hosts, "config", "get", "/teams/school")
 	out := f.do(hosts, "--json", "config", "set", "/teams/school/max_in_flight",
@@ -123,6 +127,7 @@
 	lost := f.memberOn(first, rest)
 	f.loseDisk(first)
 	f.leader(rest...)
+	f.checkHolds(rest, want)
 	want = f.grow(rest)
 	f.start(first)
 	fresh := f.awaitNewID(first)
@@ -140,7 +145,7 @@
 	f.checkHolds(left, want)
 
 	// The second disk is replaced by a host that is told to join.
-	f.joins(second)
+	f.edit(second, func(c *procconfig.Config) { c.Control.Join = true })
 	f.start(second)
 	f.repair(second, lost2, f.awaitNewID(second))
 	f.checkHolds(f.layout.Hosts, f.grow(f.layout.Hosts))
@@ -184,11 +189,3 @@
 	}
 	f.signal(h, syscall.SIGCONT)
 }
-
-// joins writes into a host's settings that its replica joins.
-func (f *fleet) joins(h devfleet.Host) {
-	f.t.Helper()
-	c := f.config(h)
-	c.Control.Join = true
-	f.writeConfig(h, c)
-}
