--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -44,7 +44,8 @@
 	// SuspectAfter and DeadAfter are the numbers of own ticks that a doubt lasts
 	// until its host is suspect and dead.
 	SuspectAfter, DeadAfter int64
-	// ForgetAfter is the number of ticks after which a dead host's entry is dropped.
+	// ForgetAfter is the number of ticks after which a dead host's entry is dropped
+	// if the control group doesn't list it.
 	ForgetAfter int64
 	// Neighbours is the number of hosts a host watches in a large fleet.
 	Neighbours int
@@ -89,6 +90,8 @@
 
 	// hash of the name, for the order in which hosts watch each other.
 	hash uint64
+	// registered with the control group: kept while it is, however long it is dead.
+	registered bool
 	// unheard: registered, but neither evidence nor word of it has come yet.
 	unheard bool
 	// heard is the latest tick at which the host surely ran.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -207,6 +207,30 @@
 	}
 }
 
+// Symptom: a host that has been dead for an hour is named to callers again, for seconds,
+// every hour.
+// Sequence: its entry is forgotten; the control group, which still lists it, is asked.
+// Cause: it came back as a registered host that nobody has heard yet.
+func TestDeadRegisteredHostIsNotForgotten(t *testing.T) {
+	const forget = 20
+	f := newFleet(3, 1, Config{ForgetAfter: forget})
+	f.run(30)
+	registered := []*pb.HostInfo{{Host: simName(1), Incarnation: 1, PeerAddress: simAddress(1), CallerAddress: simAddress(1)}}
+	f.hosts[0].Learn(registered)
+	f.hosts[1].running = false
+	f.run(DefaultDeadAfter + 1)
+	for tick := range 3 * forget {
+		f.run(1)
+		f.hosts[0].Learn(registered)
+		if got := f.health(0, 1); got != dead || slices.Contains(f.names(0), simName(1)) {
+			t.Fatalf("tick %d: %v, named %v", tick, got, f.names(0))
+		}
+	}
+	if got := f.view(2, 1); got.Holder != nil {
+		t.Errorf("a host that never heard of the registration keeps %v", got)
+	}
+}
+
 // Symptom: all callers of a zone go to one host, or to another zone's, or nobody
 // is named while all hosts are leaving.
 // Sequence: many answers are drawn; then every host leaves.
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -34,12 +34,14 @@
 			continue
 		}
 		if e := t.hosts[info.GetHost()]; e != nil && e.incarnation >= info.GetIncarnation() {
+			e.registered = true
 			continue
 		}
 		e := t.enter(&pb.Holder{Host: info.GetHost(), Incarnation: info.GetIncarnation()})
 		e.zone = info.GetZone()
 		e.caller = info.GetCallerAddress()
 		e.peer = info.GetPeerAddress()
+		e.registered = true
 		e.unheard = true
 		e.newsLeft = 0
 	}
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -39,10 +39,11 @@
 // Now is the present tick.
 func (t *Table) Now() int64 { return t.now }
 
-// forget drops hosts that have been dead for long.
+// forget drops hosts that have been dead for long. One that is still registered stays:
+// its next registration heard of would bring it back as merely suspect.
 func (t *Table) forget() {
 	for i := len(t.order) - 1; i >= 0; i-- {
-		if e := t.order[i]; t.missed(e) > t.cfg.ForgetAfter {
+		if e := t.order[i]; !e.registered && t.missed(e) > t.cfg.ForgetAfter {
 			t.drop(e)
 		}
 	}
