--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -40,7 +40,8 @@
 	cancels    int
 	resumed    []string // "from" of each resume
 	bodies     []string
-	open       int // streams being generated
+	ids        []string // engine request ids of the runs
+	open       int      // streams being generated
 }
 
 func (f *fakeFleet) engine(resumes bool, fault string, at int) *fakeEngine {
@@ -120,7 +121,11 @@
 		http.Error(w, "bad field", http.StatusBadRequest)
 		return
 	}
-	e.count(func() { e.runs++; e.bodies = append(e.bodies, string(body)) })
+	e.count(func() {
+		e.runs++
+		e.bodies = append(e.bodies, string(body))
+		e.ids = append(e.ids, r.Header.Get(engineclient.HeaderEngineRequest))
+	})
 	w.Header().Set(engineclient.HeaderEngineRequest, r.Header.Get(engineclient.HeaderEngineRequest))
 	switch e.fault {
 	case "dies without an answer":
--- a/internal/callerapi/fake_test.go
+++ b/internal/callerapi/fake_test.go
@@ -56,6 +56,7 @@
 	call     *filter.Call
 	closed   bool
 	noRetry  bool
+	apart    map[string]*pb.InflightRecord // own records of a host that is cut off from the others'
 	client   *engineclient.Client
 	api      *API
 }
@@ -138,47 +139,55 @@
 	delete(h.held, id)
 }
 
+// known is the records that the host can see.
+func (h *fakeHost) known() map[string]*pb.InflightRecord {
+	if h.apart != nil {
+		return h.apart
+	}
+	return h.records
+}
+
 func (h *fakeHost) Begin(ctx context.Context, rec *pb.InflightRecord, _ int) (*pb.InflightRecord, bool, error) {
 	if err := h.blocked(ctx, "records"); err != nil {
 		return nil, false, err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	old, ok := h.records[rec.Identity]
+	old, ok := h.known()[rec.Identity]
 	if ok && old.State != pb.InflightState_INFLIGHT_STATE_ABANDONED {
 		return old, false, nil
 	}
-	h.records[rec.Identity] = rec
+	h.known()[rec.Identity] = rec
 	return nil, true, nil
 }
 
 func (h *fakeHost) Update(rec *pb.InflightRecord) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if old := h.records[rec.Identity]; !h.dead[h.name] && old.GetRequestId() == rec.RequestId {
-		h.records[rec.Identity] = rec
+	if old := h.known()[rec.Identity]; !h.dead[h.name] && old.GetRequestId() == rec.RequestId {
+		h.known()[rec.Identity] = rec
 	}
 }
 
 func (h *fakeHost) Takeover(_ context.Context, rec *pb.InflightRecord, _ int) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.records[rec.Identity] = rec
+	h.known()[rec.Identity] = rec
 	return nil
 }
 
 func (h *fakeHost) Abandon(identity, id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if rec := h.records[identity]; rec.GetRequestId() == id {
-		delete(h.records, identity)
+	if rec := h.known()[identity]; rec.GetRequestId() == id {
+		delete(h.known(), identity)
 	}
 }
 
 func (h *fakeHost) Find(_ context.Context, identity string) (*pb.InflightRecord, bool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	rec, ok := h.records[identity]
+	rec, ok := h.known()[identity]
 	return rec, ok, nil
 }
 
