--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
 )
 
 // fakeEngine is a model engine and plain service within the process. Its tokens are
@@ -41,6 +42,7 @@
 	resumed    []string // "from" of each resume
 	bodies     []string
 	ids        []string // engine request ids of the runs
+	key        string   // idempotency key of the last call of the plain service
 	open       int      // streams being generated
 }
 
@@ -148,6 +150,7 @@
 		if e.delay != nil {
 			time.Sleep(e.delay(string(body)))
 		}
+		e.count(func() { e.key = r.Header.Get(filter.HeaderIdempotencyKey) })
 		_, _ = io.WriteString(w, "service:"+string(body))
 		return
 	}
--- a/internal/callerapi/outcome_test.go
+++ b/internal/callerapi/outcome_test.go
@@ -95,6 +95,9 @@
 		h.closed = false
 		h.mu.Unlock()
 		again := h.do(service, "entry 1", filter.HeaderNotIdempotent, "true", filter.HeaderIdempotencyKey, "k")
+		if e.key != "school/k" {
+			t.Errorf("the service got key %q", e.key)
+		}
 		if again.Body.String() != "service:entry 1" || e.runs != 1 || h.settled != 1 {
 			t.Errorf("got %q after %d runs and %d bills", again.Body, e.runs, h.settled)
 		}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -158,6 +158,8 @@
 	Body        []byte
 	// EngineRequestID names the run.
 	EngineRequestID string
+	// IdempotencyKey lets a plain service recognise a request that comes again.
+	IdempotencyKey string
 	// Remaining is the time left until the caller's deadline; 0: not said.
 	Remaining time.Duration
 	// Fresh asks for a connection of its own. For requests that must not run twice:
@@ -216,6 +218,9 @@
 	if r.EngineRequestID != "" {
 		req.Header.Set(HeaderEngineRequest, r.EngineRequestID)
 	}
+	if r.IdempotencyKey != "" {
+		req.Header.Set(filter.HeaderIdempotencyKey, r.IdempotencyKey)
+	}
 	if r.Remaining > 0 {
 		req.Header.Set(filter.HeaderTimeout, strconv.FormatInt(r.Remaining.Milliseconds(), 10))
 	}
--- a/internal/filter/dispatch/service.go
+++ b/internal/filter/dispatch/service.go
@@ -22,7 +22,9 @@
 	c.Dispatched = true
 	try, cancel := f.tryContext(ctx, c)
 	defer cancel()
-	answer, err := f.Client.Call(try, f.request(c, server, id))
+	req := f.request(c, server, id)
+	req.IdempotencyKey = c.Identity
+	answer, err := f.Client.Call(try, req)
 	if err == nil {
 		c.Outcome.OK = true
 		f.writeService(w, c, answer)
