--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -199,7 +199,7 @@
 	e.api = callerapi.New(callerapi.Deps{
 		Settings: chainSettings{e.d.settings, e}, Budget: e.grants, Records: e.records, Hosts: hosts{e},
 		Claims: claims{client: e.d.client, self: self}, Scheduler: e.sched, Retries: e.sched,
-		Explainer: e.explain, Registry: e.sched, Addresses: addresses{e}, Models: models{e.sched},
+		Explainer: outcomes{next: e.explain, metrics: e.d.tel.Metrics, log: e.d.tel.Log}, Registry: e.sched, Addresses: addresses{e}, Models: models{e.sched},
 		Health:           e.ready,
 		Dispatch:         e.dispatch(),
 		AnnounceInterval: announceEvery,
--- a/internal/daemon/telemetry.go
+++ b/internal/daemon/telemetry.go
@@ -39,6 +39,7 @@
 		return err
 	}
 	d.tel = tel
+	tel.MakeGlobal()
 	tel.Metrics.Publish("bluebellsail")
 	return nil
 }
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
@@ -124,3 +125,7 @@
 	return otelgrpc.NewClientHandler(
 		otelgrpc.WithTracerProvider(t.provider), otelgrpc.WithPropagators(t.propagator))
 }
+
+// MakeGlobal has otel's global tracers, which the request chain uses, make their spans
+// here. Only a process's main path calls it.
+func (t *Telemetry) MakeGlobal() { otel.SetTracerProvider(t.provider) }
