--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -207,6 +207,30 @@
 	}
 }
 
+// Symptom: a host that has been dead for an hour is named to callers again, for seconds,
+// every hour.
+// Sequence: its entry is forgotten; the control group, which still lists it, is asked.
+// Cause: it came back as a registered host that nobody has heard yet.
+func TestDeadRegisteredHostIsNotForgotten(t *testing.T) {
+	const forget = 20
+	f := newFleet(3, 1, Config{ForgetAfter: forget})
+	f.run(30)
+	registered := []*pb.HostInfo{{Host: simName(1), Incarnation: 1, PeerAddress: simAddress(1), CallerAddress: simAddress(1)}}
+	f.hosts[0].Learn(registered)
+	f.hosts[1].running = false
+	f.run(DefaultDeadAfter + 1)
+	for tick := range 3 * forget {
+		f.run(1)
+		f.hosts[0].Learn(registered)
+		if got := f.health(0, 1); got != dead || slices.Contains(f.names(0), simName(1)) {
+			t.Fatalf("tick %d: %v, named %v", tick, got, f.names(0))
+		}
+	}
+	if got := f.view(2, 1); got.Holder != nil {
+		t.Errorf("a host that never heard of the registration keeps %v", got)
+	}
+}
+
 // Symptom: all callers of a zone go to one host, or to another zone's, or nobody
 // is named while all hosts are leaving.
 // Sequence: many answers are drawn; then every host leaves.
@@ -230,6 +254,11 @@
 	if n := first[simName(2)]; n < 850 || n > 950 {
 		t.Errorf("the host with 9 of 10 parts of the room came first %d times of 1000", n)
 	}
+	f.hosts[2].SetIncarnation(0)
+	if got := f.hosts[2].Addresses(testNow, "olinda", testTTL); got[0].Host != simName(5) || got[6].Host != simName(2) {
+		t.Errorf("a host that isn't registered names itself before others: %v", got)
+	}
+	f.hosts[2].SetIncarnation(1)
 	for i := range f.hosts {
 		f.leave(i)
 	}
