--- a/internal/callerapi/chain_test.go
+++ b/internal/callerapi/chain_test.go
@@ -296,3 +296,27 @@
 		f.end(t, h)
 	})
 }
+
+func TestSilenceBeforeTheFirstToken(t *testing.T) {
+	// Symptom: a call fails at its deadline on a lost connection, or a long prompt is begun again and again.
+	// Sequence: the engine's answer never comes; or it comes late because the prompt takes most of the time.
+	// Cause: one limit for the first token, whatever the deadline and the prompt.
+	for _, c := range []struct {
+		fault       string
+		prefill     float64
+		runs, other int
+	}{{"says nothing", 0, 1, 0}, {"computes long", 10, 1, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			e, other := f.engine(true, c.fault, 0), f.engine(true, "", 0)
+			e.prefill = c.prefill
+			h := f.host("a")
+			h.api.deps.Dispatch.Silence = dispatch.NewLearnedSilence(silence.Config{})
+			_, whole := textOf(h.do(parse.PathChat, chatBody).Body.String())
+			if !whole || e.runs != c.runs || other.runs != c.other {
+				t.Errorf("%s: whole %v, runs %d and %d", c.fault, whole, e.runs, other.runs)
+			}
+			f.end(t, h)
+		})
+	}
+}
--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -42,6 +42,7 @@
 	resumed    []string // "from" of each resume
 	bodies     []string
 	ids        []string // engine request ids of the runs
+	prefill    float64  // announced speed
 	key        string   // idempotency key of the last call of the plain service
 	open       int      // streams being generated
 }
@@ -95,6 +96,9 @@
 		if e.stuck {
 			fault = e.fault
 		}
+		if e.fault == "computes long" {
+			time.Sleep(time.Until(e.until))
+		}
 		if fault == "says nothing" {
 			<-r.Context().Done()
 			return
@@ -135,6 +139,9 @@
 	case "says nothing":
 		<-r.Context().Done()
 		return
+	case "computes long":
+		e.count(func() { e.until = time.Now().Add(8 * time.Second) })
+		time.Sleep(8 * time.Second)
 	case "answers 500":
 		http.Error(w, "broken", http.StatusInternalServerError)
 		return
