--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/membership"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -55,6 +56,8 @@
 func (c *Controller) send(ctx context.Context, b beat) {
 	callCtx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
+	sent := time.Since(c.start)
+	b.request.SentMs = sent.Milliseconds()
 	reply, err := c.cfg.Peers.Client(b.target.Address).Heartbeat(callCtx, b.request)
 	if ctx.Err() != nil {
 		return // this process stops; it says nothing of the peer
@@ -65,7 +68,7 @@
 		c.unanswered(b, err)
 		return
 	}
-	c.answered(b, reply)
+	c.answered(b, reply, sent)
 }
 
 func (c *Controller) unanswered(b beat, err error) {
@@ -77,11 +80,14 @@
 	c.publishChanges()
 }
 
-func (c *Controller) answered(b beat, reply *pb.HeartbeatReply) {
+// answered takes the reply to a heartbeat that left at sent by this host's clock.
+func (c *Controller) answered(b beat, reply *pb.HeartbeatReply, sent time.Duration) {
 	c.countBytes(reply)
-	c.cfg.Registry.Merge(reply.GetState().GetServers())
+	now := time.Since(c.start)
+	c.cfg.Registry.Merge(reply.GetState().GetServers(), now-sent)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.transits.answered(now, b.target.Host, now-sent)
 	c.table.ReceiveReply(b.sentAt, b.target.Host, reply)
 	c.delta.Has(reply.GetFrom(), b.request.GetServers())
 	c.publishChanges()
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -26,8 +26,9 @@
 type Registry interface {
 	// Servers returns the states to pass on.
 	Servers() []*pb.ServerState
-	// Merge takes states that another host passed on.
-	Merge(servers []*pb.ServerState)
+	// Merge takes states that another host passed on. transit is how long they were on
+	// their way at most, or backend.TransitUnknown.
+	Merge(servers []*pb.ServerState, transit time.Duration)
 	// RecentWork returns what this host sent to each server since its last report.
 	RecentWork() []*pb.RecentWork
 	// MergeWork replaces what is known of another host's recent work.
@@ -86,6 +87,10 @@
 	mu    sync.Mutex
 	table *membership.Table
 	delta *membership.ServerDelta
+	// transits bounds the time that heartbeats were on their way; start is the zero of
+	// this host's clock in them.
+	transits *transits
+	start    time.Time
 	// published is the table's count of changes that peers shows.
 	published uint64
 }
@@ -106,6 +111,9 @@
 		kick:  make(chan struct{}, 1),
 		table: membership.New(cfg.Membership, rand.New(rand.NewPCG(cfg.Seed, 0))),
 		delta: membership.NewServerDelta(),
+
+		transits: newTransits(),
+		start:    time.Now(),
 	}
 	c.publish()
 	return c
@@ -171,7 +179,7 @@
 // backend servers: this host's own heartbeats bring them, and their replies show that
 // they arrived.
 func (c *Controller) HandleHeartbeat(m *pb.HeartbeatRequest) *pb.HeartbeatReply {
-	c.cfg.Registry.Merge(m.GetServers())
+	c.cfg.Registry.Merge(m.GetServers(), c.transitOf(m))
 	if m.GetFrom().GetIncarnation() > 0 {
 		c.cfg.Registry.MergeWork(m.GetFrom(), m.GetRecent())
 	}
@@ -186,6 +194,13 @@
 	return reply
 }
 
+// transitOf bounds how long a heartbeat was on its way.
+func (c *Controller) transitOf(m *pb.HeartbeatRequest) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.transits.bound(time.Since(c.start), m.GetFrom(), time.Duration(m.GetSentMs())*time.Millisecond)
+}
+
 // publish renews the view for readers; c.mu is held or c not shared yet.
 func (c *Controller) publish() {
 	hosts := c.table.Hosts()
--- a/internal/controller/members/members_test.go
+++ b/internal/controller/members/members_test.go
@@ -33,7 +33,7 @@
 	return all
 }
 
-func (r *fakeRegistry) Merge(servers []*pb.ServerState) {
+func (r *fakeRegistry) Merge(servers []*pb.ServerState, _ time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.merged += len(servers)
@@ -139,7 +139,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 4)
 		intervals(6)
-		f.registries[3].Merge([]*pb.ServerState{{Address: "10.1.0.1:8000", Incarnation: 1, Seq: 9}})
+		f.registries[3].Merge([]*pb.ServerState{{Address: "10.1.0.1:8000", Incarnation: 1, Seq: 9}}, 0)
 		intervals(2)
 		for i, r := range f.registries {
 			seq, work, before := r.summary("10.1.0.1:8000")
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -13,16 +13,14 @@
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
-// heartbeatTransit is taken as the age that states of backend servers gain on the way
-// between hosts; more than availability zones are apart.
-const heartbeatTransit = 5 * time.Millisecond
-
 // registry is the scheduler's registry of backend servers as the heartbeats see it.
 type registry struct{ s *scheduler.Scheduler }
 
-func (r registry) Servers() []*pb.ServerState      { return r.s.Servers() }
-func (r registry) Merge(servers []*pb.ServerState) { r.s.Merge(servers, heartbeatTransit) }
-func (r registry) RecentWork() []*pb.RecentWork    { return r.s.RecentWork() }
+func (r registry) Servers() []*pb.ServerState { return r.s.Servers() }
+func (r registry) Merge(servers []*pb.ServerState, transit time.Duration) {
+	r.s.Merge(servers, transit)
+}
+func (r registry) RecentWork() []*pb.RecentWork { return r.s.RecentWork() }
 func (r registry) MergeWork(from *pb.Holder, work []*pb.RecentWork) {
 	r.s.MergeRecent(from.GetHost(), work)
 }
