--- a/internal/callerapi/servers.go
+++ b/internal/callerapi/servers.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 // Bounds of what backend servers send.
@@ -36,7 +37,7 @@
 }
 
 func (a *API) announce(w http.ResponseWriter, r *http.Request) {
-	body, err := bounded(r, maxAnnouncement)
+	body, err := a.fromServer(r, maxAnnouncement)
 	if err == nil {
 		var st *pb.ServerState
 		if st, err = DecodeAnnouncement(body); err == nil {
@@ -48,6 +49,20 @@
 	httpserver.WriteError(w, "", err)
 }
 
+// fromServer reads the body of a request that only backend servers may make.
+//
+// What goes wrong without the key: whoever reaches the callers' address announces a
+// server of his own and is sent other accounts' prompts.
+func (a *API) fromServer(r *http.Request, limit int64) ([]byte, error) {
+	if hashes := a.deps.Settings.Fleet().AnnounceKeyHashes; len(hashes) > 0 {
+		key, _ := settings.BearerKey(r)
+		if !settings.ContainsHash(hashes, settings.HashKey(key)) {
+			return nil, errkind.New(errkind.Unauthenticated, "backend servers announce themselves with a key here")
+		}
+	}
+	return bounded(r, limit)
+}
+
 func (a *API) answerAnnouncement(w http.ResponseWriter, zone string) {
 	interval := a.deps.AnnounceInterval
 	if interval <= 0 {
@@ -133,7 +148,7 @@
 }
 
 func (a *API) cacheEvents(w http.ResponseWriter, r *http.Request) {
-	body, err := bounded(r, maxCacheEvents)
+	body, err := a.fromServer(r, maxCacheEvents)
 	if err == nil {
 		var events []backend.CacheEvent
 		if events, err = DecodeCacheEvents(body); err == nil {
--- a/internal/filter/identify/identify.go
+++ b/internal/filter/identify/identify.go
@@ -3,15 +3,12 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
-const scheme = "bearer "
-
 // Filter fills in a call's account, team and settings revision.
 type Filter struct {
 	Settings filter.Settings
@@ -22,7 +19,7 @@
 	if err := f.Settings.Ready(); err != nil {
 		return err
 	}
-	key, ok := bearerKey(r)
+	key, ok := settings.BearerKey(r)
 	if !ok {
 		return errkind.New(errkind.Unauthenticated, "no bearer key in the Authorization header")
 	}
@@ -43,11 +40,3 @@
 	c.Revision = f.Settings.Revision()
 	return next.ServeHTTP(w, r)
 }
-
-func bearerKey(r *http.Request) (string, bool) {
-	h := r.Header.Get("Authorization")
-	if len(h) <= len(scheme) || !strings.EqualFold(h[:len(scheme)], scheme) {
-		return "", false
-	}
-	return h[len(scheme):], true
-}
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -123,6 +123,9 @@
 	StaleAfter Duration `json:"stale_after,omitempty"`
 	// OperatorKeyHashes are SHA-256 hashes of operators' keys in hex.
 	OperatorKeyHashes []string `json:"operator_key_hashes,omitempty"`
+	// AnnounceKeyHashes are SHA-256 hashes of the keys that backend servers announce
+	// themselves with, in hex; empty: announcements need no key.
+	AnnounceKeyHashes []string `json:"announce_key_hashes,omitempty"`
 	// WeightStoreBytesPerSecond is the weight store's rate limit for the whole fleet; 0: none.
 	WeightStoreBytesPerSecond int64 `json:"weight_store_bytes_per_second,omitempty"`
 	// Placement lists how many backend servers of a pool should serve each model.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -117,6 +117,7 @@
 		within(path+"/stale_after", f.StaleAfter, time.Second, 365*maxDuration),
 		f.validateBody(path+"/max_body_bytes"),
 		validateHashes(path+"/operator_key_hashes", f.OperatorKeyHashes),
+		validateHashes(path+"/announce_key_hashes", f.AnnounceKeyHashes),
 		between(path+"/weight_store_bytes_per_second", f.WeightStoreBytesPerSecond, 0, math.MaxInt64),
 		validatePlacement(path+"/placement", f.Placement),
 	)
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -216,6 +216,9 @@
 		return err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if key := a.server.opts.AnnounceKey; key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := a.client.Do(req)
 	if err != nil {
 		return err
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -38,6 +38,7 @@
 		&cli.StringFlag{Name: "listen", Value: defaultListen, Usage: "address to listen on"},
 		&cli.StringFlag{Name: "address-file", Usage: "file to write the address to, once listening"},
 		&cli.StringSliceFlag{Name: "announce", Usage: "entry hosts' addresses to announce to"},
+		&cli.StringFlag{Name: "announce-key", Usage: "key that the hosts want of backend servers", Sources: cli.EnvVars("STANDIN_ANNOUNCE_KEY")},
 		&cli.DurationFlag{Name: "announce-every", Value: defaultAnnounceEvery},
 		&cli.StringFlag{Name: "zone", Value: "a", Usage: "availability zone"},
 		&cli.StringFlag{Name: "pool", Value: "main"},
@@ -66,6 +67,7 @@
 	return Options{
 		Listen:          c.String("listen"),
 		Announce:        c.StringSlice("announce"),
+		AnnounceKey:     c.String("announce-key"),
 		AnnounceEvery:   c.Duration("announce-every"),
 		Zone:            c.String("zone"),
 		Pool:            c.String("pool"),
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -36,6 +36,8 @@
 	Listen string
 	// Announce lists the callers' addresses of entry hosts to announce to.
 	Announce []string
+	// AnnounceKey is shown to the hosts; empty: none.
+	AnnounceKey string
 	// AnnounceEvery is the time between announcements; default 500ms.
 	AnnounceEvery time.Duration
 	// Incarnation of this run; default the start time in Unix milliseconds.
