--- a/e2e/control/lostdisk_test.go
+++ b/e2e/control/lostdisk_test.go
@@ -119,7 +119,7 @@
 // Cause: an empty disk that votes under its old id elects a leader without committed
 // entries; a repair reported as done before the new replica holds everything.
 func TestLostDiskIsRepaired(t *testing.T) {
-	f := newFleet(t, 5, false)
+	f := newFleet(t, 5, false, manualRepair)
 	want := f.fill(f.layout.Hosts)
 
 	first := f.leader(f.layout.Hosts...) // the worst one to lose
@@ -158,7 +158,7 @@
 	if fresh == lost {
 		f.t.Fatalf("replica %d came back under its old id", lost)
 	}
-	if log := f.log(h); !strings.Contains(log, "lost_disk_joins_as_new_replica") || !strings.Contains(log, "old_replica="+strconv.FormatUint(lost, 10)) {
+	if log := f.log(h); !strings.Contains(log, "lost-disk-joins-as-new-replica") || !strings.Contains(log, "old_replica="+strconv.FormatUint(lost, 10)) {
 		f.t.Errorf("the log of %s doesn't tell of the lost disk", h.Host)
 	}
 	g, _ := f.members(f.without(h)...)
@@ -189,3 +189,34 @@
 	}
 	f.signal(h, syscall.SIGCONT)
 }
+
+// manualRepair leaves the repair to the commands that a test gives.
+func manualRepair(c *procconfig.Config) { c.Control.ManualRepair = true }
+
+// Symptom: after a disk was replaced the group stays without its third replica until
+// somebody notices, and the next lost host stops it.
+// Sequence: a replica's host is killed and its disk emptied; it starts under its old
+// settings; as soon as it is reported as whole, a second host is lost.
+// Cause: a replica outside the group waited for an operator.
+func TestLostDiskComesBackByItself(t *testing.T) {
+	f := newFleet(t, 4, false)
+	want := f.fill(f.layout.Hosts)
+	first := f.leader(f.layout.Hosts...)
+	rest := f.without(first)
+	lost := f.memberOn(first, rest)
+	f.loseDisk(first)
+	f.leader(rest...)
+	want = f.grow(rest)
+	f.start(first)
+	eventually(f.t, "the replica has taken its place again", func() bool {
+		g, _ := f.members(rest...)
+		whole := slices.IndexFunc(g.Members, func(m adminapi.MemberStatus) bool { return m.Learner || !m.Repaired }) < 0
+		return len(g.Members) == replicas && whole && member(g, lost) == nil
+	})
+
+	second := f.leader(rest...)
+	f.loseDisk(second)
+	left := f.without(second)
+	f.leader(left...)
+	f.checkHolds(left, want)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,6 +87,9 @@
 		return err
 	}
 	d.tasks.run(d.settings.Run)
+	if d.replica != nil && !d.cfg.Control.ManualRepair {
+		d.tasks.run(d.keepInGroup)
+	}
 	if d.cfg.Has(procconfig.RoleEntry) {
 		d.entry = newEntry(d)
 		d.client.SetRelays(d.entry.peerAddresses)
--- a/internal/procconfig/config.go
+++ b/internal/procconfig/config.go
@@ -84,6 +84,9 @@
 	// and promotes it. Use it, with an id never used before, for every replica that is
 	// not a founding one and for one whose disk was lost. Default false.
 	Join bool `json:"join,omitempty"`
+	// ManualRepair leaves it to operators to add a replica that joins, or whose disk was
+	// lost, to the group. Default false: the replica takes its place by itself.
+	ManualRepair bool `json:"manual_repair,omitempty"`
 	// Tick is the period of the consensus clock, 10ms to 5s; default 50ms.
 	Tick settings.Duration `json:"tick,omitempty"`
 	// ElectionTicks without word from a leader start an election, 5 to 200; default 10.
