--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
 )
 
 // fakeEngine is a model engine and plain service within the process. Its tokens are
@@ -40,7 +41,10 @@
 	cancels    int
 	resumed    []string // "from" of each resume
 	bodies     []string
-	open       int // streams being generated
+	ids        []string // engine request ids of the runs
+	prefill    float64  // announced speed
+	key        string   // idempotency key of the last call of the plain service
+	open       int      // streams being generated
 }
 
 func (f *fakeFleet) engine(resumes bool, fault string, at int) *fakeEngine {
@@ -92,6 +96,9 @@
 		if e.stuck {
 			fault = e.fault
 		}
+		if e.fault == "computes long" {
+			time.Sleep(time.Until(e.until))
+		}
 		if fault == "says nothing" {
 			<-r.Context().Done()
 			return
@@ -120,7 +127,11 @@
 		http.Error(w, "bad field", http.StatusBadRequest)
 		return
 	}
-	e.count(func() { e.runs++; e.bodies = append(e.bodies, string(body)) })
+	e.count(func() {
+		e.runs++
+		e.bodies = append(e.bodies, string(body))
+		e.ids = append(e.ids, r.Header.Get(engineclient.HeaderEngineRequest))
+	})
 	w.Header().Set(engineclient.HeaderEngineRequest, r.Header.Get(engineclient.HeaderEngineRequest))
 	switch e.fault {
 	case "dies without an answer":
@@ -128,6 +139,9 @@
 	case "says nothing":
 		<-r.Context().Done()
 		return
+	case "computes long":
+		e.count(func() { e.until = time.Now().Add(8 * time.Second) })
+		time.Sleep(8 * time.Second)
 	case "answers 500":
 		http.Error(w, "broken", http.StatusInternalServerError)
 		return
@@ -143,6 +157,7 @@
 		if e.delay != nil {
 			time.Sleep(e.delay(string(body)))
 		}
+		e.count(func() { e.key = r.Header.Get(filter.HeaderIdempotencyKey) })
 		_, _ = io.WriteString(w, "service:"+string(body))
 		return
 	}
