--- /dev/null
+++ b/internal/controller/repair/world_test.go
@@ -0,0 +1,421 @@
+package repair
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/apply"
+	"github.com/bluebellsail/bluebellsail/internal/controller/grants"
+	"github.com/bluebellsail/bluebellsail/internal/controller/records"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/grant/fakeledger"
+	"github.com/bluebellsail/bluebellsail/internal/inflight"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// world is hosts with their real grants and records controllers, a fake ledger, and calls
+// in memory. Its lock guards the fields; handlers run outside it.
+type world struct {
+	mu     sync.Mutex
+	ledger *fakeledger.Ledger
+	infos  map[string]*pb.HostInfo
+	nodes  map[string]*node
+	cut    bool // no host reaches the ledger
+	deaf   map[string]bool
+	used   map[string]uint64 // identity -> tokens that its run took
+	loss   *rand.Rand        // loses one call in ten if set
+
+	// real, if set, is the control group's own state machine in place of the fake ledger;
+	// refused are settlements that it refused.
+	real    *apply.State
+	index   uint64
+	refused []string
+}
+
+type node struct {
+	w       *world
+	self    *pb.Holder
+	grants  *grants.Manager
+	records *records.Controller
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func newWorld(hosts int, funds uint64) *world { return makeWorld(hosts, funds, nil) }
+
+func makeWorld(hosts int, funds uint64, real *apply.State) *world {
+	w := &world{
+		real:   real,
+		ledger: fakeledger.New(), infos: make(map[string]*pb.HostInfo), nodes: make(map[string]*node),
+		deaf: make(map[string]bool), used: make(map[string]uint64),
+	}
+	w.ledger.Fund("x", funds)
+	if real != nil {
+		w.applied(&pb.Command{OpId: "create", Body: &pb.Command_CreateBudget{CreateBudget: &pb.CreateBudget{Name: "x", Tokens: funds}}})
+	}
+	for i := range hosts {
+		w.infos[fmt.Sprintf("h%d", i)] = &pb.HostInfo{Host: fmt.Sprintf("h%d", i), Zone: string("xyz"[i%3])}
+	}
+	for name := range w.infos {
+		w.start(name)
+	}
+	return w
+}
+
+// applied commits a command in the ledger in use; w.mu is held, or nothing runs yet.
+func (w *world) applied(cmd *pb.Command) *pb.CommandResult {
+	if w.real == nil {
+		return w.ledger.Apply(cmd)
+	}
+	w.index++
+	cmd.TimeMs = time.Now().UnixMilli()
+	r := w.real.Apply(w.index, cmd)
+	kind := errkind.Kind(r.GetError().GetKind())
+	if cmd.GetSettle() != nil && r.GetError() != nil && kind != errkind.VersionConflict && kind != errkind.StaleFence {
+		w.refused = append(w.refused, r.GetError().GetMessage())
+	}
+	return r
+}
+
+// topUp adds to the budget; w.mu is held.
+func (w *world) topUp(tokens uint64) {
+	w.ledger.Fund("x", tokens)
+	if w.real != nil {
+		op := fmt.Sprintf("top-up %d", w.index)
+		w.applied(&pb.Command{OpId: op, Body: &pb.Command_TopUp{TopUp: &pb.TopUp{Budget: "x", Tokens: tokens}}})
+	}
+}
+
+// register gives a host its next incarnation; w.mu is held.
+func (w *world) register(info *pb.HostInfo) {
+	if w.real == nil {
+		info.Incarnation++
+		return
+	}
+	r := w.applied(&pb.Command{Body: &pb.Command_RegisterHost{RegisterHost: &pb.RegisterHost{
+		Host: info.Host, Zone: info.Zone, BootId: fmt.Sprint(w.index),
+	}}})
+	info.Incarnation = r.GetRegisterHost().GetHolder().GetIncarnation()
+}
+
+// start gives a host a new incarnation and runs it.
+func (w *world) start(name string) {
+	w.mu.Lock()
+	info := w.infos[name]
+	w.register(info)
+	n := &node{w: w, self: &pb.Holder{Host: name, Incarnation: info.Incarnation}, done: make(chan struct{})}
+	n.records = records.New(records.Config{
+		Store: inflight.Config{Self: n.self, Zone: info.Zone}, Peers: n, Log: zerolog.Nop(),
+	})
+	n.grants = grants.New(grants.Config{
+		Self: n.self, Proposer: n, Asker: n, Recorder: n.records, OnSettled: n.records.Settled, Log: zerolog.Nop(),
+	})
+	n.records.SetGrants(n.grants)
+	w.nodes[name] = n
+	w.mu.Unlock()
+	w.tellHosts()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	var wg sync.WaitGroup
+	wg.Go(func() { n.grants.Run(ctx) })
+	wg.Go(func() { n.records.Run(ctx) })
+	go func() { wg.Wait(); close(n.done) }()
+}
+
+// kill ends a host at once: nothing is returned or settled any more.
+func (w *world) kill(name string) {
+	w.mu.Lock()
+	n := w.nodes[name]
+	delete(w.nodes, name)
+	info := w.infos[name]
+	info.Unrecovered = append(info.Unrecovered, info.Incarnation)
+	info.Removed = true
+	if w.real != nil {
+		w.applied(&pb.Command{Body: &pb.Command_RemoveHost{RemoveHost: &pb.RemoveHost{Host: name}}})
+	}
+	w.mu.Unlock()
+	n.stop()
+	<-n.done
+	w.tellHosts()
+}
+
+func (w *world) restart(name string) {
+	w.mu.Lock()
+	w.infos[name].Removed = false
+	w.mu.Unlock()
+	w.start(name)
+}
+
+func (w *world) tellHosts() {
+	w.mu.Lock()
+	var hosts []inflight.Host
+	var nodes []*node
+	for name, n := range w.nodes {
+		hosts = append(hosts, inflight.Host{Name: name, Zone: w.infos[name].Zone, Incarnation: n.self.Incarnation})
+		nodes = append(nodes, n)
+	}
+	w.mu.Unlock()
+	for _, n := range nodes {
+		n.records.SetHosts(hosts)
+	}
+}
+
+func (w *world) alive(n *node) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[n.self.Host] == n
+}
+
+func (w *world) lose() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.loss != nil && w.loss.Intn(10) == 0
+}
+
+var errLost = errkind.New(errkind.NoQuorum, "lost")
+
+// Propose reaches the fake ledger from a live host.
+func (n *node) Propose(_ context.Context, cmd *pb.Command) (*pb.CommandResult, error) {
+	if !n.w.alive(n) || n.w.lose() {
+		return nil, errLost
+	}
+	n.w.mu.Lock()
+	if n.w.cut {
+		n.w.mu.Unlock()
+		return nil, errLost
+	}
+	r := n.w.applied(proto.CloneOf(cmd))
+	if rec := cmd.GetRecoverHolder(); rec != nil && r.GetError() == nil {
+		info := n.w.infos[rec.GetDead().GetHost()]
+		info.Unrecovered = remove(info.Unrecovered, rec.GetDead().GetIncarnation())
+	}
+	n.w.mu.Unlock()
+	if n.w.lose() {
+		return nil, errLost
+	}
+	return r, nil
+}
+
+func remove(list []uint64, x uint64) []uint64 {
+	var left []uint64
+	for _, v := range list {
+		if v != x {
+			left = append(left, v)
+		}
+	}
+	return left
+}
+
+// Hosts implements Control.
+func (n *node) Hosts(context.Context) ([]*pb.HostInfo, error) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	var hosts []*pb.HostInfo
+	for _, info := range n.w.infos {
+		hosts = append(hosts, proto.CloneOf(info))
+	}
+	return hosts, nil
+}
+
+func (n *node) Peers() []string {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	var peers []string
+	for name := range n.w.nodes {
+		if name != n.self.Host {
+			peers = append(peers, name)
+		}
+	}
+	return peers
+}
+
+// to reaches a live host; answered false: the call took effect, its answer is lost.
+func (n *node) to(host string) (target *node, answered bool, err error) {
+	time.Sleep(time.Millisecond)
+	n.w.mu.Lock()
+	target, deaf := n.w.nodes[host], n.w.deaf[host]
+	n.w.mu.Unlock()
+	if target == nil || deaf || !n.w.alive(n) || n.w.lose() {
+		return nil, false, errLost
+	}
+	return target, !n.w.lose(), nil
+}
+
+func (n *node) AskTokens(_ context.Context, host string, req *pb.AskTokensRequest) (*pb.AskTokensReply, error) {
+	target, answered, err := n.to(host)
+	if err != nil {
+		return nil, err
+	}
+	reply := target.grants.HandleAskTokens(req)
+	if !answered {
+		return nil, errLost
+	}
+	return reply, nil
+}
+
+// Gather implements Peers.
+func (n *node) Gather(_ context.Context, host string, req *pb.GatherRequest) (*pb.GatherReply, error) {
+	target, answered, err := n.to(host)
+	if err != nil {
+		return nil, err
+	}
+	reply := target.records.HandleGather(req)
+	if !answered {
+		return nil, errLost
+	}
+	return reply, nil
+}
+
+// link is a pb.PeerClient for records.
+type link struct {
+	pb.PeerClient
+	from *node
+	host string
+}
+
+// Dial implements records.Dialer.
+func (n *node) Dial(host string) (pb.PeerClient, bool) { return link{from: n, host: host}, true }
+
+func (l link) PutRecords(_ context.Context, in *pb.PutRecordsRequest, _ ...grpc.CallOption) (*pb.PutRecordsReply, error) {
+	target, answered, err := l.from.to(l.host)
+	if err != nil {
+		return nil, err
+	}
+	reply := target.records.HandlePut(proto.CloneOf(in))
+	if !answered {
+		return nil, errLost
+	}
+	return reply, nil
+}
+
+func (l link) FindRecord(_ context.Context, in *pb.FindRecordRequest, _ ...grpc.CallOption) (*pb.FindRecordReply, error) {
+	target, _, err := l.from.to(l.host)
+	if err != nil {
+		return nil, err
+	}
+	return target.records.HandleFind(in), nil
+}
+
+// request runs one request at a host as the chain does: record, reserve, run, record, bill.
+func (w *world) request(name, identity string, tokens uint64, took time.Duration) {
+	w.mu.Lock()
+	n := w.nodes[name]
+	w.mu.Unlock()
+	if n == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	rec := &pb.InflightRecord{Identity: identity, RequestId: identity + "@" + name, Budget: "x", Reserved: tokens}
+	if _, begun, err := n.records.Begin(ctx, rec, 1); !begun || err != nil {
+		return
+	}
+	if err := n.grants.Reserve(ctx, "x", rec.RequestId, tokens); err != nil {
+		n.records.Abandon(identity, rec.RequestId)
+		return
+	}
+	if !w.alive(n) {
+		return // the host died before it could dispatch
+	}
+	w.mu.Lock()
+	w.used[identity] = tokens / 2 // the engine goes on whatever becomes of the host
+	w.mu.Unlock()
+	time.Sleep(took)
+	if !w.alive(n) {
+		return
+	}
+	done := proto.CloneOf(rec)
+	done.State, done.PromptTokens = pb.InflightState_INFLIGHT_STATE_DONE, tokens/2
+	n.records.Update(done)
+	n.grants.Settle(&pb.Bill{Budget: "x", Identity: identity, RequestId: rec.RequestId, Tokens: tokens / 2})
+}
+
+func (w *world) repairer(name string) *Controller {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.nodes[name]
+	return New(Config{Self: n.self, Control: n, Peers: n, Requests: n.records, Log: zerolog.Nop(),
+		LongestRequest: 15 * time.Second, Margin: 5 * time.Second})
+}
+
+// finish stops all hosts.
+func (w *world) finish() {
+	for _, n := range w.nodes {
+		n.stop()
+		<-n.done
+	}
+}
+
+// check is the oracle: the ledger's rules held, every run was billed once and at least what
+// it took, and nothing is left granted.
+func (w *world) check(t *testing.T) {
+	t.Helper()
+	if w.real != nil {
+		w.readReal(t)
+	}
+	if len(w.ledger.Faults) > 0 {
+		t.Errorf("ledger: %v", w.ledger.Faults)
+	}
+	var sum uint64
+	for identity, tokens := range w.used {
+		sum += tokens
+		if billed, ok := w.ledger.Bills[identity]; !ok || billed < tokens || billed > 2*tokens+1 {
+			t.Errorf("%s took %d tokens, billed %d (%v)", identity, tokens, billed, ok)
+		}
+	}
+	b := w.ledger.Budgets["x"]
+	if sum > b.Funded || b.Outstanding() != 0 || len(w.ledger.Bills) != len(w.used) {
+		t.Errorf("took %d of %d, %d still granted, %d runs, %d bills", sum, b.Funded, b.Outstanding(), len(w.used), len(w.ledger.Bills))
+	}
+}
+
+// readReal puts what the real ledger has into the fake one, for the same checks.
+func (w *world) readReal(t *testing.T) {
+	t.Helper()
+	for _, refusal := range w.refused {
+		t.Errorf("an honest settlement was refused: %s", refusal)
+	}
+	q := w.real.Query(&pb.Query{Body: &pb.Query_Budget{Budget: &pb.BudgetQuery{Name: "x"}}})
+	b := w.ledger.Budgets["x"]
+	b.Funded, b.Billed = q.GetBudgets()[0].GetFunded(), q.GetBudgets()[0].GetBilled()
+	for _, g := range q.GetBudgets()[0].GetGranted() {
+		b.Granted[fakeledger.KeyOf(g.GetHolder())] = &fakeledger.Grant{Tokens: g.GetTokens()}
+	}
+	for identity := range w.used {
+		r := w.real.Query(&pb.Query{Body: &pb.Query_Identity{Identity: &pb.IdentityQuery{Identity: identity}}})
+		if r.GetError() == nil {
+			w.ledger.Bills[identity] = r.GetBill().GetTokens()
+		}
+	}
+}
+
+// settleAll heals everything, recovers all dead holders and drains the living.
+func (w *world) settleAll(t *testing.T) {
+	t.Helper()
+	w.mu.Lock()
+	w.cut, w.loss = false, nil
+	w.deaf = make(map[string]bool)
+	w.mu.Unlock()
+	time.Sleep(30 * time.Second)
+	for range 5 {
+		result, err := w.repairer("h0").Reconcile(t.Context())
+		if err != nil || len(result.Waiting) > 0 {
+			t.Errorf("still waiting: %+v, %v", result.Waiting, err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
+	defer cancel()
+	for name, n := range w.nodes {
+		if err := n.grants.Drain(ctx); err != nil {
+			t.Errorf("drain %s: %v: %+v", name, err, n.grants.Levels())
+		}
+	}
+}
