--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -61,7 +61,8 @@
 	Proposer Proposer
 	Asker    Asker
 	Recorder TransferRecorder
-	// PolicyFor returns the policy in force for a budget; nil: defaults for all.
+	// PolicyFor returns the policy in force for a budget; nil: defaults for all. It must not
+	// call the Manager.
 	PolicyFor func(budget string) grant.Policy
 	// OnSettled is called with bills that the ledger acknowledged; may be nil.
 	OnSettled func(bills []*pb.Bill)
--- a/internal/controller/records/records_test.go
+++ b/internal/controller/records/records_test.go
@@ -259,6 +259,40 @@
 	})
 }
 
+// TestCutOffCopyLearnsTheEnd
+//
+// Symptom: a request that did not run is billed when its owner dies.
+// Sequence: a copy's host is cut off and leaves the list; the request is abandoned; the host
+// comes back as it was, after the window of finished records.
+// Cause: its old version forgotten with its place in the list.
+func TestCutOffCopyLearnsTheEnd(t *testing.T) {
+	withFleet(t, 7, defaultSyncEvery, func(t *testing.T, fl *fleet) {
+		rec := record(1, "h0")
+		if _, begun, err := fl.nodes["h0"].Begin(t.Context(), rec, 1); !begun || err != nil {
+			t.Fatal(begun, err)
+		}
+		var copyHost string
+		var rest []inflight.Host
+		for _, h := range fl.hosts {
+			if h.Name != "h0" && fl.nodes[h.Name].HandleFind(&pb.FindRecordRequest{Identity: rec.GetIdentity()}).GetFound() {
+				copyHost = h.Name
+				continue
+			}
+			rest = append(rest, h)
+		}
+		fl.set(fl.silent, copyHost, true)
+		fl.nodes["h0"].SetHosts(rest)
+		fl.nodes["h0"].Abandon(rec.GetIdentity(), rec.GetRequestId())
+		time.Sleep(20 * time.Minute)
+		fl.set(fl.silent, copyHost, false)
+		fl.nodes["h0"].SetHosts(fl.hosts)
+		time.Sleep(2 * time.Second)
+		if got := fl.holders(rec.GetIdentity()); len(got) != 0 {
+			t.Errorf("still known as a run at %v", got)
+		}
+	})
+}
+
 // targetsOfNew is the first copy's host of an identity that h0 would begin.
 func (c *Controller) targetsOfNew(identity string) (string, bool) {
 	c.mu.Lock()
--- a/internal/inflight/copies.go
+++ b/internal/inflight/copies.go
@@ -169,14 +169,50 @@
 	}
 }
 
+// forgetLost plans new copies for those on hosts that left the list. A host may only be cut
+// off and come back as the same incarnation with an old version. It is told the rest then:
+// if it still held an abandoned request as running when the owner died, the request would
+// be billed though it did not run.
 func (s *Store) forgetLost(request string, e *entry, live map[string]uint64) {
+	for host, h := range e.lost {
+		incarnation, back := live[host]
+		if !back {
+			continue
+		}
+		delete(e.lost, host)
+		if incarnation == h.incarnation {
+			e.sent[host] = h
+			s.dirty[request] = struct{}{}
+		}
+	}
 	for host, h := range e.sent {
-		if incarnation, ok := live[host]; ok && incarnation == h.incarnation {
+		incarnation, there := live[host]
+		if there && incarnation == h.incarnation {
 			continue
 		}
 		delete(e.sent, host)
 		s.dirty[request] = struct{}{}
+		if !there {
+			e.rememberLost(host, h)
+		}
+	}
+}
+
+func (e *entry) rememberLost(host string, h holding) {
+	if e.lost == nil {
+		e.lost = make(map[string]holding)
+	}
+	e.lost[host] = h
+}
+
+// lostBehind tells whether a host that left the list holds an older version.
+func (e *entry) lostBehind() bool {
+	for _, h := range e.lost {
+		if h.version < e.rec.GetVersion() {
+			return true
+		}
 	}
+	return false
 }
 
 // Lookup is the hosts that would hold the identity's record for any owner, without self.
--- a/internal/inflight/store.go
+++ b/internal/inflight/store.go
@@ -80,6 +80,8 @@
 	// wanted copies, and what each host that was sent one is known to hold; own records only.
 	wanted int
 	sent   map[string]holding
+	// lost is the same of hosts that left the list of live ones.
+	lost map[string]holding
 	// declined are hosts that refused the record.
 	declined map[string]struct{}
 }
@@ -333,7 +335,7 @@
 // until every host that may hold an older version has the last one.
 func (s *Store) spare(e *entry) bool {
 	if s.own[e.rec.GetRequestId()] == e {
-		return s.complete(e)
+		return s.complete(e) && !e.lostBehind()
 	}
 	return e.rec.GetSettled() || !Billable(e.rec)
 }
