--- /dev/null
+++ b/internal/proof/caller_test.go
@@ -0,0 +1,221 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/filter/budget"
+	"github.com/bluebellsail/bluebellsail/internal/filter/claim"
+	"github.com/bluebellsail/bluebellsail/internal/filter/idempotency"
+	"github.com/bluebellsail/bluebellsail/internal/filter/settle"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// run is one run at the engine. It goes on whatever becomes of the host that started it.
+type run struct {
+	id, identity string
+	tokens       uint64
+	start, end   time.Time
+}
+
+// engine is a fake backend server that knows what it really did.
+type engine struct {
+	fl *fleet
+	mu sync.Mutex
+	// byID holds the runs by request, of the arrival that started them.
+	byID       map[string]run
+	byIdentity map[string][]run
+	// spent is the tokens of all identities that ran, each counted once.
+	spent uint64
+}
+
+func newEngine(f *fleet) *engine {
+	return &engine{fl: f, byID: make(map[string]run), byIdentity: make(map[string][]run)}
+}
+
+// reserved is the worst case of a request, used what it takes: half of it for model work,
+// all of it, its fixed price, for a service.
+func reserved(identity string) uint64 { return 20 + xxhash.Sum64String(identity)%150 }
+
+func used(identity string, idempotent bool) uint64 {
+	if idempotent {
+		return reserved(identity) / 2
+	}
+	return reserved(identity)
+}
+
+// begin starts a run unless its host died. It is here that overspending would be real.
+func (e *engine) begin(n *node, c *filter.Call) bool {
+	took := time.Duration(50+e.fl.draw("took/"+c.Identity, 1500)) * time.Millisecond
+	e.fl.mu.Lock()
+	defer e.fl.mu.Unlock()
+	if e.fl.nodes[n.self.GetHost()] != n {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := run{id: c.ID, identity: c.Identity, tokens: used(c.Identity, c.Idempotent), start: time.Now(), end: time.Now().Add(took)}
+	if len(e.byIdentity[c.Identity]) == 0 {
+		e.spent += r.tokens
+	}
+	if funded := e.fl.budget().GetFunded(); e.spent > funded {
+		e.fl.t.Errorf("%s: %d tokens produced, %d funded", c.ID, e.spent, funded)
+	}
+	e.byID[c.ID] = r
+	e.byIdentity[c.Identity] = append(e.byIdentity[c.Identity], r)
+	return true
+}
+
+func (e *engine) run(id string) (run, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.byID[id]
+	return r, ok
+}
+
+// serve builds the part of the request chain that keeps the promises.
+func (n *node) serve() {
+	n.claims = &claim.Filter{Claims: n, Records: n.records}
+	n.chain = filter.Chain(filter.HandlerFunc(n.dispatch),
+		&idempotency.Filter{Records: n.records, Hosts: n, Settings: fixedSettings{}},
+		&settle.Filter{Budget: n.grants, Records: n.records},
+		&budget.Filter{Budget: n.grants},
+		n.claims,
+	)
+}
+
+type fixedSettings struct{ filter.Settings }
+
+func (fixedSettings) Fleet() settings.Fleet {
+	return settings.Fleet{IdempotencyWindow: settings.Duration(10 * time.Minute)}
+}
+
+// Self implements filter.Hosts.
+func (n *node) Self() *pb.Holder { return n.self }
+
+// Alive implements filter.Hosts: a host beyond a cut counts as dead.
+func (n *node) Alive(h *pb.Holder) bool {
+	to := n.fl.node(h.GetHost())
+	return to != nil && to.self.GetIncarnation() == h.GetIncarnation() && n.fl.reaches(n, h.GetHost())
+}
+
+// Claim implements filter.Claims.
+func (n *node) Claim(ctx context.Context, identity, requestID string) (*pb.ClaimResult, error) {
+	r, err := n.claimCommand(ctx, &pb.Command{Body: &pb.Command_Claim{Claim: &pb.Claim{Identity: identity, Holder: n.self, RequestId: requestID}}})
+	return r.GetClaim(), err
+}
+
+// Finish implements filter.Claims.
+func (n *node) Finish(ctx context.Context, identity, requestID string, state pb.ClaimState) error {
+	_, err := n.claimCommand(ctx, &pb.Command{Body: &pb.Command_FinishClaim{FinishClaim: &pb.FinishClaim{Identity: identity, RequestId: requestID, State: state}}})
+	return err
+}
+
+func (n *node) claimCommand(ctx context.Context, cmd *pb.Command) (*pb.CommandResult, error) {
+	r, err := n.Propose(ctx, cmd)
+	if e := r.GetError(); e != nil {
+		return nil, errkind.New(errkind.Kind(e.GetKind()), "%s", e.GetMessage())
+	}
+	return r, err
+}
+
+// dispatch is the end of the chain: one run at the engine, or the reading of an earlier one.
+func (n *node) dispatch(w http.ResponseWriter, r *http.Request) error {
+	c := filter.CallFrom(r.Context())
+	id := c.ID
+	if c.Resume != nil {
+		id = c.Resume.EngineRequestID
+	}
+	if _, resumed := n.fl.engine.run(id); !resumed || c.Resume == nil {
+		if c.Resume != nil && !c.Idempotent {
+			return errkind.New(errkind.OutcomeUnknown, "the engine doesn't know the run")
+		}
+		if err := n.runAnew(c); err != nil {
+			return err
+		}
+		id = c.ID
+	}
+	found, _ := n.fl.engine.run(id)
+	c.Usage = filter.Usage{Output: found.tokens}
+	select {
+	case <-time.After(time.Until(found.end)):
+	case <-r.Context().Done():
+		return filter.ContextError(r.Context())
+	}
+	c.Answer = filter.Answer{Begun: true, Status: http.StatusOK, ContentType: "text/plain", Body: []byte(c.Identity)}
+	_, _ = w.Write(c.Answer.Body)
+	return nil
+}
+
+func (n *node) runAnew(c *filter.Call) error {
+	rec := c.NextRecord()
+	rec.Server, rec.EngineRequestId = "engine", c.ID
+	n.records.Update(rec)
+	if n.fl.fate("refuse/"+c.Identity, 50) {
+		return errkind.New(errkind.NoBackendServer, "no room")
+	}
+	if n.fl.fate("refuse for good/"+c.Identity, 50) {
+		return errkind.New(errkind.UnknownModel, "the engine doesn't serve it")
+	}
+	if !n.fl.engine.begin(n, c) {
+		return errkind.New(errkind.Internal, "this host is dead")
+	}
+	c.Dispatched = true
+	return nil
+}
+
+// arrival is one request at one host and its answer; neither ok nor refused: the host died.
+type arrival struct {
+	id, identity string
+	idempotent   bool
+	ok           bool
+	refusal      *errkind.Error
+	start, end   time.Time
+}
+
+// arrive sends a request to a host, as a caller who waits for the answer.
+func (f *fleet) arrive(host, key string, idempotent bool) (a arrival) {
+	number := f.draw("arrival/"+key, 1<<30)
+	a = arrival{id: fmt.Sprintf("%s@%s/%x", key, host, number), identity: "acc/" + key, idempotent: idempotent, start: time.Now()}
+	defer func() { a.end = time.Now() }()
+	n := f.node(host)
+	if n == nil {
+		return a
+	}
+	deadline := time.Now().Add(4 * time.Second)
+	c := &filter.Call{
+		ID: a.id, AccountName: "acc", Account: &settings.Account{Budget: budgetName}, TeamName: "t", Team: &settings.Team{Copies: 1},
+		Idempotent: idempotent, BodyHash: xxhash.Sum64String(key), Reserved: reserved(a.identity), Deadline: deadline,
+	}
+	if !idempotent {
+		c.Kind = filter.WorkService
+	}
+	ctx, cancel := context.WithDeadline(filter.WithCall(context.Background(), c), deadline)
+	defer cancel()
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil)
+	r.Header.Set(filter.HeaderIdempotencyKey, key)
+	w := httptest.NewRecorder()
+	err := n.chain.ServeHTTP(w, r)
+	if f.node(host) != n {
+		return a // the answer died with its host
+	}
+	a.refusal = filter.Truthful(c, err)
+	a.ok = a.refusal == nil
+	if a.ok && w.Body.String() != a.identity {
+		// A refusal that an earlier arrival got may be replayed as well.
+		a.ok = false
+		if w.Code < http.StatusBadRequest {
+			f.t.Errorf("%s got the answer %q", a.id, w.Body)
+		}
+	}
+	return a
+}
