--- a/internal/controller/repair/plan.go
+++ b/internal/controller/repair/plan.go
@@ -113,7 +113,12 @@
 // classify turns the dead holder's requests into bills, or finds that some may still run.
 // A request whose usage stays unknown for longer than any may run is billed by its
 // reservation: less could let the budget be overspent.
+//
+// Such guesses come after what is known to have been used. A request that was waiting for
+// tokens when its host died has a record and no reservation; billed first it would take the
+// tokens of runs whose usage is known, and those would be billed by less than they used.
 func (p *plan) classify(now time.Time, longest time.Duration, fateOf func(*pb.InflightRecord) fate) {
+	var unknown []*pb.InflightRecord
 	for _, rec := range p.requests {
 		if finished(rec) {
 			p.billFinished(now, rec)
@@ -128,10 +133,26 @@
 		case f.takenOver || age < longest:
 			p.running = append(p.running, rec.GetIdentity())
 		default:
-			p.byReservation = append(p.byReservation, rec.GetIdentity())
-			p.bill(now, rec, rec.GetReserved(), 0)
+			unknown = append(unknown, rec)
 		}
 	}
+	p.billByReservation(now, unknown)
+}
+
+// billByReservation bills first those that are known to have been sent to a server.
+func (p *plan) billByReservation(now time.Time, unknown []*pb.InflightRecord) {
+	slices.SortStableFunc(unknown, func(a, b *pb.InflightRecord) int { return sentRank(a) - sentRank(b) })
+	for _, rec := range unknown {
+		p.byReservation = append(p.byReservation, rec.GetIdentity())
+		p.bill(now, rec, rec.GetReserved(), 0)
+	}
+}
+
+func sentRank(rec *pb.InflightRecord) int {
+	if rec.GetServer() != "" {
+		return 0
+	}
+	return 1
 }
 
 func finished(rec *pb.InflightRecord) bool {
--- a/internal/controller/repair/repair.go
+++ b/internal/controller/repair/repair.go
@@ -151,7 +151,7 @@
 	}
 	p := newPlan(dead, live, replies)
 	p.classify(time.Now(), c.cfg.LongestRequest+c.cfg.Margin, func(rec *pb.InflightRecord) fate {
-		return c.fateOf(ctx, dead, rec)
+		return c.fateOf(ctx, dead, live, rec)
 	})
 	if len(p.running) > 0 {
 		result.Waiting = append(result.Waiting, Waiting{Dead: dead, Running: p.running})
@@ -195,13 +195,19 @@
 }
 
 // fateOf finds out what became of a request that ran when its host died.
-func (c *Controller) fateOf(ctx context.Context, dead *pb.Holder, rec *pb.InflightRecord) fate {
+//
+// A running record of another dead host says nothing of this one's run. Taken for a
+// takeover, it would keep this recovery waiting for a host that never finishes, and the
+// tokens locked, also once that host is recovered.
+func (c *Controller) fateOf(ctx context.Context, dead *pb.Holder, live []*pb.Holder, rec *pb.InflightRecord) fate {
 	other, ok, err := c.cfg.Requests.Find(ctx, rec.GetIdentity())
 	if err == nil && ok && !same(other.GetHolder(), dead) {
 		if other.GetState() == pb.InflightState_INFLIGHT_STATE_DONE {
 			return fate{billedElsewhere: true}
 		}
-		return fate{takenOver: true}
+		if isLive(other.GetHolder(), live) {
+			return fate{takenOver: true}
+		}
 	}
 	if c.cfg.EngineUsage == nil {
 		return fate{}
