--- a/internal/controller/records/find.go
+++ b/internal/controller/records/find.go
@@ -187,6 +187,9 @@
 	}
 	owner := rec.GetHolder().GetHost()
 	runs := rec.GetState() == pb.InflightState_INFLIGHT_STATE_RUNNING || rec.GetState() == pb.InflightState_INFLIGHT_STATE_NONE
+	if runs && c.isOwn(rec) {
+		return c.ownRecord(rec)
+	}
 	if !runs || owner == c.self.GetHost() || !c.OwnerAlive(rec) {
 		return rec, true
 	}
@@ -198,6 +201,15 @@
 	return reply.GetRecord(), same
 }
 
+// ownRecord is what this host knows of a running record of its own, of which a peer may hold
+// an old copy.
+func (c *Controller) ownRecord(rec *pb.InflightRecord) (*pb.InflightRecord, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	here, ok := c.store.Find(time.Now(), rec.GetIdentity())
+	return here, ok && here.GetRequestId() == rec.GetRequestId()
+}
+
 // ask looks an identity up at several hosts, the most telling record first. One answer isn't
 // enough: a host may still know a record that its owner has given up.
 func (c *Controller) ask(ctx context.Context, identity string, hosts []inflight.Host) []*pb.InflightRecord {
--- a/internal/controller/records/serve.go
+++ b/internal/controller/records/serve.go
@@ -25,8 +25,13 @@
 
 // take stores one record of a peer; c.mu is held. A transfer's receiver tells its giver
 // in the same way that the ledger knows the transfer.
+//
+// A record of this host's own that comes back isn't stored. It comes from a guardian that
+// took this host for dead during a cut and may be older than what is known here. Stored as a
+// copy it would stand for a request that was given up: this host would vouch for it, callers
+// would be told for ever that their request runs, and recoveries would wait for its end.
 func (c *Controller) take(rec *pb.InflightRecord, from *pb.Holder) error {
-	own := rec.GetHolder().GetHost() == c.self.GetHost() && rec.GetHolder().GetIncarnation() == c.self.GetIncarnation()
+	own := c.isOwn(rec)
 	if t := rec.GetTransfer(); own && t != nil {
 		c.store.MarkSettled(time.Now(), inflight.TransferIdentity(t.GetId()))
 		if c.grants != nil {
@@ -34,9 +39,16 @@
 		}
 		return nil
 	}
+	if own {
+		return nil
+	}
 	return c.store.PutCopy(time.Now(), rec, from)
 }
 
+func (c *Controller) isOwn(rec *pb.InflightRecord) bool {
+	return rec.GetHolder().GetHost() == c.self.GetHost() && rec.GetHolder().GetIncarnation() == c.self.GetIncarnation()
+}
+
 // HandleFind looks an identity up here.
 func (c *Controller) HandleFind(req *pb.FindRecordRequest) *pb.FindRecordReply {
 	c.mu.Lock()
