--- a/internal/controller/records/find.go
+++ b/internal/controller/records/find.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/inflight"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -15,9 +17,15 @@
 // the hosts asked that could know the identity. Done at the same time, two hosts that
 // begin one identity at once could each miss the other's record; this way the one that
 // asks last sees the other's. It costs one round trip between availability zones.
+//
+// The store numbers the versions. Were the caller's number counted on, the first record of
+// a request would look like a takeover's to a peer that knows the identity: the peer would
+// take it in place of refusing it, and a retry at another host would run a second time.
 func (c *Controller) Begin(ctx context.Context, rec *pb.InflightRecord, copies int) (*pb.InflightRecord, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.BeginWait)
 	defer cancel()
+	rec = proto.CloneOf(rec)
+	rec.Version = 0
 	c.mu.Lock()
 	known, err := c.store.Begin(time.Now(), rec, copies)
 	c.mu.Unlock()
--- a/internal/proof/budgets_test.go
+++ b/internal/proof/budgets_test.go
@@ -86,3 +86,31 @@
 		})
 	}
 }
+
+// TestRetryIsLedToTheRun
+//
+// Symptom: without any fault, a retry at another host runs a second time.
+// Sequence: a request runs; while it runs and again afterwards it is sent to other hosts.
+// Cause: the host of the record's copy takes the retry's record as that of a takeover.
+func TestRetryIsLedToTheRun(t *testing.T) {
+	withFleet(t, 1, 6, 100_000, func(f *fleet) {
+		c := &callers{f: f}
+		for i := range 40 {
+			key := fmt.Sprint("k", i)
+			c.send(key, i%2 == 0, 0, f.names[i%6])
+			time.Sleep(20 * time.Millisecond)
+			for j := range 4 {
+				c.send(key, i%2 == 0, time.Duration(j)*time.Second, f.names[(i+1+j)%6], f.names[(i+2+j)%6])
+			}
+		}
+		c.wg.Wait()
+		f.healAndDrain()
+		f.check()
+		f.checkAnswers(c.arrivals)
+		for identity, runs := range f.engine.byIdentity {
+			if len(runs) != 1 {
+				f.t.Errorf("%s ran %d times", identity, len(runs))
+			}
+		}
+	})
+}
