--- a/internal/filter/settle/settle.go
+++ b/internal/filter/settle/settle.go
@@ -67,7 +67,7 @@
 	}
 	f.Budget.Settle(&pb.Bill{
 		Budget: c.Account.Budget, Identity: c.Identity, Tokens: tokens, RequestId: c.ID, Team: c.TeamName,
-		PromptTokens: c.Usage.Prompt, OutputTokens: c.Usage.Output, TimeMs: f.Clock.Now().UnixMilli(),
+		PromptTokens: c.Usage.Prompt, OutputTokens: c.Usage.Output, TimeMs: c.Arrived.UnixMilli(),
 	})
 }
 
