--- a/internal/controller/settings/bench_test.go
+++ b/internal/controller/settings/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -30,12 +32,18 @@
 	for i := 0; b.Loop(); i++ {
 		apply("/teams/team-007/max_in_flight", fmt.Sprint(100+i%2))
 	}
-	relayed := &pb.WatchEvent{Revision: v.Revision(), Confirmed: true}
-	if err := fill(relayed, v); err != nil {
+	c := New(nil, zerolog.Nop(), time.Now)
+	c.view.Store(v)
+	apply("/teams/team-007/max_in_flight", "102")
+	if err := c.take(&pb.WatchEvent{Revision: v.Revision(), Changes: []*pb.ConfigChange{change}, Confirmed: true}); err != nil {
 		b.Fatal(err)
 	}
+	relayed, err := NewRelay(c).event(v.Revision() - 1)
+	if err != nil || relayed.Revision != v.Revision() {
+		b.Fatal(relayed, err)
+	}
 	b.ReportMetric(float64(proto.Size(relayed)), "relay-B/change")
-	relayed.SnapshotJson, relayed.ConfirmedAgeMs = nil, 900
+	relayed.Changes, relayed.ConfirmedAgeMs = nil, 900
 	b.ReportMetric(float64(proto.Size(relayed)), "B/contact")
 	relayed.Changes = []*pb.ConfigChange{change}
 	b.ReportMetric(float64(proto.Size(relayed)), "replica-B/change")
--- a/internal/controller/settings/controller.go
+++ b/internal/controller/settings/controller.go
@@ -35,6 +35,7 @@
 	confirmed atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
+	recent  recent
 	changed chan struct{} // closed and replaced with every newer view
 }
 
@@ -79,9 +80,9 @@
 	if e.Confirmed {
 		c.confirm(time.Duration(e.ConfirmedAgeMs) * time.Millisecond)
 	}
-	if next != c.view.Load() {
+	if from := c.view.Load(); next != from {
 		c.view.Store(next)
-		c.announce()
+		c.announce(from.Revision(), e)
 		c.log.Info().Uint64("revision", next.Revision()).Bool("confirmed", e.Confirmed).Msg("settings in force")
 	}
 	return nil
@@ -114,9 +115,10 @@
 // announce wakes whoever waits in Changed. Only a newer view is announced: if every
 // event were, two hosts that relay to each other would send to and fro without end,
 // seen as a busy core on both.
-func (c *Controller) announce() {
+func (c *Controller) announce(from uint64, e *pb.WatchEvent) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recent.advance(from, e)
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -128,6 +130,13 @@
 	return c.changed
 }
 
+// changesAfter are the changes from a revision to the view in force, if all are kept.
+func (c *Controller) changesAfter(revision uint64) (changes []*pb.ConfigChange, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recent.after(revision)
+}
+
 // View returns the view in force.
 func (c *Controller) View() *settings.View { return c.view.Load() }
 
--- a/internal/controller/settings/controller_test.go
+++ b/internal/controller/settings/controller_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
 // fakeWatcher hands out what the test puts in.
@@ -155,3 +156,35 @@
 		t.Fatalf("got %v, %v", e, err)
 	}
 }
+
+// Symptom: one changed line costs a relay the whole tree for each host behind it.
+// Sequence: a host relays; a watcher that has everything but the last change asks.
+// Cause: the relay kept the view only and had nothing smaller to send.
+func TestRelaySendsChangesAndTheTreeOnlyWhenItMust(t *testing.T) {
+	c := New(nil, zerolog.Nop(), time.Now)
+	for rev := uint64(1); rev <= recentChanges+5; rev++ {
+		if err := c.take(&pb.WatchEvent{Revision: rev, Changes: []*pb.ConfigChange{team(rev, "1s")}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := NewRelay(c)
+	last := c.Revision()
+	for _, tt := range []struct {
+		have    uint64
+		changes int
+		tree    bool
+	}{{last, 0, false}, {last - 1, 1, false}, {last - recentChanges, recentChanges, false}, {last - recentChanges - 1, 0, true}, {0, 0, true}} {
+		e, err := r.event(tt.have)
+		if err != nil || len(e.Changes) != tt.changes || len(e.SnapshotJson) > 0 != tt.tree {
+			t.Fatalf("to a watcher at %d: %d changes, tree of %d bytes, %v; want %d, %v",
+				tt.have, len(e.GetChanges()), len(e.GetSnapshotJson()), err, tt.changes, tt.tree)
+		}
+		v := settings.NewView()
+		if tt.have > 0 && !tt.tree {
+			continue
+		}
+		if got, err := advance(v, e); err != nil || got.Revision() != last {
+			t.Fatalf("the tree leads to revision %d, %v", got.Revision(), err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/settings/recent.go
@@ -0,0 +1,47 @@
+package settings
+
+import "github.com/bluebellsail/bluebellsail/internal/pb"
+
+// recentChanges bounds the changes that a host keeps for the hosts which it relays to.
+const recentChanges = 1000
+
+// recent are the last changes that led to the view, without a gap.
+type recent struct {
+	// since is the revision before the first of them.
+	since   uint64
+	changes []*pb.ConfigChange
+}
+
+// advance takes the event that led from one revision to another. A snapshot leaves a
+// gap: what was kept before it is dropped.
+func (r *recent) advance(from uint64, e *pb.WatchEvent) {
+	if len(e.SnapshotJson) > 0 {
+		r.changes, r.since = nil, e.Revision
+		return
+	}
+	if len(r.changes) == 0 {
+		r.since = from
+	}
+	for _, c := range e.Changes {
+		if c.Revision > from {
+			r.changes = append(r.changes, c)
+		}
+	}
+	if over := len(r.changes) - recentChanges; over > 0 {
+		r.since = r.changes[over-1].Revision
+		r.changes = append([]*pb.ConfigChange(nil), r.changes[over:]...)
+	}
+}
+
+// after are the changes that follow a revision; ok is false if not all are kept.
+func (r *recent) after(revision uint64) (changes []*pb.ConfigChange, ok bool) {
+	if revision < r.since {
+		return nil, false
+	}
+	for i, c := range r.changes {
+		if c.Revision > revision {
+			return r.changes[i:], true
+		}
+	}
+	return nil, true
+}
--- a/internal/controller/settings/relay.go
+++ b/internal/controller/settings/relay.go
@@ -45,7 +45,8 @@
 	}
 }
 
-// event is the view as one message; without its body if the watcher has it. It names
+// event is what a watcher lacks: the changes since its revision, or the whole tree if
+// they are no longer kept, or nothing. It names
 // the revision in any case: a watcher takes no word of the quorum about another one
 // than its own, and would stay unready beside a relay that has just what it has.
 func (r *Relay) event(have uint64) (*pb.WatchEvent, error) {
@@ -55,6 +56,11 @@
 	if v.Revision() <= have {
 		return e, nil
 	}
+	if changes, ok := r.c.changesAfter(have); ok && len(changes) > 0 {
+		e.Changes = changes
+		e.Revision = changes[len(changes)-1].Revision
+		return e, nil
+	}
 	return e, fill(e, v)
 }
 
