--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -57,6 +57,9 @@
 		fmt.Sprintf(`hosts: %d alive, 0 out`, len(layout.Hosts)), "bluebellsail", "--timeout", "2s", "status",
 	})
 	awaitCommand(ts, false, []string{`leader [1-9]`, "bluebellsail", "--timeout", "2s", "status"})
+	for _, address := range operators {
+		awaitCommand(ts, false, []string{`ready true`, "bluebellsail", "--timeout", "2s", "-a", address, "status"})
+	}
 }
 
 // backendCommand: backend NAME ARG... starts a stand-in that announces itself to all
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -3,18 +3,25 @@
 package e2e
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/bluebellsail/bluebellsail/internal/admincli"
+	"github.com/bluebellsail/bluebellsail/internal/daemon"
 	"github.com/bluebellsail/bluebellsail/internal/load"
 	"github.com/bluebellsail/bluebellsail/internal/standin"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
+		"bluebellsaild": func() { os.Exit(daemon.Main()) },
+		"bluebellsail": func() {
+			os.Exit(admincli.Run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr))
+		},
 		"standin": func() { os.Exit(standin.Main()) },
 		"load":    func() { os.Exit(load.Main()) },
 	})
@@ -35,23 +42,24 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"start":   startCommand,
-			"signal":  signalCommand,
-			"ended":   endedCommand,
-			"await":   awaitCommand,
-			"backend": backendCommand,
-			"runs":    runsCommand,
-			"running": runningCommand,
-			"fault":   faultCommand,
-			"report":  reportCommand,
-			"books":   booksCommand,
-			"fleet":   fleetCommand,
-			"account": accountCommand,
-			"inforce": inforceCommand,
-			"once":    onceCommand,
-			"grab":    grabCommand,
-			"equal":   equalCommand,
-			"pause":   pauseCommand,
+			"start":    startCommand,
+			"signal":   signalCommand,
+			"ended":    endedCommand,
+			"await":    awaitCommand,
+			"backend":  backendCommand,
+			"runs":     runsCommand,
+			"running":  runningCommand,
+			"fault":    faultCommand,
+			"report":   reportCommand,
+			"books":    booksCommand,
+			"fleet":    fleetCommand,
+			"account":  accountCommand,
+			"inforce":  inforceCommand,
+			"once":     onceCommand,
+			"truthful": truthfulCommand,
+			"grab":     grabCommand,
+			"equal":    equalCommand,
+			"pause":    pauseCommand,
 		},
 	})
 }
--- a/e2e/operator_test.go
+++ b/e2e/operator_test.go
@@ -43,20 +43,46 @@
 	})
 }
 
-// onceCommand: once NAME N checks that the stand-in has run N ledger entries, each once.
+// onceCommand: once MIN MAX NAME... checks that the stand-ins have run MIN to MAX ledger
+// entries, no entry twice, at one or at two of them.
 func onceCommand(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 2 {
-		ts.Fatalf("usage: once NAME N")
+	if neg || len(args) < 3 {
+		ts.Fatalf("usage: once MIN MAX NAME...")
 	}
-	entries := runsOf(ts, args[0]).Entries
-	if want, err := strconv.Atoi(args[1]); err != nil || len(entries) != want {
-		ts.Fatalf("%d entries ran, want %s", len(entries), args[1])
+	least, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	most, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	total := map[string]int{}
+	for _, name := range args[2:] {
+		for id, runs := range runsOf(ts, name).Entries {
+			total[id] += runs
+		}
 	}
-	for id, runs := range entries {
+	for id, runs := range total {
 		if runs != 1 {
 			ts.Fatalf("entry %s ran %d times", id, runs)
 		}
 	}
+	if len(total) < least || len(total) > most {
+		ts.Fatalf("%d entries ran, want %d to %d", len(total), least, most)
+	}
+}
+
+// truthfulCommand: truthful REPORT NAME... checks that no ledger entry ran of which a
+// refusal said that it did not.
+func truthfulCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: truthful REPORT NAME...")
+	}
+	for _, name := range args[1:] {
+		entries := runsOf(ts, name).Entries
+		for _, id := range reportOf(ts, args[0]).NotRun {
+			if entries[id] > 0 {
+				ts.Fatalf("entry %s ran at %s, its caller was told that it did not", id, name)
+			}
+		}
+	}
 }
 
 // grabCommand: grab VAR PATTERN sets VAR to the first group of PATTERN in the last
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -11,8 +11,10 @@
 const (
 	// brokenPause follows a try that brought no answer.
 	brokenPause = 20 * time.Millisecond
-	// askAgainPause follows a refusal that says to ask again with the same key but not when.
+	// askAgainPause follows the first refusal that says to ask again with the same key
+	// but not when; it doubles with each try, up to longestPause.
 	askAgainPause = 100 * time.Millisecond
+	longestPause  = 2 * time.Second
 )
 
 // lateSlack is how long after the deadline a caller still listens for a final answer,
@@ -47,17 +49,18 @@
 	wait  time.Duration
 }
 
-// next decides what a good caller does after a try that brought a: it comes back when
-// and only when that can help, and never after its deadline.
-func next(a *attempt, left time.Duration, triesLeft int) plan {
-	p := comeBack(a)
-	if triesLeft <= 0 || p.wait >= left {
+// next decides what a good caller does after its n-th try, which brought a: it comes
+// back when and only when that can help, and never after its deadline. At most most
+// tries are made.
+func next(a *attempt, left time.Duration, n, most int) plan {
+	p := comeBack(a, n)
+	if n >= most || p.wait >= left {
 		return plan{}
 	}
 	return p
 }
 
-func comeBack(a *attempt) plan {
+func comeBack(a *attempt, n int) plan {
 	if a.broken != nil {
 		return plan{again: true, wait: brokenPause}
 	}
@@ -70,12 +73,21 @@
 	case errkind.RetryAfter:
 		return plan{again: a.refusal.RetryAfter > 0, wait: a.refusal.RetryAfter}
 	case errkind.RetrySameKey:
-		return plan{again: true, wait: max(a.refusal.RetryAfter, askAgainPause)}
+		return plan{again: true, wait: max(a.refusal.RetryAfter, askAgain(n))}
 	default:
 		return plan{}
 	}
 }
 
+// askAgain is the pause after the n-th try.
+func askAgain(n int) time.Duration {
+	wait := askAgainPause
+	for ; n > 1 && wait < longestPause; n-- {
+		wait *= 2
+	}
+	return min(wait, longestPause)
+}
+
 // caller takes requests through all their tries.
 type caller struct {
 	sender   *sender
@@ -102,7 +114,7 @@
 		if res.firstToken == 0 && !res.last.firstToken.IsZero() {
 			res.firstToken = res.last.firstToken.Sub(started)
 		}
-		p := next(res.last, time.Until(deadline), c.attempts-res.attempts)
+		p := next(res.last, time.Until(deadline), res.attempts, c.attempts)
 		if !p.again {
 			break
 		}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -206,32 +206,44 @@
 	}
 }
 
+func TestReportListsWhatDidNotRun(t *testing.T) {
+	s := startServer(t)
+	s.SetFaults(standin.Faults{Refuse: true}, nil)
+	o := testOptions()
+	o.Direct, o.Count, o.Attempts = s.Address(), 2, 1
+	r := run(t, o)
+	if r.Refused != 2 || r.Uncertain != 0 || len(r.NotRun) != 2 || r.Refusals[0].Ran != errkind.RanNo {
+		t.Fatalf("%+v", r)
+	}
+}
+
 func TestNext(t *testing.T) {
 	refusedAs := func(k errkind.Kind, after time.Duration) *attempt {
 		e := errorJSON{Kind: string(k), RetryAfterMS: after.Milliseconds()}
 		return &attempt{refusal: e.refusal(http.StatusServiceUnavailable, nil)}
 	}
 	for name, c := range map[string]struct {
-		a     *attempt
-		left  time.Duration
-		tries int
-		want  plan
+		a    *attempt
+		left time.Duration
+		n    int
+		want plan
 	}{
-		"success":             {&attempt{}, time.Second, 2, plan{}},
-		"broken":              {&attempt{broken: os.ErrClosed}, time.Second, 2, plan{true, brokenPause}},
-		"broken, last try":    {&attempt{broken: os.ErrClosed}, time.Second, 0, plan{}},
-		"broken, no time":     {&attempt{broken: os.ErrClosed}, 0, 2, plan{}},
-		"comes back in time":  {refusedAs(errkind.Overloaded, 200*time.Millisecond), time.Second, 2, plan{true, 200 * time.Millisecond}},
-		"comes back too late": {refusedAs(errkind.Overloaded, 2*time.Second), time.Second, 2, plan{}},
-		"told to go away":     {refusedAs(errkind.Forbidden, time.Millisecond), time.Second, 2, plan{}},
+		"success":             {&attempt{}, time.Second, 1, plan{}},
+		"broken":              {&attempt{broken: os.ErrClosed}, time.Second, 1, plan{true, brokenPause}},
+		"broken, last try":    {&attempt{broken: os.ErrClosed}, time.Second, 4, plan{}},
+		"broken, no time":     {&attempt{broken: os.ErrClosed}, 0, 1, plan{}},
+		"comes back in time":  {refusedAs(errkind.Overloaded, 200*time.Millisecond), time.Second, 1, plan{true, 200 * time.Millisecond}},
+		"comes back too late": {refusedAs(errkind.Overloaded, 2*time.Second), time.Second, 1, plan{}},
+		"told to go away":     {refusedAs(errkind.Forbidden, time.Millisecond), time.Second, 1, plan{}},
 		"the answer's word over the table's": {
 			&attempt{refusal: (&errorJSON{Kind: "overloaded", Retry: "never", RetryAfterMS: 1}).refusal(429, nil)},
-			time.Second, 2, plan{},
+			time.Second, 1, plan{},
 		},
-		"host leaves": {refusedAs(errkind.HostLeaving, 0), time.Second, 2, plan{again: true}},
-		"in progress": {refusedAs(errkind.InProgress, 0), time.Second, 2, plan{true, askAgainPause}},
+		"host leaves":       {refusedAs(errkind.HostLeaving, 0), time.Second, 1, plan{again: true}},
+		"in progress":       {refusedAs(errkind.InProgress, 0), time.Second, 1, plan{true, askAgainPause}},
+		"still in progress": {refusedAs(errkind.InProgress, 0), time.Second, 3, plan{true, 4 * askAgainPause}},
 	} {
-		if got := next(c.a, c.left, c.tries); got != c.want {
+		if got := next(c.a, c.left, c.n, 4); got != c.want {
 			t.Errorf("%s: %+v, want %+v", name, got, c.want)
 		}
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -23,6 +23,9 @@
 // maxFaults is how many faults are told in full.
 const maxFaults = 20
 
+// maxNotRun bounds the list of requests that did not run.
+const maxNotRun = 10000
+
 // Percentiles of a time, in milliseconds.
 type Percentiles struct {
 	P50 float64 `json:"p50_ms"`
@@ -66,6 +69,8 @@
 	PerSecond  float64     `json:"answers_per_second"`
 	TokensRate float64     `json:"output_tokens_per_second"`
 	Faults     []string    `json:"faults,omitempty"`
+	// NotRun are the idempotency keys of requests whose refusal says that they did not run.
+	NotRun []string `json:"not_run,omitempty"`
 }
 
 // Bad tells whether an answer was wrong or lost.
@@ -105,7 +110,7 @@
 		c.addAnswer(r, res)
 	case refused:
 		c.report.Refused++
-		c.addRefusal(res.last.refusal)
+		c.addRefusal(r, res)
 	case wrong:
 		c.report.Wrong++
 		c.addFault(r, "wrong", res)
@@ -125,10 +130,15 @@
 	}
 }
 
-func (c *collector) addRefusal(f *refusal) {
+func (c *collector) addRefusal(r *request, res result) {
+	f := res.last.refusal
 	c.refusals[RefusalCount{Kind: f.Kind, Ran: f.Ran}]++
+	if f.Ran == errkind.RanNo && len(c.report.NotRun) < maxNotRun {
+		c.report.NotRun = append(c.report.NotRun, r.key)
+	}
 	if f.Ran != errkind.RanNo {
-		c.report.Uncertain++
+		res.fault = string(f.Kind) + ": " + f.Message
+		c.addFault(r, "refused, ran: "+string(f.Ran), res)
 	}
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -124,6 +124,10 @@
   --zone a --models chat-small --services ledger
 wait_for "$start_limit" "the control group leads and all hosts are alive" \
   contains "hosts: $hosts alive, 0 out" bluebellsail --timeout 2s status
+for n in $(seq 1 "$hosts"); do
+  wait_for "$step_limit" "host-$n is ready" \
+    contains 'ready true' bluebellsail --timeout 2s -a "$(address "host-$n" 5)" status
+done
 wait_for "$step_limit" "the backend server is known" \
   contains 'chat-small' bluebellsail --timeout 2s server list
 
