--- a/internal/daemon/group.go
+++ b/internal/daemon/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
@@ -41,6 +42,12 @@
 	return &pb.ChangeMembersReply{Group: status}, nil
 }
 
+// claimTimeout bounds the wait for a claim; the election of a new leader fits in. With
+// the caller's deadline as the only bound, a caller without a quorum behind its host
+// would wait its whole time for a refusal that was certain long before, and have none
+// left to come back.
+const claimTimeout = 3 * time.Second
+
 // claims implements filter.Claims.
 type claims struct {
 	client *controlclient.Client
@@ -49,6 +56,8 @@
 
 // Claim asks for the single run of an identity.
 func (c claims) Claim(ctx context.Context, identity, requestID string) (*pb.ClaimResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
 	res, err := c.client.Propose(ctx, &pb.Command{Actor: c.self.GetHost(), Body: &pb.Command_Claim{
 		Claim: &pb.Claim{Identity: identity, Holder: c.self, RequestId: requestID}}})
 	return res.GetClaim(), err
