--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -11,6 +11,7 @@
 	"fmt"
 
 	"github.com/bluebellsail/bluebellsail/internal/claims"
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
@@ -41,9 +42,7 @@
 
 // New makes an empty state.
 func New(o Options) *State {
-	if o.Operations <= 0 {
-		o.Operations = DefaultOperations
-	}
+	defaults.Set(&o.Operations, DefaultOperations)
 	return &State{
 		options:    o,
 		settings:   settings.New(),
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wal"
 )
@@ -87,13 +88,13 @@
 }
 
 func (c *Config) setDefaults() {
-	setIfZero(&c.TickInterval, 50*time.Millisecond)
-	setIfZero(&c.ElectionTicks, 20)
-	setIfZero(&c.HeartbeatTicks, 2)
-	setIfZero(&c.DriftPercent, 20)
-	setIfZero(&c.SnapshotEntries, 10000)
-	setIfZero(&c.LogBytes, 256<<20)
-	setIfZero(&c.SegmentBytes, 4<<20)
+	defaults.Set(&c.TickInterval, 50*time.Millisecond)
+	defaults.Set(&c.ElectionTicks, 20)
+	defaults.Set(&c.HeartbeatTicks, 2)
+	defaults.Set(&c.DriftPercent, 20)
+	defaults.Set(&c.SnapshotEntries, 10000)
+	defaults.Set(&c.LogBytes, 256<<20)
+	defaults.Set(&c.SegmentBytes, 4<<20)
 	if c.FS == nil {
 		c.FS = wal.OS{}
 	}
@@ -103,14 +104,7 @@
 	if c.Wall == nil {
 		c.Wall = time.Now
 	}
-	setIfZero(&c.Seed, time.Now().UnixNano())
-}
-
-func setIfZero[T comparable](p *T, value T) {
-	var zero T
-	if *p == zero {
-		*p = value
-	}
+	defaults.Set(&c.Seed, time.Now().UnixNano())
 }
 
 func (c *Config) check() error {
--- /dev/null
+++ b/internal/defaults/defaults.go
@@ -0,0 +1,10 @@
+// Package defaults fills in what a configuration leaves out.
+package defaults
+
+// Set replaces *p by value if *p is the zero value of its type.
+func Set[T comparable](p *T, value T) {
+	var zero T
+	if *p == zero {
+		*p = value
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/ledger/window"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -72,12 +73,8 @@
 
 // New makes an empty ledger.
 func New(o Options) *State {
-	if o.StatementLines <= 0 {
-		o.StatementLines = DefaultStatementLines
-	}
-	if o.MaxIdentities <= 0 {
-		o.MaxIdentities = DefaultMaxIdentities
-	}
+	defaults.Set(&o.StatementLines, DefaultStatementLines)
+	defaults.Set(&o.MaxIdentities, DefaultMaxIdentities)
 	return &State{
 		options:   o,
 		budgets:   make(map[string]*budget),
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 )
 
 // Defaults of what a subtree leaves out.
@@ -29,22 +31,14 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// orDefault replaces a zero *v.
-func orDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 // WithDefaults returns a copy of t with what it leaves out filled in.
 func (t Team) WithDefaults() Team {
-	orDefault(&t.Priority, Normal)
-	orDefault(&t.MaxTimeout, Duration(DefaultMaxTimeout))
-	orDefault(&t.MaxOutputTokens, DefaultMaxOutputTokens)
-	orDefault(&t.ServiceTokens, DefaultServiceTokens)
-	orDefault(&t.MaxInFlight, DefaultMaxInFlight)
-	orDefault(&t.Copies, DefaultCopies)
+	defaults.Set(&t.Priority, Normal)
+	defaults.Set(&t.MaxTimeout, Duration(DefaultMaxTimeout))
+	defaults.Set(&t.MaxOutputTokens, DefaultMaxOutputTokens)
+	defaults.Set(&t.ServiceTokens, DefaultServiceTokens)
+	defaults.Set(&t.MaxInFlight, DefaultMaxInFlight)
+	defaults.Set(&t.Copies, DefaultCopies)
 	retry, grant := Retry{}, Grant{}
 	if t.Retry != nil {
 		retry = *t.Retry
@@ -57,14 +51,14 @@
 }
 
 func (r Retry) withDefaults() *Retry {
-	orDefault(&r.MaxAttempts, DefaultRetryAttempts)
-	orDefault(&r.Share, DefaultRetryShare)
+	defaults.Set(&r.MaxAttempts, DefaultRetryAttempts)
+	defaults.Set(&r.Share, DefaultRetryShare)
 	return &r
 }
 
 func (g Grant) withDefaults() *Grant {
-	orDefault(&g.Horizon, Duration(DefaultGrantHorizon))
-	orDefault(&g.IdleReturn, Duration(DefaultIdleReturn))
+	defaults.Set(&g.Horizon, Duration(DefaultGrantHorizon))
+	defaults.Set(&g.IdleReturn, Duration(DefaultIdleReturn))
 	if g.Transfers == nil {
 		yes := true
 		g.Transfers = &yes
@@ -74,14 +68,14 @@
 
 // WithDefaults returns a copy of a with what it leaves out filled in.
 func (a Account) WithDefaults() Account {
-	orDefault(&a.Weight, DefaultWeight)
+	defaults.Set(&a.Weight, DefaultWeight)
 	return a
 }
 
 // WithDefaults returns a copy of f with what it leaves out filled in.
 func (f Fleet) WithDefaults() Fleet {
-	orDefault(&f.AddressTTL, Duration(DefaultAddressTTL))
-	orDefault(&f.MaxBodyBytes, DefaultMaxBodyBytes)
-	orDefault(&f.IdempotencyWindow, Duration(DefaultIdempotencyWindow))
+	defaults.Set(&f.AddressTTL, Duration(DefaultAddressTTL))
+	defaults.Set(&f.MaxBodyBytes, DefaultMaxBodyBytes)
+	defaults.Set(&f.IdempotencyWindow, Duration(DefaultIdempotencyWindow))
 	return f
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -82,12 +83,8 @@
 
 // Open reads the log in dir, making it if there is none.
 func Open(fs FS, dir string, opts Options) (*Log, Contents, error) {
-	if opts.SegmentBytes <= 0 {
-		opts.SegmentBytes = 4 << 20
-	}
-	if opts.MaxBytes <= 0 {
-		opts.MaxBytes = 256 << 20
-	}
+	defaults.Set(&opts.SegmentBytes, 4<<20)
+	defaults.Set(&opts.MaxBytes, 256<<20)
 	l := &Log{fs: fs, dir: dir, opts: opts}
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, Contents{}, errors.Wrap(err, "wal: make folder")
