--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/claims"
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -95,7 +96,7 @@
 	result := &pb.CommandResult{Index: index}
 	r := ledger.Record{Index: index, Now: s.now, OpID: cmd.GetOpId(), Actor: cmd.GetActor()}
 	if err := s.dispatch(r, cmd, result); err != nil {
-		result.Error = protoError(err)
+		result.Error = errwire.ToProto(err)
 	}
 	return result
 }
@@ -211,12 +212,3 @@
 	s.claims.SetWindow(fleetWindow)
 	return nil
 }
-
-// protoError turns a refusal into its form on the wire.
-func protoError(err error) *pb.Error {
-	e := errkind.From(err)
-	return &pb.Error{
-		Kind: string(e.Kind), Message: e.Message, Path: e.Path,
-		RetryAfterMs: e.RetryAfter.Milliseconds(), PresentVersion: e.PresentVersion,
-	}
-}
--- a/internal/apply/query.go
+++ b/internal/apply/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -10,7 +11,7 @@
 func (s *State) Query(q *pb.Query) *pb.QueryResult {
 	out := &pb.QueryResult{Revision: s.View().Revision()}
 	if err := s.query(q, out); err != nil {
-		out.Error = protoError(err)
+		out.Error = errwire.ToProto(err)
 	}
 	return out
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/metadata"
 
+	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -34,7 +35,7 @@
 	if nl := asNotLeader(err); nl != nil {
 		return &pb.ProposeReply{Leader: nl.Leader, LeaderAddress: nl.Address}, nil
 	}
-	return &pb.ProposeReply{Result: res, Error: ToWire(err)}, nil
+	return &pb.ProposeReply{Result: res, Error: errwire.ToProto(err)}, nil
 }
 
 // Read answers a query at the leader; elsewhere the trailer names the leader.
@@ -91,10 +92,10 @@
 func (s *service) refusal(ctx context.Context, err error) *pb.Error {
 	nl := asNotLeader(err)
 	if nl == nil {
-		return ToWire(err)
+		return errwire.ToProto(err)
 	}
 	_ = grpc.SetTrailer(ctx, metadata.Pairs(LeaderAddressKey, nl.Address))
-	return ToWire(nl.refusal())
+	return errwire.ToProto(nl.refusal())
 }
 
 func asNotLeader(err error) *NotLeaderError {
--- a/internal/controlclient/attempt.go
+++ b/internal/controlclient/attempt.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/bluebellsail/bluebellsail/internal/control"
+	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -31,7 +32,7 @@
 	if errors.As(err, &nl) {
 		return answer[T]{notLeader: true, hint: nl.Address}
 	}
-	return answer[T]{value: value, refusal: control.ToWire(err)}
+	return answer[T]{value: value, refusal: errwire.ToProto(err)}
 }
 
 func (c *Client) proposeAt(ctx context.Context, target string, cmd *pb.Command) answer[*pb.CommandResult] {
