--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -21,11 +21,11 @@
 )
 
 // Options bound the state's memory. Every replica of a group must use the same, as
-// they decide what is forgotten. Zero values take the defaults.
+// they decide what is forgotten. A zero field takes the default.
 type Options struct {
 	Ledger ledger.Options
 	// Operations is how many operators' operations are remembered with their whole
-	// answer; default DefaultOperations.
+	// answer; default 16,384.
 	Operations int
 }
 
@@ -43,7 +43,7 @@
 
 // New makes an empty state.
 func New(o Options) *State {
-	defaults.Set(&o.Operations, DefaultOperations)
+	defaults.Set(&o.Operations, defaultOperations)
 	return &State{
 		options:    o,
 		settings:   settings.New(),
@@ -63,12 +63,6 @@
 // View returns the present settings tree.
 func (s *State) View() *settings.View { return s.settings.View() }
 
-// ChangesSince returns the settings changes after a revision; ok is false when the
-// asker needs a snapshot (View().SnapshotJSON()) instead.
-func (s *State) ChangesSince(revision uint64) (changes []*pb.ConfigChange, ok bool) {
-	return s.settings.ChangesSince(revision)
-}
-
 // Counters returns the ledger's totals of unusual bills.
 func (s *State) Counters() ledger.Counters { return s.ledger.Counters() }
 
--- a/internal/apply/bench_test.go
+++ b/internal/apply/bench_test.go
@@ -120,7 +120,7 @@
 		})
 	})
 	b.Run("operation", func(b *testing.B) {
-		perThing(b, DefaultOperations, budget, func(f *driver, i int) { f.must(fmt.Sprintf("%036d", i), topUp("b", 1)) })
+		perThing(b, defaultOperations, budget, func(f *driver, i int) { f.must(fmt.Sprintf("%036d", i), topUp("b", 1)) })
 	})
 }
 
--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -12,11 +12,11 @@
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
-// DefaultOperations is how many operators' operations are remembered with their
+// defaultOperations is how many operators' operations are remembered with their
 // whole answer, refusals too: more than two days of the target's 6,100 changes a
 // day. Beyond that, accepted changes of funds stay known for good in the ledger and
 // changes of settings for longer in package settings.
-const DefaultOperations = 16_384
+const defaultOperations = 16_384
 
 // operations remembers answers by operation id, oldest forgotten first.
 type operations struct {
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// MinWindow is how long a claim is remembered at least, after its last change.
+	// minWindow is how long a claim is remembered at least, after its last change.
 	// It is far over the idempotency window, as forgetting a claim early would
 	// let a late retry run a second time.
-	MinWindow = 24 * time.Hour
-	// MaxClaims bounds the claims remembered. When it is reached, new claims are
+	minWindow = 24 * time.Hour
+	// maxClaims bounds the claims remembered. When it is reached, new claims are
 	// refused (the request did not run) rather than old ones forgotten.
-	MaxClaims = 250_000
+	maxClaims = 250_000
 	// maxFormer bounds how often one identity may be claimed again after NOT_RUN.
 	maxFormer = 16
 	// retryWhenFull is when to come back after a refusal for want of room.
@@ -46,13 +46,13 @@
 
 // New makes an empty state.
 func New() *State {
-	keep := MinWindow.Milliseconds()
-	return &State{memory: window.New[claim](keep/4, 0), keep: keep, max: MaxClaims}
+	keep := minWindow.Milliseconds()
+	return &State{memory: window.New[claim](keep/4, 0), keep: keep, max: maxClaims}
 }
 
-// SetWindow sets the idempotency window; claims are kept for it or MinWindow, whichever is longer.
+// SetWindow sets the idempotency window; claims are kept for it or minWindow, whichever is longer.
 func (s *State) SetWindow(d time.Duration) {
-	s.keep = max(MinWindow, d).Milliseconds()
+	s.keep = max(minWindow, d).Milliseconds()
 	s.memory.SetLength(s.keep / 4)
 }
 
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -113,7 +113,7 @@
 			t.Fatalf("claim %d was forgotten", i)
 		}
 	}
-	if !wins(t, s, "a/new", "r1", now+2*MinWindow.Milliseconds()) || s.Len() != 1 {
+	if !wins(t, s, "a/new", "r1", now+2*minWindow.Milliseconds()) || s.Len() != 1 {
 		t.Errorf("%d claims are remembered after the window", s.Len())
 	}
 }
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -25,7 +25,7 @@
 	c.bytes.Add(int64(proto.Size(m)))
 	c.count.Add(1)
 	if r := c.to[address].Load(); r != nil {
-		r.HandleRaftFrom(m, c.from)
+		r.receive(m, c.from)
 	}
 }
 func (counter) Reset(string) {}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -121,7 +121,7 @@
 			}
 		}
 		l.c.mu.Unlock()
-		to.HandleRaftFrom(m, l.from)
+		to.receive(m, l.from)
 	})
 }
 func (l link) Reset(string) {}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -84,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		s.r.HandleRaftFrom(m, address)
+		s.r.receive(m, address)
 	}
 }
 
--- a/internal/ledger/identities.go
+++ b/internal/ledger/identities.go
@@ -53,7 +53,7 @@
 
 func newBilledIdentities(maxSize int) billedIdentities {
 	b := billedIdentities{memory: window.New[billRef](0, maxSize)}
-	b.setLimits(DefaultWindow, DefaultLongestRequest)
+	b.setLimits(defaultWindow, defaultLongestRequest)
 	return b
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,20 +21,23 @@
 )
 
 const (
-	// DefaultStatementLines is how many lines of each budget's statement are kept.
-	DefaultStatementLines = 1000
-	// DefaultMaxIdentities bounds the identities remembered for holders out of contact.
-	DefaultMaxIdentities = 4_000_000
-	// DefaultWindow is the idempotency window where the settings name none.
-	DefaultWindow = 10 * time.Minute
-	// DefaultLongestRequest is how long a request may run where the settings name nothing.
-	DefaultLongestRequest = 15 * time.Minute
+	// defaultStatementLines is how many lines of each budget's statement are kept.
+	defaultStatementLines = 1000
+	// defaultMaxIdentities bounds the identities remembered for holders out of contact.
+	defaultMaxIdentities = 4_000_000
+	// defaultWindow is the idempotency window where the settings name none.
+	defaultWindow = 10 * time.Minute
+	// defaultLongestRequest is how long a request may run where the settings name nothing.
+	defaultLongestRequest = 15 * time.Minute
 )
 
-// Options bound the ledger's memory. Zero values take the defaults.
+// Options bound the ledger's memory; a zero field takes the default.
 type Options struct {
+	// StatementLines is how many lines of each budget's statement are kept; default 1000.
 	StatementLines int
-	MaxIdentities  int
+	// MaxIdentities bounds the identities remembered for holders out of contact;
+	// default 4,000,000.
+	MaxIdentities int
 }
 
 // Record is the place and time of one record of the log.
@@ -73,8 +76,8 @@
 
 // New makes an empty ledger.
 func New(o Options) *State {
-	defaults.Set(&o.StatementLines, DefaultStatementLines)
-	defaults.Set(&o.MaxIdentities, DefaultMaxIdentities)
+	defaults.Set(&o.StatementLines, defaultStatementLines)
+	defaults.Set(&o.MaxIdentities, defaultMaxIdentities)
 	return &State{
 		options:   o,
 		budgets:   make(map[string]*budget),
@@ -94,9 +97,6 @@
 // Counters returns the totals.
 func (s *State) Counters() Counters { return s.counters }
 
-// Identities is the number of billed identities remembered.
-func (s *State) Identities() int { return s.billed.memory.Len() }
-
 // Budget returns one budget as the ledger has it.
 func (s *State) Budget(name string) (*pb.Budget, error) {
 	b, err := s.find(name)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -139,7 +139,7 @@
 		r.bill(cutOff, fmt.Sprint("school/c", r.now), 0, r.now)
 		r.bill(near, fmt.Sprint("school/c", r.now, "n"), 0, r.now)
 	}
-	if n := r.ledger.Identities(); n > 120 {
+	if n := r.ledger.billed.memory.Len(); n > 120 {
 		t.Errorf("%d identities are remembered", n)
 	}
 }
@@ -165,7 +165,7 @@
 		t.Errorf("a bill past the memory was billed; counters %+v", r.ledger.Counters())
 	}
 	r.level(100, 9700)
-	if n := r.ledger.Identities(); n > 200 {
+	if n := r.ledger.billed.memory.Len(); n > 200 {
 		t.Errorf("%d identities are remembered", n)
 	}
 }
@@ -186,8 +186,8 @@
 			t.Errorf("got %v", err)
 		}
 	}
-	if got := r.level(100); got != "0 of 1000" || r.ledger.Identities() != 0 {
-		t.Errorf("a refused batch left %s, %d identities", got, r.ledger.Identities())
+	if got := r.level(100); got != "0 of 1000" || r.ledger.billed.memory.Len() != 0 {
+		t.Errorf("a refused batch left %s, %d identities", got, r.ledger.billed.memory.Len())
 	}
 }
 
--- a/internal/ledger/window/window.go
+++ b/internal/ledger/window/window.go
@@ -140,13 +140,13 @@
 type Image[V any] struct {
 	Length      int64                `json:"length"`
 	Horizon     int64                `json:"horizon"`
-	Generations []GenerationImage[V] `json:"generations"`
+	Generations []generationImage[V] `json:"generations"`
 }
 
-// GenerationImage is a copy of one generation. Its entries are put in order only
+// generationImage is a copy of one generation. Its entries are put in order only
 // when it is encoded, as sorting takes far longer than copying and the copy is made
 // while the log waits.
-type GenerationImage[V any] struct {
+type generationImage[V any] struct {
 	start, last int64
 	entries     []entry[V]
 }
@@ -166,9 +166,9 @@
 
 // Image copies the memory's content.
 func (m *Memory[V]) Image() Image[V] {
-	im := Image[V]{Length: m.length, Horizon: m.horizon, Generations: []GenerationImage[V]{}}
+	im := Image[V]{Length: m.length, Horizon: m.horizon, Generations: []generationImage[V]{}}
 	for _, g := range m.gens {
-		gi := GenerationImage[V]{start: g.start, last: g.last, entries: make([]entry[V], 0, len(g.entries))}
+		gi := generationImage[V]{start: g.start, last: g.last, entries: make([]entry[V], 0, len(g.entries))}
 		for k, v := range g.entries {
 			gi.entries = append(gi.entries, entry[V]{k, v})
 		}
@@ -178,7 +178,7 @@
 }
 
 // MarshalJSON implements json.Marshaler.
-func (g GenerationImage[V]) MarshalJSON() ([]byte, error) {
+func (g generationImage[V]) MarshalJSON() ([]byte, error) {
 	sorted := slices.Clone(g.entries)
 	slices.SortFunc(sorted, func(a, b entry[V]) int { return bytes.Compare(a.key[:], b.key[:]) })
 	out := generationJSON[V]{Start: g.start, Last: g.last, Keys: make([]byte, 0, KeySize*len(sorted)), Values: make([]V, 0, len(sorted))}
@@ -190,7 +190,7 @@
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (g *GenerationImage[V]) UnmarshalJSON(data []byte) error {
+func (g *generationImage[V]) UnmarshalJSON(data []byte) error {
 	var in generationJSON[V]
 	if err := json.Unmarshal(data, &in); err != nil {
 		return err
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -20,10 +20,10 @@
 	quorumTick int64
 }
 
-// LeaseTicks is how long after the start of an acknowledged round the lease
+// leaseTicks is how long after the start of an acknowledged round the lease
 // holds: the voters' promise, less the tick by which theirs may be cut short by
 // counting whole ticks, less the bound on different tick rates.
-func (r *Raft) LeaseTicks() int64 {
+func (r *Raft) leaseTicks() int64 {
 	return int64((r.cfg.ElectionTicks - 1) * (100 - r.cfg.DriftPercent) / 100)
 }
 
@@ -63,5 +63,5 @@
 	if r.role != Leader || !r.lease.held || r.log.commit < r.termStart {
 		return 0
 	}
-	return r.lease.start + r.LeaseTicks()
+	return r.lease.start + r.leaseTicks()
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -161,7 +161,7 @@
 	// A leader cut off from its quorum can't commit, yet callers would go on
 	// waiting on it. It gives up by its own clock at the end of its lease, which
 	// is before any voter may elect another.
-	if r.now-r.lease.quorumTick >= r.LeaseTicks() {
+	if r.now-r.lease.quorumTick >= r.leaseTicks() {
 		r.becomeFollower(r.term, 0)
 		return
 	}
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// HistoryKept is how many changes are kept for catch-up and for operators.
-	HistoryKept = 1000
-	// OperationsKept is how many operation ids are remembered: at 6,100 changes a day
+	// historyKept is how many changes are kept for catch-up and for operators.
+	historyKept = 1000
+	// operationsKept is how many operation ids are remembered: at 6,100 changes a day
 	// more than two weeks of resends, in about 5 MB.
-	OperationsKept = 100_000
+	operationsKept = 100_000
 )
 
 // Machine is the replicated state machine of the settings tree.
@@ -106,8 +106,8 @@
 	}
 	m.view = next
 	m.history = append(m.history, change)
-	if len(m.history) > HistoryKept {
-		m.history = slices.Clone(m.history[len(m.history)-HistoryKept:])
+	if len(m.history) > historyKept {
+		m.history = slices.Clone(m.history[len(m.history)-historyKept:])
 	}
 	return change, nil
 }
@@ -131,7 +131,7 @@
 func (m *Machine) remember(key window.Key, o operation) {
 	m.operations[key] = o
 	m.order = append(m.order, key)
-	if len(m.order) > OperationsKept {
+	if len(m.order) > operationsKept {
 		delete(m.operations, m.order[0])
 		m.order = m.order[1:]
 	}
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -125,9 +125,6 @@
 // Fleet returns the fleet's settings, with defaults.
 func (v *View) Fleet() Fleet { return v.fleet }
 
-// Tree returns the tree as operators wrote it. The caller must not change it.
-func (v *View) Tree() *Tree { return &v.tree }
-
 // Value returns what operators set at a path ("/" is the whole tree, in the form of
 // SnapshotJSON) and the version of the subtree that holds it. A path with nothing set is NotFound, with
 // the version to expect in the error.
--- a/internal/wal/frame.go
+++ b/internal/wal/frame.go
@@ -18,8 +18,8 @@
 const (
 	frameMagic  = 0xb1be57a1
 	frameHeader = 12
-	// MaxFrameBytes bounds the payload of one frame.
-	MaxFrameBytes = 256 << 20
+	// maxFrameBytes bounds the payload of one frame.
+	maxFrameBytes = 256 << 20
 )
 
 const (
@@ -50,8 +50,8 @@
 		}
 	}
 	payload := buf[frameHeader:]
-	if len(payload) > MaxFrameBytes {
-		return nil, errors.Errorf("wal: a batch of %d bytes is over the limit of %d", len(payload), MaxFrameBytes)
+	if len(payload) > maxFrameBytes {
+		return nil, errors.Errorf("wal: a batch of %d bytes is over the limit of %d", len(payload), maxFrameBytes)
 	}
 	binary.BigEndian.PutUint32(buf[0:], frameMagic)
 	binary.BigEndian.PutUint32(buf[4:], uint32(len(payload)))
@@ -71,7 +71,7 @@
 		return nil, errBadFrame
 	}
 	n := int(binary.BigEndian.Uint32(b[4:]))
-	if n > MaxFrameBytes || len(b)-frameHeader < n {
+	if n > maxFrameBytes || len(b)-frameHeader < n {
 		return nil, errBadFrame
 	}
 	payload := b[frameHeader : frameHeader+n]
