--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -142,9 +142,11 @@
 func (s *State) applyLedger(r ledger.Record, cmd *pb.Command, out *pb.CommandResult) error {
 	switch body := cmd.Body.(type) {
 	case *pb.Command_CreateBudget:
-		return budgetResult(out)(s.ledger.CreateBudget(r, body.CreateBudget))
+		budget, resend, err := s.ledger.CreateBudget(r, body.CreateBudget)
+		return setBudget(out, budget, resend, err)
 	case *pb.Command_TopUp:
-		return budgetResult(out)(s.ledger.TopUp(r, body.TopUp))
+		budget, resend, err := s.ledger.TopUp(r, body.TopUp)
+		return setBudget(out, budget, resend, err)
 	case *pb.Command_Acquire:
 		acquired, err := s.ledger.Acquire(body.Acquire)
 		if err == nil {
@@ -162,15 +164,13 @@
 	return nil
 }
 
-// budgetResult returns a function that puts a budget, or its refusal, into out.
-func budgetResult(out *pb.CommandResult) func(*pb.Budget, bool, error) error {
-	return func(b *pb.Budget, resend bool, err error) error {
-		if err == nil {
-			out.Resend = resend
-			out.Body = &pb.CommandResult_Budget{Budget: b}
-		}
-		return err
+// setBudget puts the answer to a change of funds into out and passes a refusal on.
+func setBudget(out *pb.CommandResult, b *pb.Budget, resend bool, err error) error {
+	if err == nil {
+		out.Resend = resend
+		out.Body = &pb.CommandResult_Budget{Budget: b}
 	}
+	return err
 }
 
 func (s *State) applyClaim(r ledger.Record, cmd *pb.Command, out *pb.CommandResult) error {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -96,19 +96,10 @@
 	if err != nil {
 		return err
 	}
-	log, contents, err := wal.Open(fs, filepath.Join(r.cfg.DataDir, "log"), wal.Options{
-		SegmentBytes: r.cfg.SegmentBytes, MaxBytes: r.cfg.LogBytes,
-	})
+	contents, err := r.openLog(id)
 	if err != nil {
 		return err
 	}
-	r.wal = log
-	if err := checkDisk(id, contents); err != nil {
-		return err
-	}
-	if contents.TornBytes > 0 {
-		r.log.Warn().Int64("bytes", contents.TornBytes).Str("event", "torn-log-end-cut").Send()
-	}
 	if id == nil {
 		id = newIdentity(&r.cfg)
 		if err := saveIdentity(fs, r.cfg.DataDir, id); err != nil {
@@ -131,10 +122,29 @@
 	if err := r.startCore(contents); err != nil {
 		return err
 	}
-	r.log.Info().Uint64("replica", id.ID).Str("standing", string(r.Standing())).Msg("replica_opened")
+	r.log.Info().Uint64("replica", id.ID).Str("standing", string(r.Standing())).Str("event", "replica-opened").Send()
 	return nil
 }
 
+// openLog opens the log beside the identity id, nil for a new disk, and returns
+// what it holds.
+func (r *Replica) openLog(id *identity) (wal.Contents, error) {
+	log, contents, err := wal.Open(r.cfg.FS, filepath.Join(r.cfg.DataDir, "log"), wal.Options{
+		SegmentBytes: r.cfg.SegmentBytes, MaxBytes: r.cfg.LogBytes,
+	})
+	if err != nil {
+		return wal.Contents{}, err
+	}
+	r.wal = log
+	if err := checkDisk(id, contents); err != nil {
+		return wal.Contents{}, err
+	}
+	if contents.TornBytes > 0 {
+		r.log.Warn().Int64("bytes", contents.TornBytes).Str("event", "torn-log-end-cut").Send()
+	}
+	return contents, nil
+}
+
 // checkDisk refuses a disk of which a part is missing: it would have forgotten
 // promises while it keeps its id.
 func checkDisk(id *identity, c wal.Contents) error {
--- a/internal/controlclient/calls.go
+++ b/internal/controlclient/calls.go
@@ -13,13 +13,14 @@
 )
 
 const (
+	// firstPause and maxPause bound the exponential backoff between attempts.
 	firstPause = 10 * time.Millisecond
 	maxPause   = 500 * time.Millisecond
 	// maxHops bounds how many hints are followed before the next pause.
 	maxHops = 3
 )
 
-// errTryAgain makes the next attempt.
+// errTryAgain has the backoff make the next attempt.
 var errTryAgain = errors.New("controlclient: no answer yet")
 
 // Propose commits a command and returns its result. It is sent again, under the
@@ -55,28 +56,8 @@
 
 // call makes attempts until one is answered or ctx ends.
 func call[T any](ctx context.Context, c *Client, at func(context.Context, string) answer[T]) (T, error) {
-	var zero T
 	unknown := false // an attempt may have been carried out without our knowing
-	operation := func() (T, error) {
-		for range maxHops {
-			a := attempt(ctx, c, at)
-			switch {
-			case a.notLeader && a.hint != "":
-				continue
-			case a.notLeader:
-			case a.broken != nil || a.refusal.GetKind() == string(errkind.NoQuorum):
-				unknown = true
-			case a.refusal != nil && unknown && overloaded(a.refusal):
-				// An earlier attempt may have got in: "did not run" would be untrue.
-			case a.refusal != nil:
-				return zero, backoff.Permanent(errwire.FromProto(a.refusal))
-			default:
-				return a.value, nil
-			}
-			return zero, errTryAgain
-		}
-		return zero, errTryAgain
-	}
+	operation := func() (T, error) { return followHints(ctx, c, at, &unknown) }
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = firstPause
 	pause.MaxInterval = maxPause
@@ -84,6 +65,7 @@
 	if err == nil {
 		return value, nil
 	}
+	var zero T
 	var refusal *errkind.Error
 	if errors.As(err, &refusal) {
 		return zero, refusal
@@ -91,6 +73,37 @@
 	return zero, noAnswer(unknown)
 }
 
+// followHints asks the most likely leader, and on its word the one that it names.
+func followHints[T any](ctx context.Context, c *Client, at func(context.Context, string) answer[T], unknown *bool) (T, error) {
+	for range maxHops {
+		a := attempt(ctx, c, at)
+		if !a.notLeader || a.hint == "" {
+			return a.outcome(unknown)
+		}
+	}
+	var zero T
+	return zero, errTryAgain
+}
+
+// outcome returns the value, a refusal that ends the call, or errTryAgain. It sets
+// unknown if the attempt may have been carried out.
+func (a answer[T]) outcome(unknown *bool) (T, error) {
+	var zero T
+	switch {
+	case a.notLeader:
+		return zero, errTryAgain
+	case a.broken != nil || a.refusal.GetKind() == string(errkind.NoQuorum):
+		*unknown = true
+		return zero, errTryAgain
+	case a.refusal != nil && *unknown && overloaded(a.refusal):
+		// An earlier attempt may have got in: "did not run" would be untrue.
+		return zero, errTryAgain
+	case a.refusal != nil:
+		return zero, backoff.Permanent(errwire.FromProto(a.refusal))
+	}
+	return a.value, nil
+}
+
 // attempt asks the most likely leader once and remembers what it learnt.
 func attempt[T any](ctx context.Context, c *Client, at func(context.Context, string) answer[T]) answer[T] {
 	target := c.pick()
