--- a/internal/control/identity.go
+++ b/internal/control/identity.go
@@ -106,18 +106,11 @@
 		return errors.Wrap(err, "control: encode identity")
 	}
 	path := filepath.Join(dir, identityFile)
-	f, err := fs.Create(path + ".tmp")
-	if err != nil {
-		return errors.Wrap(err, "control: make identity file")
-	}
-	defer f.Close()
-	if _, err := f.Write(data); err != nil {
-		return errors.Wrap(err, "control: write identity")
-	}
-	if err := f.Sync(); err != nil {
-		return errors.Wrap(err, "control: sync identity")
+	temporary := path + ".tmp"
+	if err := wal.WriteFile(fs, temporary, data); err != nil {
+		return errors.Wrap(err, "control: identity")
 	}
-	if err := fs.Rename(path+".tmp", path); err != nil {
+	if err := fs.Rename(temporary, path); err != nil {
 		return errors.Wrap(err, "control: rename identity")
 	}
 	return errors.Wrap(fs.SyncDir(dir), "control: sync data folder")
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -20,11 +20,13 @@
 )
 
 const (
-	suffix    = ".snap"
-	temporary = ".tmp"
-	magic     = 0x5aa95b07
-	header    = 12
-	kept      = 2
+	suffix      = ".snap"
+	temporary   = ".tmp" // a file being written; renamed once it is synced
+	magic       = 0x5aa95b07
+	headerBytes = 12
+	// kept is how many snapshots stay: the newest, and the one before in case the
+	// newest is damaged.
+	kept = 2
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -94,8 +96,8 @@
 		return errors.Wrap(err, "snapshot: encode")
 	}
 	name := filepath.Join(s.dir, fileName(snap))
-	if err := s.writeFile(name+temporary, body); err != nil {
-		return err
+	if err := wal.WriteFile(s.fs, name+temporary, frame(body)); err != nil {
+		return errors.Wrap(err, "snapshot")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,22 +110,17 @@
 	return s.prune()
 }
 
-func (s *Store) writeFile(name string, body []byte) error {
-	f, err := s.fs.Create(name)
-	if err != nil {
-		return errors.Wrap(err, "snapshot: make file")
-	}
-	defer f.Close()
-	head := make([]byte, header)
-	binary.BigEndian.PutUint32(head, magic)
-	binary.BigEndian.PutUint32(head[4:], uint32(len(body)))
-	binary.BigEndian.PutUint32(head[8:], crc32.Checksum(body, castagnoli))
-	if _, err := f.Write(append(head, body...)); err != nil {
-		return errors.Wrap(err, "snapshot: write")
-	}
-	return errors.Wrap(f.Sync(), "snapshot: sync")
+// frame puts the header before an encoded snapshot: magic, length and CRC of the
+// body, all big-endian.
+func frame(body []byte) []byte {
+	data := make([]byte, headerBytes, headerBytes+len(body))
+	binary.BigEndian.PutUint32(data, magic)
+	binary.BigEndian.PutUint32(data[4:], uint32(len(body)))
+	binary.BigEndian.PutUint32(data[8:], crc32.Checksum(body, castagnoli))
+	return append(data, body...)
 }
 
+// prune removes all but the newest snapshots. It needs mu.
 func (s *Store) prune() error {
 	names, err := s.files()
 	if err != nil {
@@ -173,10 +170,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "snapshot: read")
 	}
-	if len(data) < header || binary.BigEndian.Uint32(data) != magic {
+	if len(data) < headerBytes || binary.BigEndian.Uint32(data) != magic {
 		return nil, errors.Errorf("snapshot: %s has no valid header", name)
 	}
-	body := data[header:]
+	body := data[headerBytes:]
 	if int(binary.BigEndian.Uint32(data[4:])) != len(body) {
 		return nil, errors.Errorf("snapshot: %s has the wrong length", name)
 	}
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -4,7 +4,8 @@
 	"io"
 	"os"
 	"path/filepath"
-	"sort"
+
+	"github.com/pkg/errors"
 )
 
 // File is a file open for appending.
@@ -32,6 +33,19 @@
 	SyncDir(dir string) error
 }
 
+// WriteFile makes or replaces a file and syncs its content.
+func WriteFile(fs FS, path string, data []byte) error {
+	f, err := fs.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "make file")
+	}
+	defer f.Close()
+	if _, err := f.Write(data); err != nil {
+		return errors.Wrap(err, "write file")
+	}
+	return errors.Wrap(f.Sync(), "sync file")
+}
+
 // OS is the machine's file system.
 type OS struct{}
 
@@ -45,7 +59,7 @@
 
 // List implements FS.
 func (OS) List(dir string) ([]string, error) {
-	entries, err := os.ReadDir(dir)
+	entries, err := os.ReadDir(dir) // sorted by name
 	if err != nil {
 		return nil, err
 	}
@@ -53,7 +67,6 @@
 	for _, e := range entries {
 		names = append(names, e.Name())
 	}
-	sort.Strings(names)
 	return names, nil
 }
 
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -19,11 +19,15 @@
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
-const segmentSuffix = ".wal"
-
-// hardStateReserve of bytes beyond the cap is kept for frames without entries,
-// so that a replica with a full log can still vote.
-const hardStateReserve = 64 << 10
+const (
+	segmentSuffix = ".wal"
+	// hardStateReserve is how many bytes beyond the cap are kept for frames without
+	// entries, so that a replica with a full log can still vote.
+	hardStateReserve = 64 << 10
+	// defaultSegmentBytes and defaultMaxBytes: see Options.
+	defaultSegmentBytes = 4 << 20
+	defaultMaxBytes     = 256 << 20
+)
 
 // Options of a log; a zero field takes the default.
 type Options struct {
@@ -83,8 +87,8 @@
 
 // Open reads the log in dir, making it if there is none.
 func Open(fs FS, dir string, opts Options) (*Log, Contents, error) {
-	defaults.Set(&opts.SegmentBytes, 4<<20)
-	defaults.Set(&opts.MaxBytes, 256<<20)
+	defaults.Set(&opts.SegmentBytes, defaultSegmentBytes)
+	defaults.Set(&opts.MaxBytes, defaultMaxBytes)
 	l := &Log{fs: fs, dir: dir, opts: opts}
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, Contents{}, errors.Wrap(err, "wal: make folder")
@@ -199,11 +203,14 @@
 
 func (l *Log) path(s *segment) string { return filepath.Join(l.dir, s.name) }
 
+// last is the segment being written.
+func (l *Log) last() *segment { return l.segments[len(l.segments)-1] }
+
 func (l *Log) openLast() error {
 	if len(l.segments) == 0 {
 		return l.begin(1)
 	}
-	out, err := l.fs.Append(l.path(l.segments[len(l.segments)-1]))
+	out, err := l.fs.Append(l.path(l.last()))
 	l.out = out
 	return errors.Wrap(err, "wal: open segment")
 }
@@ -255,7 +262,7 @@
 	if l.broken != nil {
 		return l.broken
 	}
-	if l.segments[len(l.segments)-1].bytes >= l.opts.SegmentBytes {
+	if l.last().bytes >= l.opts.SegmentBytes {
 		if err := l.Cut(); err != nil {
 			return err
 		}
@@ -287,7 +294,7 @@
 		return l.broken
 	}
 	l.syncs++
-	s := l.segments[len(l.segments)-1]
+	s := l.last()
 	s.bytes += int64(len(frame))
 	for _, e := range entries {
 		s.last = max(s.last, e.Index)
@@ -297,7 +304,7 @@
 
 // Cut begins a new segment, so that the ones before can be removed.
 func (l *Log) Cut() error {
-	err := l.begin(l.segments[len(l.segments)-1].seq + 1)
+	err := l.begin(l.last().seq + 1)
 	if err != nil {
 		l.broken = err
 	}
