--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -8,19 +8,19 @@
 	return r.role == Leader || r.now-r.heardLeader < int64(r.cfg.ElectionTicks)
 }
 
-// campaignPre asks whether an election could be won, without touching the term.
+// preCampaign asks whether an election could be won, without touching the term.
 // Without it a replica that was cut off would come back with a high term and
 // depose a leader that works.
-func (r *Raft) campaignPre() {
+func (r *Raft) preCampaign() {
 	r.role = PreCandidate
 	r.leader = 0
 	r.votes = map[uint64]bool{r.cfg.ID: true}
 	r.resetElectionTimer()
-	if r.won() {
+	if r.wonElection() {
 		r.campaign()
 		return
 	}
-	r.askVotes(pb.RaftType_RAFT_TYPE_PRE_VOTE, r.term+1)
+	r.requestVotes(pb.RaftType_RAFT_TYPE_PRE_VOTE, r.term+1)
 }
 
 func (r *Raft) campaign() {
@@ -30,14 +30,14 @@
 	r.leader = 0
 	r.votes = map[uint64]bool{r.cfg.ID: true}
 	r.resetElectionTimer()
-	if r.won() {
+	if r.wonElection() {
 		r.becomeLeader()
 		return
 	}
-	r.askVotes(pb.RaftType_RAFT_TYPE_VOTE, r.term)
+	r.requestVotes(pb.RaftType_RAFT_TYPE_VOTE, r.term)
 }
 
-func (r *Raft) askVotes(t pb.RaftType, term uint64) {
+func (r *Raft) requestVotes(t pb.RaftType, term uint64) {
 	for _, id := range r.members.current().voters() {
 		if id == r.cfg.ID {
 			continue
@@ -50,7 +50,7 @@
 	}
 }
 
-func (r *Raft) won() bool {
+func (r *Raft) wonElection() bool {
 	return r.members.current().quorum(func(id uint64) bool { return r.votes[id] })
 }
 
@@ -65,7 +65,7 @@
 
 func (r *Raft) handleVote(m *pb.RaftMessage) {
 	free := r.vote == 0 || r.vote == m.From
-	granted := free && (!r.promised() || released(m)) && r.log.upToDate(m.LogIndex, m.LogTerm)
+	granted := free && (!r.promised() || fromTransfer(m)) && r.log.upToDate(m.LogIndex, m.LogTerm)
 	if granted {
 		r.vote = m.From
 		r.resetElectionTimer()
@@ -78,7 +78,7 @@
 		return
 	}
 	r.votes[m.From] = true
-	if r.won() {
+	if r.wonElection() {
 		r.campaign()
 	}
 }
@@ -88,7 +88,7 @@
 		return
 	}
 	r.votes[m.From] = true
-	if r.won() {
+	if r.wonElection() {
 		r.becomeLeader()
 	}
 }
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -46,7 +46,7 @@
 
 // observeQuorum brings the lease up to the last round that a quorum answered.
 func (r *Raft) observeQuorum() {
-	round := r.members.current().quorumOf(func(id uint64) uint64 {
+	round := r.members.current().quorumValue(func(id uint64) uint64 {
 		if id == r.cfg.ID {
 			return r.lease.round
 		}
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -11,7 +11,7 @@
 	entries   []*pb.LogEntry // entries[i] has the index snapIndex+1+i
 	stable    uint64         // last index handed to the disk and synced
 	commit    uint64
-	handed    uint64 // last index handed out to be applied
+	applied   uint64 // last index that Ready gave out and Advance confirmed
 }
 
 func newLog(st State) (*entryLog, error) {
@@ -36,7 +36,7 @@
 	}
 	l.stable = l.lastIndex()
 	l.commit = l.snapIndex
-	l.handed = l.snapIndex
+	l.applied = l.snapIndex
 	if st.Hard != nil && st.Hard.Commit > l.lastIndex() {
 		// The hard state is written with the entries or after the snapshot that it
 		// covers, so what it counts as committed was on this disk and is gone.
@@ -123,7 +123,7 @@
 
 // compact forgets the entries up to index, which a snapshot holds.
 func (l *entryLog) compact(index uint64) {
-	if index <= l.snapIndex || index > l.handed {
+	if index <= l.snapIndex || index > l.applied {
 		return
 	}
 	t, _ := l.term(index)
@@ -134,5 +134,5 @@
 
 // restore replaces the log by a snapshot.
 func (l *entryLog) restore(s *pb.Snapshot) {
-	*l = entryLog{snapIndex: s.Index, snapTerm: s.Term, stable: s.Index, commit: s.Index, handed: s.Index}
+	*l = entryLog{snapIndex: s.Index, snapTerm: s.Term, stable: s.Index, commit: s.Index, applied: s.Index}
 }
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -37,8 +37,8 @@
 	return ids
 }
 
-// quorumOf returns the largest value that a majority of voters reach; 0 without voters.
-func (s memberSet) quorumOf(value func(id uint64) uint64) uint64 {
+// quorumValue returns the largest value that a majority of voters reach; 0 without voters.
+func (s memberSet) quorumValue(value func(id uint64) uint64) uint64 {
 	var values []uint64
 	for _, id := range s.voters() {
 		values = append(values, value(id))
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -87,8 +87,7 @@
 	leader uint64
 
 	now              int64
-	heardLeader      int64
-	electionStart    int64
+	heardLeader      int64 // tick at which a leader was last heard
 	electionDeadline int64
 	votes            map[uint64]bool
 	transferred      bool // the campaign being started was asked for by the leader
@@ -100,10 +99,10 @@
 	epoch        uint64 // random offset of this run's stamps
 	confirmation Confirmation
 
-	early    []*pb.RaftMessage
-	synced   []*pb.RaftMessage
-	saved    *pb.HardState
-	received *pb.Snapshot
+	early    []*pb.RaftMessage // see Ready.Early
+	synced   []*pb.RaftMessage // see Ready.Synced
+	saved    *pb.HardState     // as the disk has it
+	received *pb.Snapshot      // of a leader, not on the disk yet
 }
 
 // New makes a replica from its persisted state. For ElectionTicks after the
@@ -132,15 +131,24 @@
 	return r, nil
 }
 
+// The defaults of Config.
+const (
+	defaultDriftPercent  = 20
+	defaultMaxBatchBytes = 256 << 10
+	defaultMaxInflight   = 64
+)
+
+// setDefaults replaces negative numbers too: a negative DriftPercent would lengthen
+// the leader's lease beyond the promise of its voters.
 func setDefaults(cfg *Config) {
 	if cfg.DriftPercent <= 0 {
-		cfg.DriftPercent = 20
+		cfg.DriftPercent = defaultDriftPercent
 	}
 	if cfg.MaxBatchBytes <= 0 {
-		cfg.MaxBatchBytes = 256 << 10
+		cfg.MaxBatchBytes = defaultMaxBatchBytes
 	}
 	if cfg.MaxInflight <= 0 {
-		cfg.MaxInflight = 64
+		cfg.MaxInflight = defaultMaxInflight
 	}
 }
 
@@ -152,7 +160,7 @@
 		return
 	}
 	if r.now >= r.electionDeadline && r.members.current().voter(r.cfg.ID) {
-		r.campaignPre()
+		r.preCampaign()
 	}
 }
 
@@ -209,7 +217,6 @@
 }
 
 func (r *Raft) resetElectionTimer() {
-	r.electionStart = r.now
 	r.electionDeadline = r.now + int64(r.cfg.ElectionTicks+r.cfg.Rand.Intn(r.cfg.ElectionTicks))
 }
 
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -47,8 +47,8 @@
 		rd.Synced = append(rd.Early, rd.Synced...)
 		rd.Early = nil
 	}
-	if r.log.handed < r.log.commit {
-		rd.Committed = r.log.between(r.log.handed+1, r.log.commit)
+	if r.log.applied < r.log.commit {
+		rd.Committed = r.log.between(r.log.applied+1, r.log.commit)
 	}
 	return rd
 }
@@ -60,7 +60,7 @@
 		r.saved = rd.HardState
 	}
 	if n := len(rd.Committed); n > 0 {
-		r.log.handed = rd.Committed[n-1].Index
+		r.log.applied = rd.Committed[n-1].Index
 	}
 	if n := len(rd.Entries); n > 0 {
 		r.log.stable = rd.Entries[n-1].Index
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -15,6 +15,10 @@
 	installing                       // a snapshot is on its way
 )
 
+// snapshotElections is how many election timeouts a snapshot may take to be
+// answered before it is sent again.
+const snapshotElections = 30
+
 // progress is the leader's view of one follower.
 type progress struct {
 	state    progressState
@@ -235,14 +239,14 @@
 // resendTicks is how long an unanswered message is waited for.
 func (r *Raft) resendTicks(p *progress) int64 {
 	if p.state == installing {
-		return int64(30 * r.cfg.ElectionTicks)
+		return int64(snapshotElections * r.cfg.ElectionTicks)
 	}
 	return int64(max(2, r.cfg.ElectionTicks/2))
 }
 
 // maybeCommit commits what a majority of voters holds.
 func (r *Raft) maybeCommit() {
-	index := r.members.current().quorumOf(func(id uint64) uint64 { return r.progress[id].match })
+	index := r.members.current().quorumValue(func(id uint64) uint64 { return r.progress[id].match })
 	if index <= r.log.commit {
 		return
 	}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -28,7 +28,7 @@
 			return true
 		}
 	case pb.RaftType_RAFT_TYPE_VOTE:
-		if r.promised() && !released(m) {
+		if r.promised() && !fromTransfer(m) {
 			return false
 		}
 	}
--- a/internal/raft/transfer.go
+++ b/internal/raft/transfer.go
@@ -41,5 +41,6 @@
 	r.transferred = false
 }
 
-// released tells whether a vote request frees voters from their promise.
-func released(m *pb.RaftMessage) bool { return m.Context == transferMark }
+// fromTransfer tells whether a vote request comes of a transfer, which frees voters
+// from their promise.
+func fromTransfer(m *pb.RaftMessage) bool { return m.Context == transferMark }
