--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -21,18 +21,18 @@
 // operations remembers answers by operation id, oldest forgotten first.
 type operations struct {
 	max     int
-	answers map[window.Key]remembrance
+	answers map[window.Key]firstAnswer
 	order   []window.Key
 }
 
-// remembrance is the first answer to an operation.
-type remembrance struct {
-	print  uint64
-	result []byte // a CommandResult
+// firstAnswer is the first answer to an operation.
+type firstAnswer struct {
+	fingerprint uint64
+	result      []byte // a CommandResult
 }
 
 func newOperations(limit int) *operations {
-	return &operations{max: limit, answers: make(map[window.Key]remembrance)}
+	return &operations{max: limit, answers: make(map[window.Key]firstAnswer)}
 }
 
 // remembered tells whether a command's answers are kept by operation id: those of
@@ -60,7 +60,7 @@
 	if err := proto.Unmarshal(r.result, result); err != nil {
 		panic(errors.Wrap(err, "apply: a remembered answer"))
 	}
-	if r.print != fingerprint(cmd) {
+	if r.fingerprint != fingerprint(cmd) {
 		e := errkind.New(errkind.KeyConflict, "operation id %q was used for another operation", cmd.OpId)
 		return &pb.CommandResult{Index: result.Index, Error: errwire.ToProto(e)}, true
 	}
@@ -69,10 +69,10 @@
 }
 
 func (o *operations) remember(cmd *pb.Command, result *pb.CommandResult) {
-	o.put(window.KeyOf(cmd.OpId), remembrance{print: fingerprint(cmd), result: encode(result)})
+	o.put(window.KeyOf(cmd.OpId), firstAnswer{fingerprint: fingerprint(cmd), result: encode(result)})
 }
 
-func (o *operations) put(key window.Key, r remembrance) {
+func (o *operations) put(key window.Key, r firstAnswer) {
 	o.answers[key] = r
 	o.order = append(o.order, key)
 	if len(o.order) > o.max {
@@ -102,16 +102,16 @@
 }
 
 type operationImage struct {
-	Key    []byte `json:"key"`
-	Print  uint64 `json:"print"`
-	Result []byte `json:"result"`
+	Key         []byte `json:"key"`
+	Fingerprint uint64 `json:"print"`
+	Result      []byte `json:"result"`
 }
 
 func (o *operations) image() []operationImage {
 	out := make([]operationImage, 0, len(o.order))
 	for _, key := range o.order {
 		r := o.answers[key]
-		out = append(out, operationImage{Key: key[:], Print: r.print, Result: r.result})
+		out = append(out, operationImage{Key: key[:], Fingerprint: r.fingerprint, Result: r.result})
 	}
 	return out
 }
@@ -121,7 +121,7 @@
 		if len(im.Key) != window.KeySize {
 			return errors.New("apply: a remembered operation does not fit")
 		}
-		o.put(window.Key(im.Key), remembrance{print: im.Print, result: im.Result})
+		o.put(window.Key(im.Key), firstAnswer{fingerprint: im.Fingerprint, result: im.Result})
 	}
 	return nil
 }
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -38,7 +38,7 @@
 
 // setGrant changes a holder's tokens of a budget.
 func (s *State) setGrant(b *budget, incarnation, tokens uint64) {
-	s.hosts.held(incarnation, b.holders[incarnation].tokens, tokens)
+	s.registry.countBudget(incarnation, b.holders[incarnation].tokens, tokens)
 	b.setGrant(incarnation, tokens)
 }
 
@@ -68,12 +68,12 @@
 	return g.tokens
 }
 
-func (b *budget) proto(hosts *registry) *pb.Budget {
+func (b *budget) proto(g *registry) *pb.Budget {
 	p := b.summary()
 	for _, inc := range slices.Sorted(maps.Keys(b.holders)) {
-		g := b.holders[inc]
+		held := b.holders[inc]
 		p.Granted = append(p.Granted, &pb.Granted{
-			Holder: hosts.holder(inc), Tokens: g.tokens, AcquireSeq: g.seq, LastAmount: g.lastAmount,
+			Holder: g.holder(inc), Tokens: held.tokens, AcquireSeq: held.seq, LastAmount: held.lastAmount,
 		})
 	}
 	return p
@@ -171,7 +171,7 @@
 // Acquire grants tokens of a budget to a live holder. A resend of the last seq gets
 // the same amount and grants nothing.
 func (s *State) Acquire(a *pb.Acquire) (*pb.AcquireResult, error) {
-	inc, err := s.hosts.live(a.Holder)
+	inc, err := s.registry.live(a.Holder)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -204,11 +204,11 @@
 	if d.counted(t.Id) {
 		return true, nil
 	}
-	from, err := d.state.hosts.find(t.From)
+	from, err := d.state.registry.find(t.From)
 	if err != nil {
 		return false, err
 	}
-	to, err := d.state.hosts.find(t.To)
+	to, err := d.state.registry.find(t.To)
 	if err != nil {
 		return false, err
 	}
@@ -256,7 +256,7 @@
 		s.billed.memory.Put(key, d.identities[key], d.record.Now)
 	}
 	s.counters.add(d.counters)
-	s.billed.forget(d.record.Now, &s.hosts)
+	s.billed.forget(d.record.Now, &s.registry)
 	for _, b := range d.touched {
 		checkInvariant(b)
 	}
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -128,7 +128,7 @@
 func (f *fleet) restart(t *rapid.T) {
 	host := rapid.SampledFrom(f.hosts).Draw(t, "host")
 	seldom := rapid.IntRange(0, 3).Draw(t, "seldom")
-	if seldom != 0 || len(f.ledger.hosts.hosts[host].Boots) == bootsKept {
+	if seldom != 0 || len(f.ledger.registry.hosts[host].Boots) == bootsKept {
 		t.Skip("not now")
 	}
 	f.boot(host)
@@ -551,7 +551,7 @@
 			happened.bills += len(f.paid)
 			happened.duplicates += int(f.ledger.counters.Duplicates)
 			happened.transfers += len(f.ledger.transfers)
-			happened.recoveries += len(f.ledger.hosts.recovered)
+			happened.recoveries += len(f.ledger.registry.recovered)
 		}()
 		t.Repeat(map[string]func(*rapid.T){
 			"top up": f.topUp, "acquire": f.acquire, "run": f.run, "give back": f.giveBack, "batch": f.batch,
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -61,20 +61,20 @@
 // Image copies the ledger's content; later records don't change the copy.
 func (s *State) Image() Image {
 	im := Image{
-		LastHolder: s.hosts.last, Recovered: slices.Clone(s.hosts.recovered),
+		LastHolder: s.registry.last, Recovered: slices.Clone(s.registry.recovered),
 		Billed: s.billed.memory.Image(), ReachMs: s.billed.reachMs, KeepMs: s.billed.keepMs, NextForget: s.billed.nextForget,
 		Operators: s.operatorImages(), Counters: s.counters,
 	}
 	for _, b := range s.byNumber {
 		im.Budgets = append(im.Budgets, b.image())
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.hosts.hosts)) {
-		h := *s.hosts.hosts[name]
+	for _, name := range slices.Sorted(maps.Keys(s.registry.hosts)) {
+		h := *s.registry.hosts[name]
 		h.Boots = slices.Clone(h.Boots)
 		im.Hosts = append(im.Hosts, h)
 	}
-	for _, number := range slices.Sorted(maps.Keys(s.hosts.open)) {
-		im.Open = append(im.Open, *s.hosts.open[number])
+	for _, number := range slices.Sorted(maps.Keys(s.registry.open)) {
+		im.Open = append(im.Open, *s.registry.open[number])
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.transfers)) {
 		im.Transfers = append(im.Transfers, transferImage{ID: id, transfer: s.transfers[id]})
@@ -112,17 +112,17 @@
 			return err
 		}
 	}
-	fresh.hosts.last = im.LastHolder
-	fresh.hosts.recovered = slices.Clone(im.Recovered)
+	fresh.registry.last = im.LastHolder
+	fresh.registry.recovered = slices.Clone(im.Recovered)
 	for _, h := range im.Hosts {
-		fresh.hosts.hosts[h.Name] = &h
+		fresh.registry.hosts[h.Name] = &h
 	}
 	for _, inc := range im.Open {
-		fresh.hosts.open[inc.Number] = &inc
+		fresh.registry.open[inc.Number] = &inc
 	}
 	for _, b := range fresh.byNumber {
 		for inc, g := range b.holders {
-			fresh.hosts.held(inc, 0, g.tokens)
+			fresh.registry.countBudget(inc, 0, g.tokens)
 		}
 	}
 	for _, t := range im.Transfers {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -67,7 +67,7 @@
 	options   Options
 	budgets   map[string]*budget
 	byNumber  []*budget
-	hosts     registry
+	registry  registry
 	billed    billedIdentities
 	transfers map[string]transfer
 	operators map[window.Key]operatorAnswer
@@ -81,7 +81,7 @@
 	return &State{
 		options:   o,
 		budgets:   make(map[string]*budget),
-		hosts:     newRegistry(),
+		registry:  newRegistry(),
 		billed:    newBilledIdentities(o.MaxIdentities),
 		transfers: make(map[string]transfer),
 		operators: make(map[window.Key]operatorAnswer),
@@ -103,14 +103,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return b.proto(&s.hosts), nil
+	return b.proto(&s.registry), nil
 }
 
 // Budgets returns all budgets, by name.
 func (s *State) Budgets() []*pb.Budget {
 	var out []*pb.Budget
 	for _, name := range slices.Sorted(maps.Keys(s.budgets)) {
-		out = append(out, s.budgets[name].proto(&s.hosts))
+		out = append(out, s.budgets[name].proto(&s.registry))
 	}
 	return out
 }
--- a/internal/ledger/hosts.go
+++ b/internal/ledger/registry.go
@@ -77,7 +77,7 @@
 	if c.Host == "" || c.BootId == "" {
 		return nil, errkind.New(errkind.BadRequest, "a registration needs a host and a boot id")
 	}
-	return s.hosts.register(c, r.Now), nil
+	return s.registry.register(c, r.Now), nil
 }
 
 func (g *registry) register(c *pb.RegisterHost, now int64) *pb.RegisterHostResult {
@@ -132,7 +132,7 @@
 // cut off, it goes on spending what it holds, and what it spends after its recovery
 // can't be billed any more: the word must be true.
 func (s *State) RemoveHost(c *pb.RemoveHost) error {
-	h := s.hosts.hosts[c.Host]
+	h := s.registry.hosts[c.Host]
 	if h == nil {
 		return errkind.New(errkind.NotFound, "no host %q", c.Host)
 	}
@@ -140,16 +140,16 @@
 		return errkind.New(errkind.StaleFence, "incarnation %d of host %q has been followed by %d", c.Incarnation, c.Host, h.Incarnation)
 	}
 	h.Removed = true
-	s.hosts.markDead(h.Incarnation)
+	s.registry.markDead(h.Incarnation)
 	return nil
 }
 
 // Hosts lists the hosts by name.
-func (s *State) Hosts() []*pb.HostInfo { return s.hosts.infos() }
+func (s *State) Hosts() []*pb.HostInfo { return s.registry.infos() }
 
 // Live tells whether the holder is its host's present live incarnation.
 func (s *State) Live(h *pb.Holder) error {
-	_, err := s.hosts.live(h)
+	_, err := s.registry.live(h)
 	return err
 }
 
@@ -234,8 +234,8 @@
 	return oldest
 }
 
-// held notes that an incarnation's tokens of one budget changed.
-func (g *registry) held(number, before, after uint64) {
+// countBudget notes that an incarnation's tokens of one budget changed.
+func (g *registry) countBudget(number, before, after uint64) {
 	inc := g.open[number]
 	if inc == nil {
 		return
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -27,7 +27,7 @@
 // A dead incarnation that isn't recovered yet may still settle, as its bills are
 // true; one that is recovered is refused with StaleFence.
 func (s *State) Settle(r Record, b *pb.Settle) (result *pb.SettleResult, resend bool, err error) {
-	inc, err := s.hosts.find(b.Holder)
+	inc, err := s.registry.find(b.Holder)
 	if err != nil {
 		return nil, false, err
 	}
@@ -102,18 +102,18 @@
 // that was not may have accepted a transfer of the dead one or hold the only copy
 // of a bill, and freeing those tokens would let them be spent twice.
 func (s *State) RecoverHolder(r Record, c *pb.RecoverHolder) (result *pb.RecoverHolderResult, resend bool, err error) {
-	inc, err := s.hosts.find(c.Dead)
+	inc, err := s.registry.find(c.Dead)
 	if err != nil {
 		return nil, false, err
 	}
 	if inc == nil {
-		done := s.hosts.recoveryOf(c.Dead.Incarnation)
+		done := s.registry.recoveryOf(c.Dead.Incarnation)
 		return &pb.RecoverHolderResult{Billed: done.Billed, Released: done.Released}, true, nil
 	}
 	if !inc.Dead {
 		return nil, false, errkind.New(errkind.BadRequest, "incarnation %d of host %q is not known to be dead", inc.Number, inc.Host)
 	}
-	if missing := s.hosts.missing(c.GatheredFrom); len(missing) > 0 {
+	if missing := s.registry.missing(c.GatheredFrom); len(missing) > 0 {
 		return nil, false, errkind.New(errkind.BudgetUnreachable, "hosts %q have not been asked", missing).After(retryTransfer)
 	}
 	d := s.newDraft(r)
@@ -142,7 +142,7 @@
 func (d *draft) possible(transfers []*pb.Transfer) []*pb.Transfer {
 	var out []*pb.Transfer
 	for _, t := range transfers {
-		from, err := d.state.hosts.find(t.From)
+		from, err := d.state.registry.find(t.From)
 		if err == nil && from != nil {
 			out = append(out, t)
 		}
@@ -165,9 +165,9 @@
 		b.statement.append(line{Index: r.Index, TimeMs: r.Now, Kind: lineRecover, Tokens: tokens, Actor: r.Actor, Note: inc.Host})
 		checkInvariant(b)
 	}
-	s.hosts.closeIncarnation(done)
+	s.registry.closeIncarnation(done)
 	maps.DeleteFunc(s.transfers, func(_ string, t transfer) bool {
-		return s.hosts.open[t.From] == nil && s.hosts.open[t.To] == nil
+		return s.registry.open[t.From] == nil && s.registry.open[t.To] == nil
 	})
 	return done
 }
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -97,7 +98,7 @@
 	}
 	out := reflect.MakeSlice(v.Type(), len(elements), len(elements))
 	for i, e := range elements {
-		if err := decodeValue(path+"/"+itoa(i), e, out.Index(i), depth+1); err != nil {
+		if err := decodeValue(path+"/"+strconv.Itoa(i), e, out.Index(i), depth+1); err != nil {
 			return err
 		}
 	}
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -33,10 +32,10 @@
 
 // operation is the remembered answer to one operation id.
 type operation struct {
-	// print tells a resend from a change elsewhere under the same id.
-	print    uint64
-	revision uint64 // 0: refused with a version conflict
-	version  uint64 // of the subtree: after the change, or present at the conflict
+	// fingerprint tells a resend from a change elsewhere under the same id.
+	fingerprint uint64
+	revision    uint64 // 0: refused with a version conflict
+	version     uint64 // of the subtree: after the change, or present at the conflict
 }
 
 // New makes an empty tree.
@@ -55,9 +54,9 @@
 	if opID == "" {
 		return nil, false, errkind.New(errkind.BadRequest, "a change of settings needs an operation id, so that a resend is known")
 	}
-	key, print := window.KeyOf(opID), fingerprint(c)
+	key, asked := window.KeyOf(opID), fingerprint(c)
 	if o, ok := m.operations[key]; ok {
-		result, err = o.answer(print, opID, c.Path)
+		result, err = o.answer(asked, opID, c.Path)
 		return result, err == nil || errkind.Is(err, errkind.VersionConflict), err
 	}
 	p, err := parsePath(c.Path)
@@ -66,7 +65,7 @@
 	}
 	present := m.view.versions[p.subtree()]
 	if !c.AnyVersion && c.ExpectedVersion != present {
-		m.remember(key, operation{print: print, version: present})
+		m.remember(key, operation{fingerprint: asked, version: present})
 		return nil, false, conflict(c.Path, present)
 	}
 	change, err := m.commit(p, c, present+1)
@@ -74,7 +73,7 @@
 		return nil, false, err
 	}
 	change.OpId, change.Actor, change.TimeMs = opID, actor, now
-	m.remember(key, operation{print: print, revision: change.Revision, version: change.Version})
+	m.remember(key, operation{fingerprint: asked, revision: change.Revision, version: change.Version})
 	return &pb.SetConfigResult{Revision: change.Revision, Version: change.Version}, false, nil
 }
 
@@ -118,8 +117,8 @@
 	return e
 }
 
-func (o operation) answer(print uint64, opID, path string) (*pb.SetConfigResult, error) {
-	if o.print != print {
+func (o operation) answer(asked uint64, opID, path string) (*pb.SetConfigResult, error) {
+	if o.fingerprint != asked {
 		return nil, errkind.New(errkind.KeyConflict, "operation id %q was used for another change", opID)
 	}
 	if o.revision == 0 {
@@ -170,15 +169,6 @@
 	return out
 }
 
-// LongestTimeout is the longest deadline that any team allows.
-func (v *View) LongestTimeout() time.Duration {
-	longest := DefaultMaxTimeout
-	for _, t := range v.teams {
-		longest = max(longest, t.MaxTimeout.Std())
-	}
-	return longest
-}
-
 // Image is the whole machine in a fixed order, for snapshots.
 type Image struct {
 	View       json.RawMessage    `json:"view"`
@@ -187,10 +177,10 @@
 }
 
 type operationImage struct {
-	Key      []byte `json:"key"`
-	Print    uint64 `json:"print"`
-	Revision uint64 `json:"revision"`
-	Version  uint64 `json:"version"`
+	Key         []byte `json:"key"`
+	Fingerprint uint64 `json:"print"`
+	Revision    uint64 `json:"revision"`
+	Version     uint64 `json:"version"`
 }
 
 // Image returns the machine's content.
@@ -202,7 +192,7 @@
 	im := Image{View: view, History: m.history}
 	for _, key := range m.order {
 		o := m.operations[key]
-		im.Operations = append(im.Operations, operationImage{Key: key[:], Print: o.print, Revision: o.revision, Version: o.version})
+		im.Operations = append(im.Operations, operationImage{Key: key[:], Fingerprint: o.fingerprint, Revision: o.revision, Version: o.version})
 	}
 	return im, nil
 }
@@ -219,7 +209,7 @@
 		if len(o.Key) != window.KeySize {
 			return errors.New("settings image: a remembered operation does not fit")
 		}
-		fresh.remember(window.Key(o.Key), operation{print: o.Print, revision: o.Revision, version: o.Version})
+		fresh.remember(window.Key(o.Key), operation{fingerprint: o.Fingerprint, revision: o.Revision, version: o.Version})
 	}
 	*m = *fresh
 	return nil
--- a/internal/settings/patch.go
+++ b/internal/settings/patch.go
@@ -3,15 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
-	"strconv"
 
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 )
 
-func itoa(i int) string { return strconv.Itoa(i) }
-
 // patchJSON returns doc, a JSON object, with the value at rest set, or deleted when
 // value is nil. It works on keys only: a list is replaced as a whole.
 func patchJSON(path string, doc []byte, rest []string, value []byte) ([]byte, error) {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -132,7 +133,7 @@
 
 func validatePlacement(path string, rules []PlacementRule) error {
 	for i, r := range rules {
-		at := path + "/" + itoa(i)
+		at := path + "/" + strconv.Itoa(i)
 		if r.Pool == "" {
 			return fault(at+"/pool", "a placement rule needs a pool")
 		}
@@ -153,10 +154,10 @@
 func validateNames(path string, names []string) error {
 	for i, n := range names {
 		if n == "" {
-			return fault(path+"/"+itoa(i), "a name is empty")
+			return fault(path+"/"+strconv.Itoa(i), "a name is empty")
 		}
 		if slices.Contains(names[:i], n) {
-			return fault(path+"/"+itoa(i), "%q stands twice", n)
+			return fault(path+"/"+strconv.Itoa(i), "%q stands twice", n)
 		}
 	}
 	return nil
@@ -166,10 +167,10 @@
 	for i, h := range hashes {
 		raw, err := hex.DecodeString(h)
 		if err != nil || len(raw) != hashBytes || h != hex.EncodeToString(raw) {
-			return fault(path+"/"+itoa(i), "must be a SHA-256 hash in %d lower-case hex digits, not the key itself", 2*hashBytes)
+			return fault(path+"/"+strconv.Itoa(i), "must be a SHA-256 hash in %d lower-case hex digits, not the key itself", 2*hashBytes)
 		}
 		if slices.Contains(hashes[:i], h) {
-			return fault(path+"/"+itoa(i), "the hash stands twice")
+			return fault(path+"/"+strconv.Itoa(i), "the hash stands twice")
 		}
 	}
 	return nil
@@ -187,7 +188,7 @@
 		}
 		for i, h := range a.KeyHashes {
 			if other, ok := owner[h]; ok {
-				return fault(path+"/key_hashes/"+itoa(i), "account %q has the same key", other)
+				return fault(path+"/key_hashes/"+strconv.Itoa(i), "account %q has the same key", other)
 			}
 			owner[h] = name
 		}
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -122,6 +123,15 @@
 	return t, ok
 }
 
+// LongestTimeout is the longest deadline that any team allows.
+func (v *View) LongestTimeout() time.Duration {
+	longest := DefaultMaxTimeout
+	for _, t := range v.teams {
+		longest = max(longest, t.MaxTimeout.Std())
+	}
+	return longest
+}
+
 // Fleet returns the fleet's settings, with defaults.
 func (v *View) Fleet() Fleet { return v.fleet }
 
