--- a/internal/controlclient/attempt.go
+++ b/internal/controlclient/attempt.go
@@ -35,60 +35,52 @@
 	return answer[T]{value: value, refusal: errwire.ToProto(err)}
 }
 
-func (c *Client) proposeAt(ctx context.Context, target string, cmd *pb.Command) answer[*pb.CommandResult] {
-	if target == localTarget {
-		return fromLocal(c.local.Propose(ctx, cmd))
-	}
+// fromRemote asks a replica in another process. ask passes the option on to its call;
+// it has a replica that isn't the leader name the leader in the trailer.
+func fromRemote[T any](c *Client, target string, ask func(pb.ControlClient, grpc.CallOption) answer[T]) answer[T] {
 	svc, err := c.service(target)
 	if err != nil {
-		return answer[*pb.CommandResult]{broken: err}
+		return answer[T]{broken: err}
 	}
-	reply, err := svc.Propose(ctx, &pb.ProposeRequest{Command: cmd})
-	if err != nil {
-		return answer[*pb.CommandResult]{broken: err}
+	var trailer metadata.MD
+	a := ask(svc, grpc.Trailer(&trailer))
+	if hint, ok := leaderHint(trailer); ok && a.broken == nil {
+		return answer[T]{notLeader: true, hint: hint}
 	}
-	if reply.Result == nil && reply.Error == nil {
-		return answer[*pb.CommandResult]{notLeader: true, hint: reply.LeaderAddress}
+	return a
+}
+
+func (c *Client) proposeAt(ctx context.Context, target string, cmd *pb.Command) answer[*pb.CommandResult] {
+	if target == localTarget {
+		return fromLocal(c.local.Propose(ctx, cmd))
 	}
-	return answer[*pb.CommandResult]{value: reply.Result, refusal: reply.Error}
+	return fromRemote(c, target, func(svc pb.ControlClient, opt grpc.CallOption) answer[*pb.CommandResult] {
+		reply, err := svc.Propose(ctx, &pb.ProposeRequest{Command: cmd}, opt)
+		if err == nil && reply.Result == nil && reply.Error == nil {
+			return answer[*pb.CommandResult]{notLeader: true, hint: reply.LeaderAddress}
+		}
+		return answer[*pb.CommandResult]{value: reply.GetResult(), refusal: reply.GetError(), broken: err}
+	})
 }
 
 func (c *Client) readAt(ctx context.Context, target string, q *pb.Query) answer[*pb.QueryResult] {
 	if target == localTarget {
 		return fromLocal(c.local.Read(ctx, q))
 	}
-	svc, err := c.service(target)
-	if err != nil {
-		return answer[*pb.QueryResult]{broken: err}
-	}
-	var trailer metadata.MD
-	res, err := svc.Read(ctx, q, grpc.Trailer(&trailer))
-	if err != nil {
-		return answer[*pb.QueryResult]{broken: err}
-	}
-	if hint, ok := leaderHint(trailer); ok {
-		return answer[*pb.QueryResult]{notLeader: true, hint: hint}
-	}
-	return answer[*pb.QueryResult]{value: res, refusal: res.Error}
+	return fromRemote(c, target, func(svc pb.ControlClient, opt grpc.CallOption) answer[*pb.QueryResult] {
+		res, err := svc.Read(ctx, q, opt)
+		return answer[*pb.QueryResult]{value: res, refusal: res.GetError(), broken: err}
+	})
 }
 
 func (c *Client) changeMembersAt(ctx context.Context, target string, req *pb.ChangeMembersRequest) answer[*pb.GroupStatus] {
 	if target == localTarget {
 		return fromLocal(c.local.ChangeMembers(ctx, req))
 	}
-	svc, err := c.service(target)
-	if err != nil {
-		return answer[*pb.GroupStatus]{broken: err}
-	}
-	var trailer metadata.MD
-	res, err := svc.ChangeMembers(ctx, req, grpc.Trailer(&trailer))
-	if err != nil {
-		return answer[*pb.GroupStatus]{broken: err}
-	}
-	if hint, ok := leaderHint(trailer); ok {
-		return answer[*pb.GroupStatus]{notLeader: true, hint: hint}
-	}
-	return answer[*pb.GroupStatus]{value: res.Group, refusal: res.Error}
+	return fromRemote(c, target, func(svc pb.ControlClient, opt grpc.CallOption) answer[*pb.GroupStatus] {
+		reply, err := svc.ChangeMembers(ctx, req, opt)
+		return answer[*pb.GroupStatus]{value: reply.GetGroup(), refusal: reply.GetError(), broken: err}
+	})
 }
 
 // leaderHint reads the trailer of a replica that isn't the leader.
