--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // driver feeds a State the records of a log and keeps the log.
@@ -237,9 +238,7 @@
 	t.Helper()
 	data := snapshotOf(t, d.state)
 	restored := New(Options{})
-	if err := restored.Restore(data); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, restored.Restore(data))
 	if again := snapshotOf(t, restored); !bytes.Equal(data, again) {
 		t.Fatalf("a restored state has another snapshot:\n%.2000s\n%.2000s", data, again)
 	}
@@ -249,9 +248,7 @@
 func snapshotOf(t *testing.T, s *State) []byte {
 	t.Helper()
 	data, err := s.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	return data
 }
 
@@ -289,9 +286,7 @@
 	}
 	want := snapshotOf(t, d.state)
 	encode, err := d.state.Capture()
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	for i := range 10 {
 		d.must("", register("h1", fmt.Sprint("boot-b", i)))
 	}
--- a/internal/apply/bench_test.go
+++ b/internal/apply/bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // newFeeder makes a driver that keeps no log.
@@ -61,9 +62,7 @@
 
 func snapshotBytes(f *driver) int {
 	data, err := f.state.Snapshot()
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	testutil.NoError(f.t, err)
 	return len(data)
 }
 
@@ -193,9 +192,7 @@
 		start := time.Now()
 		encode, err := d.state.Capture()
 		capturing += time.Since(start)
-		if err != nil {
-			b.Fatal(err)
-		}
+		testutil.NoError(b, err)
 		if data, err := encode(); err == nil {
 			b.ReportMetric(float64(len(data)), "bytes")
 		}
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const (
@@ -20,9 +21,7 @@
 	t.Helper()
 	c := &pb.Claim{Identity: identity, RequestId: request, Holder: &pb.Holder{Host: "h", Incarnation: 1}}
 	first, err := s.Claim(c, now)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	again, err := s.Claim(c, now)
 	if err != nil || fmt.Sprint(first) != fmt.Sprint(again) {
 		t.Errorf("first answer %v, resend %v, %v", first, again, err)
@@ -80,9 +79,7 @@
 		if !wins(t, s, "a/1", request, 1) {
 			t.Fatalf("%s did not win after not run", request)
 		}
-		if err := finish(s, "a/1", request, notRun, 1); err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, finish(s, "a/1", request, notRun, 1))
 	}
 	for i := range 3 {
 		if wins(t, s, "a/1", fmt.Sprint("r", i), 1) {
@@ -123,17 +120,11 @@
 	s.SetWindow(48 * time.Hour)
 	wins(t, s, "a/1", "r1", 1)
 	wins(t, s, "a/2", "r1", 2)
-	if err := finish(s, "a/2", "r1", notRun, 3); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, finish(s, "a/2", "r1", notRun, 3))
 	data, err := json.Marshal(s.Image())
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	var im Image
-	if err := json.Unmarshal(data, &im); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, json.Unmarshal(data, &im))
 	restored.Restore(im)
 	if restored.Len() != 2 {
 		t.Errorf("%d claims restored, want 2", restored.Len())
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 	"github.com/bluebellsail/bluebellsail/internal/wal"
 )
 
@@ -47,9 +48,7 @@
 			Fleet: "bench", Host: m.Host, ReplicaAddress: m.Address, DataDir: b.TempDir(), Members: members,
 			StateMachine: newRegisters(), Transport: own, FS: wal.OS{}, Seed: int64(i + 1),
 		})
-		if err != nil {
-			b.Fatal(err)
-		}
+		testutil.NoError(b, err)
 		b.Cleanup(func() { _ = r.Close() })
 		c.to[m.Address].Store(r)
 		replicas = append(replicas, r)
--- a/internal/control/loopback_test.go
+++ b/internal/control/loopback_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 	"github.com/bluebellsail/bluebellsail/internal/wal/memfs"
 )
 
@@ -21,10 +22,7 @@
 	var listeners []net.Listener
 	var members []Member
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		l := testutil.Listen(t)
 		listeners = append(listeners, l)
 		members = append(members, Member{Address: l.Addr().String(), Host: fmt.Sprint("host", i)})
 	}
@@ -38,9 +36,7 @@
 			Members: members, TickInterval: 10 * time.Millisecond, StateMachine: sm, Transport: tr,
 			FS: memfs.New(), Logger: zerolog.Nop(), Seed: int64(i + 1),
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, err)
 		srv := grpc.NewServer()
 		pb.RegisterControlServer(srv, NewService(r))
 		go func() { _ = srv.Serve(l) }()
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 	"github.com/bluebellsail/bluebellsail/internal/wal/memfs"
 )
 
@@ -317,9 +318,7 @@
 		}
 		c.isolate(l, false)
 		for i := range 100 { // many times the cap: snapshots make room
-			if err := c.set(fmt.Sprint("later", i), "/big", big, 10*time.Second); err != nil {
-				t.Fatal(err)
-			}
+			testutil.NoError(t, c.set(fmt.Sprint("later", i), "/big", big, 10*time.Second))
 		}
 		for _, h := range c.hosts {
 			if h.r.Err() != nil || h.r.Status().LogBytes > 64<<10 {
@@ -345,9 +344,7 @@
 			last := uint64(0)
 			for range 50 {
 				e, err := sub.Next(t.Context())
-				if err != nil {
-					t.Fatal(err)
-				}
+				testutil.NoError(t, err)
 				for _, ch := range e.Changes {
 					if ch.Revision <= last {
 						t.Fatalf("revision %d after %d", ch.Revision, last)
@@ -425,9 +422,7 @@
 		old := c.leader()
 		c.mustSet(1, 0)
 		start := time.Now()
-		if err := old.r.Close(); err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, old.r.Close())
 		if c.leader() == old || time.Since(start) >= 20*50*time.Millisecond {
 			t.Fatalf("no other leader after %v", time.Since(start))
 		}
--- a/internal/control/transport_test.go
+++ b/internal/control/transport_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // middlebox forwards TCP connections, and forgets those open when told: their
@@ -100,14 +101,8 @@
 // Sequence: something between two hosts forgets their open connection; writes go on succeeding.
 // Cause: nothing on the connection asks for an answer.
 func TestSilentConnectionIsReplaced(t *testing.T) {
-	target, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	front, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	target := testutil.Listen(t)
+	front := testutil.Listen(t)
 	s := &sink{got: make(chan uint64, 1), whole: make(chan bool, 10)}
 	srv := grpc.NewServer()
 	pb.RegisterControlServer(srv, s)
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,14 +15,28 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
+// watchStream is what a fake replica answers a watch on.
+type watchStream = grpc.ServerStreamingServer[pb.WatchEvent]
+
+// whole is the event that carries a whole tree.
+func whole(revision uint64, confirmed bool) *pb.WatchEvent {
+	return &pb.WatchEvent{Revision: revision, SnapshotJson: []byte("{}"), Confirmed: confirmed}
+}
+
+// committed is the leader's answer to a proposal.
+func committed(index uint64) *pb.ProposeReply {
+	return &pb.ProposeReply{Result: &pb.CommandResult{Index: index}}
+}
+
 // fakeReplica answers as it's told to.
 type fakeReplica struct {
 	pb.UnimplementedControlServer
 	mu      sync.Mutex
 	propose func(n int, cmd *pb.Command) (*pb.ProposeReply, error)
-	watch   func(from uint64, out grpc.ServerStreamingServer[pb.WatchEvent]) error
+	watch   func(watchStream) error
 	calls   int
 	opIDs   []string
 }
@@ -35,34 +50,35 @@
 	return f.propose(n, req.Command)
 }
 
-func (f *fakeReplica) Watch(req *pb.WatchRequest, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
-	return f.watch(req.FromRevision, out)
+func (f *fakeReplica) Watch(_ *pb.WatchRequest, out watchStream) error {
+	return f.watch(out)
 }
 
 func serve(t *testing.T, f *fakeReplica) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := testutil.Listen(t)
+	serveOn(t, l, f)
+	return l.Addr().String()
+}
+
+func serveOn(t *testing.T, l net.Listener, f *fakeReplica) {
 	srv := grpc.NewServer()
 	pb.RegisterControlServer(srv, f)
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(srv.Stop)
-	return l.Addr().String()
 }
 
+var insecureDial = grpc.WithTransportCredentials(insecure.NewCredentials())
+
 func newClient(t *testing.T, addresses ...string) *Client {
 	t.Helper()
-	c := New(addresses, []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, nil)
+	c := New(addresses, []grpc.DialOption{insecureDial}, nil)
 	t.Cleanup(c.Close)
 	return c
 }
 
 func TestProposeFollowsHint(t *testing.T) {
-	leader := &fakeReplica{propose: func(int, *pb.Command) (*pb.ProposeReply, error) {
-		return &pb.ProposeReply{Result: &pb.CommandResult{Index: 7}}, nil
-	}}
+	leader := &fakeReplica{propose: func(int, *pb.Command) (*pb.ProposeReply, error) { return committed(7), nil }}
 	leaderAddr := serve(t, leader)
 	follower := &fakeReplica{propose: func(int, *pb.Command) (*pb.ProposeReply, error) {
 		return &pb.ProposeReply{Leader: 1, LeaderAddress: leaderAddr}, nil
@@ -87,7 +103,7 @@
 		if n < 3 {
 			return nil, errors.New("lost")
 		}
-		return &pb.ProposeReply{Result: &pb.CommandResult{Index: 1}}, nil
+		return committed(1), nil
 	}}
 	c := newClient(t, serve(t, f))
 	if _, err := c.Propose(t.Context(), &pb.Command{OpId: "once"}); err != nil {
@@ -154,13 +170,10 @@
 // Cause: the wait for the stream to open had no bound of its own.
 func TestWatchLeavesASourceThatNeverSpeaks(t *testing.T) {
 	t.Parallel()
-	frozen, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	frozen := testutil.Listen(t)
 	defer frozen.Close()
-	healthy := serve(t, &fakeReplica{watch: func(_ uint64, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
-		return out.Send(&pb.WatchEvent{Revision: 1, SnapshotJson: []byte("{}"), Confirmed: true})
+	healthy := serve(t, &fakeReplica{watch: func(out watchStream) error {
+		return out.Send(whole(1, true))
 	}})
 	ctx, cancel := context.WithTimeout(t.Context(), 4*silentAfter)
 	defer cancel()
@@ -176,8 +189,8 @@
 // Cause: the older tree was handed on.
 func TestWatchNeverGoesBack(t *testing.T) {
 	send := func(revision uint64) string {
-		return serve(t, &fakeReplica{watch: func(_ uint64, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
-			_ = out.Send(&pb.WatchEvent{Revision: revision, SnapshotJson: []byte("{}"), Confirmed: true})
+		return serve(t, &fakeReplica{watch: func(out watchStream) error {
+			_ = out.Send(whole(revision, true))
 			return errors.New("lost")
 		}})
 	}
@@ -194,10 +207,8 @@
 	if !errors.Is(err, done) {
 		t.Fatal(err)
 	}
-	for i := 1; i < len(seen); i++ {
-		if seen[i] < seen[i-1] {
-			t.Fatalf("revisions %v", seen)
-		}
+	if !slices.IsSorted(seen) {
+		t.Fatalf("revisions %v", seen)
 	}
 	if seen[len(seen)-1] != 5 {
 		t.Fatalf("revision 5 never came: %v", seen)
--- a/internal/controlclient/group_test.go
+++ b/internal/controlclient/group_test.go
@@ -10,11 +10,11 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/bluebellsail/bluebellsail/internal/apply"
 	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 	"github.com/bluebellsail/bluebellsail/internal/wal/memfs"
 )
 
@@ -27,16 +27,13 @@
 // startProcess runs the replica at members[i] on the disk fs, with the real state machine.
 func startProcess(t *testing.T, members []control.Member, i int, l net.Listener, fs *memfs.FS) process {
 	t.Helper()
-	creds := grpc.WithTransportCredentials(insecure.NewCredentials())
-	tr := control.NewGRPCTransport(members[i].Address, zerolog.Nop(), creds)
+	tr := control.NewGRPCTransport(members[i].Address, zerolog.Nop(), insecureDial)
 	r, err := control.Open(control.Config{
 		Fleet: "test", Host: members[i].Host, ReplicaAddress: members[i].Address, DataDir: "/data", Members: members,
 		TickInterval: 10 * time.Millisecond, SnapshotEntries: 20, StateMachine: apply.New(apply.Options{}),
 		Transport: tr, FS: fs, Logger: zerolog.Nop(), Seed: int64(i + 1),
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	srv := grpc.NewServer()
 	pb.RegisterControlServer(srv, control.NewService(r))
 	go func() { _ = srv.Serve(l) }()
@@ -47,15 +44,6 @@
 	}}
 }
 
-func listen(t *testing.T, address string) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return l
-}
-
 // Symptom: after a host's disk is replaced, the group stays one loss away from
 // standing still until an operator notices.
 // Sequence: a host loses its disk and restarts with its settings unchanged; later another host is lost.
@@ -64,7 +52,7 @@
 	var members []control.Member
 	var listeners []net.Listener
 	for i := range 3 {
-		l := listen(t, "127.0.0.1:0")
+		l := testutil.Listen(t)
 		listeners = append(listeners, l)
 		members = append(members, control.Member{Address: l.Addr().String(), Host: fmt.Sprint("host", i)})
 	}
@@ -97,7 +85,9 @@
 
 	lost := processes[2].replica.ID()
 	processes[2].stop()
-	processes[2] = startProcess(t, members, 2, listen(t, members[2].Address), memfs.New())
+	l, err := net.Listen("tcp", members[2].Address)
+	testutil.NoError(t, err)
+	processes[2] = startProcess(t, members, 2, l, memfs.New())
 	fresh := processes[2].replica
 	for !fresh.Joining() || fresh.ID() == lost {
 		time.Sleep(10 * time.Millisecond)
@@ -105,15 +95,13 @@
 			t.Fatal("the lost disk isn't noticed")
 		}
 	}
-	if err := c.Join(ctx, &pb.Member{Id: fresh.ID(), Address: members[2].Address, Host: members[2].Host}); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, c.Join(ctx, &pb.Member{Id: fresh.ID(), Address: members[2].Address, Host: members[2].Host}))
 	processes[0].stop()
 	change(30, 40)
 
 	enough := errors.New("enough")
 	local := New(nil, nil, fresh)
-	err := local.Watch(ctx, 0, func(e *pb.WatchEvent) error {
+	err = local.Watch(ctx, 0, func(e *pb.WatchEvent) error {
 		if e.Revision == 40 && e.Confirmed {
 			return enough
 		}
--- a/internal/controlclient/silent_test.go
+++ b/internal/controlclient/silent_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // bubble is a network in memory for a synctest bubble.
@@ -28,12 +28,26 @@
 }
 
 func (b *bubble) serve(t *testing.T, address string, f *fakeReplica) {
-	l := bufconn.Listen(1 << 16)
-	b.listeners[address] = l
-	srv := grpc.NewServer()
-	pb.RegisterControlServer(srv, f)
-	go func() { _ = srv.Serve(l) }()
-	t.Cleanup(srv.Stop)
+	b.listeners[address] = bufconn.Listen(1 << 16)
+	serveOn(t, b.listeners[address], f)
+}
+
+// hang keeps a watch open and sends nothing.
+func hang(out watchStream) error {
+	<-out.Context().Done()
+	return out.Context().Err()
+}
+
+// unconfirmed keeps a watch open and never confirms its revision.
+func unconfirmed(out watchStream) error {
+	for {
+		select {
+		case <-time.After(time.Second):
+			_ = out.Send(&pb.WatchEvent{Revision: 1})
+		case <-out.Context().Done():
+			return out.Context().Err()
+		}
+	}
 }
 
 func (b *bubble) client(t *testing.T, addresses ...string) *Client {
@@ -42,7 +56,7 @@
 		targets = append(targets, "passthrough:///"+a)
 	}
 	c := New(targets, []grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		insecureDial,
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			b.mu.Lock()
 			b.dials[address]++
@@ -59,34 +73,17 @@
 // Sequence: the watched source falls silent, or sends on but is cut off from the quorum.
 // Cause: the watch waits on it.
 func TestWatchLeavesSilentAndUnconfirmedSources(t *testing.T) {
-	tail := map[string]func(out grpc.ServerStreamingServer[pb.WatchEvent]) error{
-		"silent": func(out grpc.ServerStreamingServer[pb.WatchEvent]) error {
-			<-out.Context().Done()
-			return out.Context().Err()
-		},
-		"unconfirmed": func(out grpc.ServerStreamingServer[pb.WatchEvent]) error {
-			for {
-				select {
-				case <-time.After(time.Second):
-					_ = out.Send(&pb.WatchEvent{Revision: 1})
-				case <-out.Context().Done():
-					return out.Context().Err()
-				}
-			}
-		},
-	}
-	for name, rest := range tail {
+	for name, rest := range map[string]func(watchStream) error{"silent": hang, "unconfirmed": unconfirmed} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBubble()
-				b.serve(t, "stuck", &fakeReplica{watch: func(_ uint64, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
-					_ = out.Send(&pb.WatchEvent{Revision: 1, SnapshotJson: []byte("{}")})
+				b.serve(t, "stuck", &fakeReplica{watch: func(out watchStream) error {
+					_ = out.Send(whole(1, false))
 					return rest(out)
 				}})
-				b.serve(t, "good", &fakeReplica{watch: func(_ uint64, out grpc.ServerStreamingServer[pb.WatchEvent]) error {
-					_ = out.Send(&pb.WatchEvent{Revision: 2, SnapshotJson: []byte("{}"), Confirmed: true})
-					<-out.Context().Done()
-					return out.Context().Err()
+				b.serve(t, "good", &fakeReplica{watch: func(out watchStream) error {
+					_ = out.Send(whole(2, true))
+					return hang(out)
 				}})
 				c := b.client(t, "good", "stuck") // the second is tried first
 				done := errors.New("done")
@@ -122,15 +119,14 @@
 			if n == 1 {
 				<-release
 			}
-			return &pb.ProposeReply{Result: &pb.CommandResult{Index: 1}}, nil
+			return committed(1), nil
 		}}
 		b.serve(t, "leader", f)
 		c := b.client(t, "leader")
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		if _, err := c.Propose(ctx, &pb.Command{OpId: "a"}); err != nil {
-			t.Fatal(err)
-		}
+		_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
+		testutil.NoError(t, err)
 		if b.dials["leader"] != 2 {
 			t.Fatalf("%d connections", b.dials["leader"])
 		}
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -3,25 +3,18 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20", "rapid.nofailfile": "true", "rapid.steps": "200", "rapid.checks": "300"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	testutil.RunRapid(m, map[string]string{"rapid.seed": "20", "rapid.nofailfile": "true", "rapid.steps": "200", "rapid.checks": "300"})
 }
 
 // testHolder is an honest entry host: it spends only what it holds.
@@ -463,13 +456,9 @@
 func (f *fleet) restore(t *rapid.T) {
 	data := imageOf(t, f.ledger)
 	var im Image
-	if err := json.Unmarshal(data, &im); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, json.Unmarshal(data, &im))
 	f.ledger = New(Options{})
-	if err := f.ledger.Restore(im); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, f.ledger.Restore(im))
 	if again := imageOf(t, f.ledger); !bytes.Equal(data, again) {
 		t.Fatalf("restored from\n%s\nis\n%s", data, again)
 	}
@@ -477,18 +466,14 @@
 
 func imageOf(t *rapid.T, s *State) []byte {
 	data, err := json.Marshal(s.Image())
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	return data
 }
 
 // check compares the ledger with the oracle and with what the holders could spend.
 func (f *fleet) check(t *rapid.T) {
 	b, err := f.ledger.Budget(testBudget)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	if b.Funded != f.funded || b.Billed != f.billed || b.Bills != uint64(len(f.paid)) {
 		t.Fatalf("ledger has funded %d, billed %d in %d bills; oracle %d, %d, %d",
 			b.Funded, b.Billed, b.Bills, f.funded, f.billed, len(f.paid))
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const testStart = 1_000_000_000
@@ -39,32 +40,22 @@
 func (r *rig) restore() {
 	r.t.Helper()
 	data, err := json.Marshal(r.ledger.Image())
-	if err != nil {
-		r.t.Fatal(err)
-	}
+	testutil.NoError(r.t, err)
 	var im Image
-	if err := json.Unmarshal(data, &im); err != nil {
-		r.t.Fatal(err)
-	}
-	if err := r.ledger.Restore(im); err != nil {
-		r.t.Fatal(err)
-	}
+	testutil.NoError(r.t, json.Unmarshal(data, &im))
+	testutil.NoError(r.t, r.ledger.Restore(im))
 }
 
 func (r *rig) register(host string) *pb.Holder {
 	res, err := r.ledger.RegisterHost(r.record(), &pb.RegisterHost{Host: host, BootId: fmt.Sprint(r.index)})
-	if err != nil {
-		r.t.Fatal(err)
-	}
+	testutil.NoError(r.t, err)
 	return res.Holder
 }
 
 func (r *rig) acquire(h *pb.Holder, seq, need, want uint64) uint64 {
 	r.t.Helper()
 	res, err := r.ledger.Acquire(&pb.Acquire{Holder: h, Budget: testBudget, Seq: seq, Need: need, Want: want})
-	if err != nil {
-		r.t.Fatal(err)
-	}
+	testutil.NoError(r.t, err)
 	return res.Amount
 }
 
@@ -81,17 +72,13 @@
 func (r *rig) bill(h *pb.Holder, identity string, tokens uint64, arrived int64) (duplicate bool) {
 	r.t.Helper()
 	res, err := r.settle(h, &pb.Settle{Bills: []*pb.Bill{{Budget: testBudget, Identity: identity, Tokens: tokens, TimeMs: arrived}}})
-	if err != nil {
-		r.t.Fatal(err)
-	}
+	testutil.NoError(r.t, err)
 	return len(res.Duplicates) > 0
 }
 
 func (r *rig) level(granted ...uint64) string {
 	b, err := r.ledger.Budget(testBudget)
-	if err != nil {
-		r.t.Fatal(err)
-	}
+	testutil.NoError(r.t, err)
 	got := []uint64{}
 	for _, g := range b.Granted {
 		got = append(got, g.Tokens)
@@ -312,9 +299,7 @@
 	r.bill(h, "a", 10, 1)
 	b := &pb.Settle{Bills: []*pb.Bill{{Budget: testBudget, Identity: "a", Tokens: 10, TimeMs: 1}}}
 	first, err := r.settle(h, b)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	r.restore()
 	again, resend, err := r.ledger.Settle(r.record(), b)
 	if err != nil || !resend || fmt.Sprint(first) != fmt.Sprint(again) || len(first.Duplicates) != 1 {
--- a/internal/ledger/remove_test.go
+++ b/internal/ledger/remove_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // Symptom: a running host gets no grants and is refused as removed.
@@ -23,9 +24,7 @@
 	if err := s.Live(second); err != nil {
 		t.Fatalf("the present run is not live: %v", err)
 	}
-	if err := s.RemoveHost(&pb.RemoveHost{Host: "a", Incarnation: second.Incarnation}); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, s.RemoveHost(&pb.RemoveHost{Host: "a", Incarnation: second.Incarnation}))
 	if s.Live(second) == nil {
 		t.Fatal("the run that left still counts as live")
 	}
@@ -35,8 +34,6 @@
 func registered(t *testing.T, s *State, boot uint64) *pb.Holder {
 	t.Helper()
 	res, err := s.RegisterHost(Record{Index: boot, Now: int64(boot)}, &pb.RegisterHost{Host: "a", BootId: strconv.FormatUint(boot, 10)})
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	return res.GetHolder()
 }
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 func members(ids ...uint64) *pb.Members {
@@ -21,9 +22,7 @@
 func start(t *testing.T, st State) *Raft {
 	t.Helper()
 	r, err := New(Config{ID: 1, ElectionTicks: simElection, HeartbeatTicks: 1, Rand: rand.New(rand.NewSource(1))}, st)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	return r
 }
 
--- a/internal/raft/rapid_test.go
+++ b/internal/raft/rapid_test.go
@@ -1,29 +1,18 @@
 package raft
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // TestMain fixes the seed and the bounds of the stateful run.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{
-		"rapid.seed": "20261202", "rapid.checks": "120", "rapid.steps": "300", "rapid.nofailfile": "true", "rapid.shrinktime": "5s",
-	} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	testutil.RunRapid(m, map[string]string{"rapid.seed": "20261202", "rapid.checks": "120", "rapid.steps": "300", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"})
 }
 
 // faults draws the actions of the stateful run against one simulated group.
--- a/internal/settings/machine_test.go
+++ b/internal/settings/machine_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
@@ -12,16 +10,11 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20", "rapid.nofailfile": "true", "rapid.steps": "60"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	testutil.RunRapid(m, map[string]string{"rapid.seed": "20", "rapid.nofailfile": "true", "rapid.steps": "60"})
 }
 
 // sent is one change as an operator sent it, with the first answer it got.
@@ -95,9 +88,7 @@
 		t.Fatalf("no changes since %d", from)
 	}
 	next, err := o.host.Apply(changes)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	if !bytes.Equal(snapshotOf(t, next), snapshotOf(t, o.machine.View())) {
 		t.Fatal("the host that watched holds another tree")
 	}
@@ -106,13 +97,9 @@
 
 func (o *operators) restart(t *rapid.T) {
 	im, err := o.machine.Image()
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	o.machine = New()
-	if err := o.machine.Restore(im); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, o.machine.Restore(im))
 }
 
 func (o *operators) check(t *rapid.T) {
@@ -127,13 +114,9 @@
 	}
 }
 
-type fataler interface{ Fatal(args ...any) }
-
-func snapshotOf(t fataler, v *View) []byte {
+func snapshotOf(t testutil.TB, v *View) []byte {
 	data, err := v.SnapshotJSON()
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	return data
 }
 
@@ -159,9 +142,7 @@
 	t.Helper()
 	opID := fmt.Sprint("op", m.View().Revision(), path, value)
 	r, _, err := m.Set(&pb.SetConfig{Path: path, ValueJson: []byte(value), AnyVersion: true}, opID, "operator", 1)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	return r
 }
 
@@ -312,9 +293,7 @@
 	elsewhere := &pb.SetConfig{Path: "/teams/y", ValueJson: []byte(`{"copies":1}`), AnyVersion: true}
 	otherValue := &pb.SetConfig{Path: "/teams/x", ValueJson: []byte(`{"copies":2}`), ExpectedVersion: 1}
 	want, _, err := m.Set(first, "op", "operator", 1)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	if _, _, err := m.Set(elsewhere, "op", "operator", 1); !errkind.Is(err, errkind.KeyConflict) {
 		t.Errorf("got %v", err)
 	}
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 	"github.com/bluebellsail/bluebellsail/internal/wal/memfs"
 )
 
@@ -15,13 +16,9 @@
 func store(t *testing.T, fs *memfs.FS, indexes ...uint64) *Store {
 	t.Helper()
 	s, err := Open(fs, dir)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	for _, index := range indexes {
-		if err := s.Save(&pb.Snapshot{Index: index, Term: 1, Data: []byte("state")}); err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, s.Save(&pb.Snapshot{Index: index, Term: 1, Data: []byte("state")}))
 	}
 	return s
 }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 	"github.com/bluebellsail/bluebellsail/internal/wal"
 	"github.com/bluebellsail/bluebellsail/internal/wal/memfs"
 )
@@ -18,9 +19,7 @@
 func open(t testing.TB, fs wal.FS, opts wal.Options) (*wal.Log, wal.Contents) {
 	t.Helper()
 	l, c, err := wal.Open(fs, dir, opts)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	return l, c
 }
 
@@ -34,9 +33,7 @@
 
 func write(t testing.TB, l *wal.Log, from, to, term uint64) {
 	t.Helper()
-	if err := l.Append(&pb.HardState{Term: term, Commit: from - 1}, entries(from, to, term)); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, l.Append(&pb.HardState{Term: term, Commit: from - 1}, entries(from, to, term)))
 }
 
 // terms lists the terms of the entries, which must be contiguous.
@@ -66,9 +63,7 @@
 			if got := fmt.Sprint(terms(t, c)); got != "[1 1 1 1 2 2 3 3]" || c.Hard.Term != 3 {
 				t.Fatalf("terms %s, hard state %v", got, c.Hard)
 			}
-			if err := l.Reset(&pb.HardState{Term: 4}); err != nil {
-				t.Fatal(err)
-			}
+			testutil.NoError(t, l.Reset(&pb.HardState{Term: 4}))
 			write(t, l, 21, 22, 4)
 			_, c = open(t, fs, wal.Options{})
 			if got := fmt.Sprint(terms(t, c)); got != "[4 4]" || c.Entries[0].Index != 21 {
@@ -162,9 +157,7 @@
 		}
 	}
 	open(t, fs, wal.Options{})
-	if err := fs.Remove(filepath.Join(dir, names[1])); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, fs.Remove(filepath.Join(dir, names[1])))
 	if _, _, err := wal.Open(fs, dir, wal.Options{}); err == nil {
 		t.Fatal("started with a segment missing")
 	}
@@ -188,24 +181,16 @@
 	if err := l.Append(&pb.HardState{Term: 2}, nil); err != nil {
 		t.Fatalf("a full log must still take a vote: %v", err)
 	}
-	if err := l.Cut(); err != nil {
-		t.Fatal(err)
-	}
-	if err := l.Release(n - 5); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, l.Cut())
+	testutil.NoError(t, l.Release(n-5))
 	fs.Crash(nil)
 	l, c := open(t, fs, wal.Options{})
 	write(t, l, n, n, 2)
 	if c.Entries[0].Index > n-4 || c.Entries[0].Index == 1 || c.Hard.GetTerm() != 2 {
 		t.Fatalf("after release the log starts at %d, hard state %v", c.Entries[0].Index, c.Hard)
 	}
-	if err := l.Cut(); err != nil {
-		t.Fatal(err)
-	}
-	if err := l.Release(n); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, l.Cut())
+	testutil.NoError(t, l.Release(n))
 	if _, c = open(t, fs, wal.Options{}); len(c.Entries) != 0 || c.Hard.GetTerm() != 2 {
 		t.Fatalf("all released, and there are %d entries and hard state %v", len(c.Entries), c.Hard)
 	}
@@ -223,9 +208,7 @@
 					es = append(es, &pb.LogEntry{Index: next, Term: 1, Data: data})
 					next++
 				}
-				if err := l.Append(&pb.HardState{Term: 1, Commit: next}, es); err != nil {
-					b.Fatal(err)
-				}
+				testutil.NoError(b, l.Append(&pb.HardState{Term: 1, Commit: next}, es))
 			}
 			b.ReportMetric(float64(l.Bytes())/float64(next-1), "bytes/entry")
 			b.ReportMetric(float64(next-1)/b.Elapsed().Seconds(), "entries/s")
