--- a/internal/adminapi/answer.go
+++ b/internal/adminapi/answer.go
@@ -6,13 +6,11 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
-	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
 // tagged answers carry the version of the subtree they show as the header ETag,
@@ -65,15 +63,3 @@
 	}
 	return nil
 }
-
-// refusal turns an error that crossed a process boundary into the one it was; nil
-// for nil.
-func refusal(e *pb.Error) error {
-	if e == nil {
-		return nil
-	}
-	r := errkind.New(errkind.Kind(e.GetKind()), "%s", e.GetMessage()).At(e.GetPath())
-	r.RetryAfter = time.Duration(e.GetRetryAfterMs()) * time.Millisecond
-	r.PresentVersion = e.GetPresentVersion()
-	return r
-}
--- a/internal/adminapi/auth.go
+++ b/internal/adminapi/auth.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/bluebellsail/bluebellsail/internal/bearer"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
@@ -12,7 +13,7 @@
 
 // actor returns the name of the operator whose key r bears.
 func (h *Handler) actor(r *http.Request) (string, error) {
-	key, ok := settings.BearerKey(r)
+	key, ok := bearer.Key(r)
 	if !ok {
 		return "", errkind.New(errkind.Unauthenticated, "give an operator's key as Authorization: Bearer KEY")
 	}
--- a/internal/adminapi/fleet.go
+++ b/internal/adminapi/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 var healthNames = map[pb.HostHealth]string{
@@ -180,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := refusal(reply.GetError()); err != nil {
+	if err := wire.DecodeError(reply.GetError()); err != nil {
 		return nil, err
 	}
 	return groupView(reply.GetGroup()), nil
--- a/internal/adminapi/group.go
+++ b/internal/adminapi/group.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // propose commits c under the request's operation id.
@@ -21,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := refusal(res.GetError()); err != nil {
+	if err := wire.DecodeError(res.GetError()); err != nil {
 		return nil, err
 	}
 	return res, nil
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := refusal(res.GetError()); err != nil {
+	if err := wire.DecodeError(res.GetError()); err != nil {
 		return nil, err
 	}
 	return res, nil
--- a/internal/adminapi/group_test.go
+++ b/internal/adminapi/group_test.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/apply"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // fakeGroup is the control group's state machine without consensus, with faults.
@@ -41,7 +42,7 @@
 		g.loseAnswer = false
 		return nil, errkind.New(errkind.NoQuorum, "no answer")
 	}
-	return res, refusal(res.GetError())
+	return res, wire.DecodeError(res.GetError())
 }
 
 func (g *fakeGroup) Read(_ context.Context, q *pb.Query) (*pb.QueryResult, error) {
@@ -54,7 +55,7 @@
 	if q.GetMembers() != nil {
 		res.Group = &pb.GroupStatus{Leader: 2, Members: []*pb.MemberStatus{{Member: &pb.Member{Id: 2, Host: "h2"}}}}
 	}
-	if err := refusal(res.GetError()); err != nil {
+	if err := wire.DecodeError(res.GetError()); err != nil {
 		return nil, err
 	}
 	return res, nil
--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 const operatorKey = "op-key-of-the-tests"
@@ -427,14 +428,14 @@
 }
 
 func TestRefusalKeepsItsFieldsAcrossProcesses(t *testing.T) {
-	e := errkind.From(refusal(&pb.Error{Kind: "overloaded", Message: "m", Path: "/p", RetryAfterMs: 1500, PresentVersion: 3}))
+	e := errkind.From(wire.DecodeError(&pb.Error{Kind: "overloaded", Message: "m", Path: "/p", RetryAfterMs: 1500, PresentVersion: 3}))
 	w := httptest.NewRecorder()
 	writeError(w, e)
 	want := `{"error":{"kind":"overloaded","message":"m","ran":"no","retry":"after","retry_after_ms":1500,"path":"/p","present_version":3}}`
 	if w.Body.String() != want || w.Header().Get("Retry-After") != "2" || w.Code != 429 {
 		t.Errorf("%d %v\n%s", w.Code, w.Header(), w.Body)
 	}
-	if refusal(nil) != nil {
+	if wire.DecodeError(nil) != nil {
 		t.Error("no error became one")
 	}
 	if got := fmt.Sprint(e.RetryAfter); got != "1.5s" {
--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // Options bound the state's memory. Every replica of a group must use the same, as
@@ -96,7 +97,7 @@
 	result := &pb.CommandResult{Index: index}
 	r := ledger.Record{Index: index, Now: s.now, OpID: cmd.GetOpId(), Actor: cmd.GetActor()}
 	if err := s.dispatch(r, cmd, result); err != nil {
-		result.Error = protoError(err)
+		result.Error = wire.EncodeError(err)
 	}
 	return result
 }
@@ -212,12 +213,3 @@
 	s.claims.SetWindow(fleetWindow)
 	return nil
 }
-
-// protoError turns a refusal into its form on the wire.
-func protoError(err error) *pb.Error {
-	e := errkind.From(err)
-	return &pb.Error{
-		Kind: string(e.Kind), Message: e.Message, Path: e.Path,
-		RetryAfterMs: e.RetryAfter.Milliseconds(), PresentVersion: e.PresentVersion,
-	}
-}
--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -9,6 +9,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/ledger/window"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // DefaultOperations is how many operators' operations are remembered with their
@@ -61,7 +62,7 @@
 	}
 	if r.print != fingerprint(cmd) {
 		e := errkind.New(errkind.KeyConflict, "operation id %q was used for another operation", cmd.OpId)
-		return &pb.CommandResult{Index: result.Index, Error: protoError(e)}, true
+		return &pb.CommandResult{Index: result.Index, Error: wire.EncodeError(e)}, true
 	}
 	result.Resend = true
 	return result, true
--- a/internal/apply/query.go
+++ b/internal/apply/query.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // Query answers a read. The replica makes sure that it may (lease) and fills in
@@ -10,7 +11,7 @@
 func (s *State) Query(q *pb.Query) *pb.QueryResult {
 	out := &pb.QueryResult{Revision: s.View().Revision()}
 	if err := s.query(q, out); err != nil {
-		out.Error = protoError(err)
+		out.Error = wire.EncodeError(err)
 	}
 	return out
 }
--- a/internal/callerapi/servers.go
+++ b/internal/callerapi/servers.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/bluebellsail/bluebellsail/internal/backend"
+	"github.com/bluebellsail/bluebellsail/internal/bearer"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -55,7 +56,7 @@
 // server of his own and is sent other accounts' prompts.
 func (a *API) fromServer(r *http.Request, limit int64) ([]byte, error) {
 	if hashes := a.deps.Settings.Fleet().AnnounceKeyHashes; len(hashes) > 0 {
-		key, _ := settings.BearerKey(r)
+		key, _ := bearer.Key(r)
 		if !settings.ContainsHash(hashes, settings.HashKey(key)) {
 			return nil, errkind.New(errkind.Unauthenticated, "backend servers announce themselves with a key here")
 		}
--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
 // NotLeaderError says that this replica can't take a proposal or answer a read;
@@ -38,29 +37,6 @@
 		"the control group's log holds %d bytes and its cap is %d, nothing was appended", bytes, limit).After(time.Second)
 }
 
-// ToWire turns an error into the form that crosses a process boundary.
-func ToWire(err error) *pb.Error {
-	e := errkind.From(err)
-	if e == nil {
-		return nil
-	}
-	return &pb.Error{
-		Kind: string(e.Kind), Message: e.Message, Path: e.Path,
-		RetryAfterMs: e.RetryAfter.Milliseconds(), PresentVersion: e.PresentVersion,
-	}
-}
-
-// FromWire turns an error that crossed a process boundary back into a refusal; nil for nil.
-func FromWire(e *pb.Error) error {
-	if e == nil {
-		return nil
-	}
-	return &errkind.Error{
-		Kind: errkind.Kind(e.Kind), Message: e.Message, Path: e.Path,
-		RetryAfter: time.Duration(e.RetryAfterMs) * time.Millisecond, PresentVersion: e.PresentVersion,
-	}
-}
-
 // refusal is the error as a refusal of its kind.
 func (e *NotLeaderError) refusal() *errkind.Error {
 	return errkind.New(errkind.NoQuorum, "%s", e.Error()).WithRan(errkind.RanNo)
--- a/internal/controlclient/attempt.go
+++ b/internal/controlclient/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // answer is what one attempt at one replica gave. Exactly one of these holds:
@@ -31,7 +32,7 @@
 	if errors.As(err, &nl) {
 		return answer[T]{notLeader: true, hint: nl.Address}
 	}
-	return answer[T]{value: value, refusal: control.ToWire(err)}
+	return answer[T]{value: value, refusal: wire.EncodeError(err)}
 }
 
 func (c *Client) proposeAt(ctx context.Context, target string, cmd *pb.Command) answer[*pb.CommandResult] {
--- a/internal/controlclient/calls.go
+++ b/internal/controlclient/calls.go
@@ -7,9 +7,9 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
-	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 const (
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return res, control.FromWire(res.GetError())
+	return res, wire.DecodeError(res.GetError())
 }
 
 // Read answers a query linearizably, from the leader.
@@ -69,7 +69,7 @@
 			case a.refusal != nil && unknown && overloaded(a.refusal):
 				// An earlier attempt may have got in: "did not run" would be untrue.
 			case a.refusal != nil:
-				return zero, backoff.Permanent(control.FromWire(a.refusal))
+				return zero, backoff.Permanent(wire.DecodeError(a.refusal))
 			default:
 				return a.value, nil
 			}
--- a/internal/controller/grants/calls.go
+++ b/internal/controller/grants/calls.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/grant"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // metrics counts reservations, refusals by kind, messages and transfers of this process.
@@ -44,7 +45,7 @@
 
 // applied is the refusal of the ledger itself: the command was committed and changed
 // nothing.
-type applied struct{ refusal *errkind.Error }
+type applied struct{ refusal error }
 
 // Error implements error.
 func (a applied) Error() string { return a.refusal.Error() }
@@ -61,8 +62,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if e := result.GetError(); e != nil {
-		return nil, applied{errkind.New(errkind.Kind(e.GetKind()), "%s", e.GetMessage())}
+	if err := wire.DecodeError(result.GetError()); err != nil {
+		return nil, applied{err}
 	}
 	return result, nil
 }
@@ -163,7 +164,7 @@
 	m.mu.Unlock()
 	switch {
 	case refuse:
-		return &pb.AskTokensReply{Error: wireError(grant.RefuseReason())}
+		return &pb.AskTokensReply{Error: wire.EncodeError(grant.RefuseReason())}
 	case copying:
 		return m.give(t)
 	default:
@@ -191,7 +192,7 @@
 	defer cancelUndo()
 	if err := m.cfg.Recorder.AbandonTransfer(undoCtx, t); err != nil {
 		m.noteTransfer("transfer-stuck", t, err)
-		return &pb.AskTokensReply{Error: wireError(grant.RefuseReason())}
+		return &pb.AskTokensReply{Error: wire.EncodeError(grant.RefuseReason())}
 	}
 	m.step(func(now time.Time) grant.Output { return m.holder.GiveUndone(now, t.GetId()) })
 	m.noteTransfer("transfer-undone", t, copyErr)
@@ -226,7 +227,3 @@
 	m.cfg.Log.Info().Str("event", event).Str("budget", t.GetBudget()).Str("to", t.GetTo().GetHost()).
 		Str("id", t.GetId()).Uint64("tokens", t.GetTokens()).AnErr("error", err).Send()
 }
-
-func wireError(e *errkind.Error) *pb.Error {
-	return &pb.Error{Kind: string(e.Kind), Message: e.Message, RetryAfterMs: e.RetryAfter.Milliseconds()}
-}
--- a/internal/controller/placement/operator.go
+++ b/internal/controller/placement/operator.go
@@ -6,6 +6,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/placement"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // Reader reads the control group's state at its leader.
@@ -44,8 +45,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if e := done.GetError(); e != nil {
-		return nil, errkind.New(errkind.Kind(e.Kind), "%s", e.Message)
+	if err := wire.DecodeError(done.GetError()); err != nil {
+		return nil, err
 	}
 	fence := done.GetPlaceOrder().GetFence()
 	if _, err := p.controller.send(ctx, order, fence); err != nil {
--- a/internal/controller/placement/placement.go
+++ b/internal/controller/placement/placement.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/placement"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // DefaultInterval is the time between two looks at what is wanted and what is there.
@@ -173,8 +174,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if e := result.GetError(); e != nil {
-		return 0, errkind.New(errkind.Kind(e.GetKind()), "%s", e.GetMessage())
+	if err := wire.DecodeError(result.GetError()); err != nil {
+		return 0, err
 	}
 	fence = result.GetPlaceOrder().GetFence()
 	if fence == 0 {
--- a/internal/controller/placement/placement_test.go
+++ b/internal/controller/placement/placement_test.go
@@ -104,14 +104,14 @@
 	refused int
 }
 
-type wire struct {
+type engineWire struct {
 	platform *platform
 	mu       sync.Mutex
 	delay    time.Duration
 	status   int
 }
 
-func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
+func (w *engineWire) RoundTrip(r *http.Request) (*http.Response, error) {
 	w.mu.Lock()
 	delay, status := w.delay, w.status
 	w.mu.Unlock()
@@ -122,7 +122,7 @@
 	return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
 }
 
-func (w *wire) slow(d time.Duration) {
+func (w *engineWire) slow(d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.delay = d
@@ -182,8 +182,8 @@
 }
 
 // host starts a placement controller until the test ends.
-func (p *platform) host(t *testing.T, name string) (*seat, *wire, *Controller) {
-	s, w := &seat{group: p.group}, &wire{platform: p}
+func (p *platform) host(t *testing.T, name string) (*seat, *engineWire, *Controller) {
+	s, w := &seat{group: p.group}, &engineWire{platform: p}
 	c := New(Config{
 		Planner:    placement.Config{ViewSettle: time.Second, Rest: time.Second, EffectTimeout: 3 * time.Second},
 		Leadership: s, Proposer: s, Servers: p, Settings: p,
--- a/internal/controller/records/serve.go
+++ b/internal/controller/records/serve.go
@@ -6,6 +6,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/inflight"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // HandlePut stores copies for a peer. Every record is tried; the reply carries the
@@ -17,7 +18,7 @@
 	for _, rec := range req.GetRecords() {
 		err := c.take(rec, req.GetFrom())
 		if err != nil && reply.Error == nil {
-			reply.Error = wireError(errkind.From(err))
+			reply.Error = wire.EncodeError(err)
 		}
 	}
 	return reply
@@ -51,7 +52,7 @@
 	defer c.mu.Unlock()
 	dead := req.GetDead()
 	if dead.GetHost() == c.self.GetHost() && dead.GetIncarnation() == c.self.GetIncarnation() {
-		return &pb.GatherReply{Self: c.self, Error: wireError(errkind.New(errkind.BadRequest, "holder %s/%d is alive", dead.GetHost(), dead.GetIncarnation()))}
+		return &pb.GatherReply{Self: c.self, Error: wire.EncodeError(errkind.New(errkind.BadRequest, "holder %s/%d is alive", dead.GetHost(), dead.GetIncarnation()))}
 	}
 	reply := &pb.GatherReply{Self: c.self, Records: c.store.Gather(time.Now(), dead)}
 	if c.grants != nil {
@@ -61,7 +62,3 @@
 		Int("records", len(reply.Records)).Int("transfers", len(reply.Transfers)).Send()
 	return reply
 }
-
-func wireError(e *errkind.Error) *pb.Error {
-	return &pb.Error{Kind: string(e.Kind), Message: e.Message, RetryAfterMs: e.RetryAfter.Milliseconds()}
-}
--- a/internal/controller/repair/repair.go
+++ b/internal/controller/repair/repair.go
@@ -10,8 +10,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // Control is the control group.
@@ -216,8 +216,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if e := r.GetError(); e != nil {
-		return nil, errkind.New(errkind.Kind(e.GetKind()), "%s", e.GetMessage())
+	if err := wire.DecodeError(r.GetError()); err != nil {
+		return nil, err
 	}
 	return r.GetRecoverHolder(), nil
 }
--- a/internal/daemon/explain.go
+++ b/internal/daemon/explain.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"time"
 
-	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // explainTimeout bounds the question to one peer.
@@ -60,5 +60,5 @@
 // HandleExplain implements peerservice.Explainer.
 func (e *entry) HandleExplain(r *pb.ExplainRequest) *pb.ExplainReply {
 	found, err := e.explain.JSON(r.GetId())
-	return &pb.ExplainReply{Json: found, Error: control.ToWire(err)}
+	return &pb.ExplainReply{Json: found, Error: wire.EncodeError(err)}
 }
--- a/internal/daemon/group.go
+++ b/internal/daemon/group.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
-	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // group is the control group as the operators' API and the grants see it: a refusal
@@ -27,7 +27,7 @@
 func (g group) Read(ctx context.Context, q *pb.Query) (*pb.QueryResult, error) {
 	res, err := g.client.Read(ctx, q)
 	if err != nil && !errkind.Is(err, errkind.NoQuorum) {
-		return &pb.QueryResult{Error: control.ToWire(err)}, nil
+		return &pb.QueryResult{Error: wire.EncodeError(err)}, nil
 	}
 	return res, err
 }
--- a/internal/daemon/repair.go
+++ b/internal/daemon/repair.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 const (
@@ -77,8 +78,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if e := res.GetError(); e != nil {
-		return nil, errkind.New(errkind.Kind(e.Kind), "%s", e.Message)
+	if err := wire.DecodeError(res.GetError()); err != nil {
+		return nil, err
 	}
 	return res.GetHosts(), nil
 }
--- a/internal/filter/identify/identify.go
+++ b/internal/filter/identify/identify.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 
+	"github.com/bluebellsail/bluebellsail/internal/bearer"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
@@ -19,7 +20,7 @@
 	if err := f.Settings.Ready(); err != nil {
 		return err
 	}
-	key, ok := settings.BearerKey(r)
+	key, ok := bearer.Key(r)
 	if !ok {
 		return errkind.New(errkind.Unauthenticated, "no bearer key in the Authorization header")
 	}
