--- a/internal/callerapi/fake_test.go
+++ b/internal/callerapi/fake_test.go
@@ -67,7 +67,7 @@
 	h.client = engineclient.New(engineclient.Config{Dial: f.dial})
 	h.api = New(Deps{Settings: h, Budget: h, Records: h, Hosts: h, Claims: h, Scheduler: h, Retries: h, Explainer: h,
 		Registry: h, Addresses: h, Models: h, CallerClosed: func(http.ResponseWriter) bool { return h.isClosed() },
-		Dispatch: &dispatch.Filter{Client: h.client, Silence: dispatch.FixedSilence{First: time.Second, Gap: time.Second}}})
+		Dispatch: &dispatch.Filter{Client: h.client, Silence: fixedSilence{first: time.Second, gap: time.Second}}})
 	return h
 }
 
@@ -294,3 +294,22 @@
 		_ = e.server.Close()
 	}
 }
+
+// fixedSilence is a dispatch.Silence with the same limits for all servers.
+type fixedSilence struct {
+	// first is the limit before the first token of a run, gap the one after.
+	first, gap time.Duration
+}
+
+func (fixedSilence) Open(time.Time, string, string, time.Duration) {}
+
+func (fixedSilence) Byte(time.Time, string, bool) {}
+
+func (s fixedSilence) Limit(_ time.Time, _ string, begun bool) time.Duration {
+	if begun {
+		return s.gap
+	}
+	return s.first
+}
+
+func (fixedSilence) Close(string) {}
--- a/internal/callerapi/standin_test.go
+++ b/internal/callerapi/standin_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/filter/dispatch"
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 	"github.com/bluebellsail/bluebellsail/internal/standin"
@@ -60,7 +59,7 @@
 			h := f.host("a")
 			h.team.MaxOutputTokens = 12
 			h.team.DefaultTimeout = settings.Duration(3 * time.Second)
-			h.api.deps.Dispatch.Silence = dispatch.FixedSilence{First: 300 * time.Millisecond, Gap: 100 * time.Millisecond}
+			h.api.deps.Dispatch.Silence = fixedSilence{first: 300 * time.Millisecond, gap: 100 * time.Millisecond}
 			s := serve(t, h)
 			res, err := post(s, parse.PathChat, standinBody)
 			if err != nil {
--- a/internal/controller/scheduler/lease.go
+++ b/internal/controller/scheduler/lease.go
@@ -33,7 +33,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.core.FirstToken(l.ticket, d)
-	s.metrics.FirstToken.observe(d)
+	s.process.FirstToken.Observe(d)
 }
 
 // Done implements filter.ServerLease; a second call does nothing.
@@ -47,5 +47,8 @@
 	now := s.now()
 	s.core.Release(now, ticket, sched.End{Whole: o.OK, Output: o.Usage.Output})
 	s.metrics.ended(o)
+	if o.Silent {
+		s.process.SilentConnections.Add(1)
+	}
 	s.step(now)
 }
--- a/internal/controller/scheduler/scheduler.go
+++ b/internal/controller/scheduler/scheduler.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/retry"
 	"github.com/bluebellsail/bluebellsail/internal/sched"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/telemetry"
 )
 
 // sweepEvery is how often an announcement makes the registry drop forgotten servers.
@@ -29,12 +30,15 @@
 	Now func() time.Time
 	// Seed of the sampled choice; give each host its own.
 	Seed int64
+	// Metrics of the process; nil: counted but not published.
+	Metrics *telemetry.Metrics
 }
 
 // Scheduler is safe for concurrent use. Close it when the host ends.
 type Scheduler struct {
 	now     func() time.Time
 	metrics Metrics
+	process *telemetry.Metrics
 
 	mu      sync.Mutex
 	reg     *backend.Registry
@@ -58,9 +62,13 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Metrics == nil {
+		o.Metrics = telemetry.NewMetrics()
+	}
 	reg := backend.New(o.Backend)
 	return &Scheduler{
 		now:     o.Now,
+		process: o.Metrics,
 		reg:     reg,
 		core:    sched.New(o.Sched, reg, rand.New(rand.NewSource(o.Seed))),
 		retries: retry.NewAllowance(),
@@ -112,7 +120,7 @@
 	defer s.mu.Unlock()
 	ok := s.retries.Allow(s.now(), team, r)
 	if !ok {
-		s.metrics.RetriesRefused.Add(1)
+		s.process.RetriesDenied.Add(1)
 	}
 	return ok
 }
@@ -133,7 +141,7 @@
 		return nil, res.Err
 	}
 	s.metrics.Granted.Add(1)
-	s.metrics.QueueWait.observe(res.Grant.Waited)
+	s.process.QueueWait.Observe(res.Grant.Waited)
 	return &lease{scheduler: s, ticket: ticket, server: res.Grant.State, reason: reason(res.Grant)}, nil
 }
 
--- a/internal/controller/scheduler/scheduler_test.go
+++ b/internal/controller/scheduler/scheduler_test.go
@@ -58,10 +58,14 @@
 		if waited := time.Since(started); waited != 100*time.Millisecond {
 			t.Errorf("waited %v, want 100ms", waited)
 		}
-		second.Done(filter.Outcome{OK: true})
+		second.Done(filter.Outcome{OK: true, Silent: true})
 		if n := s.Running(); n != 0 {
 			t.Errorf("%d leases left", n)
 		}
+		wait, silent := s.process.QueueWait.Summary(), s.process.SilentConnections.Value()
+		if wait.Count != 2 || wait.Max < 99_000 || silent != 1 {
+			t.Errorf("queue wait %+v, %d silent connections", wait, silent)
+		}
 	})
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"hash/fnv"
 	"sync/atomic"
 	"time"
@@ -77,6 +78,7 @@
 		Sched:   sched.Config{Host: cfg.Host, Zone: cfg.Zone},
 		Backend: backend.Config{Lapse: cfg.Timing.ServerLapse.Std()},
 		Seed:    int64(seedOf(cfg.Host)),
+		Metrics: d.tel.Metrics,
 	})
 	interval := cfg.Timing.Heartbeat.Std()
 	e.members = members.New(members.Config{
@@ -92,6 +94,7 @@
 	})
 	e.placement = e.newPlacement()
 	d.tel.Metrics.Set("scheduler", e.sched.Metrics().Map())
+	d.tel.Metrics.Set("late_answers_dropped", expvar.Func(func() any { return engineclient.CrossedAnswers.Load() }))
 	return e
 }
 
--- a/internal/daemon/outcomes.go
+++ b/internal/daemon/outcomes.go
@@ -24,6 +24,10 @@
 	o.next.Record(c, status, err)
 	kind := outcomeOf(c, err)
 	o.metrics.Request(kind)
+	o.metrics.Retries.Add(int64(max(c.Attempts-1, 0)))
+	if c.TakenOver {
+		o.metrics.Takeovers.Add(1)
+	}
 	o.observeAdded(c)
 	e := errkind.From(err)
 	event := o.log.Debug()
--- a/internal/filter/dispatch/silence.go
+++ b/internal/filter/dispatch/silence.go
@@ -20,29 +20,6 @@
 	Close(id string)
 }
 
-// FixedSilence is a Silence with the same limits for all servers.
-type FixedSilence struct {
-	// First is the limit before the first token of a run, Gap the one after.
-	First, Gap time.Duration
-}
-
-// Open implements Silence.
-func (FixedSilence) Open(time.Time, string, string, time.Duration) {}
-
-// Byte implements Silence.
-func (FixedSilence) Byte(time.Time, string, bool) {}
-
-// Limit implements Silence.
-func (s FixedSilence) Limit(_ time.Time, _ string, begun bool) time.Duration {
-	if begun {
-		return s.Gap
-	}
-	return s.First
-}
-
-// Close implements Silence.
-func (FixedSilence) Close(string) {}
-
 // Bounds of LearnedSilence.
 const (
 	// unknownFirst is taken for the predicted time to the first token where none is known.
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -131,6 +131,8 @@
 	Record *pb.InflightRecord
 	// Resume names the engine's stream of a former holder that this call takes over.
 	Resume *ResumePoint
+	// TakenOver: this host has taken the record of an earlier run over.
+	TakenOver bool
 	// Answer is what the caller was sent.
 	Answer Answer
 	// Final: no further attempt may be made, since the caller has part of an answer
--- a/internal/filter/idempotency/idempotency.go
+++ b/internal/filter/idempotency/idempotency.go
@@ -106,6 +106,7 @@
 	if err := f.Records.Takeover(r.Context(), c.Record, c.Team.Copies); err != nil {
 		return contextOr(r.Context(), err)
 	}
+	c.TakenOver = true
 	return next.ServeHTTP(w, r)
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,31 +31,19 @@
 }
 
 // Metrics are a process's counters and histograms. All are expvar variables and
-// safe for concurrent use. They count from the start of the process.
+// safe for concurrent use. They count from the start of the process. Those of grants
+// and of in-flight records stand in expvar maps of their own controllers.
 type Metrics struct {
 	requests map[RequestOutcome]*expvar.Int
 	refusals map[errkind.Kind]*expvar.Int
 
-	// Grants and GrantedTokens: grants that the control group committed to this host.
-	Grants, GrantedTokens expvar.Int
-	// Acquires proposed to the control group, with AcquiresFailed among them.
-	Acquires, AcquiresFailed expvar.Int
-	// Settlements: batches acknowledged. SettlementResends: batches sent again.
-	Settlements, SettlementResends expvar.Int
-	// Duplicates: bills that the ledger had already.
-	Duplicates expvar.Int
-	// TransfersIn and TransfersOut: transfers of granted tokens between hosts.
-	TransfersIn, TransfersOut expvar.Int
 	// Retries at another backend server; RetriesDenied by a team's allowance.
 	Retries, RetriesDenied expvar.Int
-	// SilentConnections closed because they gave no byte while a new one worked.
+	// SilentConnections left because they gave no byte for longer than allowed: to
+	// backend servers, and to peers while a new one worked.
 	SilentConnections expvar.Int
-	// RecordsCopied: in-flight records copied to a peer.
-	RecordsCopied expvar.Int
-	// Takeovers: requests of another host resumed or replayed here.
+	// Takeovers: requests of another run, dead or without a whole answer, served here.
 	Takeovers expvar.Int
-	// LateAnswersDropped: answers for a request id that nobody waits for any more.
-	LateAnswersDropped expvar.Int
 	// HeartbeatsSent, HeartbeatsFailed and HeartbeatBytes (sent and received, marshalled).
 	HeartbeatsSent, HeartbeatsFailed, HeartbeatBytes expvar.Int
 	// Orders sent to backend servers, with OrdersFailed among them.
@@ -65,7 +53,7 @@
 	QueueWait *Histogram
 	// FirstTokenAdded is the time to first token less the backend server's own part.
 	FirstTokenAdded *Histogram
-	// FirstToken is the time from arrival to the first token sent to the caller.
+	// FirstToken is the time from dispatch to the first token of a backend server.
 	FirstToken *Histogram
 
 	root *expvar.Map
@@ -109,29 +97,18 @@
 
 func (m *Metrics) named() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"grants":               &m.Grants,
-		"granted_tokens":       &m.GrantedTokens,
-		"acquires":             &m.Acquires,
-		"acquires_failed":      &m.AcquiresFailed,
-		"settlements":          &m.Settlements,
-		"settlement_resends":   &m.SettlementResends,
-		"duplicates":           &m.Duplicates,
-		"transfers_in":         &m.TransfersIn,
-		"transfers_out":        &m.TransfersOut,
-		"retries":              &m.Retries,
-		"retries_denied":       &m.RetriesDenied,
-		"silent_connections":   &m.SilentConnections,
-		"records_copied":       &m.RecordsCopied,
-		"takeovers":            &m.Takeovers,
-		"late_answers_dropped": &m.LateAnswersDropped,
-		"heartbeats_sent":      &m.HeartbeatsSent,
-		"heartbeats_failed":    &m.HeartbeatsFailed,
-		"heartbeat_bytes":      &m.HeartbeatBytes,
-		"orders":               &m.Orders,
-		"orders_failed":        &m.OrdersFailed,
-		"queue_wait":           m.QueueWait,
-		"first_token_added":    m.FirstTokenAdded,
-		"first_token":          m.FirstToken,
+		"retries":            &m.Retries,
+		"retries_denied":     &m.RetriesDenied,
+		"silent_connections": &m.SilentConnections,
+		"takeovers":          &m.Takeovers,
+		"heartbeats_sent":    &m.HeartbeatsSent,
+		"heartbeats_failed":  &m.HeartbeatsFailed,
+		"heartbeat_bytes":    &m.HeartbeatBytes,
+		"orders":             &m.Orders,
+		"orders_failed":      &m.OrdersFailed,
+		"queue_wait":         m.QueueWait,
+		"first_token_added":  m.FirstTokenAdded,
+		"first_token":        m.FirstToken,
 	}
 }
 
