--- a/internal/admincli/client.go
+++ b/internal/admincli/client.go
@@ -112,7 +112,7 @@
 			return decodeAnswer(a.body, out)
 		}
 		if !a.again && (!unknown || decidedByGroup(a.err)) {
-			return &exitError{code: ExitRefused, err: a.err}
+			return &exitError{code: exitRefused, err: a.err}
 		}
 		unknown = unknown || a.unknown
 		if try == 0 || isRefusal(a.err) || (!isRefusal(last) && ctx.Err() == nil) {
@@ -155,7 +155,7 @@
 	case c.changes():
 		end += "; nothing was changed"
 	}
-	return &exitError{code: ExitUnreachable, err: errors.Errorf("%s (last: %v)", end, last)}
+	return &exitError{code: exitUnreachable, err: errors.Errorf("%s (last: %v)", end, last)}
 }
 
 // try sends c to one address.
@@ -213,7 +213,7 @@
 
 func decodeAnswer(body []byte, out any) error {
 	if err := json.Unmarshal(body, out); err != nil {
-		return &exitError{code: ExitUnreachable, err: errors.Wrap(err, "the answer is not understood")}
+		return &exitError{code: exitUnreachable, err: errors.Wrap(err, "the answer is not understood")}
 	}
 	return nil
 }
--- a/internal/admincli/client_test.go
+++ b/internal/admincli/client_test.go
@@ -73,11 +73,11 @@
 		return code, lines[len(lines)-1]
 	}
 	code, last := command("budget", "top-up", "b", "--tokens", "1", "--op-id", "mine")
-	if code != ExitUnreachable || !strings.Contains(last, "interrupted; the outcome is unknown") || !strings.Contains(last, "--op-id mine") {
+	if code != exitUnreachable || !strings.Contains(last, "interrupted; the outcome is unknown") || !strings.Contains(last, "--op-id mine") {
 		t.Errorf("exit code %d, %s", code, last)
 	}
 	code, last = command("budget", "top-up", "b", "--tokens", "1")
-	if code != ExitUnreachable || !strings.Contains(last, "interrupted; nothing was changed") {
+	if code != exitUnreachable || !strings.Contains(last, "interrupted; nothing was changed") {
 		t.Errorf("before anything was sent: exit code %d, %s", code, last)
 	}
 }
--- a/internal/admincli/exit.go
+++ b/internal/admincli/exit.go
@@ -4,14 +4,14 @@
 
 // Exit codes of the program.
 const (
-	// ExitOK: done.
-	ExitOK = 0
-	// ExitRefused: the fleet refused, and nothing was changed.
-	ExitRefused = 1
-	// ExitUsage: the command line or a file that it names is wrong; nothing was sent.
-	ExitUsage = 2
-	// ExitUnreachable: no host could be reached, or the outcome of a change is unknown.
-	ExitUnreachable = 3
+	// exitOK: done.
+	exitOK = 0
+	// exitRefused: the fleet refused, and nothing was changed.
+	exitRefused = 1
+	// exitUsage: the command line or a file that it names is wrong; nothing was sent.
+	exitUsage = 2
+	// exitUnreachable: no host could be reached, or the outcome of a change is unknown.
+	exitUnreachable = 3
 )
 
 // exitError is an error with the exit code it ends the program with.
@@ -24,18 +24,18 @@
 func (e *exitError) Unwrap() error { return e.err }
 
 func usage(format string, args ...any) error {
-	return &exitError{code: ExitUsage, err: errors.Errorf(format, args...)}
+	return &exitError{code: exitUsage, err: errors.Errorf(format, args...)}
 }
 
 // exitCode of a command's error. An error without one comes from parsing the
 // command line.
 func exitCode(err error) int {
 	if err == nil {
-		return ExitOK
+		return exitOK
 	}
 	var e *exitError
 	if errors.As(err, &e) {
 		return e.code
 	}
-	return ExitUsage
+	return exitUsage
 }
--- a/internal/admincli/explain.go
+++ b/internal/admincli/explain.go
@@ -39,7 +39,7 @@
 		if err == nil {
 			return a.print(cmd, &out, func(w io.Writer) { printExplanation(w, out) })
 		}
-		if _, notThere := refusedAs(err, errkind.NotFound); !notThere && exitCode(err) != ExitUnreachable {
+		if _, notThere := refusedAs(err, errkind.NotFound); !notThere && exitCode(err) != exitUnreachable {
 			return err
 		}
 	}
--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -86,7 +86,6 @@
 	Health func() error
 	// Dispatch is the end of the chain.
 	Dispatch *dispatch.Filter
-	Estimate parse.Estimate
 	// AnnounceInterval is what backend servers are told to announce in; 0: a second.
 	AnnounceInterval time.Duration
 	Clock            filter.Clock
@@ -117,7 +116,7 @@
 		who,
 		&limit.Filter{},
 		&deadline.Filter{},
-		&parse.Filter{Settings: d.Settings, Estimate: d.Estimate},
+		&parse.Filter{Settings: d.Settings},
 		&idempotency.Filter{Records: d.Records, Hosts: d.Hosts, Settings: d.Settings, Clock: d.Clock},
 		&settle.Filter{Budget: d.Budget, Records: d.Records, Clock: d.Clock},
 		&budget.Filter{Budget: d.Budget, Clock: d.Clock},
--- a/internal/callerapi/servers.go
+++ b/internal/callerapi/servers.go
@@ -21,7 +21,7 @@
 
 // Bounds of what backend servers send.
 const (
-	DefaultAnnounceInterval = time.Second
+	defaultAnnounceInterval = time.Second
 	maxAnnouncement         = 64 << 10
 	maxCacheEvents          = 1 << 20
 	maxNames                = 1024
@@ -41,7 +41,7 @@
 	body, err := a.fromServer(r, maxAnnouncement)
 	if err == nil {
 		var st *pb.ServerState
-		if st, err = DecodeAnnouncement(body); err == nil {
+		if st, err = decodeAnnouncement(body); err == nil {
 			a.deps.Registry.Announce(st) // an old one changes nothing and is answered all the same
 			a.answerAnnouncement(w, st.Zone)
 			return
@@ -67,7 +67,7 @@
 func (a *API) answerAnnouncement(w http.ResponseWriter, zone string) {
 	interval := a.deps.AnnounceInterval
 	if interval <= 0 {
-		interval = DefaultAnnounceInterval
+		interval = defaultAnnounceInterval
 	}
 	answer := announceAnswer{Hosts: []string{}, IntervalMs: interval.Milliseconds()}
 	for _, h := range a.deps.Addresses.Addresses(zone) {
@@ -76,9 +76,9 @@
 	writeJSON(w, answer)
 }
 
-// DecodeAnnouncement reads an announcement: the fields of pb.ServerState in snake
+// decodeAnnouncement reads an announcement: the fields of pb.ServerState in snake
 // case, times in milliseconds. Unknown fields are passed over.
-func DecodeAnnouncement(body []byte) (*pb.ServerState, error) {
+func decodeAnnouncement(body []byte) (*pb.ServerState, error) {
 	st := &pb.ServerState{}
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(body, st); err != nil {
 		return nil, errkind.New(errkind.BadRequest, "the announcement can't be read: %v", err)
@@ -127,16 +127,16 @@
 
 func clip(s string) string { return s[:min(len(s), maxNameBytes)] }
 
-// CacheReport is what a backend server says of its prefix cache. Events are numbered
+// cacheReport is what a backend server says of its prefix cache. Events are numbered
 // per incarnation; hashes are written in hex.
-type CacheReport struct {
+type cacheReport struct {
 	Address     string        `json:"address"`
 	Incarnation uint64        `json:"incarnation"`
-	Events      []CacheChange `json:"events"`
+	Events      []cacheChange `json:"events"`
 }
 
-// CacheChange is one numbered event.
-type CacheChange struct {
+// cacheChange is one numbered event.
+type cacheChange struct {
 	Seq     uint64   `json:"seq"`
 	Stored  []string `json:"stored,omitempty"`
 	Removed []string `json:"removed,omitempty"`
@@ -152,7 +152,7 @@
 	body, err := a.fromServer(r, maxCacheEvents)
 	if err == nil {
 		var events []backend.CacheEvent
-		if events, err = DecodeCacheEvents(body); err == nil {
+		if events, err = decodeCacheEvents(body); err == nil {
 			var answer cacheAnswer
 			for _, ev := range events {
 				a.deps.Registry.CacheEvent(ev)
@@ -165,9 +165,9 @@
 	httpserver.WriteError(w, "", err)
 }
 
-// DecodeCacheEvents reads a CacheReport.
-func DecodeCacheEvents(body []byte) ([]backend.CacheEvent, error) {
-	var report CacheReport
+// decodeCacheEvents reads a cacheReport.
+func decodeCacheEvents(body []byte) ([]backend.CacheEvent, error) {
+	var report cacheReport
 	if err := json.Unmarshal(body, &report); err != nil {
 		return nil, errkind.New(errkind.BadRequest, "the events can't be read: %v", err)
 	}
--- a/internal/callerapi/servers_test.go
+++ b/internal/callerapi/servers_test.go
@@ -19,7 +19,7 @@
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, body string) {
-		st, err := DecodeAnnouncement([]byte(body))
+		st, err := decodeAnnouncement([]byte(body))
 		if err != nil {
 			return
 		}
@@ -30,7 +30,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if st2, err := DecodeAnnouncement(again); err != nil || !proto.Equal(st, st2) {
+		if st2, err := decodeAnnouncement(again); err != nil || !proto.Equal(st, st2) {
 			t.Fatalf("%s reads back as %v, %v", again, st2, err)
 		}
 	})
@@ -42,7 +42,7 @@
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, body string) {
-		events, err := DecodeCacheEvents([]byte(body))
+		events, err := decodeCacheEvents([]byte(body))
 		for _, ev := range events {
 			if err != nil || checkServer(ev.Server, ev.Incarnation) != nil {
 				t.Fatalf("accepted %+v, %v", ev, err)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -40,6 +40,8 @@
 	fleetEvery = 100 * time.Millisecond
 	// learnEvery is how often the registered hosts are read from the control group.
 	learnEvery = 5 * time.Second
+	// learnTimeout bounds one such read.
+	learnTimeout = time.Second
 	// settleLeast and settleMost bound how long a started host learns of backend
 	// servers before it serves: two announcements at least, and not for ever in a
 	// fleet that has none.
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -119,21 +119,16 @@
 
 // followFleet passes the list of hosts to those who choose among them.
 func (e *entry) followFleet(ctx context.Context) {
-	ticker := time.NewTicker(fleetEvery)
-	defer ticker.Stop()
 	var last []inflight.Host
-	for {
+	pass := func() {
 		if now := e.liveHosts(); !slices.Equal(now, last) {
 			e.records.SetHosts(now)
 			e.sched.SetHosts(hostNames(now))
 			last = now
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
 	}
+	pass()
+	every(ctx, fleetEvery, pass)
 }
 
 // liveHosts are this host and the peers that may take copies of records.
@@ -159,19 +154,12 @@
 // learnHosts reads the registered hosts, so that a host finds peers which no seed and
 // no heartbeat named.
 func (e *entry) learnHosts(ctx context.Context) {
-	ticker := time.NewTicker(learnEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		readCtx, cancel := context.WithTimeout(ctx, time.Second)
+	every(ctx, learnEvery, func() {
+		readCtx, cancel := context.WithTimeout(ctx, learnTimeout)
+		defer cancel()
 		res, err := e.d.client.Read(readCtx, &pb.Query{Body: &pb.Query_Hosts{Hosts: &pb.HostsQuery{}}})
-		cancel()
 		if err == nil {
 			e.members.Learn(res.Hosts)
 		}
-	}
+	})
 }
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -16,18 +16,11 @@
 // Until it holds everything committed it has no vote, and the leader does not report
 // it as repaired.
 func (d *Daemon) keepInGroup(ctx context.Context) {
-	ticker := time.NewTicker(joinEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, joinEvery, func() {
 		if d.replica.Joining() {
 			d.joinGroup(ctx)
 		}
-	}
+	})
 }
 
 func (d *Daemon) joinGroup(ctx context.Context) {
--- a/internal/daemon/repair.go
+++ b/internal/daemon/repair.go
@@ -34,23 +34,16 @@
 		Self: e.holder(), Control: repairGroup{group{e.d.client}}, Peers: gatherers{e}, Requests: e.records,
 		EngineUsage: engineUsage(engineclient.New(engineclient.Config{})), Log: e.d.tel.Log,
 	})
-	ticker := time.NewTicker(repairEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, repairEvery, func() {
 		if !e.repairs() {
-			continue
+			return
 		}
 		lookCtx, cancel := context.WithTimeout(ctx, repairTimeout)
+		defer cancel()
 		if _, err := controller.Reconcile(lookCtx); err != nil {
-			e.d.tel.Log.Debug().Str("event", "recovery-not-looked").Err(err).Send()
+			e.d.tel.Log.Debug().Str("event", "recovery-failed").Err(err).Send()
 		}
-		cancel()
-	}
+	})
 }
 
 // repairs tells whether this host is the first by name of those alive in its view.
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // tasks are the loops of a process. stop ends them and waits.
@@ -22,6 +23,20 @@
 	t.wg.Go(func() { loop(t.ctx) })
 }
 
+// every calls f at each tick of interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
 func (t *tasks) stop() {
 	t.cancel()
 	t.wg.Wait()
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -211,6 +211,18 @@
 	return nil, &Error{Ran: ran, Message: err.Error()}
 }
 
+// exchange is send for orders about a run: an answer that is no success is an error.
+func (c *Client) exchange(ctx context.Context, r Request) (*http.Response, error) {
+	res, err := c.send(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return nil, statusError(res)
+	}
+	return res, nil
+}
+
 func setHeaders(ctx context.Context, req *http.Request, r Request) {
 	if r.ContentType != "" {
 		req.Header.Set("Content-Type", r.ContentType)
@@ -263,13 +275,10 @@
 // Cancel stops a run. It returns the usage if the engine reports it.
 func (c *Client) Cancel(ctx context.Context, address, engineRequestID string) (*Usage, error) {
 	r := Request{Address: address, Method: http.MethodPost, Path: streamPath(engineRequestID) + "/cancel", Fresh: true}
-	res, err := c.send(ctx, r)
+	res, err := c.exchange(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	if res.StatusCode >= http.StatusMultipleChoices {
-		return nil, statusError(res)
-	}
 	defer func() { _ = res.Body.Close() }()
 	var answer struct {
 		Usage *Usage `json:"usage"`
@@ -312,11 +321,11 @@
 	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// ErrOtherAnswer is returned for an answer that names another run: one that came
+// errOtherAnswer is returned for an answer that names another run: one that came
 // late or crossed on the connection. It is dropped.
-var ErrOtherAnswer = errors.New("the answer belongs to another run")
+var errOtherAnswer = errors.New("the answer belongs to another run")
 
-// CrossedAnswers counts answers dropped as ErrOtherAnswer.
+// CrossedAnswers counts answers dropped as errOtherAnswer.
 var CrossedAnswers atomic.Int64
 
 // checkID makes sure that the answer is for this run, by id and not by its position
@@ -328,5 +337,5 @@
 	}
 	CrossedAnswers.Add(1)
 	_ = res.Body.Close()
-	return errors.Wrapf(ErrOtherAnswer, "want %s, got %s", id, got)
+	return errors.Wrapf(errOtherAnswer, "want %s, got %s", id, got)
 }
--- a/internal/engineclient/kv.go
+++ b/internal/engineclient/kv.go
@@ -29,13 +29,10 @@
 func kvPath(id string) string { return "/kv/" + url.PathEscape(id) }
 
 func (c *Client) kv(ctx context.Context, r Request) ([]byte, error) {
-	res, err := c.send(ctx, r)
+	res, err := c.exchange(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	if res.StatusCode >= http.StatusMultipleChoices {
-		return nil, statusError(res)
-	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxKV))
 	if err != nil {
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -18,8 +18,8 @@
 	maxEvent   = 1 << 20
 )
 
-// ErrEventTooLong ends a stream whose engine sends an event over the bound.
-var ErrEventTooLong = errors.New("event over the limit")
+// errEventTooLong ends a stream whose engine sends an event over the bound.
+var errEventTooLong = errors.New("event over the limit")
 
 // Usage of tokens as engines report it.
 type Usage struct {
@@ -85,7 +85,7 @@
 		}
 		s.field(&ev, line)
 		if len(s.data) > maxEvent {
-			return Event{}, ErrEventTooLong
+			return Event{}, errEventTooLong
 		}
 	}
 }
@@ -115,7 +115,7 @@
 	long := append([]byte(nil), line...)
 	for errors.Is(err, bufio.ErrBufferFull) {
 		if len(long) > maxEvent {
-			return nil, ErrEventTooLong
+			return nil, errEventTooLong
 		}
 		line, err = s.r.ReadSlice('\n')
 		long = append(long, line...)
--- a/internal/filter/deadline/deadline.go
+++ b/internal/filter/deadline/deadline.go
@@ -12,10 +12,10 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 )
 
-// Share of the time kept back for the answer's way to the caller, at most MaxMargin.
+// Share of the time kept back for the answer's way to the caller, at most maxMargin.
 const (
 	marginShare = 50
-	MaxMargin   = 10 * time.Millisecond
+	maxMargin   = 10 * time.Millisecond
 )
 
 // Filter puts the deadline on the call and its context.
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	c.Deadline = c.Arrived.Add(timeout - min(timeout/marginShare, MaxMargin))
+	c.Deadline = c.Arrived.Add(timeout - min(timeout/marginShare, maxMargin))
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	return next.ServeHTTP(w, r.WithContext(ctx))
--- a/internal/filter/dispatch/assembly.go
+++ b/internal/filter/dispatch/assembly.go
@@ -85,7 +85,7 @@
 	}
 	ans := &a.c.Answer
 	*ans = filter.Answer{Begun: true, Status: http.StatusOK, ContentType: "application/json", Tokens: ans.Tokens}
-	a.f.keep(ans, body)
+	keep(ans, body)
 	h := a.w.Header()
 	h.Set("Content-Type", ans.ContentType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -24,11 +24,11 @@
 
 const tracerName = "github.com/bluebellsail/bluebellsail/internal/filter/dispatch"
 
-// Defaults of a Filter.
+// Bounds of what is kept and waited for.
 const (
-	// DefaultKeepBytes bounds the answer kept for callers that ask again.
-	DefaultKeepBytes = 256 << 10
-	cancelTimeout    = 2 * time.Second
+	// maxKept bounds the answer kept per call for callers that ask again, in bytes.
+	maxKept       = 256 << 10
+	cancelTimeout = 2 * time.Second
 	// cancelWait is how long an answer waits for the engine's word on what a
 	// cancelled run used.
 	cancelWait = 5 * time.Millisecond
@@ -40,8 +40,6 @@
 	Client  *engineclient.Client
 	Silence Silence
 	Clock   filter.Clock
-	// KeepBytes bounds the answer kept per call; 0: DefaultKeepBytes.
-	KeepBytes int
 
 	behind sync.WaitGroup
 }
@@ -102,15 +100,11 @@
 }
 
 // keep appends to the answer that is kept for callers that ask again.
-func (f *Filter) keep(a *filter.Answer, b []byte) {
-	limit := f.KeepBytes
-	if limit <= 0 {
-		limit = DefaultKeepBytes
-	}
+func keep(a *filter.Answer, b []byte) {
 	if a.Truncated {
 		return
 	}
-	if len(a.Body)+len(b) > limit {
+	if len(a.Body)+len(b) > maxKept {
 		a.Truncated, a.Body = true, nil
 		return
 	}
--- a/internal/filter/dispatch/relay.go
+++ b/internal/filter/dispatch/relay.go
@@ -104,7 +104,7 @@
 	if len(r.out) == 0 {
 		return
 	}
-	r.f.keep(&r.c.Answer, r.out)
+	keep(&r.c.Answer, r.out)
 	_, _ = r.w.Write(r.out) // a caller that is gone is noticed by its connection
 	r.out = r.out[:0]
 	if fl, ok := r.w.(http.Flusher); ok {
--- a/internal/filter/dispatch/service.go
+++ b/internal/filter/dispatch/service.go
@@ -59,7 +59,7 @@
 
 func (f *Filter) writeService(w http.ResponseWriter, c *filter.Call, a *engineclient.Answer) {
 	c.Answer = filter.Answer{Begun: true, Status: a.Status, ContentType: a.ContentType}
-	f.keep(&c.Answer, a.Body)
+	keep(&c.Answer, a.Body)
 	h := w.Header()
 	if a.ContentType != "" {
 		h.Set("Content-Type", a.ContentType)
--- a/internal/filter/parse/model.go
+++ b/internal/filter/parse/model.go
@@ -59,7 +59,7 @@
 	c.Method = http.MethodPost
 	c.ContentType = "application/json"
 	c.BodyHash = hash(c.Method, c.Path, "", body)
-	c.PromptTokens = f.Estimate.Prompt(len(body), p.messages)
+	c.PromptTokens = promptBound(len(body), p.messages)
 	c.PromptHashes = PrefixHashes(c.Model, p.text)
 	c.Reserved = c.PromptTokens + c.OutputCap
 	c.Body, err = req.forEngine(c.OutputCap)
--- a/internal/filter/parse/parse.go
+++ b/internal/filter/parse/parse.go
@@ -21,38 +21,22 @@
 	PrefixServices  = "/services/"
 )
 
-// Defaults of Estimate.
+// The worst case of a prompt is reckoned from the request's body. It must not
+// undercount for any engine of the fleet: a stream is cut when it passes its reservation.
 const (
-	DefaultBytesPerToken    = 2
-	DefaultTokensPerMessage = 8
+	// bytesPerToken: one token is counted for as many bytes of the whole body.
+	bytesPerToken = 2
+	// tokensPerMessage are counted for each message besides.
+	tokensPerMessage = 8
 )
 
-// Estimate says how the worst case of a prompt is reckoned from the request's body:
-// one token for each BytesPerToken bytes of the whole body, and TokensPerMessage for
-// each message. It must not undercount for any engine of the fleet: a stream is cut
-// when it passes its reservation.
-type Estimate struct {
-	BytesPerToken    int
-	TokensPerMessage int
-}
-
-// Prompt is the bound for a body with the given number of messages.
-func (e Estimate) Prompt(bodyBytes, messages int) uint64 {
-	per, each := e.BytesPerToken, e.TokensPerMessage
-	if per <= 0 {
-		per = DefaultBytesPerToken
-	}
-	if each <= 0 {
-		each = DefaultTokensPerMessage
-	}
-	return uint64((bodyBytes+per-1)/per + each*messages)
+// promptBound is the most tokens that a body with the given number of messages can have.
+func promptBound(bodyBytes, messages int) uint64 {
+	return uint64((bodyBytes+bytesPerToken-1)/bytesPerToken + tokensPerMessage*messages)
 }
 
 // Filter fills in what a call asks for.
-type Filter struct {
-	Settings filter.Settings
-	Estimate Estimate
-}
+type Filter struct{ Settings filter.Settings }
 
 // ServeHTTP implements filter.Filter.
 func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
--- a/internal/filter/parse/parse_test.go
+++ b/internal/filter/parse/parse_test.go
@@ -122,7 +122,7 @@
 		f.Add(p)
 	}
 	f.Fuzz(func(t *testing.T, path string) {
-		name, err := ServiceName(path)
+		name, err := serviceName(path)
 		if err != nil {
 			return
 		}
--- a/internal/filter/parse/prompt.go
+++ b/internal/filter/parse/prompt.go
@@ -90,7 +90,7 @@
 	var tokens []uint64
 	if json.Unmarshal(raw, &tokens) == nil && len(tokens) > 0 {
 		// A token number takes at least two bytes with its comma, so the bound by
-		// bytes holds here only with BytesPerToken of at most 2; count them as messages.
+		// bytes holds here only with bytesPerToken of at most 2; count them as messages.
 		return prompt{messages: len(tokens), text: raw}, nil
 	}
 	return prompt{}, errkind.New(errkind.BadRequest, "field \"prompt\" is not one text")
--- a/internal/filter/parse/service.go
+++ b/internal/filter/parse/service.go
@@ -12,7 +12,7 @@
 
 // service takes a call of a plain service: /services/{name}/...
 func (f *Filter) service(c *filter.Call, r *http.Request, body []byte) error {
-	name, err := ServiceName(r.URL.Path)
+	name, err := serviceName(r.URL.Path)
 	if err != nil {
 		return err
 	}
@@ -30,9 +30,9 @@
 	return nil
 }
 
-// ServiceName is the name in a path of a plain service. A path with dot segments is
+// serviceName is the name in a path of a plain service. A path with dot segments is
 // refused: the server might take it for another service than the router did.
-func ServiceName(path string) (string, error) {
+func serviceName(path string) (string, error) {
 	rest, ok := strings.CutPrefix(path, PrefixServices)
 	if !ok {
 		return "", errkind.New(errkind.UnknownPath, "no such path")
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -72,9 +72,6 @@
 	Leaving        bool
 	ConfigRevision uint64
 	SparePermille  uint32
-	// Missed is the number of ticks since the last evidence or this host
-	// learned of the present doubt, whichever is later; 0 without a doubt.
-	Missed int64
 }
 
 // entry is a Host with what the decisions need. Ticks are this Table's own.
@@ -215,7 +212,6 @@
 		Leaving:        e.leaving,
 		ConfigRevision: e.revision,
 		SparePermille:  e.spare,
-		Missed:         t.missed(e),
 	}
 }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -11,8 +11,8 @@
 
 // Defaults and bounds.
 const (
-	DefaultShare       = 0.1
-	DefaultMaxAttempts = 3
+	defaultShare       = 0.1
+	defaultMaxAttempts = 3
 	// burst is how many retries a team may save up, and has at the start.
 	burst = 10.0
 	// idleForget is when a team's allowance is dropped from memory.
@@ -62,7 +62,7 @@
 
 func shareOf(r settings.Retry) float64 {
 	if r.Share == 0 {
-		return DefaultShare
+		return defaultShare
 	}
 	return min(max(r.Share, 0), 1)
 }
@@ -70,7 +70,7 @@
 func (a *Allowance) bucket(team string) *bucket {
 	b := a.teams[team]
 	if b == nil {
-		b = &bucket{tokens: burst, share: DefaultShare}
+		b = &bucket{tokens: burst, share: defaultShare}
 		a.teams[team] = b
 	}
 	return b
@@ -107,7 +107,7 @@
 func Safe(now time.Time, at Attempt, r settings.Retry, deadline time.Time, run time.Duration) bool {
 	most := r.MaxAttempts
 	if most <= 0 {
-		most = DefaultMaxAttempts
+		most = defaultMaxAttempts
 	}
 	if at.Number >= most || at.Started {
 		return false
