--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -18,6 +18,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // Options bound the state's memory. Every replica of a group must use the same, as
--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/ledger/window"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // defaultOperations is how many operators' operations are remembered with their
--- a/internal/apply/query.go
+++ b/internal/apply/query.go
@@ -4,6 +4,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // Query answers a read. The replica makes sure that it may (lease) and fills in
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // LeaderAddressKey is the trailer in which a replica that isn't the leader names
--- a/internal/controlclient/attempt.go
+++ b/internal/controlclient/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // answer is what one attempt at one replica gave. Exactly one of these holds:
--- a/internal/controlclient/calls.go
+++ b/internal/controlclient/calls.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 const (
--- a/internal/daemon/explain.go
+++ b/internal/daemon/explain.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // explainTimeout bounds the question to one peer.
--- a/internal/daemon/group.go
+++ b/internal/daemon/group.go
@@ -7,6 +7,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // group is the control group as the operators' API and the grants see it: a refusal
