--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -13,7 +13,6 @@
 	"github.com/bluebellsail/bluebellsail/internal/claims"
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -91,7 +90,7 @@
 	result := &pb.CommandResult{Index: index}
 	r := ledger.Record{Index: index, Now: s.now, OpID: cmd.GetOpId(), Actor: cmd.GetActor()}
 	if err := s.dispatch(r, cmd, result); err != nil {
-		result.Error = errwire.ToProto(err)
+		result.Error = wire.EncodeError(err)
 	}
 	return result
 }
--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -7,7 +7,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/ledger/window"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
@@ -63,7 +62,7 @@
 	}
 	if r.fingerprint != fingerprint(cmd) {
 		e := errkind.New(errkind.KeyConflict, "operation id %q was used for another operation", cmd.OpId)
-		return &pb.CommandResult{Index: result.Index, Error: errwire.ToProto(e)}, true
+		return &pb.CommandResult{Index: result.Index, Error: wire.EncodeError(e)}, true
 	}
 	result.Resend = true
 	return result, true
--- a/internal/apply/query.go
+++ b/internal/apply/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
@@ -12,7 +11,7 @@
 func (s *State) Query(q *pb.Query) *pb.QueryResult {
 	out := &pb.QueryResult{Revision: s.View().Revision()}
 	if err := s.query(q, out); err != nil {
-		out.Error = errwire.ToProto(err)
+		out.Error = wire.EncodeError(err)
 	}
 	return out
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/metadata"
 
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
@@ -36,7 +35,7 @@
 	if nl := asNotLeader(err); nl != nil {
 		return &pb.ProposeReply{Leader: nl.Leader, LeaderAddress: nl.Address}, nil
 	}
-	return &pb.ProposeReply{Result: res, Error: errwire.ToProto(err)}, nil
+	return &pb.ProposeReply{Result: res, Error: wire.EncodeError(err)}, nil
 }
 
 // Read answers a query at the leader; elsewhere the trailer names the leader.
@@ -93,10 +92,10 @@
 func (s *service) refusal(ctx context.Context, err error) *pb.Error {
 	nl := asNotLeader(err)
 	if nl == nil {
-		return errwire.ToProto(err)
+		return wire.EncodeError(err)
 	}
 	_ = grpc.SetTrailer(ctx, metadata.Pairs(LeaderAddressKey, nl.Address))
-	return errwire.ToProto(nl.refusal())
+	return wire.EncodeError(nl.refusal())
 }
 
 func asNotLeader(err error) *NotLeaderError {
--- a/internal/controlclient/attempt.go
+++ b/internal/controlclient/attempt.go
@@ -10,7 +10,6 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/bluebellsail/bluebellsail/internal/control"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
@@ -33,7 +32,7 @@
 	if errors.As(err, &nl) {
 		return answer[T]{notLeader: true, hint: nl.Address}
 	}
-	return answer[T]{value: value, refusal: errwire.ToProto(err)}
+	return answer[T]{value: value, refusal: wire.EncodeError(err)}
 }
 
 // fromRemote asks a replica in another process. ask passes the option on to its call;
--- a/internal/controlclient/calls.go
+++ b/internal/controlclient/calls.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
@@ -34,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return res, errwire.FromProto(res.GetError())
+	return res, wire.DecodeError(res.GetError())
 }
 
 // Read answers a query linearizably, from the leader.
@@ -100,7 +99,7 @@
 		// An earlier attempt may have got in: "did not run" would be untrue.
 		return zero, errTryAgain
 	case a.refusal != nil:
-		return zero, backoff.Permanent(errwire.FromProto(a.refusal))
+		return zero, backoff.Permanent(wire.DecodeError(a.refusal))
 	}
 	return a.value, nil
 }
--- a/internal/daemon/explain.go
+++ b/internal/daemon/explain.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
@@ -61,5 +60,5 @@
 // HandleExplain implements peerservice.Explainer.
 func (e *entry) HandleExplain(r *pb.ExplainRequest) *pb.ExplainReply {
 	found, err := e.explain.JSON(r.GetId())
-	return &pb.ExplainReply{Json: found, Error: errwire.ToProto(err)}
+	return &pb.ExplainReply{Json: found, Error: wire.EncodeError(err)}
 }
--- a/internal/daemon/group.go
+++ b/internal/daemon/group.go
@@ -5,7 +5,6 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
@@ -28,7 +27,7 @@
 func (g group) Read(ctx context.Context, q *pb.Query) (*pb.QueryResult, error) {
 	res, err := g.client.Read(ctx, q)
 	if err != nil && !errkind.Is(err, errkind.NoQuorum) {
-		return &pb.QueryResult{Error: errwire.ToProto(err)}, nil
+		return &pb.QueryResult{Error: wire.EncodeError(err)}, nil
 	}
 	return res, err
 }
