--- a/e2e/control/lostdisk_test.go
+++ b/e2e/control/lostdisk_test.go
@@ -200,13 +200,13 @@
 // Cause: a replica outside the group waited for an operator.
 func TestLostDiskComesBackByItself(t *testing.T) {
 	f := newFleet(t, 4, false)
-	want := f.fill(f.layout.Hosts)
+	f.fill(f.layout.Hosts)
 	first := f.leader(f.layout.Hosts...)
 	rest := f.without(first)
 	lost := f.memberOn(first, rest)
 	f.loseDisk(first)
 	f.leader(rest...)
-	want = f.grow(rest)
+	want := f.grow(rest)
 	f.start(first)
 	eventually(f.t, "the replica has taken its place again", func() bool {
 		g, _ := f.members(rest...)
