--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -11,19 +11,21 @@
 	"fmt"
 
 	"github.com/bluebellsail/bluebellsail/internal/claims"
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // Options bound the state's memory. Every replica of a group must use the same, as
-// they decide what is forgotten. Zero values take the defaults.
+// they decide what is forgotten. A zero field takes the default.
 type Options struct {
 	Ledger ledger.Options
 	// Operations is how many operators' operations are remembered with their whole
-	// answer; default DefaultOperations.
+	// answer; default 16,384.
 	Operations int
 }
 
@@ -41,9 +43,7 @@
 
 // New makes an empty state.
 func New(o Options) *State {
-	if o.Operations <= 0 {
-		o.Operations = DefaultOperations
-	}
+	defaults.Set(&o.Operations, defaultOperations)
 	return &State{
 		options:    o,
 		settings:   settings.New(),
@@ -63,12 +63,6 @@
 // View returns the present settings tree.
 func (s *State) View() *settings.View { return s.settings.View() }
 
-// ChangesSince returns the settings changes after a revision; ok is false when the
-// asker needs a snapshot (View().SnapshotJSON()) instead.
-func (s *State) ChangesSince(revision uint64) (changes []*pb.ConfigChange, ok bool) {
-	return s.settings.ChangesSince(revision)
-}
-
 // Counters returns the ledger's totals of unusual bills.
 func (s *State) Counters() ledger.Counters { return s.ledger.Counters() }
 
@@ -96,7 +90,7 @@
 	result := &pb.CommandResult{Index: index}
 	r := ledger.Record{Index: index, Now: s.now, OpID: cmd.GetOpId(), Actor: cmd.GetActor()}
 	if err := s.dispatch(r, cmd, result); err != nil {
-		result.Error = protoError(err)
+		result.Error = wire.EncodeError(err)
 	}
 	return result
 }
@@ -148,9 +142,11 @@
 func (s *State) applyLedger(r ledger.Record, cmd *pb.Command, out *pb.CommandResult) error {
 	switch body := cmd.Body.(type) {
 	case *pb.Command_CreateBudget:
-		return budgetResult(out)(s.ledger.CreateBudget(r, body.CreateBudget))
+		budget, resend, err := s.ledger.CreateBudget(r, body.CreateBudget)
+		return setBudget(out, budget, resend, err)
 	case *pb.Command_TopUp:
-		return budgetResult(out)(s.ledger.TopUp(r, body.TopUp))
+		budget, resend, err := s.ledger.TopUp(r, body.TopUp)
+		return setBudget(out, budget, resend, err)
 	case *pb.Command_Acquire:
 		acquired, err := s.ledger.Acquire(body.Acquire)
 		if err == nil {
@@ -168,15 +164,13 @@
 	return nil
 }
 
-// budgetResult returns a function that puts a budget, or its refusal, into out.
-func budgetResult(out *pb.CommandResult) func(*pb.Budget, bool, error) error {
-	return func(b *pb.Budget, resend bool, err error) error {
-		if err == nil {
-			out.Resend = resend
-			out.Body = &pb.CommandResult_Budget{Budget: b}
-		}
-		return err
+// setBudget puts the answer to a change of funds into out and passes a refusal on.
+func setBudget(out *pb.CommandResult, b *pb.Budget, resend bool, err error) error {
+	if err == nil {
+		out.Resend = resend
+		out.Body = &pb.CommandResult_Budget{Budget: b}
 	}
+	return err
 }
 
 func (s *State) applyClaim(r ledger.Record, cmd *pb.Command, out *pb.CommandResult) error {
@@ -212,12 +206,3 @@
 	s.claims.SetWindow(fleetWindow)
 	return nil
 }
-
-// protoError turns a refusal into its form on the wire.
-func protoError(err error) *pb.Error {
-	e := errkind.From(err)
-	return &pb.Error{
-		Kind: string(e.Kind), Message: e.Message, Path: e.Path,
-		RetryAfterMs: e.RetryAfter.Milliseconds(), PresentVersion: e.PresentVersion,
-	}
-}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"hash/fnv"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,8 @@
 	fleetEvery = 100 * time.Millisecond
 	// learnEvery is how often the registered hosts are read from the control group.
 	learnEvery = 5 * time.Second
+	// learnTimeout bounds one such read.
+	learnTimeout = time.Second
 	// settleLeast and settleMost bound how long a started host learns of backend
 	// servers before it serves: two announcements at least, and not for ever in a
 	// fleet that has none.
@@ -77,6 +80,7 @@
 		Sched:   sched.Config{Host: cfg.Host, Zone: cfg.Zone},
 		Backend: backend.Config{Lapse: cfg.Timing.ServerLapse.Std()},
 		Seed:    int64(seedOf(cfg.Host)),
+		Metrics: d.tel.Metrics,
 	})
 	interval := cfg.Timing.Heartbeat.Std()
 	e.members = members.New(members.Config{
@@ -92,6 +96,7 @@
 	})
 	e.placement = e.newPlacement()
 	d.tel.Metrics.Set("scheduler", e.sched.Metrics().Map())
+	d.tel.Metrics.Set("late_answers_dropped", expvar.Func(func() any { return engineclient.CrossedAnswers.Load() }))
 	return e
 }
 
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -122,12 +123,18 @@
 	return t, ok
 }
 
+// LongestTimeout is the longest deadline that any team allows.
+func (v *View) LongestTimeout() time.Duration {
+	longest := DefaultMaxTimeout
+	for _, t := range v.teams {
+		longest = max(longest, t.MaxTimeout.Std())
+	}
+	return longest
+}
+
 // Fleet returns the fleet's settings, with defaults.
 func (v *View) Fleet() Fleet { return v.fleet }
 
-// Tree returns the tree as operators wrote it. The caller must not change it.
-func (v *View) Tree() *Tree { return &v.tree }
-
 // Value returns what operators set at a path ("/" is the whole tree, in the form of
 // SnapshotJSON) and the version of the subtree that holds it. A path with nothing set is NotFound, with
 // the version to expect in the error.
