--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -191,16 +191,11 @@
 // unacknowledged is what the holder got by transfers that the ledger has not
 // acknowledged; it must not pass that on (see Settle).
 func (h *testHolder) unacknowledged() uint64 {
-	var sum uint64
-	for _, tr := range h.accepted {
-		sum += tr.Tokens
-	}
+	total := sum(h.accepted)
 	for _, b := range h.batches[h.acked:] {
-		for _, tr := range b.Transfers[:len(b.Transfers)/2] { // each stands twice
-			sum += tr.Tokens
-		}
+		total += sum(b.Transfers[:len(b.Transfers)/2]) // each stands twice
 	}
-	return sum
+	return total
 }
 
 func (f *fleet) give(t *rapid.T) {
@@ -241,7 +236,7 @@
 func (f *fleet) resend(t *rapid.T) {
 	h := f.anyHolder(t, "holder")
 	for _, b := range h.batches {
-		if !f.settled[fmt.Sprint(h.id.Incarnation, "/", b.Seq)] {
+		if !f.settled[batchKey(b)] {
 			f.deliver(t, b)
 			return
 		}
@@ -283,14 +278,20 @@
 	f.topUps[m.opID] = true
 }
 
-func free(b *pb.Budget) uint64 {
-	left := b.Funded - b.Billed
-	for _, g := range b.Granted {
-		left -= g.Tokens
+// tokenHolder is a message with an amount of tokens.
+type tokenHolder interface{ GetTokens() uint64 }
+
+// sum adds up the tokens of messages.
+func sum[M tokenHolder](messages []M) uint64 {
+	var total uint64
+	for _, m := range messages {
+		total += m.GetTokens()
 	}
-	return left
+	return total
 }
 
+func free(b *pb.Budget) uint64 { return b.Funded - b.Billed - sum(b.Granted) }
+
 func (f *fleet) deliverAcquire(t *rapid.T, m *pb.Acquire) {
 	h := f.holders[m.Holder.Incarnation]
 	before, _ := f.ledger.Budget(testBudget)
@@ -313,7 +314,7 @@
 func (f *fleet) deliverSettle(t *rapid.T, m *pb.Settle) {
 	h := f.holders[m.Holder.Incarnation]
 	r, resend, err := f.ledger.Settle(f.record(""), m)
-	key := fmt.Sprint(m.Holder.Incarnation, "/", m.Seq)
+	key := batchKey(m)
 	if h.gone && err == nil {
 		t.Fatalf("recovered holder settled batch %s", key)
 	}
@@ -331,6 +332,9 @@
 	f.acknowledge(h, m, r)
 }
 
+// batchKey names a batch in fleet.settled.
+func batchKey(b *pb.Settle) string { return fmt.Sprint(b.Holder.Incarnation, "/", b.Seq) }
+
 // checkRefusal allows gaps and recovered holders only.
 func (f *fleet) checkRefusal(t *rapid.T, h *testHolder, m *pb.Settle, err error) {
 	gap := m.Seq > 1 && !f.settled[fmt.Sprint(m.Holder.Incarnation, "/", m.Seq-1)]
@@ -454,17 +458,23 @@
 
 // restore replaces the ledger by one read from its snapshot.
 func (f *fleet) restore(t *rapid.T) {
-	data := imageOf(t, f.ledger)
+	f.ledger = restored(t, f.ledger)
+}
+
+// restored returns a ledger read from the snapshot of s.
+func restored(t rapid.TB, s *State) *State {
+	data := imageOf(t, s)
 	var im Image
 	testutil.NoError(t, json.Unmarshal(data, &im))
-	f.ledger = New(Options{})
-	testutil.NoError(t, f.ledger.Restore(im))
-	if again := imageOf(t, f.ledger); !bytes.Equal(data, again) {
+	fresh := New(s.options)
+	testutil.NoError(t, fresh.Restore(im))
+	if again := imageOf(t, fresh); !bytes.Equal(data, again) {
 		t.Fatalf("restored from\n%s\nis\n%s", data, again)
 	}
+	return fresh
 }
 
-func imageOf(t *rapid.T, s *State) []byte {
+func imageOf(t rapid.TB, s *State) []byte {
 	data, err := json.Marshal(s.Image())
 	testutil.NoError(t, err)
 	return data
@@ -478,11 +488,7 @@
 		t.Fatalf("ledger has funded %d, billed %d in %d bills; oracle %d, %d, %d",
 			b.Funded, b.Billed, b.Bills, f.funded, f.billed, len(f.paid))
 	}
-	promised := b.Billed
-	for _, g := range b.Granted {
-		promised += g.Tokens
-	}
-	if promised > b.Funded {
+	if promised := b.Billed + sum(b.Granted); promised > b.Funded {
 		t.Fatalf("billed and granted %d of %d", promised, b.Funded)
 	}
 	if spendable := f.spendable(); b.Billed+spendable > b.Funded {
@@ -492,36 +498,24 @@
 
 // spendable is what running holders hold or have spent without it being billed.
 func (f *fleet) spendable() uint64 {
-	var sum uint64
+	var total uint64
 	for _, h := range f.holders {
 		if h.gone {
 			continue
 		}
-		sum += h.tokens + h.returns + spent(h.bills)
+		total += h.tokens + h.returns + sum(h.bills)
 		for _, b := range h.batches {
-			if f.settled[fmt.Sprint(h.id.Incarnation, "/", b.Seq)] {
-				continue
-			}
-			sum += spent(b.Bills)
-			for _, r := range b.Returns {
-				sum += r.Tokens
+			if !f.settled[batchKey(b)] {
+				total += sum(b.Bills) + sum(b.Returns)
 			}
 		}
 	}
 	for _, tr := range f.moving {
 		if to := f.holders[tr.To.Incarnation]; !to.replaced && !to.fenced[tr.From.Incarnation] {
-			sum += tr.Tokens
+			total += tr.Tokens
 		}
 	}
-	return sum
-}
-
-func spent(bills []*pb.Bill) uint64 {
-	var sum uint64
-	for _, b := range bills {
-		sum += b.Tokens
-	}
-	return sum
+	return total
 }
 
 // Symptom: a budget is overspent, or a request billed twice.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"testing"
@@ -39,11 +38,7 @@
 // restore replaces the ledger by one read from its snapshot.
 func (r *rig) restore() {
 	r.t.Helper()
-	data, err := json.Marshal(r.ledger.Image())
-	testutil.NoError(r.t, err)
-	var im Image
-	testutil.NoError(r.t, json.Unmarshal(data, &im))
-	testutil.NoError(r.t, r.ledger.Restore(im))
+	r.ledger = restored(r.t, r.ledger)
 }
 
 func (r *rig) register(host string) *pb.Holder {
@@ -69,11 +64,23 @@
 	return res, err
 }
 
-func (r *rig) bill(h *pb.Holder, identity string, tokens uint64, arrived int64) (duplicate bool) {
+// mustSettle is settle for a batch that is to be accepted.
+func (r *rig) mustSettle(h *pb.Holder, b *pb.Settle) *pb.SettleResult {
 	r.t.Helper()
-	res, err := r.settle(h, &pb.Settle{Bills: []*pb.Bill{{Budget: testBudget, Identity: identity, Tokens: tokens, TimeMs: arrived}}})
+	res, err := r.settle(h, b)
 	testutil.NoError(r.t, err)
-	return len(res.Duplicates) > 0
+	return res
+}
+
+func bills(identity string, tokens uint64, arrived int64) []*pb.Bill {
+	return []*pb.Bill{{Budget: testBudget, Identity: identity, Tokens: tokens, TimeMs: arrived}}
+}
+
+func returns(tokens uint64) []*pb.Return { return []*pb.Return{{Budget: testBudget, Tokens: tokens}} }
+
+func (r *rig) bill(h *pb.Holder, identity string, tokens uint64, arrived int64) (duplicate bool) {
+	r.t.Helper()
+	return len(r.mustSettle(h, &pb.Settle{Bills: bills(identity, tokens, arrived)}).Duplicates) > 0
 }
 
 func (r *rig) level(granted ...uint64) string {
@@ -102,9 +109,7 @@
 	arrived := r.now
 	r.restore()
 	r.acquire(idle, 1, 10, 10)
-	if _, err := r.settle(idle, &pb.Settle{Returns: []*pb.Return{{Budget: testBudget, Tokens: 10}}}); err != nil {
-		t.Fatal(err)
-	}
+	r.mustSettle(idle, &pb.Settle{Returns: returns(10)})
 	if r.bill(near, "school/1", 10, r.now) {
 		t.Fatal("the first bill is called a duplicate")
 	}
@@ -166,7 +171,7 @@
 	r.acquire(h, 1, 100, 100)
 	bad := []*pb.Settle{
 		{Bills: []*pb.Bill{{Budget: testBudget, Identity: "a", Tokens: 60, TimeMs: 1}, {Budget: testBudget, Identity: "b", Tokens: 41, TimeMs: 1}}},
-		{Bills: []*pb.Bill{{Budget: testBudget, Identity: "a", Tokens: 60, TimeMs: 1}}, Returns: []*pb.Return{{Budget: testBudget, Tokens: 41}}},
+		{Bills: bills("a", 60, 1), Returns: returns(41)},
 	}
 	for _, b := range bad {
 		if _, err := r.settle(h, b); !errkind.Is(err, errkind.Internal) {
@@ -206,9 +211,7 @@
 		r.acquire(hosts[i], 1, 100, 100)
 	}
 	for _, h := range hosts[1:] {
-		if _, err := r.settle(h, &pb.Settle{Returns: []*pb.Return{{Budget: testBudget, Tokens: 100}}}); err != nil {
-			t.Fatal(err)
-		}
+		r.mustSettle(h, &pb.Settle{Returns: returns(100)})
 	}
 	if got := r.acquire(hosts[0], 2, 1, 1000); got != 450 {
 		t.Errorf("the only holder of tokens got %d of 900, want half", got)
@@ -232,9 +235,7 @@
 		holder    *pb.Holder
 		transfers []*pb.Transfer
 	}{{b, []*pb.Transfer{second, first}}, {c, []*pb.Transfer{second}}, {a, []*pb.Transfer{first, first}}} {
-		if _, err := r.settle(s.holder, &pb.Settle{Transfers: s.transfers}); err != nil {
-			t.Error(err)
-		}
+		r.mustSettle(s.holder, &pb.Settle{Transfers: s.transfers})
 	}
 	r.level(20, 10, 70)
 }
@@ -249,22 +250,16 @@
 	a, b, c := r.register("a"), r.register("b"), r.register("c")
 	r.acquire(a, 1, 40, 40)
 	r.acquire(b, 1, 40, 40)
-	back := &pb.Settle{Returns: []*pb.Return{{Budget: testBudget, Tokens: 5}}}
+	back := &pb.Settle{Returns: returns(5)}
 	in := &pb.Transfer{Id: "in", Budget: testBudget, From: b, To: a, Tokens: 5}
 	out := &pb.Transfer{Id: "out", Budget: testBudget, From: a, To: c, Tokens: 40}
-	if _, err := r.settle(c, &pb.Settle{Transfers: []*pb.Transfer{out}}); err != nil {
-		t.Fatal(err)
-	}
+	r.mustSettle(c, &pb.Settle{Transfers: []*pb.Transfer{out}})
 	if _, err := r.settle(a, back); !errkind.Is(err, errkind.Internal) {
 		t.Errorf("a return of tokens that the ledger doesn't know of got %v", err)
 	}
 	r.level(0, 40, 40)
-	if _, err := r.settle(b, &pb.Settle{Transfers: []*pb.Transfer{in}}); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := r.settle(a, back); err != nil {
-		t.Error(err)
-	}
+	r.mustSettle(b, &pb.Settle{Transfers: []*pb.Transfer{in}})
+	r.mustSettle(a, back)
 	r.level(0, 35, 40)
 }
 
@@ -275,8 +270,7 @@
 	r := newRig(t, Options{}, 1000)
 	old := r.register("h")
 	r.acquire(old, 1, 100, 100)
-	bills := []*pb.Bill{{Budget: testBudget, Identity: "a", Tokens: 150, TimeMs: 1}}
-	m := &pb.RecoverHolder{Dead: old, Bills: bills}
+	m := &pb.RecoverHolder{Dead: old, Bills: bills("a", 150, 1)}
 	if _, _, err := r.ledger.RecoverHolder(r.record(), m); !errkind.Is(err, errkind.BadRequest) {
 		t.Errorf("recovery of a live holder got %v", err)
 	}
@@ -297,7 +291,7 @@
 	h := r.register("h")
 	r.acquire(h, 1, 100, 100)
 	r.bill(h, "a", 10, 1)
-	b := &pb.Settle{Bills: []*pb.Bill{{Budget: testBudget, Identity: "a", Tokens: 10, TimeMs: 1}}}
+	b := &pb.Settle{Bills: bills("a", 10, 1)}
 	first, err := r.settle(h, b)
 	testutil.NoError(t, err)
 	r.restore()
@@ -344,3 +338,23 @@
 		t.Errorf("billed %s", got)
 	}
 }
+
+// Symptom: a running host gets no grants and is refused as removed.
+// Sequence: its former run said that it leaves; a copy of that word arrives after the
+// next run has registered.
+// Cause: the word named the host and not the run.
+func TestLateWordOfALeavingRunLeavesTheNextRun(t *testing.T) {
+	r := newRig(t, Options{}, 1000)
+	s, first, second := r.ledger, r.register("a"), r.register("a")
+	err := s.RemoveHost(&pb.RemoveHost{Host: "a", Incarnation: first.Incarnation})
+	if !errkind.Is(err, errkind.StaleFence) {
+		t.Fatalf("the former run's word was taken: %v", err)
+	}
+	if err := s.Live(second); err != nil {
+		t.Fatalf("the present run is not live: %v", err)
+	}
+	testutil.NoError(t, s.RemoveHost(&pb.RemoveHost{Host: "a", Incarnation: second.Incarnation}))
+	if s.Live(second) == nil {
+		t.Fatal("the run that left still counts as live")
+	}
+}
