--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -46,6 +46,18 @@
 	return r
 }
 
+// refuses checks that a command is refused with a kind. what names the command.
+func (d *driver) refuses(kind errkind.Kind, what, opID string, set func(*pb.Command)) {
+	d.t.Helper()
+	if got := d.do(opID, set); got.Error.GetKind() != string(kind) {
+		d.t.Errorf("%s got %v", what, got)
+	}
+}
+
+func (d *driver) budget() *pb.Budget {
+	return d.state.Query(&pb.Query{Body: &pb.Query_Budget{Budget: &pb.BudgetQuery{Name: "b"}}}).Budgets[0]
+}
+
 func register(host, boot string) func(*pb.Command) {
 	return func(c *pb.Command) {
 		c.Body = &pb.Command_RegisterHost{RegisterHost: &pb.RegisterHost{Host: host, BootId: boot, Zone: "olinda"}}
@@ -118,22 +130,17 @@
 func TestPathThroughTheState(t *testing.T) {
 	d := newDriver(t)
 	h := play(d)
-	b := d.state.Query(&pb.Query{Body: &pb.Query_Budget{Budget: &pb.BudgetQuery{Name: "b"}}}).Budgets[0]
-	if b.Funded != 1500 || b.Billed != 70 || b.Bills != 41 || len(b.Granted) != 2 {
+	if b := d.budget(); b.Funded != 1500 || b.Billed != 70 || b.Bills != 41 || len(b.Granted) != 2 {
 		t.Errorf("budget is %v", b)
 	}
-	if got := d.do("", order("10.0.0.1:1", 2)); got.Error.GetKind() != string(errkind.StaleFence) {
-		t.Errorf("an order of an older term got %v", got)
-	}
+	d.refuses(errkind.StaleFence, "an order of an older term", "", order("10.0.0.1:1", 2))
 	bill := d.state.Query(&pb.Query{Body: &pb.Query_Identity{Identity: &pb.IdentityQuery{Identity: "school/1"}}}).Bill
 	if bill.GetTokens() != 30 || bill.GetRequestId() != "r1" {
 		t.Errorf("bill of school/1 is %v", bill)
 	}
 	d.must("", register("h1", "boot-2"))
 	for _, late := range []func(*pb.Command){acquire(h, 2, 1, 1), claim(h, "school/3", "r3")} {
-		if got := d.do("", late); got.Error.GetKind() != string(errkind.StaleFence) {
-			t.Errorf("a dead incarnation got %v", got)
-		}
+		d.refuses(errkind.StaleFence, "a dead incarnation", "", late)
 	}
 	placed := d.state.Query(&pb.Query{Body: &pb.Query_Placement{Placement: &pb.PlacementQuery{}}}).Placements
 	if len(placed) != 1 || placed[0].Fence != 12 {
@@ -157,13 +164,9 @@
 	if got := d.do("op-team", setConfig("/teams/x", `{"priority":"batch"}`, 1)); got.GetSetConfig().GetRevision() != 1 || !got.Resend {
 		t.Errorf("a resend with another value got %v", got)
 	}
-	if got := d.do("op-team", setConfig("/teams/y", `{}`, 0)); got.Error.GetKind() != string(errkind.KeyConflict) {
-		t.Errorf("another change under the same id got %v", got)
-	}
-	if got := d.do("op-late", topUp("b", 71)); got.Error.GetKind() != string(errkind.KeyConflict) {
-		t.Errorf("another top-up under the same id got %v", got)
-	}
-	if funded := d.state.Query(&pb.Query{Body: &pb.Query_Budget{Budget: &pb.BudgetQuery{Name: "b"}}}).Budgets[0].Funded; funded != 1571 {
+	d.refuses(errkind.KeyConflict, "another change under the same id", "op-team", setConfig("/teams/y", `{}`, 0))
+	d.refuses(errkind.KeyConflict, "another top-up under the same id", "op-late", topUp("b", 71))
+	if funded := d.budget().Funded; funded != 1571 {
 		t.Errorf("funded %d, want 1571", funded)
 	}
 }
@@ -237,15 +240,14 @@
 func restoreInto(t *testing.T, d *driver) {
 	t.Helper()
 	data := snapshotOf(t, d.state)
-	restored := New(Options{})
-	testutil.NoError(t, restored.Restore(data))
-	if again := snapshotOf(t, restored); !bytes.Equal(data, again) {
+	d.state = New(Options{})
+	testutil.NoError(t, d.state.Restore(data))
+	if again := snapshotOf(t, d.state); !bytes.Equal(data, again) {
 		t.Fatalf("a restored state has another snapshot:\n%.2000s\n%.2000s", data, again)
 	}
-	d.state = restored
 }
 
-func snapshotOf(t *testing.T, s *State) []byte {
+func snapshotOf(t testing.TB, s *State) []byte {
 	t.Helper()
 	data, err := s.Snapshot()
 	testutil.NoError(t, err)
@@ -310,9 +312,7 @@
 	if got := d.state.Now(); got != want {
 		t.Errorf("applied time went from %d to %d", want, got)
 	}
-	if got := d.do("", order("10.0.0.1:1", 8)); got.Error.GetKind() != string(errkind.StaleFence) {
-		t.Errorf("an order of the term before got %v", got)
-	}
+	d.refuses(errkind.StaleFence, "an order of the term before", "", order("10.0.0.1:1", 8))
 	defer func() {
 		if recover() == nil {
 			t.Error("a record was applied twice")
--- a/internal/apply/bench_test.go
+++ b/internal/apply/bench_test.go
@@ -50,77 +50,61 @@
 	for b.Loop() {
 		f := newFeeder(b)
 		setUp(f)
-		before, snapshot := heapBytes(), snapshotBytes(f)
+		before, snapshot := heapBytes(), len(snapshotOf(b, f.state))
 		for i := range n {
 			add(f, i)
 		}
 		b.ReportMetric((float64(heapBytes())-float64(before))/float64(n), "heap-B/thing")
-		b.ReportMetric(float64(snapshotBytes(f)-snapshot)/float64(n), "snapshot-B/thing")
+		b.ReportMetric(float64(len(snapshotOf(b, f.state))-snapshot)/float64(n), "snapshot-B/thing")
 		runtime.KeepAlive(f)
 	}
 }
 
-func snapshotBytes(f *driver) int {
-	data, err := f.state.Snapshot()
-	testutil.NoError(f.t, err)
-	return len(data)
-}
-
 // BenchmarkMemory gives the slopes of docs/CAPACITY.md. Budgets, accounts and teams
 // are counted with the operation that made each.
 func BenchmarkMemory(b *testing.B) {
-	budget := func(f *driver) { f.must("make-b", create("b", 1<<60)) }
 	var hosts []*pb.Holder
-	b.Run("budget", func(b *testing.B) {
-		perThing(b, 11_000, func(*driver) {}, func(f *driver, i int) {
+	nothing := func(*driver) {}
+	budget := func(f *driver) { f.must("make-b", create("b", 1<<60)) }
+	oneHost := func(f *driver) { hosts = f.holders(1) }
+	granted := func(f *driver) { budget(f); oneHost(f); f.must("", acquire(hosts[0], 1, 1<<40, 1<<40)) }
+	const teamValue = `{"priority":"urgent","retry":{"share":0.2},"grant":{"horizon":"5s"}}`
+	for _, thing := range []struct {
+		name  string
+		n     int
+		setUp func(f *driver)
+		add   func(f *driver, i int)
+	}{
+		{"budget", 11_000, nothing, func(f *driver, i int) {
 			f.must(fmt.Sprint("op-", i), create(fmt.Sprintf("budget-%05d", i), 1<<40))
-		})
-	})
-	b.Run("host", func(b *testing.B) {
-		perThing(b, 1400, func(*driver) {}, func(f *driver, i int) {
+		}},
+		{"host", 1400, nothing, func(f *driver, i int) {
 			f.must("", register(fmt.Sprintf("entry-%05d", i), fmt.Sprint("boot", i)))
-		})
-	})
-	b.Run("grant", func(b *testing.B) {
-		perThing(b, 1400, func(f *driver) { budget(f); hosts = f.holders(1400) }, func(f *driver, i int) {
+		}},
+		{"grant", 1400, func(f *driver) { budget(f); hosts = f.holders(1400) }, func(f *driver, i int) {
 			f.must("", acquire(hosts[i], 1, 100, 1000))
-		})
-	})
-	b.Run("identity", func(b *testing.B) {
-		perThing(b, 200_000, func(f *driver) {
-			budget(f)
-			hosts = f.holders(1)
-			f.must("", acquire(hosts[0], 1, 1<<40, 1<<40))
-			f.settleBatch(hosts[0], 1, 0, 1000) // fills the statement
-		}, func(f *driver, i int) {
+		}},
+		// The first thousand bills fill the statement.
+		{"identity", 200_000, func(f *driver) { granted(f); f.settleBatch(hosts[0], 1, 0, 1000) }, func(f *driver, i int) {
 			if i%100 == 0 {
 				f.settleBatch(hosts[0], uint64(i/100+2), 1000+i, 100)
 			}
-		})
-	})
-	b.Run("statement-line", func(b *testing.B) {
-		perThing(b, 1000, func(f *driver) { budget(f); hosts = f.holders(1); f.must("", acquire(hosts[0], 1, 1<<40, 1<<40)) },
-			func(f *driver, i int) { f.settleBatch(hosts[0], uint64(i+1), i, 1) })
-	})
-	b.Run("claim", func(b *testing.B) {
-		perThing(b, 100_000, func(f *driver) { hosts = f.holders(1) }, func(f *driver, i int) {
+		}},
+		{"statement-line", 1000, granted, func(f *driver, i int) { f.settleBatch(hosts[0], uint64(i+1), i, 1) }},
+		{"claim", 100_000, oneHost, func(f *driver, i int) {
 			f.must("", claim(hosts[0], identityOf(i), fmt.Sprintf("r-%026d", i)))
-		})
-	})
-	b.Run("team", func(b *testing.B) {
-		perThing(b, 930, func(*driver) {}, func(f *driver, i int) {
-			f.must(fmt.Sprint("op-", i), setConfig(fmt.Sprintf("/teams/team-%03d", i), `{"priority":"urgent","retry":{"share":0.2},"grant":{"horizon":"5s"}}`, 0))
-		})
-	})
-	b.Run("account", func(b *testing.B) {
-		perThing(b, 930, func(f *driver) { f.must("op-t", setConfig("/teams/t", `{}`, 0)) }, func(f *driver, i int) {
+		}},
+		{"team", 930, nothing, func(f *driver, i int) {
+			f.must(fmt.Sprint("op-", i), setConfig(fmt.Sprintf("/teams/team-%03d", i), teamValue, 0))
+		}},
+		{"account", 930, func(f *driver) { f.must("op-t", setConfig("/teams/t", `{}`, 0)) }, func(f *driver, i int) {
 			value := fmt.Sprintf(`{"team":"t","budget":"budget-%05d","key_hashes":["%s"]}`, i, settings.HashKey(fmt.Sprint(i)))
 			f.must(fmt.Sprint("op-", i), setConfig(fmt.Sprintf("/accounts/account-%03d", i), value, 0))
-		})
-	})
-	b.Run("operation", func(b *testing.B) {
-		perThing(b, defaultOperations, budget, func(f *driver, i int) { f.must(fmt.Sprintf("%036d", i), topUp("b", 1)) })
-	})
+		}},
+		{"operation", defaultOperations, budget, func(f *driver, i int) { f.must(fmt.Sprintf("%036d", i), topUp("b", 1)) }},
+	} {
+		b.Run(thing.name, func(b *testing.B) { perThing(b, thing.n, thing.setUp, thing.add) })
+	}
 }
 
 // BenchmarkSettle gives the time to apply one bill, by bills per batch.
