--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -36,10 +36,9 @@
 func benchGroup(b *testing.B) (replicas []*Replica, leader *Replica, c counter) {
 	b.Helper()
 	c = counter{to: map[string]*atomic.Pointer[Replica]{}, bytes: &atomic.Int64{}, count: &atomic.Int64{}}
-	var members []Member
-	for i := range 3 {
-		members = append(members, Member{Address: fmt.Sprint("host", i), Host: fmt.Sprint("host", i)})
-		c.to[members[i].Address] = &atomic.Pointer[Replica]{}
+	members := members("host0", "host1", "host2")
+	for _, m := range members {
+		c.to[m.Address] = &atomic.Pointer[Replica]{}
 	}
 	for i, m := range members {
 		own := c
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,6 +53,20 @@
 	return c
 }
 
+// inCluster runs a test with three replicas in a synctest bubble.
+func inCluster(t *testing.T, edit func(*Config), test func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) { test(t, newCluster(t, 3, edit)) })
+}
+
+// members is a bootstrap list of hosts at the addresses.
+func members(addresses ...string) []Member {
+	var out []Member
+	for i, address := range addresses {
+		out = append(out, Member{Address: address, Host: fmt.Sprint("host", i)})
+	}
+	return out
+}
+
 // start opens a host's replica on its disk. c.hosts isn't locked: tests start
 // hosts from one goroutine, and messages carry addresses.
 func (c *cluster) start(h *host) {
@@ -60,10 +75,7 @@
 	cfg := Config{
 		Fleet: "test", Host: h.address, ReplicaAddress: h.address, DataDir: "/data", Join: h.join,
 		TickInterval: 50 * time.Millisecond, StateMachine: sm, Transport: link{c, h.address},
-		FS: h.fs, Logger: zerolog.Nop(), Seed: c.seed(),
-	}
-	for i := range 3 {
-		cfg.Members = append(cfg.Members, Member{Address: fmt.Sprint("host", i), Host: fmt.Sprint("host", i)})
+		FS: h.fs, Logger: zerolog.Nop(), Seed: c.seed(), Members: members("host0", "host1", "host2"),
 	}
 	if c.edit != nil {
 		c.edit(&cfg)
@@ -90,12 +102,21 @@
 	_ = h.r.Close()
 }
 
-func (c *cluster) isolate(h *host, on bool) {
+func (c *cluster) crashAll() {
+	for _, h := range c.hosts {
+		c.crash(h)
+	}
+}
+
+func (c *cluster) isolate(h *host, on bool) { c.cutOff(h, on, on) }
+
+// cutOff loses, or no longer loses, what the host sends and what is sent to it.
+func (c *cluster) cutOff(h *host, from, to bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range c.hosts {
-		c.cut[[2]string{h.address, o.address}] = on
-		c.cut[[2]string{o.address, h.address}] = on
+		c.cut[[2]string{h.address, o.address}] = from
+		c.cut[[2]string{o.address, h.address}] = to
 	}
 }
 
--- a/internal/control/linear_test.go
+++ b/internal/control/linear_test.go
@@ -6,7 +6,6 @@
 	"math/rand"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -113,11 +112,7 @@
 			time.Sleep(length)
 			c.isolate(h, false)
 		case 1: // it hears nobody, but is heard
-			c.mu.Lock()
-			for _, o := range c.hosts {
-				c.cut[[2]string{o.address, h.address}] = true
-			}
-			c.mu.Unlock()
+			c.cutOff(h, false, true)
 			time.Sleep(length)
 			c.isolate(h, false)
 		case 2: // its disk hangs, and with it the loop
@@ -145,8 +140,7 @@
 // disks, crashes and lost messages.
 func TestLinearizable(t *testing.T) {
 	for seed := range int64(4) {
-		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries = 40 })
+		inCluster(t, func(cfg *Config) { cfg.SnapshotEntries = 40 }, func(t *testing.T, c *cluster) {
 			h := &history{start: time.Now()}
 			until := h.start.Add(duration)
 			var wg sync.WaitGroup
--- a/internal/control/loopback_test.go
+++ b/internal/control/loopback_test.go
@@ -20,16 +20,17 @@
 func startLoopback(t *testing.T, n int) ([]*Replica, []*registers) {
 	t.Helper()
 	var listeners []net.Listener
-	var members []Member
-	for i := range n {
+	var addresses []string
+	for range n {
 		l := testutil.Listen(t)
 		listeners = append(listeners, l)
-		members = append(members, Member{Address: l.Addr().String(), Host: fmt.Sprint("host", i)})
+		addresses = append(addresses, l.Addr().String())
 	}
+	members := members(addresses...)
 	var replicas []*Replica
 	var states []*registers
 	for i, l := range listeners {
-		tr := NewGRPCTransport(members[i].Address, zerolog.Nop(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		tr := NewGRPCTransport(members[i].Address, zerolog.Nop(), insecureDial)
 		sm := newRegisters()
 		r, err := Open(Config{
 			Fleet: "test", Host: members[i].Host, ReplicaAddress: members[i].Address, DataDir: "/data",
@@ -37,15 +38,12 @@
 			FS: memfs.New(), Logger: zerolog.Nop(), Seed: int64(i + 1),
 		})
 		testutil.NoError(t, err)
-		srv := grpc.NewServer()
-		pb.RegisterControlServer(srv, NewService(r))
-		go func() { _ = srv.Serve(l) }()
+		serveOn(t, l, NewService(r))
 		t.Cleanup(func() {
 			tr.Close()
 			if err := r.Close(); err != nil {
 				t.Error(err)
 			}
-			srv.Stop()
 		})
 		replicas = append(replicas, r)
 		states = append(states, sm)
@@ -53,12 +51,21 @@
 	return replicas, states
 }
 
+var insecureDial = grpc.WithTransportCredentials(insecure.NewCredentials())
+
+// serveOn serves at l until the test ends.
+func serveOn(t *testing.T, l net.Listener, service pb.ControlServer) {
+	srv := grpc.NewServer()
+	pb.RegisterControlServer(srv, service)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+}
+
 // proposeAnywhere proposes at whichever replica leads.
 func proposeAnywhere(ctx context.Context, replicas []*Replica, cmd *pb.Command) (*pb.CommandResult, error) {
 	for {
 		for _, r := range replicas {
-			res, err := r.Propose(ctx, cmd)
-			if err == nil {
+			if res, err := r.Propose(ctx, cmd); err == nil {
 				return res, nil
 			}
 		}
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -21,8 +21,7 @@
 // Sequence: the leader hangs on its disk; another is elected and commits; the old one is asked.
 // Cause: its lease is counted in ticks of a loop that stands still.
 func TestHangingLeaderAnswersNoStaleRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, nil)
+	inCluster(t, nil, func(t *testing.T, c *cluster) {
 		old := c.leader()
 		c.mustSet(1, 0)
 		release := make(chan struct{})
@@ -52,8 +51,7 @@
 // Sequence: a host loses its disk and starts again with its settings unchanged; of the two others, one is down.
 // Cause: it votes under its old id, although it forgot what it had acknowledged.
 func TestLostDiskDoesNotVote(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, nil)
+	inCluster(t, nil, func(t *testing.T, c *cluster) {
 		c.leader()
 		c.mustSet(5, 0)
 		lost, down, up := c.hosts[0], c.hosts[1], c.hosts[2]
@@ -126,13 +124,10 @@
 // Sequence: two of three hosts lose their disks while the third is down.
 // Cause: the empty ones take each other's word and form a new group.
 func TestEmptyDisksWaitForAll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, nil)
+	inCluster(t, nil, func(t *testing.T, c *cluster) {
 		c.leader()
 		c.mustSet(1, 0)
-		for _, h := range c.hosts {
-			c.crash(h)
-		}
+		c.crashAll()
 		c.hosts[0].fs, c.hosts[1].fs = memfs.New(), memfs.New()
 		c.start(c.hosts[0])
 		c.start(c.hosts[1])
@@ -149,13 +144,10 @@
 // Sequence: a part of its data folder is damaged or gone; it restarts.
 // Cause: it starts with what is left.
 func TestDamagedDiskRefuses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, nil)
+	inCluster(t, nil, func(t *testing.T, c *cluster) {
 		c.leader()
 		c.mustSet(3, 0)
-		for _, h := range c.hosts {
-			c.crash(h)
-		}
+		c.crashAll()
 		h := c.hosts[0]
 		// refuses tells whether the host doesn't start, for the reason given.
 		refuses := func(reason string) {
@@ -196,14 +188,11 @@
 // Sequence: hundreds of changes, snapshots and log removals in between, all hosts crash and restart.
 // Cause: the snapshot and the log don't meet, or a change counted before it was synced.
 func TestRestartAfterHundredsOfChanges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries, cfg.SegmentBytes = 50, 2000 })
+	inCluster(t, func(cfg *Config) { cfg.SnapshotEntries, cfg.SegmentBytes = 50, 2000 }, func(t *testing.T, c *cluster) {
 		for round := range 3 {
 			c.leader()
 			c.mustSet(120, round*120)
-			for _, h := range c.hosts {
-				c.crash(h)
-			}
+			c.crashAll()
 			for _, h := range c.hosts {
 				c.start(h)
 			}
@@ -230,8 +219,7 @@
 // Sequence: the leader's change reaches two followers whose disks hang; then the power fails.
 // Cause: a follower acknowledged before its sync.
 func TestNothingIsAcknowledgedBeforeTheSync(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, nil)
+	inCluster(t, nil, func(t *testing.T, c *cluster) {
 		l := c.leader()
 		release := make(chan struct{})
 		for _, h := range c.hosts {
@@ -270,8 +258,7 @@
 }
 
 func TestGroupCommit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, nil)
+	inCluster(t, nil, func(t *testing.T, c *cluster) {
 		l := c.leader()
 		l.fs.SetOnSync(func(string) error { time.Sleep(5 * time.Millisecond); return nil })
 		before := l.fs.Syncs()
@@ -294,8 +281,7 @@
 // Sequence: nothing can be committed for a while, and proposals keep coming.
 // Cause: the log grows without bound, for a snapshot can't replace what isn't committed.
 func TestLogCap(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, func(cfg *Config) { cfg.LogBytes, cfg.SegmentBytes = 64<<10, 8<<10 })
+	inCluster(t, func(cfg *Config) { cfg.LogBytes, cfg.SegmentBytes = 64<<10, 8<<10 }, func(t *testing.T, c *cluster) {
 		l := c.leader()
 		c.isolate(l, true)
 		l.fs.SetOnSync(func(string) error { time.Sleep(time.Millisecond); return nil }) // proposals gather
@@ -332,8 +318,7 @@
 // Sequence: a watched replica is cut off while changes are made, and comes back.
 // Cause: it calls its old revision confirmed, or sends it again.
 func TestWatchOrderAndConfirmation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, nil)
+	inCluster(t, nil, func(t *testing.T, c *cluster) {
 		c.leader()
 		c.mustSet(3, 0)
 		f := c.follower()
@@ -417,8 +402,7 @@
 }
 
 func TestClosedLeaderHandsOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3, nil)
+	inCluster(t, nil, func(t *testing.T, c *cluster) {
 		old := c.leader()
 		c.mustSet(1, 0)
 		start := time.Now()
--- a/internal/control/transport_test.go
+++ b/internal/control/transport_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/testutil"
@@ -104,15 +103,12 @@
 	target := testutil.Listen(t)
 	front := testutil.Listen(t)
 	s := &sink{got: make(chan uint64, 1), whole: make(chan bool, 10)}
-	srv := grpc.NewServer()
-	pb.RegisterControlServer(srv, s)
-	go func() { _ = srv.Serve(target) }()
-	defer srv.Stop()
+	serveOn(t, target, s)
 	box := &middlebox{}
 	go box.serve(front, target.Addr().String())
 	defer front.Close()
 
-	tr := NewGRPCTransport("self", zerolog.Nop(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	tr := NewGRPCTransport("self", zerolog.Nop(), insecureDial)
 	tr.life, tr.ack = 50*time.Millisecond, 100*time.Millisecond
 	defer tr.Close()
 	// deliver sends until a message of the term arrives.
