--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -25,11 +25,13 @@
 	return &driver{t: t, state: New(Options{}), now: 1_000_000}
 }
 
-func (d *driver) do(opID string, set func(*pb.Command)) *pb.CommandResult {
+func (d *driver) do(opID string, cmd *pb.Command) *pb.CommandResult {
 	d.t.Helper()
 	d.now++
-	cmd := &pb.Command{OpId: opID, Actor: "operator", TimeMs: d.now}
-	set(cmd)
+	cmd.OpId, cmd.Actor, cmd.TimeMs = opID, "operator", d.now
+	for _, b := range cmd.GetSettle().GetBills() {
+		b.TimeMs = d.now
+	}
 	d.index++
 	if !d.forget {
 		d.log = append(d.log, cmd)
@@ -37,9 +39,9 @@
 	return d.state.Apply(d.index, cmd)
 }
 
-func (d *driver) must(opID string, set func(*pb.Command)) *pb.CommandResult {
+func (d *driver) must(opID string, cmd *pb.Command) *pb.CommandResult {
 	d.t.Helper()
-	r := d.do(opID, set)
+	r := d.do(opID, cmd)
 	if r.Error != nil {
 		d.t.Fatalf("refused: %v", r.Error)
 	}
@@ -47,9 +49,9 @@
 }
 
 // refuses checks that a command is refused with a kind. what names the command.
-func (d *driver) refuses(kind errkind.Kind, what, opID string, set func(*pb.Command)) {
+func (d *driver) refuses(kind errkind.Kind, what, opID string, cmd *pb.Command) {
 	d.t.Helper()
-	if got := d.do(opID, set); got.Error.GetKind() != string(kind) {
+	if got := d.do(opID, cmd); got.Error.GetKind() != string(kind) {
 		d.t.Errorf("%s got %v", what, got)
 	}
 }
@@ -58,53 +60,42 @@
 	return d.state.Query(&pb.Query{Body: &pb.Query_Budget{Budget: &pb.BudgetQuery{Name: "b"}}}).Budgets[0]
 }
 
-func register(host, boot string) func(*pb.Command) {
-	return func(c *pb.Command) {
-		c.Body = &pb.Command_RegisterHost{RegisterHost: &pb.RegisterHost{Host: host, BootId: boot, Zone: "olinda"}}
-	}
+func register(host, boot string) *pb.Command {
+	r := &pb.RegisterHost{Host: host, BootId: boot, Zone: "olinda"}
+	return &pb.Command{Body: &pb.Command_RegisterHost{RegisterHost: r}}
 }
 
-func create(name string, tokens uint64) func(*pb.Command) {
-	return func(c *pb.Command) {
-		c.Body = &pb.Command_CreateBudget{CreateBudget: &pb.CreateBudget{Name: name, Account: "school", Tokens: tokens}}
-	}
+func create(name string, tokens uint64) *pb.Command {
+	c := &pb.CreateBudget{Name: name, Account: "school", Tokens: tokens}
+	return &pb.Command{Body: &pb.Command_CreateBudget{CreateBudget: c}}
 }
 
-func topUp(name string, tokens uint64) func(*pb.Command) {
-	return func(c *pb.Command) { c.Body = &pb.Command_TopUp{TopUp: &pb.TopUp{Budget: name, Tokens: tokens}} }
+func topUp(name string, tokens uint64) *pb.Command {
+	return &pb.Command{Body: &pb.Command_TopUp{TopUp: &pb.TopUp{Budget: name, Tokens: tokens}}}
 }
 
-func acquire(h *pb.Holder, seq, need, want uint64) func(*pb.Command) {
-	return func(c *pb.Command) {
-		c.Body = &pb.Command_Acquire{Acquire: &pb.Acquire{Holder: h, Budget: "b", Seq: seq, Need: need, Want: want}}
-	}
+func acquire(h *pb.Holder, seq, need, want uint64) *pb.Command {
+	a := &pb.Acquire{Holder: h, Budget: "b", Seq: seq, Need: need, Want: want}
+	return &pb.Command{Body: &pb.Command_Acquire{Acquire: a}}
 }
 
-func settle(h *pb.Holder, seq uint64, bills ...*pb.Bill) func(*pb.Command) {
-	return func(c *pb.Command) {
-		for _, b := range bills {
-			b.TimeMs = c.TimeMs
-		}
-		c.Body = &pb.Command_Settle{Settle: &pb.Settle{Holder: h, Seq: seq, Bills: bills}}
-	}
+// settle makes a batch; do gives its bills the time of the record.
+func settle(h *pb.Holder, seq uint64, bills ...*pb.Bill) *pb.Command {
+	return &pb.Command{Body: &pb.Command_Settle{Settle: &pb.Settle{Holder: h, Seq: seq, Bills: bills}}}
 }
 
-func setConfig(path, value string, expected uint64) func(*pb.Command) {
-	return func(c *pb.Command) {
-		c.Body = &pb.Command_SetConfig{SetConfig: &pb.SetConfig{Path: path, ValueJson: []byte(value), ExpectedVersion: expected}}
-	}
+func setConfig(path, value string, expected uint64) *pb.Command {
+	c := &pb.SetConfig{Path: path, ValueJson: []byte(value), ExpectedVersion: expected}
+	return &pb.Command{Body: &pb.Command_SetConfig{SetConfig: c}}
 }
 
-func claim(h *pb.Holder, identity, request string) func(*pb.Command) {
-	return func(c *pb.Command) {
-		c.Body = &pb.Command_Claim{Claim: &pb.Claim{Identity: identity, Holder: h, RequestId: request}}
-	}
+func claim(h *pb.Holder, identity, request string) *pb.Command {
+	return &pb.Command{Body: &pb.Command_Claim{Claim: &pb.Claim{Identity: identity, Holder: h, RequestId: request}}}
 }
 
-func order(server string, term uint64) func(*pb.Command) {
-	return func(c *pb.Command) {
-		c.Body = &pb.Command_PlaceOrder{PlaceOrder: &pb.PlaceOrder{Server: server, Verb: "load", Object: "m", Term: term}}
-	}
+func order(server string, term uint64) *pb.Command {
+	o := &pb.PlaceOrder{Server: server, Verb: "load", Object: "m", Term: term}
+	return &pb.Command{Body: &pb.Command_PlaceOrder{PlaceOrder: o}}
 }
 
 // play runs a log that touches every part of the state.
@@ -139,7 +130,7 @@
 		t.Errorf("bill of school/1 is %v", bill)
 	}
 	d.must("", register("h1", "boot-2"))
-	for _, late := range []func(*pb.Command){acquire(h, 2, 1, 1), claim(h, "school/3", "r3")} {
+	for _, late := range []*pb.Command{acquire(h, 2, 1, 1), claim(h, "school/3", "r3")} {
 		d.refuses(errkind.StaleFence, "a dead incarnation", "", late)
 	}
 	placed := d.state.Query(&pb.Query{Body: &pb.Query_Placement{Placement: &pb.PlacementQuery{}}}).Placements
@@ -201,10 +192,10 @@
 	for i, c := range []struct{ path, value string }{
 		{"/teams/x/retry/", ` { "share" : 0.5 } `}, {"/teams/x/priority", " null "}, {"/accounts/school", "null"}, {"/teams/x", "null"},
 	} {
-		d.must(fmt.Sprint("change", i), func(cmd *pb.Command) {
-			cmd.Body = &pb.Command_SetConfig{SetConfig: &pb.SetConfig{Path: c.path, ValueJson: []byte(c.value), AnyVersion: true}}
-		})
-		set := d.log[len(d.log)-1].GetSetConfig()
+		cmd := setConfig(c.path, c.value, 0)
+		set := cmd.GetSetConfig()
+		set.AnyVersion = true
+		d.must(fmt.Sprint("change", i), cmd)
 		version := d.state.View().Revision()
 		subtree := d.state.Query(&pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: c.path}}}).Version
 		change := &pb.ConfigChange{Revision: version, Version: subtree, Path: set.Path, ValueJson: set.ValueJson}
@@ -308,7 +299,7 @@
 	play(d)
 	want := d.state.Now()
 	d.now = 10
-	d.must("", func(c *pb.Command) { c.Body = &pb.Command_NewTerm{NewTerm: &pb.NewTerm{Term: 9}} })
+	d.must("", &pb.Command{Body: &pb.Command_NewTerm{NewTerm: &pb.NewTerm{Term: 9}}})
 	if got := d.state.Now(); got != want {
 		t.Errorf("applied time went from %d to %d", want, got)
 	}
--- a/internal/apply/bench_test.go
+++ b/internal/apply/bench_test.go
@@ -30,11 +30,11 @@
 }
 
 func (f *driver) settleBatch(h *pb.Holder, seq uint64, first, n int) {
-	s := &pb.Settle{Holder: h, Seq: seq}
+	var bills []*pb.Bill
 	for i := first; i < first+n; i++ {
-		s.Bills = append(s.Bills, &pb.Bill{Budget: "b", Identity: identityOf(i), Tokens: 1, RequestId: fmt.Sprintf("r-%026d", i), TimeMs: f.now})
+		bills = append(bills, &pb.Bill{Budget: "b", Identity: identityOf(i), Tokens: 1, RequestId: fmt.Sprintf("r-%026d", i)})
 	}
-	f.must("", func(c *pb.Command) { c.Body = &pb.Command_Settle{Settle: s} })
+	f.must("", settle(h, seq, bills...))
 }
 
 func heapBytes() uint64 {
@@ -168,7 +168,7 @@
 		d.must(fmt.Sprint("op", i), create(name, 1<<40))
 		for j := range 20 {
 			a := &pb.Acquire{Holder: hosts[(i*20+j)%len(hosts)], Budget: name, Seq: 1, Need: 1000}
-			d.must("", func(c *pb.Command) { c.Body = &pb.Command_Acquire{Acquire: a} })
+			d.must("", &pb.Command{Body: &pb.Command_Acquire{Acquire: a}})
 		}
 	}
 	var capturing time.Duration
