--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -1,9 +1,11 @@
 package raft
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand"
-	"sort"
+	"slices"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
@@ -60,20 +62,15 @@
 	committed []*pb.LogEntry    // committed[i] has index i+1
 	violation string
 	maxCommit uint64
-	sent      map[pb.RaftType]int
 }
 
 func newSim(seed int64, ids ...uint64) *sim {
 	s := &sim{
 		rnd: rand.New(rand.NewSource(seed)), nodes: map[uint64]*simNode{}, cut: map[[2]uint64]bool{},
-		leaders: map[uint64]uint64{}, delay: unit / 2, sent: map[pb.RaftType]int{},
+		leaders: map[uint64]uint64{}, delay: unit / 2,
 	}
-	members := &pb.Members{}
 	for _, id := range ids {
-		members.Members = append(members.Members, &pb.Member{Id: id})
-	}
-	for _, id := range ids {
-		s.add(id, members)
+		s.add(id, members(ids...))
 	}
 	return s
 }
@@ -110,17 +107,11 @@
 }
 
 func (s *sim) sorted() []*simNode {
-	var out []*simNode
-	for _, n := range s.nodes {
-		out = append(out, n)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
-	return out
+	return slices.SortedFunc(maps.Values(s.nodes), func(a, b *simNode) int { return cmp.Compare(a.id, b.id) })
 }
 
 func (s *sim) send(n *simNode, messages []*pb.RaftMessage) {
 	for _, m := range messages {
-		s.sent[m.Type]++
 		if m.Type == pb.RaftType_RAFT_TYPE_SNAPSHOT {
 			m.Snapshot = n.disk.Snapshot
 		}
@@ -201,11 +192,8 @@
 		n.applied = rd.Snapshot.Index
 	}
 	for _, e := range rd.Entries {
-		keep := 0
-		for keep < len(n.disk.Entries) && n.disk.Entries[keep].Index < e.Index {
-			keep++
-		}
-		n.disk.Entries = append(n.disk.Entries[:keep:keep], e)
+		kept := entriesUpTo(n.disk.Entries, e.Index-1)
+		n.disk.Entries = append(slices.Clip(kept), e)
 	}
 	if rd.HardState != nil {
 		n.disk.Hard = rd.HardState
@@ -235,16 +223,19 @@
 		return
 	}
 	n.disk.Snapshot = &pb.Snapshot{Index: n.applied, Term: term, Members: n.r.MembersAt(n.applied)}
-	var rest []*pb.LogEntry
-	for _, e := range n.disk.Entries {
-		if e.Index > n.applied {
-			rest = append(rest, e)
-		}
-	}
-	n.disk.Entries = rest
+	n.disk.Entries = n.disk.Entries[len(entriesUpTo(n.disk.Entries, n.applied)):]
 	n.r.Compact(n.applied)
 }
 
+// entriesUpTo returns the leading entries up to index.
+func entriesUpTo(entries []*pb.LogEntry, index uint64) []*pb.LogEntry {
+	n := 0
+	for n < len(entries) && entries[n].Index <= index {
+		n++
+	}
+	return entries[:n]
+}
+
 func (s *sim) check() {
 	for _, n := range s.nodes {
 		if n.r != nil {
@@ -335,11 +326,7 @@
 	if l == nil {
 		return false
 	}
-	st := l.r.Status()
-	for _, m := range st.Members {
-		if !m.Repaired {
-			return false
-		}
-	}
-	return len(st.Members) >= wholeGroup
+	members := l.r.Status().Members
+	return len(members) >= wholeGroup &&
+		!slices.ContainsFunc(members, func(m MemberStatus) bool { return !m.Repaired })
 }
