--- a/internal/settings/machine_test.go
+++ b/internal/settings/machine_test.go
@@ -138,10 +138,15 @@
 	}
 }
 
+// anyVersion is a change that expects no version.
+func anyVersion(path, value string) *pb.SetConfig {
+	return &pb.SetConfig{Path: path, ValueJson: []byte(value), AnyVersion: true}
+}
+
 func set(t *testing.T, m *Machine, path, value string) *pb.SetConfigResult {
 	t.Helper()
 	opID := fmt.Sprint("op", m.View().Revision(), path, value)
-	r, _, err := m.Set(&pb.SetConfig{Path: path, ValueJson: []byte(value), AnyVersion: true}, opID, "operator", 1)
+	r, _, err := m.Set(anyVersion(path, value), opID, "operator", 1)
 	testutil.NoError(t, err)
 	return r
 }
@@ -223,7 +228,7 @@
 	} {
 		before := snapshotOf(t, m.View())
 		opID := "fault " + c.path + c.value
-		_, _, err := m.Set(&pb.SetConfig{Path: c.path, ValueJson: []byte(c.value), AnyVersion: true}, opID, "operator", 1)
+		_, _, err := m.Set(anyVersion(c.path, c.value), opID, "operator", 1)
 		if e := errkind.From(err); e == nil || e.Kind != c.kind || e.Path != c.at {
 			t.Errorf("%s = %s: %v; want %s at %s", c.path, c.value, err, c.kind, c.at)
 		}
@@ -289,8 +294,7 @@
 // Cause: only the id was compared; or the value too.
 func TestOperationIDUsedAgain(t *testing.T) {
 	m := New()
-	first := &pb.SetConfig{Path: "/teams/x", ValueJson: []byte(`{"copies":1}`), AnyVersion: true}
-	elsewhere := &pb.SetConfig{Path: "/teams/y", ValueJson: []byte(`{"copies":1}`), AnyVersion: true}
+	first, elsewhere := anyVersion("/teams/x", `{"copies":1}`), anyVersion("/teams/y", `{"copies":1}`)
 	otherValue := &pb.SetConfig{Path: "/teams/x", ValueJson: []byte(`{"copies":2}`), ExpectedVersion: 1}
 	want, _, err := m.Set(first, "op", "operator", 1)
 	testutil.NoError(t, err)
@@ -325,7 +329,7 @@
 		path := paths[uint(kind)%uint(len(paths))]
 		m := New()
 		set(t, m, "/teams/t", `{"copies":2}`)
-		_, _, err := m.Set(&pb.SetConfig{Path: path, ValueJson: value, AnyVersion: true}, "op", "operator", 1)
+		_, _, err := m.Set(anyVersion(path, string(value)), "op", "operator", 1)
 		if err != nil {
 			return
 		}
