--- a/internal/control/loopback_test.go
+++ b/internal/control/loopback_test.go
@@ -79,8 +79,7 @@
 
 func TestGroupOnLoopback(t *testing.T) {
 	replicas, states := startLoopback(t, 3)
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
+	ctx := testutil.Within(t, 20*time.Second)
 	for i := range 20 {
 		if _, err := proposeAnywhere(ctx, replicas, set(fmt.Sprint("op", i), "/a", fmt.Sprint(i))); err != nil {
 			t.Fatal(err)
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -227,8 +226,7 @@
 				h.fs.SetOnSync(func(string) error { <-release; return nil })
 			}
 		}
-		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-		defer cancel()
+		ctx := testutil.Within(t, 300*time.Millisecond)
 		if _, err := l.r.Propose(ctx, set("a", "/a", "1")); !errkind.Is(err, errkind.NoQuorum) {
 			t.Fatalf("got %v", err)
 		}
@@ -360,8 +358,7 @@
 		}
 		c.isolate(f, false)
 		await(8, true)
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
+		ctx := testutil.Within(t, time.Second)
 		if e, err := f.r.Subscribe(5).Next(ctx); err != nil || len(e.Changes) != 3 || e.Changes[0].Revision != 6 {
 			t.Fatalf("from 5: %v, %v", e, err)
 		}
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -137,8 +137,7 @@
 				return reply, nil
 			}}
 			c := newClient(t, serve(t, f))
-			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-			defer cancel()
+			ctx := testutil.Within(t, 300*time.Millisecond)
 			_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
 			if got := errkind.From(err); got == nil || got.Kind != tc.kind || got.Ran() != tc.ran {
 				t.Fatalf("got %v, ran %q", err, got.Ran())
@@ -175,8 +174,7 @@
 	healthy := serve(t, &fakeReplica{watch: func(out watchStream) error {
 		return out.Send(whole(1, true))
 	}})
-	ctx, cancel := context.WithTimeout(t.Context(), 4*silentAfter)
-	defer cancel()
+	ctx := testutil.Within(t, 4*silentAfter)
 	done := errors.New("heard")
 	c := newClient(t, healthy, frozen.Addr().String()) // the second one is asked first
 	if err := c.Watch(ctx, 0, func(*pb.WatchEvent) error { return done }); !errors.Is(err, done) {
--- a/internal/controlclient/group_test.go
+++ b/internal/controlclient/group_test.go
@@ -1,7 +1,6 @@
 package controlclient
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -68,8 +67,7 @@
 		}
 	}()
 	c := newClient(t, addresses...)
-	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
-	defer cancel()
+	ctx := testutil.Within(t, 30*time.Second)
 	change := func(from, to int) {
 		t.Helper()
 		for i := from; i < to; i++ {
--- a/internal/controlclient/silent_test.go
+++ b/internal/controlclient/silent_test.go
@@ -87,8 +87,7 @@
 				}})
 				c := b.client(t, "good", "stuck") // the second is tried first
 				done := errors.New("done")
-				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-				defer cancel()
+				ctx := testutil.Within(t, time.Minute)
 				first := uint64(0)
 				err := c.Watch(ctx, 0, func(e *pb.WatchEvent) error {
 					if first == 0 {
@@ -123,8 +122,7 @@
 		}}
 		b.serve(t, "leader", f)
 		c := b.client(t, "leader")
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		defer cancel()
+		ctx := testutil.Within(t, 10*time.Second)
 		_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
 		testutil.NoError(t, err)
 		if b.dials["leader"] != 2 {
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -3,10 +3,12 @@
 package testutil
 
 import (
+	"context"
 	"flag"
 	"net"
 	"os"
 	"testing"
+	"time"
 )
 
 // TB is the part of testing.TB that *rapid.T has too.
@@ -23,6 +25,13 @@
 	}
 }
 
+// Within returns a context that ends with the test, or after d.
+func Within(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
 // Listen opens a TCP listener at a free loopback port; whoever serves on it closes it.
 func Listen(t TB) net.Listener {
 	t.Helper()
--- a/internal/wal/memfs/memfs.go
+++ b/internal/wal/memfs/memfs.go
@@ -5,9 +5,10 @@
 package memfs
 
 import (
+	"maps"
 	"math/rand"
 	"path"
-	"sort"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -57,14 +58,7 @@
 	}
 }
 
-func sortedNames(m map[string]*inode) []string {
-	var names []string
-	for name := range m {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
+func sortedNames(m map[string]*inode) []string { return slices.Sorted(maps.Keys(m)) }
 
 // SetOnSync has hook called before each sync of a file; its error fails the
 // sync. It may block, which freezes the writer. Nil: no hook.
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -17,6 +17,11 @@
 const dir = "/log"
 
 func open(t testing.TB, fs wal.FS, opts wal.Options) (*wal.Log, wal.Contents) {
+	t.Helper()
+	return openIn(t, fs, dir, opts)
+}
+
+func openIn(t testing.TB, fs wal.FS, dir string, opts wal.Options) (*wal.Log, wal.Contents) {
 	t.Helper()
 	l, c, err := wal.Open(fs, dir, opts)
 	testutil.NoError(t, err)
@@ -50,22 +55,23 @@
 }
 
 func TestReopen(t *testing.T) {
-	for name, fs := range map[string]wal.FS{"memory": memfs.New(), "disk": rooted{wal.OS{}, t.TempDir()}} {
+	for name, fs := range map[string]wal.FS{"memory": memfs.New(), "disk": wal.OS{}} {
 		t.Run(name, func(t *testing.T) {
-			l, _ := open(t, fs, wal.Options{})
+			dir := filepath.Join(t.TempDir(), "log")
+			l, _ := openIn(t, fs, dir, wal.Options{})
 			write(t, l, 1, 4, 1)
 			write(t, l, 5, 9, 2)
 			write(t, l, 7, 8, 3) // a later leader's entries replace 7 to 9
 			if l.Syncs() != 3 {
 				t.Fatalf("%d syncs for 3 batches of 11 entries", l.Syncs())
 			}
-			_, c := open(t, fs, wal.Options{})
+			_, c := openIn(t, fs, dir, wal.Options{})
 			if got := fmt.Sprint(terms(t, c)); got != "[1 1 1 1 2 2 3 3]" || c.Hard.Term != 3 {
 				t.Fatalf("terms %s, hard state %v", got, c.Hard)
 			}
 			testutil.NoError(t, l.Reset(&pb.HardState{Term: 4}))
 			write(t, l, 21, 22, 4)
-			_, c = open(t, fs, wal.Options{})
+			_, c = openIn(t, fs, dir, wal.Options{})
 			if got := fmt.Sprint(terms(t, c)); got != "[4 4]" || c.Entries[0].Index != 21 {
 				t.Fatalf("after a reset: %s", got)
 			}
@@ -73,20 +79,6 @@
 	}
 }
 
-// rooted puts a file system below a folder.
-type rooted struct {
-	wal.FS
-	root string
-}
-
-func (r rooted) MkdirAll(d string) error           { return r.FS.MkdirAll(filepath.Join(r.root, d)) }
-func (r rooted) List(d string) ([]string, error)   { return r.FS.List(filepath.Join(r.root, d)) }
-func (r rooted) ReadFile(p string) ([]byte, error) { return r.FS.ReadFile(filepath.Join(r.root, p)) }
-func (r rooted) Create(p string) (wal.File, error) { return r.FS.Create(filepath.Join(r.root, p)) }
-func (r rooted) Append(p string) (wal.File, error) { return r.FS.Append(filepath.Join(r.root, p)) }
-func (r rooted) SyncDir(d string) error            { return r.FS.SyncDir(filepath.Join(r.root, d)) }
-func (r rooted) Truncate(p string, n int64) error  { return r.FS.Truncate(filepath.Join(r.root, p), n) }
-
 // Symptom: a replica doesn't start after a power cut, or starts without entries it acknowledged.
 // Sequence: the power fails while a batch is being written, at any byte.
 // Cause: the torn end was taken for damage, or too much was cut off.
@@ -199,7 +191,7 @@
 func BenchmarkAppend(b *testing.B) {
 	for _, batch := range []int{1, 16, 64} {
 		b.Run(fmt.Sprint(batch), func(b *testing.B) {
-			l, _ := open(b, rooted{wal.OS{}, b.TempDir()}, wal.Options{MaxBytes: 1 << 40})
+			l, _ := openIn(b, wal.OS{}, b.TempDir(), wal.Options{MaxBytes: 1 << 40})
 			data := make([]byte, 100)
 			next := uint64(1)
 			for b.Loop() {
