--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -30,7 +30,6 @@
 
 type host struct {
 	address string
-	join    bool
 	fs      *memfs.FS
 	sm      *registers
 	r       *Replica
@@ -72,21 +71,25 @@
 func (c *cluster) start(h *host) {
 	c.t.Helper()
 	sm := newRegisters()
+	r, err := Open(c.config(h, sm))
+	if err != nil {
+		c.t.Fatalf("%s: %v", h.address, err)
+	}
+	c.mu.Lock()
+	h.sm, h.r = sm, r
+	c.mu.Unlock()
+}
+
+func (c *cluster) config(h *host, sm *registers) Config {
 	cfg := Config{
-		Fleet: "test", Host: h.address, ReplicaAddress: h.address, DataDir: "/data", Join: h.join,
+		Fleet: "test", Host: h.address, ReplicaAddress: h.address, DataDir: "/data",
 		TickInterval: 50 * time.Millisecond, StateMachine: sm, Transport: link{c, h.address},
 		FS: h.fs, Logger: zerolog.Nop(), Seed: c.seed(), Members: members("host0", "host1", "host2"),
 	}
 	if c.edit != nil {
 		c.edit(&cfg)
 	}
-	r, err := Open(cfg)
-	if err != nil {
-		c.t.Fatalf("%s: %v", h.address, err)
-	}
-	c.mu.Lock()
-	h.sm, h.r = sm, r
-	c.mu.Unlock()
+	return cfg
 }
 
 func (c *cluster) seed() int64 {
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -151,10 +151,7 @@
 		// refuses tells whether the host doesn't start, for the reason given.
 		refuses := func(reason string) {
 			t.Helper()
-			r, err := Open(Config{
-				Fleet: "test", Host: "x", ReplicaAddress: "x", Members: []Member{{Address: "x", Host: "x"}}, DataDir: "/data",
-				StateMachine: newRegisters(), Transport: link{c, "x"}, FS: h.fs,
-			})
+			r, err := Open(c.config(h, newRegisters()))
 			if err == nil {
 				_ = r.Close()
 			}
