--- a/internal/admincli/budget.go
+++ b/internal/admincli/budget.go
@@ -54,6 +54,12 @@
 	}
 }
 
+// printFunds shows what a change answers for: the funds. Grants are not part of the
+// answer, and a resend gets the first answer again.
+func printFunds(w io.Writer, b adminapi.Budget) {
+	fmt.Fprintf(w, "budget %s: funded %d, billed %d\n", b.Name, b.Funded, b.Billed)
+}
+
 func (a *app) budgetShow(ctx context.Context, cmd *cli.Command) error {
 	args, err := arguments(cmd, "NAME")
 	if err != nil {
@@ -88,7 +94,7 @@
 	}
 	var out adminapi.BudgetAnswer
 	return a.change(ctx, cmd, call{method: http.MethodPost, path: path, body: body}, &out, func(w io.Writer) {
-		printBudget(w, out.Budget)
+		printFunds(w, out.Budget)
 		printOperation(w, out.OpID, out.Resend)
 	})
 }
