--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -13,11 +13,11 @@
 	"github.com/bluebellsail/bluebellsail/internal/claims"
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // Options bound the state's memory. Every replica of a group must use the same, as
@@ -90,7 +90,7 @@
 	result := &pb.CommandResult{Index: index}
 	r := ledger.Record{Index: index, Now: s.now, OpID: cmd.GetOpId(), Actor: cmd.GetActor()}
 	if err := s.dispatch(r, cmd, result); err != nil {
-		result.Error = errwire.ToProto(err)
+		result.Error = wire.EncodeError(err)
 	}
 	return result
 }
--- a/internal/controlclient/attempt.go
+++ b/internal/controlclient/attempt.go
@@ -10,8 +10,8 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/bluebellsail/bluebellsail/internal/control"
-	"github.com/bluebellsail/bluebellsail/internal/errwire"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // answer is what one attempt at one replica gave. Exactly one of these holds:
@@ -32,7 +32,7 @@
 	if errors.As(err, &nl) {
 		return answer[T]{notLeader: true, hint: nl.Address}
 	}
-	return answer[T]{value: value, refusal: errwire.ToProto(err)}
+	return answer[T]{value: value, refusal: wire.EncodeError(err)}
 }
 
 // fromRemote asks a replica in another process. ask passes the option on to its call;
