--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -119,7 +119,7 @@
 func (o *operations) restore(images []operationImage) error {
 	for _, im := range images {
 		if len(im.Key) != window.KeySize {
-			return errors.New("apply: a remembered operation does not fit")
+			return errors.Errorf("apply: snapshot: the key of an operation has %d bytes instead of %d", len(im.Key), window.KeySize)
 		}
 		o.put(window.Key(im.Key), firstAnswer{fingerprint: im.Fingerprint, result: im.Result})
 	}
--- a/internal/apply/snapshot.go
+++ b/internal/apply/snapshot.go
@@ -50,7 +50,7 @@
 	}
 	return func() ([]byte, error) {
 		data, err := json.Marshal(im)
-		return data, errors.Wrap(err, "apply: snapshot")
+		return data, errors.Wrap(err, "apply: encode snapshot")
 	}, nil
 }
 
@@ -58,7 +58,7 @@
 func (s *State) Restore(data []byte) error {
 	var im image
 	if err := json.Unmarshal(data, &im); err != nil {
-		return errors.Wrap(err, "apply: snapshot")
+		return errors.Wrap(err, "apply: decode snapshot")
 	}
 	if im.Format != snapshotFormat {
 		return errors.Errorf("apply: snapshot of format %d, this program reads %d", im.Format, snapshotFormat)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -36,13 +36,13 @@
 	wal       *wal.Log
 	snapshots *snapshot.Store
 	snapIndex uint64
-	job       *snapshotJob // under way; nil: none
-	taken     int64        // bytes of the log's room that this turn's entries take
-	pending   map[uint64]*proposal
-	lastTime  int64
-	askedTick int64
-	resetTick map[uint64]int64
-	role      raft.Role
+	job       *snapshotJob         // under way; nil: none
+	taken     int64                // bytes of the log's room that this turn's entries take
+	pending   map[uint64]*proposal // by log index
+	lastTime  int64                // newest time stamped or applied, Unix milliseconds
+	askedTick int64                // when the formation last asked
+	resetTick map[uint64]int64     // when the connection to a member was last given up
+	role      raft.Role            // as last published
 
 	metrics metrics
 
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -151,13 +151,13 @@
 	for _, g := range im.Grants {
 		var ok bool
 		if promised, ok = add(promised, g.Tokens); !ok {
-			return errors.Errorf("ledger image: the grants of budget %q overflow", im.Name)
+			return errors.Errorf("ledger: snapshot: the grants of budget %q overflow", im.Name)
 		}
 		b.setGrant(g.Incarnation, g.Tokens)
 		b.holders[g.Incarnation] = grant{tokens: g.Tokens, seq: g.Seq, lastAmount: g.LastAmount}
 	}
 	if promised > im.Funded {
-		return errors.Errorf("ledger image: budget %q promises %d of %d tokens", im.Name, promised, im.Funded)
+		return errors.Errorf("ledger: snapshot: budget %q has billed and granted %d of %d funded tokens", im.Name, promised, im.Funded)
 	}
 	for _, l := range im.Lines {
 		b.statement.append(l)
@@ -168,8 +168,11 @@
 }
 
 func (s *State) restoreOperator(o operatorImage) error {
-	if len(o.Key) != window.KeySize || int(o.Budget) >= len(s.byNumber) {
-		return errors.New("ledger image: a remembered operation does not fit")
+	if len(o.Key) != window.KeySize {
+		return errors.Errorf("ledger: snapshot: the key of an operation has %d bytes instead of %d", len(o.Key), window.KeySize)
+	}
+	if int(o.Budget) >= len(s.byNumber) {
+		return errors.Errorf("ledger: snapshot: an operation on budget number %d, but there are %d budgets", o.Budget, len(s.byNumber))
 	}
 	s.operators[window.Key(o.Key)] = operatorAnswer{budget: o.Budget, create: o.Create, tokens: o.Tokens, funded: o.Funded, billed: o.Billed}
 	return nil
--- a/internal/ledger/registry.go
+++ b/internal/ledger/registry.go
@@ -126,11 +126,12 @@
 	}
 }
 
-// RemoveHost takes an operator's word that a host is dead, or a host's own that it
-// has left. A host that left in order holds nothing; while it counted as live, the
-// recovery of any other host waited for its answer for ever. Should a removed host live on,
-// cut off, it goes on spending what it holds, and what it spends after its recovery
-// can't be billed any more: the word must be true.
+// RemoveHost marks a host as dead: an operator reports it, or the host says itself
+// that it has left. A host that left in order holds no tokens; if it counted as live,
+// the recovery of any other host would wait for its answer for good.
+//
+// The report must be true. A removed host that is only cut off goes on spending the
+// tokens that it holds, and what it spends after its recovery can't be billed any more.
 func (s *State) RemoveHost(c *pb.RemoveHost) error {
 	h := s.registry.hosts[c.Host]
 	if h == nil {
--- a/internal/ledger/window/window.go
+++ b/internal/ledger/window/window.go
@@ -196,7 +196,7 @@
 		return err
 	}
 	if len(in.Keys) != KeySize*len(in.Values) {
-		return errors.Errorf("window image: %d bytes of keys for %d values", len(in.Keys), len(in.Values))
+		return errors.Errorf("window: snapshot: %d bytes of keys for %d values", len(in.Keys), len(in.Values))
 	}
 	g.start, g.last = in.Start, in.Last
 	g.entries = make([]entry[V], 0, len(in.Values))
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -207,7 +207,7 @@
 	fresh.view, fresh.history = view, im.History
 	for _, o := range im.Operations {
 		if len(o.Key) != window.KeySize {
-			return errors.New("settings image: a remembered operation does not fit")
+			return errors.Errorf("settings: snapshot: the key of an operation has %d bytes instead of %d", len(o.Key), window.KeySize)
 		}
 		fresh.remember(window.Key(o.Key), operation{fingerprint: o.Fingerprint, revision: o.Revision, version: o.Version})
 	}
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -43,10 +43,10 @@
 func ViewFromSnapshot(data []byte) (*View, error) {
 	var s snapshot
 	if err := json.Unmarshal(data, &s); err != nil {
-		return nil, errors.Wrap(err, "settings snapshot")
+		return nil, errors.Wrap(err, "settings: decode snapshot")
 	}
 	if s.Versions == nil {
-		return nil, errors.New("settings snapshot: no versions of subtrees")
+		return nil, errors.New("settings: decode snapshot: it has no versions of subtrees")
 	}
 	v := NewView()
 	v.revision, v.tree.Fleet = s.Revision, s.Tree.Fleet
@@ -60,7 +60,7 @@
 // SnapshotJSON is the whole view; equal views have equal snapshots.
 func (v *View) SnapshotJSON() ([]byte, error) {
 	data, err := json.Marshal(snapshot{Revision: v.revision, Versions: v.versions, Tree: v.tree})
-	return data, errors.Wrap(err, "settings snapshot")
+	return data, errors.Wrap(err, "settings: encode snapshot")
 }
 
 // index builds what lookups need.
