--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -49,23 +49,15 @@
 			t.Errorf("%s won: %v", step.request, won)
 		}
 	}
-	if err := finish(s, "a/1", "r2", notRun, 1); !errkind.Is(err, errkind.KeyConflict) {
-		t.Errorf("a loser finished the claim: %v", err)
-	}
+	testutil.Refused(t, finish(s, "a/1", "r2", notRun, 1), errkind.KeyConflict, "a loser finishes the claim")
 	for range 2 {
-		if err := finish(s, "a/1", "r1", done, 1); err != nil {
-			t.Error(err)
-		}
-	}
-	if err := finish(s, "a/1", "r1", notRun, 1); !errkind.Is(err, errkind.KeyConflict) {
-		t.Errorf("a run that ended became one that never ran: %v", err)
+		testutil.NoError(t, finish(s, "a/1", "r1", done, 1))
 	}
+	testutil.Refused(t, finish(s, "a/1", "r1", notRun, 1), errkind.KeyConflict, "a run that ended becomes one that never ran")
 	if wins(t, s, "a/1", "r4", 1) || s.Lookup("a/1").State != done {
 		t.Error("a claim that is done was won again")
 	}
-	if err := finish(s, "a/2", "r1", done, 1); !errkind.Is(err, errkind.NotFound) {
-		t.Errorf("an unknown claim finished: %v", err)
-	}
+	testutil.Refused(t, finish(s, "a/2", "r1", done, 1), errkind.NotFound, "an unknown claim finishes")
 }
 
 // Symptom: a request whose caller was told "it did not run" runs after all.
@@ -86,9 +78,7 @@
 			t.Errorf("r%d won again", i)
 		}
 	}
-	if err := finish(s, "a/1", "r2", done, 1); !errkind.Is(err, errkind.KeyConflict) {
-		t.Errorf("a claim that did not run became done: %v", err)
-	}
+	testutil.Refused(t, finish(s, "a/1", "r2", done, 1), errkind.KeyConflict, "a claim that did not run becomes done")
 }
 
 // Symptom: a late retry runs a second time.
@@ -102,9 +92,8 @@
 	}
 	now := 10 * time.Hour.Milliseconds()
 	over := &pb.Claim{Identity: "a/new", RequestId: "r1", Holder: &pb.Holder{Host: "h", Incarnation: 1}}
-	if _, err := s.Claim(over, now); !errkind.Is(err, errkind.ClaimUnavailable) {
-		t.Errorf("a claim past the bound got %v", err)
-	}
+	_, err := s.Claim(over, now)
+	testutil.Refused(t, err, errkind.ClaimUnavailable, "a claim past the bound")
 	for i := range 100 {
 		if wins(t, s, fmt.Sprint("a/", i), "r2", now) {
 			t.Fatalf("claim %d was forgotten", i)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -72,6 +72,13 @@
 	return res
 }
 
+// refuses checks that a batch is refused with a kind. what names the batch.
+func (r *rig) refuses(h *pb.Holder, b *pb.Settle, kind errkind.Kind, what string) {
+	r.t.Helper()
+	_, err := r.settle(h, b)
+	testutil.Refused(r.t, err, kind, what)
+}
+
 func bills(identity string, tokens uint64, arrived int64) []*pb.Bill {
 	return []*pb.Bill{{Budget: testBudget, Identity: identity, Tokens: tokens, TimeMs: arrived}}
 }
@@ -174,9 +181,7 @@
 		{Bills: bills("a", 60, 1), Returns: returns(41)},
 	}
 	for _, b := range bad {
-		if _, err := r.settle(h, b); !errkind.Is(err, errkind.Internal) {
-			t.Errorf("got %v", err)
-		}
+		r.refuses(h, b, errkind.Internal, "an overdrawn batch")
 	}
 	if got := r.level(100); got != "0 of 1000" || r.ledger.billed.memory.Len() != 0 {
 		t.Errorf("a refused batch left %s, %d identities", got, r.ledger.billed.memory.Len())
@@ -228,9 +233,7 @@
 	r.acquire(a, 1, 100, 100)
 	first := &pb.Transfer{Id: "1", Budget: testBudget, From: a, To: b, Tokens: 80}
 	second := &pb.Transfer{Id: "2", Budget: testBudget, From: b, To: c, Tokens: 70}
-	if _, err := r.settle(c, &pb.Settle{Transfers: []*pb.Transfer{second}}); !errkind.Is(err, errkind.BudgetUnreachable) {
-		t.Errorf("a transfer of tokens that the giver has not got %v", err)
-	}
+	r.refuses(c, &pb.Settle{Transfers: []*pb.Transfer{second}}, errkind.BudgetUnreachable, "a transfer of tokens that the giver hasn't")
 	for _, s := range []struct {
 		holder    *pb.Holder
 		transfers []*pb.Transfer
@@ -254,9 +257,7 @@
 	in := &pb.Transfer{Id: "in", Budget: testBudget, From: b, To: a, Tokens: 5}
 	out := &pb.Transfer{Id: "out", Budget: testBudget, From: a, To: c, Tokens: 40}
 	r.mustSettle(c, &pb.Settle{Transfers: []*pb.Transfer{out}})
-	if _, err := r.settle(a, back); !errkind.Is(err, errkind.Internal) {
-		t.Errorf("a return of tokens that the ledger doesn't know of got %v", err)
-	}
+	r.refuses(a, back, errkind.Internal, "a return of tokens that the ledger doesn't know of")
 	r.level(0, 40, 40)
 	r.mustSettle(b, &pb.Settle{Transfers: []*pb.Transfer{in}})
 	r.mustSettle(a, back)
@@ -271,9 +272,8 @@
 	old := r.register("h")
 	r.acquire(old, 1, 100, 100)
 	m := &pb.RecoverHolder{Dead: old, Bills: bills("a", 150, 1)}
-	if _, _, err := r.ledger.RecoverHolder(r.record(), m); !errkind.Is(err, errkind.BadRequest) {
-		t.Errorf("recovery of a live holder got %v", err)
-	}
+	_, _, err := r.ledger.RecoverHolder(r.record(), m)
+	testutil.Refused(t, err, errkind.BadRequest, "recovery of a live holder")
 	m.GatheredFrom = []*pb.Holder{r.register("h")}
 	for _, resend := range []bool{false, true} {
 		res, again, err := r.ledger.RecoverHolder(r.record(), m)
@@ -299,17 +299,14 @@
 	if err != nil || !resend || fmt.Sprint(first) != fmt.Sprint(again) || len(first.Duplicates) != 1 {
 		t.Errorf("first %v, again %v, resend %v, %v", first, again, resend, err)
 	}
-	gap := &pb.Settle{Holder: h, Seq: 4}
-	if _, _, err := r.ledger.Settle(r.record(), gap); !errkind.Is(err, errkind.VersionConflict) {
-		t.Errorf("a gap got %v", err)
-	}
+	_, _, err = r.ledger.Settle(r.record(), &pb.Settle{Holder: h, Seq: 4})
+	testutil.Refused(t, err, errkind.VersionConflict, "a gap")
 }
 
 func TestOverflowAndBrokenInvariant(t *testing.T) {
 	r := newRig(t, Options{}, math.MaxUint64)
-	if _, _, err := r.ledger.TopUp(r.record(), &pb.TopUp{Budget: testBudget, Tokens: 1}); !errkind.Is(err, errkind.BadRequest) {
-		t.Errorf("an overflowing top-up got %v", err)
-	}
+	_, _, err := r.ledger.TopUp(r.record(), &pb.TopUp{Budget: testBudget, Tokens: 1})
+	testutil.Refused(t, err, errkind.BadRequest, "an overflowing top-up")
 	for _, billed := range []uint64{100, math.MaxUint64} {
 		b := &budget{name: "broken", funded: 100, granted: 1, billed: billed}
 		func() {
@@ -347,9 +344,7 @@
 	r := newRig(t, Options{}, 1000)
 	s, first, second := r.ledger, r.register("a"), r.register("a")
 	err := s.RemoveHost(&pb.RemoveHost{Host: "a", Incarnation: first.Incarnation})
-	if !errkind.Is(err, errkind.StaleFence) {
-		t.Fatalf("the former run's word was taken: %v", err)
-	}
+	testutil.Refused(t, err, errkind.StaleFence, "the former run's word")
 	if err := s.Live(second); err != nil {
 		t.Fatalf("the present run is not live: %v", err)
 	}
--- a/internal/settings/machine_test.go
+++ b/internal/settings/machine_test.go
@@ -298,16 +298,14 @@
 	otherValue := &pb.SetConfig{Path: "/teams/x", ValueJson: []byte(`{"copies":2}`), ExpectedVersion: 1}
 	want, _, err := m.Set(first, "op", "operator", 1)
 	testutil.NoError(t, err)
-	if _, _, err := m.Set(elsewhere, "op", "operator", 1); !errkind.Is(err, errkind.KeyConflict) {
-		t.Errorf("got %v", err)
-	}
+	_, _, err = m.Set(elsewhere, "op", "operator", 1)
+	testutil.Refused(t, err, errkind.KeyConflict, "the id used for another path")
 	got, resend, err := m.Set(otherValue, "op", "operator", 1)
 	if err != nil || !resend || fmt.Sprint(got) != fmt.Sprint(want) || m.View().Revision() != 1 {
 		t.Errorf("resend %v got %v, %v at revision %d", resend, got, err, m.View().Revision())
 	}
-	if _, _, err := m.Set(first, "", "operator", 1); !errkind.Is(err, errkind.BadRequest) {
-		t.Errorf("no operation id: %v", err)
-	}
+	_, _, err = m.Set(first, "", "operator", 1)
+	testutil.Refused(t, err, errkind.BadRequest, "no operation id")
 }
 
 // FuzzSet feeds the decoder any value: it must not panic, and what it accepts must
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -9,12 +9,15 @@
 	"os"
 	"testing"
 	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
 )
 
 // TB is the part of testing.TB that *rapid.T has too.
 type TB interface {
 	Helper()
 	Fatal(args ...any)
+	Errorf(format string, args ...any)
 }
 
 // NoError ends the test if err isn't nil.
@@ -25,6 +28,14 @@
 	}
 }
 
+// Refused fails the test if err isn't a refusal of the kind. what names the operation.
+func Refused(t TB, err error, kind errkind.Kind, what string) {
+	t.Helper()
+	if !errkind.Is(err, kind) {
+		t.Errorf("%s: got %v, want a refusal of kind %s", what, err, kind)
+	}
+}
+
 // Within returns a context that ends with the test, or after d.
 func Within(t testing.TB, d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), d)
