--- a/internal/controlclient/group_test.go
+++ b/internal/controlclient/group_test.go
@@ -43,30 +43,32 @@
 	}}
 }
 
-// Symptom: after a host's disk is replaced, the group stays one loss away from
-// standing still until an operator notices.
-// Sequence: a host loses its disk and restarts with its settings unchanged; later another host is lost.
-// Cause: nobody adds the new disk to the group, or it counts before it holds everything.
-func TestLostDiskRepairsItself(t *testing.T) {
-	var members []control.Member
+// startGroup starts three replicas, which stop when the test ends.
+func startGroup(t *testing.T) (members []control.Member, processes []process) {
 	var listeners []net.Listener
 	for i := range 3 {
 		l := testutil.Listen(t)
 		listeners = append(listeners, l)
 		members = append(members, control.Member{Address: l.Addr().String(), Host: fmt.Sprint("host", i)})
 	}
-	var processes []process
-	var addresses []string
 	for i, l := range listeners {
 		processes = append(processes, startProcess(t, members, i, l, memfs.New()))
-		addresses = append(addresses, members[i].Address)
 	}
-	defer func() {
+	t.Cleanup(func() {
 		for _, p := range processes {
 			p.stop()
 		}
-	}()
-	c := newClient(t, addresses...)
+	})
+	return members, processes
+}
+
+// Symptom: after a host's disk is replaced, the group stays one loss away from
+// standing still until an operator notices.
+// Sequence: a host loses its disk and restarts with its settings unchanged; later another host is lost.
+// Cause: nobody adds the new disk to the group, or it counts before it holds everything.
+func TestLostDiskRepairsItself(t *testing.T) {
+	members, processes := startGroup(t)
+	c := newClient(t, members[0].Address, members[1].Address, members[2].Address)
 	ctx := testutil.Within(t, 30*time.Second)
 	change := func(from, to int) {
 		t.Helper()
--- a/internal/controlclient/watch.go
+++ b/internal/controlclient/watch.go
@@ -27,6 +27,7 @@
 // callbackError carries an error of the watcher's own function.
 type callbackError struct{ err error }
 
+// Error implements error.
 func (e *callbackError) Error() string { return e.err.Error() }
 
 // Watch calls fn with the settings from fromRevision on (0: from a whole tree),
