--- a/internal/procconfig/decode.go
+++ b/internal/procconfig/decode.go
@@ -12,6 +12,8 @@
 	"unicode/utf8"
 
 	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/jsonobject"
 )
 
 // maxFileBytes bounds a settings file, so that a wrong path (a log, a device) is
@@ -97,25 +99,25 @@
 }
 
 func checkObject(raw json.RawMessage, t reflect.Type, path string) Faults {
-	members, ok := readObject(raw)
-	if !ok {
+	members, err := jsonobject.Members(raw)
+	if err != nil {
 		return Faults{{path, "want an object"}}
 	}
 	fields := fieldTypes(t)
 	seen := map[string]bool{}
 	var faults Faults
 	for _, m := range members {
-		at := path + "/" + m.key
-		field, known := fields[m.key]
+		at := path + "/" + m.Key
+		field, known := fields[m.Key]
 		switch {
 		case !known:
 			faults = append(faults, Fault{at, "unknown key"})
-		case seen[m.key]:
+		case seen[m.Key]:
 			faults = append(faults, Fault{at, "the key stands twice"})
 		default:
-			faults = append(faults, checkForm(m.value, field, at)...)
+			faults = append(faults, checkForm(m.Value, field, at)...)
 		}
-		seen[m.key] = true
+		seen[m.Key] = true
 	}
 	return faults
 }
@@ -157,34 +159,6 @@
 	}
 }
 
-// member is one key of a JSON object with its value as written.
-type member struct {
-	key   string
-	value json.RawMessage
-}
-
-// readObject returns the members of a JSON object in order, repeated keys included.
-func readObject(raw json.RawMessage) ([]member, bool) {
-	d := json.NewDecoder(bytes.NewReader(raw))
-	start, err := d.Token()
-	if err != nil || start != json.Delim('{') {
-		return nil, false
-	}
-	var members []member
-	for d.More() {
-		key, err := d.Token()
-		if err != nil {
-			return nil, false
-		}
-		m := member{key: key.(string)}
-		if err := d.Decode(&m.value); err != nil {
-			return nil, false
-		}
-		members = append(members, m)
-	}
-	return members, true
-}
-
 // fieldTypes returns the type of each JSON key of the struct type t.
 func fieldTypes(t reflect.Type) map[string]reflect.Type {
 	fields := make(map[string]reflect.Type, t.NumField())
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/jsonobject"
 )
 
 // maxDepth bounds the nesting of a value, so that a hostile one can't exhaust the stack.
@@ -65,23 +67,23 @@
 }
 
 func decodeStruct(path string, raw json.RawMessage, v reflect.Value, depth int) error {
-	members, err := objectMembers(raw)
+	members, err := jsonobject.Members(raw)
 	if err != nil {
 		return fault(path, "%v", err)
 	}
 	fields := fieldsByKey(v.Type())
 	seen := make(map[string]bool, len(members))
 	for _, m := range members {
-		at := path + "/" + m.key
-		index, ok := fields[m.key]
+		at := path + "/" + m.Key
+		index, ok := fields[m.Key]
 		if !ok {
 			return fault(at, "unknown key")
 		}
-		if seen[m.key] {
+		if seen[m.Key] {
 			return fault(at, "the key stands twice")
 		}
-		seen[m.key] = true
-		if err := decodeValue(at, m.value, v.Field(index), depth+1); err != nil {
+		seen[m.Key] = true
+		if err := decodeValue(at, m.Value, v.Field(index), depth+1); err != nil {
 			return err
 		}
 		if v.Type().Field(index).Tag.Get(zeroTag) == zeroRefused && v.Field(index).IsZero() {
@@ -106,33 +108,6 @@
 	return nil
 }
 
-type member struct {
-	key   string
-	value json.RawMessage
-}
-
-// objectMembers returns the members of a JSON object in the order in which they stand.
-func objectMembers(raw json.RawMessage) ([]member, error) {
-	d := json.NewDecoder(bytes.NewReader(raw))
-	t, err := d.Token()
-	if err != nil || t != json.Delim('{') {
-		return nil, errors.New("must be an object")
-	}
-	var out []member
-	for d.More() {
-		key, err := d.Token()
-		if err != nil {
-			return nil, errors.Wrap(err, "not JSON")
-		}
-		m := member{key: key.(string)}
-		if err := d.Decode(&m.value); err != nil {
-			return nil, errors.Wrap(err, "not JSON")
-		}
-		out = append(out, m)
-	}
-	return out, nil
-}
-
 // fieldsByKey maps the JSON keys of a struct type to its fields.
 func fieldsByKey(t reflect.Type) map[string]int {
 	out := make(map[string]int, t.NumField())
