--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -29,7 +31,6 @@
 
 type host struct {
 	address string
-	join    bool
 	fs      *memfs.FS
 	sm      *registers
 	r       *Replica
@@ -52,23 +53,26 @@
 	return c
 }
 
+// inCluster runs a test with three replicas in a synctest bubble.
+func inCluster(t *testing.T, edit func(*Config), test func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) { test(t, newCluster(t, 3, edit)) })
+}
+
+// members is a bootstrap list of hosts at the addresses.
+func members(addresses ...string) []Member {
+	var out []Member
+	for i, address := range addresses {
+		out = append(out, Member{Address: address, Host: fmt.Sprint("host", i)})
+	}
+	return out
+}
+
 // start opens a host's replica on its disk. c.hosts isn't locked: tests start
 // hosts from one goroutine, and messages carry addresses.
 func (c *cluster) start(h *host) {
 	c.t.Helper()
 	sm := newRegisters()
-	cfg := Config{
-		Fleet: "test", Host: h.address, ReplicaAddress: h.address, DataDir: "/data", Join: h.join,
-		TickInterval: 50 * time.Millisecond, StateMachine: sm, Transport: link{c, h.address},
-		FS: h.fs, Logger: zerolog.Nop(), Seed: c.seed(),
-	}
-	for i := range 3 {
-		cfg.Members = append(cfg.Members, Member{Address: fmt.Sprint("host", i), Host: fmt.Sprint("host", i)})
-	}
-	if c.edit != nil {
-		c.edit(&cfg)
-	}
-	r, err := Open(cfg)
+	r, err := Open(c.config(h, sm))
 	if err != nil {
 		c.t.Fatalf("%s: %v", h.address, err)
 	}
@@ -77,6 +81,18 @@
 	c.mu.Unlock()
 }
 
+func (c *cluster) config(h *host, sm *registers) Config {
+	cfg := Config{
+		Fleet: "test", Host: h.address, ReplicaAddress: h.address, DataDir: "/data",
+		TickInterval: 50 * time.Millisecond, StateMachine: sm, Transport: link{c, h.address},
+		FS: h.fs, Logger: zerolog.Nop(), Seed: c.seed(), Members: members("host0", "host1", "host2"),
+	}
+	if c.edit != nil {
+		c.edit(&cfg)
+	}
+	return cfg
+}
+
 func (c *cluster) seed() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -90,12 +106,21 @@
 	_ = h.r.Close()
 }
 
-func (c *cluster) isolate(h *host, on bool) {
+func (c *cluster) crashAll() {
+	for _, h := range c.hosts {
+		c.crash(h)
+	}
+}
+
+func (c *cluster) isolate(h *host, on bool) { c.cutOff(h, on, on) }
+
+// cutOff loses, or no longer loses, what the host sends and what is sent to it.
+func (c *cluster) cutOff(h *host, from, to bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range c.hosts {
-		c.cut[[2]string{h.address, o.address}] = on
-		c.cut[[2]string{o.address, h.address}] = on
+		c.cut[[2]string{h.address, o.address}] = from
+		c.cut[[2]string{o.address, h.address}] = to
 	}
 }
 
@@ -187,3 +212,91 @@
 		}
 	}
 }
+
+// registers is a small state machine: SetConfig writes a register, ConfigQuery
+// reads one, "/" reads all. An op id is applied once.
+type registers struct {
+	mu    sync.Mutex
+	State registerState
+	stamp []int64
+}
+
+type registerState struct {
+	Revision uint64
+	Values   map[string]string
+	Done     map[string]uint64 // op id -> revision
+	Order    []string
+}
+
+func newRegisters() *registers {
+	return &registers{State: registerState{Values: map[string]string{}, Done: map[string]uint64{}}}
+}
+
+func (s *registers) Apply(index uint64, cmd *pb.Command) *pb.CommandResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := cmd.GetSetConfig()
+	if set == nil {
+		return &pb.CommandResult{Index: index}
+	}
+	s.stamp = append(s.stamp, cmd.TimeMs)
+	rev, resend := s.State.Done[cmd.OpId]
+	if !resend {
+		s.State.Revision++
+		rev = s.State.Revision
+		s.State.Values[set.Path] = string(set.ValueJson)
+		s.State.Done[cmd.OpId] = rev
+		s.State.Order = append(s.State.Order, cmd.OpId)
+	}
+	return &pb.CommandResult{Index: index, Resend: resend, Body: &pb.CommandResult_SetConfig{
+		SetConfig: &pb.SetConfigResult{Revision: rev, Version: rev},
+	}}
+}
+
+func (s *registers) Query(q *pb.Query) *pb.QueryResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	path := q.GetConfig().GetPath()
+	if path == rootPath {
+		all, _ := json.Marshal(s.State.Values)
+		return &pb.QueryResult{Revision: s.State.Revision, ValueJson: all}
+	}
+	return &pb.QueryResult{Revision: s.State.Revision, ValueJson: []byte(s.State.Values[path])}
+}
+
+func (s *registers) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return json.Marshal(s.State)
+}
+
+func (s *registers) Restore(data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.State = registerState{}
+	return json.Unmarshal(data, &s.State)
+}
+
+// order returns the op ids applied so far.
+func (s *registers) order() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.State.Order...)
+}
+
+// times returns the stamps of the commands applied so far.
+func (s *registers) times() []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]int64(nil), s.stamp...)
+}
+
+func set(opID, path, value string) *pb.Command {
+	return &pb.Command{OpId: opID, Body: &pb.Command_SetConfig{
+		SetConfig: &pb.SetConfig{Path: path, ValueJson: []byte(value), AnyVersion: true},
+	}}
+}
+
+func get(path string) *pb.Query {
+	return &pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: path}}}
+}
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/testutil"
@@ -137,8 +138,7 @@
 				return reply, nil
 			}}
 			c := newClient(t, serve(t, f))
-			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-			defer cancel()
+			ctx := testutil.Within(t, 300*time.Millisecond)
 			_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
 			if got := errkind.From(err); got == nil || got.Kind != tc.kind || got.Ran() != tc.ran {
 				t.Fatalf("got %v, ran %q", err, got.Ran())
@@ -175,8 +175,7 @@
 	healthy := serve(t, &fakeReplica{watch: func(out watchStream) error {
 		return out.Send(whole(1, true))
 	}})
-	ctx, cancel := context.WithTimeout(t.Context(), 4*silentAfter)
-	defer cancel()
+	ctx := testutil.Within(t, 4*silentAfter)
 	done := errors.New("heard")
 	c := newClient(t, healthy, frozen.Addr().String()) // the second one is asked first
 	if err := c.Watch(ctx, 0, func(*pb.WatchEvent) error { return done }); !errors.Is(err, done) {
@@ -214,3 +213,34 @@
 		t.Fatalf("revision 5 never came: %v", seen)
 	}
 }
+
+func TestJoinSteps(t *testing.T) {
+	member := func(id uint64, address string, learner bool) *pb.Member {
+		return &pb.Member{Id: id, Address: address, Learner: learner}
+	}
+	others := []*pb.MemberStatus{{Member: member(1, "a", false)}, {Member: member(2, "b", false)}}
+	self := member(9, "c", false)
+	cases := []struct {
+		name string
+		more []*pb.MemberStatus
+		verb string
+		id   uint64
+		done bool
+	}{
+		{"its former id is a member", []*pb.MemberStatus{{Member: member(3, "c", false)}}, control.VerbRemove, 3, false},
+		{"both ids are", []*pb.MemberStatus{{Member: member(9, "c", true)}, {Member: member(3, "c", false)}}, control.VerbRemove, 3, false},
+		{"not yet a member", nil, control.VerbAddLearner, 9, false},
+		{"learner that is behind", []*pb.MemberStatus{{Member: member(9, "c", true), Match: 4, Active: true}}, "", 0, false},
+		{"learner that fell silent", []*pb.MemberStatus{{Member: member(9, "c", true), Match: 5}}, "", 0, false},
+		{"learner that holds everything", []*pb.MemberStatus{{Member: member(9, "c", true), Match: 5, Active: true}}, control.VerbPromote, 9, false},
+		{"voter, change not committed", []*pb.MemberStatus{{Member: member(9, "c", false), Match: 5, Active: true}}, "", 0, false},
+		{"repaired", []*pb.MemberStatus{{Member: member(9, "c", false), Match: 5, Active: true, Repaired: true}}, "", 0, true},
+	}
+	for _, tc := range cases {
+		group := &pb.GroupStatus{Commit: 5, Members: append(append([]*pb.MemberStatus(nil), others...), tc.more...)}
+		req, done := joinStep(group, self)
+		if req.GetVerb() != tc.verb || req.GetMember().GetId() != tc.id || done != tc.done {
+			t.Errorf("%s: got %v, done=%v", tc.name, req, done)
+		}
+	}
+}
