--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -19,7 +19,6 @@
 package callerapi
 
 import (
-	"expvar"
 	"net/http"
 	"strings"
 	"time"
@@ -99,11 +98,6 @@
 	claims *claim.Filter
 	chain  filter.Handler
 	models filter.Handler
-
-	// Requests counts calls, Refused counts refusals by error kind. Published nowhere
-	// by themselves.
-	Requests expvar.Int
-	Refused  expvar.Map
 }
 
 // New makes the API.
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -209,8 +209,6 @@
 		Dispatch:         e.dispatch(),
 		AnnounceInterval: announceEvery,
 	})
-	e.d.tel.Metrics.Set("callers_refused", &e.api.Refused)
-	e.d.tel.Metrics.Set("callers_requests", &e.api.Requests)
 	e.http = httpserver.New(httpserver.Config{
 		Name: "callers", Address: cfg.Listen.Callers, TLS: serverTLS(e.d.tls.callers), Handler: e.api,
 		MaxBodyBytes: cfg.Limits.MaxBodyBytes, Streams: cfg.Limits.Streams, Always: callerapi.Always,
--- a/internal/daemon/outcomes.go
+++ b/internal/daemon/outcomes.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -22,25 +24,35 @@
 // Record takes a finished call.
 func (o outcomes) Record(c *filter.Call, status int, err error) {
 	o.next.Record(c, status, err)
-	kind := outcomeOf(c, err)
-	o.metrics.Request(kind)
+	outcome, refusal := outcomeOf(c, err), errkind.From(err)
+	o.count(c, outcome, refusal)
+	o.write(c, outcome, status, refusal)
+}
+
+func (o outcomes) count(c *filter.Call, outcome telemetry.RequestOutcome, refusal *errkind.Error) {
+	o.metrics.Request(outcome)
+	if refusal != nil {
+		o.metrics.Refusal(refusal.Kind)
+	}
 	o.metrics.Retries.Add(int64(max(c.Attempts-1, 0)))
 	if c.TakenOver {
 		o.metrics.Takeovers.Add(1)
 	}
 	o.observeAdded(c)
-	e := errkind.From(err)
-	event := o.log.Debug()
-	if e != nil {
-		o.metrics.Refusal(e.Kind)
-		event = o.log.Info().Str("kind", string(e.Kind)).Str("ran", string(e.Ran())).Str("error", e.Message)
-	}
-	event = event.Str("event", "request").Str("request", c.ID).Str("outcome", string(kind)).Str("account", c.AccountName).
-		Uint64("revision", c.Revision).Int("attempts", c.Attempts)
+}
+
+// write logs the call, as one event.
+func (o outcomes) write(c *filter.Call, outcome telemetry.RequestOutcome, status int, refusal *errkind.Error) {
+	event := o.log.Info().Str("event", "request").Str("request", c.ID).Str("outcome", string(outcome)).Int("status", status).
+		Str("account", c.AccountName).Str("team", c.TeamName).Uint64("revision", c.Revision).Int("attempts", c.Attempts).
+		Uint64("prompt", c.Usage.Prompt).Uint64("output", c.Usage.Output).Dur("took", time.Since(c.Arrived))
 	if c.Account != nil {
 		event = event.Str("budget", c.Account.Budget)
 	}
-	event.Uint64("prompt", c.Usage.Prompt).Uint64("output", c.Usage.Output).Int("status", status).Send()
+	if refusal != nil {
+		event = event.Str("kind", string(refusal.Kind)).Str("ran", string(refusal.Ran())).Str("error", refusal.Message)
+	}
+	event.Send()
 }
 
 // observeAdded notes what the fleet spent on a call before its first attempt.
--- a/internal/filter/claim/claim.go
+++ b/internal/filter/claim/claim.go
@@ -105,6 +105,6 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if err := f.Claims.Finish(ctx, identity, requestID, state); err != nil {
-		log.Warn().Str("request", requestID).Str("state", state.String()).Err(err).Msg("end of claim not told")
+		log.Warn().Str("event", "claim-end-not-reported").Str("request", requestID).Str("state", state.String()).Err(err).Send()
 	}
 }
--- a/internal/filter/dispatch/assembly.go
+++ b/internal/filter/dispatch/assembly.go
@@ -12,7 +12,6 @@
 
 // assembly joins a stream into one answer for a caller that asked for no stream.
 type assembly struct {
-	f       *Filter
 	w       http.ResponseWriter
 	c       *filter.Call
 	top     object
@@ -23,8 +22,8 @@
 // object is a JSON object whose fields the router doesn't know.
 type object = map[string]any
 
-func newAssembly(f *Filter, w http.ResponseWriter, c *filter.Call) *assembly {
-	return &assembly{f: f, w: w, c: c}
+func newAssembly(w http.ResponseWriter, c *filter.Call) *assembly {
+	return &assembly{w: w, c: c}
 }
 
 // chunk implements sink.
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -86,9 +86,9 @@
 		a.resumable = c.Lease.Server().GetResumes()
 	}
 	if c.Stream {
-		a.sink = newRelay(f, w, c)
+		a.sink = newRelay(w, c)
 	} else {
-		a.sink = newAssembly(f, w, c)
+		a.sink = newAssembly(w, c)
 	}
 	a.lastToken = a.began
 	a.first = predicted(c)
--- a/internal/filter/dispatch/relay.go
+++ b/internal/filter/dispatch/relay.go
@@ -16,7 +16,6 @@
 // of a second run it passes over as many as the caller has, and only if they are the
 // same ones, since otherwise the answer would be pieced together from two.
 type relay struct {
-	f    *Filter
 	w    http.ResponseWriter
 	c    *filter.Call
 	skip uint64
@@ -27,8 +26,8 @@
 	finished bool
 }
 
-func newRelay(f *Filter, w http.ResponseWriter, c *filter.Call) *relay {
-	r := &relay{f: f, w: w, c: c, skip: c.Answer.Tokens}
+func newRelay(w http.ResponseWriter, c *filter.Call) *relay {
+	r := &relay{w: w, c: c, skip: c.Answer.Tokens}
 	r.hash.Reset()
 	return r
 }
--- a/internal/httpserver/liblog.go
+++ b/internal/httpserver/liblog.go
@@ -18,12 +18,12 @@
 
 // Warn logs the line.
 func (libraryLog) Warn(format string, v ...any) {
-	log.Warn().Str("library", "nbio").Msgf(format, v...)
+	log.Warn().Str("event", "library").Str("library", "nbio").Msgf(format, v...)
 }
 
 // Error logs the line.
 func (libraryLog) Error(format string, v ...any) {
-	log.Error().Str("library", "nbio").Msgf(format, v...)
+	log.Error().Str("event", "library").Str("library", "nbio").Msgf(format, v...)
 }
 
 var setLibraryLog = sync.OnceFunc(func() { logging.SetLogger(libraryLog{}) })
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -130,7 +130,7 @@
 	} else {
 		s.address = s.engine.Addrs[0]
 	}
-	log.Info().Str("server", s.cfg.Name).Str("address", s.address).Bool("tls", s.cfg.TLS != nil).Msg("listening")
+	log.Info().Str("event", "listening").Str("server", s.cfg.Name).Str("address", s.address).Bool("tls", s.cfg.TLS != nil).Send()
 	return nil
 }
 
@@ -181,7 +181,7 @@
 	if p == nil {
 		return
 	}
-	log.Error().Str("server", s.cfg.Name).Interface("panic", p).Str("stack", string(debug.Stack())).Msg("handler panicked")
+	log.Error().Str("event", "handler-panicked").Str("server", s.cfg.Name).Interface("panic", p).Str("stack", string(debug.Stack())).Send()
 	if !w.begun {
 		WriteError(w, "", errkind.New(errkind.Internal, "a fault of the server"))
 		return
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog/log"
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -127,5 +128,9 @@
 }
 
 // MakeGlobal has otel's global tracers, which the request chain uses, make their spans
-// here. Only a process's main path calls it.
-func (t *Telemetry) MakeGlobal() { otel.SetTracerProvider(t.provider) }
+// here, and zerolog's global logger write its events here. Only a process's main path
+// calls it.
+func (t *Telemetry) MakeGlobal() {
+	otel.SetTracerProvider(t.provider)
+	log.Logger = t.Log
+}
