--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -1,7 +1,14 @@
 package httpserver
 
-import (
-	"net/http"
+import "net/http"
+
+// Bounds of what nbhttp is given of a chunked answer.
+const (
+	// maxHeld is the most that may wait in nbhttp's buffer, in bytes. It leaves room for
+	// the header within the 64 KiB from which nbhttp sends by itself.
+	maxHeld = 48 << 10
+	// chunkFraming is the most that nbhttp adds to a chunk, in bytes.
+	chunkFraming = 16
 )
 
 // response notes whether the answer has begun and keeps status codes within those
@@ -9,6 +16,10 @@
 type response struct {
 	http.ResponseWriter
 	begun bool
+	// mayChunk: the request's HTTP version allows a chunked answer.
+	mayChunk bool
+	// held bounds what waits in nbhttp's buffer.
+	held int
 }
 
 // Unwrap gives the ResponseWriter below, as http.ResponseController expects.
@@ -28,15 +39,38 @@
 	r.ResponseWriter.WriteHeader(status)
 }
 
-// Write sends part of the body.
+// Write sends part of the body. A chunked one is given to nbhttp in pieces, and what
+// waits in its buffer is flushed before 64 KiB are reached.
+//
+// What goes wrong without it: from 64 KiB on, nbhttp 1.6.8 gives its buffer back to a
+// pool that all connections share, goes on using it and gives it back again. Two
+// owners then write into one buffer, seen as an answer that stops in its middle or
+// holds bytes of another caller's.
 func (r *response) Write(b []byte) (int, error) {
 	r.begun = true
-	return r.ResponseWriter.Write(b)
+	if !r.mayChunk || r.Header().Get("Content-Length") != "" {
+		return r.ResponseWriter.Write(b)
+	}
+	written := 0
+	for written < len(b) {
+		piece := b[written:min(written+maxHeld-chunkFraming, len(b))]
+		if r.held+len(piece)+chunkFraming > maxHeld {
+			r.Flush()
+		}
+		r.held += len(piece) + chunkFraming
+		n, err := r.ResponseWriter.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
 }
 
 // Flush sends what is buffered.
 func (r *response) Flush() {
 	r.begun = true
+	r.held = 0
 	if f, ok := r.ResponseWriter.(http.Flusher); ok {
 		f.Flush()
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -145,7 +145,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	running := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	res := &response{ResponseWriter: w}
+	res := &response{ResponseWriter: w, mayChunk: r.ProtoAtLeast(1, 1)}
 	// nbhttp closes the connection right after an answer to "Connection: close", also
 	// when part of the answer still waits in its queue; the caller would see a cut
 	// answer. The caller is told to close instead, which it does after the last byte.
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -188,6 +189,34 @@
 	}
 }
 
+func TestLargeChunkedAnswersDoNotMix(t *testing.T) {
+	// Symptom: an answer stops in its middle or holds bytes of another caller's.
+	// Sequence: answers without a length, part of them written already, get writes of 64 KiB and more.
+	// Cause: nbhttp gives its buffer back to the shared pool twice and goes on using it.
+	const size = 200 << 10
+	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path[1:])
+		_, _ = w.Write(bytes.Repeat([]byte(r.URL.Path[1:]), size))
+	})})
+	var wg sync.WaitGroup
+	for i := range 200 {
+		mark := string(rune('a' + i%26))
+		wg.Go(func() {
+			res, err := (&http.Client{Timeout: patience}).Get("http://" + s.Address() + "/" + mark)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = res.Body.Close() }()
+			b, err := io.ReadAll(res.Body)
+			if err != nil || string(b) != strings.Repeat(mark, size+1) {
+				t.Errorf("answer of %q has %d of %d bytes, %d of them its own: %v", mark, len(b), size+1, strings.Count(string(b), mark), err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func TestDrainCutsNoAnswer(t *testing.T) {
 	// Symptom: callers get the first part of an answer when a host is restarted.
 	// Sequence: a stream is under way and a large answer waits for a slow reader when the host drains.
