--- a/internal/callerapi/chain_test.go
+++ b/internal/callerapi/chain_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -55,8 +54,7 @@
 }
 
 func TestStreamRunsThroughTheChain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		e := f.engine(true, "", 0)
 		h := f.host("a")
 		w := h.do(parse.PathChat, chatBody)
@@ -80,13 +78,11 @@
 		if again.Body.String() != w.Body.String() || e.runs != 1 || h.settled != 1 {
 			t.Errorf("replay differs: runs %d, bills %d, %q", e.runs, h.settled, again.Body)
 		}
-		f.end(t, h)
 	})
 }
 
 func TestWholeAnswerIsAssembled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		f.engine(true, "", 0)
 		h := f.host("a")
 		w := h.do(parse.PathChat, plainBody)
@@ -107,7 +103,6 @@
 		if a.Object != "chat.completion" || c.Message.Content != wholeText || c.Message.Role != "assistant" || c.FinishReason != "stop" || a.Usage.CompletionTokens != 5 {
 			t.Fatalf("got %s", w.Body)
 		}
-		f.end(t, h)
 	})
 }
 
@@ -141,8 +136,7 @@
 		{"says nothing", service, errkind.DeadlineExceeded, errkind.RanUnknown},
 	} {
 		t.Run(c.path+" "+c.fault, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet()
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
 				e, spare := f.engine(false, c.fault, 2), f.engine(false, "", 0)
 				h := f.host("a")
 				h.noRetry = true // a retry would hide what the first attempt said
@@ -154,7 +148,6 @@
 				if spare.runs > 0 || (got.Ran == errkind.RanNo && e.runs > 0) {
 					t.Errorf("runs: %d and %d at another server", e.runs, spare.runs)
 				}
-				f.end(t, h)
 			})
 		})
 	}
@@ -172,8 +165,7 @@
 		{"dies without an answer", "true", 0}, {"answers 500", "true", 0}, {"dies in the stream", "true", 0},
 		{"dies without an answer", "false", 1}, {"answers 500", "false", 1}, {"answers 400", "false", 0},
 	} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet()
+		inFleet(t, func(t *testing.T, f *fakeFleet) {
 			f.engine(false, c.fault, 2)
 			second := f.engine(false, "", 0)
 			h := f.host("a")
@@ -184,7 +176,6 @@
 			if _, whole := textOf(w.Body.String()); whole != (c.want == 1) {
 				t.Errorf("%s: answer whole: %v", c.fault, whole)
 			}
-			f.end(t, h)
 		})
 	}
 }
@@ -205,8 +196,7 @@
 		{"broken, run again with another text", "dies in the stream", "other ", false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet()
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
 				first, second := f.engine(c.resumes, c.fault, 2), f.engine(false, "", 0)
 				second.prefix = c.prefix
 				first.burst = c.fault == "reports an error"
@@ -224,7 +214,6 @@
 						t.Errorf("last event is %+v", got)
 					}
 				}
-				f.end(t, h)
 			})
 		})
 	}
@@ -234,8 +223,7 @@
 	// Symptom: each call waits for a new connection, and the host runs out of ports.
 	// Sequence: the end of a body comes a little after the stream's last event.
 	// Cause: a stream left at its last event closes its connection.
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		f.engine(true, "", 0).lateEnd = 10 * time.Millisecond
 		h := f.host("a")
 		for range 5 {
@@ -245,7 +233,6 @@
 		if f.dials != 1 {
 			t.Errorf("%d connections for 5 calls", f.dials)
 		}
-		f.end(t, h)
 	})
 }
 
@@ -253,8 +240,7 @@
 	// Symptom: a kiosk's lookup fails although servers are idle.
 	// Sequence: something between host and server has lost track of the connection; the call on it gets no answer.
 	// Cause: the whole time up to the deadline is spent waiting on that connection.
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		f.engine(false, "says nothing", 0)
 		f.engine(false, "", 0)
 		h := f.host("a")
@@ -262,7 +248,6 @@
 		if w.Body.String() != "service:brand" || h.settled != 1 || !h.outcomes[0].Silent {
 			t.Errorf("got %d %s, bills %d, outcomes %+v", w.Code, w.Body, h.settled, h.outcomes)
 		}
-		f.end(t, h)
 	})
 }
 
@@ -270,8 +255,7 @@
 	// Symptom: a connection that is lost in the stream costs seconds, or a stalled engine's work is thrown away.
 	// Sequence: after some streams with steady gaps, one falls silent; another only stalls for some seconds.
 	// Cause: one fixed limit for all, or giving a run up while its engine answers.
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		e, other := f.engine(true, "", 2), f.engine(true, "", 0)
 		e.tokenDelay = 30 * time.Millisecond
 		h := f.host("a")
@@ -293,7 +277,6 @@
 		if other.runs != 0 {
 			t.Errorf("%d runs elsewhere", other.runs)
 		}
-		f.end(t, h)
 	})
 }
 
@@ -306,8 +289,7 @@
 		prefill     float64
 		runs, other int
 	}{{"says nothing", 0, 1, 0}, {"computes long", 10, 1, 0}} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet()
+		inFleet(t, func(t *testing.T, f *fakeFleet) {
 			e, other := f.engine(true, c.fault, 0), f.engine(true, "", 0)
 			e.prefill = c.prefill
 			h := f.host("a")
@@ -316,7 +298,6 @@
 			if !whole || e.runs != c.runs || other.runs != c.other {
 				t.Errorf("%s: whole %v, runs %d and %d", c.fault, whole, e.runs, other.runs)
 			}
-			f.end(t, h)
 		})
 	}
 }
--- a/internal/callerapi/fake_test.go
+++ b/internal/callerapi/fake_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/backend"
@@ -37,6 +38,16 @@
 	noQuor  bool
 	dials   int
 	hang    string // name of the port that blocks until its context ends
+	hosts   []*fakeHost
+}
+
+// inFleet runs a test on a fleet of its own, in virtual time.
+func inFleet(t *testing.T, test func(t *testing.T, f *fakeFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		test(t, f)
+		f.end(t)
+	})
 }
 
 func newFleet() *fakeFleet {
@@ -68,6 +79,7 @@
 	h.api = New(Deps{Settings: h, Budget: h, Records: h, Hosts: h, Claims: h, Scheduler: h, Retries: h, Explainer: h,
 		Registry: h, Addresses: h, Models: h, CallerClosed: func(http.ResponseWriter) bool { return h.isClosed() },
 		Dispatch: &dispatch.Filter{Client: h.client, Silence: fixedSilence{first: time.Second, gap: time.Second}}})
+	f.hosts = append(f.hosts, h)
 	return h
 }
 
@@ -276,9 +288,9 @@
 }
 
 // end checks that nothing is left behind and lets a bubble's goroutines end.
-func (f *fakeFleet) end(t *testing.T, hosts ...*fakeHost) {
+func (f *fakeFleet) end(t *testing.T) {
 	t.Helper()
-	for _, h := range hosts {
+	for _, h := range f.hosts {
 		h.api.Wait()
 		h.client.Close()
 		if len(h.held) > 0 {
--- a/internal/callerapi/oracle_test.go
+++ b/internal/callerapi/oracle_test.go
@@ -122,7 +122,7 @@
 			object("key %d must not be repeated and ran %d times", key, runs)
 		}
 	}
-	f.end(t, hosts...)
+	f.end(t)
 	return faults
 }
 
--- a/internal/callerapi/outcome_test.go
+++ b/internal/callerapi/outcome_test.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -31,8 +30,7 @@
 			if c.hang == "claims" && notIdempotent == "false" {
 				continue
 			}
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet()
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
 				f.hang = c.hang
 				for range 9 {
 					f.engine(true, c.hang, 2).stuck = true
@@ -50,7 +48,6 @@
 				if got := refusalOf(t, w.Body.String()); got.Kind != kind || got.Ran != c.ran {
 					t.Errorf("%s at %s, not idempotent %s: got %s, ran %s, want ran %s", c.hang, c.path, notIdempotent, got.Kind, got.Ran, c.ran)
 				}
-				f.end(t, h)
 			})
 		}
 	}
@@ -60,8 +57,7 @@
 	// Symptom: engines generate for callers who have hung up.
 	// Sequence: the caller closes its connection in the stream.
 	// Cause: nothing looks at the caller's connection while the engine is awaited.
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		e := f.engine(true, "falls silent", 2)
 		e.stuck = true
 		h := f.host("a")
@@ -84,13 +80,11 @@
 		if got := f.billed[h.call.Identity]; got != want {
 			t.Errorf("billed %d, want %d", got, want)
 		}
-		f.end(t, h)
 	})
 }
 
 func TestUnrepeatableRunGoesOnWithoutItsCaller(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		e := f.engine(false, "is slow", 2)
 		h := f.host("a")
 		time.AfterFunc(100*time.Millisecond, func() { h.mu.Lock(); h.closed = true; h.mu.Unlock() })
@@ -105,7 +99,6 @@
 		if again.Body.String() != "service:entry 1" || e.runs != 1 || h.settled != 1 {
 			t.Errorf("got %q after %d runs and %d bills", again.Body, e.runs, h.settled)
 		}
-		f.end(t, h)
 	})
 }
 
@@ -113,8 +106,7 @@
 	// Symptom: a caller whose router died pays twice, or its work runs twice.
 	// Sequence: host a dies with the stream open; the caller retries at host b with its key.
 	// Cause: b doesn't know of the run, or starts another one.
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		e := f.engine(true, "falls silent", 2)
 		a, b := f.host("a"), f.host("b")
 		first := make(chan struct{})
@@ -143,7 +135,6 @@
 		if got := refusalOf(t, b.do(parse.PathChat, plainBody, filter.HeaderIdempotencyKey, "k").Body.String()); got.Kind != errkind.KeyConflict {
 			t.Errorf("same key, another body: %+v", got)
 		}
-		f.end(t, a, b)
 	})
 }
 
@@ -151,8 +142,7 @@
 	// Symptom: a ledger entry stands twice.
 	// Sequence: the caller sends it to two hosts that don't see each other's records, or while there is no quorum.
 	// Cause: dispatch before the claim is committed, or in spite of losing it.
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		e := f.engine(false, "", 0)
 		a, b := f.host("a"), f.host("b")
 		marked := []string{filter.HeaderNotIdempotent, "true", filter.HeaderIdempotencyKey, "k"}
@@ -172,7 +162,6 @@
 		if e.runs != 1 {
 			t.Errorf("%d runs", e.runs)
 		}
-		f.end(t, a, b)
 	})
 }
 
@@ -181,8 +170,7 @@
 	// Sequence: the engine sends more tokens than the cap that was reserved.
 	// Cause: the cap is only sent, never checked.
 	for _, body := range []string{chatBody, plainBody} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet()
+		inFleet(t, func(t *testing.T, f *fakeFleet) {
 			e := f.engine(true, "", 0)
 			e.tokens = 20
 			h := f.host("a")
@@ -197,7 +185,6 @@
 			if e.cancels != 1 || f.billed[h.call.Identity] != h.call.Reserved {
 				t.Errorf("%d cancel orders, billed %v of %d", e.cancels, f.billed, h.call.Reserved)
 			}
-			f.end(t, h)
 		})
 	}
 }
@@ -206,20 +193,17 @@
 	// Symptom: "did not run" about work that may have run.
 	// Sequence: the first server dies with the request; no other server is there.
 	// Cause: the scheduler's refusal says "did not run" of the second attempt alone.
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		f.engine(false, "dies without an answer", 0)
 		h := f.host("a")
 		if got := refusalOf(t, h.do(parse.PathChat, chatBody).Body.String()); got.Kind != errkind.NoBackendServer || got.Ran != errkind.RanUnknown {
 			t.Errorf("got %+v", got)
 		}
-		f.end(t, h)
 	})
 }
 
 func TestRefusalsBeforeDispatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
 		e := f.engine(false, "", 0)
 		h := f.host("a")
 		h.team.DefaultTimeout = 0
@@ -253,6 +237,5 @@
 		if e.runs != 0 || len(f.records) != 0 {
 			t.Errorf("%d runs, %d records", e.runs, len(f.records))
 		}
-		f.end(t, h)
 	})
 }
