--- a/internal/adminapi/accounts_test.go
+++ b/internal/adminapi/accounts_test.go
@@ -18,15 +18,13 @@
 
 func (a *api) createAccount() KeyAnswer {
 	a.t.Helper()
-	var made KeyAnswer
-	a.must(a.call("POST", "/v1/accounts", `{"name":"acme","team":"t","budget":"b"}`, "Idempotency-Key", "make"), &made)
+	made := answer[KeyAnswer](a, a.call("POST", "/v1/accounts", `{"name":"acme","team":"t","budget":"b"}`, "Idempotency-Key", "make"))
 	return made
 }
 
 func (a *api) hashes() []string {
 	a.t.Helper()
-	var list AccountList
-	a.must(a.call("GET", "/v1/accounts", ""), &list)
+	list := answer[AccountList](a, a.call("GET", "/v1/accounts", ""))
 	if len(list.Accounts) != 1 || list.Accounts[0].Team != "t" || list.Accounts[0].Budget != "b" {
 		a.t.Fatalf("accounts %+v", list)
 	}
@@ -39,13 +37,11 @@
 func TestKeyIsShownOnceAndStoredNowhere(t *testing.T) {
 	a := newAPIWithTeam(t)
 	first := a.createAccount()
-	var second KeyAnswer
-	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "add"), &second)
+	second := answer[KeyAnswer](a, a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "add"))
 	if got := a.hashes(); len(got) != 2 || got[0] != settings.HashKey(first.Key) || got[1] != settings.HashKey(second.Key) {
 		t.Fatalf("hashes %v", got)
 	}
-	var dropped KeyAnswer
-	a.must(a.call("DELETE", "/v1/accounts/acme/keys/"+first.KeyHash, "", "Idempotency-Key", "drop"), &dropped)
+	answer[KeyAnswer](a, a.call("DELETE", "/v1/accounts/acme/keys/"+first.KeyHash, "", "Idempotency-Key", "drop"))
 	if got := a.hashes(); len(got) != 1 || got[0] != second.KeyHash {
 		t.Fatalf("hashes after the drop %v", got)
 	}
@@ -82,8 +78,7 @@
 	a.group.loseAnswer = true
 	body := `{"name":"acme","team":"t","budget":"b"}`
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), errkind.NoQuorum)
-	var again KeyAnswer
-	a.must(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), &again)
+	again := answer[KeyAnswer](a, a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"))
 	if !again.Resend || again.Key != "" || again.KeyHash != "" {
 		t.Errorf("the resend answered %+v", again)
 	}
@@ -91,8 +86,7 @@
 		t.Error("the account has not exactly one key")
 	}
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o2"), errkind.AlreadyExists)
-	var b BudgetAnswer
-	a.must(a.call("POST", "/v1/budgets", `{"name":"b"}`, "Idempotency-Key", "o3"), &b)
+	answer[BudgetAnswer](a, a.call("POST", "/v1/budgets", `{"name":"b"}`, "Idempotency-Key", "o3"))
 	a.mustRefuse(a.call("POST", "/v1/accounts", `{"name":"new"}`, "Idempotency-Key", "o3"), errkind.KeyConflict)
 }
 
@@ -102,8 +96,7 @@
 	a.group.loseAnswer = true
 	body := `{"name":"acme","team":"t","budget":"b","key_hash":"` + hash + `"}`
 	a.mustRefuse(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), errkind.NoQuorum)
-	var again KeyAnswer
-	a.must(a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"), &again)
+	again := answer[KeyAnswer](a, a.call("POST", "/v1/accounts", body, "Idempotency-Key", "o"))
 	if again.KeyHash != hash || again.Key != "" {
 		t.Errorf("the resend answered %+v", again)
 	}
@@ -119,14 +112,12 @@
 	a.group.beforePropose = func() {
 		a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "other"), &other)
 	}
-	var mine KeyAnswer
-	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "mine"), &mine)
+	mine := answer[KeyAnswer](a, a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "mine"))
 	want := []string{first.KeyHash, other.KeyHash, mine.KeyHash}
 	if got := a.hashes(); strings.Join(got, " ") != strings.Join(want, " ") {
 		t.Fatalf("hashes %v, want %v", got, want)
 	}
-	var again KeyAnswer
-	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "mine"), &again)
+	again := answer[KeyAnswer](a, a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "mine"))
 	if !again.Resend || again.Version != mine.Version || len(a.hashes()) != 3 {
 		t.Errorf("the resend of a change that met a conflict answered %+v", again)
 	}
@@ -144,8 +135,7 @@
 	if !errkind.Is(err, errkind.VersionConflict) {
 		t.Fatal(err)
 	}
-	var added KeyAnswer
-	a.must(a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "o"), &added)
+	added := answer[KeyAnswer](a, a.call("POST", "/v1/accounts/acme/keys", `{}`, "Idempotency-Key", "o"))
 	if got := a.hashes(); len(got) != 2 || got[1] != added.KeyHash {
 		t.Errorf("hashes %v", got)
 	}
@@ -160,8 +150,7 @@
 	path := "/v1/accounts/acme/keys/" + first.KeyHash
 	a.group.loseAnswer = true
 	a.mustRefuse(a.call("DELETE", path, "", "Idempotency-Key", "o"), errkind.NoQuorum)
-	var again KeyAnswer
-	a.must(a.call("DELETE", path, "", "Idempotency-Key", "o"), &again)
+	again := answer[KeyAnswer](a, a.call("DELETE", path, "", "Idempotency-Key", "o"))
 	if !again.Resend || len(a.hashes()) != 0 {
 		t.Errorf("%+v", again)
 	}
@@ -171,13 +160,11 @@
 
 func TestTeamsAreListedByName(t *testing.T) {
 	a := newAPI(t)
-	var none TeamList
-	a.must(a.call("GET", "/v1/teams", ""), &none)
+	none := answer[TeamList](a, a.call("GET", "/v1/teams", ""))
 	for _, name := range []string{"b", "a"} {
 		a.must(a.call("PUT", "/v1/config/teams/"+name, `{"priority":"batch"}`, "Idempotency-Key", name, "If-Match", "0"), &ChangeAnswer{})
 	}
-	var l TeamList
-	a.must(a.call("GET", "/v1/teams", ""), &l)
+	l := answer[TeamList](a, a.call("GET", "/v1/teams", ""))
 	if len(none.Teams) != 0 || len(l.Teams) != 2 || l.Teams[0].Name != "a" || l.Teams[0].Priority != "batch" {
 		t.Errorf("%+v", l)
 	}
--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// answer decodes a 200 answer.
+func answer[T any](a *api, w *httptest.ResponseRecorder) T {
+	a.t.Helper()
+	var v T
+	a.must(w, &v)
+	return v
+}
+
 // mustRefuse checks the status, the kind and the path of a refusal and returns it.
 func (a *api) mustRefuse(w *httptest.ResponseRecorder, kind errkind.Kind) httpserver.ErrorFields {
 	a.t.Helper()
@@ -181,8 +189,7 @@
 // Cause: the version is not passed on, or its conflict is taken for a success.
 func TestOfTwoWritersUnderOneVersionOneWins(t *testing.T) {
 	a := newAPI(t)
-	var first ChangeAnswer
-	a.must(a.call("PUT", "/v1/config/teams/t", `{"priority":"urgent"}`, "Idempotency-Key", "o1", "If-Match", `"0"`), &first)
+	first := answer[ChangeAnswer](a, a.call("PUT", "/v1/config/teams/t", `{"priority":"urgent"}`, "Idempotency-Key", "o1", "If-Match", `"0"`))
 	w := a.call("GET", "/v1/config/teams/t", "")
 	var read ConfigAnswer
 	a.must(w, &read)
@@ -190,8 +197,7 @@
 	if tag != `"1"` || first.Version != 1 || string(read.Value) != `{"priority":"urgent"}` || read.Path != "/teams/t" {
 		t.Fatalf("ETag %s, %+v, %+v", tag, first, read)
 	}
-	var won ChangeAnswer
-	a.must(a.call("PUT", "/v1/config/teams/t", `{"priority":"batch"}`, "Idempotency-Key", "o2", "If-Match", tag), &won)
+	won := answer[ChangeAnswer](a, a.call("PUT", "/v1/config/teams/t", `{"priority":"batch"}`, "Idempotency-Key", "o2", "If-Match", tag))
 	e := a.mustRefuse(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "o3", "If-Match", tag), errkind.VersionConflict)
 	if e.PresentVersion != 2 {
 		t.Errorf("present version %d, want 2", e.PresentVersion)
@@ -199,8 +205,7 @@
 	a.mustRefuse(a.call("DELETE", "/v1/config/teams/t", ``, "Idempotency-Key", "o4", "If-Match", tag), errkind.VersionConflict)
 	a.must(a.call("DELETE", "/v1/config/teams/t", ``, "Idempotency-Key", "o5", "If-Match", "*"), &won)
 	a.mustRefuse(a.call("GET", "/v1/config/teams/t", ""), errkind.NotFound)
-	var h HistoryAnswer
-	a.must(a.call("GET", "/v1/config-history/teams/t", ""), &h)
+	h := answer[HistoryAnswer](a, a.call("GET", "/v1/config-history/teams/t", ""))
 	if len(h.Changes) != 3 || h.Changes[2].OpID != "o5" || !strings.HasPrefix(h.Changes[0].Actor, "operator-") {
 		t.Errorf("history %+v", h)
 	}
@@ -211,15 +216,13 @@
 // Cause: the resend goes out under another operation id.
 func TestResentTopUpFundsOnce(t *testing.T) {
 	a := newAPI(t)
-	var made BudgetAnswer
-	a.must(a.call("POST", "/v1/budgets", `{"name":"b","tokens":100}`, "Idempotency-Key", "o1"), &made)
+	answer[BudgetAnswer](a, a.call("POST", "/v1/budgets", `{"name":"b","tokens":100}`, "Idempotency-Key", "o1"))
 	a.group.loseAnswer = true
 	e := a.mustRefuse(a.call("POST", "/v1/budgets/b/top-ups", `{"tokens":50}`, "Idempotency-Key", "o2"), errkind.NoQuorum)
 	if e.Ran != errkind.RanUnknown || e.Retry != errkind.RetrySameKey {
 		t.Errorf("a lost answer says ran %s, retry %s", e.Ran, e.Retry)
 	}
-	var again BudgetAnswer
-	a.must(a.call("POST", "/v1/budgets/b/top-ups", `{"tokens":50}`, "Idempotency-Key", "o2"), &again)
+	again := answer[BudgetAnswer](a, a.call("POST", "/v1/budgets/b/top-ups", `{"tokens":50}`, "Idempotency-Key", "o2"))
 	if again.Budget.Funded != 150 || !again.Resend || again.OpID != "o2" {
 		t.Errorf("after the resend: %+v", again)
 	}
@@ -278,8 +281,7 @@
 	a := newAPI(t)
 	a.funded()
 	a.spend("b")
-	var b Budget
-	a.must(a.call("GET", "/v1/budgets/b", ""), &b)
+	b := answer[Budget](a, a.call("GET", "/v1/budgets/b", ""))
 	if b.Billed != 20 || b.Granted != 30 || b.Free != 50 || len(b.Holders) != 1 || b.Holders[0].Host != "h3" {
 		t.Errorf("%+v", b)
 	}
@@ -297,18 +299,15 @@
 func TestStatusWithoutQuorumTellsWhatIsNotKnown(t *testing.T) {
 	a := newAPI(t)
 	a.group.readErr = errkind.New(errkind.NoQuorum, "cut off")
-	var s Status
-	a.must(a.call("GET", "/v1/status", ""), &s)
+	s := answer[Status](a, a.call("GET", "/v1/status", ""))
 	if s.Control != nil || s.ControlError == "" || s.HostsAlive != 1 || len(s.HostsOut) != 1 || s.ServersLeaving != 1 {
 		t.Errorf("status %+v", s)
 	}
-	var c ConfigStatus
-	a.must(a.call("GET", "/v1/config-status", ""), &c)
+	c := answer[ConfigStatus](a, a.call("GET", "/v1/config-status", ""))
 	if c.CommittedKnown || c.Hosts[0].InForce || c.CommittedError == "" {
 		t.Errorf("config status %+v", c)
 	}
-	var l HostList
-	a.must(a.call("GET", "/v1/hosts", ""), &l)
+	l := answer[HostList](a, a.call("GET", "/v1/hosts", ""))
 	if l.RegisteredKnown || len(l.Hosts) != 2 || l.Hosts[1].Health != "dead" {
 		t.Errorf("hosts %+v", l)
 	}
@@ -321,8 +320,7 @@
 func TestConfigStatusTellsWhoIsBehind(t *testing.T) {
 	a := newAPI(t)
 	a.must(a.call("PUT", "/v1/config/teams/t", `{}`, "Idempotency-Key", "o1", "If-Match", "0"), &ChangeAnswer{})
-	var c ConfigStatus
-	a.must(a.call("GET", "/v1/config-status", ""), &c) // with nothing at /fleet
+	c := answer[ConfigStatus](a, a.call("GET", "/v1/config-status", "")) // with nothing at /fleet
 	if !c.CommittedKnown || !c.Hosts[0].InForce || c.Hosts[1].InForce || c.Hosts[1].InContact || c.Hosts[1].HeardMS != 9000 {
 		t.Errorf("%+v", c)
 	}
@@ -337,21 +335,17 @@
 	a := newAPI(t)
 	a.funded()
 	a.spend("b")
-	var removed HostRemoved
-	a.must(a.call("POST", "/v1/hosts/h3/remove", "", "Idempotency-Key", "o1"), &removed)
-	var l HostList
-	a.must(a.call("GET", "/v1/hosts", ""), &l)
+	answer[HostRemoved](a, a.call("POST", "/v1/hosts/h3/remove", "", "Idempotency-Key", "o1"))
+	l := answer[HostList](a, a.call("GET", "/v1/hosts", ""))
 	h3 := l.Hosts[len(l.Hosts)-1]
 	if len(l.Hosts) != 3 || h3.Health != "unknown" || !h3.Removed || len(h3.Unrecovered) != 1 {
 		t.Errorf("hosts %+v", l)
 	}
-	var servers ServerList
-	a.must(a.call("GET", "/v1/servers", ""), &servers)
+	servers := answer[ServerList](a, a.call("GET", "/v1/servers", ""))
 	if len(servers.Servers) != 2 || !servers.Servers[0].Leaving {
 		t.Errorf("servers %+v", servers)
 	}
-	var g GroupStatus
-	a.must(a.call("POST", "/v1/control/members", `{"verb":"promote","id":7}`, "Idempotency-Key", "o2"), &g)
+	g := answer[GroupStatus](a, a.call("POST", "/v1/control/members", `{"verb":"promote","id":7}`, "Idempotency-Key", "o2"))
 	if g.Members[0].ID != 7 {
 		t.Errorf("group %+v", g)
 	}
@@ -366,8 +360,7 @@
 	a := newAPI(t)
 	a.funded()
 	a.spend("b")
-	var e Explanation
-	a.must(a.call("GET", "/v1/explain/acme/k1", ""), &e)
+	e := answer[Explanation](a, a.call("GET", "/v1/explain/acme/k1", ""))
 	if e.Ledger == nil || e.Ledger.Tokens != 20 {
 		t.Errorf("%+v", e)
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -30,6 +31,16 @@
 	return f
 }
 
+// wantAll ends the test unless every host names n hosts.
+func (f *fleet) wantAll(t *testing.T, n int, when string) {
+	t.Helper()
+	for i := range f.hosts {
+		if got := f.names(i); len(got) != n {
+			t.Fatalf("%s: host %d answers %v", when, i, got)
+		}
+	}
+}
+
 // Symptom: two hosts stay apart although nothing is between them any more.
 // Sequence: a fleet of two is cut for a minute; the cut is mended.
 // Cause: each had stopped asking the other, and there was no third.
@@ -39,11 +50,7 @@
 	f.run(120)
 	f.isolate(0, false)
 	f.run(2)
-	for i := range f.hosts {
-		if got := f.names(i); len(got) != 2 {
-			t.Errorf("host %d answers %v", i, got)
-		}
-	}
+	f.wantAll(t, 2, "after the cut")
 }
 
 // Symptom: a host that callers can reach is dropped from the address answers.
@@ -58,11 +65,7 @@
 			f.cut[[2]int{1, 0}] = both
 			for tick := range 120 {
 				f.run(1)
-				for i := range f.hosts {
-					if got := f.names(i); len(got) != 7 {
-						t.Fatalf("tick %d: host %d answers only %v", tick, i, got)
-					}
-				}
+				f.wantAll(t, 7, fmt.Sprint("at tick ", tick))
 			}
 		})
 	}
@@ -93,11 +96,7 @@
 	}
 	setCut(false)
 	f.run(8)
-	for i := range f.hosts {
-		if got := f.names(i); len(got) != 7 {
-			t.Errorf("host %d answers %v after the cut", i, got)
-		}
-	}
+	f.wantAll(t, 7, "after the cut")
 }
 
 // Symptom: new callers come to a host that is shutting down.
@@ -120,11 +119,7 @@
 	}
 	f.start(2) // a new incarnation is not leaving
 	f.run(2)
-	for i := range f.hosts {
-		if got := f.names(i); len(got) != 7 {
-			t.Errorf("host %d answers %v after the restart", i, got)
-		}
-	}
+	f.wantAll(t, 7, "after the restart")
 }
 
 // Symptom: a dead host stays in the answers, or comes back into them.
