--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
@@ -66,9 +67,7 @@
 	if w.Code != http.StatusOK {
 		a.t.Fatalf("status %d: %s", w.Code, w.Body)
 	}
-	if err := json.Unmarshal(w.Body.Bytes(), v); err != nil {
-		a.t.Fatal(err)
-	}
+	testutil.NoError(a.t, json.Unmarshal(w.Body.Bytes(), v))
 }
 
 // answer decodes a 200 answer.
@@ -121,13 +120,9 @@
 
 func TestOperationsPageListsEveryPath(t *testing.T) {
 	source, err := os.ReadFile("handler.go")
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	paths := regexp.MustCompile(`"((?:GET|PUT|POST|DELETE) /[^"]*)"`).FindAllStringSubmatch(string(source), -1)
 	if len(paths) < 20 {
 		t.Fatalf("found only %d paths", len(paths))
@@ -234,9 +229,7 @@
 func TestAPIOverNBHTTP(t *testing.T) {
 	a := newAPI(t)
 	s := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: a.handler})
-	if err := s.Start(); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, s.Start())
 	defer func() { _ = s.Drain(context.Background()) }()
 	client := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
 	defer client.CloseIdleConnections()
@@ -254,9 +247,7 @@
 		{"GET", "/healthz", "", 200},
 	} {
 		r, err := http.NewRequest(tt.method, "http://"+s.Address()+tt.path, strings.NewReader(tt.body))
-		if err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, err)
 		r.Header.Set("Authorization", "Bearer "+operatorKey)
 		r.Header.Set("Idempotency-Key", tt.method)
 		r.Header.Set("If-Match", "*")
--- a/internal/admincli/client_test.go
+++ b/internal/admincli/client_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // newSilentHost takes requests and answers none until the test ends; arrived gets one
@@ -42,9 +44,7 @@
 	var out struct {
 		OpID string `json:"op_id"`
 	}
-	if err := cl.do(t.Context(), call{method: http.MethodPost, path: "/", opID: "op"}, &out); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, cl.do(t.Context(), call{method: http.MethodPost, path: "/", opID: "op"}, &out))
 	if first := <-arrived; out.OpID != "x" || first != "op" || second != "op" {
 		t.Errorf("answer %+v, operation ids %q and %q", out, first, second)
 	}
@@ -56,9 +56,7 @@
 func TestInterruptedChangeIsAnUnknownOutcome(t *testing.T) {
 	silent, arrived := newSilentHost(t)
 	key := filepath.Join(t.TempDir(), "key")
-	if err := os.WriteFile(key, []byte("k"), keyFileMode); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, os.WriteFile(key, []byte("k"), keyFileMode))
 	ctx, interrupt := context.WithCancel(t.Context())
 	defer interrupt()
 	go func() {
--- a/internal/callerapi/chain_test.go
+++ b/internal/callerapi/chain_test.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/silence"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const (
@@ -96,9 +97,7 @@
 				CompletionTokens int `json:"completion_tokens"`
 			}
 		}
-		if err := json.Unmarshal(w.Body.Bytes(), &a); err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, json.Unmarshal(w.Body.Bytes(), &a))
 		c := a.Choices[0]
 		if a.Object != "chat.completion" || c.Message.Content != wholeText || c.Message.Role != "assistant" || c.FinishReason != "stop" || a.Usage.CompletionTokens != 5 {
 			t.Fatalf("got %s", w.Body)
--- a/internal/callerapi/oracle_test.go
+++ b/internal/callerapi/oracle_test.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // arrival is one request of a random history.
@@ -71,9 +72,7 @@
 	// Sequence: random faults of engines, arrivals of few keys at two hosts, one of which counts as dead from some time on.
 	// Cause: whatever the history printed shows.
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "500"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, flag.Set(name, value))
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		h := drawHistory(rt)
--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const patience = 5 * time.Second
@@ -28,9 +29,7 @@
 	t.Helper()
 	h.api.deps.CallerClosed = nil
 	s := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: New(h.api.deps), Always: Always})
-	if err := s.Start(); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, s.Start())
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
@@ -73,9 +72,7 @@
 	e.stuck = true
 	s := serve(t, f.host("a"))
 	c, err := net.Dial("tcp", s.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", parse.PathChat, testKey, len(chatBody), chatBody)
 	_ = c.SetReadDeadline(time.Now().Add(patience))
 	r := bufio.NewReader(c)
@@ -138,9 +135,7 @@
 	e.tokenDelay = 20 * time.Millisecond
 	s := serve(t, f.host("a"))
 	res, err := post(s, parse.PathChat, chatBody)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	drained := make(chan error, 1)
--- a/internal/callerapi/servers_test.go
+++ b/internal/callerapi/servers_test.go
@@ -9,6 +9,8 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const announcement = `{"address":"10.0.0.1:80","incarnation":7,"seq":"3","zone":"olinda","pool":"llm","models":["m"],"running":2,"slots":8,"tokens_per_second":30.5,"load_age_ms":20,"resumes":true,"new_field":1}`
@@ -27,9 +29,7 @@
 			t.Fatalf("accepted %v", st)
 		}
 		again, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(st)
-		if err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, err)
 		if st2, err := decodeAnnouncement(again); err != nil || !proto.Equal(st, st2) {
 			t.Fatalf("%s reads back as %v, %v", again, st2, err)
 		}
--- a/internal/callerapi/standin_test.go
+++ b/internal/callerapi/standin_test.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 	"github.com/bluebellsail/bluebellsail/internal/standin"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const standinBody = `{"model":"m","stream":true,"max_tokens":12,"ignore_eos":true,"messages":[{"role":"user","content":"hello"}]}`
@@ -20,9 +21,7 @@
 	var servers []*standin.Server
 	for range 2 {
 		s := standin.New(standin.Options{Models: []string{"m"}, Services: []string{"ledger"}, DecodeSpeed: 500})
-		if err := s.Start(); err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, s.Start())
 		t.Cleanup(s.Close)
 		f.engines[s.Address()], f.order = &fakeEngine{resumes: true}, append(f.order, s.Address())
 		servers = append(servers, s)
@@ -37,9 +36,7 @@
 	// Cause: the two read the protocol between them differently.
 	body := []byte(standinBody)
 	prompt, err := standin.ParsePrompt(body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	want := standin.Answer(prompt.Hash(), 0, 12)
 	for name, c := range map[string]struct {
 		faults standin.Faults
@@ -62,9 +59,7 @@
 			h.api.deps.Dispatch.Silence = fixedSilence{first: 300 * time.Millisecond, gap: 100 * time.Millisecond}
 			s := serve(t, h)
 			res, err := post(s, parse.PathChat, standinBody)
-			if err != nil {
-				t.Fatal(err)
-			}
+			testutil.NoError(t, err)
 			got, _ := io.ReadAll(res.Body)
 			_ = res.Body.Close()
 			if c.kind != "" {
--- a/internal/engineclient/kv_test.go
+++ b/internal/engineclient/kv_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/standin"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const kvBody = `{"model":"m","stream":true,"max_tokens":12,"ignore_eos":true,"prompt":"hello"}`
@@ -14,9 +15,7 @@
 func engine(t *testing.T) *standin.Server {
 	t.Helper()
 	s := standin.New(standin.Options{Models: []string{"m"}, DecodeSpeed: 200})
-	if err := s.Start(); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, s.Start())
 	t.Cleanup(s.Close)
 	return s
 }
@@ -26,9 +25,7 @@
 	t.Helper()
 	for n != 0 {
 		ev, err := s.Next()
-		if err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, err)
 		var ch struct{ Choices []struct{ Text string } }
 		if json.Unmarshal(ev.Data, &ch) != nil {
 			return text
@@ -46,25 +43,17 @@
 	defer cancel()
 	a, b, c := engine(t), engine(t), New(Config{})
 	first, err := c.Open(ctx, Request{Address: a.Address(), Method: "POST", Path: "/v1/completions", Body: []byte(kvBody), EngineRequestID: "r1"})
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	text := read(t, first, 3)
 	first.Close()
 	kv, err := c.ExportKV(ctx, a.Address(), "r1")
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	if _, err := c.Cancel(ctx, a.Address(), "r1"); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.ImportKV(ctx, b.Address(), "r2", kv); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, c.ImportKV(ctx, b.Address(), "r2", kv))
 	second, err := c.Resume(ctx, b.Address(), "r2", 3)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	defer second.Close()
 	text += read(t, second, -1)
 	prompt, _ := standin.ParsePrompt([]byte(kvBody))
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -18,6 +18,7 @@
 	"github.com/lesismal/llib/std/crypto/tls"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const patience = 5 * time.Second
@@ -26,9 +27,7 @@
 	t.Helper()
 	cfg.Address = "127.0.0.1:0"
 	s := New(cfg)
-	if err := s.Start(); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, s.Start())
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
@@ -40,9 +39,7 @@
 func dial(t *testing.T, s *Server) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", s.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	_ = c.SetDeadline(time.Now().Add(patience))
 	return c
@@ -130,9 +127,7 @@
 			_, _ = io.WriteString(w, "whole")
 		})})
 	res, err := http.Get("http://" + s.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	defer func() { _ = res.Body.Close() }()
 	if b, _ := io.ReadAll(res.Body); string(b) != "whole" {
 		t.Fatalf("got %q", b)
@@ -180,9 +175,7 @@
 func TestUnknownStatusStaysInItsClass(t *testing.T) {
 	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(499) })})
 	res, err := http.Get("http://" + s.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	_ = res.Body.Close()
 	if res.StatusCode != 400 {
 		t.Fatalf("got %d", res.StatusCode)
@@ -253,9 +246,7 @@
 	}
 	close(finish)
 	res, err := http.ReadResponse(bufio.NewReader(stream), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	if b, err := io.ReadAll(res.Body); string(b) != "first last" {
 		t.Fatalf("stream was cut: %q %v", b, err)
 	}
@@ -267,9 +258,7 @@
 	if n, _ := io.Copy(io.Discard, large); n < size {
 		t.Fatalf("large answer cut at %d of %d bytes", n, size)
 	}
-	if err := <-drained; err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, <-drained)
 }
 
 func TestStreamsBoundRefusesAtOnceButNotAlways(t *testing.T) {
@@ -289,9 +278,7 @@
 	defer close(release)
 	for path, want := range map[string]int{"/x": 429, "/healthz": 200} {
 		res, err := http.Get("http://" + s.Address() + path)
-		if err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, err)
 		_ = res.Body.Close()
 		if res.StatusCode != want {
 			t.Errorf("%s: got %d, want %d", path, res.StatusCode, want)
@@ -317,17 +304,13 @@
 	s := start(t, Config{Handler: h, TLS: &tls.Config{
 		Certificates: []tls.Certificate{{Certificate: pair.Certificate, PrivateKey: pair.PrivateKey}}}})
 	res, err := src.Client().Get("https://" + s.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	defer func() { _ = res.Body.Close() }()
 	if b, _ := io.ReadAll(res.Body); string(b) != "whole" {
 		t.Fatalf("got %q", b)
 	}
 	hold, err := src.Client().Get("https://" + s.Address() + "/hold")
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	_ = hold.Body.Close()
 	select {
 	case <-gone:
--- a/internal/peerconn/peerconn_test.go
+++ b/internal/peerconn/peerconn_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const callTimeout = 100 * time.Millisecond
@@ -29,9 +30,7 @@
 func serve(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	server := grpc.NewServer(ServerOptions(nil, nil)...)
 	pb.RegisterPeerServer(server, fakePeer{})
 	go func() { _ = server.Serve(listener) }()
@@ -52,9 +51,7 @@
 func newMiddle(t *testing.T, target string) *middle {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	m := &middle{listener: listener, target: target}
 	go m.accept()
 	t.Cleanup(m.close)
@@ -136,9 +133,7 @@
 	pool := New(Config{OnSilent: func(a string) { silent <- a }, Grace: time.Millisecond})
 	defer func() { _ = pool.Close() }()
 	client := pool.Client(m.listener.Addr().String())
-	if err := call(client); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, call(client))
 	m.mute(false)
 	for i := range DefaultSilentAfter {
 		if err := call(client); status.Code(err) != codes.DeadlineExceeded {
@@ -165,9 +160,7 @@
 	pool := New(Config{OnSilent: func(a string) { replaced <- a }, TryTimeout: callTimeout})
 	defer func() { _ = pool.Close() }()
 	client := pool.Client(m.listener.Addr().String())
-	if err := call(client); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, call(client))
 	m.mute(true)
 	for range 2 * DefaultSilentAfter {
 		_ = call(client)
@@ -197,12 +190,8 @@
 func TestClosedPoolRefusesCalls(t *testing.T) {
 	pool := New(Config{})
 	client := pool.Client(serve(t))
-	if err := call(client); err != nil {
-		t.Fatal(err)
-	}
-	if err := pool.Close(); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, call(client))
+	testutil.NoError(t, pool.Close())
 	if err := call(client); status.Code(err) != codes.Canceled {
 		t.Errorf("call after Close: %v", err)
 	}
--- a/internal/procconfig/examples_test.go
+++ b/internal/procconfig/examples_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const (
@@ -53,9 +54,7 @@
 func loadExample(t *testing.T, fleet string) []*Config {
 	t.Helper()
 	files, err := filepath.Glob(filepath.Join(examplesDir, fleet, "*-*.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	var hosts []*Config
 	for _, f := range files {
 		c, err := Load(f)
@@ -118,9 +117,7 @@
 func loadTree(t *testing.T, fleet string) *settings.Tree {
 	t.Helper()
 	b, err := os.ReadFile(filepath.Join(examplesDir, fleet, "tree.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	tree := new(settings.Tree)
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
@@ -134,9 +131,7 @@
 func setSubtree(t *testing.T, m *settings.Machine, path string, v any) {
 	t.Helper()
 	b, err := json.Marshal(v)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	if _, _, err := m.Set(&pb.SetConfig{Path: path, ValueJson: b}, "op"+path, "test", 0); err != nil {
 		t.Errorf("%s: %v", path, err)
 	}
--- a/internal/procconfig/procconfig_test.go
+++ b/internal/procconfig/procconfig_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 const hash = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
@@ -42,9 +43,7 @@
 
 func TestDecodeFillsDefaults(t *testing.T) {
 	c, err := Decode([]byte(valid))
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	if c.Timing.Heartbeat.Std() != 100*time.Millisecond || c.Limits.Streams != 10 || c.Log.Level != "debug" {
 		t.Errorf("given values are lost: %+v %+v %+v", c.Timing, c.Limits, c.Log)
 	}
@@ -173,9 +172,7 @@
 func TestLoadRefusesWhatIsNoSettingsFile(t *testing.T) {
 	dir := t.TempDir()
 	long := filepath.Join(dir, "long.json")
-	if err := os.WriteFile(long, []byte(valid+strings.Repeat(" ", maxFileBytes)), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, os.WriteFile(long, []byte(valid+strings.Repeat(" ", maxFileBytes)), 0o600))
 	for _, path := range []string{filepath.Join(dir, "absent.json"), dir, long} {
 		if _, err := Load(path); err == nil || !strings.Contains(err.Error(), path) {
 			t.Errorf("%s: want a refusal that names the file, got %v", path, err)
@@ -201,9 +198,7 @@
 			return
 		}
 		out, err := json.Marshal(c)
-		if err != nil {
-			t.Fatal(err)
-		}
+		testutil.NoError(t, err)
 		again, err := Decode(out)
 		if err != nil {
 			t.Fatalf("own output is refused: %v\n%s", err, out)
--- a/internal/telemetry/explain/explain_test.go
+++ b/internal/telemetry/explain/explain_test.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 type fakeLease struct{ filter.ServerLease }
@@ -35,13 +36,9 @@
 	s := New("h1", "olinda", 4)
 	s.Record(testCall("r1"), 502, errkind.New(errkind.ReservationExhausted, "cut at 100"))
 	b, err := s.JSON("r1")
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	var e Explanation
-	if err := json.Unmarshal(b, &e); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, json.Unmarshal(b, &e))
 	if len(e.Hops) != 2 || e.Hops[0].Name != "h1" || e.Hops[1].Name != "10.1.0.9:8000" || e.Hops[1].Attempt != 2 {
 		t.Errorf("hops: %+v", e.Hops)
 	}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // Symptom: a caller's idempotency key shows up as a log line of its own, or as a
@@ -24,9 +25,7 @@
 func TestLogLineHoldsOneEventOfPairs(t *testing.T) {
 	var out bytes.Buffer
 	tel, err := New(Config{Host: "h1", Zone: "ñuñoa", LogWriter: &out})
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	tel.Log.Info().Str("key", "a\nlevel=error b=\"c\"").Int("tokens", 7).Msg("request done")
 	tel.Log.Debug().Msg("not at this level")
 	line, rest, _ := strings.Cut(out.String(), "\n")
@@ -61,9 +60,7 @@
 func TestSpansOfTwoProcessesShareOneTrace(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "spans.json")
 	tel, err := New(Config{Service: "bluebellsaild", Trace: TraceConfig{Exporter: ExporterFile, Path: path}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	ctx, span := tel.Tracer.Start(context.Background(), "first hop")
 	header := http.Header{}
 	tel.Inject(ctx, header)
@@ -77,13 +74,9 @@
 	if got, want := trace.SpanContextFromContext(remote).SpanID(), span.SpanContext().SpanID(); got != want {
 		t.Errorf("parent is %s, want %s", got, want)
 	}
-	if err := tel.Shutdown(context.Background()); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, tel.Shutdown(context.Background()))
 	written, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	if n := bytes.Count(written, []byte(`hop"`)); n != 2 {
 		t.Errorf("%d spans in the file, want 2", n)
 	}
@@ -118,9 +111,7 @@
 		QueueWait  HistogramSummary `json:"queue_wait"`
 		FirstToken HistogramSummary `json:"first_token"`
 	}
-	if err := json.Unmarshal([]byte(m.Var().String()), &got); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, json.Unmarshal([]byte(m.Var().String()), &got))
 	if got.Requests["answered"] != 1 || got.Refusals["overloaded"] != 1 || got.Refusals["internal"] != 1 || got.Takeovers != 3 {
 		t.Errorf("counters: %+v", got)
 	}
@@ -151,14 +142,10 @@
 	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { paths <- r.Method + " " + r.URL.Path }))
 	defer collector.Close()
 	tel, err := New(Config{Trace: TraceConfig{Exporter: ExporterOTLP, URL: collector.URL + "/v1/traces"}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, err)
 	_, span := tel.Tracer.Start(context.Background(), "hop")
 	span.End()
-	if err := tel.Shutdown(context.Background()); err != nil {
-		t.Fatal(err)
-	}
+	testutil.NoError(t, tel.Shutdown(context.Background()))
 	if len(paths) != 1 {
 		t.Fatalf("%d requests to the collector", len(paths))
 	}
