--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -130,7 +130,7 @@
 	} else {
 		s.address = s.engine.Addrs[0]
 	}
-	log.Info().Str("server", s.cfg.Name).Str("address", s.address).Bool("tls", s.cfg.TLS != nil).Msg("listening")
+	log.Info().Str("event", "listening").Str("server", s.cfg.Name).Str("address", s.address).Bool("tls", s.cfg.TLS != nil).Send()
 	return nil
 }
 
@@ -145,7 +145,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	running := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	res := &response{ResponseWriter: w}
+	res := &response{ResponseWriter: w, mayChunk: r.ProtoAtLeast(1, 1)}
 	// nbhttp closes the connection right after an answer to "Connection: close", also
 	// when part of the answer still waits in its queue; the caller would see a cut
 	// answer. The caller is told to close instead, which it does after the last byte.
@@ -181,7 +181,7 @@
 	if p == nil {
 		return
 	}
-	log.Error().Str("server", s.cfg.Name).Interface("panic", p).Str("stack", string(debug.Stack())).Msg("handler panicked")
+	log.Error().Str("event", "handler-panicked").Str("server", s.cfg.Name).Interface("panic", p).Str("stack", string(debug.Stack())).Send()
 	if !w.begun {
 		WriteError(w, "", errkind.New(errkind.Internal, "a fault of the server"))
 		return
