--- a/e2e/control/tls_test.go
+++ b/e2e/control/tls_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/devfleet"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/peerconn"
 	"github.com/bluebellsail/bluebellsail/internal/tlsutil"
 )
 
@@ -58,7 +59,7 @@
 		"another authority": {peerCredentials(t, foreign.Cert, foreign.Key, f.layout.CA), codes.Unavailable},
 	} {
 		for _, h := range f.layout.Hosts {
-			if err := watchOnce(t, h, tc.creds); status.Code(err) != tc.want {
+			if err := f.watchOnce(h, tc.creds); status.Code(err) != tc.want {
 				t.Errorf("%s at %s: %v, want %s", name, h.Host, err, tc.want)
 			}
 		}
@@ -66,14 +67,15 @@
 }
 
 // watchOnce asks a peer address for one event of the settings.
-func watchOnce(t *testing.T, h devfleet.Host, creds credentials.TransportCredentials) error {
-	t.Helper()
-	conn, err := grpc.NewClient(h.Peers, grpc.WithTransportCredentials(creds))
+func (f *fleet) watchOnce(h devfleet.Host, creds credentials.TransportCredentials) error {
+	f.t.Helper()
+	options := append(peerconn.Fleet(f.layout.Fleet).DialOptions(), grpc.WithTransportCredentials(creds))
+	conn, err := grpc.NewClient(h.Peers, options...)
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	defer conn.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), peerCallTimeout)
+	ctx, cancel := context.WithTimeout(f.t.Context(), peerCallTimeout)
 	defer cancel()
 	stream, err := pb.NewControlClient(conn).Watch(ctx, &pb.WatchRequest{})
 	if err != nil {
--- a/internal/admincli/explain.go
+++ b/internal/admincli/explain.go
@@ -52,6 +52,5 @@
 		fmt.Fprintf(w, "ledger: %s\n", e.LedgerNote)
 		return
 	}
-	fmt.Fprintf(w, "ledger: billed %d tokens (prompt %d, output %d) to %s at %s for request %s\n", e.Ledger.Tokens,
-		e.Ledger.PromptTokens, e.Ledger.OutputTokens, e.Ledger.Budget, e.Ledger.Time.Format(time.RFC3339), e.Ledger.RequestID)
+	fmt.Fprintf(w, "ledger: billed %d tokens to %s at %s for request %s\n", e.Ledger.Tokens, e.Ledger.Budget, e.Ledger.Time.Format(time.RFC3339), e.Ledger.RequestID)
 }
--- a/internal/daemon/certificates.go
+++ b/internal/daemon/certificates.go
@@ -67,7 +67,8 @@
 
 // dialOptions are those of connections to control replicas.
 func (d *Daemon) dialOptions() []grpc.DialOption {
-	return []grpc.DialOption{peerconn.KeepaliveOption(), peerconn.ReconnectOption(),
+	return append(peerconn.Fleet(d.cfg.Fleet).DialOptions(),
+		peerconn.KeepaliveOption(), peerconn.ReconnectOption(),
 		grpc.WithTransportCredentials(d.tls.peerCredentials()),
-		grpc.WithStatsHandler(d.tel.ClientStats())}
+		grpc.WithStatsHandler(d.tel.ClientStats()))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,7 +68,7 @@
 	}
 	d.tls = certs
 	d.pool = peerconn.New(peerconn.Config{
-		Credentials: certs.peerCredentials(), Stats: d.tel.ClientStats(), Log: d.tel.Log,
+		Fleet: peerconn.Fleet(cfg.Fleet), Credentials: certs.peerCredentials(), Stats: d.tel.ClientStats(), Log: d.tel.Log,
 		OnSilent: func(string) { d.tel.Metrics.SilentConnections.Add(1) },
 	})
 	if err := d.openReplica(); err != nil {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -27,7 +27,8 @@
 func newPeerServer(d *Daemon) *peerServer {
 	options := peerconn.ServerOptions(d.tls.peerCredentials(), d.tel.ServerStats())
 	p := &peerServer{address: d.cfg.Listen.Peers}
-	options = append(options, grpc.UnaryInterceptor(p.waitForPeer))
+	options = append(options, peerconn.Fleet(d.cfg.Fleet).ServerOptions()...)
+	options = append(options, grpc.ChainUnaryInterceptor(p.waitForPeer))
 	p.server = grpc.NewServer(options...)
 	if d.replica != nil {
 		pb.RegisterControlServer(p.server, control.NewService(d.replica))
--- a/internal/devfleet/devfleet.go
+++ b/internal/devfleet/devfleet.go
@@ -3,12 +3,15 @@
 package devfleet
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -20,8 +23,14 @@
 )
 
 const (
-	fleetName    = "dev"
+	// fleetPrefix begins the name of each fleet; the rest is drawn, so that two fleets on
+	// one machine don't take each other's hosts for their own.
+	fleetPrefix  = "dev-"
+	fleetDigits  = 8
 	maxHosts     = 200
+	firstPort    = 10000
+	endPort      = 32000
+	maxPortTries = 5000
 	loopback     = "127.0.0.1"
 	portsPerHost = 3
 
@@ -52,6 +61,8 @@
 	// CA is the authority's certificate; empty without TLS.
 	CA    string `json:"ca,omitempty"`
 	Hosts []Host `json:"hosts"`
+	// Fleet is the name of the fleet.
+	Fleet string `json:"fleet"`
 }
 
 // Host is one host of the fleet.
@@ -82,7 +93,8 @@
 	if err != nil {
 		return nil, err
 	}
-	layout := &Layout{Dir: dir, KeyFile: filepath.Join(dir, "operator.key"), EnvFile: filepath.Join(dir, "env.sh")}
+	fleet := fleetPrefix + strings.ToLower(rand.Text()[:fleetDigits])
+	layout := &Layout{Fleet: fleet, Dir: dir, KeyFile: filepath.Join(dir, "operator.key"), EnvFile: filepath.Join(dir, "env.sh")}
 	for i := range o.Hosts {
 		name := fmt.Sprintf("host-%d", i+1)
 		a := addresses[i*portsPerHost:]
@@ -152,16 +164,20 @@
 }
 
 // freeAddresses listens on n ports at once, so that no port comes twice, and lets
-// them go.
+// them go. The ports lie below those that systems draw for outgoing connections:
+// one of these would otherwise take a host's port while the host is being restarted.
 func freeAddresses(n int) ([]string, error) {
 	addresses := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
-		if err != nil {
+	for tries := 0; len(addresses) < n; tries++ {
+		port := firstPort + mathrand.IntN(endPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort(loopback, strconv.Itoa(port)))
+		switch {
+		case err == nil:
+			defer l.Close()
+			addresses = append(addresses, l.Addr().String())
+		case tries > maxPortTries:
 			return nil, errors.Wrap(err, "find a free port")
 		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
 	}
 	return addresses, nil
 }
@@ -193,7 +209,7 @@
 // config is the settings of host h.
 func (l *Layout) config(h Host, keyHash string) *procconfig.Config {
 	c := procconfig.Default()
-	c.Fleet, c.Host, c.Zone = fleetName, h.Host, h.Zone
+	c.Fleet, c.Host, c.Zone = l.Fleet, h.Host, h.Zone
 	c.Roles = []procconfig.Role{procconfig.RoleEntry}
 	c.Listen = procconfig.Listen{Callers: h.Callers, Operators: h.Operators, Peers: h.Peers}
 	c.OperatorKeyHashes = []string{keyHash}
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -63,6 +63,8 @@
 
 // Config of a Pool. Zero fields get the defaults.
 type Config struct {
+	// Fleet is told with every call; empty: nothing is told.
+	Fleet Fleet
 	// Credentials for mutual authentication; nil: plain TCP.
 	Credentials credentials.TransportCredentials
 	// Stats makes spans of calls; nil: none.
@@ -188,6 +190,9 @@
 	if p.cfg.Dial != nil {
 		options = append(options, grpc.WithContextDialer(p.cfg.Dial))
 	}
+	if p.cfg.Fleet != "" {
+		options = append(options, p.cfg.Fleet.DialOptions()...)
+	}
 	if p.cfg.Stats != nil {
 		options = append(options, grpc.WithStatsHandler(p.cfg.Stats))
 	}
