--- a/internal/controller/repair/plan.go
+++ b/internal/controller/repair/plan.go
@@ -167,6 +167,11 @@
 	return !strings.HasPrefix(rec.GetEngineRequestId(), rec.GetRequestId())
 }
 
+// certain tells whether no other dead holder can know more of these requests.
+func (p *plan) certain() bool {
+	return !slices.ContainsFunc(p.ended, func(e ended) bool { return e.known > ownRun })
+}
+
 // bestKnown is the best knowledge of each identity over all dead incarnations.
 func bestKnown(plans []*plan) map[string]knowledge {
 	best := make(map[string]knowledge)
--- a/internal/controller/repair/repair.go
+++ b/internal/controller/repair/repair.go
@@ -114,13 +114,18 @@
 	}
 	live := liveHolders(hosts)
 	var plans []*plan
-	for _, dead := range deadHolders(hosts) {
-		if p := c.look(ctx, dead, live, &result); p != nil {
+	dead := deadHolders(hosts)
+	for _, d := range dead {
+		if p := c.look(ctx, d, live, &result); p != nil {
 			plans = append(plans, p)
 		}
 	}
 	best := bestKnown(plans)
 	for _, p := range plans {
+		if len(plans) < len(dead) && !p.certain() {
+			result.Waiting = append(result.Waiting, Waiting{Dead: p.dead, Reason: "another dead incarnation may know more of its requests"})
+			continue
+		}
 		p.billAll(time.Now(), best)
 		c.recover(ctx, p, live, &result)
 	}
