--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -11,6 +11,7 @@
 	"fmt"
 
 	"github.com/bluebellsail/bluebellsail/internal/claims"
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
@@ -20,11 +21,11 @@
 )
 
 // Options bound the state's memory. Every replica of a group must use the same, as
-// they decide what is forgotten. Zero values take the defaults.
+// they decide what is forgotten. A zero field takes the default.
 type Options struct {
 	Ledger ledger.Options
 	// Operations is how many operators' operations are remembered with their whole
-	// answer; default DefaultOperations.
+	// answer; default 16,384.
 	Operations int
 }
 
@@ -42,9 +43,7 @@
 
 // New makes an empty state.
 func New(o Options) *State {
-	if o.Operations <= 0 {
-		o.Operations = DefaultOperations
-	}
+	defaults.Set(&o.Operations, defaultOperations)
 	return &State{
 		options:    o,
 		settings:   settings.New(),
@@ -64,12 +63,6 @@
 // View returns the present settings tree.
 func (s *State) View() *settings.View { return s.settings.View() }
 
-// ChangesSince returns the settings changes after a revision; ok is false when the
-// asker needs a snapshot (View().SnapshotJSON()) instead.
-func (s *State) ChangesSince(revision uint64) (changes []*pb.ConfigChange, ok bool) {
-	return s.settings.ChangesSince(revision)
-}
-
 // Counters returns the ledger's totals of unusual bills.
 func (s *State) Counters() ledger.Counters { return s.ledger.Counters() }
 
@@ -149,9 +142,11 @@
 func (s *State) applyLedger(r ledger.Record, cmd *pb.Command, out *pb.CommandResult) error {
 	switch body := cmd.Body.(type) {
 	case *pb.Command_CreateBudget:
-		return budgetResult(out)(s.ledger.CreateBudget(r, body.CreateBudget))
+		budget, resend, err := s.ledger.CreateBudget(r, body.CreateBudget)
+		return setBudget(out, budget, resend, err)
 	case *pb.Command_TopUp:
-		return budgetResult(out)(s.ledger.TopUp(r, body.TopUp))
+		budget, resend, err := s.ledger.TopUp(r, body.TopUp)
+		return setBudget(out, budget, resend, err)
 	case *pb.Command_Acquire:
 		acquired, err := s.ledger.Acquire(body.Acquire)
 		if err == nil {
@@ -169,15 +164,13 @@
 	return nil
 }
 
-// budgetResult returns a function that puts a budget, or its refusal, into out.
-func budgetResult(out *pb.CommandResult) func(*pb.Budget, bool, error) error {
-	return func(b *pb.Budget, resend bool, err error) error {
-		if err == nil {
-			out.Resend = resend
-			out.Body = &pb.CommandResult_Budget{Budget: b}
-		}
-		return err
+// setBudget puts the answer to a change of funds into out and passes a refusal on.
+func setBudget(out *pb.CommandResult, b *pb.Budget, resend bool, err error) error {
+	if err == nil {
+		out.Resend = resend
+		out.Body = &pb.CommandResult_Budget{Budget: b}
 	}
+	return err
 }
 
 func (s *State) applyClaim(r ledger.Record, cmd *pb.Command, out *pb.CommandResult) error {
--- a/internal/controller/records/find.go
+++ b/internal/controller/records/find.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/inflight"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -15,9 +17,15 @@
 // the hosts asked that could know the identity. Done at the same time, two hosts that
 // begin one identity at once could each miss the other's record; this way the one that
 // asks last sees the other's. It costs one round trip between availability zones.
+//
+// The store numbers the versions. Were the caller's number counted on, the first record of
+// a request would look like a takeover's to a peer that knows the identity: the peer would
+// take it in place of refusing it, and a retry at another host would run a second time.
 func (c *Controller) Begin(ctx context.Context, rec *pb.InflightRecord, copies int) (*pb.InflightRecord, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.BeginWait)
 	defer cancel()
+	rec = proto.CloneOf(rec)
+	rec.Version = 0
 	c.mu.Lock()
 	known, err := c.store.Begin(time.Now(), rec, copies)
 	c.mu.Unlock()
@@ -187,6 +195,9 @@
 	}
 	owner := rec.GetHolder().GetHost()
 	runs := rec.GetState() == pb.InflightState_INFLIGHT_STATE_RUNNING || rec.GetState() == pb.InflightState_INFLIGHT_STATE_NONE
+	if runs && c.isOwn(rec) {
+		return c.ownRecord(rec)
+	}
 	if !runs || owner == c.self.GetHost() || !c.OwnerAlive(rec) {
 		return rec, true
 	}
@@ -198,6 +209,15 @@
 	return reply.GetRecord(), same
 }
 
+// ownRecord is what this host knows of a running record of its own, of which a peer may hold
+// an old copy.
+func (c *Controller) ownRecord(rec *pb.InflightRecord) (*pb.InflightRecord, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	here, ok := c.store.Find(time.Now(), rec.GetIdentity())
+	return here, ok && here.GetRequestId() == rec.GetRequestId()
+}
+
 // ask looks an identity up at several hosts, the most telling record first. One answer isn't
 // enough: a host may still know a record that its owner has given up.
 func (c *Controller) ask(ctx context.Context, identity string, hosts []inflight.Host) []*pb.InflightRecord {
