--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -36,15 +37,9 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Lapse <= 0 {
-		c.Lapse = DefaultLapse
-	}
-	if c.Forget <= 0 {
-		c.Forget = DefaultForget
-	}
-	if c.CacheBlocks <= 0 {
-		c.CacheBlocks = DefaultCacheBlocks
-	}
+	defaults.Set(&c.Lapse, DefaultLapse)
+	defaults.Set(&c.Forget, DefaultForget)
+	defaults.Set(&c.CacheBlocks, DefaultCacheBlocks)
 	return c
 }
 
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/membership"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry"
@@ -97,12 +98,8 @@
 
 // New returns a controller that doesn't send yet.
 func New(cfg Config) *Controller {
-	if cfg.Timeout <= 0 {
-		cfg.Timeout = DefaultTimeout
-	}
-	if cfg.Membership.Interval <= 0 {
-		cfg.Membership.Interval = membership.DefaultInterval
-	}
+	defaults.Set(&cfg.Timeout, DefaultTimeout)
+	defaults.Set(&cfg.Membership.Interval, membership.DefaultInterval)
 	if cfg.Metrics == nil {
 		cfg.Metrics = telemetry.NewMetrics()
 	}
--- a/internal/controller/placement/placement.go
+++ b/internal/controller/placement/placement.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/placement"
@@ -71,12 +72,8 @@
 
 // New returns a controller that doesn't order yet.
 func New(cfg Config) *Controller {
-	if cfg.Interval <= 0 {
-		cfg.Interval = DefaultInterval
-	}
-	if cfg.Planner.LongestOrder <= 0 {
-		cfg.Planner.LongestOrder = placement.DefaultLongestOrder
-	}
+	defaults.Set(&cfg.Interval, DefaultInterval)
+	defaults.Set(&cfg.Planner.LongestOrder, placement.DefaultLongestOrder)
 	if cfg.Client == nil {
 		cfg.Client = &http.Client{
 			Transport:     &http.Transport{DisableKeepAlives: true},
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 )
@@ -70,18 +71,10 @@
 
 // New makes a Client.
 func New(cfg Config) *Client {
-	if cfg.DialTimeout <= 0 {
-		cfg.DialTimeout = DefaultDialTimeout
-	}
-	if cfg.HeaderTimeout <= 0 {
-		cfg.HeaderTimeout = DefaultHeaderTimeout
-	}
-	if cfg.IdlePerServer <= 0 {
-		cfg.IdlePerServer = DefaultIdlePerServer
-	}
-	if cfg.MaxAnswer <= 0 {
-		cfg.MaxAnswer = DefaultMaxAnswer
-	}
+	defaults.Set(&cfg.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&cfg.HeaderTimeout, DefaultHeaderTimeout)
+	defaults.Set(&cfg.IdlePerServer, DefaultIdlePerServer)
+	defaults.Set(&cfg.MaxAnswer, DefaultMaxAnswer)
 	c := &Client{cfg: cfg, pools: make(map[string]*http.Transport)}
 	c.oneShot = c.newTransport()
 	c.oneShot.DisableKeepAlives = true
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog/log"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 )
 
@@ -61,24 +62,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Name == "" {
-		c.Name = "http"
-	}
-	if c.MaxBodyBytes <= 0 {
-		c.MaxBodyBytes = DefaultMaxBodyBytes
-	}
-	if c.ReadTimeout <= 0 {
-		c.ReadTimeout = DefaultReadTimeout
-	}
-	if c.IdleTimeout <= 0 {
-		c.IdleTimeout = DefaultIdleTimeout
-	}
-	if c.Streams <= 0 {
-		c.Streams = DefaultStreams
-	}
-	if c.MaxQueuedBytes <= 0 {
-		c.MaxQueuedBytes = DefaultMaxQueuedBytes
-	}
+	defaults.Set(&c.Name, "http")
+	defaults.Set(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	defaults.Set(&c.ReadTimeout, DefaultReadTimeout)
+	defaults.Set(&c.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&c.Streams, DefaultStreams)
+	defaults.Set(&c.MaxQueuedBytes, DefaultMaxQueuedBytes)
 	return c
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -20,6 +20,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -152,24 +153,12 @@
 }
 
 func withDefaults(cfg Config) Config {
-	if cfg.Interval <= 0 {
-		cfg.Interval = DefaultInterval
-	}
-	if cfg.SuspectAfter <= 0 {
-		cfg.SuspectAfter = DefaultSuspectAfter
-	}
-	if cfg.DeadAfter <= 0 {
-		cfg.DeadAfter = DefaultDeadAfter
-	}
-	if cfg.ForgetAfter <= 0 {
-		cfg.ForgetAfter = DefaultForgetAfter
-	}
-	if cfg.Neighbours <= 0 {
-		cfg.Neighbours = DefaultNeighbours
-	}
-	if cfg.DigestBytes <= 0 {
-		cfg.DigestBytes = DefaultDigestBytes
-	}
+	defaults.Set(&cfg.Interval, DefaultInterval)
+	defaults.Set(&cfg.SuspectAfter, DefaultSuspectAfter)
+	defaults.Set(&cfg.DeadAfter, DefaultDeadAfter)
+	defaults.Set(&cfg.ForgetAfter, DefaultForgetAfter)
+	defaults.Set(&cfg.Neighbours, DefaultNeighbours)
+	defaults.Set(&cfg.DigestBytes, DefaultDigestBytes)
 	return cfg
 }
 
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -30,6 +30,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -94,15 +95,9 @@
 
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
-	if cfg.SilentAfter <= 0 {
-		cfg.SilentAfter = DefaultSilentAfter
-	}
-	if cfg.TryTimeout <= 0 {
-		cfg.TryTimeout = DefaultTryTimeout
-	}
-	if cfg.Grace <= 0 {
-		cfg.Grace = DefaultGrace
-	}
+	defaults.Set(&cfg.SilentAfter, DefaultSilentAfter)
+	defaults.Set(&cfg.TryTimeout, DefaultTryTimeout)
+	defaults.Set(&cfg.Grace, DefaultGrace)
 	return &Pool{cfg: cfg, done: make(chan struct{}), links: make(map[string]*link)}
 }
 
--- a/internal/peerconn/peerconn_test.go
+++ b/internal/peerconn/peerconn_test.go
@@ -29,8 +29,7 @@
 
 func serve(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	testutil.NoError(t, err)
+	listener := testutil.Listen(t)
 	server := grpc.NewServer(ServerOptions(nil, nil)...)
 	pb.RegisterPeerServer(server, fakePeer{})
 	go func() { _ = server.Serve(listener) }()
@@ -50,8 +49,7 @@
 
 func newMiddle(t *testing.T, target string) *middle {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	testutil.NoError(t, err)
+	listener := testutil.Listen(t)
 	m := &middle{listener: listener, target: target}
 	go m.accept()
 	t.Cleanup(m.close)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,6 +13,7 @@
 import (
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
@@ -101,17 +102,12 @@
 }
 
 func withDefaults(c Config) Config {
-	set := func(d *time.Duration, to time.Duration) {
-		if *d <= 0 {
-			*d = to
-		}
-	}
-	set(&c.Lease, DefaultLease)
-	set(&c.Drift, DefaultDrift)
-	set(&c.LongestOrder, DefaultLongestOrder)
-	set(&c.ViewSettle, DefaultViewSettle)
-	set(&c.EffectTimeout, DefaultEffectTimeout)
-	set(&c.Rest, DefaultRest)
+	defaults.Set(&c.Lease, DefaultLease)
+	defaults.Set(&c.Drift, DefaultDrift)
+	defaults.Set(&c.LongestOrder, DefaultLongestOrder)
+	defaults.Set(&c.ViewSettle, DefaultViewSettle)
+	defaults.Set(&c.EffectTimeout, DefaultEffectTimeout)
+	defaults.Set(&c.Rest, DefaultRest)
 	return c
 }
 
--- a/internal/sched/work.go
+++ b/internal/sched/work.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/backend"
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
@@ -131,30 +132,14 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.ZoneDelay <= 0 {
-		c.ZoneDelay = DefaultZoneDelay
-	}
-	if c.Subset <= 0 {
-		c.Subset = DefaultSubset
-	}
-	if c.Samples <= 0 {
-		c.Samples = DefaultSamples
-	}
-	if c.QueuePerAccount <= 0 {
-		c.QueuePerAccount = DefaultQueuePerAccount
-	}
-	if c.QueuePerTarget <= 0 {
-		c.QueuePerTarget = DefaultQueuePerTarget
-	}
-	if c.Margin <= 0 {
-		c.Margin = DefaultMargin
-	}
-	if c.FreshLoad <= 0 {
-		c.FreshLoad = DefaultFreshLoad
-	}
-	if c.Ahead <= 0 {
-		c.Ahead = DefaultAhead
-	}
+	defaults.Set(&c.ZoneDelay, DefaultZoneDelay)
+	defaults.Set(&c.Subset, DefaultSubset)
+	defaults.Set(&c.Samples, DefaultSamples)
+	defaults.Set(&c.QueuePerAccount, DefaultQueuePerAccount)
+	defaults.Set(&c.QueuePerTarget, DefaultQueuePerTarget)
+	defaults.Set(&c.Margin, DefaultMargin)
+	defaults.Set(&c.FreshLoad, DefaultFreshLoad)
+	defaults.Set(&c.Ahead, DefaultAhead)
 	return c
 }
 
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -5,7 +5,11 @@
 // pure: the caller passes the time in, serialises the calls and does the probing.
 package silence
 
-import "time"
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
+)
 
 // Defaults of Config.
 const (
@@ -32,24 +36,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Floor <= 0 {
-		c.Floor = DefaultFloor
-	}
-	if c.Ceiling <= 0 {
-		c.Ceiling = DefaultCeiling
-	}
-	if c.ProbeTimeout <= 0 {
-		c.ProbeTimeout = DefaultProbeTimeout
-	}
-	if c.FirstFactor <= 0 {
-		c.FirstFactor = DefaultFirstFactor
-	}
-	if c.FirstFloor <= 0 {
-		c.FirstFloor = DefaultFirstFloor
-	}
-	if c.FirstCeiling <= 0 {
-		c.FirstCeiling = DefaultFirstCeiling
-	}
+	defaults.Set(&c.Floor, DefaultFloor)
+	defaults.Set(&c.Ceiling, DefaultCeiling)
+	defaults.Set(&c.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&c.FirstFactor, DefaultFirstFactor)
+	defaults.Set(&c.FirstFloor, DefaultFirstFloor)
+	defaults.Set(&c.FirstCeiling, DefaultFirstCeiling)
 	return c
 }
 
