--- a/internal/daemon/outcomes.go
+++ b/internal/daemon/outcomes.go
@@ -7,12 +7,10 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/filter/route"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry"
 )
 
-// routeStep is the chain's note of an attempt at a backend server.
-const routeStep = "route"
-
 // outcomes implements filter.Explainer: what came of each call goes to the explain
 // store, the metrics and the event log.
 type outcomes struct {
@@ -58,7 +56,7 @@
 // observeAdded notes what the fleet spent on a call before its first attempt.
 func (o outcomes) observeAdded(c *filter.Call) {
 	for _, n := range c.Notes {
-		if n.Step == routeStep {
+		if n.Step == route.Step {
 			o.metrics.FirstTokenAdded.Observe(n.At.Sub(c.Arrived))
 			return
 		}
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -12,6 +12,9 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 )
 
+// Step names this filter in the notes of a call.
+const Step = "route"
+
 // Filter runs the loop of attempts.
 type Filter struct {
 	Scheduler filter.Scheduler
@@ -97,7 +100,7 @@
 
 // noteServer lets the peers that hold the record know where the run is.
 func (f *Filter) noteServer(c *filter.Call, now time.Time) {
-	c.Note(now, "route", "attempt "+strconv.Itoa(c.Attempts)+" at "+c.Lease.Address()+": "+c.Lease.Reason())
+	c.Note(now, Step, "attempt "+strconv.Itoa(c.Attempts)+" at "+c.Lease.Address()+": "+c.Lease.Reason())
 	rec := c.NextRecord()
 	rec.Server = c.Lease.Address()
 	rec.EngineRequestId = EngineRequestID(c)
@@ -110,6 +113,6 @@
 // resume reads the stream of a former holder. It takes no room: the run has its own.
 func (f *Filter) resume(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
 	c := filter.CallFrom(r.Context())
-	c.Note(f.Clock.Now(), "route", "resumed "+c.Resume.EngineRequestID+" at "+c.Resume.Server)
+	c.Note(f.Clock.Now(), Step, "resumed "+c.Resume.EngineRequestID+" at "+c.Resume.Server)
 	return next.ServeHTTP(w, r)
 }
