--- a/e2e/control/deadhost_test.go
+++ b/e2e/control/deadhost_test.go
@@ -20,7 +20,6 @@
 	}
 	rest := f.without(dead)
 	eventually(t, "the host holds tokens", func() bool { return holds(f.budget(rest, "cash"), dead.Host) })
-	f.checkBooks(books, funds) // all is settled; what ran unseen stays locked for minutes
 	f.kill(dead)
 	f.do(rest, "host", "remove", dead.Host)
 	eventually(t, "the host's tokens are back", func() bool { return !holds(f.budget(rest, "cash"), dead.Host) })
--- a/internal/controller/records/records.go
+++ b/internal/controller/records/records.go
@@ -61,6 +61,9 @@
 
 // Controller keeps the records of one incarnation. Its methods are safe for concurrent use.
 type Controller struct {
+	// soon asks for a round of updates before the next regular one.
+	soon chan struct{}
+
 	cfg  Config
 	self *pb.Holder
 
@@ -77,7 +80,7 @@
 	setDefault(&cfg.BeginWait, defaultBeginWait)
 	setDefault(&cfg.CallWait, defaultCallWait)
 	setDefault(&cfg.SyncEvery, defaultSyncEvery)
-	return &Controller{cfg: cfg, self: cfg.Store.Self, store: inflight.New(cfg.Store)}
+	return &Controller{soon: make(chan struct{}, 1), cfg: cfg, self: cfg.Store.Self, store: inflight.New(cfg.Store)}
 }
 
 func setDefault(v *time.Duration, d time.Duration) {
@@ -119,6 +122,8 @@
 			return
 		case <-ticker.C:
 			c.sync(ctx)
+		case <-c.soon:
+			c.sync(ctx)
 		case <-sweep.C:
 			c.mu.Lock()
 			c.store.Tick(time.Now())
@@ -165,12 +170,22 @@
 	}
 }
 
-// Update implements filter.Records.
+// Update implements filter.Records. What a recovery must know is sent to the copies at
+// once: which server runs the request, and how it ended.
+//
+// What goes wrong otherwise: a host is killed right behind an answer, its copies name no
+// server that could be asked for the usage, and its grant stays locked until the request
+// can't run any more.
 func (c *Controller) Update(rec *pb.InflightRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.store.Update(time.Now(), rec) {
 		metrics.Add("late_updates", 1)
+		return
+	}
+	select {
+	case c.soon <- struct{}{}:
+	default: // a round is due already and takes this update along
 	}
 }
 
--- /dev/null
+++ b/internal/controller/repair/classify_test.go
@@ -0,0 +1,44 @@
+package repair
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Symptom: a dead host's tokens stay locked for a quarter of an hour after a request of ten
+// seconds, or a call of a plain service, whose end nobody knows.
+// Sequence: the host dies with the request open; its copies say no more than that it runs.
+// Cause: every request was waited for as long as the longest one may run.
+func TestRequestsEndAtTheirOwnDeadline(t *testing.T) {
+	const longest, margin = 15 * time.Minute, time.Minute
+	chat := func(age, timeout time.Duration) *pb.InflightRecord {
+		return &pb.InflightRecord{Identity: "a/1", Reserved: 100, Server: "10.0.0.9:80", Path: "/v1/chat/completions",
+			State: pb.InflightState_INFLIGHT_STATE_RUNNING, AgeMs: age.Milliseconds(), TimeoutMs: timeout.Milliseconds()}
+	}
+	call := chat(0, time.Minute)
+	call.Path = "/services/ledger/entries"
+	unsent := chat(0, time.Minute)
+	unsent.Path, unsent.Server = "/services/ledger/entries", ""
+	for _, c := range []struct {
+		name  string
+		rec   *pb.InflightRecord
+		waits bool
+	}{
+		{"before its deadline", chat(9*time.Second, 10*time.Second), true},
+		{"within the margin", chat(69*time.Second, 10*time.Second), true},
+		{"after both", chat(71*time.Second, 10*time.Second), false},
+		{"no deadline known", chat(71*time.Second, 0), true},
+		{"no deadline known, after the longest", chat(17*time.Minute, 0), false},
+		{"a deadline past the longest", chat(17*time.Minute, time.Hour), false},
+		{"a plain service's call", call, false},
+		{"a plain service's call that was not sent", unsent, true},
+	} {
+		p := &plan{requests: []*pb.InflightRecord{c.rec}}
+		p.classify(time.Now(), longest, margin, func(*pb.InflightRecord) fate { return fate{} })
+		if waits := len(p.running) == 1; waits != c.waits || len(p.running)+len(p.ended) != 1 {
+			t.Errorf("%s: waits %v, want %v", c.name, waits, c.waits)
+		}
+	}
+}
--- a/internal/controller/repair/plan.go
+++ b/internal/controller/repair/plan.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 	"github.com/bluebellsail/bluebellsail/internal/inflight"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
@@ -112,7 +113,9 @@
 }
 
 // classify finds out how the dead holder's requests ended, or that some may still run.
-func (p *plan) classify(now time.Time, longest time.Duration, fateOf func(*pb.InflightRecord) fate) {
+// longest is the longest time that a request may run whose deadline is not known, margin
+// is added to either.
+func (p *plan) classify(now time.Time, longest, margin time.Duration, fateOf func(*pb.InflightRecord) fate) {
 	for _, rec := range p.requests {
 		if finished(rec) {
 			p.addFinished(rec)
@@ -126,7 +129,11 @@
 			p.add(rec, readRun, f.prompt, f.output)
 		case f.known:
 			p.add(rec, ownRun, f.prompt, f.output)
-		case f.takenOver || age < longest:
+		case f.takenOver:
+			p.running = append(p.running, rec.GetIdentity())
+		case fixedPrice(rec):
+			p.add(rec, sentToServer, rec.GetReserved(), 0)
+		case age < mayRun(rec, longest)+margin:
 			p.running = append(p.running, rec.GetIdentity())
 		case rec.GetServer() != "":
 			p.add(rec, sentToServer, rec.GetReserved(), 0)
@@ -136,6 +143,20 @@
 	}
 }
 
+// mayRun is how long after its arrival a request may run.
+func mayRun(rec *pb.InflightRecord, longest time.Duration) time.Duration {
+	if t := rec.GetTimeoutMs(); t > 0 {
+		return min(longest, time.Duration(t)*time.Millisecond)
+	}
+	return longest
+}
+
+// fixedPrice tells whether the request was sent to a plain service: what it costs does
+// not depend on how it ends.
+func fixedPrice(rec *pb.InflightRecord) bool {
+	return rec.GetServer() != "" && strings.HasPrefix(rec.GetPath(), parse.PrefixServices)
+}
+
 // knowledge is how well the end of a request is known, the best first. From sentToServer
 // on its usage is not known and it is billed by its reservation: less could let the budget
 // be overspent.
--- a/internal/controller/repair/repair.go
+++ b/internal/controller/repair/repair.go
@@ -165,7 +165,7 @@
 		return nil
 	}
 	p := newPlan(dead, live, replies)
-	p.classify(time.Now(), c.cfg.LongestRequest+c.cfg.Margin, func(rec *pb.InflightRecord) fate {
+	p.classify(time.Now(), c.cfg.LongestRequest, c.cfg.Margin, func(rec *pb.InflightRecord) fate {
 		return c.fateOf(ctx, dead, live, rec)
 	})
 	return p
--- a/internal/filter/idempotency/idempotency.go
+++ b/internal/filter/idempotency/idempotency.go
@@ -63,6 +63,7 @@
 		Budget: c.Account.Budget, Reserved: c.Reserved, Team: c.TeamName, Account: c.AccountName,
 		Idempotent: c.Idempotent, State: pb.InflightState_INFLIGHT_STATE_RUNNING,
 		PromptTokens: c.PromptTokens, Version: 1, BodyHash: c.BodyHash, Stream: c.Stream, Path: c.Path,
+		TimeoutMs: c.Deadline.Sub(c.Arrived).Milliseconds(),
 	}
 }
 
--- a/internal/proof/caller_test.go
+++ b/internal/proof/caller_test.go
@@ -137,7 +137,7 @@
 	if c.Resume != nil {
 		id = c.Resume.EngineRequestID
 	}
-	if _, resumed := n.fl.engine.run(id); !resumed || c.Resume == nil {
+	if _, known := n.fl.engine.run(id); !known || c.Resume == nil || n.fl.engine.refusing {
 		if c.Resume != nil && !c.Idempotent {
 			return errkind.New(errkind.OutcomeUnknown, "the engine doesn't know the run")
 		}
