--- a/internal/controller/records/records.go
+++ b/internal/controller/records/records.go
@@ -116,6 +116,7 @@
 	defer ticker.Stop()
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
+	var early pacer
 	for {
 		select {
 		case <-ctx.Done():
@@ -123,7 +124,9 @@
 		case <-ticker.C:
 			c.sync(ctx)
 		case <-c.soon:
-			c.sync(ctx)
+			if early.allow(time.Now()) {
+				c.sync(ctx)
+			}
 		case <-sweep.C:
 			c.mu.Lock()
 			c.store.Tick(time.Now())
@@ -170,8 +173,8 @@
 	}
 }
 
-// Update implements filter.Records. What a recovery must know is sent to the copies at
-// once: which server runs the request, and how it ended.
+// Update implements filter.Records. Up to a rate of rounds, what a recovery must know is
+// sent to the copies at once: which server runs the request, and how it ended.
 //
 // What goes wrong otherwise: a host is killed right behind an answer, its copies name no
 // server that could be asked for the usage, and its grant stays locked until the request
