--- a/internal/proof/caller.go
+++ b/internal/proof/caller.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,7 +36,7 @@
 	byID       map[string]run
 	byIdentity map[string][]run
 	// refusing: no request is run any more, for good.
-	refusing bool
+	refusing atomic.Bool
 	// spent is the tokens of all identities that ran, each counted once.
 	spent uint64
 }
@@ -77,6 +78,13 @@
 	return true
 }
 
+// idle tells whether no request has run yet.
+func (e *engine) idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.byID) == 0
+}
+
 func (e *engine) run(id string) (run, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -137,7 +145,7 @@
 	if c.Resume != nil {
 		id = c.Resume.EngineRequestID
 	}
-	if _, known := n.fl.engine.run(id); !known || c.Resume == nil || n.fl.engine.refusing {
+	if _, known := n.fl.engine.run(id); !known || c.Resume == nil || n.fl.engine.refusing.Load() {
 		if c.Resume != nil && !c.Idempotent {
 			return errkind.New(errkind.OutcomeUnknown, "the engine doesn't know the run")
 		}
@@ -165,7 +173,7 @@
 	if n.fl.fate("refuse/"+c.Identity, 50) {
 		return errkind.New(errkind.NoBackendServer, "no room")
 	}
-	if n.fl.engine.refusing || n.fl.fate("refuse for good/"+c.Identity, 50) {
+	if n.fl.engine.refusing.Load() || n.fl.fate("refuse for good/"+c.Identity, 50) {
 		return errkind.New(errkind.UnknownModel, "the engine doesn't serve it")
 	}
 	if !n.fl.engine.begin(n, c) {
--- a/internal/proof/deaths_test.go
+++ b/internal/proof/deaths_test.go
@@ -178,11 +178,11 @@
 	withFleet(t, 1, 5, 1000, func(f *fleet) {
 		c := &callers{f: f}
 		c.send("k", true, 0, "h1")
-		for len(f.engine.byIdentity) == 0 {
+		for f.engine.idle() {
 			time.Sleep(100 * time.Microsecond)
 		}
 		f.kill("h1")
-		f.engine.refusing = true
+		f.engine.refusing.Store(true)
 		if a := f.arrive("h2", "k", true); a.ok {
 			f.t.Fatal("the retry was answered, so nothing was tried")
 		}
