--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/grant"
@@ -98,11 +99,11 @@
 
 // New makes a manager. Run must be called for resends and settlement.
 func New(cfg Config) *Manager {
-	setDefault(&cfg.Tick, defaultTick)
-	setDefault(&cfg.ProposeTimeout, defaultProposeTimeout)
-	setDefault(&cfg.AskTimeout, defaultAskTimeout)
-	setDefault(&cfg.CopyTimeout, defaultCopyTimeout)
-	setDefault(&cfg.Holder.BatchWait, 50*time.Millisecond)
+	defaults.Set(&cfg.Tick, defaultTick)
+	defaults.Set(&cfg.ProposeTimeout, defaultProposeTimeout)
+	defaults.Set(&cfg.AskTimeout, defaultAskTimeout)
+	defaults.Set(&cfg.CopyTimeout, defaultCopyTimeout)
+	defaults.Set(&cfg.Holder.BatchWait, 50*time.Millisecond)
 	if cfg.PolicyFor == nil {
 		cfg.PolicyFor = func(string) grant.Policy { return grant.PolicyFrom(nil) }
 	}
@@ -115,12 +116,6 @@
 	}
 }
 
-func setDefault(v *time.Duration, d time.Duration) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // Run drives resends and settlement until ctx ends. It returns after all the manager's
 // calls have ended.
 func (m *Manager) Run(ctx context.Context) {
--- a/internal/controller/records/records.go
+++ b/internal/controller/records/records.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/inflight"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -77,18 +78,12 @@
 
 // New makes a controller without records; it copies nothing until SetHosts.
 func New(cfg Config) *Controller {
-	setDefault(&cfg.BeginWait, defaultBeginWait)
-	setDefault(&cfg.CallWait, defaultCallWait)
-	setDefault(&cfg.SyncEvery, defaultSyncEvery)
+	defaults.Set(&cfg.BeginWait, defaultBeginWait)
+	defaults.Set(&cfg.CallWait, defaultCallWait)
+	defaults.Set(&cfg.SyncEvery, defaultSyncEvery)
 	return &Controller{soon: make(chan struct{}, 1), cfg: cfg, self: cfg.Store.Self, store: inflight.New(cfg.Store)}
 }
 
-func setDefault(v *time.Duration, d time.Duration) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // SetGrants names the holder that Gather fences together with the records.
 func (c *Controller) SetGrants(g Grants) {
 	c.mu.Lock()
--- a/internal/controller/repair/repair.go
+++ b/internal/controller/repair/repair.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/inflight"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
@@ -63,18 +64,12 @@
 
 // New makes a controller.
 func New(cfg Config) *Controller {
-	setDefault(&cfg.LongestRequest, defaultLongestRequest)
-	setDefault(&cfg.Margin, defaultMargin)
-	setDefault(&cfg.GatherWait, defaultGatherWait)
+	defaults.Set(&cfg.LongestRequest, defaultLongestRequest)
+	defaults.Set(&cfg.Margin, defaultMargin)
+	defaults.Set(&cfg.GatherWait, defaultGatherWait)
 	return &Controller{cfg: cfg}
 }
 
-func setDefault(v *time.Duration, d time.Duration) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // Result of one Reconcile.
 type Result struct {
 	Recovered []Recovered
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -157,9 +157,8 @@
 	every(ctx, learnEvery, func() {
 		readCtx, cancel := context.WithTimeout(ctx, learnTimeout)
 		defer cancel()
-		res, err := e.d.client.Read(readCtx, &pb.Query{Body: &pb.Query_Hosts{Hosts: &pb.HostsQuery{}}})
-		if err == nil {
-			e.members.Learn(res.Hosts)
+		if hosts, err := (group{e.d.client}).Hosts(readCtx); err == nil {
+			e.members.Learn(hosts)
 		}
 	})
 }
--- a/internal/daemon/group.go
+++ b/internal/daemon/group.go
@@ -33,6 +33,15 @@
 	return res, err
 }
 
+// Hosts lists the registered hosts.
+func (g group) Hosts(ctx context.Context) ([]*pb.HostInfo, error) {
+	res, err := g.client.Read(ctx, &pb.Query{Body: &pb.Query_Hosts{Hosts: &pb.HostsQuery{}}})
+	if err != nil {
+		return nil, err
+	}
+	return res.GetHosts(), wire.DecodeError(res.GetError())
+}
+
 // ChangeMembers changes the group by one replica.
 func (g group) ChangeMembers(ctx context.Context, r *pb.ChangeMembersRequest) (*pb.ChangeMembersReply, error) {
 	status, err := g.client.ChangeMembers(ctx, r)
--- a/internal/daemon/repair.go
+++ b/internal/daemon/repair.go
@@ -8,7 +8,6 @@
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
-	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 const (
@@ -31,7 +30,7 @@
 // repairLoop recovers dead incarnations while this host is the one to do so.
 func (e *entry) repairLoop(ctx context.Context) {
 	controller := repair.New(repair.Config{
-		Self: e.holder(), Control: repairGroup{group{e.d.client}}, Peers: gatherers{e}, Requests: e.records,
+		Self: e.holder(), Control: group{e.d.client}, Peers: gatherers{e}, Requests: e.records,
 		EngineUsage: engineUsage(engineclient.New(engineclient.Config{})), Log: e.d.tel.Log,
 	})
 	every(ctx, repairEvery, func() {
@@ -62,21 +61,6 @@
 	return true
 }
 
-// repairGroup implements repair.Control.
-type repairGroup struct{ group }
-
-// Hosts lists the registered hosts.
-func (g repairGroup) Hosts(ctx context.Context) ([]*pb.HostInfo, error) {
-	res, err := g.Read(ctx, &pb.Query{Body: &pb.Query_Hosts{Hosts: &pb.HostsQuery{}}})
-	if err != nil {
-		return nil, err
-	}
-	if err := wire.DecodeError(res.GetError()); err != nil {
-		return nil, err
-	}
-	return res.GetHosts(), nil
-}
-
 // gatherers implements repair.Peers: every live host, this one included.
 type gatherers struct{ e *entry }
 
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -18,6 +18,7 @@
 import (
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
@@ -72,28 +73,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setInt(&c.BatchBills, 256)
-	setDuration(&c.BatchWait, 50*time.Millisecond)
-	setDuration(&c.ResendAfter, 200*time.Millisecond)
-	setDuration(&c.ResendMax, 5*time.Second)
-	setDuration(&c.LedgerWait, 250*time.Millisecond)
-	setDuration(&c.ProbeWait, 50*time.Millisecond)
-	setInt(&c.AskFanout, 3)
+	defaults.Set(&c.BatchBills, 256)
+	defaults.Set(&c.BatchWait, 50*time.Millisecond)
+	defaults.Set(&c.ResendAfter, 200*time.Millisecond)
+	defaults.Set(&c.ResendMax, 5*time.Second)
+	defaults.Set(&c.LedgerWait, 250*time.Millisecond)
+	defaults.Set(&c.ProbeWait, 50*time.Millisecond)
+	defaults.Set(&c.AskFanout, 3)
 	return c
 }
 
-func setInt(v *int, d int) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
-func setDuration(v *time.Duration, d time.Duration) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // Output is what one step asks its runtime to do.
 type Output struct {
 	// Acquires go to the ledger.
