--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
@@ -38,6 +39,7 @@
 	ledger     *ledger.State
 	claims     *claims.State
 	fence      *fence.State
+	routes     *routes.State
 	operations *operations
 }
 
@@ -50,6 +52,7 @@
 		ledger:     ledger.New(o.Ledger),
 		claims:     claims.New(),
 		fence:      fence.New(),
+		routes:     routes.NewState(),
 		operations: newOperations(o.Operations),
 	}
 }
@@ -105,6 +108,8 @@
 		return s.applyClaim(r, cmd, out)
 	case *pb.Command_SetConfig:
 		return s.applyConfig(r, body.SetConfig, out)
+	case *pb.Command_ReplaceRoutes:
+		return s.applyRoutes(r, body.ReplaceRoutes, out)
 	case *pb.Command_PlaceOrder:
 		placed, err := s.fence.Place(r.Index, body.PlaceOrder)
 		if err == nil {
@@ -206,3 +211,22 @@
 	s.claims.SetWindow(fleetWindow)
 	return nil
 }
+
+// applyRoutes replaces the routing table and funds the budgets of its accounts. The two
+// are one record, so that no host serves under a table whose budgets it can't draw on.
+func (s *State) applyRoutes(r ledger.Record, c *pb.ReplaceRoutes, out *pb.CommandResult) error {
+	replaced, err := s.routes.Replace(c)
+	if err != nil {
+		return err
+	}
+	out.Body = &pb.CommandResult_ReplaceRoutes{ReplaceRoutes: replaced}
+	if !replaced.Changed {
+		return nil
+	}
+	for _, a := range s.routes.Current().Table().Accounts {
+		if a.Prepaid != nil {
+			s.ledger.SetFunds(r, a.Name, a.Name, *a.Prepaid)
+		}
+	}
+	return nil
+}
--- a/internal/apply/query.go
+++ b/internal/apply/query.go
@@ -34,6 +34,8 @@
 		out.Bill, err = s.ledger.Bill(body.Identity.GetIdentity())
 	case *pb.Query_Placement:
 		out.Placements = s.fence.Placements()
+	case *pb.Query_Routes:
+		out.Routes = s.routes.Routes()
 	case *pb.Query_Members:
 		// The replica answers this one from its consensus.
 	default:
--- a/internal/apply/snapshot.go
+++ b/internal/apply/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/claims"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
 )
 
@@ -23,6 +24,7 @@
 	Ledger     ledger.Image     `json:"ledger"`
 	Claims     claims.Image     `json:"claims"`
 	Fence      fence.Image      `json:"fence"`
+	Routes     routes.Image     `json:"routes"`
 	Operations []operationImage `json:"operations"`
 }
 
@@ -46,6 +48,7 @@
 	im := image{
 		Format: snapshotFormat, Applied: s.applied, Now: s.now,
 		Settings: tree, Ledger: s.ledger.Image(), Claims: s.claims.Image(), Fence: s.fence.Image(),
+		Routes:     s.routes.Image(),
 		Operations: s.operations.image(),
 	}
 	return func() ([]byte, error) {
@@ -73,6 +76,9 @@
 	}
 	fresh.claims.Restore(im.Claims)
 	fresh.fence.Restore(im.Fence)
+	if err := fresh.routes.Restore(im.Routes); err != nil {
+		return err
+	}
 	if err := fresh.operations.restore(im.Operations); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/balance/cache.go
@@ -0,0 +1,47 @@
+package balance
+
+import "container/list"
+
+// cache is this host's guess of the prompt parts that an engine keeps: those that it was
+// sent, the least recently used forgotten first.
+type cache struct {
+	parts map[uint64]*list.Element
+	order *list.List // of Part, most recently used first
+	size  uint64
+}
+
+func newCache() cache {
+	return cache{parts: make(map[uint64]*list.Element), order: list.New()}
+}
+
+// cached is how many tokens at the beginning of a prompt are kept.
+func (c *cache) cached(prompt []Part) uint64 {
+	sum := uint64(0)
+	for _, p := range prompt {
+		if c.parts[p.ID] == nil {
+			break
+		}
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// touch notes that the engine reads a prompt. limit is its memory in tokens.
+func (c *cache) touch(prompt []Part, limit uint64) {
+	// Backwards, so that what others share, at the beginning, is forgotten last.
+	for i := len(prompt) - 1; i >= 0; i-- {
+		p := prompt[i]
+		if e := c.parts[p.ID]; e != nil {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.parts[p.ID] = c.order.PushFront(p)
+		c.size += p.Tokens
+	}
+	for c.size > limit && c.order.Len() > 0 {
+		oldest := c.order.Back()
+		p := c.order.Remove(oldest).(Part)
+		delete(c.parts, p.ID)
+		c.size -= p.Tokens
+	}
+}
--- /dev/null
+++ b/internal/balance/core.go
@@ -0,0 +1,274 @@
+// Package balance chooses the backend server for each request of a routed service. It
+// predicts, for every server that may get the request, how long the first part of the
+// answer takes there, and takes the least. It is pure: time and randomness are passed
+// in, and the caller serialises the calls.
+//
+// What the prediction knows: the work that this host has at a server, what its peers
+// say they have, which parts of the prompt the server is likely to keep cached, and how
+// the last requests ended there.
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Part is one part of a prompt. Requests share parts; an engine keeps those it has read,
+// as long as all parts before them are kept too.
+type Part struct {
+	ID     uint64
+	Tokens uint64
+}
+
+// Work is a request as far as the choice needs to know it.
+type Work struct {
+	Service string
+	// Engine: the service runs language models.
+	Engine bool
+	// CacheTokens is the memory of a server of the service.
+	CacheTokens uint64
+	// Prompt lists the parts of the prompt in order; the last one is the request's own or
+	// its session's.
+	Prompt []Part
+	// PromptTokens is the size of the whole prompt.
+	PromptTokens uint64
+	// Exclude lists the instances that had the request already.
+	Exclude []string
+}
+
+// Choice is room for one request at a server.
+type Choice struct {
+	Ticket   uint64
+	Instance instance.Announcement
+	// Wait is the predicted time to the first part of the answer.
+	Wait time.Duration
+	// Cached is how many tokens of the prompt the server is expected to keep.
+	Cached uint64
+	// Running is how many requests of this host were at the server before.
+	Running int
+	// Considered is how many servers were compared.
+	Considered int
+}
+
+// Load is what a server says of itself with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Result says how a request ended at a server, as far as it tells of the server.
+type Result int
+
+// The results.
+const (
+	// Served: the server answered, whatever it said of the request.
+	Served Result = iota
+	// Shed: the server was full and did not run the request.
+	Shed
+	// Unreachable: no connection, or none that carried the request.
+	Unreachable
+	// Broken: the answer was missing, cut short or no answer at all.
+	Broken
+	// Abandoned: the caller left or its time was over; it says nothing of the server.
+	Abandoned
+)
+
+// Config of a Core; zero fields get the defaults.
+type Config struct {
+	// Zone of this host.
+	Zone string
+}
+
+const (
+	// prefillRate is how many prompt tokens an engine reads in a millisecond, until a
+	// measurement says otherwise.
+	prefillRate = 35.0
+	// zonePenalty is the round trip to another availability zone.
+	zonePenalty = 3 * time.Millisecond
+	// runningPenalty is how much later the first event comes for each request that an
+	// engine decodes beside: its step grows by about 0.15 ms.
+	runningPenalty = 150 * time.Microsecond
+	// stalePenalty keeps servers not heard of for long behind those that were.
+	stalePenalty = 5 * time.Second
+	// firstBackoff and maxBackoff bound how long a server that failed gets nothing.
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 4 * time.Second
+)
+
+// Core is one host's choice. It is not safe for concurrent use.
+type Core struct {
+	cfg     Config
+	reg     *instance.Registry
+	rng     *rand.Rand
+	servers map[string]*server
+	runs    map[uint64]*run
+	ticket  uint64
+}
+
+// run is a request of this host at a server.
+type run struct {
+	server *server
+	// unread is how many prompt tokens the server has to read before the first event.
+	unread  uint64
+	started time.Time
+	first   bool
+}
+
+// New makes a core that chooses among the instances of reg.
+func New(cfg Config, reg *instance.Registry, rng *rand.Rand) *Core {
+	return &Core{cfg: cfg, reg: reg, rng: rng, servers: make(map[string]*server), runs: make(map[uint64]*run)}
+}
+
+// Choose picks the server for w, or refuses if none may get it.
+func (c *Core) Choose(now time.Time, w *Work) (Choice, error) {
+	var best *candidate
+	considered := 0
+	homes := c.homes(w)
+	for _, inst := range c.reg.Serving(w.Service) {
+		if excluded(w, inst.ID) {
+			continue
+		}
+		s := c.server(inst.ID)
+		if now.Before(s.suspended) {
+			continue
+		}
+		considered++
+		cand := c.predict(now, w, inst, s, inst.ID == homes)
+		if best == nil || cand.wait < best.wait || cand.wait == best.wait && c.rng.IntN(considered) == 0 {
+			best = &cand
+		}
+	}
+	if best == nil {
+		return Choice{}, c.noServer(now, w)
+	}
+	c.ticket++
+	r := &run{server: best.server, unread: w.PromptTokens - min(best.cached, w.PromptTokens), started: now}
+	c.runs[c.ticket] = r
+	best.server.begin(r)
+	if w.Engine {
+		best.server.cache.touch(w.Prompt, w.CacheTokens)
+	}
+	return Choice{
+		Ticket: c.ticket, Instance: best.inst.Announcement, Wait: best.wait, Cached: best.cached,
+		Running: best.server.running - 1, Considered: considered,
+	}, nil
+}
+
+// candidate is a server with its prediction.
+type candidate struct {
+	inst   *instance.Instance
+	server *server
+	wait   time.Duration
+	cached uint64
+}
+
+func (c *Core) predict(now time.Time, w *Work, inst *instance.Instance, s *server, home bool) candidate {
+	cand := candidate{inst: inst, server: s}
+	if w.Engine {
+		cand.cached = s.cache.cached(w.Prompt)
+		if home {
+			cand.cached = max(cand.cached, sharedTokens(w.Prompt))
+		}
+		unread := s.unread + s.peers.unread + w.PromptTokens - min(cand.cached, w.PromptTokens)
+		cand.wait = time.Duration(float64(unread) / prefillRate * float64(time.Millisecond))
+		cand.wait += time.Duration(s.load()) * runningPenalty
+	} else {
+		cand.wait = s.serviceTime(inst.Slots)
+	}
+	if inst.Zone != c.cfg.Zone {
+		cand.wait += zonePenalty
+	}
+	if !c.reg.Fresh(now, inst) {
+		cand.wait += stalePenalty
+	}
+	return cand
+}
+
+// sharedTokens is the size of all parts but the last, which other requests share.
+func sharedTokens(prompt []Part) uint64 {
+	sum := uint64(0)
+	for i := range max(len(prompt)-1, 0) {
+		sum += prompt[i].Tokens
+	}
+	return sum
+}
+
+func excluded(w *Work, id string) bool {
+	for _, e := range w.Exclude {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) noServer(now time.Time, w *Work) error {
+	wait := maxBackoff
+	for _, inst := range c.reg.Serving(w.Service) {
+		if s := c.server(inst.ID); s.suspended.After(now) {
+			wait = min(wait, s.suspended.Sub(now))
+		}
+	}
+	return errkind.New(errkind.NoBackendServer, "no backend server of %q may get the request", w.Service).After(wait)
+}
+
+func (c *Core) server(id string) *server {
+	s := c.servers[id]
+	if s == nil {
+		s = newServer()
+		c.servers[id] = s
+	}
+	return s
+}
+
+// First notes that the first part of the answer has come.
+func (c *Core) First(ticket uint64) {
+	if r := c.runs[ticket]; r != nil {
+		r.server.firstPart(r)
+	}
+}
+
+// Report takes what a server says of its load.
+func (c *Core) Report(now time.Time, id string, l Load) {
+	c.server(id).reported(now, l)
+}
+
+// Done ends a request and learns from how it ended.
+func (c *Core) Done(now time.Time, ticket uint64, result Result) {
+	r := c.runs[ticket]
+	if r == nil {
+		return
+	}
+	delete(c.runs, ticket)
+	r.server.end(now, r, result)
+}
+
+// Wrong takes that an address is not that of the instance any more.
+func (c *Core) Wrong(now time.Time, id string) { c.reg.End(now, id) }
+
+// RecentWork is this host's work at each server, for its peers.
+func (c *Core) RecentWork() []*pb.RecentWork {
+	var out []*pb.RecentWork
+	for id, s := range c.servers {
+		if s.running > 0 {
+			out = append(out, &pb.RecentWork{Server: id, Requests: uint32(s.running), Tokens: s.unread})
+		}
+	}
+	return out
+}
+
+// MergeWork replaces what is known of a peer's work.
+func (c *Core) MergeWork(host string, work []*pb.RecentWork) {
+	for _, s := range c.servers {
+		s.peers.drop(host)
+	}
+	for _, w := range work {
+		c.server(w.GetServer()).peers.set(host, peerWork{running: int(w.GetRequests()), unread: w.GetTokens()})
+	}
+}
+
+// Running is the number of requests not yet done.
+func (c *Core) Running() int { return len(c.runs) }
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -59,3 +59,11 @@
 	defer r.stateMu.RUnlock()
 	return r.cfg.StateMachine.Query(q)
 }
+
+// Routes is the routing table that this replica has applied, however old, and whether a
+// leader with a lease said lately that nothing newer was committed.
+func (r *Replica) Routes() (table *pb.Routes, confirmed bool) {
+	confirmed = r.confirmed()
+	table = r.query(&pb.Query{Body: &pb.Query_Routes{Routes: &pb.RoutesQuery{}}}).GetRoutes()
+	return table, confirmed
+}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -4,6 +4,7 @@
 package controlclient
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	mu     sync.Mutex
 	conns  map[string]*grpc.ClientConn
 	leader string // target that last answered as the leader, or a hint
+	learnt func() []string
 	next   int
 	relays func() []string
 	closed bool
@@ -47,6 +49,29 @@
 	}
 }
 
+// SetAddresses gives the addresses of the replicas that are known by now, asked anew
+// each time; those of New stay in use behind them. Replicas come and go: without it a
+// process whose first replicas were all replaced would find no leader any more.
+func (c *Client) SetAddresses(learnt func() []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learnt = learnt
+}
+
+// known are the addresses of replicas, without doubles; c.mu is held.
+func (c *Client) known() []string {
+	if c.learnt == nil {
+		return c.addresses
+	}
+	out := c.learnt()
+	for _, a := range c.addresses {
+		if !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // SetRelays gives the peer addresses of hosts that relay the settings, asked
 // anew each time no replica can be reached.
 func (c *Client) SetRelays(relays func() []string) {
@@ -73,7 +98,7 @@
 	if c.leader != "" {
 		return c.leader
 	}
-	all := c.addresses
+	all := c.known()
 	if c.local != nil {
 		all = append([]string{localTarget}, all...)
 	}
--- a/internal/controlclient/watch.go
+++ b/internal/controlclient/watch.go
@@ -65,8 +65,9 @@
 		out = append(out, localTarget)
 	}
 	c.next++
-	for i := range c.addresses {
-		out = append(out, c.addresses[(c.next+i)%len(c.addresses)])
+	known := c.known()
+	for i := range known {
+		out = append(out, known[(c.next+i)%len(known)])
 	}
 	return append(out, c.relays()...)
 }
@@ -148,7 +149,7 @@
 		return nil // a source that is behind
 	}
 	if e.Revision == w.revision && w.started {
-		e = &pb.WatchEvent{Revision: e.Revision, Confirmed: e.Confirmed}
+		e = &pb.WatchEvent{Revision: e.Revision, Confirmed: e.Confirmed, ConfirmedAgeMs: e.ConfirmedAgeMs}
 	}
 	var fresh []*pb.ConfigChange
 	for _, change := range e.Changes {
--- /dev/null
+++ b/internal/controller/balancer/balancer.go
@@ -0,0 +1,199 @@
+// Package balancer runs the registry of instances and the choice of backend servers for
+// routed requests: it binds packages instance and balance to a host's clock and
+// goroutines, hands announcements on to the peers, and bounds repeated attempts.
+package balancer
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+	"github.com/bluebellsail/bluebellsail/internal/retry"
+)
+
+// sweepEvery is how often forgotten instances are dropped.
+const sweepEvery = 10 * time.Second
+
+// Config of a Balancer.
+type Config struct {
+	Host, Zone string
+	Instances  instance.Config
+	Retry      retry.Bounds
+	// Hosts counts the hosts that share the allowance for repeated attempts.
+	Hosts func() int
+	// Changed is called when something was heard of an instance that the peers must know
+	// at once; it must not call the Balancer.
+	Changed func()
+	Log     zerolog.Logger
+}
+
+// Balancer is safe for concurrent use.
+type Balancer struct {
+	cfg Config
+
+	mu      sync.Mutex
+	reg     *instance.Registry
+	core    *balance.Core
+	retries *retry.Window
+	swept   time.Time
+}
+
+var (
+	_ relay.Balancer = (*Balancer)(nil)
+	_ relay.Retries  = (*Balancer)(nil)
+)
+
+// New makes a balancer that knows no server.
+func New(cfg Config) *Balancer {
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(cfg.Host))
+	reg := instance.New(cfg.Instances)
+	rng := rand.New(rand.NewPCG(seed.Sum64(), 0))
+	return &Balancer{
+		cfg: cfg, reg: reg, core: balance.New(balance.Config{Zone: cfg.Zone}, reg, rng),
+		retries: retry.NewWindow(cfg.Retry),
+	}
+}
+
+// Announce takes what a backend server says of itself to this host.
+func (b *Balancer) Announce(a instance.Announcement) {
+	b.mu.Lock()
+	now := time.Now()
+	changed := b.reg.Announce(now, a)
+	b.sweep(now)
+	b.mu.Unlock()
+	if changed {
+		b.changed(a.ID, a.Service, a.Address, a.Draining, false)
+	}
+}
+
+// End takes that a backend server ends.
+func (b *Balancer) End(id string) {
+	b.mu.Lock()
+	changed := b.reg.End(time.Now(), id)
+	b.mu.Unlock()
+	if changed {
+		b.changed(id, "", "", true, true)
+	}
+}
+
+func (b *Balancer) changed(id, service, address string, draining, gone bool) {
+	b.cfg.Log.Info().Str("event", "server-heard").Str("server", id).Str("service", service).
+		Str("address", address).Bool("draining", draining).Bool("gone", gone).Send()
+	b.cfg.Changed()
+}
+
+// sweep drops forgotten instances now and then; b.mu is held.
+func (b *Balancer) sweep(now time.Time) {
+	if now.Sub(b.swept) >= sweepEvery {
+		b.swept = now
+		b.reg.Expire(now)
+	}
+}
+
+// Acquire implements relay.Balancer.
+func (b *Balancer) Acquire(_ context.Context, w *balance.Work) (relay.Lease, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	choice, err := b.core.Choose(time.Now(), w)
+	if err != nil {
+		return nil, err
+	}
+	return &lease{b: b, choice: choice}, nil
+}
+
+// First implements relay.Retries.
+func (b *Balancer) First(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries.First(time.Now(), service)
+}
+
+// Allow implements relay.Retries.
+func (b *Balancer) Allow(service string) bool {
+	hosts := b.cfg.Hosts()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.retries.Allow(time.Now(), service, hosts)
+}
+
+// Running is the number of requests at backend servers.
+func (b *Balancer) Running() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Running()
+}
+
+// Servers implements members.Registry.
+func (b *Balancer) Servers() []*pb.ServerState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reg.Snapshot(time.Now())
+}
+
+// Merge implements members.Registry.
+func (b *Balancer) Merge(servers []*pb.ServerState, transit time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reg.Merge(time.Now(), transit, servers)
+}
+
+// RecentWork implements members.Registry.
+func (b *Balancer) RecentWork() []*pb.RecentWork {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.RecentWork()
+}
+
+// MergeWork implements members.Registry.
+func (b *Balancer) MergeWork(from *pb.Holder, work []*pb.RecentWork) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.MergeWork(from.GetHost(), work)
+}
+
+// lease implements relay.Lease.
+type lease struct {
+	b      *Balancer
+	choice balance.Choice
+	first  bool
+}
+
+// Choice implements relay.Lease.
+func (l *lease) Choice() balance.Choice { return l.choice }
+
+// First implements relay.Lease; only the first call counts.
+func (l *lease) First() {
+	if l.first {
+		return
+	}
+	l.first = true
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	l.b.core.First(l.choice.Ticket)
+}
+
+// Report implements relay.Lease.
+func (l *lease) Report(load balance.Load) {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	l.b.core.Report(time.Now(), l.choice.Instance.ID, load)
+}
+
+// Wrong implements relay.Lease.
+func (l *lease) Wrong() { l.b.End(l.choice.Instance.ID) }
+
+// Done implements relay.Lease.
+func (l *lease) Done(r balance.Result) {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	l.b.core.Done(time.Now(), l.choice.Ticket, r)
+}
--- a/internal/controller/grants/port.go
+++ b/internal/controller/grants/port.go
@@ -98,6 +98,27 @@
 	})
 }
 
+// Spend implements relay.Budgets.
+func (m *Manager) Spend(requestID string, tokens uint64) {
+	m.step(func(now time.Time) grant.Output {
+		out, ok := m.holder.Spend(now, requestID, tokens)
+		if !ok {
+			metrics.Add("settled_without_reservation", 1)
+			m.cfg.Log.Error().Str("event", "spend-without-reservation").Str("request", requestID).Uint64("tokens", tokens).Send()
+		}
+		m.scheduleFlush()
+		return out
+	})
+}
+
+// ReturnFree gives all free tokens of a budget back to the ledger.
+func (m *Manager) ReturnFree(budget string) {
+	m.step(func(now time.Time) grant.Output {
+		defer m.scheduleFlush()
+		return m.holder.ReturnFree(now, budget)
+	})
+}
+
 // Release implements filter.Budget.
 func (m *Manager) Release(requestID string) {
 	m.step(func(now time.Time) grant.Output {
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -76,6 +76,8 @@
 	Leaving        bool
 	ConfigRevision uint64
 	SparePermille  uint32
+	// Control: the host runs a replica of the control group.
+	Control bool
 }
 
 // Controller exchanges heartbeats. It is safe for concurrent use.
@@ -140,6 +142,12 @@
 	c.mu.Lock()
 	c.table.Leave()
 	c.mu.Unlock()
+	c.Kick()
+}
+
+// Kick sends a round of heartbeats now: this host has heard something that its peers
+// must not learn a whole interval later.
+func (c *Controller) Kick() {
 	select {
 	case c.kick <- struct{}{}:
 	default: // a heartbeat is about to go out
@@ -213,6 +221,7 @@
 			Leaving:        h.Leaving,
 			ConfigRevision: h.ConfigRevision,
 			SparePermille:  h.SparePermille,
+			Control:        h.Control,
 		})
 	}
 	c.peers.Store(&peers)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,18 +31,26 @@
 	peers     *peerServer
 	operators *operatorServer
 	entry     *entry
+	gateway   *gateway
 
 	tasks *tasks
 }
 
 // Run starts the process and serves until ctx ends; then it shuts down gracefully.
 func Run(ctx context.Context, cfg *procconfig.Config) error {
+	if cfg.Routed != nil {
+		return errors.New("the settings ask for a routing table, which needs a program that speaks its callers' protocol")
+	}
+	return run(ctx, cfg, (*Daemon).start)
+}
+
+func run(ctx context.Context, cfg *procconfig.Config, start func(*Daemon, context.Context) error) error {
 	d, err := build(cfg)
 	if err != nil {
 		return err
 	}
 	defer d.close()
-	if err := d.start(ctx); err != nil {
+	if err := start(d, ctx); err != nil {
 		return err
 	}
 	d.tel.Log.Info().Str("event", "serving").Str("callers", cfg.Listen.Callers).
@@ -114,9 +122,17 @@
 	for _, m := range d.cfg.Control.Members {
 		members = append(members, control.Member{ID: m.ID, Address: m.Address, Host: m.Host})
 	}
+	join := d.cfg.Control.Join
+	if len(d.cfg.Seeds) > 0 {
+		// The founders agree on ids without a word, as all know the same addresses.
+		for _, address := range d.cfg.Founders() {
+			members = append(members, control.Member{Address: address, Host: address})
+		}
+		join = len(members) == 0
+	}
 	replica, err := control.Open(control.Config{
 		Fleet: d.cfg.Fleet, Host: d.cfg.Host, ReplicaAddress: d.cfg.Listen.Peers, DataDir: d.cfg.DataDir,
-		Members: members, Join: d.cfg.Control.Join,
+		Members: members, Join: join,
 		TickInterval: d.cfg.Control.Tick.Std(), ElectionTicks: d.cfg.Control.ElectionTicks,
 		LogBytes:     d.cfg.Control.MaxLogBytes,
 		StateMachine: apply.New(apply.Options{}), Transport: d.transport, Logger: d.tel.Log,
@@ -143,8 +159,11 @@
 	defer cancel()
 	d.tel.Log.Info().Str("event", "leaving").Dur("within", d.cfg.Limits.DrainTimeout.Std()).Send()
 	var err error
-	if d.entry != nil {
+	switch {
+	case d.entry != nil:
 		err = d.entry.drain(ctx)
+	case d.gateway != nil:
+		err = d.gateway.drain(ctx)
 	}
 	d.tel.Log.Info().Str("event", "left").AnErr("error", err).Send()
 	return err
@@ -155,6 +174,9 @@
 	if d.operators != nil {
 		d.operators.stop()
 	}
+	if d.gateway != nil {
+		d.gateway.close()
+	}
 	d.tasks.stop()
 	if d.peers != nil {
 		d.peers.stop()
@@ -174,9 +196,10 @@
 	d.closeTelemetry()
 }
 
-// memberAddresses are the peer addresses of the control group's replicas.
+// memberAddresses are the peer addresses at which the control group's replicas are
+// looked for first.
 func memberAddresses(cfg *procconfig.Config) []string {
-	var out []string
+	out := cfg.SeedPeers()
 	for _, m := range cfg.Control.Members {
 		out = append(out, m.Address)
 	}
@@ -185,8 +208,11 @@
 
 // self is this run of this host; the incarnation is 0 before registration.
 func (d *Daemon) self() *pb.Holder {
-	if d.entry != nil {
+	switch {
+	case d.entry != nil:
 		return d.entry.holder()
+	case d.gateway != nil:
+		return d.gateway.holder()
 	}
 	return &pb.Holder{Host: d.cfg.Host}
 }
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,236 @@
+package daemon
+
+import (
+	"context"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/controller/balancer"
+	"github.com/bluebellsail/bluebellsail/internal/controller/grants"
+	"github.com/bluebellsail/bluebellsail/internal/controller/members"
+	routesctl "github.com/bluebellsail/bluebellsail/internal/controller/routes"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/grant"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/membership"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+	"github.com/bluebellsail/bluebellsail/internal/retry"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
+	"github.com/bluebellsail/bluebellsail/internal/surface"
+)
+
+// gateway is a process of a fleet that serves by a routing table: one that serves
+// callers, one with a replica only, or both.
+type gateway struct {
+	d        *Daemon
+	protocol surface.Protocol
+	self     atomic.Pointer[pb.Holder]
+	leaving  atomic.Bool
+	// applied is the revision of the routing table at this host's replica, if it has one.
+	applied atomic.Uint64
+
+	routes   *routesctl.Controller
+	balancer *balancer.Balancer
+	members  *members.Controller
+	// grants is nil until this run is registered.
+	grants atomic.Pointer[grants.Manager]
+	client *engineclient.Client
+
+	requests *httpserver.Server
+	others   []*httpserver.Server
+}
+
+// RunRouted starts a process that serves by a routing table, in the protocol given, until
+// ctx ends; then it shuts down gracefully.
+func RunRouted(ctx context.Context, cfg *procconfig.Config, p surface.Protocol) error {
+	if cfg.Routed == nil {
+		return errors.New("the settings have no part /routed")
+	}
+	useLimits(cfg.Limits)
+	return run(ctx, cfg, func(d *Daemon, ctx context.Context) error { return d.startRouted(ctx, p) })
+}
+
+// useLimits keeps the Go runtime within the process's limits.
+func useLimits(l procconfig.Limits) {
+	if l.Processors > 0 {
+		runtime.GOMAXPROCS(l.Processors)
+	}
+	if l.MemoryBytes > 0 {
+		debug.SetMemoryLimit(l.MemoryBytes * memoryShare / 100)
+		debug.SetGCPercent(gcPercent)
+	}
+}
+
+const (
+	// followEvery is how often the replica's routing table is looked at.
+	followEvery = 50 * time.Millisecond
+	// gatewayNeighbours lets fleets of up to 17 hosts exchange heartbeats each with each:
+	// what one host hears of a server or of a routing table then reaches all at once. It
+	// costs a host 16 calls of about 0.1 ms per interval.
+	gatewayNeighbours = 16
+	// memoryShare is the part of the memory limit, in percent, that the Go runtime keeps
+	// to; the rest is for what it does not count, such as the sockets' buffers.
+	memoryShare = 75
+	// gcPercent lets the heap grow to four times what is live before it is collected: the
+	// live heap of a process is a few megabytes, and collecting it costs processor time.
+	gcPercent = 300
+)
+
+// startRouted brings the parts up: the peer address first, as replicas need it to find
+// each other; callers' requests are refused as not ready until there is a routing table.
+func (d *Daemon) startRouted(_ context.Context, p surface.Protocol) error {
+	g := newGateway(d, p)
+	d.gateway = g
+	d.peers = newPeerServer(d)
+	if err := d.peers.start(d.tasks); err != nil {
+		return err
+	}
+	d.peers.setPeer(gatewayPeer{g: g})
+	if d.replica != nil {
+		d.tasks.run(d.keepInGroup)
+		d.tasks.run(g.followReplica)
+	}
+	d.operators = newOperatorServer(d)
+	if err := d.operators.start(); err != nil {
+		return err
+	}
+	d.tasks.run(g.members.Run)
+	d.tasks.run(g.join)
+	if d.cfg.Has(procconfig.RoleGateway) {
+		d.tasks.run(g.routes.Run)
+	}
+	return g.serve()
+}
+
+func newGateway(d *Daemon, p surface.Protocol) *gateway {
+	cfg := d.cfg
+	g := &gateway{d: d, protocol: p, client: engineclient.New(engineclient.Config{})}
+	g.self.Store(&pb.Holder{Host: cfg.Host})
+	g.routes = routesctl.New(routesctl.Config{
+		Sources: g.sources, Fetch: g.fetchRoutes, Changed: g.tableChanged, Log: d.tel.Log,
+	})
+	d.client.SetAddresses(g.controlAddresses)
+	retries := cfg.Routed.Retry
+	g.balancer = balancer.New(balancer.Config{
+		Host: cfg.Host, Zone: cfg.Zone, Log: d.tel.Log,
+		Retry:   retry.Bounds{Window: retries.Window.Std(), Share: retries.Share, Extra: retries.Extra},
+		Hosts:   g.gateways,
+		Changed: func() { g.members.Kick() },
+	})
+	interval := cfg.Timing.Heartbeat.Std()
+	g.members = members.New(members.Config{
+		Membership: membership.Config{
+			Self: membership.Self{
+				Host: cfg.Host, Zone: cfg.Zone, CallerAddress: cfg.Routed.Requests, PeerAddress: cfg.Listen.Peers,
+				Control: cfg.Has(procconfig.RoleControl),
+			},
+			Seeds: cfg.SeedPeers(), Interval: interval, Neighbours: gatewayNeighbours,
+			SuspectAfter: ticks(cfg.Timing.SuspectAfter.Std(), interval),
+			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
+		},
+		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: g.balancer, Load: g.load,
+		Log: d.tel.Log, Metrics: d.tel.Metrics,
+	})
+	return g
+}
+
+// holder is this run; the incarnation is 0 before registration.
+func (g *gateway) holder() *pb.Holder { return g.self.Load() }
+
+// join registers this run with the control group and makes what belongs to its
+// incarnation: its grants, and its place among the hosts.
+func (g *gateway) join(ctx context.Context) {
+	reg, err := g.d.register(ctx)
+	if err != nil {
+		return // this process stops
+	}
+	g.self.Store(reg.Holder)
+	g.members.SetIncarnation(reg.Holder.Incarnation)
+	g.members.Learn(reg.Hosts)
+	manager := grants.New(grants.Config{
+		Self: reg.Holder, Holder: grant.Config{BatchWait: g.d.cfg.Timing.SettleEvery.Std()},
+		Proposer: group{g.d.client}, Asker: gatewayPeers{g}, Recorder: noCopies{},
+		PolicyFor: func(string) grant.Policy { return gatewayPolicy },
+		Log:       g.d.tel.Log, Seed: int64(reg.Holder.Incarnation),
+	})
+	g.grants.Store(manager)
+	g.d.tasks.run(manager.Run)
+	g.learnHosts(ctx)
+}
+
+// gatewayPolicy is how a gateway holds tokens of a budget.
+var gatewayPolicy = grant.Policy{
+	// A partition that cuts all gateways off from the control group lasts up to nine
+	// seconds; a gateway lives from what it holds meanwhile.
+	Horizon:    12 * time.Second,
+	IdleReturn: 30 * time.Second,
+	Transfers:  true,
+}
+
+// learnHosts reads the registered hosts now and then, so that a host finds peers which
+// no seed and no heartbeat named.
+func (g *gateway) learnHosts(ctx context.Context) {
+	every(ctx, learnEvery, func() {
+		readCtx, cancel := context.WithTimeout(ctx, learnTimeout)
+		defer cancel()
+		if hosts, err := (group{g.d.client}).Hosts(readCtx); err == nil {
+			g.members.Learn(hosts)
+		}
+	})
+}
+
+// followReplica hands each newer routing table that this host's replica applies to its
+// own gateway, if it is one, and tells the other hosts at once.
+func (g *gateway) followReplica(ctx context.Context) {
+	every(ctx, followEvery, func() {
+		table, _ := g.d.replica.Routes()
+		if table.GetRevision() <= g.applied.Load() {
+			return
+		}
+		g.applied.Store(table.GetRevision())
+		g.routes.Take(routesctl.FromReplica(g.d.replica, &pb.FetchRoutesRequest{Have: g.routes.Revision()}))
+		g.members.Kick()
+	})
+}
+
+// tableChanged tells the peers of a newer table, and returns what this host holds of
+// budgets whose funds were lowered.
+func (g *gateway) tableChanged(before, after *routes.Index) {
+	g.members.Kick()
+	manager := g.grants.Load()
+	if before == nil || manager == nil {
+		return
+	}
+	for _, a := range after.Table().Accounts {
+		old, known := before.AccountNamed(a.Name)
+		if known && old.Prepaid != nil && a.Prepaid != nil && *a.Prepaid < *old.Prepaid {
+			manager.ReturnFree(a.Name)
+		}
+	}
+}
+
+// ready is nil while this host takes callers' requests.
+func (g *gateway) ready() error {
+	if g.leaving.Load() {
+		return errkind.New(errkind.HostLeaving, "this host is shutting down")
+	}
+	_, err := g.routes.Current()
+	return err
+}
+
+// load is what this host tells its peers of itself.
+func (g *gateway) load() members.Load {
+	const full = 1000
+	limit, used := g.d.cfg.Limits.Streams, g.balancer.Running()
+	spare := uint32(0)
+	if used < limit && g.ready() == nil {
+		spare = uint32(full * (limit - used) / limit)
+	}
+	return members.Load{SparePermille: spare, ConfigRevision: max(g.routes.Revision(), g.applied.Load())}
+}
--- /dev/null
+++ b/internal/daemon/gatewayhttp.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+	"github.com/bluebellsail/bluebellsail/internal/relay/budget"
+	"github.com/bluebellsail/bluebellsail/internal/relay/deadline"
+	"github.com/bluebellsail/bluebellsail/internal/relay/forward"
+	"github.com/bluebellsail/bluebellsail/internal/relay/identify"
+	"github.com/bluebellsail/bluebellsail/internal/relay/match"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
+)
+
+// tableTimeout bounds one call for the routing table. Its callers give an answer a
+// second and go to another host then.
+const tableTimeout = 900 * time.Millisecond
+
+// serve opens the addresses that the settings give.
+func (g *gateway) serve() error {
+	r := g.d.cfg.Routed
+	if r.Requests != "" {
+		handler := relay.NewHandler(g.protocol, g,
+			&match.Filter{Tables: g.routes}, identify.Filter{}, deadline.Filter{}, &budget.Filter{Budgets: g},
+			&forward.Filter{
+				Dialect: g.protocol, Client: g.client, Balancer: g.balancer, Retries: g.balancer, Abort: httpserver.Abort,
+			})
+		g.requests = g.server("requests", r.Requests, handler)
+		if err := g.requests.Start(); err != nil {
+			return errors.Wrap(err, "callers' address")
+		}
+	}
+	for _, l := range []struct {
+		name, address string
+		handler       func() http.Handler
+	}{
+		{"readiness", r.Readiness, func() http.Handler { return g.protocol.Readiness(g.ready) }},
+		{"registry", r.Registry, func() http.Handler { return g.protocol.Registry(g.balancer, g) }},
+		{"directory", r.Directory, func() http.Handler { return g.protocol.Directory(g) }},
+	} {
+		if l.address == "" {
+			continue
+		}
+		s := g.server(l.name, l.address, l.handler())
+		if err := s.Start(); err != nil {
+			return errors.Wrap(err, l.name)
+		}
+		g.others = append(g.others, s)
+	}
+	return nil
+}
+
+func (g *gateway) server(name, address string, h http.Handler) *httpserver.Server {
+	limits := g.d.cfg.Limits
+	return httpserver.New(httpserver.Config{
+		Name: name, Address: address, Handler: h, MaxBodyBytes: limits.MaxBodyBytes, Streams: limits.Streams,
+	})
+}
+
+// Replace implements surface.Tables.
+func (g *gateway) Replace(ctx context.Context, c *pb.ReplaceRoutes) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	res, err := g.d.client.Propose(ctx, &pb.Command{Actor: g.d.cfg.Host, Body: &pb.Command_ReplaceRoutes{ReplaceRoutes: c}})
+	event := g.d.tel.Log.Info().Str("event", "routes-replaced").Uint64("revision", c.GetRevision())
+	if err != nil {
+		event.Err(err).Send()
+		return err
+	}
+	event.Bool("changed", res.GetReplaceRoutes().GetChanged()).Uint64("present", res.GetReplaceRoutes().GetRevision()).Send()
+	return nil
+}
+
+// Present implements surface.Tables.
+func (g *gateway) Present(ctx context.Context) (*pb.Routes, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	res, err := g.d.client.Read(ctx, &pb.Query{Body: &pb.Query_Routes{Routes: &pb.RoutesQuery{}}})
+	if err != nil {
+		return nil, err
+	}
+	if err := wire.DecodeError(res.GetError()); err != nil {
+		return nil, err
+	}
+	if res.GetRoutes().GetRevision() == 0 {
+		return nil, errkind.New(errkind.HostNotReady, "there is no routing table yet")
+	}
+	return res.GetRoutes(), nil
+}
+
+// Reserve implements relay.Budgets.
+func (g *gateway) Reserve(ctx context.Context, budget, requestID string, tokens uint64) error {
+	manager := g.grants.Load()
+	if manager == nil {
+		return errkind.New(errkind.BudgetUnreachable, "this host is not registered with the control group yet").After(time.Second)
+	}
+	return manager.Reserve(ctx, budget, requestID, tokens)
+}
+
+// Spend implements relay.Budgets.
+func (g *gateway) Spend(requestID string, tokens uint64) { g.grants.Load().Spend(requestID, tokens) }
+
+// Finished implements relay.Observer: one line for each request.
+func (g *gateway) Finished(x *relay.Exchange, err error) {
+	event := g.d.tel.Log.Info().Str("event", "request").Str("request", x.ID).Int("status", x.Status).
+		Dur("took", time.Since(x.Arrived)).Str("account", x.AccountName())
+	if x.Table != nil {
+		event = event.Uint64("revision", x.Table.Revision())
+	}
+	if x.Route != nil {
+		event = event.Str("route", x.Route.Name).Time("deadline", x.Deadline)
+	}
+	if x.Reserved > 0 {
+		event = event.Uint64("reserved", x.Reserved).Uint64("prompt", x.PromptTokens).Uint64("output", x.Output)
+	}
+	for _, a := range x.Attempts {
+		event = event.Str("server", a.Server).Dur("predicted", a.Wait).Uint64("cached", a.Cached).Int("running", a.Running).
+			Dur("first", a.First).Dur("ran", a.Took).Str("outcome", a.Outcome)
+	}
+	if e := errkind.From(err); e != nil {
+		event = event.Str("kind", string(e.Kind)).Str("did_run", string(e.Ran())).Str("error", e.Message)
+	}
+	event.Send()
+}
+
+// drain lets this host go without cutting off a request: the directory and its readiness
+// stop naming it first, and it serves on for those who were told of it before.
+func (g *gateway) drain(ctx context.Context) error {
+	g.leaving.Store(true)
+	g.members.Leave()
+	if g.requests == nil {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(2 * g.d.cfg.Routed.AddressTTL.Std()):
+	}
+	err := g.requests.Drain(ctx)
+	if manager := g.grants.Load(); manager != nil {
+		if settleErr := manager.Drain(ctx); err == nil {
+			err = settleErr
+		}
+	}
+	return errors.Wrap(err, "drain")
+}
+
+// close ends what serve began.
+func (g *gateway) close() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, s := range g.others {
+		_ = s.Drain(ctx) // nobody waits for these: their callers go to another host
+	}
+	if g.requests != nil {
+		_ = g.requests.Drain(ctx)
+	}
+}
--- /dev/null
+++ b/internal/daemon/gatewaypeer.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"context"
+
+	routesctl "github.com/bluebellsail/bluebellsail/internal/controller/routes"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// gatewayPeer answers the other hosts of a fleet that serves by a routing table. What it
+// does not implement belongs to in-flight records, which routed requests don't leave.
+type gatewayPeer struct {
+	pb.UnimplementedPeerServer
+	g *gateway
+}
+
+// Heartbeat exchanges liveness and what is known of backend servers.
+func (p gatewayPeer) Heartbeat(_ context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatReply, error) {
+	return p.g.members.HandleHeartbeat(r), nil
+}
+
+// AskTokens hands over part of this host's grant.
+func (p gatewayPeer) AskTokens(_ context.Context, r *pb.AskTokensRequest) (*pb.AskTokensReply, error) {
+	manager := p.g.grants.Load()
+	if manager == nil {
+		return &pb.AskTokensReply{Error: &pb.Error{Kind: string(errkind.BudgetUnreachable), Message: "this host holds no grants yet"}}, nil
+	}
+	return manager.HandleAskTokens(r), nil
+}
+
+// FetchRoutes gives the routing table that this host has.
+func (p gatewayPeer) FetchRoutes(_ context.Context, r *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error) {
+	if p.g.d.replica != nil {
+		return routesctl.FromReplica(p.g.d.replica, r), nil
+	}
+	return p.g.routes.HandleFetch(r), nil
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -55,8 +55,11 @@
 // ready is nil while this host serves callers; a host without the role entry serves
 // none and is ready when its settings are.
 func (d *Daemon) ready() error {
-	if d.entry != nil {
+	switch {
+	case d.entry != nil:
 		return d.entry.ready()
+	case d.gateway != nil:
+		return d.gateway.ready()
 	}
 	return d.settings.Ready()
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -94,6 +94,10 @@
 	return l.service().Heartbeat(ctx, r)
 }
 
+func (l *latePeer) FetchRoutes(ctx context.Context, r *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error) {
+	return l.service().FetchRoutes(ctx, r)
+}
+
 func (l *latePeer) Explain(ctx context.Context, r *pb.ExplainRequest) (*pb.ExplainReply, error) {
 	return l.service().Explain(ctx, r)
 }
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -26,7 +26,7 @@
 		defer cancel()
 		res, err := d.client.Propose(tryCtx, &pb.Command{Actor: d.cfg.Host, Body: &pb.Command_RegisterHost{
 			RegisterHost: &pb.RegisterHost{
-				Host: d.cfg.Host, Zone: d.cfg.Zone, CallerAddress: d.cfg.Listen.Callers,
+				Host: d.cfg.Host, Zone: d.cfg.Zone, CallerAddress: d.callerAddress(),
 				PeerAddress: d.cfg.Listen.Peers, BootId: bootID, Control: d.cfg.Has(procconfig.RoleControl),
 			}}})
 		if err != nil {
@@ -42,3 +42,11 @@
 	d.tel.Log.Info().Str("event", "registered").Uint64("incarnation", res.GetHolder().GetIncarnation()).Send()
 	return res, nil
 }
+
+// callerAddress is where callers reach this host; empty if they don't.
+func (d *Daemon) callerAddress() string {
+	if d.cfg.Routed != nil {
+		return d.cfg.Routed.Requests
+	}
+	return d.cfg.Listen.Callers
+}
--- /dev/null
+++ b/internal/engineclient/forward.go
@@ -0,0 +1,68 @@
+package engineclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+)
+
+// Forward is a caller's request on its way to a backend server, byte for byte but for
+// the headers that concern one connection.
+type Forward struct {
+	Address string
+	Method  string
+	// Target is the path and query as they stood in the caller's request line.
+	Target string
+	// Host header of the caller.
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Forward sends a request once and returns the answer with an open body. The error is
+// an *Error; its Ran is "no" only if no connection was taken for the request.
+func (c *Client) Forward(ctx context.Context, f *Forward) (*http.Response, error) {
+	u, err := url.ParseRequestURI(f.Target)
+	if err != nil {
+		return nil, &Error{Ran: errkind.RanNo, Message: err.Error()}
+	}
+	u.Scheme, u.Host = "http", f.Address
+	var taken atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { taken.Store(true) }}
+	req := (&http.Request{
+		Method: f.Method, URL: u, Host: f.Host, Header: f.Header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: once{bytes.NewReader(f.Body)}, ContentLength: int64(len(f.Body)),
+	}).WithContext(httptrace.WithClientTrace(ctx, trace))
+	if _, given := f.Header["User-Agent"]; !given {
+		f.Header["User-Agent"] = []string{""} // net/http would name itself
+	}
+	res, err := c.pool(f.Address).RoundTrip(req)
+	if err == nil {
+		return res, nil
+	}
+	ran := errkind.RanNo
+	if taken.Load() {
+		ran = errkind.RanUnknown
+	}
+	return nil, &Error{Ran: ran, Message: err.Error()}
+}
+
+// once is a request body that can be read a single time.
+//
+// What goes wrong with http.NoBody, or a body that can be had again: when a kept
+// connection dies under a request, net/http sends a GET, or any request with an
+// Idempotency-Key, a second time by itself. The server sees two arrivals, and no retry
+// allowance was asked. It repeats no request whose body it can't have again.
+type once struct{ *bytes.Reader }
+
+// Close implements io.Closer.
+func (once) Close() error { return nil }
+
+var _ io.ReadCloser = once{}
--- a/internal/grant/fakeledger/fakeledger.go
+++ b/internal/grant/fakeledger/fakeledger.go
@@ -182,6 +182,9 @@
 		}
 		seen[bill.GetBudget()] = true
 	}
+	for _, spend := range s.GetSpends() {
+		l.spend(k, spend)
+	}
 	for _, r := range s.GetReturns() {
 		l.takeBack(k, r.GetBudget(), r.GetTokens())
 	}
@@ -210,6 +213,18 @@
 	return true
 }
 
+// spend takes tokens out of k's grant that are billed without an identity.
+func (l *Ledger) spend(k Key, p *pb.Spend) {
+	b := l.Budgets[p.GetBudget()]
+	g := b.grant(k)
+	if p.GetTokens() > g.Tokens {
+		l.fault("%v spends %d tokens of %s and holds %d", k, p.GetTokens(), p.GetBudget(), g.Tokens)
+	}
+	g.Tokens -= min(g.Tokens, p.GetTokens())
+	b.Billed += p.GetTokens()
+	l.check(p.GetBudget())
+}
+
 func (l *Ledger) takeBack(k Key, budget string, tokens uint64) {
 	g := l.Budgets[budget].grant(k)
 	if tokens > g.Tokens {
--- a/internal/grant/holder.go
+++ b/internal/grant/holder.go
@@ -176,6 +176,44 @@
 	return out, true
 }
 
+// Spend bills tokens out of a request's reservation without an identity and frees the
+// rest. It is for requests that no other holder can bring a second time: the ledger gets
+// only their sum, and remembers nothing of each. It reports false if there is no
+// reservation.
+func (h *Holder) Spend(now time.Time, request string, tokens uint64) (Output, bool) {
+	var out Output
+	r, ok := h.reservations[request]
+	if !ok {
+		return out, false
+	}
+	delete(h.reservations, request)
+	tokens = min(tokens, r.tokens)
+	r.budget.reserved -= r.tokens
+	r.budget.free += r.tokens - tokens
+	if tokens > 0 {
+		r.budget.unsettled += tokens
+		h.settlement.spend(now, r.budget.name, tokens)
+	}
+	h.advance(now, r.budget, &out)
+	h.sendBatch(now, &out)
+	return out, true
+}
+
+// ReturnFree puts all free tokens of a budget on their way back: its funds were lowered,
+// and the ledger has to know what is left of them.
+func (h *Holder) ReturnFree(now time.Time, budgetName string) Output {
+	var out Output
+	b, ok := h.budgets[budgetName]
+	if !ok || b.free == 0 {
+		return out
+	}
+	h.settlement.giveBack(now, b.name, b.free)
+	b.returning += b.free
+	b.free = 0
+	h.sendBatch(now, &out)
+	return out
+}
+
 // Tick resends what was not answered, settles what has waited long enough, looks to
 // the peers for requests whose acquire goes unanswered, and returns idle tokens.
 func (h *Holder) Tick(now time.Time) Output {
--- a/internal/grant/settle.go
+++ b/internal/grant/settle.go
@@ -12,6 +12,7 @@
 // batches, one at a time. A batch is resent the same until the ledger acknowledges it.
 type settlement struct {
 	bills    []*pb.Bill
+	spends   map[string]*pb.Spend // by budget
 	returns  map[string]uint64
 	accepted []*pb.Transfer
 	pending  bool      // any of the above is there
@@ -34,6 +35,21 @@
 	s.bills = append(s.bills, bill)
 }
 
+// spend adds to the sum of what was spent of a budget without bills of their own.
+func (s *settlement) spend(now time.Time, budgetName string, tokens uint64) {
+	s.touch(now)
+	if s.spends == nil {
+		s.spends = make(map[string]*pb.Spend)
+	}
+	sum := s.spends[budgetName]
+	if sum == nil {
+		sum = &pb.Spend{Budget: budgetName}
+		s.spends[budgetName] = sum
+	}
+	sum.Tokens += tokens
+	sum.Requests++
+}
+
 func (s *settlement) giveBack(now time.Time, budgetName string, tokens uint64) {
 	s.touch(now)
 	if s.returns == nil {
@@ -67,9 +83,12 @@
 	for _, name := range slices.Sorted(maps.Keys(s.returns)) {
 		s.batch.Returns = append(s.batch.Returns, &pb.Return{Budget: name, Tokens: s.returns[name]})
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.spends)) {
+		s.batch.Spends = append(s.batch.Spends, s.spends[name])
+	}
 	h.markSent(s.batch)
 	s.bills = slices.Clone(s.bills[n:])
-	s.returns, s.accepted = nil, nil
+	s.spends, s.returns, s.accepted = nil, nil, nil
 	s.pending = len(s.bills) > 0
 	s.since = now
 	s.wait = h.cfg.ResendAfter
@@ -82,6 +101,9 @@
 	for _, bill := range batch.GetBills() {
 		h.budget(bill.GetBudget()).leaving += bill.GetTokens()
 	}
+	for _, spend := range batch.GetSpends() {
+		h.budget(spend.GetBudget()).leaving += spend.GetTokens()
+	}
 	for _, r := range batch.GetReturns() {
 		h.budget(r.GetBudget()).leaving += r.GetTokens()
 	}
@@ -114,6 +136,11 @@
 	done := s.batch
 	s.batch = nil
 	h.settleBills(done, r.GetDuplicates())
+	for _, spend := range done.GetSpends() {
+		b := h.budget(spend.GetBudget())
+		b.unsettled -= spend.GetTokens()
+		b.leaving -= spend.GetTokens()
+	}
 	for _, ret := range done.GetReturns() {
 		b := h.budget(ret.GetBudget())
 		b.returning -= ret.GetTokens()
@@ -128,6 +155,9 @@
 	for _, bill := range done.GetBills() {
 		h.advance(now, h.budget(bill.GetBudget()), &out)
 	}
+	for _, spend := range done.GetSpends() {
+		h.advance(now, h.budget(spend.GetBudget()), &out)
+	}
 	h.sendBatch(now, &out)
 	return out, done
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -156,7 +156,15 @@
 		WriteError(res, "", errkind.New(errkind.Overloaded, "%d requests are in flight at this host", running).After(overloadedRetry))
 		return
 	}
-	s.cfg.Handler.ServeHTTP(res, r)
+	s.cfg.Handler.ServeHTTP(res, s.withConn(r, w))
+}
+
+// withConn gives r a context that ends when the caller's connection closes.
+func (s *Server) withConn(r *http.Request, w http.ResponseWriter) *http.Request {
+	if t := s.conns.get(nbioConn(w)); t != nil {
+		return r.WithContext(t.gone)
+	}
+	return r
 }
 
 func (s *Server) always(r *http.Request) bool {
@@ -176,9 +184,7 @@
 		return
 	}
 	// The caller has part of an answer: only a broken connection tells it so.
-	if c := nbioConn(w); c != nil {
-		_ = c.Close()
-	}
+	Abort(w)
 }
 
 // Drain stops taking work and waits until every handler has returned and every
@@ -223,7 +229,7 @@
 	if !ok {
 		return
 	}
-	tracked := &trackedConn{Conn: c}
+	tracked := newTrackedConn(c)
 	s.conns.add(tracked)
 	if hc.Conn == c {
 		hc.Conn = tracked
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -17,6 +17,9 @@
 	funded  uint64
 	billed  uint64
 	bills   uint64
+	// limit is what operators funded in all. It is below funded only while more than it
+	// is billed or granted; see SetFunds.
+	limit uint64
 	// granted is the sum over holders; it changes only in setGrant and dropGrant.
 	granted uint64
 	// active is the number of holders that have tokens.
@@ -36,6 +39,13 @@
 
 func (b *budget) free() uint64 { return b.funded - b.billed - b.granted }
 
+// shrink takes tokens that came back to a lowered budget out of it.
+func (b *budget) shrink() {
+	if b.limit < b.funded {
+		b.funded = max(b.limit, b.billed+b.granted)
+	}
+}
+
 // setGrant changes a holder's tokens of a budget.
 func (s *State) setGrant(b *budget, incarnation, tokens uint64) {
 	s.registry.countBudget(incarnation, b.holders[incarnation].tokens, tokens)
@@ -109,8 +119,14 @@
 	if _, ok := s.budgets[c.Name]; ok {
 		return nil, false, errkind.New(errkind.AlreadyExists, "budget %q exists", c.Name)
 	}
+	b := s.open(r, c)
+	return s.remember(r.OpID, b, true, c.Tokens), false, nil
+}
+
+// open makes a budget.
+func (s *State) open(r Record, c *pb.CreateBudget) *budget {
 	b := &budget{
-		number: uint32(len(s.byNumber)), name: c.Name, account: c.Account, funded: c.Tokens,
+		number: uint32(len(s.byNumber)), name: c.Name, account: c.Account, funded: c.Tokens, limit: c.Tokens,
 		holders:   make(map[uint64]grant),
 		statement: statement{limit: s.options.StatementLines},
 	}
@@ -118,7 +134,32 @@
 	s.byNumber = append(s.byNumber, b)
 	b.statement.append(line{Index: r.Index, TimeMs: r.Now, Kind: lineCreate, Tokens: c.Tokens, Actor: r.Actor, Note: c.Note})
 	checkInvariant(b)
-	return s.remember(r.OpID, b, true, c.Tokens), false, nil
+	return b
+}
+
+// SetFunds sets what a budget is funded with in all, and opens the budget if it is new.
+//
+// A total below what is billed and granted can't be kept at once, as holders may have
+// spent what they were granted. Nothing more is granted then, and what comes back is
+// taken out of the budget, until the total holds. Holders that see the lower total
+// return what they have not spent, so that this takes one round of messages.
+func (s *State) SetFunds(r Record, name, account string, total uint64) {
+	b := s.budgets[name]
+	if b == nil {
+		s.open(r, &pb.CreateBudget{Name: name, Account: account, Tokens: total})
+		return
+	}
+	if total == b.limit {
+		return
+	}
+	kind := lineTopUp
+	if total < b.limit {
+		kind = lineLowered
+	}
+	b.limit = total
+	b.funded = max(total, b.billed+b.granted)
+	b.statement.append(line{Index: r.Index, TimeMs: r.Now, Kind: kind, Tokens: total, Actor: r.Actor})
+	checkInvariant(b)
 }
 
 // TopUp adds tokens to a budget, once per operation id. A resend of the operation
@@ -131,11 +172,12 @@
 	if err != nil {
 		return nil, false, errkind.New(errkind.NotFound, "no budget %q", t.Budget)
 	}
-	funded, ok := add(b.funded, t.Tokens)
+	limit, ok := add(b.limit, t.Tokens)
 	if !ok || t.Tokens == 0 {
-		return nil, false, errkind.New(errkind.BadRequest, "%d tokens can't be added to %d", t.Tokens, b.funded)
+		return nil, false, errkind.New(errkind.BadRequest, "%d tokens can't be added to %d", t.Tokens, b.limit)
 	}
-	b.funded = funded
+	b.limit = limit
+	b.funded = max(limit, b.billed+b.granted)
 	b.statement.append(line{Index: r.Index, TimeMs: r.Now, Kind: lineTopUp, Tokens: t.Tokens, Actor: r.Actor, Note: t.Note})
 	checkInvariant(b)
 	return s.remember(r.OpID, b, false, t.Tokens), false, nil
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -159,6 +160,25 @@
 	return nil
 }
 
+// spendPlain takes tokens that a holder spent on requests of its own off its grant.
+func (d *draft) spendPlain(incarnation uint64, p *pb.Spend) error {
+	b, err := d.state.find(p.GetBudget())
+	if err != nil {
+		return err
+	}
+	d.touch(b)
+	have := d.granted(b, incarnation)
+	if p.GetTokens() > have {
+		return violation("%d tokens spent, but incarnation %d has %d granted of budget %q",
+			p.GetTokens(), incarnation, have, b.name)
+	}
+	d.setGranted(b, incarnation, have-p.GetTokens())
+	sp := d.spending[b]
+	d.spending[b] = spending{tokens: sp.tokens + p.GetTokens(), bills: sp.bills + p.GetRequests()}
+	d.addLine(b, line{Kind: lineSpend, Tokens: p.GetTokens(), Note: fmt.Sprintf("%d requests of incarnation %d", p.GetRequests(), incarnation)})
+	return nil
+}
+
 // giveBack moves granted tokens of a holder back to the free ones.
 func (d *draft) giveBack(incarnation uint64, r *pb.Return) error {
 	b, err := d.state.find(r.Budget)
@@ -264,6 +284,7 @@
 	s.counters.add(d.counters)
 	s.billed.forget(d.record.Now, &s.registry)
 	for _, b := range d.touched {
+		b.shrink()
 		checkInvariant(b)
 	}
 }
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -28,9 +28,11 @@
 }
 
 type budgetImage struct {
-	Name    string       `json:"name"`
-	Account string       `json:"account"`
-	Funded  uint64       `json:"funded"`
+	Name    string `json:"name"`
+	Account string `json:"account"`
+	Funded  uint64 `json:"funded"`
+	// Lowered is what operators funded if that is less than Funded; nil: Funded.
+	Lowered *uint64      `json:"lowered,omitempty"`
 	Billed  uint64       `json:"billed"`
 	Bills   uint64       `json:"bills"`
 	Grants  []grantImage `json:"grants"`
@@ -87,6 +89,10 @@
 		Name: b.name, Account: b.account, Funded: b.funded, Billed: b.billed, Bills: b.bills,
 		Lines: b.statement.ordered(),
 	}
+	if b.limit != b.funded {
+		limit := b.limit
+		im.Lowered = &limit
+	}
 	for _, inc := range slices.Sorted(maps.Keys(b.holders)) {
 		g := b.holders[inc]
 		im.Grants = append(im.Grants, grantImage{Incarnation: inc, Tokens: g.tokens, Seq: g.seq, LastAmount: g.lastAmount})
@@ -147,6 +153,10 @@
 		holders:   make(map[uint64]grant, len(im.Grants)),
 		statement: statement{limit: s.options.StatementLines},
 	}
+	b.limit = im.Funded
+	if im.Lowered != nil {
+		b.limit = *im.Lowered
+	}
 	promised := im.Billed
 	for _, g := range im.Grants {
 		var ok bool
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -81,6 +81,11 @@
 			return err
 		}
 	}
+	for _, spend := range b.Spends {
+		if err := d.spendPlain(incarnation, spend); err != nil {
+			return err
+		}
+	}
 	for _, back := range b.Returns {
 		if err := d.giveBack(incarnation, back); err != nil {
 			return err
@@ -162,6 +167,7 @@
 			continue
 		}
 		done.Released += tokens
+		b.shrink()
 		b.statement.append(line{Index: r.Index, TimeMs: r.Now, Kind: lineRecover, Tokens: tokens, Actor: r.Actor, Note: inc.Host})
 		checkInvariant(b)
 	}
--- a/internal/ledger/statement.go
+++ b/internal/ledger/statement.go
@@ -4,9 +4,12 @@
 
 // Kinds of statement lines.
 const (
-	lineCreate    = "create"
-	lineTopUp     = "top-up"
-	lineBill      = "bill"
+	lineCreate  = "create"
+	lineTopUp   = "top-up"
+	lineLowered = "lowered"
+	lineBill    = "bill"
+	// lineSpend is the sum of a holder's requests that no other holder can bring.
+	lineSpend     = "spend"
 	lineDuplicate = "duplicate"
 	lineExpired   = "expired"
 	lineRecover   = "recover"
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -56,6 +56,7 @@
 		Leaving:        t.leaving,
 		CallerAddress:  self.CallerAddress,
 		PeerAddress:    self.PeerAddress,
+		Control:        self.Control,
 	}
 }
 
@@ -181,6 +182,7 @@
 		s.Zone = e.zone
 		s.CallerAddress = e.caller
 		s.PeerAddress = e.peer
+		s.Control = e.control
 	}
 	return s
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -61,6 +61,8 @@
 	Zone          string
 	CallerAddress string
 	PeerAddress   string
+	// Control: the host runs a replica of the control group.
+	Control bool
 }
 
 // Host is what a Table knows of one other host.
@@ -73,6 +75,7 @@
 	Leaving        bool
 	ConfigRevision uint64
 	SparePermille  uint32
+	Control        bool
 }
 
 // entry is a Host with what the decisions need. Ticks are this Table's own.
@@ -85,6 +88,7 @@
 	leaving     bool
 	revision    uint64
 	spare       uint32
+	control     bool
 
 	// hash of the name, for the order in which hosts watch each other.
 	hash uint64
@@ -201,6 +205,7 @@
 		Leaving:        e.leaving,
 		ConfigRevision: e.revision,
 		SparePermille:  e.spare,
+		Control:        e.control,
 	}
 }
 
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -41,6 +41,7 @@
 		e.zone = info.GetZone()
 		e.caller = info.GetCallerAddress()
 		e.peer = info.GetPeerAddress()
+		e.control = info.GetControl()
 		e.registered = true
 		e.unheard = true
 		e.newsLeft = 0
@@ -78,7 +79,7 @@
 	}
 	*e = entry{
 		host: e.host, hash: xxhash.Sum64String(e.host), incarnation: h.GetIncarnation(),
-		zone: e.zone, caller: e.caller, peer: e.peer, heard: notHeard,
+		zone: e.zone, caller: e.caller, peer: e.peer, control: e.control, heard: notHeard,
 	}
 	t.spread(e, true)
 	return e
@@ -178,6 +179,7 @@
 	e.zone = m.GetZone()
 	e.caller = m.GetCallerAddress()
 	e.peer = m.GetPeerAddress()
+	e.control = m.GetControl()
 	e.spare = m.GetSparePermille()
 	e.revision = max(e.revision, m.GetConfigRevision())
 	if m.GetLeaving() {
@@ -210,6 +212,7 @@
 		e.zone = s.GetZone()
 		e.caller = s.GetCallerAddress()
 		e.peer = s.GetPeerAddress()
+		e.control = s.GetControl()
 	}
 	e.revision = max(e.revision, s.GetConfigRevision())
 	if s.GetLeaving() {
--- a/internal/membership/serverdelta.go
+++ b/internal/membership/serverdelta.go
@@ -16,14 +16,35 @@
 )
 
 // serverVersion orders the announcements of one backend server.
-type serverVersion struct{ incarnation, seq uint64 }
+type serverVersion struct {
+	incarnation uint64
+	// phase is higher for a server that leaves, and highest for one that is gone: a
+	// server may say so without a new number.
+	phase uint8
+	seq   uint64
+}
 
 func versionOf(s *pb.ServerState) serverVersion {
-	return serverVersion{incarnation: s.GetIncarnation(), seq: s.GetSeq()}
+	v := serverVersion{incarnation: s.GetIncarnation(), seq: s.GetSeq()}
+	switch {
+	case s.GetGone():
+		v.phase = 2
+	case s.GetLeaving():
+		v.phase = 1
+	}
+	return v
 }
 
 func (v serverVersion) before(w serverVersion) bool {
-	return cmp.Or(cmp.Compare(v.incarnation, w.incarnation), cmp.Compare(v.seq, w.seq)) < 0
+	return cmp.Or(cmp.Compare(v.incarnation, w.incarnation), cmp.Compare(v.phase, w.phase), cmp.Compare(v.seq, w.seq)) < 0
+}
+
+// serverKey names a server: by its id, or by its address if it has none.
+func serverKey(s *pb.ServerState) string {
+	if id := s.GetId(); id != "" {
+		return id
+	}
+	return s.GetAddress()
 }
 
 // peerKnowledge is what one run of a peer surely has.
@@ -54,7 +75,7 @@
 	}
 	var missing []*pb.ServerState
 	for _, s := range all {
-		known, ok := k.servers[s.GetAddress()]
+		known, ok := k.servers[serverKey(s)]
 		if !ok || known.before(versionOf(s)) {
 			missing = append(missing, s)
 		}
@@ -73,7 +94,7 @@
 	if s.GetLeaving() {
 		return 0
 	}
-	known, ok := k.servers[s.GetAddress()]
+	known, ok := k.servers[serverKey(s)]
 	if !ok || known.incarnation < s.GetIncarnation() {
 		return 1
 	}
@@ -85,8 +106,8 @@
 func (d *ServerDelta) Has(peer *pb.Holder, states []*pb.ServerState) {
 	k := d.knowledge(peer)
 	for _, s := range states {
-		if v := versionOf(s); k.servers[s.GetAddress()].before(v) {
-			k.servers[s.GetAddress()] = v
+		if v := versionOf(s); k.servers[serverKey(s)].before(v) {
+			k.servers[serverKey(s)] = v
 		}
 	}
 }
@@ -97,17 +118,17 @@
 	for _, p := range peers {
 		hosts[p.Holder.GetHost()] = true
 	}
-	addresses := make(map[string]bool, len(servers))
+	keys := make(map[string]bool, len(servers))
 	for _, s := range servers {
-		addresses[s.GetAddress()] = true
+		keys[serverKey(s)] = true
 	}
 	for host, k := range d.peers {
 		if !hosts[host] {
 			delete(d.peers, host)
 		}
-		for address := range k.servers {
-			if !addresses[address] {
-				delete(k.servers, address)
+		for key := range k.servers {
+			if !keys[key] {
+				delete(k.servers, key)
 			}
 		}
 	}
--- a/internal/procconfig/check.go
+++ b/internal/procconfig/check.go
@@ -28,6 +28,8 @@
 	minServerLapse          = 500 * time.Millisecond
 	maxServerLapse          = 2 * time.Second
 	maxNameBytes            = 64
+	minAddressTTL           = 100 * time.Millisecond
+	maxAddressTTL           = time.Hour
 	hashBytes               = 32
 )
 
@@ -49,6 +51,8 @@
 	k.dataDir(c)
 	k.control(c)
 	k.peers(c)
+	k.seeds(c)
+	k.routed(c)
 	k.tls(c.TLS)
 	k.keyHashes(c.OperatorKeyHashes)
 	k.log(c.Log)
@@ -104,17 +108,20 @@
 
 func (k *checker) roles(c *Config) {
 	if len(c.Roles) == 0 {
-		k.fault("/roles", `is required: "entry", "control" or both`)
+		k.fault("/roles", `is required: "control", and "entry" or "gateway"`)
 	}
 	for i, r := range c.Roles {
 		path := fmt.Sprintf("/roles/%d", i)
-		if r != RoleEntry && r != RoleControl {
-			k.fault(path, `%q is no role; use "entry" or "control"`, r)
+		if r != RoleEntry && r != RoleControl && r != RoleGateway {
+			k.fault(path, `%q is no role; use "entry", "gateway" or "control"`, r)
 		}
 		if slices.Contains(c.Roles[:i], r) {
 			k.fault(path, "%q stands twice", r)
 		}
 	}
+	if c.Has(RoleEntry) && c.Has(RoleGateway) {
+		k.fault("/roles", "a process is an entry or a gateway, not both")
+	}
 }
 
 func (k *checker) listen(c *Config) {
@@ -159,7 +166,7 @@
 }
 
 func (k *checker) control(c *Config) {
-	if len(c.Control.Members) == 0 {
+	if len(c.Control.Members) == 0 && len(c.Seeds) == 0 {
 		k.fault("/control/members", "is required: the replicas of the control group")
 	}
 	ids, hosts, addresses := map[string]string{}, map[string]string{}, map[string]string{}
@@ -190,6 +197,9 @@
 // would never be sent a log, and a member without the role would never answer.
 func (k *checker) self(c *Config) {
 	_, isMember := c.Self()
+	if len(c.Control.Members) == 0 {
+		return // found by seeds
+	}
 	switch {
 	case c.Has(RoleControl) && !isMember && len(c.Control.Members) > 0:
 		k.fault("/control/members", "no member is on host %q, which has the role control", c.Host)
@@ -239,6 +249,57 @@
 	}
 }
 
+// seeds checks the addresses of hosts to contact first.
+func (k *checker) seeds(c *Config) {
+	seen := map[string]string{}
+	for i, seed := range c.Seeds {
+		path := fmt.Sprintf("/seeds/%d", i)
+		k.address(path, seed)
+		k.once(seen, path, seed)
+	}
+	if len(c.Seeds) > 0 && len(c.Control.Members) > 0 {
+		k.fault("/seeds", "give seeds or /control/members, not both")
+	}
+	if c.Control.Bootstrap && len(c.Seeds) == 0 {
+		k.fault("/control/bootstrap", "only with /seeds")
+	}
+}
+
+// routed checks how the process serves by a routing table.
+func (k *checker) routed(c *Config) {
+	r := c.Routed
+	if r == nil {
+		if c.Has(RoleGateway) {
+			k.fault("/routed", "is required with the role gateway")
+		}
+		return
+	}
+	if c.Has(RoleEntry) {
+		k.fault("/routed", "a process with the role entry serves no routing table")
+	}
+	if c.Has(RoleGateway) || r.Requests != "" {
+		k.address("/routed/requests", r.Requests)
+	}
+	seen := map[string]string{}
+	for _, a := range []struct{ path, address string }{
+		{"/listen/operators", c.Listen.Operators}, {"/listen/peers", c.Listen.Peers},
+		{"/routed/requests", r.Requests}, {"/routed/readiness", r.Readiness}, {"/routed/registry", r.Registry},
+		{"/routed/directory", r.Directory}, {"/routed/metrics", r.Metrics},
+	} {
+		if a.address != "" {
+			k.address(a.path, a.address)
+			k.once(seen, a.path, a.address)
+		}
+	}
+	k.duration("/routed/address_ttl", r.AddressTTL, minAddressTTL, maxAddressTTL)
+	if r.Retry.Share < 0 || r.Retry.Share > 1 {
+		k.fault("/routed/retry/share", "%g is out of range; use 0 to 1", r.Retry.Share)
+	}
+	if r.Retry.Extra < 0 || r.Retry.Window < 0 {
+		k.fault("/routed/retry", "neither window nor extra can be below zero")
+	}
+}
+
 func (k *checker) tls(t TLS) {
 	if t.Callers != nil {
 		k.file("/tls/callers/cert", t.Callers.Cert)
--- a/internal/procconfig/config.go
+++ b/internal/procconfig/config.go
@@ -9,6 +9,7 @@
 package procconfig
 
 import (
+	"net"
 	"slices"
 	"time"
 
@@ -24,6 +25,9 @@
 	RoleEntry Role = "entry"
 	// RoleControl runs a replica of the control group and needs a disk.
 	RoleControl Role = "control"
+	// RoleGateway serves callers by the routing table: requests pass on to services as
+	// they are. A process has this role or RoleEntry, not both.
+	RoleGateway Role = "gateway"
 )
 
 // Config is the whole settings file.
@@ -35,15 +39,24 @@
 	Host string `json:"host"`
 	// Zone is the availability zone that this host stands in. Required.
 	Zone string `json:"zone"`
-	// Roles of this process: "entry", "control" or both. Required.
+	// Roles of this process: "control", and "entry" or "gateway". Required.
 	Roles []Role `json:"roles"`
 	// Listen has the addresses that this process serves.
 	Listen Listen `json:"listen"`
 	// DataDir is the absolute path of the folder for the replica's log and snapshots.
 	// Required with the role control and refused without it.
 	DataDir string `json:"data_dir,omitempty"`
-	// Control names the control group's replicas. Required on every host.
+	// Control names the control group's replicas. Required on every host, except that
+	// seeds may stand in for its members.
 	Control Control `json:"control"`
+	// Seeds are addresses of hosts of the fleet, for hosts that are told no list of
+	// members: the others are learned from them. Only the IP number of each counts; every
+	// host of such a fleet has its peer address at the same port. They may be replaced
+	// while the process runs. Default: none.
+	Seeds []string `json:"seeds,omitempty"`
+	// Routed says how the process takes part in a fleet that serves by a routing table;
+	// required with the role gateway.
+	Routed *Routed `json:"routed,omitempty"`
 	// Peers are hosts to contact first; the others are learned from them. The list may
 	// name this host too, so that one list fits all files. Default: none.
 	Peers []Peer `json:"peers,omitempty"`
@@ -80,6 +93,10 @@
 	// joins, those it has now. Required. With the role control one member must be this
 	// host, with the address of listen.peers.
 	Members []Member `json:"members"`
+	// Bootstrap tells that the fleet starts for the first time: replicas whose own address
+	// is among the seeds found the control group. Others, and all later ones, join it.
+	// Only with seeds. Default false.
+	Bootstrap bool `json:"bootstrap,omitempty"`
 	// Join starts this host's replica empty and without a vote, until an operator adds
 	// and promotes it. Use it, with an id never used before, for every replica that is
 	// not a founding one and for one whose disk was lost. Default false.
@@ -106,6 +123,37 @@
 	Address string `json:"address"`
 }
 
+// Routed is the part of a fleet that serves by a routing table. Each address is served
+// if it is given.
+type Routed struct {
+	// Requests is the address for callers' requests.
+	Requests string `json:"requests,omitempty"`
+	// Readiness is the address that tells whether this host takes requests.
+	Readiness string `json:"readiness,omitempty"`
+	// Registry is the address for backend servers' announcements and for the operator of
+	// the routing table.
+	Registry string `json:"registry,omitempty"`
+	// Directory is the address that tells callers where to send requests.
+	Directory string `json:"directory,omitempty"`
+	// Metrics is the address that serves counters and histograms.
+	Metrics string `json:"metrics,omitempty"`
+	// AddressTTL is how long callers may keep an answer of the directory; default 2s.
+	AddressTTL settings.Duration `json:"address_ttl,omitempty"`
+	// Retry bounds attempts beyond the first, over the whole fleet.
+	Retry RoutedRetry `json:"retry,omitzero"`
+}
+
+// RoutedRetry bounds the attempts beyond the first that a whole fleet makes for one
+// service, in any span of Window: at most Share of its requests plus Extra.
+type RoutedRetry struct {
+	// Window is the span; default 10s.
+	Window settings.Duration `json:"window,omitempty"`
+	// Share of the requests of the span, 0 to 1; default 0.1.
+	Share float64 `json:"share,omitempty"`
+	// Extra attempts of the span that all hosts share; default 10.
+	Extra int `json:"extra,omitempty"`
+}
+
 // Peer is a host to contact first.
 type Peer struct {
 	// Host is the peer's name.
@@ -168,6 +216,11 @@
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
 	// Streams bounds the requests in flight on this host, at least 1; default 4096.
 	Streams int `json:"streams,omitempty"`
+	// MemoryBytes is the memory that the process may use, 0: no bound of its own. The
+	// garbage collector keeps below it.
+	MemoryBytes int64 `json:"memory_bytes,omitempty"`
+	// Processors is how many processors the process uses at once; 0: all.
+	Processors int `json:"processors,omitempty"`
 	// DrainTimeout bounds a graceful shutdown: the time that callers keep addresses and
 	// the rest of the streams in flight. 1s to 1h; default 2m.
 	DrainTimeout settings.Duration `json:"drain_timeout,omitempty"`
@@ -206,6 +259,7 @@
 	defaultDeadAfter     = settings.Duration(10 * time.Second)
 	defaultServerLapse   = settings.Duration(1500 * time.Millisecond)
 	defaultSettleEvery   = settings.Duration(200 * time.Millisecond)
+	defaultRoutedTTL     = settings.Duration(2 * time.Second)
 )
 
 // Default returns a Config with every optional field at its default and the
@@ -237,3 +291,37 @@
 	}
 	return Member{}, false
 }
+
+// SeedPeers are the peer addresses of the seeds, without this host's own.
+func (c *Config) SeedPeers() []string {
+	var out []string
+	for _, seed := range c.Seeds {
+		if peer := c.peerAddressOf(seed); peer != c.Listen.Peers {
+			out = append(out, peer)
+		}
+	}
+	return out
+}
+
+// peerAddressOf is the peer address of the host that an address is of.
+func (c *Config) peerAddressOf(address string) string {
+	ip, _, _ := net.SplitHostPort(address)
+	_, port, _ := net.SplitHostPort(c.Listen.Peers)
+	return net.JoinHostPort(ip, port)
+}
+
+// Founders are the peer addresses of the replicas that found the control group; empty
+// unless this host is one of them.
+func (c *Config) Founders() []string {
+	if !c.Control.Bootstrap {
+		return nil
+	}
+	var out []string
+	for _, seed := range c.Seeds {
+		out = append(out, c.peerAddressOf(seed))
+	}
+	if !slices.Contains(out, c.Listen.Peers) {
+		return nil
+	}
+	return out
+}
--- a/internal/procconfig/decode.go
+++ b/internal/procconfig/decode.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/jsonobject"
 )
 
@@ -51,6 +52,9 @@
 	if err := json.Unmarshal(b, c); err != nil {
 		return nil, Faults{{Message: err.Error()}}
 	}
+	if c.Routed != nil {
+		defaults.Set(&c.Routed.AddressTTL, defaultRoutedTTL)
+	}
 	if faults := c.Check(); len(faults) > 0 {
 		return nil, Faults(faults)
 	}
@@ -154,6 +158,8 @@
 		return "true or false"
 	case reflect.Uint64:
 		return "a whole number, 0 or more"
+	case reflect.Float64:
+		return "a number"
 	default:
 		return "a whole number"
 	}
--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
+)
+
+// Request is what a caller asked, decoded by the Dialect.
+type Request struct {
+	// ID is the caller's name for this try; no other try has the same.
+	ID string
+	// Method, Target (path and query), Host and Header as they came; Header without those
+	// that concern one connection only, and without those that the Dialect decodes and
+	// writes anew.
+	Method string
+	Target string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Key of the client account; empty: none given.
+	Key string
+	// Patience is how long the caller waits, from the request's arrival; 0: not said.
+	Patience time.Duration
+	// Model that the request is for; empty for plain services.
+	Model string
+	// Prompt lists the parts of the prompt in order.
+	Prompt []balance.Part
+	// PromptTokens and OutputCap are the size of the request at most, in tokens.
+	PromptTokens, OutputCap uint64
+	// OutputHint is the caller's guess of the output's size in tokens; 0: none.
+	OutputHint uint64
+	// ResumeAfter is the last event that the caller has of a stream; empty: none.
+	ResumeAfter string
+}
+
+// Exchange is a request on its way through the chain. Filters fill it from the outside
+// in; it belongs to the request's goroutine.
+type Exchange struct {
+	*Request
+	Arrived  time.Time
+	Deadline time.Time
+
+	Table   *routes.Index
+	Route   *routes.Route
+	Account *routes.Account // nil on routes that need no key
+	// Service that the request goes to, and the table's entry of it.
+	Service *routes.Service
+
+	// Reserved is how many tokens are set aside; Input is set once a server may have read
+	// the prompt, Output counts what was delivered.
+	Reserved uint64
+	Input    bool
+	Output   uint64
+
+	// Attempts made at backend servers.
+	Attempts []Attempt
+	// Begun: the answer's status line has left.
+	Begun bool
+	// Status that was answered.
+	Status int
+}
+
+// Attempt is one try at a backend server, for the log.
+type Attempt struct {
+	Server  string
+	Wait    time.Duration // predicted
+	Cached  uint64
+	Running int
+	First   time.Duration // to the answer's first byte
+	Took    time.Duration
+	Outcome string
+}
+
+// AccountName is the client account's name; empty without one.
+func (x *Exchange) AccountName() string {
+	if x.Account == nil {
+		return ""
+	}
+	return x.Account.Name
+}
+
+type exchangeKey struct{}
+
+// With returns ctx with x in it.
+func With(ctx context.Context, x *Exchange) context.Context {
+	return context.WithValue(ctx, exchangeKey{}, x)
+}
+
+// From returns the Exchange in ctx; nil outside the chain.
+func From(ctx context.Context) *Exchange {
+	x, _ := ctx.Value(exchangeKey{}).(*Exchange)
+	return x
+}
--- /dev/null
+++ b/internal/routes/index.go
@@ -0,0 +1,146 @@
+package routes
+
+import (
+	"encoding/json"
+	"net"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// Index is a routing table made ready for lookups. It is not changed after it is made.
+type Index struct {
+	revision uint64
+	table    *Table
+	routes   map[place]*Route
+	services map[string]*Service
+	accounts map[string]*Account
+	byKey    map[string]*Account
+}
+
+// NewIndex indexes a table that has passed Check.
+func NewIndex(revision uint64, t *Table) *Index {
+	x := &Index{
+		revision: revision, table: t,
+		routes:   make(map[place]*Route, len(t.Routes)),
+		services: make(map[string]*Service, len(t.Services)),
+		accounts: make(map[string]*Account, len(t.Accounts)),
+		byKey:    make(map[string]*Account),
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		x.routes[place{normalHost(r.Host), r.Prefix}] = r
+	}
+	for i := range t.Services {
+		x.services[t.Services[i].Name] = &t.Services[i]
+	}
+	for i := range t.Accounts {
+		a := &t.Accounts[i]
+		x.accounts[a.Name] = a
+		for _, hash := range a.KeyHashes {
+			x.byKey[hash] = a
+		}
+	}
+	return x
+}
+
+// Decode reads a table from its JSON form, checks it and indexes it.
+func Decode(revision uint64, tableJSON []byte) (*Index, error) {
+	t := new(Table)
+	if err := json.Unmarshal(tableJSON, t); err != nil {
+		return nil, errors.Wrap(err, "routing table")
+	}
+	if err := t.Check(); err != nil {
+		return nil, err
+	}
+	return NewIndex(revision, t), nil
+}
+
+// Revision of the table.
+func (x *Index) Revision() uint64 { return x.revision }
+
+// Table is what was indexed; it must not be changed.
+func (x *Index) Table() *Table { return x.table }
+
+// Limits on what callers may send.
+func (x *Index) Limits() Limits { return x.table.Limits }
+
+// Route finds the route of a request: among those of its host the one with the longest
+// prefix of its path.
+func (x *Index) Route(host, path string) (*Route, error) {
+	at := place{host: normalHost(host)}
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			break
+		}
+		at.prefix = path[:slash+1]
+		if r := x.routes[at]; r != nil {
+			return r, nil
+		}
+		end = slash
+	}
+	return nil, errkind.New(errkind.UnknownPath, "no route for this host and path")
+}
+
+// Service finds a service by name.
+func (x *Index) Service(name string) (*Service, bool) {
+	s, ok := x.services[name]
+	return s, ok
+}
+
+// Account finds the account that holds a key. needed is false where the table asks for
+// no keys at all.
+func (x *Index) Account(key string) (a *Account, needed bool) {
+	if !x.table.Keyed {
+		return nil, false
+	}
+	return x.byKey[settings.HashKey(key)], true
+}
+
+// AccountNamed finds an account by name.
+func (x *Index) AccountNamed(name string) (*Account, bool) {
+	a, ok := x.accounts[name]
+	return a, ok
+}
+
+// PriorityOf is the rank of a request: the account's, else the route's; 0 goes first.
+func PriorityOf(r *Route, a *Account) int {
+	if a != nil && a.Priority != nil {
+		return *a.Priority
+	}
+	return r.Priority
+}
+
+// Pick chooses a target by weight. draw is a uniform random number below the sum of the
+// weights; see Weights.
+func (r *Route) Pick(draw uint64) string {
+	for _, t := range r.Targets {
+		if draw < t.Weight {
+			return t.Service
+		}
+		draw -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Weights is the sum of the targets' weights.
+func (r *Route) Weights() uint64 {
+	sum := uint64(0)
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	return sum
+}
+
+// normalHost is a host in the form in which hosts are compared: without port, in lower
+// case.
+func normalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/surface/surface.go
@@ -0,0 +1,57 @@
+// Package surface is the seam between a fleet that serves by a routing table and the
+// protocol that its callers, backend servers and operators speak. A program that serves
+// such a fleet brings a Protocol; the daemon brings the ports. A Protocol only decodes
+// and encodes.
+package surface
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+)
+
+// Protocol makes the HTTP handlers of a process.
+type Protocol interface {
+	relay.Dialect
+	// Registry serves the announcements of backend servers and the operator of the
+	// routing table.
+	Registry(Servers, Tables) http.Handler
+	// Directory tells callers where to send requests.
+	Directory(Directory) http.Handler
+	// Readiness answers whether ready is nil.
+	Readiness(ready func() error) http.Handler
+}
+
+// Servers takes what backend servers say of themselves.
+type Servers interface {
+	// Announce takes an announcement.
+	Announce(a instance.Announcement)
+	// End takes that a backend server ends.
+	End(id string)
+}
+
+// Tables reads and replaces the routing table. Errors are *errkind.Error.
+type Tables interface {
+	// Replace commits a table under the operator's revision and returns once it is
+	// acknowledged. document is what the operator sent; Present returns it unchanged.
+	Replace(ctx context.Context, c *pb.ReplaceRoutes) error
+	// Present is the newest table that was acknowledged to anybody, with its document.
+	Present(ctx context.Context) (*pb.Routes, error)
+}
+
+// Directory names the addresses for callers.
+type Directory interface {
+	// Addresses for callers of an availability zone, and how long they may keep them.
+	Addresses(zone string) Addresses
+}
+
+// Addresses is an answer of a Directory.
+type Addresses struct {
+	// List has the addresses to use, "ip:port".
+	List []string
+	// TTLMs is how long the answer may be kept, in milliseconds.
+	TTLMs int64
+}
