--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -58,6 +58,13 @@
 	c.learnt = learnt
 }
 
+// SetSeeds replaces the addresses of New.
+func (c *Client) SetSeeds(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = addresses
+}
+
 // known are the addresses of replicas, without doubles; c.mu is held.
 func (c *Client) known() []string {
 	if c.learnt == nil {
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -162,6 +162,13 @@
 	c.table.SetIncarnation(n)
 }
 
+// SetSeeds replaces the peer addresses to contact while their hosts are not known.
+func (c *Controller) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.SetSeeds(seeds)
+}
+
 // Learn takes the hosts registered with the control group.
 func (c *Controller) Learn(hosts []*pb.HostInfo) {
 	c.mu.Lock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,14 +49,37 @@
 	others   []*httpserver.Server
 }
 
-// RunRouted starts a process that serves by a routing table, in the protocol given, until
-// ctx ends; then it shuts down gracefully.
-func RunRouted(ctx context.Context, cfg *procconfig.Config, p surface.Protocol) error {
+// RunRouted starts the process that the settings file at path describes, which serves by
+// a routing table in the protocol given, until ctx ends; then it shuts down gracefully.
+// SIGHUP, or a change of the file, has it read the file again.
+func RunRouted(ctx context.Context, path string, p surface.Protocol) error {
+	// From the start: a signal without a handler would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	cfg, err := procconfig.Load(path)
+	if err != nil {
+		return err
+	}
 	if cfg.Routed == nil {
 		return errors.New("the settings have no part /routed")
 	}
 	useLimits(cfg.Limits)
-	return run(ctx, cfg, func(d *Daemon, ctx context.Context) error { return d.startRouted(ctx, p) })
+	return run(ctx, cfg, func(d *Daemon, ctx context.Context) error {
+		if err := d.startRouted(ctx, p); err != nil {
+			return err
+		}
+		d.tasks.run(func(ctx context.Context) {
+			procconfig.Follow(ctx, path, reload, d.tel.Log, d.gateway.reconfigure)
+		})
+		return nil
+	})
+}
+
+// reconfigure takes what may change while the process runs: the seeds.
+func (g *gateway) reconfigure(cfg *procconfig.Config) {
+	g.members.SetSeeds(cfg.SeedPeers())
+	g.d.client.SetSeeds(cfg.SeedPeers())
 }
 
 // useLimits keeps the Go runtime within the process's limits.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -169,6 +169,9 @@
 // SetIncarnation sets the incarnation that the control group gave this run.
 func (t *Table) SetIncarnation(n uint64) { t.cfg.Self.Incarnation = n }
 
+// SetSeeds replaces the peer addresses to contact while their hosts are not known.
+func (t *Table) SetSeeds(seeds []string) { t.cfg.Seeds = seeds }
+
 // SetLoad sets what this host tells of itself: its spare room in thousandths and
 // the settings revision in force here.
 func (t *Table) SetLoad(sparePermille uint32, configRevision uint64) {
