--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -197,6 +197,7 @@
 	Horizon:    12 * time.Second,
 	IdleReturn: 30 * time.Second,
 	Transfers:  true,
+	MinHistory: 2 * time.Second,
 }
 
 // learnHosts reads the registered hosts now and then, so that a host finds peers which
--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -113,7 +113,7 @@
 // ahead is how many tokens the host would hold beyond its present need, as far as the
 // ledger has them. The ledger itself gives less as a budget runs low.
 func (h *Holder) ahead(now time.Time, b *budget) uint64 {
-	target := b.demand.tokens(now, b.policy.Horizon)
+	target := b.demand.tokens(now, b.policy)
 	if b.levelKnown {
 		target = min(target, b.level)
 	}
--- a/internal/grant/demand.go
+++ b/internal/grant/demand.go
@@ -15,22 +15,36 @@
 	// sum decays; with a steady rate r it settles at r x window.
 	sum float64
 	at  time.Time
+	// since is when tokens were first asked for.
+	since time.Time
 }
 
 func window(horizon time.Duration) time.Duration { return min(horizon, rateWindow) }
 
 func (d *demand) add(now time.Time, tokens uint64, horizon time.Duration) {
+	if d.since.IsZero() {
+		d.since = now
+	}
 	d.decay(now, horizon)
 	d.sum += float64(tokens)
 }
 
-// tokens returns the demand that the horizon will bring at the present rate.
-func (d *demand) tokens(now time.Time, horizon time.Duration) uint64 {
-	if horizon <= 0 {
+// tokens returns the demand that the policy's horizon will bring at the present rate.
+func (d *demand) tokens(now time.Time, p Policy) uint64 {
+	if p.Horizon <= 0 {
 		return 0
 	}
-	d.decay(now, horizon)
-	return uint64(d.sum * float64(horizon) / float64(window(horizon)))
+	d.decay(now, p.Horizon)
+	return uint64(d.sum / d.seen(now, p) * float64(p.Horizon) / float64(window(p.Horizon)))
+}
+
+// seen is the part of the decaying window that lies after the first request.
+func (d *demand) seen(now time.Time, p Policy) float64 {
+	if p.MinHistory <= 0 || d.since.IsZero() {
+		return 1
+	}
+	age := max(now.Sub(d.since), p.MinHistory)
+	return 1 - math.Exp(-float64(age)/float64(window(p.Horizon)))
 }
 
 func (d *demand) decay(now time.Time, horizon time.Duration) {
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -32,6 +32,11 @@
 	IdleReturn time.Duration
 	// Transfers lets the host ask peers when the ledger can't serve it.
 	Transfers bool
+	// MinHistory corrects the rate of demand for the time before the first request: the
+	// tokens asked for so far count as those of the time since then, of this long at
+	// least. 0: as those of the whole time over which the rate is averaged, which is too
+	// little for a host that has just started.
+	MinHistory time.Duration
 }
 
 // PolicyFrom fills in the defaults of a team's grant settings; g may be nil.
