--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -198,6 +198,8 @@
 	IdleReturn: 30 * time.Second,
 	Transfers:  true,
 	MinHistory: 2 * time.Second,
+	// Half of what is left outlives the loss of all gateways.
+	AtRisk: 0.5,
 }
 
 // learnHosts reads the registered hosts now and then, so that a host finds peers which
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter/callergone"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
@@ -28,7 +29,7 @@
 	r := g.d.cfg.Routed
 	if r.Requests != "" {
 		handler := relay.NewHandler(g.protocol, g,
-			&match.Filter{Tables: g.routes}, identify.Filter{}, deadline.Filter{}, &budget.Filter{Budgets: g},
+			&callergone.Filter{}, &match.Filter{Tables: g.routes}, identify.Filter{}, deadline.Filter{}, &budget.Filter{Budgets: g},
 			&forward.Filter{
 				Dialect: g.protocol, Client: g.client, Balancer: g.balancer, Retries: g.balancer, Abort: httpserver.Abort,
 			})
--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -117,6 +117,10 @@
 	if b.levelKnown {
 		target = min(target, b.level)
 	}
+	if b.levelKnown && b.policy.AtRisk > 0 {
+		part := b.policy.AtRisk * float64(b.left) / float64(len(h.peers)+1)
+		target = min(target, uint64(part))
+	}
 	return target - min(target, b.free)
 }
 
@@ -147,7 +151,7 @@
 	need := b.acquire.msg.GetNeed()
 	b.acquire = acquire{seq: seq}
 	b.free += r.GetAmount()
-	b.level, b.levelKnown = r.GetFree(), true
+	b.setLevel(r.GetFree(), r.GetFunded(), r.GetBilled())
 	h.serve(b, &out)
 	if r.GetAmount() < need {
 		b.markExhausted()
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -11,8 +10,6 @@
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
-
-	"github.com/bluebellsail/bluebellsail/internal/errkind"
 )
 
 // trackedConn counts the bytes that were given to nbio and not yet to the kernel.
@@ -26,18 +23,6 @@
 	unsent atomic.Int64
 	// busy is the number of requests read and not yet answered in full.
 	busy atomic.Int64
-	// gone ends when the connection closes, with errCallerGone as its cause.
-	gone context.Context
-	lost context.CancelCauseFunc
-}
-
-// errCallerGone ends the contexts of requests whose connection has closed.
-var errCallerGone = errkind.New(errkind.CallerGone, "the caller closed its connection")
-
-func newTrackedConn(c *nbio.Conn) *trackedConn {
-	t := &trackedConn{Conn: c}
-	t.gone, t.lost = context.WithCancelCause(context.Background())
-	return t
 }
 
 // Write counts and hands on.
@@ -93,21 +78,10 @@
 	s.m[c.Conn] = c
 }
 
-// remove forgets a connection and ends the contexts of its requests.
 func (s *connSet) remove(c *nbio.Conn) {
-	s.mu.Lock()
-	t := s.m[c]
-	delete(s.m, c)
-	s.mu.Unlock()
-	if t != nil {
-		t.lost(errCallerGone)
-	}
-}
-
-func (s *connSet) get(c *nbio.Conn) *trackedConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.m[c]
+	delete(s.m, c)
 }
 
 // quiet tells whether no connection has a request or an answer under way.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -156,15 +156,7 @@
 		WriteError(res, "", errkind.New(errkind.Overloaded, "%d requests are in flight at this host", running).After(overloadedRetry))
 		return
 	}
-	s.cfg.Handler.ServeHTTP(res, s.withConn(r, w))
-}
-
-// withConn gives r a context that ends when the caller's connection closes.
-func (s *Server) withConn(r *http.Request, w http.ResponseWriter) *http.Request {
-	if t := s.conns.get(nbioConn(w)); t != nil {
-		return r.WithContext(t.gone)
-	}
-	return r
+	s.cfg.Handler.ServeHTTP(res, r)
 }
 
 func (s *Server) always(r *http.Request) bool {
@@ -229,7 +221,7 @@
 	if !ok {
 		return
 	}
-	tracked := newTrackedConn(c)
+	tracked := &trackedConn{Conn: c}
 	s.conns.add(tracked)
 	if hc.Conn == c {
 		hc.Conn = tracked
