--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -199,7 +199,7 @@
 	Transfers:  true,
 	MinHistory: 2 * time.Second,
 	// Half of what is left outlives the loss of all gateways.
-	AtRisk: 0.5,
+	AtRiskPermille: 500,
 }
 
 // learnHosts reads the registered hosts now and then, so that a host finds peers which
--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -102,7 +102,7 @@
 	a := &b.acquire
 	a.msg = &pb.Acquire{
 		Holder: h.self, Budget: b.name, Seq: a.seq + 1,
-		Need: need, Want: need + h.ahead(now, b),
+		Need: need, Want: need + h.ahead(now, b), AtRiskPermille: b.policy.AtRiskPermille,
 	}
 	a.first, a.last = now, now
 	a.wait = h.cfg.ResendAfter
@@ -117,10 +117,6 @@
 	if b.levelKnown {
 		target = min(target, b.level)
 	}
-	if b.levelKnown && b.policy.AtRisk > 0 {
-		part := b.policy.AtRisk * float64(b.left) / float64(len(h.peers)+1)
-		target = min(target, uint64(part))
-	}
 	return target - min(target, b.free)
 }
 
@@ -151,7 +147,7 @@
 	need := b.acquire.msg.GetNeed()
 	b.acquire = acquire{seq: seq}
 	b.free += r.GetAmount()
-	b.setLevel(r.GetFree(), r.GetFunded(), r.GetBilled())
+	b.level, b.levelKnown = r.GetFree(), true
 	h.serve(b, &out)
 	if r.GetAmount() < need {
 		b.markExhausted()
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -37,10 +37,10 @@
 	// least. 0: as those of the whole time over which the rate is averaged, which is too
 	// little for a host that has just started.
 	MinHistory time.Duration
-	// AtRisk is the part of what is left of a budget that all hosts together hold ahead of
-	// need, from 0 to 1: it is what may count as spent when all of them are lost at once.
-	// A host keeps to an equal part of it. 0: no bound but the ledger's.
-	AtRisk float64
+	// AtRiskPermille is the part of what is left of a budget, in thousandths, that all
+	// hosts together hold ahead of need: it is what may count as spent when all of them
+	// are lost at once. 0: no bound.
+	AtRiskPermille uint32
 }
 
 // PolicyFrom fills in the defaults of a team's grant settings; g may be nil.
--- a/internal/grant/holder.go
+++ b/internal/grant/holder.go
@@ -67,10 +67,9 @@
 	demand  demand
 	lastUse time.Time
 
-	// level is how much the ledger could still grant when it last said so, left what was
-	// funded and not billed then.
-	level, left uint64
-	levelKnown  bool
+	// level is how much the ledger could still grant when it last said so.
+	level      uint64
+	levelKnown bool
 	// fetched is when tokens were last asked for ahead of need.
 	fetched time.Time
 }
--- a/internal/grant/settle.go
+++ b/internal/grant/settle.go
@@ -185,10 +185,5 @@
 	if !ok {
 		return
 	}
-	b.setLevel(l.GetFree(), l.GetFunded(), l.GetBilled())
-}
-
-// setLevel takes what the ledger says of a budget.
-func (b *budget) setLevel(free, funded, billed uint64) {
-	b.level, b.left, b.levelKnown = free, funded-min(billed, funded), true
+	b.level, b.levelKnown = l.GetFree(), true
 }
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -228,7 +228,7 @@
 		return nil, e
 	}
 	if a.Seq > g.seq {
-		amount := b.grantSize(inc, a.Need, a.Want)
+		amount := b.grantSize(inc, a.Need, min(a.Want, b.ahead(a)))
 		s.setGrant(b, inc, g.tokens+amount)
 		g = b.holders[inc]
 		g.seq, g.lastAmount = a.Seq, amount
@@ -238,6 +238,17 @@
 	return &pb.AcquireResult{Amount: g.lastAmount, Free: b.free(), Funded: b.funded, Billed: b.billed, Seq: a.Seq}, nil
 }
 
+// ahead is how much an Acquire may get beyond its need, so that all holders together hold
+// no more of what is left than its bound says.
+func (b *budget) ahead(a *pb.Acquire) uint64 {
+	if a.AtRiskPermille == 0 {
+		return a.Want
+	}
+	const whole = 1000
+	most := (b.funded - b.billed) / whole * uint64(a.AtRiskPermille)
+	return a.Need + most - min(most, b.granted)
+}
+
 // grantSize says how much of the free tokens an Acquire gets: the need if it is
 // there (else what is left, to go with what the holder has), and up to want within
 // this holder's share. A share is half of what is free over the number of holders with tokens,
