Grants have a reserve for times without contact to the ledger

Cause: what a lost host held counts as spent. Holding less ahead refuses in partitions.

Change: package grant/reserve. A part of each grant may be spent only without contact, by a function of time that holder and ledger share; when a host registers again, the ledger frees what its former run can't have spent. Batches keep contact every 300 ms and are resent soon after a partition: with the old backoff of up to 5 s hosts were lost 12 s without confirmed contact and nothing could be freed.

--- a/internal/controller/grants/calls.go
+++ b/internal/controller/grants/calls.go
@@ -25,9 +25,12 @@
 	})
 	budget, seq := msg.GetBudget(), msg.GetSeq()
 	if err == nil {
-		m.step(func(now time.Time) grant.Output {
-			return m.holder.AcquireAnswered(now, budget, seq, result.GetAcquire())
-		})
+		r := result.GetAcquire()
+		m.cfg.Log.Info().Str("event", "tokens-granted").Str("budget", budget).Uint64("seq", seq).
+			Uint64("need", msg.GetNeed()).Uint64("want", msg.GetWant()).Uint64("unlocked", msg.GetUnlock()).
+			Uint64("granted", r.GetAmount()).Uint64("reserve", r.GetReserve()).Uint64("free_at_ledger", r.GetFree()).
+			Uint64("funded", r.GetFunded()).Uint64("billed", r.GetBilled()).Send()
+		m.step(func(now time.Time) grant.Output { return m.holder.AcquireAnswered(now, budget, seq, r) })
 		return
 	}
 	refusal := errkind.From(err)
--- a/internal/controller/grants/port.go
+++ b/internal/controller/grants/port.go
@@ -111,6 +111,13 @@
 	})
 }
 
+// Contact tells when the answer to this run's registration came.
+func (m *Manager) Contact(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holder.Contact(at)
+}
+
 // ReturnFree gives all free tokens of a budget back to the ledger.
 func (m *Manager) ReturnFree(budget string) {
 	m.step(func(now time.Time) grant.Output {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/grant"
+	"github.com/bluebellsail/bluebellsail/internal/grant/reserve"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/membership"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -176,30 +177,49 @@
 	if err != nil {
 		return // this process stops
 	}
+	registered := time.Now()
 	g.self.Store(reg.Holder)
 	g.members.SetIncarnation(reg.Holder.Incarnation)
 	g.members.Learn(reg.Hosts)
 	manager := grants.New(grants.Config{
-		Self: reg.Holder, Holder: grant.Config{BatchWait: g.d.cfg.Timing.SettleEvery.Std()},
+		Self: reg.Holder, Holder: gatewayHolder(g.d.cfg),
 		Proposer: group{g.d.client}, Asker: gatewayPeers{g}, Recorder: noCopies{},
 		PolicyFor: func(string) grant.Policy { return gatewayPolicy },
 		Log:       g.d.tel.Log, Seed: int64(reg.Holder.Incarnation),
 	})
+	manager.Contact(registered)
 	g.grants.Store(manager)
 	g.d.tasks.run(manager.Run)
 	g.learnHosts(ctx)
 }
 
+// contactEvery is how long a gateway goes without a settlement batch. Every 100 ms more
+// cost, when all hosts are lost, 100 ms more of what their reserves allow.
+const contactEvery = 300 * time.Millisecond
+
+// gatewayHolder bounds the messages of a gateway's holder.
+func gatewayHolder(cfg *procconfig.Config) grant.Config {
+	return grant.Config{
+		BatchWait:    cfg.Timing.SettleEvery.Std(),
+		ContactEvery: contactEvery,
+		// A batch that a partition held up is sent again soon after it has ended: until two
+		// are answered, the loss of this host would cost what it held in reserve.
+		ResendMax: 400 * time.Millisecond,
+	}
+}
+
 // gatewayPolicy is how a gateway holds tokens of a budget.
 var gatewayPolicy = grant.Policy{
-	// A partition that cuts all gateways off from the control group lasts up to nine
-	// seconds; a gateway lives from what it holds meanwhile.
-	Horizon:    12 * time.Second,
+	// In a partition a gateway lives from the open part of its grants until it may use the
+	// reserve, and from that as long as partitions of a whole fleet are known to last.
+	// Twice the demand of the time in which it may not: callers come in bursts.
+	Horizon:    2 * reserve.Hold,
+	Reserve:    10 * time.Second,
 	IdleReturn: 30 * time.Second,
 	Transfers:  true,
 	MinHistory: 2 * time.Second,
-	// Half of what is left outlives the loss of all gateways.
-	AtRiskPermille: 500,
+	// A part of what is left stays with the ledger, for whoever needs it first.
+	AtRiskPermille: 700,
 }
 
 // learnHosts reads the registered hosts now and then, so that a host finds peers which
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -118,7 +118,7 @@
 	if x.Route != nil {
 		event = event.Str("route", x.Route.Name).Time("deadline", x.Deadline)
 	}
-	if x.Reserved > 0 {
+	if x.PromptTokens > 0 {
 		event = event.Uint64("reserved", x.Reserved).Uint64("prompt", x.PromptTokens).Uint64("output", x.Output)
 	}
 	for _, a := range x.Attempts {
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -12,6 +12,9 @@
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 )
 
+// processStart is when this process began, or a moment later.
+var processStart = time.Now()
+
 // registerTimeout bounds one attempt; attempts go on until the process is stopped.
 const registerTimeout = 5 * time.Second
 
@@ -19,6 +22,7 @@
 // no quorum waits here and serves nobody: without an incarnation of its own it could
 // spend what its former run held.
 func (d *Daemon) register(ctx context.Context) (*pb.RegisterHostResult, error) {
+	started, startedWall := processStart, processStart.UnixMilli()
 	// bootID makes a resend after a lost answer give the same incarnation.
 	bootID := rand.Text()
 	attempt := func() (*pb.RegisterHostResult, error) {
@@ -28,6 +32,7 @@
 			RegisterHost: &pb.RegisterHost{
 				Host: d.cfg.Host, Zone: d.cfg.Zone, CallerAddress: d.callerAddress(),
 				PeerAddress: d.cfg.Listen.Peers, BootId: bootID, Control: d.cfg.Has(procconfig.RoleControl),
+				AgeMs: time.Since(started).Milliseconds(), WallMs: startedWall,
 			}}})
 		if err != nil {
 			d.tel.Log.Warn().Str("event", "not-registered").Err(err).Send()
--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -28,7 +28,7 @@
 
 // advance moves a budget's waiters on: grant, ask the ledger, ask the peers, refuse.
 func (h *Holder) advance(now time.Time, b *budget, out *Output) {
-	h.serve(b, out)
+	h.serve(now, b, out)
 	if h.draining {
 		return
 	}
@@ -100,9 +100,13 @@
 // policy's horizon as well.
 func (h *Holder) sendAcquire(now time.Time, b *budget, need uint64, out *Output) {
 	a := &b.acquire
+	want := need + h.ahead(now, b)
+	unlock := b.unlock(want)
+	b.out.reserve -= unlock
 	a.msg = &pb.Acquire{
 		Holder: h.self, Budget: b.name, Seq: a.seq + 1,
-		Need: need, Want: need + h.ahead(now, b), AtRiskPermille: b.policy.AtRiskPermille,
+		Unlock: unlock, Need: need - min(need, unlock), Want: want - unlock,
+		Reserve: h.reserveWanted(now, b), AtRiskPermille: b.policy.AtRiskPermille,
 	}
 	a.first, a.last = now, now
 	a.wait = h.cfg.ResendAfter
@@ -110,27 +114,40 @@
 	out.Acquires = append(out.Acquires, a.msg)
 }
 
+// unlock is how much of the reserve goes to the open part when want is asked for: what the
+// ledger has not enough of.
+func (b *budget) unlock(want uint64) uint64 {
+	if !b.levelKnown {
+		return 0
+	}
+	return min(want-min(want, b.level), b.out.reserve)
+}
+
 // ahead is how many tokens the host would hold beyond its present need, as far as the
 // ledger has them. The ledger itself gives less as a budget runs low.
 func (h *Holder) ahead(now time.Time, b *budget) uint64 {
-	target := b.demand.tokens(now, b.policy)
+	target := b.demand.tokens(now, b.policy, b.policy.Horizon)
 	if b.levelKnown {
-		target = min(target, b.level)
+		target = min(target, b.level+b.out.reserve)
 	}
 	return target - min(target, b.free)
 }
 
+// fetchBelow has tokens fetched ahead when the part that is missing of the target is more
+// than one in so many of what is free: at two thirds of the target.
+const fetchBelow = 2
+
 // fetchAhead asks for tokens before the host runs short, so that requests don't wait
 // for the ledger.
 func (h *Holder) fetchAhead(now time.Time, b *budget, out *Output) {
-	if b.acquire.msg != nil || !b.levelKnown || b.level == 0 || now.Sub(b.fetched) < h.cfg.ResendAfter {
+	if b.acquire.msg != nil || !b.levelKnown || b.level+b.out.reserve == 0 || now.Sub(b.fetched) < h.cfg.ResendAfter {
 		return
 	}
 	if b.idle(now) { // else what an idle budget returned would be fetched again at once
 		return
 	}
 	missing := h.ahead(now, b)
-	if missing > b.free {
+	if missing > b.free/fetchBelow || h.reserveWanted(now, b) > b.out.reserve {
 		b.fetched = now
 		h.sendAcquire(now, b, 1, out)
 	}
@@ -144,11 +161,12 @@
 	if !ok {
 		return out
 	}
-	need := b.acquire.msg.GetNeed()
+	need, unlocked := b.acquire.msg.GetNeed(), b.acquire.msg.GetUnlock()
 	b.acquire = acquire{seq: seq}
-	b.free += r.GetAmount()
-	b.level, b.levelKnown = r.GetFree(), true
-	h.serve(b, &out)
+	b.free += r.GetAmount() + unlocked
+	b.out.reserve += r.GetReserve()
+	b.setLevel(r.GetFree(), r.GetFunded(), r.GetBilled())
+	h.serve(now, b, &out)
 	if r.GetAmount() < need {
 		b.markExhausted()
 	}
@@ -170,6 +188,7 @@
 	if !ok {
 		return out
 	}
+	b.out.reserve += b.acquire.msg.GetUnlock()
 	b.acquire = acquire{seq: seq - 1}
 	h.refuseAll(b, errkind.New(kind, "budget %s: %s", budgetName, message), &out)
 	return out
--- a/internal/grant/demand.go
+++ b/internal/grant/demand.go
@@ -29,13 +29,13 @@
 	d.sum += float64(tokens)
 }
 
-// tokens returns the demand that the policy's horizon will bring at the present rate.
-func (d *demand) tokens(now time.Time, p Policy) uint64 {
-	if p.Horizon <= 0 {
+// tokens returns the demand that the time ahead will bring at the present rate.
+func (d *demand) tokens(now time.Time, p Policy, ahead time.Duration) uint64 {
+	if ahead <= 0 {
 		return 0
 	}
 	d.decay(now, p.Horizon)
-	return uint64(d.sum / d.seen(now, p) * float64(p.Horizon) / float64(window(p.Horizon)))
+	return uint64(d.sum / d.seen(now, p) * float64(ahead) / float64(window(p.Horizon)))
 }
 
 // seen is the part of the decaying window that lies after the first request.
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -9,7 +9,7 @@
 // transferred to it. For each budget this sum never changes but by what came in
 // and what went out:
 //
-//	free + reserved + unsettled + returning = granted + received - given - billed - returned
+//	free + reserved + unsettled + returning + reserve = granted + received - given - billed - returned
 //
 // so a host can't overspend a budget as long as the ledger and the peers don't hand
 // the same token out twice.
@@ -28,6 +28,9 @@
 type Policy struct {
 	// Horizon is how much of its recent demand the host holds ahead.
 	Horizon time.Duration
+	// Reserve is how much of its recent demand the host holds beyond that for a time
+	// without contact to the ledger; see package reserve. 0: none.
+	Reserve time.Duration
 	// IdleReturn is how long a budget may go unused before its free tokens go back.
 	IdleReturn time.Duration
 	// Transfers lets the host ask peers when the ledger can't serve it.
@@ -77,6 +80,9 @@
 	// ProbeWait is how long a request waits for the ledger when it was out of reach for
 	// others before; default 50ms.
 	ProbeWait time.Duration
+	// ContactEvery is how long a holder with a reserve goes without a settlement batch;
+	// default 500ms.
+	ContactEvery time.Duration
 	// AskFanout is the number of peers asked at a time; default 3.
 	AskFanout int
 }
@@ -88,6 +94,7 @@
 	defaults.Set(&c.ResendMax, 5*time.Second)
 	defaults.Set(&c.LedgerWait, 250*time.Millisecond)
 	defaults.Set(&c.ProbeWait, 50*time.Millisecond)
+	defaults.Set(&c.ContactEvery, 500*time.Millisecond)
 	defaults.Set(&c.AskFanout, 3)
 	return c
 }
@@ -132,9 +139,11 @@
 	// Free can be reserved at once; Reserved belongs to requests that run; Unsettled is
 	// billed here but not yet acknowledged by the ledger; Returning is on its way back.
 	Free, Reserved, Unsettled, Returning uint64
+	// Reserve can be spent only without contact to the ledger.
+	Reserve uint64
 	// Waiting is the number of requests that wait for tokens.
 	Waiting int
 }
 
 // Held is everything the holder answers for.
-func (l Level) Held() uint64 { return l.Free + l.Reserved + l.Unsettled + l.Returning }
+func (l Level) Held() uint64 { return l.Free + l.Reserved + l.Unsettled + l.Returning + l.Reserve }
--- a/internal/grant/holder.go
+++ b/internal/grant/holder.go
@@ -26,6 +26,8 @@
 	transfers  transfers
 	fenced     map[holderKey]struct{}
 	draining   bool
+	// contact is when an answer of the ledger to a batch, or to the registration, last came.
+	contact time.Time
 }
 
 // reservation is the worst case of one dispatched request.
@@ -67,9 +69,14 @@
 	demand  demand
 	lastUse time.Time
 
-	// level is how much the ledger could still grant when it last said so.
-	level      uint64
-	levelKnown bool
+	// out is the part of the grant for times without contact.
+	out             outOfContact
+	reserveReturned time.Time
+
+	// level is how much the ledger could still grant when it last said so, left what was
+	// not yet billed.
+	level, left uint64
+	levelKnown  bool
 	// fetched is when tokens were last asked for ahead of need.
 	fetched time.Time
 }
@@ -204,12 +211,10 @@
 func (h *Holder) ReturnFree(now time.Time, budgetName string) Output {
 	var out Output
 	b, ok := h.budgets[budgetName]
-	if !ok || b.free == 0 {
+	if !ok {
 		return out
 	}
-	h.settlement.giveBack(now, b.name, b.free)
-	b.returning += b.free
-	b.free = 0
+	h.returnAll(now, b)
 	h.sendBatch(now, &out)
 	return out
 }
@@ -222,9 +227,11 @@
 		b := h.budgets[name]
 		h.resendAcquire(now, b, &out)
 		h.advance(now, b, &out)
+		h.returnReserve(now, b)
 		h.returnIdle(now, b)
 		h.forget(now, b)
 	}
+	h.keepContact(now)
 	h.resendAsks(now, &out)
 	h.transfers.prune(now)
 	h.resendBatch(now, &out)
@@ -259,7 +266,7 @@
 		return false
 	}
 	for _, b := range h.budgets {
-		if b.held() > 0 || b.acquire.msg != nil || len(b.waiters) > 0 {
+		if b.held() > 0 || b.out.reserve > 0 || b.acquire.msg != nil || len(b.waiters) > 0 {
 			return false
 		}
 	}
@@ -273,7 +280,7 @@
 		b := h.budgets[name]
 		levels = append(levels, Level{
 			Budget: name, Free: b.free, Reserved: b.reserved,
-			Unsettled: b.unsettled, Returning: b.returning, Waiting: len(b.waiters),
+			Unsettled: b.unsettled, Returning: b.returning, Reserve: b.out.reserve, Waiting: len(b.waiters),
 		})
 	}
 	return levels
@@ -293,10 +300,10 @@
 func (b *budget) held() uint64 { return b.free + b.reserved + b.unsettled + b.returning }
 
 // serve grants every waiter that fits, in order of arrival.
-func (h *Holder) serve(b *budget, out *Output) {
+func (h *Holder) serve(now time.Time, b *budget, out *Output) {
 	kept := b.waiters[:0]
 	for _, w := range b.waiters {
-		if w.tokens > b.free {
+		if !h.drawReserve(now, b, w.tokens) {
 			kept = append(kept, w)
 			continue
 		}
@@ -319,7 +326,16 @@
 
 // returnIdle puts free tokens that nobody used for a while on their way back.
 func (h *Holder) returnIdle(now time.Time, b *budget) {
-	if b.free == 0 || len(b.waiters) > 0 || !(b.idle(now) || h.draining) {
+	if len(b.waiters) > 0 || !(b.idle(now) || h.draining) {
+		return
+	}
+	h.returnAll(now, b)
+}
+
+// returnAll puts everything that no request has on its way back.
+func (h *Holder) returnAll(now time.Time, b *budget) {
+	h.giveReserveBack(now, b, b.out.reserve)
+	if b.free == 0 {
 		return
 	}
 	h.settlement.giveBack(now, b.name, b.free)
@@ -335,7 +351,7 @@
 // again for a resend of an old acquire. So only a budget that was never granted any
 // token is dropped.
 func (h *Holder) forget(now time.Time, b *budget) {
-	unused := b.held() == 0 && len(b.waiters) == 0 && b.round == nil
+	unused := b.held() == 0 && b.out.reserve == 0 && len(b.waiters) == 0 && b.round == nil
 	if unused && b.acquire.msg == nil && b.acquire.seq == 0 && now.Sub(b.lastUse) > b.policy.IdleReturn {
 		delete(h.budgets, b.name)
 		i, _ := slices.BinarySearch(h.names, b.name)
--- a/internal/grant/settle.go
+++ b/internal/grant/settle.go
@@ -11,9 +11,11 @@
 // settlement collects bills, returns and accepted transfers and sends them in numbered
 // batches, one at a time. A batch is resent the same until the ledger acknowledges it.
 type settlement struct {
-	bills    []*pb.Bill
-	spends   map[string]*pb.Spend // by budget
-	returns  map[string]uint64
+	bills   []*pb.Bill
+	spends  map[string]*pb.Spend // by budget
+	returns map[string]uint64
+	// reserves are what is returned out of reserves.
+	reserves map[string]uint64
 	accepted []*pb.Transfer
 	pending  bool      // any of the above is there
 	since    time.Time // when the oldest of them was added
@@ -58,6 +60,14 @@
 	s.returns[budgetName] += tokens
 }
 
+func (s *settlement) giveReserveBack(now time.Time, budgetName string, tokens uint64) {
+	s.touch(now)
+	if s.reserves == nil {
+		s.reserves = make(map[string]uint64)
+	}
+	s.reserves[budgetName] += tokens
+}
+
 func (s *settlement) accept(now time.Time, t *pb.Transfer) {
 	s.touch(now)
 	s.accepted = append(s.accepted, t)
@@ -83,12 +93,17 @@
 	for _, name := range slices.Sorted(maps.Keys(s.returns)) {
 		s.batch.Returns = append(s.batch.Returns, &pb.Return{Budget: name, Tokens: s.returns[name]})
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.reserves)) {
+		s.batch.Returns = append(s.batch.Returns, &pb.Return{Budget: name, Tokens: s.reserves[name], Reserve: true})
+	}
+	h.tellUnlocks(s.batch)
+	s.batch.WallMs = now.UnixMilli()
 	for _, name := range slices.Sorted(maps.Keys(s.spends)) {
 		s.batch.Spends = append(s.batch.Spends, s.spends[name])
 	}
 	h.markSent(s.batch)
 	s.bills = slices.Clone(s.bills[n:])
-	s.spends, s.returns, s.accepted = nil, nil, nil
+	s.spends, s.returns, s.reserves, s.accepted = nil, nil, nil, nil
 	s.pending = len(s.bills) > 0
 	s.since = now
 	s.wait = h.cfg.ResendAfter
@@ -135,6 +150,7 @@
 	}
 	done := s.batch
 	s.batch = nil
+	h.Contact(now)
 	h.settleBills(done, r.GetDuplicates())
 	for _, spend := range done.GetSpends() {
 		b := h.budget(spend.GetBudget())
@@ -185,5 +201,21 @@
 	if !ok {
 		return
 	}
-	b.level, b.levelKnown = l.GetFree(), true
+	b.setLevel(l.GetFree(), l.GetFunded(), l.GetBilled())
+}
+
+// setLevel takes what the ledger says of a budget.
+func (b *budget) setLevel(free, funded, billed uint64) {
+	b.level, b.left, b.levelKnown = free, funded-min(billed, funded), true
+}
+
+// tellUnlocks puts into a batch what was taken out of reserves since the one before.
+func (h *Holder) tellUnlocks(batch *pb.Settle) {
+	for _, name := range h.names {
+		b := h.budgets[name]
+		if b.out.untold > 0 {
+			batch.Unlocks = append(batch.Unlocks, &pb.Return{Budget: name, Tokens: b.out.untold})
+			b.out.untold = 0
+		}
+	}
 }
--- a/internal/grant/transfer.go
+++ b/internal/grant/transfer.go
@@ -239,18 +239,19 @@
 			kept = append(kept, w)
 			continue
 		}
-		out.refuse(w.request, refusal(w, b))
+		out.refuse(w.request, h.refusal(now, w, b))
 	}
 	clear(b.waiters[len(kept):])
 	b.waiters = kept
 }
 
-func refusal(w *waiter, b *budget) *errkind.Error {
+func (h *Holder) refusal(now time.Time, w *waiter, b *budget) *errkind.Error {
+	held := fmt.Sprintf("%d tokens needed, %d free here, %d in reserve, %v without contact, %d free at the ledger then",
+		w.tokens, b.free, b.out.reserve, h.withoutContact(now).Round(time.Millisecond), b.level)
 	if w.why == errkind.BudgetUnreachable {
-		return errkind.New(w.why, "budget %s: %d tokens needed, %d held here, ledger out of reach",
-			b.name, w.tokens, b.free).After(RetryUnreachable)
+		return errkind.New(w.why, "budget %s: %s; the ledger is out of reach", b.name, held).After(RetryUnreachable)
 	}
-	return errkind.New(w.why, "budget %s: %d tokens needed, none left to grant", b.name, w.tokens).After(RetryExhausted)
+	return errkind.New(w.why, "budget %s: %s; none left to grant", b.name, held).After(RetryExhausted)
 }
 
 // resendAsks asks again for the outcome of asks without an answer. A repeated ask asks
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -32,9 +33,13 @@
 // grant is what one holder has of a budget.
 type grant struct {
 	tokens uint64
-	// seq and lastAmount are of the last Acquire, for its resend.
-	seq        uint64
-	lastAmount uint64
+	// reserve is the part of tokens that the holder may spend only while it is out of
+	// contact; see package reserve.
+	reserve uint64
+	// seq, lastAmount and lastReserve are of the last Acquire, for its resend.
+	seq         uint64
+	lastAmount  uint64
+	lastReserve uint64
 }
 
 func (b *budget) free() uint64 { return b.funded - b.billed - b.granted }
@@ -57,6 +62,14 @@
 	g := b.holders[incarnation]
 	b.count(g.tokens, tokens)
 	g.tokens = tokens
+	g.reserve = min(g.reserve, tokens) // the open part goes first
+	b.holders[incarnation] = g
+}
+
+// unlock moves tokens of a holder from its reserve to the open part of its grant.
+func (b *budget) unlock(incarnation, tokens uint64) {
+	g := b.holders[incarnation]
+	g.reserve -= min(g.reserve, tokens)
 	b.holders[incarnation] = g
 }
 
@@ -84,6 +97,7 @@
 		held := b.holders[inc]
 		p.Granted = append(p.Granted, &pb.Granted{
 			Holder: g.holder(inc), Tokens: held.tokens, AcquireSeq: held.seq, LastAmount: held.lastAmount,
+			Reserve: held.reserve,
 		})
 	}
 	return p
@@ -228,25 +242,37 @@
 		return nil, e
 	}
 	if a.Seq > g.seq {
-		amount := b.grantSize(inc, a.Need, min(a.Want, b.ahead(a)))
-		s.setGrant(b, inc, g.tokens+amount)
+		s.acquire(b, inc, a)
 		g = b.holders[inc]
-		g.seq, g.lastAmount = a.Seq, amount
-		b.holders[inc] = g
 		checkInvariant(b)
 	}
-	return &pb.AcquireResult{Amount: g.lastAmount, Free: b.free(), Funded: b.funded, Billed: b.billed, Seq: a.Seq}, nil
+	return &pb.AcquireResult{
+		Amount: g.lastAmount, Reserve: g.lastReserve, Free: b.free(), Funded: b.funded, Billed: b.billed, Seq: a.Seq,
+	}, nil
+}
+
+// acquire carries out a new Acquire.
+func (s *State) acquire(b *budget, inc uint64, a *pb.Acquire) {
+	b.unlock(inc, a.Unlock)
+	amount := b.grantSize(inc, a.Need, min(a.Want, a.Need+b.ahead(a)))
+	s.setGrant(b, inc, b.holders[inc].tokens+amount)
+	added := b.grantSize(inc, 0, min(a.Reserve, b.ahead(a)))
+	s.setGrant(b, inc, b.holders[inc].tokens+added)
+	g := b.holders[inc]
+	g.reserve += added
+	g.seq, g.lastAmount, g.lastReserve = a.Seq, amount, added
+	b.holders[inc] = g
 }
 
-// ahead is how much an Acquire may get beyond its need, so that all holders together hold
-// no more of what is left than its bound says.
+// ahead is how much may still be granted beyond need, so that all holders together hold
+// no more of what is left than the bound of an Acquire says.
 func (b *budget) ahead(a *pb.Acquire) uint64 {
 	if a.AtRiskPermille == 0 {
-		return a.Want
+		return math.MaxUint64 - a.Need
 	}
 	const whole = 1000
 	most := (b.funded - b.billed) / whole * uint64(a.AtRiskPermille)
-	return a.Need + most - min(most, b.granted)
+	return most - min(most, b.granted)
 }
 
 // grantSize says how much of the free tokens an Acquire gets: the need if it is
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -23,6 +23,7 @@
 	identities map[window.Key]billRef
 	billedKeys []window.Key
 	moved      map[string]transfer
+	unlocked   []unlocked
 	lines      []budgetLine
 	duplicates []string
 	counters   Counters
@@ -39,6 +40,12 @@
 	bills  uint64
 }
 
+// unlocked is what a batch moves from its holder's reserve to the open part.
+type unlocked struct {
+	grantKey
+	tokens uint64
+}
+
 type budgetLine struct {
 	budget *budget
 	line   line
@@ -191,6 +198,20 @@
 		return violation("return of %d tokens, but incarnation %d has %d granted of budget %q", r.Tokens, incarnation, have, b.name)
 	}
 	d.setGranted(b, incarnation, have-r.Tokens)
+	if r.Reserve {
+		d.unlocked = append(d.unlocked, unlocked{grantKey{b, incarnation}, r.Tokens})
+	}
+	return nil
+}
+
+// unlock notes that a holder took tokens of its reserve while it was out of contact.
+func (d *draft) unlock(incarnation uint64, r *pb.Return) error {
+	b, err := d.state.find(r.Budget)
+	if err != nil {
+		return err
+	}
+	d.touch(b)
+	d.unlocked = append(d.unlocked, unlocked{grantKey{b, incarnation}, r.Tokens})
 	return nil
 }
 
@@ -265,6 +286,9 @@
 // commit applies the draft and checks every budget that it touched.
 func (d *draft) commit() {
 	s := d.state
+	for _, u := range d.unlocked { // before what was spent of it leaves the grant
+		u.budget.unlock(u.incarnation, u.tokens)
+	}
 	for key, tokens := range d.grants {
 		s.setGrant(key.budget, key.incarnation, tokens)
 	}
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -42,8 +42,10 @@
 type grantImage struct {
 	Incarnation uint64 `json:"incarnation"`
 	Tokens      uint64 `json:"tokens"`
+	Reserve     uint64 `json:"reserve,omitempty"`
 	Seq         uint64 `json:"seq"`
 	LastAmount  uint64 `json:"last_amount"`
+	LastReserve uint64 `json:"last_reserve,omitempty"`
 }
 
 type transferImage struct {
@@ -95,7 +97,9 @@
 	}
 	for _, inc := range slices.Sorted(maps.Keys(b.holders)) {
 		g := b.holders[inc]
-		im.Grants = append(im.Grants, grantImage{Incarnation: inc, Tokens: g.tokens, Seq: g.seq, LastAmount: g.lastAmount})
+		im.Grants = append(im.Grants, grantImage{
+			Incarnation: inc, Tokens: g.tokens, Reserve: g.reserve, Seq: g.seq, LastAmount: g.lastAmount, LastReserve: g.lastReserve,
+		})
 	}
 	return im
 }
@@ -164,7 +168,9 @@
 			return errors.Errorf("ledger: snapshot: the grants of budget %q overflow", im.Name)
 		}
 		b.setGrant(g.Incarnation, g.Tokens)
-		b.holders[g.Incarnation] = grant{tokens: g.Tokens, seq: g.Seq, lastAmount: g.LastAmount}
+		b.holders[g.Incarnation] = grant{
+			tokens: g.Tokens, reserve: min(g.Reserve, g.Tokens), seq: g.Seq, lastAmount: g.LastAmount, lastReserve: g.LastReserve,
+		}
 	}
 	if promised > im.Funded {
 		return errors.Errorf("ledger: snapshot: budget %q has billed and granted %d of %d funded tokens", im.Name, promised, im.Funded)
--- a/internal/ledger/registry.go
+++ b/internal/ledger/registry.go
@@ -1,10 +1,13 @@
 package ledger
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/grant/reserve"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -56,6 +59,10 @@
 	Result batchResult `json:"result"`
 	// Contact is when the last batch was applied (or the host registered).
 	Contact int64 `json:"contact"`
+	// Confirmed is a time of the past at which the holder surely had not yet received the
+	// last answer that it did receive; WallMs is its time of day in its last batch.
+	Confirmed int64 `json:"confirmed,omitempty"`
+	WallMs    int64 `json:"wall_ms,omitempty"`
 	// budgets is the number of budgets of which it has tokens.
 	budgets int
 }
@@ -77,7 +84,57 @@
 	if c.Host == "" || c.BootId == "" {
 		return nil, errkind.New(errkind.BadRequest, "a registration needs a host and a boot id")
 	}
-	return s.registry.register(c, r.Now), nil
+	former := s.formerRun(c)
+	result := s.registry.register(c, r.Now)
+	if former != nil && former.Dead {
+		s.releaseReserve(r, former, c)
+	}
+	return result, nil
+}
+
+// formerRun is the run of the host that a registration ends; nil if it ends none.
+func (s *State) formerRun(c *pb.RegisterHost) *incarnation {
+	h := s.registry.hosts[c.Host]
+	if h == nil {
+		return nil
+	}
+	if _, known := h.boot(c.BootId); known {
+		return nil
+	}
+	return s.registry.open[h.Incarnation]
+}
+
+// releaseReserve frees the part of a lost run's reserve that it can't have spent. The
+// rest of what it held counts as spent: it stays granted to it, until a record of what
+// it gave or used turns up.
+func (s *State) releaseReserve(r Record, former *incarnation, c *pb.RegisterHost) {
+	without := s.withoutContact(r, former, c)
+	for _, b := range s.byNumber {
+		g := b.holders[former.Number]
+		if g.reserve == 0 {
+			continue
+		}
+		freed := g.reserve - reserve.PerhapsSpent(g.reserve, without)
+		b.unlock(former.Number, g.reserve)
+		s.setGrant(b, former.Number, g.tokens-freed)
+		b.shrink()
+		b.statement.append(line{
+			Index: r.Index, TimeMs: r.Now, Kind: lineRecover, Tokens: freed, Actor: r.Actor,
+			Note: fmt.Sprintf("reserve of incarnation %d, %v without contact", former.Number, without),
+		})
+		checkInvariant(b)
+	}
+}
+
+// withoutContact is how long a lost run may have lived on without contact, at most.
+func (s *State) withoutContact(r Record, former *incarnation, c *pb.RegisterHost) time.Duration {
+	ms := r.Now - former.Confirmed
+	if former.WallMs > 0 && c.WallMs > 0 {
+		// The wall time of the last batch is that of its making, after the contact counted
+		// from; what lies between the two is added.
+		ms = max(ms, c.WallMs+c.AgeMs-former.WallMs+former.Contact-former.Confirmed)
+	}
+	return time.Duration(max(ms-c.AgeMs, 0)) * time.Millisecond
 }
 
 func (g *registry) register(c *pb.RegisterHost, now int64) *pb.RegisterHostResult {
@@ -116,7 +173,7 @@
 	if len(h.Boots) > bootsKept {
 		h.Boots = slices.Delete(h.Boots, 0, 1)
 	}
-	g.open[g.last] = &incarnation{Number: g.last, Host: h.Name, Contact: now}
+	g.open[g.last] = &incarnation{Number: g.last, Host: h.Name, Contact: now, Confirmed: now}
 	return b
 }
 
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -47,7 +47,9 @@
 		return nil, false, err
 	}
 	d.commit()
-	inc.Seq, inc.Contact = b.Seq, r.Now
+	// That this batch was made shows that the answer to the one before was received.
+	inc.Confirmed, inc.Contact = inc.Contact, r.Now
+	inc.Seq, inc.WallMs = b.Seq, b.WallMs
 	inc.Result = d.result()
 	return s.settleResult(inc), false, nil
 }
@@ -81,6 +83,11 @@
 			return err
 		}
 	}
+	for _, u := range b.Unlocks {
+		if err := d.unlock(incarnation, u); err != nil {
+			return err
+		}
+	}
 	for _, spend := range b.Spends {
 		if err := d.spendPlain(incarnation, spend); err != nil {
 			return err
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -51,8 +51,10 @@
 	// Service that the request goes to, and the table's entry of it.
 	Service *routes.Service
 
-	// Reserved is how many tokens are set aside; Input is set once a server may have read
-	// the prompt, Output counts what was delivered.
+	// Reserved is how many tokens are set aside. Input is set once the request surely began
+	// to run, with the first part of its answer, or may have done so at a server that did
+	// not answer; a request that its caller or its deadline ended before has not run.
+	// Output counts what was delivered.
 	Reserved uint64
 	Input    bool
 	Output   uint64
--- a/internal/relay/forward/deliver.go
+++ b/internal/relay/forward/deliver.go
@@ -34,10 +34,12 @@
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxWhole+1))
 	if err != nil {
 		// Nothing has been passed on: the caller never sees half an answer.
+		t.x.Input = t.x.Input || t.ctx.Err() == nil
 		return t.unlessOver(balance.Broken),
 			errkind.New(errkind.BackendServerFailed, "the answer broke off: %v", err).WithRan(t.ran), true
 	}
 	lease.First()
+	t.x.Input = true
 	if res.StatusCode >= http.StatusInternalServerError && t.x.Route.Kind == routes.Idempotent && t.allowNext() {
 		return balance.Served, errkind.New(errkind.BackendServerFailed, "the backend server answered %d", res.StatusCode), true
 	}
@@ -67,6 +69,7 @@
 		n, readErr := res.Body.Read(buf)
 		if n > 0 {
 			lease.First()
+			t.x.Input = true
 			events.Write(buf[:n])
 			t.x.Output = uint64(events.Events()) * t.tokensPerEvent()
 			_, _ = t.w.Write(buf[:n])
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -144,6 +144,7 @@
 	case reply.ID != t.x.ID:
 		// A late answer to another request, or bytes that are no answer: never for this caller.
 		t.mayHaveRun()
+		t.x.Input = true
 		result = balance.Broken
 		return errkind.New(errkind.BackendServerFailed, "the answer names request %q", reply.ID).WithRan(t.ran), true
 	case reply.NotRun:
@@ -176,10 +177,7 @@
 }
 
 // mayHaveRun notes that a server may have begun to work on the request.
-func (t *try) mayHaveRun() {
-	t.ran = errkind.RanUnknown
-	t.x.Input = true
-}
+func (t *try) mayHaveRun() { t.ran = errkind.RanUnknown }
 
 // notAnswered takes an attempt without an answer.
 func (t *try) notAnswered(err error) balance.Result {
@@ -188,7 +186,9 @@
 	}
 	t.sent++
 	t.mayHaveRun()
-	return t.unlessOver(balance.Broken)
+	result := t.unlessOver(balance.Broken)
+	t.x.Input = t.x.Input || result == balance.Broken
+	return result
 }
 
 // unlessOver is the result, or Abandoned if the request's own end caused it.
