Servers announce themselves to hosts that serve callers

Change: a control host answers with a gateway's address; an answer to a request shows that a server is there. Prompts count as unread until their first event, and a server's lateness is remembered for a second: with the model alone hosts predicted 0.1 s where it took 2 s.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -48,8 +48,11 @@
 	Instance instance.Announcement
 	// Wait is the predicted time to the first part of the answer.
 	Wait time.Duration
-	// Cached is how many tokens of the prompt the server is expected to keep.
-	Cached uint64
+	// Cached is how many tokens of the prompt the server is expected to keep, Shared how
+	// many of it other requests may have too.
+	Cached, Shared uint64
+	// HomeWait is the wait predicted at the server that is home to the shared parts; 0: none.
+	HomeWait time.Duration
 	// Running is how many requests of this host were at the server before.
 	Running int
 	// Considered is how many servers were compared.
@@ -92,6 +95,9 @@
 	runningPenalty = 150 * time.Microsecond
 	// stalePenalty keeps servers not heard of for long behind those that were.
 	stalePenalty = 5 * time.Second
+	// servedFresh is how long an answer shows that a server is there, though it was not
+	// heard of.
+	servedFresh = 5 * time.Second
 	// firstBackoff and maxBackoff bound how long a server that failed gets nothing.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 4 * time.Second
@@ -111,9 +117,11 @@
 type run struct {
 	server *server
 	// unread is how many prompt tokens the server has to read before the first event.
-	unread  uint64
-	started time.Time
-	first   bool
+	unread    uint64
+	started   time.Time
+	predicted time.Duration
+	engine    bool
+	first     bool
 }
 
 // New makes a core that chooses among the instances of reg.
@@ -125,7 +133,8 @@
 func (c *Core) Choose(now time.Time, w *Work) (Choice, error) {
 	var best *candidate
 	considered := 0
-	homes := c.homes(w)
+	homeWait := time.Duration(0)
+	home := c.home(w)
 	for _, inst := range c.reg.Serving(w.Service) {
 		if excluded(w, inst.ID) {
 			continue
@@ -135,7 +144,10 @@
 			continue
 		}
 		considered++
-		cand := c.predict(now, w, inst, s, inst.ID == homes)
+		cand := c.predict(now, w, inst, s, inst.ID == home)
+		if inst.ID == home {
+			homeWait = cand.wait
+		}
 		if best == nil || cand.cost < best.cost || cand.cost == best.cost && c.rng.IntN(considered) == 0 {
 			best = &cand
 		}
@@ -144,7 +156,10 @@
 		return Choice{}, c.noServer(now, w)
 	}
 	c.ticket++
-	r := &run{server: best.server, unread: w.PromptTokens - min(best.cached, w.PromptTokens), started: now}
+	r := &run{
+		server: best.server, unread: w.PromptTokens - min(best.cached, w.PromptTokens), started: now, predicted: best.wait,
+		engine: w.Engine,
+	}
 	c.runs[c.ticket] = r
 	best.server.begin(now, r)
 	if w.Engine {
@@ -152,6 +167,7 @@
 	}
 	return Choice{
 		Ticket: c.ticket, Instance: best.inst.Announcement, Wait: best.wait, Cached: best.cached,
+		Shared: sharedTokens(w.Prompt), HomeWait: homeWait,
 		Running: best.server.running - 1, Considered: considered,
 	}, nil
 }
@@ -174,14 +190,14 @@
 			cand.cached = max(cand.cached, sharedTokens(w.Prompt))
 		}
 		unread := w.PromptTokens - min(cand.cached, w.PromptTokens)
-		cand.wait = readTime(s.backlog(now)+float64(unread)) + time.Duration(s.load())*runningPenalty
+		cand.wait = readTime(s.backlog(now)+float64(unread)) + s.behind(now) + time.Duration(s.load())*runningPenalty
 	} else {
 		cand.wait = s.serviceTime(inst.Slots)
 	}
 	if inst.Zone != c.cfg.Zone {
 		cand.wait += zonePenalty
 	}
-	if !c.reg.Fresh(now, inst) {
+	if !c.reg.Fresh(now, inst) && now.Sub(s.served) > servedFresh {
 		cand.wait += stalePenalty
 	}
 	cand.cost = w.cost(&cand)
@@ -281,7 +297,7 @@
 	var out []*pb.RecentWork
 	for id, s := range c.servers {
 		if s.running > 0 {
-			out = append(out, &pb.RecentWork{Server: id, Requests: uint32(s.running), Tokens: uint64(s.own.left(now))})
+			out = append(out, &pb.RecentWork{Server: id, Requests: uint32(s.running), Tokens: uint64(s.ownBacklog(now))})
 		}
 	}
 	return out
@@ -293,7 +309,7 @@
 		s.peers.drop(host)
 	}
 	for _, w := range work {
-		told := peerWork{running: int(w.GetRequests()), unread: queue{tokens: float64(w.GetTokens()), at: now}}
+		told := peerWork{running: int(w.GetRequests()), unread: float64(w.GetTokens()), told: now}
 		c.server(w.GetServer()).peers.set(host, told)
 	}
 }
--- a/internal/balance/home.go
+++ b/internal/balance/home.go
@@ -2,10 +2,10 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// homes returns the instance at which the shared beginning of w's prompt is at home: the
+// home returns the instance at which the shared beginning of w's prompt is at home: the
 // first by rendezvous hash. All hosts compute the same one without a word between them,
 // so that one engine reads the part and all requests with it find it there.
-func (c *Core) homes(w *Work) string {
+func (c *Core) home(w *Work) string {
 	if !w.Engine || len(w.Prompt) < 2 {
 		return ""
 	}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -1,15 +1,26 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // server is what this host knows of one instance beyond its announcements.
 type server struct {
-	// running counts this host's requests there, pending those without their first part.
-	running, pending int
-	// own is the prompt tokens of this host's requests that the server has yet to read.
-	own   queue
-	peers peersWork
-	cache cache
+	// running counts this host's requests there; pending are those without the first part
+	// of their answer, oldest first, and unread the prompt tokens of these.
+	running int
+	pending []*run
+	unread  uint64
+	// headSince is when the server can have begun to read the oldest one, at the earliest.
+	headSince time.Time
+	peers     peersWork
+	cache     cache
+
+	// late is by how much the last first part came after its prediction, at lateAt.
+	late   time.Duration
+	lateAt time.Time
 
 	reportedAt time.Time
 	report     Load
@@ -17,6 +28,8 @@
 	// took is the running mean of a plain service's time to answer.
 	took time.Duration
 
+	// served is when it last answered.
+	served    time.Time
 	failures  int
 	suspended time.Time
 }
@@ -28,29 +41,63 @@
 
 func (s *server) begin(now time.Time, r *run) {
 	s.running++
-	s.pending++
-	s.own.add(now, float64(r.unread))
+	if len(s.pending) == 0 {
+		s.headSince = now
+	}
+	s.pending = append(s.pending, r)
+	s.unread += r.unread
 }
 
-// firstPart takes that the prompt of a run has been read. When it was the last one that
-// this host waited for, nothing of its own is left to read there, whatever the model says.
+// firstPart takes that the prompt of a run has been read.
 func (s *server) firstPart(now time.Time, r *run) {
-	if r.first {
+	if !s.leavePending(now, r) || !r.engine {
 		return
 	}
+	s.late, s.lateAt = now.Sub(r.started)-r.predicted, now
+}
+
+// leavePending takes a run off those that wait; false: it did not.
+func (s *server) leavePending(now time.Time, r *run) bool {
+	if r.first {
+		return false
+	}
 	r.first = true
-	s.pending--
-	if s.pending == 0 {
-		s.own = queue{at: now}
+	i := slices.Index(s.pending, r)
+	s.pending = slices.Delete(s.pending, i, i+1)
+	s.unread -= r.unread
+	s.headSince = now
+	return true
+}
+
+// ownBacklog is how many prompt tokens of this host's requests are not read yet. Engines
+// read them in turn, so the oldest is the only one of which a part may have been read:
+// however long the others wait, they are not read before their first part comes.
+func (s *server) ownBacklog(now time.Time) float64 {
+	if len(s.pending) == 0 {
+		return 0
+	}
+	read := min(readIn(now.Sub(s.headSince)), float64(s.pending[0].unread))
+	return float64(s.unread) - read
+}
+
+// lateFade is the time in which what was seen of a server's lateness fades to a third.
+const lateFade = time.Second
+
+// behind is by how much the server's answers came later than predicted, as far as that
+// still counts: work of others that this host does not know of.
+func (s *server) behind(now time.Time) time.Duration {
+	if s.late <= 0 {
+		return 0
 	}
+	return time.Duration(float64(s.late) * math.Exp(-float64(now.Sub(s.lateAt))/float64(lateFade)))
 }
 
 func (s *server) end(now time.Time, r *run, result Result) {
-	s.firstPart(now, r)
+	s.leavePending(now, r)
 	s.running--
 	switch result {
 	case Served:
-		s.failures, s.suspended = 0, time.Time{}
+		s.failures, s.suspended, s.served = 0, time.Time{}, now
 		s.took += time.Duration(tookWeight * float64(now.Sub(r.started)-s.took))
 	case Shed:
 		s.suspended = now.Add(firstBackoff)
@@ -68,7 +115,7 @@
 func (s *server) load() int { return s.running + s.peers.running }
 
 // backlog is how many prompt tokens the server has yet to read, of all hosts.
-func (s *server) backlog(now time.Time) float64 { return s.own.left(now) + s.peers.left(now) }
+func (s *server) backlog(now time.Time) float64 { return s.ownBacklog(now) + s.peers.left(now) }
 
 // serviceTime predicts when a plain service answers one more request.
 func (s *server) serviceTime(slots int) time.Duration {
@@ -80,7 +127,9 @@
 // peerWork is what one peer has at a server.
 type peerWork struct {
 	running int
-	unread  queue
+	// unread prompt tokens, as told at the time told.
+	unread float64
+	told   time.Time
 }
 
 // peersWork is what the peers have at a server.
@@ -110,7 +159,7 @@
 func (p *peersWork) left(now time.Time) float64 {
 	sum := 0.0
 	for _, w := range p.by {
-		sum += w.unread.left(now)
+		sum += max(w.unread-readIn(now.Sub(w.told)), 0)
 	}
 	return sum
 }
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	routesctl "github.com/bluebellsail/bluebellsail/internal/controller/routes"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 	"github.com/bluebellsail/bluebellsail/internal/surface"
 )
 
@@ -62,6 +67,47 @@
 	return out
 }
 
+// announceTo is the host that a backend server should send its announcements to, if this
+// one serves no callers: a live host of the server's zone that does, the same for a
+// server as long as it lives.
+//
+// Without it half of the servers announce themselves to hosts that only run a replica. In
+// a partition between these and the hosts that serve callers, the latter hear nothing of
+// the former's servers and take them for lost.
+func (g *gateway) announceTo(a instance.Announcement) string {
+	if g.d.cfg.Has(procconfig.RoleGateway) {
+		return ""
+	}
+	best, address := uint64(0), ""
+	for _, m := range g.members.Peers() {
+		if m.CallerAddress == "" || m.Health != pb.HostHealth_HOST_HEALTH_ALIVE || m.Leaving {
+			continue
+		}
+		rank := xxhash.Sum64String(a.ID+"/"+m.Host) >> 1
+		if m.Zone == a.Zone {
+			rank |= sameZoneBit
+		}
+		if address == "" || rank > best {
+			best, address = rank, g.registryAddress(m.PeerAddress)
+		}
+	}
+	return address
+}
+
+// sameZoneBit ranks hosts of the server's zone before all others.
+const sameZoneBit = 1 << 63
+
+// registryAddress is the registry of the host with a peer address: all hosts of a fleet
+// have it at the same port.
+func (g *gateway) registryAddress(peer string) string {
+	ip, _, errIP := net.SplitHostPort(peer)
+	_, port, errPort := net.SplitHostPort(g.d.cfg.Routed.Registry)
+	if errIP != nil || errPort != nil {
+		return "" // no address to name; the server stays with this host
+	}
+	return net.JoinHostPort(ip, port)
+}
+
 // gatewayPeers implements grants.Asker.
 type gatewayPeers struct{ g *gateway }
 
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter/callergone"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/relay/budget"
@@ -43,7 +44,7 @@
 		handler       func() http.Handler
 	}{
 		{"readiness", r.Readiness, func() http.Handler { return g.protocol.Readiness(g.ready) }},
-		{"registry", r.Registry, func() http.Handler { return g.protocol.Registry(g.balancer, g) }},
+		{"registry", r.Registry, func() http.Handler { return g.protocol.Registry(g, g) }},
 		{"directory", r.Directory, func() http.Handler { return g.protocol.Directory(g) }},
 	} {
 		if l.address == "" {
@@ -65,6 +66,15 @@
 	})
 }
 
+// Announce implements surface.Servers.
+func (g *gateway) Announce(a instance.Announcement) (next string) {
+	g.balancer.Announce(a)
+	return g.announceTo(a)
+}
+
+// End implements surface.Servers.
+func (g *gateway) End(id string) { g.balancer.End(id) }
+
 // Replace implements surface.Tables.
 func (g *gateway) Replace(ctx context.Context, c *pb.ReplaceRoutes) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
@@ -122,7 +132,8 @@
 		event = event.Uint64("reserved", x.Reserved).Uint64("prompt", x.PromptTokens).Uint64("output", x.Output)
 	}
 	for _, a := range x.Attempts {
-		event = event.Str("server", a.Server).Dur("predicted", a.Wait).Uint64("cached", a.Cached).Int("running", a.Running).
+		event = event.Str("server", a.Server).Dur("predicted", a.Wait).Uint64("cached", a.Cached).
+			Uint64("shared", a.Shared).Dur("home_wait", a.Home).Int("running", a.Running).
 			Dur("first", a.First).Dur("ran", a.Took).Str("outcome", a.Outcome)
 	}
 	if e := errkind.From(err); e != nil {
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -112,7 +112,7 @@
 	choice := lease.Choice()
 	t.work.Exclude = append(t.work.Exclude, choice.Instance.ID)
 	t.x.Attempts = append(t.x.Attempts, relay.Attempt{
-		Server: choice.Instance.ID, Wait: choice.Wait, Cached: choice.Cached, Running: choice.Running,
+		Server: choice.Instance.ID, Wait: choice.Wait, Cached: choice.Cached, Shared: choice.Shared, Home: choice.HomeWait, Running: choice.Running,
 	})
 	note := &t.x.Attempts[len(t.x.Attempts)-1]
 	started := time.Now()
--- a/internal/surface/surface.go
+++ b/internal/surface/surface.go
@@ -27,8 +27,9 @@
 
 // Servers takes what backend servers say of themselves.
 type Servers interface {
-	// Announce takes an announcement.
-	Announce(a instance.Announcement)
+	// Announce takes an announcement. It returns where the server should send its later
+	// ones; empty: to this host.
+	Announce(a instance.Announcement) (next string)
 	// End takes that a backend server ends.
 	End(id string)
 }
