--- /dev/null
+++ b/internal/instance/registry_test.go
@@ -0,0 +1,170 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+var start = time.Unix(1000, 0)
+
+func ready(id string, seq uint64) Announcement {
+	return Announcement{ID: id, Service: "pool", Address: "10.0.0.1:80", Slots: 4, Seq: seq}
+}
+
+func serving(r *Registry) []string {
+	var out []string
+	for _, i := range r.Serving("pool") {
+		out = append(out, i.ID)
+	}
+	return out
+}
+
+func want(t *testing.T, r *Registry, ids ...string) {
+	t.Helper()
+	if got := serving(r); fmt.Sprint(got) != fmt.Sprint(ids) {
+		t.Errorf("serving %v, want %v", got, ids)
+	}
+}
+
+func TestDrainIsNeverTakenBack(t *testing.T) {
+	r := New(Config{})
+	r.Announce(start, ready("a", 1))
+	want(t, r, "a")
+	draining := ready("a", 3)
+	draining.Draining = true
+	if !r.Announce(start, draining) {
+		t.Error("the drain is no news")
+	}
+	want(t, r)
+	r.Announce(start, ready("a", 2)) // overtaken on the way
+	r.Announce(start, ready("a", 4))
+	want(t, r)
+}
+
+// Symptom: a server that leaves gets requests for another heartbeat.
+// Sequence: its word that it drains is overtaken by an older one that says ready.
+// Cause: an announcement with a lower number dropped whole.
+func TestDrainCountsFromALateAnnouncement(t *testing.T) {
+	r := New(Config{})
+	r.Announce(start, ready("a", 5))
+	draining := ready("a", 4)
+	draining.Draining = true
+	if !r.Announce(start, draining) {
+		t.Error("the drain is no news")
+	}
+	want(t, r)
+}
+
+// Symptom: a server that serves gets no requests.
+// Sequence: server a crashes behind a partition; b starts at its address and announces
+// itself; then the partition lets a's last announcement, a's first one here, through.
+// Cause: the newest first announcement at an address displaced the one that was there.
+func TestHeldUpAnnouncementDisplacesNobody(t *testing.T) {
+	r := New(Config{})
+	r.Announce(start, ready("b", 1))
+	r.Announce(start.Add(time.Second), ready("a", 9))
+	want(t, r, "b")
+	r.Announce(start.Add(1200*time.Millisecond), ready("b", 2))
+	want(t, r, "b")
+}
+
+func TestSecondAnnouncementTakesTheAddress(t *testing.T) {
+	r := New(Config{})
+	r.Announce(start, ready("a", 1))
+	r.Announce(start.Add(time.Second), ready("b", 1))
+	want(t, r, "a")
+	r.Announce(start.Add(2*time.Second), ready("b", 2))
+	want(t, r, "b")
+	r.Announce(start.Add(3*time.Second), ready("a", 2)) // a is gone for good
+	want(t, r, "b")
+}
+
+func TestOtherAnswersAtTheAddress(t *testing.T) {
+	r := New(Config{})
+	r.Announce(start, ready("a", 1))
+	r.Announce(start, ready("b", 1))
+	if !r.End(start, "a") {
+		t.Error("the end is no news")
+	}
+	want(t, r, "b")
+}
+
+func TestNewAddressOwnerAfterSilence(t *testing.T) {
+	r := New(Config{})
+	r.Announce(start, ready("a", 1))
+	r.Announce(start.Add(DefaultLapse), ready("b", 1))
+	want(t, r, "b")
+}
+
+func TestFreshAndForgotten(t *testing.T) {
+	r := New(Config{Lapse: time.Second, Forget: time.Minute})
+	r.Announce(start, ready("a", 1))
+	i, _ := r.Get("a")
+	if !r.Fresh(start, i) || r.Fresh(start.Add(time.Second), i) {
+		t.Error("fresh for another time than the lapse")
+	}
+	want(t, r, "a") // silent, but nobody else is there
+	r.Expire(start.Add(time.Minute))
+	want(t, r)
+	if _, known := r.Get("a"); known {
+		t.Error("still known")
+	}
+}
+
+func TestEndBeforeTheFirstAnnouncement(t *testing.T) {
+	r := New(Config{})
+	r.End(start, "a")
+	r.Announce(start, ready("a", 1))
+	want(t, r)
+}
+
+// Two registries that exchange snapshots agree on who may get requests, whatever each
+// heard itself and in whichever order the snapshots come.
+func TestMergedRegistriesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regs := []*Registry{New(Config{}), New(Config{})}
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			r := regs[rapid.IntRange(0, 1).Draw(t, "host")]
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				r.End(now, id)
+			case 1:
+				other := regs[rapid.IntRange(0, 1).Draw(t, "from")]
+				r.Merge(now, time.Millisecond, other.Snapshot(now))
+			default:
+				a := ready(id, uint64(rapid.IntRange(1, 9).Draw(t, "seq")))
+				a.Address = "10.0.0.9:" + id // each its own address
+				a.Draining = rapid.IntRange(0, 4).Draw(t, "draining") == 0
+				r.Announce(now, a)
+			}
+		}
+		for range 2 {
+			regs[0].Merge(now, time.Millisecond, regs[1].Snapshot(now))
+			regs[1].Merge(now, time.Millisecond, regs[0].Snapshot(now))
+		}
+		if a, b := fmt.Sprint(serving(regs[0])), fmt.Sprint(serving(regs[1])); a != b {
+			t.Fatalf("%s against %s", a, b)
+		}
+	})
+}
+
+func TestMergeTakesNoAgeForYounger(t *testing.T) {
+	r := New(Config{})
+	r.Merge(start, 100*time.Millisecond, []*pb.ServerState{{Id: "a", Address: "x", Services: []string{"pool"}, Seq: 1, AgeMs: 400}})
+	i, ok := r.Get("a")
+	if !ok || i.Heard != start.Add(-500*time.Millisecond) {
+		t.Fatalf("heard %v before", start.Sub(i.Heard))
+	}
+	r.Merge(start, -1, []*pb.ServerState{{Id: "b", Address: "y", Services: []string{"pool"}, Seq: 1}})
+	if b, _ := r.Get("b"); !b.Heard.Before(start) {
+		t.Error("a state of unknown age counts as heard now")
+	}
+}
