Requests that readers could read differently are refused before the parser

Cause: nbhttp takes what RFC 9112 forbids (two lengths, a length beside chunks, chunk size 0x5, folded lines, methods in small letters), and closes without an answer where it refuses. Limits of headers, bodies and times follow the routing table; slow senders get 408, which says that the request has not run, where it was 400.

Ruled out: checks in the parser's callbacks; they don't see folded lines, spaces before colons or chunk extensions.

--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,7 +20,7 @@
 	if e.http == nil {
 		return nil
 	}
-	e.waitKeptAddresses(ctx)
+	wait(ctx, e.d.settings.Fleet().AddressTTL.Std()) // callers may keep an address answer so long
 	err := e.http.Drain(ctx)
 	e.api.Wait()
 	if settleErr := e.grants.Drain(ctx); err == nil {
@@ -42,11 +41,3 @@
 		RemoveHost: &pb.RemoveHost{Host: self.Host, Incarnation: self.Incarnation}}})
 	return err
 }
-
-// waitKeptAddresses waits as long as callers may keep an address answer.
-func (e *entry) waitKeptAddresses(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(e.d.settings.Fleet().AddressTTL.Std()):
-	}
-}
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -25,6 +25,9 @@
 // second and go to another host then.
 const tableTimeout = 900 * time.Millisecond
 
+// maxHeaderBytes bounds what a routing table may allow for headers.
+const maxHeaderBytes = 1 << 20
+
 // serve opens the addresses that the settings give.
 func (g *gateway) serve() error {
 	r := g.d.cfg.Routed
@@ -34,7 +37,10 @@
 			&forward.Filter{
 				Dialect: g.protocol, Client: g.client, Balancer: g.balancer, Retries: g.balancer, Abort: httpserver.Abort,
 			})
-		g.requests = g.server("requests", r.Requests, handler)
+		g.requests = httpserver.New(httpserver.Config{
+			Name: "requests", Address: r.Requests, Handler: handler, Limits: g.callerLimits,
+			MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: g.d.cfg.Limits.MaxBodyBytes, Streams: g.d.cfg.Limits.Streams,
+		})
 		if err := g.requests.Start(); err != nil {
 			return errors.Wrap(err, "callers' address")
 		}
@@ -74,6 +80,18 @@
 	})
 }
 
+// callerLimits are those of the routing table in force; without one, the server's own.
+func (g *gateway) callerLimits() httpserver.Limits {
+	x, err := g.routes.Current()
+	if err != nil {
+		return httpserver.Limits{}
+	}
+	l := x.Table().Limits
+	return httpserver.Limits{
+		HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout.Std(), IdleTimeout: l.IdleTimeout.Std(),
+	}
+}
+
 // Announce implements surface.Servers.
 func (g *gateway) Announce(a instance.Announcement) (next string) {
 	g.balancer.Announce(a)
@@ -151,27 +169,6 @@
 	event.Send()
 }
 
-// drain lets this host go without cutting off a request: the directory and its readiness
-// stop naming it first, and it serves on for those who were told of it before.
-func (g *gateway) drain(ctx context.Context) error {
-	g.leaving.Store(true)
-	g.members.Leave()
-	if g.requests == nil {
-		return nil
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(2 * g.d.cfg.Routed.AddressTTL.Std()):
-	}
-	err := g.requests.Drain(ctx)
-	if manager := g.grants.Load(); manager != nil {
-		if settleErr := manager.Drain(ctx); err == nil {
-			err = settleErr
-		}
-	}
-	return errors.Wrap(err, "drain")
-}
-
 // close ends what serve began.
 func (g *gateway) close() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -17,6 +17,8 @@
 const (
 	BadRequest           Kind = "bad_request"
 	BodyTooLarge         Kind = "body_too_large"
+	HeadersTooLarge      Kind = "headers_too_large"
+	RequestTimeout       Kind = "request_timeout"
 	Unauthenticated      Kind = "unauthenticated"
 	Forbidden            Kind = "forbidden"
 	UnknownPath          Kind = "unknown_path"
@@ -91,6 +93,8 @@
 var Table = []Answer{
 	{BadRequest, 400, RanNo, RetryNever, "the body or a header can't be understood"},
 	{BodyTooLarge, 413, RanNo, RetryNever, "the body is over the limit"},
+	{HeadersTooLarge, 431, RanNo, RetryNever, "the headers are over the limit"},
+	{RequestTimeout, 408, RanNo, RetryAfter, "the request did not arrive whole in time"},
 	{Unauthenticated, 401, RanNo, RetryNever, "no key, or a key that no client account has"},
 	{Forbidden, 403, RanNo, RetryNever, "the key is good but may not do this"},
 	{UnknownPath, 404, RanNo, RetryNever, "no such path"},
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -51,16 +51,11 @@
 }
 
 func trackedOf(c *nbio.Conn) *trackedConn {
-	p, ok := c.Session().(*nbhttp.Parser)
+	g, ok := c.Session().(*guard)
 	if !ok {
 		return nil
 	}
-	hc, ok := p.Conn.(*nbhttp.Conn)
-	if !ok {
-		return nil
-	}
-	t, _ := hc.Conn.(*trackedConn)
-	return t
+	return g.conn
 }
 
 // connSet holds the open connections.
--- /dev/null
+++ b/internal/httpserver/guard.go
@@ -0,0 +1,135 @@
+package httpserver
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver/framing"
+)
+
+// guard stands between a connection and nbhttp's parser: it hands over what package
+// framing finds sound, answers what it doesn't, and bounds the time that a sender takes.
+// It runs on the connection's reading goroutine, except where noted.
+type guard struct {
+	server *Server
+	conn   *trackedConn
+	parser *nbhttp.Parser
+
+	// mu orders the reading goroutine and the one that closes the connection.
+	mu     sync.Mutex
+	frames framing.Checker
+	// over: a refusal was sent in place of an answer; the rest is read and dropped. Closing
+	// at once would reset the connection under the bytes still arriving and the caller would
+	// lose the refusal.
+	over bool
+
+	slow *time.Timer
+	// timing counts the spans that were timed, so that a late timer of one leaves the next
+	// alone.
+	timing atomic.Int64
+	// timed is the phase that the running timer bounds, of the request begun as number timedOf.
+	timed   framing.Phase
+	timedOf uint64
+	started time.Time
+}
+
+// UnderlayerConn is part of nbhttp.ParserCloser.
+func (g *guard) UnderlayerConn() net.Conn { return g.parser.UnderlayerConn() }
+
+// Parse checks data and hands the sound part of it to the parser.
+func (g *guard) Parse(data []byte) error {
+	handovers.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.over {
+		return nil
+	}
+	limits := g.server.limits()
+	n, fault := g.frames.Check(data, framing.Limits{Header: limits.HeaderBytes, Body: limits.BodyBytes})
+	if n > 0 {
+		if err := g.parser.Parse(data[:n]); err != nil {
+			g.stopTimer()
+			return err
+		}
+	}
+	if fault != nil {
+		g.refuse(fault)
+		return nil
+	}
+	g.timeSender(limits)
+	return nil
+}
+
+// CloseAndClean is called when the connection has closed.
+func (g *guard) CloseAndClean(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopTimer()
+	g.parser.CloseAndClean(err)
+}
+
+// refuse answers a request that can't be read, after the answers before it, and drops
+// what comes after it.
+func (g *guard) refuse(e *errkind.Error) {
+	g.stopTimer()
+	g.over = true
+	_ = g.conn.SetReadDeadline(time.Now().Add(g.server.cfg.ReadTimeout))
+	g.answer(e)
+}
+
+// answer sends a refusal outside a handler.
+func (g *guard) answer(e *errkind.Error) {
+	body := ErrorBody("", e)
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", e.Status(), http.StatusText(e.Status()))
+	fmt.Fprintf(&b, "Content-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", len(body))
+	b.Write(body)
+	g.parser.Execute(func() { _, _ = g.parser.Conn.Write(b.Bytes()) })
+}
+
+// timeSender has the head of a request that has begun arrive within HeaderTimeout and all
+// of it within ReadTimeout. A request that arrives in one piece needs no timer.
+func (g *guard) timeSender(l Limits) {
+	phase, of := g.frames.Phase(), g.frames.Begun()
+	if phase == g.timed && (phase == framing.Idle || of == g.timedOf) {
+		return
+	}
+	g.stopTimer()
+	if of != g.timedOf {
+		g.started = time.Now()
+	}
+	g.timed, g.timedOf = phase, of
+	limit := g.server.cfg.ReadTimeout
+	switch phase {
+	case framing.Idle:
+		return
+	case framing.Head:
+		limit = min(limit, l.HeaderTimeout)
+	}
+	n := g.timing.Load()
+	g.slow = time.AfterFunc(time.Until(g.started.Add(limit)), func() { g.refuseSlow(n, limit) })
+}
+
+func (g *guard) stopTimer() {
+	g.timing.Add(1)
+	if g.slow != nil {
+		g.slow.Stop()
+	}
+}
+
+// refuseSlow runs on a timer's goroutine when part of a request has not arrived in time.
+func (g *guard) refuseSlow(n int64, limit time.Duration) {
+	if g.timing.Load() != n {
+		return
+	}
+	g.answer(errkind.New(errkind.RequestTimeout, "the request did not arrive whole within %v", limit))
+	g.parser.Execute(func() { _ = g.conn.Close() })
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -31,9 +31,21 @@
 	DefaultMaxQueuedBytes = 16 << 20
 	drainPoll             = 5 * time.Millisecond
 	overloadedRetry       = time.Second
-	headerRoom            = 1 << 20
+	// DefaultMaxHeaderBytes is what most servers take.
+	DefaultMaxHeaderBytes = 64 << 10
 )
 
+// Limits of what callers may send, and how long they may take.
+type Limits struct {
+	// HeaderBytes bounds the request line and the headers, BodyBytes the body.
+	HeaderBytes, BodyBytes int64
+	// HeaderTimeout bounds the time from the first byte of a request to the end of its
+	// headers.
+	HeaderTimeout time.Duration
+	// IdleTimeout closes a connection on which no request begins.
+	IdleTimeout time.Duration
+}
+
 // Config of a Server. Zero fields take the defaults above.
 type Config struct {
 	// Name stands in log lines.
@@ -43,9 +55,13 @@
 	// TLS makes the server speak TLS. The type is that of nbio's own TLS stack.
 	TLS     *tls.Config
 	Handler http.Handler
+	// MaxHeaderBytes bounds the request line and headers; longer ones are refused with
+	// HeadersTooLarge.
+	MaxHeaderBytes int64
 	// MaxBodyBytes bounds a request body; a longer one is refused with BodyTooLarge.
 	MaxBodyBytes int64
-	// ReadTimeout bounds the time from the first byte of a request to its last.
+	// ReadTimeout bounds the time from the first byte of a request to its last; a slower
+	// one is refused with RequestTimeout.
 	ReadTimeout time.Duration
 	// IdleTimeout closes a connection on which no request begins.
 	IdleTimeout time.Duration
@@ -59,10 +75,14 @@
 	// MaxQueuedBytes bounds what is kept for a caller who does not read; then its
 	// connection is closed.
 	MaxQueuedBytes int
+	// Limits gives limits that may change while the server runs. A field that is zero, or
+	// greater than what this Config says, counts as what this Config says. Nil: as all zero.
+	Limits func() Limits
 }
 
 func (c Config) withDefaults() Config {
 	defaults.Set(&c.Name, "http")
+	defaults.Set(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	defaults.Set(&c.MaxBodyBytes, DefaultMaxBodyBytes)
 	defaults.Set(&c.ReadTimeout, DefaultReadTimeout)
 	defaults.Set(&c.IdleTimeout, DefaultIdleTimeout)
@@ -78,6 +98,8 @@
 	address  string
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// closing: answers tell callers to close their connections.
+	closing  atomic.Bool
 	conns    connSet
 	stopOnce sync.Once
 }
@@ -91,7 +113,7 @@
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
 		KeepaliveTime:      s.cfg.IdleTimeout,
-		ReadLimit:          int(s.cfg.MaxBodyBytes) + headerRoom,
+		ReadLimit:          int(s.cfg.MaxBodyBytes + s.cfg.MaxHeaderBytes),
 		MaxWriteBufferSize: s.cfg.MaxQueuedBytes,
 		SupportServerOnly:  true,
 	}
@@ -109,6 +131,30 @@
 	return s
 }
 
+// limits are those in force now.
+func (s *Server) limits() Limits {
+	out := Limits{
+		HeaderBytes: s.cfg.MaxHeaderBytes, BodyBytes: s.cfg.MaxBodyBytes, HeaderTimeout: s.cfg.ReadTimeout,
+		IdleTimeout: s.cfg.IdleTimeout,
+	}
+	if s.cfg.Limits == nil {
+		return out
+	}
+	in := s.cfg.Limits()
+	lower(&out.HeaderBytes, in.HeaderBytes)
+	lower(&out.BodyBytes, in.BodyBytes)
+	lower(&out.HeaderTimeout, in.HeaderTimeout)
+	lower(&out.IdleTimeout, in.IdleTimeout)
+	return out
+}
+
+// lower sets bound to limit if that is lower and not zero.
+func lower[T int64 | time.Duration](bound *T, limit T) {
+	if limit > 0 && limit < *bound {
+		*bound = limit
+	}
+}
+
 // Start listens and serves in the background.
 func (s *Server) Start() error {
 	if err := s.engine.Start(); err != nil {
@@ -138,16 +184,12 @@
 	// nbhttp closes the connection right after an answer to "Connection: close", also
 	// when part of the answer still waits in its queue; the caller would see a cut
 	// answer. The caller is told to close instead, which it does after the last byte.
-	if r.Close || s.draining.Load() {
+	if r.Close || s.closing.Load() || s.draining.Load() {
 		r.Close = false
 		w.Header().Set("Connection", "close")
 	}
 	clearReadDeadline(w)
 	defer s.recoverPanic(res)
-	if r.ContentLength == bodyTooLong {
-		WriteError(res, "", errkind.New(errkind.BodyTooLarge, "the body is over %d bytes", s.cfg.MaxBodyBytes))
-		return
-	}
 	if s.draining.Load() {
 		WriteError(res, "", errkind.New(errkind.HostLeaving, "this host is shutting down"))
 		return
@@ -179,6 +221,10 @@
 	Abort(w)
 }
 
+// CloseAfterAnswers tells every caller with its next answer to close its connection, so
+// that it asks anew where to connect.
+func (s *Server) CloseAfterAnswers() { s.closing.Store(true) }
+
 // Drain stops taking work and waits until every handler has returned and every
 // answer is handed to the kernel, then closes. Requests that arrive meanwhile are
 // refused with HostLeaving. When ctx ends first, what is left is cut and ctx's
@@ -226,6 +272,7 @@
 	if hc.Conn == c {
 		hc.Conn = tracked
 	}
-	p.Processor = newProcessor(s.cfg, tracked)
+	p.Processor = newProcessor(s, tracked)
+	c.SetSession(&guard{server: s, conn: tracked, parser: p})
 	handovers.Add(1)
 }
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,7 +96,7 @@
 		_, _ = io.WriteString(c, half)
 		r := bufio.NewReader(c)
 		status, e := readKind(t, r)
-		if status != 400 || e.Ran != errkind.RanNo {
+		if status != 408 || e.Kind != errkind.RequestTimeout || e.Ran != errkind.RanNo {
 			t.Fatalf("got %d %+v", status, e)
 		}
 		if _, err := r.ReadByte(); err != io.EOF {
@@ -104,6 +105,102 @@
 	}
 }
 
+func TestLimitsMayChangeWhileServing(t *testing.T) {
+	// Symptom: after an operator lowered the limits, hosts still take what is over them.
+	// Sequence: a connection is open, the limits change, further requests come on it.
+	// Cause: limits are read once, when the server starts.
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{})
+	s := start(t, Config{MaxBodyBytes: 1000, Limits: func() Limits { return *limits.Load() }, Handler: text("ran")})
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	send := func(request string, want int) {
+		t.Helper()
+		_, _ = io.WriteString(c, request)
+		res, err := http.ReadResponse(r, nil)
+		testutil.NoError(t, err)
+		_, _ = io.Copy(io.Discard, res.Body)
+		if res.StatusCode != want {
+			t.Fatalf("got %d, want %d", res.StatusCode, want)
+		}
+	}
+	body := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n\r\n" + strings.Repeat("x", 500)
+	head := "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 500) + "\r\n\r\n"
+	send(body, 200)
+	send(head, 200)
+	limits.Store(&Limits{HeaderBytes: 400, BodyBytes: 2000})
+	send(body, 200)
+	send(head, 431)
+	limits.Store(&Limits{BodyBytes: 400})
+	c = dial(t, s)
+	r = bufio.NewReader(c)
+	send(head, 200)
+	send(body, 413)
+}
+
+func TestHeadersHaveATimeoutOfTheirOwn(t *testing.T) {
+	// Symptom: connections pile up though an operator bounds the time for headers.
+	// Sequence: a caller sends its headers one byte now and then; another one sends them at
+	// once and takes its time for the body.
+	// Cause: only the time for the whole request is bounded.
+	s := start(t, Config{
+		Handler: text("ran"), Limits: func() Limits { return Limits{HeaderTimeout: 100 * time.Millisecond} },
+	})
+	slow, slowBody := dial(t, s), dial(t, s)
+	_, _ = io.WriteString(slow, "POST / HTTP/1.1\r\nHo")
+	_, _ = io.WriteString(slowBody, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+	if status, e := readKind(t, bufio.NewReader(slow)); status != 408 || e.Kind != errkind.RequestTimeout {
+		t.Fatalf("got %d %+v", status, e)
+	}
+	time.Sleep(150 * time.Millisecond)
+	_, _ = io.WriteString(slowBody, "b")
+	res, err := http.ReadResponse(bufio.NewReader(slowBody), nil)
+	testutil.NoError(t, err)
+	if res.StatusCode != 200 {
+		t.Fatalf("got %d", res.StatusCode)
+	}
+}
+
+func TestIdleTimeoutFollowsTheLimits(t *testing.T) {
+	s := start(t, Config{Handler: text("ran"), Limits: func() Limits { return Limits{IdleTimeout: 50 * time.Millisecond} }})
+	c := dial(t, s)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	r := bufio.NewReader(c)
+	res, err := http.ReadResponse(r, nil)
+	testutil.NoError(t, err)
+	_, _ = io.Copy(io.Discard, res.Body)
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Fatalf("an idle connection stays open: %v", err)
+	}
+}
+
+func TestUnreadableRequestsAreAnswered(t *testing.T) {
+	// Symptom: a request hidden in the body of another one runs.
+	// Sequence: a request gives its length in two ways; the bytes that only one of them takes
+	// for its body are a request themselves. A sound request comes before it.
+	// Cause: nbhttp uses one of the lengths and says nothing.
+	var ran atomic.Int64
+	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})})
+	c := dial(t, s)
+	hidden := "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+	_, _ = fmt.Fprintf(c, "GET /sound HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", len(hidden)+5, hidden)
+	r := bufio.NewReader(c)
+	res, err := http.ReadResponse(r, nil)
+	testutil.NoError(t, err)
+	if b, _ := io.ReadAll(res.Body); string(b) != "/sound" {
+		t.Fatalf("got %q", b)
+	}
+	if status, e := readKind(t, r); status != 400 || e.Ran != errkind.RanNo {
+		t.Fatalf("got %d %+v", status, e)
+	}
+	if n := ran.Load(); n != 1 {
+		t.Fatalf("%d requests ran", n)
+	}
+}
+
 func TestPanicBecomesInternal(t *testing.T) {
 	s := start(t, Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("boom") })})
 	c := dial(t, s)
