Tests of balancing, routing tables, relay filters, reserves and settings of routed fleets

Found by them and mended: an empty POST was sent in chunks, and so its kept connection was never used again; answers to HEAD, 204 and 304 got a length of 0 or a chunked end; headers that a server names in Connection reached callers; a server that switches protocols unasked counts as failed.

--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -165,6 +165,19 @@
 	}
 }
 
+// Symptom: a host keeps serving under settings that no quorum has confirmed for a long time.
+// Sequence: it follows a relay that is cut off; the relay repeats the revision that the
+// host has, with the growing age of its last word from the quorum.
+// Cause: an event without changes was handed on without that age, as if it were new.
+func TestAgeOfAConfirmationIsHandedOn(t *testing.T) {
+	var got *pb.WatchEvent
+	w := &watcher{revision: 5, started: true, fn: func(e *pb.WatchEvent) error { got = e; return nil }}
+	testutil.NoError(t, w.deliver(&pb.WatchEvent{Revision: 5, Confirmed: true, ConfirmedAgeMs: 900}))
+	if got.GetRevision() != 5 || !got.GetConfirmed() || got.GetConfirmedAgeMs() != 900 {
+		t.Fatalf("handed on %v", got)
+	}
+}
+
 // Symptom: a host that starts beside a frozen one is not ready for 20 seconds.
 // Sequence: the kernel of the frozen host takes the connection; its process says nothing.
 // Cause: the wait for the stream to open had no bound of its own.
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -50,7 +50,9 @@
 	Fetch func(ctx context.Context, address string, req *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error)
 	// Changed is called after each newer table; before is nil for the first.
 	Changed func(before, after *routes.Index)
-	Log     zerolog.Logger
+	// Now is the clock; nil: time.Now.
+	Now func() time.Time
+	Log zerolog.Logger
 }
 
 // Controller is safe for concurrent use.
@@ -68,7 +70,10 @@
 
 // New makes a controller without a table.
 func New(cfg Config) *Controller {
-	return &Controller{cfg: cfg, started: time.Now(), table: &pb.Routes{}}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Controller{cfg: cfg, started: cfg.Now(), table: &pb.Routes{}}
 }
 
 // Run fetches newer tables until ctx ends.
@@ -170,7 +175,7 @@
 	if x == nil {
 		return nil, errkind.New(errkind.HostNotReady, "this host has no routing table yet").After(retryNotReady)
 	}
-	if !c.confirmed.Load() && time.Since(c.started) < unconfirmedGrace {
+	if !c.confirmed.Load() && c.cfg.Now().Sub(c.started) < unconfirmedGrace {
 		return nil, errkind.New(errkind.HostNotReady, "the routing table is not confirmed by a quorum yet").After(retryNotReady)
 	}
 	return x, nil
--- a/internal/engineclient/forward.go
+++ b/internal/engineclient/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -38,7 +39,7 @@
 	req := (&http.Request{
 		Method: f.Method, URL: u, Host: f.Host, Header: f.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body: once{bytes.NewReader(f.Body)}, ContentLength: int64(len(f.Body)),
+		Body: body(f), ContentLength: int64(len(f.Body)),
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
 	if _, given := f.Header["User-Agent"]; !given {
 		f.Header["User-Agent"] = []string{""} // net/http would name itself
@@ -54,12 +55,39 @@
 	return nil, &Error{Ran: ran, Message: err.Error()}
 }
 
-// once is a request body that can be read a single time.
+// body is the request's body in a form that keeps net/http from sending it twice.
 //
 // What goes wrong with http.NoBody, or a body that can be had again: when a kept
 // connection dies under a request, net/http sends a GET, or any request with an
 // Idempotency-Key, a second time by itself. The server sees two arrivals, and no retry
 // allowance was asked. It repeats no request whose body it can't have again.
+//
+// An empty body of that form would be sent in chunks with a POST. There the header is
+// hidden from net/http instead, which looks for its usual spelling only.
+func body(f *Forward) io.ReadCloser {
+	if len(f.Body) > 0 || mostlyWithoutBody(f.Method) {
+		return once{bytes.NewReader(f.Body)}
+	}
+	for _, key := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, given := f.Header[key]; given {
+			delete(f.Header, key)
+			f.Header[strings.ToLower(key)] = values
+		}
+	}
+	return http.NoBody
+}
+
+// mostlyWithoutBody tells whether net/http sends no body of the method before it has seen
+// its first byte.
+func mostlyWithoutBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// once is a request body that can be read a single time.
 type once struct{ *bytes.Reader }
 
 // Close implements io.Closer.
--- /dev/null
+++ b/internal/grant/outofcontact_test.go
@@ -0,0 +1,164 @@
+package grant
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/grant/reserve"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// reservePolicy holds 10 s of demand in reserve, and 2 s open.
+var reservePolicy = Policy{Horizon: 2 * time.Second, Reserve: 10 * time.Second, IdleReturn: time.Minute, MinHistory: time.Second}
+
+const budgetName = "x"
+
+// holding is a holder with open tokens and a reserve of one budget, in contact at start.
+func holding(start time.Time, open, kept uint64) *Holder {
+	h := New(&pb.Holder{Host: "a", Incarnation: 1}, Config{ContactEvery: 300 * time.Millisecond}, rand.New(rand.NewSource(1)))
+	h.Contact(start)
+	out := h.Reserve(start, "first", budgetName, 10, reservePolicy)
+	h.AcquireAnswered(start, budgetName, out.Acquires[0].GetSeq(), &pb.AcquireResult{Amount: open + 10, Reserve: kept, Funded: 10_000, Free: 5_000})
+	return h
+}
+
+func (h *Holder) level(t *testing.T) Level {
+	t.Helper()
+	for _, l := range h.Levels() {
+		if l.Budget == budgetName {
+			return l
+		}
+	}
+	t.Fatal("nothing is held")
+	return Level{}
+}
+
+// granted tells how the wait of a request ended at once; nil: it waits, or got its tokens.
+func granted(out Output, request string) (decided bool, err *errkind.Error) {
+	for _, d := range out.Decisions {
+		if d.Request == request {
+			return true, d.Err
+		}
+	}
+	return false, nil
+}
+
+func TestReserveIsForTimesWithoutContact(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := holding(start, 0, 1000)
+	if ok, _ := granted(h.Reserve(start.Add(reserve.Hold), "a", budgetName, 100, reservePolicy), "a"); ok {
+		t.Error("the reserve was spent before the time that it is held back")
+	}
+	h = holding(start, 0, 1000)
+	half := start.Add(reserve.Hold + reserve.Span/2)
+	if ok, err := granted(h.Reserve(half, "a", budgetName, 500, reservePolicy), "a"); !ok || err != nil {
+		t.Errorf("half of the reserve after half of the span: %t %v", ok, err)
+	}
+	if ok, err := granted(h.Reserve(half, "b", budgetName, 1, reservePolicy), "b"); ok && err == nil {
+		t.Error("more than half of the reserve after half of the span")
+	}
+	if l := h.level(t); l.Reserve != 500 || l.Reserved != 510 {
+		t.Errorf("levels %+v", l)
+	}
+}
+
+func TestContactLocksTheReserveAgain(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := holding(start, 0, 1000)
+	whole := start.Add(reserve.Hold + reserve.Span)
+	h.Reserve(whole, "a", budgetName, 400, reservePolicy)
+	h.Contact(whole)
+	if ok, err := granted(h.Reserve(whole.Add(reserve.Hold), "b", budgetName, 100, reservePolicy), "b"); ok && err == nil {
+		t.Error("spent from the reserve right after a contact")
+	}
+}
+
+func TestContactIsKeptUpWhileThereIsAReserve(t *testing.T) {
+	// Symptom: the loss of all hosts strands more than their open tokens.
+	// Sequence: no request ends for some seconds; then all hosts lose power at once.
+	// Cause: nothing was sent to the ledger meanwhile, which counts their last contact as
+	// long ago and so part of their reserves as perhaps spent.
+	start := time.Unix(1000, 0)
+	h := holding(start, 0, 1000)
+	if out := h.Tick(start.Add(200 * time.Millisecond)); out.Batch != nil {
+		t.Error("a batch without need")
+	}
+	h.Tick(start.Add(400 * time.Millisecond))
+	if out := h.Tick(start.Add(500 * time.Millisecond)); out.Batch == nil {
+		t.Error("no batch after the time that may go without contact")
+	}
+	h = holding(start, 100, 0)
+	h.Tick(start.Add(time.Second))
+	if out := h.Tick(start.Add(2 * time.Second)); out.Batch != nil {
+		t.Error("a batch though there is no reserve")
+	}
+}
+
+func TestSpendBillsOnceWithoutAnIdentity(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := holding(start, 90, 0)
+	h.Reserve(start, "a", budgetName, 50, reservePolicy)
+	if _, ok := h.Spend(start, "a", 30); !ok {
+		t.Fatal("no reservation")
+	}
+	if _, ok := h.Spend(start, "a", 30); ok {
+		t.Fatal("spent twice")
+	}
+	h.Reserve(start, "b", budgetName, 20, reservePolicy)
+	h.Spend(start, "b", 25) // cut to what was set aside
+	if l := h.level(t); l.Unsettled != 50 || l.Reserved != 10 || l.Free != 40 {
+		t.Errorf("levels %+v", l)
+	}
+	out := h.Flush(start.Add(time.Second))
+	if out.Batch == nil || len(out.Batch.GetBills()) != 0 {
+		t.Fatalf("batch %v", out.Batch)
+	}
+	sum := uint64(0)
+	for _, s := range out.Batch.GetSpends() {
+		sum += s.GetTokens()
+	}
+	if sum != 50 {
+		t.Errorf("the batch has %d tokens", sum)
+	}
+}
+
+func TestLoweredFundsBringFreeTokensBack(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := holding(start, 90, 500)
+	h.ReturnFree(start, budgetName)
+	h.ReturnFree(start, "unknown")
+	if l := h.level(t); l.Free != 0 || l.Reserve != 0 || l.Returning != 590 || l.Reserved != 10 {
+		t.Errorf("levels %+v", l)
+	}
+}
+
+func TestDemandOfAHostThatHasJustStarted(t *testing.T) {
+	// Symptom: for its first minute a host asks the ledger for tokens with each request, and
+	// lives through no partition.
+	// Sequence: 1,000 tokens a second are asked for, from the start on.
+	// Cause: an average over the whole window counts the time before the start as idle.
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		history time.Duration
+		min     uint64
+		max     uint64
+	}{{0, 0, 4000}, {time.Second, 9000, 12000}} {
+		p := Policy{Horizon: 10 * time.Second, MinHistory: c.history}
+		var d demand
+		for ms := 0; ms <= 2000; ms += 100 {
+			d.add(start.Add(time.Duration(ms)*time.Millisecond), 100, p.Horizon)
+		}
+		got := d.tokens(start.Add(2*time.Second), p, 10*time.Second)
+		if got < c.min || got > c.max {
+			t.Errorf("history %v: %d tokens for 10 s", c.history, got)
+		}
+	}
+	// The first request alone must not count as a rate without bound.
+	var d demand
+	d.add(start, 100, time.Second)
+	if got := d.tokens(start, Policy{Horizon: 10 * time.Second, MinHistory: time.Second}, 10*time.Second); got > 1500 {
+		t.Errorf("one request of 100 tokens counts as %d for 10 s", got)
+	}
+}
--- a/internal/httpserver/framing/framing.go
+++ b/internal/httpserver/framing/framing.go
@@ -217,7 +217,7 @@
 
 // methods are those that the server takes; a name in other letters is another method.
 var methods = map[string]bool{
-	"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "OPTIONS": true, "TRACE": true,
+	"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "OPTIONS": true,
 }
 
 func (c *Checker) endRequestLine(line []byte) *errkind.Error {
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/balance"
@@ -107,6 +108,9 @@
 		return out
 	}
 	t.mayHaveRun()
+	if res.StatusCode == http.StatusSwitchingProtocols {
+		return t.failed(balance.Broken, "the backend server switched protocols unasked")
+	}
 	if res.StatusCode < http.StatusMultipleChoices && isEventStream(res) {
 		return t.relayStream(lease, res)
 	}
@@ -130,8 +134,8 @@
 		return t.failed(balance.Served, "the backend server answered %d", res.StatusCode)
 	}
 	t.writeHeader(res)
-	if len(body) <= maxWhole {
-		t.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if length := t.lengthOf(res, body); length != "" {
+		t.w.Header().Set("Content-Length", length)
 	}
 	t.w.WriteHeader(res.StatusCode)
 	_, _ = t.w.Write(body) // a caller who left is noticed by the request's context
@@ -144,12 +148,29 @@
 	return outcome{result: balance.Served}
 }
 
+// lengthOf is the Content-Length that goes with an answer; empty: none. An answer to HEAD
+// names the length of a body that it does not have.
+func (t *try) lengthOf(res *http.Response, body []byte) string {
+	switch {
+	case t.x.Method == http.MethodHead:
+		return res.Header.Get("Content-Length")
+	case res.StatusCode == http.StatusNoContent || res.StatusCode == http.StatusNotModified || len(body) > maxWhole:
+		return ""
+	}
+	return strconv.Itoa(len(body))
+}
+
 // writeHeader copies the server's headers.
 func (t *try) writeHeader(res *http.Response) {
 	h := t.w.Header()
 	for key, values := range res.Header {
 		h[key] = values
 	}
+	for _, field := range res.Header["Connection"] {
+		for _, key := range strings.Split(field, ",") {
+			h.Del(strings.TrimSpace(key))
+		}
+	}
 	for _, key := range hopHeaders {
 		h.Del(key)
 	}
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -160,6 +160,7 @@
 	route   routes.Route
 	w       *httptest.ResponseRecorder
 	aborted bool
+	method  string
 	x       *relay.Exchange
 	ctx     context.Context
 }
@@ -168,13 +169,13 @@
 	return &run{
 		servers: &servers{t: t, steps: steps}, leases: &leases{servers: []string{"a", "b", "c"}}, allowed: allowance{left: 9},
 		route: routes.Route{Kind: kind, MaxAttempts: 2, Timeout: settings.Duration(time.Minute)},
-		w:     httptest.NewRecorder(), ctx: t.Context(),
+		w:     httptest.NewRecorder(), ctx: t.Context(), method: http.MethodPost,
 	}
 }
 
 func (r *run) do() error {
 	r.x = &relay.Exchange{
-		Request: &relay.Request{ID: requestID, Method: http.MethodPost, Target: "/p", Header: http.Header{}, PromptTokens: 100},
+		Request: &relay.Request{ID: requestID, Method: r.method, Target: "/p", Header: http.Header{}, PromptTokens: 100},
 		Route:   &r.route, Deadline: time.Now().Add(time.Minute),
 		Service: &routes.Service{Name: "pool", Engine: &routes.Engine{TokensPerEvent: 4}},
 	}
@@ -425,3 +426,46 @@
 }
 
 var _ filter.Filter = (*Filter)(nil)
+
+func TestAnswersWithoutABody(t *testing.T) {
+	for name, c := range map[string]struct {
+		method string
+		status int
+		length string // what the server says
+		want   string
+	}{
+		"HEAD":         {http.MethodHead, http.StatusOK, "800", "800"},
+		"no content":   {http.MethodPost, http.StatusNoContent, "", ""},
+		"not modified": {http.MethodGet, http.StatusNotModified, "", ""},
+		"empty":        {http.MethodPost, http.StatusOK, "0", "0"},
+	} {
+		res := answer(c.status, "")
+		if c.length != "" {
+			res.Header.Set("Content-Length", c.length)
+		}
+		r := newRun(t, routes.Idempotent, gives(res))
+		r.method = c.method
+		if err := r.do(); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if got := r.w.Header().Get("Content-Length"); got != c.want || r.w.Code != c.status {
+			t.Errorf("%s: %d, Content-Length %q, want %q", name, r.w.Code, got, c.want)
+		}
+	}
+}
+
+func TestHeadersOfTheServersConnectionStay(t *testing.T) {
+	r := newRun(t, routes.Idempotent, gives(answer(http.StatusOK, "x", "Connection", "close, X-Hop", "X-Hop", "1", "X-End", "2")))
+	if err := r.do(); err != nil {
+		t.Fatal(err)
+	}
+	h := r.w.Header()
+	if h.Get("Connection") != "" || h.Get("X-Hop") != "" || h.Get("X-End") != "2" {
+		t.Errorf("passed on %v", h)
+	}
+}
+
+func TestUnaskedSwitchOfProtocols(t *testing.T) {
+	r := newRun(t, routes.NonIdempotent, gives(answer(http.StatusSwitchingProtocols, "")))
+	wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanUnknown)
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,298 @@
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+	"github.com/bluebellsail/bluebellsail/internal/relay/budget"
+	"github.com/bluebellsail/bluebellsail/internal/relay/deadline"
+	"github.com/bluebellsail/bluebellsail/internal/relay/identify"
+	"github.com/bluebellsail/bluebellsail/internal/relay/match"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
+)
+
+const key = "key-of-school"
+
+func prepaid(n uint64) *uint64 { return &n }
+
+// index is a table with a keyed, an anonymous and a split route.
+func index(t *testing.T) *routes.Index {
+	t.Helper()
+	table := routes.Table{
+		Keyed: true,
+		Routes: []routes.Route{
+			{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: routes.Stream, Timeout: settings.Duration(time.Minute), MaxAttempts: 1,
+				Targets: []routes.Target{{Service: "pool", Weight: 1}}},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: routes.Idempotent, Timeout: settings.Duration(time.Second), MaxAttempts: 1,
+				Anonymous: true, Targets: []routes.Target{{Service: "pool", Weight: 1}}},
+			{Name: "split", Host: "h", Prefix: "/split/", Kind: routes.Idempotent, Timeout: settings.Duration(time.Second), MaxAttempts: 1,
+				Anonymous: true, Targets: []routes.Target{{Service: "pool", Weight: 3}, {Service: "other", Weight: 1}}},
+		},
+		Services: []routes.Service{{Name: "pool"}, {Name: "other"}},
+		Accounts: []routes.Account{
+			{Name: "school", KeyHashes: []string{settings.HashKey(key)}, Prepaid: prepaid(1000)},
+			{Name: "free", KeyHashes: []string{settings.HashKey("key-of-free")}},
+		},
+	}
+	b, err := json.Marshal(table)
+	testutil.NoError(t, err)
+	x, err := routes.Decode(3, b)
+	testutil.NoError(t, err)
+	return x
+}
+
+type tables struct {
+	index *routes.Index
+	err   error
+}
+
+func (t tables) Current() (*routes.Index, error) { return t.index, t.err }
+
+// through sends a request through filters to an end that notes that it came there.
+func through(x *relay.Exchange, end filter.HandlerFunc, filters ...filter.Filter) error {
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	return filter.Chain(end, filters...).ServeHTTP(httptest.NewRecorder(), r.WithContext(relay.With(r.Context(), x)))
+}
+
+func exchange(path string) *relay.Exchange {
+	return &relay.Exchange{Arrived: time.Now(), Request: &relay.Request{ID: "r1", Host: "H:80", Path: path}}
+}
+
+func pass(http.ResponseWriter, *http.Request) error { return nil }
+
+func never(t *testing.T) filter.HandlerFunc {
+	return func(http.ResponseWriter, *http.Request) error {
+		t.Error("the request went on")
+		return nil
+	}
+}
+
+func TestMatchFindsRouteAndService(t *testing.T) {
+	x := exchange("/keyed/a")
+	testutil.NoError(t, through(x, pass, &match.Filter{Tables: tables{index: index(t)}}))
+	if x.Route.Name != "keyed" || x.Service.Name != "pool" || x.Table.Revision() != 3 {
+		t.Errorf("matched %+v", x)
+	}
+	testutil.Refused(t, through(exchange("/none/"), never(t), &match.Filter{Tables: tables{index: index(t)}}), errkind.UnknownPath, "no route")
+	notReady := errkind.New(errkind.HostNotReady, "no table")
+	testutil.Refused(t, through(exchange("/keyed/"), never(t), &match.Filter{Tables: tables{err: notReady}}), errkind.HostNotReady, "no table")
+}
+
+func TestMatchSplitsByWeight(t *testing.T) {
+	got := map[string]int{}
+	f := &match.Filter{Tables: tables{index: index(t)}}
+	for range 4000 {
+		x := exchange("/split/")
+		testutil.NoError(t, through(x, pass, f))
+		got[x.Service.Name]++
+	}
+	if got["pool"] < 2700 || got["pool"] > 3300 {
+		t.Errorf("3 to 1 became %v", got)
+	}
+}
+
+func TestIdentify(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, key, account string
+		kind               errkind.Kind
+	}{
+		"key":                   {"/keyed/", key, "school", ""},
+		"no key":                {"/keyed/", "", "", errkind.Unauthenticated},
+		"unknown key":           {"/keyed/", "other", "", errkind.Unauthenticated},
+		"anonymous":             {"/open/", "", "", ""},
+		"anonymous with a key":  {"/open/", key, "school", ""},
+		"anonymous, wrong key":  {"/open/", "other", "", ""},
+		"hash in place of keys": {"/keyed/", settings.HashKey(key), "", errkind.Unauthenticated},
+	} {
+		x := exchange(c.path)
+		x.Key = c.key
+		err := through(x, pass, &match.Filter{Tables: tables{index: index(t)}}, identify.Filter{})
+		if c.kind != "" {
+			testutil.Refused(t, err, c.kind, name)
+			continue
+		}
+		if err != nil || x.AccountName() != c.account {
+			t.Errorf("%s: account %q, %v", name, x.AccountName(), err)
+		}
+	}
+}
+
+func TestDeadlineIsTheSoonerOfPatienceAndTimeout(t *testing.T) {
+	for patience, want := range map[time.Duration]time.Duration{
+		0: time.Minute, 10 * time.Second: 10 * time.Second, 2 * time.Minute: time.Minute,
+	} {
+		x := exchange("/keyed/")
+		x.Patience = patience
+		err := through(x, func(_ http.ResponseWriter, r *http.Request) error {
+			if at, ok := r.Context().Deadline(); !ok || !at.Equal(x.Deadline) {
+				t.Errorf("the context ends at %v, the request at %v", at, x.Deadline)
+			}
+			return nil
+		}, &match.Filter{Tables: tables{index: index(t)}}, deadline.Filter{})
+		testutil.NoError(t, err)
+		if got := x.Deadline.Sub(x.Arrived); got != want {
+			t.Errorf("patience %v: ends after %v", patience, got)
+		}
+	}
+}
+
+func TestDeadlinePassedIsNamedAsTheCause(t *testing.T) {
+	x := exchange("/keyed/")
+	x.Patience = time.Millisecond
+	err := through(x, func(_ http.ResponseWriter, r *http.Request) error {
+		<-r.Context().Done()
+		return filter.ContextError(r.Context())
+	}, &match.Filter{Tables: tables{index: index(t)}}, deadline.Filter{})
+	testutil.Refused(t, err, errkind.DeadlineExceeded, "after the deadline")
+}
+
+// purse notes what is set aside and spent.
+type purse struct {
+	refuse   error
+	reserved map[string]uint64
+	spent    map[string]uint64
+}
+
+func newPurse() *purse { return &purse{reserved: map[string]uint64{}, spent: map[string]uint64{}} }
+
+func (p *purse) Reserve(_ context.Context, budget, id string, tokens uint64) error {
+	if p.refuse == nil {
+		p.reserved[budget+"/"+id] += tokens
+	}
+	return p.refuse
+}
+
+func (p *purse) Spend(id string, tokens uint64) { p.spent[id] += tokens + 1 } // 1: it was called
+
+func TestBudgetBillsWhatWasUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		input  bool
+		output uint64
+		want   uint64
+	}{
+		"not run":            {false, 0, 0},
+		"ran, no output":     {true, 0, 300},
+		"ran":                {true, 60, 360},
+		"longer than capped": {true, 900, 400},
+	} {
+		p := newPurse()
+		x := exchange("/keyed/")
+		x.Key, x.PromptTokens, x.OutputCap = key, 300, 100
+		err := through(x, func(http.ResponseWriter, *http.Request) error {
+			x.Input, x.Output = c.input, c.output
+			return nil
+		}, &match.Filter{Tables: tables{index: index(t)}}, identify.Filter{}, &budget.Filter{Budgets: p})
+		testutil.NoError(t, err)
+		if p.reserved["school/r1"] != 400 || p.spent["r1"] != c.want+1 {
+			t.Errorf("%s: reserved %v, spent %d, want %d", name, p.reserved, p.spent["r1"]-1, c.want)
+		}
+	}
+}
+
+func TestBudgetRefusalEndsTheRequest(t *testing.T) {
+	p := newPurse()
+	p.refuse = errkind.New(errkind.BudgetExhausted, "nothing is left")
+	x := exchange("/keyed/")
+	x.Key, x.PromptTokens = key, 300
+	err := through(x, never(t), &match.Filter{Tables: tables{index: index(t)}}, identify.Filter{}, &budget.Filter{Budgets: p})
+	testutil.Refused(t, err, errkind.BudgetExhausted, "without tokens")
+	if len(p.spent) != 0 {
+		t.Errorf("spent %v", p.spent)
+	}
+}
+
+func TestBudgetLeavesOthersAlone(t *testing.T) {
+	for name, change := range map[string]func(x *relay.Exchange){
+		"account without a budget": func(x *relay.Exchange) { x.Key = "key-of-free"; x.PromptTokens = 5 },
+		"no account":               func(x *relay.Exchange) { x.Path = "/open/"; x.PromptTokens = 5 },
+		"no tokens":                func(x *relay.Exchange) { x.Key = key },
+	} {
+		p := newPurse()
+		x := exchange("/keyed/")
+		change(x)
+		err := through(x, pass, &match.Filter{Tables: tables{index: index(t)}}, identify.Filter{}, &budget.Filter{Budgets: p})
+		if err != nil || len(p.reserved)+len(p.spent) != 0 {
+			t.Errorf("%s: %v, reserved %v", name, err, p.reserved)
+		}
+	}
+}
+
+// translator is a Dialect that decodes nothing but the path.
+type translator struct {
+	relay.Dialect
+	fault   error
+	refused error
+}
+
+func (d *translator) Decode(r *http.Request, body []byte) (*relay.Request, error) {
+	return &relay.Request{ID: "r1", Path: r.URL.Path, Body: body}, d.fault
+}
+
+func (d *translator) Refuse(w http.ResponseWriter, _ *relay.Exchange, err error) {
+	d.refused = err
+	w.WriteHeader(errkind.From(err).Status())
+}
+
+type observer struct {
+	x   *relay.Exchange
+	err error
+}
+
+func (o *observer) Finished(x *relay.Exchange, err error) { o.x, o.err = x, err }
+
+// filterFunc is a filter.Filter that answers by itself.
+type filterFunc func(w http.ResponseWriter, r *http.Request) error
+
+func (f filterFunc) ServeHTTP(w http.ResponseWriter, r *http.Request, _ filter.Handler) error {
+	return f(w, r)
+}
+
+func TestHandlerRefusesOnceAndTells(t *testing.T) {
+	fault := errkind.New(errkind.BadRequest, "it can't be read")
+	full := errkind.New(errkind.Overloaded, "full")
+	for name, c := range map[string]struct {
+		decode error
+		chain  filterFunc
+		want   int
+	}{
+		"unreadable":     {decode: fault, want: 400},
+		"refused":        {chain: func(http.ResponseWriter, *http.Request) error { return full }, want: 429},
+		"not a kind":     {chain: func(http.ResponseWriter, *http.Request) error { return http.ErrBodyNotAllowed }, want: 500},
+		"already begun":  {chain: begunThenFails, want: 200},
+		"answered":       {chain: func(w http.ResponseWriter, _ *http.Request) error { w.WriteHeader(204); return nil }, want: 204},
+		"nobody answers": {want: 500},
+	} {
+		d, o := &translator{fault: c.decode}, &observer{}
+		var filters []filter.Filter
+		if c.chain != nil {
+			filters = append(filters, c.chain)
+		}
+		w := httptest.NewRecorder()
+		relay.NewHandler(d, o, filters...).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/p", strings.NewReader("body")))
+		if w.Code != c.want {
+			t.Errorf("%s: %d, want %d", name, w.Code, c.want)
+		}
+		if o.x == nil || (o.err == nil) != (c.want < 400 && name != "already begun") {
+			t.Errorf("%s: the observer was told %v", name, o.err)
+		}
+		if name == "already begun" && d.refused != nil {
+			t.Errorf("%s: refused on top of the answer", name)
+		}
+	}
+}
+
+func begunThenFails(w http.ResponseWriter, r *http.Request) error {
+	relay.From(r.Context()).Begun = true
+	w.WriteHeader(http.StatusOK)
+	return errkind.New(errkind.BackendServerFailed, "broken off")
+}
