--- a/internal/daemon/certificates.go
+++ b/internal/daemon/certificates.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"context"
+	"net"
+
 	llibtls "github.com/lesismal/llib/std/crypto/tls"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -67,8 +70,24 @@
 
 // dialOptions are those of connections to control replicas.
 func (d *Daemon) dialOptions() []grpc.DialOption {
-	return append(peerconn.Fleet(d.cfg.Fleet).DialOptions(),
+	options := append(peerconn.Fleet(d.cfg.Fleet).DialOptions(),
 		peerconn.KeepaliveOption(), peerconn.ReconnectOption(),
 		grpc.WithTransportCredentials(d.tls.peerCredentials()),
 		grpc.WithStatsHandler(d.tel.ClientStats()))
+	if dial := d.dialer(); dial != nil {
+		options = append(options, grpc.WithContextDialer(dial))
+	}
+	return options
+}
+
+// dialer opens connections from the address that the settings name; nil: the system's
+// choice will do.
+func (d *Daemon) dialer() func(ctx context.Context, address string) (net.Conn, error) {
+	if d.cfg.Listen.Source == "" {
+		return nil
+	}
+	from := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(d.cfg.Listen.Source)}}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return from.DialContext(ctx, "tcp", address)
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,11 +14,13 @@
 	"github.com/bluebellsail/bluebellsail/internal/peerconn"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry"
+	"github.com/bluebellsail/bluebellsail/internal/wal"
 )
 
 // Daemon is one process.
 type Daemon struct {
 	cfg  *procconfig.Config
+	env  Environment
 	tel  *telemetry.Telemetry
 	tls  *certificates
 	logs closer
@@ -36,16 +38,33 @@
 	tasks *tasks
 }
 
+// Environment is what a process takes from its machine. The zero value is the machine's
+// own; tests of failures give another.
+type Environment struct {
+	// Files hold the replica's log and snapshots; nil: the machine's.
+	Files wal.FS
+	// Wall is the time of day; nil: time.Now.
+	Wall func() time.Time
+}
+
+// wall is the time of day.
+func (d *Daemon) wall() time.Time {
+	if d.env.Wall == nil {
+		return time.Now()
+	}
+	return d.env.Wall()
+}
+
 // Run starts the process and serves until ctx ends; then it shuts down gracefully.
 func Run(ctx context.Context, cfg *procconfig.Config) error {
 	if cfg.Routed != nil {
 		return errors.New("the settings ask for a routing table, which needs a program that speaks its callers' protocol")
 	}
-	return run(ctx, cfg, (*Daemon).start)
+	return run(ctx, cfg, Environment{}, (*Daemon).start)
 }
 
-func run(ctx context.Context, cfg *procconfig.Config, start func(*Daemon, context.Context) error) error {
-	d, err := build(cfg)
+func run(ctx context.Context, cfg *procconfig.Config, env Environment, start func(*Daemon, context.Context) error) error {
+	d, err := build(cfg, env)
 	if err != nil {
 		return err
 	}
@@ -65,8 +84,8 @@
 }
 
 // build makes the parts that every role has; nothing is sent yet.
-func build(cfg *procconfig.Config) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, tasks: newTasks()}
+func build(cfg *procconfig.Config, env Environment) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, env: env, tasks: newTasks()}
 	if err := d.openTelemetry(); err != nil {
 		return nil, err
 	}
@@ -78,7 +97,7 @@
 	d.tls = certs
 	d.pool = peerconn.New(peerconn.Config{
 		Fleet: peerconn.Fleet(cfg.Fleet), Credentials: certs.peerCredentials(), Stats: d.tel.ClientStats(), Log: d.tel.Log,
-		OnSilent: func(string) { d.tel.Metrics.SilentConnections.Add(1) },
+		OnSilent: func(string) { d.tel.Metrics.SilentConnections.Add(1) }, Dial: d.dialer(),
 	})
 	if err := d.openReplica(); err != nil {
 		d.close()
@@ -118,7 +137,7 @@
 	if !d.cfg.Has(procconfig.RoleControl) {
 		return nil
 	}
-	d.transport = control.NewGRPCTransport(d.cfg.Listen.Peers, d.tel.Log, d.dialOptions()...)
+	d.transport = control.NewGRPCTransport(d.cfg.PeerAddress(), d.tel.Log, d.dialOptions()...)
 	members := make([]control.Member, 0, len(d.cfg.Control.Members))
 	for _, m := range d.cfg.Control.Members {
 		members = append(members, control.Member{ID: m.ID, Address: m.Address, Host: m.Host})
@@ -132,11 +151,12 @@
 		join = len(members) == 0
 	}
 	replica, err := control.Open(control.Config{
-		Fleet: d.cfg.Fleet, Host: d.cfg.Host, ReplicaAddress: d.cfg.Listen.Peers, DataDir: d.cfg.DataDir,
+		Fleet: d.cfg.Fleet, Host: d.cfg.Host, ReplicaAddress: d.cfg.PeerAddress(), DataDir: d.cfg.DataDir,
 		Members: members, Join: join,
 		TickInterval: d.cfg.Control.Tick.Std(), ElectionTicks: d.cfg.Control.ElectionTicks,
 		LogBytes:     d.cfg.Control.MaxLogBytes,
 		StateMachine: apply.New(apply.Options{}), Transport: d.transport, Logger: d.tel.Log,
+		FS: d.env.Files, Wall: d.env.Wall,
 	})
 	if err != nil {
 		return errors.Wrap(err, "open the replica")
--- a/internal/daemon/disk.go
+++ b/internal/daemon/disk.go
@@ -23,7 +23,10 @@
 // the disk is full.
 func (d *Daemon) awaitDisk(ctx context.Context) {
 	path := filepath.Join(d.cfg.DataDir, probeFile)
-	fs := wal.OS{}
+	fs := d.env.Files
+	if fs == nil {
+		fs = wal.OS{}
+	}
 	ticker := time.NewTicker(probeEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -86,7 +86,7 @@
 	e.members = members.New(members.Config{
 		Membership: membership.Config{
 			Self: membership.Self{
-				Host: cfg.Host, Zone: cfg.Zone, CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers},
+				Host: cfg.Host, Zone: cfg.Zone, CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.PeerAddress()},
 			Seeds: e.seeds(), Interval: interval,
 			SuspectAfter: ticks(cfg.Timing.SuspectAfter.Std(), interval),
 			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
@@ -114,7 +114,7 @@
 func (e *entry) seeds() []string {
 	var out []string
 	for _, p := range e.d.cfg.Peers {
-		if p.Address != e.d.cfg.Listen.Peers {
+		if p.Address != e.d.cfg.PeerAddress() {
 			out = append(out, p.Address)
 		}
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -54,7 +54,7 @@
 // RunRouted starts the process that the settings file at path describes, which serves by
 // a routing table in the protocol given, until ctx ends; then it shuts down gracefully.
 // SIGHUP, or a change of the file, has it read the file again.
-func RunRouted(ctx context.Context, path string, p surface.Protocol) error {
+func RunRouted(ctx context.Context, path string, p surface.Protocol, env Environment) error {
 	// From the start: a signal without a handler would end the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -67,7 +67,7 @@
 		return errors.New("the settings have no part /routed")
 	}
 	useLimits(cfg.Limits)
-	return run(ctx, cfg, func(d *Daemon, ctx context.Context) error {
+	return run(ctx, cfg, env, func(d *Daemon, ctx context.Context) error {
 		if err := d.startRouted(ctx, p); err != nil {
 			return err
 		}
@@ -149,7 +149,7 @@
 func newGateway(d *Daemon, p surface.Protocol) *gateway {
 	cfg := d.cfg
 	g := &gateway{d: d, protocol: p, metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
-		DialTimeout: dialServerTimeout, IdleTimeout: idleServerTimeout, Unacknowledged: lostServerTimeout,
+		DialTimeout: dialServerTimeout, IdleTimeout: idleServerTimeout, Unacknowledged: lostServerTimeout, Source: cfg.Listen.Source,
 	})}
 	d.tel.Metrics.Set("routed", &g.metrics.vars)
 	g.self.Store(&pb.Holder{Host: cfg.Host})
@@ -168,7 +168,7 @@
 	g.members = members.New(members.Config{
 		Membership: membership.Config{
 			Self: membership.Self{
-				Host: cfg.Host, Zone: cfg.Zone, CallerAddress: cfg.Routed.Requests, PeerAddress: cfg.Listen.Peers,
+				Host: cfg.Host, Zone: cfg.Zone, CallerAddress: cfg.Routed.CallerAddress(), PeerAddress: cfg.PeerAddress(),
 				Control: cfg.Has(procconfig.RoleControl),
 			},
 			Seeds: cfg.SeedPeers(), Interval: interval, Neighbours: gatewayNeighbours,
@@ -196,7 +196,7 @@
 	g.members.SetIncarnation(reg.Holder.Incarnation)
 	g.members.Learn(reg.Hosts)
 	manager := grants.New(grants.Config{
-		Self: reg.Holder, Holder: gatewayHolder(g.d.cfg),
+		Self: reg.Holder, Holder: gatewayHolder(g.d),
 		Proposer: group{g.d.client}, Asker: gatewayPeers{g}, Recorder: noCopies{},
 		PolicyFor: func(string) grant.Policy { return gatewayPolicy },
 		Log:       g.d.tel.Log, Seed: int64(reg.Holder.Incarnation),
@@ -212,13 +212,14 @@
 const contactEvery = 300 * time.Millisecond
 
 // gatewayHolder bounds the messages of a gateway's holder.
-func gatewayHolder(cfg *procconfig.Config) grant.Config {
+func gatewayHolder(d *Daemon) grant.Config {
 	return grant.Config{
-		BatchWait:    cfg.Timing.SettleEvery.Std(),
+		BatchWait:    d.cfg.Timing.SettleEvery.Std(),
 		ContactEvery: contactEvery,
 		// A batch that a partition held up is sent again soon after it has ended: until two
 		// are answered, the loss of this host would cost what it held in reserve.
 		ResendMax: 400 * time.Millisecond,
+		Wall:      d.env.Wall,
 	}
 }
 
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -61,7 +61,7 @@
 const votersEvery = 500 * time.Millisecond
 
 func (d *Daemon) joinGroup(ctx context.Context) {
-	self := &pb.Member{Id: d.replica.ID(), Address: d.cfg.Listen.Peers, Host: d.cfg.Host}
+	self := &pb.Member{Id: d.replica.ID(), Address: d.cfg.PeerAddress(), Host: d.cfg.Host}
 	d.tel.Log.Info().Str("event", "replica-joins").Uint64("replica", self.Id).Send()
 	if err := d.client.Join(ctx, self); err != nil {
 		d.tel.Log.Warn().Str("event", "replica-not-joined").Uint64("replica", self.Id).Err(err).Send()
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -71,7 +71,7 @@
 func (f fleetView) Self() *pb.HostState {
 	cfg := f.d.cfg
 	return &pb.HostState{
-		Holder: f.d.self(), Zone: cfg.Zone, CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.Listen.Peers,
+		Holder: f.d.self(), Zone: cfg.Zone, CallerAddress: cfg.Listen.Callers, PeerAddress: cfg.PeerAddress(),
 		Health: pb.HostHealth_HOST_HEALTH_ALIVE, ConfigRevision: f.d.settings.Revision(),
 		Leaving: f.d.entry != nil && f.d.entry.leaving.Load(),
 	}
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -18,11 +18,15 @@
 // registerTimeout bounds one attempt; attempts go on until the process is stopped.
 const registerTimeout = 5 * time.Second
 
+// registerPause bounds the pause between attempts. A host that serves nobody must not
+// wait out a long backoff after the control group is back.
+const registerPause = 500 * time.Millisecond
+
 // register gets this run's incarnation from the control group. A host that reaches
 // no quorum waits here and serves nobody: without an incarnation of its own it could
 // spend what its former run held.
 func (d *Daemon) register(ctx context.Context) (*pb.RegisterHostResult, error) {
-	started, startedWall := processStart, processStart.UnixMilli()
+	started, startedWall := processStart, d.wall().Add(-time.Since(processStart)).UnixMilli()
 	// bootID makes a resend after a lost answer give the same incarnation.
 	bootID := rand.Text()
 	attempt := func() (*pb.RegisterHostResult, error) {
@@ -31,7 +35,7 @@
 		res, err := d.client.Propose(tryCtx, &pb.Command{Actor: d.cfg.Host, Body: &pb.Command_RegisterHost{
 			RegisterHost: &pb.RegisterHost{
 				Host: d.cfg.Host, Zone: d.cfg.Zone, CallerAddress: d.callerAddress(),
-				PeerAddress: d.cfg.Listen.Peers, BootId: bootID, Control: d.cfg.Has(procconfig.RoleControl),
+				PeerAddress: d.cfg.PeerAddress(), BootId: bootID, Control: d.cfg.Has(procconfig.RoleControl),
 				AgeMs: time.Since(started).Milliseconds(), WallMs: startedWall,
 			}}})
 		if err != nil {
@@ -40,7 +44,9 @@
 		}
 		return res.GetRegisterHost(), nil
 	}
-	res, err := backoff.Retry(ctx, attempt, backoff.WithMaxElapsedTime(0))
+	pause := backoff.NewExponentialBackOff()
+	pause.MaxInterval = registerPause
+	res, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(0))
 	if err != nil {
 		return nil, errors.Wrap(err, "register this host")
 	}
@@ -51,7 +57,7 @@
 // callerAddress is where callers reach this host; empty if they don't.
 func (d *Daemon) callerAddress() string {
 	if d.cfg.Routed != nil {
-		return d.cfg.Routed.Requests
+		return d.cfg.Routed.CallerAddress()
 	}
 	return d.cfg.Listen.Callers
 }
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -57,6 +57,8 @@
 	// Unacknowledged bounds how long sent bytes may stay unacknowledged until a connection
 	// is given up; 0: no bound of its own.
 	Unacknowledged time.Duration
+	// Source is the IP number that connections are opened from; empty: the system's choice.
+	Source string
 	// Dial opens connections; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxAnswer bounds the body of a plain service's answer, in bytes.
@@ -87,7 +89,7 @@
 func (c *Client) newTransport() *http.Transport {
 	dial := c.cfg.Dial
 	if dial == nil {
-		dial = tcpDialer(c.cfg.DialTimeout, c.cfg.Unacknowledged).DialContext
+		dial = tcpDialer(c.cfg).DialContext
 	}
 	return &http.Transport{
 		DialContext:            dial,
--- a/internal/engineclient/dial.go
+++ b/internal/engineclient/dial.go
@@ -23,12 +23,15 @@
 // tcpDialer notices a connection that the network has lost by its missing keepalive
 // answers, after keepAliveIdle + keepAliveCount*keepAliveInterval, or, with a bound on
 // unacknowledged bytes, when that is reached.
-func tcpDialer(timeout, unacknowledged time.Duration) *net.Dialer {
-	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+func tcpDialer(cfg Config) *net.Dialer {
+	d := &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
-	if unacknowledged > 0 {
+	if cfg.Unacknowledged > 0 {
 		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: promptIdle, Interval: promptInterval, Count: promptCount}
-		d.Control = boundUnacknowledged(unacknowledged)
+		d.Control = boundUnacknowledged(cfg.Unacknowledged)
+	}
+	if cfg.Source != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.Source)}
 	}
 	return d
 }
--- a/internal/engineclient/forward_test.go
+++ b/internal/engineclient/forward_test.go
@@ -212,7 +212,7 @@
 func TestSilentServerIsGivenUp(t *testing.T) {
 	// The bound on unacknowledged bytes needs a peer that is cut off, which loopback can't
 	// show; that the option is set on the socket can be seen.
-	d := tcpDialer(time.Second, 800*time.Millisecond)
+	d := tcpDialer(Config{DialTimeout: time.Second, Unacknowledged: 800 * time.Millisecond})
 	l := testutil.Listen(t)
 	defer l.Close()
 	c, err := d.Dial("tcp", l.Addr().String())
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -85,6 +85,8 @@
 	ContactEvery time.Duration
 	// AskFanout is the number of peers asked at a time; default 3.
 	AskFanout int
+	// Wall is the time of day that batches are marked with; nil: that of the present time.
+	Wall func() time.Time
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/grant/settle.go
+++ b/internal/grant/settle.go
@@ -97,7 +97,7 @@
 		s.batch.Returns = append(s.batch.Returns, &pb.Return{Budget: name, Tokens: s.reserves[name], Reserve: true})
 	}
 	h.tellUnlocks(s.batch)
-	s.batch.WallMs = now.UnixMilli()
+	s.batch.WallMs = h.wall(now).UnixMilli()
 	for _, name := range slices.Sorted(maps.Keys(s.spends)) {
 		s.batch.Spends = append(s.batch.Spends, s.spends[name])
 	}
@@ -111,6 +111,14 @@
 	out.Batch = s.batch
 }
 
+// wall is the time of day.
+func (h *Holder) wall(now time.Time) time.Time {
+	if h.cfg.Wall == nil {
+		return now
+	}
+	return h.cfg.Wall()
+}
+
 // markSent notes what the ledger will take off and add with the batch.
 func (h *Holder) markSent(batch *pb.Settle) {
 	for _, bill := range batch.GetBills() {
--- a/internal/procconfig/check.go
+++ b/internal/procconfig/check.go
@@ -134,6 +134,12 @@
 	}
 	k.address("/listen/operators", l.Operators)
 	k.address("/listen/peers", l.Peers)
+	if l.PeersAdvertised != "" {
+		k.address("/listen/peers_advertised", l.PeersAdvertised)
+	}
+	if _, err := netip.ParseAddr(l.Source); l.Source != "" && err != nil {
+		k.fault("/listen/source", "%q is no IP number", l.Source)
+	}
 	seen := map[string]string{}
 	k.once(seen, "/listen/callers", l.Callers)
 	k.once(seen, "/listen/operators", l.Operators)
@@ -218,10 +224,10 @@
 // hostAddress refuses an address for this host, or a second one for a control
 // member, that differs from where the host listens.
 func (k *checker) hostAddress(c *Config, path, host, address string) {
-	if host == c.Host && address != c.Listen.Peers {
-		k.fault(path, "%s is not listen.peers of this host, %s", address, c.Listen.Peers)
+	if host == c.Host && address != c.PeerAddress() {
+		k.fault(path, "%s is not listen.peers of this host, %s", address, c.PeerAddress())
 	}
-	if host != c.Host && address != "" && address == c.Listen.Peers {
+	if host != c.Host && address != "" && address == c.PeerAddress() {
 		k.fault(path, "%s is this host's own address", address)
 	}
 }
@@ -283,6 +289,9 @@
 	if c.Has(RoleGateway) || r.Requests != "" {
 		k.address("/routed/requests", r.Requests)
 	}
+	if r.RequestsAdvertised != "" {
+		k.address("/routed/requests_advertised", r.RequestsAdvertised)
+	}
 	seen := map[string]string{}
 	for _, a := range []struct{ path, address string }{
 		{"/listen/operators", c.Listen.Operators}, {"/listen/peers", c.Listen.Peers},
--- a/internal/procconfig/config.go
+++ b/internal/procconfig/config.go
@@ -85,6 +85,12 @@
 	Operators string `json:"operators"`
 	// Peers is the address for the fleet's other processes. Required.
 	Peers string `json:"peers"`
+	// PeersAdvertised is the address that they are told in place of Peers, for hosts behind
+	// a forwarder. Absent: Peers.
+	PeersAdvertised string `json:"peers_advertised,omitempty"`
+	// Source is the IP number from which this process opens connections to other hosts and
+	// to backend servers, on machines that have several. Absent: the system's choice.
+	Source string `json:"source,omitempty"`
 }
 
 // Control names the control group.
@@ -134,6 +140,9 @@
 type Routed struct {
 	// Requests is the address for callers' requests.
 	Requests string `json:"requests,omitempty"`
+	// RequestsAdvertised is the address that callers are told in place of Requests, for
+	// hosts behind a forwarder. Absent: Requests.
+	RequestsAdvertised string `json:"requests_advertised,omitempty"`
 	// Readiness is the address that tells whether this host takes requests.
 	Readiness string `json:"readiness,omitempty"`
 	// Registry is the address for backend servers' announcements and for the operator of
@@ -298,11 +307,27 @@
 	return Member{}, false
 }
 
+// PeerAddress is where the fleet's other processes reach this one.
+func (c *Config) PeerAddress() string {
+	if c.Listen.PeersAdvertised != "" {
+		return c.Listen.PeersAdvertised
+	}
+	return c.Listen.Peers
+}
+
+// CallerAddress is where callers of a gateway reach it.
+func (r *Routed) CallerAddress() string {
+	if r.RequestsAdvertised != "" {
+		return r.RequestsAdvertised
+	}
+	return r.Requests
+}
+
 // SeedPeers are the peer addresses of the seeds, without this host's own.
 func (c *Config) SeedPeers() []string {
 	var out []string
 	for _, seed := range c.Seeds {
-		if peer := c.peerAddressOf(seed); peer != c.Listen.Peers {
+		if peer := c.peerAddressOf(seed); peer != c.PeerAddress() {
 			out = append(out, peer)
 		}
 	}
@@ -312,7 +337,7 @@
 // peerAddressOf is the peer address of the host that an address is of.
 func (c *Config) peerAddressOf(address string) string {
 	ip, _, _ := net.SplitHostPort(address)
-	_, port, _ := net.SplitHostPort(c.Listen.Peers)
+	_, port, _ := net.SplitHostPort(c.PeerAddress())
 	return net.JoinHostPort(ip, port)
 }
 
@@ -326,7 +351,7 @@
 	for _, seed := range c.Seeds {
 		out = append(out, c.peerAddressOf(seed))
 	}
-	if !slices.Contains(out, c.Listen.Peers) {
+	if !slices.Contains(out, c.PeerAddress()) {
 		return nil
 	}
 	return out
--- a/internal/procconfig/routed_test.go
+++ b/internal/procconfig/routed_test.go
@@ -53,6 +53,8 @@
 		"negative extra":         {`54`, `-1`, []string{"/routed/retry: "}},
 		"seed twice":             {`"192.0.2.2:8083"]`, `"192.0.2.1:8083"]`, []string{"/seeds/1: "}},
 		"seed without a port":    {`"192.0.2.2:8083"]`, `"192.0.2.2"]`, []string{"/seeds/1: "}},
+		"forwarder without port": {`"peers": "192.0.2.1:8082"`, `"peers": "192.0.2.1:8082", "peers_advertised": "192.0.2.7"`, []string{"/listen/peers_advertised: "}},
+		"source by name":         {`"peers": "192.0.2.1:8082"`, `"peers": "192.0.2.1:8082", "source": "eth0"`, []string{"/listen/source: "}},
 		"negative losses":        {`"losses": 1`, `"losses": -1`, []string{"/control/losses: "}},
 		"address kept too long":  {`"retry"`, `"address_ttl": "10h", "retry"`, []string{"/routed/address_ttl: "}},
 		"neither seeds nor group": {`"seeds": ["192.0.2.1:8083", "192.0.2.2:8083"],`, ``,
@@ -85,10 +87,18 @@
 	return f.log.Write(p)
 }
 
-func (f *follower) logged(event string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return strings.Contains(f.log.String(), event)
+// await waits for a line of the event.
+func (f *follower) await(t *testing.T, event string) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		logged := strings.Contains(f.log.String(), event)
+		f.mu.Unlock()
+		if logged {
+			return
+		}
+	}
+	t.Fatalf("no line %s", event)
 }
 
 func startFollower(t *testing.T) *follower {
@@ -139,10 +149,12 @@
 	f := startFollower(t)
 	f.write(t, routed[:len(routed)/2])
 	f.signals <- os.Interrupt
+	f.await(t, "settings-file-refused")
 	testutil.NoError(t, os.Remove(f.path))
 	f.signals <- os.Interrupt
+	f.await(t, "settings-file-unreadable")
 	f.write(t, routed)
-	f.signals <- os.Interrupt // takes all before it to be done
+	f.signals <- os.Interrupt
 	select {
 	case c := <-f.read:
 		if c.Seeds[1] != "192.0.2.2:8083" {
@@ -151,9 +163,4 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("the sound file is not read after the faulty one")
 	}
-	for _, event := range []string{"settings-file-refused", "settings-file-unreadable"} {
-		if !f.logged(event) {
-			t.Errorf("no line %s", event)
-		}
-	}
 }
