--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 # test passes the whole suite; it needs nothing but Go.
 test:
-	go test ./...
+	go test $(TESTFLAGS) ./...
 
 # build puts the programs into ./bin.
 build:
