The fake ledger bills a dead host's reservations as far as it held tokens, like the real one

Cause: a request that still waited for tokens when its host died is recorded with its reservation; the fake called a bill above the grant a fault.

--- a/internal/grant/fakeledger/fakeledger.go
+++ b/internal/grant/fakeledger/fakeledger.go
@@ -264,6 +264,9 @@
 		}
 	}
 	for _, bill := range r.GetBills() {
+		// The reservation of a request that still waited for tokens when its host died may be
+		// more than the host held; the real ledger bills what there is.
+		bill.Tokens = min(bill.GetTokens(), l.Budgets[bill.GetBudget()].grant(k).Tokens)
 		if l.bill(k, bill) {
 			result.Billed += bill.GetTokens()
 		}
