--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -46,8 +46,8 @@
 	Slots int
 	// Draining: it takes no new requests.
 	Draining bool
-	// ColdLeft is how much longer it is slow after its start.
-	ColdLeft time.Duration
+	// WarmupLeft is how much longer it is slow after its start.
+	WarmupLeft time.Duration
 	// Seq counts up with each announcement of the instance.
 	Seq uint64
 }
@@ -246,7 +246,7 @@
 	return &pb.ServerState{
 		Id: i.ID, Address: i.Address, Zone: i.Zone, Version: i.Version, Services: []string{i.Service},
 		Slots: uint32(max(i.Slots, 0)), Leaving: i.Draining, Gone: i.Gone, Seq: i.Seq,
-		ColdLeftMs: i.ColdLeft.Milliseconds(), AgeMs: max(age.Milliseconds(), 0),
+		WarmupLeftMs: i.WarmupLeft.Milliseconds(), AgeMs: max(age.Milliseconds(), 0),
 	}
 }
 
@@ -276,6 +276,6 @@
 	return r.Announce(heard, Announcement{
 		ID: st.GetId(), Service: st.GetServices()[0], Address: st.GetAddress(), Zone: st.GetZone(),
 		Version: st.GetVersion(), Slots: int(st.GetSlots()), Draining: st.GetLeaving(),
-		ColdLeft: time.Duration(st.GetColdLeftMs()) * time.Millisecond, Seq: st.GetSeq(),
+		WarmupLeft: time.Duration(st.GetWarmupLeftMs()) * time.Millisecond, Seq: st.GetSeq(),
 	})
 }
