Servers of routed requests are assigned by the owner of their shard

Ruled out: capacity of the engines (a third of it was used), the budgets (mended before).

Change: the servers of a service are divided into shards by a hash of their ids; one host owns a shard and places every request at its servers (controller/assign, balance/shard). Hosts no longer tell each other what they sent where; the tests of that are replaced by tests of the same symptoms at the owner. The end of requests is reported in batches (outbox, shared with the budgets).

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -3,9 +3,9 @@
 // answer takes there, and takes the least. It is pure: time and randomness are passed
 // in, and the caller serialises the calls.
 //
-// What the prediction knows: the work that this host has at a server, what its peers
-// say they have, which parts of the prompt the server is likely to keep cached, and how
-// the last requests ended there.
+// What the prediction knows: the work that this host has placed at a server, which parts
+// of the prompt the server is likely to keep cached, and how the last requests ended
+// there. It knows all of it for the servers of which this host places every request.
 package balance
 
 import (
@@ -14,7 +14,6 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
-	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
 // Part is one part of a prompt. Requests share parts; an engine keeps those it has read,
@@ -40,6 +39,8 @@
 	Objective time.Duration
 	// Exclude lists the instances that had the request already.
 	Exclude []string
+	// Shard restricts the choice to a part of the service's servers.
+	Shard Shard
 }
 
 // Choice is room for one request at a server.
@@ -136,7 +137,7 @@
 	homeWait := time.Duration(0)
 	home := c.home(w)
 	for _, inst := range c.reg.Serving(w.Service) {
-		if excluded(w, inst.ID) {
+		if excluded(w, inst.ID) || !w.Shard.has(inst.ID) {
 			continue
 		}
 		s := c.server(inst.ID)
@@ -164,11 +165,10 @@
 	best.server.begin(now, r)
 	if w.Engine {
 		best.server.cache.touch(w.Prompt, w.CacheTokens)
-		best.server.sent.add(now, w.Prompt)
 	}
 	return Choice{
 		Ticket: c.ticket, Instance: best.inst.Announcement, Wait: best.wait, Cached: best.cached,
-		Shared: sharedTokens(w.Prompt), HomeWait: homeWait,
+		Shared: SharedTokens(w.Prompt), HomeWait: homeWait,
 		Running: best.server.running - 1, Considered: considered,
 	}, nil
 }
@@ -188,7 +188,7 @@
 	if w.Engine {
 		cand.cached = s.cache.cached(w.Prompt)
 		unread := w.PromptTokens - min(cand.cached, w.PromptTokens)
-		cand.wait = readTime(s.backlog(now)+float64(unread)) + s.behind(now) + time.Duration(s.load())*runningPenalty
+		cand.wait = readTime(s.backlog(now)+float64(unread)) + s.behind(now) + time.Duration(s.running)*runningPenalty
 	} else {
 		cand.wait = s.serviceTime(inst.Slots)
 	}
@@ -219,7 +219,7 @@
 		cost += lateWeight * late
 	}
 	if w.Engine {
-		shared := sharedTokens(w.Prompt)
+		shared := SharedTokens(w.Prompt)
 		cost += readTime(float64(shared - min(cand.cached, shared)))
 	}
 	return cost
@@ -233,8 +233,8 @@
 	homeBonus = 50 * time.Millisecond
 )
 
-// sharedTokens is the size of all parts but the last, which other requests share.
-func sharedTokens(prompt []Part) uint64 {
+// SharedTokens is the size of all parts but the last, which other requests share.
+func SharedTokens(prompt []Part) uint64 {
 	sum := uint64(0)
 	for i := range max(len(prompt)-1, 0) {
 		sum += prompt[i].Tokens
@@ -254,7 +254,7 @@
 func (c *Core) noServer(now time.Time, w *Work) error {
 	wait := maxBackoff
 	for _, inst := range c.reg.Serving(w.Service) {
-		if s := c.server(inst.ID); s.suspended.After(now) {
+		if s := c.server(inst.ID); w.Shard.has(inst.ID) && s.suspended.After(now) {
 			wait = min(wait, s.suspended.Sub(now))
 		}
 	}
@@ -310,32 +310,5 @@
 // Wrong takes that an address is not that of the instance any more.
 func (c *Core) Wrong(now time.Time, id string) { c.reg.End(now, id) }
 
-// RecentWork is this host's work at each server, for its peers.
-func (c *Core) RecentWork(now time.Time) []*pb.RecentWork {
-	var out []*pb.RecentWork
-	for id, s := range c.servers {
-		parts := s.sent.recent(now)
-		if s.running > 0 || len(parts) > 0 {
-			out = append(out, &pb.RecentWork{
-				Server: id, Requests: uint32(s.running), Tokens: uint64(s.ownBacklog(now)), Parts: parts,
-			})
-		}
-	}
-	return out
-}
-
-// MergeWork replaces what is known of a peer's work.
-func (c *Core) MergeWork(now time.Time, host string, work []*pb.RecentWork) {
-	for _, s := range c.servers {
-		s.peers.drop(host)
-	}
-	for _, w := range work {
-		told := peerWork{running: int(w.GetRequests()), unread: float64(w.GetTokens()), told: now}
-		s := c.server(w.GetServer())
-		s.peers.set(host, told)
-		s.learnParts(w.GetParts())
-	}
-}
-
 // Running is the number of requests not yet done.
 func (c *Core) Running() int { return len(c.runs) }
--- a/internal/balance/home.go
+++ b/internal/balance/home.go
@@ -1,6 +1,6 @@
 package balance
 
-import "github.com/cespare/xxhash/v2"
+import "github.com/bluebellsail/bluebellsail/internal/rendezvous"
 
 // home returns the instance at which the shared beginning of w's prompt is at home: the
 // first by rendezvous hash. All hosts compute the same one without a word between them,
@@ -12,19 +12,9 @@
 	part := w.Prompt[len(w.Prompt)-2].ID
 	best, first := uint64(0), ""
 	for _, inst := range c.reg.Serving(w.Service) {
-		if rank := mix(part, xxhash.Sum64String(inst.ID)); first == "" || rank > best {
+		if rank := rendezvous.Rank(part, rendezvous.Hash(inst.ID)); first == "" || rank > best {
 			best, first = rank, inst.ID
 		}
 	}
 	return first
 }
-
-// mix hashes two hashes into one.
-func mix(a, b uint64) uint64 {
-	x := a ^ b*0x9e3779b97f4a7c15
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	return x ^ x>>32
-}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -8,16 +8,14 @@
 
 // server is what this host knows of one instance beyond its announcements.
 type server struct {
-	// running counts this host's requests there; pending are those without the first part
+	// running counts the requests that this host placed there; pending are those without the first part
 	// of their answer, oldest first, and unread the prompt tokens of these.
 	running int
 	pending []*run
 	unread  uint64
 	// headSince is when the server can have begun to read the oldest one, at the earliest.
 	headSince time.Time
-	peers     peersWork
 	cache     cache
-	sent      sentParts
 
 	// late is by how much the last first part came after its prediction, at lateAt.
 	late   time.Duration
@@ -70,10 +68,10 @@
 	return true
 }
 
-// ownBacklog is how many prompt tokens of this host's requests are not read yet. Engines
+// backlog is how many prompt tokens of the requests placed there are not read yet. Engines
 // read them in turn, so the oldest is the only one of which a part may have been read:
 // however long the others wait, they are not read before their first part comes.
-func (s *server) ownBacklog(now time.Time) float64 {
+func (s *server) backlog(now time.Time) float64 {
 	if len(s.pending) == 0 {
 		return 0
 	}
@@ -112,55 +110,9 @@
 
 func (s *server) reported(now time.Time, l Load) { s.reportedAt, s.report = now, l }
 
-// load estimates how many requests all hosts have at the server.
-func (s *server) load() int { return s.running + s.peers.running }
-
-// backlog is how many prompt tokens the server has yet to read, of all hosts.
-func (s *server) backlog(now time.Time) float64 { return s.ownBacklog(now) + s.peers.left(now) }
-
 // serviceTime predicts when a plain service answers one more request.
 func (s *server) serviceTime(slots int) time.Duration {
 	took := max(s.took, time.Millisecond)
-	over := max(s.load()+1-max(slots, 1), 0)
-	return took + time.Duration(over)*took/time.Duration(max(slots, 1)) + time.Duration(s.load())*time.Millisecond
-}
-
-// peerWork is what one peer has at a server.
-type peerWork struct {
-	running int
-	// unread prompt tokens, as told at the time told.
-	unread float64
-	told   time.Time
-}
-
-// peersWork is what the peers have at a server.
-type peersWork struct {
-	running int
-	by      map[string]peerWork
-}
-
-func (p *peersWork) drop(host string) {
-	w, ok := p.by[host]
-	if !ok {
-		return
-	}
-	delete(p.by, host)
-	p.running -= w.running
-}
-
-func (p *peersWork) set(host string, w peerWork) {
-	p.drop(host)
-	if p.by == nil {
-		p.by = make(map[string]peerWork)
-	}
-	p.by[host] = w
-	p.running += w.running
-}
-
-func (p *peersWork) left(now time.Time) float64 {
-	sum := 0.0
-	for _, w := range p.by {
-		sum += max(w.unread-readIn(now.Sub(w.told)), 0)
-	}
-	return sum
+	over := max(s.running+1-max(slots, 1), 0)
+	return took + time.Duration(over)*took/time.Duration(max(slots, 1)) + time.Duration(s.running)*time.Millisecond
 }
--- /dev/null
+++ b/internal/controller/assign/assign_test.go
@@ -0,0 +1,323 @@
+package assign
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/controller/balancer"
+	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+	"github.com/bluebellsail/bluebellsail/internal/retry"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
+)
+
+const pool = "pool"
+
+// fleet is some hosts that know the same servers; the first one owns all shards.
+type fleet struct {
+	names []string
+	hosts map[string]*Assigner
+	local map[string]*balancer.Balancer
+	// lost tells of a call, by method, whether it is lost before it arrives, or its answer.
+	lost func(method string) (call, answer bool)
+
+	mu         sync.Mutex
+	unanswered []string
+}
+
+func newFleet(t *testing.T, engines int, names ...string) *fleet {
+	f := &fleet{
+		names: names, hosts: map[string]*Assigner{}, local: map[string]*balancer.Balancer{},
+		lost: func(string) (bool, bool) { return false, false },
+	}
+	for _, name := range names {
+		f.local[name] = balancer.New(balancer.Config{
+			Host: name, Zone: "z", Retry: retry.Bounds{Window: time.Second}, Hosts: func() int { return len(names) },
+			Changed: func() {}, Log: zerolog.Nop(),
+		})
+		for i := range engines {
+			f.local[name].Announce(engine(i))
+		}
+		f.hosts[name] = New(Config{
+			Run: name + "/run", Self: func() *pb.Holder { return &pb.Holder{Host: name, Incarnation: 1} },
+			Local: f.local[name], Owners: view{f, name}, Client: func(to string) pb.PeerClient { return &client{f: f, to: to} },
+		})
+		go f.hosts[name].Run(t.Context())
+	}
+	return f
+}
+
+func engine(i int) instance.Announcement {
+	return instance.Announcement{
+		ID: fmt.Sprintf("e%02d", i), Service: pool, Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "z", Slots: 64, Seq: 1,
+	}
+}
+
+// view is the owners as one host sees them.
+type view struct {
+	f    *fleet
+	self string
+}
+
+func (v view) Of(string, int) []owners.Host {
+	owner := v.f.names[0]
+	if owner == v.self {
+		return []owners.Host{{Name: owner, Incarnation: 1}}
+	}
+	return []owners.Host{{Name: owner, Incarnation: 1, Address: owner}}
+}
+
+func (v view) Unanswered(host string) {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	v.f.unanswered = append(v.f.unanswered, host)
+}
+
+func (v view) Answered(string) {}
+
+// client calls another host of the fleet.
+type client struct {
+	pb.PeerClient
+	f  *fleet
+	to string
+}
+
+func through[T any](c *client, method string, call func() T) (T, error) {
+	var none T
+	callLost, answerLost := c.f.lost(method)
+	if callLost {
+		return none, status.Error(codes.DeadlineExceeded, "lost")
+	}
+	reply := call()
+	if answerLost {
+		return none, status.Error(codes.DeadlineExceeded, "answer lost")
+	}
+	return reply, nil
+}
+
+func (c *client) Assign(ctx context.Context, r *pb.AssignRequest, _ ...grpc.CallOption) (*pb.AssignReply, error) {
+	return through(c, "assign", func() *pb.AssignReply { return c.f.hosts[c.to].HandleAssign(ctx, r) })
+}
+
+func (c *client) ReportRuns(_ context.Context, r *pb.ReportRunsRequest, _ ...grpc.CallOption) (*pb.ReportRunsReply, error) {
+	return through(c, "report", func() *pb.ReportRunsReply { return c.f.hosts[c.to].HandleReportRuns(r) })
+}
+
+func prompt(shared, own, sharedTokens, ownTokens uint64) *balance.Work {
+	return &balance.Work{
+		Service: pool, Engine: true, CacheTokens: 300_000, Objective: time.Second, PromptTokens: sharedTokens + ownTokens,
+		Prompt: []balance.Part{{ID: shared, Tokens: sharedTokens}, {ID: own, Tokens: ownTokens}},
+	}
+}
+
+const patience = 5 * time.Second
+
+func (f *fleet) acquire(t *testing.T, host string, w *balance.Work) relay.Lease {
+	t.Helper()
+	l, err := f.hosts[host].Acquire(testutil.Within(t, patience), w)
+	testutil.NoError(t, err)
+	return l
+}
+
+// Symptom: each host has the same prompt part read at another engine.
+// Sequence: hosts get requests with the part one after the other.
+// Cause: none knows where the others had it read.
+func TestPartsSentByOtherHostsCountAsCached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, "a", "b", "c")
+		w := prompt(7, 1, 13_000, 3_000)
+		first := f.acquire(t, "b", w)
+		w.Exclude = []string{first.Choice().Instance.ID} // so that the part's home does not decide
+		sent := f.acquire(t, "b", w)
+		w = prompt(7, 2, 13_000, 3_000)
+		w.Exclude = []string{first.Choice().Instance.ID}
+		sent.First()
+		sent.Done(balance.Served)
+		time.Sleep(time.Second)
+		got := f.acquire(t, "c", w).Choice()
+		if got.Instance.ID != sent.Choice().Instance.ID || got.Cached != 13_000 || got.Instance.Address == "" {
+			t.Errorf("chose %+v with %d cached, the other host had sent the part to %s", got.Instance, got.Cached, sent.Choice().Instance.ID)
+		}
+	})
+}
+
+// Symptom: engines have long queues while others are idle.
+// Sequence: many hosts choose at the same moment.
+// Cause: none knows what the others have chosen.
+func TestWorkOfOtherHostsCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, "a", "b", "c", "d")
+		at := map[string]int{}
+		for own := uint64(1); own <= 60; own++ {
+			host := f.names[own%4]
+			at[f.acquire(t, host, prompt(1000+own, own, 6_000, 3_000)).Choice().Instance.ID]++
+		}
+		for id, n := range at {
+			if n < 6 || n > 14 {
+				t.Errorf("%s got %d of 60 equal requests for 6 engines", id, n)
+			}
+		}
+	})
+}
+
+func TestEndsAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, "a", "b")
+		l := f.acquire(t, "b", prompt(7, 1, 100, 100))
+		if n := f.local["a"].Running(); n != 1 {
+			t.Fatalf("%d running at the owner", n)
+		}
+		l.Report(balance.Load{Running: 1, Slots: 64})
+		l.First()
+		l.First()
+		l.Done(balance.Broken)
+		time.Sleep(2 * reportWait)
+		if n := f.local["a"].Running(); n != 0 {
+			t.Errorf("%d running at the owner after the end", n)
+		}
+		// The owner knows that the server failed, so nobody is sent there.
+		if next := f.acquire(t, "a", prompt(7, 1, 100, 100)); next.Choice().Instance.ID == l.Choice().Instance.ID {
+			t.Error("the server that failed another host was chosen at once")
+		}
+	})
+}
+
+// Symptom: a server that left gets a request.
+// Sequence: the asking host has heard that the server leaves, the owner has not yet.
+// Cause: the owner's word taken for the newest.
+func TestLeavingServerIsNotUsedOnTheOwnersWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, "a", "b")
+		named := f.acquire(t, "b", prompt(7, 1, 100, 100)).Choice().Instance.ID
+		f.local["b"].End(named)
+		if got := f.acquire(t, "b", prompt(7, 2, 100, 100)).Choice().Instance.ID; got == named {
+			t.Errorf("%s was used, which this host knows to be gone", got)
+		}
+		time.Sleep(time.Second)
+		if n := f.local["a"].Running(); n != 2 {
+			t.Errorf("%d running at the owner, want the two that were used", n)
+		}
+	})
+}
+
+func TestAddressOfAnotherInstanceIsToldToBoth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, "a", "b")
+		l := f.acquire(t, "b", prompt(7, 1, 100, 100))
+		l.Wrong()
+		l.Done(balance.Served)
+		time.Sleep(time.Second)
+		for name, b := range f.local {
+			if b.Usable(l.Choice().Instance.ID) {
+				t.Errorf("host %s would still use the instance", name)
+			}
+		}
+	})
+}
+
+func TestWithoutOwnerTheHostChooses(t *testing.T) {
+	for name, answerLost := range map[string]bool{"call lost": false, "answer lost": true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3, "a", "b")
+			f.lost = func(method string) (bool, bool) {
+				return method == "assign" && !answerLost, method == "assign" && answerLost
+			}
+			l := f.acquire(t, "b", prompt(7, 1, 100, 100))
+			if f.local["b"].Running() != 1 || len(f.unanswered) != 1 {
+				t.Errorf("%s: %d running here, passed over %v", name, f.local["b"].Running(), f.unanswered)
+			}
+			l.Done(balance.Served)
+			time.Sleep(time.Second)
+			if n := f.local["a"].Running(); n != 0 {
+				t.Errorf("%s: %d running at the owner", name, n)
+			}
+		})
+	}
+}
+
+func TestOtherShardsAreAskedBeforeARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 60, "a", "b")
+		w := prompt(7, 1, 100, 100)
+		shard := f.local["b"].ShardOf(w)
+		for i := range 60 {
+			in := balance.Work{Service: pool, Shard: shard, Exclude: w.Exclude}
+			if l, err := f.local["b"].Acquire(t.Context(), &in); err == nil {
+				w.Exclude = append(w.Exclude, l.Choice().Instance.ID)
+				l.Done(balance.Abandoned)
+			} else if i == 0 {
+				t.Fatal(err)
+			}
+		}
+		f.acquire(t, "b", w)
+		for i := range 60 {
+			f.local["a"].End(engine(i).ID)
+			f.local["b"].End(engine(i).ID)
+		}
+		_, err := f.hosts["b"].Acquire(t.Context(), w)
+		testutil.Refused(t, err, errkind.NoBackendServer, "no server is left")
+	})
+}
+
+func TestPlainServicesAreChosenHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, "a", "b")
+		f.acquire(t, "b", &balance.Work{Service: pool})
+		if f.local["b"].Running() != 1 || f.local["a"].Running() != 0 {
+			t.Error("the owner was asked")
+		}
+	})
+}
+
+// TestNothingStaysAtTheOwner: whatever is lost on the way, the owner counts no request any
+// more once all have surely ended, and it can still be asked.
+func TestNothingStaysAtTheOwner(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(0, 6), 10, 40).Draw(rt, "faults")
+		ends := rapid.SliceOfN(rapid.IntRange(0, 6), 1, 20).Draw(rt, "ends")
+		left := 0
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 5, "a", "b", "c")
+			var mu sync.Mutex
+			n := 0
+			f.lost = func(string) (bool, bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				n++
+				return faults[n%len(faults)] == 0, faults[n%len(faults)] == 1
+			}
+			for i, end := range ends {
+				l, err := f.hosts[f.names[1+i%2]].Acquire(testutil.Within(t, patience), prompt(uint64(end), uint64(100+i), 3_000, 500))
+				if err != nil {
+					continue
+				}
+				time.Sleep(time.Duration(end) * 10 * time.Millisecond)
+				if end%2 == 0 {
+					l.First()
+				}
+				if end < 6 { // else the host is lost with it
+					l.Done(balance.Result(end % 5))
+				}
+			}
+			time.Sleep(patience + lifetimeMargin + 2*expireEvery)
+			left = f.local["a"].Running() + len(f.hosts["a"].assigned)
+		})
+		if left != 0 {
+			rt.Fatalf("%d requests stay at the owner", left)
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/assign/lease.go
@@ -0,0 +1,79 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+)
+
+// remoteLease is a place that another host has assigned.
+type remoteLease struct {
+	a       *Assigner
+	owner   owners.Host
+	attempt uint64
+	choice  balance.Choice
+	first   bool
+	load    *pb.ServerLoad
+	wrong   bool
+}
+
+var _ relay.Lease = (*remoteLease)(nil)
+
+// Choice implements relay.Lease.
+func (l *remoteLease) Choice() balance.Choice { return l.choice }
+
+// First implements relay.Lease; only the first call counts.
+func (l *remoteLease) First() {
+	if l.first {
+		return
+	}
+	l.first = true
+	l.report(&pb.RunReport{First: true, Load: l.load})
+}
+
+// Report implements relay.Lease; it goes with the next report.
+func (l *remoteLease) Report(load balance.Load) {
+	l.load = &pb.ServerLoad{Running: int64(load.Running), Waiting: int64(load.Waiting), Slots: int64(load.Slots)}
+}
+
+// Wrong implements relay.Lease.
+func (l *remoteLease) Wrong() {
+	l.wrong = true
+	l.a.cfg.Local.End(l.choice.Instance.ID)
+}
+
+// Done implements relay.Lease.
+func (l *remoteLease) Done(r balance.Result) {
+	l.report(&pb.RunReport{Wrong: l.wrong, Load: l.load, End: endOf(r)})
+}
+
+func (l *remoteLease) report(r *pb.RunReport) {
+	r.Attempt = l.attempt
+	a := l.a
+	a.mu.Lock()
+	a.reports.Add(l.owner.Receiver(), r, time.Now().Add(reportUse))
+	a.mu.Unlock()
+	select {
+	case a.due <- struct{}{}:
+	default: // Run is about to send
+	}
+}
+
+// results are those that an end stands for.
+var results = map[pb.RunEnd]balance.Result{
+	pb.RunEnd_RUN_END_SERVED: balance.Served, pb.RunEnd_RUN_END_SHED: balance.Shed,
+	pb.RunEnd_RUN_END_UNREACHABLE: balance.Unreachable, pb.RunEnd_RUN_END_BROKEN: balance.Broken,
+	pb.RunEnd_RUN_END_ABANDONED: balance.Abandoned,
+}
+
+func endOf(r balance.Result) pb.RunEnd {
+	for end, result := range results {
+		if result == r {
+			return end
+		}
+	}
+	return pb.RunEnd_RUN_END_ABANDONED
+}
--- /dev/null
+++ b/internal/controller/assign/run.go
@@ -0,0 +1,57 @@
+package assign
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/outbox"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// expireEvery is how often assignments are looked through for those whose end was not
+// reported.
+const expireEvery = time.Second
+
+// Run sends reports until ctx ends.
+func (a *Assigner) Run(ctx context.Context) {
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
+	defer a.sends.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-expire.C:
+			a.expire(now)
+			a.send(ctx)
+		case <-a.due:
+			time.Sleep(reportWait)
+			a.send(ctx)
+		}
+	}
+}
+
+func (a *Assigner) send(ctx context.Context) {
+	a.mu.Lock()
+	due := a.reports.Due(time.Now())
+	a.mu.Unlock()
+	for _, m := range due {
+		a.sends.Go(func() { a.sendOne(ctx, m) })
+	}
+}
+
+func (a *Assigner) sendOne(ctx context.Context, m outbox.Message[*pb.RunReport]) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	_, err := a.cfg.Client(m.To.Address).ReportRuns(ctx, &pb.ReportRunsRequest{
+		Owner: &pb.Holder{Host: m.To.Host, Incarnation: m.To.Incarnation}, Run: a.cfg.Run, Reports: m.Items,
+	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err == nil {
+		a.reports.Acknowledged(m.To)
+		return
+	}
+	a.reports.Failed(time.Now(), m.To)
+	a.cfg.Log.Debug().Str("event", "reports-unanswered").Str("owner", m.To.Host).Int("reports", len(m.Items)).Err(err).Send()
+}
--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -146,18 +146,26 @@
 	b.reg.Merge(time.Now(), transit, servers)
 }
 
-// RecentWork implements members.Registry.
-func (b *Balancer) RecentWork() []*pb.RecentWork {
+// RecentWork implements members.Registry. There is nothing to tell: the owner of a shard
+// of servers places all requests for them.
+func (b *Balancer) RecentWork() []*pb.RecentWork { return nil }
+
+// MergeWork implements members.Registry.
+func (b *Balancer) MergeWork(*pb.Holder, []*pb.RecentWork) {}
+
+// ShardOf is the shard of a service's servers in which w belongs.
+func (b *Balancer) ShardOf(w *balance.Work) balance.Shard {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.RecentWork(time.Now())
+	return b.core.ShardOf(w)
 }
 
-// MergeWork implements members.Registry.
-func (b *Balancer) MergeWork(from *pb.Holder, work []*pb.RecentWork) {
+// Usable tells whether an instance may get requests, as far as this host knows it.
+func (b *Balancer) Usable(id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.core.MergeWork(time.Now(), from.GetHost(), work)
+	i, known := b.reg.Get(id)
+	return !known || i.Usable()
 }
 
 // lease implements relay.Lease.
--- a/internal/controller/budgets/budgets.go
+++ b/internal/controller/budgets/budgets.go
@@ -22,6 +22,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/grant/book"
+	"github.com/bluebellsail/bluebellsail/internal/outbox"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
@@ -62,7 +63,7 @@
 	// Run names this run of the host; no other run has the same.
 	Run string
 	// Self is this host with its incarnation, as owner of its own grants.
-	Self func() book.Owner
+	Self func() *pb.Holder
 	// Local is nil until this run holds grants.
 	Local  func() Local
 	Owners Owners
@@ -76,7 +77,7 @@
 
 	mu     sync.Mutex
 	book   *book.Book
-	outbox *book.Outbox
+	outbox *outbox.Outbox[*pb.SpentTokens]
 	// placed says where the tokens of this host's requests are set aside.
 	placed map[string]place
 	sends  sync.WaitGroup
@@ -91,7 +92,7 @@
 // New makes a desk; Run must be called for the ends of requests to be told.
 func New(cfg Config) *Desk {
 	return &Desk{
-		cfg: cfg, book: book.New(), outbox: book.NewOutbox(),
+		cfg: cfg, book: book.New(), outbox: outbox.New[*pb.SpentTokens](),
 		placed: make(map[string]place),
 	}
 }
@@ -118,9 +119,9 @@
 		}
 	}
 	if tried {
-		return d.cfg.Self().Host, err
+		return d.cfg.Self().GetHost(), err
 	}
-	return d.cfg.Self().Host, d.reserveAt(ctx, owners.Host{Name: d.cfg.Self().Host}, budget, request, tokens)
+	return d.cfg.Self().GetHost(), d.reserveAt(ctx, owners.Host{Name: d.cfg.Self().GetHost()}, budget, request, tokens)
 }
 
 // begin notes that a request is about to get tokens; false: one of its name has some.
@@ -222,5 +223,5 @@
 func (d *Desk) tell(h owners.Host, request string, tokens uint64, until time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.outbox.Add(book.Owner{Host: h.Name, Incarnation: h.Incarnation, Address: h.Address}, request, tokens, until)
+	d.outbox.Add(h.Receiver(), &pb.SpentTokens{Request: request, Tokens: tokens}, until)
 }
--- a/internal/controller/budgets/owner.go
+++ b/internal/controller/budgets/owner.go
@@ -23,7 +23,7 @@
 func (d *Desk) reserveFor(ctx context.Context, req *pb.ReserveTokensRequest) error {
 	local := d.cfg.Local()
 	if local == nil {
-		return errkind.New(errkind.BudgetUnreachable, "host %s is not registered with the control group yet", d.cfg.Self().Host).After(time.Second)
+		return errkind.New(errkind.BudgetUnreachable, "host %s is not registered with the control group yet", d.cfg.Self().GetHost()).After(time.Second)
 	}
 	k := book.Key{Run: req.GetRun(), Request: req.GetRequest()}
 	if err := local.Reserve(ctx, req.GetBudget(), localID(k), req.GetTokens()); err != nil {
@@ -43,7 +43,7 @@
 // host are gone: the control group has counted them as spent.
 func (d *Desk) HandleSpend(req *pb.SpendTokensRequest) *pb.SpendTokensReply {
 	self, local := d.cfg.Self(), d.cfg.Local()
-	if local == nil || req.GetOwner().GetHost() != self.Host || req.GetOwner().GetIncarnation() != self.Incarnation {
+	if local == nil || req.GetOwner().GetHost() != self.GetHost() || req.GetOwner().GetIncarnation() != self.GetIncarnation() {
 		return &pb.SpendTokensReply{}
 	}
 	now := time.Now()
--- a/internal/controller/budgets/run.go
+++ b/internal/controller/budgets/run.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/bluebellsail/bluebellsail/internal/grant/book"
+	"github.com/bluebellsail/bluebellsail/internal/outbox"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -35,11 +35,11 @@
 }
 
 // send tells one owner.
-func (d *Desk) send(ctx context.Context, m book.Message) {
+func (d *Desk) send(ctx context.Context, m outbox.Message[*pb.SpentTokens]) {
 	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
 	defer cancel()
 	_, err := d.cfg.Client(m.To.Address).SpendTokens(ctx, &pb.SpendTokensRequest{
-		Owner: &pb.Holder{Host: m.To.Host, Incarnation: m.To.Incarnation}, Run: d.cfg.Run, Spent: m.Spent,
+		Owner: &pb.Holder{Host: m.To.Host, Incarnation: m.To.Incarnation}, Run: d.cfg.Run, Spent: m.Items,
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -48,7 +48,7 @@
 		return
 	}
 	d.outbox.Failed(time.Now(), m.To)
-	d.cfg.Log.Debug().Str("event", "spend-unanswered").Str("owner", m.To.Host).Int("requests", len(m.Spent)).Err(err).Send()
+	d.cfg.Log.Debug().Str("event", "spend-unanswered").Str("owner", m.To.Host).Int("requests", len(m.Items)).Err(err).Send()
 }
 
 // settlePart of the time left, one in so many, is kept for the settlement of what Drain
--- a/internal/controller/owners/owners.go
+++ b/internal/controller/owners/owners.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
+	"github.com/bluebellsail/bluebellsail/internal/outbox"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/rendezvous"
 )
@@ -33,6 +34,11 @@
 	Address string
 }
 
+// Receiver is the host as one that messages are kept for.
+func (h Host) Receiver() outbox.Receiver {
+	return outbox.Receiver{Host: h.Name, Incarnation: h.Incarnation, Address: h.Address}
+}
+
 // Self tells whether it is this host.
 func (h Host) Self() bool { return h.Address == "" }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"os"
 	"os/signal"
 	"runtime"
@@ -12,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/controller/assign"
 	"github.com/bluebellsail/bluebellsail/internal/controller/balancer"
 	"github.com/bluebellsail/bluebellsail/internal/controller/budgets"
 	"github.com/bluebellsail/bluebellsail/internal/controller/grants"
@@ -36,8 +38,10 @@
 type gateway struct {
 	d        *Daemon
 	protocol surface.Protocol
-	self     atomic.Pointer[pb.Holder]
-	leaving  atomic.Bool
+	// run names this run of the host from its start; no other run has the same.
+	run     string
+	self    atomic.Pointer[pb.Holder]
+	leaving atomic.Bool
 	// applied is the revision of the routing table at this host's replica, if it has one.
 	applied atomic.Uint64
 
@@ -46,6 +50,7 @@
 	members  *members.Controller
 	owners   *owners.Table
 	budgets  *budgets.Desk
+	assigner *assign.Assigner
 	// grants is nil until this run is registered.
 	grants atomic.Pointer[grants.Manager]
 	client *engineclient.Client
@@ -147,13 +152,14 @@
 	if d.cfg.Has(procconfig.RoleGateway) {
 		d.tasks.run(g.routes.Run)
 		d.tasks.run(g.budgets.Run)
+		d.tasks.run(g.assigner.Run)
 	}
 	return g.serve()
 }
 
 func newGateway(d *Daemon, p surface.Protocol) *gateway {
 	cfg := d.cfg
-	g := &gateway{d: d, protocol: p, metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
+	g := &gateway{d: d, protocol: p, run: cfg.Host + "/" + rand.Text(), metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
 		DialTimeout: dialServerTimeout, IdleTimeout: idleServerTimeout, Unacknowledged: lostServerTimeout, Source: cfg.Listen.Source,
 	})}
 	d.tel.Metrics.Set("routed", &g.metrics.vars)
@@ -185,6 +191,9 @@
 	})
 	g.owners = owners.New(owners.Config{Self: g.asOwner, Peers: g.members.Peers})
 	g.budgets = g.newBudgets()
+	g.assigner = assign.New(assign.Config{
+		Run: g.run, Self: g.holder, Local: g.balancer, Owners: g.owners, Client: d.pool.Client, Log: d.tel.Log,
+	})
 	return g
 }
 
--- a/internal/daemon/gatewaybudgets.go
+++ b/internal/daemon/gatewaybudgets.go
@@ -1,12 +1,9 @@
 package daemon
 
 import (
-	"crypto/rand"
-
 	"github.com/bluebellsail/bluebellsail/internal/controller/budgets"
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	"github.com/bluebellsail/bluebellsail/internal/grant"
-	"github.com/bluebellsail/bluebellsail/internal/grant/book"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 )
 
@@ -23,10 +20,7 @@
 
 func (g *gateway) newBudgets() *budgets.Desk {
 	return budgets.New(budgets.Config{
-		Run: g.d.cfg.Host + "/" + rand.Text(),
-		Self: func() book.Owner {
-			return book.Owner{Host: g.holder().GetHost(), Incarnation: g.holder().GetIncarnation()}
-		},
+		Run: g.run, Self: g.holder,
 		Local: func() budgets.Local {
 			if manager := g.grants.Load(); manager != nil {
 				return manager
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -35,7 +35,7 @@
 		handler := relay.NewHandler(g.protocol, g,
 			&callergone.Filter{}, &match.Filter{Tables: g.routes}, identify.Filter{}, deadline.Filter{}, &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
-				Dialect: g.protocol, Client: g.client, Balancer: g.balancer, Retries: g.balancer, Abort: httpserver.Abort,
+				Dialect: g.protocol, Client: g.client, Balancer: g.assigner, Retries: g.balancer, Abort: httpserver.Abort,
 			})
 		g.requests = httpserver.New(httpserver.Config{
 			Name: "requests", Address: r.Requests, Handler: handler, Limits: g.callerLimits,
--- a/internal/daemon/gatewaypeer.go
+++ b/internal/daemon/gatewaypeer.go
@@ -39,6 +39,16 @@
 	return p.g.budgets.HandleSpend(r), nil
 }
 
+// Assign finds a server for a request of another host.
+func (p gatewayPeer) Assign(ctx context.Context, r *pb.AssignRequest) (*pb.AssignReply, error) {
+	return p.g.assigner.HandleAssign(ctx, r), nil
+}
+
+// ReportRuns takes how requests of another host went.
+func (p gatewayPeer) ReportRuns(_ context.Context, r *pb.ReportRunsRequest) (*pb.ReportRunsReply, error) {
+	return p.g.assigner.HandleReportRuns(r), nil
+}
+
 // FetchRoutes gives the routing table that this host has.
 func (p gatewayPeer) FetchRoutes(_ context.Context, r *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error) {
 	if p.g.d.replica != nil {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -108,6 +108,14 @@
 	return l.service().SpendTokens(ctx, r)
 }
 
+func (l *latePeer) Assign(ctx context.Context, r *pb.AssignRequest) (*pb.AssignReply, error) {
+	return l.service().Assign(ctx, r)
+}
+
+func (l *latePeer) ReportRuns(ctx context.Context, r *pb.ReportRunsRequest) (*pb.ReportRunsReply, error) {
+	return l.service().ReportRuns(ctx, r)
+}
+
 func (l *latePeer) Explain(ctx context.Context, r *pb.ExplainRequest) (*pb.ExplainReply, error) {
 	return l.service().Explain(ctx, r)
 }
