--- a/internal/balance/core_test.go
+++ b/internal/balance/core_test.go
@@ -154,6 +154,7 @@
 		if work.Shard.Of != 4 || !work.Shard.has(home) {
 			t.Fatalf("part %d: shard %+v does not have its home %s", part, work.Shard, home)
 		}
+		w.announce(engines(60)...)
 		if c := w.serve(t, work, 400*time.Millisecond); c.Instance.ID != home {
 			t.Errorf("part %d went to %s, its home %s is idle", part, c.Instance.ID, home)
 		}
--- a/internal/controller/budgets/budgets.go
+++ b/internal/controller/budgets/budgets.go
@@ -65,7 +65,9 @@
 	// Self is this host with its incarnation, as owner of its own grants.
 	Self func() *pb.Holder
 	// Local is nil until this run holds grants.
-	Local  func() Local
+	Local func() Local
+	// Await waits for Local while this host starts; nil: it has none in time.
+	Await  func(ctx context.Context) Local
 	Owners Owners
 	Client func(address string) pb.PeerClient
 	Log    zerolog.Logger
@@ -174,7 +176,7 @@
 }
 
 func (d *Desk) reserveHere(ctx context.Context, budget, request string, tokens uint64) error {
-	local := d.cfg.Local()
+	local := d.cfg.Await(ctx)
 	if local == nil {
 		return errkind.New(errkind.BudgetUnreachable, "this host is not registered with the control group yet").After(time.Second)
 	}
--- a/internal/controller/budgets/budgets_test.go
+++ b/internal/controller/budgets/budgets_test.go
@@ -84,7 +84,7 @@
 		f.purses[name] = newPurse(1000)
 		f.desks[name] = New(Config{
 			Run: name + "/run", Self: func() *pb.Holder { return &pb.Holder{Host: name, Incarnation: 1} },
-			Local: func() Local { return f.purses[name] }, Owners: view{f, name},
+			Local: func() Local { return f.purses[name] }, Await: func(context.Context) Local { return f.purses[name] }, Owners: view{f, name},
 			Client: func(address string) pb.PeerClient { return &client{f: f, to: address} },
 		})
 	}
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -26,12 +26,26 @@
 	// with the quorum confirms within a second; after two it is out of reach for all hosts
 	// heard of, and what they serve under is the best there is.
 	unconfirmedGrace = 2 * time.Second
-	// retryNotReady is when a caller may try a host again that has no table yet.
-	retryNotReady = 500 * time.Millisecond
+	// usualStart is how long a host of a fleet that lost power takes until it serves:
+	// replicas open their files, elect a leader and confirm the table. A caller that comes
+	// back sooner than that has come in vain.
+	usualStart = 1500 * time.Millisecond
+	// retryNotReady is when a caller may try a host again whose start takes longer.
+	retryNotReady = 400 * time.Millisecond
+	// startWait is how long a request waits at a host that has no table yet. It is part of
+	// the shortest objectives, and as long as the last steps of a start take.
+	startWait = 250 * time.Millisecond
+	// startLook is how often a waiting request looks for the table.
+	startLook = 10 * time.Millisecond
 	// fetchTimeout bounds one fetch. The largest tables are some hundred kilobytes.
 	fetchTimeout = time.Second
+	// confirmTimeout bounds a fetch by a host that serves nobody yet: hosts that are down
+	// are asked too, and must not be waited for.
+	confirmTimeout = 400 * time.Millisecond
 	// lookEvery is how often the hosts' revisions are looked at.
 	lookEvery = 100 * time.Millisecond
+	// confirmEvery is how often control hosts are asked by a host that serves nobody yet.
+	confirmEvery = 50 * time.Millisecond
 )
 
 // Source is a host that a table can be fetched from.
@@ -63,9 +77,13 @@
 	current   atomic.Pointer[routes.Index]
 	confirmed atomic.Bool
 
+	fetches sync.WaitGroup
+
 	mu    sync.Mutex
 	table *pb.Routes
 	next  int
+	// asking are the control hosts that are being asked for a confirmation.
+	asking map[string]bool
 }
 
 // New makes a controller without a table.
@@ -73,30 +91,72 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Controller{cfg: cfg, started: cfg.Now(), table: &pb.Routes{}}
+	return &Controller{cfg: cfg, started: cfg.Now(), table: &pb.Routes{}, asking: make(map[string]bool)}
 }
 
 // Run fetches newer tables until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
+	defer c.fetches.Wait()
 	for {
 		c.Reconcile(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(c.pause()):
 		}
 	}
 }
 
-// Reconcile fetches once from the host that is best to ask, if any is.
+// pause until the next look.
+func (c *Controller) pause() time.Duration {
+	if c.confirmed.Load() {
+		return lookEvery
+	}
+	return confirmEvery
+}
+
+// Reconcile fetches from a host that has a newer table. Until a table was confirmed it
+// asks all control hosts at the same time, and does not wait for their answers.
+//
+// What goes wrong when they are asked in turn: after a loss of power some of them are not
+// back, or were replaced, and each of these costs its timeout while callers are refused.
 func (c *Controller) Reconcile(ctx context.Context) {
-	source, ok := c.choose(c.cfg.Sources())
-	if !ok {
+	sources := c.cfg.Sources()
+	if source, ok := c.newer(sources); ok {
+		c.fetch(ctx, source, fetchTimeout)
+	}
+	if c.confirmed.Load() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	for _, s := range sources {
+		if s.Control && c.begin(s.Address) {
+			c.fetches.Go(func() {
+				defer c.end(s.Address)
+				c.fetch(ctx, s, confirmTimeout)
+			})
+		}
+	}
+}
+
+// begin notes that a host is being asked; false: it is already.
+func (c *Controller) begin(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asking[address] {
+		return false
+	}
+	c.asking[address] = true
+	return true
+}
+
+func (c *Controller) end(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.asking, address)
+}
+
+func (c *Controller) fetch(ctx context.Context, source Source, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := c.cfg.Fetch(ctx, source.Address, &pb.FetchRoutesRequest{Have: c.Revision()})
 	if err != nil {
@@ -107,15 +167,14 @@
 	c.Take(reply)
 }
 
-// choose is a host that has a newer table or, until a table was confirmed, any control
-// host in turn.
-func (c *Controller) choose(sources []Source) (Source, bool) {
+// newer is a host that has a newer table, another one each time.
+func (c *Controller) newer(sources []Source) (Source, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	have := c.table.GetRevision()
 	var candidates []Source
 	for _, s := range sources {
-		if s.Revision > have || s.Control && !c.confirmed.Load() {
+		if s.Revision > have {
 			candidates = append(candidates, s)
 		}
 	}
@@ -171,12 +230,38 @@
 
 // Current is the table in force, or the refusal while there is none to serve under.
 func (c *Controller) Current() (*routes.Index, error) {
-	x := c.current.Load()
+	x, age := c.current.Load(), c.cfg.Now().Sub(c.started)
 	if x == nil {
-		return nil, errkind.New(errkind.HostNotReady, "this host has no routing table yet").After(retryNotReady)
+		return nil, errkind.New(errkind.HostNotReady, "this host has no routing table yet").After(retryAt(age))
+	}
+	if !c.confirmed.Load() && age < unconfirmedGrace {
+		return nil, errkind.New(errkind.HostNotReady, "the routing table is not confirmed by a quorum yet").After(retryAt(age))
+	}
+	return x, nil
+}
+
+// retryAt is when a caller may come back to a host that started so long ago.
+func retryAt(age time.Duration) time.Duration { return max(usualStart-age, retryNotReady) }
+
+// Await is Current for a request: it waits a moment for a host's start to end.
+func (c *Controller) Await(ctx context.Context) (*routes.Index, error) {
+	x, err := c.Current()
+	if err == nil {
+		return x, nil
 	}
-	if !c.confirmed.Load() && c.cfg.Now().Sub(c.started) < unconfirmedGrace {
-		return nil, errkind.New(errkind.HostNotReady, "the routing table is not confirmed by a quorum yet").After(retryNotReady)
+	end := time.NewTimer(startWait)
+	defer end.Stop()
+	look := time.NewTicker(startLook)
+	defer look.Stop()
+	for err != nil {
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-end.C:
+			return nil, err
+		case <-look.C:
+			x, err = c.Current()
+		}
 	}
 	return x, nil
 }
--- a/internal/controller/routes/controller_test.go
+++ b/internal/controller/routes/controller_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,6 +40,7 @@
 // fixture is a controller with hosts that it can ask.
 type fixture struct {
 	*Controller
+	mu      sync.Mutex
 	now     time.Time
 	sources []Source
 	asked   []string
@@ -47,8 +52,14 @@
 	f := &fixture{now: start, replies: map[string]*pb.FetchRoutesReply{}}
 	f.Controller = New(Config{
 		Sources: func() []Source { return f.sources },
-		Fetch: func(_ context.Context, address string, _ *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error) {
+		Fetch: func(ctx context.Context, address string, _ *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error) {
+			f.mu.Lock()
 			f.asked = append(f.asked, address)
+			f.mu.Unlock()
+			if address == "silent" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
 			reply := f.replies[address]
 			if reply == nil {
 				return nil, errors.New("out of reach")
@@ -62,6 +73,13 @@
 	return f
 }
 
+// sortedAsked lists the hosts that were asked so far.
+func (f *fixture) sortedAsked() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(slices.Values(f.asked))
+}
+
 func TestNothingIsServedWithoutATable(t *testing.T) {
 	f := newFixture()
 	f.now = start.Add(time.Hour)
@@ -115,23 +133,61 @@
 	}
 }
 
-func TestReconcileLooksForAConfirmationFirst(t *testing.T) {
-	// Until a table is confirmed all control hosts are asked in turn, also those that tell no
-	// newer one: one of them may be out of reach.
-	f := newFixture()
-	f.Take(&pb.FetchRoutesReply{Routes: table(t, 4)})
-	f.sources = []Source{{Address: "sound", Revision: 4, Control: true}, {Address: "plain", Revision: 4}, {Address: "lost", Revision: 4, Control: true}}
-	f.replies["sound"] = &pb.FetchRoutesReply{Routes: &pb.Routes{Revision: 4}, Confirmed: true}
-	for range 2 {
-		f.Reconcile(t.Context())
-	}
-	if _, err := f.Current(); err != nil || len(f.asked) != 2 {
-		t.Fatalf("asked %v: %v", f.asked, err)
-	}
-	f.Reconcile(t.Context())
-	if len(f.asked) != 2 {
-		t.Errorf("asked on after the confirmation: %v", f.asked)
-	}
+// Symptom: after a loss of power hosts serve nobody for a second longer than they must.
+// Sequence: a host starts; of the control hosts that it knows one is not back yet and
+// gives no answer, another has what a quorum confirmed.
+// Cause: they are asked in turn, and each is waited for.
+func TestReconcileAsksAllForAConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.Take(&pb.FetchRoutesReply{Routes: table(t, 4)})
+		f.sources = []Source{
+			{Address: "silent", Revision: 4, Control: true}, {Address: "sound", Revision: 4, Control: true},
+			{Address: "plain", Revision: 4}, {Address: "lost", Revision: 4, Control: true},
+		}
+		f.replies["sound"] = &pb.FetchRoutesReply{Routes: &pb.Routes{Revision: 4}, Confirmed: true}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		synctest.Wait()
+		if _, err := f.Current(); err != nil {
+			t.Fatal(err)
+		}
+		if asked := fmt.Sprint(f.sortedAsked()); asked != "[lost silent sound]" {
+			t.Errorf("asked %s", asked)
+		}
+		time.Sleep(time.Second)
+		if again := f.sortedAsked(); len(again) != 3 {
+			t.Errorf("asked on after the confirmation: %v", again)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Symptom: after a loss of power callers are refused by hosts that serve a moment later,
+// come back, and are refused again.
+// Sequence: a request comes to a host whose table is confirmed 100 ms later; another to
+// one whose start takes longer.
+// Cause: both are refused at once, with a time to come back at which nothing has changed.
+func TestRequestsWaitForTheEndOfAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.cfg.Now = time.Now
+		f.started = time.Now()
+		go func() {
+			time.Sleep(startWait + 100*time.Millisecond)
+			f.Take(&pb.FetchRoutesReply{Routes: table(t, 4), Confirmed: true})
+		}()
+		_, err := f.Await(t.Context())
+		testutil.Refused(t, err, errkind.HostNotReady, "long before the end of the start")
+		waited := time.Since(f.started)
+		if back := errkind.From(err).RetryAfter; waited > startWait+startLook || back < usualStart-startWait-startLook {
+			t.Errorf("refused after %v, to come back in %v", waited, back)
+		}
+		if x, err := f.Await(t.Context()); err != nil || x.Revision() != 4 {
+			t.Errorf("refused shortly before the end of the start: %v", err)
+		}
+	})
 }
 
 func TestUnreadableTableIsNotTaken(t *testing.T) {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -42,6 +42,8 @@
 	run     string
 	self    atomic.Pointer[pb.Holder]
 	leaving atomic.Bool
+	// seeds are the peer addresses of hosts that may run a replica.
+	seeds atomic.Pointer[[]string]
 	// applied is the revision of the routing table at this host's replica, if it has one.
 	applied atomic.Uint64
 
@@ -51,9 +53,10 @@
 	owners   *owners.Table
 	budgets  *budgets.Desk
 	assigner *assign.Assigner
-	// grants is nil until this run is registered.
-	grants atomic.Pointer[grants.Manager]
-	client *engineclient.Client
+	// grants is nil until this run is registered; then registered is closed.
+	grants     atomic.Pointer[grants.Manager]
+	registered chan struct{}
+	client     *engineclient.Client
 
 	metrics  *routedMetrics
 	requests *httpserver.Server
@@ -89,10 +92,13 @@
 
 // reconfigure takes what may change while the process runs: the seeds.
 func (g *gateway) reconfigure(cfg *procconfig.Config) {
+	g.setSeeds(cfg.SeedPeers())
 	g.members.SetSeeds(cfg.SeedPeers())
 	g.d.client.SetSeeds(cfg.SeedPeers())
 }
 
+func (g *gateway) setSeeds(addresses []string) { g.seeds.Store(&addresses) }
+
 // useLimits keeps the Go runtime within the process's limits.
 func useLimits(l procconfig.Limits) {
 	if l.Processors > 0 {
@@ -159,9 +165,10 @@
 
 func newGateway(d *Daemon, p surface.Protocol) *gateway {
 	cfg := d.cfg
-	g := &gateway{d: d, protocol: p, run: cfg.Host + "/" + rand.Text(), metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
+	g := &gateway{d: d, protocol: p, run: cfg.Host + "/" + rand.Text(), registered: make(chan struct{}), metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
 		DialTimeout: dialServerTimeout, IdleTimeout: idleServerTimeout, Unacknowledged: lostServerTimeout, Source: cfg.Listen.Source,
 	})}
+	g.setSeeds(cfg.SeedPeers())
 	d.tel.Metrics.Set("routed", &g.metrics.vars)
 	g.self.Store(&pb.Holder{Host: cfg.Host})
 	g.routes = routesctl.New(routesctl.Config{
@@ -219,6 +226,7 @@
 	})
 	manager.Contact(registered)
 	g.grants.Store(manager)
+	close(g.registered)
 	g.d.tasks.run(manager.Run)
 	g.learnHosts(ctx)
 }
--- a/internal/daemon/gatewaybudgets.go
+++ b/internal/daemon/gatewaybudgets.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"context"
+	"time"
+
 	"github.com/bluebellsail/bluebellsail/internal/controller/budgets"
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	"github.com/bluebellsail/bluebellsail/internal/grant"
@@ -21,16 +24,38 @@
 func (g *gateway) newBudgets() *budgets.Desk {
 	return budgets.New(budgets.Config{
 		Run: g.run, Self: g.holder,
-		Local: func() budgets.Local {
-			if manager := g.grants.Load(); manager != nil {
-				return manager
-			}
-			return nil
-		},
+		Local: g.localGrants, Await: g.awaitGrants,
 		Owners: g.owners, Client: g.d.pool.Client, Log: g.d.tel.Log,
 	})
 }
 
+// localGrants are this run's; nil before it is registered.
+func (g *gateway) localGrants() budgets.Local {
+	if manager := g.grants.Load(); manager != nil {
+		return manager
+	}
+	return nil
+}
+
+// startGrace is how old a process is at most whose requests wait for its registration. A
+// fleet that lost power has a leader again within it; later the control group is out of
+// reach, and callers are told so at once.
+const startGrace = 2 * time.Second
+
+// awaitGrants waits for this run's registration while the process starts.
+//
+// What goes wrong without it: a host that has just started has its routing table a moment
+// before its incarnation, and refuses in between what it could serve.
+func (g *gateway) awaitGrants(ctx context.Context) budgets.Local {
+	ctx, cancel := context.WithDeadline(ctx, processStart.Add(startGrace))
+	defer cancel()
+	select {
+	case <-g.registered:
+	case <-ctx.Done():
+	}
+	return g.localGrants()
+}
+
 // policyFor is how this host holds tokens of a budget.
 func (g *gateway) policyFor(budget string) grant.Policy {
 	p := gatewayPolicy
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -27,14 +27,22 @@
 	return out
 }
 
-// sources are the hosts that a routing table can be fetched from.
+// sources are the hosts that a routing table can be fetched from: those that live and,
+// for a host that has just started and has heard of few, the seeds.
 func (g *gateway) sources() []routesctl.Source {
 	var out []routesctl.Source
+	known := make(map[string]bool)
 	for _, m := range g.members.Peers() {
+		known[m.PeerAddress] = true
 		if m.PeerAddress != "" && m.Health == pb.HostHealth_HOST_HEALTH_ALIVE {
 			out = append(out, routesctl.Source{Address: m.PeerAddress, Revision: m.ConfigRevision, Control: m.Control})
 		}
 	}
+	for _, seed := range *g.seeds.Load() {
+		if !known[seed] {
+			out = append(out, routesctl.Source{Address: seed, Control: true})
+		}
+	}
 	return out
 }
 
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -53,8 +53,8 @@
 
 // Tables gives the routing table in force.
 type Tables interface {
-	// Current is the table, or the refusal while there is none to serve under.
-	Current() (*routes.Index, error)
+	// Await is the table, or the refusal if there is none to serve under, nor in a moment.
+	Await(ctx context.Context) (*routes.Index, error)
 }
 
 // Budgets sets tokens aside and bills what was used.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -56,7 +56,7 @@
 	err   error
 }
 
-func (t tables) Current() (*routes.Index, error) { return t.index, t.err }
+func (t tables) Await(context.Context) (*routes.Index, error) { return t.index, t.err }
 
 // through sends a request through filters to an end that notes that it came there.
 func through(x *relay.Exchange, end filter.HandlerFunc, filters ...filter.Filter) error {
