A starting host is not ready before it knows servers and a host that holds tokens

Ruled out: servers that announce themselves late; other hosts served them meanwhile.

Change: for two seconds from its start a host that lacks a server of one of the table's services, or any host that holds tokens, is not ready; its requests wait as for the table.

--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -160,6 +160,13 @@
 	return b.core.ShardOf(w)
 }
 
+// Serves tells whether any instance of a service is known.
+func (b *Balancer) Serves(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.reg.Serving(service)) > 0
+}
+
 // Usable tells whether an instance may get requests, as far as this host knows it.
 func (b *Balancer) Usable(id string) bool {
 	b.mu.Lock()
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -32,6 +32,9 @@
 	usualStart = 1500 * time.Millisecond
 	// retryNotReady is when a caller may try a host again whose start takes longer.
 	retryNotReady = 400 * time.Millisecond
+	// startGrace is how old a host is at most that waits for what it Lacks. Servers announce
+	// themselves, and hosts exchange heartbeats, more often than that.
+	startGrace = 2 * time.Second
 	// startWait is how long a request waits at a host that has no table yet. It is part of
 	// the shortest objectives, and as long as the last steps of a start take.
 	startWait = 250 * time.Millisecond
@@ -64,6 +67,9 @@
 	Fetch func(ctx context.Context, address string, req *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error)
 	// Changed is called after each newer table; before is nil for the first.
 	Changed func(before, after *routes.Index)
+	// Lacks is asked while this host starts: what it does not know yet that requests under
+	// the table need; empty: nothing. nil: it needs nothing but the table.
+	Lacks func(*routes.Index) string
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 	Log zerolog.Logger
@@ -237,6 +243,12 @@
 	if !c.confirmed.Load() && age < unconfirmedGrace {
 		return nil, errkind.New(errkind.HostNotReady, "the routing table is not confirmed by a quorum yet").After(retryAt(age))
 	}
+	if c.cfg.Lacks == nil || age > startGrace {
+		return x, nil
+	}
+	if lacks := c.cfg.Lacks(x); lacks != "" {
+		return nil, errkind.New(errkind.HostNotReady, "this host has just started and does not know %s yet", lacks).After(retryAt(age))
+	}
 	return x, nil
 }
 
--- a/internal/controller/routes/controller_test.go
+++ b/internal/controller/routes/controller_test.go
@@ -190,6 +190,27 @@
 	})
 }
 
+// Symptom: a host that has just started refuses what all others could serve, and calls
+// itself ready.
+// Sequence: it gets its table; the heartbeats of hosts and servers come a moment later.
+// Cause: the table taken for all that it needs.
+func TestStartingHostWaitsForWhatItLacks(t *testing.T) {
+	f := newFixture()
+	lacks := "a backend server"
+	f.cfg.Lacks = func(*routes.Index) string { return lacks }
+	f.Take(&pb.FetchRoutesReply{Routes: table(t, 4), Confirmed: true})
+	_, err := f.Current()
+	testutil.Refused(t, err, errkind.HostNotReady, "without servers")
+	f.now = start.Add(startGrace + 1)
+	if _, err := f.Current(); err != nil {
+		t.Errorf("a service without servers keeps a host from serving the others: %v", err)
+	}
+	f.now, lacks = start, ""
+	if _, err := f.Current(); err != nil {
+		t.Errorf("refused with all it needs: %v", err)
+	}
+}
+
 func TestUnreadableTableIsNotTaken(t *testing.T) {
 	f := newFixture()
 	f.Take(&pb.FetchRoutesReply{Routes: table(t, 4), Confirmed: true})
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -172,7 +172,7 @@
 	d.tel.Metrics.Set("routed", &g.metrics.vars)
 	g.self.Store(&pb.Holder{Host: cfg.Host})
 	g.routes = routesctl.New(routesctl.Config{
-		Sources: g.sources, Fetch: g.fetchRoutes, Changed: g.tableChanged, Log: d.tel.Log,
+		Sources: g.sources, Fetch: g.fetchRoutes, Changed: g.tableChanged, Lacks: g.lacks, Log: d.tel.Log,
 	})
 	d.client.SetAddresses(g.controlAddresses)
 	retries := cfg.Routed.Retry
@@ -303,6 +303,24 @@
 	}
 }
 
+// lacks tells what this host, which has just started, does not know yet: a host that
+// holds tokens, or a server of one of the table's services.
+//
+// What goes wrong without it: the table comes some milliseconds before the first
+// heartbeats of hosts and servers, and a host that calls itself ready refuses what every
+// other host could serve.
+func (g *gateway) lacks(x *routes.Index) string {
+	if g.grants.Load() == nil && len(g.owners.Of("", 1)) == 0 {
+		return "a host that holds tokens"
+	}
+	for _, s := range x.Table().Services {
+		if !g.balancer.Serves(s.Name) {
+			return "a backend server of " + s.Name
+		}
+	}
+	return ""
+}
+
 // ready is nil while this host takes callers' requests.
 func (g *gateway) ready() error {
 	if g.leaving.Load() {
