--- a/internal/balance/core_test.go
+++ b/internal/balance/core_test.go
@@ -132,7 +132,7 @@
 	}
 	w.announce(engines(6)...)
 	w.serve(t, prompt(7, 2, 13_000, 3_000), 150*time.Millisecond)
-	busy := prompt(8, 3, 100, 10_000) // 0.3 s to read
+	busy := prompt(8, 3, 100, 20_000) // 0.6 s to read
 	for _, e := range engines(6) {
 		if e.ID != kept {
 			busy.Exclude = append(busy.Exclude, e.ID)
