--- a/internal/balance/core_test.go
+++ b/internal/balance/core_test.go
@@ -109,11 +109,12 @@
 	}
 }
 
-// load gives an engine so many prompt tokens a second, over some seconds, all of it read.
-func (w *world) load(id string, tokens float64) {
-	s := w.core.server(id)
+// load gives engines so many prompt tokens a second, over some seconds, all of it read.
+func (w *world) load(tokens uint64, ids ...string) {
 	for range 40 {
-		s.assign(w.now, uint64(tokens/4))
+		for _, id := range ids {
+			w.core.server(id).assign(w.now, tokens/4)
+		}
 		w.now = w.now.Add(250 * time.Millisecond)
 	}
 }
@@ -127,9 +128,7 @@
 func TestFullEnginesDoNotReadWhatAnotherKeeps(t *testing.T) {
 	w := newWorld("z", engines(6)...)
 	kept := w.serve(t, prompt(7, 1, 13_000, 3_000), 600*time.Millisecond).Instance.ID
-	for _, e := range engines(6) {
-		w.load(e.ID, 29_000)
-	}
+	w.load(29_000, "e00", "e01", "e02", "e03", "e04", "e05")
 	w.announce(engines(6)...)
 	w.serve(t, prompt(7, 2, 13_000, 3_000), 150*time.Millisecond)
 	busy := prompt(8, 3, 100, 20_000) // 0.6 s to read
@@ -150,7 +149,7 @@
 func TestIdleEngineTakesAPartOfAFullOne(t *testing.T) {
 	w := newWorld("z", engines(6)...)
 	kept := w.serve(t, prompt(7, 1, 6_000, 3_000), 600*time.Millisecond).Instance.ID
-	w.load(kept, 29_000)
+	w.load(29_000, kept)
 	w.announce(engines(6)...)
 	if c := w.choose(t, prompt(7, 2, 6_000, 3_000)); c.Instance.ID == kept {
 		t.Errorf("chose %s, nine tenths of whose time are taken, while five engines are idle", kept)
