Callers are named three hosts, their share of the fleet

Cause: every caller was named all hosts, callers prefer some of them whatever the order of the answer, and one host of 70 got ten times the mean: its link was full and its streams came late.

Change: a directory answer names three hosts, drawn by a hash of the caller's name with more weight for its zone and less for hosts with more than their share of the traffic (membership/share).

--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -25,7 +25,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.SetLoad(load.SparePermille, load.ConfigRevision)
+	c.table.SetLoad(load.SparePermille, load.Traffic, load.ConfigRevision)
 	targets := c.table.Tick()
 	hosts := c.table.Hosts()
 	c.delta.Keep(hosts, servers)
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -45,6 +45,8 @@
 type Load struct {
 	// SparePermille is its spare room in thousandths.
 	SparePermille uint32
+	// Traffic is what its callers send and get, in KiB a second.
+	Traffic uint32
 	// ConfigRevision is the settings revision in force here.
 	ConfigRevision uint64
 }
@@ -187,6 +189,13 @@
 	return c.table.Addresses(time.Now(), zone, ttl)
 }
 
+// Share answers a caller with its share of the fleet; see membership.Table.
+func (c *Controller) Share(zone, caller string, n int, ttl time.Duration) []membership.Address {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Share(time.Now(), zone, caller, n, ttl)
+}
+
 // HandleHeartbeat takes a peer's heartbeat and returns the reply. The reply carries no
 // backend servers: this host's own heartbeats bring them, and their replies show that
 // they arrived.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -59,6 +59,7 @@
 	client     *engineclient.Client
 
 	metrics  *routedMetrics
+	traffic  traffic
 	requests *httpserver.Server
 	others   []*httpserver.Server
 }
@@ -338,5 +339,5 @@
 	if used < limit && g.ready() == nil {
 		spare = uint32(full * (limit - used) / limit)
 	}
-	return members.Load{SparePermille: spare, ConfigRevision: max(g.routes.Revision(), g.applied.Load())}
+	return members.Load{SparePermille: spare, Traffic: g.traffic.rate(time.Now()), ConfigRevision: max(g.routes.Revision(), g.applied.Load())}
 }
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -63,11 +63,15 @@
 	return n
 }
 
+// addressesPerCaller is how many hosts a caller is named: enough to go on when two of them
+// are lost before it asks again, and few enough for the fleet to decide who goes where.
+const addressesPerCaller = 3
+
 // Addresses implements surface.Directory.
-func (g *gateway) Addresses(zone string) surface.Addresses {
+func (g *gateway) Addresses(zone, caller string) surface.Addresses {
 	ttl := g.d.cfg.Routed.AddressTTL.Std()
 	out := surface.Addresses{TTLMs: ttl.Milliseconds()}
-	for _, a := range g.members.Addresses(zone, ttl) {
+	for _, a := range g.members.Share(zone, caller, addressesPerCaller, ttl) {
 		if a.Address != "" {
 			out.List = append(out.List, a.Address)
 		}
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -136,6 +136,7 @@
 // Finished implements relay.Observer: one line for each request.
 func (g *gateway) Finished(x *relay.Exchange, err error) {
 	g.metrics.finished(x, err)
+	g.traffic.add(time.Now(), len(x.Body)+x.Sent)
 	event := g.d.tel.Log.Info().Str("event", "request").Str("request", x.ID).Int("status", x.Status).
 		Dur("took", time.Since(x.Arrived)).Str("account", x.AccountName())
 	if x.Table != nil {
--- a/internal/membership/addresses.go
+++ b/internal/membership/addresses.go
@@ -24,6 +24,7 @@
 type candidate struct {
 	address Address
 	class   int
+	traffic uint32
 	// key orders the candidates of one class: a draw without replacement in which
 	// a host's chance is its share of the spare room.
 	key float64
@@ -43,25 +44,36 @@
 // neither this host nor any other is there to serve: when all that live are
 // leaving, those are named, since a refusal from one is better than no address.
 func (t *Table) Addresses(now time.Time, zone string, ttl time.Duration) []Address {
-	candidates := make([]candidate, 0, len(t.order)+1)
-	candidates = append(candidates, t.selfCandidate(zone))
-	for _, e := range t.order {
-		if e.caller != "" && !t.dead(e) {
-			candidates = append(candidates, t.candidate(e, zone))
-		}
-	}
-	candidates = withoutLeaving(candidates)
+	candidates := t.candidates(zone)
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.key, b.key))
 	})
+	return named(candidates, now.Add(ttl))
+}
+
+func named(candidates []candidate, until time.Time) []Address {
 	addresses := make([]Address, 0, len(candidates))
 	for _, c := range candidates {
-		c.address.Until = now.Add(ttl)
+		c.address.Until = until
 		addresses = append(addresses, c.address)
 	}
 	return addresses
 }
 
+// candidates are the hosts that may be named; those that leave only if all do.
+func (t *Table) candidates(zone string) []candidate {
+	all := make([]candidate, 0, len(t.order)+1)
+	if t.cfg.Self.CallerAddress != "" {
+		all = append(all, t.selfCandidate(zone))
+	}
+	for _, e := range t.order {
+		if e.caller != "" && !t.dead(e) {
+			all = append(all, t.candidate(e, zone))
+		}
+	}
+	return withoutLeaving(all)
+}
+
 func withoutLeaving(all []candidate) []candidate {
 	leaving := func(c candidate) bool { return c.class == classLeaving }
 	staying := slices.DeleteFunc(slices.Clone(all), leaving)
@@ -77,6 +89,7 @@
 		address: Address{Host: self.Host, Zone: self.Zone, Address: self.CallerAddress},
 		class:   classOf(zone, self.Zone),
 		key:     t.draw(t.spare),
+		traffic: t.traffic,
 	}
 	if self.Incarnation == 0 {
 		c.class = classSuspect // not registered yet, so it refuses requests
@@ -92,6 +105,7 @@
 		address: Address{Host: e.host, Zone: e.zone, Address: e.caller},
 		class:   classOf(zone, e.zone),
 		key:     t.draw(e.spare),
+		traffic: e.traffic,
 	}
 	if t.health(e) == pb.HostHealth_HOST_HEALTH_SUSPECT {
 		c.class = classSuspect
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -53,6 +53,7 @@
 		Hosts:          hosts,
 		ConfigRevision: t.rev,
 		SparePermille:  t.spare,
+		Traffic:        t.traffic,
 		Leaving:        t.leaving,
 		CallerAddress:  self.CallerAddress,
 		PeerAddress:    self.PeerAddress,
@@ -170,6 +171,7 @@
 		Leaving:        e.leaving,
 		ConfigRevision: e.revision,
 		SparePermille:  e.spare,
+		Traffic:        e.traffic,
 		HeardMs:        t.age(e.heard),
 	}
 	if e.doubted {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -88,6 +88,7 @@
 	leaving     bool
 	revision    uint64
 	spare       uint32
+	traffic     uint32
 	control     bool
 
 	// hash of the name, for the order in which hosts watch each other.
@@ -125,6 +126,7 @@
 	seq      uint64
 	leaving  bool
 	spare    uint32
+	traffic  uint32
 	rev      uint64
 	changes  uint64
 
@@ -172,10 +174,10 @@
 // SetSeeds replaces the peer addresses to contact while their hosts are not known.
 func (t *Table) SetSeeds(seeds []string) { t.cfg.Seeds = seeds }
 
-// SetLoad sets what this host tells of itself: its spare room in thousandths and
-// the settings revision in force here.
-func (t *Table) SetLoad(sparePermille uint32, configRevision uint64) {
-	t.spare = sparePermille
+// SetLoad sets what this host tells of itself: its spare room in thousandths, callers'
+// traffic in KiB a second, and the settings revision in force here.
+func (t *Table) SetLoad(sparePermille, traffic uint32, configRevision uint64) {
+	t.spare, t.traffic = sparePermille, traffic
 	t.rev = configRevision
 }
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -226,14 +227,78 @@
 	}
 }
 
+// Symptom: one host's streams come too late while others have nothing to do.
+// Sequence: most callers choose the same host, whatever the order of the answer.
+// Cause: it is named in every answer.
+func TestCallersShareTheFleet(t *testing.T) {
+	f := settled(t, 7)
+	// preferred is whom callers choose of the hosts that they are named: the first by name.
+	preferred := func(at int) map[string]int {
+		chosen := make(map[string]int)
+		for caller := range 2000 {
+			answer := f.hosts[at].Share(testNow, "olinda", fmt.Sprint("caller-", caller), 3, testTTL)
+			if len(answer) != 3 {
+				t.Fatalf("named %v", answer)
+			}
+			first := slices.MinFunc(answer, func(a, b Address) int { return strings.Compare(a.Host, b.Host) })
+			chosen[first.Host]++
+		}
+		return chosen
+	}
+	for host, n := range preferred(0) {
+		if n > 1100 {
+			t.Errorf("%s is the choice of %d of 2000 callers", host, n)
+		}
+	}
+	for i, traffic := range []uint32{100, 100, 1600, 100, 100, 0, 100} {
+		f.hosts[i].SetLoad(500, traffic, 1)
+	}
+	f.run(2)
+	if n := preferred(0)[simName(2)]; n > 60 {
+		t.Errorf("a host with five times the mean traffic is the choice of %d of 2000 callers", n)
+	}
+}
+
+func TestShareIsTheSameEverywhereAndForAWhile(t *testing.T) {
+	f := settled(t, 7)
+	moved := 0
+	for caller := range 100 {
+		name := fmt.Sprint("caller-", caller)
+		first := f.hosts[0].Share(testNow, "olinda", name, 3, testTTL)
+		if other := f.hosts[4].Share(testNow, "olinda", name, 3, testTTL); !slices.Equal(first, other) {
+			t.Fatalf("%s is named %v and %v", name, first, other)
+		}
+		later := testNow.Add(shareEpoch / 10)
+		if !slices.Equal(first, f.hosts[0].Share(later, "olinda", name, 3, testTTL-shareEpoch/10)) {
+			moved++
+		}
+	}
+	if moved > 25 {
+		t.Errorf("%d of 100 callers are named other hosts a tenth of an epoch later", moved)
+	}
+}
+
+func TestShareHasNoHostThatLeaves(t *testing.T) {
+	f := settled(t, 7)
+	f.leave(3)
+	f.run(2)
+	for caller := range 100 {
+		for _, a := range f.hosts[0].Share(testNow, "olinda", fmt.Sprint(caller), 3, testTTL) {
+			if a.Host == simName(3) {
+				t.Fatal("a host that leaves is named")
+			}
+		}
+	}
+}
+
 // Symptom: all callers of a zone go to one host, or to another zone's, or nobody
 // is named while all hosts are leaving.
 // Sequence: many answers are drawn; then every host leaves.
 // Cause: order without regard to zone and spare room; an empty answer.
 func TestAddressesSpreadByZoneAndSpareRoom(t *testing.T) {
 	f := settled(t, 7) // zones in turn; olinda has hosts 2 and 5
-	f.hosts[2].SetLoad(900, 1)
-	f.hosts[5].SetLoad(100, 1)
+	f.hosts[2].SetLoad(900, 0, 1)
+	f.hosts[5].SetLoad(100, 0, 1)
 	f.run(2)
 	first := make(map[string]int)
 	for range 1000 {
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -181,12 +181,24 @@
 	e.peer = m.GetPeerAddress()
 	e.control = m.GetControl()
 	e.spare = m.GetSparePermille()
+	t.takeTraffic(e, m.GetTraffic())
 	e.revision = max(e.revision, m.GetConfigRevision())
 	if m.GetLeaving() {
 		t.setLeaving(e)
 	}
 }
 
+// takeTraffic notes a host's traffic. That it has become busy, or is no more, is news:
+// hosts that answer callers must hear it within a second or two.
+func (t *Table) takeTraffic(e *entry, traffic uint32) {
+	const much = 2 // times as much, or as little, as was told
+	before, now := max(e.traffic, busyTraffic), max(traffic, busyTraffic)
+	e.traffic = traffic
+	if now > much*before || before > much*now {
+		t.spread(e, false)
+	}
+}
+
 // setLeaving is one-way: stale word can't make a leaving host eligible again.
 func (t *Table) setLeaving(e *entry) {
 	if e.leaving {
@@ -233,6 +245,7 @@
 	heard := sentAt - t.ticks(s.GetHeardMs()) - tickPhase
 	if heard > e.heard {
 		e.spare = s.GetSparePermille()
+		t.takeTraffic(e, s.GetTraffic())
 	}
 	t.hear(e, heard)
 }
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -68,7 +68,7 @@
 		cfg.Seeds = append(cfg.Seeds, simAddress(s))
 	}
 	h.Table = New(cfg, rand.New(rand.NewPCG(f.seed, uint64(i)<<32|h.incarnation)))
-	h.SetLoad(500, 1)
+	h.SetLoad(500, 0, 1)
 }
 
 func (f *fleet) leave(i int) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -65,6 +65,8 @@
 	Attempts []Attempt
 	// Begun: the answer's status line has left.
 	Begun bool
+	// Sent is how many bytes of the answer's body went to the caller.
+	Sent int
 	// Status that was answered.
 	Status int
 }
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -138,6 +138,7 @@
 		t.w.Header().Set("Content-Length", length)
 	}
 	t.w.WriteHeader(res.StatusCode)
+	t.x.Sent += len(body)
 	_, _ = t.w.Write(body) // a caller who left is noticed by the request's context
 	if len(body) <= maxWhole {
 		return outcome{result: balance.Served}
--- a/internal/surface/surface.go
+++ b/internal/surface/surface.go
@@ -45,8 +45,9 @@
 
 // Directory names the addresses for callers.
 type Directory interface {
-	// Addresses for callers of an availability zone, and how long they may keep them.
-	Addresses(zone string) Addresses
+	// Addresses for a caller of an availability zone, and how long it may keep them. caller
+	// tells callers apart.
+	Addresses(zone, caller string) Addresses
 }
 
 // Addresses is an answer of a Directory.
