News that must not wait for heartbeats goes to all hosts at once

Ruled out: hosts that were cut off or slow (none), the owner of a shard (a plain service).

Change: whoever hears that a server leaves, and the control group's leader for a new table, tells eight hosts, each of which tells an eighth of the rest (controller/news). Hosts fetch a table from who told them. A line is logged for what a peer tells of a server.

--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -29,9 +29,9 @@
 	Retry      retry.Bounds
 	// Hosts counts the hosts that share the allowance for repeated attempts.
 	Hosts func() int
-	// Changed is called when something was heard of an instance that the peers must know
-	// at once; it must not call the Balancer.
-	Changed func()
+	// Changed is called with the state of an instance of which this host has heard
+	// something that its peers must know at once; it must not call the Balancer.
+	Changed func(*pb.ServerState)
 	Log     zerolog.Logger
 }
 
@@ -68,27 +68,36 @@
 	b.mu.Lock()
 	now := time.Now()
 	changed := b.reg.Announce(now, a)
+	state := b.reg.State(now, a.ID)
 	b.sweep(now)
 	b.mu.Unlock()
 	if changed {
-		b.changed(a.ID, a.Service, a.Address, a.Draining, false)
+		b.changed(state)
 	}
 }
 
 // End takes that a backend server ends.
 func (b *Balancer) End(id string) {
 	b.mu.Lock()
-	changed := b.reg.End(time.Now(), id)
+	now := time.Now()
+	changed := b.reg.End(now, id)
+	state := b.reg.State(now, id)
 	b.mu.Unlock()
 	if changed {
-		b.changed(id, "", "", true, true)
+		b.changed(state)
 	}
 }
 
-func (b *Balancer) changed(id, service, address string, draining, gone bool) {
-	b.cfg.Log.Info().Str("event", "server-heard").Str("server", id).Str("service", service).
-		Str("address", address).Bool("draining", draining).Bool("gone", gone).Send()
-	b.cfg.Changed()
+func (b *Balancer) changed(st *pb.ServerState) {
+	b.logHeard(st, "server")
+	b.cfg.Changed(st)
+}
+
+// logHeard writes a line for news of a server. from says who told: it or a peer.
+func (b *Balancer) logHeard(st *pb.ServerState, from string) {
+	b.cfg.Log.Info().Str("event", "server-heard").Str("server", st.GetId()).Strs("service", st.GetServices()).
+		Str("address", st.GetAddress()).Bool("draining", st.GetLeaving()).Bool("gone", st.GetGone()).
+		Str("from", from).Int64("age_ms", st.GetAgeMs()).Send()
 }
 
 // sweep drops forgotten instances now and then; b.mu is held.
@@ -142,8 +151,17 @@
 // Merge implements members.Registry.
 func (b *Balancer) Merge(servers []*pb.ServerState, transit time.Duration) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reg.Merge(time.Now(), transit, servers)
+	now := time.Now()
+	var news []*pb.ServerState
+	for _, st := range servers {
+		if b.reg.Merge(now, transit, st) {
+			news = append(news, b.reg.State(now, st.GetId()))
+		}
+	}
+	b.mu.Unlock()
+	for _, st := range news {
+		b.logHeard(st, "peer")
+	}
 }
 
 // RecentWork implements members.Registry. There is nothing to tell: the owner of a shard
--- a/internal/controller/balancer/balancer_test.go
+++ b/internal/controller/balancer/balancer_test.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/retry"
 	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
@@ -27,7 +28,7 @@
 	f := &fixture{}
 	f.Balancer = New(Config{
 		Host: "a", Zone: "z", Retry: retry.Bounds{Window: time.Hour, Share: 0.5, Extra: 4},
-		Hosts: func() int { return hosts }, Changed: func() { f.told++ }, Log: zerolog.New(&f.log),
+		Hosts: func() int { return hosts }, Changed: func(*pb.ServerState) { f.told++ }, Log: zerolog.New(&f.log),
 	})
 	return f
 }
--- /dev/null
+++ b/internal/controller/news/news.go
@@ -0,0 +1,209 @@
+// Package news tells all hosts of a fleet what must not wait for heartbeats: that a backend
+// server leaves or is gone, and that there is a newer routing table.
+//
+// What goes wrong without it: in a fleet too large for each host to hear every other one,
+// heartbeats carry word from host to host, one neighbour each 250 ms. Of 67 hosts the last
+// one learned after 2.7 s that a server leaves, and sent it a request that the server was
+// no longer there to answer.
+//
+// Whoever hears the news first divides the hosts into groups and tells the first host of
+// each; that one does the same with the rest of its group. All of 1,400 hosts are told in
+// four rounds, by one message each. A host that does not answer is passed over, and its
+// group goes to the next one. Who is missed hears it by heartbeats, later.
+package news
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	// fanOut is how many hosts a host tells: two rounds reach 72 hosts, four 4,680.
+	fanOut = 8
+	// tellTimeout bounds one message. It takes a few milliseconds; a host that has used up
+	// its processor time pauses for up to 80 ms.
+	tellTimeout = 200 * time.Millisecond
+	// gather is how long news waits for more of it: servers of a service are stopped
+	// together, and operators send tables one after the other.
+	gather = 20 * time.Millisecond
+	// minPause between two tables: of tables that come in quick succession only the newest
+	// matters.
+	minPause = 100 * time.Millisecond
+)
+
+// Config of a Spreader.
+type Config struct {
+	// Self is this host's peer address.
+	Self string
+	// Peers are the peer addresses of the other hosts that are not known to be dead.
+	Peers  func() []string
+	Client func(address string) pb.PeerClient
+	// Servers takes states of backend servers that another host heard of.
+	Servers func([]*pb.ServerState)
+	// Fetch gets the routing table of the host at an address if this host has an older
+	// revision.
+	Fetch func(ctx context.Context, address string, revision uint64)
+	Log   zerolog.Logger
+}
+
+// Spreader tells and hands on news. It is safe for concurrent use.
+type Spreader struct {
+	cfg  Config
+	wake chan struct{}
+	// sends are the messages under way.
+	sends sync.WaitGroup
+
+	mu sync.Mutex
+	// ctx is that of Run; nil before it and after it.
+	ctx      context.Context
+	servers  map[string]*pb.ServerState
+	revision uint64
+	// told is when a table was last told.
+	told time.Time
+}
+
+// New makes a spreader; nothing is told before Run.
+func New(cfg Config) *Spreader {
+	return &Spreader{cfg: cfg, wake: make(chan struct{}, 1), servers: make(map[string]*pb.ServerState)}
+}
+
+// Server tells all hosts the state of a backend server, soon.
+func (s *Spreader) Server(st *pb.ServerState) {
+	s.mu.Lock()
+	s.servers[st.GetId()] = st
+	s.mu.Unlock()
+	s.signal()
+}
+
+// Table tells all hosts of the routing table that can be fetched from this one, soon.
+func (s *Spreader) Table(revision uint64) {
+	s.mu.Lock()
+	s.revision = max(s.revision, revision)
+	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *Spreader) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default: // Run is about to look
+	}
+}
+
+// Run tells news until ctx ends, and then waits for the messages under way.
+func (s *Spreader) Run(ctx context.Context) {
+	s.setContext(ctx)
+	defer s.sends.Wait()
+	defer s.setContext(nil)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+		time.Sleep(gather)
+		if n := s.take(); n != nil {
+			s.spread(ctx, n, shuffled(s.cfg.Peers()))
+		}
+	}
+}
+
+func (s *Spreader) setContext(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ctx = ctx
+}
+
+// take returns what is to be told now, nil for nothing.
+func (s *Spreader) take() *pb.TellRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := &pb.TellRequest{}
+	for id, st := range s.servers {
+		n.Servers = append(n.Servers, st)
+		delete(s.servers, id)
+	}
+	if s.revision > 0 {
+		if pause := minPause - time.Since(s.told); pause > 0 {
+			time.AfterFunc(pause, s.signal)
+		} else {
+			n.RoutesRevision, s.revision, s.told = s.revision, 0, time.Now()
+		}
+	}
+	if len(n.Servers) == 0 && n.RoutesRevision == 0 {
+		return nil
+	}
+	return n
+}
+
+func shuffled(addresses []string) []string {
+	out := make([]string, len(addresses))
+	for i, at := range rand.Perm(len(addresses)) {
+		out[i] = addresses[at]
+	}
+	return out
+}
+
+// spread tells the hosts at these addresses, and returns before it is done.
+func (s *Spreader) spread(ctx context.Context, n *pb.TellRequest, addresses []string) {
+	for _, group := range groups(addresses) {
+		s.sends.Go(func() { s.tellGroup(ctx, n, group) })
+	}
+}
+
+// groups divides addresses into as many groups as a host tells, of about the same size.
+func groups(addresses []string) [][]string {
+	var out [][]string
+	for left := fanOut; len(addresses) > 0; left-- {
+		size := (len(addresses) + left - 1) / left
+		out = append(out, addresses[:size])
+		addresses = addresses[size:]
+	}
+	return out
+}
+
+// tellGroup tells the first host of a group that answers, which tells the rest.
+func (s *Spreader) tellGroup(ctx context.Context, n *pb.TellRequest, group []string) {
+	for len(group) > 0 && ctx.Err() == nil {
+		head := group[0]
+		group = group[1:]
+		req := &pb.TellRequest{
+			Servers: n.GetServers(), RoutesRevision: n.GetRoutesRevision(), FromAddress: s.cfg.Self, Onward: group,
+		}
+		callCtx, cancel := context.WithTimeout(ctx, tellTimeout)
+		_, err := s.cfg.Client(head).Tell(callCtx, req)
+		cancel()
+		if err == nil {
+			return
+		}
+		s.cfg.Log.Debug().Str("event", "news-unanswered").Str("to", head).Int("left", len(group)).Err(err).Send()
+	}
+}
+
+// Handle takes news from another host. It answers before it hands them on.
+func (s *Spreader) Handle(req *pb.TellRequest) *pb.TellReply {
+	if len(req.GetServers()) > 0 {
+		s.cfg.Servers(req.GetServers())
+	}
+	s.mu.Lock()
+	ctx := s.ctx
+	if ctx != nil {
+		s.sends.Go(func() { s.handOn(ctx, req) })
+	}
+	s.mu.Unlock()
+	return &pb.TellReply{}
+}
+
+// handOn gets the table that the news are of before it names this host for it.
+func (s *Spreader) handOn(ctx context.Context, req *pb.TellRequest) {
+	if req.GetRoutesRevision() > 0 {
+		s.cfg.Fetch(ctx, req.GetFromAddress(), req.GetRoutesRevision())
+	}
+	s.spread(ctx, req, req.GetOnward())
+}
--- /dev/null
+++ b/internal/controller/news/news_test.go
@@ -0,0 +1,227 @@
+package news
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// roundTrip between two hosts of the test's fleet.
+const roundTrip = 4 * time.Millisecond
+
+// fleet is some hosts that can all reach each other, but for those that are down.
+type fleet struct {
+	hosts map[string]*host
+
+	mu   sync.Mutex
+	down map[string]bool
+	// calls counts the messages that were answered.
+	calls int
+}
+
+// host is one host's spreader and what it was told.
+type host struct {
+	*Spreader
+	f  *fleet
+	at string
+
+	mu       sync.Mutex
+	heard    map[string]time.Time
+	revision uint64
+	fetched  time.Time
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{hosts: make(map[string]*host), down: make(map[string]bool)}
+	for i := range n {
+		h := &host{f: f, at: address(i), heard: make(map[string]time.Time)}
+		h.Spreader = New(Config{
+			Self: h.at, Peers: func() []string { return f.others(h.at) }, Client: func(to string) pb.PeerClient { return client{f: f, to: to} },
+			Servers: h.take, Fetch: h.fetch, Log: zerolog.Nop(),
+		})
+		f.hosts[h.at] = h
+		go h.Run(t.Context())
+	}
+	synctest.Wait()
+	return f
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
+
+func (f *fleet) others(self string) []string {
+	var out []string
+	for i := range f.hosts {
+		if i != self {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (h *host) take(states []*pb.ServerState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, st := range states {
+		if h.heard[st.GetId()].IsZero() {
+			h.heard[st.GetId()] = time.Now()
+		}
+	}
+}
+
+// fetch takes the table of the host at from, if that one has it.
+func (h *host) fetch(_ context.Context, from string, revision uint64) {
+	time.Sleep(roundTrip)
+	source := h.f.hosts[from]
+	source.mu.Lock()
+	has := source.revision
+	source.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if has >= revision && h.revision < revision {
+		h.revision, h.fetched = revision, time.Now()
+	}
+}
+
+type client struct {
+	pb.PeerClient
+	f  *fleet
+	to string
+}
+
+func (c client) Tell(ctx context.Context, r *pb.TellRequest, _ ...grpc.CallOption) (*pb.TellReply, error) {
+	c.f.mu.Lock()
+	down := c.f.down[c.to]
+	if !down {
+		c.f.calls++
+	}
+	c.f.mu.Unlock()
+	if down {
+		<-ctx.Done()
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+	time.Sleep(roundTrip)
+	if ctx.Err() != nil {
+		return nil, status.Error(codes.DeadlineExceeded, "late")
+	}
+	return c.f.hosts[c.to].Handle(r), nil
+}
+
+// slowest is how long after begin the last host that is not down heard of a server; false
+// if one has not.
+func (f *fleet) slowest(begin time.Time, server string) (time.Duration, bool) {
+	worst := time.Duration(0)
+	for at, h := range f.hosts {
+		if f.down[at] || at == address(0) {
+			continue
+		}
+		h.mu.Lock()
+		heard := h.heard[server]
+		h.mu.Unlock()
+		if heard.IsZero() {
+			return 0, false
+		}
+		worst = max(worst, heard.Sub(begin))
+	}
+	return worst, true
+}
+
+// Symptom: a server gets a request 2.7 s after it said that it leaves, from one host of 67.
+// Sequence: the server tells one host; heartbeats carry the word on, one neighbour each
+// 250 ms; the last host hears it after eleven of them.
+// Cause: nothing but heartbeats carried it. Now every host is told, in a few round trips.
+func TestLargeFleetHearsOfALeavingServerAtOnce(t *testing.T) {
+	for _, n := range []int{2, 12, 75, 1400} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, n)
+			begin := time.Now()
+			f.hosts[address(0)].Server(&pb.ServerState{Id: "s1", Leaving: true})
+			time.Sleep(time.Second)
+			took, all := f.slowest(begin, "s1")
+			if most := gather + 5*roundTrip; !all || took > most {
+				t.Errorf("%d hosts: all %v after %v, want %v at most", n, all, took, most)
+			}
+			if f.calls != n-1 {
+				t.Errorf("%d hosts: %d messages, want one for each other host", n, f.calls)
+			}
+		})
+	}
+}
+
+// Symptom: hosts go on sending to a server that left while others of the fleet are lost.
+// Sequence: a fifth of the hosts are killed and not yet known to be dead; a server leaves.
+// Cause: a lost host that was to hand the word on took it with it.
+func TestLostHostsStopNoNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 75)
+		for i := 1; i < 75; i += 5 {
+			f.down[address(i)] = true
+		}
+		begin := time.Now()
+		f.hosts[address(0)].Server(&pb.ServerState{Id: "s1", Gone: true})
+		time.Sleep(5 * time.Second)
+		took, all := f.slowest(begin, "s1")
+		if !all || took > 1500*time.Millisecond {
+			t.Errorf("all %v after %v", all, took)
+		}
+	})
+}
+
+// Symptom: the control group's leader answers late while tables change.
+// Sequence: all hosts fetch each new table from it.
+// Cause: it is the only one known to have the table. Now hosts fetch from who told them.
+func TestTableIsFetchedFromWhoToldOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 75)
+		leader := f.hosts[address(0)]
+		leader.revision = 9
+		begin := time.Now()
+		leader.Table(9)
+		time.Sleep(time.Second)
+		fromLeader := 0
+		for at, h := range f.hosts {
+			if at == leader.at {
+				continue
+			}
+			if h.revision != 9 || h.fetched.Sub(begin) > gather+8*roundTrip {
+				t.Errorf("%s has revision %d after %v", at, h.revision, h.fetched.Sub(begin))
+			}
+			if h.fetched.Sub(begin) <= gather+2*roundTrip {
+				fromLeader++
+			}
+		}
+		if fromLeader > fanOut {
+			t.Errorf("%d hosts fetched from the leader", fromLeader)
+		}
+	})
+}
+
+func TestTablesInQuickSuccessionAreToldTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9)
+		leader := f.hosts[address(0)]
+		for revision := range uint64(50) {
+			leader.mu.Lock()
+			leader.revision = revision + 1
+			leader.mu.Unlock()
+			leader.Table(revision + 1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if f.calls > 8*8 {
+			t.Errorf("%d messages for 50 tables in half a second to 8 hosts", f.calls)
+		}
+		if got := f.hosts[address(5)].revision; got != 50 {
+			t.Errorf("revision %d after all, want 50", got)
+		}
+	})
+}
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -166,6 +166,14 @@
 	delete(c.asking, address)
 }
 
+// FetchFrom gets the table of the host at an address, which has told that its revision is
+// this one, unless this host has as new a table.
+func (c *Controller) FetchFrom(ctx context.Context, address string, revision uint64) {
+	if c.Revision() < revision {
+		c.fetch(ctx, Source{Address: address, Revision: revision}, fetchTimeout)
+	}
+}
+
 func (c *Controller) fetch(ctx context.Context, source Source, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/controller/budgets"
 	"github.com/bluebellsail/bluebellsail/internal/controller/grants"
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
+	"github.com/bluebellsail/bluebellsail/internal/controller/news"
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	routesctl "github.com/bluebellsail/bluebellsail/internal/controller/routes"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
@@ -50,6 +51,7 @@
 	routes   *routesctl.Controller
 	balancer *balancer.Balancer
 	members  *members.Controller
+	news     *news.Spreader
 	owners   *owners.Table
 	budgets  *budgets.Desk
 	assigner *assign.Assigner
@@ -155,6 +157,7 @@
 		return err
 	}
 	d.tasks.run(g.members.Run)
+	d.tasks.run(g.news.Run)
 	d.tasks.run(g.join)
 	if d.cfg.Has(procconfig.RoleGateway) {
 		d.tasks.run(g.routes.Run)
@@ -181,7 +184,7 @@
 		Host: cfg.Host, Zone: cfg.Zone, Log: d.tel.Log,
 		Retry:   retry.Bounds{Window: retries.Window.Std(), Share: retries.Share, Extra: retries.Extra},
 		Hosts:   g.gateways,
-		Changed: func() { g.members.Kick() },
+		Changed: g.serverChanged,
 	})
 	interval := cfg.Timing.Heartbeat.Std()
 	g.members = members.New(members.Config{
@@ -197,6 +200,7 @@
 		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: g.balancer, Load: g.load,
 		Log: d.tel.Log, Metrics: d.tel.Metrics,
 	})
+	g.news = g.newNews()
 	g.owners = owners.New(owners.Config{Self: g.asOwner, Peers: g.members.Peers})
 	g.budgets = g.newBudgets()
 	g.assigner = assign.New(assign.Config{
@@ -285,6 +289,9 @@
 		g.applied.Store(table.GetRevision())
 		g.routes.Take(routesctl.FromReplica(g.d.replica, &pb.FetchRoutesRequest{Have: g.routes.Revision()}))
 		g.members.Kick()
+		if _, _, leads := g.d.replica.Leading(); leads {
+			g.news.Table(table.GetRevision())
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/daemon/gatewaynews.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"github.com/bluebellsail/bluebellsail/internal/backend"
+	"github.com/bluebellsail/bluebellsail/internal/controller/news"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// newNews makes what tells all hosts of servers that leave and of newer routing tables.
+func (g *gateway) newNews() *news.Spreader {
+	return news.New(news.Config{
+		Self: g.d.cfg.PeerAddress(), Peers: g.livePeers, Client: g.d.pool.Client,
+		Servers: func(states []*pb.ServerState) { g.balancer.Merge(states, backend.TransitUnknown) },
+		Fetch:   g.routes.FetchFrom, Log: g.d.tel.Log,
+	})
+}
+
+// livePeers are the peer addresses of all hosts not known to be dead.
+func (g *gateway) livePeers() []string {
+	var out []string
+	for _, m := range g.members.Peers() {
+		if m.PeerAddress != "" && m.Health != pb.HostHealth_HOST_HEALTH_DEAD {
+			out = append(out, m.PeerAddress)
+		}
+	}
+	return out
+}
+
+// serverChanged tells the peers of a server: at once if they must not use it any more.
+func (g *gateway) serverChanged(st *pb.ServerState) {
+	g.members.Kick()
+	if st.GetLeaving() || st.GetGone() {
+		g.news.Server(st)
+	}
+}
--- a/internal/daemon/gatewaypeer.go
+++ b/internal/daemon/gatewaypeer.go
@@ -54,6 +54,11 @@
 	return p.g.assigner.HandleShareParts(r), nil
 }
 
+// Tell takes news that does not wait for heartbeats.
+func (p gatewayPeer) Tell(_ context.Context, r *pb.TellRequest) (*pb.TellReply, error) {
+	return p.g.news.Handle(r), nil
+}
+
 // FetchRoutes gives the routing table that this host has.
 func (p gatewayPeer) FetchRoutes(_ context.Context, r *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error) {
 	if p.g.d.replica != nil {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -116,6 +116,10 @@
 	return l.service().ReportRuns(ctx, r)
 }
 
+func (l *latePeer) Tell(ctx context.Context, r *pb.TellRequest) (*pb.TellReply, error) {
+	return l.service().Tell(ctx, r)
+}
+
 func (l *latePeer) ShareParts(ctx context.Context, r *pb.SharePartsRequest) (*pb.SharePartsReply, error) {
 	return l.service().ShareParts(ctx, r)
 }
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -229,6 +229,14 @@
 	}
 }
 
+// State is a known instance with the age of what is known, for peers.
+func (r *Registry) State(now time.Time, id string) *pb.ServerState {
+	if i := r.instances[id]; i != nil {
+		return i.state(now)
+	}
+	return &pb.ServerState{Id: id}
+}
+
 // Snapshot is every known instance with the age of what is known, for peers.
 func (r *Registry) Snapshot(now time.Time) []*pb.ServerState {
 	out := make([]*pb.ServerState, 0, len(r.instances))
@@ -250,16 +258,10 @@
 	}
 }
 
-// Merge takes what a peer knows. transit is how long that was on its way at most;
-// unknown if below zero, and then it refreshes nothing that is known here.
-func (r *Registry) Merge(now time.Time, transit time.Duration, states []*pb.ServerState) (changed bool) {
-	for _, st := range states {
-		changed = r.mergeOne(now, transit, st) || changed
-	}
-	return changed
-}
-
-func (r *Registry) mergeOne(now time.Time, transit time.Duration, st *pb.ServerState) bool {
+// Merge takes what a peer knows of an instance. transit is how long that was on its way at
+// most; unknown if below zero, and then it refreshes nothing that is known here. It returns
+// whether anything but the time of the last announcement has changed.
+func (r *Registry) Merge(now time.Time, transit time.Duration, st *pb.ServerState) (changed bool) {
 	if st.GetGone() {
 		return r.End(now, st.GetId())
 	}
--- a/internal/instance/registry_test.go
+++ b/internal/instance/registry_test.go
@@ -125,6 +125,12 @@
 
 // Two registries that exchange snapshots agree on who may get requests, whatever each
 // heard itself and in whichever order the snapshots come.
+func mergeAll(r *Registry, now time.Time, from *Registry) {
+	for _, st := range from.Snapshot(now) {
+		r.Merge(now, time.Millisecond, st)
+	}
+}
+
 func TestMergedRegistriesAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		regs := []*Registry{New(Config{}), New(Config{})}
@@ -138,7 +144,7 @@
 				r.End(now, id)
 			case 1:
 				other := regs[rapid.IntRange(0, 1).Draw(t, "from")]
-				r.Merge(now, time.Millisecond, other.Snapshot(now))
+				mergeAll(r, now, other)
 			default:
 				a := ready(id, uint64(rapid.IntRange(1, 9).Draw(t, "seq")))
 				a.Address = "10.0.0.9:" + id // each its own address
@@ -147,8 +153,8 @@
 			}
 		}
 		for range 2 {
-			regs[0].Merge(now, time.Millisecond, regs[1].Snapshot(now))
-			regs[1].Merge(now, time.Millisecond, regs[0].Snapshot(now))
+			mergeAll(regs[0], now, regs[1])
+			mergeAll(regs[1], now, regs[0])
 		}
 		if a, b := fmt.Sprint(serving(regs[0])), fmt.Sprint(serving(regs[1])); a != b {
 			t.Fatalf("%s against %s", a, b)
@@ -158,12 +164,12 @@
 
 func TestMergeTakesNoAgeForYounger(t *testing.T) {
 	r := New(Config{})
-	r.Merge(start, 100*time.Millisecond, []*pb.ServerState{{Id: "a", Address: "x", Services: []string{"pool"}, Seq: 1, AgeMs: 400}})
+	r.Merge(start, 100*time.Millisecond, &pb.ServerState{Id: "a", Address: "x", Services: []string{"pool"}, Seq: 1, AgeMs: 400})
 	i, ok := r.Get("a")
 	if !ok || i.Heard != start.Add(-500*time.Millisecond) {
 		t.Fatalf("heard %v before", start.Sub(i.Heard))
 	}
-	r.Merge(start, -1, []*pb.ServerState{{Id: "b", Address: "y", Services: []string{"pool"}, Seq: 1}})
+	r.Merge(start, -1, &pb.ServerState{Id: "b", Address: "y", Services: []string{"pool"}, Seq: 1})
 	if b, _ := r.Get("b"); !b.Heard.Before(start) {
 		t.Error("a state of unknown age counts as heard now")
 	}
