Owners may hold nine tenths of what is left of a budget; callers come back later in long partitions

Callers were told to come back in 1 s and were refused again. Ruled out: a missing reserve (held, all of it usable), transfers (nobody else held any).

Change: AtRiskPermille 900 (700); a refusal without contact names as long a time as the partition has lasted, 1 to 3 s.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -266,8 +266,11 @@
 	IdleReturn: 30 * time.Second,
 	Transfers:  true,
 	MinHistory: 2 * time.Second,
-	// A part of what is left stays with the ledger, for whoever needs it first.
-	AtRiskPermille: 700,
+	// A part of what is left stays with the ledger, for whoever needs it first. It is small:
+	// one host, the owner, holds nearly all that is held of a budget, and when it is lost, only
+	// what it held open is. With 700 the owners of several budgets could not hold what a
+	// second partition in a day needs, while three tenths lay at the ledger.
+	AtRiskPermille: 900,
 }
 
 // learnHosts reads the registered hosts now and then, so that a host finds peers which
--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -12,8 +12,11 @@
 	// RetryExhausted: a budget without tokens needs a top-up or the end of requests
 	// whose worst case is set aside.
 	RetryExhausted = 5 * time.Second
-	// RetryUnreachable: a cut often ends sooner.
-	RetryUnreachable = time.Second
+	// RetryUnreachable and MaxRetryUnreachable bound when a caller may come back whose
+	// tokens are out of reach: a partition that has lasted for a time lasts as long again, as
+	// far as anybody knows.
+	RetryUnreachable    = time.Second
+	MaxRetryUnreachable = 3 * time.Second
 )
 
 // acquire is the one outstanding request for tokens of a budget. All waiters share it.
--- a/internal/grant/outofcontact_test.go
+++ b/internal/grant/outofcontact_test.go
@@ -162,3 +162,20 @@
 		t.Errorf("one request of 100 tokens counts as %d for 10 s", got)
 	}
 }
+
+// Symptom: half of the requests that are refused in a partition come back within it and are
+// refused again.
+// Sequence: a partition lasts eight seconds; its callers are told to come back in one.
+// Cause: the time to come back had nothing to do with the partition.
+func TestCallersComeBackLaterTheLongerAPartitionLasts(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := holding(start, 0, 0)
+	for without, want := range map[time.Duration]time.Duration{
+		200 * time.Millisecond: RetryUnreachable, 2 * time.Second: 2 * time.Second, time.Minute: MaxRetryUnreachable,
+	} {
+		w := &waiter{tokens: 10, why: errkind.BudgetUnreachable}
+		if got := h.refusal(start.Add(without), w, h.budgets[budgetName]).RetryAfter; got != want {
+			t.Errorf("%v into a partition callers come back after %v, want %v", without, got, want)
+		}
+	}
+}
