Servers and owners of budgets that all seem lost are tried again

Change: if all servers that may get a request have failed, three or more, they are tried again; if all owners of a budget were passed over, the first is asked.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -99,6 +99,8 @@
 	// servedFresh is how long an answer shows that a server is there, though it was not
 	// heard of.
 	servedFresh = 5 * time.Second
+	// minAllLost is of how many servers it is unlikely that all are lost at once.
+	minAllLost = 3
 	// firstBackoff and maxBackoff bound how long a server that failed gets nothing.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 4 * time.Second
@@ -134,30 +136,22 @@
 
 // Choose picks the server for w, or refuses if none may get it.
 func (c *Core) Choose(now time.Time, w *Work) (Choice, error) {
+	eligible := c.eligible(now, w)
+	if len(eligible) == 0 {
+		return Choice{}, c.noServer(now, w)
+	}
 	var best *candidate
-	considered := 0
 	homeWait := time.Duration(0)
 	home := c.home(w)
-	for _, inst := range c.reg.Serving(w.Service) {
-		if excluded(w, inst.ID) || !w.Shard.has(inst.ID) {
-			continue
-		}
-		s := c.server(inst.ID)
-		if now.Before(s.suspended) {
-			continue
-		}
-		considered++
-		cand := c.predict(now, w, inst, s, inst.ID == home)
+	for i, inst := range eligible {
+		cand := c.predict(now, w, inst, c.server(inst.ID), inst.ID == home)
 		if inst.ID == home {
 			homeWait = cand.wait
 		}
-		if best == nil || cand.cost < best.cost || cand.cost == best.cost && c.rng.IntN(considered) == 0 {
+		if best == nil || cand.cost < best.cost || cand.cost == best.cost && c.rng.IntN(i+1) == 0 {
 			best = &cand
 		}
 	}
-	if best == nil {
-		return Choice{}, c.noServer(now, w)
-	}
 	c.ticket++
 	r := &run{
 		server: best.server, unread: w.PromptTokens - min(best.cached, w.PromptTokens), started: now, predicted: best.wait,
@@ -172,10 +166,39 @@
 	return Choice{
 		Ticket: c.ticket, Instance: best.inst.Announcement, Wait: best.wait, Cached: best.cached,
 		Shared: SharedTokens(w.Prompt), HomeWait: homeWait,
-		Running: best.server.running - 1, Considered: considered,
+		Running: best.server.running - 1, Considered: len(eligible),
 	}, nil
 }
 
+// eligible are the instances that may get w: those that do not pause after a failure or, if
+// all of minAllLost or more have failed, all of them.
+//
+// What goes wrong when a host refuses while all pause: its own link is full for a moment, no
+// connection opens in time, and it takes all servers for lost. One notices refusals for want
+// of a server at one host while all others are served. That all servers are lost at once is
+// the less likely cause, and then a try costs no more than a refusal.
+func (c *Core) eligible(now time.Time, w *Work) []*instance.Instance {
+	var sound, lost []*instance.Instance
+	shed := false
+	for _, inst := range c.reg.Serving(w.Service) {
+		if excluded(w, inst.ID) || !w.Shard.has(inst.ID) {
+			continue
+		}
+		switch s := c.server(inst.ID); {
+		case !now.Before(s.suspended):
+			sound = append(sound, inst)
+		case s.failures > 0:
+			lost = append(lost, inst)
+		default:
+			shed = true
+		}
+	}
+	if len(sound) == 0 && !shed && len(lost) >= minAllLost {
+		return lost
+	}
+	return sound
+}
+
 // candidate is a server with its prediction.
 type candidate struct {
 	inst   *instance.Instance
--- a/internal/balance/core_test.go
+++ b/internal/balance/core_test.go
@@ -261,6 +261,27 @@
 	}
 }
 
+// Symptom: one host refuses for want of a server while all others are served.
+// Sequence: its own link is full for half a second; no connection to any server opens in time.
+// Cause: each server pauses after a failure, and all of them paused.
+func TestServersThatAllSeemLostAreTriedAgain(t *testing.T) {
+	w := newWorld("z", engines(5)...)
+	lost := map[string]bool{}
+	for range 5 {
+		c := w.choose(t, prompt(7, 1, 100, 100))
+		lost[c.Instance.ID] = true
+		w.core.Done(w.now, c.Ticket, Unreachable)
+	}
+	if len(lost) != 5 {
+		t.Fatalf("%d servers were tried, want all", len(lost))
+	}
+	c := w.choose(t, prompt(7, 2, 100, 100))
+	w.core.Done(w.now, c.Ticket, Served)
+	if next := w.choose(t, prompt(7, 3, 100, 100)); next.Instance.ID != c.Instance.ID {
+		t.Errorf("%s was chosen though %s has answered", next.Instance.ID, c.Instance.ID)
+	}
+}
+
 func TestBackoffGrowsAndEndsWithAnAnswer(t *testing.T) {
 	w := newWorld("z", engines(1)...)
 	last := time.Duration(0)
--- a/internal/controller/budgets/budgets.go
+++ b/internal/controller/budgets/budgets.go
@@ -63,6 +63,7 @@
 // Owners finds the owners of budgets; *owners.Table implements it.
 type Owners interface {
 	Of(key string, n int) []owners.Host
+	Owner(key string) (owners.Host, bool)
 	Unanswered(host string)
 	Answered(host string)
 }
@@ -119,7 +120,7 @@
 			d.forget(request)
 		}
 	}()
-	for _, h := range d.cfg.Owners.Of(Key(budget), ranks) {
+	for _, h := range d.ask(budget) {
 		answer := d.reserveAt(ctx, h, budget, request, tokens)
 		if answer == nil {
 			return h.Name, nil
@@ -139,6 +140,22 @@
 	return self.Name, d.reserveAt(ctx, self, budget, request, tokens)
 }
 
+// ask lists the hosts to ask for tokens of a budget: those that rank first, or the owner if
+// none of them gave an answer lately.
+//
+// What goes wrong when nobody is asked then: a host whose link was full for a moment takes
+// all of them for lost, and refuses what it holds no tokens for though the owner has enough.
+func (d *Desk) ask(budget string) []owners.Host {
+	hosts := d.cfg.Owners.Of(Key(budget), ranks)
+	if len(hosts) > 0 {
+		return hosts
+	}
+	if owner, ok := d.cfg.Owners.Owner(Key(budget)); ok {
+		return []owners.Host{owner}
+	}
+	return nil
+}
+
 // errUnanswered tells that an owner gave no answer.
 var errUnanswered = errors.New("budgets: no answer")
 
--- a/internal/controller/budgets/budgets_test.go
+++ b/internal/controller/budgets/budgets_test.go
@@ -69,6 +69,8 @@
 	// fault says what becomes of a call: nil: it arrives and is answered.
 	fault      func(to, method string) fault
 	unanswered []string
+	// paused: all owners gave no answer lately.
+	paused bool
 }
 
 type fault int
@@ -106,7 +108,14 @@
 	self string
 }
 
+func (v view) Owner(string) (owners.Host, bool) {
+	return owners.Host{Name: v.f.rank[0], Incarnation: 1, Address: v.f.rank[0]}, true
+}
+
 func (v view) Of(_ string, n int) []owners.Host {
+	if v.f.paused {
+		return nil
+	}
 	var out []owners.Host
 	for _, name := range v.f.rank[:min(n, len(v.f.rank))] {
 		h := owners.Host{Name: name, Incarnation: 1, Address: name}
@@ -224,6 +233,21 @@
 	}
 }
 
+// Symptom: one host refuses all requests of a budget whose owner has enough.
+// Sequence: the host's link is full for a moment, neither the owner nor the next in rank
+// answers in time; both are passed over; the link is free again.
+// Cause: nobody was asked until the pause had ended.
+func TestOwnerIsAskedWhenAllSeemLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.run(t)
+		f.paused = true
+		if holder, err := f.reserve(t, "c", "r1", 300); err != nil || holder != "a" {
+			t.Errorf("held by %s, %v", holder, err)
+		}
+	})
+}
+
 func TestCutOffHostSpendsItsOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b", "c")
--- a/internal/controller/owners/owners.go
+++ b/internal/controller/owners/owners.go
@@ -84,16 +84,9 @@
 // Of returns the n hosts that rank first for a key, its owner first; fewer if there are
 // not as many. Hosts that gave no answer lately are passed over, spareRanks of them at most.
 func (t *Table) Of(key string, n int) []Host {
-	peers := t.cfg.Peers()
-	self, ok := t.cfg.Self()
-	if !ok {
-		self = Host{}
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hosts == nil || self != t.self || !same(peers, t.peers) {
-		t.build(self, peers)
-	}
+	t.refresh()
 	now := time.Now()
 	var out []Host
 	for _, name := range t.ring.First(rendezvous.Hash(key), n+spareRanks) {
@@ -107,6 +100,30 @@
 	return out
 }
 
+// Owner returns the host that ranks first for a key, also if it gave no answer lately.
+func (t *Table) Owner(key string) (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh()
+	first := t.ring.First(rendezvous.Hash(key), 1)
+	if len(first) == 0 {
+		return Host{}, false
+	}
+	return t.hosts[first[0]], true
+}
+
+// refresh lists who may own keys anew if that has changed; t.mu is held.
+func (t *Table) refresh() {
+	peers := t.cfg.Peers()
+	self, ok := t.cfg.Self()
+	if !ok {
+		self = Host{}
+	}
+	if t.hosts == nil || self != t.self || !same(peers, t.peers) {
+		t.build(self, peers)
+	}
+}
+
 // same tells whether two lists are the same one, not merely equal.
 func same(a, b []members.PeerInfo) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
--- a/internal/controller/owners/owners_test.go
+++ b/internal/controller/owners/owners_test.go
@@ -39,6 +39,9 @@
 	if len(asked) > 2+spareRanks {
 		t.Errorf("%d hosts were asked", len(asked))
 	}
+	if owner, ok := owners.Owner("budget/x"); !ok || !asked[owner.Name] {
+		t.Errorf("the owner is %v, among those that gave no answer too", owner)
+	}
 }
 
 func TestOwnerThatGaveNoAnswerIsPassedOver(t *testing.T) {
