What owners hold open of a budget is a quarter of what is left at most

Owners held 9.6 of the last 10.8 million tokens of 24 budgets, six seconds of demand; what they held open counts as spent when they are lost, and callers got 402 with 5.9 % of all budgets left. Ruled out: budgets that were used up (55.1 of 58.5 million billed).

--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -133,6 +133,10 @@
 	if b.levelKnown {
 		target = min(target, b.level+b.out.reserve)
 	}
+	if b.levelKnown && b.policy.OpenPermille > 0 {
+		const whole = 1000
+		target = min(target, b.left/whole*uint64(b.policy.OpenPermille))
+	}
 	return target - min(target, b.free)
 }
 
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -42,6 +42,10 @@
 	// least. 0: as those of the whole time over which the rate is averaged, which is too
 	// little for a host that has just started.
 	MinHistory time.Duration
+	// OpenPermille is the part of what is left of a budget, in thousandths, up to which the
+	// host holds tokens ahead by its Horizon: what counts as spent when it is lost, whenever
+	// that is. 0: no bound.
+	OpenPermille uint32
 	// AtRiskPermille is the part of what is left of a budget, in thousandths, that all
 	// hosts together hold ahead of need: it is what may count as spent when all of them
 	// are lost at once. 0: no bound.
--- a/internal/grant/outofcontact_test.go
+++ b/internal/grant/outofcontact_test.go
@@ -179,3 +179,28 @@
 		}
 	}
 }
+
+// Symptom: after the loss of all hosts a budget is used up though a sixth of it is left.
+// Sequence: its owner holds six seconds of demand open, while what is left lasts for eight;
+// the owner is killed, and what it held open counts as spent.
+// Cause: what is held ahead had nothing to do with what is left.
+func TestOpenTokensShrinkWithWhatIsLeft(t *testing.T) {
+	start := time.Unix(1000, 0)
+	policy := reservePolicy
+	policy.OpenPermille = 250
+	ahead := func(left uint64) uint64 {
+		h := New(&pb.Holder{Host: "a", Incarnation: 1}, Config{}, rand.New(rand.NewSource(1)))
+		out := h.Reserve(start, "first", budgetName, 100, policy)
+		h.AcquireAnswered(start, budgetName, out.Acquires[0].GetSeq(), &pb.AcquireResult{Amount: 100, Funded: left, Free: left})
+		return h.ahead(start, h.budgets[budgetName])
+	}
+	plenty := ahead(1_000_000)
+	if plenty == 0 {
+		t.Fatal("nothing is wanted ahead though plenty is left")
+	}
+	for _, left := range []uint64{2 * plenty, plenty, 4} {
+		if got := ahead(left); got != min(plenty, left/1000*250) {
+			t.Errorf("%d left: %d wanted ahead", left, got)
+		}
+	}
+}
