--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -98,9 +98,9 @@
 
 // Run tells news until ctx ends, and then waits for the messages under way.
 func (s *Spreader) Run(ctx context.Context) {
-	s.setContext(ctx)
+	s.begin(ctx)
 	defer s.sends.Wait()
-	defer s.setContext(nil)
+	defer s.end()
 	for {
 		select {
 		case <-ctx.Done():
@@ -114,12 +114,19 @@
 	}
 }
 
-func (s *Spreader) setContext(ctx context.Context) {
+func (s *Spreader) begin(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ctx = ctx
 }
 
+// end has no more news handed on.
+func (s *Spreader) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ctx = nil
+}
+
 // take returns what is to be told now, nil for nothing.
 func (s *Spreader) take() *pb.TellRequest {
 	s.mu.Lock()
