--- a/internal/procconfig/procconfig_test.go
+++ b/internal/procconfig/procconfig_test.go
@@ -111,6 +111,8 @@
 		{"two traces", `{"file": "/tmp/spans"}`, `{"file": "/tmp/spans", "otlp_url": "collector:4318"}`, []string{"/trace/otlp_url: ", "/trace: "}},
 		{"no streams", `{"streams": 10}`, `{"streams": 0}`, []string{"/limits/streams: "}},
 		{"huge body", `{"streams": 10}`, `{"max_body_bytes": 1000000000}`, []string{"/limits/max_body_bytes: "}},
+		{"bounds below zero", `{"streams": 10}`, `{"link_mbps": -1, "memory_bytes": -1, "processors": -1}`,
+			[]string{"/limits/link_mbps: ", "/limits/memory_bytes: ", "/limits/processors: "}},
 		{"no drain", `{"streams": 10}`, `{"drain_timeout": "0s"}`, []string{"/limits/drain_timeout: "}},
 		{"suspect too soon", `"100ms"`, `"1s"`, []string{"/timing/suspect_after: 2s is not more than 2 heartbeats of 1s"}},
 		{"dead before suspect", `"100ms"`, `"100ms", "dead_after": "1s"`, []string{"/timing/dead_after: "}},
