--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -23,8 +23,6 @@
 	routesctl "github.com/bluebellsail/bluebellsail/internal/controller/routes"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
-	"github.com/bluebellsail/bluebellsail/internal/grant"
-	"github.com/bluebellsail/bluebellsail/internal/grant/reserve"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/membership"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -240,43 +238,6 @@
 	g.learnHosts(ctx)
 }
 
-// contactEvery is how long a gateway goes without a settlement batch. Every 100 ms more
-// cost, when all hosts are lost, 100 ms more of what their reserves allow.
-const contactEvery = 300 * time.Millisecond
-
-// gatewayHolder bounds the messages of a gateway's holder.
-func gatewayHolder(d *Daemon) grant.Config {
-	return grant.Config{
-		BatchWait:    d.cfg.Timing.SettleEvery.Std(),
-		ContactEvery: contactEvery,
-		// A batch that a partition held up is sent again soon after it has ended: until two
-		// are answered, the loss of this host would cost what it held in reserve.
-		ResendMax: 400 * time.Millisecond,
-		Wall:      d.env.Wall,
-	}
-}
-
-// gatewayPolicy is how a gateway holds tokens of a budget.
-var gatewayPolicy = grant.Policy{
-	// In a partition a gateway lives from the open part of its grants until it may use the
-	// reserve, and from that as long as partitions of a whole fleet are known to last.
-	// Twice the demand of the time in which it may not: callers come in bursts.
-	Horizon:    2 * reserve.Hold,
-	Reserve:    10 * time.Second,
-	IdleReturn: 30 * time.Second,
-	Transfers:  true,
-	MinHistory: 2 * time.Second,
-	// Near the end of a budget the open part shrinks with what is left: the loss of all hosts
-	// strands it. Without the bound 9.6 of the last 10.8 million tokens were held by hosts
-	// that were killed together, and 402 was answered to whom a sixth of a budget was left.
-	OpenPermille: 250,
-	// A part of what is left stays with the ledger, for whoever needs it first. It is small:
-	// one host, the owner, holds nearly all that is held of a budget, and when it is lost, only
-	// what it held open is. With 700 the owners of several budgets could not hold what a
-	// second partition in a day needs, while three tenths lay at the ledger.
-	AtRiskPermille: 900,
-}
-
 // learnHosts reads the registered hosts now and then, so that a host finds peers which
 // no seed and no heartbeat named.
 func (g *gateway) learnHosts(ctx context.Context) {
