Test that fails: an event of a closed connection closes the next one under its number

Cause: nbio's poller fetches events in batches and looks connections up by descriptor number. A connection that a handler's goroutine closes (a broken answer, a write to a caller who has left) frees its number while an event of it waits in the batch; a connection accepted meanwhile gets the number, and the event closes it right after its request was read and handed to the handler. The handler sends the request on; the caller sees a closed connection; callergone notices within 50 ms and lets go of the backend server.

--- /dev/null
+++ b/internal/httpserver/reuse_test.go
@@ -0,0 +1,185 @@
+package httpserver
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
+)
+
+// eventDelay is longer than it takes loopback to make bytes or a close readable, and the
+// server to register a connection that it has accepted. Without the wait the test would
+// not bring the fault about; it asserts nothing on time.
+const eventDelay = 20 * time.Millisecond
+
+// poller lets a test hold the goroutine that reads connections: it asks for the limits in
+// force with each piece of a request that it has read.
+type poller struct {
+	mu   sync.Mutex
+	next chan struct{}
+	held chan struct{}
+}
+
+// hold stops the poller at the next bytes that it reads, until the channel is closed.
+func (p *poller) hold() chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next = make(chan struct{})
+	return p.next
+}
+
+func (p *poller) limits() Limits {
+	p.mu.Lock()
+	next := p.next
+	p.next = nil
+	p.mu.Unlock()
+	if next != nil {
+		p.held <- struct{}{}
+		<-next
+	}
+	return Limits{}
+}
+
+// descriptor is the number of the server's end of w's connection.
+func descriptor(w http.ResponseWriter) int { return nbioConn(w).Hash() }
+
+// Symptom: requests are handed to the handler and sent on, and their connections are closed
+// with no answer, several within a moment; nobody closed them. The host had stood still for
+// some ten milliseconds before, and callers had left meanwhile.
+// Sequence: the poller fetches a batch of events, among them one that a caller has closed its
+// connection. Before it comes to that one, the handler of that caller's request closes the
+// connection, which frees its descriptor number. A new connection is accepted and gets the
+// number; its request is there already. The poller comes to the old event, finds the new
+// connection under the number, reads its request, and closes it as the event says.
+// Cause: events name a connection by a number that may be another connection's by then.
+func TestEventOfAClosedConnectionDoesNotCloseTheNextOne(t *testing.T) {
+	p := &poller{held: make(chan struct{})}
+	numbers := make(chan int, 1)
+	leave, left, end := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	s := start(t, Config{Limits: p.limits, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/open":
+			numbers <- descriptor(w)
+			<-end // no answer, after which the server would ask for the limits too
+		case "/left":
+			numbers <- descriptor(w)
+			<-leave
+			Abort(w)
+			close(left)
+		case "/next":
+			time.Sleep(eventDelay)
+		}
+	})})
+	t.Cleanup(func() { close(end) })
+	spare := openFiles(t, 2)
+	first, second, gone, number := connections(t, s, numbers)
+	fillNumbersBelow(t, number)
+
+	// Held at the first connection's bytes, the poller fetches the events of the other two
+	// together afterwards, and is held at the second one's.
+	releaseFirst := p.hold()
+	send(t, first, "G")
+	<-p.held
+	releaseSecond := p.hold()
+	send(t, second, "G")
+	time.Sleep(eventDelay)
+	testutil.NoError(t, gone.(*net.TCPConn).CloseWrite())
+	time.Sleep(eventDelay)
+	close(releaseFirst)
+	<-p.held
+
+	close(leave)
+	<-left
+	// Accepting takes a number for a moment and so does the caller's end: the next free one,
+	// which the server's end keeps, is that of the closed connection.
+	for _, f := range spare {
+		testutil.NoError(t, f.Close())
+	}
+	next := dial(t, s)
+	request(t, next, "/next")
+	awaitNumber(t, s, number)
+	time.Sleep(eventDelay)
+	close(releaseSecond)
+	res, err := http.ReadResponse(bufio.NewReader(next), nil)
+	if err != nil {
+		t.Fatalf("the request was taken and has no answer: %v", err)
+	}
+	testutil.NoError(t, res.Body.Close())
+}
+
+func request(t *testing.T, c net.Conn, path string) {
+	t.Helper()
+	send(t, c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+func send(t *testing.T, c net.Conn, bytes string) {
+	t.Helper()
+	_, err := io.WriteString(c, bytes)
+	testutil.NoError(t, err)
+}
+
+// connections opens three connections whose events one poller handles, each with a request
+// that stays open. number is the last one's descriptor at the server.
+func connections(t *testing.T, s *Server, numbers <-chan int) (first, second, gone net.Conn, number int) {
+	t.Helper()
+	gone = dial(t, s)
+	request(t, gone, "/left")
+	number = <-numbers
+	var same []net.Conn
+	for len(same) < 2 {
+		c := dial(t, s)
+		request(t, c, "/open")
+		if of := <-numbers; of%s.engine.NPoller == number%s.engine.NPoller {
+			same = append(same, c)
+		}
+	}
+	return same[0], same[1], gone, number
+}
+
+func openFiles(t *testing.T, n int) []*os.File {
+	t.Helper()
+	var out []*os.File
+	for range n {
+		f, err := os.Open(os.DevNull)
+		testutil.NoError(t, err)
+		t.Cleanup(func() { _ = f.Close() })
+		out = append(out, f)
+	}
+	return out
+}
+
+// fillNumbersBelow leaves no descriptor number below the given one free.
+func fillNumbersBelow(t *testing.T, number int) {
+	t.Helper()
+	for openFiles(t, 1)[0].Fd() < uintptr(number) {
+	}
+}
+
+// awaitNumber returns once the server has accepted a connection with the number.
+func awaitNumber(t *testing.T, s *Server, number int) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if s.conns.holds(number) {
+			return
+		}
+	}
+	t.Fatalf("no connection has number %d", number)
+}
+
+// holds tells whether an open connection has the descriptor number.
+func (s *connSet) holds(number int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.m {
+		if closed, _ := c.IsClosed(); !closed && c.Hash() == number {
+			return true
+		}
+	}
+	return false
+}
