A connection is known to the poller only after the events fetched before it was accepted

Cause: an event waiting in a batch names its connection by descriptor number; see the test. Change: the accepting goroutine waits, before it registers a connection, until the poller has begun a further batch (package httpserver, pollBarrier: a socket pair that the poller reads; two rounds, as the first byte may be read in the middle of the old batch). One poller for each server, as it only reads and parses. All servers gain: callers', operators', registry, directory, readiness, metrics, and the product's own interface. Weighed: closing only on the poller (nbio closes by itself when a write fails); reading with a goroutine for each connection (another server, 8 KB for each connection); dropping requests whose connection is closed once they were parsed (the caller still loses its connection).

--- /dev/null
+++ b/internal/httpserver/barrier.go
@@ -0,0 +1,129 @@
+package httpserver
+
+import (
+	"net"
+	"os"
+	"sync"
+
+	"github.com/lesismal/nbio"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog/log"
+	"golang.org/x/sys/unix"
+)
+
+// pollBarrier tells when the poller has handled every event that it had fetched before.
+//
+// What goes wrong without it: the poller fetches events in batches, up to 1,024, and finds
+// each one's connection by its descriptor number. A connection that another goroutine closes
+// meanwhile, as a handler's write to a caller who has left does, frees its number with its
+// event still waiting in the batch. A connection accepted in that moment gets the number; the
+// event closes it, right after its first request was read and handed to a handler. One notices
+// requests that were sent on to backend servers and ended as if their callers had left, some
+// at once at a host that had stood still for a moment. A connection that waits here before
+// it is known to the poller can't be found by an older event.
+//
+// It costs two wake-ups of the poller for each accepted connection, fewer when several wait.
+type pollBarrier struct {
+	// wake is the other end of a connection that the poller reads.
+	wake net.Conn
+	// stopped is closed when the poller may have ended.
+	stopped chan struct{}
+
+	mu sync.Mutex
+	// arrived wait for a byte that is written after they came; passing wait for one that the
+	// poller itself wrote after that, thus in a later batch.
+	arrived, passing []chan struct{}
+}
+
+// newPollBarrier makes the barrier of an engine with one poller, which must run.
+func newPollBarrier(engine *nbio.Engine) (*pollBarrier, error) {
+	wake, read, err := socketPair()
+	if err != nil {
+		return nil, err
+	}
+	b := &pollBarrier{wake: wake, stopped: make(chan struct{})}
+	conn, err := nbio.NBConn(read)
+	if err != nil {
+		_ = wake.Close()
+		return nil, errors.Wrap(err, "hand a socket to the poller")
+	}
+	conn.OnData(func(*nbio.Conn, []byte) { b.polled() })
+	if _, err := engine.AddConn(conn); err != nil {
+		_ = wake.Close()
+		return nil, errors.Wrap(err, "have the poller read a socket")
+	}
+	return b, nil
+}
+
+// socketPair is two connected sockets that belong to this process alone.
+func socketPair() (a, b net.Conn, err error) {
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "make a pair of sockets")
+	}
+	var conns [2]net.Conn
+	for i, fd := range fds {
+		f := os.NewFile(uintptr(fd), "poll barrier")
+		conn, connErr := net.FileConn(f)
+		_ = f.Close() // FileConn has a descriptor of its own
+		if connErr != nil && err == nil {
+			err = errors.Wrap(connErr, "use a pair of sockets")
+		}
+		conns[i] = conn
+	}
+	if err == nil {
+		return conns[0], conns[1], nil
+	}
+	for _, c := range conns {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+	return nil, nil, err
+}
+
+// await returns once the poller has handled all events that it had fetched before the call,
+// or when the server stops.
+func (b *pollBarrier) await() {
+	passed := make(chan struct{})
+	b.mu.Lock()
+	b.arrived = append(b.arrived, passed)
+	if len(b.arrived) == 1 && len(b.passing) == 0 {
+		b.kick()
+	}
+	b.mu.Unlock()
+	select {
+	case <-passed:
+	case <-b.stopped:
+	}
+}
+
+// polled runs on the poller, once for each batch of events in which bytes were read: a batch
+// has one event for each connection, and a read that doesn't fill the buffer ends it. Those
+// that arrived may have done so in the middle of this batch. Those that were passing came
+// before the end of an earlier one, whose events are all handled by now.
+func (b *pollBarrier) polled() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, passed := range b.passing {
+		close(passed)
+	}
+	b.passing, b.arrived = b.arrived, nil
+	if len(b.passing) > 0 {
+		b.kick()
+	}
+}
+
+// kick has the poller fetch a further batch; b.mu is held. At most two bytes are unread, so
+// the write does not block.
+func (b *pollBarrier) kick() {
+	if _, err := b.wake.Write([]byte{0}); err != nil {
+		log.Error().Str("event", "poll-barrier-failed").Err(err).Send()
+	}
+}
+
+// stop lets everybody pass.
+func (b *pollBarrier) stop() {
+	close(b.stopped)
+	_ = b.wake.Close()
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -109,11 +109,14 @@
 	closing  atomic.Bool
 	conns    connSet
 	stopOnce sync.Once
+	// barrier is set when started is closed.
+	barrier *pollBarrier
+	started chan struct{}
 }
 
 // New makes a server; Start makes it listen.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg.withDefaults()}
+	s := &Server{cfg: cfg.withDefaults(), started: make(chan struct{})}
 	conf := nbhttp.Config{
 		Name:               s.cfg.Name,
 		Network:            "tcp",
@@ -123,6 +126,9 @@
 		ReadLimit:          int(s.cfg.MaxBodyBytes + s.cfg.MaxHeaderBytes),
 		MaxWriteBufferSize: s.cfg.MaxQueuedBytes,
 		SupportServerOnly:  true,
+		// The barrier is of one poller. It only reads and parses; handlers have goroutines of
+		// their own.
+		NPoller: 1,
 	}
 	if s.cfg.TLS != nil {
 		conf.AddrsTLS = []string{s.cfg.Address}
@@ -167,6 +173,12 @@
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
 	}
+	barrier, err := newPollBarrier(s.engine.Engine)
+	if err != nil {
+		return err
+	}
+	s.barrier = barrier
+	close(s.started)
 	if s.cfg.TLS != nil {
 		s.address = s.engine.AddrsTLS[0]
 	} else {
@@ -258,7 +270,14 @@
 	return nil
 }
 
-func (s *Server) stop() { s.stopOnce.Do(s.engine.Stop) }
+func (s *Server) stop() {
+	s.stopOnce.Do(func() {
+		if s.barrier != nil {
+			s.barrier.stop()
+		}
+		s.engine.Stop()
+	})
+}
 
 func (s *Server) awaitQuiet(ctx context.Context) error {
 	t := time.NewTicker(drainPoll)
@@ -275,6 +294,7 @@
 	}
 }
 
+// onOpen runs on the accepting goroutine, before the poller knows the connection.
 func (s *Server) onOpen(c *nbio.Conn) {
 	p, ok := c.Session().(*nbhttp.Parser)
 	if !ok {
@@ -292,4 +312,6 @@
 	p.Processor = newProcessor(s, tracked)
 	c.SetSession(&guard{server: s, conn: tracked, parser: p})
 	handovers.Add(1)
+	<-s.started
+	s.barrier.await()
 }
