controlclient: what was never sent did not run

A call whose time ran out before any replica was reached answered "may still take effect, ran unknown".

- The product: an attempt without an answer counted as one that may have been carried out, also where no connection ever came about (nobody answers the dial, or all refuse it).
TestWhatWasNeverSentDidNotRun failed before with "no leader answered in time; the change may still take effect, ran "unknown"". gRPC names the peer of a call only if it got a stream on a connection, so an attempt without one now counts as not sent.
- The test's world: with 300 ms of real time the end can fall into an attempt that is under way.
"Unknown" is true then (TestWhatWasSentMayHaveRun holds that order).
The cases now run in virtual time, where an attempt takes none, so the end always falls into a pause; each case also asserts that it made as many attempts as it has replies.

Ruled out: a replica that answers "not the leader" being counted as unknown; it was not.

--- a/internal/controlclient/attempt.go
+++ b/internal/controlclient/attempt.go
@@ -7,6 +7,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
 	"github.com/bluebellsail/bluebellsail/internal/control"
@@ -22,8 +23,11 @@
 	// notLeader: the replica did nothing; hint is the leader's address if it knows it.
 	notLeader bool
 	hint      string
-	// broken: no answer came; the request may have been carried out.
+	// broken: no answer came; the request may have been carried out unless it is unsent.
 	broken error
+	// unsent: the broken attempt never got a stream on a connection, so that no replica can
+	// have heard of the request.
+	unsent bool
 }
 
 // fromLocal turns what the replica in this process returned into an answer.
@@ -35,18 +39,21 @@
 	return answer[T]{value: value, refusal: wire.EncodeError(err)}
 }
 
-// fromRemote asks a replica in another process. ask passes the option on to its call;
-// it has a replica that isn't the leader name the leader in the trailer.
-func fromRemote[T any](c *Client, target string, ask func(pb.ControlClient, grpc.CallOption) answer[T]) answer[T] {
+// fromRemote asks a replica in another process. ask passes the options on to its call;
+// they have a replica that isn't the leader name the leader in the trailer, and tell
+// whether the call got a stream: only then does gRPC name the peer.
+func fromRemote[T any](c *Client, target string, ask func(pb.ControlClient, ...grpc.CallOption) answer[T]) answer[T] {
 	svc, err := c.service(target)
 	if err != nil {
-		return answer[T]{broken: err}
+		return answer[T]{broken: err, unsent: true}
 	}
 	var trailer metadata.MD
-	a := ask(svc, grpc.Trailer(&trailer))
+	var reached peer.Peer
+	a := ask(svc, grpc.Trailer(&trailer), grpc.Peer(&reached))
 	if hint, ok := leaderHint(trailer); ok && a.broken == nil {
 		return answer[T]{notLeader: true, hint: hint}
 	}
+	a.unsent = a.broken != nil && reached.Addr == nil
 	return a
 }
 
@@ -54,8 +61,8 @@
 	if target == localTarget {
 		return fromLocal(c.local.Propose(ctx, cmd))
 	}
-	return fromRemote(c, target, func(svc pb.ControlClient, opt grpc.CallOption) answer[*pb.CommandResult] {
-		reply, err := svc.Propose(ctx, &pb.ProposeRequest{Command: cmd}, opt)
+	return fromRemote(c, target, func(svc pb.ControlClient, opts ...grpc.CallOption) answer[*pb.CommandResult] {
+		reply, err := svc.Propose(ctx, &pb.ProposeRequest{Command: cmd}, opts...)
 		if err == nil && reply.Result == nil && reply.Error == nil {
 			return answer[*pb.CommandResult]{notLeader: true, hint: reply.LeaderAddress}
 		}
@@ -67,8 +74,8 @@
 	if target == localTarget {
 		return fromLocal(c.local.Read(ctx, q))
 	}
-	return fromRemote(c, target, func(svc pb.ControlClient, opt grpc.CallOption) answer[*pb.QueryResult] {
-		res, err := svc.Read(ctx, q, opt)
+	return fromRemote(c, target, func(svc pb.ControlClient, opts ...grpc.CallOption) answer[*pb.QueryResult] {
+		res, err := svc.Read(ctx, q, opts...)
 		return answer[*pb.QueryResult]{value: res, refusal: res.GetError(), broken: err}
 	})
 }
@@ -77,8 +84,8 @@
 	if target == localTarget {
 		return fromLocal(c.local.ChangeMembers(ctx, req))
 	}
-	return fromRemote(c, target, func(svc pb.ControlClient, opt grpc.CallOption) answer[*pb.GroupStatus] {
-		reply, err := svc.ChangeMembers(ctx, req, opt)
+	return fromRemote(c, target, func(svc pb.ControlClient, opts ...grpc.CallOption) answer[*pb.GroupStatus] {
+		reply, err := svc.ChangeMembers(ctx, req, opts...)
 		return answer[*pb.GroupStatus]{value: reply.GetGroup(), refusal: reply.GetError(), broken: err}
 	})
 }
--- a/internal/controlclient/calls.go
+++ b/internal/controlclient/calls.go
@@ -89,7 +89,7 @@
 func (a answer[T]) outcome(unknown *bool) (T, error) {
 	var zero T
 	switch {
-	case a.notLeader:
+	case a.notLeader || a.unsent:
 		return zero, errTryAgain
 	case a.broken != nil || a.refusal.GetKind() == string(errkind.NoQuorum):
 		*unknown = true
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -115,6 +116,8 @@
 	}
 }
 
+// TestFinalFailures calls in virtual time: an attempt takes none of it, so that the call's
+// time ends in a pause between attempts and never while an answer is on its way.
 func TestFinalFailures(t *testing.T) {
 	version := &pb.ProposeReply{Error: &pb.Error{Kind: string(errkind.VersionConflict), PresentVersion: 9}}
 	cases := []struct {
@@ -130,23 +133,85 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			f := &fakeReplica{propose: func(n int, _ *pb.Command) (*pb.ProposeReply, error) {
-				reply := tc.replies[min(n, len(tc.replies))-1]
-				if reply == nil {
-					return nil, errors.New("lost")
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeReplica{propose: func(n int, _ *pb.Command) (*pb.ProposeReply, error) {
+					reply := tc.replies[min(n, len(tc.replies))-1]
+					if reply == nil {
+						return nil, errors.New("lost")
+					}
+					return reply, nil
+				}}
+				b := newBubble()
+				b.serve(t, "replica", f)
+				c := b.client(t, "replica")
+				ctx := testutil.Within(t, 300*time.Millisecond)
+				_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
+				wantFinal(t, err, tc.kind, tc.ran)
+				if f.calls < len(tc.replies) {
+					t.Fatalf("%d attempts, want at least %d", f.calls, len(tc.replies))
 				}
-				return reply, nil
-			}}
-			c := newClient(t, serve(t, f))
-			ctx := testutil.Within(t, 300*time.Millisecond)
-			_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
-			if got := errkind.From(err); got == nil || got.Kind != tc.kind || got.Ran() != tc.ran {
-				t.Fatalf("got %v, ran %q", err, got.Ran())
-			}
+			})
+		})
+	}
+}
+
+// wantFinal fails the test unless err is a refusal of that kind with that word on the run.
+func wantFinal(t *testing.T, err error, kind errkind.Kind, ran errkind.Ran) {
+	t.Helper()
+	if got := errkind.From(err); got == nil || got.Kind != kind || got.Ran() != ran {
+		t.Fatalf("got %v, ran %q; want %s, ran %q", err, got.Ran(), kind, ran)
+	}
+}
+
+// Symptom: an operator is told that a change may still take effect, though no replica ever
+// heard of it; so is whoever must not repeat what may have run.
+// Sequence: no connection to a replica comes about, as none answers the dial or all refuse
+// it; the call's time ends.
+// Cause: an attempt without an answer counted as one that may have been carried out, also
+// where it never left this process.
+func TestWhatWasNeverSentDidNotRun(t *testing.T) {
+	dials := map[string]func(context.Context) (net.Conn, error){
+		"nobody answers the dial": func(ctx context.Context) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+		"the dial is refused": func(context.Context) (net.Conn, error) {
+			return nil, errors.New("connection refused")
+		},
+	}
+	for name, dial := range dials {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dialer := grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return dial(ctx) })
+				c := New([]string{"passthrough:///replica"}, []grpc.DialOption{insecureDial, dialer}, nil)
+				t.Cleanup(c.Close)
+				ctx := testutil.Within(t, 300*time.Millisecond)
+				_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
+				wantFinal(t, err, errkind.NoQuorum, errkind.RanNo)
+			})
 		})
 	}
 }
 
+// Symptom: a change takes effect that its operator was told did not run.
+// Sequence: the replica has the change, the call's time ends before it answers.
+// Cause: an attempt that was sent counted as not sent because no answer came.
+func TestWhatWasSentMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		defer close(release)
+		b := newBubble()
+		b.serve(t, "replica", &fakeReplica{propose: func(int, *pb.Command) (*pb.ProposeReply, error) {
+			<-release
+			return committed(1), nil
+		}})
+		c := b.client(t, "replica")
+		ctx := testutil.Within(t, 300*time.Millisecond)
+		_, err := c.Propose(ctx, &pb.Command{OpId: "a"})
+		wantFinal(t, err, errkind.NoQuorum, errkind.RanUnknown)
+	})
+}
+
 // Symptom: a host that has started again says for good that it has no confirmed settings.
 // Sequence: it follows a relay that is cut off, or behind, or that answers nothing.
 // Cause: any word of the relay counted as one of the quorum about the watcher's revision.
