Requests leave a kept connection that ended before their first byte

Cause: a request that took an idle connection to a backend server as the server closed it, or after a surplus answer had come on it, was written to a connection that the kernel already knew to be over. net/http says of all such failures only that a connection was taken, so the caller got 502 with did_run=unknown for a request that no server had seen, and an answer of another request could be taken off the connection first.

Ruled out: sending such a request again inside net/http (GetBody): it would also repeat requests that were written.

After: connections count bytes; the first write of a request on a kept connection asks the kernel whether something came (MSG_PEEK); a request of which no byte was written goes to another connection, and if there is none the error says that it did not run. One byte written: unknown, as before. Each failure has a typed cause.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -92,7 +91,7 @@
 		dial = tcpDialer(c.cfg).DialContext
 	}
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            counted(dial),
 		ResponseHeaderTimeout:  c.cfg.HeaderTimeout,
 		MaxIdleConnsPerHost:    c.cfg.IdlePerServer,
 		IdleConnTimeout:        c.cfg.IdleTimeout,
@@ -162,6 +161,8 @@
 // Error of a call, with what is known of the run.
 type Error struct {
 	Ran errkind.Ran
+	// Cause of the failure; empty: the server's answer is the failure.
+	Cause Cause
 	// Status of the answer; 0: there was none.
 	Status int
 	// Refused: the server itself said that it did not run the request.
@@ -173,13 +174,12 @@
 func (e *Error) Error() string { return e.Message }
 
 // send runs one exchange. A nil error comes with an open body. The error's Ran is
-// "no" only if no connection was ever taken for the request.
+// "no" only if no byte of the request was written to a connection.
 func (c *Client) send(ctx context.Context, r Request) (*http.Response, error) {
-	var taken atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { taken.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Address+r.Path, nil)
+	var d delivery
+	req, err := http.NewRequestWithContext(d.follow(ctx), r.Method, "http://"+r.Address+r.Path, nil)
 	if err != nil {
-		return nil, &Error{Ran: errkind.RanNo, Message: err.Error()}
+		return nil, &Error{Ran: errkind.RanNo, Cause: CauseInvalid, Message: err.Error()}
 	}
 	if len(r.Body) > 0 {
 		// No GetBody: net/http must not send the body a second time by itself.
@@ -195,11 +195,7 @@
 	if err == nil {
 		return res, nil
 	}
-	ran := errkind.RanNo
-	if taken.Load() {
-		ran = errkind.RanUnknown
-	}
-	return nil, &Error{Ran: ran, Message: err.Error()}
+	return nil, d.failed(ctx, err)
 }
 
 // exchange is send for orders about a run: an answer that is no success is an error.
--- a/internal/engineclient/forward.go
+++ b/internal/engineclient/forward.go
@@ -5,10 +5,8 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 )
@@ -26,33 +24,50 @@
 	Body   []byte
 }
 
+// maxUnsent is how many kept connections a request may find closed before a byte of it
+// was written, until its server counts as unreachable. A server that closes its idle
+// connections closes them one by one, and at most as many as are kept.
+const maxUnsent = 8
+
 // Forward sends a request once and returns the answer with an open body. The error is
-// an *Error; its Ran is "no" only if no connection was taken for the request.
+// an *Error; its Ran is "no" only if no byte of the request was written to a connection.
+//
+// A kept connection that ends before a byte was written is left for another one: the
+// server closed it for idleness, which says nothing about the server and reached it in
+// no way. net/http does so only with requests that have no body.
 func (c *Client) Forward(ctx context.Context, f *Forward) (*http.Response, error) {
+	for unsent := 0; ; unsent++ {
+		res, d, err := c.forward(ctx, f)
+		if err == nil {
+			return res, nil
+		}
+		if !d.kept || !d.unsent() || ctx.Err() != nil || unsent == maxUnsent {
+			return nil, err
+		}
+	}
+}
+
+// forward makes one try of Forward.
+func (c *Client) forward(ctx context.Context, f *Forward) (*http.Response, *delivery, error) {
+	d := &delivery{}
 	u, err := url.ParseRequestURI(f.Target)
 	if err != nil {
-		return nil, &Error{Ran: errkind.RanNo, Message: err.Error()}
+		return nil, d, &Error{Ran: errkind.RanNo, Cause: CauseInvalid, Message: err.Error()}
 	}
 	u.Scheme, u.Host = "http", f.Address
-	var taken atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { taken.Store(true) }}
 	req := (&http.Request{
 		Method: f.Method, URL: u, Host: f.Host, Header: f.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: body(f), ContentLength: int64(len(f.Body)),
-	}).WithContext(httptrace.WithClientTrace(ctx, trace))
+	}).WithContext(d.follow(ctx))
 	if _, given := f.Header["User-Agent"]; !given {
 		f.Header["User-Agent"] = []string{""} // net/http would name itself
 	}
 	res, err := c.pool(f.Address).RoundTrip(req)
-	if err == nil {
-		return res, nil
-	}
-	ran := errkind.RanNo
-	if taken.Load() {
-		ran = errkind.RanUnknown
+	if err != nil {
+		return nil, d, d.failed(ctx, err)
 	}
-	return nil, &Error{Ran: ran, Message: err.Error()}
+	return res, d, nil
 }
 
 // body is the request's body in a form that keeps net/http from sending it twice.
