Attempts and endings of routed requests have typed causes

Cause: the log of a request gave an attempt's failure in free words, of which several read the same for different events (a reset before the answer, a write to a connection that had ended, an answer cut in its head), and nothing said whether an answer had begun when the caller's connection was closed. The answer counted as begun when its headers were set, before a byte of it was handed over.

Ruled out: free text with a prefix; counters would grow with each server's words.

Before: routed.attempts had 'answered' and 'failed'; a caller who left within an answer of more than 1 MiB counted as a failure of the server.

After: engineclient.Cause is a closed list, in the request's line and in routed.attempts; relay.Ending says how the caller's side ended, in the line and in routed.endings; an error's words are cut at 200 bytes. Begun is set once bytes were handed over. A stream or answer that the caller's or deadline's end breaks off keeps that kind.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -161,7 +161,7 @@
 	g.metrics.finished(x, err)
 	g.traffic.add(time.Now(), len(x.Body)+x.Sent)
 	event := g.d.tel.Log.Info().Str("event", "request").Str("request", x.ID).Int("status", x.Status).
-		Dur("took", time.Since(x.Arrived)).Str("account", x.AccountName())
+		Str("ending", string(x.Ending)).Int("sent", x.Sent).Dur("took", time.Since(x.Arrived)).Str("account", x.AccountName())
 	if x.Table != nil {
 		event = event.Uint64("revision", x.Table.Revision())
 	}
@@ -174,7 +174,13 @@
 	for _, a := range x.Attempts {
 		event = event.Str("server", a.Server).Dur("predicted", a.Wait).Uint64("cached", a.Cached).
 			Uint64("shared", a.Shared).Dur("home_wait", a.Home).Int("running", a.Running).
-			Dur("first", a.First).Dur("ran", a.Took).Str("outcome", a.Outcome)
+			Dur("first", a.First).Dur("ran", a.Took).Str("outcome", string(a.Cause))
+		if a.Early {
+			event = event.Bool("early", true)
+		}
+		if a.Detail != "" {
+			event = event.Str("detail", a.Detail)
+		}
 	}
 	if e := errkind.From(err); e != nil {
 		event = event.Str("kind", string(e.Kind)).Str("did_run", string(e.Ran())).Str("error", e.Message)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -13,10 +13,14 @@
 
 // routedMetrics are the counters and histograms of routed requests.
 type routedMetrics struct {
-	// byRoute counts the requests of a route by status; by outcome of an attempt, attempts.
+	// byRoute counts the requests of a route by status; attempts those at servers by cause,
+	// endings the requests by the end of their callers' side.
 	byRoute  expvar.Map
 	attempts expvar.Map
+	endings  expvar.Map
 	refused  expvar.Map
+	// early counts answers that came before the whole request was sent.
+	early expvar.Int
 	// first is the time to the first byte of a server's answer, took that of the whole
 	// request, by kind of route.
 	first map[string]*telemetry.Histogram
@@ -31,7 +35,9 @@
 	m := &routedMetrics{first: map[string]*telemetry.Histogram{}, took: map[string]*telemetry.Histogram{}}
 	m.vars.Set("requests", &m.byRoute)
 	m.vars.Set("attempts", &m.attempts)
+	m.vars.Set("endings", &m.endings)
 	m.vars.Set("refused", &m.refused)
+	m.vars.Set("early_answers", &m.early)
 	for _, kind := range kindNames {
 		m.first[kind], m.took[kind] = telemetry.NewHistogram(), telemetry.NewHistogram()
 		m.vars.Set("first_byte_"+kind, m.first[kind])
@@ -45,6 +51,7 @@
 	if e := errkind.From(err); e != nil {
 		m.refused.Add(string(e.Kind), 1)
 	}
+	m.endings.Add(string(x.Ending), 1)
 	if x.Route == nil {
 		return
 	}
@@ -54,20 +61,16 @@
 		h.Observe(time.Since(x.Arrived))
 	}
 	for _, a := range x.Attempts {
-		outcome := "failed"
-		if a.Outcome == attemptAnswered {
-			outcome = a.Outcome
+		m.attempts.Add(string(a.Cause), 1)
+		if a.Early {
+			m.early.Add(1)
 		}
-		m.attempts.Add(outcome, 1)
 		if h := m.first[kind]; h != nil && a.First > 0 {
 			h.Observe(a.First)
 		}
 	}
 }
 
-// attemptAnswered is the outcome of an attempt whose answer reached the caller.
-const attemptAnswered = "answered"
-
 // serveMetrics serves all expvar variables of the process at the address.
 func serveMetrics(address string) (*httpserver.Server, error) {
 	s := httpserver.New(httpserver.Config{Name: "metrics", Address: address, Handler: expvar.Handler()})
--- a/internal/engineclient/forward.go
+++ b/internal/engineclient/forward.go
@@ -22,6 +22,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Early is set with an answer that came before all of the request was sent.
+	Early bool
 }
 
 // maxUnsent is how many kept connections a request may find closed before a byte of it
@@ -39,6 +41,7 @@
 	for unsent := 0; ; unsent++ {
 		res, d, err := c.forward(ctx, f)
 		if err == nil {
+			f.Early = !d.encoded.Load()
 			return res, nil
 		}
 		if !d.kept || !d.unsent() || ctx.Err() != nil || unsent == maxUnsent {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
 )
 
@@ -63,14 +65,34 @@
 
 	// Attempts made at backend servers.
 	Attempts []Attempt
-	// Begun: the answer's status line has left.
+	// Begun: bytes of the answer were handed to the caller's connection. Until then the
+	// request can still be answered with a status of its own, whatever became of its
+	// attempts; from then on only a broken connection tells the caller of a failure.
 	Begun bool
 	// Sent is how many bytes of the answer's body went to the caller.
 	Sent int
 	// Status that was answered.
 	Status int
+	// Ending is how the caller's side of the request ended.
+	Ending Ending
 }
 
+// Ending says how the caller's side of a request ended. The list is closed.
+type Ending string
+
+// Endings.
+const (
+	// EndAnswered: the caller was given a server's whole answer.
+	EndAnswered Ending = "answered"
+	// EndRefused: the caller was given a refusal, which is an answer too.
+	EndRefused Ending = "refused"
+	// EndBrokenOff: the answer had begun and could not be finished; the caller's
+	// connection was closed to tell it.
+	EndBrokenOff Ending = "broken_off"
+	// EndLeft: the caller had left or its time was over while its answer was under way.
+	EndLeft Ending = "left"
+)
+
 // Priority of the request, 0 first: that of its client account or else of its route.
 func (x *Exchange) Priority() int {
 	if x.Account != nil && x.Account.Priority != nil {
@@ -89,7 +111,29 @@
 	Running int
 	First   time.Duration // to the answer's first byte
 	Took    time.Duration
-	Outcome string
+	// Cause is what became of the attempt, Detail the error's own words, maxDetail bytes
+	// of them at most.
+	Cause  engineclient.Cause
+	Detail string
+	// Early: the server answered before it was sent the whole request.
+	Early bool
+}
+
+// maxDetail bounds an error's words in the log, in bytes: they may quote what a server
+// sent.
+const maxDetail = 200
+
+// Failed notes why the attempt failed.
+func (a *Attempt) Failed(cause engineclient.Cause, err error) {
+	a.Cause = cause
+	if err == nil {
+		return
+	}
+	detail := err.Error()
+	if len(detail) > maxDetail {
+		detail = strings.ToValidUTF8(detail[:maxDetail], "")
+	}
+	a.Detail = detail
 }
 
 // AccountName is the client account's name; empty without one.
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -45,7 +45,9 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	defer cancel()
 	var out outcome
-	res, err := t.f.Client.Forward(ctx, t.outgoing(choice))
+	outgoing := t.outgoing(choice)
+	res, err := t.f.Client.Forward(ctx, outgoing)
+	note.Early = outgoing.Early
 	if err != nil {
 		out = t.notAnswered(err)
 	} else {
@@ -53,10 +55,7 @@
 		out = t.answered(lease, res, cancel)
 	}
 	note.Took = time.Since(started)
-	note.Outcome = "answered"
-	if out.err != nil {
-		note.Outcome = out.err.Error()
-	}
+	note.Failed(out.cause, out.err)
 	lease.Done(out.result)
 	return out
 }
@@ -70,15 +69,21 @@
 		result = balance.Broken
 		t.x.Input = t.x.Input || t.ctx.Err() == nil
 	}
-	return t.failed(result, "%v", err)
+	return t.failed(result, engineclient.CauseOf(err), "%v", err)
 }
 
 // failed is the outcome of an attempt that another server may make good.
-func (t *try) failed(result balance.Result, format string, args ...any) outcome {
+func (t *try) failed(result balance.Result, cause engineclient.Cause, format string, args ...any) outcome {
 	if t.ctx.Err() != nil {
-		result = balance.Abandoned // the request's own end caused it
+		result, cause = balance.Abandoned, engineclient.CauseLeft // the request's own end caused it
 	}
-	return outcome{err: errkind.New(errkind.BackendServerFailed, format, args...).WithRan(t.ran), result: result, again: true}
+	err := errkind.New(errkind.BackendServerFailed, format, args...).WithRan(t.ran)
+	return outcome{err: err, cause: cause, result: result, again: true}
+}
+
+// served is the outcome of an attempt whose answer is with the caller.
+func served() outcome {
+	return outcome{cause: engineclient.CauseAnswered, result: balance.Served}
 }
 
 // answered takes a server's answer. cancel gives its connection up.
@@ -92,16 +97,16 @@
 	switch {
 	case reply.OtherInstance:
 		lease.Wrong()
-		return t.failed(balance.Served, "another instance has the server's address")
+		return t.failed(balance.Served, engineclient.CauseOtherInstance, "another instance has the server's address")
 	case reply.ID != t.x.ID:
 		// A late answer to another request, or bytes that are no answer. The connection is out
 		// of step: the answer that belongs here would be taken for that of the next request.
 		cancel()
 		t.mayHaveRun()
 		t.x.Input = true
-		return t.failed(balance.Broken, "the answer names request %q", reply.ID)
+		return t.failed(balance.Broken, engineclient.CauseOtherRequest, "the answer names request %q", reply.ID)
 	case reply.NotRun:
-		out := t.failed(balance.Shed, "the backend server did not take the request")
+		out := t.failed(balance.Shed, engineclient.CauseShed, "the backend server did not take the request")
 		if t.ran == errkind.RanNo {
 			out.err = errkind.New(errkind.Overloaded, "the backend server did not take the request: status %d", res.StatusCode).After(shedRetry)
 		}
@@ -109,13 +114,13 @@
 	}
 	t.mayHaveRun()
 	if res.StatusCode == http.StatusSwitchingProtocols {
-		return t.failed(balance.Broken, "the backend server switched protocols unasked")
+		return t.failed(balance.Broken, engineclient.CauseSwitched, "the backend server switched protocols unasked")
 	}
 	if res.StatusCode < http.StatusMultipleChoices && isEventStream(res) {
 		return t.relayStream(lease, res)
 	}
 	if t.x.Begun {
-		return t.failed(balance.Broken, "status %d in place of the rest of a stream", res.StatusCode)
+		return t.failed(balance.Broken, engineclient.CauseNoStream, "status %d in place of the rest of a stream", res.StatusCode)
 	}
 	return t.relayWhole(lease, res)
 }
@@ -126,27 +131,52 @@
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxWhole+1))
 	if err != nil {
 		t.x.Input = t.x.Input || t.ctx.Err() == nil
-		return t.failed(balance.Broken, "the answer broke off: %v", err)
+		return t.failed(balance.Broken, engineclient.CauseCutBody, "the answer broke off: %v", err)
 	}
 	lease.First()
 	t.x.Input = true
 	if res.StatusCode >= http.StatusInternalServerError && t.x.Route.Kind == routes.Idempotent && t.allowNext() {
-		return t.failed(balance.Served, "the backend server answered %d", res.StatusCode)
+		return t.failed(balance.Served, engineclient.CauseFault, "the backend server answered %d", res.StatusCode)
 	}
 	t.writeHeader(res)
 	if length := t.lengthOf(res, body); length != "" {
 		t.w.Header().Set("Content-Length", length)
 	}
 	t.w.WriteHeader(res.StatusCode)
-	t.x.Sent += len(body)
-	_, _ = t.w.Write(body) // a caller who left is noticed by the request's context
-	if len(body) <= maxWhole {
-		return outcome{result: balance.Served}
+	if !t.handOver(body) || len(body) <= maxWhole {
+		return served() // a caller who left is noticed by the request's context
 	}
-	if _, err := io.Copy(t.w, res.Body); err != nil {
-		return outcome{err: errkind.New(errkind.BackendServerFailed, "%v", err), result: balance.Broken}
+	return t.copyRest(res)
+}
+
+// copyRest passes on what follows of an answer that is too long to be held.
+func (t *try) copyRest(res *http.Response) outcome {
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := res.Body.Read(buf)
+		if n > 0 && !t.handOver(buf[:n]) {
+			out := t.failed(balance.Abandoned, engineclient.CauseLeft, "the caller's connection is closed")
+			out.again = false
+			return out
+		}
+		if err == io.EOF {
+			return served()
+		}
+		if err != nil {
+			out := t.failed(balance.Broken, engineclient.CauseCutStream, "the answer broke off: %v", err)
+			out.again = false
+			return out
+		}
 	}
-	return outcome{result: balance.Served}
+}
+
+// handOver gives bytes of the answer to the caller's connection, its head before the
+// first; false: the connection is closed.
+func (t *try) handOver(b []byte) bool {
+	_, err := t.w.Write(b)
+	t.x.Begun = true
+	t.x.Sent += len(b)
+	return err == nil
 }
 
 // lengthOf is the Content-Length that goes with an answer; empty: none. An answer to HEAD
@@ -176,7 +206,7 @@
 		h.Del(key)
 	}
 	h.Del("Content-Length")
-	t.x.Begun, t.x.Status = true, res.StatusCode
+	t.x.Status = res.StatusCode
 }
 
 func isEventStream(res *http.Response) bool {
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -68,6 +68,8 @@
 type outcome struct {
 	// err is nil when the answer is with the caller.
 	err error
+	// cause is what became of the attempt.
+	cause engineclient.Cause
 	// result says what the attempt tells of the server.
 	result balance.Result
 	// again: another server may do better.
@@ -124,7 +126,7 @@
 func (t *try) giveUp(err error) error {
 	if t.x.Begun {
 		t.f.Abort(t.w)
-		return errkind.New(errkind.BackendServerFailed, "the answer broke off: %s", errkind.From(err).Message).WithRan(errkind.RanYes)
+		return brokenOff(errkind.From(err))
 	}
 	e := *errkind.From(err)
 	if t.ran != errkind.RanNo && e.Ran() == errkind.RanNo {
@@ -134,6 +136,16 @@
 	return &e
 }
 
+// brokenOff is the error of an answer that had begun. Its kind tells a server's failure
+// from the end that the caller or the deadline set.
+func brokenOff(e *errkind.Error) error {
+	kind := errkind.BackendServerFailed
+	if e.Kind == errkind.CallerGone || e.Kind == errkind.DeadlineExceeded {
+		kind = e.Kind
+	}
+	return errkind.New(kind, "the answer broke off: %s", e.Message).WithRan(errkind.RanYes)
+}
+
 // outgoing is the request as the chosen server gets it.
 func (t *try) outgoing(choice balance.Choice) *engineclient.Forward {
 	x := t.x
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -163,6 +163,25 @@
 	method  string
 	x       *relay.Exchange
 	ctx     context.Context
+	// onWrite is called ahead of each write to the caller, which fails with writeErr.
+	onWrite  func()
+	writeErr error
+}
+
+// writer is the caller's side of a run.
+type writer struct {
+	*httptest.ResponseRecorder
+	r *run
+}
+
+func (w writer) Write(b []byte) (int, error) {
+	if w.r.onWrite != nil {
+		w.r.onWrite()
+	}
+	if w.r.writeErr != nil {
+		return 0, w.r.writeErr
+	}
+	return w.ResponseRecorder.Write(b)
 }
 
 func newRun(t *testing.T, kind routes.Kind, steps ...func(context.Context, *engineclient.Forward) (*http.Response, error)) *run {
@@ -184,7 +203,7 @@
 		Abort: func(http.ResponseWriter) { r.aborted = true },
 	}
 	req := httptest.NewRequest(http.MethodPost, "/p", nil).WithContext(relay.With(r.ctx, r.x))
-	return f.ServeHTTP(r.w, req, nil)
+	return f.ServeHTTP(writer{r.w, r}, req, nil)
 }
 
 func wantKind(t *testing.T, err error, kind errkind.Kind, ran errkind.Ran) {
@@ -469,3 +488,82 @@
 	r := newRun(t, routes.NonIdempotent, gives(answer(http.StatusSwitchingProtocols, "")))
 	wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanUnknown)
 }
+
+// Symptom: a server loses its good name because callers leave in the middle of long
+// answers.
+// Sequence: an answer too long to be held is passed on as it comes; the caller closes.
+// Cause: a failure to write to the caller, or the request's own end, taken for the
+// server's failure.
+func TestCallerLeavesLongAnswer(t *testing.T) {
+	long := strings.Repeat("x", 2*maxWhole)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	res := answer(200, long)
+	res.Body.(*body).err = errReset
+	r := newRun(t, routes.Idempotent, gives(res))
+	r.ctx = ctx
+	r.onWrite = func() { cancel(errkind.New(errkind.CallerGone, "gone")) }
+	wantKind(t, r.do(), errkind.CallerGone, errkind.RanYes)
+	if fmt.Sprint(r.leases.results) != fmt.Sprint([]balance.Result{balance.Abandoned}) {
+		t.Errorf("results %v", r.leases.results)
+	}
+	r = newRun(t, routes.Idempotent, gives(answer(200, long)))
+	r.writeErr = errReset
+	_ = r.do()
+	if r.x.Attempts[0].Cause == engineclient.CauseCutStream || fmt.Sprint(r.leases.results) == fmt.Sprint([]balance.Result{balance.Broken}) {
+		t.Errorf("cause %s, results %v", r.x.Attempts[0].Cause, r.leases.results)
+	}
+}
+
+func TestLongAnswerBreaksOff(t *testing.T) {
+	res := answer(200, strings.Repeat("x", 2*maxWhole))
+	res.Body.(*body).err = errReset
+	r := newRun(t, routes.Idempotent, gives(res))
+	wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanYes)
+	if !r.aborted || r.x.Attempts[0].Cause != engineclient.CauseCutStream {
+		t.Errorf("aborted %v, cause %s", r.aborted, r.x.Attempts[0].Cause)
+	}
+}
+
+// Begun is a fact of bytes handed over: until then the caller can be given a status.
+func TestBegunMeansBytesHandedOver(t *testing.T) {
+	r := newRun(t, routes.Stream, gives(stream(event(1), nil)))
+	before := true
+	r.onWrite = func() { before = before && !r.x.Begun }
+	if err := r.do(); err != nil || !before || !r.x.Begun {
+		t.Errorf("got %v; begun before the first write: %v, after it: %v", err, !before, r.x.Begun)
+	}
+}
+
+// Each way in which an answer fails leaves a cause of its own in the log.
+func TestCausesOfAnswers(t *testing.T) {
+	for want, step := range map[engineclient.Cause]func(context.Context, *engineclient.Forward) (*http.Response, error){
+		engineclient.CauseShed:          gives(answer(http.StatusServiceUnavailable, "", hNotRun, "1")),
+		engineclient.CauseOtherInstance: gives(answer(http.StatusMisdirectedRequest, "", hID, "")),
+		engineclient.CauseOtherRequest:  gives(answer(200, "", hID, "r0")),
+		engineclient.CauseSwitched:      gives(answer(http.StatusSwitchingProtocols, "")),
+		engineclient.CauseCutBody:       gives(stream("id: 1\nda", errReset)),
+		engineclient.CauseCutStream:     gives(stream(event(1), errReset)),
+		engineclient.CauseReset: func(context.Context, *engineclient.Forward) (*http.Response, error) {
+			return nil, &engineclient.Error{Ran: errkind.RanUnknown, Cause: engineclient.CauseReset, Message: strings.Repeat("é", 1<<10)}
+		},
+	} {
+		r := newRun(t, routes.Stream, step)
+		r.route.MaxAttempts = 1
+		r.leases.servers = r.leases.servers[:1]
+		_ = r.do()
+		if a := r.x.Attempts[0]; a.Cause != want || len(a.Detail) > 200 || a.Detail == "" {
+			t.Errorf("cause %s, want %s, %d bytes of detail", a.Cause, want, len(a.Detail))
+		}
+	}
+	r := newRun(t, routes.Stream, gives(stream(event(1), errReset)), gives(answer(500, "")))
+	r.route.Resumable = true
+	_ = r.do()
+	if a := r.x.Attempts[1]; a.Cause != engineclient.CauseNoStream {
+		t.Errorf("cause %s, want %s", a.Cause, engineclient.CauseNoStream)
+	}
+	r = newRun(t, routes.Idempotent, gives(answer(500, "")), gives(answer(200, "ok")))
+	_ = r.do()
+	if a := r.x.Attempts; a[0].Cause != engineclient.CauseFault || a[1].Cause != engineclient.CauseAnswered || a[1].Detail != "" {
+		t.Errorf("causes %s and %s", a[0].Cause, a[1].Cause)
+	}
+}
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/sse"
 )
@@ -31,11 +32,11 @@
 		case readErr == io.EOF:
 			t.pass(res, whole.Rest())
 			t.begin(res) // a stream without events
-			return outcome{result: balance.Served}
+			return served()
 		case t.ctx.Err() != nil:
-			return t.failed(balance.Abandoned, "%v", t.ctx.Err())
+			return t.failed(balance.Abandoned, engineclient.CauseLeft, "%v", t.ctx.Err())
 		case readErr != nil:
-			return t.failed(balance.Broken, "the stream broke off: %v", readErr)
+			return t.failed(balance.Broken, t.cutCause(), "the stream broke off: %v", readErr)
 		}
 	}
 }
@@ -48,14 +49,21 @@
 	t.begin(res)
 	t.events.Write(events)
 	t.x.Output = uint64(t.events.Events()) * t.tokensPerEvent()
-	t.x.Sent += len(events)
-	_, _ = t.w.Write(events) // a caller who left is noticed by the request's context
+	t.handOver(events) // a caller who left is noticed by the request's context
 	if f, ok := t.w.(http.Flusher); ok {
 		f.Flush()
 	}
 }
 
-// begin sends the status line and the headers, those of the first server with an event.
+// cutCause is the cause of a stream that broke off.
+func (t *try) cutCause() engineclient.Cause {
+	if t.x.Begun {
+		return engineclient.CauseCutStream
+	}
+	return engineclient.CauseCutBody
+}
+
+// begin sets the status line and the headers, those of the first server with an event.
 func (t *try) begin(res *http.Response) {
 	if t.x.Begun {
 		return
--- /dev/null
+++ b/internal/relay/forward/wire_test.go
@@ -0,0 +1,267 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
+)
+
+// Of the tests over sockets: what a server answers, and how long a caller waits at most.
+const (
+	wholeBody    = "a whole answer"
+	wholeEvents  = 6
+	testPatience = 10 * time.Second
+)
+
+// wireDialect is the tests' dialect for requests that come over a socket.
+type wireDialect struct{ dialect }
+
+func (wireDialect) Decode(r *http.Request, body []byte) (*relay.Request, error) {
+	h := r.Header.Clone()
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	return &relay.Request{
+		ID: r.Header.Get(hID), Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: h, Body: body,
+	}, nil
+}
+
+func (wireDialect) Refuse(w http.ResponseWriter, x *relay.Exchange, err error) {
+	e := errkind.From(err)
+	w.Header().Set(hID, x.ID)
+	w.Header().Set("Ran", string(e.Ran()))
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(e.Status())
+}
+
+// inTurn chooses the first server that was not asked yet.
+type inTurn []instance.Announcement
+
+func (s inTurn) Acquire(_ context.Context, w *balance.Work) (relay.Lease, error) {
+	if len(w.Exclude) >= len(s) {
+		return nil, errkind.New(errkind.NoBackendServer, "none is left").After(time.Second)
+	}
+	return turn{choice: balance.Choice{Instance: s[len(w.Exclude)]}}, nil
+}
+
+type turn struct{ choice balance.Choice }
+
+func (l turn) Choice() balance.Choice { return l.choice }
+func (turn) First()                   {}
+func (turn) Report(balance.Load)      {}
+func (turn) Wrong()                   {}
+func (turn) Done(balance.Result)      {}
+
+// backend is a server whose connections a test scripts.
+type backend struct {
+	t       *testing.T
+	address string
+	mu      sync.Mutex
+	// runs counts the requests read whole, by id.
+	runs map[string]int
+}
+
+// serve handles the n-th request of a connection; false closes it.
+type serve func(n int, c net.Conn, r *bufio.Reader) bool
+
+func newBackend(t *testing.T, script func(b *backend) serve) *backend {
+	t.Helper()
+	l := testutil.Listen(t)
+	b := &backend{t: t, address: l.Addr().String(), runs: map[string]int{}}
+	handle := script(b)
+	var open sync.WaitGroup
+	t.Cleanup(func() {
+		_ = l.Close()
+		open.Wait()
+	})
+	open.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			open.Go(func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for n := 1; handle(n, c, r); n++ {
+				}
+			})
+		}
+	})
+	return b
+}
+
+// read reads a whole request, which then counts as run.
+func (b *backend) read(r *bufio.Reader) (*http.Request, bool) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, false
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return nil, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[req.Header.Get(hID)]++
+	return req, true
+}
+
+func (b *backend) ran(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+// answerTo is the whole answer to a request: on the path of streams, the events after the
+// one that it names.
+func answerTo(req *http.Request) string {
+	head := "HTTP/1.1 200 OK\r\n" + hID + ": " + req.Header.Get(hID) + "\r\n"
+	if req.URL.Path != "/stream" {
+		return head + "Content-Length: " + strconv.Itoa(len(wholeBody)) + "\r\n\r\n" + wholeBody
+	}
+	after, _ := strconv.Atoi(req.Header.Get(hAfter))
+	var chunks strings.Builder
+	for id := after + 1; id <= wholeEvents; id++ {
+		fmt.Fprintf(&chunks, "%x\r\n%s\r\n", len(event(id)), event(id))
+	}
+	return head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks.String() + "0\r\n\r\n"
+}
+
+// sound answers every request.
+func sound(b *backend) serve {
+	return func(_ int, c net.Conn, r *bufio.Reader) bool {
+		req, ok := b.read(r)
+		if !ok {
+			return false
+		}
+		_, err := io.WriteString(c, answerTo(req))
+		return err == nil
+	}
+}
+
+// finished collects what the log is told.
+type finished struct {
+	mu  sync.Mutex
+	all map[string]*relay.Exchange
+}
+
+func (f *finished) Finished(x *relay.Exchange, _ error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all[x.ID] = x
+}
+
+// of waits for what the log is told of a request; the caller may have its answer before.
+func (f *finished) of(t *testing.T, id string) *relay.Exchange {
+	t.Helper()
+	for deadline := time.Now().Add(testPatience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		x := f.all[id]
+		f.mu.Unlock()
+		if x != nil {
+			return x
+		}
+	}
+	t.Fatalf("no line of request %s", id)
+	return nil
+}
+
+// entryHost serves a route over the backends.
+func entryHost(t *testing.T, route routes.Route, backends ...*backend) (string, *finished) {
+	t.Helper()
+	var servers inTurn
+	for i, b := range backends {
+		servers = append(servers, instance.Announcement{ID: "s" + strconv.Itoa(i), Address: b.address})
+	}
+	route.MaxAttempts, route.Timeout = 2, settings.Duration(testPatience)
+	seen := &finished{all: map[string]*relay.Exchange{}}
+	client := engineclient.New(engineclient.Config{})
+	s := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: relay.NewHandler(wireDialect{}, seen,
+		routed{&route},
+		&Filter{Dialect: wireDialect{}, Client: client, Balancer: servers, Retries: &allowance{left: 1000}, Abort: httpserver.Abort})})
+	testutil.NoError(t, s.Start())
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Drain(ctx)
+		client.Close()
+	})
+	return s.Address(), seen
+}
+
+// routed stands for the filters ahead of this one.
+type routed struct{ route *routes.Route }
+
+func (f routed) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
+	x := relay.From(r.Context())
+	x.Route, x.Service = f.route, &routes.Service{Name: "pool"}
+	x.Deadline = x.Arrived.Add(f.route.Timeout.Std())
+	ctx, cancel := context.WithDeadline(r.Context(), x.Deadline)
+	defer cancel()
+	return next.ServeHTTP(w, r.WithContext(ctx))
+}
+
+// keptCaller sends its requests over one connection.
+type keptCaller struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func dialCaller(t *testing.T, address string) *keptCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	testutil.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	testutil.NoError(t, c.SetDeadline(time.Now().Add(testPatience)))
+	return &keptCaller{t: t, c: c, r: bufio.NewReader(c)}
+}
+
+// got is what a caller saw of an answer.
+type got struct {
+	// status 0: the connection ended without an answer.
+	status int
+	header http.Header
+	body   string
+	// whole: the answer had its proper end.
+	whole bool
+}
+
+func (c *keptCaller) ask(id, path, body string) got {
+	c.t.Helper()
+	_, err := fmt.Fprintf(c.c, "POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", path, hID, id, len(body), body)
+	testutil.NoError(c.t, err)
+	res, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return got{}
+	}
+	content, err := io.ReadAll(res.Body)
+	return got{status: res.StatusCode, header: res.Header, body: string(content), whole: err == nil}
+}
+
+func allEvents() string {
+	var s strings.Builder
+	for id := 1; id <= wholeEvents; id++ {
+		s.WriteString(event(id))
+	}
+	return s.String()
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -33,6 +33,7 @@
 		x.Status = e.Status()
 		h.dialect.Refuse(w, x, e)
 	}
+	x.Ending = ending(x, err)
 	h.observer.Finished(x, err)
 }
 
@@ -48,3 +49,15 @@
 	x.Request = request
 	return h.chain.ServeHTTP(w, r.WithContext(With(r.Context(), x)))
 }
+
+func ending(x *Exchange, err error) Ending {
+	switch {
+	case err == nil:
+		return EndAnswered
+	case !x.Begun:
+		return EndRefused
+	case errkind.Is(err, errkind.CallerGone):
+		return EndLeft
+	}
+	return EndBrokenOff
+}
