Lines logged after the log's end are dropped

Cause: logQueue.Close closed the channel that Write sends on. A send on a closed channel panics, in a select with a default too, so a request that was cut off at the drain's end, a connection that closed late or a timer ended the process with exit code 2 and lost the lines that still waited.

Before: TestLateLineIsDropped and TestLinesBesideCloseHarmNobody panic (send on closed channel). After: both pass, three runs in one process under the race detector.

Conclusion: the writer ends by a channel of its own; the one that wakes it is never closed.

--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -25,12 +25,15 @@
 	waiting bytes.Buffer
 	dropped int
 	closed  bool
-	wake    chan struct{}
+	// wake is never closed: whoever logs late must not panic.
+	wake chan struct{}
+	// closing ends the writer.
+	closing chan struct{}
 	done    chan struct{}
 }
 
 func newLogQueue(out io.Writer) *logQueue {
-	q := &logQueue{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	q := &logQueue{out: out, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
 	go q.run()
 	return q
 }
@@ -51,14 +54,15 @@
 	return len(line), nil
 }
 
-// Close writes what waits, and returns when it is written.
+// Close writes what waits, and returns when it is written. Lines that come later are
+// dropped.
 func (q *logQueue) Close() error {
 	q.mu.Lock()
 	alreadyClosed := q.closed
 	q.closed = true
 	q.mu.Unlock()
 	if !alreadyClosed {
-		close(q.wake)
+		close(q.closing)
 	}
 	<-q.done
 	return nil
@@ -68,7 +72,11 @@
 	defer close(q.done)
 	var batch bytes.Buffer
 	for open := true; open; {
-		_, open = <-q.wake
+		select {
+		case <-q.wake:
+		case <-q.closing:
+			open = false
+		}
 		q.take(&batch)
 		_, _ = q.out.Write(batch.Bytes()) // there is nowhere else to tell of it
 		batch.Reset()
--- a/internal/telemetry/queue_test.go
+++ b/internal/telemetry/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -99,3 +100,42 @@
 		}
 	}
 }
+
+// Symptom: a process that was told to stop ends with a stack trace and exit code 2, and what
+// its log still held is lost.
+// Sequence: the process stops; its telemetry is closed; a request that was cut off, or a
+// connection that closes late, writes its line.
+// Cause: Close closed the channel that wakes the writer, and a send on a closed channel
+// panics, in a select with a default too.
+func TestLateLineIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	q := newLogQueue(&out)
+	_, _ = q.Write([]byte("in time\n"))
+	if err := q.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := q.Write([]byte("late\n")); err != nil {
+		t.Fatal(err)
+	}
+	if out.String() != "in time\n" {
+		t.Errorf("got %q", out.String())
+	}
+}
+
+// Sequence: as above, but the late lines come while the log is being closed.
+func TestLinesBesideCloseHarmNobody(t *testing.T) {
+	const writers, rounds = 8, 50
+	for range rounds {
+		q := newLogQueue(io.Discard)
+		var writing sync.WaitGroup
+		for range writers {
+			writing.Go(func() {
+				for range writers {
+					_, _ = q.Write([]byte("line\n"))
+				}
+			})
+		}
+		_ = q.Close()
+		writing.Wait()
+	}
+}
