A panic of one goroutine ends neither the process nor its requests

Cause looked for: ten requests of a host ended at one moment without an answer. A process that ends does that, and any panic that nobody recovers ends it: a gRPC handler's, that of a loop or of a call beside a loop (heartbeats, news, reports, settlement), a timer's. All of these were unprotected; the handlers of callers' requests alone were recovered. No such panic was found by reading; the record can't tell.

Design: loops that look at how things are and mend them are started again after a second, since what makes one panic is often something that all hosts hear. Grants and registration are not: their state guards promises, so the manager sets nothing aside any more and the process ends in order, within its drain timeout. Locks that were released behind a call are released by defer, as a recovered panic left them held and the host answered nothing from then on. A replica's own loop still ends its process: a vote must not come from a state that is half changed, and a control host serves no callers.

Before: TestPanicLeavesNoLockBehind fails in all four cases and TestFirstTwiceAtOnce is a data race (lease.first of an attempt whose report came twice); the others had no code to test, and the panic ended the process. After: internal/{panics,daemon,peerconn} and controller/{grants,balancer, assign,routes} pass under the race detector.

Conclusion: hypothesis 'the process ended by a panic' is neither shown nor ruled out for the record; from here on a panic leaves event=panic-recovered with its stack, counts in panics_recovered and costs one request or one round of a loop.

--- a/internal/controller/assign/run.go
+++ b/internal/controller/assign/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/outbox"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -37,14 +38,20 @@
 }
 
 func (a *Assigner) send(ctx context.Context) {
-	a.mu.Lock()
-	due := a.reports.Due(time.Now())
-	a.mu.Unlock()
-	for _, m := range due {
-		a.sends.Go(func() { a.sendOne(ctx, m) })
+	for _, m := range a.dueReports() {
+		a.sends.Go(func() {
+			defer panics.Log(a.cfg.Log, "reporting runs")
+			a.sendOne(ctx, m)
+		})
 	}
 }
 
+func (a *Assigner) dueReports() []outbox.Message[*pb.RunReport] {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reports.Due(time.Now())
+}
+
 func (a *Assigner) sendOne(ctx context.Context, m outbox.Message[*pb.RunReport]) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/internal/controller/assign/share.go
+++ b/internal/controller/assign/share.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/outbox"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -82,6 +83,7 @@
 	}
 	s.to = to
 	a.sends.Go(func() {
+		defer panics.Log(a.cfg.Log, "sharing what engines keep")
 		if err := a.tellParts(ctx, to, known); err != nil {
 			a.mu.Lock()
 			a.untold = append(a.untold, key)
--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -35,7 +35,8 @@
 	Log     zerolog.Logger
 }
 
-// Balancer is safe for concurrent use.
+// Balancer is safe for concurrent use. Its lock is always released by defer: whoever calls it
+// recovers a panic, and a lock that stays held would have every later request wait for ever.
 type Balancer struct {
 	cfg Config
 
@@ -65,29 +66,36 @@
 
 // Announce takes what a backend server says of itself to this host.
 func (b *Balancer) Announce(a instance.Announcement) {
+	if state, changed := b.announce(a); changed {
+		b.changed(state)
+	}
+}
+
+func (b *Balancer) announce(a instance.Announcement) (state *pb.ServerState, changed bool) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := time.Now()
-	changed := b.reg.Announce(now, a)
-	state := b.reg.State(now, a.ID)
+	changed = b.reg.Announce(now, a)
+	state = b.reg.State(now, a.ID)
 	b.sweep(now)
-	b.mu.Unlock()
-	if changed {
-		b.changed(state)
-	}
+	return state, changed
 }
 
 // End takes that a backend server ends.
 func (b *Balancer) End(id string) {
-	b.mu.Lock()
-	now := time.Now()
-	changed := b.reg.End(now, id)
-	state := b.reg.State(now, id)
-	b.mu.Unlock()
-	if changed {
+	if state, changed := b.end(id); changed {
 		b.changed(state)
 	}
 }
 
+func (b *Balancer) end(id string) (state *pb.ServerState, changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	changed = b.reg.End(now, id)
+	return b.reg.State(now, id), changed
+}
+
 func (b *Balancer) changed(st *pb.ServerState) {
 	b.logHeard(st, "server")
 	b.cfg.Changed(st)
@@ -150,7 +158,15 @@
 
 // Merge implements members.Registry.
 func (b *Balancer) Merge(servers []*pb.ServerState, transit time.Duration) {
+	for _, st := range b.merge(servers, transit) {
+		b.logHeard(st, "peer")
+	}
+}
+
+// merge returns the states that are news here.
+func (b *Balancer) merge(servers []*pb.ServerState, transit time.Duration) []*pb.ServerState {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := time.Now()
 	var news []*pb.ServerState
 	for _, st := range servers {
@@ -158,10 +174,7 @@
 			news = append(news, b.reg.State(now, st.GetId()))
 		}
 	}
-	b.mu.Unlock()
-	for _, st := range news {
-		b.logHeard(st, "peer")
-	}
+	return news
 }
 
 // RecentWork implements members.Registry. There is nothing to tell: the owner of a shard
@@ -225,7 +238,9 @@
 type lease struct {
 	b      *Balancer
 	choice balance.Choice
-	first  bool
+	// first: First was called; b.mu guards it, as reports of another host on one attempt may
+	// come twice at the same time.
+	first bool
 }
 
 // Choice implements relay.Lease.
@@ -233,12 +248,12 @@
 
 // First implements relay.Lease; only the first call counts.
 func (l *lease) First() {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
 	if l.first {
 		return
 	}
 	l.first = true
-	l.b.mu.Lock()
-	defer l.b.mu.Unlock()
 	l.b.core.First(time.Now(), l.choice.Ticket)
 }
 
@@ -254,9 +269,7 @@
 
 // Done implements relay.Lease.
 func (l *lease) Done(r balance.Result) {
-	l.b.mu.Lock()
-	s := l.b.core.Done(time.Now(), l.choice.Ticket, r)
-	l.b.mu.Unlock()
+	s := l.done(r)
 	if !s.Lost && !s.Regained {
 		return
 	}
@@ -267,3 +280,9 @@
 	l.b.cfg.Log.Info().Str("event", event).Str("server", l.choice.Instance.ID).Str("address", l.choice.Instance.Address).
 		Int("failures", s.Failures).Dur("pause", s.Pause).Send()
 }
+
+func (l *lease) done(r balance.Result) balance.Standing {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	return l.b.core.Done(time.Now(), l.choice.Ticket, r)
+}
--- /dev/null
+++ b/internal/controller/balancer/lock_test.go
@@ -0,0 +1,60 @@
+package balancer
+
+import (
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// Symptom: a host's log tells of one panic that was recovered, and from then on it answers
+// nothing.
+// Sequence: a call of the balancer panics; its caller recovers.
+// Cause: the lock was released behind the call that panicked, not by defer.
+func TestPanicLeavesNoLockBehind(t *testing.T) {
+	calls := map[string]func(*Balancer){
+		"announce": func(b *Balancer) { b.Announce(instance.Announcement{ID: "a"}) },
+		"end":      func(b *Balancer) { b.End("a") },
+		"merge":    func(b *Balancer) { b.Merge([]*pb.ServerState{{Id: "a", Services: []string{"s"}}}, 0) },
+		"done":     func(b *Balancer) { (&lease{b: b}).Done(balance.Served) },
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			b := New(Config{Host: "host", Changed: func(*pb.ServerState) {}})
+			b.reg, b.core = nil, nil // every use panics
+			func() {
+				defer func() {
+					if recover() == nil {
+						t.Error("no panic")
+					}
+				}()
+				call(b)
+			}()
+			if !b.mu.TryLock() {
+				t.Error("the lock is held")
+			}
+		})
+	}
+}
+
+// Symptom: a run of the race detector names lease.First.
+// Sequence: a report that an attempt's answer has begun is not answered in time and sent
+// again; both are taken at the same time.
+// Cause: what was reported was noted outside the lock.
+func TestFirstTwiceAtOnce(t *testing.T) {
+	b := New(Config{Host: "host", Changed: func(*pb.ServerState) {}})
+	b.Announce(instance.Announcement{ID: "a", Service: "s", Address: "10.0.0.1:80", Seq: 1, Slots: 1})
+	l, err := b.Acquire(t.Context(), &balance.Work{Service: "s"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.First()
+	}()
+	l.First()
+	<-done
+	l.Done(balance.Served)
+}
--- a/internal/controller/budgets/run.go
+++ b/internal/controller/budgets/run.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/grant/book"
 	"github.com/bluebellsail/bluebellsail/internal/outbox"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -24,16 +26,23 @@
 }
 
 func (d *Desk) step(ctx context.Context, now time.Time) {
-	d.mu.Lock()
-	expired := d.book.Expire(now)
-	due := d.outbox.Due(now)
-	d.mu.Unlock()
+	expired, due := d.due(now)
 	d.expire(expired)
 	for _, m := range due {
-		d.sends.Go(func() { d.send(ctx, m) })
+		d.sends.Go(func() {
+			defer panics.Log(d.cfg.Log, "telling a budget's owner")
+			d.send(ctx, m)
+		})
 	}
 }
 
+// due takes what has expired and what is to be told now.
+func (d *Desk) due(now time.Time) ([]book.Expired, []outbox.Message[*pb.SpentTokens]) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Expire(now), d.outbox.Due(now)
+}
+
 // send tells one owner.
 func (d *Desk) send(ctx context.Context, m outbox.Message[*pb.SpentTokens]) {
 	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
--- a/internal/controller/grants/calls.go
+++ b/internal/controller/grants/calls.go
@@ -128,7 +128,7 @@
 	}
 	metrics.Add("bills_settled", int64(len(done.GetBills())))
 	metrics.Add("bills_duplicate", int64(len(r.GetDuplicates())))
-	m.wg.Go(func() {
+	m.call(func() {
 		if m.cfg.OnSettled != nil && len(done.GetBills()) > 0 {
 			m.cfg.OnSettled(done.GetBills())
 		}
@@ -161,16 +161,7 @@
 // HandleAskTokens is the giver's side of a transfer. Tokens are deducted first and the
 // transfer is copied to a third host before it is answered.
 func (m *Manager) HandleAskTokens(req *pb.AskTokensRequest) *pb.AskTokensReply {
-	id := req.GetId()
-	m.mu.Lock()
-	t, state := m.holder.TransferAsked(time.Now(), req)
-	_, busy := m.giving[id]
-	copying := state == grant.GiveNew || state == grant.GivePending
-	if copying && !busy && !m.closed {
-		m.giving[id] = struct{}{}
-	}
-	refuse := copying && (busy || m.closed)
-	m.mu.Unlock()
+	t, copying, refuse := m.beginGiving(req)
 	switch {
 	case refuse:
 		return &pb.AskTokensReply{Error: wire.EncodeError(grant.RefuseReason())}
@@ -181,6 +172,21 @@
 	}
 }
 
+// beginGiving deducts the tokens of a transfer. copying tells that its copies have to be made,
+// refuse that they can't be now.
+func (m *Manager) beginGiving(req *pb.AskTokensRequest) (t *pb.Transfer, copying, refuse bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.distrust()
+	t, state := m.holder.TransferAsked(time.Now(), req)
+	_, busy := m.giving[req.GetId()]
+	copying = state == grant.GiveNew || state == grant.GivePending
+	if copying && !busy && !m.closed {
+		m.giving[req.GetId()] = struct{}{}
+	}
+	return t, copying, copying && (busy || m.closed)
+}
+
 // give copies a deducted transfer and answers it. If no third host can be reached it is
 // undone, but only once every host that may hold a copy knows that it is void: a copy
 // left behind would move tokens that the giver spends itself if both ends were lost.
@@ -220,7 +226,7 @@
 			continue
 		}
 		m.giving[t.GetId()] = struct{}{}
-		m.wg.Go(func() { m.give(t) })
+		m.call(func() { m.give(t) })
 	}
 }
 
--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -10,12 +10,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/grant"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -70,7 +72,10 @@
 	PolicyFor func(budget string) grant.Policy
 	// OnSettled is called with bills that the ledger acknowledged; may be nil.
 	OnSettled func(bills []*pb.Bill)
-	Log       zerolog.Logger
+	// Failed is called when the manager can't trust its own state any more and gives nothing
+	// out from then on. It must not call the Manager; may be nil.
+	Failed func(error)
+	Log    zerolog.Logger
 	// Seed of the order in which peers are asked.
 	Seed           int64
 	Tick           time.Duration
@@ -95,7 +100,8 @@
 	giving map[string]struct{}
 	// flushing tells that a timer for the next batch runs.
 	flushing bool
-	closed   bool
+	// closed: nothing is set aside any more, and no call begins.
+	closed bool
 	// ledgerLost: the last batch got no answer.
 	ledgerLost atomic.Bool
 }
@@ -138,32 +144,64 @@
 		case <-gives.C:
 			m.retryGives()
 		case <-policies.C:
-			m.mu.Lock()
-			m.holder.SetPolicies(m.cfg.PolicyFor)
-			m.mu.Unlock()
+			m.renewPolicies()
 		case <-ticker.C:
 			m.step(m.holder.Tick)
 		}
 	}
 }
 
+func (m *Manager) renewPolicies() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.distrust()
+	m.holder.SetPolicies(m.cfg.PolicyFor)
+}
+
 // close refuses the waiting requests and ends all calls.
 func (m *Manager) close() {
 	m.mu.Lock()
+	m.refuseAll()
+	m.mu.Unlock()
+	m.cancel()
+	m.wg.Wait()
+}
+
+// refuseAll ends the giving out of tokens; m.mu is held.
+func (m *Manager) refuseAll() {
 	m.closed = true
 	for id, ch := range m.waiting {
 		ch <- errkind.New(errkind.HostLeaving, "this host is shutting down")
 		delete(m.waiting, id)
 	}
-	m.mu.Unlock()
-	m.cancel()
-	m.wg.Wait()
+}
+
+// distrust is deferred by whoever changes the holder, and runs while m.mu is held. It recovers
+// a panic in the middle of a change.
+//
+// What goes wrong without it: the books are half changed, and a host that goes on by them may
+// give the same tokens out twice. One that ends at once takes all its requests with it. So it
+// sets nothing aside any more, tells the ledger nothing more, and has the process end in
+// order: what it held stays locked under this incarnation.
+func (m *Manager) distrust() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	panics.Report(m.cfg.Log, "grants", p)
+	m.refuseAll()
+	if m.cfg.Failed != nil {
+		m.cfg.Failed(errors.Errorf("the tokens held here are not known any more: %v", p))
+	}
 }
 
 // Drain refuses new requests, settles all bills and returns all tokens. It ends when
 // nothing is left or with ctx; Run must still be running.
 func (m *Manager) Drain(ctx context.Context) error {
 	m.step(m.holder.Drain)
+	if m.isClosed() {
+		return errkind.New(errkind.Internal, "grants not returned, what is held here is not known; they stay locked until recovery")
+	}
 	ticker := time.NewTicker(m.cfg.Tick / 4)
 	defer ticker.Stop()
 	for {
@@ -208,10 +246,25 @@
 // step feeds one input to the holder and carries out its output.
 func (m *Manager) step(input func(now time.Time) grant.Output) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.distrust()
 	m.holder.SetPeers(m.cfg.Asker.Peers())
 	out := input(time.Now())
 	m.carryOut(out)
-	m.mu.Unlock()
+}
+
+func (m *Manager) isClosed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.closed
+}
+
+// call runs f beside the manager's own loop; m.mu is held and m not closed.
+func (m *Manager) call(f func()) {
+	m.wg.Go(func() {
+		defer panics.Log(m.cfg.Log, "a call of the grants")
+		f()
+	})
 }
 
 // carryOut delivers decisions and starts calls; m.mu is held.
@@ -223,13 +276,13 @@
 		return
 	}
 	for _, msg := range out.Acquires {
-		m.wg.Go(func() { m.acquire(msg) })
+		m.call(func() { m.acquire(msg) })
 	}
 	if out.Batch != nil {
-		m.wg.Go(func() { m.settle(out.Batch) })
+		m.call(func() { m.settle(out.Batch) })
 	}
 	for _, ask := range out.Asks {
-		m.wg.Go(func() { m.ask(ask) })
+		m.call(func() { m.ask(ask) })
 	}
 }
 
--- a/internal/controller/grants/port.go
+++ b/internal/controller/grants/port.go
@@ -24,16 +24,17 @@
 }
 
 // enqueue hands the request to the holder; its decision comes on the channel.
-func (m *Manager) enqueue(budget, requestID string, tokens uint64) (chan *errkind.Error, error) {
+func (m *Manager) enqueue(budget, requestID string, tokens uint64) (ch chan *errkind.Error, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.distrust()
 	if m.closed {
 		return nil, errkind.New(errkind.HostLeaving, "this host is shutting down")
 	}
 	if _, twice := m.waiting[requestID]; twice {
 		return nil, errkind.New(errkind.Internal, "request %s waits for tokens already", requestID)
 	}
-	ch := make(chan *errkind.Error, 1)
+	ch = make(chan *errkind.Error, 1)
 	m.waiting[requestID] = ch
 	m.holder.SetPeers(m.cfg.Asker.Peers())
 	out := m.holder.Reserve(time.Now(), requestID, budget, tokens, m.cfg.PolicyFor(budget))
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -16,6 +16,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/membership"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry"
 )
@@ -128,7 +129,10 @@
 	defer beats.Wait()
 	for {
 		for _, b := range c.tick() {
-			beats.Go(func() { c.send(ctx, b) })
+			beats.Go(func() {
+				defer panics.Log(c.cfg.Log, "heartbeat")
+				c.send(ctx, b)
+			})
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -20,6 +20,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -160,7 +161,10 @@
 // spread tells the hosts at these addresses, and returns before it is done.
 func (s *Spreader) spread(ctx context.Context, n *pb.TellRequest, addresses []string) {
 	for _, group := range groups(addresses) {
-		s.sends.Go(func() { s.tellGroup(ctx, n, group) })
+		s.sends.Go(func() {
+			defer panics.Log(s.cfg.Log, "telling news")
+			s.tellGroup(ctx, n, group)
+		})
 	}
 }
 
@@ -199,11 +203,13 @@
 		s.cfg.Servers(req.GetServers())
 	}
 	s.mu.Lock()
-	ctx := s.ctx
-	if ctx != nil {
-		s.sends.Go(func() { s.handOn(ctx, req) })
+	defer s.mu.Unlock()
+	if ctx := s.ctx; ctx != nil {
+		s.sends.Go(func() {
+			defer panics.Log(s.cfg.Log, "handing news on")
+			s.handOn(ctx, req)
+		})
 	}
-	s.mu.Unlock()
 	return &pb.TellReply{}
 }
 
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
 )
@@ -158,6 +159,7 @@
 	}
 	if s, ok := c.nextControl(sources); ok {
 		c.fetches.Go(func() {
+			defer panics.Log(c.cfg.Log, "confirming routes")
 			defer c.end(s.Address)
 			c.confirm(ctx, s)
 		})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,16 +79,21 @@
 	case <-d.replicaStopped():
 		d.awaitDisk(ctx)
 		return errors.Wrap(d.replica.Err(), "the replica stopped")
+	case <-d.tasks.failed:
+		d.tel.Log.Error().Str("event", "ending-after-a-fault").Err(d.tasks.err).Send()
+		_ = d.shutDown() // it has been logged
+		return d.tasks.err
 	}
 	return d.shutDown()
 }
 
 // build makes the parts that every role has; nothing is sent yet.
 func build(cfg *procconfig.Config, env Environment) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, env: env, tasks: newTasks()}
+	d := &Daemon{cfg: cfg, env: env}
 	if err := d.openTelemetry(); err != nil {
 		return nil, err
 	}
+	d.tasks = newTasks(d.tel.Log)
 	certs, err := loadCertificates(cfg, d.tel.Log)
 	if err != nil {
 		d.close()
@@ -114,9 +119,9 @@
 	if err := d.peers.start(d.tasks); err != nil {
 		return err
 	}
-	d.tasks.run(d.settings.Run)
+	d.tasks.run("settings", d.settings.Run)
 	if d.replica != nil && !d.cfg.Control.ManualRepair {
-		d.tasks.run(d.keepInGroup)
+		d.tasks.run("keep in group", d.keepInGroup)
 	}
 	if d.cfg.Has(procconfig.RoleEntry) {
 		d.entry = newEntry(d)
@@ -198,7 +203,9 @@
 	if d.gateway != nil {
 		d.gateway.close()
 	}
-	d.tasks.stop()
+	if d.tasks != nil {
+		d.tasks.stop()
+	}
 	if d.peers != nil {
 		d.peers.stop()
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -136,11 +136,11 @@
 	e.makeControllers(reg.Holder)
 	e.d.peers.setPeer(peerservice.New(e.records, e.grants, e.members, e))
 	t := e.d.tasks
-	t.run(e.members.Run)
-	t.run(e.records.Run)
-	t.run(e.grants.Run)
-	t.run(e.followFleet)
-	t.run(e.learnHosts)
+	t.run("heartbeats", e.members.Run)
+	t.runTrusted("records", e.records.Run)
+	t.runTrusted("grants", e.grants.Run)
+	t.run("follow fleet", e.followFleet)
+	t.run("learn hosts", e.learnHosts)
 	e.serveRepair(t)
 	if err := e.http.Start(); err != nil {
 		return errors.Wrap(err, "callers' address")
@@ -198,7 +198,7 @@
 	e.grants = grants.New(grants.Config{
 		Self: self, Holder: grant.Config{BatchWait: cfg.Timing.SettleEvery.Std()},
 		Proposer: group{e.d.client}, Asker: peers{e}, Recorder: e.records,
-		PolicyFor: e.policyFor, OnSettled: e.records.Settled, Log: e.d.tel.Log, Seed: int64(self.Incarnation),
+		PolicyFor: e.policyFor, OnSettled: e.records.Settled, Log: e.d.tel.Log, Seed: int64(self.Incarnation), Failed: e.d.tasks.fail,
 	})
 	e.records.SetGrants(e.grants)
 	e.api = callerapi.New(callerapi.Deps{
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -85,7 +85,7 @@
 		if err := d.startRouted(ctx, p); err != nil {
 			return err
 		}
-		d.tasks.run(func(ctx context.Context) {
+		d.tasks.run("follow settings file", func(ctx context.Context) {
 			procconfig.Follow(ctx, path, reload, d.tel.Log, d.gateway.reconfigure)
 		})
 		return nil
@@ -149,21 +149,21 @@
 	}
 	d.peers.setPeer(gatewayPeer{g: g})
 	if d.replica != nil {
-		d.tasks.run(d.keepInGroup)
-		d.tasks.run(d.keepVoters)
-		d.tasks.run(g.followReplica)
+		d.tasks.run("keep in group", d.keepInGroup)
+		d.tasks.run("keep voters", d.keepVoters)
+		d.tasks.run("follow replica", g.followReplica)
 	}
 	d.operators = newOperatorServer(d)
 	if err := d.operators.start(); err != nil {
 		return err
 	}
-	d.tasks.run(g.members.Run)
-	d.tasks.run(g.news.Run)
-	d.tasks.run(g.join)
+	d.tasks.run("heartbeats", g.members.Run)
+	d.tasks.run("news", g.news.Run)
+	d.tasks.runTrusted("join", g.join)
 	if d.cfg.Has(procconfig.RoleGateway) {
-		d.tasks.run(g.routes.Run)
-		d.tasks.run(g.budgets.Run)
-		d.tasks.run(g.assigner.Run)
+		d.tasks.run("routes", g.routes.Run)
+		d.tasks.run("budgets", g.budgets.Run)
+		d.tasks.run("assignments", g.assigner.Run)
 	}
 	return g.serve()
 }
@@ -229,13 +229,13 @@
 		Self: reg.Holder, Holder: gatewayHolder(g.d),
 		Proposer: group{g.d.client}, Asker: gatewayPeers{g}, Recorder: noCopies{},
 		PolicyFor: g.policyFor,
-		Log:       g.d.tel.Log, Seed: int64(reg.Holder.Incarnation),
+		Log:       g.d.tel.Log, Seed: int64(reg.Holder.Incarnation), Failed: g.d.tasks.fail,
 	})
 	manager.Contact(registered)
 	g.grants.Store(manager)
 	close(g.registered)
-	g.d.tasks.run(manager.Run)
-	g.learnHosts(ctx)
+	g.d.tasks.runTrusted("grants", manager.Run)
+	g.d.tasks.run("learn hosts", g.learnHosts)
 }
 
 // learnHosts reads the registered hosts now and then, so that a host finds peers which
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -27,6 +27,7 @@
 func newPeerServer(d *Daemon) *peerServer {
 	options := peerconn.ServerOptions(d.tls.peerCredentials(), d.tel.ServerStats())
 	p := &peerServer{address: d.cfg.Listen.Peers}
+	options = append(options, peerconn.RecoverOptions(d.tel.Log)...)
 	options = append(options, peerconn.Fleet(d.cfg.Fleet).ServerOptions()...)
 	options = append(options, grpc.ChainUnaryInterceptor(p.waitForPeer))
 	p.server = grpc.NewServer(options...)
@@ -44,8 +45,8 @@
 	if err != nil {
 		return errors.Wrap(err, "peer address")
 	}
-	t.run(func(context.Context) { _ = p.server.Serve(listener) })
-	t.run(func(ctx context.Context) {
+	t.runTrusted("peer address", func(context.Context) { _ = p.server.Serve(listener) })
+	t.run("stop peer address", func(ctx context.Context) {
 		<-ctx.Done()
 		p.server.Stop()
 	})
--- a/internal/daemon/repair.go
+++ b/internal/daemon/repair.go
@@ -22,9 +22,9 @@
 // serveRepair starts the controllers that mend what failed hosts left behind.
 func (e *entry) serveRepair(t *tasks) {
 	if e.d.replica != nil {
-		t.run(e.placement.Run)
+		t.run("placement", e.placement.Run)
 	}
-	t.run(e.repairLoop)
+	t.run("repair", e.repairLoop)
 }
 
 // repairLoop recovers dead incarnations while this host is the one to do so.
--- /dev/null
+++ b/internal/peerconn/recover_test.go
@@ -0,0 +1,88 @@
+package peerconn
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
+)
+
+// faultyPeer panics over a heartbeat and over a watch.
+type faultyPeer struct {
+	pb.UnimplementedPeerServer
+	pb.UnimplementedControlServer
+}
+
+func (faultyPeer) Heartbeat(context.Context, *pb.HeartbeatRequest) (*pb.HeartbeatReply, error) {
+	var none *pb.HeartbeatReply
+	none.Seq++
+	return none, nil
+}
+
+func (faultyPeer) Tell(context.Context, *pb.TellRequest) (*pb.TellReply, error) {
+	return &pb.TellReply{}, nil
+}
+
+func (faultyPeer) Watch(*pb.WatchRequest, grpc.ServerStreamingServer[pb.WatchEvent]) error {
+	panic("over a watch")
+}
+
+// lines are log lines written by several goroutines.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// Symptom: all requests of a host end at one moment without an answer.
+// Sequence: a peer sends a message that a handler does not expect.
+// Cause: gRPC lets the panic of a handler end the process.
+func TestPanicOfAHandlerIsTheCallsError(t *testing.T) {
+	var out lines
+	listener := testutil.Listen(t)
+	server := grpc.NewServer(append(ServerOptions(nil, nil), RecoverOptions(zerolog.New(&out))...)...)
+	pb.RegisterPeerServer(server, faultyPeer{})
+	pb.RegisterControlServer(server, faultyPeer{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	pool := New(Config{})
+	t.Cleanup(func() { _ = pool.Close() })
+	address := listener.Addr().String()
+
+	if _, err := pool.Client(address).Heartbeat(t.Context(), &pb.HeartbeatRequest{}); status.Code(err) != codes.Internal {
+		t.Errorf("the call ended with %v", err)
+	}
+	watch, err := pool.Control(address).Watch(t.Context(), &pb.WatchRequest{})
+	testutil.NoError(t, err)
+	if _, err := watch.Recv(); status.Code(err) != codes.Internal {
+		t.Errorf("the stream ended with %v", err)
+	}
+	if _, err := pool.Client(address).Tell(t.Context(), &pb.TellRequest{}); err != nil {
+		t.Errorf("the next call ended with %v", err)
+	}
+	for _, method := range []string{"/Heartbeat", "/Watch"} {
+		if !strings.Contains(out.String(), method) {
+			t.Errorf("no line on %s: %s", method, out.String())
+		}
+	}
+}
