A process tells how it began, how it ended, and when it stood still

Cause: a record of ten requests lost at one moment at one host could not be told apart by its log: a process that ended, one that was short of processor for 61 ms, and one whose connections were closed all left the same, nothing.

What is there now: event=starting with version and limits; event=ended as the last line of an orderly end; on hosts with a disk event=run-before, with Go's own words on a crash (debug.SetCrashOutput); on the other hosts restarted/left_before for a host without a disk; event=stood-still from 50 ms on, seen at the heartbeats' ticker and in the runtime's scheduling waits, so without a wake-up of its own; event=memory-high at 80 % of the runtime's limit; memory, pauses, waits and descriptors under 'process' at /debug/vars.

A host whose log reader ended was ended by SIGPIPE at its next line: found while reading how Go ends a process. It outlives that now.

Before: TestHostOutlivesTheReaderOfItsLog without the mend: 'the process ended with signal: broken pipe'. After: passes.

The soak's harness reads the hosts' logs for panics, fatal errors and data races, and its stand-in servers no longer race on the registry they were told (found by the race detector in the test's own process).

Conclusion: the next record of this kind can be told by its log.

--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -63,7 +63,9 @@
 	Peers    Peers
 	Registry Registry
 	// Load is asked once per interval; nil: no load is told.
-	Load    func() Load
+	Load func() Load
+	// Ticked is called at each tick of the interval, with its time; nil: nothing.
+	Ticked  func(time.Time)
 	Log     zerolog.Logger
 	Metrics *telemetry.Metrics
 }
@@ -137,12 +139,19 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
+			c.ticked(now)
 		case <-c.kick:
 		}
 	}
 }
 
+func (c *Controller) ticked(now time.Time) {
+	if c.cfg.Ticked != nil {
+		c.cfg.Ticked(now)
+	}
+}
+
 // Leave marks this host as leaving and tells its peers at once.
 func (c *Controller) Leave() {
 	c.mu.Lock()
@@ -266,10 +275,17 @@
 			continue
 		}
 		c.cfg.Log.Info().Str("event", "peer-health").Str("peer", p.Host).Uint64("incarnation", p.Incarnation).
-			Str("was", healthName(was)).Str("now", healthName(p)).Bool("leaving", p.Leaving).Send()
+			Str("was", healthName(was)).Str("now", healthName(p)).Bool("leaving", p.Leaving).
+			Bool("restarted", restarted(was, p)).Bool("left_before", was.Leaving).Send()
 	}
 }
 
+// restarted tells whether a host came back as another run than the one that was known. One
+// that had not said that it leaves ended against its will.
+func restarted(was, now PeerInfo) bool {
+	return was.Incarnation != 0 && now.Incarnation > was.Incarnation
+}
+
 // healthName is a host's health in a log line; "unknown" for a host not heard of.
 func healthName(p PeerInfo) string {
 	switch p.Health {
--- a/internal/controller/members/members_test.go
+++ b/internal/controller/members/members_test.go
@@ -1,13 +1,16 @@
 package members
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/status"
 
@@ -219,3 +222,29 @@
 		}
 	})
 }
+
+// Symptom: a host's process ended by itself, and nobody noticed: it has no disk on which it could
+// have left a word, and its next run was heard of within a second.
+// Cause: the other hosts logged the new run as they log any host.
+func TestNewRunOfAHostThatDidNotLeaveIsTold(t *testing.T) {
+	var out bytes.Buffer
+	c := &Controller{cfg: Config{Log: zerolog.New(&out)}}
+	run := func(incarnation uint64, leaving bool) []PeerInfo {
+		return []PeerInfo{{Host: "a", Incarnation: incarnation, Health: pb.HostHealth_HOST_HEALTH_ALIVE, Leaving: leaving}}
+	}
+	for _, step := range []struct {
+		before, now []PeerInfo
+		want        string
+	}{
+		{nil, run(1, false), `"restarted":false`},
+		{run(0, false), run(1, false), `"restarted":false`},
+		{run(1, false), run(2, false), `"restarted":true,"left_before":false`},
+		{run(2, true), run(3, false), `"restarted":true,"left_before":true`},
+	} {
+		out.Reset()
+		c.logChanges(step.before, step.now)
+		if !strings.Contains(out.String(), step.want) {
+			t.Errorf("logged %s, want %s", out.String(), step.want)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,9 +10,11 @@
 	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
 	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
+	"github.com/bluebellsail/bluebellsail/internal/lastrun"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/peerconn"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+	"github.com/bluebellsail/bluebellsail/internal/procstat"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry"
 	"github.com/bluebellsail/bluebellsail/internal/wal"
 )
@@ -36,6 +38,9 @@
 	gateway   *gateway
 
 	tasks *tasks
+	// watch notices when this process stands still.
+	watch   *procstat.Watch
+	lastRun lastrun.Run
 }
 
 // Environment is what a process takes from its machine. The zero value is the machine's
@@ -63,12 +68,14 @@
 	return run(ctx, cfg, Environment{}, (*Daemon).start)
 }
 
-func run(ctx context.Context, cfg *procconfig.Config, env Environment, start func(*Daemon, context.Context) error) error {
+func run(ctx context.Context, cfg *procconfig.Config, env Environment, start func(*Daemon, context.Context) error) (err error) {
+	outliveLogReader()
 	d, err := build(cfg, env)
 	if err != nil {
 		return err
 	}
 	defer d.close()
+	defer func() { d.logEnd(err) }()
 	if err := start(d, ctx); err != nil {
 		return err
 	}
@@ -94,6 +101,8 @@
 		return nil, err
 	}
 	d.tasks = newTasks(d.tel.Log)
+	d.watchSelf()
+	d.logStart()
 	certs, err := loadCertificates(cfg, d.tel.Log)
 	if err != nil {
 		d.close()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -92,7 +92,7 @@
 			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
 		},
 		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: registry{e.sched}, Load: e.load,
-		Log: d.tel.Log, Metrics: d.tel.Metrics,
+		Log: d.tel.Log, Metrics: d.tel.Metrics, Ticked: d.watch.Tick,
 	})
 	e.placement = e.newPlacement()
 	d.tel.Metrics.Set("scheduler", e.sched.Metrics().Map())
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -200,7 +200,7 @@
 			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
 		},
 		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: g.balancer, Load: g.load,
-		Log: d.tel.Log, Metrics: d.tel.Metrics,
+		Log: d.tel.Log, Metrics: d.tel.Metrics, Ticked: d.watch.Tick,
 	})
 	g.news = g.newNews()
 	g.owners = owners.New(owners.Config{Self: g.asOwner, Peers: g.members.Peers})
--- a/internal/daemon/gatewaybudgets.go
+++ b/internal/daemon/gatewaybudgets.go
@@ -9,6 +9,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/grant"
 	"github.com/bluebellsail/bluebellsail/internal/grant/reserve"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+	"github.com/bluebellsail/bluebellsail/internal/procstat"
 )
 
 // givers is how many hosts are asked for tokens of a budget by one that can't get any
@@ -48,7 +49,7 @@
 // What goes wrong without it: a host that has just started has its routing table a moment
 // before its incarnation, and refuses in between what it could serve.
 func (g *gateway) awaitGrants(ctx context.Context) budgets.Local {
-	ctx, cancel := context.WithDeadline(ctx, processStart.Add(startGrace))
+	ctx, cancel := context.WithDeadline(ctx, procstat.Started.Add(startGrace))
 	defer cancel()
 	select {
 	case <-g.registered:
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -10,11 +10,9 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+	"github.com/bluebellsail/bluebellsail/internal/procstat"
 )
 
-// processStart is when this process began, or a moment later.
-var processStart = time.Now()
-
 // registerTimeout bounds one attempt; attempts go on until the process is stopped.
 const registerTimeout = 5 * time.Second
 
@@ -26,7 +24,7 @@
 // no quorum waits here and serves nobody: without an incarnation of its own it could
 // spend what its former run held.
 func (d *Daemon) register(ctx context.Context) (*pb.RegisterHostResult, error) {
-	started, startedWall := processStart, d.wall().Add(-time.Since(processStart)).UnixMilli()
+	started, startedWall := procstat.Started, d.wall().Add(-time.Since(procstat.Started)).UnixMilli()
 	// bootID makes a resend after a lost answer give the same incarnation.
 	bootID := rand.Text()
 	attempt := func() (*pb.RegisterHostResult, error) {
--- /dev/null
+++ b/internal/procstat/watch_test.go
@@ -0,0 +1,139 @@
+package procstat
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const period = 250 * time.Millisecond
+
+// begin is some moment; the tests' times count from it.
+var begin = time.Unix(1_000_000, 0)
+
+func newTestWatch() (*Watch, *bytes.Buffer) {
+	var out bytes.Buffer
+	return NewWatch(period, zerolog.New(&out)), &out
+}
+
+func lines(out *bytes.Buffer, event string) int {
+	return strings.Count(out.String(), `"event":"`+event+`"`)
+}
+
+// Symptom: requests of a host miss their times together, and nothing tells why.
+// Sequence: the host gets no processor for 61 ms; its ticker's tick falls into that time.
+// Cause: nobody compares when a tick was due with when it came.
+func TestLateTickIsAPause(t *testing.T) {
+	w, out := newTestWatch()
+	if late := w.lateness(begin); late != 0 {
+		t.Errorf("the first tick is late by %v", late)
+	}
+	for _, tick := range []struct{ at, late time.Duration }{
+		{period, 0},
+		{2*period + 61*time.Millisecond, 61 * time.Millisecond},
+		{3 * period, 0},
+		// The ticks that fell into a long pause are left out.
+		{7*period + 30*time.Millisecond, 3*period + 30*time.Millisecond},
+		{8 * period, 0},
+		// What came early shows that those before were late.
+		{9*period - 20*time.Millisecond, 0},
+		{10*period - 10*time.Millisecond, 10 * time.Millisecond},
+	} {
+		if late := w.lateness(begin.Add(tick.at)); late != tick.late {
+			t.Errorf("the tick at %v is late by %v, want %v", tick.at, late, tick.late)
+		}
+	}
+	w.see(begin, 61*time.Millisecond, 0, 0)
+	if lines(out, "stood-still") != 1 || !strings.Contains(out.String(), `"longest":61`) {
+		t.Errorf("logged %q", out.String())
+	}
+}
+
+func TestPausesBetweenTicksAreSeen(t *testing.T) {
+	w, out := newTestWatch()
+	w.see(begin, 0, 70*time.Millisecond, 0)
+	w.see(begin.Add(stillLines), 0, 0, 90*time.Millisecond)
+	w.see(begin.Add(2*stillLines), 0, 40*time.Millisecond, 10*time.Millisecond)
+	if got := lines(out, "stood-still"); got != 2 {
+		t.Errorf("%d lines, want 2: %s", got, out.String())
+	}
+	if got := w.Stood(); got.Times != 2 || got.LongestMs != 90 {
+		t.Errorf("counted %+v", got)
+	}
+}
+
+// Symptom: a host that is short of processor spends it on log lines.
+func TestLinesOfAnOverloadedHostAreBounded(t *testing.T) {
+	w, out := newTestWatch()
+	const ticks = 40
+	for n := range ticks {
+		w.see(begin.Add(time.Duration(n)*period), 60*time.Millisecond, 0, 0)
+		w.seeMemory(begin.Add(time.Duration(n)*period), uint64(60+n%2*30), 100)
+	}
+	if got, most := lines(out, "stood-still"), int(ticks*period/stillLines); got != most {
+		t.Errorf("%d lines on pauses in %v, want %d", got, ticks*period, most)
+	}
+	if got := lines(out, "memory-high"); got != 1 {
+		t.Errorf("%d lines on memory in %v, want 1", got, ticks*period)
+	}
+	if w.Stood().Times != ticks {
+		t.Errorf("%d of %d pauses are counted", w.Stood().Times, ticks)
+	}
+}
+
+// Symptom: a process is ended by the system at its memory limit, and its log says nothing.
+func TestMemoryNearItsLimitIsLogged(t *testing.T) {
+	w, out := newTestWatch()
+	w.seeMemory(begin, 79, 100)
+	if lines(out, "memory-high") != 0 {
+		t.Errorf("logged %s", out.String())
+	}
+	for n, used := range []uint64{81, 90, 75, 85, 69, 85} {
+		w.seeMemory(begin.Add(time.Duration(n+1)*memoryLines), used, 100)
+	}
+	if got := lines(out, "memory-high"); got != 2 {
+		t.Errorf("%d lines, want one for each time that it rose: %s", got, out.String())
+	}
+	w.seeMemory(begin.Add(time.Hour), 1<<40, 0) // no limit
+	if got := lines(out, "memory-high"); got != 2 {
+		t.Error("a line without a limit")
+	}
+}
+
+func TestUsageOfThisProcess(t *testing.T) {
+	u := Read()
+	if u.RuntimeBytes == 0 || u.HeapBytes == 0 || u.Goroutines == 0 || u.ResidentBytes == 0 || u.PeakBytes < u.ResidentBytes {
+		t.Errorf("read %+v", u)
+	}
+	if u.Descriptors == 0 || uint64(u.Descriptors) > u.DescriptorLimit {
+		t.Errorf("%d of %d descriptors", u.Descriptors, u.DescriptorLimit)
+	}
+}
+
+// TestTickReadsTheRuntime has the names of the runtime's metrics checked against the
+// toolchain: reading one of another kind panics.
+func TestTickReadsTheRuntime(t *testing.T) {
+	w, _ := newTestWatch()
+	for range 3 {
+		w.Tick(time.Now())
+	}
+	if len(w.waits) == 0 || len(w.pauses) == 0 {
+		t.Error("nothing was read")
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	w, _ := newTestWatch()
+	for b.Loop() {
+		w.Tick(time.Now())
+	}
+}
+
+func BenchmarkRead(b *testing.B) {
+	for b.Loop() {
+		Read()
+	}
+}
