--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,9 +10,11 @@
 	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
 	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
+	"github.com/bluebellsail/bluebellsail/internal/lastrun"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/peerconn"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
+	"github.com/bluebellsail/bluebellsail/internal/procstat"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry"
 	"github.com/bluebellsail/bluebellsail/internal/wal"
 )
@@ -36,6 +38,9 @@
 	gateway   *gateway
 
 	tasks *tasks
+	// watch notices when this process stands still.
+	watch   *procstat.Watch
+	lastRun lastrun.Run
 }
 
 // Environment is what a process takes from its machine. The zero value is the machine's
@@ -63,12 +68,14 @@
 	return run(ctx, cfg, Environment{}, (*Daemon).start)
 }
 
-func run(ctx context.Context, cfg *procconfig.Config, env Environment, start func(*Daemon, context.Context) error) error {
+func run(ctx context.Context, cfg *procconfig.Config, env Environment, start func(*Daemon, context.Context) error) (err error) {
+	outliveLogReader()
 	d, err := build(cfg, env)
 	if err != nil {
 		return err
 	}
 	defer d.close()
+	defer func() { d.logEnd(err) }()
 	if err := start(d, ctx); err != nil {
 		return err
 	}
@@ -79,16 +86,23 @@
 	case <-d.replicaStopped():
 		d.awaitDisk(ctx)
 		return errors.Wrap(d.replica.Err(), "the replica stopped")
+	case <-d.tasks.failed:
+		d.tel.Log.Error().Str("event", "ending-after-a-fault").Err(d.tasks.err).Send()
+		_ = d.shutDown() // it has been logged
+		return d.tasks.err
 	}
 	return d.shutDown()
 }
 
 // build makes the parts that every role has; nothing is sent yet.
 func build(cfg *procconfig.Config, env Environment) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, env: env, tasks: newTasks()}
+	d := &Daemon{cfg: cfg, env: env}
 	if err := d.openTelemetry(); err != nil {
 		return nil, err
 	}
+	d.tasks = newTasks(d.tel.Log)
+	d.watchSelf()
+	d.logStart()
 	certs, err := loadCertificates(cfg, d.tel.Log)
 	if err != nil {
 		d.close()
@@ -114,9 +128,9 @@
 	if err := d.peers.start(d.tasks); err != nil {
 		return err
 	}
-	d.tasks.run(d.settings.Run)
+	d.tasks.run("settings", d.settings.Run)
 	if d.replica != nil && !d.cfg.Control.ManualRepair {
-		d.tasks.run(d.keepInGroup)
+		d.tasks.run("keep in group", d.keepInGroup)
 	}
 	if d.cfg.Has(procconfig.RoleEntry) {
 		d.entry = newEntry(d)
@@ -198,7 +212,9 @@
 	if d.gateway != nil {
 		d.gateway.close()
 	}
-	d.tasks.stop()
+	if d.tasks != nil {
+		d.tasks.stop()
+	}
 	if d.peers != nil {
 		d.peers.stop()
 	}
