Connections that end under a request say why

Cause: a caller's connection that was closed with no answer left no trace. nbio closes silently, callergone reported every closed connection as a caller that left, and a parse error was a debug line that is dropped.

Ruled out: logging in nbio's close callback alone. It runs as the connection's last job, after the handler, when the request no longer counts as open. The end is now reported by whoever sees it first: the server's own close, the watch for gone callers, the end of the request, or that callback.

Before: no line, kind=caller_gone for any close. After: one line connection-closed for each connection that ends under a request (cause, requests open, bytes taken and unsent, requests carried, age, remote address), counters by cause per address, kind=internal with the cause where the host closed. Lines are bounded by requests: idle ends are counted only.

Abort and CloseCause ask this package's response, not nbhttp's, which goes back to a pool when the handler returns; after that Abort does nothing. The test for it aborts a response that its handler left, while the next request runs.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -213,6 +213,7 @@
 		Name: "callers", Address: cfg.Listen.Callers, TLS: serverTLS(e.d.tls.callers), Handler: e.api,
 		MaxBodyBytes: cfg.Limits.MaxBodyBytes, Streams: cfg.Limits.Streams, Always: callerapi.Always,
 	})
+	e.d.countConnections("callers", e.http)
 }
 
 func (e *entry) dispatch() *dispatch.Filter {
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -48,6 +48,7 @@
 		if err := g.requests.Start(); err != nil {
 			return errors.Wrap(err, "callers' address")
 		}
+		g.d.countConnections("requests", g.requests)
 	}
 	for _, l := range []struct {
 		name, address string
@@ -64,6 +65,7 @@
 		if err := s.Start(); err != nil {
 			return errors.Wrap(err, l.name)
 		}
+		g.d.countConnections(l.name, s)
 		g.others = append(g.others, s)
 	}
 	if r.Metrics == "" {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -21,9 +21,11 @@
 		Replica:           d.localReplica(),
 		OperatorKeyHashes: d.operatorKeyHashes, Ready: d.ready, Log: d.tel.Log,
 	})
-	return &operatorServer{http: httpserver.New(httpserver.Config{
+	s := httpserver.New(httpserver.Config{
 		Name: "operators", Address: d.cfg.Listen.Operators, TLS: serverTLS(d.tls.operators), Handler: handler,
-	})}
+	})
+	d.countConnections("operators", s)
+	return &operatorServer{http: s}
 }
 
 func (o *operatorServer) start() error { return o.http.Start() }
--- a/internal/daemon/telemetry.go
+++ b/internal/daemon/telemetry.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 	"github.com/bluebellsail/bluebellsail/internal/telemetry"
 )
@@ -47,6 +48,11 @@
 	return nil
 }
 
+// countConnections adds the counters of a server's connections to the process's metrics.
+func (d *Daemon) countConnections(name string, s *httpserver.Server) {
+	d.tel.Metrics.Set("connections_"+name, s.Vars())
+}
+
 func traceConfig(t procconfig.Trace) telemetry.TraceConfig {
 	switch {
 	case t.OTLPURL != "":
--- a/internal/filter/callergone/callergone.go
+++ b/internal/filter/callergone/callergone.go
@@ -87,10 +87,22 @@
 	defer f.mu.Unlock()
 	for e := range f.watched {
 		if closed(e.w) {
-			e.cancel(errkind.New(errkind.CallerGone, "the caller closed its connection"))
+			e.cancel(goneError(e.w))
 			delete(f.watched, e)
 		}
 	}
 	f.running = len(f.watched) > 0
 	return f.running
 }
+
+// goneError says who closed the connection below w.
+//
+// What goes wrong without the difference: a connection that the server closed under a
+// request stands in the log as a caller that left, and nobody looks for the server's fault.
+func goneError(w http.ResponseWriter) error {
+	cause, known := httpserver.CloseCause(w)
+	if !known || cause.ByCaller() {
+		return errkind.New(errkind.CallerGone, "the caller closed its connection")
+	}
+	return errkind.New(errkind.Internal, "this host closed the caller's connection: %s", cause)
+}
--- /dev/null
+++ b/internal/httpserver/closing.go
@@ -0,0 +1,159 @@
+package httpserver
+
+import (
+	"expvar"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/log"
+)
+
+// Cause says why a connection ended.
+type Cause string
+
+// The causes. The first two are the caller's doing, the others the server's own.
+const (
+	// CauseCaller: the caller closed the connection.
+	CauseCaller Cause = "caller"
+	// CauseReset: the caller's side reset the connection or did not acknowledge any more.
+	CauseReset Cause = "reset"
+	// CauseIdle: no request began within the idle timeout.
+	CauseIdle Cause = "idle"
+	// CauseOverflow: more of an answer waits for the caller than MaxQueuedBytes.
+	CauseOverflow Cause = "write-overflow"
+	// CauseAborted: Abort broke an answer off.
+	CauseAborted Cause = "aborted"
+	// CauseSlowSender: a request did not arrive whole in time.
+	CauseSlowSender Cause = "slow-sender"
+	// CauseUnreadable: what the caller sent can't be read as a request.
+	CauseUnreadable Cause = "unreadable"
+	// CauseStopped: the server stopped.
+	CauseStopped Cause = "stopped"
+	// CauseLibrary: nbhttp closed the connection for a reason of its own.
+	CauseLibrary Cause = "library"
+)
+
+// ByCaller tells whether the connection ended by the caller's doing.
+func (c Cause) ByCaller() bool { return c == CauseCaller || c == CauseReset }
+
+// closeError is what nbio is told when the server itself closes a connection.
+type closeError struct {
+	cause Cause
+	// err is what led to it, if that was an error.
+	err error
+}
+
+// Error implements error.
+func (e *closeError) Error() string {
+	if e.err != nil {
+		return string(e.cause) + ": " + e.err.Error()
+	}
+	return string(e.cause)
+}
+
+// causeOf reads the cause from the error with which nbio closed a connection.
+func (s *Server) causeOf(err error) Cause {
+	var own *closeError
+	switch {
+	case errors.As(err, &own):
+		return own.cause
+	case err == nil && s.draining.Load():
+		return CauseStopped
+	case errors.Is(err, io.EOF):
+		return CauseCaller
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
+		return CauseReset
+	case errors.Is(err, nbio.ErrReadTimeout):
+		return CauseIdle
+	case errors.Is(err, nbio.ErrOverflow):
+		return CauseOverflow
+	}
+	return CauseLibrary
+}
+
+// closeFor closes the connection for a reason of the server's own.
+func (c *trackedConn) closeFor(cause Cause) {
+	_ = c.CloseWithError(&closeError{cause: cause})
+	c.seenClosed()
+}
+
+// seenClosed reports the end of the connection if it is closed and nbio has said why.
+func (c *trackedConn) seenClosed() {
+	if closed, err := c.IsClosed(); closed && err != nil {
+		c.reportEnd(err)
+	}
+}
+
+// reportEnd counts the end of the connection, and logs it if a request was open or the
+// kernel had not taken the whole answer.
+//
+// What goes wrong without the line: a caller sees its connection closed with no answer, and
+// nothing tells whether it left by itself, or which of the server's own reasons closed it.
+func (c *trackedConn) reportEnd(err error) {
+	c.ended.Do(func() {
+		cause, open := c.server.causeOf(err), !c.quiet()
+		c.server.ends.add(cause, open)
+		if open {
+			c.logEnd(cause, err)
+		}
+	})
+}
+
+func (c *trackedConn) logEnd(cause Cause, err error) {
+	level := zerolog.WarnLevel
+	if cause.ByCaller() {
+		level = zerolog.InfoLevel
+	}
+	event := log.WithLevel(level).Str("event", "connection-closed").Str("server", c.server.cfg.Name).Str("cause", string(cause)).
+		Int64("open", c.busy.Load()).Int64("sent", c.taken.Load()-c.takenBefore.Load()).Int64("unsent", max(c.unsent.Load(), 0)).
+		Int64("requests", c.requests.Load()).Dur("age", time.Since(c.opened)).Stringer("remote", c.RemoteAddr())
+	event.AnErr("error", err).Send()
+}
+
+// ends counts the ends of a server's connections by cause.
+type ends struct {
+	// all connections, and those among them on which a request was open.
+	all, busy expvar.Map
+	vars      expvar.Map
+}
+
+func newEnds() *ends {
+	e := &ends{}
+	e.vars.Set("closed", &e.all)
+	e.vars.Set("closed_with_request", &e.busy)
+	return e
+}
+
+func (e *ends) add(cause Cause, busy bool) {
+	e.all.Add(string(cause), 1)
+	if busy {
+		e.busy.Add(string(cause), 1)
+	}
+}
+
+// Vars are the server's counters: the ends of its connections by Cause, of all under
+// "closed" and of those with a request open under "closed_with_request".
+func (s *Server) Vars() expvar.Var { return &s.ends.vars }
+
+// CloseCause says why the caller's connection is closed; false while it is open, and for a
+// ResponseWriter that is not nbhttp's.
+func CloseCause(w http.ResponseWriter) (Cause, bool) {
+	c := connOf(w)
+	if c == nil {
+		return "", false
+	}
+	closed, err := c.IsClosed()
+	if !closed {
+		return "", false
+	}
+	c.seenClosed()
+	if err == nil && !c.server.draining.Load() {
+		return CauseCaller, true // nbio notes the error just after it marks the connection
+	}
+	return c.server.causeOf(err), true
+}
--- /dev/null
+++ b/internal/httpserver/closing_test.go
@@ -0,0 +1,171 @@
+package httpserver
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/log"
+
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
+)
+
+// lines collects what is logged while a test runs.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lines) closed() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for line := range strings.Lines(l.b.String()) {
+		if strings.Contains(line, `"event":"connection-closed"`) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+func catchLog(t *testing.T) *lines {
+	t.Helper()
+	l, before := &lines{}, log.Logger
+	log.Logger = zerolog.New(l)
+	t.Cleanup(func() { log.Logger = before })
+	return l
+}
+
+// counted waits until the server has counted an end by the cause and returns the counters.
+func counted(t *testing.T, s *Server, cause Cause) (all, busy map[Cause]int) {
+	t.Helper()
+	var vars struct {
+		Closed  map[Cause]int `json:"closed"`
+		Request map[Cause]int `json:"closed_with_request"`
+	}
+	for end := time.Now().Add(patience); ; {
+		testutil.NoError(t, json.Unmarshal([]byte(s.Vars().String()), &vars))
+		if vars.Closed[cause] > 0 {
+			return vars.Closed, vars.Request
+		}
+		if time.Now().After(end) {
+			t.Fatalf("no end by %s counted: %s", cause, s.Vars())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+const plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func TestEndUnderARequestIsLoggedWithItsCause(t *testing.T) {
+	// Symptom: a caller says that its connection was closed with no answer, and the host's log
+	// says that the caller left.
+	// Sequence: a connection ends under a request: the caller closes it or resets it, or the
+	// host breaks the answer off.
+	// Cause: all that a handler learns is that the connection is closed.
+	for name, test := range map[string]struct {
+		end      func(net.Conn, http.ResponseWriter)
+		want     Cause
+		byCaller bool
+	}{
+		"caller closes": {func(c net.Conn, _ http.ResponseWriter) { _ = c.Close() }, CauseCaller, true},
+		"caller resets": {func(c net.Conn, _ http.ResponseWriter) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() }, CauseReset, true},
+		"host aborts":   {func(_ net.Conn, w http.ResponseWriter) { Abort(w) }, CauseAborted, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			logged := catchLog(t)
+			begun, seen := make(chan http.ResponseWriter), make(chan Cause)
+			s := start(t, Config{Name: "test", Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "part")
+				w.(http.Flusher).Flush()
+				begun <- w
+				for !ConnClosed(w) {
+					time.Sleep(time.Millisecond)
+				}
+				cause, _ := CloseCause(w)
+				seen <- cause
+			})})
+			c := dial(t, s)
+			_, _ = io.WriteString(c, plainRequest)
+			w := <-begun
+			if _, err := bufio.NewReader(c).ReadString('p'); err != nil {
+				t.Fatal(err)
+			}
+			test.end(c, w)
+			if got := <-seen; got != test.want || got.ByCaller() != test.byCaller {
+				t.Errorf("handler saw %q, want %q", got, test.want)
+			}
+			if _, busy := counted(t, s, test.want); busy[test.want] != 1 {
+				t.Errorf("counted %v", busy)
+			}
+			got := logged.closed()
+			if len(got) != 1 {
+				t.Fatalf("lines: %q", got)
+			}
+			for _, field := range []string{`"server":"test"`, `"cause":"` + string(test.want) + `"`, `"open":1`, `"requests":1`, `"remote":"127.0.0.1:`, `"age":`} {
+				if !strings.Contains(got[0], field) {
+					t.Errorf("%s is missing in %s", field, got[0])
+				}
+			}
+			if strings.Contains(got[0], `"sent":0`) {
+				t.Errorf("part of the answer was sent: %s", got[0])
+			}
+		})
+	}
+}
+
+func TestIdleEndIsCountedWithoutALine(t *testing.T) {
+	logged := catchLog(t)
+	s := start(t, Config{IdleTimeout: 20 * time.Millisecond, Handler: text("ran")})
+	c := dial(t, s)
+	_, _ = io.WriteString(c, plainRequest)
+	if _, err := io.ReadAll(c); err != nil {
+		t.Fatal(err)
+	}
+	if all, busy := counted(t, s, CauseIdle); all[CauseIdle] != 1 || len(busy) != 0 {
+		t.Errorf("counted %v, of them with a request %v", all, busy)
+	}
+	if got := logged.closed(); len(got) != 0 {
+		t.Errorf("lines: %q", got)
+	}
+}
+
+func TestAbortAfterTheHandlerHitsNobody(t *testing.T) {
+	// Symptom: a connection is closed in the middle of an answer that nobody broke off.
+	// Sequence: code that outlives its handler aborts its answer; the next request runs already.
+	// Cause: nbhttp takes a response back when its handler returns and gives it to another request.
+	left := make(chan http.ResponseWriter, 1)
+	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if len(left) == 0 {
+			left <- w
+			return
+		}
+		Abort(<-left)
+		_, _ = io.WriteString(w, "whole")
+	})})
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	for _, want := range []string{"", "whole"} {
+		_, _ = io.WriteString(c, plainRequest)
+		res, err := http.ReadResponse(r, nil)
+		testutil.NoError(t, err)
+		if b, err := io.ReadAll(res.Body); string(b) != want {
+			t.Errorf("got %q, %v; want %q", b, err, want)
+		}
+	}
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -19,12 +19,19 @@
 // to a slow reader. Drain waits for unsent to reach zero.
 type trackedConn struct {
 	*nbio.Conn
+	server *Server
+	opened time.Time
 	// unsent stays zero on TLS connections, whose writes pass around this type.
 	unsent atomic.Int64
 	// busy is the number of requests read and not yet answered in full.
 	busy atomic.Int64
 	// requests counts those that came on the connection.
 	requests atomic.Int64
+	// taken is the number of bytes that the kernel took, takenBefore what it was when the
+	// first of the requests that are open was read.
+	taken, takenBefore atomic.Int64
+	// ended: the end was counted.
+	ended sync.Once
 }
 
 // Write counts and hands on.
@@ -38,16 +45,15 @@
 // epoll, which neither the memory model nor the race detector knows of.
 var handovers atomic.Int64
 
+// quiet tells whether every request is answered and every answer with the kernel.
 func (c *trackedConn) quiet() bool {
-	if closed, _ := c.IsClosed(); closed {
-		return true
-	}
 	return c.busy.Load() == 0 && c.unsent.Load() <= 0
 }
 
 // onWritten is nbio's report of bytes that the kernel took.
 func onWritten(c *nbio.Conn, _ []byte, n int) {
 	if t := trackedOf(c); t != nil {
+		t.taken.Add(int64(n))
 		t.unsent.Add(-int64(n))
 	}
 }
@@ -86,25 +92,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.m {
-		if !c.quiet() {
+		if closed, _ := c.IsClosed(); !closed && !c.quiet() {
 			return false
 		}
 	}
 	return true
 }
 
-func (s *Server) onClose(c net.Conn, _ error) {
-	if nc, ok := c.(*nbio.Conn); ok {
-		s.conns.remove(nc)
+func (s *Server) onClose(c net.Conn, err error) {
+	nc, ok := c.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	s.conns.remove(nc)
+	if t := trackedOf(nc); t != nil {
+		t.reportEnd(err)
 	}
 }
 
-// nbioConn finds the connection below w; nil if w is not nbhttp's.
-func nbioConn(w http.ResponseWriter) *nbio.Conn {
+// connOf finds the connection below w; nil if w is not of this package.
+//
+// It asks the response of this package and not nbhttp's, which goes back to a pool when the
+// handler returns: whoever holds w for longer would find another caller's connection there.
+func connOf(w http.ResponseWriter) *trackedConn {
 	for {
 		switch v := w.(type) {
-		case *nbhttp.Response:
-			return connOf(v)
+		case *response:
+			return v.conn
 		case interface{ Unwrap() http.ResponseWriter }:
 			w = v.Unwrap()
 		default:
@@ -113,8 +127,10 @@
 	}
 }
 
-func connOf(res *nbhttp.Response) *nbio.Conn {
-	if res.Parser == nil {
+// connBelow finds the connection of a response that its handler is just given.
+func connBelow(w http.ResponseWriter) *trackedConn {
+	res, ok := w.(*nbhttp.Response)
+	if !ok || res.Parser == nil {
 		return nil
 	}
 	hc, ok := res.Parser.Conn.(*nbhttp.Conn)
@@ -123,12 +139,11 @@
 	}
 	switch c := hc.Conn.(type) {
 	case *trackedConn:
-		return c.Conn
-	case *nbio.Conn:
 		return c
 	case *tls.Conn:
-		nc, _ := c.Conn().(*nbio.Conn)
-		return nc
+		if nc, ok := c.Conn().(*nbio.Conn); ok {
+			return trackedOf(nc)
+		}
 	}
 	return nil
 }
@@ -137,26 +152,31 @@
 // cancels the request's context nor fails a write then, so a handler that streams
 // has to poll this. It is false for a ResponseWriter that is not nbhttp's.
 func ConnClosed(w http.ResponseWriter) bool {
-	c := nbioConn(w)
-	if c == nil {
-		return false
-	}
-	closed, _ := c.IsClosed()
+	_, closed := CloseCause(w)
 	return closed
 }
 
 // Abort closes the caller's connection: the part of an answer that it has stays without
-// its proper end, which is the only way to tell it that the rest won't come.
+// its proper end, which is the only way to tell it that the rest won't come. It does
+// nothing once the handler has returned, when another request may be open there.
 func Abort(w http.ResponseWriter) {
-	if c := nbioConn(w); c != nil {
-		_ = c.Close()
+	for {
+		switch v := w.(type) {
+		case *response:
+			v.abort()
+			return
+		case interface{ Unwrap() http.ResponseWriter }:
+			w = v.Unwrap()
+		default:
+			return
+		}
 	}
 }
 
 // clearReadDeadline takes off the deadline for reading the request. nbhttp leaves
 // it on while the handler runs, which would close a stream longer than it.
-func clearReadDeadline(w http.ResponseWriter) {
-	if c := nbioConn(w); c != nil {
+func clearReadDeadline(c *trackedConn) {
+	if c != nil {
 		_ = c.SetReadDeadline(time.Time{})
 	}
 }
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -57,7 +57,7 @@
 	if n > 0 {
 		if err := g.parser.Parse(data[:n]); err != nil {
 			g.stopTimer()
-			return err
+			return &closeError{CauseUnreadable, err}
 		}
 	}
 	if fault != nil {
@@ -131,5 +131,5 @@
 		return
 	}
 	g.answer(errkind.New(errkind.RequestTimeout, "the request did not arrive whole within %v", limit))
-	g.parser.Execute(func() { _ = g.conn.Close() })
+	g.parser.Execute(func() { g.conn.closeFor(CauseSlowSender) })
 }
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -30,17 +30,19 @@
 
 // OnComplete hands the request to the server's handler.
 func (p *processor) OnComplete(parser *nbhttp.Parser) {
-	p.conn.busy.Add(1)
-	p.Processor.OnComplete(parser)
-	// Jobs of one connection run in order: this one runs after the answer is written.
-	if !parser.Execute(p.answered) {
-		p.conn.busy.Add(-1)
+	if p.conn.busy.Add(1) == 1 {
+		p.conn.takenBefore.Store(p.conn.taken.Load())
 	}
+	p.Processor.OnComplete(parser)
+	// Jobs of one connection run in order: this one runs after the answer is written, also
+	// if the connection has closed meanwhile.
+	p.conn.MustExecute(p.answered)
 }
 
 // answered runs once an answer is written. nbhttp has then set the idle timeout that the
 // server started with; the one in force may be another.
 func (p *processor) answered() {
+	p.conn.seenClosed()
 	if p.conn.busy.Add(-1) == 0 && p.server.cfg.Limits != nil {
 		_ = p.conn.SetReadDeadline(time.Now().Add(p.server.limits().IdleTimeout))
 	}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -1,6 +1,9 @@
 package httpserver
 
-import "net/http"
+import (
+	"net/http"
+	"sync/atomic"
+)
 
 // Bounds of what nbhttp is given of a chunked answer.
 const (
@@ -15,6 +18,10 @@
 // nbhttp can send.
 type response struct {
 	http.ResponseWriter
+	// conn is the caller's; nil in a test without one.
+	conn *trackedConn
+	// over: the handler has returned.
+	over  atomic.Bool
 	begun bool
 	// mayChunk: the request's HTTP version allows a chunked answer.
 	mayChunk bool
@@ -25,6 +32,13 @@
 // Unwrap gives the ResponseWriter below, as http.ResponseController expects.
 func (r *response) Unwrap() http.ResponseWriter { return r.ResponseWriter }
 
+// abort closes the caller's connection while the handler runs.
+func (r *response) abort() {
+	if r.conn != nil && !r.over.Load() {
+		r.conn.closeFor(CauseAborted)
+	}
+}
+
 // WriteHeader sends status. nbhttp answers 200 to a status that net/http has no
 // text for, which would turn a refusal into a success: such a status becomes the
 // x00 of its class, as RFC 9110 section 15 has clients read it.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -108,12 +108,13 @@
 	// closing: answers tell callers to close their connections.
 	closing  atomic.Bool
 	conns    connSet
+	ends     *ends
 	stopOnce sync.Once
 }
 
 // New makes a server; Start makes it listen.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg.withDefaults()}
+	s := &Server{cfg: cfg.withDefaults(), ends: newEnds()}
 	conf := nbhttp.Config{
 		Name:               s.cfg.Name,
 		Network:            "tcp",
@@ -187,15 +188,16 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	running := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	res := &response{ResponseWriter: w, mayChunk: r.ProtoAtLeast(1, 1)}
+	res := &response{ResponseWriter: w, conn: connBelow(w), mayChunk: r.ProtoAtLeast(1, 1)}
+	defer res.over.Store(true)
 	// nbhttp closes the connection right after an answer to "Connection: close", also
 	// when part of the answer still waits in its queue; the caller would see a cut
 	// answer. The caller is told to close instead, which it does after the last byte.
-	if r.Close || s.closing.Load() || s.draining.Load() || s.wornOut(w) {
+	if s.wornOut(res.conn) || r.Close || s.closing.Load() || s.draining.Load() {
 		r.Close = false
 		w.Header().Set("Connection", "close")
 	}
-	clearReadDeadline(w)
+	clearReadDeadline(res.conn)
 	defer s.recoverPanic(res)
 	if s.draining.Load() {
 		WriteError(res, "", errkind.New(errkind.HostLeaving, "this host is shutting down"))
@@ -209,13 +211,12 @@
 }
 
 // wornOut counts a request on its connection and tells whether it is the last one there.
-func (s *Server) wornOut(w http.ResponseWriter) bool {
-	c := nbioConn(w)
-	if s.cfg.RequestsPerConnection == 0 || c == nil {
+func (s *Server) wornOut(c *trackedConn) bool {
+	if c == nil {
 		return false
 	}
-	t := trackedOf(c)
-	return t != nil && t.requests.Add(1) >= s.cfg.RequestsPerConnection
+	n := c.requests.Add(1)
+	return s.cfg.RequestsPerConnection > 0 && n >= s.cfg.RequestsPerConnection
 }
 
 func (s *Server) always(r *http.Request) bool {
@@ -235,7 +236,7 @@
 		return
 	}
 	// The caller has part of an answer: only a broken connection tells it so.
-	Abort(w)
+	w.abort()
 }
 
 // CloseAfterAnswers tells every caller with its next answer to close its connection, so
@@ -284,7 +285,7 @@
 	if !ok {
 		return
 	}
-	tracked := &trackedConn{Conn: c}
+	tracked := &trackedConn{Conn: c, server: s, opened: time.Now()}
 	s.conns.add(tracked)
 	if hc.Conn == c {
 		hc.Conn = tracked
