--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -43,7 +43,7 @@
 	return out
 }
 
-func catchLog(t *testing.T) *lines {
+func catchLog(t testing.TB) *lines {
 	t.Helper()
 	l, before := &lines{}, log.Logger
 	log.Logger = zerolog.New(l)
