Idle connections are closed where a request's arrival is decided

Cause: nbio closes a connection from a timer, whatever has happened since it was set. nbhttp sets it at accept and after each answer, this package set it again by the limits in force, and only the handler's goroutine took it off. A request that arrived as the limit ran out was passed on and its caller got a closed connection. The refusal of unreadable bytes set the same timer over the request before them, and the timer of slow senders looked at the request without the lock that reads it.

Now nbhttp's deadline is out of reach and one timer for a server looks at all its connections, each under the lock under which bytes are read and requests begin. A request is seen there, or comes after the close and is not read. Reading and parsing are one step under that lock, and bytes that the kernel holds keep a connection open: a host that is late to read is not its caller's fault. A caller that goes on taking its answer is not idle; before, it was cut one idle timeout after the handler's end. A request that waits behind an answer broken off by us is not begun.

Ruled out: taking the deadline off while the bytes are read. The timer may have fired and wait for nbio's lock. A timer for each connection: it would be set anew with each request, as before.

Conclusion: no deadline of nbio is left in force.

--- a/internal/httpserver/closing.go
+++ b/internal/httpserver/closing.go
@@ -24,6 +24,8 @@
 	CauseReset Cause = "reset"
 	// CauseIdle: no request began within the idle timeout.
 	CauseIdle Cause = "idle"
+	// CauseStalled: the caller took nothing of an answer within the idle timeout.
+	CauseStalled Cause = "write-stalled"
 	// CauseOverflow: more of an answer waits for the caller than MaxQueuedBytes.
 	CauseOverflow Cause = "write-overflow"
 	// CauseAborted: Abort broke an answer off.
@@ -68,8 +70,6 @@
 		return CauseCaller
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
 		return CauseReset
-	case errors.Is(err, nbio.ErrReadTimeout):
-		return CauseIdle
 	case errors.Is(err, nbio.ErrOverflow):
 		return CauseOverflow
 	}
@@ -78,6 +78,7 @@
 
 // closeFor closes the connection for a reason of the server's own.
 func (c *trackedConn) closeFor(cause Cause) {
+	c.closing.Store(true)
 	_ = c.CloseWithError(&closeError{cause: cause})
 	c.seenClosed()
 }
--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,3 +170,44 @@
 		}
 	}
 }
+
+func TestRequestBehindABrokenAnswerIsNotBegun(t *testing.T) {
+	// Symptom: a server runs a request whose caller can't get an answer to it.
+	// Sequence: two requests arrive together; the answer to the first is broken off.
+	// Cause: the second one waits in the connection's list of jobs, which outlives the connection.
+	var begun atomic.Int64
+	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		begun.Add(1)
+		_, _ = io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		Abort(w)
+	})})
+	c := dial(t, s)
+	_, _ = io.WriteString(c, plainRequest+plainRequest)
+	_, _ = io.ReadAll(c)
+	await(t, "the connection is given up", s.conns.empty)
+	if n := begun.Load(); n != 1 {
+		t.Fatalf("%d requests were begun", n)
+	}
+}
+
+func TestRequestOfACallerThatLeavesAtOnceIsBegun(t *testing.T) {
+	// Symptom: word of a server that leaves is lost.
+	// Sequence: it sends the word, closes the connection without waiting for the answer, and ends.
+	// Cause: a request is dropped because its connection is closed.
+	begun := make(chan struct{})
+	h := startHeld(t, Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { close(begun) })})
+	h.handlers.shut()
+	c := dial(t, h.Server)
+	_, _ = io.WriteString(c, plainRequest)
+	await(t, "the request is read", func() bool { return h.busy() == 1 })
+	_ = c.Close()
+	conn := h.only(t)
+	await(t, "the end is noticed", conn.isClosed)
+	h.handlers.open()
+	select {
+	case <-begun:
+	case <-time.After(patience):
+		t.Fatal("the request was dropped")
+	}
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -30,10 +30,19 @@
 	// taken is the number of bytes that the kernel took, takenBefore what it was when the
 	// first of the requests that are open was read.
 	taken, takenBefore atomic.Int64
+	// touched is when something last moved on the connection, in nanoseconds after opened.
+	touched atomic.Int64
+	// takenAtLook is what taken was at the idle watch's last look.
+	takenAtLook int64
+	// closing: the server has decided to close the connection. No request is begun any more.
+	closing atomic.Bool
 	// ended: the end was counted.
 	ended sync.Once
 }
 
+// SetReadDeadline does nothing: see libraryKeepalive.
+func (c *trackedConn) SetReadDeadline(time.Time) error { return nil }
+
 // Write counts and hands on.
 func (c *trackedConn) Write(b []byte) (int, error) {
 	c.unsent.Add(int64(len(b)))
@@ -45,6 +54,11 @@
 // epoll, which neither the memory model nor the race detector knows of.
 var handovers atomic.Int64
 
+func (c *trackedConn) isClosed() bool {
+	closed, _ := c.IsClosed()
+	return closed
+}
+
 // quiet tells whether every request is answered and every answer with the kernel.
 func (c *trackedConn) quiet() bool {
 	return c.busy.Load() == 0 && c.unsent.Load() <= 0
@@ -59,11 +73,10 @@
 }
 
 func trackedOf(c *nbio.Conn) *trackedConn {
-	g, ok := c.Session().(*guard)
-	if !ok {
-		return nil
+	if g := guardOf(c); g != nil {
+		return g.conn
 	}
-	return g.conn
+	return nil
 }
 
 // connSet holds the open connections.
@@ -87,12 +100,28 @@
 	delete(s.m, c)
 }
 
+// appendTo appends the connections to list.
+func (s *connSet) appendTo(list []*trackedConn) []*trackedConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.m {
+		list = append(list, c)
+	}
+	return list
+}
+
+func (s *connSet) empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.m) == 0
+}
+
 // quiet tells whether no connection has a request or an answer under way.
 func (s *connSet) quiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.m {
-		if closed, _ := c.IsClosed(); !closed && !c.quiet() {
+		if !c.isClosed() && !c.quiet() {
 			return false
 		}
 	}
@@ -172,11 +201,3 @@
 		}
 	}
 }
-
-// clearReadDeadline takes off the deadline for reading the request. nbhttp leaves
-// it on while the handler runs, which would close a stream longer than it.
-func clearReadDeadline(c *trackedConn) {
-	if c != nil {
-		_ = c.SetReadDeadline(time.Time{})
-	}
-}
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -23,18 +22,21 @@
 	conn   *trackedConn
 	parser *nbhttp.Parser
 
-	// mu orders the reading goroutine and the one that closes the connection.
+	// mu is held while bytes are read and requests begin. What ends the connection for want of
+	// a request holds it, too: the idle watch, the timer of slow senders, nbio's close.
 	mu     sync.Mutex
 	frames framing.Checker
 	// over: a refusal was sent in place of an answer; the rest is read and dropped. Closing
 	// at once would reset the connection under the bytes still arriving and the caller would
 	// lose the refusal.
 	over bool
+	// refused is why.
+	refused Cause
 
 	slow *time.Timer
 	// timing counts the spans that were timed, so that a late timer of one leaves the next
 	// alone.
-	timing atomic.Int64
+	timing int64
 	// timed is the phase that the running timer bounds, of the request begun as number timedOf.
 	timed   framing.Phase
 	timedOf uint64
@@ -44,12 +46,9 @@
 // UnderlayerConn is part of nbhttp.ParserCloser.
 func (g *guard) UnderlayerConn() net.Conn { return g.parser.UnderlayerConn() }
 
-// Parse checks data and hands the sound part of it to the parser.
+// Parse checks data and hands the sound part of it to the parser. Server.read holds mu.
 func (g *guard) Parse(data []byte) error {
-	handovers.Load()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.over {
+	if g.over || g.conn.closing.Load() {
 		return nil
 	}
 	limits := g.server.limits()
@@ -61,7 +60,7 @@
 		}
 	}
 	if fault != nil {
-		g.refuse(fault)
+		g.refuse(fault, CauseUnreadable)
 		return nil
 	}
 	g.timeSender(limits)
@@ -77,11 +76,10 @@
 }
 
 // refuse answers a request that can't be read, after the answers before it, and drops
-// what comes after it.
-func (g *guard) refuse(e *errkind.Error) {
+// what comes after it. The idle watch closes the connection later.
+func (g *guard) refuse(e *errkind.Error, cause Cause) {
 	g.stopTimer()
-	g.over = true
-	_ = g.conn.SetReadDeadline(time.Now().Add(g.server.cfg.ReadTimeout))
+	g.over, g.refused = true, cause
 	g.answer(e)
 }
 
@@ -92,7 +90,10 @@
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", e.Status(), http.StatusText(e.Status()))
 	fmt.Fprintf(&b, "Content-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", len(body))
 	b.Write(body)
-	g.parser.Execute(func() { _, _ = g.parser.Conn.Write(b.Bytes()) })
+	g.parser.Execute(func() {
+		_, _ = g.parser.Conn.Write(b.Bytes())
+		g.conn.touch()
+	})
 }
 
 // timeSender has the head of a request that has begun arrive within HeaderTimeout and all
@@ -114,22 +115,30 @@
 	case framing.Head:
 		limit = min(limit, l.HeaderTimeout)
 	}
-	n := g.timing.Load()
+	n := g.timing
 	g.slow = time.AfterFunc(time.Until(g.started.Add(limit)), func() { g.refuseSlow(n, limit) })
 }
 
 func (g *guard) stopTimer() {
-	g.timing.Add(1)
+	g.timing++
 	if g.slow != nil {
 		g.slow.Stop()
 	}
 }
 
-// refuseSlow runs on a timer's goroutine when part of a request has not arrived in time.
+// refuseSlow runs on a timer's goroutine when part of a request has not arrived in time. It
+// closes the connection after the refusal; if part of an answer still waits for the caller
+// then, the idle watch does it later.
 func (g *guard) refuseSlow(n int64, limit time.Duration) {
-	if g.timing.Load() != n {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.timing != n {
 		return
 	}
-	g.answer(errkind.New(errkind.RequestTimeout, "the request did not arrive whole within %v", limit))
-	g.parser.Execute(func() { g.conn.closeFor(CauseSlowSender) })
+	g.refuse(errkind.New(errkind.RequestTimeout, "the request did not arrive whole within %v", limit), CauseSlowSender)
+	g.parser.Execute(func() {
+		if g.conn.unsent.Load() <= 0 {
+			g.conn.closeFor(CauseSlowSender)
+		}
+	})
 }
--- /dev/null
+++ b/internal/httpserver/idle.go
@@ -0,0 +1,159 @@
+package httpserver
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"github.com/bluebellsail/bluebellsail/internal/httpserver/framing"
+)
+
+// Times of the watch for idle connections.
+const (
+	// sweepShare of the idle timeout, one in so many, lies between two looks at the connections;
+	// a connection is closed that much late at most.
+	sweepShare = 8
+	// minSweep bounds the work under a short timeout. A look at 1000 connections takes some 50 µs.
+	minSweep = 5 * time.Millisecond
+	// maxSweep is how late a timeout that settings lowered takes effect at most.
+	maxSweep = time.Second
+	// libraryKeepalive is the deadline that nbhttp sets to a connection at accept and after each
+	// answer: none, in effect.
+	//
+	// What goes wrong with a real one: nbio closes from a timer, whatever has happened since it
+	// was set. A request that arrives as it runs out is passed on, and its caller gets a closed
+	// connection in place of an answer. Which connection is idle is decided by guard.closeIfIdle,
+	// where its bytes are taken in.
+	libraryKeepalive = 100 * 365 * 24 * time.Hour
+)
+
+// idleWatch closes idle connections. One timer serves them all and runs while there are any:
+// one for each connection would be set anew with each request.
+type idleWatch struct {
+	server *Server
+	// conns is used by look alone, of which one runs at a time.
+	conns []*trackedConn
+
+	mu sync.Mutex
+	// timer is nil before the first connection.
+	timer *time.Timer
+	// running: the timer is set, or a look is under way.
+	running bool
+}
+
+// start begins to watch; it is called after a connection was added.
+func (w *idleWatch) start() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running {
+		return
+	}
+	w.running = true
+	if w.timer == nil {
+		w.timer = time.AfterFunc(w.interval(), w.look)
+		return
+	}
+	w.timer.Reset(w.interval())
+}
+
+func (w *idleWatch) interval() time.Duration {
+	return min(max(w.server.limits().IdleTimeout/sweepShare, minSweep), maxSweep)
+}
+
+// look closes what is idle, and sets the timer again unless no connection is left.
+func (w *idleWatch) look() {
+	limit := w.server.limits().IdleTimeout
+	w.conns = w.server.conns.appendTo(w.conns[:0])
+	for _, c := range w.conns {
+		if g := guardOf(c.Conn); g != nil {
+			g.closeIfIdle(limit)
+		}
+	}
+	left := len(w.conns) > 0
+	clear(w.conns)
+	interval := w.interval()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// A connection that was added meanwhile has found the watch running.
+	w.running = left || !w.server.conns.empty()
+	if w.running {
+		w.timer.Reset(interval)
+	}
+}
+
+// closeIfIdle closes the connection if nothing has moved on it for as long as limit.
+//
+// It holds the lock under which bytes are read and requests begin: a request is seen here, or
+// it comes after the close, and then it is not read. It may run on any goroutine.
+func (g *guard) closeIfIdle(limit time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cause := CauseIdle
+	if g.over {
+		cause, limit = g.refused, g.server.cfg.ReadTimeout
+	}
+	switch {
+	case g.reading(), g.conn.busy.Load() > 0, g.conn.stillWriting():
+		g.conn.touch()
+	case g.conn.untouched() < limit:
+	case !g.over && g.conn.hasUnread():
+		// A host short of processor is late to read, which is not its caller's fault.
+	case !g.conn.quiet():
+		g.conn.closeFor(CauseStalled)
+	default:
+		g.conn.closeFor(cause)
+	}
+}
+
+// reading tells whether a part of a request has come, whose rest the timer of slow senders
+// bounds.
+func (g *guard) reading() bool { return !g.over && g.frames.Phase() != framing.Idle }
+
+// touch notes that something moves on the connection now.
+func (c *trackedConn) touch() { c.touched.Store(int64(time.Since(c.opened))) }
+
+// untouched is the time since something moved on the connection.
+func (c *trackedConn) untouched() time.Duration {
+	return time.Since(c.opened) - time.Duration(c.touched.Load())
+}
+
+// stillWriting tells whether the kernel has taken more of an answer since the last look. It is
+// called by the idle watch alone.
+func (c *trackedConn) stillWriting() bool {
+	before := c.takenAtLook
+	c.takenAtLook = c.taken.Load()
+	return c.takenAtLook != before
+}
+
+// hasUnread tells whether the kernel holds bytes that the caller has sent.
+func (c *trackedConn) hasUnread() bool {
+	c.Lock() // nbio closes the socket, whose number may then be another one's, under this lock
+	defer c.Unlock()
+	if c.isClosed() {
+		return false
+	}
+	unread := false
+	_ = c.onSocket(func(fd int) {
+		n, _, err := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return unread
+}
+
+// onSocket calls f with the number of the connection's socket. The caller holds the
+// connection's lock and has seen that it is open.
+func (c *trackedConn) onSocket(f func(fd int)) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
+}
+
+// guardOf finds the guard of a connection; nil if it has none.
+func guardOf(c *nbio.Conn) *guard {
+	g, _ := c.Session().(*guard)
+	return g
+}
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -11,12 +10,11 @@
 // connection's reading goroutine.
 type processor struct {
 	nbhttp.Processor
-	server *Server
-	conn   *trackedConn
+	conn *trackedConn
 }
 
-func newProcessor(s *Server, conn *trackedConn) *processor {
-	return &processor{Processor: nbhttp.NewServerProcessor(), server: s, conn: conn}
+func newProcessor(conn *trackedConn) *processor {
+	return &processor{Processor: nbhttp.NewServerProcessor(), conn: conn}
 }
 
 // OnHeader answers "Expect: 100-continue", which nbhttp doesn't know: some clients
@@ -39,11 +37,9 @@
 	p.conn.MustExecute(p.answered)
 }
 
-// answered runs once an answer is written. nbhttp has then set the idle timeout that the
-// server started with; the one in force may be another.
+// answered runs once an answer is written.
 func (p *processor) answered() {
 	p.conn.seenClosed()
-	if p.conn.busy.Add(-1) == 0 && p.server.cfg.Limits != nil {
-		_ = p.conn.SetReadDeadline(time.Now().Add(p.server.limits().IdleTimeout))
-	}
+	p.conn.touch()
+	p.conn.busy.Add(-1)
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/llib/std/crypto/tls"
@@ -31,6 +32,8 @@
 	DefaultMaxQueuedBytes = 16 << 20
 	drainPoll             = 5 * time.Millisecond
 	overloadedRetry       = time.Second
+	// readsPerEvent bounds how often one connection is read before others have their turn.
+	readsPerEvent = 3
 	// DefaultMaxHeaderBytes is what most servers take.
 	DefaultMaxHeaderBytes = 64 << 10
 )
@@ -109,6 +112,7 @@
 	closing  atomic.Bool
 	conns    connSet
 	ends     *ends
+	idle     idleWatch
 	stopOnce sync.Once
 }
 
@@ -120,7 +124,7 @@
 		Network:            "tcp",
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
-		KeepaliveTime:      s.cfg.IdleTimeout,
+		KeepaliveTime:      libraryKeepalive,
 		ReadLimit:          int(s.cfg.MaxBodyBytes + s.cfg.MaxHeaderBytes),
 		MaxWriteBufferSize: s.cfg.MaxQueuedBytes,
 		SupportServerOnly:  true,
@@ -132,8 +136,10 @@
 		conf.Addrs = []string{s.cfg.Address}
 	}
 	setLibraryLog()
+	s.idle.server = s
 	s.engine = nbhttp.NewEngine(conf)
 	s.engine.Engine.OnOpen(s.onOpen)
+	s.engine.Engine.OnRead(s.read)
 	s.engine.Engine.OnWrittenSize(onWritten)
 	s.engine.OnClose(s.onClose)
 	return s
@@ -183,12 +189,15 @@
 // InFlight is the number of requests whose handler has not returned.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// serve wraps the handler: it counts the request, takes the read deadline off the
-// connection and turns a panic into an answer.
+// serve wraps the handler: it counts the request and turns a panic into an answer.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	running := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	res := &response{ResponseWriter: w, conn: connBelow(w), mayChunk: r.ProtoAtLeast(1, 1)}
+	conn := connBelow(w)
+	if conn != nil && conn.closing.Load() {
+		return // it came with a request whose answer was broken off, and can get none
+	}
+	res := &response{ResponseWriter: w, conn: conn, mayChunk: r.ProtoAtLeast(1, 1)}
 	defer res.over.Store(true)
 	// nbhttp closes the connection right after an answer to "Connection: close", also
 	// when part of the answer still waits in its queue; the caller would see a cut
@@ -197,7 +206,6 @@
 		r.Close = false
 		w.Header().Set("Connection", "close")
 	}
-	clearReadDeadline(res.conn)
 	defer s.recoverPanic(res)
 	if s.draining.Load() {
 		WriteError(res, "", errkind.New(errkind.HostLeaving, "this host is shutting down"))
@@ -290,7 +298,42 @@
 	if hc.Conn == c {
 		hc.Conn = tracked
 	}
-	p.Processor = newProcessor(s, tracked)
+	p.Processor = newProcessor(tracked)
 	c.SetSession(&guard{server: s, conn: tracked, parser: p})
 	handovers.Add(1)
+	s.idle.start()
+}
+
+// read takes in what has arrived on a connection. It runs on the connection's reading
+// goroutine.
+//
+// What goes wrong if nbio reads by itself: it holds the bytes of a request for a moment that
+// no lock covers, in which the connection has nothing unread and no request open; to close it
+// as idle then would lose the request.
+func (s *Server) read(c *nbio.Conn) {
+	handovers.Load()
+	g := guardOf(c)
+	if g == nil {
+		_ = c.CloseWithError(&closeError{cause: CauseLibrary})
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	buffer := s.engine.PollerBuffer(c)
+	for range readsPerEvent {
+		n, err := c.Read(buffer)
+		if n > 0 {
+			c.DataHandler()(c, buffer[:n])
+		}
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err != nil:
+			_ = c.CloseWithError(err)
+			return
+		case n < len(buffer):
+			return
+		}
+	}
 }
