--- a/internal/httpserver/barrier.go
+++ b/internal/httpserver/barrier.go
@@ -47,7 +47,7 @@
 		_ = wake.Close()
 		return nil, errors.Wrap(err, "hand a socket to the poller")
 	}
-	conn.OnData(func(*nbio.Conn, []byte) { b.polled() })
+	conn.SetSession(b) // by which Server.read knows it
 	if _, err := engine.AddConn(conn); err != nil {
 		_ = wake.Close()
 		return nil, errors.Wrap(err, "have the poller read a socket")
@@ -98,10 +98,22 @@
 	}
 }
 
-// polled runs on the poller, once for each batch of events in which bytes were read: a batch
-// has one event for each connection, and a read that doesn't fill the buffer ends it. Those
-// that arrived may have done so in the middle of this batch. Those that were passing came
-// before the end of an earlier one, whose events are all handled by now.
+// read takes what kick wrote. It runs on the poller, once in a batch at most: a batch has one
+// event for each connection.
+func (b *pollBarrier) read(c *nbio.Conn, buffer []byte) {
+	n, err := c.Read(buffer)
+	if n > 0 {
+		b.polled()
+		return
+	}
+	if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
+		_ = c.CloseWithError(err)
+	}
+}
+
+// polled begins a further round. Those that arrived may have done so in the middle of this
+// batch. Those that were passing came before the end of an earlier one, whose events are all
+// handled by now.
 func (b *pollBarrier) polled() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/httpserver/reuse_test.go
+++ b/internal/httpserver/reuse_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -47,7 +49,7 @@
 }
 
 // descriptor is the number of the server's end of w's connection.
-func descriptor(w http.ResponseWriter) int { return nbioConn(w).Hash() }
+func descriptor(w http.ResponseWriter) int { return connOf(w).Hash() }
 
 // Symptom: requests are handed to the handler and sent on, and their connections are closed
 // with no answer, several within a moment; nobody closed them. The host had stood still for
@@ -103,7 +105,7 @@
 	}
 	next := dial(t, s)
 	request(t, next, "/next")
-	awaitNumber(t, s, number)
+	awaitNumber(t, number)
 	time.Sleep(eventDelay)
 	close(releaseSecond)
 	res, err := http.ReadResponse(bufio.NewReader(next), nil)
@@ -161,25 +163,11 @@
 	}
 }
 
-// awaitNumber returns once the server has accepted a connection with the number.
-func awaitNumber(t *testing.T, s *Server, number int) {
+// awaitNumber returns once a socket has the descriptor number.
+func awaitNumber(t *testing.T, number int) {
 	t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if s.conns.holds(number) {
-			return
-		}
-	}
-	t.Fatalf("no connection has number %d", number)
-}
-
-// holds tells whether an open connection has the descriptor number.
-func (s *connSet) holds(number int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.m {
-		if closed, _ := c.IsClosed(); !closed && c.Hash() == number {
-			return true
-		}
-	}
-	return false
+	await(t, "a socket has the number", func() bool {
+		kind, err := os.Readlink("/proc/self/fd/" + strconv.Itoa(number))
+		return err == nil && strings.HasPrefix(kind, "socket:")
+	})
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/llib/std/crypto/tls"
@@ -31,6 +32,8 @@
 	DefaultMaxQueuedBytes = 16 << 20
 	drainPoll             = 5 * time.Millisecond
 	overloadedRetry       = time.Second
+	// readsPerEvent bounds how often one connection is read before others have their turn.
+	readsPerEvent = 3
 	// DefaultMaxHeaderBytes is what most servers take.
 	DefaultMaxHeaderBytes = 64 << 10
 )
@@ -108,6 +111,8 @@
 	// closing: answers tell callers to close their connections.
 	closing  atomic.Bool
 	conns    connSet
+	ends     *ends
+	idle     idleWatch
 	stopOnce sync.Once
 	// barrier is set when started is closed.
 	barrier *pollBarrier
@@ -116,13 +121,13 @@
 
 // New makes a server; Start makes it listen.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg.withDefaults(), started: make(chan struct{})}
+	s := &Server{cfg: cfg.withDefaults(), ends: newEnds(), started: make(chan struct{})}
 	conf := nbhttp.Config{
 		Name:               s.cfg.Name,
 		Network:            "tcp",
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
-		KeepaliveTime:      s.cfg.IdleTimeout,
+		KeepaliveTime:      libraryKeepalive,
 		ReadLimit:          int(s.cfg.MaxBodyBytes + s.cfg.MaxHeaderBytes),
 		MaxWriteBufferSize: s.cfg.MaxQueuedBytes,
 		SupportServerOnly:  true,
@@ -137,8 +142,10 @@
 		conf.Addrs = []string{s.cfg.Address}
 	}
 	setLibraryLog()
+	s.idle.server = s
 	s.engine = nbhttp.NewEngine(conf)
 	s.engine.Engine.OnOpen(s.onOpen)
+	s.engine.Engine.OnRead(s.read)
 	s.engine.Engine.OnWrittenSize(onWritten)
 	s.engine.OnClose(s.onClose)
 	return s
@@ -194,20 +201,23 @@
 // InFlight is the number of requests whose handler has not returned.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// serve wraps the handler: it counts the request, takes the read deadline off the
-// connection and turns a panic into an answer.
+// serve wraps the handler: it counts the request and turns a panic into an answer.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	running := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	res := &response{ResponseWriter: w, mayChunk: r.ProtoAtLeast(1, 1)}
+	conn := connBelow(w)
+	if conn != nil && conn.closing.Load() {
+		return // it came with a request whose answer was broken off, and can get none
+	}
+	res := &response{ResponseWriter: w, conn: conn, mayChunk: r.ProtoAtLeast(1, 1)}
+	defer res.over.Store(true)
 	// nbhttp closes the connection right after an answer to "Connection: close", also
 	// when part of the answer still waits in its queue; the caller would see a cut
 	// answer. The caller is told to close instead, which it does after the last byte.
-	if r.Close || s.closing.Load() || s.draining.Load() || s.wornOut(w) {
+	if s.wornOut(res.conn) || r.Close || s.closing.Load() || s.draining.Load() {
 		r.Close = false
 		w.Header().Set("Connection", "close")
 	}
-	clearReadDeadline(w)
 	defer s.recoverPanic(res)
 	if s.draining.Load() {
 		WriteError(res, "", errkind.New(errkind.HostLeaving, "this host is shutting down"))
@@ -221,13 +231,12 @@
 }
 
 // wornOut counts a request on its connection and tells whether it is the last one there.
-func (s *Server) wornOut(w http.ResponseWriter) bool {
-	c := nbioConn(w)
-	if s.cfg.RequestsPerConnection == 0 || c == nil {
+func (s *Server) wornOut(c *trackedConn) bool {
+	if c == nil {
 		return false
 	}
-	t := trackedOf(c)
-	return t != nil && t.requests.Add(1) >= s.cfg.RequestsPerConnection
+	n := c.requests.Add(1)
+	return s.cfg.RequestsPerConnection > 0 && n >= s.cfg.RequestsPerConnection
 }
 
 func (s *Server) always(r *http.Request) bool {
@@ -247,7 +256,7 @@
 		return
 	}
 	// The caller has part of an answer: only a broken connection tells it so.
-	Abort(w)
+	w.abort()
 }
 
 // CloseAfterAnswers tells every caller with its next answer to close its connection, so
@@ -304,14 +313,55 @@
 	if !ok {
 		return
 	}
-	tracked := &trackedConn{Conn: c}
+	<-s.started
+	s.barrier.await()
+	// The idle watch may close it from here on, which must not be before nbio has registered
+	// it: it would register a number that is another connection's by then.
+	tracked := &trackedConn{Conn: c, server: s, opened: time.Now()}
 	s.conns.add(tracked)
 	if hc.Conn == c {
 		hc.Conn = tracked
 	}
-	p.Processor = newProcessor(s, tracked)
+	p.Processor = newProcessor(tracked)
 	c.SetSession(&guard{server: s, conn: tracked, parser: p})
 	handovers.Add(1)
-	<-s.started
-	s.barrier.await()
+	s.idle.start()
+}
+
+// read takes in what has arrived on a connection. It runs on the connection's reading
+// goroutine.
+//
+// What goes wrong if nbio reads by itself: it holds the bytes of a request for a moment that
+// no lock covers, in which the connection has nothing unread and no request open; to close it
+// as idle then would lose the request.
+func (s *Server) read(c *nbio.Conn) {
+	handovers.Load()
+	if b, ok := c.Session().(*pollBarrier); ok {
+		b.read(c, s.engine.PollerBuffer(c))
+		return
+	}
+	g := guardOf(c)
+	if g == nil {
+		_ = c.CloseWithError(&closeError{cause: CauseLibrary})
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	buffer := s.engine.PollerBuffer(c)
+	for range readsPerEvent {
+		n, err := c.Read(buffer)
+		if n > 0 {
+			c.DataHandler()(c, buffer[:n])
+		}
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err != nil:
+			_ = c.CloseWithError(err)
+			return
+		case n < len(buffer):
+			return
+		}
+	}
 }
