Of two words of one server the newest is told first

Cause: what waits to be told at once was kept by id, and the word that came last replaced the other. And heartbeats with more than 64 changed servers sent those that leave first, but not those that are gone without having said that they leave.

Ruled out: ordering by sequence alone. It begins anew with each run, and "gone" has none.

Before: both new test cases fail (the former run's end is told; the gone server comes after the others). After: they pass, with the rest of both packages.

Conclusion: hosts order words of a server by run, then by how far it has left, then by sequence, in one place (membership.Supersedes).

--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -20,6 +20,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/membership"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -73,10 +74,13 @@
 	return &Spreader{cfg: cfg, wake: make(chan struct{}, 1), servers: make(map[string]*pb.ServerState)}
 }
 
-// Server tells all hosts the state of a backend server, soon.
+// Server tells all hosts the state of a backend server, soon: the newest one that it was
+// given. States come from goroutines that may overtake each other.
 func (s *Spreader) Server(st *pb.ServerState) {
 	s.mu.Lock()
-	s.servers[st.GetId()] = st
+	if waiting := s.servers[st.GetId()]; waiting == nil || membership.Supersedes(st, waiting) {
+		s.servers[st.GetId()] = st
+	}
 	s.mu.Unlock()
 	s.signal()
 }
--- a/internal/controller/news/news_test.go
+++ b/internal/controller/news/news_test.go
@@ -157,6 +157,28 @@
 	}
 }
 
+// Symptom: hosts send to a server that said it leaves, until heartbeats bring the word.
+// Sequence: it was started again, and leaves; at the same moment the end of its former run
+// is given to be told, or an older word of the same run.
+// Cause: of two words of one server the one that came last was told.
+func TestNewestWordOfAServerIsTold(t *testing.T) {
+	leaving := &pb.ServerState{Id: "s1", Incarnation: 200, Seq: 1, Leaving: true}
+	for name, other := range map[string]*pb.ServerState{
+		"former run":  {Id: "s1", Incarnation: 100, Seq: 90, Gone: true},
+		"before that": {Id: "s1", Incarnation: 200, Seq: 2},
+	} {
+		for _, order := range [][]*pb.ServerState{{leaving, other}, {other, leaving}} {
+			s := New(Config{})
+			for _, st := range order {
+				s.Server(st)
+			}
+			if told := s.take().GetServers(); len(told) != 1 || told[0] != leaving {
+				t.Errorf("%s: told %v", name, told)
+			}
+		}
+	}
+}
+
 // Symptom: hosts go on sending to a server that left while others of the fleet are lost.
 // Sequence: a fifth of the hosts are killed and not yet known to be dead; a server leaves.
 // Cause: a lost host that was to hand the word on took it with it.
--- a/internal/membership/serverdelta.go
+++ b/internal/membership/serverdelta.go
@@ -39,6 +39,10 @@
 	return cmp.Or(cmp.Compare(v.incarnation, w.incarnation), cmp.Compare(v.phase, w.phase), cmp.Compare(v.seq, w.seq)) < 0
 }
 
+// Supersedes tells whether a state of a server is newer than another one of it: of a later
+// run, or of the same run and says more.
+func Supersedes(newer, older *pb.ServerState) bool { return versionOf(older).before(versionOf(newer)) }
+
 // serverKey names a server: by its id, or by its address if it has none.
 func serverKey(s *pb.ServerState) string {
 	if id := s.GetId(); id != "" {
@@ -93,7 +97,7 @@
 
 // urgency is lower for states that must go first.
 func (k *peerKnowledge) urgency(s *pb.ServerState) int {
-	if s.GetLeaving() {
+	if s.GetLeaving() || s.GetGone() {
 		return 0
 	}
 	known, ok := k.servers[serverKey(s)]
--- a/internal/membership/serverdelta_test.go
+++ b/internal/membership/serverdelta_test.go
@@ -66,6 +66,11 @@
 	if len(got) != maxServers || got[0] != states[179] || got[1] != states[180] {
 		t.Errorf("%d states, first %v and %v", len(got), got[0], got[1])
 	}
+	gone := serverStates(181, 3)
+	gone[178].Gone = true
+	if got := d.Select(peer, gone); got[0] != gone[178] {
+		t.Errorf("first %v, not the server that is gone", got[0])
+	}
 	d.Keep(nil, nil)
 	if len(d.peers) != 0 {
 		t.Error("knowledge of a peer that is gone was kept")
