Runs of a server are told apart by their start; faulty entries name no server

Cause: the id alone stood for one run of a server, in the registry, in what hosts tell each other, in load, pauses, cached prompt parts, leases and the exclusion of servers that had a request already. A server that starts again under its id counts its announcements from the beginning, so all were dropped as late; that the former run was leaving or gone held for the new one; a late word of the former run's end took the new one out for good. Now a run is an id and a start (instance.Incarnation), the latest start holds, and nothing goes over.

Rules that were decided: - A start that is not said is the earliest. Within a run sequence orders, and leaving or gone is never taken back. - An end that names its run ends that run. One that doesn't ends the run known to the host that hears it; if it knows none, the first run heard of within 8 s, which it then tells all. - A later run is another candidate for a request that the former one had: it is another process, has not failed the request, and may be the last server left. How often a request may be sent is bounded as before. - An answer that another server has the address ends the run that was asked, not the id. - A run keeps its service. One announcement in another service changes nothing while the first is heard of.

Entries of other writers: a heartbeat with a field missing, twice, null, of another type or out of bounds, with a state that has no meaning here, or with an id that can't stand in a header or message, is refused (400) and changes nothing; so is a faulty state in a peer's message, alone.

Found beside it: ends that peers told were kept as heard now, so that two hosts told each other of a server that ended for ever; an instance that moved kept its former address and was taken for gone when another server came there; what is known of servers was never freed.

Ruled out: a wall-clock comparison for an end without a run (clocks are stepped), and the id with the start as one string on the wire (ids may hold any character).

The tests were seen to fail with each rule taken out in turn: id alone names a run; an earlier run's heartbeat counts; a late end counts; an end is that of the present run; peers' states without a start; ends heard now; a moved instance keeps its address; the newest service holds.

TestMergeTakesNoAgeForYounger and TestMergedRegistriesAgree used addresses ("x", "10.0.0.9:a") that name no server now; they use real ones and check the same.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -37,8 +38,10 @@
 	PromptTokens uint64
 	// Objective is the time in which the first part of the answer is worth most; 0: none.
 	Objective time.Duration
-	// Exclude lists the instances that had the request already.
-	Exclude []string
+	// Exclude lists the runs of servers that had the request already. A later run under the
+	// same id is not among them: it is another process, which has not failed the request,
+	// and may be the only one that is left.
+	Exclude []instance.Incarnation
 	// Shard restricts the choice to a part of the service's servers.
 	Shard Shard
 }
@@ -111,11 +114,11 @@
 	cfg     Config
 	reg     *instance.Registry
 	rng     *rand.Rand
-	servers map[string]*server
+	servers map[instance.Incarnation]*server
 	runs    map[uint64]*run
 	ticket  uint64
 	// touched are the parts sent to each instance since they were last taken by Touched.
-	touched map[string][]Part
+	touched map[instance.Incarnation][]Part
 }
 
 // run is a request of this host at a server.
@@ -131,7 +134,7 @@
 
 // New makes a core that chooses among the instances of reg.
 func New(cfg Config, reg *instance.Registry, rng *rand.Rand) *Core {
-	return &Core{cfg: cfg, reg: reg, rng: rng, servers: make(map[string]*server), runs: make(map[uint64]*run), touched: make(map[string][]Part)}
+	return &Core{cfg: cfg, reg: reg, rng: rng, servers: make(map[instance.Incarnation]*server), runs: make(map[uint64]*run), touched: make(map[instance.Incarnation][]Part)}
 }
 
 // Choose picks the server for w, or refuses if none may get it.
@@ -144,7 +147,7 @@
 	homeWait := time.Duration(0)
 	home := c.home(w)
 	for i, inst := range eligible {
-		cand := c.predict(now, w, inst, c.server(inst.ID), inst.ID == home)
+		cand := c.predict(now, w, inst, c.server(inst.Incarnation()), inst.ID == home)
 		if inst.ID == home {
 			homeWait = cand.wait
 		}
@@ -161,7 +164,8 @@
 	best.server.begin(now, r)
 	if w.Engine {
 		best.server.cache.touch(w.Prompt, w.CacheTokens)
-		c.touched[best.inst.ID] = append(c.touched[best.inst.ID], reversed(w.Prompt)...)
+		run := best.inst.Incarnation()
+		c.touched[run] = append(c.touched[run], reversed(w.Prompt)...)
 	}
 	return Choice{
 		Ticket: c.ticket, Instance: best.inst.Announcement, Wait: best.wait, Cached: best.cached,
@@ -181,10 +185,10 @@
 	var sound, lost []*instance.Instance
 	shed := false
 	for _, inst := range c.reg.Serving(w.Service) {
-		if excluded(w, inst.ID) || !w.Shard.has(inst.ID) {
+		if slices.Contains(w.Exclude, inst.Incarnation()) || !w.Shard.has(inst.ID) {
 			continue
 		}
-		switch s := c.server(inst.ID); {
+		switch s := c.server(inst.Incarnation()); {
 		case !now.Before(s.suspended):
 			sound = append(sound, inst)
 		case s.failures > 0:
@@ -275,34 +279,37 @@
 	return sum
 }
 
-func excluded(w *Work, id string) bool {
-	for _, e := range w.Exclude {
-		if e == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Core) noServer(now time.Time, w *Work) error {
 	wait := maxBackoff
 	for _, inst := range c.reg.Serving(w.Service) {
-		if s := c.server(inst.ID); w.Shard.has(inst.ID) && s.suspended.After(now) {
+		if s := c.server(inst.Incarnation()); w.Shard.has(inst.ID) && s.suspended.After(now) {
 			wait = min(wait, s.suspended.Sub(now))
 		}
 	}
 	return errkind.New(errkind.NoBackendServer, "no backend server of %q may get the request", w.Service).After(wait)
 }
 
-func (c *Core) server(id string) *server {
-	s := c.servers[id]
+// server is what is known of a run of a server. Each run begins with nothing: what waits
+// there, what it keeps, how fast and how well it answered are of the process that is gone.
+func (c *Core) server(run instance.Incarnation) *server {
+	s := c.servers[run]
 	if s == nil {
 		s = newServer()
-		c.servers[id] = s
+		c.servers[run] = s
 	}
 	return s
 }
 
+// Expire drops what is known of runs that the registry does not hold. Call it now and then.
+func (c *Core) Expire() {
+	for run := range c.servers {
+		if !c.reg.Holds(run) {
+			delete(c.servers, run)
+			delete(c.touched, run)
+		}
+	}
+}
+
 // First notes that the first part of the answer has come.
 func (c *Core) First(now time.Time, ticket uint64) {
 	if r := c.runs[ticket]; r != nil {
@@ -311,8 +318,8 @@
 }
 
 // Report takes what a server says of its load.
-func (c *Core) Report(now time.Time, id string, l Load) {
-	c.server(id).reported(now, l)
+func (c *Core) Report(now time.Time, run instance.Incarnation, l Load) {
+	c.server(run).reported(now, l)
 }
 
 // Standing is what a request's end told of its server, as far as that is news.
@@ -340,8 +347,5 @@
 	}
 }
 
-// Wrong takes that an address is not that of the instance any more.
-func (c *Core) Wrong(now time.Time, id string) { c.reg.End(now, id) }
-
 // Running is the number of requests not yet done.
 func (c *Core) Running() int { return len(c.runs) }
--- a/internal/balance/core_test.go
+++ b/internal/balance/core_test.go
@@ -113,7 +113,7 @@
 func (w *world) load(tokens uint64, ids ...string) {
 	for range 40 {
 		for _, id := range ids {
-			w.core.server(id).assign(w.now, tokens/4)
+			w.core.server(instance.Incarnation{ID: id}).assign(w.now, tokens/4)
 		}
 		w.now = w.now.Add(250 * time.Millisecond)
 	}
@@ -134,7 +134,7 @@
 	busy := prompt(8, 3, 100, 20_000) // 0.6 s to read
 	for _, e := range engines(6) {
 		if e.ID != kept {
-			busy.Exclude = append(busy.Exclude, e.ID)
+			busy.Exclude = append(busy.Exclude, e.Incarnation())
 		}
 	}
 	w.choose(t, busy)
@@ -232,7 +232,7 @@
 		if !work.Shard.has(c.Instance.ID) {
 			t.Fatalf("%s is of another shard than %+v", c.Instance.ID, work.Shard)
 		}
-		work.Exclude = append(work.Exclude, c.Instance.ID)
+		work.Exclude = append(work.Exclude, c.Instance.Incarnation())
 	}
 	if n := len(work.Exclude); n < 5 || n > 30 {
 		t.Errorf("the shard has %d of 60 servers", n)
@@ -319,10 +319,10 @@
 	work := prompt(7, 1, 100, 100)
 	for range 3 {
 		c := w.choose(t, work)
-		if slices.Contains(work.Exclude, c.Instance.ID) {
+		if slices.Contains(work.Exclude, c.Instance.Incarnation()) {
 			t.Fatalf("chose %s again", c.Instance.ID)
 		}
-		work.Exclude = append(work.Exclude, c.Instance.ID)
+		work.Exclude = append(work.Exclude, c.Instance.Incarnation())
 	}
 	_, err := w.core.Choose(w.now, work)
 	testutil.Refused(t, err, errkind.NoBackendServer, "all excluded")
@@ -427,7 +427,7 @@
 				for id, s := range w.core.servers {
 					running += s.running
 					if s.running < 0 || len(s.pending) > s.running || s.backlog(w.now) < 0 {
-						t.Fatalf("%s: running %d, pending %d, backlog %f", id, s.running, len(s.pending), s.backlog(w.now))
+						t.Fatalf("%v: running %d, pending %d, backlog %f", id, s.running, len(s.pending), s.backlog(w.now))
 					}
 				}
 				if running != len(open) || w.core.Running() != len(open) {
@@ -440,7 +440,7 @@
 		}
 		for id, s := range w.core.servers {
 			if s.running != 0 || s.unread != 0 || len(s.pending) != 0 {
-				t.Fatalf("%s keeps %d requests and %d unread tokens", id, s.running, s.unread)
+				t.Fatalf("%v keeps %d requests and %d unread tokens", id, s.running, s.unread)
 			}
 		}
 	})
--- a/internal/balance/knowledge.go
+++ b/internal/balance/knowledge.go
@@ -1,10 +1,14 @@
 package balance
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+)
 
 // Known are prompt parts that an instance keeps, the least recently used first.
 type Known struct {
-	Server string
+	Server instance.Incarnation
 	Parts  []Part
 	// CacheTokens is the instance's memory.
 	CacheTokens uint64
@@ -17,9 +21,9 @@
 // Touched takes the parts that were sent to instances since the last call.
 func (c *Core) Touched() []Known {
 	var out []Known
-	for id, parts := range c.touched {
+	for run, parts := range c.touched {
 		parts = parts[max(len(parts)-maxTouched, 0):]
-		out = append(out, Known{Server: id, Parts: parts, CacheTokens: c.server(id).cache.limit})
+		out = append(out, Known{Server: run, Parts: parts, CacheTokens: c.server(run).cache.limit})
 	}
 	clear(c.touched)
 	return out
@@ -29,31 +33,35 @@
 func (c *Core) Knowledge(service string, in Shard) []Known {
 	var out []Known
 	for _, inst := range c.reg.Serving(service) {
-		s := c.servers[inst.ID]
+		s := c.servers[inst.Incarnation()]
 		if s == nil || !in.has(inst.ID) || s.cache.size == 0 {
 			continue
 		}
-		out = append(out, Known{Server: inst.ID, Parts: s.cache.list(), CacheTokens: s.cache.limit})
+		out = append(out, Known{Server: inst.Incarnation(), Parts: s.cache.list(), CacheTokens: s.cache.limit})
 	}
 	return out
 }
 
-// Learn takes what another host knows of instances' caches.
+// Learn takes what another host knows of instances' caches. What is said of a run that is
+// over is of no use: the next run keeps nothing of it.
 func (c *Core) Learn(known []Known) {
 	for _, k := range known {
+		if c.reg.Over(k.Server) {
+			continue
+		}
 		c.server(k.Server).cache.learn(k.Parts, k.CacheTokens)
 	}
 }
 
-// ShardOfServer is the service of an instance and the shard that it is in; ok is false if the
-// instance is not known.
-func (c *Core) ShardOfServer(id string) (service string, in Shard, ok bool) {
-	inst, ok := c.reg.Get(id)
-	if !ok {
+// ShardOfServer is the service of a run of a server and the shard that it is in; ok is
+// false if the run is over or not known.
+func (c *Core) ShardOfServer(run instance.Incarnation) (service string, in Shard, ok bool) {
+	inst, known := c.reg.Get(run.ID)
+	if !known || !c.reg.Holds(run) {
 		return "", Shard{}, false
 	}
 	of := shards(len(c.reg.Serving(inst.Service)))
-	return inst.Service, Shard{Index: shardIndex(id, of), Of: of}, true
+	return inst.Service, Shard{Index: shardIndex(run.ID, of), Of: of}, true
 }
 
 // reversed lists a prompt's parts with the shared ones, which others use too, last.
--- a/internal/controller/assign/assign.go
+++ b/internal/controller/assign/assign.go
@@ -56,12 +56,12 @@
 type Local interface {
 	relay.Balancer
 	ShardOf(w *balance.Work) balance.Shard
-	Usable(id string) bool
-	End(id string)
+	Usable(run instance.Incarnation) bool
+	End(run instance.Incarnation) error
 	Touched() []balance.Known
 	Knowledge(service string, in balance.Shard) []balance.Known
 	Learn([]balance.Known)
-	ShardOfServer(id string) (service string, in balance.Shard, ok bool)
+	ShardOfServer(run instance.Incarnation) (service string, in balance.Shard, ok bool)
 }
 
 // Owners finds the owners of shards; *owners.Table implements it.
@@ -137,16 +137,19 @@
 		return a.cfg.Local.Acquire(ctx, w)
 	}
 	in := *w
-	for range maxStale {
+	for stale := range maxStale {
 		l, err := a.ask(ctx, hosts[0], &in)
+		if stale > 0 && errkind.Is(err, errkind.NoBackendServer) {
+			break // the owner knows less than this host
+		}
 		if err != nil {
 			return a.withoutOwner(ctx, w, hosts[0], err)
 		}
-		if a.cfg.Local.Usable(l.choice.Instance.ID) {
+		if a.cfg.Local.Usable(l.choice.Instance.Incarnation()) {
 			return l, nil
 		}
 		l.Done(balance.Abandoned)
-		in.Exclude = append(in.Exclude[:len(in.Exclude):len(in.Exclude)], l.choice.Instance.ID)
+		in.Exclude = append(in.Exclude[:len(in.Exclude):len(in.Exclude)], l.choice.Instance.Incarnation())
 	}
 	return a.cfg.Local.Acquire(ctx, w)
 }
@@ -180,7 +183,7 @@
 		return nil, err
 	}
 	l.choice = balance.Choice{
-		Instance: instance.Announcement{ID: reply.GetServer(), Address: reply.GetAddress()},
+		Instance: instance.Announcement{ID: reply.GetServer(), Started: reply.GetIncarnation(), Address: reply.GetAddress()},
 		Wait:     time.Duration(reply.GetWaitUs()) * time.Microsecond, Cached: reply.GetCached(), Shared: balance.SharedTokens(w.Prompt),
 		HomeWait: time.Duration(reply.GetHomeWaitUs()) * time.Microsecond, Running: int(reply.GetRunning()),
 	}
@@ -195,6 +198,22 @@
 	return &pb.AssignRequest{
 		Run: a.cfg.Run, Attempt: attempt, Service: w.Service, Shard: w.Shard.Index, Shards: w.Shard.Of, Engine: w.Engine,
 		PromptTokens: w.PromptTokens, CacheTokens: w.CacheTokens, ObjectiveMs: w.Objective.Milliseconds(),
-		Exclude: w.Exclude, LifetimeMs: lifetime.Milliseconds(), Prompt: encodeParts(w.Prompt),
+		Exclude: encodeRuns(w.Exclude), LifetimeMs: lifetime.Milliseconds(), Prompt: encodeParts(w.Prompt),
+	}
+}
+
+func encodeRuns(runs []instance.Incarnation) []*pb.ServerRun {
+	out := make([]*pb.ServerRun, 0, len(runs))
+	for _, run := range runs {
+		out = append(out, &pb.ServerRun{Id: run.ID, Incarnation: run.Started})
+	}
+	return out
+}
+
+func decodeRuns(runs []*pb.ServerRun) []instance.Incarnation {
+	out := make([]instance.Incarnation, 0, len(runs))
+	for _, run := range runs {
+		out = append(out, instance.Incarnation{ID: run.GetId(), Started: run.GetIncarnation()})
 	}
+	return out
 }
--- a/internal/controller/assign/assign_test.go
+++ b/internal/controller/assign/assign_test.go
@@ -50,7 +50,7 @@
 			Changed: func(*pb.ServerState) {}, Log: zerolog.Nop(),
 		})
 		for i := range engines {
-			f.local[name].Announce(engine(i))
+			testutil.NoError(t, f.local[name].Announce(engine(i)))
 		}
 		f.hosts[name] = New(Config{
 			Run: name + "/run", Self: func() *pb.Holder { return &pb.Holder{Host: name, Incarnation: 1} },
@@ -158,10 +158,10 @@
 		f := newFleet(t, 8, "a", "b", "c")
 		w := prompt(7, 1, 13_000, 3_000)
 		first := f.acquire(t, "b", w)
-		w.Exclude = []string{first.Choice().Instance.ID} // so that the part's home does not decide
+		w.Exclude = []instance.Incarnation{first.Choice().Instance.Incarnation()} // so that the part's home does not decide
 		sent := f.acquire(t, "b", w)
 		w = prompt(7, 2, 13_000, 3_000)
-		w.Exclude = []string{first.Choice().Instance.ID}
+		w.Exclude = []instance.Incarnation{first.Choice().Instance.Incarnation()}
 		sent.First()
 		sent.Done(balance.Served)
 		time.Sleep(time.Second)
@@ -220,7 +220,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, "a", "b")
 		named := f.acquire(t, "b", prompt(7, 1, 100, 100)).Choice().Instance.ID
-		f.local["b"].End(named)
+		testutil.NoError(t, f.local["b"].EndKnown(named))
 		if got := f.acquire(t, "b", prompt(7, 2, 100, 100)).Choice().Instance.ID; got == named {
 			t.Errorf("%s was used, which this host knows to be gone", got)
 		}
@@ -239,7 +239,7 @@
 		l.Done(balance.Served)
 		time.Sleep(time.Second)
 		for name, b := range f.local {
-			if b.Usable(l.Choice().Instance.ID) {
+			if b.Usable(l.Choice().Instance.Incarnation()) {
 				t.Errorf("host %s would still use the instance", name)
 			}
 		}
@@ -274,7 +274,7 @@
 		for i := range 60 {
 			in := balance.Work{Service: pool, Shard: shard, Exclude: w.Exclude}
 			if l, err := f.local["b"].Acquire(t.Context(), &in); err == nil {
-				w.Exclude = append(w.Exclude, l.Choice().Instance.ID)
+				w.Exclude = append(w.Exclude, l.Choice().Instance.Incarnation())
 				l.Done(balance.Abandoned)
 			} else if i == 0 {
 				t.Fatal(err)
@@ -282,8 +282,9 @@
 		}
 		f.acquire(t, "b", w)
 		for i := range 60 {
-			f.local["a"].End(engine(i).ID)
-			f.local["b"].End(engine(i).ID)
+			gone := engine(i)
+			testutil.NoError(t, f.local["a"].End(gone.Incarnation()))
+			testutil.NoError(t, f.local["b"].End(gone.Incarnation()))
 		}
 		_, err := f.hosts["b"].Acquire(t.Context(), w)
 		testutil.Refused(t, err, errkind.NoBackendServer, "no server is left")
@@ -304,7 +305,7 @@
 				first = first && method != "share"
 				return lose, false
 			}
-			use := func(host string, own uint64, exclude ...string) balance.Choice {
+			use := func(host string, own uint64, exclude ...instance.Incarnation) balance.Choice {
 				w := prompt(7, own, 13_000, 3_000)
 				w.Exclude = exclude
 				l := f.acquire(t, host, w)
@@ -314,7 +315,7 @@
 				time.Sleep(2 * shareEvery)
 				return l.Choice()
 			}
-			home := use("c", 1).Instance.ID
+			home := use("c", 1).Instance.Incarnation()
 			kept := use("c", 2, home).Instance.ID
 			for i, rank := range [][]string{{"b", "c", "a", "d"}, {"d", "b", "c", "a"}, {"a", "d", "b", "c"}} {
 				f.rank(rank...)
@@ -375,3 +376,81 @@
 		}
 	})
 }
+
+// restart has hosts hear of a new run of an engine.
+func (f *fleet) restart(t *testing.T, i int, started uint64, hosts ...string) {
+	for _, name := range hosts {
+		e := engine(i)
+		e.Started = started
+		testutil.NoError(t, f.local[name].Announce(e))
+	}
+}
+
+// Symptom: after an engine's restart requests are refused, or sent to the run that is over.
+// Sequence: the engine starts again under its id; the owner of its shard, the host that
+// asks, or both have heard so.
+// Cause: hosts named engines to each other by ids alone.
+func TestRestartedEngineAmongHosts(t *testing.T) {
+	for name, heard := range map[string][]string{"both": {"a", "b"}, "owner": {"a"}, "asking": {"b"}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1, "a", "b")
+			f.restart(t, 0, 100, "a", "b")
+			w := prompt(7, 1, 13_000, 3_000)
+			before := f.acquire(t, "b", w)
+			if before.Choice().Instance.Started != 100 {
+				t.Fatalf("%s: run %d", name, before.Choice().Instance.Started)
+			}
+			f.restart(t, 0, 200, heard...)
+			if name != "asking" { // an owner that knows no other run refuses
+				w.Exclude = append(w.Exclude, before.Choice().Instance.Incarnation())
+			}
+			after := f.acquire(t, "b", w)
+			if got := after.Choice(); got.Instance.Started != 200 || got.Cached != 0 || got.Running != 0 {
+				t.Errorf("%s: the new run is taken for %+v", name, got)
+			}
+			before.Wrong()
+			before.Done(balance.Broken)
+			after.First()
+			after.Done(balance.Served)
+			time.Sleep(time.Second)
+			for _, host := range heard {
+				if !f.local[host].Usable(after.Choice().Instance.Incarnation()) {
+					t.Errorf("%s: host %s ended the new run on word of the former", name, host)
+				}
+			}
+			if n := f.local["a"].Running(); n != 0 {
+				t.Errorf("%s: %d running at the owner", name, n)
+			}
+		})
+	}
+}
+
+// Symptom: after an engine's restart a new owner sends it requests whose prompts it no
+// longer keeps.
+// Sequence: the former owner tells the next one what the engine read; the engine starts
+// again; the next one becomes the owner.
+// Cause: what was told of a cache outlived the run that had it.
+func TestNewOwnersForgetFormerRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, "a", "b", "c")
+		f.restart(t, 0, 100, "a", "b", "c")
+		use := func(own uint64) balance.Choice {
+			l := f.acquire(t, "c", prompt(7, own, 13_000, 3_000))
+			time.Sleep(600 * time.Millisecond)
+			l.First()
+			l.Done(balance.Served)
+			time.Sleep(2 * shareEvery)
+			return l.Choice()
+		}
+		use(1)
+		f.rank("b", "a", "c")
+		if got := use(2); got.Cached != 13_000 {
+			t.Errorf("the new owner knows of %d cached", got.Cached)
+		}
+		f.restart(t, 0, 200, "b", "a", "c")
+		f.rank("a", "b", "c")
+		if got := use(3); got.Cached != 0 || got.Instance.Started != 200 {
+			t.Errorf("%d cached at a run that has read nothing", got.Cached)
+		}
+	})
+}
--- a/internal/controller/assign/lease.go
+++ b/internal/controller/assign/lease.go
@@ -42,7 +42,7 @@
 // Wrong implements relay.Lease.
 func (l *remoteLease) Wrong() {
 	l.wrong = true
-	l.a.cfg.Local.End(l.choice.Instance.ID)
+	_ = l.a.cfg.Local.End(l.choice.Instance.Incarnation())
 }
 
 // Done implements relay.Lease.
--- a/internal/controller/assign/owner.go
+++ b/internal/controller/assign/owner.go
@@ -33,7 +33,7 @@
 func (a *Assigner) HandleAssign(ctx context.Context, req *pb.AssignRequest) *pb.AssignReply {
 	w := &balance.Work{
 		Service: req.GetService(), Engine: req.GetEngine(), CacheTokens: req.GetCacheTokens(), PromptTokens: req.GetPromptTokens(),
-		Objective: time.Duration(req.GetObjectiveMs()) * time.Millisecond, Exclude: req.GetExclude(),
+		Objective: time.Duration(req.GetObjectiveMs()) * time.Millisecond, Exclude: decodeRuns(req.GetExclude()),
 		Prompt: decodeParts(req.GetPrompt()),
 		Shard:  balance.Shard{Index: req.GetShard(), Of: req.GetShards()},
 	}
@@ -47,7 +47,7 @@
 	a.mu.Unlock()
 	c := l.Choice()
 	return &pb.AssignReply{
-		Server: c.Instance.ID, Address: c.Instance.Address, WaitUs: c.Wait.Microseconds(), Cached: c.Cached,
+		Server: c.Instance.ID, Incarnation: c.Instance.Started, Address: c.Instance.Address, WaitUs: c.Wait.Microseconds(), Cached: c.Cached,
 		HomeWaitUs: c.HomeWait.Microseconds(), Running: int64(c.Running),
 	}
 }
--- a/internal/controller/assign/share.go
+++ b/internal/controller/assign/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/outbox"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
@@ -104,7 +105,7 @@
 	defer cancel()
 	req := &pb.SharePartsRequest{}
 	for _, k := range known {
-		req.Servers = append(req.Servers, &pb.ServerParts{Server: k.Server, CacheTokens: k.CacheTokens, Parts: encodeParts(k.Parts)})
+		req.Servers = append(req.Servers, encodeKnown(k))
 	}
 	_, err := a.cfg.Client(to.Address).ShareParts(ctx, req)
 	return err
@@ -126,12 +127,25 @@
 func (a *Assigner) HandleShareParts(req *pb.SharePartsRequest) *pb.SharePartsReply {
 	known := make([]balance.Known, 0, len(req.GetServers()))
 	for _, s := range req.GetServers() {
-		known = append(known, balance.Known{Server: s.GetServer(), CacheTokens: s.GetCacheTokens(), Parts: decodeParts(s.GetParts())})
+		known = append(known, decodeKnown(s))
 	}
 	a.cfg.Local.Learn(known)
 	return &pb.SharePartsReply{}
 }
 
+func encodeKnown(k balance.Known) *pb.ServerParts {
+	return &pb.ServerParts{
+		Server: k.Server.ID, Incarnation: k.Server.Started, CacheTokens: k.CacheTokens, Parts: encodeParts(k.Parts),
+	}
+}
+
+func decodeKnown(s *pb.ServerParts) balance.Known {
+	return balance.Known{
+		Server:      instance.Incarnation{ID: s.GetServer(), Started: s.GetIncarnation()},
+		CacheTokens: s.GetCacheTokens(), Parts: decodeParts(s.GetParts()),
+	}
+}
+
 func encodeParts(parts []balance.Part) []*pb.PromptPart {
 	out := make([]*pb.PromptPart, 0, len(parts))
 	for _, p := range parts {
--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
@@ -63,27 +64,46 @@
 	}
 }
 
-// Announce takes what a backend server says of itself to this host.
-func (b *Balancer) Announce(a instance.Announcement) {
-	b.mu.Lock()
-	now := time.Now()
-	changed := b.reg.Announce(now, a)
-	state := b.reg.State(now, a.ID)
-	b.sweep(now)
-	b.mu.Unlock()
-	if changed {
-		b.changed(state)
+// Announce takes what a backend server says of itself to this host. An announcement that
+// names no server to use is an error and changes nothing.
+func (b *Balancer) Announce(a instance.Announcement) error {
+	if err := a.Check(); err != nil {
+		return errkind.New(errkind.BadRequest, "the announcement names no server: %v", err)
+	}
+	b.hear(a.ID, func(now time.Time) bool {
+		defer b.sweep(now)
+		return b.reg.Announce(now, a)
+	})
+	return nil
+}
+
+// End takes that a run of a backend server ends.
+func (b *Balancer) End(run instance.Incarnation) error {
+	if err := instance.CheckID(run.ID); err != nil {
+		return errkind.New(errkind.BadRequest, "no server: %v", err)
 	}
+	b.hear(run.ID, func(now time.Time) bool { return b.reg.End(now, run) })
+	return nil
 }
 
-// End takes that a backend server ends.
-func (b *Balancer) End(id string) {
+// EndKnown takes that a backend server ends, in the run that this host knows.
+func (b *Balancer) EndKnown(id string) error {
+	if err := instance.CheckID(id); err != nil {
+		return errkind.New(errkind.BadRequest, "no server: %v", err)
+	}
+	b.hear(id, func(now time.Time) bool { return b.reg.EndKnown(now, id) })
+	return nil
+}
+
+// hear has the registry take word of a server that came to this host. The peers are told
+// if it is news.
+func (b *Balancer) hear(id string, take func(now time.Time) bool) {
 	b.mu.Lock()
 	now := time.Now()
-	changed := b.reg.End(now, id)
+	news := take(now)
 	state := b.reg.State(now, id)
 	b.mu.Unlock()
-	if changed {
+	if news {
 		b.changed(state)
 	}
 }
@@ -95,7 +115,7 @@
 
 // logHeard writes a line for news of a server. from says who told: it or a peer.
 func (b *Balancer) logHeard(st *pb.ServerState, from string) {
-	b.cfg.Log.Info().Str("event", "server-heard").Str("server", st.GetId()).Strs("service", st.GetServices()).
+	b.cfg.Log.Info().Str("event", "server-heard").Str("server", st.GetId()).Uint64("incarnation", st.GetIncarnation()).Strs("service", st.GetServices()).
 		Str("address", st.GetAddress()).Bool("draining", st.GetLeaving()).Bool("gone", st.GetGone()).
 		Str("from", from).Int64("age_ms", st.GetAgeMs()).Send()
 }
@@ -105,6 +125,7 @@
 	if now.Sub(b.swept) >= sweepEvery {
 		b.swept = now
 		b.reg.Expire(now)
+		b.core.Expire()
 	}
 }
 
@@ -148,20 +169,35 @@
 	return b.reg.Snapshot(time.Now())
 }
 
-// Merge implements members.Registry.
+// Merge implements members.Registry. A state that names no server is passed over; the
+// others hold.
 func (b *Balancer) Merge(servers []*pb.ServerState, transit time.Duration) {
+	var news, untold []*pb.ServerState
 	b.mu.Lock()
 	now := time.Now()
-	var news []*pb.ServerState
 	for _, st := range servers {
-		if b.reg.Merge(now, transit, st) {
-			news = append(news, b.reg.State(now, st.GetId()))
+		changed, err := b.reg.Merge(now, transit, st)
+		if err != nil {
+			b.cfg.Log.Debug().Str("event", "server-state-refused").Str("server", st.GetId()).Err(err).Send()
+		}
+		if !changed {
+			continue
+		}
+		state := b.reg.State(now, st.GetId())
+		if state.GetGone() && !st.GetGone() {
+			untold = append(untold, state)
+		} else {
+			news = append(news, state)
 		}
 	}
 	b.mu.Unlock()
 	for _, st := range news {
 		b.logHeard(st, "peer")
 	}
+	// Of these this host alone knows that they ended: it heard so before it knew the run.
+	for _, st := range untold {
+		b.changed(st)
+	}
 }
 
 // RecentWork implements members.Registry. There is nothing to tell: the owner of a shard
@@ -206,19 +242,22 @@
 	b.core.Learn(known)
 }
 
-// ShardOfServer is the service of an instance and the shard that it is in.
-func (b *Balancer) ShardOfServer(id string) (service string, in balance.Shard, ok bool) {
+// ShardOfServer is the service of a run of a server and the shard that it is in.
+func (b *Balancer) ShardOfServer(run instance.Incarnation) (service string, in balance.Shard, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.ShardOfServer(id)
+	return b.core.ShardOfServer(run)
 }
 
-// Usable tells whether an instance may get requests, as far as this host knows it.
-func (b *Balancer) Usable(id string) bool {
+// Usable tells whether a run of a server may get requests, as far as this host knows it.
+func (b *Balancer) Usable(run instance.Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	i, known := b.reg.Get(id)
-	return !known || i.Usable()
+	i, known := b.reg.Get(run.ID)
+	if !known || i.Started < run.Started {
+		return true
+	}
+	return i.Started == run.Started && i.Usable()
 }
 
 // lease implements relay.Lease.
@@ -246,11 +285,11 @@
 func (l *lease) Report(load balance.Load) {
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
-	l.b.core.Report(time.Now(), l.choice.Instance.ID, load)
+	l.b.core.Report(time.Now(), l.choice.Instance.Incarnation(), load)
 }
 
-// Wrong implements relay.Lease.
-func (l *lease) Wrong() { l.b.End(l.choice.Instance.ID) }
+// Wrong implements relay.Lease. Only the run that was asked for has lost its address.
+func (l *lease) Wrong() { _ = l.b.End(l.choice.Instance.Incarnation()) }
 
 // Done implements relay.Lease.
 func (l *lease) Done(r balance.Result) {
--- a/internal/controller/members/freshness_test.go
+++ b/internal/controller/members/freshness_test.go
@@ -29,7 +29,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, st := range states {
-		r.reg.Merge(time.Now(), transit, st)
+		if _, err := r.reg.Merge(time.Now(), transit, st); err != nil {
+			panic(err)
+		}
 	}
 }
 
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -97,13 +97,18 @@
 }
 
 // Announce implements surface.Servers.
-func (g *gateway) Announce(a instance.Announcement) (next string) {
-	g.balancer.Announce(a)
-	return g.announceTo(a)
+func (g *gateway) Announce(a instance.Announcement) (next string, err error) {
+	if err := g.balancer.Announce(a); err != nil {
+		return "", err
+	}
+	return g.announceTo(a), nil
 }
 
 // End implements surface.Servers.
-func (g *gateway) End(id string) { g.balancer.End(id) }
+func (g *gateway) End(run instance.Incarnation) error { return g.balancer.End(run) }
+
+// EndKnown implements surface.Servers.
+func (g *gateway) EndKnown(id string) error { return g.balancer.EndKnown(id) }
 
 // Replace implements surface.Tables.
 func (g *gateway) Replace(ctx context.Context, c *pb.ReplaceRoutes) error {
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -1,10 +1,13 @@
-// Package instance is a host's registry of backend servers that name each of their runs
-// by an id without order. It says which of them may get new requests. It is pure: time
-// is passed in, and the caller serialises the calls.
+// Package instance is a host's registry of backend servers that announce themselves. It
+// says which of them may get new requests. It is pure: time is passed in, and the caller
+// serialises the calls.
 //
-// A run is called an instance. Its announcements are numbered; what it says last counts,
-// but that it leaves or is gone is never taken back. Addresses are used again by other
-// instances, so an instance is known by its id and never by its address.
+// A run of a server is called an instance; its Incarnation names it. The registry holds
+// one instance for each id, the one that started last: word of an earlier run changes
+// nothing, however late it comes, and nothing of an earlier run holds for a later one.
+// Within a run announcements are numbered; what it says last counts, but that it leaves or
+// is gone is never taken back. Addresses are used again by other instances, so an instance
+// is known by its id and never by its address.
 package instance
 
 import (
@@ -13,7 +16,6 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
-	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
 // Defaults of Config.
@@ -27,15 +29,6 @@
 	DefaultForget = 2 * time.Minute
 )
 
-// unknownTransit is how long a state counts as having been on its way where nothing bounds
-// it: twice what a host waits for the answer to a heartbeat. A state that a partition held
-// up for longer makes a server that was lost look present for as long again.
-//
-// What goes wrong with a bound of some seconds: in a large fleet most hosts hear of a server
-// by hosts whose clocks they can't compare with their own. A third of the servers looked
-// silent, got requests only when no other was left, and the others were late.
-const unknownTransit = 500 * time.Millisecond
-
 // Config of a Registry; zero fields get the defaults.
 type Config struct {
 	// Lapse is the silence after which an instance gets requests only if no other does.
@@ -44,24 +37,6 @@
 	Forget time.Duration
 }
 
-// Announcement is what an instance says of itself.
-type Announcement struct {
-	ID      string
-	Service string
-	Address string
-	Zone    string
-	// Version of the server's software.
-	Version string
-	// Slots is how many requests it runs at once.
-	Slots int
-	// Draining: it takes no new requests.
-	Draining bool
-	// WarmupLeft is how much longer it is slow after its start.
-	WarmupLeft time.Duration
-	// Seq counts up with each announcement of the instance.
-	Seq uint64
-}
-
 // Instance is one backend server's run as this host knows it.
 type Instance struct {
 	Announcement
@@ -69,6 +44,8 @@
 	Heard time.Time
 	// Gone: it said that it ends, or another instance has its address.
 	Gone bool
+	// unnamed: its end was heard, and neither before nor with it which run that was of.
+	unnamed bool
 	// contested: another instance at the same address was heard a moment ago. It is an
 	// instance that was held up in the network, or the one that came after.
 	contested bool
@@ -104,15 +81,31 @@
 		r.enter(heard, a)
 		return true
 	}
-	if i.Gone {
+	switch {
+	case a.Started > i.Started && i.unnamed && heard.Sub(i.Heard) < r.cfg.Lapse:
+		r.endNamed(heard, i, a)
+		return true
+	case a.Started > i.Started:
+		r.succeed(heard, i, a)
+		return true
+	case a.Started < i.Started || i.Gone:
 		return false
-	}
-	if a.Seq <= i.Seq {
+	case a.Service != i.Service:
+		return r.contradict(heard, i, a)
+	case a.Seq <= i.Seq:
 		return a.Draining && r.drain(i)
 	}
+	return r.renew(heard, i, a)
+}
+
+// renew takes a newer announcement of the run that is held.
+func (r *Registry) renew(heard time.Time, i *Instance, a Announcement) bool {
 	changed := i.Slots != a.Slots || !i.Draining && a.Draining || i.Address != a.Address
 	a.Draining = a.Draining || i.Draining
 	moved := i.Address != a.Address
+	if moved {
+		r.vacate(i)
+	}
 	i.Announcement = a
 	if heard.After(i.Heard) {
 		i.Heard = heard
@@ -125,6 +118,45 @@
 	return changed
 }
 
+// succeed takes the first announcement of a later run under the same id.
+//
+// What goes wrong when the id alone names a run: a server that starts again counts its
+// announcements from the beginning, so all are dropped as late ones; that the former run
+// was leaving or gone holds for the new one, which then gets no request as long as it
+// lives; or a late word of the former run's end takes the new one out.
+func (r *Registry) succeed(heard time.Time, former *Instance, a Announcement) {
+	held := r.holder[former.Address] == former
+	r.remove(former)
+	former.Gone = true
+	r.enter(heard, a)
+	if held && a.Address != former.Address {
+		r.promote(former.Address)
+	}
+}
+
+// contradict takes that a run is heard of in another service than before. One of the two
+// is not what the server says: a run never changes its service. The one that keeps being
+// heard holds.
+//
+// What goes wrong when the newest holds: one faulty announcement in the name of a server
+// has the requests of another service sent to it, or takes it out of its own.
+func (r *Registry) contradict(heard time.Time, i *Instance, a Announcement) bool {
+	if heard.Sub(i.Heard) < r.cfg.Lapse {
+		return false
+	}
+	a.Draining = a.Draining || i.Draining
+	r.remove(i)
+	r.enter(heard, a)
+	return true
+}
+
+// endNamed takes the first announcement of a run whose end came first, and did not say of
+// which run it was.
+func (r *Registry) endNamed(heard time.Time, i *Instance, a Announcement) {
+	r.remove(i)
+	r.add(heard, a).Gone = true
+}
+
 func (r *Registry) drain(i *Instance) bool {
 	if i.Draining {
 		return false
@@ -140,11 +172,7 @@
 // the address. That one would count as gone though it serves. So the newcomer waits for
 // its second announcement, or for the holder to turn out not to be there.
 func (r *Registry) enter(heard time.Time, a Announcement) {
-	i := &Instance{Announcement: a, Heard: heard}
-	r.instances[a.ID] = i
-	r.byService[a.Service] = append(r.byService[a.Service], i)
-	r.sortService(a.Service)
-	r.changes++
+	i := r.add(heard, a)
 	holder := r.holder[a.Address]
 	if holder != nil && !holder.Gone && heard.Sub(holder.Heard) < r.cfg.Lapse {
 		i.contested = true
@@ -153,6 +181,32 @@
 	r.settle(i)
 }
 
+// add puts an instance into the registry, without an address yet.
+func (r *Registry) add(heard time.Time, a Announcement) *Instance {
+	i := &Instance{Announcement: a, Heard: heard}
+	r.instances[a.ID] = i
+	r.byService[a.Service] = append(r.byService[a.Service], i)
+	r.sortService(a.Service)
+	r.changes++
+	return i
+}
+
+// remove takes an instance out of the registry.
+func (r *Registry) remove(i *Instance) {
+	delete(r.instances, i.ID)
+	r.vacate(i)
+	same := func(x *Instance) bool { return x == i }
+	r.byService[i.Service] = slices.DeleteFunc(r.byService[i.Service], same)
+	r.changes++
+}
+
+// vacate has the instance no longer be at its address.
+func (r *Registry) vacate(i *Instance) {
+	if r.holder[i.Address] == i {
+		delete(r.holder, i.Address)
+	}
+}
+
 func (r *Registry) sortService(service string) {
 	slices.SortFunc(r.byService[service], func(a, b *Instance) int { return strings.Compare(a.ID, b.ID) })
 }
@@ -167,16 +221,40 @@
 	r.changes++
 }
 
-// End takes that an instance is gone: it said so, or another answers at its address. It
-// returns whether that is news.
-func (r *Registry) End(now time.Time, id string) bool {
-	i := r.instances[id]
-	if i == nil {
-		// Its announcement may still be on its way.
-		i = &Instance{Announcement: Announcement{ID: id}, Heard: now, Gone: true}
-		r.instances[id] = i
-		return true
+// End takes that a run is gone: it said so, or another answers at its address. heard is
+// when the first host heard it. It returns whether that is news.
+func (r *Registry) End(heard time.Time, run Incarnation) bool {
+	i := r.instances[run.ID]
+	if i != nil && run.Started == i.Started {
+		return r.end(i)
+	}
+	if i != nil && run.Started < i.Started {
+		return false
+	}
+	// Its announcement may still be on its way.
+	unnamed := i != nil && i.unnamed
+	if i != nil {
+		r.remove(i)
+		defer r.promote(i.Address)
+	}
+	ended := r.add(heard, Announcement{ID: run.ID, Started: run.Started})
+	ended.Gone, ended.unnamed = true, unnamed
+	return true
+}
+
+// EndKnown takes that a server ends which does not say in which of its runs. It is the one
+// known now; if none is, then the first one that is heard of in the time that announcements
+// take through the fleet.
+func (r *Registry) EndKnown(now time.Time, id string) bool {
+	if i := r.instances[id]; i != nil {
+		return r.end(i)
 	}
+	i := r.add(now, Announcement{ID: id})
+	i.Gone, i.unnamed = true, true
+	return true
+}
+
+func (r *Registry) end(i *Instance) bool {
 	if i.Gone {
 		return false
 	}
@@ -202,6 +280,18 @@
 	return i, ok
 }
 
+// Holds tells whether a run is the one that is known under its id.
+func (r *Registry) Holds(run Incarnation) bool {
+	i, ok := r.instances[run.ID]
+	return ok && i.Started == run.Started
+}
+
+// Over tells whether a run is known to be over: it is gone, or another has started since.
+func (r *Registry) Over(run Incarnation) bool {
+	i, ok := r.instances[run.ID]
+	return ok && (run.Started < i.Started || run.Started == i.Started && i.Gone)
+}
+
 // Serving returns the instances of a service that may get requests, by id. The list
 // must not be changed.
 func (r *Registry) Serving(service string) []*Instance {
@@ -225,69 +315,9 @@
 
 // Expire forgets instances not heard of for long. Call it now and then.
 func (r *Registry) Expire(now time.Time) {
-	for id, i := range r.instances {
-		if now.Sub(i.Heard) < r.cfg.Forget {
-			continue
-		}
-		delete(r.instances, id)
-		if r.holder[i.Address] == i {
-			delete(r.holder, i.Address)
-		}
-		same := func(x *Instance) bool { return x == i }
-		r.byService[i.Service] = slices.DeleteFunc(r.byService[i.Service], same)
-		r.changes++
-	}
-}
-
-// State is a known instance with the age of what is known, for peers.
-func (r *Registry) State(now time.Time, id string) *pb.ServerState {
-	if i := r.instances[id]; i != nil {
-		return i.state(now)
-	}
-	return &pb.ServerState{Id: id}
-}
-
-// Snapshot is every known instance with the age of what is known, for peers.
-func (r *Registry) Snapshot(now time.Time) []*pb.ServerState {
-	out := make([]*pb.ServerState, 0, len(r.instances))
 	for _, i := range r.instances {
-		out = append(out, i.state(now))
-	}
-	slices.SortFunc(out, func(a, b *pb.ServerState) int { return strings.Compare(a.GetId(), b.GetId()) })
-	return out
-}
-
-// state is the instance in the form in which hosts tell each other of it. The age is
-// rounded up, so that a peer never takes it for fresher than it is.
-func (i *Instance) state(now time.Time) *pb.ServerState {
-	age := now.Sub(i.Heard) + time.Millisecond - 1
-	return &pb.ServerState{
-		Id: i.ID, Address: i.Address, Zone: i.Zone, Version: i.Version, Services: []string{i.Service},
-		Slots: uint32(max(i.Slots, 0)), Leaving: i.Draining, Gone: i.Gone, Seq: i.Seq,
-		WarmupLeftMs: i.WarmupLeft.Milliseconds(), AgeMs: max(age.Milliseconds(), 0),
-	}
-}
-
-// Merge takes what a peer knows of an instance. transit is how long that was on its way at
-// most; below zero if nothing bounds it. It returns whether anything but the time of the
-// last announcement has changed.
-func (r *Registry) Merge(now time.Time, transit time.Duration, st *pb.ServerState) (changed bool) {
-	if st.GetGone() {
-		return r.End(now, st.GetId())
-	}
-	if len(st.GetServices()) != 1 {
-		return false
-	}
-	if transit < 0 {
-		transit = unknownTransit
-	}
-	heard := now.Add(-time.Duration(st.GetAgeMs())*time.Millisecond - transit)
-	if now.Sub(heard) >= r.cfg.Forget {
-		return false
+		if now.Sub(i.Heard) >= r.cfg.Forget {
+			r.remove(i)
+		}
 	}
-	return r.Announce(heard, Announcement{
-		ID: st.GetId(), Service: st.GetServices()[0], Address: st.GetAddress(), Zone: st.GetZone(),
-		Version: st.GetVersion(), Slots: int(st.GetSlots()), Draining: st.GetLeaving(),
-		WarmupLeft: time.Duration(st.GetWarmupLeftMs()) * time.Millisecond, Seq: st.GetSeq(),
-	})
 }
--- a/internal/instance/registry_test.go
+++ b/internal/instance/registry_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 var start = time.Unix(1000, 0)
@@ -88,7 +90,7 @@
 	r := New(Config{})
 	r.Announce(start, ready("a", 1))
 	r.Announce(start, ready("b", 1))
-	if !r.End(start, "a") {
+	if !r.End(start, Incarnation{ID: "a"}) {
 		t.Error("the end is no news")
 	}
 	want(t, r, "b")
@@ -118,7 +120,7 @@
 
 func TestEndBeforeTheFirstAnnouncement(t *testing.T) {
 	r := New(Config{})
-	r.End(start, "a")
+	r.End(start, Incarnation{ID: "a"})
 	r.Announce(start, ready("a", 1))
 	want(t, r)
 }
@@ -127,7 +129,9 @@
 // heard itself and in whichever order the snapshots come.
 func mergeAll(r *Registry, now time.Time, from *Registry) {
 	for _, st := range from.Snapshot(now) {
-		r.Merge(now, time.Millisecond, st)
+		if _, err := r.Merge(now, time.Millisecond, st); err != nil {
+			panic(err)
+		}
 	}
 }
 
@@ -141,13 +145,13 @@
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
-				r.End(now, id)
+				r.End(now, Incarnation{ID: id})
 			case 1:
 				other := regs[rapid.IntRange(0, 1).Draw(t, "from")]
 				mergeAll(r, now, other)
 			default:
 				a := ready(id, uint64(rapid.IntRange(1, 9).Draw(t, "seq")))
-				a.Address = "10.0.0.9:" + id // each its own address
+				a.Address = "10.0.0." + strconv.Itoa(int(id[0])) + ":80" // each its own address
 				a.Draining = rapid.IntRange(0, 4).Draw(t, "draining") == 0
 				r.Announce(now, a)
 			}
@@ -164,12 +168,17 @@
 
 func TestMergeTakesNoAgeForYounger(t *testing.T) {
 	r := New(Config{})
-	r.Merge(start, 100*time.Millisecond, &pb.ServerState{Id: "a", Address: "x", Services: []string{"pool"}, Seq: 1, AgeMs: 400})
+	state := func(id string, age int64) *pb.ServerState {
+		return &pb.ServerState{Id: id, Address: "10.0.0.1:80", Services: []string{"pool"}, Slots: 1, Seq: 1, AgeMs: age}
+	}
+	_, err := r.Merge(start, 100*time.Millisecond, state("a", 400))
+	testutil.NoError(t, err)
 	i, ok := r.Get("a")
 	if !ok || i.Heard != start.Add(-500*time.Millisecond) {
 		t.Fatalf("heard %v before", start.Sub(i.Heard))
 	}
-	r.Merge(start, -1, &pb.ServerState{Id: "b", Address: "y", Services: []string{"pool"}, Seq: 1})
+	_, err = r.Merge(start, -1, state("b", 0))
+	testutil.NoError(t, err)
 	if b, _ := r.Get("b"); !b.Heard.Before(start) {
 		t.Error("a state of unknown age counts as heard now")
 	}
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -33,7 +33,7 @@
 // attempt sends the request to one server and relays its answer.
 func (t *try) attempt(lease relay.Lease) outcome {
 	choice := lease.Choice()
-	t.work.Exclude = append(t.work.Exclude, choice.Instance.ID)
+	t.work.Exclude = append(t.work.Exclude, choice.Instance.Incarnation())
 	t.x.Attempts = append(t.x.Attempts, relay.Attempt{
 		Server: choice.Instance.ID, Wait: choice.Wait, Cached: choice.Cached, Shared: choice.Shared, Home: choice.HomeWait,
 		Running: choice.Running,
--- a/internal/surface/surface.go
+++ b/internal/surface/surface.go
@@ -25,13 +25,17 @@
 	Readiness(ready func() error) http.Handler
 }
 
-// Servers takes what backend servers say of themselves.
+// Servers takes what backend servers say of themselves. Errors are *errkind.Error.
 type Servers interface {
 	// Announce takes an announcement. It returns where the server should send its later
-	// ones; empty: to this host.
-	Announce(a instance.Announcement) (next string)
-	// End takes that a backend server ends.
-	End(id string)
+	// ones; empty: to this host. An error says why it names no server to use; it then
+	// changes nothing.
+	Announce(a instance.Announcement) (next string, err error)
+	// End takes that a run of a backend server ends.
+	End(run instance.Incarnation) error
+	// EndKnown takes that a backend server ends that does not say in which of its runs: in
+	// the one that this host knows.
+	EndKnown(id string) error
 }
 
 // Tables reads and replaces the routing table. Errors are *errkind.Error.
