--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -36,7 +36,8 @@
 	Log     zerolog.Logger
 }
 
-// Balancer is safe for concurrent use.
+// Balancer is safe for concurrent use. Its lock is always released by defer: whoever calls it
+// recovers a panic, and a lock that stays held would have every later request wait for ever.
 type Balancer struct {
 	cfg Config
 
@@ -70,10 +71,7 @@
 	if err := a.Check(); err != nil {
 		return errkind.New(errkind.BadRequest, "the announcement names no server: %v", err)
 	}
-	b.hear(a.ID, func(now time.Time) bool {
-		defer b.sweep(now)
-		return b.reg.Announce(now, a)
-	})
+	b.hear(a.ID, func(now time.Time) bool { return b.reg.Announce(now, a) })
 	return nil
 }
 
@@ -98,16 +96,21 @@
 // hear has the registry take word of a server that came to this host. The peers are told
 // if it is news.
 func (b *Balancer) hear(id string, take func(now time.Time) bool) {
-	b.mu.Lock()
-	now := time.Now()
-	news := take(now)
-	state := b.reg.State(now, id)
-	b.mu.Unlock()
-	if news {
+	if state, news := b.take(id, take); news {
 		b.changed(state)
 	}
 }
 
+func (b *Balancer) take(id string, take func(now time.Time) bool) (state *pb.ServerState, news bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	news = take(now)
+	state = b.reg.State(now, id)
+	b.sweep(now)
+	return state, news
+}
+
 func (b *Balancer) changed(st *pb.ServerState) {
 	b.logHeard(st, "server")
 	b.cfg.Changed(st)
@@ -172,8 +175,20 @@
 // Merge implements members.Registry. A state that names no server is passed over; the
 // others hold.
 func (b *Balancer) Merge(servers []*pb.ServerState, transit time.Duration) {
-	var news, untold []*pb.ServerState
+	news, untold := b.merge(servers, transit)
+	for _, st := range news {
+		b.logHeard(st, "peer")
+	}
+	for _, st := range untold {
+		b.changed(st)
+	}
+}
+
+// merge returns the states that are news here. Of those that are untold no peer knows that
+// they ended: this host heard so before it knew the run.
+func (b *Balancer) merge(servers []*pb.ServerState, transit time.Duration) (news, untold []*pb.ServerState) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := time.Now()
 	for _, st := range servers {
 		changed, err := b.reg.Merge(now, transit, st)
@@ -190,14 +205,7 @@
 			news = append(news, state)
 		}
 	}
-	b.mu.Unlock()
-	for _, st := range news {
-		b.logHeard(st, "peer")
-	}
-	// Of these this host alone knows that they ended: it heard so before it knew the run.
-	for _, st := range untold {
-		b.changed(st)
-	}
+	return news, untold
 }
 
 // RecentWork implements members.Registry. There is nothing to tell: the owner of a shard
@@ -264,7 +272,9 @@
 type lease struct {
 	b      *Balancer
 	choice balance.Choice
-	first  bool
+	// first: First was called; b.mu guards it, as reports of another host on one attempt may
+	// come twice at the same time.
+	first bool
 }
 
 // Choice implements relay.Lease.
@@ -272,12 +282,12 @@
 
 // First implements relay.Lease; only the first call counts.
 func (l *lease) First() {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
 	if l.first {
 		return
 	}
 	l.first = true
-	l.b.mu.Lock()
-	defer l.b.mu.Unlock()
 	l.b.core.First(time.Now(), l.choice.Ticket)
 }
 
@@ -293,9 +303,7 @@
 
 // Done implements relay.Lease.
 func (l *lease) Done(r balance.Result) {
-	l.b.mu.Lock()
-	s := l.b.core.Done(time.Now(), l.choice.Ticket, r)
-	l.b.mu.Unlock()
+	s := l.done(r)
 	if !s.Lost && !s.Regained {
 		return
 	}
@@ -306,3 +314,9 @@
 	l.b.cfg.Log.Info().Str("event", event).Str("server", l.choice.Instance.ID).Str("address", l.choice.Instance.Address).
 		Int("failures", s.Failures).Dur("pause", s.Pause).Send()
 }
+
+func (l *lease) done(r balance.Result) balance.Standing {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	return l.b.core.Done(time.Now(), l.choice.Ticket, r)
+}
