--- a/internal/controller/balancer/lock_test.go
+++ b/internal/controller/balancer/lock_test.go
@@ -6,6 +6,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // Symptom: a host's log tells of one panic that was recovered, and from then on it answers
@@ -14,8 +15,8 @@
 // Cause: the lock was released behind the call that panicked, not by defer.
 func TestPanicLeavesNoLockBehind(t *testing.T) {
 	calls := map[string]func(*Balancer){
-		"announce": func(b *Balancer) { b.Announce(instance.Announcement{ID: "a"}) },
-		"end":      func(b *Balancer) { b.End("a") },
+		"announce": func(b *Balancer) { _ = b.Announce(server("a", 1)) },
+		"end":      func(b *Balancer) { _ = b.End(instance.Incarnation{ID: "a"}) },
 		"merge":    func(b *Balancer) { b.Merge([]*pb.ServerState{{Id: "a", Services: []string{"s"}}}, 0) },
 		"done":     func(b *Balancer) { (&lease{b: b}).Done(balance.Served) },
 	}
@@ -44,7 +45,7 @@
 // Cause: what was reported was noted outside the lock.
 func TestFirstTwiceAtOnce(t *testing.T) {
 	b := New(Config{Host: "host", Changed: func(*pb.ServerState) {}})
-	b.Announce(instance.Announcement{ID: "a", Service: "s", Address: "10.0.0.1:80", Seq: 1, Slots: 1})
+	testutil.NoError(t, b.Announce(instance.Announcement{ID: "a", Service: "s", Address: "10.0.0.1:80", Seq: 1, Slots: 1}))
 	l, err := b.Acquire(t.Context(), &balance.Work{Service: "s"})
 	if err != nil {
 		t.Fatal(err)
