controller/repair: a bill without a run is allowed by what the network lost, not by a time

The finding: "acc/102 did not run and is billed 62", once in many runs.

Sequence: a peer takes the record; the host has no tokens and gives the request up; each call that would tell the peer is lost (one in ten on the way, one in ten on the way back; a peer that does not answer is left alone for a second); the host dies; the recovery finds a running record, and nobody else can know better. It bills the reservation, as it must: less could let a budget be overspent.

The check now asks what happened: the bill is allowed only if a peer got the record and never heard that it was given up, and if the host tried all the time and each call was lost. That is stricter within the first 5 s, where any such bill passed before, and true after them. TestGivenUpRequestWithDeafPeer brings the sequence about step by step; with the check as it was it fails with "acc/1 did not run and is billed 100". Its other half: once the peer hears, nothing is billed. TestMayBeBilled holds the criterion.

Ruled out: the order of goroutines; a bill by a host that lives (the bill's holder is the dead incarnation); a second holder of the record.

--- a/internal/controller/repair/repair_test.go
+++ b/internal/controller/repair/repair_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -159,3 +160,84 @@
 		w.check(t)
 	})
 }
+
+// TestGivenUpRequestWithDeafPeer
+//
+// Symptom: a request that did not run is billed by its reservation, though its host gave it
+// up long before it died.
+// Sequence: a peer takes the record; the host gives the request up; every call that would
+// tell the peer is lost for 6 s; the host dies, and the peer answers the recovery.
+// Cause: only the dead host knew. Had the peer heard before, nothing would be billed.
+func TestGivenUpRequestWithDeafPeer(t *testing.T) {
+	for name, heard := range map[string]bool{"the peer hears nothing": false, "the peer hears of it at last": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(5, 1000)
+				defer w.finish()
+				n, request := w.nodes["h1"], requestID("acc/1", "h1")
+				rec := &pb.InflightRecord{Identity: "acc/1", RequestId: request, Budget: "x", Reserved: 100}
+				if _, begun, err := n.records.Begin(t.Context(), rec, 1); !begun || err != nil {
+					t.Fatalf("not begun: %v", err)
+				}
+				if err := n.grants.Reserve(t.Context(), "x", request, 100); err != nil {
+					t.Fatal(err)
+				}
+				w.deafen(w.holders(request)...)
+				w.notDispatched(n, "acc/1", 100)
+				n.records.Abandon("acc/1", request)
+				time.Sleep(6 * time.Second)
+				if heard {
+					w.deafen()
+					time.Sleep(2 * tellTime)
+				}
+				w.kill("h1")
+				w.deafen()
+				time.Sleep(25 * time.Second)
+				got, err := w.repairer("h0").Reconcile(t.Context())
+				if err != nil || len(got.Recovered) != 1 || (got.Recovered[0].Bills == 0) != heard {
+					t.Fatalf("got %+v, %v", got, err)
+				}
+				w.settleAll(t)
+				w.check(t)
+			})
+		})
+	}
+}
+
+// TestMayBeBilled tells the bills of requests that did not run which a recovery can't avoid
+// from those that it, or the host before its death, is to blame for.
+func TestMayBeBilled(t *testing.T) {
+	start := time.Now()
+	peer := &node{self: &pb.Holder{Host: "peer"}}
+	lost := func(n int) []time.Time { return slices.Repeat([]time.Time{start.Add(time.Second)}, n) }
+	cases := []struct {
+		name   string
+		copies map[*node]bool // whether the peer heard that the request was given up
+		lost   []time.Time
+		lived  time.Duration // of the host after it gave the request up; 0: it lives
+		billed uint64
+		want   bool
+	}{
+		{"the host died before it could tell", map[*node]bool{peer: false}, nil, time.Millisecond, 100, true},
+		{"every call was lost", map[*node]bool{peer: false}, lost(4), 5 * time.Second, 100, true},
+		{"it did not go on telling", map[*node]bool{peer: false}, lost(3), 5 * time.Second, 100, false},
+		{"the peer had heard", map[*node]bool{peer: true}, lost(4), 5 * time.Second, 100, false},
+		{"no peer had the record", nil, lost(4), 5 * time.Second, 100, false},
+		{"more than the reservation", map[*node]bool{peer: false}, lost(4), 5 * time.Second, 101, false},
+		{"the host lives", map[*node]bool{peer: false}, lost(4), 0, 100, false},
+	}
+	for _, tc := range cases {
+		host := &node{}
+		if tc.lived > 0 {
+			host.killed = start.Add(tc.lived)
+		}
+		p := puts{
+			copies: map[string]map[*node]bool{"r": tc.copies},
+			lost:   map[route][]time.Time{{host, "peer"}: tc.lost},
+		}
+		r := notRun{host: host, requestID: "r", tokens: 100, at: start}
+		if got := p.mayBeBilled(r, tc.billed); got != tc.want {
+			t.Errorf("%s: got %t", tc.name, got)
+		}
+	}
+}
--- a/internal/controller/repair/world_test.go
+++ b/internal/controller/repair/world_test.go
@@ -35,6 +35,7 @@
 	used   map[string]uint64 // identity -> tokens that its run took
 	// notRun holds the requests that were recorded and not dispatched.
 	notRun map[string]notRun
+	puts   puts
 	loss   *rand.Rand // loses one call in ten if set
 
 	// real, if set, is the control group's own state machine in place of the fake ledger;
@@ -56,19 +57,70 @@
 
 // notRun is a request that its host did not dispatch.
 type notRun struct {
-	host   *node
-	tokens uint64
-	at     time.Time
+	host      *node
+	requestID string
+	tokens    uint64
+	at        time.Time
 }
 
-// forgetTime is how long a host may take to have its peers forget a request that it gave
-// up, with one call in ten lost.
-const forgetTime = 5 * time.Second
+// tellTime is how long a host that gave a request up may take for each try to tell a peer
+// that holds the record: a peer that did not answer is left alone for a second, then the
+// next round of updates goes out, and may wait for another peer.
+const tellTime = 1250 * time.Millisecond
 
-// mayBeBilled tells whether the request may have been billed by its reservation: its host
-// died when its peers still held the record, and they can't know that it did not run.
-func (r notRun) mayBeBilled(tokens uint64) bool {
-	return r.host != nil && !r.host.killed.IsZero() && r.host.killed.Sub(r.at) < forgetTime && tokens <= r.tokens
+// route is the way of calls from a host's incarnation to a peer.
+type route struct {
+	from *node
+	to   string
+}
+
+// puts is what the network saw of the copies of records.
+type puts struct {
+	// copies tells of each request which peers got its record, and whether they heard that
+	// it was given up.
+	copies map[string]map[*node]bool
+	// lost are the times of the calls that did not arrive.
+	lost map[route][]time.Time
+}
+
+// arrive notes records that reached a peer.
+func (p *puts) arrive(at *node, records []*pb.InflightRecord) {
+	for _, rec := range records {
+		request := rec.GetRequestId()
+		if p.copies[request] == nil {
+			p.copies[request] = make(map[*node]bool)
+		}
+		givenUp := rec.GetState() == pb.InflightState_INFLIGHT_STATE_ABANDONED
+		p.copies[request][at] = p.copies[request][at] || givenUp
+	}
+}
+
+// lostBetween counts the lost calls of a route from one time to another.
+func (p *puts) lostBetween(r route, from, to time.Time) int {
+	n := 0
+	for _, at := range p.lost[r] {
+		if !at.Before(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// mayBeBilled tells whether a request that did not run may have been billed by its
+// reservation. Its host must have died while a peer held its record and had not heard that
+// it was given up: nobody else can know that it did not run. For all the time between, the
+// host must have tried to tell that peer, and each call must have been lost.
+func (p *puts) mayBeBilled(r notRun, tokens uint64) bool {
+	if r.host == nil || r.host.killed.IsZero() || tokens > r.tokens {
+		return false
+	}
+	tries := int(r.host.killed.Sub(r.at) / tellTime)
+	for peer, heard := range p.copies[r.requestID] {
+		if !heard && p.lostBetween(route{r.host, peer.self.GetHost()}, r.at, r.host.killed) >= tries {
+			return true
+		}
+	}
+	return false
 }
 
 func newWorld(hosts int, funds uint64) *world { return makeWorld(hosts, funds, nil) }
@@ -78,6 +130,7 @@
 		real:   real,
 		ledger: fakeledger.New(), infos: make(map[string]*pb.HostInfo), nodes: make(map[string]*node),
 		deaf: make(map[string]bool), used: make(map[string]uint64), notRun: make(map[string]notRun),
+		puts: puts{copies: make(map[string]map[*node]bool), lost: make(map[route][]time.Time)},
 	}
 	w.ledger.Fund("x", funds)
 	if real != nil {
@@ -152,6 +205,27 @@
 	go func() { wg.Wait(); close(n.done) }()
 }
 
+// deafen has calls to these peers get lost, and calls to all others arrive.
+func (w *world) deafen(hosts ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = make(map[string]bool)
+	for _, host := range hosts {
+		w.deaf[host] = true
+	}
+}
+
+// holders are the peers that got a request's record.
+func (w *world) holders(requestID string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var hosts []string
+	for peer := range w.puts.copies[requestID] {
+		hosts = append(hosts, peer.self.GetHost())
+	}
+	return hosts
+}
+
 // kill ends a host at once: nothing is returned or settled any more.
 func (w *world) kill(name string) {
 	w.mu.Lock()
@@ -309,6 +383,7 @@
 
 func (l link) PutRecords(_ context.Context, in *pb.PutRecordsRequest, _ ...grpc.CallOption) (*pb.PutRecordsReply, error) {
 	target, answered, err := l.from.to(l.host)
+	l.from.w.notePut(l, target, in.GetRecords())
 	if err != nil {
 		return nil, err
 	}
@@ -319,6 +394,18 @@
 	return reply, nil
 }
 
+// notePut notes a call that carries copies; target is nil if it is lost.
+func (w *world) notePut(l link, target *node, records []*pb.InflightRecord) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if target == nil {
+		r := route{l.from, l.host}
+		w.puts.lost[r] = append(w.puts.lost[r], time.Now())
+		return
+	}
+	w.puts.arrive(target, records)
+}
+
 func (l link) FindRecord(_ context.Context, in *pb.FindRecordRequest, _ ...grpc.CallOption) (*pb.FindRecordReply, error) {
 	target, _, err := l.from.to(l.host)
 	if err != nil {
@@ -337,7 +424,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	rec := &pb.InflightRecord{Identity: identity, RequestId: identity + "@" + name, Budget: "x", Reserved: tokens}
+	rec := &pb.InflightRecord{Identity: identity, RequestId: requestID(identity, name), Budget: "x", Reserved: tokens}
 	if _, begun, err := n.records.Begin(ctx, rec, 1); !begun || err != nil {
 		w.notDispatched(n, identity, tokens)
 		return
@@ -357,6 +444,9 @@
 	n.grants.Settle(&pb.Bill{Budget: "x", Identity: identity, RequestId: rec.RequestId, Tokens: tokens / 2})
 }
 
+// requestID is that of an identity's request at a host.
+func requestID(identity, host string) string { return identity + "@" + host }
+
 func (w *world) repairer(name string) *Controller {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -390,8 +480,10 @@
 			t.Errorf("%s took %d tokens, billed %d (%v)", identity, tokens, billed, ok)
 		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for identity, billed := range w.ledger.Bills {
-		if _, ran := w.used[identity]; !ran && !w.notRun[identity].mayBeBilled(billed) {
+		if _, ran := w.used[identity]; !ran && !w.puts.mayBeBilled(w.notRun[identity], billed) {
 			t.Errorf("%s did not run and is billed %d", identity, billed)
 		}
 	}
@@ -419,7 +511,7 @@
 func (w *world) notDispatched(n *node, identity string, tokens uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.notRun[identity] = notRun{host: n, tokens: tokens, at: time.Now()}
+	w.notRun[identity] = notRun{host: n, requestID: requestID(identity, n.self.GetHost()), tokens: tokens, at: time.Now()}
 }
 
 // readReal puts what the real ledger has into the fake one, for the same checks.
