--- a/internal/httpserver/closing.go
+++ b/internal/httpserver/closing.go
@@ -34,6 +34,8 @@
 	CauseSlowSender Cause = "slow-sender"
 	// CauseUnreadable: what the caller sent can't be read as a request.
 	CauseUnreadable Cause = "unreadable"
+	// CauseNoRoom: there was no room for the request's body, see Config.MaxBodiesBytes.
+	CauseNoRoom Cause = "no-room"
 	// CauseStopped: the server stopped.
 	CauseStopped Cause = "stopped"
 	// CauseLibrary: nbhttp closed the connection for a reason of its own.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -38,6 +38,9 @@
 	closing atomic.Bool
 	// ended: the end was counted.
 	ended sync.Once
+	// came is what has come of the request that is being read, in bytes, and held what is
+	// counted of it; guard.mu guards both.
+	came, held int64
 }
 
 // SetReadDeadline does nothing: see libraryKeepalive.
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -28,13 +28,18 @@
 
 // OnComplete hands the request to the server's handler.
 func (p *processor) OnComplete(parser *nbhttp.Parser) {
+	held := p.conn.held
+	p.conn.came, p.conn.held = 0, 0
 	if p.conn.busy.Add(1) == 1 {
 		p.conn.takenBefore.Store(p.conn.taken.Load())
 	}
 	p.Processor.OnComplete(parser)
 	// Jobs of one connection run in order: this one runs after the answer is written, also
 	// if the connection has closed meanwhile.
-	p.conn.MustExecute(p.answered)
+	p.conn.MustExecute(func() {
+		p.conn.server.bodies.Add(-held)
+		p.answered()
+	})
 }
 
 // answered runs once an answer is written.
