A caller's connection is closed by its reading goroutine alone

Cause: nbio finds the connection of an event by the number of its socket. A handler that closed a connection (Abort, a write that fails) gave the number free while the reading goroutine's batch still held the end of that connection; the next accepted connection got the number, its request was read and passed on, and it was closed as if its caller had left. One batch may take as many requests as it holds ends.

Now a connection that the server gives up is shut down in both directions, which the reading goroutine sees as an event of that connection and closes it there. Writes that the kernel takes at once are made here, so that a failed one shuts down, too; only what has to wait goes through nbio. TLS connections write the same way, so Drain now also waits for what is unsent on them.

Ruled out: looking whether a number was used before when a connection is accepted. Nothing tells where the reading goroutine is in its batch.

Left: a write that the kernel takes in part and whose rest, microseconds later, meets a reset is still closed by nbio at once; and so are all connections when the server stops.

--- a/internal/httpserver/closing.go
+++ b/internal/httpserver/closing.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/log"
@@ -70,16 +69,24 @@
 		return CauseCaller
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
 		return CauseReset
-	case errors.Is(err, nbio.ErrOverflow):
-		return CauseOverflow
 	}
 	return CauseLibrary
 }
 
-// closeFor closes the connection for a reason of the server's own.
-func (c *trackedConn) closeFor(cause Cause) {
-	c.closing.Store(true)
-	_ = c.CloseWithError(&closeError{cause: cause})
+// closeFor has the reading goroutine close the connection, for a reason of the server's own: it
+// sees the end that is made of both directions here. See trackedConn for why it isn't closed here.
+func (c *trackedConn) closeFor(cause Cause, err error) {
+	own := &closeError{cause, err}
+	c.Lock() // as long as it is held, nbio doesn't close the socket
+	first := !c.isClosed() && c.own.CompareAndSwap(nil, own)
+	if first {
+		_ = c.onSocket(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) })
+	}
+	c.Unlock()
+	if first {
+		c.reportEnd(own)
+		return
+	}
 	c.seenClosed()
 }
 
@@ -148,6 +155,9 @@
 	if c == nil {
 		return "", false
 	}
+	if own := c.own.Load(); own != nil {
+		return own.cause, true
+	}
 	closed, err := c.IsClosed()
 	if !closed {
 		return "", false
--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -211,3 +211,56 @@
 		t.Fatal("the request was dropped")
 	}
 }
+
+func TestCallerThatDoesNotReadIsClosed(t *testing.T) {
+	// Symptom: a host's memory grows with the answers that a few callers don't take.
+	// Sequence: a caller asks for long answers and reads none of them.
+	// Cause: what the kernel has no room for is kept without a bound.
+	const queue = 1 << 20
+	seen := make(chan Cause, 1)
+	s := start(t, Config{MaxQueuedBytes: queue, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for !ConnClosed(w) {
+			_, _ = w.Write(make([]byte, 64<<10))
+		}
+		cause, _ := CloseCause(w)
+		seen <- cause
+	})})
+	c := dial(t, s)
+	_, _ = io.WriteString(c, plainRequest)
+	if got := <-seen; got != CauseOverflow {
+		t.Errorf("closed because of %q", got)
+	}
+	if _, busy := counted(t, s, CauseOverflow); busy[CauseOverflow] != 1 {
+		t.Errorf("counted %v", busy)
+	}
+	await(t, "the connection is given up", s.conns.empty)
+}
+
+func TestStalledReaderIsNotIdleWhileItReads(t *testing.T) {
+	// Symptom: a large answer to a slow reader breaks off one idle timeout after it was made.
+	// Sequence: the handler has returned, and the caller takes the rest of the answer bit by
+	// bit for longer than the idle timeout. Another caller takes nothing at all.
+	// Cause: a connection counts as idle from the end of the handler on.
+	const size, idle = 12 << 20, 4 * shortIdle
+	s := start(t, Config{IdleTimeout: idle, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	})})
+	slow, stalled := dial(t, s), dial(t, s)
+	for _, c := range []net.Conn{slow, stalled} {
+		_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
+		_, _ = io.WriteString(c, plainRequest)
+	}
+	var n int64
+	for range 40 {
+		got, _ := io.CopyN(io.Discard, slow, size/50)
+		n += got
+		time.Sleep(idle / 20)
+	}
+	rest, _ := io.CopyN(io.Discard, slow, size-n)
+	if n+rest < size {
+		t.Errorf("the answer broke off at %d of %d bytes", n+rest, size)
+	}
+	if _, busy := counted(t, s, CauseStalled); busy[CauseStalled] != 1 {
+		t.Errorf("counted %v", busy)
+	}
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -5,23 +5,29 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
 )
 
-// trackedConn counts the bytes that were given to nbio and not yet to the kernel.
+// trackedConn is a caller's connection. It writes by itself what the kernel takes at once,
+// counts what has to wait, and leaves the closing to the reading goroutine.
 //
-// What goes wrong without it: nbio takes every write at once and keeps what the
-// kernel has no room for; closing the connection then drops the end of an answer
-// to a slow reader. Drain waits for unsent to reach zero.
+// What goes wrong if a handler's goroutine closes: nbio fetches events in batches and finds the
+// connection of an event by the number of its socket. A batch that is under way may hold the end
+// of the connection that is closed here; its number goes to the next one accepted, whose request
+// is then read, handed on, and its connection closed as if the caller had left. Only the reading
+// goroutine, while it is at the event of a connection, knows that the batch has no other of it.
 type trackedConn struct {
 	*nbio.Conn
 	server *Server
 	opened time.Time
-	// unsent stays zero on TLS connections, whose writes pass around this type.
+	// unsent counts the bytes that were given to nbio and not yet to the kernel. Closing the
+	// connection drops them: Drain waits for zero.
 	unsent atomic.Int64
 	// busy is the number of requests read and not yet answered in full.
 	busy atomic.Int64
@@ -34,8 +40,9 @@
 	touched atomic.Int64
 	// takenAtLook is what taken was at the idle watch's last look.
 	takenAtLook int64
-	// closing: the server has decided to close the connection. No request is begun any more.
-	closing atomic.Bool
+	// own is why the server closes the connection; nil as long as it does not. From then on
+	// no request is begun and nothing is written.
+	own atomic.Pointer[closeError]
 	// ended: the end was counted.
 	ended sync.Once
 }
@@ -43,10 +50,55 @@
 // SetReadDeadline does nothing: see libraryKeepalive.
 func (c *trackedConn) SetReadDeadline(time.Time) error { return nil }
 
-// Write counts and hands on.
+// Write takes all of b, or none if the connection is closed or its queue full. Calls for one
+// connection come one after the other.
 func (c *trackedConn) Write(b []byte) (int, error) {
-	c.unsent.Add(int64(len(b)))
-	return c.Conn.Write(b)
+	if c.unsent.Load()+int64(len(b)) > int64(c.server.cfg.MaxQueuedBytes) {
+		c.closeFor(CauseOverflow, nbio.ErrOverflow)
+	}
+	n, err := c.writeNow(b)
+	if err != nil {
+		c.closeFor(CauseReset, err)
+		return 0, err
+	}
+	if n == len(b) {
+		return n, nil
+	}
+	c.unsent.Add(int64(len(b) - n))
+	if _, err := c.Conn.Write(b[n:]); err != nil {
+		return n, err
+	}
+	return len(b), nil
+}
+
+// writeNow gives the kernel what it takes of b, nothing if bytes wait already.
+func (c *trackedConn) writeNow(b []byte) (int, error) {
+	c.Lock()
+	defer c.Unlock()
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
+	if c.unsent.Load() > 0 {
+		return 0, nil
+	}
+	var n int
+	var err error
+	if rawErr := c.onSocket(func(fd int) { n, err = syscall.Write(fd, b) }); rawErr != nil {
+		return 0, rawErr
+	}
+	if n > 0 {
+		c.taken.Add(int64(n))
+	}
+	if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+		err = nil
+	}
+	return max(n, 0), err
+}
+
+// Close is what nbhttp calls.
+func (c *trackedConn) Close() error {
+	c.closeFor(CauseLibrary, nil)
+	return nil
 }
 
 // handovers counts connections handed from the accepting goroutine to the reading
@@ -54,7 +106,12 @@
 // epoll, which neither the memory model nor the race detector knows of.
 var handovers atomic.Int64
 
+// isClosed tells whether the connection is closed, or will be as soon as the reading goroutine
+// comes to it.
 func (c *trackedConn) isClosed() bool {
+	if c.own.Load() != nil {
+		return true
+	}
 	closed, _ := c.IsClosed()
 	return closed
 }
@@ -170,9 +227,8 @@
 	case *trackedConn:
 		return c
 	case *tls.Conn:
-		if nc, ok := c.Conn().(*nbio.Conn); ok {
-			return trackedOf(nc)
-		}
+		tracked, _ := c.Conn().(*trackedConn)
+		return tracked
 	}
 	return nil
 }
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -48,7 +48,7 @@
 
 // Parse checks data and hands the sound part of it to the parser. Server.read holds mu.
 func (g *guard) Parse(data []byte) error {
-	if g.over || g.conn.closing.Load() {
+	if g.over || g.conn.own.Load() != nil {
 		return nil
 	}
 	limits := g.server.limits()
@@ -138,7 +138,7 @@
 	g.refuse(errkind.New(errkind.RequestTimeout, "the request did not arrive whole within %v", limit), CauseSlowSender)
 	g.parser.Execute(func() {
 		if g.conn.unsent.Load() <= 0 {
-			g.conn.closeFor(CauseSlowSender)
+			g.conn.closeFor(CauseSlowSender, nil)
 		}
 	})
 }
--- a/internal/httpserver/idle.go
+++ b/internal/httpserver/idle.go
@@ -101,9 +101,9 @@
 	case !g.over && g.conn.hasUnread():
 		// A host short of processor is late to read, which is not its caller's fault.
 	case !g.conn.quiet():
-		g.conn.closeFor(CauseStalled)
+		g.conn.closeFor(CauseStalled, nil)
 	default:
-		g.conn.closeFor(cause)
+		g.conn.closeFor(cause, nil)
 	}
 }
 
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -35,7 +35,7 @@
 // abort closes the caller's connection while the handler runs.
 func (r *response) abort() {
 	if r.conn != nil && !r.over.Load() {
-		r.conn.closeFor(CauseAborted)
+		r.conn.closeFor(CauseAborted, nil)
 	}
 }
 
--- a/internal/httpserver/reuse_test.go
+++ b/internal/httpserver/reuse_test.go
@@ -95,7 +95,7 @@
 			// Now it is at the second one, and the ends of the others are to come.
 			close(leave)
 			for _, c := range ended {
-				await(t, "the handlers have closed", func() bool { return c.isClosed() || c.closing.Load() })
+				await(t, "the handlers have closed", c.isClosed)
 			}
 			var fresh []net.Conn
 			for range callers {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -194,7 +194,7 @@
 	running := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	conn := connBelow(w)
-	if conn != nil && conn.closing.Load() {
+	if conn != nil && conn.own.Load() != nil {
 		return // it came with a request whose answer was broken off, and can get none
 	}
 	res := &response{ResponseWriter: w, conn: conn, mayChunk: r.ProtoAtLeast(1, 1)}
@@ -295,8 +295,11 @@
 	}
 	tracked := &trackedConn{Conn: c, server: s, opened: time.Now()}
 	s.conns.add(tracked)
-	if hc.Conn == c {
+	switch below := hc.Conn.(type) {
+	case *nbio.Conn:
 		hc.Conn = tracked
+	case *tls.Conn:
+		below.ResetConn(tracked, true)
 	}
 	p.Processor = newProcessor(tracked)
 	c.SetSession(&guard{server: s, conn: tracked, parser: p})
