An answer that came before the request was written is heard

Cause: a server that answers on a request's head, and closes, makes the writing of the rest fail. net/http waits for both and takes whichever it sees first; the failure to write ends the exchange and the answer is dropped.

Ruled out: other bytes where the rest of an early answered body is due (TestEarlyAnswerKeepsBodiesApart: the connection isn't used again).

--- a/internal/engineclient/cause.go
+++ b/internal/engineclient/cause.go
@@ -95,14 +95,16 @@
 		return CauseLeft
 	case d.unsent():
 		return CauseUnsent
+	case errors.Is(d.conn.writeFailure(), syscall.ETIMEDOUT):
+		return CauseSilent
+	case !d.answerBegun() && !d.whole():
+		return CauseHalfSent
 	case timedOut(err):
 		return CauseSilent
 	case d.answerBegun() && d.conn.readEnded.Load():
 		return CauseCutHead
 	case d.answerBegun():
 		return CauseGarbled
-	case !d.whole():
-		return CauseHalfSent
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return CauseReset
 	}
--- /dev/null
+++ b/internal/relay/forward/early_test.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
+)
+
+// longBody is more than the sockets between two ends hold, in bytes.
+const longBody = 4 << 20
+
+// Symptom: a server that answers before it has read a long body, and reads on later,
+// takes the beginning of the next request for the rest of that body.
+// Sequence: the server answers on the head alone, keeps its connection, and reads on
+// once the caller has its answer and has sent another request.
+// Cause: the connection is used again before the body was written to its end.
+func TestEarlyAnswerKeepsBodiesApart(t *testing.T) {
+	readOn, rest := make(chan struct{}), make(chan []byte, 1)
+	b := newBackend(t, func(b *backend) serve {
+		whole := sound(b)
+		return func(n int, c net.Conn, r *bufio.Reader) bool {
+			head, err := r.Peek(len("POST /early"))
+			if err != nil || !bytes.HasSuffix(head, []byte("/early")) {
+				return whole(n, c, r)
+			}
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return false
+			}
+			_, _ = io.WriteString(c, answerTo(req))
+			<-readOn
+			got, _ := io.ReadAll(r) // until the connection ends
+			rest <- got
+			return false
+		}
+	})
+	address, log := entryHost(t, routes.Route{Kind: routes.NonIdempotent}, b)
+	caller := dialCaller(t, address)
+	if g := caller.ask("r1", "/early", strings.Repeat("x", longBody)); g.status != http.StatusOK || g.body != wholeBody {
+		t.Errorf("the caller got %+v", g)
+	}
+	if x := log.of(t, "r1"); !x.Attempts[0].Early || x.Ending != relay.EndAnswered {
+		t.Errorf("attempt %+v, ending %s", x.Attempts[0], x.Ending)
+	}
+	if g := caller.ask("r2", "/whole", "y"); g.status != http.StatusOK || g.body != wholeBody {
+		t.Errorf("the second request got %+v", g)
+	}
+	close(readOn)
+	if got := <-rest; strings.Trim(string(got), "x") != "" {
+		t.Errorf("other bytes came where the rest of the body was due")
+	}
+}
+
+// Symptom: a caller is told 502 for a request that a full server had refused at once.
+// Sequence: the server answers on the head alone that it does not run the request, and
+// closes; the request is still being written.
+// Cause: the failure to write taken for the end of the exchange, though its answer had
+// come.
+func TestEarlyRefusalIsHeard(t *testing.T) {
+	const rounds = 30 // the order of the two events varies
+	full := newBackend(t, func(*backend) serve {
+		return func(_ int, c net.Conn, r *bufio.Reader) bool {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return false
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\n"+hID+": "+req.Header.Get(hID)+"\r\n"+hNotRun+": 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			_ = c.(*net.TCPConn).CloseWrite()
+			_, _ = io.CopyN(io.Discard, r, longBody/2)
+			return false
+		}
+	})
+	address, _ := entryHost(t, routes.Route{Kind: routes.NonIdempotent}, full, newBackend(t, sound))
+	caller := dialCaller(t, address)
+	lost := 0
+	for range rounds {
+		if g := caller.ask("r1", "/whole", strings.Repeat("x", longBody)); g.status != http.StatusOK {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d requests that a server refused early were not served by the other one", lost, rounds)
+	}
+}
