--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -23,18 +22,21 @@
 	conn   *trackedConn
 	parser *nbhttp.Parser
 
-	// mu orders the reading goroutine and the one that closes the connection.
+	// mu is held while bytes are read and requests begin. What ends the connection for want of
+	// a request holds it, too: the idle watch, the timer of slow senders, nbio's close.
 	mu     sync.Mutex
 	frames framing.Checker
 	// over: a refusal was sent in place of an answer; the rest is read and dropped. Closing
 	// at once would reset the connection under the bytes still arriving and the caller would
 	// lose the refusal.
 	over bool
+	// refused is why.
+	refused Cause
 
 	slow *time.Timer
 	// timing counts the spans that were timed, so that a late timer of one leaves the next
 	// alone.
-	timing atomic.Int64
+	timing int64
 	// timed is the phase that the running timer bounds, of the request begun as number timedOf.
 	timed   framing.Phase
 	timedOf uint64
@@ -44,24 +46,25 @@
 // UnderlayerConn is part of nbhttp.ParserCloser.
 func (g *guard) UnderlayerConn() net.Conn { return g.parser.UnderlayerConn() }
 
-// Parse checks data and hands the sound part of it to the parser.
+// Parse checks data and hands the sound part of it to the parser. Server.read holds mu.
 func (g *guard) Parse(data []byte) error {
-	handovers.Load()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.over {
+	if g.over || g.conn.own.Load() != nil {
 		return nil
 	}
 	limits := g.server.limits()
 	n, fault := g.frames.Check(data, framing.Limits{Header: limits.HeaderBytes, Body: limits.BodyBytes})
+	if !g.hold(int64(n)) {
+		g.refuse(errkind.New(errkind.Overloaded, "this host holds as many bodies of requests as it can").After(overloadedRetry), CauseNoRoom)
+		return nil
+	}
 	if n > 0 {
 		if err := g.parser.Parse(data[:n]); err != nil {
 			g.stopTimer()
-			return err
+			return &closeError{CauseUnreadable, err}
 		}
 	}
 	if fault != nil {
-		g.refuse(fault)
+		g.refuse(fault, CauseUnreadable)
 		return nil
 	}
 	g.timeSender(limits)
@@ -74,14 +77,47 @@
 	defer g.mu.Unlock()
 	g.stopTimer()
 	g.parser.CloseAndClean(err)
+	g.server.bodies.Add(-g.conn.held)
+	g.conn.held = 0
+}
+
+// hold counts bytes of a request that are about to be held; false: there is no room for them.
+// They count until the request is answered or the connection closed.
+//
+// A body whose length is known counts whole from its head on. What goes wrong otherwise: forty
+// bodies that begin together all find room, all fill what there is, and all are refused half-way.
+func (g *guard) hold(n int64) bool {
+	before := g.conn.came
+	g.conn.came += n
+	more := g.conn.came + g.frames.Missing() - g.conn.held
+	if more <= 0 {
+		return true
+	}
+	total := g.server.bodies.Add(more)
+	g.conn.held += more
+	if g.hasRoom(total) {
+		return true
+	}
+	// What came before is with the parser until the connection closes.
+	g.server.bodies.Add(before - g.conn.held)
+	g.conn.held = before
+	return false
+}
+
+// hasRoom tells whether the request that is being read may be held when so much is held in all.
+func (g *guard) hasRoom(total int64) bool {
+	bound := g.server.cfg.MaxBodiesBytes
+	if bound <= 0 || total <= bound {
+		return true
+	}
+	return g.conn.held <= smallRequest && total <= bound+bound/smallShare
 }
 
 // refuse answers a request that can't be read, after the answers before it, and drops
-// what comes after it.
-func (g *guard) refuse(e *errkind.Error) {
+// what comes after it. The idle watch closes the connection later.
+func (g *guard) refuse(e *errkind.Error, cause Cause) {
 	g.stopTimer()
-	g.over = true
-	_ = g.conn.SetReadDeadline(time.Now().Add(g.server.cfg.ReadTimeout))
+	g.over, g.refused = true, cause
 	g.answer(e)
 }
 
@@ -90,9 +126,15 @@
 	body := ErrorBody("", e)
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", e.Status(), http.StatusText(e.Status()))
+	if e.RetryAfter > 0 {
+		fmt.Fprintf(&b, "Retry-After: %d\r\n", wholeSeconds(e.RetryAfter))
+	}
 	fmt.Fprintf(&b, "Content-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", len(body))
 	b.Write(body)
-	g.parser.Execute(func() { _, _ = g.parser.Conn.Write(b.Bytes()) })
+	g.parser.Execute(func() {
+		_, _ = g.parser.Conn.Write(b.Bytes())
+		g.conn.touch()
+	})
 }
 
 // timeSender has the head of a request that has begun arrive within HeaderTimeout and all
@@ -114,22 +156,30 @@
 	case framing.Head:
 		limit = min(limit, l.HeaderTimeout)
 	}
-	n := g.timing.Load()
+	n := g.timing
 	g.slow = time.AfterFunc(time.Until(g.started.Add(limit)), func() { g.refuseSlow(n, limit) })
 }
 
 func (g *guard) stopTimer() {
-	g.timing.Add(1)
+	g.timing++
 	if g.slow != nil {
 		g.slow.Stop()
 	}
 }
 
-// refuseSlow runs on a timer's goroutine when part of a request has not arrived in time.
+// refuseSlow runs on a timer's goroutine when part of a request has not arrived in time. It
+// closes the connection after the refusal; if part of an answer still waits for the caller
+// then, the idle watch does it later.
 func (g *guard) refuseSlow(n int64, limit time.Duration) {
-	if g.timing.Load() != n {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.timing != n {
 		return
 	}
-	g.answer(errkind.New(errkind.RequestTimeout, "the request did not arrive whole within %v", limit))
-	g.parser.Execute(func() { _ = g.conn.Close() })
+	g.refuse(errkind.New(errkind.RequestTimeout, "the request did not arrive whole within %v", limit), CauseSlowSender)
+	g.parser.Execute(func() {
+		if g.conn.unsent.Load() <= 0 {
+			g.conn.closeFor(CauseSlowSender, nil)
+		}
+	})
 }
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -11,12 +10,11 @@
 // connection's reading goroutine.
 type processor struct {
 	nbhttp.Processor
-	server *Server
-	conn   *trackedConn
+	conn *trackedConn
 }
 
-func newProcessor(s *Server, conn *trackedConn) *processor {
-	return &processor{Processor: nbhttp.NewServerProcessor(), server: s, conn: conn}
+func newProcessor(conn *trackedConn) *processor {
+	return &processor{Processor: nbhttp.NewServerProcessor(), conn: conn}
 }
 
 // OnHeader answers "Expect: 100-continue", which nbhttp doesn't know: some clients
@@ -30,18 +28,23 @@
 
 // OnComplete hands the request to the server's handler.
 func (p *processor) OnComplete(parser *nbhttp.Parser) {
-	p.conn.busy.Add(1)
-	p.Processor.OnComplete(parser)
-	// Jobs of one connection run in order: this one runs after the answer is written.
-	if !parser.Execute(p.answered) {
-		p.conn.busy.Add(-1)
+	held := p.conn.held
+	p.conn.came, p.conn.held = 0, 0
+	if p.conn.busy.Add(1) == 1 {
+		p.conn.takenBefore.Store(p.conn.taken.Load())
 	}
+	p.Processor.OnComplete(parser)
+	// Jobs of one connection run in order: this one runs after the answer is written, also
+	// if the connection has closed meanwhile.
+	p.conn.MustExecute(func() {
+		p.conn.server.bodies.Add(-held)
+		p.answered()
+	})
 }
 
-// answered runs once an answer is written. nbhttp has then set the idle timeout that the
-// server started with; the one in force may be another.
+// answered runs once an answer is written.
 func (p *processor) answered() {
-	if p.conn.busy.Add(-1) == 0 && p.server.cfg.Limits != nil {
-		_ = p.conn.SetReadDeadline(time.Now().Add(p.server.limits().IdleTimeout))
-	}
+	p.conn.seenClosed()
+	p.conn.touch()
+	p.conn.busy.Add(-1)
 }
