A server that is stopped as soon as it was started stops

Cause: nbio's event loops set their own 'shutdown' to false when they begin. A loop that gets its first turn after Stop has set it to true runs for ever, takes a processor, and Stop waits for it. Found as a test process that hung for ten minutes at 166 % of a core on a busy machine; with one processor, as gateways have, the order is certain when Drain follows Start at once. A process does that when a later address of its own can't be opened: it neither served nor ended, so nobody started it again.

Before: TestServerThatIsStoppedAtOnceStops fails (5 s). After: passes 100 times in a row, and the package's tests three times. In 24 runs of the package, six at a time on a busy machine, TestHandlerOutlivesIdleTimeout failed once (EOF in the middle of a handler): the idle deadline that fires beside a request, not touched here.

Also: the two new tests of bodies raced with their own server (the answer comes before its bytes are given back; those beyond the bound were refused only if they came before the others had ended); both wait now for what they assume. They had failed 12 times in 48 runs at most (one of eight processes hung) on a busy machine.

Ruled out for the record: this one neither closes a connection nor ends a process.

--- a/internal/httpserver/bodies_test.go
+++ b/internal/httpserver/bodies_test.go
@@ -66,6 +66,7 @@
 	}
 	eventually(t, "the first body is given back", func() bool { return s.bodies.Load() == 0 })
 	wantAnswer(t, dial(t, s), large)
+	eventually(t, "the next one, too", func() bool { return s.bodies.Load() == 0 })
 	wantAnswer(t, holder, large)
 }
 
@@ -108,6 +109,11 @@
 		wanted := int64(min(n+1, fit)) * size
 		eventually(t, "the head has arrived", func() bool { return s.bodies.Load() >= wanted })
 	}
+	for n, c := range conns[fit:] {
+		if status, _ := readKind(t, bufio.NewReader(c)); status != http.StatusTooManyRequests {
+			t.Errorf("caller %d beyond the bound got %d", fit+n, status)
+		}
+	}
 	for n, c := range conns[:fit] {
 		_, err := c.Write(bytes.Repeat([]byte("x"), size-size/2))
 		testutil.NoError(t, err)
@@ -115,11 +121,6 @@
 			t.Errorf("caller %d, for whom there was room, got %q", n, got)
 		}
 	}
-	for n, c := range conns[fit:] {
-		if status, _ := readKind(t, bufio.NewReader(c)); status != http.StatusTooManyRequests {
-			t.Errorf("caller %d beyond the bound got %d", fit+n, status)
-		}
-	}
 }
 
 func eventually(t *testing.T, what string, is func() bool) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -122,6 +122,7 @@
 	// closing: answers tell callers to close their connections.
 	closing  atomic.Bool
 	conns    connSet
+	started  time.Time
 	stopOnce sync.Once
 }
 
@@ -178,6 +179,7 @@
 
 // Start listens and serves in the background.
 func (s *Server) Start() error {
+	s.started = time.Now()
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
 	}
@@ -272,7 +274,32 @@
 	return nil
 }
 
-func (s *Server) stop() { s.stopOnce.Do(s.engine.Stop) }
+const (
+	// loopsBegin is the time after Start in which nbio's event loops have surely begun.
+	loopsBegin = 20 * time.Millisecond
+	// stopLimit bounds the wait for their end. Nothing is served any more by then.
+	stopLimit = time.Second
+)
+
+// stop closes the listener and all connections.
+//
+// What goes wrong with a server that is stopped as soon as it was started, as when the next
+// address of a process is taken: an event loop of nbio that begins after it was told to stop
+// takes that back. It uses up a processor, whoever waits for it waits for ever, and the
+// process neither serves nor ends. So the loops are given the time to begin first.
+func (s *Server) stop() {
+	time.Sleep(time.Until(s.started.Add(loopsBegin)))
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.stopOnce.Do(s.engine.Stop)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopLimit):
+		log.Warn().Str("event", "server-not-stopped").Str("server", s.cfg.Name).Dur("after", stopLimit).Send()
+	}
+}
 
 func (s *Server) awaitQuiet(ctx context.Context) error {
 	t := time.NewTicker(drainPoll)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -437,3 +438,24 @@
 		t.Fatal("handler never saw the TLS caller go")
 	}
 }
+
+// Symptom: a process whose start fails, as another one has one of its addresses, uses up a
+// processor and does not end.
+// Sequence: it opens a server, fails at the next one and stops the first at once.
+// Cause: an event loop of nbio that begins after it was told to stop takes that back, and
+// Stop waits for it.
+func TestServerThatIsStoppedAtOnceStops(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // nothing that Start begins runs before Drain
+	s := New(Config{Address: "127.0.0.1:0", Handler: http.NotFoundHandler()})
+	testutil.NoError(t, s.Start())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Drain(t.Context())
+	}()
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the server does not stop")
+	}
+}
