Tables of descriptors are bounded; timers and the watch of callers recover

Cause looked for: what makes the runtime collect without end, or a goroutine end the process. nbio keeps a table of eight bytes for each descriptor the system allows, two million at most, in each of six servers; the Go runtime counts it as live.

A sender's timer and the goroutine that watches callers' connections recover their panics like the rest.

Tests of budgets, news and members read what other goroutines had written after a sleep in a bubble; the race detector reported that as races of the tests. They call synctest.Wait first; what they check is as before.

--- a/internal/controller/budgets/budgets_test.go
+++ b/internal/controller/budgets/budgets_test.go
@@ -173,6 +173,7 @@
 		testutil.NoError(t, err)
 		f.desks["c"].Spend("r1", 120)
 		time.Sleep(2 * tick)
+		synctest.Wait()
 		if p := f.purses["a"]; holder != "a" || p.spent != 120 || p.free != 880 {
 			t.Errorf("held by %s; the owner has spent %d, %d are free", holder, p.spent, p.free)
 		}
@@ -223,6 +224,7 @@
 				t.Errorf("%s: held by %s, %v", name, holder, err)
 			}
 			time.Sleep(2 * tick)
+			synctest.Wait()
 			if p := f.purses["a"]; p.free != 1000 || len(p.reserved) != 0 {
 				t.Errorf("%s: the owner still holds %v for the request", name, p.reserved)
 			}
@@ -312,6 +314,7 @@
 		testutil.NoError(t, err)
 		go func() {
 			time.Sleep(time.Second)
+			synctest.Wait()
 			f.desks["b"].Spend("r1", 10)
 		}()
 		f.desks["a"].Drain(testutil.Within(t, 6*time.Second))
@@ -388,6 +391,7 @@
 				}
 			}
 			time.Sleep(patience + lifetimeMargin + 5*time.Second)
+			synctest.Wait()
 			wrong = f.check(used)
 		})
 		if wrong != "" {
--- a/internal/controller/members/freshness_test.go
+++ b/internal/controller/members/freshness_test.go
@@ -88,6 +88,7 @@
 				regs[(s*7+tick)%hosts].mu.Unlock()
 			}
 		}
+		synctest.Wait()
 		stale := 0
 		for _, r := range regs {
 			for s := range servers {
--- a/internal/controller/news/news_test.go
+++ b/internal/controller/news/news_test.go
@@ -169,6 +169,7 @@
 		begin := time.Now()
 		f.hosts[address(0)].Server(&pb.ServerState{Id: "s1", Gone: true})
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		took, all := f.slowest(begin, "s1")
 		if !all || took > 1500*time.Millisecond {
 			t.Errorf("all %v after %v", all, took)
@@ -187,6 +188,7 @@
 		begin := time.Now()
 		leader.Table(9)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		fromLeader := 0
 		for at, h := range f.hosts {
 			if at == leader.at {
@@ -217,6 +219,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		if f.calls > 8*8 {
 			t.Errorf("%d messages for 50 tables in half a second to 8 hosts", f.calls)
 		}
--- a/internal/filter/callergone/callergone.go
+++ b/internal/filter/callergone/callergone.go
@@ -7,9 +7,12 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog/log"
+
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 )
 
 // DefaultInterval between two looks at the connections.
@@ -71,12 +74,19 @@
 	t := time.NewTicker(interval)
 	defer t.Stop()
 	for range t.C {
-		if !f.look() {
+		if !f.lookSafely() {
 			return
 		}
 	}
 }
 
+// lookSafely is look; a panic costs one look.
+func (f *Filter) lookSafely() (more bool) {
+	defer panics.Log(log.Logger, "watching callers")
+	more = true // after a panic
+	return f.look()
+}
+
 // look cancels the calls whose callers have gone; false ends the watching.
 func (f *Filter) look() bool {
 	closed := f.Closed
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rs/zerolog/log"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver/framing"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 )
 
 // guard stands between a connection and nbhttp's parser: it hands over what package
@@ -156,7 +158,10 @@
 		limit = min(limit, l.HeaderTimeout)
 	}
 	n := g.timing.Load()
-	g.slow = time.AfterFunc(time.Until(g.started.Add(limit)), func() { g.refuseSlow(n, limit) })
+	g.slow = time.AfterFunc(time.Until(g.started.Add(limit)), func() {
+		defer panics.Log(log.Logger, "timing a sender")
+		g.refuseSlow(n, limit)
+	})
 }
 
 func (g *guard) stopTimer() {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -146,6 +146,7 @@
 		conf.Addrs = []string{s.cfg.Address}
 	}
 	setLibraryLog()
+	boundDescriptors()
 	s.engine = nbhttp.NewEngine(conf)
 	s.engine.Engine.OnOpen(s.onOpen)
 	s.engine.Engine.OnWrittenSize(onWritten)
