A pause that ends on a tick is told once

Cause: after a tick that came late by almost whole periods the next one was expected a period too soon, and every later tick counted as late by a period: event=stood-still longest=249.99 each second in logs of a soak, at hosts that did not stand still.

Before: the new rows of TestLateTickIsAPause fail (late by 245 ms, want 0). After: they pass.

--- a/internal/procstat/watch.go
+++ b/internal/procstat/watch.go
@@ -100,8 +100,9 @@
 	if late < 0 {
 		w.due, late = now, 0 // it is the ticks before that came late
 	}
-	// A ticker keeps to its times, and leaves out those that have passed.
-	w.due = w.due.Add(w.period * (1 + late/w.period))
+	// A ticker keeps to its times, and leaves out those that have passed. A tick that comes a
+	// little before one of them is that one's.
+	w.due = w.due.Add(w.period * (1 + (late+w.period/2)/w.period))
 	return late
 }
 
--- a/internal/procstat/watch_test.go
+++ b/internal/procstat/watch_test.go
@@ -38,9 +38,14 @@
 		// The ticks that fell into a long pause are left out.
 		{7*period + 30*time.Millisecond, 3*period + 30*time.Millisecond},
 		{8 * period, 0},
+		{9*period - 5*time.Millisecond, 0},
+		// A tick a little before its time after a long pause is the one that was due then.
+		{12*period - 10*time.Millisecond, 2*period - 5*time.Millisecond},
+		{13*period - 10*time.Millisecond, 0},
+		{14*period - 10*time.Millisecond, 0},
 		// What came early shows that those before were late.
-		{9*period - 20*time.Millisecond, 0},
-		{10*period - 10*time.Millisecond, 10 * time.Millisecond},
+		{15*period - 30*time.Millisecond, 0},
+		{16*period - 20*time.Millisecond, 10 * time.Millisecond},
 	} {
 		if late := w.lateness(begin.Add(tick.at)); late != tick.late {
 			t.Errorf("the tick at %v is late by %v, want %v", tick.at, late, tick.late)
