--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -158,6 +158,7 @@
 	}
 	setLibraryLog()
 	s.idle.server = s
+	boundDescriptors()
 	s.engine = nbhttp.NewEngine(conf)
 	s.engine.Engine.OnOpen(s.onOpen)
 	s.engine.Engine.OnRead(s.read)
@@ -190,7 +191,12 @@
 	}
 }
 
-// Start listens and serves in the background.
+// Start listens and serves in the background. It returns once the poller runs.
+//
+// What goes wrong otherwise with a server that is stopped as soon as it was started, as when
+// the next address of a process is taken: a poller that begins after it was told to stop takes
+// that back. It uses up a processor, whoever waits for it waits for ever, and the process
+// neither serves nor ends.
 func (s *Server) Start() error {
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
@@ -199,6 +205,7 @@
 	if err != nil {
 		return err
 	}
+	barrier.wait()
 	s.barrier = barrier
 	close(s.started)
 	if s.cfg.TLS != nil {
@@ -294,13 +301,26 @@
 	return nil
 }
 
+// stopLimit bounds the wait for the end of nbio's loops. Nothing is served any more by then.
+const stopLimit = time.Second
+
+// stop closes the listener and all connections.
 func (s *Server) stop() {
-	s.stopOnce.Do(func() {
-		if s.barrier != nil {
-			s.barrier.stop()
-		}
-		s.engine.Stop()
-	})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.stopOnce.Do(func() {
+			if s.barrier != nil {
+				s.barrier.stop()
+			}
+			s.engine.Stop()
+		})
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopLimit):
+		log.Warn().Str("event", "server-not-stopped").Str("server", s.cfg.Name).Dur("after", stopLimit).Send()
+	}
 }
 
 func (s *Server) awaitQuiet(ctx context.Context) error {
@@ -330,10 +350,7 @@
 	}
 	<-s.started
 	s.barrier.await()
-	// The idle watch may close it from here on, which must not be before nbio has registered
-	// it: it would register a number that is another connection's by then.
 	tracked := &trackedConn{Conn: c, server: s, opened: time.Now()}
-	s.conns.add(tracked)
 	switch below := hc.Conn.(type) {
 	case *nbio.Conn:
 		hc.Conn = tracked
@@ -343,6 +360,7 @@
 	p.Processor = newProcessor(tracked)
 	c.SetSession(&guard{server: s, conn: tracked, parser: p})
 	handovers.Add(1)
+	s.conns.add(tracked) // last: the idle watch looks at it from here on
 	s.idle.start()
 }
 
