--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -217,6 +217,21 @@
 	p.next = next
 }
 
+// retry starts over after a message that got no answer: from where the logs are known to
+// meet, or, as long as that is not known, from where it was looked for last. last is the
+// leader's last index; of a new member nothing was looked for yet, and it begins there.
+//
+// A new leader knows of no match. Were it to start over from there, from the first entry, it
+// would find that compacted and send a snapshot to a follower that may lack one entry. If
+// that is lost too, nothing is committed until the long wait for a snapshot has passed.
+func (p *progress) retry(last uint64) {
+	next := min(p.next, last)
+	if p.state == replicating {
+		next = p.match + 1
+	}
+	p.probeFrom(next)
+}
+
 func (r *Raft) handleHeartbeatReply(m *pb.RaftMessage) {
 	p := r.progress[m.From]
 	if r.role != Leader || p == nil {
@@ -231,7 +246,7 @@
 	// still with a message out.
 	stalled := p.match < r.log.lastIndex() && r.now-p.sentTick >= r.resendTicks(p)
 	if stalled {
-		p.probeFrom(p.match + 1)
+		p.retry(r.log.lastIndex())
 	}
 	r.sendAppends(m.From)
 }
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -93,6 +93,33 @@
 	commitSome(t, s, 1)
 }
 
+// Symptom: a group without any fault commits nothing and answers no read for half a minute;
+// its leader is heard and holds no lease.
+// Sequence: replicas have compacted their logs; the leader is lost; the first messages with
+// entries of the new leader get lost, and what it sends after them.
+// Cause: for want of an answer it began anew from the first entry, which it no longer has:
+// it waited for a snapshot that its follower never got, and that nobody needed.
+func TestLostFirstAppendNeedsNoSnapshot(t *testing.T) {
+	s, old := group(t, 1)
+	commitSome(t, s, 30)
+	for _, n := range s.nodes {
+		s.compact(n)
+	}
+	s.stop(old)
+	s.lost = map[pb.RaftType]bool{pb.RaftType_RAFT_TYPE_APPEND: true, pb.RaftType_RAFT_TYPE_SNAPSHOT: true}
+	s.run(5 * simElection)
+	s.lost = nil
+	s.run(2 * simElection)
+	l := s.leader()
+	if l == nil {
+		t.Fatal("no leader with a lease, though no message is lost any more")
+	}
+	if l == old {
+		t.Fatal("the replica that is down leads")
+	}
+	commitSome(t, s, 1)
+}
+
 // replace has a new replica take the place of a lost one, up to complete steps.
 func replace(s *sim, lost, fresh uint64) map[uint64]bool {
 	s.stop(s.nodes[lost])
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -57,6 +57,8 @@
 	cut       map[[2]uint64]bool
 	drop, dup int   // permille
 	delay     int64 // most, in time units
+	// lost are the types of messages that get lost, all of them.
+	lost map[pb.RaftType]bool
 
 	leaders   map[uint64]uint64 // term -> leader
 	committed []*pb.LogEntry    // committed[i] has index i+1
@@ -115,7 +117,7 @@
 		if m.Type == pb.RaftType_RAFT_TYPE_SNAPSHOT {
 			m.Snapshot = n.disk.Snapshot
 		}
-		if s.cut[[2]uint64{m.From, m.To}] || s.rnd.Intn(1000) < s.drop {
+		if s.lost[m.Type] || s.cut[[2]uint64{m.From, m.To}] || s.rnd.Intn(1000) < s.drop {
 			continue
 		}
 		s.flights = append(s.flights, flight{s.now + s.rnd.Int63n(s.delay+1), m})
