--- a/internal/httpserver/closing.go
+++ b/internal/httpserver/closing.go
@@ -127,13 +127,16 @@
 type ends struct {
 	// all connections, and those among them on which a request was open.
 	all, busy expvar.Map
-	vars      expvar.Map
+	// refused counts connections that could not be accepted.
+	refused expvar.Int
+	vars    expvar.Map
 }
 
 func newEnds() *ends {
 	e := &ends{}
 	e.vars.Set("closed", &e.all)
 	e.vars.Set("closed_with_request", &e.busy)
+	e.vars.Set("not_accepted", &e.refused)
 	return e
 }
 
@@ -145,7 +148,8 @@
 }
 
 // Vars are the server's counters: the ends of its connections by Cause, of all under
-// "closed" and of those with a request open under "closed_with_request".
+// "closed" and of those with a request open under "closed_with_request"; and under
+// "not_accepted" the connections that could not be accepted.
 func (s *Server) Vars() expvar.Var { return &s.ends.vars }
 
 // CloseCause says why the caller's connection is closed; false while it is open, and for a
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -109,16 +109,18 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	// closing: answers tell callers to close their connections.
-	closing  atomic.Bool
-	conns    connSet
-	ends     *ends
-	idle     idleWatch
+	closing atomic.Bool
+	conns   connSet
+	ends    *ends
+	idle    idleWatch
+	// stopping is closed when the server no longer accepts.
+	stopping chan struct{}
 	stopOnce sync.Once
 }
 
 // New makes a server; Start makes it listen.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg.withDefaults(), ends: newEnds()}
+	s := &Server{cfg: cfg.withDefaults(), ends: newEnds(), stopping: make(chan struct{})}
 	conf := nbhttp.Config{
 		Name:               s.cfg.Name,
 		Network:            "tcp",
@@ -142,6 +144,7 @@
 	s.engine.Engine.OnRead(s.read)
 	s.engine.Engine.OnWrittenSize(onWritten)
 	s.engine.OnClose(s.onClose)
+	s.engine.OnAcceptError(s.onAcceptError)
 	return s
 }
 
@@ -267,7 +270,12 @@
 	return nil
 }
 
-func (s *Server) stop() { s.stopOnce.Do(s.engine.Stop) }
+func (s *Server) stop() {
+	s.stopOnce.Do(func() {
+		close(s.stopping)
+		s.engine.Stop()
+	})
+}
 
 func (s *Server) awaitQuiet(ctx context.Context) error {
 	t := time.NewTicker(drainPoll)
