A server that is stopped at once ends

Cause: nbio tells a reading goroutine to end by a mark that the goroutine takes off when it begins. Stopped before its first turn, it spins and Stop waits for ever. Now Start waits until each reading goroutine has handled an event of a probe, a second at most.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -177,6 +177,9 @@
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
 	}
+	if err := s.awaitReaders(); err != nil {
+		log.Warn().Str("event", "readers-late").Str("server", s.cfg.Name).Err(err).Send()
+	}
 	if s.cfg.TLS != nil {
 		s.address = s.engine.AddrsTLS[0]
 	} else {
