--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -19,6 +19,7 @@
 package callerapi
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -103,7 +104,9 @@
 // New makes the API.
 func New(d Deps) *API {
 	a := &API{deps: d, claims: &claim.Filter{Claims: d.Claims, Records: d.Records}}
-	gone := &callergone.Filter{Closed: d.CallerClosed}
+	gone := &callergone.Filter{
+		Closed: d.CallerClosed, ID: func(ctx context.Context) string { return filter.CallFrom(ctx).ID },
+	}
 	who := &identify.Filter{Settings: d.Settings}
 	a.chain = filter.Chain(d.Dispatch,
 		gone,
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -35,7 +35,7 @@
 	r := g.d.cfg.Routed
 	if r.Requests != "" {
 		handler := relay.NewHandler(g.protocol, g,
-			&callergone.Filter{}, &match.Filter{Tables: g.routes}, identify.Filter{}, deadline.Filter{},
+			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, identify.Filter{}, deadline.Filter{},
 			bandwidth.New(g.d.cfg.Limits.LinkMbps), &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
 				Dialect: g.protocol, Client: g.client, Balancer: g.assigner, Retries: g.balancer, Abort: httpserver.Abort,
@@ -79,6 +79,9 @@
 	return nil
 }
 
+// requestID is the id under which Finished logs the request.
+func requestID(ctx context.Context) string { return relay.From(ctx).ID }
+
 func (g *gateway) server(name, address string, h http.Handler) *httpserver.Server {
 	limits := g.d.cfg.Limits
 	return httpserver.New(httpserver.Config{
--- a/internal/filter/callergone/callergone.go
+++ b/internal/filter/callergone/callergone.go
@@ -22,6 +22,8 @@
 	Interval time.Duration
 	// Closed tells whether the caller's connection is closed; nil: httpserver.ConnClosed.
 	Closed func(w http.ResponseWriter) bool
+	// ID is the id of a call in the log, by which its connection's line is found; nil: none.
+	ID func(ctx context.Context) string
 
 	mu      sync.Mutex
 	watched map[*watch]struct{}
@@ -35,6 +37,9 @@
 
 // ServeHTTP implements filter.Filter.
 func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
+	if f.ID != nil {
+		httpserver.NameRequest(w, f.ID(r.Context()))
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	entry := &watch{w: w, cancel: cancel}
--- a/internal/httpserver/closing.go
+++ b/internal/httpserver/closing.go
@@ -117,10 +117,22 @@
 	if cause.ByCaller() {
 		level = zerolog.InfoLevel
 	}
-	event := log.WithLevel(level).Str("event", "connection-closed").Str("server", c.server.cfg.Name).Str("cause", string(cause)).
+	event := log.WithLevel(level).Str("event", "connection-closed").Str("server", c.server.cfg.Name).Str("cause", string(cause))
+	if id := c.request.Load(); id != nil {
+		event = event.Str("request", *id)
+	}
+	event.
 		Int64("open", c.busy.Load()).Int64("sent", c.taken.Load()-c.takenBefore.Load()).Int64("unsent", max(c.unsent.Load(), 0)).
-		Int64("requests", c.requests.Load()).Dur("age", time.Since(c.opened)).Stringer("remote", c.RemoteAddr())
-	event.AnErr("error", err).Send()
+		Int64("requests", c.requests.Load()).Dur("age", time.Since(c.opened)).Stringer("remote", c.RemoteAddr()).
+		AnErr("error", err).Send()
+}
+
+// NameRequest gives the request that w answers the id under which its own line stands in the
+// log: the line of a connection that ends under it then has it, too.
+func NameRequest(w http.ResponseWriter, id string) {
+	if c := connOf(w); c != nil {
+		c.request.Store(&id)
+	}
 }
 
 // ends counts the ends of a server's connections by cause.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -31,6 +31,8 @@
 	unsent atomic.Int64
 	// busy is the number of requests read and not yet answered in full.
 	busy atomic.Int64
+	// request is the id of the one whose handler runs, if that has named it.
+	request atomic.Pointer[string]
 	// requests counts those that came on the connection.
 	requests atomic.Int64
 	// taken is the number of bytes that the kernel took, takenBefore what it was when the
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -40,6 +40,7 @@
 // answered runs once an answer is written.
 func (p *processor) answered() {
 	p.conn.seenClosed()
+	p.conn.request.Store(nil)
 	p.conn.touch()
 	p.conn.busy.Add(-1)
 }
