--- a/internal/httpserver/closing.go
+++ b/internal/httpserver/closing.go
@@ -119,23 +119,38 @@
 	if cause.ByCaller() {
 		level = zerolog.InfoLevel
 	}
-	event := log.WithLevel(level).Str("event", "connection-closed").Str("server", c.server.cfg.Name).Str("cause", string(cause)).
+	event := log.WithLevel(level).Str("event", "connection-closed").Str("server", c.server.cfg.Name).Str("cause", string(cause))
+	if id := c.request.Load(); id != nil {
+		event = event.Str("request", *id)
+	}
+	event.
 		Int64("open", c.busy.Load()).Int64("sent", c.taken.Load()-c.takenBefore.Load()).Int64("unsent", max(c.unsent.Load(), 0)).
-		Int64("requests", c.requests.Load()).Dur("age", time.Since(c.opened)).Stringer("remote", c.RemoteAddr())
-	event.AnErr("error", err).Send()
+		Int64("requests", c.requests.Load()).Dur("age", time.Since(c.opened)).Stringer("remote", c.RemoteAddr()).
+		AnErr("error", err).Send()
+}
+
+// NameRequest gives the request that w answers the id under which its own line stands in the
+// log: the line of a connection that ends under it then has it, too.
+func NameRequest(w http.ResponseWriter, id string) {
+	if c := connOf(w); c != nil {
+		c.request.Store(&id)
+	}
 }
 
 // ends counts the ends of a server's connections by cause.
 type ends struct {
 	// all connections, and those among them on which a request was open.
 	all, busy expvar.Map
-	vars      expvar.Map
+	// refused counts connections that could not be accepted.
+	refused expvar.Int
+	vars    expvar.Map
 }
 
 func newEnds() *ends {
 	e := &ends{}
 	e.vars.Set("closed", &e.all)
 	e.vars.Set("closed_with_request", &e.busy)
+	e.vars.Set("not_accepted", &e.refused)
 	return e
 }
 
@@ -147,7 +162,8 @@
 }
 
 // Vars are the server's counters: the ends of its connections by Cause, of all under
-// "closed" and of those with a request open under "closed_with_request".
+// "closed" and of those with a request open under "closed_with_request"; and under
+// "not_accepted" the connections that could not be accepted.
 func (s *Server) Vars() expvar.Var { return &s.ends.vars }
 
 // CloseCause says why the caller's connection is closed; false while it is open, and for a
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -123,10 +124,12 @@
 	bodies   atomic.Int64
 	draining atomic.Bool
 	// closing: answers tell callers to close their connections.
-	closing  atomic.Bool
-	conns    connSet
-	ends     *ends
-	idle     idleWatch
+	closing atomic.Bool
+	conns   connSet
+	ends    *ends
+	idle    idleWatch
+	// stopping is closed when the server no longer accepts.
+	stopping chan struct{}
 	stopOnce sync.Once
 	// barrier is set when started is closed.
 	barrier *pollBarrier
@@ -136,7 +139,9 @@
 
 // New makes a server; Start makes it listen.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg.withDefaults(), ends: newEnds(), started: make(chan struct{})}
+	s := &Server{
+		cfg: cfg.withDefaults(), ends: newEnds(), started: make(chan struct{}), stopping: make(chan struct{}),
+	}
 	conf := nbhttp.Config{
 		Name:               s.cfg.Name,
 		Network:            "tcp",
@@ -164,6 +169,7 @@
 	s.engine.Engine.OnRead(s.read)
 	s.engine.Engine.OnWrittenSize(onWritten)
 	s.engine.OnClose(s.onClose)
+	s.engine.OnAcceptError(s.onAcceptError)
 	return s
 }
 
@@ -198,6 +204,12 @@
 // that back. It uses up a processor, whoever waits for it waits for ever, and the process
 // neither serves nor ends.
 func (s *Server) Start() error {
+	// nbhttp stops its engine if it can't listen, and then waits for loops that have not begun.
+	listener, err := s.engine.Listen("tcp", s.cfg.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
+	}
+	s.engine.Listen = func(string, string) (net.Listener, error) { return listener, nil }
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
 	}
@@ -309,12 +321,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		s.stopOnce.Do(func() {
-			if s.barrier != nil {
-				s.barrier.stop()
-			}
-			s.engine.Stop()
-		})
+		s.stopOnce.Do(s.stopEngine)
 	}()
 	select {
 	case <-stopped:
@@ -323,6 +330,14 @@
 	}
 }
 
+func (s *Server) stopEngine() {
+	close(s.stopping)
+	if s.barrier != nil {
+		s.barrier.stop()
+	}
+	s.engine.Stop()
+}
+
 func (s *Server) awaitQuiet(ctx context.Context) error {
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -452,6 +452,7 @@
 	go func() {
 		defer close(ended)
 		_ = s.Drain(t.Context())
+		s.stopOnce.Do(func() {}) // Drain waits for a limited time only, this until all has ended
 	}()
 	select {
 	case <-ended:
