--- a/internal/instance/incarnation_test.go
+++ b/internal/instance/incarnation_test.go
@@ -162,6 +162,21 @@
 	}
 }
 
+// Symptom: a server of a service that is new gets nothing, or a request of another service.
+// Sequence: it announces itself before the table that names its service comes.
+// Cause: an unknown service taken for a fault, or for any that fits.
+func TestServiceThatNobodyAsksForIsHeld(t *testing.T) {
+	r := New(Config{})
+	r.Announce(start, run(100, 1))
+	b := ready("b", 1)
+	b.Service, b.Address = "lookup", "10.0.0.2:80"
+	r.Announce(start, b)
+	want(t, r, "a")
+	if held := r.Serving("lookup"); len(held) != 1 || held[0].ID != "b" {
+		t.Errorf("once the service is asked for, %v", held)
+	}
+}
+
 // Symptom: hosts tell each other for ever of servers that ended long ago.
 // Sequence: one host forgets an end; a peer that heard of it later tells it again.
 // Cause: what a peer tells of an end counted as heard now.
