--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -108,7 +108,6 @@
 	// closing: answers tell callers to close their connections.
 	closing  atomic.Bool
 	conns    connSet
-	pollers  atomic.Pointer[pollers]
 	stopOnce sync.Once
 }
 
@@ -121,7 +120,6 @@
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
 		KeepaliveTime:      s.cfg.IdleTimeout,
-		NPoller:            numPollers(),
 		ReadLimit:          int(s.cfg.MaxBodyBytes + s.cfg.MaxHeaderBytes),
 		MaxWriteBufferSize: s.cfg.MaxQueuedBytes,
 		SupportServerOnly:  true,
@@ -169,12 +167,6 @@
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
 	}
-	p, err := newPollers(s.engine, numPollers())
-	if err != nil {
-		s.stop()
-		return err
-	}
-	s.pollers.Store(p)
 	if s.cfg.TLS != nil {
 		s.address = s.engine.AddrsTLS[0]
 	} else {
@@ -266,14 +258,7 @@
 	return nil
 }
 
-func (s *Server) stop() {
-	s.stopOnce.Do(func() {
-		if p := s.pollers.Load(); p != nil {
-			p.stop()
-		}
-		s.engine.Stop()
-	})
-}
+func (s *Server) stop() { s.stopOnce.Do(s.engine.Stop) }
 
 func (s *Server) awaitQuiet(ctx context.Context) error {
 	t := time.NewTicker(drainPoll)
@@ -295,9 +280,6 @@
 	if !ok {
 		return
 	}
-	if pollers := s.pollers.Load(); pollers != nil {
-		pollers.passBatches()
-	}
 	hc, ok := p.Conn.(*nbhttp.Conn)
 	if !ok {
 		return
