--- a/internal/httpserver/bodies_test.go
+++ b/internal/httpserver/bodies_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/testutil"
@@ -64,9 +63,9 @@
 	if got := answer(t, holder); got != fmt.Sprint(large) {
 		t.Errorf("the first request got %s", got)
 	}
-	eventually(t, "the first body is given back", func() bool { return s.bodies.Load() == 0 })
+	await(t, "the first body is given back", func() bool { return s.bodies.Load() == 0 })
 	wantAnswer(t, dial(t, s), large)
-	eventually(t, "the next body is given back", func() bool { return s.bodies.Load() == 0 })
+	await(t, "the next body is given back", func() bool { return s.bodies.Load() == 0 })
 	wantAnswer(t, holder, large)
 }
 
@@ -85,11 +84,11 @@
 	half := dial(t, s)
 	_, err := fmt.Fprintf(half, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
 	testutil.NoError(t, err)
-	eventually(t, "both are held", func() bool { return s.bodies.Load() > 2*size })
+	await(t, "both are held", func() bool { return s.bodies.Load() > 2*size })
 	_, _ = half.Close(), atHandler.Close()
-	eventually(t, "half a body is given back", func() bool { return s.bodies.Load() < 2*size })
+	await(t, "half a body is given back", func() bool { return s.bodies.Load() < 2*size })
 	close(release)
-	eventually(t, "the other is, once its handler has returned", func() bool { return s.bodies.Load() == 0 })
+	await(t, "the other is, once its handler has returned", func() bool { return s.bodies.Load() == 0 })
 }
 
 // Symptom: of forty large requests that come together none is served, and all are refused.
@@ -107,7 +106,7 @@
 		_, err := fmt.Fprintf(conns[n], "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
 		testutil.NoError(t, err)
 		wanted := int64(min(n+1, fit)) * size
-		eventually(t, "the head has arrived", func() bool { return s.bodies.Load() >= wanted })
+		await(t, "the head has arrived", func() bool { return s.bodies.Load() >= wanted })
 	}
 	for n, c := range conns[fit:] {
 		if status, _ := readKind(t, bufio.NewReader(c)); status != http.StatusTooManyRequests {
@@ -123,15 +122,6 @@
 	}
 }
 
-func eventually(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not so in %v: %s", patience, what)
-		}
-	}
-}
-
 func wantAnswer(t *testing.T, c net.Conn, size int) {
 	t.Helper()
 	post(t, c, "/", size)
