--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -135,6 +135,8 @@
 	barrier *pollBarrier
 	started chan struct{}
 	writes  libraryWrites
+	// cancelRequests ends the contexts of all requests.
+	cancelRequests context.CancelCauseFunc
 }
 
 // New makes a server; Start makes it listen.
@@ -142,7 +144,11 @@
 	s := &Server{
 		cfg: cfg.withDefaults(), ends: newEnds(), started: make(chan struct{}), stopping: make(chan struct{}),
 	}
+	requests, cancel := context.WithCancelCause(context.Background())
+	s.cancelRequests = cancel
 	conf := nbhttp.Config{
+		Context:            requests,
+		Cancel:             func() { cancel(nil) },
 		Name:               s.cfg.Name,
 		Network:            "tcp",
 		Handler:            http.HandlerFunc(s.serve),
@@ -299,18 +305,36 @@
 
 // Drain stops taking work and waits until every handler has returned and every
 // answer is handed to the kernel, then closes. Requests that arrive meanwhile are
-// refused with HostLeaving. When ctx ends first, what is left is cut and ctx's
-// error returned.
+// refused with HostLeaving. When ctx ends first, the contexts of the requests that are left
+// end, and ctx's error is returned; what has no answer within lastAnswers is cut.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	err := s.awaitQuiet(ctx)
-	if err != nil {
-		// Stop waits for handlers; those left see their connections closed and end.
-		go s.stop()
-		return err
+	if err == nil {
+		s.stop()
+		return nil
+	}
+	s.endRequests()
+	// Stop waits for handlers; those left see their connections closed and end.
+	go s.stop()
+	return err
+}
+
+// lastAnswers is how long handlers have to answer once their requests' contexts have ended. An
+// answer takes a millisecond; a host short of processor time pauses for up to 80 ms.
+const lastAnswers = 200 * time.Millisecond
+
+// endRequests ends the contexts of all requests and waits for their answers.
+//
+// What goes wrong if the connections are closed at once: callers whose requests wait for a
+// silent server get a closed connection in place of an answer that says what is known of the run.
+func (s *Server) endRequests() {
+	s.cancelRequests(errkind.New(errkind.HostLeaving, "this host shuts down before the answer came"))
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := s.awaitQuiet(ctx); err != nil {
+		log.Warn().Str("event", "requests-cut").Str("server", s.cfg.Name).Int("requests", s.InFlight()).Send()
 	}
-	s.stop()
-	return nil
 }
 
 // stopLimit bounds the wait for the end of nbio's loops. Nothing is served any more by then.
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -460,3 +460,27 @@
 		t.Fatal("the server does not stop")
 	}
 }
+
+func TestRequestsLeftAtTheEndOfADrainAreAnswered(t *testing.T) {
+	// Symptom: a caller of a host that leaves gets a closed connection and no answer.
+	// Sequence: its request waits for a backend server that is silent; the time of the drain
+	// ends.
+	// Cause: the connections were closed though the handlers could have answered.
+	begun := make(chan struct{})
+	s := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		WriteError(w, "", context.Cause(r.Context()))
+	})})
+	c := dial(t, s)
+	_, _ = io.WriteString(c, plainRequest)
+	<-begun
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if s.Drain(ctx) == nil {
+		t.Error("the drain was not whole")
+	}
+	if status, e := readKind(t, bufio.NewReader(c)); status != http.StatusServiceUnavailable || e.Kind != errkind.HostLeaving {
+		t.Errorf("got %d %+v", status, e)
+	}
+}
