--- a/internal/engineclient/forward.go
+++ b/internal/engineclient/forward.go
@@ -26,17 +26,13 @@
 	Early bool
 }
 
-// maxUnsent is how many kept connections a request may find closed before a byte of it
-// was written, until its server counts as unreachable. A server that closes its idle
-// connections closes them one by one, and at most as many as are kept.
-const maxUnsent = 8
-
 // Forward sends a request once and returns the answer with an open body. The error is
 // an *Error; its Ran is "no" only if no byte of the request was written to a connection.
 //
 // A kept connection that ends before a byte was written is left for another one: the
 // server closed it for idleness, which says nothing about the server and reached it in
-// no way. net/http does so only with requests that have no body.
+// no way. net/http does so only with requests that have no body. As many as are kept may have
+// ended so; after them the connection is a new one.
 func (c *Client) Forward(ctx context.Context, f *Forward) (*http.Response, error) {
 	for unsent := 0; ; unsent++ {
 		res, d, err := c.forward(ctx, f)
@@ -44,7 +40,7 @@
 			f.Early = !d.encoded.Load()
 			return res, nil
 		}
-		if !d.kept || !d.unsent() || ctx.Err() != nil || unsent == maxUnsent {
+		if !d.kept || !d.unsent() || ctx.Err() != nil || unsent > c.cfg.IdlePerServer {
 			return nil, err
 		}
 	}
--- a/internal/httpserver/barrier.go
+++ b/internal/httpserver/barrier.go
@@ -48,6 +48,7 @@
 	wake net.Conn
 	// stopped is closed when the poller may have ended.
 	stopped chan struct{}
+	once    sync.Once
 	writes  *libraryWrites
 	// seen is how many writes had failed when somebody passed last.
 	seen atomic.Int64
@@ -144,9 +145,13 @@
 		b.polled()
 		return
 	}
-	if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
-		_ = c.CloseWithError(err)
+	if err == nil || errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
+		return
 	}
+	// Nobody may wait for a poller that can't be asked any more.
+	log.Error().Str("event", "poll-barrier-failed").Err(err).Send()
+	b.stop()
+	_ = c.CloseWithError(err)
 }
 
 // polled begins a further round. Those that arrived may have done so in the middle of this
@@ -167,13 +172,24 @@
 // kick has the poller fetch a further batch; b.mu is held. At most two bytes are unread, so
 // the write does not block.
 func (b *pollBarrier) kick() {
-	if _, err := b.wake.Write([]byte{0}); err != nil {
+	if _, err := b.wake.Write([]byte{0}); err != nil && !b.isStopped() {
 		log.Error().Str("event", "poll-barrier-failed").Err(err).Send()
 	}
 }
 
 // stop lets everybody pass.
 func (b *pollBarrier) stop() {
-	close(b.stopped)
-	_ = b.wake.Close()
+	b.once.Do(func() {
+		close(b.stopped)
+		_ = b.wake.Close()
+	})
+}
+
+func (b *pollBarrier) isStopped() bool {
+	select {
+	case <-b.stopped:
+		return true
+	default:
+		return false
+	}
 }
--- a/internal/httpserver/closing.go
+++ b/internal/httpserver/closing.go
@@ -15,10 +15,15 @@
 // Cause says why a connection ended.
 type Cause string
 
-// The causes. The first two are the caller's doing, the others the server's own.
+// The causes. The caller's own doing are CauseCaller and CauseReset; for CauseSlowSender,
+// CauseUnreadable and CauseStalled the server closes for what the caller does.
 const (
 	// CauseCaller: the caller closed the connection.
 	CauseCaller Cause = "caller"
+	// CauseUnexplained: the poller was told that the caller's side has ended, and had not read
+	// that end. An event of another connection does that, see pollBarrier; so does a caller who
+	// closed behind more bytes than were read in one turn.
+	CauseUnexplained Cause = "unexplained"
 	// CauseReset: the caller's side reset the connection or did not acknowledge any more.
 	CauseReset Cause = "reset"
 	// CauseIdle: no request began within the idle timeout.
@@ -59,24 +64,28 @@
 	return string(e.cause)
 }
 
-// causeOf reads the cause from the error with which nbio closed a connection.
-func (s *Server) causeOf(err error) Cause {
+// causeOf reads the cause from the error with which nbio closed a connection. ended: the end of
+// the caller's side was read.
+func (s *Server) causeOf(err error, ended bool) Cause {
 	var own *closeError
 	switch {
 	case errors.As(err, &own):
 		return own.cause
 	case err == nil && s.draining.Load():
 		return CauseStopped
-	case errors.Is(err, io.EOF):
+	case errors.Is(err, io.EOF) && ended:
 		return CauseCaller
+	case errors.Is(err, io.EOF):
+		return CauseUnexplained
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
 		return CauseReset
 	}
 	return CauseLibrary
 }
 
-// closeFor has the reading goroutine close the connection, for a reason of the server's own: it
-// sees the end that is made of both directions here. See trackedConn for why it isn't closed here.
+// closeFor gives the connection up for a reason of the server's own: it shuts the socket down in
+// both directions, which the poller sees as an event of this connection, and closes it. See
+// trackedConn for why it isn't closed here.
 func (c *trackedConn) closeFor(cause Cause, err error) {
 	own := &closeError{cause, err}
 	c.Lock() // as long as it is held, nbio doesn't close the socket
@@ -106,7 +115,7 @@
 // nothing tells whether it left by itself, or which of the server's own reasons closed it.
 func (c *trackedConn) reportEnd(err error) {
 	c.ended.Do(func() {
-		cause, open := c.server.causeOf(err), !c.quiet()
+		cause, open := c.server.causeOf(err, c.endRead.Load()), !c.quiet()
 		c.server.ends.add(cause, open)
 		if open {
 			c.logEnd(cause, err)
@@ -184,5 +193,5 @@
 	if err == nil && !c.server.draining.Load() {
 		return CauseCaller, true // nbio notes the error just after it marks the connection
 	}
-	return c.server.causeOf(err), true
+	return c.server.causeOf(err, c.endRead.Load()), true
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -15,7 +15,7 @@
 )
 
 // trackedConn is a caller's connection. It writes by itself what the kernel takes at once,
-// counts what has to wait, and leaves the closing to the reading goroutine.
+// counts what has to wait, and leaves the closing to the poller.
 //
 // What goes wrong if a handler's goroutine closes: nbio fetches events in batches and finds the
 // connection of an event by the number of its socket. A batch that is under way may hold the end
@@ -45,6 +45,8 @@
 	// own is why the server closes the connection; nil as long as it does not. From then on
 	// no request is begun and nothing is written.
 	own atomic.Pointer[closeError]
+	// endRead: the poller has read the end of the caller's side.
+	endRead atomic.Bool
 	// ended: the end was counted.
 	ended sync.Once
 	// came is what has come of the request that is being read, in bytes, and held what is
@@ -55,8 +57,8 @@
 // SetReadDeadline does nothing: see libraryKeepalive.
 func (c *trackedConn) SetReadDeadline(time.Time) error { return nil }
 
-// Write takes all of b, or none if the connection is closed or its queue full. Calls for one
-// connection come one after the other.
+// Write gives the kernel what it takes and has nbio keep the rest. It fails if the connection
+// is closed or its queue full. Calls for one connection come one after the other.
 func (c *trackedConn) Write(b []byte) (int, error) {
 	if c.unsent.Load()+int64(len(b)) > int64(c.server.cfg.MaxQueuedBytes) {
 		c.closeFor(CauseOverflow, nbio.ErrOverflow)
@@ -111,7 +113,7 @@
 // epoll, which neither the memory model nor the race detector knows of.
 var handovers atomic.Int64
 
-// isClosed tells whether the connection is closed, or will be as soon as the reading goroutine
+// isClosed tells whether the connection is closed, or will be as soon as the poller
 // comes to it.
 func (c *trackedConn) isClosed() bool {
 	if c.own.Load() != nil {
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
-	"github.com/rs/zerolog/log"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver/framing"
@@ -18,7 +17,7 @@
 
 // guard stands between a connection and nbhttp's parser: it hands over what package
 // framing finds sound, answers what it doesn't, and bounds the time that a sender takes.
-// It runs on the connection's reading goroutine, except where noted.
+// It runs on the connection's poller, except where noted.
 type guard struct {
 	server *Server
 	conn   *trackedConn
@@ -160,7 +159,7 @@
 	}
 	n := g.timing
 	g.slow = time.AfterFunc(time.Until(g.started.Add(limit)), func() {
-		defer panics.Log(log.Logger, "timing a sender")
+		defer panics.Log(g.server.log, "timing a sender")
 		g.refuseSlow(n, limit)
 	})
 }
--- a/internal/httpserver/idle.go
+++ b/internal/httpserver/idle.go
@@ -8,6 +8,7 @@
 	"github.com/lesismal/nbio"
 
 	"github.com/bluebellsail/bluebellsail/internal/httpserver/framing"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 )
 
 // Times of the watch for idle connections.
@@ -19,14 +20,15 @@
 	minSweep = 5 * time.Millisecond
 	// maxSweep is how late a timeout that settings lowered takes effect at most.
 	maxSweep = time.Second
-	// libraryKeepalive is the deadline that nbhttp sets to a connection at accept and after each
-	// answer: none, in effect.
+	// libraryKeepalive is the deadline that nbhttp sets to a connection at accept; the idle watch
+	// takes it off at its next look, within maxSweep.
 	//
-	// What goes wrong with a real one: nbio closes from a timer, whatever has happened since it
+	// What goes wrong with one in force: nbio closes from a timer, whatever has happened since it
 	// was set. A request that arrives as it runs out is passed on, and its caller gets a closed
 	// connection in place of an answer. Which connection is idle is decided by guard.closeIfIdle,
-	// where its bytes are taken in.
-	libraryKeepalive = 100 * 365 * 24 * time.Hour
+	// where its bytes are taken in. With one of years: nbio does not stop the timer when a write
+	// fails, and the ended connection, 1.2 KB and more, stays in memory for as long.
+	libraryKeepalive = time.Minute
 )
 
 // idleWatch closes idle connections. One timer serves them all and runs while there are any:
@@ -64,20 +66,27 @@
 
 // look closes what is idle, and sets the timer again unless no connection is left.
 func (w *idleWatch) look() {
+	defer panics.Log(w.server.log, "watching for idle connections")
+	interval := maxSweep
+	defer func() { w.again(interval) }()
 	limit := w.server.limits().IdleTimeout
 	w.conns = w.server.conns.appendTo(w.conns[:0])
+	defer clear(w.conns)
 	for _, c := range w.conns {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // see libraryKeepalive
 		if g := guardOf(c.Conn); g != nil {
 			g.closeIfIdle(limit)
 		}
 	}
-	left := len(w.conns) > 0
-	clear(w.conns)
-	interval := w.interval()
+	interval = w.interval()
+}
+
+// again sets the timer unless no connection is left. A connection that was added meanwhile has
+// found the watch running.
+func (w *idleWatch) again(interval time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	// A connection that was added meanwhile has found the watch running.
-	w.running = left || !w.server.conns.empty()
+	w.running = !w.server.conns.empty()
 	if w.running {
 		w.timer.Reset(interval)
 	}
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -7,7 +7,7 @@
 )
 
 // processor watches a connection's requests as they are parsed. It runs on the
-// connection's reading goroutine.
+// connection's poller.
 type processor struct {
 	nbhttp.Processor
 	conn *trackedConn
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -18,6 +18,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/log"
 
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
@@ -137,12 +138,13 @@
 	writes  libraryWrites
 	// cancelRequests ends the contexts of all requests.
 	cancelRequests context.CancelCauseFunc
+	log            zerolog.Logger
 }
 
 // New makes a server; Start makes it listen.
 func New(cfg Config) *Server {
 	s := &Server{
-		cfg: cfg.withDefaults(), ends: newEnds(), started: make(chan struct{}), stopping: make(chan struct{}),
+		cfg: cfg.withDefaults(), log: log.Logger, ends: newEnds(), started: make(chan struct{}), stopping: make(chan struct{}),
 	}
 	requests, cancel := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancel
@@ -221,6 +223,8 @@
 	}
 	barrier, err := newPollBarrier(s.engine.Engine, &s.writes)
 	if err != nil {
+		close(s.stopping) // whoever was accepted meanwhile waits for started
+		_ = listener.Close()
 		return err
 	}
 	barrier.wait()
@@ -354,12 +358,30 @@
 	}
 }
 
+// stopEngine ends nbio. A connection that was accepted but not yet registered when nbio closed
+// all that it knew is closed here: nbio waits for its end, and its caller for an answer.
 func (s *Server) stopEngine() {
 	close(s.stopping)
 	if s.barrier != nil {
 		s.barrier.stop()
 	}
-	s.engine.Stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.engine.Stop()
+	}()
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-t.C:
+		}
+		for _, c := range s.conns.appendTo(nil) {
+			_ = c.Conn.Close()
+		}
+	}
 }
 
 func (s *Server) awaitQuiet(ctx context.Context) error {
@@ -387,8 +409,10 @@
 	if !ok {
 		return
 	}
-	<-s.started
-	s.barrier.await()
+	if !s.admit() {
+		_ = c.Close() // nbio may not know it any more when it closes all others
+		return
+	}
 	tracked := &trackedConn{Conn: c, server: s, opened: time.Now()}
 	switch below := hc.Conn.(type) {
 	case *nbio.Conn:
@@ -403,6 +427,21 @@
 	s.idle.start()
 }
 
+// admit waits until an accepted connection may be registered; false: the server stops.
+func (s *Server) admit() bool {
+	select {
+	case <-s.started:
+		s.barrier.await()
+	case <-s.stopping:
+	}
+	select {
+	case <-s.stopping:
+		return false
+	default:
+		return true
+	}
+}
+
 // read takes in what has arrived on a connection. It runs on the connection's reading
 // goroutine.
 //
@@ -429,6 +468,9 @@
 			c.DataHandler()(c, buffer[:n])
 		}
 		switch {
+		case n == 0 && err == nil:
+			g.conn.endRead.Store(true) // the event tells it, too, and nbio closes then
+			return
 		case errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN):
 			return
