--- /dev/null
+++ b/internal/engineclient/manykept_test.go
@@ -0,0 +1,88 @@
+package engineclient
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
+)
+
+// Symptom: a sound server counts as unreachable, and its next request is refused.
+// Sequence: it has closed all its idle connections; this host, short of processor, has noticed
+// none of that when the next request comes.
+// Cause: after eight that had ended the request was given up, though none was tried anew.
+func TestServerThatClosedAllKeptConnectionsIsReached(t *testing.T) {
+	const kept = 40
+	l := testutil.Listen(t)
+	t.Cleanup(func() { _ = l.Close() })
+	var mu sync.Mutex
+	var conns []net.Conn
+	arrived, hold := make(chan struct{}, kept), make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			go answerAll(c, arrived, hold)
+		}
+	}()
+	client := New(Config{})
+	t.Cleanup(client.Close)
+	ask := func(path string) error {
+		res, err := client.Forward(t.Context(), &Forward{
+			Address: l.Addr().String(), Method: http.MethodPost, Target: path, Host: "h", Header: http.Header{}, Body: []byte("b"),
+		})
+		if err != nil {
+			return err
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		return res.Body.Close()
+	}
+	var asked sync.WaitGroup
+	for range kept {
+		asked.Go(func() {
+			if err := ask("/held"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for range kept {
+		<-arrived // each on a connection of its own
+	}
+	close(hold)
+	asked.Wait()
+	// With one processor nothing of this process runs between the closes and the request.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	mu.Lock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	mu.Unlock()
+	testutil.NoError(t, ask("/next"))
+}
+
+// answerAll answers the requests of a connection, those to /held once hold is closed.
+func answerAll(c net.Conn, arrived chan<- struct{}, hold <-chan struct{}) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/held" {
+			arrived <- struct{}{}
+			<-hold
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
