One buffer for log lines in tests, one way from a ResponseWriter to its response

The change had written a buffer for lines of several goroutines a fourth time; three tests and the new one now use testutil.Lines. connOf and Abort unwrapped a ResponseWriter by the same loop; both call responseOf. Two comments still said reading goroutine for the poller. Nothing else changes; the tests keep their assertions.

--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -416,12 +416,12 @@
 	inCluster(t, func(cfg *Config) { cfg.Logger = zerolog.New(&lines) }, func(t *testing.T, c *cluster) {
 		l := c.leader()
 		c.mustSet(1, 0)
-		if lines.Contain(`"event":"disk-slow"`) {
+		if strings.Contains(lines.String(), `"event":"disk-slow"`) {
 			t.Error("a disk that writes at once is called slow")
 		}
 		l.fs.SetOnSync(func(string) error { time.Sleep(2 * slowSync); return nil })
 		c.mustSet(1, 1)
-		if !lines.Contain(`"event":"disk-slow"`) {
+		if !strings.Contains(lines.String(), `"event":"disk-slow"`) {
 			t.Error("nothing tells of the slow disk")
 		}
 	})
--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,23 +18,11 @@
 )
 
 // lines collects what is logged while a test runs.
-type lines struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *lines) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(b)
-}
+type lines struct{ testutil.Lines }
 
 func (l *lines) closed() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	var out []string
-	for line := range strings.Lines(l.b.String()) {
+	for line := range strings.Lines(l.String()) {
 		if strings.Contains(line, `"event":"connection-closed"`) {
 			out = append(out, line)
 		}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -20,8 +20,8 @@
 // What goes wrong if a handler's goroutine closes: nbio fetches events in batches and finds the
 // connection of an event by the number of its socket. A batch that is under way may hold the end
 // of the connection that is closed here; its number goes to the next one accepted, whose request
-// is then read, handed on, and its connection closed as if the caller had left. Only the reading
-// goroutine, while it is at the event of a connection, knows that the batch has no other of it.
+// is then read, handed on, and its connection closed as if the caller had left. Only the poller,
+// while it is at the event of a connection, knows that the batch has no other of it.
 type trackedConn struct {
 	*nbio.Conn
 	server *Server
@@ -108,8 +108,8 @@
 	return nil
 }
 
-// handovers counts connections handed from the accepting goroutine to the reading
-// one, which loads it before it touches a connection. nbio orders the two through
+// handovers counts connections handed from the accepting goroutine to the
+// poller, which loads it before it touches a connection. nbio orders the two through
 // epoll, which neither the memory model nor the race detector knows of.
 var handovers atomic.Int64
 
@@ -208,10 +208,18 @@
 // It asks the response of this package and not nbhttp's, which goes back to a pool when the
 // handler returns: whoever holds w for longer would find another caller's connection there.
 func connOf(w http.ResponseWriter) *trackedConn {
+	if res := responseOf(w); res != nil {
+		return res.conn
+	}
+	return nil
+}
+
+// responseOf finds the response of this package below w; nil if there is none.
+func responseOf(w http.ResponseWriter) *response {
 	for {
 		switch v := w.(type) {
 		case *response:
-			return v.conn
+			return v
 		case interface{ Unwrap() http.ResponseWriter }:
 			w = v.Unwrap()
 		default:
@@ -252,15 +260,7 @@
 // its proper end, which is the only way to tell it that the rest won't come. It does
 // nothing once the handler has returned, when another request may be open there.
 func Abort(w http.ResponseWriter) {
-	for {
-		switch v := w.(type) {
-		case *response:
-			v.abort()
-			return
-		case interface{ Unwrap() http.ResponseWriter }:
-			w = v.Unwrap()
-		default:
-			return
-		}
+	if res := responseOf(w); res != nil {
+		res.abort()
 	}
 }
--- a/internal/peerconn/recover_test.go
+++ b/internal/peerconn/recover_test.go
@@ -1,10 +1,8 @@
 package peerconn
 
 import (
-	"bytes"
 	"context"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -36,29 +34,11 @@
 	panic("over a watch")
 }
 
-// lines are log lines written by several goroutines.
-type lines struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *lines) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(b)
-}
-
-func (l *lines) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.String()
-}
-
 // Symptom: all requests of a host end at one moment without an answer.
 // Sequence: a peer sends a message that a handler does not expect.
 // Cause: gRPC lets the panic of a handler end the process.
 func TestPanicOfAHandlerIsTheCallsError(t *testing.T) {
-	var out lines
+	var out testutil.Lines
 	listener := testutil.Listen(t)
 	server := grpc.NewServer(append(ServerOptions(nil, nil), RecoverOptions(zerolog.New(&out))...)...)
 	pb.RegisterPeerServer(server, faultyPeer{})
--- a/internal/procconfig/routed_test.go
+++ b/internal/procconfig/routed_test.go
@@ -1,12 +1,10 @@
 package procconfig
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -75,26 +73,14 @@
 	path    string
 	signals chan os.Signal
 	read    chan *Config
-
-	mu  sync.Mutex
-	log bytes.Buffer
-}
-
-// Write implements io.Writer for the log.
-func (f *follower) Write(p []byte) (int, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.log.Write(p)
+	log     testutil.Lines
 }
 
 // await waits for a line of the event.
 func (f *follower) await(t *testing.T, event string) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		f.mu.Lock()
-		logged := strings.Contains(f.log.String(), event)
-		f.mu.Unlock()
-		if logged {
+		if strings.Contains(f.log.String(), event) {
 			return
 		}
 	}
@@ -108,7 +94,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		Follow(ctx, f.path, f.signals, zerolog.New(f), func(c *Config) { f.read <- c })
+		Follow(ctx, f.path, f.signals, zerolog.New(&f.log), func(c *Config) { f.read <- c })
 	}()
 	t.Cleanup(func() { cancel(); <-ended })
 	f.signals <- os.Interrupt // Follow has read the file once by then
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -83,9 +83,9 @@
 	return l.text.Write(b)
 }
 
-// Contain tells whether text was written.
-func (l *Lines) Contain(text string) bool {
+// String is all that was written.
+func (l *Lines) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return strings.Contains(l.text.String(), text)
+	return l.text.String()
 }
