A request that fails before any of its answer reached the caller is not billed

Ruled out: raises not in force (funded rose as sent), tokens doubled on the way (billed equals the sum over the request lines).

--- a/internal/relay/budget/budget.go
+++ b/internal/relay/budget/budget.go
@@ -14,8 +14,9 @@
 
 // ServeHTTP reserves the greatest size of the request: its prompt and its output cap.
 // Without that a request that runs longer than expected could spend what another one
-// was promised. The prompt is billed once it may have been read, however often the
-// request was sent on; the output as far as it was delivered.
+// was promised. The prompt is billed once, however often the request was sent on; the output
+// as far as it was delivered. A request that fails before any of its answer has reached the
+// caller costs its client account nothing, whatever servers did for it.
 func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
 	x := relay.From(r.Context())
 	size := x.PromptTokens + x.OutputCap
@@ -28,11 +29,23 @@
 		return err
 	}
 	x.Reserved = size
-	defer func() { f.Budgets.Spend(x.ID, used(x)) }()
-	return next.ServeHTTP(w, r)
+	// A panic further in bills the whole, for what was delivered is not known then.
+	tokens := size
+	defer func() { f.Budgets.Spend(x.ID, tokens) }()
+	err = next.ServeHTTP(w, r)
+	tokens = used(x, err)
+	return err
 }
 
-func used(x *relay.Exchange) uint64 {
+// used is what a request that ended with err is billed.
+//
+// What goes wrong when a lost answer is billed: a server that resets its connections uses up
+// the budgets of those who get nothing from it, and 402 is answered to accounts that were
+// never served.
+func used(x *relay.Exchange, err error) uint64 {
+	if err != nil && !x.Begun {
+		return 0
+	}
 	tokens := x.Output
 	if x.Input {
 		tokens += x.PromptTokens
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -251,6 +251,32 @@
 	}
 }
 
+// Symptom: an account is answered 402 though callers were given little of what it paid for.
+// Sequence: servers read its prompts and reset the connections; each caller gets a failure.
+// Cause: a prompt that may have been read was billed, whether or not anything came of it.
+func TestFailedRequestsBillWhatReachedTheCaller(t *testing.T) {
+	for name, c := range map[string]struct {
+		begun  bool
+		output uint64
+		want   uint64
+	}{
+		"answer lost before any of it came": {false, 0, 0},
+		"stream broken off":                 {true, 60, 360},
+	} {
+		p := newPurse()
+		x := exchange("/keyed/")
+		x.Key, x.PromptTokens, x.OutputCap = key, 300, 100
+		err := through(x, func(http.ResponseWriter, *http.Request) error {
+			x.Input, x.Begun, x.Output = true, c.begun, c.output
+			return errkind.New(errkind.BackendServerFailed, "reset").WithRan(errkind.RanUnknown)
+		}, &match.Filter{Tables: tables{index: index(t)}}, &identify.Filter{Tables: tables{index: index(t)}}, &budget.Filter{Budgets: p})
+		testutil.Refused(t, err, errkind.BackendServerFailed, name)
+		if p.spent["r1"] != c.want+1 {
+			t.Errorf("%s: spent %d, want %d", name, p.spent["r1"]-1, c.want)
+		}
+	}
+}
+
 func TestBudgetRefusalEndsTheRequest(t *testing.T) {
 	p := newPurse()
 	p.refuse = errkind.New(errkind.BudgetExhausted, "nothing is left")
