A reserve opens at the rate of demand; who stands in for an owner holds nothing ahead

The reserve was counted whole after 8 s without contact; an owner and the next in rank both held an open part; the age of a starting host was that of its first try, so that the time in which the control group had no leader (up to 2.4 s) counted as time that the former run lived on. Now: a reserve opens by tokens a second, 1.1 times the demand, told to the ledger with each acquire; the ledger counts by the highest rate since the contact it counts from, the holder by the lower one while an answer is out. Stand-ins take what requests need. Batches every 150 ms, two at once after a partition. Requests wait up to 2 s for an owner's reserve in place of a refusal. Ruled out: clocks (offsets of all hosts read from the logs are equal), leaders that change. The stateful test sets hosts' clocks, too.

--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -153,7 +153,7 @@
 		budget, resend, err := s.ledger.TopUp(r, body.TopUp)
 		return setBudget(out, budget, resend, err)
 	case *pb.Command_Acquire:
-		acquired, err := s.ledger.Acquire(body.Acquire)
+		acquired, err := s.ledger.Acquire(r, body.Acquire)
 		if err == nil {
 			out.Body = &pb.CommandResult_Acquire{Acquire: acquired}
 		}
--- a/internal/controlclient/calls.go
+++ b/internal/controlclient/calls.go
@@ -29,8 +29,14 @@
 // NoQuorum says by Ran whether the command may still take effect.
 func (c *Client) Propose(ctx context.Context, cmd *pb.Command) (*pb.CommandResult, error) {
 	cmd = named(cmd)
+	return c.ProposeFresh(ctx, func() *pb.Command { return cmd })
+}
+
+// ProposeFresh is Propose of a command that says something of the moment at which it is sent:
+// each attempt sends the one that make returns then. All of them must mean the same change.
+func (c *Client) ProposeFresh(ctx context.Context, make func() *pb.Command) (*pb.CommandResult, error) {
 	res, err := call(ctx, c, func(ctx context.Context, target string) answer[*pb.CommandResult] {
-		return c.proposeAt(ctx, target, cmd)
+		return c.proposeAt(ctx, target, make())
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/controlclient/fresh_test.go
@@ -0,0 +1,37 @@
+package controlclient
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
+)
+
+// Symptom: after the loss of all hosts more of their tokens count as spent the longer the
+// control group takes to elect a leader.
+// Sequence: a starting host tells how old its process is; nobody answers for seconds; a later
+// attempt is carried out.
+// Cause: every attempt told the age of the first.
+func TestEachAttemptSendsAFreshCommand(t *testing.T) {
+	f := &fakeReplica{}
+	var ages []int64
+	f.propose = func(n int, cmd *pb.Command) (*pb.ProposeReply, error) {
+		ages = append(ages, cmd.GetRegisterHost().GetAgeMs())
+		if n < 3 {
+			return nil, errors.New("lost")
+		}
+		return committed(1), nil
+	}
+	c := newClient(t, serve(t, f))
+	made := int64(0)
+	_, err := c.ProposeFresh(t.Context(), func() *pb.Command {
+		made++
+		return &pb.Command{Body: &pb.Command_RegisterHost{RegisterHost: &pb.RegisterHost{AgeMs: made}}}
+	})
+	testutil.NoError(t, err)
+	if len(ages) != 3 || ages[2] != 3 {
+		t.Errorf("ages sent: %v", ages)
+	}
+}
--- /dev/null
+++ b/internal/controller/budgets/await.go
@@ -0,0 +1,105 @@
+package budgets
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/grant"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wire"
+)
+
+const (
+	// reserveWait bounds how long a request waits for its owner's reserve to open. It is the
+	// time between the end of what an owner holds open and the first of its reserve.
+	reserveWait = 2 * time.Second
+	// patiencePart is the part of its time, one in so many, that a request may wait for tokens;
+	// the rest is for its answer.
+	patiencePart = 2
+)
+
+// closed is a refusal of a host whose reserve will cover the request soon.
+type closed struct {
+	host   owners.Host
+	answer *grant.NotOpenYet
+}
+
+// asClosed returns nil if the refusal is another one.
+func asClosed(h owners.Host, refusal error) *closed {
+	var answer *grant.NotOpenYet
+	if !errors.As(refusal, &answer) {
+		return nil
+	}
+	return &closed{host: h, answer: answer}
+}
+
+// awaitReserve asks the host again when its reserve should cover the request, as long as
+// that leaves time for an answer.
+//
+// What goes wrong without it: in the first seconds of a partition requests are refused of
+// whose budget plenty is left, and come back at a time that is a guess.
+func (d *Desk) awaitReserve(ctx context.Context, c *closed, budget, request string, tokens uint64) (string, error) {
+	host, refusal := c.host, error(c.answer.Refusal)
+	until := waitUntil(ctx, time.Now())
+	for c != nil && waitFor(ctx, c.answer.In, until) {
+		refusal = d.reserveAt(ctx, host, budget, request, tokens)
+		if refusal == nil {
+			return host.Name, nil
+		}
+		c = asClosed(host, refusal)
+	}
+	if errors.Is(refusal, errUnanswered) {
+		refusal = errkind.New(errkind.BudgetUnreachable, "host %s, which holds budget %s, gives no answer", host.Name, budget).
+			After(grant.RetryUnreachable)
+	}
+	return host.Name, refusal
+}
+
+// waitUntil is until when a request may wait for tokens.
+func waitUntil(ctx context.Context, now time.Time) time.Time {
+	until := now.Add(reserveWait)
+	if deadline, ok := ctx.Deadline(); ok {
+		if half := now.Add(deadline.Sub(now) / patiencePart); half.Before(until) {
+			return half
+		}
+	}
+	return until
+}
+
+// waitFor returns false if the time is up before the wait would be over, or the request ends.
+func waitFor(ctx context.Context, wait time.Duration, until time.Time) bool {
+	if time.Now().Add(wait).After(until) {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// encodeRefusal is the answer to a reservation; nil: it was made.
+func encodeRefusal(err error) *pb.ReserveTokensReply {
+	reply := &pb.ReserveTokensReply{Error: wire.EncodeError(err)}
+	var later *grant.NotOpenYet
+	if errors.As(err, &later) {
+		reply.OpensMs = later.In.Milliseconds()
+	}
+	return reply
+}
+
+// decodeRefusal returns nil if the reservation was made.
+func decodeRefusal(reply *pb.ReserveTokensReply) error {
+	err := wire.DecodeError(reply.GetError())
+	if err == nil || reply.GetOpensMs() <= 0 {
+		return err
+	}
+	return &grant.NotOpenYet{Refusal: errkind.From(err), In: time.Duration(reply.GetOpensMs()) * time.Millisecond}
+}
--- a/internal/controller/budgets/budgets.go
+++ b/internal/controller/budgets/budgets.go
@@ -32,7 +32,6 @@
 	"github.com/bluebellsail/bluebellsail/internal/grant/book"
 	"github.com/bluebellsail/bluebellsail/internal/outbox"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
-	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 const (
@@ -120,6 +119,7 @@
 			d.forget(request)
 		}
 	}()
+	var first *closed
 	for _, h := range d.ask(budget) {
 		answer := d.reserveAt(ctx, h, budget, request, tokens)
 		if answer == nil {
@@ -129,11 +129,17 @@
 			continue
 		}
 		holder, err = h.Name, answer
+		if first == nil {
+			first = asClosed(h, answer)
+		}
 		if ctx.Err() != nil || !elsewhere(err) {
 			break
 		}
 	}
-	if err != nil {
+	switch {
+	case first != nil:
+		return d.awaitReserve(ctx, first, budget, request, tokens)
+	case err != nil:
 		return holder, err
 	}
 	self := owners.Host{Name: d.cfg.Self().GetHost()}
@@ -226,7 +232,7 @@
 	})
 	if err == nil {
 		d.cfg.Owners.Answered(h.Name)
-		return wire.DecodeError(reply.GetError())
+		return decodeRefusal(reply)
 	}
 	d.tell(h, request, 0, until)
 	if ctx.Err() != nil {
--- a/internal/controller/budgets/budgets_test.go
+++ b/internal/controller/budgets/budgets_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/grant"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
@@ -23,9 +24,11 @@
 
 // purse is a host's own grant of one budget.
 type purse struct {
-	mu       sync.Mutex
-	free     uint64
-	refuse   errkind.Kind // in place of tokens
+	mu     sync.Mutex
+	free   uint64
+	refuse errkind.Kind // in place of tokens
+	// opens is when tokens may be had; until then the refusal says so.
+	opens    time.Time
 	reserved map[string]uint64
 	spent    uint64
 	asked    int
@@ -40,6 +43,9 @@
 	if p.refuse != "" {
 		return errkind.New(p.refuse, "refused")
 	}
+	if in := time.Until(p.opens); in > 0 {
+		return &grant.NotOpenYet{Refusal: errkind.New(errkind.BudgetUnreachable, "in reserve").After(time.Second), In: in}
+	}
 	if p.free < tokens {
 		return errkind.New(errkind.BudgetExhausted, "%d of %d", p.free, tokens)
 	}
@@ -351,6 +357,68 @@
 	})
 }
 
+// Symptom: in the first seconds of a partition requests are refused though plenty of their
+// budget is left.
+// Sequence: the owner has used up what it may spend at once; its reserve opens soon, to it
+// alone; the next in rank has nothing.
+// Cause: the request was refused in place of waiting.
+func TestRequestWaitsForTheOwnersReserve(t *testing.T) {
+	for name, c := range map[string]struct {
+		opens, patience time.Duration
+		want            errkind.Kind
+		took            time.Duration
+	}{
+		"soon":                     {1200 * time.Millisecond, patience, "", 1200 * time.Millisecond},
+		"not soon":                 {3 * time.Second, 10 * time.Second, errkind.BudgetUnreachable, 0},
+		"too late for the request": {1200 * time.Millisecond, 2 * time.Second, errkind.BudgetUnreachable, 0},
+	} {
+		for _, host := range []string{"a", "c"} { // the owner itself, and another host
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet("a", "b", "c")
+				f.purses["a"].opens = time.Now().Add(c.opens)
+				f.purses["b"].refuse = errkind.BudgetUnreachable
+				began := time.Now()
+				holder, err := f.desks[host].Reserve(testutil.Within(t, c.patience), budget, "r1", 300)
+				took := time.Since(began).Round(10 * time.Millisecond)
+				switch {
+				case c.want == "" && (err != nil || holder != "a"):
+					t.Errorf("%s at %s: held by %s, %v", name, host, holder, err)
+				case c.want != "" && !errkind.Is(err, c.want):
+					t.Errorf("%s at %s: %v", name, host, err)
+				case took != c.took:
+					t.Errorf("%s at %s: decided after %v, want %v", name, host, took, c.took)
+				}
+			})
+		}
+	}
+}
+
+// Symptom: a request is held for seconds and then refused.
+// Sequence: its owner's reserve opens soon, but others are always faster.
+// Cause: each answer of the owner began a wait of its own.
+func TestWaitForTheReserveIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.purses["b"].refuse = errkind.BudgetUnreachable
+		go func() {
+			for range 100 {
+				f.purses["a"].mu.Lock()
+				f.purses["a"].opens = time.Now().Add(300 * time.Millisecond)
+				f.purses["a"].mu.Unlock()
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		synctest.Wait()
+		began := time.Now()
+		_, err := f.reserve(t, "c", "r1", 300)
+		testutil.Refused(t, err, errkind.BudgetUnreachable, "tokens that others take")
+		if took := time.Since(began); took > reserveWait {
+			t.Errorf("held for %v", took)
+		}
+		time.Sleep(10 * time.Second) // the other goroutine ends
+	})
+}
+
 // lostEvery: of so many requests one is lost with its host, which never tells what it used.
 const lostEvery = 4
 
--- a/internal/controller/budgets/owner.go
+++ b/internal/controller/budgets/owner.go
@@ -7,7 +7,6 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/grant/book"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
-	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
 // localID names another host's request among this host's reservations. Requests of this
@@ -16,8 +15,7 @@
 
 // HandleReserve sets tokens aside for a request of another host.
 func (d *Desk) HandleReserve(ctx context.Context, req *pb.ReserveTokensRequest) *pb.ReserveTokensReply {
-	err := d.reserveFor(ctx, req)
-	return &pb.ReserveTokensReply{Error: wire.EncodeError(err)}
+	return encodeRefusal(d.reserveFor(ctx, req))
 }
 
 func (d *Desk) reserveFor(ctx context.Context, req *pb.ReserveTokensRequest) error {
--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -95,7 +95,7 @@
 	mu     sync.Mutex
 	holder *grant.Holder
 	// waiting holds the channel of each Reserve without a decision, by request id.
-	waiting map[string]chan *errkind.Error
+	waiting map[string]chan error
 	// giving are the ids of transfers whose copies are being made.
 	giving map[string]struct{}
 	// flushing tells that a timer for the next batch runs.
@@ -122,7 +122,7 @@
 	return &Manager{
 		cfg: cfg, ctx: ctx, cancel: cancel,
 		holder:  grant.New(cfg.Self, cfg.Holder, rand.New(rand.NewSource(cfg.Seed))),
-		waiting: make(map[string]chan *errkind.Error),
+		waiting: make(map[string]chan error),
 		giving:  make(map[string]struct{}),
 	}
 }
@@ -294,7 +294,7 @@
 		return
 	}
 	delete(m.waiting, d.Request)
-	ch <- d.Err
+	ch <- d.Refusal()
 	if d.Err == nil {
 		metrics.Add("reserved", 1)
 		return
--- a/internal/controller/grants/port.go
+++ b/internal/controller/grants/port.go
@@ -17,14 +17,14 @@
 	}
 	select {
 	case refused := <-ch:
-		return asError(refused)
+		return refused
 	case <-ctx.Done():
 		return m.giveUp(ctx, budget, requestID, ch)
 	}
 }
 
 // enqueue hands the request to the holder; its decision comes on the channel.
-func (m *Manager) enqueue(budget, requestID string, tokens uint64) (ch chan *errkind.Error, err error) {
+func (m *Manager) enqueue(budget, requestID string, tokens uint64) (ch chan error, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	defer m.distrust()
@@ -34,7 +34,7 @@
 	if _, twice := m.waiting[requestID]; twice {
 		return nil, errkind.New(errkind.Internal, "request %s waits for tokens already", requestID)
 	}
-	ch = make(chan *errkind.Error, 1)
+	ch = make(chan error, 1)
 	m.waiting[requestID] = ch
 	m.holder.SetPeers(m.cfg.Asker.Peers())
 	out := m.holder.Reserve(time.Now(), requestID, budget, tokens, m.cfg.PolicyFor(budget))
@@ -45,7 +45,7 @@
 // giveUp ends the wait of a request whose context ended. The decision may have come at
 // the same time: a reservation is then given back, or its tokens would stay set aside
 // for a request that nobody runs.
-func (m *Manager) giveUp(ctx context.Context, budget, requestID string, ch chan *errkind.Error) error {
+func (m *Manager) giveUp(ctx context.Context, budget, requestID string, ch chan error) error {
 	m.mu.Lock()
 	delete(m.waiting, requestID)
 	m.holder.Cancel(requestID, budget)
@@ -64,14 +64,6 @@
 	return errkind.New(errkind.CallerGone, "caller gone while waiting for tokens").WithRan(errkind.RanNo)
 }
 
-// asError keeps a nil *errkind.Error from becoming a non-nil error.
-func asError(e *errkind.Error) error {
-	if e == nil {
-		return nil
-	}
-	return e
-}
-
 // Settle implements filter.Budget. A bill without a time or an identity gets the present
 // time and its request id: the ledger refuses a whole batch for one such bill.
 func (m *Manager) Settle(bill *pb.Bill) {
--- a/internal/daemon/gatewaybudgets.go
+++ b/internal/daemon/gatewaybudgets.go
@@ -7,7 +7,6 @@
 	"github.com/bluebellsail/bluebellsail/internal/controller/budgets"
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	"github.com/bluebellsail/bluebellsail/internal/grant"
-	"github.com/bluebellsail/bluebellsail/internal/grant/reserve"
 	"github.com/bluebellsail/bluebellsail/internal/procstat"
 )
 
@@ -59,7 +58,7 @@
 
 // contactEvery is how long a gateway goes without a settlement batch. Every 100 ms more
 // cost, when all hosts are lost, 100 ms more of what their reserves allow.
-const contactEvery = 300 * time.Millisecond
+const contactEvery = 150 * time.Millisecond
 
 // gatewayHolder bounds the messages of a gateway's holder.
 func gatewayHolder(d *Daemon) grant.Config {
@@ -73,16 +72,18 @@
 	}
 }
 
-// gatewayPolicy is how a gateway holds tokens of a budget.
+// gatewayPolicy is how the owner of a budget holds its tokens.
 var gatewayPolicy = grant.Policy{
-	// In a partition a gateway lives from the open part of its grants until it may use the
-	// reserve, and from that as long as partitions of a whole fleet are known to last.
-	// Twice the demand of the time in which it may not: callers come in bursts.
-	Horizon:    2 * reserve.Hold,
-	Reserve:    10 * time.Second,
-	IdleReturn: 30 * time.Second,
-	Transfers:  true,
-	MinHistory: 2 * time.Second,
+	// In a partition an owner lives from the open part of its grant until it may use the
+	// reserve. What is open is lost with the owner.
+	Horizon: 2 * time.Second,
+	// The reserve costs no more when it is large: it opens by its rate.
+	Reserve:         30 * time.Second,
+	OpeningPermille: 1100,
+	Window:          4 * time.Second,
+	IdleReturn:      30 * time.Second,
+	Transfers:       true,
+	MinHistory:      2 * time.Second,
 	// Near the end of a budget the open part shrinks with what is left: the loss of all hosts
 	// strands it. Without the bound 9.6 of the last 10.8 million tokens were held by hosts
 	// that were killed together, and 402 was answered to whom a sixth of a budget was left.
@@ -98,15 +99,16 @@
 func (g *gateway) policyFor(budget string) grant.Policy {
 	p := gatewayPolicy
 	p.Givers = []string{}
-	p.IdleReturn = strangerReturn
-	for i, h := range g.owners.Of(budgets.Key(budget), givers) {
-		switch {
-		case !h.Self():
+	for _, h := range g.owners.Of(budgets.Key(budget), givers) {
+		if !h.Self() {
 			p.Givers = append(p.Givers, h.Name)
-		case i == 0:
-			p.IdleReturn = gatewayPolicy.IdleReturn
 		}
 	}
+	if owner, ok := g.owners.Owner(budgets.Key(budget)); !ok || !owner.Self() {
+		// Whoever stands in for an owner that gave no answer takes what each request needs. What
+		// it held ahead besides would be open at two hosts, and lost twice.
+		p.Horizon, p.Reserve, p.IdleReturn = 0, 0, strangerReturn
+	}
 	return p
 }
 
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -31,12 +31,16 @@
 	attempt := func() (*pb.RegisterHostResult, error) {
 		tryCtx, cancel := context.WithTimeout(ctx, registerTimeout)
 		defer cancel()
-		res, err := d.client.Propose(tryCtx, &pb.Command{Actor: d.cfg.Host, Body: &pb.Command_RegisterHost{
-			RegisterHost: &pb.RegisterHost{
+		// The age is that of the moment of sending. What goes wrong when it is that of the first
+		// try: a control group that elects its leader meanwhile takes the time for one in which
+		// the former run may have lived on without contact, and counts more as spent.
+		res, err := d.client.ProposeFresh(tryCtx, func() *pb.Command {
+			return &pb.Command{Actor: d.cfg.Host, Body: &pb.Command_RegisterHost{RegisterHost: &pb.RegisterHost{
 				Host: d.cfg.Host, Zone: d.cfg.Zone, CallerAddress: d.callerAddress(),
 				PeerAddress: d.cfg.PeerAddress(), BootId: bootID, Control: d.cfg.Has(procconfig.RoleControl),
 				AgeMs: time.Since(started).Milliseconds(), WallMs: startedWall,
-			}}})
+			}}}
+		})
 		if err != nil {
 			d.tel.Log.Warn().Str("event", "not-registered").Err(err).Send()
 			return nil, err
--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -106,10 +106,12 @@
 	want := need + h.ahead(now, b)
 	unlock := b.unlock(want)
 	b.out.reserve -= unlock
+	b.out.asked = h.rateWanted(now, b)
 	a.msg = &pb.Acquire{
 		Holder: h.self, Budget: b.name, Seq: a.seq + 1,
 		Unlock: unlock, Need: need - min(need, unlock), Want: want - unlock,
 		Reserve: h.reserveWanted(now, b), AtRiskPermille: b.policy.AtRiskPermille,
+		Rate: b.out.asked,
 	}
 	a.first, a.last = now, now
 	a.wait = h.cfg.ResendAfter
@@ -162,7 +164,8 @@
 		return
 	}
 	missing := h.ahead(now, b)
-	if missing > b.free/fetchBelow || h.reserveWanted(now, b) > b.out.reserve {
+	short := missing > b.free/fetchBelow || h.reserveWanted(now, b) > b.out.reserve
+	if short || b.out.reserve > 0 && b.out.stale(h.rateWanted(now, b)) {
 		b.fetched = now
 		h.sendAcquire(now, b, 1, out)
 	}
@@ -177,6 +180,7 @@
 		return out
 	}
 	need, unlocked := b.acquire.msg.GetNeed(), b.acquire.msg.GetUnlock()
+	b.out.rate = b.acquire.msg.GetRate()
 	if r.GetAmount() < b.acquire.msg.GetWant() {
 		b.short = now
 	}
@@ -207,6 +211,7 @@
 		return out
 	}
 	b.out.reserve += b.acquire.msg.GetUnlock()
+	b.out.asked = b.out.rate
 	b.acquire = acquire{seq: seq - 1}
 	h.refuseAll(b, errkind.New(kind, "budget %s: %s", budgetName, message), &out)
 	return out
--- a/internal/grant/demand.go
+++ b/internal/grant/demand.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// rateWindow is the time over which the rate of demand is averaged; a shorter horizon
-// shortens it. With the whole of a long horizon as the window, a new host would hold too
-// little for hours.
+// rateWindow is the time over which the rate of demand is averaged where the policy does not
+// say; a shorter horizon shortens it. With the whole of a long horizon as the window, a new
+// host would hold too little for hours.
 const rateWindow = 10 * time.Minute
 
 // demand averages the tokens asked for, with older ones counting less.
@@ -19,23 +19,29 @@
 	since time.Time
 }
 
-func window(horizon time.Duration) time.Duration { return min(horizon, rateWindow) }
+// window is the time over which the rate of demand is averaged.
+func (p Policy) window() time.Duration {
+	if p.Window > 0 {
+		return p.Window
+	}
+	return min(p.Horizon, rateWindow)
+}
 
-func (d *demand) add(now time.Time, tokens uint64, horizon time.Duration) {
+func (d *demand) add(now time.Time, tokens uint64, p Policy) {
 	if d.since.IsZero() {
 		d.since = now
 	}
-	d.decay(now, horizon)
+	d.decay(now, p)
 	d.sum += float64(tokens)
 }
 
 // tokens returns the demand that the time ahead will bring at the present rate.
 func (d *demand) tokens(now time.Time, p Policy, ahead time.Duration) uint64 {
-	if ahead <= 0 {
+	if ahead <= 0 || p.window() <= 0 {
 		return 0
 	}
-	d.decay(now, p.Horizon)
-	return uint64(d.sum / d.seen(now, p) * float64(ahead) / float64(window(p.Horizon)))
+	d.decay(now, p)
+	return uint64(d.sum / d.seen(now, p) * float64(ahead) / float64(p.window()))
 }
 
 // seen is the part of the decaying window that lies after the first request.
@@ -44,12 +50,12 @@
 		return 1
 	}
 	age := max(now.Sub(d.since), p.MinHistory)
-	return 1 - math.Exp(-float64(age)/float64(window(p.Horizon)))
+	return 1 - math.Exp(-float64(age)/float64(p.window()))
 }
 
-func (d *demand) decay(now time.Time, horizon time.Duration) {
-	if !d.at.IsZero() && horizon > 0 {
-		d.sum *= math.Exp(-float64(now.Sub(d.at)) / float64(window(horizon)))
+func (d *demand) decay(now time.Time, p Policy) {
+	if window := p.window(); !d.at.IsZero() && window > 0 {
+		d.sum *= math.Exp(-float64(now.Sub(d.at)) / float64(window))
 	}
 	d.at = now
 }
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -28,9 +28,14 @@
 type Policy struct {
 	// Horizon is how much of its recent demand the host holds ahead.
 	Horizon time.Duration
+	// Window is the time over which the rate of demand is averaged; 0: Horizon, 10 min at most.
+	Window time.Duration
 	// Reserve is how much of its recent demand the host holds beyond that for a time
 	// without contact to the ledger; see package reserve. 0: none.
 	Reserve time.Duration
+	// OpeningPermille is the rate at which the reserve may be spent without contact, in
+	// thousandths of the rate of demand.
+	OpeningPermille uint32
 	// IdleReturn is how long a budget may go unused before its free tokens go back.
 	IdleReturn time.Duration
 	// Transfers lets the host ask peers when the ledger can't serve it.
@@ -131,6 +136,8 @@
 	Request string
 	// Err is nil if the tokens are reserved.
 	Err *errkind.Error
+	// Opens is when the reserve will cover the refused request; 0: not known.
+	Opens time.Duration
 }
 
 func (o *Output) grant(request string) {
@@ -141,6 +148,31 @@
 	o.Decisions = append(o.Decisions, Decision{Request: request, Err: err})
 }
 
+// NotOpenYet refuses a request that the reserve will cover soon.
+type NotOpenYet struct {
+	// Refusal is for a caller that does not wait.
+	Refusal *errkind.Error
+	// In is when the reserve will have opened far enough, if nobody else takes of it.
+	In time.Duration
+}
+
+// Error implements error.
+func (e *NotOpenYet) Error() string { return e.Refusal.Error() }
+
+// Unwrap gives errors.As the refusal.
+func (e *NotOpenYet) Unwrap() error { return e.Refusal }
+
+// Refusal is the error of a decision; nil if the tokens are reserved.
+func (d Decision) Refusal() error {
+	switch {
+	case d.Err == nil:
+		return nil
+	case d.Opens > 0:
+		return &NotOpenYet{Refusal: d.Err, In: d.Opens}
+	}
+	return d.Err
+}
+
 // Level is what a holder has of one budget, in tokens.
 type Level struct {
 	Budget string
--- a/internal/grant/holder.go
+++ b/internal/grant/holder.go
@@ -125,7 +125,7 @@
 	b := h.budget(budgetName)
 	b.policy = policy
 	b.lastUse = now
-	b.demand.add(now, tokens, policy.Horizon)
+	b.demand.add(now, tokens, policy)
 	b.waiters = append(b.waiters, &waiter{request: request, tokens: tokens})
 	h.advance(now, b, &out)
 	return out
--- a/internal/grant/outofcontact.go
+++ b/internal/grant/outofcontact.go
@@ -9,6 +9,9 @@
 // outOfContact is what a holder may spend of a budget's reserve while the ledger is out
 // of reach; see package reserve.
 type outOfContact struct {
+	// rate at which the reserve opens, in tokens a second, as the ledger knows it; asked is
+	// the one in the outstanding acquire, if there is one.
+	rate, asked uint64
 	// reserve is what is left of it. Tokens that an outstanding acquire unlocks are taken
 	// off when it is sent, so that they can't be taken a second time.
 	reserve uint64
@@ -20,10 +23,35 @@
 
 // usable is how much may be taken now.
 func (r *outOfContact) usable(without time.Duration) uint64 {
-	limit := reserve.Usable(r.reserve+r.taken, without)
+	limit := reserve.Usable(r.reserve+r.taken, r.opens(), without)
 	return min(limit-min(limit, r.taken), r.reserve)
 }
 
+// opens is the rate that may be counted on: the lower one while an acquire that changes it is
+// outstanding, as that may or may not have taken effect.
+func (r *outOfContact) opens() uint64 { return min(r.rate, r.asked) }
+
+// rateStep is the part of the rate, in thousandths, by which the demand has to differ from it
+// before the ledger is told.
+const rateStep = 200
+
+// stale tells whether the rate that the ledger knows differs much from the wanted one.
+func (r *outOfContact) stale(wanted uint64) bool {
+	const whole = 1000
+	return max(r.rate, wanted)-min(r.rate, wanted) > r.rate/whole*rateStep
+}
+
+// opensIn is when so many more tokens may be taken; ok is false if that is never.
+func (r *outOfContact) opensIn(tokens uint64, without time.Duration) (in time.Duration, ok bool) {
+	if r.reserve < tokens || r.opens() == 0 {
+		return 0, false
+	}
+	return max(reserve.OpensAfter(r.taken+tokens, r.opens())-without, minOpensIn), true
+}
+
+// minOpensIn keeps those who wait for a reserve from asking all the time.
+const minOpensIn = 20 * time.Millisecond
+
 // take moves tokens out of the reserve.
 func (r *outOfContact) take(tokens uint64) {
 	r.reserve -= tokens
@@ -64,6 +92,12 @@
 	return true
 }
 
+// rateWanted is the rate at which the reserve should open, in tokens a second.
+func (h *Holder) rateWanted(now time.Time, b *budget) uint64 {
+	const whole = 1000
+	return b.demand.tokens(now, b.policy, time.Second) * uint64(b.policy.OpeningPermille) / whole
+}
+
 // reserveWanted is how much is missing of the reserve that the policy asks for.
 func (h *Holder) reserveWanted(now time.Time, b *budget) uint64 {
 	target := b.demand.tokens(now, b.policy, b.policy.Reserve)
--- a/internal/grant/outofcontact_test.go
+++ b/internal/grant/outofcontact_test.go
@@ -11,16 +11,24 @@
 )
 
 // reservePolicy holds 10 s of demand in reserve, and 2 s open.
-var reservePolicy = Policy{Horizon: 2 * time.Second, Reserve: 10 * time.Second, IdleReturn: time.Minute, MinHistory: time.Second}
+var reservePolicy = Policy{
+	Horizon: 2 * time.Second, Reserve: 10 * time.Second, OpeningPermille: 1000, IdleReturn: time.Minute, MinHistory: time.Second,
+}
+
+// span is how long the reserve of holding takes to open.
+const span = 5 * time.Second
 
 const budgetName = "x"
 
-// holding is a holder with open tokens and a reserve of one budget, in contact at start.
+// holding is a holder with open tokens and a reserve of one budget, in contact at start. The
+// reserve opens within span.
 func holding(start time.Time, open, kept uint64) *Holder {
 	h := New(&pb.Holder{Host: "a", Incarnation: 1}, Config{ContactEvery: 300 * time.Millisecond}, rand.New(rand.NewSource(1)))
 	h.Contact(start)
 	out := h.Reserve(start, "first", budgetName, 10, reservePolicy)
 	h.AcquireAnswered(start, budgetName, out.Acquires[0].GetSeq(), &pb.AcquireResult{Amount: open + 10, Reserve: kept, Funded: 10_000, Free: 5_000})
+	opening := &h.budgets[budgetName].out
+	opening.rate, opening.asked = kept/5, kept/5
 	return h
 }
 
@@ -52,7 +60,7 @@
 		t.Error("the reserve was spent before the time that it is held back")
 	}
 	h = holding(start, 0, 1000)
-	half := start.Add(reserve.Hold + reserve.Span/2)
+	half := start.Add(reserve.Hold + span/2)
 	if ok, err := granted(h.Reserve(half, "a", budgetName, 500, reservePolicy), "a"); !ok || err != nil {
 		t.Errorf("half of the reserve after half of the span: %t %v", ok, err)
 	}
@@ -67,7 +75,7 @@
 func TestContactLocksTheReserveAgain(t *testing.T) {
 	start := time.Unix(1000, 0)
 	h := holding(start, 0, 1000)
-	whole := start.Add(reserve.Hold + reserve.Span)
+	whole := start.Add(reserve.Hold + span)
 	h.Reserve(whole, "a", budgetName, 400, reservePolicy)
 	h.Contact(whole)
 	if ok, err := granted(h.Reserve(whole.Add(reserve.Hold), "b", budgetName, 100, reservePolicy), "b"); ok && err == nil {
@@ -148,7 +156,7 @@
 		p := Policy{Horizon: 10 * time.Second, MinHistory: c.history}
 		var d demand
 		for ms := 0; ms <= 2000; ms += 100 {
-			d.add(start.Add(time.Duration(ms)*time.Millisecond), 100, p.Horizon)
+			d.add(start.Add(time.Duration(ms)*time.Millisecond), 100, p)
 		}
 		got := d.tokens(start.Add(2*time.Second), p, 10*time.Second)
 		if got < c.min || got > c.max {
@@ -157,8 +165,9 @@
 	}
 	// The first request alone must not count as a rate without bound.
 	var d demand
-	d.add(start, 100, time.Second)
-	if got := d.tokens(start, Policy{Horizon: 10 * time.Second, MinHistory: time.Second}, 10*time.Second); got > 1500 {
+	p := Policy{Horizon: 10 * time.Second, MinHistory: time.Second}
+	d.add(start, 100, p)
+	if got := d.tokens(start, p, 10*time.Second); got > 1500 {
 		t.Errorf("one request of 100 tokens counts as %d for 10 s", got)
 	}
 }
@@ -204,3 +213,83 @@
 		}
 	}
 }
+
+// Symptom: a budget is overspent when a host is lost in a partition.
+// Sequence: a holder asks for another rate at which its reserve opens; the answer is lost, and
+// the partition begins.
+// Cause: the holder went by the higher rate, the ledger by the lower one.
+func TestReserveOpensByTheLowerRateUntilTheLedgerAnswers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, c := range map[string]struct{ known, asked, want uint64 }{
+		"raised": {200, 1000, 200}, "lowered": {200, 50, 50}, "the same": {200, 200, 200},
+	} {
+		h := holding(start, 0, 1000)
+		out := &h.budgets[budgetName].out
+		out.rate, out.asked = c.known, c.asked
+		if got := out.usable(reserve.Hold + time.Second); got != c.want {
+			t.Errorf("%s: %d tokens a second after the time that the reserve is held back, want %d", name, got, c.want)
+		}
+	}
+}
+
+// Pattern: callers of one account send four times their usual from one moment to the next.
+// The ledger is told the new rate before a partition begins, not with the next tokens.
+func TestRateFollowsTheDemand(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := holding(start, 100_000, 100_000)
+	now, asked := start, uint64(0)
+	for range 40 {
+		now = now.Add(50 * time.Millisecond)
+		out := h.Reserve(now, now.String(), budgetName, 50, reservePolicy)
+		out.Acquires = append(out.Acquires, h.Tick(now).Acquires...)
+		for _, a := range out.Acquires {
+			asked = a.GetRate()
+			h.AcquireAnswered(now, budgetName, a.GetSeq(), &pb.AcquireResult{Funded: 1_000_000, Free: 500_000})
+		}
+	}
+	if opens := h.budgets[budgetName].out.opens(); opens != asked || opens < 500 || opens > 1500 {
+		t.Errorf("1,000 tokens a second are asked for; the reserve opens by %d, the ledger was told %d", opens, asked)
+	}
+}
+
+// Symptom: the loss of all hosts right after a partition strands what they held in reserve.
+// Sequence: the first batch after the partition is answered; nothing is due for a while; all
+// hosts lose power.
+// Cause: only a further batch shows the ledger that the holder had that answer.
+func TestContactIsConfirmedAtOnceAfterAPartition(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := holding(start, 0, 1000)
+	h.Tick(start.Add(400 * time.Millisecond))
+	first := h.Tick(start.Add(500 * time.Millisecond)).Batch
+	if first == nil {
+		t.Fatal("no batch")
+	}
+	out, _ := h.SettleAnswered(start.Add(9*time.Second), first.GetSeq(), &pb.SettleResult{})
+	if out.Batch.GetSeq() != first.GetSeq()+1 {
+		t.Errorf("after the answer to batch %d comes %v", first.GetSeq(), out.Batch)
+	}
+	out, _ = h.SettleAnswered(start.Add(9*time.Second+50*time.Millisecond), out.Batch.GetSeq(), &pb.SettleResult{})
+	if out.Batch != nil {
+		t.Error("another batch at once in contact")
+	}
+}
+
+// Symptom: requests are refused in the first seconds of a partition, and come back too early
+// or too late, though most of their budget lies here in reserve.
+// Sequence: the open tokens are used up before the reserve opens.
+// Cause: the refusal did not say when it does.
+func TestRefusalTellsWhenTheReserveOpens(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := holding(start, 0, 1000) // 200 tokens a second
+	b := h.budgets[budgetName]
+	at := start.Add(reserve.Hold - time.Second)
+	for tokens, want := range map[uint64]time.Duration{100: 1500 * time.Millisecond, 1000: 6 * time.Second, 1001: 0} {
+		got := h.opensIn(at, &waiter{tokens: tokens, why: errkind.BudgetUnreachable}, b)
+		if max(got-want, want-got) > 10*time.Millisecond {
+			t.Errorf("%d tokens: in %v, want %v", tokens, got, want)
+		}
+	}
+	if got := h.opensIn(at, &waiter{tokens: 100, why: errkind.BudgetExhausted}, b); got != 0 {
+		t.Errorf("a budget without tokens opens in %v", got)
+	}
+}
--- /dev/null
+++ b/internal/grant/reserve/reserve_test.go
@@ -0,0 +1,40 @@
+package reserve
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestReserveOpensByItsRate(t *testing.T) {
+	for _, c := range []struct {
+		tokens, rate uint64
+		without      time.Duration
+		want         uint64
+	}{
+		{1000, 200, Hold, 0},
+		{1000, 200, Hold + 500*time.Millisecond, 100},
+		{1000, 200, Hold + time.Minute, 1000},
+		{1000, 0, Hold + time.Minute, 0},
+		{1 << 63, 1 << 62, Hold + time.Hour, 1 << 63},
+	} {
+		if got := Usable(c.tokens, c.rate, c.without); got != c.want {
+			t.Errorf("%d tokens at %d a second, %v without contact: %d, want %d", c.tokens, c.rate, c.without, got, c.want)
+		}
+	}
+	if got := PerhapsSpent(1000, 0, 0); got != 1000 {
+		t.Errorf("of a reserve without a known rate %d of 1000 count as spent", got)
+	}
+}
+
+func TestOpensAfterIsWhenItIsUsable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tokens := rapid.Uint64Range(0, 1<<40).Draw(t, "tokens")
+		rate := rapid.Uint64Range(1, 1<<30).Draw(t, "rate")
+		after := OpensAfter(tokens, rate)
+		if after < 24*time.Hour && Usable(tokens, rate, after) < tokens-min(tokens, rate/1000) {
+			t.Fatalf("after %v only %d are usable", after, Usable(tokens, rate, after))
+		}
+	})
+}
--- a/internal/grant/settle.go
+++ b/internal/grant/settle.go
@@ -158,6 +158,7 @@
 	}
 	done := s.batch
 	s.batch = nil
+	h.confirm(now)
 	h.Contact(now)
 	h.settleBills(done, r.GetDuplicates())
 	for _, spend := range done.GetSpends() {
@@ -186,6 +187,18 @@
 	return out, done
 }
 
+// confirm has the next batch sent at once when the answer to this one ends a time without
+// contact: only the next one shows the ledger that this answer was received.
+//
+// What goes wrong otherwise: all hosts are lost right after a partition, and the ledger counts
+// the whole of it as time in which they spent their reserves.
+func (h *Holder) confirm(now time.Time) {
+	if h.withoutContact(now) > 2*h.cfg.ContactEvery {
+		h.settlement.touch(now)
+		h.settlement.since = now.Add(-h.cfg.BatchWait)
+	}
+}
+
 // settleBills takes acknowledged bills off the books. One identity that stands twice in
 // a batch is listed as a duplicate once for each bill that was not billed.
 func (h *Holder) settleBills(batch *pb.Settle, duplicates []string) {
--- a/internal/grant/transfer.go
+++ b/internal/grant/transfer.go
@@ -243,12 +243,24 @@
 			kept = append(kept, w)
 			continue
 		}
-		out.refuse(w.request, h.refusal(now, w, b))
+		out.Decisions = append(out.Decisions, Decision{Request: w.request, Err: h.refusal(now, w, b), Opens: h.opensIn(now, w, b)})
 	}
 	clear(b.waiters[len(kept):])
 	b.waiters = kept
 }
 
+// opensIn is when the reserve will cover a refused waiter; 0: not known.
+func (h *Holder) opensIn(now time.Time, w *waiter, b *budget) time.Duration {
+	if w.why != errkind.BudgetUnreachable {
+		return 0
+	}
+	in, ok := b.out.opensIn(w.tokens-min(w.tokens, b.free), h.withoutContact(now))
+	if !ok {
+		return 0
+	}
+	return in
+}
+
 func (h *Holder) refusal(now time.Time, w *waiter, b *budget) *errkind.Error {
 	held := fmt.Sprintf("%d tokens needed, %d free here, %d in reserve, %v without contact, %d free at the ledger then",
 		w.tokens, b.free, b.out.reserve, h.withoutContact(now).Round(time.Millisecond), b.level)
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -36,6 +36,7 @@
 	// reserve is the part of tokens that the holder may spend only while it is out of
 	// contact; see package reserve.
 	reserve uint64
+	opening opening
 	// seq, lastAmount and lastReserve are of the last Acquire, for its resend.
 	seq         uint64
 	lastAmount  uint64
@@ -226,7 +227,7 @@
 
 // Acquire grants tokens of a budget to a live holder. A resend of the last seq gets
 // the same amount and grants nothing.
-func (s *State) Acquire(a *pb.Acquire) (*pb.AcquireResult, error) {
+func (s *State) Acquire(r Record, a *pb.Acquire) (*pb.AcquireResult, error) {
 	inc, err := s.registry.live(a.Holder)
 	if err != nil {
 		return nil, err
@@ -242,7 +243,7 @@
 		return nil, e
 	}
 	if a.Seq > g.seq {
-		s.acquire(b, inc, a)
+		s.acquire(r, b, inc, a)
 		g = b.holders[inc]
 		checkInvariant(b)
 	}
@@ -252,7 +253,7 @@
 }
 
 // acquire carries out a new Acquire.
-func (s *State) acquire(b *budget, inc uint64, a *pb.Acquire) {
+func (s *State) acquire(r Record, b *budget, inc uint64, a *pb.Acquire) {
 	b.unlock(inc, a.Unlock)
 	amount := b.grantSize(inc, a.Need, min(a.Want, a.Need+b.ahead(a)))
 	s.setGrant(b, inc, b.holders[inc].tokens+amount)
@@ -260,6 +261,7 @@
 	s.setGrant(b, inc, b.holders[inc].tokens+added)
 	g := b.holders[inc]
 	g.reserve += added
+	g.opening.set(a.Rate, r.Now, s.registry.open[inc].Confirmed)
 	g.seq, g.lastAmount, g.lastReserve = a.Seq, amount, added
 	b.holders[inc] = g
 }
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -295,7 +295,7 @@
 func (f *fleet) deliverAcquire(t *rapid.T, m *pb.Acquire) {
 	h := f.holders[m.Holder.Incarnation]
 	before, _ := f.ledger.Budget(testBudget)
-	r, err := f.ledger.Acquire(m)
+	r, err := f.ledger.Acquire(f.record(""), m)
 	if err != nil {
 		return
 	}
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -40,12 +40,13 @@
 }
 
 type grantImage struct {
-	Incarnation uint64 `json:"incarnation"`
-	Tokens      uint64 `json:"tokens"`
-	Reserve     uint64 `json:"reserve,omitempty"`
-	Seq         uint64 `json:"seq"`
-	LastAmount  uint64 `json:"last_amount"`
-	LastReserve uint64 `json:"last_reserve,omitempty"`
+	Incarnation uint64  `json:"incarnation"`
+	Tokens      uint64  `json:"tokens"`
+	Reserve     uint64  `json:"reserve,omitempty"`
+	Seq         uint64  `json:"seq"`
+	LastAmount  uint64  `json:"last_amount"`
+	LastReserve uint64  `json:"last_reserve,omitempty"`
+	Opening     opening `json:"opening,omitzero"`
 }
 
 type transferImage struct {
@@ -99,6 +100,7 @@
 		g := b.holders[inc]
 		im.Grants = append(im.Grants, grantImage{
 			Incarnation: inc, Tokens: g.tokens, Reserve: g.reserve, Seq: g.seq, LastAmount: g.lastAmount, LastReserve: g.lastReserve,
+			Opening: g.opening,
 		})
 	}
 	return im
@@ -170,6 +172,7 @@
 		b.setGrant(g.Incarnation, g.Tokens)
 		b.holders[g.Incarnation] = grant{
 			tokens: g.Tokens, reserve: min(g.Reserve, g.Tokens), seq: g.Seq, lastAmount: g.LastAmount, lastReserve: g.LastReserve,
+			opening: g.Opening,
 		}
 	}
 	if promised > im.Funded {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -49,7 +49,7 @@
 
 func (r *rig) acquire(h *pb.Holder, seq, need, want uint64) uint64 {
 	r.t.Helper()
-	res, err := r.ledger.Acquire(&pb.Acquire{Holder: h, Budget: testBudget, Seq: seq, Need: need, Want: want})
+	res, err := r.ledger.Acquire(r.record(), &pb.Acquire{Holder: h, Budget: testBudget, Seq: seq, Need: need, Want: want})
 	testutil.NoError(r.t, err)
 	return res.Amount
 }
--- a/internal/ledger/reserve_test.go
+++ b/internal/ledger/reserve_test.go
@@ -19,7 +19,8 @@
 const (
 	budgetName = "x"
 	funds      = 3_000
-	// clockBack is how far the leader's clock may be set back; less than reserve.Margin.
+	// clockBack is how far the leader's clock and those of the hosts may be set back; less than
+	// reserve.Margin.
 	clockBack = 900 * time.Millisecond
 	// slowedBy is the part of the time, one in so many, that a suspended host doesn't count.
 	slowedBy = 3
@@ -27,7 +28,7 @@
 
 var reservePolicy = grant.Policy{
 	Horizon: 2 * time.Second, Reserve: 10 * time.Second, IdleReturn: time.Minute, Transfers: true,
-	MinHistory: time.Second, AtRiskPermille: 900,
+	MinHistory: time.Second, AtRiskPermille: 900, OpeningPermille: 1500,
 }
 
 // message is on its way between a holder and the ledger, or between two holders.
@@ -57,6 +58,7 @@
 	hosts    []string
 	runs     map[string]*run
 	behind   map[string]time.Duration // what a host's steady clock has not counted
+	wallSkew map[string]time.Duration // of a host's time of day
 	boots    int
 	requests int
 	messages []message
@@ -67,7 +69,7 @@
 func newFleet(t *rapid.T) *fleet {
 	f := &fleet{
 		t: t, now: time.Unix(5000, 0), ledger: ledger.New(ledger.Options{}), hosts: []string{"a", "b", "c"},
-		runs: map[string]*run{}, behind: map[string]time.Duration{},
+		runs: map[string]*run{}, behind: map[string]time.Duration{}, wallSkew: map[string]time.Duration{},
 	}
 	f.ledger.SetFunds(f.record(), budgetName, budgetName, funds)
 	for _, h := range f.hosts {
@@ -85,17 +87,20 @@
 
 func (f *fleet) clock(host string) time.Time { return f.now.Add(-f.behind[host]) }
 
+// wall is a host's time of day.
+func (f *fleet) wall(host string) time.Time { return f.now.Add(f.wallSkew[host]) }
+
 func (f *fleet) boot(host string) {
 	f.boots++
 	age := time.Duration(rapid.IntRange(0, 800).Draw(f.t, "age")) * time.Millisecond
 	registered, err := f.ledger.RegisterHost(f.record(), &pb.RegisterHost{
-		Host: host, BootId: fmt.Sprint("boot", f.boots), AgeMs: age.Milliseconds(), WallMs: f.now.Add(-age).UnixMilli(),
+		Host: host, BootId: fmt.Sprint("boot", f.boots), AgeMs: age.Milliseconds(), WallMs: f.wall(host).Add(-age).UnixMilli(),
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	r := &run{number: registered.Holder.Incarnation, asked: map[string]uint64{}}
-	r.holder = grant.New(registered.Holder, grant.Config{}, rand.New(rand.NewSource(int64(f.boots))))
+	r.holder = grant.New(registered.Holder, grant.Config{Wall: func() time.Time { return f.wall(host) }}, rand.New(rand.NewSource(int64(f.boots))))
 	r.holder.Contact(f.clock(host))
 	r.holder.SetPeers(f.others(host))
 	f.runs[host] = r
@@ -130,7 +135,7 @@
 	}
 	for _, a := range out.Acquires {
 		f.send(true, func() {
-			res, err := f.ledger.Acquire(a)
+			res, err := f.ledger.Acquire(f.record(), a)
 			if err == nil {
 				f.reply(true, host, r, func() grant.Output {
 					return r.holder.AcquireAnswered(f.clock(host), budgetName, a.Seq, res)
@@ -331,6 +336,10 @@
 func (f *fleet) setClock(*rapid.T) {
 	ms := rapid.IntRange(int(-clockBack.Milliseconds()), 3000).Draw(f.t, "skew")
 	f.skew = time.Duration(ms) * time.Millisecond
+	most := int(clockBack.Milliseconds()) / 2
+	for _, h := range f.hosts {
+		f.wallSkew[h] = time.Duration(rapid.IntRange(-most, most).Draw(f.t, "wall")) * time.Millisecond
+	}
 }
 
 // Symptom: a budget is overspent after hosts were lost.
@@ -363,7 +372,7 @@
 		return r.Holder
 	}
 	first := boot(1, "one")
-	got, err := s.Acquire(&pb.Acquire{Holder: first, Budget: budgetName, Seq: 1, Need: 100, Want: 100, Reserve: 1400})
+	got, err := s.Acquire(at(1), &pb.Acquire{Holder: first, Budget: budgetName, Seq: 1, Need: 100, Want: 100, Reserve: 1400, Rate: 280})
 	if err != nil || got.Amount != 100 || got.Reserve != 1400 {
 		t.Fatalf("acquired %v, %v", got, err)
 	}
@@ -392,12 +401,52 @@
 		tokens := rapid.Uint64Range(0, 1<<50).Draw(t, "tokens")
 		holder := time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "holder"))
 		more := time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "more"))
-		if usable, counted := reserve.Usable(tokens, holder), reserve.PerhapsSpent(tokens, holder+more-reserve.Margin); more >= 0 && usable > counted {
+		rate := rapid.Uint64().Draw(t, "rate")
+		if usable, counted := reserve.Usable(tokens, rate, holder), reserve.PerhapsSpent(tokens, rate, holder+more-reserve.Margin); more >= 0 && usable > counted {
 			t.Fatalf("%d usable, %d counted", usable, counted)
 		}
 	})
 }
 
+// Symptom: a budget is overspent when a host is lost right after a partition.
+// Sequence: a holder spends its reserve at a high rate while it is cut off; its callers become
+// fewer, and the first thing that it gets through afterwards asks for a low rate; it dies
+// before it has told what it spent.
+// Cause: what it may have spent was counted by the rate of now.
+func TestLowerRateFreesNothingThatWasSpentBefore(t *testing.T) {
+	s := ledger.New(ledger.Options{})
+	at := func(ms int64) ledger.Record { return ledger.Record{Index: uint64(ms) + 1, Now: 1_000_000 + ms} }
+	s.SetFunds(at(0), budgetName, budgetName, funds)
+	registered, err := s.RegisterHost(at(1), &pb.RegisterHost{Host: "a", BootId: "one"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	acquire := func(ms int64, seq, kept, rate uint64) *pb.AcquireResult {
+		got, err := s.Acquire(at(ms), &pb.Acquire{
+			Holder: registered.Holder, Budget: budgetName, Seq: seq, Need: 1, Want: 1, Reserve: kept, Rate: rate,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	first := acquire(1, 1, 1000, 200)
+	cut := (reserve.Hold + 4*time.Second).Milliseconds()
+	last := acquire(cut, 2, 0, 1)
+	spent := reserve.Usable(first.Reserve, 200, time.Duration(cut)*time.Millisecond)
+	next, err := s.RegisterHost(at(cut+1), &pb.RegisterHost{Host: "a", BootId: "two"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	freed := uint64(0)
+	for _, g := range next.Former.Grants {
+		freed += g.Freed
+	}
+	if first.Reserve == 0 || freed > first.Reserve-spent {
+		t.Errorf("%d freed of a reserve of %d, of which %d may have been spent; %d free before", freed, first.Reserve, spent, last.Free)
+	}
+}
+
 // Symptom: hosts grant themselves more than operators now allow.
 // Sequence: a budget of 10,000 with 4,000 granted is lowered to 2,000; the holder returns
 // what it has not spent; the budget is raised again.
@@ -411,7 +460,7 @@
 		t.Fatal(err)
 	}
 	acquire := func(seq, need uint64) uint64 {
-		got, err := s.Acquire(&pb.Acquire{Holder: registered.Holder, Budget: budgetName, Seq: seq, Need: need, Want: need})
+		got, err := s.Acquire(r(3), &pb.Acquire{Holder: registered.Holder, Budget: budgetName, Seq: seq, Need: need, Want: need})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -456,11 +505,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	held, err := s.Acquire(&pb.Acquire{Holder: registered.Holder, Budget: budgetName, Seq: 1, Need: 100, Want: 100, Reserve: 1000})
+	held, err := s.Acquire(at(1), &pb.Acquire{Holder: registered.Holder, Budget: budgetName, Seq: 1, Need: 100, Want: 100, Reserve: 1000, Rate: 200})
 	if err != nil || held.Reserve == 0 {
 		t.Fatalf("acquired %v, %v", held, err)
 	}
-	heldUp := reserve.Hold + reserve.Span
+	heldUp := reserve.Hold + 5*time.Second // the whole reserve is open
 	if _, _, err := s.Settle(at(300), &pb.Settle{Holder: registered.Holder, Seq: 1}); err != nil {
 		t.Fatal(err)
 	}
@@ -471,7 +520,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := s.Acquire(&pb.Acquire{Holder: next.Holder, Budget: budgetName, Seq: 1, Need: 1100, Want: 1100})
+	got, err := s.Acquire(at(500+heldUp.Milliseconds()), &pb.Acquire{Holder: next.Holder, Budget: budgetName, Seq: 1, Need: 1100, Want: 1100})
 	if err != nil || got.Amount != held.Free {
 		t.Errorf("%d tokens granted, but only the %d that nobody held can't be spent (%v)", got.GetAmount(), held.Free, err)
 	}
