The stateful test of reserves compares each lost run with what counts as its own

Cause: it looked only for a budget overspent as a whole. Now each run's use is compared with its bills and grants when its host starts again, in fleets without transfers; partitions last until reserves are open; rates change with every few requests.

--- a/internal/ledger/reserve_test.go
+++ b/internal/ledger/reserve_test.go
@@ -28,7 +28,9 @@
 
 var reservePolicy = grant.Policy{
 	Horizon: 2 * time.Second, Reserve: 10 * time.Second, IdleReturn: time.Minute, Transfers: true,
-	MinHistory: time.Second, AtRiskPermille: 900, OpeningPermille: 1500,
+	MinHistory: 100 * time.Millisecond, AtRiskPermille: 900,
+	// The reserve opens fast, and at another rate with every few requests.
+	Window: 500 * time.Millisecond, OpeningPermille: 6000,
 }
 
 // message is on its way between a holder and the ledger, or between two holders.
@@ -43,6 +45,8 @@
 	number uint64
 	// asked are the tokens reserved for each request that runs.
 	asked map[string]uint64
+	// used is what its requests may have been asked to use, billed what the ledger knows of it.
+	used, billed uint64
 }
 
 // fleet is a ledger and holders in virtual time, with a network that loses, repeats and
@@ -57,6 +61,8 @@
 	ledger   *ledger.State
 	hosts    []string
 	runs     map[string]*run
+	former   map[string]*run // the last run of each host, dead or not
+	policy   grant.Policy
 	behind   map[string]time.Duration // what a host's steady clock has not counted
 	wallSkew map[string]time.Duration // of a host's time of day
 	boots    int
@@ -69,8 +75,9 @@
 func newFleet(t *rapid.T) *fleet {
 	f := &fleet{
 		t: t, now: time.Unix(5000, 0), ledger: ledger.New(ledger.Options{}), hosts: []string{"a", "b", "c"},
-		runs: map[string]*run{}, behind: map[string]time.Duration{}, wallSkew: map[string]time.Duration{},
+		runs: map[string]*run{}, former: map[string]*run{}, policy: reservePolicy, behind: map[string]time.Duration{}, wallSkew: map[string]time.Duration{},
 	}
+	f.policy.Transfers = rapid.Bool().Draw(t, "transfers")
 	f.ledger.SetFunds(f.record(), budgetName, budgetName, funds)
 	for _, h := range f.hosts {
 		f.boot(h)
@@ -99,11 +106,34 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.checkFormer(host)
 	r := &run{number: registered.Holder.Incarnation, asked: map[string]uint64{}}
 	r.holder = grant.New(registered.Holder, grant.Config{Wall: func() time.Time { return f.wall(host) }}, rand.New(rand.NewSource(int64(f.boots))))
 	r.holder.Contact(f.clock(host))
 	r.holder.SetPeers(f.others(host))
-	f.runs[host] = r
+	f.runs[host], f.former[host] = r, r
+}
+
+// checkFormer compares what a run used, and did not tell, with what still counts as its own.
+// Tokens that move between hosts are the other one's in the books for a while.
+func (f *fleet) checkFormer(host string) {
+	r := f.former[host]
+	if r == nil || f.policy.Transfers {
+		return
+	}
+	b, err := f.ledger.Budget(budgetName)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	counted := r.billed
+	for _, g := range b.Granted {
+		if g.Holder.Incarnation == r.number {
+			counted += g.Tokens
+		}
+	}
+	if counted < r.used {
+		f.t.Fatalf("run %d of %s used %d, of which %d count as spent: %s", r.number, host, r.used, counted, f.books())
+	}
 }
 
 func (f *fleet) others(host string) []string {
@@ -129,6 +159,7 @@
 			continue
 		}
 		f.used += r.asked[d.Request]
+		r.used += r.asked[d.Request]
 		if f.used > funds {
 			f.t.Fatalf("%s may use %d of %d tokens: %s", host, f.used, funds, f.books())
 		}
@@ -145,7 +176,12 @@
 	}
 	if b := out.Batch; b != nil {
 		f.send(true, func() {
-			res, _, err := f.ledger.Settle(f.record(), b)
+			res, resend, err := f.ledger.Settle(f.record(), b)
+			if err == nil && !resend {
+				for _, s := range b.Spends {
+					r.billed += s.Tokens
+				}
+			}
 			if err == nil {
 				f.reply(true, host, r, func() grant.Output {
 					o, _ := r.holder.SettleAnswered(f.clock(host), b.Seq, res)
@@ -194,7 +230,7 @@
 		f.requests++
 		id := fmt.Sprint("r", f.requests)
 		r.asked[id] = uint64(rapid.IntRange(1, 400).Draw(f.t, "tokens"))
-		f.carry(h, r.holder.Reserve(f.clock(h), id, budgetName, r.asked[id], reservePolicy))
+		f.carry(h, r.holder.Reserve(f.clock(h), id, budgetName, r.asked[id], f.policy))
 	}
 }
 
@@ -213,6 +249,7 @@
 		if out, held := r.holder.Spend(f.clock(h), id, spent); held {
 			delete(r.asked, id)
 			f.used -= reserved - spent
+			r.used -= reserved - spent
 			f.carry(h, out)
 		}
 	}
@@ -288,6 +325,20 @@
 	}
 }
 
+// loss is a partition that lasts until the reserve is open, in which hosts live from it, and
+// at whose end all are lost. Some of what they send arrives before that.
+func (f *fleet) loss(*rapid.T) {
+	f.calm(f.t)
+	f.pass(24)
+	for range rapid.IntRange(1, 4).Draw(f.t, "while") {
+		f.reserve(f.host())
+		f.spend(f.host())
+		f.pass(4)
+	}
+	f.kill(f.t)
+	f.restart(f.t)
+}
+
 // kill ends runs in the middle of things: some have just used tokens, and of the messages
 // on their way only some have arrived.
 func (f *fleet) kill(*rapid.T) {
@@ -352,6 +403,7 @@
 		f := newFleet(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"calm": f.calm, "more calm": f.calm, "cut": f.cut, "kill": f.kill, "restart": f.restart, "set clock": f.setClock,
+			"loss": f.loss,
 		})
 		f.exhaust()
 	})
