--- a/internal/daemon/gatewaybudgets.go
+++ b/internal/daemon/gatewaybudgets.go
@@ -87,7 +87,7 @@
 	// Near the end of a budget the open part shrinks with what is left: the loss of all hosts
 	// strands it. Without the bound 9.6 of the last 10.8 million tokens were held by hosts
 	// that were killed together, and 402 was answered to whom a sixth of a budget was left.
-	OpenPermille: 250,
+	OpenPermille: 400,
 	// A part of what is left stays with the ledger, for whoever needs it first. It is small:
 	// one host, the owner, holds nearly all that is held of a budget, and when it is lost, only
 	// what it held open is. With 700 the owners of several budgets could not hold what a
