--- a/internal/daemon/gatewaybudgets.go
+++ b/internal/daemon/gatewaybudgets.go
@@ -79,7 +79,7 @@
 	Horizon: 2 * time.Second,
 	// The reserve costs no more when it is large: it opens by its rate.
 	Reserve:         30 * time.Second,
-	OpeningPermille: 1100,
+	OpeningPermille: 1300,
 	Window:          4 * time.Second,
 	IdleReturn:      30 * time.Second,
 	Transfers:       true,
