--- a/internal/controlclient/gate.go
+++ b/internal/controlclient/gate.go
@@ -33,6 +33,13 @@
 	return &gate{pause: p, changed: make(chan struct{})}
 }
 
+// open tells whether the group answered the last call.
+func (g *gate) open() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.failed
+}
+
 // enter waits until the caller may send; probe is what leave has to be told. It returns
 // false when ctx ends first.
 func (g *gate) enter(ctx context.Context) (probe, ok bool) {
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -11,7 +11,6 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter/callergone"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
-	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/relay/bandwidth"
@@ -20,14 +19,8 @@
 	"github.com/bluebellsail/bluebellsail/internal/relay/forward"
 	"github.com/bluebellsail/bluebellsail/internal/relay/identify"
 	"github.com/bluebellsail/bluebellsail/internal/relay/match"
-	"github.com/bluebellsail/bluebellsail/internal/routes"
-	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
-// tableTimeout bounds one call for the routing table. Its callers give an answer a
-// second and go to another host then.
-const tableTimeout = 900 * time.Millisecond
-
 // maxHeaderBytes bounds what a routing table may allow for headers.
 const maxHeaderBytes = 1 << 20
 
@@ -133,75 +126,6 @@
 // EndKnown implements surface.Servers.
 func (g *gateway) EndKnown(id string) error { return g.balancer.EndKnown(id) }
 
-// Replace implements surface.Tables.
-func (g *gateway) Replace(ctx context.Context, c *pb.ReplaceRoutes) error {
-	packed, err := packRoutes(c)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	res, err := g.d.client.Propose(ctx, &pb.Command{Actor: g.d.cfg.Host, Body: &pb.Command_ReplaceRoutes{ReplaceRoutes: packed}})
-	event := g.d.tel.Log.Info().Str("event", "routes-replaced").Uint64("revision", c.GetRevision())
-	if err != nil {
-		event.Err(err).Send()
-		return err
-	}
-	event.Bool("changed", res.GetReplaceRoutes().GetChanged()).Uint64("present", res.GetReplaceRoutes().GetRevision()).Send()
-	if res.GetReplaceRoutes().GetChanged() && g.servesCallers() {
-		g.takeReplaced(packed)
-	}
-	return nil
-}
-
-// fromOperator stands for the operator where logs name the host that a table came from.
-const fromOperator = "operator"
-
-// takeReplaced puts a table that the group has just taken in force here, before the operator
-// hears of it, and so has the other hosts fetch it from here, too.
-//
-// What goes wrong if it comes by way of the group only: the control hosts are lost as they
-// answer. The operator was told that the table holds, and no host that serves callers has it
-// until the group is back.
-func (g *gateway) takeReplaced(packed *pb.ReplaceRoutes) {
-	g.routes.Take(fromOperator, &pb.FetchRoutesReply{
-		Routes: &pb.Routes{Revision: packed.GetRevision(), TableJson: packed.GetTableJson()}, Confirmed: true,
-	})
-}
-
-func packRoutes(c *pb.ReplaceRoutes) (*pb.ReplaceRoutes, error) {
-	table, err := routes.Pack(c.GetTableJson())
-	if err != nil {
-		return nil, err
-	}
-	document, err := routes.Pack(c.GetDocument())
-	if err != nil {
-		return nil, err
-	}
-	return &pb.ReplaceRoutes{Revision: c.GetRevision(), TableJson: table, Document: document}, nil
-}
-
-// Present implements surface.Tables.
-func (g *gateway) Present(ctx context.Context) (*pb.Routes, error) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	res, err := g.d.client.Read(ctx, &pb.Query{Body: &pb.Query_Routes{Routes: &pb.RoutesQuery{}}})
-	if err != nil {
-		return nil, err
-	}
-	if err := wire.DecodeError(res.GetError()); err != nil {
-		return nil, err
-	}
-	if res.GetRoutes().GetRevision() == 0 {
-		return nil, errkind.New(errkind.HostNotReady, "there is no routing table yet")
-	}
-	document, err := routes.Unpack(res.GetRoutes().GetDocument())
-	if err != nil {
-		return nil, err
-	}
-	return &pb.Routes{Revision: res.GetRoutes().GetRevision(), Document: document}, nil
-}
-
 // Finished implements relay.Observer: one line for each request.
 func (g *gateway) Finished(x *relay.Exchange, err error) {
 	g.metrics.finished(x, err)
--- /dev/null
+++ b/internal/surface/elsewhere.go
@@ -0,0 +1,17 @@
+package surface
+
+import "github.com/bluebellsail/bluebellsail/internal/errkind"
+
+// Elsewhere refuses a call that another host may answer.
+type Elsewhere struct {
+	// Address is where that host takes the same calls, "ip:port".
+	Address string
+	// Refusal is for a caller that can't be sent there.
+	Refusal *errkind.Error
+}
+
+// Error implements error.
+func (e *Elsewhere) Error() string { return e.Refusal.Error() + "; ask " + e.Address }
+
+// Unwrap gives errors.As the refusal.
+func (e *Elsewhere) Unwrap() error { return e.Refusal }
