The wait for a reserve ends when it opens, however long others take to refuse

Cause: the time until an owner's reserve opens was counted from the end of the next host's refusal, 100 to 450 ms after the owner's own. The test's next in rank now takes 300 ms.

--- a/internal/controller/budgets/await.go
+++ b/internal/controller/budgets/await.go
@@ -24,8 +24,10 @@
 
 // closed is a refusal of a host whose reserve will cover the request soon.
 type closed struct {
-	host   owners.Host
-	answer *grant.NotOpenYet
+	host owners.Host
+	// opens is when it will.
+	opens   time.Time
+	refusal *errkind.Error
 }
 
 // asClosed returns nil if the refusal is another one.
@@ -34,7 +36,7 @@
 	if !errors.As(refusal, &answer) {
 		return nil
 	}
-	return &closed{host: h, answer: answer}
+	return &closed{host: h, opens: time.Now().Add(answer.In), refusal: answer.Refusal}
 }
 
 // awaitReserve asks the host again when its reserve should cover the request, as long as
@@ -43,9 +45,9 @@
 // What goes wrong without it: in the first seconds of a partition requests are refused of
 // whose budget plenty is left, and come back at a time that is a guess.
 func (d *Desk) awaitReserve(ctx context.Context, c *closed, budget, request string, tokens uint64) (string, error) {
-	host, refusal := c.host, error(c.answer.Refusal)
+	host, refusal := c.host, error(c.refusal)
 	until := waitUntil(ctx, time.Now())
-	for c != nil && waitFor(ctx, c.answer.In, until) {
+	for c != nil && waitFor(ctx, c.opens, until) {
 		refusal = d.reserveAt(ctx, host, budget, request, tokens)
 		if refusal == nil {
 			return host.Name, nil
@@ -70,12 +72,12 @@
 	return until
 }
 
-// waitFor returns false if the time is up before the wait would be over, or the request ends.
-func waitFor(ctx context.Context, wait time.Duration, until time.Time) bool {
-	if time.Now().Add(wait).After(until) {
+// waitFor waits for a moment. It returns false if that is too late, or the request ends.
+func waitFor(ctx context.Context, moment, until time.Time) bool {
+	if moment.After(until) {
 		return false
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(time.Until(moment))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/controller/budgets/budgets_test.go
+++ b/internal/controller/budgets/budgets_test.go
@@ -28,7 +28,9 @@
 	free   uint64
 	refuse errkind.Kind // in place of tokens
 	// opens is when tokens may be had; until then the refusal says so.
-	opens    time.Time
+	opens time.Time
+	// slow is how long a refusal takes.
+	slow     time.Duration
 	reserved map[string]uint64
 	spent    uint64
 	asked    int
@@ -37,6 +39,7 @@
 func newPurse(tokens uint64) *purse { return &purse{free: tokens, reserved: map[string]uint64{}} }
 
 func (p *purse) Reserve(_ context.Context, _, id string, tokens uint64) error {
+	time.Sleep(p.slow)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.asked++
@@ -369,14 +372,15 @@
 		took            time.Duration
 	}{
 		"soon":                     {1200 * time.Millisecond, patience, "", 1200 * time.Millisecond},
-		"not soon":                 {3 * time.Second, 10 * time.Second, errkind.BudgetUnreachable, 0},
-		"too late for the request": {1200 * time.Millisecond, 2 * time.Second, errkind.BudgetUnreachable, 0},
+		"not soon":                 {3 * time.Second, 10 * time.Second, errkind.BudgetUnreachable, 300 * time.Millisecond},
+		"too late for the request": {1200 * time.Millisecond, 2 * time.Second, errkind.BudgetUnreachable, 300 * time.Millisecond},
 	} {
 		for _, host := range []string{"a", "c"} { // the owner itself, and another host
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet("a", "b", "c")
 				f.purses["a"].opens = time.Now().Add(c.opens)
-				f.purses["b"].refuse = errkind.BudgetUnreachable
+				// The next in rank finds out for itself that the ledger is out of reach.
+				f.purses["b"].refuse, f.purses["b"].slow = errkind.BudgetUnreachable, 300*time.Millisecond
 				began := time.Now()
 				holder, err := f.desks[host].Reserve(testutil.Within(t, c.patience), budget, "r1", 300)
 				took := time.Since(began).Round(10 * time.Millisecond)
