--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -221,7 +221,7 @@
 	defer c.mu.Unlock()
 	c.table.ReceiveRequest(m)
 	c.delta.Has(m.GetFrom(), m.GetServers())
-	state := c.table.Reply(m)
+	state := c.table.Reply(m.GetFrom().GetHost())
 	c.publishChanges()
 	reply := &pb.HeartbeatReply{From: state.GetFrom(), Seq: m.GetSeq(), State: state}
 	c.countBytes(m, reply)
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -33,23 +33,22 @@
 // adds what is not membership's.
 func (t *Table) Request(to string) *pb.HeartbeatRequest {
 	if t.fullMesh() {
-		return t.message(t.newsAndDoubts(to))
+		return t.message(t.onlyNews(to))
 	}
 	return t.message(t.digest(to))
 }
 
-// Reply makes the state that answers a heartbeat. Replies are what brings evidence of third
-// hosts. In a full mesh, where each host hears all others itself, that is needed of the hosts
-// that the sender doubts, and now and then of all for one that missed the news.
-func (t *Table) Reply(request *pb.HeartbeatRequest) *pb.HeartbeatRequest {
-	to := request.GetFrom().GetHost()
+// Reply makes the state that answers a heartbeat of the host named to. Replies are what brings
+// evidence of third hosts. In a full mesh each host hears all others itself, so that one whole
+// view among some replies is enough: it gets replies of all others in each interval.
+func (t *Table) Reply(to string) *pb.HeartbeatRequest {
 	switch {
 	case !t.fullMesh():
 		return t.message(t.digest(to))
-	case t.hosts[to] == nil || t.rng.IntN(wholeViewEvery) == 0:
+	case t.rng.IntN(wholeViewEvery) == 0:
 		return t.message(t.wholeView(to))
 	}
-	return t.message(t.answerDoubts(to, request.GetHosts()))
+	return t.message(t.onlyNews(to))
 }
 
 func (t *Table) message(hosts []*pb.HostState) *pb.HeartbeatRequest {
@@ -90,35 +89,17 @@
 	return d.states
 }
 
-// newsAndDoubts has the hosts that this one doubts in every message, so that whoever hears them
-// says so.
-func (t *Table) newsAndDoubts(to string) []*pb.HostState {
+func (t *Table) onlyNews(to string) []*pb.HostState {
 	var states []*pb.HostState
-	for _, e := range t.order {
-		if e.host == to || e.unheard || e.newsLeft == 0 && !e.doubted {
-			continue
-		}
-		states = append(states, t.state(e, e.newsFull))
-		if e.newsLeft > 0 {
+	for _, e := range t.news() {
+		if e.host != to && !e.unheard {
+			states = append(states, t.state(e, e.newsFull))
 			t.sentNews(e)
 		}
 	}
 	return states
 }
 
-// answerDoubts has the news, and what is known of the hosts in a message.
-func (t *Table) answerDoubts(to string, asked []*pb.HostState) []*pb.HostState {
-	states := t.newsAndDoubts(to)
-	for _, s := range asked {
-		e := t.hosts[s.GetHolder().GetHost()]
-		told := slices.ContainsFunc(states, func(s *pb.HostState) bool { return e != nil && s.GetHolder().GetHost() == e.host })
-		if e != nil && !told && !e.unheard && e.host != to {
-			states = append(states, t.state(e, false))
-		}
-	}
-	return states
-}
-
 // wholeView has addresses where they are news, and all of them now and then for a peer
 // that missed the news.
 func (t *Table) wholeView(to string) []*pb.HostState {
