A fingerprint on the line of each routed request

Two tries of one request had different ids and nothing else on their lines by which they could be told to be the same, so the logs could not tell a request that is sent again from others of its size. Needed to tell the hypotheses of the incident of crashing requests apart.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/relay/forward"
 	"github.com/bluebellsail/bluebellsail/internal/relay/identify"
 	"github.com/bluebellsail/bluebellsail/internal/relay/match"
+	"github.com/bluebellsail/bluebellsail/internal/relay/quarantine"
 )
 
 // maxHeaderBytes bounds what a routing table may allow for headers.
@@ -46,7 +47,7 @@
 	r := g.d.cfg.Routed
 	if r.Requests != "" {
 		handler := relay.NewHandler(g.protocol, g,
-			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, deadline.Filter{},
+			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, deadline.Filter{}, quarantine.Filter{},
 			bandwidth.New(g.d.cfg.Limits.LinkMbps), &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
 				Dialect: g.protocol, Client: g.client, Balancer: g.assigner, Retries: g.balancer, Abort: httpserver.Abort,
@@ -138,6 +139,9 @@
 	if x.Route != nil {
 		event = event.Str("route", x.Route.Name).Time("deadline", x.Deadline)
 	}
+	if !x.Deadline.IsZero() {
+		event = event.Stringer("fingerprint", x.Asked.Fingerprint)
+	}
 	if x.PromptTokens > 0 {
 		event = event.Uint64("reserved", x.Reserved).Str("tokens_of", x.Holder).Uint64("prompt", x.PromptTokens).Uint64("output", x.Output)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
 )
 
@@ -54,6 +55,8 @@
 	Account *routes.Account // nil on routes that need no key
 	// Service that the request goes to, and the table's entry of it.
 	Service *routes.Service
+	// Asked names the request by what it asks: a caller that sends it again has another ID.
+	Asked quarantine.ID
 
 	// Reserved is how many tokens are set aside. Input is set once the request surely began
 	// to run, with the first part of its answer, or may have done so at a server that did
