Routed requests that crash the servers that run them are quarantined fleet-wide

What callers saw: while such a request came, a tenth of the servers and more was down at any moment, and whoever shared one with it got 502 or a broken stream.

Cause: nothing was remembered of a request beyond one try. Each try stood for itself, a crash was held against the server alone, and the next try went to the next sound one. The same fingerprint stands in each gateway's log at servers that were sound until then.

Change: package quarantine (pure) remembers by fingerprint under which requests servers ended. One crash: the request runs once at a time in the fleet, admitted by its owner. Three: it is refused with 503 request_quarantined, but for two trials, after 2 s and after 10 min, so that a request which only ran beside the cause is served again. A whole answer clears it. controller/quarantine asks a server whose connection broke whether it answers at all, and blames nothing if it does, nor requests that met a server which had ended before; tells all hosts by package news; compares what is known with another host once a second; hosts with a disk keep it there, and a host that starts learns it before it serves.

--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -1,5 +1,6 @@
 // Package news tells all hosts of a fleet what must not wait for heartbeats: that a backend
-// server leaves or is gone, and that there is a newer routing table.
+// server leaves or is gone, that one crashed under a request, and that there is a newer routing
+// table.
 //
 // What goes wrong without it: in a fleet too large for each host to hear every other one,
 // heartbeats carry word from host to host, one neighbour each 250 ms. Of 67 hosts the last
@@ -48,6 +49,8 @@
 	Client func(address string) pb.PeerClient
 	// Servers takes states of backend servers that another host heard of.
 	Servers func([]*pb.ServerState)
+	// Suspects takes what another host knows of requests under which servers crashed.
+	Suspects func(told []*pb.Suspect, from string)
 	// Fetch gets the routing table of the host at an address if this host has an older
 	// revision.
 	Fetch func(ctx context.Context, address string, revision uint64)
@@ -65,14 +68,20 @@
 	// ctx is that of Run; nil before it and after it.
 	ctx      context.Context
 	servers  map[string]*pb.ServerState
+	suspects map[suspectKey]*pb.Suspect
 	revision uint64
 	// told is when a table was last told.
 	told time.Time
 }
 
+// suspectKey names a request under which servers crashed.
+type suspectKey struct{ account, fingerprint string }
+
 // New makes a spreader; nothing is told before Run.
 func New(cfg Config) *Spreader {
-	return &Spreader{cfg: cfg, wake: make(chan struct{}, 1), servers: make(map[string]*pb.ServerState)}
+	return &Spreader{
+		cfg: cfg, wake: make(chan struct{}, 1), servers: make(map[string]*pb.ServerState), suspects: make(map[suspectKey]*pb.Suspect),
+	}
 }
 
 // Server tells all hosts the state of a backend server, soon: the newest one that it was
@@ -86,6 +95,14 @@
 	s.signal()
 }
 
+// Suspect tells all hosts what this one knows of a request, soon: the newest that it was given.
+func (s *Spreader) Suspect(told *pb.Suspect) {
+	s.mu.Lock()
+	s.suspects[suspectKey{told.GetAccount(), string(told.GetFingerprint())}] = told
+	s.mu.Unlock()
+	s.signal()
+}
+
 // Table tells all hosts of the routing table that can be fetched from this one, soon.
 func (s *Spreader) Table(revision uint64) {
 	s.mu.Lock()
@@ -141,6 +158,10 @@
 		n.Servers = append(n.Servers, st)
 		delete(s.servers, id)
 	}
+	for key, told := range s.suspects {
+		n.Suspects = append(n.Suspects, told)
+		delete(s.suspects, key)
+	}
 	if s.revision > 0 {
 		if pause := minPause - time.Since(s.told); pause > 0 {
 			time.AfterFunc(pause, s.signal)
@@ -148,7 +169,7 @@
 			n.RoutesRevision, s.revision, s.told = s.revision, 0, time.Now()
 		}
 	}
-	if len(n.Servers) == 0 && n.RoutesRevision == 0 {
+	if len(n.Servers) == 0 && len(n.Suspects) == 0 && n.RoutesRevision == 0 {
 		return nil
 	}
 	return n
@@ -189,7 +210,8 @@
 		head := group[0]
 		group = group[1:]
 		req := &pb.TellRequest{
-			Servers: n.GetServers(), RoutesRevision: n.GetRoutesRevision(), FromAddress: s.cfg.Self, Onward: group,
+			Servers: n.GetServers(), Suspects: n.GetSuspects(), RoutesRevision: n.GetRoutesRevision(),
+			FromAddress: s.cfg.Self, Onward: group,
 		}
 		callCtx, cancel := context.WithTimeout(ctx, tellTimeout)
 		_, err := s.cfg.Client(head).Tell(callCtx, req)
@@ -206,6 +228,9 @@
 	if len(req.GetServers()) > 0 {
 		s.cfg.Servers(req.GetServers())
 	}
+	if len(req.GetSuspects()) > 0 {
+		s.cfg.Suspects(req.GetSuspects(), req.GetFromAddress())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx := s.ctx; ctx != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
 	"github.com/bluebellsail/bluebellsail/internal/controller/news"
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
+	quarantinectl "github.com/bluebellsail/bluebellsail/internal/controller/quarantine"
 	routesctl "github.com/bluebellsail/bluebellsail/internal/controller/routes"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -51,6 +52,7 @@
 	balancer *balancer.Balancer
 	members  *members.Controller
 	news     *news.Spreader
+	suspects *quarantinectl.Guard
 	owners   *owners.Table
 	budgets  *budgets.Desk
 	assigner *assign.Assigner
@@ -162,6 +164,7 @@
 	}
 	d.tasks.run("heartbeats", g.members.Run)
 	d.tasks.run("news", g.news.Run)
+	d.tasks.run("suspects", g.suspects.Run)
 	d.tasks.runTrusted("join", g.join)
 	if g.servesCallers() {
 		d.tasks.run("routes", g.routes.Run)
@@ -205,8 +208,9 @@
 		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: g.balancer, Load: g.load,
 		Log: d.tel.Log, Metrics: d.tel.Metrics, Ticked: d.watch.Tick,
 	})
-	g.news = g.newNews()
 	g.owners = owners.New(owners.Config{Self: g.asOwner, Peers: g.members.Peers})
+	g.suspects = g.newSuspects()
+	g.news = g.newNews()
 	g.budgets = g.newBudgets()
 	g.assigner = assign.New(assign.Config{
 		Run: g.run, Self: g.holder, Local: g.balancer, Owners: g.owners, Client: d.pool.Client, Log: d.tel.Log,
@@ -297,7 +301,7 @@
 }
 
 // lacks tells what this host, which has just started, does not know yet: a host that
-// holds tokens, or a server of one of the table's services.
+// holds tokens, which requests crash servers, or a server of one of the table's services.
 //
 // What goes wrong without it: the table comes some milliseconds before the first
 // heartbeats of hosts and servers, and a host that calls itself ready refuses what every
@@ -306,6 +310,9 @@
 	if g.grants.Load() == nil && len(g.owners.Of("", 1)) == 0 {
 		return "a host that holds tokens"
 	}
+	if !g.suspects.Synced() {
+		return "the requests that crash servers"
+	}
 	for _, s := range x.Table().Services {
 		if !g.balancer.Serves(s.Name) {
 			return "a backend server of " + s.Name
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -56,6 +56,17 @@
 	return out
 }
 
+// sourceAddresses are the peer addresses of sources.
+func (g *gateway) sourceAddresses() []string {
+	var out []string
+	for _, s := range g.sources() {
+		if s.Address != g.d.cfg.PeerAddress() {
+			out = append(out, s.Address)
+		}
+	}
+	return out
+}
+
 // fetchRoutes asks a host for its routing table.
 func (g *gateway) fetchRoutes(ctx context.Context, address string, req *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error) {
 	return g.d.pool.Client(address).FetchRoutes(ctx, req)
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -47,7 +47,8 @@
 	r := g.d.cfg.Routed
 	if r.Requests != "" {
 		handler := relay.NewHandler(g.protocol, g,
-			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, deadline.Filter{}, quarantine.Filter{},
+			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, deadline.Filter{},
+			&quarantine.Filter{Quarantine: g.suspects},
 			bandwidth.New(g.d.cfg.Limits.LinkMbps), &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
 				Dialect: g.protocol, Client: g.client, Balancer: g.assigner, Retries: g.balancer, Abort: httpserver.Abort,
@@ -142,6 +143,11 @@
 	if !x.Deadline.IsZero() {
 		event = event.Stringer("fingerprint", x.Asked.Fingerprint)
 	}
+	if x.Pass != nil && x.Pass.Standing().Crashes > 0 {
+		st := x.Pass.Standing()
+		event = event.Str("level", string(st.Level)).Int("crashes", st.Crashes).Int("trials", st.Trials).
+			Str("crash_reporter", st.Reporter).Dur("last_crash_ago", st.LastCrash)
+	}
 	if x.PromptTokens > 0 {
 		event = event.Uint64("reserved", x.Reserved).Str("tokens_of", x.Holder).Uint64("prompt", x.PromptTokens).Uint64("output", x.Output)
 	}
--- a/internal/daemon/gatewaypeer.go
+++ b/internal/daemon/gatewaypeer.go
@@ -59,6 +59,21 @@
 	return p.g.news.Handle(r), nil
 }
 
+// FetchSuspects gives what this host knows of requests that crash servers.
+func (p gatewayPeer) FetchSuspects(_ context.Context, r *pb.FetchSuspectsRequest) (*pb.FetchSuspectsReply, error) {
+	return p.g.suspects.HandleFetch(r), nil
+}
+
+// AdmitSuspect decides on a run of another host's request.
+func (p gatewayPeer) AdmitSuspect(_ context.Context, r *pb.AdmitSuspectRequest) (*pb.AdmitSuspectReply, error) {
+	return p.g.suspects.HandleAdmit(r), nil
+}
+
+// EndSuspect takes that such a run has ended.
+func (p gatewayPeer) EndSuspect(_ context.Context, r *pb.EndSuspectRequest) (*pb.EndSuspectReply, error) {
+	return p.g.suspects.HandleEnd(r), nil
+}
+
 // FetchRoutes gives the routing table that this host has.
 func (p gatewayPeer) FetchRoutes(_ context.Context, r *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error) {
 	if p.g.d.replica != nil {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -121,6 +121,18 @@
 	return l.service().Tell(ctx, r)
 }
 
+func (l *latePeer) FetchSuspects(ctx context.Context, r *pb.FetchSuspectsRequest) (*pb.FetchSuspectsReply, error) {
+	return l.service().FetchSuspects(ctx, r)
+}
+
+func (l *latePeer) AdmitSuspect(ctx context.Context, r *pb.AdmitSuspectRequest) (*pb.AdmitSuspectReply, error) {
+	return l.service().AdmitSuspect(ctx, r)
+}
+
+func (l *latePeer) EndSuspect(ctx context.Context, r *pb.EndSuspectRequest) (*pb.EndSuspectReply, error) {
+	return l.service().EndSuspect(ctx, r)
+}
+
 func (l *latePeer) ShareParts(ctx context.Context, r *pb.SharePartsRequest) (*pb.SharePartsReply, error) {
 	return l.service().ShareParts(ctx, r)
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -34,6 +34,7 @@
 	Overloaded           Kind = "overloaded"
 	NoBackendServer      Kind = "no_backend_server"
 	BackendServerFailed  Kind = "backend_server_failed"
+	RequestQuarantined   Kind = "request_quarantined"
 	KeyExpired           Kind = "idempotency_key_expired"
 	KeyConflict          Kind = "idempotency_key_conflict"
 	InProgress           Kind = "in_progress"
@@ -110,6 +111,7 @@
 	{Overloaded, 429, RanNo, RetryAfter, "the queue for this priority or client account is full"},
 	{NoBackendServer, 503, RanNo, RetryAfter, "no backend server for this model or service is in service"},
 	{BackendServerFailed, 502, RanVaries, RetrySameKey, "the backend server failed and the request may not be sent again"},
+	{RequestQuarantined, 503, RanNo, RetryAfter, "backend servers crashed while they ran this request; it is tried again now and then, one run at a time"},
 	{KeyExpired, 410, RanNo, RetryNever, "the idempotency key is older than the window in which it is remembered"},
 	{KeyConflict, 422, RanNo, RetryNever, "the idempotency key was used with another body"},
 	{InProgress, 409, RanYes, RetrySameKey, "the request with this idempotency key is still running"},
--- /dev/null
+++ b/internal/filter/quarantine.go
@@ -0,0 +1,45 @@
+package filter
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/quarantine"
+)
+
+// Quarantine keeps requests from backend servers that crash the servers which run them.
+type Quarantine interface {
+	// Admit lets a request pass, or refuses it. It may block until another run of the same
+	// request has ended, or ctx ends.
+	Admit(ctx context.Context, id quarantine.ID) (Pass, error)
+}
+
+// Pass is the way of one request to backend servers. Exactly one Close follows.
+type Pass interface {
+	// Broke tells of an attempt whose connection the server's side ended before its answer
+	// was whole. It does not block.
+	Broke(b Break)
+	// Again asks whether there may be a further attempt after one that broke.
+	Again(ctx context.Context) error
+	// Answered tells that a server gave its whole answer.
+	Answered()
+	// Standing of the request when it was last asked for.
+	Standing() quarantine.Standing
+	Close()
+}
+
+// Break is the end of an attempt's connection.
+type Break struct {
+	// Run of the server, at an address.
+	Run     instance.Incarnation
+	Address string
+	// HealthPath is where the server says whether it takes requests.
+	HealthPath string
+	// Began is when the attempt did.
+	Began time.Time
+	// Others is how many other requests this host had at the server.
+	Others int
+	// RequestID for the log.
+	RequestID string
+}
--- /dev/null
+++ b/internal/quarantine/state.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// State is what is known of a request, for other hosts; nil if it is nothing.
+func (t *Table) State(now time.Time, id ID) *pb.Suspect {
+	s := t.find(id)
+	if s == nil {
+		return nil
+	}
+	out := &pb.Suspect{Account: id.Account, Fingerprint: bytes.Clone(id.Fingerprint[:]), Epoch: s.epoch, AgeMs: now.Sub(s.touched).Milliseconds()}
+	for _, c := range s.crashes {
+		out.Crashes = append(out.Crashes, &pb.ServerCrash{
+			Server: &pb.ServerRun{Id: c.run.ID, Incarnation: c.run.Started}, AgeMs: now.Sub(c.at).Milliseconds(),
+			Host: c.host, Others: uint32(max(c.others, 0)),
+		})
+	}
+	for _, tr := range s.trials {
+		out.Trials = append(out.Trials, &pb.SuspectTrial{Name: tr.name, AgeMs: now.Sub(tr.at).Milliseconds()})
+	}
+	return out
+}
+
+// All are the states of all requests, in order.
+func (t *Table) All(now time.Time) []*pb.Suspect {
+	var out []*pb.Suspect
+	for _, id := range t.ids() {
+		out = append(out, t.State(now, id))
+	}
+	return out
+}
+
+func (t *Table) ids() []ID {
+	var out []ID
+	for account, of := range t.accounts {
+		for f := range of {
+			out = append(out, ID{account, f})
+		}
+	}
+	slices.SortFunc(out, func(a, b ID) int {
+		if c := strings.Compare(a.Account, b.Account); c != 0 {
+			return c
+		}
+		return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:])
+	})
+	return out
+}
+
+// Digest is the same at two hosts that know the same, whenever each of them learnt it.
+func (t *Table) Digest() uint64 {
+	if t.digestOf == t.version {
+		return t.digest
+	}
+	t.digest, t.digestOf = 0, t.version
+	for _, id := range t.ids() {
+		t.digest += t.digestEntry(id)
+	}
+	return t.digest
+}
+
+// digestEntry hashes one request's crashes and trials, whatever their order.
+func (t *Table) digestEntry(id ID) uint64 {
+	s := t.find(id)
+	sum := xxhash.Sum64String(fmt.Sprintf("%q %v %d", id.Account, id.Fingerprint, s.epoch))
+	for _, c := range s.crashes {
+		sum += xxhash.Sum64String(fmt.Sprintf("crash %q %d %v %d", c.run.ID, c.run.Started, id.Fingerprint, s.epoch))
+	}
+	for _, tr := range s.trials {
+		sum += xxhash.Sum64String(fmt.Sprintf("trial %q %v %d", tr.name, id.Fingerprint, s.epoch))
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,250 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+var epochStart = time.Unix(1_000_000, 0)
+
+func request(account string, n int) ID {
+	return ID{Account: account, Fingerprint: FingerprintOf(account, "host", "/x", fmt.Appendf(nil, "%d", n))}
+}
+
+func run(n int) instance.Incarnation {
+	return instance.Incarnation{ID: fmt.Sprintf("server-%d", n), Started: 1}
+}
+
+// fleet is hosts whose tables hear of each other.
+type fleet struct {
+	now     time.Time
+	hosts   []*Table
+	servers int
+	passes  int
+}
+
+func newFleet(hosts int) *fleet {
+	f := &fleet{now: epochStart}
+	for range hosts {
+		f.hosts = append(f.hosts, NewTable())
+	}
+	return f
+}
+
+// tell has one host learn all that another knows.
+func (f *fleet) tell(from, to int) {
+	for _, s := range f.hosts[from].All(f.now) {
+		f.hosts[to].Merge(f.now, s)
+	}
+}
+
+func (f *fleet) tellAll() {
+	for range 2 {
+		for from := range f.hosts {
+			for to := range f.hosts {
+				f.tell(from, to)
+			}
+		}
+	}
+}
+
+func (f *fleet) crash(at int, id ID) {
+	f.servers++
+	f.hosts[at].Crashed(f.now, id, run(f.servers), fmt.Sprintf("host-%d", at), 0)
+}
+
+func (f *fleet) admit(owner int, id ID) Verdict {
+	f.passes++
+	return f.hosts[owner].Admit(f.now, id, fmt.Sprintf("pass-%d", f.passes), 10*time.Second)
+}
+
+// Guards against a request that is sent to servers for ever: whatever hosts decide on it, in
+// whatever order, and however the owner changes, it runs MaxCrashes times and in the trials.
+func TestCrashingRequestRunsInTrialsOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 5).Draw(t, "hosts"))
+		id := request("account", 1)
+		runs, late := 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "sends") {
+			f.now = f.now.Add(time.Duration(rapid.Int64Range(0, int64(5*time.Minute)).Draw(t, "pause")))
+			owner := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "owner")
+			if rapid.Bool().Draw(t, "expire") {
+				f.hosts[owner].Expire(f.now)
+			}
+			v := f.admit(owner, id)
+			if v.Decision == Wait || v.Decision == Refuse {
+				if v.After <= 0 {
+					t.Fatalf("refused without a time to come back: %+v", v)
+				}
+				continue
+			}
+			if runs >= MaxCrashes {
+				late++
+			}
+			runs++
+			f.crash(rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host"), id)
+			f.tellAll()
+		}
+		if late > len(trialPauses) {
+			t.Fatalf("ran %d times after %d crashes", late, MaxCrashes)
+		}
+	})
+}
+
+// Guards against a request that is refused for good because it ran beside others that crash
+// servers: a trial comes, and its answer clears it at all hosts.
+func TestUnluckyRequestIsServedAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 5).Draw(t, "hosts"))
+		id := request("account", 1)
+		for range rapid.IntRange(1, 2*maxKept).Draw(t, "crashes") {
+			f.crash(rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host"), id)
+		}
+		f.tellAll()
+		owner := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "owner")
+		v := f.admit(owner, id)
+		if v.Decision == Refuse {
+			f.now = f.now.Add(v.After)
+			v = f.admit(owner, id)
+		}
+		if v.Decision != Trial && v.Decision != Exclusive {
+			t.Fatalf("not run when it was to come back: %+v", v)
+		}
+		f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "answering host")].Clear(f.now, id)
+		f.tellAll()
+		for i, h := range f.hosts {
+			if st := h.Standing(f.now, id); st.Level != Free {
+				t.Fatalf("host %d: %+v", i, st)
+			}
+		}
+	})
+}
+
+// Guards against hosts that never agree, each of which tells the others all it knows for ever.
+func TestTablesAgreeOnceAllWasTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 5).Draw(t, "hosts"))
+		host := rapid.IntRange(0, len(f.hosts)-1)
+		f.check(t, rapid.SliceOf(rapid.Custom(func(t *rapid.T) step {
+			return step{kind: rapid.IntRange(0, 4).Draw(t, "kind"), host: host.Draw(t, "host"), to: host.Draw(t, "to"), n: rapid.IntRange(0, 3).Draw(t, "request")}
+		})).Draw(t, "steps"))
+	})
+}
+
+type step struct{ kind, host, to, n int }
+
+func (f *fleet) check(t *rapid.T, steps []step) {
+	for _, s := range steps {
+		f.now = f.now.Add(time.Second)
+		id := request("account", s.n)
+		switch s.kind {
+		case 0, 1:
+			f.crash(s.host, id)
+		case 2:
+			f.admit(s.host, id)
+		case 3:
+			f.hosts[s.host].Clear(f.now, id)
+		case 4:
+			f.tell(s.host, s.to)
+		}
+	}
+	f.tellAll()
+	for i, h := range f.hosts[1:] {
+		if h.Digest() != f.hosts[0].Digest() {
+			t.Fatalf("host %d knows %v, host 0 %v", i+1, h.All(f.now), f.hosts[0].All(f.now))
+		}
+	}
+	before := f.hosts[0].Version()
+	f.tell(1, 0)
+	if f.hosts[0].Version() != before {
+		t.Fatal("what was known is news")
+	}
+}
+
+// Guards against one client account whose many crashing requests push out what is known of
+// another's, and against memory that grows with them.
+func TestAccountsHaveTheirOwnRoom(t *testing.T) {
+	table := NewTable()
+	kept := request("small", 0)
+	for n := range MaxCrashes {
+		table.Crashed(epochStart, kept, run(n), "host", 0)
+	}
+	worst := request("large", 0)
+	for n := range MaxCrashes {
+		table.Crashed(epochStart, worst, run(n), "host", 0)
+	}
+	for n := 1; n < 10*maxPerAccount; n++ {
+		table.Crashed(epochStart.Add(time.Duration(n)*time.Second), request("large", n), run(n), "host", 0)
+	}
+	now := epochStart.Add(time.Hour)
+	if got := len(table.All(now)); got != maxPerAccount+1 {
+		t.Errorf("%d requests are remembered", got)
+	}
+	for _, id := range []ID{kept, worst} {
+		if st := table.Standing(now, id); st.Level != Quarantined {
+			t.Errorf("account %s: %+v", id.Account, st)
+		}
+	}
+}
+
+// Guards against a suspected request that crashes a server for each caller who sends it at the
+// same time, and against callers who wait for one that takes long.
+func TestSuspectedRequestRunsOnceAtATime(t *testing.T) {
+	table := NewTable()
+	id := request("account", 1)
+	table.Crashed(epochStart, id, run(1), "host", 0)
+	at := epochStart
+	want := func(name string, decision Decision) {
+		t.Helper()
+		if v := table.Admit(at, id, name, time.Minute); v.Decision != decision {
+			t.Errorf("%s after %v: %+v, want %s", name, at.Sub(epochStart), v, decision)
+		}
+	}
+	want("first", Exclusive)
+	want("second", Wait)
+	want("first", Exclusive)
+	table.End(id, "second")
+	want("second", Wait)
+	table.End(id, "first")
+	want("second", Exclusive)
+	at = at.Add(exclusiveFor)
+	want("third", Exclusive)
+}
+
+// Guards against a table that a message of another program, or a damaged file, spoils.
+func TestMalformedStatesChangeNothing(t *testing.T) {
+	table := NewTable()
+	for _, s := range []*pb.Suspect{nil, {}, {Account: "a", Fingerprint: []byte("short")}, {Account: "a", Fingerprint: make([]byte, 17)}} {
+		if _, news := table.Merge(epochStart, s); news {
+			t.Errorf("%v was taken", s)
+		}
+	}
+	f := request("a", 1).Fingerprint
+	told := &pb.Suspect{Account: "a", Fingerprint: f[:], AgeMs: -1 << 62, Crashes: []*pb.ServerCrash{{AgeMs: 1 << 62}, nil}}
+	table.Merge(epochStart, told)
+	if st := table.Standing(epochStart, request("a", 1)); st.LastCrash < 0 || st.LastCrash > retention {
+		t.Errorf("%+v", st)
+	}
+}
+
+// Guards against a request that is kept from servers for days after the cause was mended, and
+// against one that is forgotten within hours.
+func TestOldCrashesAreForgotten(t *testing.T) {
+	table := NewTable()
+	id := request("account", 1)
+	for n := range MaxCrashes {
+		table.Crashed(epochStart, id, run(n), "host", 0)
+	}
+	if forgotten := table.Expire(epochStart.Add(retention - time.Second)); len(forgotten) != 0 {
+		t.Errorf("%v forgotten early", forgotten)
+	}
+	if forgotten := table.Expire(epochStart.Add(retention)); len(forgotten) != 1 || forgotten[0] != id {
+		t.Errorf("forgotten: %v", forgotten)
+	}
+}
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -4,6 +4,6 @@
 // Exchange, and the ports through which they reach the host's state.
 //
 // Order of the chain, outermost first: match (is there a table, and a route), identify
-// (whose request it is), deadline, budget, forward. Whoever may not ask at all is
+// (whose request it is), deadline, quarantine (have servers crashed under it), budget, forward. Whoever may not ask at all is
 // refused before anything is spent on the request.
 package relay
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
 )
@@ -57,6 +58,8 @@
 	Service *routes.Service
 	// Asked names the request by what it asks: a caller that sends it again has another ID.
 	Asked quarantine.ID
+	// Pass to backend servers; nil: there is no quarantine.
+	Pass filter.Pass
 
 	// Reserved is how many tokens are set aside. Input is set once the request surely began
 	// to run, with the first part of its answer, or may have done so at a server that did
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
 )
@@ -57,9 +58,29 @@
 	note.Took = time.Since(started)
 	note.Failed(out.cause, out.err)
 	lease.Done(out.result)
+	if t.x.Pass != nil && crashLike(out.cause) {
+		t.x.Pass.Broke(filter.Break{
+			Run: choice.Instance.Incarnation(), Address: choice.Instance.Address, HealthPath: t.x.Service.HealthPath,
+			Began: started, Others: choice.Running, RequestID: t.x.ID,
+		})
+	}
 	return out
 }
 
+// crashLike tells whether an attempt ended as those do whose server crashes: the server had all
+// of the request, and its side ended the connection.
+func crashLike(c engineclient.Cause) bool {
+	switch c {
+	case engineclient.CauseReset, engineclient.CauseClosed, engineclient.CauseCutHead, engineclient.CauseCutBody, engineclient.CauseCutStream:
+		return true
+	}
+	return false
+}
+
+// framed tells whether an answer's end can be told from the end of its connection. Where it
+// can't, the answer of a server that crashes looks whole.
+func framed(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
+
 // notAnswered takes an attempt without an answer.
 func (t *try) notAnswered(err error) outcome {
 	result := balance.Unreachable
@@ -82,8 +103,9 @@
 }
 
 // served is the outcome of an attempt whose answer is with the caller.
-func served() outcome {
-	return outcome{cause: engineclient.CauseAnswered, result: balance.Served}
+func served(res *http.Response) outcome {
+	whole := framed(res) && res.StatusCode < http.StatusInternalServerError
+	return outcome{cause: engineclient.CauseAnswered, result: balance.Served, whole: whole}
 }
 
 // answered takes a server's answer. cancel gives its connection up.
@@ -144,7 +166,7 @@
 	}
 	t.w.WriteHeader(res.StatusCode)
 	if !t.handOver(body) || len(body) <= maxWhole {
-		return served() // a caller who left is noticed by the request's context
+		return served(res) // a caller who left is noticed by the request's context
 	}
 	return t.copyRest(res)
 }
@@ -160,7 +182,7 @@
 			return out
 		}
 		if err == io.EOF {
-			return served()
+			return served(res)
 		}
 		if err != nil {
 			out := t.failed(balance.Broken, engineclient.CauseCutStream, "the answer broke off: %v", err)
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -74,6 +74,8 @@
 	result balance.Result
 	// again: another server may do better.
 	again bool
+	// whole: a server gave its whole answer, and did not fail.
+	whole bool
 }
 
 func (t *try) run() error {
@@ -83,6 +85,9 @@
 			return t.giveUp(err)
 		}
 		out := t.attempt(lease)
+		if out.whole && t.x.Pass != nil {
+			t.x.Pass.Answered()
+		}
 		if out.err == nil {
 			return nil
 		}
@@ -92,6 +97,9 @@
 		if !out.again || !t.mayRepeat() {
 			return t.giveUp(out.err)
 		}
+		if t.x.Pass != nil && t.x.Pass.Again(t.ctx) != nil {
+			return t.giveUp(out.err)
+		}
 	}
 }
 
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -32,7 +32,7 @@
 		case readErr == io.EOF:
 			t.pass(res, whole.Rest())
 			t.begin(res) // a stream without events
-			return served()
+			return served(res)
 		case t.ctx.Err() != nil:
 			return t.failed(balance.Abandoned, engineclient.CauseLeft, "%v", t.ctx.Err())
 		case readErr != nil:
--- a/internal/relay/quarantine/quarantine.go
+++ b/internal/relay/quarantine/quarantine.go
@@ -1,4 +1,7 @@
-// Package quarantine is the filter that tells apart requests by what they ask.
+// Package quarantine is the filter that keeps routed requests from backend servers that crash
+// the servers which run them.
+//
+// It stands before the budget: a request that is refused here sets no tokens aside.
 package quarantine
 
 import (
@@ -10,14 +13,20 @@
 )
 
 // Filter implements filter.Filter.
-type Filter struct{}
+type Filter struct{ Quarantine filter.Quarantine }
 
-// ServeHTTP fills the exchange's Asked.
-func (Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
+// ServeHTTP fills the exchange's Asked and Pass.
+func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
 	x := relay.From(r.Context())
 	x.Asked = quarantine.ID{
 		Account:     x.AccountName(),
 		Fingerprint: quarantine.FingerprintOf(x.AccountName(), x.Host, x.Target, x.Body),
 	}
+	pass, err := f.Quarantine.Admit(r.Context(), x.Asked)
+	if err != nil {
+		return err
+	}
+	x.Pass = pass
+	defer pass.Close()
 	return next.ServeHTTP(w, r)
 }
