A prompt that crashes engines is quarantined on the callers' own interface too

What callers saw: with six engines, a prompt that ends each engine which runs it had ended all of them after four tries, and every other prompt was refused as no_backend_server.

Cause: the same as on routed requests: the chain remembers nothing of a call beyond its try.

Change: filter/quarantine admits a call before budget and claim; dispatch tells of connections that the engine's side ended and of whole answers; route asks before each further attempt. Reading a former holder's run again is no new run and asks nothing. Entry hosts run the same guard and tell each other by package news.

e2e/testdata/crashing.txt fails without it (no_backend_server in place of request_quarantined); with it 7 tries at three hosts and three more after all hosts were killed leave engines that serve the next prompt.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -11,6 +11,7 @@
 //     run.
 //   - settle: inside idempotency, so that a replay is not billed, and around budget,
 //     so that each reservation ends.
+//   - quarantine: before budget and claim, which a call that is refused must not take.
 //   - budget: before claim, which costs a commit of the quorum; a call without tokens
 //     should not take it.
 //   - claim: before any byte goes out, and around route, so that one claim holds for
@@ -36,6 +37,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter/identify"
 	"github.com/bluebellsail/bluebellsail/internal/filter/limit"
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
+	"github.com/bluebellsail/bluebellsail/internal/filter/quarantine"
 	"github.com/bluebellsail/bluebellsail/internal/filter/route"
 	"github.com/bluebellsail/bluebellsail/internal/filter/settle"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
@@ -78,10 +80,12 @@
 	Claims    filter.Claims
 	Scheduler filter.Scheduler
 	Retries   filter.Retries
-	Explainer filter.Explainer
-	Registry  Registry
-	Addresses Addresses
-	Models    Models
+	// Quarantine keeps calls from servers; nil: none.
+	Quarantine filter.Quarantine
+	Explainer  filter.Explainer
+	Registry   Registry
+	Addresses  Addresses
+	Models     Models
 	// Health is nil while the host may take work.
 	Health func() error
 	// Dispatch is the end of the chain.
@@ -108,7 +112,7 @@
 		Closed: d.CallerClosed, ID: func(ctx context.Context) string { return filter.CallFrom(ctx).ID },
 	}
 	who := &identify.Filter{Settings: d.Settings}
-	a.chain = filter.Chain(d.Dispatch,
+	filters := []filter.Filter{
 		gone,
 		who,
 		&limit.Filter{},
@@ -116,10 +120,15 @@
 		&parse.Filter{Settings: d.Settings},
 		&idempotency.Filter{Records: d.Records, Hosts: d.Hosts, Settings: d.Settings, Clock: d.Clock},
 		&settle.Filter{Budget: d.Budget, Records: d.Records, Clock: d.Clock},
+	}
+	if d.Quarantine != nil {
+		filters = append(filters, &quarantine.Filter{Quarantine: d.Quarantine, Clock: d.Clock})
+	}
+	a.chain = filter.Chain(d.Dispatch, append(filters,
 		&budget.Filter{Budget: d.Budget, Clock: d.Clock},
 		a.claims,
 		&route.Filter{Scheduler: d.Scheduler, Retries: d.Retries, Records: d.Records, Clock: d.Clock},
-	)
+	)...)
 	a.models = filter.Chain(filter.HandlerFunc(a.listModels), who)
 	return a
 }
--- a/internal/controller/quarantine/quarantine.go
+++ b/internal/controller/quarantine/quarantine.go
@@ -123,7 +123,7 @@
 
 // Admit implements filter.Quarantine.
 func (g *Guard) Admit(ctx context.Context, id quarantine.ID) (filter.Pass, error) {
-	p := &pass{g: g, id: id, name: g.cfg.Run + "/" + strconv.FormatUint(g.passes.Add(1), 10)}
+	p := g.newPass(id)
 	if err := p.admit(ctx); err != nil {
 		p.Close()
 		return nil, err
@@ -131,6 +131,13 @@
 	return p, nil
 }
 
+// Follow implements filter.Quarantine.
+func (g *Guard) Follow(id quarantine.ID) filter.Pass { return g.newPass(id) }
+
+func (g *Guard) newPass(id quarantine.ID) *pass {
+	return &pass{g: g, id: id, name: g.cfg.Run + "/" + strconv.FormatUint(g.passes.Add(1), 10)}
+}
+
 // standing of a request as this host knows it.
 func (g *Guard) standing(id quarantine.ID) quarantine.Standing {
 	g.mu.Lock()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -13,7 +13,10 @@
 	"github.com/bluebellsail/bluebellsail/internal/callerapi"
 	"github.com/bluebellsail/bluebellsail/internal/controller/grants"
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
+	"github.com/bluebellsail/bluebellsail/internal/controller/news"
+	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	"github.com/bluebellsail/bluebellsail/internal/controller/placement"
+	quarantinectl "github.com/bluebellsail/bluebellsail/internal/controller/quarantine"
 	"github.com/bluebellsail/bluebellsail/internal/controller/records"
 	"github.com/bluebellsail/bluebellsail/internal/controller/scheduler"
 	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
@@ -64,6 +67,11 @@
 
 	placement *placement.Controller
 
+	owners   *owners.Table
+	suspects *quarantinectl.Guard
+	news     *news.Spreader
+	client   *engineclient.Client
+
 	grants  *grants.Manager
 	records *records.Controller
 	api     *callerapi.API
@@ -94,6 +102,8 @@
 		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: registry{e.sched}, Load: e.load,
 		Log: d.tel.Log, Metrics: d.tel.Metrics, Ticked: d.watch.Tick,
 	})
+	e.client = engineclient.New(engineclient.Config{})
+	e.makeSuspects()
 	e.placement = e.newPlacement()
 	d.tel.Metrics.Set("scheduler", e.sched.Metrics().Map())
 	d.tel.Metrics.Set("late_answers_dropped", expvar.Func(func() any { return engineclient.CrossedAnswers.Load() }))
@@ -134,9 +144,13 @@
 	e.members.SetIncarnation(reg.Holder.Incarnation)
 	e.members.Learn(reg.Hosts)
 	e.makeControllers(reg.Holder)
-	e.d.peers.setPeer(peerservice.New(e.records, e.grants, e.members, e))
+	e.d.peers.setPeer(peerservice.New(peerservice.Parts{
+		Records: e.records, Grants: e.grants, Members: e.members, Explain: e, Suspects: e.suspects, News: e.news,
+	}))
 	t := e.d.tasks
 	t.run("heartbeats", e.members.Run)
+	t.run("news", e.news.Run)
+	t.run("suspects", e.suspects.Run)
 	t.runTrusted("records", e.records.Run)
 	t.runTrusted("grants", e.grants.Run)
 	t.run("follow fleet", e.followFleet)
@@ -148,9 +162,9 @@
 	return e.settle(ctx)
 }
 
-// settle waits until this run has heard of the fleet's backend servers. Without it a
-// restarted host refuses work as unknown_model, which tells callers not to come back,
-// because its registry is still empty.
+// settle waits until this run has heard of the fleet's backend servers, and of the requests that
+// crash them. Without it a restarted host refuses work as unknown_model, which tells callers not
+// to come back, because its registry is still empty.
 func (e *entry) settle(ctx context.Context) error {
 	begun := time.Now()
 	ticker := time.NewTicker(fleetEvery)
@@ -162,7 +176,7 @@
 		case <-ticker.C:
 		}
 		waited := time.Since(begun)
-		if waited >= settleMost || waited >= settleLeast && len(e.sched.Servers()) > 0 {
+		if waited >= settleMost || waited >= settleLeast && len(e.sched.Servers()) > 0 && e.suspects.Synced() {
 			e.settled.Store(true)
 			return nil
 		}
@@ -203,7 +217,7 @@
 	e.records.SetGrants(e.grants)
 	e.api = callerapi.New(callerapi.Deps{
 		Settings: chainSettings{e.d.settings, e}, Budget: e.grants, Records: e.records, Hosts: hosts{e},
-		Claims: claims{client: e.d.client, self: self}, Scheduler: e.sched, Retries: e.sched,
+		Claims: claims{client: e.d.client, self: self}, Scheduler: e.sched, Retries: e.sched, Quarantine: e.suspects,
 		Explainer: outcomes{next: e.explain, metrics: e.d.tel.Metrics, log: e.d.tel.Log}, Registry: e.sched, Addresses: addresses{e}, Models: models{e.sched},
 		Health:           e.ready,
 		Dispatch:         e.dispatch(),
@@ -218,7 +232,7 @@
 
 func (e *entry) dispatch() *dispatch.Filter {
 	return &dispatch.Filter{
-		Client:  engineclient.New(engineclient.Config{}),
+		Client:  e.client,
 		Silence: dispatch.NewLearnedSilence(silence.Config{}),
 	}
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -174,9 +174,12 @@
 	return g.serve()
 }
 
+// newRun names a run of a host; no other run has the same.
+func newRun(host string) string { return host + "/" + rand.Text() }
+
 func newGateway(d *Daemon, p surface.Protocol) *gateway {
 	cfg := d.cfg
-	g := &gateway{d: d, protocol: p, run: cfg.Host + "/" + rand.Text(), registered: make(chan struct{}), metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
+	g := &gateway{d: d, protocol: p, run: newRun(cfg.Host), registered: make(chan struct{}), metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
 		DialTimeout: dialServerTimeout, IdleTimeout: idleServerTimeout, Unacknowledged: lostServerTimeout, Source: cfg.Listen.Source,
 	})}
 	g.setSeeds(cfg.SeedPeers())
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -18,18 +18,18 @@
 // controlAddresses are the peer addresses of the hosts that run a replica and are not
 // known to be dead.
 func (g *gateway) controlAddresses() []string {
-	return g.peerAddresses(func(m members.PeerInfo) bool { return m.Control })
+	return peerAddresses(g.members.Peers(), func(m members.PeerInfo) bool { return m.Control })
 }
 
 // livePeers are the peer addresses of all hosts not known to be dead.
-func (g *gateway) livePeers() []string {
-	return g.peerAddresses(func(members.PeerInfo) bool { return true })
-}
+func (g *gateway) livePeers() []string { return peerAddresses(g.members.Peers(), isPeer) }
+
+func isPeer(members.PeerInfo) bool { return true }
 
 // peerAddresses are those of the hosts not known to be dead of which a condition holds.
-func (g *gateway) peerAddresses(holds func(members.PeerInfo) bool) []string {
+func peerAddresses(peers []members.PeerInfo, holds func(members.PeerInfo) bool) []string {
 	var out []string
-	for _, m := range g.members.Peers() {
+	for _, m := range peers {
 		if m.PeerAddress != "" && m.Health != pb.HostHealth_HOST_HEALTH_DEAD && holds(m) {
 			out = append(out, m.PeerAddress)
 		}
--- /dev/null
+++ b/internal/daemon/suspects.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/bluebellsail/bluebellsail/internal/controller/news"
+	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
+	quarantinectl "github.com/bluebellsail/bluebellsail/internal/controller/quarantine"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/wal"
+)
+
+// newGuard makes what keeps requests from servers that crash under them. cfg lacks what is the
+// same for all kinds of hosts.
+func (d *Daemon) newGuard(cfg quarantinectl.Config) *quarantinectl.Guard {
+	cfg.Host, cfg.Client, cfg.Store, cfg.Log = d.cfg.Host, d.pool.Client, d.suspectStore(), d.tel.Log
+	guard := quarantinectl.New(cfg)
+	d.tel.Metrics.Set("quarantine", guard.Metrics())
+	return guard
+}
+
+// suspectStore is in this host's data folder; nil without one.
+func (d *Daemon) suspectStore() quarantinectl.Store {
+	if d.cfg.DataDir == "" {
+		return nil
+	}
+	fs := d.env.Files
+	if fs == nil {
+		fs = wal.OS{}
+	}
+	return quarantinectl.File{FS: fs, Dir: d.cfg.DataDir}
+}
+
+// newSuspects makes the guard of a gateway.
+func (g *gateway) newSuspects() *quarantinectl.Guard {
+	return g.d.newGuard(quarantinectl.Config{
+		Run: g.run, Owners: g.owners, Peers: g.sourceAddresses, Answers: g.client.Answers,
+		Tell: func(s *pb.Suspect) { g.news.Suspect(s) },
+	})
+}
+
+// makeSuspects makes the guard of an entry host, and what it tells the others by.
+func (e *entry) makeSuspects() {
+	e.owners = owners.New(owners.Config{Self: e.asOwner, Peers: e.members.Peers})
+	e.suspects = e.d.newGuard(quarantinectl.Config{
+		Run: newRun(e.d.cfg.Host), Owners: e.owners, Peers: e.peerAddresses, Answers: e.client.Answers,
+		Tell: func(s *pb.Suspect) { e.news.Suspect(s) },
+	})
+	e.news = news.New(news.Config{
+		Self: e.d.cfg.PeerAddress(), Peers: e.livePeers, Client: e.d.pool.Client, Suspects: e.suspects.HandleTold,
+		Servers: func([]*pb.ServerState) {}, Fetch: func(context.Context, string, uint64) {}, Log: e.d.tel.Log,
+	})
+}
+
+// asOwner is this host as an owner of keys, once its run is registered.
+func (e *entry) asOwner() (owners.Host, bool) {
+	self := e.holder()
+	return owners.Host{Name: self.GetHost(), Incarnation: self.GetIncarnation()}, self.GetIncarnation() > 0 && !e.leaving.Load()
+}
+
+// livePeers are the peer addresses of all hosts not known to be dead.
+func (e *entry) livePeers() []string { return peerAddresses(e.members.Peers(), isPeer) }
--- a/internal/engineclient/cause.go
+++ b/internal/engineclient/cause.go
@@ -65,6 +65,16 @@
 	CauseFault Cause = "server_fault"
 )
 
+// CrashLike tells whether an exchange ended as those do whose server crashes: the server had
+// all of the request, and its side ended the connection.
+func (c Cause) CrashLike() bool {
+	switch c {
+	case CauseReset, CauseClosed, CauseCutHead, CauseCutBody, CauseCutStream:
+		return true
+	}
+	return false
+}
+
 // CauseOf is the cause of a failed call; CauseGarbled for an error that is not an *Error.
 func CauseOf(err error) Cause {
 	var e *Error
--- /dev/null
+++ b/internal/filter/dispatch/crash.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+)
+
+// healthPath is where servers say whether they take work.
+const healthPath = "/healthz"
+
+// crashLike tells whether the reading of a run ended as it does when its engine crashes. What the
+// engine said itself, and what this host ended, is something else.
+func crashLike(err error) bool {
+	for _, other := range []error{errSilent, errNoAnswer, errCut, errDiverged, errEngine, errStopped} {
+		if errors.Is(err, other) {
+			return false
+		}
+	}
+	_, _, status := judge(err)
+	return status == 0
+}
+
+// answered tells the quarantine of a whole answer.
+func answered(c *filter.Call) {
+	if c.Pass != nil {
+		c.Pass.Answered()
+	}
+}
+
+// broke tells the quarantine of a connection that the server's side ended. The run of a server
+// that another host took room at is not known here; its address stands for it.
+func broke(c *filter.Call, server string, began time.Time) {
+	if c.Pass == nil {
+		return
+	}
+	b := filter.Break{
+		Run: instance.Incarnation{ID: server}, Address: server, HealthPath: healthPath, Began: began, RequestID: c.ID,
+	}
+	if c.Resume == nil && c.Lease != nil {
+		b.Run.Started, b.Others = c.Lease.Server().GetIncarnation(), int(c.Lease.Server().GetRunning())
+	}
+	c.Pass.Broke(b)
+}
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -101,8 +101,12 @@
 	a.account()
 	if err == nil {
 		c.Outcome.OK = true
+		answered(c)
 		return nil
 	}
+	if ctx.Err() == nil && a.reached && crashLike(err) {
+		broke(c, server, a.began)
+	}
 	return a.judge(ctx, err, before)
 }
 
--- a/internal/filter/dispatch/service.go
+++ b/internal/filter/dispatch/service.go
@@ -24,9 +24,13 @@
 	defer cancel()
 	req := f.request(c, server, id)
 	req.IdempotencyKey = c.Identity
+	began := f.Clock.Now()
 	answer, err := f.Client.Call(try, req)
 	if err == nil {
 		c.Outcome.OK = true
+		if answer.Status < http.StatusInternalServerError {
+			answered(c)
+		}
 		f.writeService(w, c, answer)
 		return nil
 	}
@@ -41,6 +45,8 @@
 	if try.Err() != nil {
 		c.Outcome.Silent = true
 		f.Client.Renew(server)
+	} else if engineclient.CauseOf(err).CrashLike() {
+		broke(c, server, began)
 	}
 	c.Note(f.Clock.Now(), "dispatch", "attempt failed with status "+strconv.Itoa(status)+": "+err.Error())
 	return failed(ran, server, err.Error())
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -110,6 +110,8 @@
 
 	// Lease is the backend server's room taken by the route filter.
 	Lease ServerLease
+	// Pass to backend servers; nil: there is no quarantine.
+	Pass Pass
 	// Attempts made at backend servers.
 	Attempts int
 	// Usage is what the backend server reported or what was counted.
--- /dev/null
+++ b/internal/filter/quarantine/quarantine.go
@@ -0,0 +1,42 @@
+// Package quarantine is the filter that keeps calls from backend servers that crash the
+// servers which run them.
+package quarantine
+
+import (
+	"net/http"
+
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/quarantine"
+)
+
+// Filter implements filter.Filter.
+type Filter struct {
+	Quarantine filter.Quarantine
+	Clock      filter.Clock
+}
+
+// ServeHTTP fills the call's Pass. Who reads the run of a former holder again makes no new one,
+// so nothing is asked before it.
+func (f *Filter) ServeHTTP(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
+	c := filter.CallFrom(r.Context())
+	target := c.Path
+	if c.Query != "" {
+		target += "?" + c.Query
+	}
+	id := quarantine.ID{Account: c.AccountName, Fingerprint: quarantine.FingerprintOf(c.AccountName, c.Service, target, c.Body)}
+	pass, err := f.admit(r, c, id)
+	if err != nil {
+		c.Note(f.Clock.Now(), "quarantine", "refused "+id.Fingerprint.String()+": "+err.Error())
+		return err
+	}
+	c.Pass = pass
+	defer pass.Close()
+	return next.ServeHTTP(w, r)
+}
+
+func (f *Filter) admit(r *http.Request, c *filter.Call, id quarantine.ID) (filter.Pass, error) {
+	if c.Resume != nil {
+		return f.Quarantine.Follow(id), nil
+	}
+	return f.Quarantine.Admit(r.Context(), id)
+}
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -28,7 +28,7 @@
 	c := filter.CallFrom(r.Context())
 	if c.Resume != nil {
 		err := f.resume(w, r, next)
-		if !again(c, err) {
+		if !again(c, err) || !passes(r, c) {
 			return final(c, err)
 		}
 		c.Resume = nil
@@ -43,9 +43,17 @@
 		if c.Attempts >= c.Team.Retry.MaxAttempts || !f.Retries.Allow(c.TeamName, *c.Team.Retry) {
 			return final(c, err)
 		}
+		if !passes(r, c) {
+			return final(c, err)
+		}
 	}
 }
 
+// passes tells whether the quarantine lets the call be sent to another server.
+func passes(r *http.Request, c *filter.Call) bool {
+	return c.Pass == nil || c.Pass.Again(r.Context()) == nil
+}
+
 func workOf(c *filter.Call) filter.Work {
 	target := c.Model
 	if c.Kind == filter.WorkService {
--- a/internal/peerservice/peerservice.go
+++ b/internal/peerservice/peerservice.go
@@ -30,46 +30,83 @@
 	HandleExplain(*pb.ExplainRequest) *pb.ExplainReply
 }
 
+// Suspects knows under which requests backend servers crashed.
+type Suspects interface {
+	HandleFetch(*pb.FetchSuspectsRequest) *pb.FetchSuspectsReply
+	HandleAdmit(*pb.AdmitSuspectRequest) *pb.AdmitSuspectReply
+	HandleEnd(*pb.EndSuspectRequest) *pb.EndSuspectReply
+}
+
+// News takes what does not wait for heartbeats.
+type News interface {
+	Handle(*pb.TellRequest) *pb.TellReply
+}
+
+// Parts are the controllers that the messages go to. All are needed.
+type Parts struct {
+	Records  Records
+	Grants   Grants
+	Members  Members
+	Explain  Explainer
+	Suspects Suspects
+	News     News
+}
+
 // Service implements pb.PeerServer.
 type Service struct {
 	pb.UnimplementedPeerServer
-	records Records
-	grants  Grants
-	members Members
-	explain Explainer
+	parts Parts
 }
 
-// New makes the service. All parts are needed.
-func New(r Records, g Grants, m Members, e Explainer) *Service {
-	return &Service{records: r, grants: g, members: m, explain: e}
-}
+// New makes the service.
+func New(p Parts) *Service { return &Service{parts: p} }
 
 // Explain tells what this host decided for a request.
 func (s *Service) Explain(_ context.Context, r *pb.ExplainRequest) (*pb.ExplainReply, error) {
-	return s.explain.HandleExplain(r), nil
+	return s.parts.Explain.HandleExplain(r), nil
 }
 
 // PutRecords keeps copies of a peer's in-flight records.
 func (s *Service) PutRecords(_ context.Context, r *pb.PutRecordsRequest) (*pb.PutRecordsReply, error) {
-	return s.records.HandlePut(r), nil
+	return s.parts.Records.HandlePut(r), nil
 }
 
 // FindRecord looks up an identity among own and copied records.
 func (s *Service) FindRecord(_ context.Context, r *pb.FindRecordRequest) (*pb.FindRecordReply, error) {
-	return s.records.HandleFind(r), nil
+	return s.parts.Records.HandleFind(r), nil
 }
 
 // Gather returns what this host knows of a dead holder and fences it.
 func (s *Service) Gather(_ context.Context, r *pb.GatherRequest) (*pb.GatherReply, error) {
-	return s.records.HandleGather(r), nil
+	return s.parts.Records.HandleGather(r), nil
 }
 
 // AskTokens hands over part of this host's grant.
 func (s *Service) AskTokens(_ context.Context, r *pb.AskTokensRequest) (*pb.AskTokensReply, error) {
-	return s.grants.HandleAskTokens(r), nil
+	return s.parts.Grants.HandleAskTokens(r), nil
 }
 
 // Heartbeat exchanges liveness and the registry of backend servers.
 func (s *Service) Heartbeat(_ context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatReply, error) {
-	return s.members.HandleHeartbeat(r), nil
+	return s.parts.Members.HandleHeartbeat(r), nil
+}
+
+// FetchSuspects gives what this host knows of requests that crash servers.
+func (s *Service) FetchSuspects(_ context.Context, r *pb.FetchSuspectsRequest) (*pb.FetchSuspectsReply, error) {
+	return s.parts.Suspects.HandleFetch(r), nil
+}
+
+// AdmitSuspect decides on a run of another host's request.
+func (s *Service) AdmitSuspect(_ context.Context, r *pb.AdmitSuspectRequest) (*pb.AdmitSuspectReply, error) {
+	return s.parts.Suspects.HandleAdmit(r), nil
+}
+
+// EndSuspect takes that such a run has ended.
+func (s *Service) EndSuspect(_ context.Context, r *pb.EndSuspectRequest) (*pb.EndSuspectReply, error) {
+	return s.parts.Suspects.HandleEnd(r), nil
+}
+
+// Tell takes news that does not wait for heartbeats.
+func (s *Service) Tell(_ context.Context, r *pb.TellRequest) (*pb.TellReply, error) {
+	return s.parts.News.Handle(r), nil
 }
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -58,7 +58,7 @@
 	note.Took = time.Since(started)
 	note.Failed(out.cause, out.err)
 	lease.Done(out.result)
-	if t.x.Pass != nil && crashLike(out.cause) {
+	if t.x.Pass != nil && out.cause.CrashLike() {
 		t.x.Pass.Broke(filter.Break{
 			Run: choice.Instance.Incarnation(), Address: choice.Instance.Address, HealthPath: t.x.Service.HealthPath,
 			Began: started, Others: choice.Running, RequestID: t.x.ID,
@@ -67,16 +67,6 @@
 	return out
 }
 
-// crashLike tells whether an attempt ended as those do whose server crashes: the server had all
-// of the request, and its side ended the connection.
-func crashLike(c engineclient.Cause) bool {
-	switch c {
-	case engineclient.CauseReset, engineclient.CauseClosed, engineclient.CauseCutHead, engineclient.CauseCutBody, engineclient.CauseCutStream:
-		return true
-	}
-	return false
-}
-
 // framed tells whether an answer's end can be told from the end of its connection. Where it
 // can't, the answer of a server that crashes looks whole.
 func framed(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -139,6 +139,9 @@
 		refuseRun(w, err)
 		return
 	}
+	if mark := s.faults.get().DieOnPrompt; mark != "" && strings.Contains(string(req.cacheText()), mark) {
+		s.die()
+	}
 	s.serveRun(w, r, st, req.Stream)
 }
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -36,6 +36,8 @@
 	LoseCacheEvents bool `json:"lose_cache_events,omitempty"`
 	// Die ends the process at once.
 	Die bool `json:"die,omitempty"`
+	// DieOnPrompt ends the process when it runs a completion whose prompt has this text.
+	DieOnPrompt string `json:"die_on_prompt,omitempty"`
 }
 
 type faultState struct {
