Operators list and release quarantined requests

bluebellsail quarantine list|release and the paths /v1/quarantine of the operators' API, at any host: which requests servers crashed under, who saw it when, how many trials there were and when the next one is.

--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -44,6 +44,8 @@
 	// OperatorKeyHashes returns the hex SHA-256 hashes of the operators' keys in force:
 	// those of the process's settings file and those in the settings tree.
 	OperatorKeyHashes func() []string
+	// Quarantine may be nil: then nothing is held against any request.
+	Quarantine Quarantine
 	// Replica is the control group's replica on this host; nil function: it has none.
 	Replica func() LocalReplica
 	// Ready is nil while this host serves, else the refusal that callers get.
@@ -96,6 +98,9 @@
 	h.read("GET /v1/status", h.status)
 	h.read("GET /v1/explain/{id...}", h.explain)
 
+	h.read("GET /v1/quarantine", h.listQuarantine)
+	h.change("POST /v1/quarantine/{fingerprint}/release", h.releaseRequest)
+
 	h.read("GET /v1/control/members", h.controlMembers)
 	h.change("POST /v1/control/members", h.changeMembers)
 
--- /dev/null
+++ b/internal/adminapi/quarantine.go
@@ -0,0 +1,58 @@
+package adminapi
+
+import (
+	"context"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/quarantine"
+)
+
+// Quarantine keeps requests from backend servers that crash under them.
+type Quarantine interface {
+	// Entries are the requests that something is held against.
+	Entries() []quarantine.Entry
+	// Release has all hosts forget what is held against a request; false: nothing was.
+	Release(quarantine.Fingerprint) bool
+}
+
+// listQuarantine tells what this host knows; all hosts in contact know the same.
+func (h *Handler) listQuarantine(context.Context, *request) (any, error) {
+	list := QuarantineList{Requests: []QuarantinedRequest{}}
+	if h.cfg.Quarantine == nil {
+		return list, nil
+	}
+	for _, e := range h.cfg.Quarantine.Entries() {
+		list.Requests = append(list.Requests, quarantineView(e))
+	}
+	return list, nil
+}
+
+func quarantineView(e quarantine.Entry) QuarantinedRequest {
+	v := QuarantinedRequest{
+		Account: e.ID.Account, Fingerprint: e.ID.Fingerprint.String(), Level: string(e.Standing.Level), Trials: e.Standing.Trials,
+	}
+	if e.Standing.Level == quarantine.Quarantined {
+		v.NextTrialMS = max(e.Standing.NextTrial, 0).Milliseconds()
+	}
+	for _, c := range e.Crashes {
+		v.Crashes = append(v.Crashes, ServerCrash{
+			Server: c.GetServer().GetId(), Incarnation: c.GetServer().GetIncarnation(), Host: c.GetHost(), Others: int(c.GetOthers()),
+			AgoMS: c.GetAgeMs(),
+		})
+	}
+	return v
+}
+
+// releaseRequest forgets the crashes under a request. Sent again it releases the request again,
+// which changes nothing unless servers crashed under it since.
+func (h *Handler) releaseRequest(_ context.Context, q *request) (any, error) {
+	f, err := quarantine.ParseFingerprint(q.http.PathValue("fingerprint"))
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "%v", err).At("/fingerprint")
+	}
+	if h.cfg.Quarantine == nil || !h.cfg.Quarantine.Release(f) {
+		return nil, errkind.New(errkind.NotFound, "nothing is held against request %s", f)
+	}
+	h.cfg.Log.Info().Str("event", "suspect-released").Stringer("fingerprint", f).Str("actor", q.actor).Str("op_id", q.opID).Send()
+	return RequestReleased{OpID: q.opID, Fingerprint: f.String()}, nil
+}
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -339,3 +339,36 @@
 	RequestID    string    `json:"request_id"`
 	Time         time.Time `json:"time"`
 }
+
+// QuarantineList is what GET /v1/quarantine answers.
+type QuarantineList struct {
+	Requests []QuarantinedRequest `json:"requests"`
+}
+
+// QuarantinedRequest is a request under which backend servers crashed.
+type QuarantinedRequest struct {
+	Account     string `json:"account"`
+	Fingerprint string `json:"fingerprint"`
+	// Level is suspected or quarantined.
+	Level   string        `json:"level"`
+	Crashes []ServerCrash `json:"crashes"`
+	Trials  int           `json:"trials"`
+	// NextTrialMS is the time until it may run again, in milliseconds; 0: now.
+	NextTrialMS int64 `json:"next_trial_ms"`
+}
+
+// ServerCrash is the end of a run of a backend server under a request.
+type ServerCrash struct {
+	Server      string `json:"server"`
+	Incarnation uint64 `json:"incarnation"`
+	// Host saw it, with Others requests of its own at the server.
+	Host   string `json:"host"`
+	Others int    `json:"others"`
+	AgoMS  int64  `json:"ago_ms"`
+}
+
+// RequestReleased is the answer to a release.
+type RequestReleased struct {
+	OpID        string `json:"op_id"`
+	Fingerprint string `json:"fingerprint"`
+}
--- a/internal/admincli/app.go
+++ b/internal/admincli/app.go
@@ -75,7 +75,7 @@
 		Flags:                 globalFlags(),
 		Commands: []*cli.Command{
 			a.statusCommand(), a.hostCommand(), a.serverCommand(), a.budgetCommand(), a.accountCommand(),
-			a.teamCommand(), a.configCommand(), a.controlCommand(), a.explainCommand(),
+			a.teamCommand(), a.configCommand(), a.controlCommand(), a.explainCommand(), a.quarantineCommand(),
 			a.keysCommand(), a.tlsCommand(), a.devCommand(),
 		},
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -18,7 +18,7 @@
 func newOperatorServer(d *Daemon) *operatorServer {
 	handler := adminapi.New(adminapi.Config{
 		Group: group{d.client}, Fleet: fleetView{d}, Explain: explainer{d}, Orders: d.orders(),
-		Replica:           d.localReplica(),
+		Quarantine: d.quarantine(), Replica: d.localReplica(),
 		OperatorKeyHashes: d.operatorKeyHashes, Ready: d.ready, Log: d.tel.Log,
 	})
 	s := httpserver.New(httpserver.Config{
@@ -36,6 +36,17 @@
 	_ = o.http.Drain(ctx)
 }
 
+// quarantine is this host's guard; nil without one.
+func (d *Daemon) quarantine() adminapi.Quarantine {
+	switch {
+	case d.entry != nil:
+		return d.entry.suspects
+	case d.gateway != nil:
+		return d.gateway.suspects
+	}
+	return nil
+}
+
 // localReplica tells of this host's replica; nil without one.
 func (d *Daemon) localReplica() func() adminapi.LocalReplica {
 	if d.replica == nil {
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -40,6 +41,29 @@
 	return out
 }
 
+// Entry is what is held against one request.
+type Entry struct {
+	ID       ID
+	Standing Standing
+	// Crashes, oldest first.
+	Crashes []*pb.ServerCrash
+}
+
+// Entries are the requests that something is held against, in order.
+func (t *Table) Entries(now time.Time) []Entry {
+	var out []Entry
+	for _, id := range t.ids() {
+		st := t.Standing(now, id)
+		if st.Level == Free {
+			continue
+		}
+		crashes := t.State(now, id).GetCrashes()
+		slices.SortStableFunc(crashes, func(a, b *pb.ServerCrash) int { return cmp.Compare(b.GetAgeMs(), a.GetAgeMs()) })
+		out = append(out, Entry{ID: id, Standing: st, Crashes: crashes})
+	}
+	return out
+}
+
 func (t *Table) ids() []ID {
 	var out []ID
 	for account, of := range t.accounts {
