A trial counts once it has reached a server; loss of servers quarantines nobody

After a loss of power of all servers a request that many callers send alike has three crashes, and its first trial may find no server up. It would then have waited for the next one, a minute or more. Who runs a trial notes it when a server has the request; the owner keeps others waiting until then. Trials after 2 s, 1 min and 1 h in place of 2 s and 10 min: three further runs at most. Others of a suspected request wait until it is known whether a server crashed under the run before: 40 ms of verdict could admit a second one.

--- a/internal/controller/quarantine/pass.go
+++ b/internal/controller/quarantine/pass.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 )
@@ -19,6 +20,8 @@
 	seen quarantine.Standing
 	// held is the host that keeps others of the same request waiting for this one.
 	held *owners.Host
+	// trial: this is one.
+	trial bool
 	// breaks of its attempts; each is closed once it is known whether the server has ended.
 	breaks []<-chan struct{}
 }
@@ -86,7 +89,7 @@
 // take notes who keeps others waiting for this request.
 func (p *pass) take(v quarantine.Verdict, owner owners.Host) quarantine.Verdict {
 	if v.Decision == quarantine.Exclusive || v.Decision == quarantine.Trial {
-		p.held = &owner
+		p.held, p.trial = &owner, v.Decision == quarantine.Trial
 	}
 	return v
 }
@@ -111,6 +114,13 @@
 	}, true
 }
 
+// Reached implements filter.Pass.
+func (p *pass) Reached() {
+	if p.trial {
+		p.g.tried(p.id, p.name)
+	}
+}
+
 // Broke implements filter.Pass.
 func (p *pass) Broke(b filter.Break) { p.breaks = append(p.breaks, p.g.judge(p.id, b)) }
 
@@ -140,16 +150,17 @@
 // Answered implements filter.Pass.
 func (p *pass) Answered() { p.g.clear(p.id) }
 
-// Close implements filter.Pass.
+// Close implements filter.Pass. Others of the same request go on waiting until it is known whether
+// a server crashed under this one.
 func (p *pass) Close() {
 	if p.held == nil {
 		return
 	}
 	owner := *p.held
 	p.held = nil
-	if owner.Self() {
-		p.g.end(p.id, p.name)
-		return
-	}
-	p.g.sendEnd(owner, p.id, p.name)
+	p.g.behind.Go(func() {
+		defer panics.Log(p.g.cfg.Log, "ending a suspect's run")
+		p.awaitVerdicts(context.Background())
+		p.g.endRun(owner, p.id, p.name)
+	})
 }
--- a/internal/controller/quarantine/probe.go
+++ b/internal/controller/quarantine/probe.go
@@ -24,7 +24,7 @@
 // crash. The channel is closed when that is known.
 func (g *Guard) judge(id quarantine.ID, b filter.Break) <-chan struct{} {
 	judged, seen := make(chan struct{}), time.Now()
-	g.judging.Go(func() {
+	g.behind.Go(func() {
 		defer panics.Log(g.cfg.Log, "judging a broken connection")
 		defer close(judged)
 		if g.endedUnder(b, seen) {
--- a/internal/controller/quarantine/quarantine.go
+++ b/internal/controller/quarantine/quarantine.go
@@ -75,8 +75,8 @@
 	passes  atomic.Uint64
 	synced  atomic.Bool
 	metrics metrics
-	// judging are the verdicts on broken connections under way.
-	judging sync.WaitGroup
+	// behind is what goes on after its request has ended.
+	behind sync.WaitGroup
 
 	mu    sync.Mutex
 	table *quarantine.Table
@@ -145,24 +145,31 @@
 	return g.table.Standing(time.Now(), id)
 }
 
-// decide has this host decide on a run, and returns what there is to tell.
+// decide has this host decide on a run.
 func (g *Guard) decide(id quarantine.ID, name string, lifetime time.Duration) quarantine.Verdict {
-	v, news := g.admitHere(id, name, lifetime)
-	if news != nil {
-		g.tell(news)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Admit(time.Now(), id, name, lifetime)
+}
+
+// change has the table take something, and tells all hosts if it is news.
+func (g *Guard) change(id quarantine.ID, take func(now time.Time, t *quarantine.Table) bool) bool {
+	s := g.changeHere(id, take)
+	if s == nil {
+		return false
 	}
-	return v
+	g.tell(s)
+	return true
 }
 
-func (g *Guard) admitHere(id quarantine.ID, name string, lifetime time.Duration) (quarantine.Verdict, *pb.Suspect) {
+func (g *Guard) changeHere(id quarantine.ID, take func(now time.Time, t *quarantine.Table) bool) *pb.Suspect {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now, before := time.Now(), g.table.Version()
-	v := g.table.Admit(now, id, name, lifetime)
-	if g.table.Version() == before {
-		return v, nil
+	now := time.Now()
+	if !take(now, g.table) {
+		return nil
 	}
-	return v, g.table.State(now, id)
+	return g.table.State(now, id)
 }
 
 // tell tells all hosts of a change, and logs it.
@@ -173,41 +180,23 @@
 
 // crashed notes the end of a server under a request.
 func (g *Guard) crashed(id quarantine.ID, b filter.Break) {
-	if s := g.addCrash(id, b); s != nil {
+	if g.change(id, func(now time.Time, t *quarantine.Table) bool { return t.Crashed(now, id, b.Run, g.cfg.Host, b.Others) }) {
 		g.metrics.crashes.Add(1)
-		g.tell(s)
 	}
 }
 
-func (g *Guard) addCrash(id quarantine.ID, b filter.Break) *pb.Suspect {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	if !g.table.Crashed(now, id, b.Run, g.cfg.Host, b.Others) {
-		return nil
-	}
-	return g.table.State(now, id)
+// tried notes that a trial has reached a server.
+func (g *Guard) tried(id quarantine.ID, name string) {
+	g.change(id, func(now time.Time, t *quarantine.Table) bool { return t.Tried(now, id, name) })
 }
 
 // clear takes that a request was answered, or released by an operator.
 func (g *Guard) clear(id quarantine.ID) bool {
-	s := g.clearHere(id)
-	if s == nil {
-		return false
-	}
-	g.metrics.cleared.Add(1)
-	g.tell(s)
-	return true
-}
-
-func (g *Guard) clearHere(id quarantine.ID) *pb.Suspect {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	if !g.table.Clear(now, id) {
-		return nil
+	cleared := g.change(id, func(now time.Time, t *quarantine.Table) bool { return t.Clear(now, id) })
+	if cleared {
+		g.metrics.cleared.Add(1)
 	}
-	return g.table.State(now, id)
+	return cleared
 }
 
 // logChange writes what is known of a request after a change; from is where it was heard.
--- a/internal/controller/quarantine/quarantine_test.go
+++ b/internal/controller/quarantine/quarantine_test.go
@@ -57,7 +57,7 @@
 		Answers: func(context.Context, string, string) bool { return f.alive.Load() },
 	})
 	f.hosts = append(f.hosts, h)
-	t.Cleanup(h.judging.Wait)
+	t.Cleanup(h.behind.Wait)
 	return h
 }
 
--- a/internal/controller/quarantine/sync.go
+++ b/internal/controller/quarantine/sync.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
-	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 )
@@ -193,7 +192,8 @@
 
 // HandleEnd takes that another host's run has ended.
 func (g *Guard) HandleEnd(r *pb.EndSuspectRequest) *pb.EndSuspectReply {
-	if id, ok := idOf(r.GetAccount(), r.GetFingerprint()); ok {
+	g.learn([]*pb.Suspect{r.GetSuspect()}, r.GetName())
+	if id, ok := idOf(r.GetSuspect().GetAccount(), r.GetSuspect().GetFingerprint()); ok {
 		g.end(id, r.GetName())
 	}
 	return &pb.EndSuspectReply{}
@@ -210,15 +210,14 @@
 	g.table.End(id, name)
 }
 
-// sendEnd tells an owner that a run has ended. A message that is lost costs others of the
-// request the rest of the time for which it kept them waiting.
-func (g *Guard) sendEnd(owner owners.Host, id quarantine.ID, name string) {
-	go func() {
-		defer panics.Log(g.cfg.Log, "telling the end of a suspect's run")
-		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-		defer cancel()
-		_, _ = g.cfg.Client(owner.Address).EndSuspect(ctx, &pb.EndSuspectRequest{
-			Account: id.Account, Fingerprint: id.Fingerprint[:], Name: name,
-		})
-	}()
+// endRun tells the owner of a request that a run has ended. A message that is lost costs others of
+// the request the rest of the time for which it kept them waiting.
+func (g *Guard) endRun(owner owners.Host, id quarantine.ID, name string) {
+	if owner.Self() {
+		g.end(id, name)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	_, _ = g.cfg.Client(owner.Address).EndSuspect(ctx, &pb.EndSuspectRequest{Suspect: g.state(id), Name: name})
 }
--- a/internal/filter/dispatch/crash.go
+++ b/internal/filter/dispatch/crash.go
@@ -24,6 +24,13 @@
 	return status == 0
 }
 
+// reached tells the quarantine that a server has the call.
+func reached(c *filter.Call) {
+	if c.Pass != nil {
+		c.Pass.Reached()
+	}
+}
+
 // answered tells the quarantine of a whole answer.
 func answered(c *filter.Call) {
 	if c.Pass != nil {
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -99,6 +99,9 @@
 	c.Usage = filter.Usage{}
 	err := a.run(ctx)
 	a.account()
+	if a.reached {
+		reached(c)
+	}
 	if err == nil {
 		c.Outcome.OK = true
 		answered(c)
--- a/internal/filter/dispatch/service.go
+++ b/internal/filter/dispatch/service.go
@@ -26,6 +26,10 @@
 	req.IdempotencyKey = c.Identity
 	began := f.Clock.Now()
 	answer, err := f.Client.Call(try, req)
+	ran, refused, status := judge(err)
+	if err == nil || ran != errkind.RanNo {
+		reached(c)
+	}
 	if err == nil {
 		c.Outcome.OK = true
 		if answer.Status < http.StatusInternalServerError {
@@ -34,7 +38,6 @@
 		f.writeService(w, c, answer)
 		return nil
 	}
-	ran, refused, status := judge(err)
 	if ran == errkind.RanNo {
 		c.Dispatched = before
 	}
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -19,6 +19,8 @@
 
 // Pass is the way of one request to backend servers. Exactly one Close follows.
 type Pass interface {
+	// Reached tells that an attempt reached a server.
+	Reached()
 	// Broke tells of an attempt whose connection the server's side ended before its answer
 	// was whole. It does not block.
 	Broke(b Break)
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -58,8 +58,6 @@
 		return Verdict{Decision: Refuse, After: max(st.NextTrial, soon)}
 	}
 	t.slots[id] = slot{name: name, until: now.Add(lifetime)}
-	t.find(id).addTrial(trial{name: name, at: now})
-	t.version++
 	return Verdict{Decision: Trial}
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -26,7 +26,7 @@
 
 // trialPauses are the pauses before the trials of a quarantined request. There are no
 // further ones.
-var trialPauses = []time.Duration{2 * time.Second, 10 * time.Minute}
+var trialPauses = []time.Duration{2 * time.Second, time.Minute, time.Hour}
 
 // Level says how a request is treated.
 type Level string
@@ -205,6 +205,17 @@
 	}
 }
 
+// Tried takes that a trial has reached a server; one that found none is made again. False if that
+// was known, or nothing is held against the request.
+func (t *Table) Tried(now time.Time, id ID, name string) bool {
+	s := t.find(id)
+	if s == nil || len(s.crashes) == 0 || !s.addTrial(trial{name: name, at: now}) {
+		return false
+	}
+	t.version++
+	return true
+}
+
 // Clear takes that a server answered a request, or that an operator released it. False if
 // nothing was held against it.
 func (t *Table) Clear(now time.Time, id ID) bool {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -61,9 +61,12 @@
 
 func (f *fleet) admit(owner int, id ID) Verdict {
 	f.passes++
-	return f.hosts[owner].Admit(f.now, id, fmt.Sprintf("pass-%d", f.passes), 10*time.Second)
+	return f.hosts[owner].Admit(f.now, id, f.pass(), 10*time.Second)
 }
 
+// pass is the name of the last one.
+func (f *fleet) pass() string { return fmt.Sprintf("pass-%d", f.passes) }
+
 // Guards against a request that is sent to servers for ever: whatever hosts decide on it, in
 // whatever order, and however the owner changes, it runs MaxCrashes times and in the trials.
 func TestCrashingRequestRunsInTrialsOnly(t *testing.T) {
@@ -88,6 +91,9 @@
 				late++
 			}
 			runs++
+			if v.Decision == Trial {
+				f.hosts[owner].Tried(f.now, id, f.pass())
+			}
 			f.crash(rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host"), id)
 			f.tellAll()
 		}
@@ -126,6 +132,28 @@
 	})
 }
 
+// Guards against a request that waits for an hour because no server was up when it had its trials.
+func TestTrialThatReachesNoServerIsMadeAgain(t *testing.T) {
+	f := newFleet(1)
+	id := request("account", 1)
+	for range MaxCrashes {
+		f.crash(0, id)
+	}
+	f.now = f.now.Add(trialPauses[0])
+	for range 10 {
+		if v := f.admit(0, id); v.Decision != Trial {
+			t.Fatalf("%+v", v)
+		}
+		f.hosts[0].End(id, f.pass())
+	}
+	f.admit(0, id)
+	f.hosts[0].Tried(f.now, id, f.pass())
+	f.hosts[0].End(id, f.pass())
+	if v := f.admit(0, id); v.Decision != Refuse || v.After != trialPauses[1] {
+		t.Errorf("after a trial: %+v", v)
+	}
+}
+
 // Guards against hosts that never agree, each of which tells the others all it knows for ever.
 func TestTablesAgreeOnceAllWasTold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -147,7 +175,9 @@
 		case 0, 1:
 			f.crash(s.host, id)
 		case 2:
-			f.admit(s.host, id)
+			if v := f.admit(s.host, id); v.Decision == Trial {
+				f.hosts[s.host].Tried(f.now, id, f.pass())
+			}
 		case 3:
 			f.hosts[s.host].Clear(f.now, id)
 		case 4:
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -75,7 +75,7 @@
 func (t *try) notAnswered(err error) outcome {
 	result := balance.Unreachable
 	if e, ok := err.(*engineclient.Error); !ok || e.Ran != errkind.RanNo {
-		t.sent++
+		t.reached()
 		t.mayHaveRun()
 		result = balance.Broken
 		t.x.Input = t.x.Input || t.ctx.Err() == nil
@@ -83,6 +83,14 @@
 	return t.failed(result, engineclient.CauseOf(err), "%v", err)
 }
 
+// reached notes that a server has the request.
+func (t *try) reached() {
+	t.sent++
+	if t.x.Pass != nil {
+		t.x.Pass.Reached()
+	}
+}
+
 // failed is the outcome of an attempt that another server may make good.
 func (t *try) failed(result balance.Result, cause engineclient.Cause, format string, args ...any) outcome {
 	if t.ctx.Err() != nil {
@@ -101,8 +109,12 @@
 // answered takes a server's answer. cancel gives its connection up.
 func (t *try) answered(lease relay.Lease, res *http.Response, cancel context.CancelFunc) outcome {
 	defer func() { _ = res.Body.Close() }() // an error means that the connection is given up
-	t.sent++
 	reply := t.f.Dialect.Reply(res)
+	if reply.OtherInstance {
+		t.sent++
+	} else {
+		t.reached()
+	}
 	if reply.Load != nil {
 		lease.Report(*reply.Load)
 	}
