--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -35,6 +35,9 @@
 	// gather is how long news waits for more of it: servers of a service are stopped
 	// together, and operators send tables one after the other.
 	gather = 20 * time.Millisecond
+	// maxSuspects bounds the requests in one message, which has some 130 B of each: when a zone's
+	// servers are lost, all requests that ran there are told.
+	maxSuspects = 256
 	// minPause between two tables: of tables that come in quick succession only the newest
 	// matters.
 	minPause = 100 * time.Millisecond
@@ -159,6 +162,10 @@
 		delete(s.servers, id)
 	}
 	for key, told := range s.suspects {
+		if len(n.Suspects) == maxSuspects {
+			s.signal()
+			break
+		}
 		n.Suspects = append(n.Suspects, told)
 		delete(s.suspects, key)
 	}
--- a/internal/controller/news/news_test.go
+++ b/internal/controller/news/news_test.go
@@ -37,6 +37,7 @@
 
 	mu       sync.Mutex
 	heard    map[string]time.Time
+	told     map[string]bool
 	revision uint64
 	fetched  time.Time
 }
@@ -44,10 +45,10 @@
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{hosts: make(map[string]*host), down: make(map[string]bool)}
 	for i := range n {
-		h := &host{f: f, at: address(i), heard: make(map[string]time.Time)}
+		h := &host{f: f, at: address(i), heard: make(map[string]time.Time), told: make(map[string]bool)}
 		h.Spreader = New(Config{
 			Self: h.at, Peers: func() []string { return f.others(h.at) }, Client: func(to string) pb.PeerClient { return client{f: f, to: to} },
-			Servers: h.take, Fetch: h.fetch, Log: zerolog.Nop(),
+			Servers: h.take, Suspects: h.suspects, Fetch: h.fetch, Log: zerolog.Nop(),
 		})
 		f.hosts[h.at] = h
 		go h.Run(t.Context())
@@ -68,6 +69,14 @@
 	return out
 }
 
+func (h *host) suspects(told []*pb.Suspect, _ string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range told {
+		h.told[string(s.GetFingerprint())] = true
+	}
+}
+
 func (h *host) take(states []*pb.ServerState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -250,3 +259,24 @@
 		}
 	})
 }
+
+// Guards against requests that are not told of because many servers are lost at once, and against
+// one message that holds them all.
+func TestAllHostsHearOfAllSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, suspects = 75, 3*maxSuspects + 1
+		f := newFleet(t, hosts)
+		for n := range suspects {
+			f.hosts[address(0)].Suspect(&pb.Suspect{Account: "a", Fingerprint: fmt.Append(nil, n)})
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for at, h := range f.hosts {
+			h.mu.Lock()
+			if got := len(h.told); got != suspects && at != address(0) {
+				t.Errorf("%s heard of %d of %d", at, got, suspects)
+			}
+			h.mu.Unlock()
+		}
+	})
+}
--- a/internal/controller/quarantine/sync.go
+++ b/internal/controller/quarantine/sync.go
@@ -19,6 +19,8 @@
 	saveEvery = 50 * time.Millisecond
 	// expireEvery is how often what is old is forgotten.
 	expireEvery = time.Minute
+	// maxFetched bounds the requests in the answer to one comparison: some 70 KB.
+	maxFetched = 512
 	// fetchTimeout bounds one comparison.
 	fetchTimeout = 500 * time.Millisecond
 )
@@ -174,7 +176,7 @@
 	defer g.mu.Unlock()
 	reply := &pb.FetchSuspectsReply{Complete: g.synced.Load(), Same: r.GetDigest() == g.table.Digest()}
 	if !reply.Same {
-		reply.Suspects = g.table.All(time.Now())
+		reply.Suspects = g.table.Some(time.Now(), maxFetched, rand.Uint64())
 	}
 	return reply
 }
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -64,6 +64,23 @@
 	return out
 }
 
+// Some are the states of at most n requests, those with the most crashes first. Of requests with
+// as many the ones from a place on come first: whoever asks again and again learns all of them.
+func (t *Table) Some(now time.Time, n int, from uint64) []*pb.Suspect {
+	ids := t.ids()
+	if len(ids) > n {
+		at := int(from % uint64(len(ids)))
+		ids = append(ids[at:len(ids):len(ids)], ids[:at]...)
+		slices.SortStableFunc(ids, func(a, b ID) int { return cmp.Compare(len(t.find(b).crashes), len(t.find(a).crashes)) })
+		ids = ids[:n]
+	}
+	var out []*pb.Suspect
+	for _, id := range ids {
+		out = append(out, t.State(now, id))
+	}
+	return out
+}
+
 func (t *Table) ids() []ID {
 	var out []ID
 	for account, of := range t.accounts {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -278,3 +278,29 @@
 		t.Errorf("forgotten: %v", forgotten)
 	}
 }
+
+// Guards against a host that starts and never learns of some requests, because there are too many
+// for one message.
+func TestAllAreToldInTheEnd(t *testing.T) {
+	table, other := NewTable(), NewTable()
+	worst := request("account", 0)
+	for n := range MaxCrashes {
+		table.Crashed(epochStart, worst, run(n), "host", 0)
+	}
+	for n := 1; n < maxPerAccount; n++ {
+		table.Crashed(epochStart, request("account", n), run(n), "host", 0)
+	}
+	const most = 5
+	for from := range uint64(maxPerAccount) {
+		some := table.Some(epochStart, most, from)
+		if len(some) != most || len(some[0].GetCrashes()) != MaxCrashes {
+			t.Fatalf("from %d: %v", from, some)
+		}
+		for _, s := range some {
+			other.Merge(epochStart, s)
+		}
+	}
+	if table.Digest() != other.Digest() {
+		t.Errorf("%d of %d were told", len(other.All(epochStart)), maxPerAccount)
+	}
+}
