Orders that crash the servers which carry them out are held back

The same class as the crashing requests: an order for a model that crashes each engine which loads it was given to the next one, and to each that had started again after its rest; what was known of it was known of single servers.

A server whose incarnation changes while an order is in flight has ended under it. After three such ends an order that wants the same waits for a minute, then twice as long after each further one, up to an hour; Blocked says why. One that shows its effect is forgiven. A new leader begins anew: three more.

TestOrderThatCrashesServersIsHeldBack, TestOrderThatIsCarriedOutIsNotHeldBack.

--- /dev/null
+++ b/internal/placement/crash_test.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/settings"
+)
+
+// crashingModel crashes each server that loads it.
+const crashingModel = "broken@v1"
+
+// crashes has the servers carry orders out, and those that load crashingModel start again. It
+// returns how many did.
+func (w *world) crashes(orders []Order) int {
+	crashed := 0
+	for _, o := range orders {
+		w.planner.Ended(w.in.Now, o, Accepted)
+		s := find(w.in.Servers, o.Server)
+		if o.Model != crashingModel {
+			w.apply(s, o)
+			continue
+		}
+		crashed++
+		s.Incarnation++
+	}
+	return crashed
+}
+
+// Guards against a model that crashes each engine which loads it, and goes from one to the next
+// until the pool serves nothing.
+func TestOrderThatCrashesServersIsHeldBack(t *testing.T) {
+	var servers []*pb.ServerState
+	for i := range 16 {
+		servers = append(servers, testServer(i, "ledger@v1"))
+	}
+	w := newWorld([]settings.PlacementRule{
+		{Pool: "llm", Model: crashingModel, Servers: 2}, {Pool: "llm", Model: "summary@v1", Servers: 4},
+	}, servers...)
+	crashed := 0
+	const hour = 3600
+	for range hour {
+		crashed += w.crashes(w.step())
+	}
+	// Two orders are in flight at a time; then there is a trial after 1, 2, 4, 8, 16 and 32 minutes.
+	if most := maxCrashes + 1 + 2*6; crashed > most {
+		t.Errorf("%d servers crashed within an hour, want %d at most", crashed, most)
+	}
+	if w.planner.Blocked() == nil {
+		t.Error("nothing says why the rule isn't met")
+	}
+	if met := w.meeting(1); met < 4 {
+		t.Errorf("%d servers meet the other rule", met)
+	}
+}
+
+// meeting counts the servers that meet a rule.
+func (w *world) meeting(rule int) int {
+	met := 0
+	for _, s := range w.in.Servers {
+		if matches(s, w.in.Rules[rule]) {
+			met++
+		}
+	}
+	return met
+}
+
+// Guards against a model that is held back for the rest of the term because servers ended while
+// they loaded it for another reason.
+func TestOrderThatIsCarriedOutIsNotHeldBack(t *testing.T) {
+	var servers []*pb.ServerState
+	for i := range 8 {
+		servers = append(servers, testServer(i, "ledger@v1"))
+	}
+	w := newWorld([]settings.PlacementRule{{Pool: "llm", Model: crashingModel, Servers: 2}}, servers...)
+	for crashed := 0; crashed < maxCrashes; {
+		crashed += w.crashes(w.step())
+	}
+	w.run(4 * int(firstHold.Seconds()))
+	if met := w.meeting(0); met < 2 {
+		t.Errorf("%d servers meet the rule: %+v", met, w.planner.Blocked())
+	}
+}
--- a/internal/placement/flight.go
+++ b/internal/placement/flight.go
@@ -27,6 +27,8 @@
 type flight struct {
 	order Order
 	rule  settings.PlacementRule
+	// incarnation of the server when the order was given.
+	incarnation uint64
 	// until is when the order is given up, for it can't take effect any more.
 	until time.Time
 }
@@ -59,8 +61,15 @@
 // observe ends flights whose effect the announcements show, or whose time is over.
 func (p *Planner) observe(in Input) {
 	for server, f := range p.flights {
-		if shows(f.order, find(in.Servers, server)) {
+		s := find(in.Servers, server)
+		if shows(f.order, s) {
 			delete(p.flights, server)
+			delete(p.crashes, wants(f.order))
+			continue
+		}
+		if f.restarted(s) {
+			p.crashed(in.Now, f.order)
+			p.giveUp(in.Now, server)
 			continue
 		}
 		if in.Now.After(f.until) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -124,6 +124,7 @@
 	bucket  bucket
 	flights map[string]*flight // by server
 	rests   map[string]time.Time
+	crashes map[wanted]crashes
 	blocked []Blocked
 }
 
@@ -148,6 +149,7 @@
 	p.bucket = bucket{at: since}
 	p.flights = make(map[string]*flight)
 	p.rests = make(map[string]time.Time)
+	p.crashes = make(map[wanted]crashes)
 }
 
 // Step returns the orders to commit and send now. Each is followed by one call of
@@ -196,6 +198,9 @@
 	have := v.have[rule]
 	for missing := rule.Servers - have - p.heading(rule); missing > 0; missing-- {
 		order, reason := v.choose(rule)
+		if reason == "" {
+			reason = p.heldBack(v.in.Now, order)
+		}
 		if reason == "" && !p.bucket.affords(order.Bytes, v.in.StoreRate) {
 			reason = "waiting for the weight store's rate limit"
 		}
@@ -214,7 +219,8 @@
 	p.lastID++
 	order.ID = p.lastID
 	order.Term = p.term
-	v.takeOut(find(v.in.Servers, order.Server), order)
-	p.flights[order.Server] = &flight{order: order, until: v.in.Now.Add(p.cfg.LongestOrder)}
+	s := find(v.in.Servers, order.Server)
+	v.takeOut(s, order)
+	p.flights[order.Server] = &flight{order: order, incarnation: s.GetIncarnation(), until: v.in.Now.Add(p.cfg.LongestOrder)}
 	return order
 }
