Recovery asks all engines for a run whose record names none

Likely cause: the host was killed before its last words, which server runs the request and how it ended, had reached its peers.

The engines still know such a run by its request's name. They are asked for the first three attempts, and the last one that has ended is billed. A record that names no run counts as the dead host's own, not as one that it took over.

--- a/internal/controller/repair/plan.go
+++ b/internal/controller/repair/plan.go
@@ -183,9 +183,10 @@
 	p.ended = append(p.ended, ended{rec, known, prompt, output})
 }
 
-// takenOverRun tells whether the record's run was started under another request's id.
+// takenOverRun tells whether the record's run was started under another request's id. A record
+// that names no run is of a request that was still looking for a server.
 func takenOverRun(rec *pb.InflightRecord) bool {
-	return !strings.HasPrefix(rec.GetEngineRequestId(), rec.GetRequestId())
+	return rec.GetEngineRequestId() != "" && !strings.HasPrefix(rec.GetEngineRequestId(), rec.GetRequestId())
 }
 
 // certain tells whether no other dead holder can know more of these requests.
--- a/internal/daemon/repair.go
+++ b/internal/daemon/repair.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/bluebellsail/bluebellsail/internal/controller/repair"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter/route"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -17,6 +21,8 @@
 	repairTimeout = 30 * time.Second
 	// usageWait bounds the question to a backend server about one run.
 	usageWait = 300 * time.Millisecond
+	// maxAsked bounds the questions to servers under way at once.
+	maxAsked = 64
 )
 
 // serveRepair starts the controllers that mend what failed hosts left behind.
@@ -31,7 +37,7 @@
 func (e *entry) repairLoop(ctx context.Context) {
 	controller := repair.New(repair.Config{
 		Self: e.holder(), Control: group{e.d.client}, Peers: gatherers{e}, Requests: e.records,
-		EngineUsage: engineUsage(engineclient.New(engineclient.Config{})), Log: e.d.tel.Log,
+		EngineUsage: engineUsage(e.client, e.serverAddresses), Log: e.d.tel.Log,
 	})
 	every(ctx, repairEvery, func() {
 		if !e.repairs() {
@@ -45,6 +51,15 @@
 	})
 }
 
+// serverAddresses are those of the backend servers that this host knows.
+func (e *entry) serverAddresses() []string {
+	var out []string
+	for _, s := range e.sched.Servers() {
+		out = append(out, s.GetAddress())
+	}
+	return out
+}
+
 // repairs tells whether this host is the first by name of those alive in its view.
 // Two hosts with different views may both repair: recovery is idempotent, so this
 // only saves work.
@@ -76,15 +91,51 @@
 	return client.Gather(ctx, req)
 }
 
-// engineUsage asks a backend server what a run that lost its host has used.
-func engineUsage(client *engineclient.Client) func(context.Context, *pb.InflightRecord) (uint64, uint64, bool) {
+// maxAttemptsAsked bounds the attempts of a request that is looked for at all servers.
+const maxAttemptsAsked = 3
+
+// engineUsage asks what a run that lost its host has used: the backend server that its record
+// names, or all of them if it names none.
+//
+// Without the latter a host that is killed before its peers know where a request runs leaves its
+// tokens locked until the request's deadline and a minute are over, though the engine could say
+// at once how the run ended.
+func engineUsage(client *engineclient.Client, servers func() []string) func(context.Context, *pb.InflightRecord) (uint64, uint64, bool) {
 	return func(ctx context.Context, rec *pb.InflightRecord) (prompt, output uint64, known bool) {
 		ctx, cancel := context.WithTimeout(ctx, usageWait)
 		defer cancel()
 		usage := client.FinalUsage(ctx, rec.GetServer(), rec.GetEngineRequestId())
+		if rec.GetServer() == "" {
+			usage = usageAnywhere(ctx, client, servers(), rec.GetRequestId())
+		}
 		if usage == nil {
 			return 0, 0, false
 		}
 		return usage.PromptTokens, usage.CompletionTokens, true
 	}
 }
+
+// usageAnywhere asks all servers for the runs of a request, and takes the last attempt that one of
+// them has finished.
+func usageAnywhere(ctx context.Context, client *engineclient.Client, servers []string, requestID string) *engineclient.Usage {
+	var mu sync.Mutex
+	var found *engineclient.Usage
+	last := 0
+	var asked errgroup.Group
+	asked.SetLimit(maxAsked)
+	for _, server := range servers {
+		for attempt := 1; attempt <= maxAttemptsAsked; attempt++ {
+			asked.Go(func() error {
+				usage := client.FinalUsage(ctx, server, route.AttemptID(requestID, attempt))
+				mu.Lock()
+				defer mu.Unlock()
+				if usage != nil && attempt > last {
+					found, last = usage, attempt
+				}
+				return nil
+			})
+		}
+	}
+	_ = asked.Wait() // no question fails but by having no answer
+	return found
+}
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -116,7 +116,10 @@
 }
 
 // EngineRequestID names the call's present attempt at its engine.
-func EngineRequestID(c *filter.Call) string { return c.ID + "-" + strconv.Itoa(c.Attempts) }
+func EngineRequestID(c *filter.Call) string { return AttemptID(c.ID, c.Attempts) }
+
+// AttemptID names an attempt of a request at its engine.
+func AttemptID(requestID string, attempt int) string { return requestID + "-" + strconv.Itoa(attempt) }
 
 // resume reads the stream of a former holder. It takes no room: the run has its own.
 func (f *Filter) resume(w http.ResponseWriter, r *http.Request, next filter.Handler) error {
