The suspects' store is written apart from comparisons, and holds nothing up

A comparison with a host out of reach takes half a second, in which a crash was not kept; and a disk that does not answer would have held up the end of the process. Saves go on beside the loop, one at a time, at most one in 200 ms; the end waits 200 ms for one. A request whose further attempt the quarantine refuses is told so, with the time to come back, where it has surely not run. TestStalledDiskHoldsNothingUp.

--- a/internal/controller/quarantine/quarantine_test.go
+++ b/internal/controller/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -304,6 +305,44 @@
 	}
 }
 
+// stalled is a store whose disk does not answer.
+type stalled struct{ until chan struct{} }
+
+func (s stalled) Load() ([]*pb.Suspect, error) { return nil, nil }
+
+func (s stalled) Save([]*pb.Suspect) error {
+	<-s.until
+	return nil
+}
+
+// Guards against a process that does not end, or serves no request, because its disk stands still.
+func TestStalledDiskHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := stalled{until: make(chan struct{})}
+		h := (&fleet{}).add(t, "host", store)
+		h.synced.Store(true)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			h.RunStore(ctx)
+		}()
+		h.crash(poison, 1)
+		time.Sleep(time.Minute)
+		h.crash(poison, 2)
+		if err := h.admitted(poison); err != nil {
+			t.Error(err)
+		}
+		stop()
+		begin := time.Now()
+		<-ended
+		if took := time.Since(begin); took > closeWait {
+			t.Errorf("the end took %v", took)
+		}
+		close(store.until)
+	})
+}
+
 // failing is a store whose disk takes writes only after some tries.
 type failing struct {
 	failures int
--- a/internal/controller/quarantine/sync.go
+++ b/internal/controller/quarantine/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
+	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 )
@@ -16,7 +17,9 @@
 	syncEvery  = time.Second
 	startEvery = 50 * time.Millisecond
 	// saveEvery bounds how often the store is written.
-	saveEvery = 50 * time.Millisecond
+	saveEvery = 200 * time.Millisecond
+	// closeWait is how long the end of a process waits for its disk.
+	closeWait = 200 * time.Millisecond
 	// expireEvery is how often what is old is forgotten.
 	expireEvery = time.Minute
 	// maxFetched bounds the requests in the answer to one comparison: some 70 KB.
@@ -25,40 +28,68 @@
 	fetchTimeout = 500 * time.Millisecond
 )
 
-// Run keeps what this host knows in step with the others and the store until ctx ends.
+// Run keeps what this host knows in step with the others until ctx ends.
 func (g *Guard) Run(ctx context.Context) {
-	var nextSync, nextExpiry time.Time
-	ticker := time.NewTicker(startEvery)
-	defer ticker.Stop()
-	for {
-		now := time.Now()
-		if now.After(nextExpiry) {
+	var nextExpiry time.Time
+	for ctx.Err() == nil {
+		if now := time.Now(); now.After(nextExpiry) {
 			nextExpiry = now.Add(expireEvery)
 			g.expire(now)
 		}
-		if !g.synced.Load() || now.After(nextSync) {
-			g.compare(ctx)
-			nextSync = now.Add(syncEvery)
+		g.compare(ctx)
+		pause := syncEvery
+		if !g.synced.Load() {
+			pause = startEvery
 		}
-		g.save()
 		select {
 		case <-ctx.Done():
-			g.save()
-			return
-		case <-ticker.C:
-		}
-		if g.synced.Load() {
-			ticker.Reset(g.period())
+		case <-time.After(pause):
 		}
 	}
 }
 
-// period of Run's loop; a host without a store has nothing to save between comparisons.
-func (g *Guard) period() time.Duration {
+// RunStore keeps the store in step with what this host knows until ctx ends. It is apart from Run,
+// so that a crash is kept however long other hosts take to answer. A disk that does not answer
+// holds up nothing but the next save, and the end of the process for closeWait.
+func (g *Guard) RunStore(ctx context.Context) {
 	if g.cfg.Store == nil {
-		return syncEvery
+		return
+	}
+	ticker := time.NewTicker(saveEvery)
+	defer ticker.Stop()
+	var saving <-chan struct{}
+	for ctx.Err() == nil {
+		if saving == nil {
+			saving = g.startSave()
+		}
+		select {
+		case <-ctx.Done():
+		case <-saving:
+			saving = nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	if saving == nil {
+		saving = g.startSave()
+	}
+	select {
+	case <-saving:
+	case <-time.After(closeWait):
 	}
-	return saveEvery
+}
+
+// startSave begins to save; the channel is closed at its end, before which no other save may begin.
+func (g *Guard) startSave() <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer panics.Log(g.cfg.Log, "saving the suspects")
+		g.save()
+	}()
+	return done
 }
 
 // Synced tells whether this host has learnt what its fleet knew when it started.
@@ -140,9 +171,6 @@
 
 // save writes the store if anything has changed.
 func (g *Guard) save() {
-	if g.cfg.Store == nil {
-		return
-	}
 	states, version, changed := g.unsaved()
 	if !changed {
 		return
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -165,6 +165,7 @@
 	d.tasks.run("heartbeats", g.members.Run)
 	d.tasks.run("news", g.news.Run)
 	d.tasks.run("suspects", g.suspects.Run)
+	d.tasks.run("keep suspects", g.suspects.RunStore)
 	d.tasks.runTrusted("join", g.join)
 	if g.servesCallers() {
 		d.tasks.run("routes", g.routes.Run)
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -97,8 +97,11 @@
 		if !out.again || !t.mayRepeat() {
 			return t.giveUp(out.err)
 		}
-		if t.x.Pass != nil && t.x.Pass.Again(t.ctx) != nil {
-			return t.giveUp(out.err)
+		if t.x.Pass == nil {
+			continue
+		}
+		if err := t.x.Pass.Again(t.ctx); err != nil {
+			return t.giveUp(err)
 		}
 	}
 }
