--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -163,6 +163,8 @@
 	method  string
 	x       *relay.Exchange
 	ctx     context.Context
+	// pass is the request's; nil: there is no quarantine.
+	pass filter.Pass
 	// onWrite is called ahead of each write to the caller, which fails with writeErr.
 	onWrite  func()
 	writeErr error
@@ -194,6 +196,7 @@
 
 func (r *run) do() error {
 	r.x = &relay.Exchange{
+		Pass:    r.pass,
 		Request: &relay.Request{ID: requestID, Method: r.method, Target: "/p", Header: http.Header{}, PromptTokens: 100},
 		Route:   &r.route, Deadline: time.Now().Add(time.Minute),
 		Service: &routes.Service{Name: "pool", Engine: &routes.Engine{TokensPerEvent: 4}},
--- /dev/null
+++ b/internal/relay/forward/pass_test.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
+	"github.com/bluebellsail/bluebellsail/internal/quarantine"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
+)
+
+// pass notes what it is told.
+type pass struct {
+	reached, broke, answered int
+	// refuses further attempts.
+	refuses error
+}
+
+func (p *pass) Reached()                      { p.reached++ }
+func (p *pass) Broke(filter.Break)            { p.broke++ }
+func (p *pass) Again(context.Context) error   { return p.refuses }
+func (p *pass) Answered()                     { p.answered++ }
+func (p *pass) Standing() quarantine.Standing { return quarantine.Standing{} }
+func (p *pass) Close()                        {}
+
+// breaks is a server whose side ends the connection with a cause.
+func breaks(cause engineclient.Cause, ran errkind.Ran) func(context.Context, *engineclient.Forward) (*http.Response, error) {
+	return func(context.Context, *engineclient.Forward) (*http.Response, error) {
+		return nil, &engineclient.Error{Ran: ran, Cause: cause, Message: string(cause)}
+	}
+}
+
+// framedAnswer has a length, by which its end is told from that of its connection.
+func framedAnswer(status int) *http.Response {
+	res := answer(status, "ok")
+	res.ContentLength = 2
+	return res
+}
+
+// Guards against a crash that is not noted, and against requests that are blamed, or cleared, by
+// attempts which tell nothing of them.
+func TestQuarantineIsToldOfAttempts(t *testing.T) {
+	cut := func() *http.Response { return stream("id: 1\n", io.ErrUnexpectedEOF) }
+	chunked := stream("id: 1\n\n", nil)
+	chunked.TransferEncoding = []string{"chunked"}
+	endless := answer(http.StatusOK, "ok")
+	endless.ContentLength = -1
+	for name, c := range map[string]struct {
+		step func(context.Context, *engineclient.Forward) (*http.Response, error)
+		want pass
+	}{
+		"reset before the answer": {breaks(engineclient.CauseReset, errkind.RanUnknown), pass{reached: 1, broke: 1}},
+		"closed before it":        {breaks(engineclient.CauseClosed, errkind.RanUnknown), pass{reached: 1, broke: 1}},
+		"cut in its head":         {breaks(engineclient.CauseCutHead, errkind.RanUnknown), pass{reached: 1, broke: 1}},
+		"cut in its body":         {gives(cut()), pass{reached: 1, broke: 1}},
+		"half sent":               {breaks(engineclient.CauseHalfSent, errkind.RanUnknown), pass{reached: 1}},
+		"silent":                  {breaks(engineclient.CauseSilent, errkind.RanUnknown), pass{reached: 1}},
+		"garbled":                 {breaks(engineclient.CauseGarbled, errkind.RanUnknown), pass{reached: 1}},
+		"refused":                 {breaks(engineclient.CauseRefused, errkind.RanNo), pass{}},
+		"another instance":        {gives(answer(http.StatusMisdirectedRequest, "")), pass{}},
+		"full":                    {gives(answer(http.StatusServiceUnavailable, "", hNotRun, "1")), pass{reached: 1}},
+		"another's answer":        {gives(answer(200, "ok", hID, "other")), pass{reached: 1}},
+		"answered":                {gives(framedAnswer(200)), pass{reached: 1, answered: 1}},
+		"answered that it is bad": {gives(framedAnswer(400)), pass{reached: 1, answered: 1}},
+		"failed":                  {gives(framedAnswer(500)), pass{reached: 1}},
+		"answered without an end": {gives(endless), pass{reached: 1}},
+		"a whole stream":          {gives(chunked), pass{reached: 1, answered: 1}},
+	} {
+		got := &pass{}
+		r := newRun(t, routes.NonIdempotent, c.step)
+		r.route.MaxAttempts, r.leases.servers, r.pass = 1, []string{"a"}, got
+		_ = r.do() // what the caller is told is looked at elsewhere
+		if *got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, *got, c.want)
+		}
+	}
+}
+
+// Guards against a further attempt that the quarantine refuses, and against a refusal that says
+// "did not run" after one that may have.
+func TestQuarantineRefusesFurtherAttempts(t *testing.T) {
+	refusal := errkind.New(errkind.RequestQuarantined, "crashed").After(1)
+	r := newRun(t, routes.Idempotent, breaks(engineclient.CauseReset, errkind.RanUnknown))
+	r.pass = &pass{refuses: refusal}
+	wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanUnknown)
+	r = newRun(t, routes.Idempotent, breaks(engineclient.CauseRefused, errkind.RanNo))
+	r.pass = &pass{refuses: refusal}
+	wantKind(t, r.do(), errkind.RequestQuarantined, errkind.RanNo)
+}
