--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -110,10 +110,10 @@
 // useLimits sets the Go runtime's limits from those of the process.
 func useLimits(l procconfig.Limits) {
 	if l.Processors > 0 {
-		runtime.GOMAXPROCS(l.Processors)
+		runtime.GOMAXPROCS(int(l.Processors))
 	}
-	if l.MemoryBytes > 0 {
-		debug.SetMemoryLimit(l.MemoryBytes * memoryShare / 100)
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(l.MemoryBytes() * memoryShare / 100)
 		debug.SetGCPercent(gcPercent)
 	}
 }
@@ -201,7 +201,7 @@
 	g.limits = d.newLimiter(g.owners, func(l *pb.ServerLimit) { g.news.BroadcastLimit(l) })
 	g.balancer = balancer.New(balancer.Config{
 		Host: cfg.Host, Zone: cfg.Zone, Log: d.tel.Log,
-		Retry:    retry.Bounds{Window: retries.Window.Std(), Share: retries.Share, Extra: retries.Extra},
+		Retry:    retry.Bounds{Window: retries.Window.Std(), Share: retries.Share, Extra: int(retries.Extra)},
 		Hosts:    g.gateways,
 		OnChange: g.serverChanged,
 		Limits:   g.limits,
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -36,10 +36,10 @@
 // maxBodiesBytes returns the bound on the bytes of requests that are buffered at once; 0 means
 // unbounded. It always allows one request of the largest size.
 func maxBodiesBytes(l procconfig.Limits) int64 {
-	if l.MemoryBytes == 0 {
+	if l.MemoryMB == 0 {
 		return 0
 	}
-	return max(l.MemoryBytes/bodiesDivisor, l.MaxBodyBytes+maxHeaderBytes)
+	return max(l.MemoryBytes()/bodiesDivisor, l.MaxBodyBytes+maxHeaderBytes)
 }
 
 // serve opens the listeners that the settings configure.
--- a/internal/daemon/sight.go
+++ b/internal/daemon/sight.go
@@ -37,7 +37,7 @@
 	}
 	d.tel.Log.Info().Str("event", "starting").Str("version", procstat.Version()).Str("go", procstat.GoVersion()).
 		Str("fleet", cfg.Fleet).Strs("roles", roles).Int("processors", runtime.GOMAXPROCS(0)).
-		Int64("memory_bytes", cfg.Limits.MemoryBytes).Int64("runtime_memory_bytes", runtimeMemory()).
+		Int64("memory_bytes", cfg.Limits.MemoryBytes()).Int64("runtime_memory_bytes", runtimeMemory()).
 		Uint64("descriptors", procstat.DescriptorLimit()).Int("streams", cfg.Limits.Streams).
 		Int64("max_body_bytes", cfg.Limits.MaxBodyBytes).Float64("link_mbps", cfg.Limits.LinkMbps).
 		Dur("heartbeat", cfg.Timing.Heartbeat.Std()).Dur("drain_timeout", cfg.Limits.DrainTimeout.Std()).Send()
--- a/internal/procconfig/check.go
+++ b/internal/procconfig/check.go
@@ -31,6 +31,8 @@
 	minAddressTTL           = 100 * time.Millisecond
 	maxAddressTTL           = time.Hour
 	hashBytes               = 32
+	maxMemoryMB             = 1 << 32 // 4 PB
+	maxLinkMbps             = 1 << 32 // 4 Pbit/s
 )
 
 // namePattern is the rule for names in the settings tree. A letter with a combining accent
@@ -377,11 +379,11 @@
 	if l.Streams < 1 {
 		k.fault("/limits/streams", "%d is too small; use at least 1", l.Streams)
 	}
-	if l.LinkMbps < 0 {
-		k.fault("/limits/link_mbps", "%g is below zero; use 0 for no bound", l.LinkMbps)
+	if l.LinkMbps < 0 || l.LinkMbps > maxLinkMbps {
+		k.fault("/limits/link_mbps", "%g is out of range; use 0 for no bound, or up to %d", l.LinkMbps, maxLinkMbps)
 	}
-	if l.MemoryBytes < 0 {
-		k.fault("/limits/memory_bytes", "%d is below zero; use 0 for no bound", l.MemoryBytes)
+	if l.MemoryMB < 0 || l.MemoryMB > maxMemoryMB {
+		k.fault("/limits/memory_mb", "%g is out of range; use 0 for no bound, or up to %d", l.MemoryMB, maxMemoryMB)
 	}
 	if l.Processors < 0 {
 		k.fault("/limits/processors", "%d is below zero; use 0 for all", l.Processors)
--- a/internal/procconfig/config.go
+++ b/internal/procconfig/config.go
@@ -112,7 +112,7 @@
 	ManualRepair bool `json:"manual_repair,omitempty"`
 	// Losses is how many replicas may be lost at once. A lost replica is removed from a group
 	// that was formed by seeds once enough others answer. Default 1.
-	Losses int `json:"losses,omitempty"`
+	Losses RoundedUp `json:"losses,omitempty"`
 	// Tick is the period of the consensus clock, 10ms to 5s; default 50ms.
 	Tick settings.Duration `json:"tick,omitempty"`
 	// ElectionTicks is the number of ticks without a message from a leader after which an
@@ -131,7 +131,7 @@
 
 // EnoughVoters returns how many voters the group needs so that a majority of them survives
 // Losses.
-func (c Control) EnoughVoters() int { return 2*max(c.Losses, 1) + 1 }
+func (c Control) EnoughVoters() int { return 2*int(max(c.Losses, 1)) + 1 }
 
 // Member is one replica of the control group.
 type Member struct {
@@ -178,7 +178,7 @@
 	Share float64 `json:"share,omitempty"`
 	// Extra is the number of additional retries in the window for all hosts together;
 	// default 10.
-	Extra int `json:"extra,omitempty"`
+	Extra RoundedDown `json:"extra,omitempty"`
 }
 
 // Peer is a host to contact first.
@@ -245,11 +245,11 @@
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
 	// Streams bounds the requests in flight on this host, at least 1; default 4096.
 	Streams int `json:"streams,omitempty"`
-	// MemoryBytes is the memory that the process may use; 0: no bound. The garbage collector
-	// keeps the process below it where it can.
-	MemoryBytes int64 `json:"memory_bytes,omitempty"`
+	// MemoryMB is the memory that the process may use, in megabytes of 1,000,000 bytes; 0: no
+	// bound. The garbage collector keeps the process below it where it can.
+	MemoryMB float64 `json:"memory_mb,omitempty"`
 	// Processors is how many processors the process uses at once; 0: all.
-	Processors int `json:"processors,omitempty"`
+	Processors RoundedUp `json:"processors,omitempty"`
 	// LinkMbps is the bandwidth of the host's link in each direction, in megabits per second;
 	// 0: no bound. Requests that would exceed it are rejected.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
@@ -258,6 +258,11 @@
 	DrainTimeout settings.Duration `json:"drain_timeout,omitempty"`
 }
 
+// MemoryBytes returns the memory that the process may use, in bytes; 0: no bound.
+func (l Limits) MemoryBytes() int64 { return int64(l.MemoryMB * bytesPerMB) }
+
+const bytesPerMB = 1_000_000
+
 // Timing has the periods and timeouts between hosts.
 type Timing struct {
 	// Heartbeat is the period of heartbeats between hosts, 50ms to 10s; default 500ms.
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"regexp"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,7 +23,7 @@
 	if err := json.Unmarshal(b, &s); err != nil {
 		return errors.New(`a duration must be a string with a unit, such as "1.5s"`)
 	}
-	v, err := time.ParseDuration(s)
+	v, err := parseDuration(s)
 	if err != nil {
 		return errors.Errorf("%q is not a duration; write a number with a unit, such as \"1.5s\"", s)
 	}
@@ -29,6 +31,23 @@
 	return nil
 }
 
+// exponentDuration is a number in scientific notation with a unit, such as "1.5e1s".
+var exponentDuration = regexp.MustCompile(`^([+-]?[0-9.]+[eE][+-]?[0-9]+)(ns|us|µs|ms|s|m|h)$`)
+
+// parseDuration is time.ParseDuration that also accepts numbers in scientific notation, which some
+// encoders write.
+func parseDuration(s string) (time.Duration, error) {
+	parts := exponentDuration.FindStringSubmatch(s)
+	if parts == nil {
+		return time.ParseDuration(s)
+	}
+	number, err := strconv.ParseFloat(parts[1], 64)
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	return time.ParseDuration(strconv.FormatFloat(number, 'f', -1, 64) + parts[2])
+}
+
 // Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
