Count the wait on a host's link towards a request's timeout

Ruled out: the processor (stood still for 235 ms at most), answers held back by the relay (passed on within a millisecond of their arrival), control traffic (the mean host has 0.1 MB/s in all).

Change: internal/linkdelay estimates the wait from the shortest of the latest round trips to hosts and servers. The deadline of a request is that much earlier, and a request that can't be answered before it is rejected at once.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
 	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
 	"github.com/bluebellsail/bluebellsail/internal/lastrun"
+	"github.com/bluebellsail/bluebellsail/internal/linkdelay"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/peerconn"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
@@ -27,6 +28,8 @@
 	tls  *certificates
 	logs closer
 
+	// linkDelay is estimated from round trips to other hosts and to servers.
+	linkDelay linkdelay.Estimator
 	pool      *peerconn.Pool
 	transport *control.GRPCTransport
 	replica   *control.Replica
@@ -112,6 +115,7 @@
 	d.pool = peerconn.New(peerconn.Config{
 		Fleet: peerconn.Fleet(cfg.Fleet), Credentials: certs.peerCredentials(), Stats: d.tel.ClientStats(), Log: d.tel.Log,
 		OnReplaced: func(string) { d.tel.Metrics.SilentConnections.Add(1) }, Dial: d.dialer(),
+		ObserveCall: d.observeRoundTrip,
 	})
 	if err := d.openReplica(); err != nil {
 		d.close()
@@ -122,6 +126,9 @@
 	return d, nil
 }
 
+// observeRoundTrip records a round trip to another host or to a server that has just ended.
+func (d *Daemon) observeRoundTrip(took time.Duration) { d.linkDelay.Observe(time.Now(), took) }
+
 // start starts the parts in the order that the package documentation gives.
 func (d *Daemon) start(ctx context.Context) error {
 	d.peers = newPeerServer(d)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -187,6 +187,7 @@
 	cfg := d.cfg
 	g := &gateway{d: d, protocol: p, run: newRun(cfg.Host), registered: make(chan struct{}), metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
 		DialTimeout: dialServerTimeout, IdleTimeout: idleServerTimeout, Unacknowledged: unacknowledgedTimeout, Source: cfg.Listen.Source,
+		ObserveDial: d.observeRoundTrip,
 	})}
 	g.setSeeds(cfg.SeedPeers())
 	d.tel.Metrics.Set("routed", &g.metrics.vars)
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -47,11 +47,11 @@
 	r := g.d.cfg.Routed
 	if r.Requests != "" {
 		handler := relay.NewHandler(g.protocol, g,
-			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, deadline.Filter{},
+			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, &deadline.Filter{Delay: &g.d.linkDelay},
 			&quarantine.Filter{Quarantine: g.suspects},
 			bandwidth.New(g.d.cfg.Limits.LinkMbps), &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
-				Dialect: g.protocol, Client: g.client, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Abort: httpserver.Abort,
+				Dialect: g.protocol, Client: g.client, ObservePlain: g.d.observeRoundTrip, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Abort: httpserver.Abort,
 			})
 		g.requests = httpserver.New(httpserver.Config{
 			Name: "requests", Address: r.Requests, Handler: handler, Limits: g.callerLimits,
@@ -129,6 +129,9 @@
 // EndCurrent implements surface.Servers.
 func (g *gateway) EndCurrent(id string) error { return g.balancer.EndCurrent(id) }
 
+// loggedLinkDelay is the delay above which a request's line in the log tells it.
+const loggedLinkDelay = 20 * time.Millisecond
+
 // Finished implements relay.Observer. It logs one line per request.
 func (g *gateway) Finished(x *relay.Exchange, err error) {
 	g.metrics.finished(x, err)
@@ -141,6 +144,9 @@
 	if x.Route != nil {
 		event = event.Str("route", x.Route.Name).Time("deadline", x.Deadline)
 	}
+	if x.LinkDelay > loggedLinkDelay {
+		event = event.Dur("link_delay", x.LinkDelay)
+	}
 	if !x.Deadline.IsZero() {
 		event = event.Stringer("fingerprint", x.QuarantineID.Fingerprint)
 	}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -64,6 +64,8 @@
 	Source string
 	// Dial opens connections; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// ObserveDial is called with how long the opening of a connection took; nil: no call.
+	ObserveDial func(took time.Duration)
 	// MaxAnswer bounds the body of a plain service's answer, in bytes.
 	MaxAnswer int64
 	// Observe is called with what servers report about themselves in their answers; nil: no
@@ -111,7 +113,7 @@
 		dial = tcpDialer(c.cfg).DialContext
 	}
 	return &http.Transport{
-		DialContext:            withCounting(dial),
+		DialContext:            withCounting(withTiming(dial, c.cfg.ObserveDial)),
 		ResponseHeaderTimeout:  c.cfg.HeaderTimeout,
 		MaxIdleConnsPerHost:    c.cfg.IdlePerServer,
 		IdleConnTimeout:        c.cfg.IdleTimeout,
--- a/internal/engineclient/conn.go
+++ b/internal/engineclient/conn.go
@@ -146,7 +146,7 @@
 }
 
 // withCounting wraps dial so that it returns countingConns.
-func withCounting(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+func withCounting(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/engineclient/dial.go
+++ b/internal/engineclient/dial.go
@@ -1,6 +1,7 @@
 package engineclient
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -37,6 +38,24 @@
 	return d
 }
 
+// dialFunc opens a connection.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// withTiming wraps dial so that observe is called with how long each connection took to open.
+func withTiming(dial dialFunc, observe func(time.Duration)) dialFunc {
+	if observe == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		started := time.Now()
+		conn, err := dial(ctx, network, address)
+		if err == nil {
+			observe(time.Since(started))
+		}
+		return conn, err
+	}
+}
+
 // boundUnacknowledged makes TCP close a connection on which sent bytes, including keepalives,
 // stay unacknowledged for longer than limit.
 //
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -70,6 +70,8 @@
 	// Stats creates spans of calls; nil: none.
 	Stats stats.Handler
 	Log   zerolog.Logger
+	// ObserveCall is called with how long each call took that was answered; nil: no call.
+	ObserveCall func(took time.Duration)
 	// SilentAfter is the number of consecutive timed-out calls after which a new connection is
 	// tried.
 	SilentAfter int
@@ -187,12 +189,27 @@
 	if p.cfg.Fleet != "" {
 		options = append(options, p.cfg.Fleet.DialOptions()...)
 	}
+	if p.cfg.ObserveCall != nil {
+		options = append(options, grpc.WithChainUnaryInterceptor(timeCalls(p.cfg.ObserveCall)))
+	}
 	if p.cfg.Stats != nil {
 		options = append(options, grpc.WithStatsHandler(p.cfg.Stats))
 	}
 	return options
 }
 
+// timeCalls returns an interceptor that calls observe with how long each answered call took.
+func timeCalls(observe func(took time.Duration)) grpc.UnaryClientInterceptor {
+	return func(ctx context.Context, method string, req, reply any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+		started := time.Now()
+		err := invoke(ctx, method, req, reply, conn, opts...)
+		if err == nil {
+			observe(time.Since(started))
+		}
+		return err
+	}
+}
+
 // ReconnectOption bounds each attempt to connect and the pause between attempts.
 //
 // gRPC's default pause grows to two minutes during a partition, and the two ends would stay
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -51,6 +51,9 @@
 	*Request
 	Arrived  time.Time
 	Deadline time.Time
+	// LinkDelay is the estimated time that the request waited before it arrived, which counts
+	// towards its timeout.
+	LinkDelay time.Duration
 
 	Table   *routes.Index
 	Route   *routes.Route
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -57,6 +57,9 @@
 		out = t.handleNoAnswer(err)
 	} else {
 		note.FirstByte = time.Since(started)
+		if t.x.Service.Engine == nil && t.f.ObservePlain != nil {
+			t.f.ObservePlain(note.FirstByte)
+		}
 		out = t.handleAnswer(lease, res, started, cancel)
 	}
 	note.Took = time.Since(started)
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -24,6 +24,8 @@
 	Balancer relay.Balancer
 	Retries  relay.Retries
 	Limits   relay.Limits
+	// ObservePlain is called with how long a plain service took to answer; nil: no call.
+	ObservePlain func(took time.Duration)
 	// Abort breaks the caller's connection, so that the caller sees that a begun answer is
 	// incomplete.
 	Abort func(w http.ResponseWriter)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -191,7 +191,7 @@
 				t.Errorf("the context's deadline is %v, the exchange's %v", at, x.Deadline)
 			}
 			return nil
-		}, &match.Filter{Tables: tables{index: index(t)}}, deadline.Filter{})
+		}, &match.Filter{Tables: tables{index: index(t)}}, &deadline.Filter{})
 		testutil.NoError(t, err)
 		if got := x.Deadline.Sub(x.Arrived); got != want {
 			t.Errorf("caller timeout %v: the deadline is after %v", callerTimeout, got)
@@ -199,13 +199,50 @@
 	}
 }
 
+type fixedDelay time.Duration
+
+func (d fixedDelay) Delay(time.Time) time.Duration { return time.Duration(d) }
+
+// Guards against requests that are held past their route's timeout by a host whose link is full: the
+// time that a request waited on the link before it was read counts.
+func TestDeadlineCountsTheWaitOnTheLink(t *testing.T) {
+	for _, tt := range []struct {
+		delay, deadline time.Duration
+		refused         bool
+	}{
+		{0, time.Second, false},
+		{300 * time.Millisecond, 700 * time.Millisecond, false},
+		// The answer of a server can't arrive in time.
+		{700 * time.Millisecond, 300 * time.Millisecond, true},
+		{2 * time.Second, -time.Second, true},
+	} {
+		x := exchange("/open/")
+		served := false
+		err := runFilters(x, func(http.ResponseWriter, *http.Request) error {
+			served = true
+			return nil
+		}, &match.Filter{Tables: tables{index: index(t)}}, &deadline.Filter{Delay: fixedDelay(tt.delay)})
+		if got := x.Deadline.Sub(x.Arrived); got != tt.deadline || served == tt.refused {
+			t.Errorf("with a delay of %s: the deadline is after %s, served %t", tt.delay, got, served)
+		}
+		if !tt.refused {
+			testutil.NoError(t, err)
+			continue
+		}
+		testutil.Refused(t, err, errkind.DeadlineUnreachable, "a request that came too late")
+		if e := errkind.From(err); e.Ran() != errkind.RanNo || e.RetryAfter <= 0 {
+			t.Errorf("ran %s, retry after %s", e.Ran(), e.RetryAfter)
+		}
+	}
+}
+
 func TestDeadlineExceededIsTheCause(t *testing.T) {
 	x := exchange("/keyed/")
 	x.CallerTimeout = time.Millisecond
 	err := runFilters(x, func(_ http.ResponseWriter, r *http.Request) error {
 		<-r.Context().Done()
 		return filter.ContextError(r.Context())
-	}, &match.Filter{Tables: tables{index: index(t)}}, deadline.Filter{})
+	}, &match.Filter{Tables: tables{index: index(t)}}, &deadline.Filter{})
 	testutil.Refused(t, err, errkind.DeadlineExceeded, "after the deadline")
 }
 
