Let a fleet that starts at once know itself within a second

Cause: after a loss of all hosts each of the 200 hosts of the large deployment is new to all others. Hosts took only control hosts known from heartbeats for sources of a confirmation.

Change: a starting host sends larger digests, gets larger ones, and sends heartbeats to three more hosts per tick for 12 ticks. Control hosts that are only registered are asked for a confirmation.

TestUpdatesOfLeavingHostsGoFirst has 200 hosts in place of 40, because 40 now fit into the digest of a starting host and the test wants an order among more than fit.

--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -93,6 +93,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.transitTracker.recordRoundTrip(now, b.target.Host, now-sent)
+	if from, replied := reply.GetFrom(), reply.GetState().GetSentMs(); replied > 0 && from.GetHost() == b.target.Host {
+		c.transitTracker.recordReply(now, from, time.Duration(replied)*time.Millisecond)
+	}
 	c.table.ReceiveReply(b.sentAt, b.target.Host, reply)
 	c.delta.MarkReceived(reply.GetFrom(), b.request.GetServers())
 	c.publishChanges()
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -236,9 +236,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.ReceiveRequest(m)
+	if !c.transitTracker.knowsRoundTrip(m.GetFrom().GetHost()) {
+		// In a large fleet few hosts watch those that watch them. Without a round trip the
+		// transit time of a peer's heartbeats stays unknown, and its servers count as stale.
+		c.table.Probe(m.GetFrom().GetHost())
+	}
 	c.delta.MarkReceived(m.GetFrom(), m.GetServers())
 	state := c.table.Reply(m.GetFrom().GetHost())
 	c.publishChanges()
+	state.SentMs = time.Since(c.start).Milliseconds()
 	reply := &pb.HeartbeatReply{From: state.GetFrom(), Seq: m.GetSeq(), State: state}
 	c.countBytes(m, reply)
 	return reply
--- a/internal/controller/members/transit.go
+++ b/internal/controller/members/transit.go
@@ -15,7 +15,7 @@
 	// transitSlack covers that drift.
 	transitSlack = 12 * time.Millisecond
 	// transitSamples is the number of heartbeats that must have been received before a bound
-	// is returned.
+	// is returned, unless the peer has replied to one of this host's.
 	transitSamples = 3
 )
 
@@ -83,13 +83,38 @@
 	t.peer(host).roundTrip.add(at, roundTrip)
 }
 
-// bound returns an upper bound of a heartbeat's transit time, or backend.TransitUnknown. at is
-// the time of arrival by this host's monotonic clock, sent that of sending by the sender's.
-func (t *transitTracker) bound(at time.Duration, from *pb.Holder, sent time.Duration) time.Duration {
+// recordReply records when a peer sent its reply to a heartbeat, by its clock, and when that arrived,
+// by this host's. The transit of the reply took no longer than the round trip, so that a bound is
+// known from the first reply on.
+func (t *transitTracker) recordReply(at time.Duration, from *pb.Holder, sent time.Duration) {
+	p := t.run(from)
+	p.samples = max(p.samples, transitSamples)
+	p.offset.add(at, at-sent)
+}
+
+// run returns the state of a peer for an incarnation.
+func (t *transitTracker) run(from *pb.Holder) *peerTransit {
 	p := t.peer(from.GetHost())
 	if p.incarnation != from.GetIncarnation() {
 		*p = peerTransit{incarnation: from.GetIncarnation(), roundTrip: p.roundTrip}
 	}
+	return p
+}
+
+// knowsRoundTrip reports whether a round trip of a heartbeat to a peer is known.
+func (t *transitTracker) knowsRoundTrip(host string) bool {
+	p := t.peers[host]
+	if p == nil {
+		return false
+	}
+	_, ok := p.roundTrip.minimum()
+	return ok
+}
+
+// bound returns an upper bound of a heartbeat's transit time, or backend.TransitUnknown. at is
+// the time of arrival by this host's monotonic clock, sent that of sending by the sender's.
+func (t *transitTracker) bound(at time.Duration, from *pb.Holder, sent time.Duration) time.Duration {
+	p := t.run(from)
 	p.samples++
 	p.offset.add(at, at-sent)
 	roundTrip, ok := p.roundTrip.minimum()
--- a/internal/controller/members/transit_test.go
+++ b/internal/controller/members/transit_test.go
@@ -9,6 +9,26 @@
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
+// Guards against servers that count as stale in a fleet that has just started: no bound of the transit
+// time of a peer's heartbeats was known before three of them had arrived, which takes 12 s.
+func TestTransitIsBoundedFromTheFirstReply(t *testing.T) {
+	rng := rand.New(rand.NewPCG(9, 0))
+	for range 1000 {
+		tr := newTransitTracker()
+		from := &pb.Holder{Host: "a", Incarnation: 3}
+		clock := time.Duration(rng.Int64N(int64(time.Hour)))
+		there, back := time.Duration(rng.IntN(200))*time.Millisecond, time.Duration(rng.IntN(200))*time.Millisecond
+		arrived := time.Second + there + back
+		tr.recordRoundTrip(arrived, "a", there+back)
+		tr.recordReply(arrived, from, clock+time.Second+there)
+		took := time.Duration(rng.IntN(3000)) * time.Millisecond
+		bound := tr.bound(2*time.Second+took, from, clock+2*time.Second)
+		if bound < took || bound > took+there+back+transitSlack {
+			t.Fatalf("a heartbeat that took %s after a reply that took %s of %s: bound %s", took, back, there+back, bound)
+		}
+	}
+}
+
 // TestTransitBoundCoversDelayedHeartbeats delays heartbeats in the network for up to five
 // seconds. If their transit time were always taken as a few milliseconds, a server that left in
 // the meantime would get new work seconds later, because the ages in the heartbeat are those at
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -38,18 +38,30 @@
 	return out
 }
 
-// sources returns the hosts from which a routing table can be fetched: the live ones, and the
-// seeds, since a host that has just started knows few others.
+// sources returns the hosts from which a routing table can be fetched.
 func (g *gateway) sources() []routesctl.Source {
+	return routeSources(g.members.Peers(), *g.seeds.Load())
+}
+
+// routeSources returns the hosts from which a routing table can be fetched: the live ones, all control
+// hosts that are not known to be dead, and the seeds, since a host that has just started knows few
+// others.
+//
+// A control host counts as suspected until a heartbeat reports it. After a failure of the whole fleet
+// that takes a second or more in a fleet of 200 hosts, in which no host would find one that confirms
+// its table.
+func routeSources(peers []members.PeerInfo, seeds []string) []routesctl.Source {
 	var out []routesctl.Source
 	known := make(map[string]bool)
-	for _, m := range g.members.Peers() {
+	for _, m := range peers {
 		known[m.PeerAddress] = true
-		if m.PeerAddress != "" && m.Health == pb.HostHealth_HOST_HEALTH_ALIVE {
+		alive := m.Health == pb.HostHealth_HOST_HEALTH_ALIVE
+		mayConfirm := m.Control && m.Health != pb.HostHealth_HOST_HEALTH_DEAD
+		if m.PeerAddress != "" && (alive || mayConfirm) {
 			out = append(out, routesctl.Source{Address: m.PeerAddress, Revision: m.ConfigRevision, Control: m.Control})
 		}
 	}
-	for _, seed := range *g.seeds.Load() {
+	for _, seed := range seeds {
 		if !known[seed] {
 			out = append(out, routesctl.Source{Address: seed, Control: true})
 		}
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -71,10 +71,21 @@
 	}
 }
 
-// digest returns entries of up to DigestBytes: first the queued updates, those of leaving and
+// digestBytes returns the size of the host entries in a message to the host named to.
+//
+// After a failure of the whole fleet all hosts are new to all others at once. By digests of the
+// usual size it takes a fleet of 200 hosts 15 s until each knows that half of the others are back.
+func (t *Table) digestBytes(to string) int {
+	if t.starting() || t.isNew(t.hosts[to]) {
+		return max(t.cfg.DigestBytes, startDigestBytes)
+	}
+	return t.cfg.DigestBytes
+}
+
+// digest returns entries of up to digestBytes: first the queued updates, those of leaving and
 // doubted hosts before others and then those sent least often, and then other entries in turn.
 func (t *Table) digest(to string) []*pb.HostState {
-	d := &digestBuilder{table: t, to: to, remaining: t.cfg.DigestBytes, included: make(map[*entry]bool)}
+	d := &digestBuilder{table: t, to: to, remaining: t.digestBytes(to), included: make(map[*entry]bool)}
 	for _, e := range t.pendingUpdates() {
 		if !d.add(e, e.updateAddresses) {
 			return d.states
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -36,6 +36,18 @@
 	DefaultDigestBytes  = 256
 )
 
+const (
+	// startTicks is how many ticks a host counts as starting. Meanwhile it learns the fleet, and
+	// the fleet learns it, by larger messages to more hosts.
+	startTicks = 12
+	// startDigestBytes is the size of the host entries in one message to or from a starting host:
+	// some 50 hosts with their addresses.
+	startDigestBytes = 4096
+	// startTargets is the number of hosts, of those that are only registered so far, to which a
+	// starting host sends a heartbeat in each tick in addition to its usual ones.
+	startTargets = 3
+)
+
 // Config configures the Table of one host. Zero fields are replaced by the defaults.
 type Config struct {
 	// Self describes this host.
@@ -103,6 +115,8 @@
 	registered bool
 	// unconfirmed is true if the host is registered, but no host has reported it yet.
 	unconfirmed bool
+	// created is the tick at which this host first heard of the incarnation.
+	created int64
 	// lastAlive is the latest tick at which the host was certainly running.
 	lastAlive int64
 	// doubted is true if heartbeats are not answered: the first one at tick doubtStart, the
@@ -136,6 +150,8 @@
 	traffic        uint32
 	configRevision uint64
 	changes        uint64
+	// registeredAt is the tick at which this process got its incarnation.
+	registeredAt int64
 
 	hosts map[string]*entry
 	// order holds the entries in a stable order, for rotation and random choice.
@@ -157,9 +173,9 @@
 // New returns the Table of a host that knows only its seeds.
 func New(cfg Config, rng *rand.Rand) *Table {
 	return &Table{
-		cfg:      withDefaults(cfg),
-		rng:      rng,
-		now:      firstTick,
+		cfg: withDefaults(cfg),
+		rng: rng,
+		now: firstTick, registeredAt: firstTick,
 		selfHash: xxhash.Sum64String(cfg.Self.Host),
 		hosts:    make(map[string]*entry),
 		removed:  make(map[string]uint64),
@@ -178,7 +194,10 @@
 }
 
 // SetIncarnation sets the incarnation that the control group assigned to this process.
-func (t *Table) SetIncarnation(n uint64) { t.cfg.Self.Incarnation = n }
+func (t *Table) SetIncarnation(n uint64) {
+	t.cfg.Self.Incarnation = n
+	t.registeredAt = t.now
+}
 
 // SetSeeds replaces the peer addresses to contact while their hosts are not known.
 func (t *Table) SetSeeds(seeds []string) { t.cfg.Seeds = seeds }
@@ -257,4 +276,10 @@
 	return rounds
 }
 
+// starting reports whether this host has just started.
+func (t *Table) starting() bool { return t.now-t.registeredAt <= startTicks }
+
+// isNew reports whether this host has heard of e's incarnation only recently.
+func (t *Table) isNew(e *entry) bool { return e != nil && t.now-e.created <= startTicks }
+
 func (t *Table) fullMesh() bool { return len(t.order) <= t.cfg.Neighbors }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -464,15 +464,16 @@
 // minutes after a start of the whole fleet.
 func TestUpdatesOfLeavingHostsGoFirst(t *testing.T) {
 	table := New(Config{Self: Self{Host: "h", Incarnation: 1}}, rand.New(rand.NewPCG(1, 1)))
-	for i := range 40 {
+	const hosts = 200 // more than the digest of a starting host can hold
+	for i := range hosts {
 		joined := New(Config{Self: Self{Host: simName(i), Incarnation: 1, PeerAddress: simAddress(i)}}, rand.New(rand.NewPCG(1, 1)))
-		if i == 39 {
+		if i == hosts-1 {
 			joined.Leave()
 		}
 		table.ReceiveRequest(joined.Request(""))
 	}
 	first := table.Request("").GetHosts()
-	if len(first) == 0 || len(first) == 40 || !first[0].GetLeaving() {
+	if len(first) == 0 || len(first) == hosts || !first[0].GetLeaving() {
 		t.Errorf("the digest begins with %v", first)
 	}
 }
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -80,7 +80,7 @@
 	}
 	*e = entry{
 		host: e.host, hash: xxhash.Sum64String(e.host), incarnation: h.GetIncarnation(),
-		zone: e.zone, callerAddress: e.callerAddress, peerAddress: e.peerAddress, control: e.control, lastAlive: noEvidence,
+		zone: e.zone, callerAddress: e.callerAddress, peerAddress: e.peerAddress, control: e.control, lastAlive: noEvidence, created: t.now,
 	}
 	t.queueUpdate(e, true)
 	return e
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -32,6 +32,7 @@
 	t.addNeighbors(targets)
 	t.addDoubted(targets)
 	t.addProbed(targets)
+	t.addUnconfirmed(targets)
 	t.addDead(targets)
 	t.addSeed(targets)
 	return targets.list
@@ -138,6 +139,13 @@
 	}
 }
 
+// Probe requests a heartbeat to a host soon.
+func (t *Table) Probe(host string) {
+	if e := t.hosts[host]; e != nil {
+		e.probe = true
+	}
+}
+
 func (t *Table) addProbed(targets *targetSet) {
 	added := 0
 	for _, e := range t.order {
@@ -150,6 +158,25 @@
 	}
 }
 
+// addUnconfirmed adds, while this host is starting, some hosts that are only registered so far.
+func (t *Table) addUnconfirmed(targets *targetSet) {
+	if !t.starting() || t.fullMesh() {
+		return
+	}
+	added := 0
+	first := t.rng.IntN(len(t.order))
+	for i := range t.order {
+		e := t.order[(first+i)%len(t.order)]
+		if added == startTargets {
+			return
+		}
+		if e.unconfirmed && !t.ineligible(e) {
+			targets.add(e)
+			added++
+		}
+	}
+}
+
 // addDead adds one dead host per tick, in turn, so that the two sides of a network partition
 // reconnect after it ends.
 func (t *Table) addDead(targets *targetSet) {
