--- a/internal/controller/assign/assign.go
+++ b/internal/controller/assign/assign.go
@@ -26,6 +26,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/outbox"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -192,7 +193,7 @@
 		return nil, refusal
 	}
 	if ctx.Err() != nil {
-		return nil, errkind.New(errkind.DeadlineExceeded, "the deadline passed before a server was assigned").WithRan(errkind.RanNo)
+		return nil, filter.ContextError(ctx).WithRan(errkind.RanNo)
 	}
 	a.cfg.Owners.MarkUnanswered(h.Name)
 	a.cfg.Log.Warn().Str("event", "shard-owner-unanswered").Str("owner", h.Name).Str("service", w.Service).
--- a/internal/controller/assign/assign_test.go
+++ b/internal/controller/assign/assign_test.go
@@ -264,6 +264,24 @@
 	}
 }
 
+// Guards against a caller's leaving that counts as a missed deadline in logs and counters.
+func TestCallerThatLeavesWhileTheOwnerIsAskedIsNoMissedDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, "a", "b")
+		ctx, leave := context.WithCancelCause(t.Context())
+		f.lost = func(method string) (bool, bool) {
+			leave(errkind.New(errkind.CallerGone, "the caller closed its connection"))
+			return method == "assign", false
+		}
+		_, err := f.hosts["b"].Acquire(ctx, prompt(7, 1, 100, 100))
+		testutil.Refused(t, err, errkind.CallerGone, "the caller left")
+		if ran := errkind.From(err).Ran(); ran != errkind.RanNo {
+			t.Errorf("ran: %s", ran)
+		}
+		time.Sleep(time.Second) // until the owner has heard that the request is over
+	})
+}
+
 func TestOtherShardsAreTriedBeforeRejection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 60, "a", "b")
--- a/internal/controller/routes/newest.go
+++ b/internal/controller/routes/newest.go
@@ -13,7 +13,7 @@
 	// request for something that its table does not contain. A control host confirms by what
 	// its leader reported within two election timeouts, 1 s; together this is less than the 2 s
 	// within which a table has to be in force. If all requests are for unknown routes, a host
-	// asks a control host twice per second.
+	// asks a control host about seven times per second.
 	confirmationLifetime = 500 * time.Millisecond
 	// retryUnconfirmed is the retry time for callers of a host that can't get its table
 	// confirmed. Elections take about as long.
--- a/internal/inflight/placement.go
+++ b/internal/inflight/placement.go
@@ -92,10 +92,7 @@
 // the best hosts of the first n+1 zones, one per zone, include every owner's choice.
 func (r ring) lookup(identity string, n int) []Host {
 	none := func(Host) bool { return false }
-	if len(r.zones) > n {
-		return r.copies(identity, "", "\x00", n+1, none)
-	}
-	if len(r.zones) == 1 {
+	if len(r.zones) > n || len(r.zones) == 1 {
 		return r.copies(identity, "", "\x00", n+1, none)
 	}
 	var all []Host
--- a/internal/procconfig/check.go
+++ b/internal/procconfig/check.go
@@ -212,7 +212,7 @@
 		return // the group is formed by seeds
 	}
 	switch {
-	case c.Has(RoleControl) && !isMember && len(c.Control.Members) > 0:
+	case c.Has(RoleControl) && !isMember:
 		k.fault("/control/members", "no member is on host %q, which has the role control", c.Host)
 	case !c.Has(RoleControl) && isMember:
 		k.fault("/control/members", "host %q is a member without the role control", c.Host)
