Serve sooner after a loss of all hosts: servers in replies, a wait for the start

Cause: with the table confirmed 0.7 s after the start, hosts still waited for a server of each service, which heartbeats pass on in one direction only; and a request that came before was refused after 250 ms and told to come back 1.5 s after the start, later than it could have been served.

Tried and not kept: a restarted host assumes that older engines still have the shared parts for which they are preferred.

--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -98,5 +98,6 @@
 	}
 	c.table.ReceiveReply(b.sentAt, b.target.Host, reply)
 	c.delta.MarkReceived(reply.GetFrom(), b.request.GetServers())
+	c.delta.MarkReceived(reply.GetFrom(), reply.GetState().GetServers())
 	c.publishChanges()
 }
--- a/internal/controller/members/freshness_test.go
+++ b/internal/controller/members/freshness_test.go
@@ -105,3 +105,64 @@
 		running.Wait()
 	})
 }
+
+// Guards against a large fleet that has lost all its hosts at once and in which most hosts know few
+// servers for seconds after the servers have announced themselves, each to one host.
+func TestServersAreKnownSoonAfterTheStartOfALargeFleet(t *testing.T) {
+	const (
+		hosts, servers = 120, 150
+		interval       = 250 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{hosts: make(map[string]*Controller), silent: make(map[string]bool)}
+		regs := make([]*instanceRegistry, hosts)
+		var registered []*pb.HostInfo
+		for i := range hosts {
+			regs[i] = &instanceRegistry{reg: instance.New(instance.Config{})}
+			address := fmt.Sprintf("h%d", i)
+			n.hosts[address] = New(Config{
+				Membership: membership.Config{
+					Self: membership.Self{
+						Host: address, Incarnation: uint64(i + 1), Zone: "z", PeerAddress: address, CallerAddress: "c" + address,
+					},
+					Seeds: []string{"h0", "h1", "h2"}, Interval: interval, Neighbors: 16,
+				},
+				Seed: uint64(i), Peers: n, Registry: regs[i],
+			})
+			registered = append(registered, &pb.HostInfo{
+				Host: address, Incarnation: uint64(i + 1), Zone: "z", PeerAddress: address, CallerAddress: "c" + address,
+			})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for i := range hosts {
+			c := n.hosts[fmt.Sprintf("h%d", i)]
+			c.MergeRegistered(registered)
+			running.Go(func() { c.Run(ctx) })
+		}
+		for s := range servers {
+			regs[s%hosts].mu.Lock()
+			regs[s%hosts].announce(instance.Announcement{
+				ID: fmt.Sprintf("i%d", s), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:80", s), Zone: "z", Slots: 64, Seq: 1,
+			})
+			regs[s%hosts].mu.Unlock()
+		}
+		time.Sleep(4 * interval)
+		synctest.Wait()
+		known := 0
+		for _, r := range regs {
+			r.mu.Lock()
+			for s := range servers {
+				if _, ok := r.reg.Get(fmt.Sprintf("i%d", s)); ok {
+					known++
+				}
+			}
+			r.mu.Unlock()
+		}
+		if share := float64(known) / (hosts * servers); share < 0.9 {
+			t.Errorf("after 1 s a share of %.2f of the servers is known, want at least 0.9", share)
+		}
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -224,7 +224,8 @@
 
 // HandleHeartbeat merges a peer's heartbeat and returns the reply. The reply carries no
 // backend servers: this host's own heartbeats carry them, and the replies to these show that
-// they were received.
+// they were received. While this host starts in a large fleet its replies carry them too, because
+// after a failure of the whole fleet each server is known to one host at first.
 func (c *Controller) HandleHeartbeat(m *pb.HeartbeatRequest) *pb.HeartbeatReply {
 	c.cfg.Registry.Merge(m.GetServers(), c.transitOf(m))
 	if c.cfg.Limits != nil {
@@ -233,6 +234,7 @@
 	if m.GetFrom().GetIncarnation() > 0 {
 		c.cfg.Registry.MergeWork(m.GetFrom(), m.GetRecent())
 	}
+	servers := c.serversForReply()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.ReceiveRequest(m)
@@ -244,12 +246,26 @@
 	c.delta.MarkReceived(m.GetFrom(), m.GetServers())
 	state := c.table.Reply(m.GetFrom().GetHost())
 	c.publishChanges()
+	state.Servers = c.delta.Select(m.GetFrom(), servers)
+	c.delta.MarkReceived(m.GetFrom(), state.Servers) // those of a lost reply are sent again later
 	state.SentMs = time.Since(c.start).Milliseconds()
 	reply := &pb.HeartbeatReply{From: state.GetFrom(), Seq: m.GetSeq(), State: state}
 	c.countBytes(m, reply)
 	return reply
 }
 
+// serversForReply returns the states of backend servers to choose from for a reply; none if replies
+// carry none.
+func (c *Controller) serversForReply() []*pb.ServerState {
+	c.mu.Lock()
+	starting := c.table.StartingInLargeFleet()
+	c.mu.Unlock()
+	if !starting {
+		return nil
+	}
+	return c.cfg.Registry.Servers()
+}
+
 // transitOf returns an upper bound of a heartbeat's transit time.
 func (c *Controller) transitOf(m *pb.HeartbeatRequest) time.Duration {
 	c.mu.Lock()
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -34,15 +34,17 @@
 	// typicalStart is how long a host takes until it serves after a power failure of the
 	// fleet: replicas open their files, elect a leader and confirm the table. A caller that
 	// retries sooner is rejected again.
-	typicalStart = 1500 * time.Millisecond
+	typicalStart = 1100 * time.Millisecond
 	// retryNotReady is the retry time for callers of a host whose start takes longer than that.
 	retryNotReady = 400 * time.Millisecond
 	// startGrace is how long after its start a host waits for what is Missing. Servers announce
 	// themselves, and hosts exchange heartbeats, more often than that.
 	startGrace = 2 * time.Second
-	// awaitTimeout is how long a request waits at a host that can't serve yet. It covers the
-	// last steps of a start and is a fraction of the shortest objectives.
-	awaitTimeout = 250 * time.Millisecond
+	// awaitTimeout is how long a request waits at a host that can't serve, and startAwaitTimeout
+	// at one whose typical start has not ended. A request that is rejected then comes back later
+	// than it would have been served, and many callers come back only once.
+	awaitTimeout      = 250 * time.Millisecond
+	startAwaitTimeout = 600 * time.Millisecond
 	// awaitPollInterval is how often a waiting request checks for the table.
 	awaitPollInterval = 10 * time.Millisecond
 	// reconcileEvery is how often the revisions of the other hosts are checked.
@@ -264,13 +266,18 @@
 // retryAfter returns the retry time for callers of a host that is still starting.
 func retryAfter(uptime time.Duration) time.Duration { return max(typicalStart-uptime, retryNotReady) }
 
-// Await returns Current, and waits up to awaitTimeout for the host's start to end.
+// awaitBound returns how long a request may wait at a host that started uptime ago.
+func awaitBound(uptime time.Duration) time.Duration {
+	return max(awaitTimeout, min(typicalStart-uptime, startAwaitTimeout))
+}
+
+// Await returns Current, and waits up to awaitBound for the host's start to end.
 func (c *Controller) Await(ctx context.Context) (*routes.Index, error) {
 	x, err := c.Current()
 	if err == nil {
 		return x, nil
 	}
-	timeout := time.NewTimer(awaitTimeout)
+	timeout := time.NewTimer(awaitBound(c.uptime()))
 	defer timeout.Stop()
 	poll := time.NewTicker(awaitPollInterval)
 	defer poll.Stop()
--- a/internal/controller/routes/controller_test.go
+++ b/internal/controller/routes/controller_test.go
@@ -177,13 +177,13 @@
 		f.cfg.Now = time.Now
 		f.started = time.Now()
 		go func() {
-			time.Sleep(awaitTimeout + 100*time.Millisecond)
+			time.Sleep(startAwaitTimeout + 100*time.Millisecond)
 			f.Apply("peer", &pb.FetchRoutesReply{Routes: table(t, 4), Confirmed: true})
 		}()
 		_, err := f.Await(t.Context())
 		testutil.Refused(t, err, errkind.HostNotReady, "long before the end of the start")
 		waited := time.Since(f.started)
-		if back := errkind.From(err).RetryAfter; waited > awaitTimeout+awaitPollInterval || back < typicalStart-awaitTimeout-awaitPollInterval {
+		if back := errkind.From(err).RetryAfter; waited > startAwaitTimeout+awaitPollInterval || back < typicalStart-startAwaitTimeout-awaitPollInterval {
 			t.Errorf("rejected after %v, Retry-After %v", waited, back)
 		}
 		if x, err := f.Await(t.Context()); err != nil || x.Revision() != 4 {
@@ -192,6 +192,17 @@
 	})
 }
 
+// A host that can't serve long after its start is no reason for a long wait.
+func TestAwaitIsShortAfterTheStart(t *testing.T) {
+	for uptime, want := range map[time.Duration]time.Duration{
+		0: startAwaitTimeout, typicalStart - 400*time.Millisecond: 400 * time.Millisecond, typicalStart: awaitTimeout, time.Hour: awaitTimeout,
+	} {
+		if got := awaitBound(uptime); got != want {
+			t.Errorf("%s after the start: waits for %s, want %s", uptime, got, want)
+		}
+	}
+}
+
 // Guards against a host that has just started, reports itself ready, and rejects what all others could
 // serve: it has its table, but the heartbeats of hosts and servers arrive a moment later.
 func TestStartingHostWaitsForWhatIsMissing(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -54,13 +54,20 @@
 type tables struct {
 	index *routes.Index
 	err   error
+	// await is called by Await; may be nil.
+	await func(context.Context)
 	// newest is the confirmed table; nil means index. unconfirmed is the error if no table is
 	// confirmed.
 	newest      *routes.Index
 	unconfirmed error
 }
 
-func (t tables) Await(context.Context) (*routes.Index, error) { return t.index, t.err }
+func (t tables) Await(ctx context.Context) (*routes.Index, error) {
+	if t.await != nil {
+		t.await(ctx)
+	}
+	return t.index, t.err
+}
 
 func (t tables) Newest(context.Context) (*routes.Index, error) {
 	if t.newest != nil {
@@ -180,6 +187,20 @@
 	}
 }
 
+// Guards against a request with a short timeout that spends it waiting at a host that is starting.
+func TestWaitForATableIsAPartOfTheTimeout(t *testing.T) {
+	x := exchange("/open/")
+	x.CallerTimeout = 800 * time.Millisecond
+	asked := time.Now()
+	await := func(ctx context.Context) {
+		if at, ok := ctx.Deadline(); !ok || at.Sub(asked) > x.CallerTimeout/3 {
+			t.Errorf("may wait for %s", at.Sub(asked))
+		}
+	}
+	served := func(_ http.ResponseWriter, r *http.Request) error { return r.Context().Err() }
+	testutil.NoError(t, runFilters(x, served, &match.Filter{Tables: tables{index: index(t), await: await}}))
+}
+
 func TestDeadlineIsTheSoonerOfCallerAndRouteTimeout(t *testing.T) {
 	for callerTimeout, want := range map[time.Duration]time.Duration{
 		0: time.Minute, 10 * time.Second: 10 * time.Second, 2 * time.Minute: time.Minute,
