--- a/internal/controller/members/freshness_test.go
+++ b/internal/controller/members/freshness_test.go
@@ -43,6 +43,27 @@
 	return known && r.reg.Fresh(now, i)
 }
 
+// newLargeFleet returns controllers that watch 16 neighbors each, and their registries of servers.
+func newLargeFleet(hosts int, interval time.Duration) (*network, []*instanceRegistry) {
+	n := &network{hosts: make(map[string]*Controller), silent: make(map[string]bool)}
+	var regs []*instanceRegistry
+	for i := range hosts {
+		registry := &instanceRegistry{reg: instance.New(instance.Config{})}
+		address := fmt.Sprintf("h%d", i)
+		n.hosts[address] = New(Config{
+			Membership: membership.Config{
+				Self: membership.Self{
+					Host: address, Incarnation: uint64(i + 1), Zone: "z", PeerAddress: address, CallerAddress: "c" + address,
+				},
+				Seeds: []string{"h0", "h1", "h2"}, Interval: interval, Neighbors: 16,
+			},
+			Seed: uint64(i), Peers: n, Registry: registry,
+		})
+		regs = append(regs, registry)
+	}
+	return n, regs
+}
+
 // TestAnnouncementsReachLargeFleetWhileFresh has each server announce itself to one of 75
 // hosts every 1.2 s. Heartbeats to one neighbor every 250 ms pass the announcements on, and
 // most hosts receive them after 2 to 4 s. When states from a host with an unknown transit time
@@ -55,24 +76,9 @@
 		period         = 1200 * time.Millisecond
 	)
 	synctest.Test(t, func(t *testing.T) {
-		n := &network{hosts: make(map[string]*Controller), silent: make(map[string]bool)}
-		regs := make([]*instanceRegistry, hosts)
+		n, regs := newLargeFleet(hosts, interval)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
-		for i := range hosts {
-			regs[i] = &instanceRegistry{reg: instance.New(instance.Config{})}
-			address := fmt.Sprintf("h%d", i)
-			c := New(Config{
-				Membership: membership.Config{
-					Self: membership.Self{
-						Host: address, Incarnation: uint64(i + 1), Zone: "z", PeerAddress: address, CallerAddress: "c" + address,
-					},
-					Seeds: []string{"h0", "h1", "h2"}, Interval: interval, Neighbors: 16,
-				},
-				Seed: uint64(i), Peers: n, Registry: regs[i],
-			})
-			n.hosts[address] = c
-		}
 		for _, c := range n.hosts {
 			running.Go(func() { c.Run(ctx) })
 		}
@@ -114,29 +120,17 @@
 		interval       = 250 * time.Millisecond
 	)
 	synctest.Test(t, func(t *testing.T) {
-		n := &network{hosts: make(map[string]*Controller), silent: make(map[string]bool)}
-		regs := make([]*instanceRegistry, hosts)
+		n, regs := newLargeFleet(hosts, interval)
 		var registered []*pb.HostInfo
-		for i := range hosts {
-			regs[i] = &instanceRegistry{reg: instance.New(instance.Config{})}
-			address := fmt.Sprintf("h%d", i)
-			n.hosts[address] = New(Config{
-				Membership: membership.Config{
-					Self: membership.Self{
-						Host: address, Incarnation: uint64(i + 1), Zone: "z", PeerAddress: address, CallerAddress: "c" + address,
-					},
-					Seeds: []string{"h0", "h1", "h2"}, Interval: interval, Neighbors: 16,
-				},
-				Seed: uint64(i), Peers: n, Registry: regs[i],
-			})
+		for _, c := range n.hosts {
+			self := c.cfg.Membership.Self
 			registered = append(registered, &pb.HostInfo{
-				Host: address, Incarnation: uint64(i + 1), Zone: "z", PeerAddress: address, CallerAddress: "c" + address,
+				Host: self.Host, Incarnation: self.Incarnation, Zone: self.Zone, PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress,
 			})
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
-		for i := range hosts {
-			c := n.hosts[fmt.Sprintf("h%d", i)]
+		for _, c := range n.hosts {
 			c.MergeRegistered(registered)
 			running.Go(func() { c.Run(ctx) })
 		}
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -47,9 +47,8 @@
 // hosts that are not known to be dead, and the seeds, since a host that has just started knows few
 // others.
 //
-// A control host counts as suspected until a heartbeat reports it. After a failure of the whole fleet
-// that takes a second or more in a fleet of 200 hosts, in which no host would find one that confirms
-// its table.
+// A control host counts as suspected until a heartbeat reports it. After a failure of a whole large
+// fleet that can take seconds, in which a host would find none that confirms its table.
 func routeSources(peers []members.PeerInfo, seeds []string) []routesctl.Source {
 	var out []routesctl.Source
 	known := make(map[string]bool)
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -73,8 +73,8 @@
 
 // digestBytes returns the size of the host entries in a message to the host named to.
 //
-// After a failure of the whole fleet all hosts are new to all others at once. By digests of the
-// usual size it takes a fleet of 200 hosts 15 s until each knows that half of the others are back.
+// After a failure of the whole fleet all hosts are new to all others at once. With digests of the
+// usual size a large fleet would need many seconds until all hosts know each other.
 func (t *Table) digestBytes(to string) int {
 	if t.starting() || t.isNew(t.hosts[to]) {
 		return max(t.cfg.DigestBytes, startDigestBytes)
--- a/internal/peerconn/peerconn_test.go
+++ b/internal/peerconn/peerconn_test.go
@@ -199,3 +199,23 @@
 		t.Errorf("new client after Close: %v", err)
 	}
 }
+
+// Guards against an estimate of the link's delay that takes a host that doesn't answer for a slow link.
+func TestOnlyAnsweredCallsAreTimed(t *testing.T) {
+	timed := 0
+	p := New(Config{ObserveCall: func(time.Duration) { timed++ }})
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	if _, err := p.Client(serve(t)).Heartbeat(ctx, &pb.HeartbeatRequest{Seq: 1}); err != nil || timed != 1 {
+		t.Errorf("an answered call: %v, timed %d times", err, timed)
+	}
+	unused := testutil.Listen(t)
+	address := unused.Addr().String()
+	testutil.NoError(t, unused.Close())
+	ctx, cancel = context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	if _, err := p.Client(address).Heartbeat(ctx, &pb.HeartbeatRequest{Seq: 2}); err == nil || timed != 1 {
+		t.Errorf("a call without an answer: %v, timed %d times", err, timed)
+	}
+}
