--- a/internal/procconfig/config.go
+++ b/internal/procconfig/config.go
@@ -4,7 +4,8 @@
 //
 // The file is JSON. The comments of the fields below are its reference. Unknown keys are
 // rejected, so that a misspelled key is never taken for an absent one. Durations are strings
-// with a unit, such as "500ms". Addresses are "ip:port" with an IP number, never a name.
+// with a unit, such as "500ms". Whole numbers that bound something may have decimals: RoundedDown and
+// RoundedUp say to which side they are rounded. Addresses are "ip:port" with an IP number, never a name.
 package procconfig
 
 import (
