--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
 const (
@@ -47,6 +48,9 @@
 	OperatorKeyHashes func() []string
 	// Quarantine may be nil; no request then has recorded crashes.
 	Quarantine Quarantine
+	// OnEvacuations is called with the evacuated zones after an order of this host's operators was
+	// committed; may be nil.
+	OnEvacuations func(*pb.Evacuations)
 	// Replica returns the state of the control group's replica on this host. It is nil if
 	// the host has none.
 	Replica func() LocalReplica
@@ -103,6 +107,10 @@
 	h.handleRead("GET /v1/quarantine", h.listQuarantine)
 	h.handleChange("POST /v1/quarantine/{fingerprint}/release", h.releaseRequest)
 
+	h.handleRead("GET /v1/evacuations", h.listEvacuations)
+	h.handleChange("POST /v1/evacuations/{zone}", h.beginEvacuation)
+	h.handleChange("DELETE /v1/evacuations/{zone}", h.endEvacuation)
+
 	h.handleRead("GET /v1/control/members", h.controlMembers)
 	h.handleChange("POST /v1/control/members", h.changeMembers)
 
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -375,3 +375,28 @@
 	OpID        string `json:"op_id"`
 	Fingerprint string `json:"fingerprint"`
 }
+
+// EvacuationList is the answer to GET /v1/evacuations.
+type EvacuationList struct {
+	// Revision is the index of the log record that last changed the list.
+	Revision uint64       `json:"revision"`
+	Zones    []Evacuation `json:"zones"`
+}
+
+// Evacuation is an evacuated availability zone: hosts send nothing more to its backend servers.
+type Evacuation struct {
+	Zone  string    `json:"zone"`
+	Since time.Time `json:"since"`
+	Actor string    `json:"actor"`
+}
+
+// EvacuationSet is the answer to POST and DELETE /v1/evacuations/{zone}.
+type EvacuationSet struct {
+	OpID   string `json:"op_id"`
+	Resend bool   `json:"resend,omitempty"`
+	Zone   string `json:"zone"`
+	// Evacuated is the state that was ordered, Changed whether it differs from the one before.
+	Evacuated bool   `json:"evacuated"`
+	Changed   bool   `json:"changed"`
+	Revision  uint64 `json:"revision"`
+}
--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -1,5 +1,5 @@
 // Package apply implements the control group's whole replicated state: settings,
-// ledger, claims, fencing numbers and hosts. It is a pure state machine: log records go
+// ledger, claims, fencing numbers, hosts, the routing table and evacuated zones. It is a pure state machine: log records go
 // in by index, answers come out, and equal logs yield equal states, answers and
 // snapshots. It reads no clock; time comes from the records.
 //
@@ -13,6 +13,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/claims"
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/evacuation"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -32,28 +33,30 @@
 
 // State is the replicated state.
 type State struct {
-	options    Options
-	applied    uint64
-	now        int64
-	settings   *settings.Machine
-	ledger     *ledger.State
-	claims     *claims.State
-	fence      *fence.State
-	routes     *routes.State
-	operations *operations
+	options     Options
+	applied     uint64
+	now         int64
+	settings    *settings.Machine
+	ledger      *ledger.State
+	claims      *claims.State
+	fence       *fence.State
+	routes      *routes.State
+	evacuations *evacuation.State
+	operations  *operations
 }
 
 // New returns an empty state.
 func New(o Options) *State {
 	defaults.Set(&o.MaxOperations, defaultOperations)
 	return &State{
-		options:    o,
-		settings:   settings.New(),
-		ledger:     ledger.New(o.Ledger),
-		claims:     claims.New(),
-		fence:      fence.New(),
-		routes:     routes.NewState(),
-		operations: newOperations(o.MaxOperations),
+		options:     o,
+		settings:    settings.New(),
+		ledger:      ledger.New(o.Ledger),
+		claims:      claims.New(),
+		fence:       fence.New(),
+		routes:      routes.NewState(),
+		evacuations: evacuation.NewState(),
+		operations:  newOperations(o.MaxOperations),
 	}
 }
 
@@ -116,6 +119,12 @@
 			out.Body = &pb.CommandResult_PlaceOrder{PlaceOrder: placed}
 		}
 		return err
+	case *pb.Command_SetEvacuation:
+		set, err := s.evacuations.Set(evacuation.Record{Index: r.Index, Now: r.Now, Actor: r.Actor}, body.SetEvacuation)
+		if err == nil {
+			out.Body = &pb.CommandResult_SetEvacuation{SetEvacuation: set}
+		}
+		return err
 	case *pb.Command_NewTerm:
 		s.fence.NewTerm(body.NewTerm.GetTerm())
 		return nil
@@ -128,6 +137,7 @@
 	case *pb.Command_RegisterHost:
 		registered, err := s.ledger.RegisterHost(r, body.RegisterHost)
 		if err == nil {
+			registered.Evacuations = s.evacuations.Current()
 			out.Body = &pb.CommandResult_RegisterHost{RegisterHost: registered}
 		}
 		return err
--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -94,6 +94,10 @@
 	return &pb.Command{Body: &pb.Command_Claim{Claim: &pb.Claim{Identity: identity, Holder: h, RequestId: request}}}
 }
 
+func evacuate(zone string, evacuated bool) *pb.Command {
+	return &pb.Command{Body: &pb.Command_SetEvacuation{SetEvacuation: &pb.SetEvacuation{Zone: zone, Evacuated: evacuated}}}
+}
+
 func order(server string, term uint64) *pb.Command {
 	o := &pb.PlaceOrder{Server: server, Verb: "load", Object: "m", Term: term}
 	return &pb.Command{Body: &pb.Command_PlaceOrder{PlaceOrder: o}}
@@ -113,6 +117,7 @@
 	d.must("op-fleet", setConfig("/fleet/idempotency_window", `"20m"`, 0))
 	d.must("", claim(h, "school/2", "r2"))
 	d.must("", order("10.0.0.1:1", 3))
+	d.must("op-evacuate", evacuate("north", true))
 	for i := range 40 {
 		d.must("", settle(other, uint64(i+1), &pb.Bill{Budget: "b", Identity: fmt.Sprint("school/x", i), Tokens: 1}))
 	}
@@ -134,6 +139,16 @@
 	for _, late := range []*pb.Command{acquire(h, 2, 1, 1), claim(h, "school/3", "r3")} {
 		d.rejects(errkind.StaleFence, "a dead incarnation", "", late)
 	}
+	for what, e := range map[string]*pb.Evacuations{
+		"query":        d.state.Query(&pb.Query{Body: &pb.Query_Evacuations{Evacuations: &pb.EvacuationsQuery{}}}).Evacuations,
+		"registration": d.must("", register("h3", "boot-1")).GetRegisterHost().GetEvacuations(),
+		"resend":       d.must("op-evacuate", evacuate("north", true)).GetSetEvacuation().GetEvacuations(),
+	} {
+		if len(e.GetZones()) != 1 || e.GetZones()[0].GetZone() != "north" || e.GetRevision() == 0 {
+			t.Errorf("%s: the evacuated zones are %v", what, e)
+		}
+	}
+	d.rejects(errkind.KeyConflict, "another order under the same operation ID", "op-evacuate", evacuate("south", true))
 	placed := d.state.Query(&pb.Query{Body: &pb.Query_Placement{Placement: &pb.PlacementQuery{}}}).Placements
 	if len(placed) != 1 || placed[0].Fence != 12 {
 		t.Errorf("placements are %v", placed)
--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -46,7 +46,8 @@
 		return false
 	}
 	switch cmd.GetBody().(type) {
-	case *pb.Command_CreateBudget, *pb.Command_TopUp, *pb.Command_SetConfig, *pb.Command_RemoveHost, *pb.Command_PlaceOrder:
+	case *pb.Command_CreateBudget, *pb.Command_TopUp, *pb.Command_SetConfig, *pb.Command_RemoveHost, *pb.Command_PlaceOrder,
+		*pb.Command_SetEvacuation:
 		return true
 	}
 	return false
--- a/internal/apply/query.go
+++ b/internal/apply/query.go
@@ -36,6 +36,8 @@
 		out.Placements = s.fence.Placements()
 	case *pb.Query_Routes:
 		out.Routes = s.routes.Routes()
+	case *pb.Query_Evacuations:
+		out.Evacuations = s.evacuations.Current()
 	case *pb.Query_Members:
 		// The replica answers this query from its consensus state.
 	default:
--- a/internal/apply/snapshot.go
+++ b/internal/apply/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/claims"
+	"github.com/bluebellsail/bluebellsail/internal/evacuation"
 	"github.com/bluebellsail/bluebellsail/internal/fence"
 	"github.com/bluebellsail/bluebellsail/internal/ledger"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
@@ -17,15 +18,16 @@
 
 // image holds the whole state in a fixed order.
 type image struct {
-	Format     int              `json:"format"`
-	Applied    uint64           `json:"applied"`
-	Now        int64            `json:"now"`
-	Settings   settings.Image   `json:"settings"`
-	Ledger     ledger.Image     `json:"ledger"`
-	Claims     claims.Image     `json:"claims"`
-	Fence      fence.Image      `json:"fence"`
-	Routes     routes.Image     `json:"routes"`
-	Operations []operationImage `json:"operations"`
+	Format      int              `json:"format"`
+	Applied     uint64           `json:"applied"`
+	Now         int64            `json:"now"`
+	Settings    settings.Image   `json:"settings"`
+	Ledger      ledger.Image     `json:"ledger"`
+	Claims      claims.Image     `json:"claims"`
+	Fence       fence.Image      `json:"fence"`
+	Routes      routes.Image     `json:"routes"`
+	Evacuations evacuation.Image `json:"evacuations,omitzero"`
+	Operations  []operationImage `json:"operations"`
 }
 
 // Snapshot encodes the whole state; equal states have equal snapshots.
@@ -48,8 +50,9 @@
 	im := image{
 		Format: snapshotFormat, Applied: s.applied, Now: s.now,
 		Settings: tree, Ledger: s.ledger.Image(), Claims: s.claims.Image(), Fence: s.fence.Image(),
-		Routes:     s.routes.Image(),
-		Operations: s.operations.image(),
+		Routes:      s.routes.Image(),
+		Evacuations: s.evacuations.Image(),
+		Operations:  s.operations.image(),
 	}
 	return func() ([]byte, error) {
 		data, err := json.Marshal(im)
@@ -80,6 +83,7 @@
 	if err := fresh.routes.Restore(im.Routes); err != nil {
 		return err
 	}
+	fresh.evacuations.Restore(im.Evacuations)
 	if err := fresh.operations.restore(im.Operations); err != nil {
 		return err
 	}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -62,7 +62,9 @@
 	cfg      Config
 	servers  map[string]*Server
 	byTarget map[Target][]*Server
-	changes  uint64
+	// evacuated holds the evacuated availability zones.
+	evacuated map[string]bool
+	changes   uint64
 	// dirty reports that byTarget is outdated. It is rebuilt at the next read, so that a burst of
 	// new servers, for example at the start of a host, causes one rebuild.
 	dirty bool
@@ -212,12 +214,16 @@
 	return s != nil && r.UsableServer(now, s)
 }
 
-// UsableServer reports whether s may get new requests: it is not leaving and its announcement has
-// not lapsed.
+// UsableServer reports whether s may get new requests: it is not leaving, its announcement has not
+// lapsed, and its availability zone is not evacuated.
 func (r *Registry) UsableServer(now time.Time, s *Server) bool {
-	return !s.leaving && now.Sub(s.announcedAt) < r.cfg.Lapse
+	return !s.leaving && now.Sub(s.announcedAt) < r.cfg.Lapse && !r.evacuated[s.state.GetZone()]
 }
 
+// SetEvacuated replaces the set of evacuated availability zones. Their servers get no new requests.
+// The set must not be changed afterwards.
+func (r *Registry) SetEvacuated(zones map[string]bool) { r.evacuated = zones }
+
 // Lapse returns the age at which an announcement lapses.
 func (r *Registry) Lapse() time.Duration { return r.cfg.Lapse }
 
--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -321,6 +321,7 @@
 			wait, setByServer = pause, pause == byServer
 		}
 	}
+	why.evacuated = c.reg.Evacuated(w.Service)
 	switch {
 	case wait == 0:
 		wait = maxBackoff
@@ -331,7 +332,7 @@
 }
 
 // exclusions counts the servers that may not get a request now, by reason.
-type exclusions struct{ servers, backingOff, coolingDown, atLimit int }
+type exclusions struct{ servers, backingOff, coolingDown, atLimit, evacuated int }
 
 func (o *exclusions) add(backoff, cooldown, noPermit time.Duration) {
 	o.servers++
@@ -348,8 +349,12 @@
 
 // String implements fmt.Stringer.
 func (o exclusions) String() string {
-	return fmt.Sprintf("of %d servers, %d back off after failures, %d are cooling down for this host, %d are at their rate limits",
+	text := fmt.Sprintf("of %d servers, %d back off after failures, %d are cooling down for this host, %d are at their rate limits",
 		o.servers, o.backingOff, o.coolingDown, o.atLimit)
+	if o.evacuated > 0 {
+		text += fmt.Sprintf("; %d more are in evacuated zones", o.evacuated)
+	}
+	return text
 }
 
 // spread returns a random jitter for a wait, at most ReturnSpread.
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -26,8 +27,9 @@
 	mu       sync.Mutex
 	rnd      *rand.Rand
 	blocked  map[[2]string]bool
-	drop     int           // permille
-	minDelay time.Duration // minimum delay of each message
+	old      map[string]bool // hosts whose messages look like those of a program without record versions
+	drop     int             // permille
+	minDelay time.Duration   // minimum delay of each message
 }
 
 type host struct {
@@ -39,7 +41,7 @@
 
 func newCluster(t *testing.T, n int, edit func(*Config)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, configure: edit, rnd: rand.New(rand.NewSource(1)), blocked: map[[2]string]bool{}}
+	c := &cluster{t: t, configure: edit, rnd: rand.New(rand.NewSource(1)), blocked: map[[2]string]bool{}, old: map[string]bool{}}
 	for i := range n {
 		c.hosts = append(c.hosts, &host{address: fmt.Sprint("host", i), fs: memfs.New()})
 	}
@@ -137,6 +139,10 @@
 	if l.c.blocked[[2]string{l.from, address}] || l.c.rnd.Intn(1000) < l.c.drop {
 		return
 	}
+	if l.c.old[l.from] {
+		m = proto.CloneOf(m)
+		m.RecordVersion = 0
+	}
 	delay := l.c.minDelay + time.Millisecond + time.Duration(l.c.rnd.Intn(3000))*time.Microsecond
 	time.AfterFunc(delay, func() {
 		l.c.mu.Lock()
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -132,6 +132,7 @@
 	if m.To != r.id.ID {
 		return nil // for a former replica at this address
 	}
+	r.recordVersions[m.From] = m.RecordVersion
 	switch m.Type {
 	case pb.RaftType_RAFT_TYPE_FORMATION_ASK:
 		r.send(formationReply(r.id, m))
@@ -284,6 +285,7 @@
 
 func (r *Replica) send(m *pb.RaftMessage) {
 	if address := r.addressOf(m.To); address != "" {
+		m.RecordVersion = recordVersion
 		r.cfg.Transport.Send(m, address)
 	}
 }
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -84,6 +84,9 @@
 	if p.members != nil {
 		return r.proposeMembers(p)
 	}
+	if err := r.checkVersions(p.cmd, r.core.Status().Members); err != nil {
+		return err
+	}
 	stamped := &pb.Command{
 		OpId: p.cmd.OpId, CallId: p.cmd.CallId, Actor: p.cmd.Actor, TimeMs: r.stampTime(), Body: p.cmd.Body,
 	}
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -75,3 +75,13 @@
 	table = r.query(&pb.Query{Body: &pb.Query_Routes{Routes: &pb.RoutesQuery{}}}).GetRoutes()
 	return table, confirmed
 }
+
+// Evacuations returns the evacuated availability zones that this replica has applied. Called after
+// Routes, it is as new as the table that Routes returned. While the replica has many entries to apply
+// it returns an empty set of revision 0.
+func (r *Replica) Evacuations() *pb.Evacuations {
+	if r.lagging.Load() {
+		return &pb.Evacuations{}
+	}
+	return r.query(&pb.Query{Body: &pb.Query_Evacuations{Evacuations: &pb.EvacuationsQuery{}}}).GetEvacuations()
+}
--- /dev/null
+++ b/internal/control/recordversion.go
@@ -0,0 +1,33 @@
+package control
+
+import (
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/raft"
+)
+
+// recordVersion is the version of the log records that this program can apply. It is incremented
+// when a kind of record is added. A program that does not know a kind of record applies it as a
+// refusal: its state, and its snapshots, would lack what the others have.
+const recordVersion = 1
+
+// requiredVersion returns the record version that a replica must have to apply a command.
+func requiredVersion(cmd *pb.Command) uint32 {
+	if cmd.GetSetEvacuation() != nil {
+		return 1
+	}
+	return 0
+}
+
+// checkVersions returns an error if a member is known to run a program that can't apply cmd. A member
+// from which this replica has heard nothing since its start is assumed to be able to: if it were not,
+// the loss of one host could prevent the change until that host is replaced.
+func (r *Replica) checkVersions(cmd *pb.Command, members []raft.MemberStatus) error {
+	required := requiredVersion(cmd)
+	for _, m := range members {
+		if version, heard := r.recordVersions[m.Member.Id]; heard && version < required {
+			return errkind.New(errkind.HostNotReady, "the replica on host %s runs an earlier version, which can't apply this change", m.Member.Host)
+		}
+	}
+	return nil
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -44,6 +44,7 @@
 	lastTime             int64                // newest time stamped or applied, Unix milliseconds
 	lastFormationRequest int64                // when formation requests were last sent
 	lastConnReset        map[uint64]int64     // when the connection to each member was last reset
+	recordVersions       map[uint64]uint32    // of the replicas heard from, by id
 	role                 raft.Role            // as last published
 	leader               uint64               // as last published; 0: none known
 	// leaderlessSince is the time, by cfg.Now, since which no leader is known.
@@ -85,7 +86,7 @@
 	}
 	r := &Replica{
 		cfg: cfg, log: cfg.Logger, start: cfg.Now(), rnd: rand.New(rand.NewSource(cfg.Seed)),
-		addresses: map[uint64]string{}, appliedCh: make(chan struct{}), changes: newChangeBuffer(),
+		recordVersions: map[uint64]uint32{}, addresses: map[uint64]string{}, appliedCh: make(chan struct{}), changes: newChangeBuffer(),
 		wake: make(chan struct{}, 1), stop: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	if err := r.openDisk(); err != nil {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -128,7 +128,7 @@
 	if e := s.poll(confirmed); e != nil || !s.started {
 		return e
 	}
-	return &pb.WatchEvent{Revision: s.revision, Confirmed: confirmed}
+	return &pb.WatchEvent{Revision: s.revision, Confirmed: confirmed, Evacuations: s.r.Evacuations()}
 }
 
 // poll returns an event with the changes not delivered yet, or nil. The caller
@@ -140,7 +140,7 @@
 			return nil
 		}
 		s.revision = changes[len(changes)-1].Revision
-		return &pb.WatchEvent{Revision: s.revision, Changes: changes, Confirmed: confirmed}
+		return &pb.WatchEvent{Revision: s.revision, Changes: changes, Confirmed: confirmed, Evacuations: s.r.Evacuations()}
 	}
 	tree := s.r.query(&pb.Query{Body: &pb.Query_Config{Config: &pb.ConfigQuery{Path: rootPath}}})
 	if tree.Error != nil || (s.started && tree.Revision <= s.revision) {
@@ -148,7 +148,9 @@
 	}
 	s.started = true
 	s.revision = tree.Revision
-	return &pb.WatchEvent{Revision: tree.Revision, SnapshotJson: tree.ValueJson, Confirmed: confirmed}
+	return &pb.WatchEvent{
+		Revision: tree.Revision, SnapshotJson: tree.ValueJson, Confirmed: confirmed, Evacuations: s.r.Evacuations(),
+	}
 }
 
 // rootPath is the path of the whole settings tree.
--- a/internal/controlclient/watch.go
+++ b/internal/controlclient/watch.go
@@ -150,7 +150,9 @@
 		return nil // the source is behind
 	}
 	if e.Revision == w.revision && w.started {
-		e = &pb.WatchEvent{Revision: e.Revision, Confirmed: e.Confirmed, ConfirmedAgeMs: e.ConfirmedAgeMs}
+		e = &pb.WatchEvent{
+			Revision: e.Revision, Confirmed: e.Confirmed, ConfirmedAgeMs: e.ConfirmedAgeMs, Evacuations: e.Evacuations,
+		}
 	}
 	var fresh []*pb.ConfigChange
 	for _, change := range e.Changes {
--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -267,11 +267,19 @@
 	return b.core.ShardOf(w)
 }
 
-// Serves reports whether any instance of a service is known.
+// Serves reports whether any instance of a service is known that accepts requests, in an evacuated
+// zone or not.
 func (b *Balancer) Serves(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.reg.Serving(service)) > 0
+	return len(b.reg.Serving(service)) > 0 || b.reg.Evacuated(service) > 0
+}
+
+// SetEvacuated replaces the set of evacuated availability zones, whose servers get no requests.
+func (b *Balancer) SetEvacuated(zones map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reg.SetEvacuated(zones)
 }
 
 // TakeCacheUpdates returns the prompt parts sent to instances since the last call.
--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -24,6 +24,7 @@
 	if c.cfg.Limits != nil {
 		limits = c.cfg.Limits.Limits()
 	}
+	evacuations := c.evacuations()
 	var load Load
 	if c.cfg.Load != nil {
 		load = c.cfg.Load()
@@ -38,7 +39,7 @@
 	beats := make([]heartbeat, 0, len(targets))
 	for _, target := range targets {
 		request := c.table.Request(target.Host)
-		request.Recent, request.Limits = work, limits
+		request.Recent, request.Limits, request.Evacuations = work, limits, evacuations
 		request.Servers = servers
 		if holder := holders[target.Host]; holder != nil {
 			request.Servers = c.delta.Select(holder, servers)
@@ -90,6 +91,7 @@
 	c.countBytes(reply)
 	now := time.Since(c.start)
 	c.cfg.Registry.Merge(reply.GetState().GetServers(), now-sent)
+	c.mergeEvacuations(reply.GetState())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.transitTracker.recordRoundTrip(now, b.target.Host, now-sent)
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -46,6 +46,13 @@
 	Merge([]*pb.ServerLimit)
 }
 
+// Evacuations holds the evacuated availability zones; *evacuations.View implements it.
+type Evacuations interface {
+	Current() *pb.Evacuations
+	// Merge merges a set that another host sent; from is that host.
+	Merge(offered *pb.Evacuations, from string) (changed bool)
+}
+
 // Peers returns clients of the Peer service; *peerconn.Pool implements it.
 type Peers interface {
 	Client(address string) pb.PeerClient
@@ -76,6 +83,9 @@
 	Load func() Load
 	// Limits provides the rate limits that heartbeats carry. If it is nil, they carry none.
 	Limits Limits
+	// Evacuations provides the evacuated zones that heartbeats and their replies carry. If it is nil,
+	// they carry none.
+	Evacuations Evacuations
 	// OnTick is called at each tick of the interval, with the time of the tick; may be nil.
 	OnTick  func(time.Time)
 	Log     zerolog.Logger
@@ -231,6 +241,7 @@
 	if c.cfg.Limits != nil {
 		c.cfg.Limits.Merge(m.GetLimits())
 	}
+	c.mergeEvacuations(m)
 	if m.GetFrom().GetIncarnation() > 0 {
 		c.cfg.Registry.MergeWork(m.GetFrom(), m.GetRecent())
 	}
@@ -246,7 +257,7 @@
 	c.delta.MarkReceived(m.GetFrom(), m.GetServers())
 	state := c.table.Reply(m.GetFrom().GetHost())
 	c.publishChanges()
-	state.Servers = c.delta.Select(m.GetFrom(), servers)
+	state.Servers, state.Evacuations = c.delta.Select(m.GetFrom(), servers), c.evacuations()
 	c.delta.MarkReceived(m.GetFrom(), state.Servers) // those of a lost reply are sent again later
 	state.SentMs = time.Since(c.start).Milliseconds()
 	reply := &pb.HeartbeatReply{From: state.GetFrom(), Seq: m.GetSeq(), State: state}
@@ -254,6 +265,24 @@
 	return reply
 }
 
+// evacuations returns the evacuated zones to send; nil if there are none to tell of.
+func (c *Controller) evacuations() *pb.Evacuations {
+	if c.cfg.Evacuations == nil {
+		return nil
+	}
+	if e := c.cfg.Evacuations.Current(); e.GetRevision() > 0 {
+		return e
+	}
+	return nil
+}
+
+// mergeEvacuations merges the evacuated zones in a heartbeat or its reply.
+func (c *Controller) mergeEvacuations(m *pb.HeartbeatRequest) {
+	if c.cfg.Evacuations != nil && m.GetEvacuations() != nil {
+		c.cfg.Evacuations.Merge(m.GetEvacuations(), m.GetFrom().GetHost())
+	}
+}
+
 // serversForReply returns the states of backend servers to choose from for a reply; none if replies
 // carry none.
 func (c *Controller) serversForReply() []*pb.ServerState {
--- a/internal/controller/members/members_test.go
+++ b/internal/controller/members/members_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/status"
 
+	"github.com/bluebellsail/bluebellsail/internal/controller/evacuations"
 	"github.com/bluebellsail/bluebellsail/internal/membership"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
@@ -103,6 +104,7 @@
 	*network
 	controllers []*Controller
 	registries  []*fakeRegistry
+	evacuations []*evacuations.View
 }
 
 func testAddress(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
@@ -114,14 +116,16 @@
 	var running sync.WaitGroup
 	for i := range n {
 		registry := &fakeRegistry{servers: make(map[string]*pb.ServerState), work: make(map[string][]*pb.RecentWork)}
+		view := evacuations.New(zerolog.Nop())
 		c := New(Config{
 			Membership: membership.Config{
 				Self:  membership.Self{Host: fmt.Sprint("h", i), Incarnation: 1, Zone: "renca", CallerAddress: testAddress(i), PeerAddress: testAddress(i)},
 				Seeds: []string{testAddress(0), testAddress(1)},
 			},
-			Seed: uint64(i), Peers: f.network, Registry: registry,
+			Seed: uint64(i), Peers: f.network, Registry: registry, Evacuations: view,
 			Load: func() Load { return Load{SparePermille: 700, ConfigRevision: 42} },
 		})
+		f.evacuations = append(f.evacuations, view)
 		f.hosts[testAddress(i)] = c
 		f.controllers = append(f.controllers, c)
 		f.registries = append(f.registries, registry)
@@ -249,3 +253,18 @@
 		}
 	}
 }
+
+// Guards against a host that missed the broadcast of an evacuation and never hears of it.
+func TestHeartbeatsCarryEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 6)
+		sleepIntervals(8)
+		f.evacuations[2].Merge(&pb.Evacuations{Revision: 5, Zones: []*pb.Evacuation{{Zone: "renca"}}}, "operator")
+		sleepIntervals(8)
+		for i, v := range f.evacuations {
+			if e := v.Current(); e.GetRevision() != 5 || len(e.GetZones()) != 1 {
+				t.Errorf("h%d knows %v", i, e)
+			}
+		}
+	})
+}
--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -1,6 +1,6 @@
 // Package news broadcasts the updates that must not wait for heartbeats to all hosts of a fleet:
 // that a backend server is leaving or has stopped, that one advertises a rate limit, that one
-// crashed under a request, and that there is a newer routing table.
+// crashed under a request, that a zone is evacuated, and that there is a newer routing table.
 //
 // In a fleet too large for a full mesh, heartbeats pass updates from host to host, to one
 // neighbor every 250 ms. Of 67 hosts the last one knew only after 2.7 s that a server was
@@ -55,6 +55,8 @@
 	OnSuspects func(suspects []*pb.Suspect, from string)
 	// OnLimits is called with the rate limits that another host sent; may be nil.
 	OnLimits func([]*pb.ServerLimit)
+	// OnEvacuations is called with the evacuated zones that the host at address from sent.
+	OnEvacuations func(e *pb.Evacuations, from string)
 	// FetchTable fetches the routing table from the host at an address if this host has an
 	// older revision.
 	FetchTable func(ctx context.Context, address string, revision uint64)
@@ -75,7 +77,9 @@
 	servers  map[string]*pb.ServerState
 	suspects map[suspectKey]*pb.Suspect
 	limits   map[string]*pb.ServerLimit
-	revision uint64
+	// evacuations are the evacuated zones to send; nil if there is nothing to send about them.
+	evacuations *pb.Evacuations
+	revision    uint64
 	// lastTable is when the last update about a table was sent.
 	lastTable time.Time
 }
@@ -120,6 +124,16 @@
 	s.signal()
 }
 
+// BroadcastEvacuations schedules a broadcast of the evacuated zones.
+func (s *Broadcaster) BroadcastEvacuations(e *pb.Evacuations) {
+	s.mu.Lock()
+	if e.GetRevision() > s.evacuations.GetRevision() {
+		s.evacuations = e
+	}
+	s.mu.Unlock()
+	s.signal()
+}
+
 // BroadcastTable schedules an update to all hosts that a revision of the routing table can be
 // fetched from this host.
 func (s *Broadcaster) BroadcastTable(revision uint64) {
@@ -188,6 +202,7 @@
 		update.Limits = append(update.Limits, limit)
 		delete(s.limits, id)
 	}
+	update.Evacuations, s.evacuations = s.evacuations, nil
 	if s.revision > 0 {
 		if pause := minTableInterval - time.Since(s.lastTable); pause > 0 {
 			time.AfterFunc(pause, s.signal)
@@ -195,7 +210,7 @@
 			update.RoutesRevision, s.revision, s.lastTable = s.revision, 0, time.Now()
 		}
 	}
-	if len(update.Servers) == 0 && len(update.Suspects) == 0 && len(update.Limits) == 0 && update.RoutesRevision == 0 {
+	if len(update.Servers) == 0 && len(update.Suspects) == 0 && len(update.Limits) == 0 && update.RoutesRevision == 0 && update.Evacuations == nil {
 		return nil
 	}
 	return update
@@ -237,7 +252,7 @@
 		group = group[1:]
 		req := &pb.TellRequest{
 			Servers: update.GetServers(), Suspects: update.GetSuspects(), Limits: update.GetLimits(), RoutesRevision: update.GetRoutesRevision(),
-			FromAddress: s.cfg.Self, Onward: group,
+			Evacuations: update.GetEvacuations(), FromAddress: s.cfg.Self, Onward: group,
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := s.cfg.Client(head).Tell(callCtx, req)
@@ -260,6 +275,9 @@
 	if len(req.GetLimits()) > 0 && s.cfg.OnLimits != nil {
 		s.cfg.OnLimits(req.GetLimits())
 	}
+	if req.GetEvacuations() != nil {
+		s.cfg.OnEvacuations(req.GetEvacuations(), req.GetFromAddress())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx := s.ctx; ctx != nil {
--- a/internal/controller/news/news_test.go
+++ b/internal/controller/news/news_test.go
@@ -40,6 +40,13 @@
 	receivedSuspects map[string]bool
 	revision         uint64
 	fetched          time.Time
+	evacuations      *pb.Evacuations
+}
+
+func (h *host) recordEvacuations(e *pb.Evacuations, _ string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evacuations = e
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -48,7 +55,7 @@
 		h := &host{f: f, address: address(i), received: make(map[string]time.Time), receivedSuspects: make(map[string]bool)}
 		h.Broadcaster = New(Config{
 			Self: h.address, Peers: func() []string { return f.others(h.address) }, Client: func(to string) pb.PeerClient { return client{f: f, to: to} },
-			OnServers: h.recordServers, OnSuspects: h.recordSuspects, FetchTable: h.fetch, Log: zerolog.Nop(),
+			OnServers: h.recordServers, OnSuspects: h.recordSuspects, FetchTable: h.fetch, OnEvacuations: h.recordEvacuations, Log: zerolog.Nop(),
 		})
 		f.hosts[h.address] = h
 		go h.Run(t.Context())
@@ -280,3 +287,22 @@
 		}
 	})
 }
+
+// Guards against an evacuation that reaches the last host of a large fleet only by heartbeats, seconds
+// later. Of two orders in quick succession the newer one is sent.
+func TestEvacuationsReachLargeFleetQuickly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 80)
+		first := f.hosts[address(0)]
+		first.BroadcastEvacuations(&pb.Evacuations{Revision: 9, Zones: []*pb.Evacuation{{Zone: "z"}}})
+		first.BroadcastEvacuations(&pb.Evacuations{Revision: 8})
+		time.Sleep(500 * time.Millisecond)
+		for addr, h := range f.hosts {
+			h.mu.Lock()
+			if addr != first.address && h.evacuations.GetRevision() != 9 {
+				t.Errorf("%s knows %v", addr, h.evacuations)
+			}
+			h.mu.Unlock()
+		}
+	})
+}
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -69,6 +69,10 @@
 	Sources func() []Source
 	// Fetch requests the table of the host at an address.
 	Fetch func(ctx context.Context, address string, req *pb.FetchRoutesRequest) (*pb.FetchRoutesReply, error)
+	// Evacuations returns the evacuated zones that this host knows, and OnEvacuations is called with
+	// those in each reply from the host at an address. Both may be nil.
+	Evacuations   func() *pb.Evacuations
+	OnEvacuations func(e *pb.Evacuations, from string)
 	// OnChange is called after each change to a newer table; before is nil for the first table.
 	OnChange func(before, after *routes.Index)
 	// Missing is called while this host starts. It returns what this host does not know yet but
@@ -189,7 +193,13 @@
 
 // Apply applies a reply to Fetch from the host at an address: a newer table is put in force, and a
 // confirmation of the table in force is recorded.
+//
+// The evacuated zones in the reply are applied first: once a confirmation is recorded, this host
+// serves, and the confirmation covers both.
 func (c *Controller) Apply(from string, reply *pb.FetchRoutesReply) {
+	if c.cfg.OnEvacuations != nil {
+		c.cfg.OnEvacuations(reply.GetEvacuations(), from)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	offered := reply.GetRoutes()
@@ -221,9 +231,14 @@
 
 // HandleFetch answers another host's request with the table in force at this host.
 func (c *Controller) HandleFetch(req *pb.FetchRoutesRequest) *pb.FetchRoutesReply {
+	reply := &pb.FetchRoutesReply{}
+	if c.cfg.Evacuations != nil {
+		reply.Evacuations = c.cfg.Evacuations()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &pb.FetchRoutesReply{Routes: replyRoutes(req, c.table)}
+	reply.Routes = replyRoutes(req, c.table)
+	return reply
 }
 
 // replyRoutes returns the revision and the JSON form of held; only the revision if held is not newer
@@ -307,6 +322,9 @@
 	// Routes returns the routing table that this replica has applied, and whether a quorum
 	// confirmed recently that no newer one was committed.
 	Routes() (table *pb.Routes, confirmed bool)
+	// Evacuations returns the evacuated zones that this replica has applied. After Routes they are as
+	// new as the table that Routes returned.
+	Evacuations() *pb.Evacuations
 	// HeardFromQuorum reports whether this replica is in contact with enough others to elect a leader.
 	HeardFromQuorum() bool
 }
@@ -314,5 +332,7 @@
 // FromReplica answers another host's request with the table of a replica.
 func FromReplica(r Replica, req *pb.FetchRoutesRequest) *pb.FetchRoutesReply {
 	held, confirmed := r.Routes()
-	return &pb.FetchRoutesReply{Routes: replyRoutes(req, held), Confirmed: confirmed, WithoutQuorum: !r.HeardFromQuorum()}
+	return &pb.FetchRoutesReply{
+		Routes: replyRoutes(req, held), Confirmed: confirmed, WithoutQuorum: !r.HeardFromQuorum(), Evacuations: r.Evacuations(),
+	}
 }
--- a/internal/controller/routes/controller_test.go
+++ b/internal/controller/routes/controller_test.go
@@ -242,6 +242,27 @@
 	}
 }
 
+// Guards against a restarted host that sends requests to an evacuated zone: the confirmation of its
+// table makes it serve, and must not come before the evacuated zones.
+func TestEvacuationsAreAppliedBeforeTheConfirmation(t *testing.T) {
+	f := newFixture()
+	var got *pb.Evacuations
+	f.cfg.OnEvacuations = func(e *pb.Evacuations, _ string) {
+		if _, err := f.Current(); err == nil {
+			t.Error("the host serves before it knows the evacuated zones")
+		}
+		got = e
+	}
+	f.Apply("control", FromReplica(replica{table: table(t, 4), confirmed: true}, &pb.FetchRoutesRequest{}))
+	if _, err := f.Current(); err != nil || got.GetRevision() != 3 || got.GetZones()[0].GetZone() != "z" {
+		t.Errorf("%v, evacuations %v", err, got)
+	}
+	f.cfg.Evacuations = func() *pb.Evacuations { return got }
+	if reply := f.HandleFetch(&pb.FetchRoutesRequest{RevisionOnly: true}); reply.GetEvacuations().GetRevision() != 3 {
+		t.Errorf("the host passes on %v", reply.GetEvacuations())
+	}
+}
+
 type replica struct {
 	table     *pb.Routes
 	confirmed bool
@@ -249,6 +270,9 @@
 
 func (r replica) Routes() (*pb.Routes, bool) { return r.table, r.confirmed }
 func (r replica) HeardFromQuorum() bool      { return r.confirmed }
+func (r replica) Evacuations() *pb.Evacuations {
+	return &pb.Evacuations{Revision: 3, Zones: []*pb.Evacuation{{Zone: "z"}}}
+}
 
 func TestReplicaConfirmsTheTableItApplied(t *testing.T) {
 	got := FromReplica(replica{table: table(t, 7), confirmed: true}, &pb.FetchRoutesRequest{Have: 7})
--- a/internal/controller/scheduler/fleet.go
+++ b/internal/controller/scheduler/fleet.go
@@ -61,6 +61,15 @@
 	s.step(s.now())
 }
 
+// SetEvacuated replaces the set of evacuated availability zones, whose servers get no new requests.
+// Waiting requests go to servers elsewhere, or are refused if there are none.
+func (s *Scheduler) SetEvacuated(zones map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.SetEvacuated(zones)
+	s.step(s.now())
+}
+
 // Servers returns the known backend servers with the age of their announcements.
 func (s *Scheduler) Servers() []*pb.ServerState {
 	s.mu.Lock()
--- a/internal/controller/scheduler/scheduler_test.go
+++ b/internal/controller/scheduler/scheduler_test.go
@@ -180,3 +180,42 @@
 		}
 	})
 }
+
+// Guards against a request that waits for a server of an evacuated zone and is sent there once a slot
+// is free, or waits until its deadline although no server is left.
+func TestWaitingRequestLeavesTheEvacuatedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(1)
+		defer s.Close()
+		running := mustAcquire(t, s, 5*time.Second)
+		type outcome struct {
+			lease filter.ServerLease
+			err   error
+			took  time.Duration
+		}
+		results := make(chan outcome, 1)
+		began := time.Now()
+		go func() {
+			l, err := s.Acquire(t.Context(), work(5*time.Second))
+			results <- outcome{l, err, time.Since(began)}
+		}()
+		synctest.Wait()
+		s.SetEvacuated(map[string]bool{"olinda": true})
+		synctest.Wait()
+		if s.Running() != 1 {
+			t.Errorf("%d requests run, want the one that ran before", s.Running())
+		}
+		got := <-results
+		if !errkind.Is(got.err, errkind.NoBackendServer) || got.took > time.Second {
+			t.Errorf("the waiting request got %v after %v", got.err, got.took)
+		}
+		running.Done(filter.Outcome{OK: true})
+		_, err := s.Acquire(t.Context(), work(time.Second))
+		if !errkind.Is(err, errkind.NoBackendServer) {
+			t.Errorf("a new request got %v", err)
+		}
+		s.SetEvacuated(map[string]bool{})
+		s.Announce(state(2, 1))
+		mustAcquire(t, s, time.Second).Done(filter.Outcome{OK: true})
+	})
+}
--- a/internal/controller/settings/controller.go
+++ b/internal/controller/settings/controller.go
@@ -29,11 +29,19 @@
 	Watch(ctx context.Context, fromRevision uint64, fn func(*pb.WatchEvent) error) error
 }
 
+// Evacuations holds the evacuated availability zones; *evacuations.View implements it.
+type Evacuations interface {
+	Current() *pb.Evacuations
+	Merge(offered *pb.Evacuations, from string) (changed bool)
+}
+
 // Controller holds the view in force at this host. It implements filter.Settings.
 type Controller struct {
 	watcher Watcher
 	log     zerolog.Logger
 	now     func() time.Time
+	// evacuations gets the evacuated zones in the watched events; may be nil.
+	evacuations Evacuations
 
 	view atomic.Pointer[settings.View]
 	// confirmed is the time of the quorum's last known confirmation; nil before the first.
@@ -51,6 +59,20 @@
 	return c
 }
 
+// SetEvacuations sets where the evacuated zones in the watched events go. It must be called before Run.
+func (c *Controller) SetEvacuations(e Evacuations) { c.evacuations = e }
+
+// evacuated returns the evacuated zones for a relayed event.
+func (c *Controller) evacuated() *pb.Evacuations {
+	if c.evacuations == nil {
+		return nil
+	}
+	return c.evacuations.Current()
+}
+
+// evacuationSource is the source of evacuated zones in log lines.
+const evacuationSource = "settings watch"
+
 // Run watches the settings until ctx ends. After every break it watches again, with
 // exponential backoff.
 func (c *Controller) Run(ctx context.Context) {
@@ -83,6 +105,9 @@
 	if next.Revision() < e.Revision {
 		return errors.Errorf("event of revision %d has changes up to revision %d only", e.Revision, next.Revision())
 	}
+	if c.evacuations != nil {
+		c.evacuations.Merge(e.Evacuations, evacuationSource)
+	}
 	if e.Confirmed {
 		c.markConfirmed(time.Duration(e.ConfirmedAgeMs) * time.Millisecond)
 	}
--- a/internal/controller/settings/relay.go
+++ b/internal/controller/settings/relay.go
@@ -52,7 +52,9 @@
 func (r *Relay) event(have uint64) (*pb.WatchEvent, error) {
 	v := r.controller.View()
 	age, confirmed := r.controller.ContactAge()
-	e := &pb.WatchEvent{Revision: v.Revision(), Confirmed: confirmed, ConfirmedAgeMs: age.Milliseconds()}
+	e := &pb.WatchEvent{
+		Revision: v.Revision(), Confirmed: confirmed, ConfirmedAgeMs: age.Milliseconds(), Evacuations: r.controller.evacuated(),
+	}
 	if v.Revision() <= have {
 		return e, nil
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/apply"
 	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
+	"github.com/bluebellsail/bluebellsail/internal/controller/evacuations"
 	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
 	"github.com/bluebellsail/bluebellsail/internal/lastrun"
 	"github.com/bluebellsail/bluebellsail/internal/linkdelay"
@@ -37,8 +38,10 @@
 	settings  *settingsctl.Controller
 	peers     *peerServer
 	operators *operatorServer
-	entry     *entry
-	gateway   *gateway
+	// evacuations are the evacuated availability zones that this host knows.
+	evacuations *evacuations.View
+	entry       *entry
+	gateway     *gateway
 
 	tasks *tasks
 	// watch detects pauses of this process.
@@ -122,7 +125,10 @@
 		return nil, err
 	}
 	d.client = controlclient.New(memberAddresses(cfg), d.dialOptions(), d.replica)
+	d.evacuations = evacuations.New(d.tel.Log)
+	d.tel.Metrics.Set("evacuations", d.evacuations.Metrics())
 	d.settings = settingsctl.New(d.client, d.tel.Log, time.Now)
+	d.settings.SetEvacuations(d.evacuations)
 	return d, nil
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -97,6 +97,7 @@
 		Limits:  e.limits,
 		Log:     d.tel.Log,
 	})
+	d.evacuations.OnChange(e.sched.SetEvacuated)
 	interval := cfg.Timing.Heartbeat.Std()
 	e.members = members.New(members.Config{
 		Membership: membership.Config{
@@ -106,7 +107,7 @@
 			SuspectAfter: ticks(cfg.Timing.SuspectAfter.Std(), interval),
 			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
 		},
-		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: registry{e.sched}, Limits: e.limits, Load: e.load,
+		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: registry{e.sched}, Limits: e.limits, Evacuations: d.evacuations, Load: e.load,
 		Log: d.tel.Log, Metrics: d.tel.Metrics, OnTick: d.watch.Tick,
 	})
 	e.client = engineclient.New(engineclient.Config{Observe: e.sched.Observe})
@@ -149,6 +150,7 @@
 	if err != nil {
 		return err
 	}
+	e.d.evacuations.Merge(reg.Evacuations, fromRegistration)
 	e.self.Store(reg.Holder)
 	e.members.SetIncarnation(reg.Holder.Incarnation)
 	e.members.MergeRegistered(reg.Hosts)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -194,6 +194,7 @@
 	g.self.Store(&pb.Holder{Host: cfg.Host})
 	g.routes = routesctl.New(routesctl.Config{
 		Sources: g.sources, Fetch: g.fetchRoutes, OnChange: g.tableChanged, Missing: g.missing, Log: d.tel.Log,
+		Evacuations: d.evacuations.Current, OnEvacuations: d.mergeEvacuations,
 		FirstSource: int(rendezvous.Hash(cfg.Host) % maxFirstSource),
 	})
 	d.client.SetAddresses(g.controlAddresses)
@@ -207,6 +208,7 @@
 		OnChange: g.serverChanged,
 		Limits:   g.limits,
 	})
+	d.evacuations.OnChange(g.balancer.SetEvacuated)
 	interval := cfg.Timing.Heartbeat.Std()
 	g.members = members.New(members.Config{
 		Membership: membership.Config{
@@ -218,7 +220,7 @@
 			SuspectAfter: ticks(cfg.Timing.SuspectAfter.Std(), interval),
 			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
 		},
-		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: g.balancer, Limits: g.limits, Load: g.load,
+		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: g.balancer, Limits: g.limits, Evacuations: d.evacuations, Load: g.load,
 		Log: d.tel.Log, Metrics: d.tel.Metrics, OnTick: d.watch.Tick,
 	})
 	g.suspects = g.newQuarantine()
@@ -241,6 +243,7 @@
 		return // this process is stopping
 	}
 	registered := time.Now()
+	g.d.evacuations.Merge(reg.Evacuations, fromRegistration)
 	g.self.Store(reg.Holder)
 	g.members.SetIncarnation(reg.Holder.Incarnation)
 	g.members.MergeRegistered(reg.Hosts)
@@ -277,12 +280,13 @@
 // replica.
 const ownReplica = "own replica"
 
-// followReplica passes each newer routing table that this host's replica applies to this
-// host's gateway, if it serves callers, and notifies the other hosts at once. A host that
+// followReplica passes newer evacuated zones and each newer routing table that this host's replica
+// applies to this host's gateway, if it serves callers, and notifies the other hosts at once. A host that
 // serves no callers does not decode the table: for 150 routes that takes a millisecond of
 // processor time.
 func (g *gateway) followReplica(ctx context.Context) {
 	every(ctx, followEvery, func() {
+		g.followReplicaEvacuations()
 		table, _ := g.d.replica.Routes()
 		if table.GetRevision() <= g.applied.Load() {
 			return
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -68,7 +68,7 @@
 		handler       func() http.Handler
 	}{
 		{"readiness", r.Readiness, func() http.Handler { return g.protocol.Readiness(g.ready) }},
-		{"registry", r.Registry, func() http.Handler { return g.protocol.Registry(g, g) }},
+		{"registry", r.Registry, func() http.Handler { return g.protocol.Registry(g, g, g) }},
 		{"directory", r.Directory, func() http.Handler { return g.protocol.Directory(g) }},
 	} {
 		if l.address == "" {
--- a/internal/daemon/gatewaynews.go
+++ b/internal/daemon/gatewaynews.go
@@ -14,8 +14,8 @@
 	return news.New(news.Config{
 		Self: g.d.cfg.PeerAddress(), Peers: g.livePeers, Client: g.d.pool.Client,
 		OnSuspects: g.suspects.HandleUpdates, OnLimits: g.limits.Merge,
-		OnServers:  func(states []*pb.ServerState) { g.balancer.Merge(states, backend.TransitUnknown) },
-		FetchTable: g.fetchAdvertised, Log: g.d.tel.Log,
+		OnServers:     func(states []*pb.ServerState) { g.balancer.Merge(states, backend.TransitUnknown) },
+		OnEvacuations: g.d.mergeEvacuations, FetchTable: g.fetchAdvertised, Log: g.d.tel.Log,
 	})
 }
 
--- a/internal/daemon/gatewaytables.go
+++ b/internal/daemon/gatewaytables.go
@@ -88,7 +88,7 @@
 	return nil
 }
 
-// fromOperator is the source in log lines about a routing table that an operator sent.
+// fromOperator is the source in log lines about a routing table or evacuated zones that an operator sent.
 const fromOperator = "operator"
 
 // applyReplaced applies a table that the control group has just committed on this host, before
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -47,6 +47,8 @@
 	Ended bool
 	// incUnknown reports that its end was announced without an incarnation, and none was known.
 	incUnknown bool
+	// Evacuated reports that its availability zone is evacuated.
+	Evacuated bool
 	// contested reports that another instance has recently been announced at the same address. This
 	// instance is either a former one, whose announcement was delayed, or the next one.
 	contested bool
@@ -59,6 +61,8 @@
 	// byAddress holds the instance that is assumed to be at an address.
 	byAddress map[string]*Instance
 	byService map[string][]*Instance
+	// evacuated holds the evacuated availability zones.
+	evacuated map[string]bool
 	changes   uint64
 }
 
@@ -108,6 +112,7 @@
 		r.releaseAddress(i)
 	}
 	i.Announcement = a
+	i.Evacuated = r.evacuated[a.Zone]
 	if announced.After(i.LastAnnounced) {
 		i.LastAnnounced = announced
 	}
@@ -191,7 +196,7 @@
 
 // add adds an instance to the registry, without an address yet.
 func (r *Registry) add(announced time.Time, a Announcement) *Instance {
-	i := &Instance{Announcement: a, LastAnnounced: announced}
+	i := &Instance{Announcement: a, LastAnnounced: announced, Evacuated: r.evacuated[a.Zone]}
 	r.instances[a.ID] = i
 	r.byService[a.Service] = append(r.byService[a.Service], i)
 	r.sortService(a.Service)
@@ -314,7 +319,32 @@
 }
 
 // Usable reports whether the instance may get requests.
-func (i *Instance) Usable() bool { return !i.Ended && !i.Draining && !i.contested }
+func (i *Instance) Usable() bool { return i.accepts() && !i.Evacuated }
+
+// accepts reports whether the instance itself accepts requests.
+func (i *Instance) accepts() bool { return !i.Ended && !i.Draining && !i.contested }
+
+// SetEvacuated replaces the set of evacuated availability zones. Their instances get no requests.
+// The set must not be changed afterwards.
+func (r *Registry) SetEvacuated(zones map[string]bool) {
+	r.evacuated = zones
+	for _, i := range r.instances {
+		i.Evacuated = zones[i.Zone]
+	}
+	r.changes++
+}
+
+// Evacuated returns the number of a service's instances that would get requests if their zones were
+// not evacuated.
+func (r *Registry) Evacuated(service string) int {
+	n := 0
+	for _, i := range r.byService[service] {
+		if i.accepts() && i.Evacuated {
+			n++
+		}
+	}
+	return n
+}
 
 // Fresh reports whether the instance's last announcement is younger than Lapse.
 func (r *Registry) Fresh(now time.Time, i *Instance) bool {
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -112,6 +112,20 @@
 	return errkind.New(errkind.NoBackendServer, "no backend server for %q is in service", p.target.Name).After(after)
 }
 
+// SetEvacuated replaces the set of evacuated availability zones, whose servers get no new requests. The
+// next Step decides on waiting requests that no other server can run.
+func (c *Core) SetEvacuated(zones map[string]bool) {
+	c.reg.SetEvacuated(zones)
+	c.recheckWaiting()
+}
+
+// recheckWaiting has the next Step check for each waiting request whether a server is left for it.
+func (c *Core) recheckWaiting() {
+	for _, p := range c.order {
+		p.nextExpiry = time.Time{}
+	}
+}
+
 // StartCooldown starts a cooldown: the server at an address gets no request from this host for d.
 // It returns whether the server was not cooling down before. The next Step decides on waiting
 // requests that no other server can run.
@@ -120,9 +134,7 @@
 	if !known {
 		return false
 	}
-	for _, p := range c.order {
-		p.nextExpiry = time.Time{}
-	}
+	c.recheckWaiting()
 	return s.StartCooldown(now, now.Add(d))
 }
 
--- a/internal/surface/surface.go
+++ b/internal/surface/surface.go
@@ -16,9 +16,9 @@
 // Protocol creates the HTTP handlers of a process.
 type Protocol interface {
 	relay.Dialect
-	// Registry serves the announcements of backend servers and the operator's requests for the
-	// routing table.
-	Registry(Servers, Tables) http.Handler
+	// Registry serves the announcements of backend servers and the operator's requests about the
+	// routing table and evacuations.
+	Registry(Servers, Tables, Evacuations) http.Handler
 	// Directory serves the addresses to which callers send their requests.
 	Directory(Directory) http.Handler
 	// Readiness serves the process's readiness: it is ready if ready returns nil.
@@ -47,6 +47,13 @@
 	Present(ctx context.Context) (*pb.Routes, error)
 }
 
+// Evacuations begins and ends evacuations of availability zones. Errors are of type *errkind.Error.
+type Evacuations interface {
+	// SetEvacuation commits whether a zone is evacuated and returns once that is acknowledged. An
+	// order that changes nothing is acknowledged too.
+	SetEvacuation(ctx context.Context, zone string, evacuated bool) error
+}
+
 // Directory provides the addresses that callers use.
 type Directory interface {
 	// Addresses returns the addresses for a caller in an availability zone, and how long it may
