Limit the rate of cold servers over all hosts together

Cause: a server that has just started, or says that it is cold again, accepts coldPerS requests a second from all hosts together and crashes well above. Heartbeats carried the warm-up and no decision used it; only a low load kept servers below the bound.

Change: the table carries the rate of a service's cold servers, and a cold server counts as limited to it until it is warm, by the permits that limits of overloaded servers use already. The lower of both limits counts; an answer without a limit does not lift that of the warm-up. Becoming cold is a change that is broadcast at once, and requests for permits carry it, so that an owner that has not heard of it learns it there.

An owner of permits issued a fifth of the limit for its first 3 s, in which another host may take itself for the owner. Servers are cold for 3 s, so four fifths would have stayed idle. The owner now knows the views of the hosts of the last 4 s, and issues at once the least share that it might have issued in any of them.

--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -45,6 +45,8 @@
 	ratelimit.Permits
 	// RequestPermits requests permits for a server. Check returns the outcome.
 	RequestPermits(ctx context.Context, inc instance.Incarnation)
+	// SetWarmup records the warm-up that a server announced last.
+	SetWarmup(inc instance.Incarnation, w ratelimit.Warmup)
 }
 
 // maxPermitRequests is for how many servers a request asks for permits. After that only servers that
@@ -137,11 +139,29 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	changed = apply(now)
+	b.recordWarmup(id)
 	state = b.reg.State(now, id)
 	b.expire(now)
 	return state, changed
 }
 
+// warmupSlack is how much later than announced a server may become warm as seen from here: the time of
+// an announcement that came through other hosts is estimated to be up to this much too early.
+const warmupSlack = 500 * time.Millisecond
+
+// recordWarmup has the rate of a cold server limited until it is warm; b.mu is held.
+func (b *Balancer) recordWarmup(id string) {
+	i, known := b.reg.Get(id)
+	if !known || b.cfg.Limits == nil {
+		return
+	}
+	w := ratelimit.Warmup{Service: i.Service}
+	if i.WarmupLeft > 0 {
+		w.Until = i.LastAnnounced.Add(i.WarmupLeft + warmupSlack)
+	}
+	b.cfg.Limits.SetWarmup(i.Incarnation(), w)
+}
+
 func (b *Balancer) notify(st *pb.ServerState) {
 	b.logUpdate(st, "server")
 	b.cfg.OnChange(st)
@@ -237,6 +257,7 @@
 	now := time.Now()
 	for _, st := range servers {
 		changed, err := b.reg.Merge(now, transit, st)
+		b.recordWarmup(st.GetId())
 		if err != nil {
 			b.cfg.Log.Debug().Str("event", "server-state-refused").Str("server", st.GetId()).Err(err).Send()
 		}
--- a/internal/controller/balancer/balancer_test.go
+++ b/internal/controller/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/ratelimit"
 	"github.com/bluebellsail/bluebellsail/internal/retry"
 	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
@@ -225,3 +227,38 @@
 		t.Errorf("chose %q, notified the peers %d more times", got, f.notified-before)
 	}
 }
+
+// warmups records the warm-ups that a Balancer passes on; no server is limited.
+type warmups struct {
+	ratelimit.Permits
+	until map[instance.Incarnation]time.Time
+}
+
+func (w *warmups) RequestPermits(context.Context, instance.Incarnation) {}
+
+func (w *warmups) SetWarmup(inc instance.Incarnation, u ratelimit.Warmup) { w.until[inc] = u.Until }
+
+// Guards against a server that becomes cold again, under load, without all hosts hearing of it at once: the
+// announcement counts as a change, and both hosts limit the server until it is warm.
+func TestColdServerIsLimitedAtAllHosts(t *testing.T) {
+	a, b := newFixture(2), newFixture(2)
+	limitsA, limitsB := &warmups{until: map[instance.Incarnation]time.Time{}}, &warmups{until: map[instance.Incarnation]time.Time{}}
+	a.cfg.Limits, b.cfg.Limits = limitsA, limitsB
+	testutil.NoError(t, a.Announce(server("s1", 1)))
+	cold := server("s1", 2)
+	cold.WarmupLeft = 3 * time.Second
+	testutil.NoError(t, a.Announce(cold))
+	if a.notified != 2 {
+		t.Errorf("%d notifications, want one of the server and one of its warm-up", a.notified)
+	}
+	b.Merge(a.Servers(), 0)
+	for name, l := range map[string]*warmups{"the host that got the heartbeat": limitsA, "its peer": limitsB} {
+		if left := time.Until(l.until[cold.Incarnation()]); left < cold.WarmupLeft || left > cold.WarmupLeft+warmupSlack {
+			t.Errorf("%s considers it cold for %v", name, left)
+		}
+	}
+	testutil.NoError(t, a.Announce(server("s1", 3)))
+	if !limitsA.until[cold.Incarnation()].IsZero() {
+		t.Error("it is still limited after it announced that it is warm")
+	}
+}
--- a/internal/controller/owners/owners.go
+++ b/internal/controller/owners/owners.go
@@ -9,6 +9,7 @@
 package owners
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -69,11 +70,31 @@
 	hosts      map[string]Host
 	// alive holds the hosts that are neither suspected nor dead. serving counts the hosts that
 	// serve callers and are not leaving, dead ones included.
-	alive    rendezvous.Members
-	serving  int
+	alive   rendezvous.Members
+	serving int
+	// aliveNames are the names in alive, ordered.
+	aliveNames []string
+	// views are the values of alive and serving that were current within viewRetention, newest last.
+	views    []view
 	backoffs map[string]backoff
 }
 
+// view is which hosts counted as alive from a time on.
+type view struct {
+	since   time.Time
+	self    string
+	alive   rendezvous.Members
+	serving int
+}
+
+const (
+	// viewRetention is how long former views are kept.
+	viewRetention = 4 * time.Second
+	// maxViews bounds them. If hosts change more often, the oldest ones are dropped, and EachRecent
+	// does not cover the whole time.
+	maxViews = 32
+)
+
 // backoff is the time for which a host that did not answer is skipped.
 type backoff struct {
 	length time.Duration
@@ -142,6 +163,39 @@
 	return float64(t.alive.Len()) / float64(t.serving)
 }
 
+// EachRecent calls f with this host's rank for a key, and the fraction of hosts alive, in each view that
+// was current at some time in the last d; rank is negative if this host could not own the key. It
+// returns false if it does not know the views of that whole time.
+func (t *Table) EachRecent(key string, d time.Duration, f func(rank int, alive float64)) (complete bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh()
+	since, hash := time.Now().Add(-d), rendezvous.Hash(key)
+	for i := len(t.views) - 1; i >= 0; i-- {
+		v := &t.views[i]
+		rank, ok := v.alive.RankOf(v.self, hash)
+		if !ok || v.self == "" {
+			rank = -1
+		}
+		f(rank, float64(v.alive.Len())/float64(max(v.serving, 1)))
+		if !v.since.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordView adds the current view to the recent ones and drops those that ended before viewRetention;
+// t.mu is held.
+func (t *Table) recordView(now time.Time) {
+	t.views = append(t.views, view{since: now, self: t.self.Name, alive: t.alive, serving: t.serving})
+	first := max(len(t.views)-maxViews, 0)
+	for first+1 < len(t.views) && now.Sub(t.views[first+1].since) >= viewRetention {
+		first++
+	}
+	t.views = slices.Delete(t.views, 0, first)
+}
+
 // refresh rebuilds the lists of hosts if the hosts have changed; t.mu is held.
 func (t *Table) refresh() {
 	peers := t.cfg.Peers()
@@ -189,7 +243,12 @@
 			alive = append(alive, p.Host)
 		}
 	}
-	t.candidates, t.alive = rendezvous.New(names), rendezvous.New(alive)
+	slices.Sort(alive)
+	same := len(t.views) > 0 && t.views[len(t.views)-1].self == self.Name && slices.Equal(alive, t.aliveNames) && t.serving == t.views[len(t.views)-1].serving
+	t.candidates, t.alive, t.aliveNames = rendezvous.New(names), rendezvous.New(alive), alive
+	if !same {
+		t.recordView(time.Now())
+	}
 }
 
 // MarkUnanswered records that a host did not answer. The host is skipped for a while.
--- a/internal/controller/owners/owners_test.go
+++ b/internal/controller/owners/owners_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -74,3 +76,56 @@
 		}
 	}
 }
+
+// Guards against a host that takes itself for the owner of a key without having been it for long: another
+// one may not know of the change yet.
+func TestEachRecentCoversFormerViews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := members.PeerInfo{Host: "other", CallerAddress: "c", PeerAddress: "p", Health: pb.HostHealth_HOST_HEALTH_ALIVE}
+		peers := []members.PeerInfo{peer}
+		owners := New(Config{Self: func() (Host, bool) { return Host{Name: "self"}, true }, Peers: func() []members.PeerInfo { return peers }})
+		key := ""
+		for i := 0; ; i++ { // a key that the other host owns
+			key = fmt.Sprint("key-", i)
+			if rank, _ := owners.Rank(key); rank == 1 {
+				break
+			}
+		}
+		const window = 3 * time.Second
+		recent := func() (worst int, least float64, complete bool) {
+			least = 1
+			complete = owners.EachRecent(key, window, func(rank int, alive float64) { worst, least = max(worst, rank), min(least, alive) })
+			return worst, least, complete
+		}
+		if _, _, complete := recent(); complete {
+			t.Error("complete right after the start")
+		}
+		time.Sleep(window)
+		if worst, least, complete := recent(); worst != 1 || least != 1 || !complete {
+			t.Errorf("rank %d, %v alive, complete %v", worst, least, complete)
+		}
+		dead := peer
+		dead.Health = pb.HostHealth_HOST_HEALTH_SUSPECT
+		peers = []members.PeerInfo{dead}
+		if rank, _ := owners.Rank(key); rank != 0 {
+			t.Fatalf("rank %d without the other host", rank)
+		}
+		time.Sleep(window / 2)
+		if worst, least, complete := recent(); worst != 1 || least != 0.5 || !complete {
+			t.Errorf("soon after the change: rank %d, %v alive, complete %v", worst, least, complete)
+		}
+		time.Sleep(window / 2)
+		if worst, _, complete := recent(); worst != 0 || !complete {
+			t.Errorf("later: rank %d, complete %v", worst, complete)
+		}
+		for range 3 * maxViews {
+			peers = []members.PeerInfo{peer}
+			owners.Rank(key)
+			peers = []members.PeerInfo{dead}
+			owners.Rank(key)
+		}
+		if _, _, complete := recent(); complete || len(owners.views) > maxViews {
+			t.Errorf("complete %v with %d views", complete, len(owners.views))
+		}
+	})
+}
--- a/internal/controller/ratelimits/peers.go
+++ b/internal/controller/ratelimits/peers.go
@@ -8,6 +8,9 @@
 	"github.com/bluebellsail/bluebellsail/internal/ratelimit"
 )
 
+// maxWarmup bounds the warm-up time in a message; models load in minutes.
+const maxWarmup = 24 * time.Hour
+
 // maxLimits is the most limits sent in one heartbeat. Each heartbeat carries a random selection.
 const maxLimits = 16
 
@@ -32,6 +35,7 @@
 	now := time.Now()
 	for _, limit := range limits {
 		inc, obs := decode(now, limit)
+		l.extendWarmup(now, inc, limit)
 		if instance.CheckID(inc.ID) != nil || obs.Limit != ratelimit.None && !ratelimit.Valid(obs.Limit) {
 			continue
 		}
@@ -41,6 +45,29 @@
 	}
 }
 
+// extendWarmup records the warm-up that another host knows. Without a service there is none.
+func (l *Limiter) extendWarmup(now time.Time, inc instance.Incarnation, limit *pb.ServerLimit) {
+	if limit.GetService() == "" || instance.CheckID(inc.ID) != nil {
+		return
+	}
+	left := time.Duration(min(limit.GetWarmupLeftMs(), maxWarmup.Milliseconds())) * time.Millisecond
+	w := ratelimit.Warmup{Service: limit.GetService(), Until: now.Add(left)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.table.ExtendWarmup(now, inc, w) {
+		l.logWarmup(now, inc, w, "peer")
+	}
+}
+
+// addWarmup adds the warm-up of a server to a message about its limit. The rest is rounded up, so that no
+// host considers the server warm too early.
+func addWarmup(limit *pb.ServerLimit, now time.Time, w ratelimit.Warmup) *pb.ServerLimit {
+	if w.Service != "" {
+		limit.Service, limit.WarmupLeftMs = w.Service, (w.Until.Sub(now) + time.Millisecond - 1).Milliseconds()
+	}
+	return limit
+}
+
 // encode rounds the age of an observation up, so that no host considers it newer than it is.
 func encode(now time.Time, inc instance.Incarnation, obs ratelimit.Observation) *pb.ServerLimit {
 	age := min(now.Sub(obs.At), forgetAfter) + time.Millisecond - 1
--- a/internal/controller/ratelimits/permits.go
+++ b/internal/controller/ratelimits/permits.go
@@ -85,7 +85,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return &pb.TakePermitsRequest{
-		Host: l.cfg.Host, Limit: encode(now, inc, l.table.Observed(inc)), Want: uint32(l.table.Want(now, inc)),
+		Host: l.cfg.Host, Limit: addWarmup(encode(now, inc, l.table.Observed(inc)), now, l.table.Warmup(now, inc)), Want: uint32(l.table.Want(now, inc)),
 	}
 }
 
@@ -110,6 +110,19 @@
 	return reply, nil
 }
 
+// settledShare returns the least share of a server's limit that this host might have issued at any time
+// while hosts may still disagree on the owner; 0 if it does not know.
+func (l *Limiter) settledShare(inc instance.Incarnation) float64 {
+	least := 1.0
+	complete := l.cfg.Owners.EachRecent(Key(inc), ratelimit.OwnerChangeTime, func(rank int, alive float64) {
+		least = min(least, ratelimit.OwnerShare(rank, alive))
+	})
+	if !complete {
+		return 0
+	}
+	return least
+}
+
 // HandleTake issues permits for a server if this host is the owner or the backup owner of its limit.
 func (l *Limiter) HandleTake(req *pb.TakePermitsRequest) *pb.TakePermitsReply {
 	l.Merge([]*pb.ServerLimit{req.GetLimit()})
@@ -119,17 +132,18 @@
 	if owns {
 		part = ratelimit.OwnerShare(rank, l.cfg.Owners.AliveFraction())
 	}
+	settled := l.settledShare(inc)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	obs := l.table.Observed(inc)
-	reply := &pb.TakePermitsReply{Limit: encode(now, inc, obs)}
-	if part == 0 || !obs.Limited() {
+	reply := &pb.TakePermitsReply{Limit: encode(now, inc, l.table.Observed(inc))}
+	limit, limited := l.table.Limit(now, inc)
+	if part == 0 || !limited {
 		reply.AfterUs = unansweredBackoff.Microseconds()
 		return reply
 	}
 	granted, after := l.issuer.Issue(now, ratelimit.PermitRequest{
-		Incarnation: inc, Host: req.GetHost(), Want: int(req.GetWant()), Limit: obs.Limit, Share: part,
+		Incarnation: inc, Host: req.GetHost(), Want: int(req.GetWant()), Limit: limit, Share: part, SettledShare: settled,
 	})
 	l.metrics.issued.Add(int64(granted))
 	reply.Granted, reply.AfterUs = uint32(granted), after.Microseconds()
--- a/internal/controller/ratelimits/ratelimits.go
+++ b/internal/controller/ratelimits/ratelimits.go
@@ -34,6 +34,7 @@
 	FirstRanked(key string, n int) []owners.Host
 	Rank(key string) (rank int, ok bool)
 	AliveFraction() float64
+	EachRecent(key string, d time.Duration, f func(rank int, alive float64)) (complete bool)
 	MarkUnanswered(host string)
 	MarkAnswered(host string)
 }
@@ -44,6 +45,9 @@
 	Host   string
 	Owners Owners
 	Client func(address string) pb.PeerClient
+	// WarmupRate returns the requests per second that a cold server of a service accepts from all hosts
+	// together; ok is false if it accepts any rate. If it is nil, cold servers are not limited.
+	WarmupRate func(service string) (perSecond float64, ok bool)
 	// Broadcast notifies all hosts of a changed limit.
 	Broadcast func(*pb.ServerLimit)
 	Log       zerolog.Logger
@@ -68,19 +72,20 @@
 // metrics are the limiter's counters.
 type metrics struct {
 	vars expvar.Map
-	// changes counts changed limits, sends the requests to rate-limited servers, asks the calls
+	// changes counts changed limits, warmups the servers that became cold, sends the requests to rate-limited servers, asks the calls
 	// for permits by outcome, and issued the permits issued by this host.
-	changes, issued expvar.Int
-	sends, asks     expvar.Map
+	changes, warmups, issued expvar.Int
+	sends, asks              expvar.Map
 }
 
 // New returns a Limiter that knows no limit.
 func New(cfg Config) *Limiter {
 	l := &Limiter{
-		cfg: cfg, table: ratelimit.NewTable(), issuer: ratelimit.NewIssuer(), lastExpiry: time.Now(),
+		cfg: cfg, table: ratelimit.NewTable(cfg.WarmupRate), issuer: ratelimit.NewIssuer(), lastExpiry: time.Now(),
 		pending: make(map[instance.Incarnation]chan struct{}),
 	}
 	l.metrics.vars.Set("changes", &l.metrics.changes)
+	l.metrics.vars.Set("warmups", &l.metrics.warmups)
 	l.metrics.vars.Set("sends", &l.metrics.sends)
 	l.metrics.vars.Set("asks", &l.metrics.asks)
 	l.metrics.vars.Set("issued", &l.metrics.issued)
@@ -140,19 +145,35 @@
 func (l *Limiter) RecordSend(inc instance.Incarnation, why ratelimit.Send) ratelimit.Observation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	obs := l.table.Observed(inc)
-	if obs.Limited() {
+	if _, limited := l.table.Limit(time.Now(), inc); limited {
 		l.metrics.sends.Add(string(why), 1)
 	}
-	return obs
+	return l.table.Observed(inc)
+}
+
+// SetWarmup records the warm-up that a server announced last.
+func (l *Limiter) SetWarmup(inc instance.Incarnation, w ratelimit.Warmup) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.table.SetWarmup(now, inc, w) {
+		l.logWarmup(now, inc, w, "announcement")
+	}
+}
+
+// logWarmup logs that a server is cold. from is the source: "announcement" or "peer".
+func (l *Limiter) logWarmup(now time.Time, inc instance.Incarnation, w ratelimit.Warmup, from string) {
+	l.metrics.warmups.Add(1)
+	perSecond, limited := l.table.Limit(now, inc)
+	l.cfg.Log.Info().Str("event", "server-cold").Str("server", inc.ID).Uint64("incarnation", inc.Started).Str("service", w.Service).
+		Dur("left", w.Until.Sub(now)).Bool("limited", limited).Float64("per_second", perSecond).Str("from", from).Send()
 }
 
 // Limit implements ratelimit.Permits.
 func (l *Limiter) Limit(inc instance.Incarnation) (perSecond float64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	obs := l.table.Observed(inc)
-	return obs.Limit, obs.Limited()
+	return l.table.Limit(time.Now(), inc)
 }
 
 // Check implements ratelimit.Permits.
--- a/internal/controller/ratelimits/ratelimits_test.go
+++ b/internal/controller/ratelimits/ratelimits_test.go
@@ -25,6 +25,13 @@
 	rank       int
 	fraction   float64
 	unanswered atomic.Int64
+	// settled is set if rank and fraction have been the same for long.
+	settled bool
+}
+
+func (o *fakeOwners) EachRecent(_ string, _ time.Duration, f func(rank int, alive float64)) bool {
+	f(o.rank, o.fraction)
+	return o.settled
 }
 
 func (o *fakeOwners) FirstRanked(string, int) []owners.Host { return []owners.Host{o.owner} }
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -309,6 +309,15 @@
 	return x, nil
 }
 
+// WarmupRate returns the rate of a service's cold servers by the table in force; see routes.Index.
+func (c *Controller) WarmupRate(service string) (perSecond float64, ok bool) {
+	x := c.current.Load()
+	if x == nil {
+		return 0, false
+	}
+	return x.WarmupRate(service)
+}
+
 // Revision returns the revision of the table in force; 0 if there is none.
 func (c *Controller) Revision() uint64 {
 	if x := c.current.Load(); x != nil {
--- a/internal/controller/scheduler/limits_test.go
+++ b/internal/controller/scheduler/limits_test.go
@@ -26,7 +26,10 @@
 func (onlyHost) Rank(string) (int, bool)               { return 0, true }
 func (onlyHost) AliveFraction() float64                { return 1 }
 func (onlyHost) MarkUnanswered(string)                 {}
-func (onlyHost) MarkAnswered(string)                   {}
+func (onlyHost) EachRecent(string, time.Duration, func(int, float64)) bool {
+	return false
+}
+func (onlyHost) MarkAnswered(string) {}
 
 // limited is a scheduler with one rate-limited server.
 type limited struct {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -88,7 +88,7 @@
 	e.self.Store(&pb.Holder{Host: cfg.Host})
 	e.explain = explain.New(cfg.Host, cfg.Zone, maxExplanations)
 	e.owners = owners.New(owners.Config{Self: e.asOwner, Peers: func() []members.PeerInfo { return e.members.Peers() }})
-	e.limits = d.newLimiter(e.owners, func(l *pb.ServerLimit) { e.news.BroadcastLimit(l) })
+	e.limits = d.newLimiter(e.owners, nil, func(l *pb.ServerLimit) { e.news.BroadcastLimit(l) })
 	e.sched = scheduler.New(scheduler.Options{
 		Sched:   sched.Config{Host: cfg.Host, Zone: cfg.Zone},
 		Backend: backend.Config{Lapse: cfg.Timing.ServerLapse.Std()},
--- a/internal/daemon/gatewaynews.go
+++ b/internal/daemon/gatewaynews.go
@@ -28,10 +28,10 @@
 }
 
 // serverChanged sends a changed server state with the next heartbeats, and broadcasts it at
-// once if hosts must stop using the server.
+// once if hosts must stop using the server, or must not exceed the rate of a cold one.
 func (g *gateway) serverChanged(st *pb.ServerState) {
 	g.members.Kick()
-	if st.GetLeaving() || st.GetGone() {
+	if st.GetLeaving() || st.GetGone() || st.GetWarmupLeftMs() > 0 {
 		g.news.BroadcastServer(st)
 	}
 }
--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -19,10 +19,12 @@
 	return guard
 }
 
-// newLimiter creates the limiter that enforces the servers' rate limits. broadcast sends a
-// changed limit to all hosts.
-func (d *Daemon) newLimiter(o *owners.Table, broadcast func(*pb.ServerLimit)) *ratelimits.Limiter {
-	l := ratelimits.New(ratelimits.Config{Host: d.cfg.Host, Owners: o, Client: d.pool.Client, Broadcast: broadcast, Log: d.tel.Log})
+// newLimiter creates the limiter that enforces the servers' rate limits. warmupRate returns the rate of
+// a service's cold servers and may be nil; broadcast sends a changed limit to all hosts.
+func (d *Daemon) newLimiter(o *owners.Table, warmupRate func(string) (float64, bool), broadcast func(*pb.ServerLimit)) *ratelimits.Limiter {
+	l := ratelimits.New(ratelimits.Config{
+		Host: d.cfg.Host, Owners: o, Client: d.pool.Client, WarmupRate: warmupRate, Broadcast: broadcast, Log: d.tel.Log,
+	})
 	d.tel.Metrics.Set("server_limits", l.Metrics())
 	return l
 }
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -105,7 +105,8 @@
 
 // update applies a newer announcement of the incarnation that is held.
 func (r *Registry) update(announced time.Time, i *Instance, a Announcement) bool {
-	changed := i.Slots != a.Slots || !i.Draining && a.Draining || i.Address != a.Address
+	becameCold := i.WarmupLeft == 0 && a.WarmupLeft > 0
+	changed := i.Slots != a.Slots || !i.Draining && a.Draining || i.Address != a.Address || becameCold
 	a.Draining = a.Draining || i.Draining
 	moved := i.Address != a.Address
 	if moved {
--- a/internal/ratelimit/doc.go
+++ b/internal/ratelimit/doc.go
@@ -17,5 +17,5 @@
 //   - An owner that suspects some of the hosts issues reachMargin times the share of the hosts
 //     that it reaches, so that the owners on the sides of a partition share the limit.
 //   - A host that may issue more than before, because it has become the owner or reaches more
-//     hosts, does so after ownerChangeTime: the former owner may not know of the change yet.
+//     hosts, does so after OwnerChangeTime: the former owner may not know of the change yet.
 package ratelimit
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/bluebellsail/bluebellsail/internal/instance"
 )
 
 const (
@@ -34,6 +36,34 @@
 	view    []int
 	numbers []int
 	avoided []time.Time
+	// shares are the shares that this host might issue by its views, with the time of each view.
+	shares []sharedAt
+}
+
+type sharedAt struct {
+	at    time.Time
+	share float64
+}
+
+// settledShare returns the least share of a host in the last OwnerChangeTime; 0 if it started later.
+func (h *modelHost) settledShare(now time.Time) float64 {
+	since, least := now.Add(-OwnerChangeTime), 1.0
+	for i := len(h.shares) - 1; i >= 0; i-- {
+		least = min(least, h.shares[i].share)
+		if !h.shares[i].at.After(since) {
+			return least
+		}
+	}
+	return 0
+}
+
+// recordShare is called after each change of a host's view.
+func (f *modelFleet) recordShare(n int) {
+	h := f.hosts[n]
+	h.shares = append(h.shares, sharedAt{f.now, OwnerShare(f.rank(n), f.reach(n))})
+	if len(h.shares) > 64 {
+		h.shares = h.shares[1:]
+	}
 }
 
 // modelFleet models hosts that send to one limited server. Host 0 owns its limit, host 1 is the
@@ -43,8 +73,10 @@
 	now   time.Time
 	hosts []*modelHost
 	// sides are the hosts' sides of a partition; hosts on different sides do not reach each other.
-	sides    []int
-	limit    float64
+	sides []int
+	limit float64
+	// server is the incarnation that all requests go to.
+	server   instance.Incarnation
 	arrivals []time.Time
 	refused  int
 	// pending are the changes that hosts have yet to detect; changes counts all changes so far.
@@ -62,7 +94,7 @@
 }
 
 func newModelFleet(seed uint64, n int, limit float64) *modelFleet {
-	f := &modelFleet{rng: rand.New(rand.NewPCG(seed, 0)), now: epoch, limit: limit, sides: make([]int, n)}
+	f := &modelFleet{rng: rand.New(rand.NewPCG(seed, 0)), now: epoch, limit: limit, server: server, sides: make([]int, n)}
 	for range n {
 		h := &modelHost{view: make([]int, n), numbers: make([]int, n), avoided: make([]time.Time, n)}
 		f.hosts = append(f.hosts, h)
@@ -73,12 +105,14 @@
 
 func (f *modelFleet) startHost(n int) {
 	h := f.hosts[n]
-	h.up, h.table, h.issuer = true, NewTable(), NewIssuer()
+	h.up, h.table, h.issuer = true, NewTable(nil), NewIssuer()
 	h.table.Observe(server, Observation{f.limit, f.now})
 	clear(h.avoided)
 	for i := range h.view {
 		h.view[i], h.numbers[i] = f.sideOf(i), f.changes
 	}
+	h.shares = nil
+	f.recordShare(n)
 	f.noticeLater(n)
 }
 
@@ -155,30 +189,31 @@
 		if m >= 0 {
 			h.avoided[m] = f.now.Add(avoidTime)
 		}
-		h.table.Refused(f.now.Add(retryDelay), server)
+		h.table.Refused(f.now.Add(retryDelay), f.server)
 		return
 	}
 	granted, after := f.hosts[m].issuer.Issue(f.now, PermitRequest{
-		Incarnation: server, Host: fmt.Sprint(n), Want: h.table.Want(f.now, server), Limit: f.limit, Share: OwnerShare(f.rank(m), f.reach(m)),
+		Incarnation: f.server, Host: fmt.Sprint(n), Want: h.table.Want(f.now, f.server), Limit: f.limit, Share: OwnerShare(f.rank(m), f.reach(m)),
+		SettledShare: f.hosts[m].settledShare(f.now),
 	})
 	if granted > 0 {
-		h.table.Granted(f.now, server, granted)
+		h.table.Granted(f.now, f.server, granted)
 		return
 	}
-	h.table.Refused(f.now.Add(after), server)
+	h.table.Refused(f.now.Add(after), f.server)
 }
 
 // request sends a request at host n if permits allow it.
 func (f *modelFleet) request(n int) {
 	h := f.hosts[n]
-	if state, _ := h.table.Check(f.now, server); state == MustRequest {
+	if state, _ := h.table.Check(f.now, f.server); state == MustRequest {
 		f.requestPermits(n)
 	}
-	if state, _ := h.table.Check(f.now, server); state != Held {
+	if state, _ := h.table.Check(f.now, f.server); state != Held {
 		f.refused++
 		return
 	}
-	h.table.Use(f.now, server)
+	h.table.Use(f.now, f.server)
 	f.arrivals = append(f.arrivals, f.now.Add(time.Duration(f.rng.Int64N(int64(50*time.Millisecond)))))
 }
 
@@ -191,6 +226,7 @@
 		}
 		if h := f.hosts[s.viewer]; s.number > h.numbers[s.host] {
 			h.view[s.host], h.numbers[s.host] = s.side, s.number
+			f.recordShare(s.viewer)
 		}
 		return true
 	})
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -20,8 +20,8 @@
 	// reachMargin lets a fleet that has lost one host of six issue the whole limit. The sides
 	// of a partition together issue at most that factor times the limit.
 	reachMargin = 1.2
-	// ownerChangeTime is how long hosts may disagree on the owner and on which hosts are dead.
-	ownerChangeTime = 3 * time.Second
+	// OwnerChangeTime is how long hosts may disagree on the owner and on which hosts are dead.
+	OwnerChangeTime = 3 * time.Second
 	// bucketRetention is the time without a request after which a bucket is dropped.
 	bucketRetention = 10 * time.Second
 	// requesterWindow is how long a host counts as a requester after it has requested permits.
@@ -68,8 +68,10 @@
 	Incarnation instance.Incarnation
 	Host        string
 	Want        int
-	// Limit is the server's limit, Share the share of it that this host may issue.
-	Limit, Share float64
+	// Limit is the server's limit, Share the share of it that this host may issue. SettledShare is the
+	// least share that it might have issued at any time within OwnerChangeTime: all hosts know of it,
+	// and no other host issues it.
+	Limit, Share, SettledShare float64
 }
 
 // Issue grants up to as many permits as are requested. If it grants none, after is the time to wait
@@ -100,10 +102,11 @@
 // rate returns the rate of issue, in permits a second.
 func (b *bucket) rate(now time.Time, req PermitRequest) float64 {
 	b.setShare(now, req.Share)
+	b.share = max(b.share, min(req.Share, req.SettledShare))
 	return max(req.Limit*b.share, minRate)
 }
 
-// setShare applies a smaller share at once, and a larger one only after ownerChangeTime, when the
+// setShare applies a smaller share at once, and a larger one only after OwnerChangeTime, when the
 // other hosts know of the change. Up to backupShare is applied at once.
 func (b *bucket) setShare(now time.Time, share float64) {
 	switch {
@@ -111,7 +114,7 @@
 		b.share, b.mayRise = share, time.Time{}
 	case b.mayRise.IsZero():
 		b.mayRise = now
-	case now.Sub(b.mayRise) >= ownerChangeTime:
+	case now.Sub(b.mayRise) >= OwnerChangeTime:
 		b.share, b.mayRise = share, time.Time{}
 	}
 	b.share = max(b.share, min(share, backupShare))
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -21,7 +21,7 @@
 
 // Permit states.
 const (
-	// Free: the server advertises no limit.
+	// Free: no limit is in force.
 	Free State = iota
 	// Held: this host holds a permit.
 	Held
@@ -37,7 +37,7 @@
 	Check(now time.Time, inc instance.Incarnation) (State, time.Duration)
 	// Use consumes a permit for a request.
 	Use(now time.Time, inc instance.Incarnation)
-	// Limit returns the limit of a server in requests a second; ok is false if it advertises none.
+	// Limit returns the limit in force for a server in requests a second; ok is false if there is none.
 	Limit(inc instance.Incarnation) (perSecond float64, ok bool)
 }
 
@@ -54,7 +54,7 @@
 
 // Check returns the permit state of a server and, if it is Exhausted, for how long.
 func (t *Table) Check(now time.Time, inc instance.Incarnation) (State, time.Duration) {
-	if !t.observed[inc].Limited() {
+	if _, limited := t.Limit(now, inc); !limited {
 		return Free, 0
 	}
 	p := t.permits[inc]
@@ -71,7 +71,7 @@
 
 // Use consumes a permit for a request to a server, if the server is limited.
 func (t *Table) Use(now time.Time, inc instance.Incarnation) {
-	if !t.observed[inc].Limited() {
+	if _, limited := t.Limit(now, inc); !limited {
 		return
 	}
 	p := t.permitsOf(inc)
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -10,11 +10,20 @@
 type Table struct {
 	observed map[instance.Incarnation]Observation
 	permits  map[instance.Incarnation]*permits
+	warmups  map[instance.Incarnation]Warmup
+	// warmupRate returns the requests per second that a cold server of a service accepts from all hosts
+	// together; ok is false if it accepts any rate.
+	warmupRate func(service string) (perSecond float64, ok bool)
 }
 
-// NewTable returns a table without limits.
-func NewTable() *Table {
-	return &Table{observed: make(map[instance.Incarnation]Observation), permits: make(map[instance.Incarnation]*permits)}
+// NewTable returns a table without limits. warmupRate returns the requests per second that a cold
+// server of a service accepts from all hosts together; ok is false if it accepts any rate. It may be
+// nil.
+func NewTable(warmupRate func(service string) (perSecond float64, ok bool)) *Table {
+	return &Table{
+		observed: make(map[instance.Incarnation]Observation), permits: make(map[instance.Incarnation]*permits),
+		warmups: make(map[instance.Incarnation]Warmup), warmupRate: warmupRate,
+	}
 }
 
 // Observe records an observation. It returns the former one and whether the limit has changed.
@@ -35,8 +44,16 @@
 // Observed returns the newest observation of an incarnation.
 func (t *Table) Observed(inc instance.Incarnation) Observation { return t.observed[inc] }
 
-// Expire drops the observations from before a time.
+// Expire drops the observations from before a time, and the warm-ups that ended before it.
 func (t *Table) Expire(before time.Time) {
+	for inc, w := range t.warmups {
+		if w.Until.Before(before) {
+			delete(t.warmups, inc)
+			if !t.observed[inc].Limited() {
+				delete(t.permits, inc)
+			}
+		}
+	}
 	for inc, o := range t.observed {
 		if o.At.Before(before) {
 			delete(t.observed, inc)
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -30,7 +30,7 @@
 		{"above MaxLimit", []Observation{{MaxLimit * 2, at(1)}}, None},
 		{"no observation", []Observation{{2, at(1)}, {}}, 2},
 	} {
-		table := NewTable()
+		table := NewTable(nil)
 		for _, o := range c.observed {
 			table.Observe(server, o)
 		}
@@ -42,7 +42,7 @@
 
 // Guards against a limit that outlives the server's incarnation that advertised it.
 func TestLimitEndsWithTheIncarnation(t *testing.T) {
-	table := NewTable()
+	table := NewTable(nil)
 	table.Observe(server, Observation{1, at(1)})
 	if table.Observed(instance.Incarnation{ID: server.ID, Started: 2}).Limited() {
 		t.Error("the next incarnation under the same id is limited")
--- a/internal/routes/index.go
+++ b/internal/routes/index.go
@@ -96,6 +96,16 @@
 	return s, ok
 }
 
+// WarmupRate returns the requests per second that a cold server of a service accepts from all hosts
+// together; ok is false if it accepts any number.
+func (x *Index) WarmupRate(service string) (perSecond float64, ok bool) {
+	s := x.services[service]
+	if s == nil || s.WarmupRate == nil {
+		return 0, false
+	}
+	return *s.WarmupRate, true
+}
+
 // Account returns the account that holds a key, or nil. needed is false if the table requires no
 // keys at all.
 func (x *Index) Account(key string) (a *Account, needed bool) {
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -80,6 +80,9 @@
 	HealthPath string `json:"health_path,omitempty"`
 	// MaxConns is the number of connections that one server accepts from all hosts together.
 	MaxConns int `json:"max_conns,omitempty"`
+	// WarmupRate is the number of requests per second that a cold server accepts from all hosts
+	// together; nil: any number.
+	WarmupRate *float64 `json:"warmup_rate,omitempty"`
 	// Engine is set for servers that run language models.
 	Engine *Engine `json:"engine,omitempty"`
 }
