--- a/internal/controller/budgets/budgets.go
+++ b/internal/controller/budgets/budgets.go
@@ -137,6 +137,8 @@
 		if ctx.Err() != nil || !mayHaveTokensElsewhere(err) {
 			break
 		}
+		r.cfg.Log.Info().Str("event", "budget-holder-refused").Str("request", request).Str("budget", budget).Str("holder", h.Name).
+			Uint64("tokens", tokens).Err(err).Send()
 	}
 	switch {
 	case first != nil:
--- a/internal/grant/acquire.go
+++ b/internal/grant/acquire.go
@@ -76,12 +76,23 @@
 		h.resend(now, &b.acquire, out)
 	}
 	for _, w := range b.waiters {
-		if !w.ledgerTried {
-			w.ledgerTried, w.refusalKind, w.refuseAt = true, errkind.BudgetUnreachable, now.Add(h.cfg.ProbeTimeout)
+		if w.ledgerTried {
+			continue
+		}
+		w.ledgerTried, w.refusalKind, w.refuseAt = true, errkind.BudgetUnreachable, now.Add(h.cfg.ProbeTimeout)
+		if b.usedUpFor(w.tokens) {
+			w.refusalKind = errkind.BudgetExhausted
 		}
 	}
 }
 
+// usedUpFor reports whether neither this holder nor the ledger, by its last answer, has enough tokens for
+// a request. The ledger would refuse the request as well unless the budget was topped up, or holders
+// returned tokens, since then.
+func (b *budget) usedUpFor(tokens uint64) bool {
+	return b.levelKnown && b.free+b.reserve.tokens+b.acquire.msg.GetUnlock()+b.returning+b.ledgerFree < tokens
+}
+
 func (b *budget) hasUntried() bool {
 	for _, w := range b.waiters {
 		if !w.ledgerTried {
--- a/internal/grant/outofcontact_test.go
+++ b/internal/grant/outofcontact_test.go
@@ -290,3 +290,35 @@
 		t.Errorf("an exhausted budget has tokens usable in %v, want 0", got)
 	}
 }
+
+// Pattern: the last requests of a budget arrive while the ledger is unreachable. Guards against callers that are
+// told to come back for tokens that nobody has, and against those that are told that there are none although
+// the ledger has some.
+func TestUsedUpBudgetIsRefusedAsExhaustedOutOfContact(t *testing.T) {
+	start := time.Unix(1000, 0)
+	refusedAs := func(ledgerFree, reserveTokens, tokens uint64) errkind.Kind {
+		h := newReserveHolder(start, 0, reserveTokens)
+		h.budgets[budgetName].ledgerFree = ledgerFree
+		h.Reserve(start, "a", budgetName, tokens, reservePolicy)
+		for after := time.Duration(0); after < 2*time.Second; after += 10 * time.Millisecond {
+			if ok, err := decision(h.Tick(start.Add(after)), "a"); ok && err != nil {
+				return err.Kind
+			}
+		}
+		return ""
+	}
+	for _, c := range []struct {
+		ledgerFree, reserve, tokens uint64
+		want                        errkind.Kind
+	}{
+		{0, 0, 100, errkind.BudgetExhausted},
+		{60, 30, 100, errkind.BudgetExhausted},
+		{60, 40, 100, errkind.BudgetUnreachable},
+		{100, 0, 100, errkind.BudgetUnreachable},
+		{0, 100, 100, errkind.BudgetUnreachable},
+	} {
+		if got := refusedAs(c.ledgerFree, c.reserve, c.tokens); got != c.want {
+			t.Errorf("%d at the ledger, %d in reserve, %d needed: %s, want %s", c.ledgerFree, c.reserve, c.tokens, got, c.want)
+		}
+	}
+}
