--- a/internal/relay/budget/budget_test.go
+++ b/internal/relay/budget/budget_test.go
@@ -46,14 +46,14 @@
 		next
 		want uint64
 	}{
-		"whole answer":                                {next{consumed: true, begun: true, output: 60}, prompt + 60},
-		"caller left in the midst":                    {next{consumed: true, begun: true, output: 24, err: left}, prompt + 24},
-		"server broke off, not resumed":               {next{consumed: true, begun: true, output: 24, err: failed}, prompt + 24},
-		"caller left before the first event":          {next{consumed: true, err: left}, 0},
-		"caller left before the request was sent":     {next{err: left}, 0},
-		"server lost, may have run, nothing arrived":  {next{consumed: true, err: failed}, 0},
-		"no server":                                   {next{err: errkind.New(errkind.NoBackendServer, "none")}, 0},
-		"more output than the cap":                    {next{consumed: true, begun: true, output: 900}, prompt + outputCap},
+		"whole answer":                               {next{consumed: true, begun: true, output: 60}, prompt + 60},
+		"caller left in the midst":                   {next{consumed: true, begun: true, output: 24, err: left}, prompt + 24},
+		"server broke off, not resumed":              {next{consumed: true, begun: true, output: 24, err: failed}, prompt + 24},
+		"caller left before the first event":         {next{consumed: true, err: left}, 0},
+		"caller left before the request was sent":    {next{err: left}, 0},
+		"server lost, may have run, nothing arrived": {next{consumed: true, err: failed}, 0},
+		"no server":                {next{err: errkind.New(errkind.NoBackendServer, "none")}, 0},
+		"more output than the cap": {next{consumed: true, begun: true, output: 900}, prompt + outputCap},
 	} {
 		a := &account{}
 		x := &relay.Exchange{
