Hold four seconds of demand open at a budget's owner, and less near a budget's end

The owner's open part, 2 s of demand and down to two thirds of it between prefetches, ends before the reserve opens at 2.5 s; what has queued up by then drains at 0.3 of the demand.

Change: the horizon is 4 s (was 2 s). As the loss of all hosts strands the open part, which only hurts an account that comes to its end, the open part is at most 200 of 1,000 of what is unbilled (was 400): the same as before with 10 s of demand left, less after that.

--- a/internal/daemon/gatewaybudgets.go
+++ b/internal/daemon/gatewaybudgets.go
@@ -69,9 +69,10 @@
 
 // gatewayPolicy is the grant policy of the owner of a budget.
 var gatewayPolicy = grant.Policy{
-	// In a partition an owner spends the open part of its grant until it may use the reserve.
-	// The open part is lost with the owner.
-	Horizon: 2 * time.Second,
+	// In a partition an owner spends the open part of its grant until it may use the reserve. The
+	// open part has to cover that time also in a burst, or requests wait for the reserve. It is lost
+	// with the owner.
+	Horizon: 4 * time.Second,
 	// A large reserve costs no more than a small one, since it opens at its rate. The rate is
 	// above the known demand because callers come in bursts.
 	Reserve:             30 * time.Second,
@@ -81,7 +82,7 @@
 	MinHistory:          2 * time.Second,
 	// Near the end of a budget the open part shrinks with what is left: the loss of all hosts
 	// strands the open part, and accounts that have tokens would get status 402.
-	OpenPermille: 400,
+	OpenPermille: 200,
 	// A part of what is left stays with the ledger for a backup owner. It is small, since an
 	// owner in a partition can't get more tokens until the partition ends.
 	AtRiskPermille: 900,
