Compute the members' versions only for records that need one; name a condition

Cause: reading the change: a status of the group was built for each proposal, and a condition of four parts stood in one line. Change: versions are compared only for kinds of records that require one; the comparison of views is a method. No change of behavior. Measured: the tests of both packages.

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -84,7 +84,7 @@
 	if p.members != nil {
 		return r.proposeMembers(p)
 	}
-	if err := r.checkVersions(p.cmd, r.core.Status().Members); err != nil {
+	if err := r.checkVersions(p.cmd); err != nil {
 		return err
 	}
 	stamped := &pb.Command{
--- a/internal/control/recordversion.go
+++ b/internal/control/recordversion.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
-	"github.com/bluebellsail/bluebellsail/internal/raft"
 )
 
 // recordVersion is the version of the log records that this program can apply. It is incremented
@@ -22,11 +21,14 @@
 // checkVersions returns an error if a member is known to run a program that can't apply cmd. A member
 // from which this replica has heard nothing since its start is assumed to be able to: if it were not,
 // the loss of one host could prevent the change until that host is replaced.
-func (r *Replica) checkVersions(cmd *pb.Command, members []raft.MemberStatus) error {
+func (r *Replica) checkVersions(cmd *pb.Command) error {
 	required := requiredVersion(cmd)
-	for _, m := range members {
-		if version, heard := r.recordVersions[m.Member.Id]; heard && version < required {
-			return errkind.New(errkind.HostNotReady, "the replica on host %s runs an earlier version, which can't apply this change", m.Member.Host)
+	if required == 0 {
+		return nil
+	}
+	for _, m := range r.core.Members().Members {
+		if version, heard := r.recordVersions[m.Id]; heard && version < required {
+			return errkind.New(errkind.HostNotReady, "the replica on host %s runs an earlier version, which can't apply this change", m.Host)
 		}
 	}
 	return nil
--- a/internal/controller/owners/owners.go
+++ b/internal/controller/owners/owners.go
@@ -185,6 +185,16 @@
 	return false
 }
 
+// isCurrentView reports whether the newest view has the given hosts alive, and this host and the number
+// of serving hosts as they are now; t.mu is held.
+func (t *Table) isCurrentView(alive []string) bool {
+	if len(t.views) == 0 {
+		return false
+	}
+	newest := &t.views[len(t.views)-1]
+	return newest.self == t.self.Name && newest.serving == t.serving && slices.Equal(alive, t.aliveNames)
+}
+
 // recordView adds the current view to the recent ones and drops those that ended before viewRetention;
 // t.mu is held.
 func (t *Table) recordView(now time.Time) {
@@ -244,9 +254,9 @@
 		}
 	}
 	slices.Sort(alive)
-	same := len(t.views) > 0 && t.views[len(t.views)-1].self == self.Name && slices.Equal(alive, t.aliveNames) && t.serving == t.views[len(t.views)-1].serving
+	changed := !t.isCurrentView(alive)
 	t.candidates, t.alive, t.aliveNames = rendezvous.New(names), rendezvous.New(alive), alive
-	if !same {
+	if changed {
 		t.recordView(time.Now())
 	}
 }
