--- a/internal/logreport/report.go
+++ b/internal/logreport/report.go
@@ -47,7 +47,7 @@
 	"starting", "run-before", "serving", "leaving", "left", "ended", "stood-still", "memory-high", "panic-recovered", "handler-panicked",
 	"registered", "not-registered", "ledger-lost", "ledger-regained", "settle-unanswered", "tokens-granted", "transfer-given", "transfer-received",
 	"routes-in-force", "routes-confirmed", "table-served", "routes-replaced", "routes-unreadable",
-	"peer-health", "server-lost", "server-paused", "connection-closed",
+	"peer-health", "server-lost", "server-paused", "connection-closed", "evacuation-ordered", "evacuation-in-force", "server-cold",
 }
 
 // groupEvents are events of control hosts that concern all hosts.
@@ -60,9 +60,9 @@
 	errkind.UnknownPath:         "the routing table of this revision does not have the route, and was confirmed table_confirmed_ago ms before; compare with the revision of routes-replaced",
 	errkind.Unauthenticated:     "no account has the key in the settings of this revision, which were confirmed table_confirmed_ago ms before; compare with the revision of routes-replaced",
 	errkind.HostNotReady:        "the host could not confirm that it has the newest settings, or had just started; see starting, table-served, leader-known (without: ms without a leader), replica-caught-up",
-	errkind.BudgetExhausted:     "the ledger had nothing left to grant; see tokens-granted of the account, and hosts that died with tokens (peer-health)",
+	errkind.BudgetExhausted:     "the ledger had nothing left to grant, now or when it was last reached; see tokens-granted of the account, and hosts that died with tokens (peer-health)",
 	errkind.BudgetUnreachable:   "the host had too few tokens and could not reach the ledger; see ledger-lost, leader-lost and leader-known, peer-health of the control hosts",
-	errkind.NoBackendServer:     "no server of the service was available; see server-lost and starting",
+	errkind.NoBackendServer:     "no server of the service was available; see server-lost, evacuation-in-force, server-cold and starting",
 	errkind.BackendServerFailed: "the server failed or gave an invalid answer; see outcome and detail for how, and server-lost for whether other requests failed there too",
 	errkind.DeadlineExceeded:    "the deadline passed; compare took with ran: if they differ, the time was spent before the attempt (settle-unanswered, ledger-lost, stood-still)",
 	errkind.Overloaded:          "the servers or this host's link were overloaded; count request lines by host and account",
