Choose a server at a cost that hardly depends on the number of servers

Cause: each choice copied the list of all servers of a service several times, hashed all their ids, and looked each up among the cooldowns; each new server sorted that list anew. Each tick published a new view of all hosts, from which several tables of all hosts are derived, although nothing but loads had changed. Change: the registry keeps an index for each service: parts by the hash of the id, counts of the instances that may get requests, the hashes beside one another for the preferred server. Cooldowns are kept as a set. A view of the hosts is published when more than loads has changed, else every 20 ticks. A counter of changes without a reader is gone.

--- a/internal/balance/cooldown.go
+++ b/internal/balance/cooldown.go
@@ -13,6 +13,7 @@
 	began = !now.Before(s.cooldownUntil)
 	if until := now.Add(d); until.After(s.cooldownUntil) {
 		s.cooldownUntil = until
+		c.cooling[inc] = true
 	}
 	return began
 }
@@ -38,15 +39,19 @@
 // CoolingDown returns the servers of a service that cool down for this host, and the time until the
 // first of these cooldowns ends. all reports whether every serving server of the service cools down.
 func (c *Core) CoolingDown(now time.Time, service string) (incs []instance.Incarnation, first time.Duration, all bool) {
-	serving := c.reg.Serving(service)
-	for _, inst := range serving {
-		left := c.CooldownLeft(now, inst.Incarnation())
+	for inc := range c.cooling {
+		left := c.CooldownLeft(now, inc)
 		if left == 0 {
+			delete(c.cooling, inc)
 			continue
 		}
-		if incs = append(incs, inst.Incarnation()); len(incs) == 1 || left < first {
+		inst, known := c.reg.Get(inc.ID)
+		if !known || inst.Started != inc.Started || inst.Service != service || !inst.Usable() {
+			continue
+		}
+		if incs = append(incs, inc); len(incs) == 1 || left < first {
 			first = left
 		}
 	}
-	return incs, first, len(incs) > 0 && len(incs) == len(serving)
+	return incs, first, len(incs) > 0 && len(incs) == c.reg.ServingCount(service)
 }
--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -142,6 +142,8 @@
 	servers  map[instance.Incarnation]*server
 	attempts map[uint64]*attempt
 	ticket   uint64
+	// cooling holds the incarnations whose cooldown for this host has not been seen to have ended.
+	cooling map[instance.Incarnation]bool
 	// dispatched lists the parts sent to each server since the last call of TakeDispatched.
 	dispatched map[instance.Incarnation][]Part
 }
@@ -159,7 +161,11 @@
 
 // New returns a Core that chooses among the instances of reg.
 func New(cfg Config, reg *instance.Registry, rng *rand.Rand) *Core {
-	return &Core{cfg: cfg, reg: reg, rng: rng, servers: make(map[instance.Incarnation]*server), attempts: make(map[uint64]*attempt), dispatched: make(map[instance.Incarnation][]Part)}
+	return &Core{
+		cfg: cfg, reg: reg, rng: rng,
+		servers: make(map[instance.Incarnation]*server), attempts: make(map[uint64]*attempt),
+		cooling: make(map[instance.Incarnation]bool), dispatched: make(map[instance.Incarnation][]Part),
+	}
 }
 
 // Choose picks the server for w, or returns an error if no server may get it. After a
@@ -213,8 +219,8 @@
 func (c *Core) eligible(now time.Time, w *Work) []*instance.Instance {
 	var healthy, failing []*instance.Instance
 	shed := false
-	for _, inst := range c.reg.Serving(w.Service) {
-		if slices.Contains(w.Exclude, inst.Incarnation()) || !w.Shard.contains(inst.ID) || !c.inRegion(w, inst.Zone) ||
+	for _, inst := range c.reg.ServingInShard(w.Service, w.Shard.Index, w.Shard.Of) {
+		if slices.Contains(w.Exclude, inst.Incarnation()) || !c.inRegion(w, inst.Zone) ||
 			!c.permitted(now, w, inst.Incarnation()) {
 			continue
 		}
@@ -329,10 +335,7 @@
 func (c *Core) noServer(now time.Time, w *Work) error {
 	wait, setByServer := time.Duration(0), false
 	var why exclusions
-	for _, inst := range c.reg.Serving(w.Service) {
-		if !w.Shard.contains(inst.ID) {
-			continue
-		}
+	for _, inst := range c.reg.ServingInShard(w.Service, w.Shard.Index, w.Shard.Of) {
 		if !c.inRegion(w, inst.Zone) {
 			why.otherRegion++
 			continue
--- a/internal/balance/home.go
+++ b/internal/balance/home.go
@@ -1,6 +1,6 @@
 package balance
 
-import "github.com/bluebellsail/bluebellsail/internal/rendezvous"
+import "github.com/bluebellsail/bluebellsail/internal/instance"
 
 // preferredServer returns the id of the preferred server for the shared beginning of w's prompt:
 // the first by rendezvous hash. All hosts compute the same server without communication, so that
@@ -10,14 +10,9 @@
 		return ""
 	}
 	part := w.Prompt[len(w.Prompt)-2].ID
-	best, first := uint64(0), ""
-	for _, inst := range c.reg.Serving(w.Service) {
-		if !c.inRegion(w, inst.Zone) {
-			continue
-		}
-		if rank := rendezvous.Rank(part, rendezvous.Hash(inst.ID)); first == "" || rank > best {
-			best, first = rank, inst.ID
-		}
+	first := c.reg.Preferred(w.Service, part, func(inst *instance.Instance) bool { return c.inRegion(w, inst.Zone) })
+	if first == nil {
+		return ""
 	}
-	return first
+	return first.ID
 }
--- a/internal/balance/knowledge.go
+++ b/internal/balance/knowledge.go
@@ -32,9 +32,9 @@
 // ShardCaches returns the estimated caches of a service's servers in a shard.
 func (c *Core) ShardCaches(service string, in Shard) []CachedParts {
 	var out []CachedParts
-	for _, inst := range c.reg.Serving(service) {
+	for _, inst := range c.reg.ServingInShard(service, in.Index, in.Of) {
 		s := c.servers[inst.Incarnation()]
-		if s == nil || !in.contains(inst.ID) || s.cache.size == 0 {
+		if s == nil || s.cache.size == 0 {
 			continue
 		}
 		out = append(out, CachedParts{Server: inst.Incarnation(), Parts: s.cache.list(), CacheTokens: s.cache.capacity})
@@ -60,7 +60,7 @@
 	if !known || !c.reg.IsCurrent(inc) {
 		return "", Shard{}, false
 	}
-	of := shardCount(len(c.reg.Serving(inst.Service)))
+	of := shardCount(c.reg.ServingCount(inst.Service))
 	return inst.Service, Shard{Index: shardIndex(inc.ID, of), Of: of}, true
 }
 
--- a/internal/balance/shard.go
+++ b/internal/balance/shard.go
@@ -35,7 +35,7 @@
 // ShardOf returns the shard of the preferred server for w's shared parts, or a random shard if w
 // has none.
 func (c *Core) ShardOf(w *Work) Shard {
-	of := shardCount(len(c.reg.Serving(w.Service)))
+	of := shardCount(c.reg.ServingCount(w.Service))
 	if preferred := c.preferredServer(w); preferred != "" {
 		return Shard{Index: shardIndex(preferred, of), Of: of}
 	}
--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -359,7 +359,7 @@
 func (b *Balancer) Serves(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.reg.Serving(service)) > 0 || b.reg.Evacuated(service) > 0
+	return b.reg.ServingCount(service) > 0 || b.reg.Evacuated(service) > 0
 }
 
 // SetEvacuated replaces the set of evacuated availability zones, whose servers get no requests.
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -326,13 +327,27 @@
 			Control:        h.Control,
 		})
 	}
-	before := c.peers.Swap(&peers)
 	c.published = c.table.Changes()
+	before := c.peers.Load()
+	if before != nil && slices.EqualFunc(*before, peers, sameButLoad) && c.table.Now()%loadEvery != 0 {
+		return
+	}
+	c.peers.Store(&peers)
 	if before != nil {
 		c.logChanges(*before, peers)
 	}
 }
 
+// loadEvery is the number of ticks after which the view is published although only loads have changed.
+// Readers derive tables of all hosts from each new view.
+const loadEvery = 20
+
+// sameButLoad reports whether two descriptions of a host differ in nothing but its load.
+func sameButLoad(a, b PeerInfo) bool {
+	a.SparePermille = b.SparePermille
+	return a == b
+}
+
 // logChanges logs each host that is new or whose health, incarnation or leaving flag has
 // changed. Both lists are ordered by name.
 func (c *Controller) logChanges(before, now []PeerInfo) {
--- /dev/null
+++ b/internal/instance/index.go
@@ -0,0 +1,134 @@
+package instance
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/bluebellsail/bluebellsail/internal/rendezvous"
+)
+
+// indexParts is the number of parts, by the hash of the id, in which the index of a service holds its
+// instances. It is a power of two.
+const indexParts = 1024
+
+// usability is whether an instance may get requests.
+type usability uint8
+
+const (
+	unusable usability = iota
+	usable
+	// evacuated instances would be usable in another availability zone.
+	evacuated
+)
+
+// serviceIndex holds the known instances of a service. A look-up of some of them costs the same however many
+// there are, and a change of one does not rebuild it.
+type serviceIndex struct {
+	// all is ordered by id; hashes has the hashes of the same instances.
+	all    []*Instance
+	hashes []uint64
+	parts  [indexParts][]*Instance
+	counts [evacuated + 1]int
+}
+
+// index returns the index of a service.
+func (r *Registry) index(service string) *serviceIndex {
+	x := r.byService[service]
+	if x == nil {
+		x = &serviceIndex{}
+		r.byService[service] = x
+	}
+	return x
+}
+
+func compareIDs(a, b *Instance) int { return strings.Compare(a.ID, b.ID) }
+
+func (x *serviceIndex) add(i *Instance) {
+	at, _ := slices.BinarySearchFunc(x.all, i, compareIDs)
+	x.all = slices.Insert(x.all, at, i)
+	x.hashes = slices.Insert(x.hashes, at, i.hash)
+	part := &x.parts[i.hash%indexParts]
+	*part = append(*part, i)
+	i.counted = i.usability()
+	x.counts[i.counted]++
+}
+
+func (x *serviceIndex) remove(i *Instance) {
+	at, _ := slices.BinarySearchFunc(x.all, i, compareIDs)
+	x.all = slices.Delete(x.all, at, at+1)
+	x.hashes = slices.Delete(x.hashes, at, at+1)
+	part := &x.parts[i.hash%indexParts]
+	*part = slices.DeleteFunc(*part, func(other *Instance) bool { return other == i })
+	x.counts[i.counted]--
+}
+
+// refresh counts an instance by its present state.
+func (x *serviceIndex) refresh(i *Instance) {
+	x.counts[i.counted]--
+	i.counted = i.usability()
+	x.counts[i.counted]++
+}
+
+func (i *Instance) usability() usability {
+	switch {
+	case !i.accepts():
+		return unusable
+	case i.Evacuated:
+		return evacuated
+	}
+	return usable
+}
+
+// Serving returns the instances of a service that may get requests, ordered by id.
+func (r *Registry) Serving(service string) []*Instance {
+	var out []*Instance
+	for _, i := range r.index(service).all {
+		if i.Usable() {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// ServingCount returns the number of a service's instances that may get requests.
+func (r *Registry) ServingCount(service string) int { return r.index(service).counts[usable] }
+
+// Evacuated returns the number of a service's instances that would get requests if their zones were
+// not evacuated.
+func (r *Registry) Evacuated(service string) int { return r.index(service).counts[evacuated] }
+
+// ServingInShard returns the instances of a service that may get requests and whose ids hash to shard modulo
+// shards, which is a power of two; all of them, ordered by id, if there is one shard.
+func (r *Registry) ServingInShard(service string, shard, shards uint32) []*Instance {
+	if shards <= 1 {
+		return r.Serving(service)
+	}
+	var out []*Instance
+	parts := &r.index(service).parts
+	for part := shard % indexParts; part < indexParts; part += min(shards, indexParts) {
+		for _, i := range parts[part] {
+			if i.Usable() && uint32(i.hash)&(shards-1) == shard {
+				out = append(out, i)
+			}
+		}
+	}
+	slices.SortFunc(out, compareIDs)
+	return out
+}
+
+// Preferred returns the instance of a service that ranks first for a key by rendezvous hash, among those
+// that may get requests and that accept accepts; nil if there is none.
+func (r *Registry) Preferred(service string, key uint64, accept func(*Instance) bool) *Instance {
+	best, first := uint64(0), (*Instance)(nil)
+	x := r.index(service)
+	for at, hash := range x.hashes {
+		rank := rendezvous.Rank(key, hash)
+		if first != nil && rank <= best {
+			continue
+		}
+		if i := x.all[at]; i.Usable() && accept(i) {
+			best, first = rank, i
+		}
+	}
+	return first
+}
--- a/internal/instance/receiver.go
+++ b/internal/instance/receiver.go
@@ -125,13 +125,14 @@
 	}
 }
 
-// record records the state of an instance for the messages to peers; from is the host that sent a change,
+// record records the state of an instance in the index and for the messages to peers; from is the host that sent a change,
 // empty if it arose here.
 func (r *Registry) record(id string, changed bool, from string) {
 	i := r.instances[id]
 	if i == nil {
 		return
 	}
+	r.index(i.Service).refresh(i)
 	class := changelog.Unnoted
 	switch {
 	case changed && (i.Draining || i.Ended):
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -16,12 +16,11 @@
 package instance
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/changelog"
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
+	"github.com/bluebellsail/bluebellsail/internal/rendezvous"
 )
 
 // Default values of Config.
@@ -59,6 +58,10 @@
 	receiver *receiverState
 	// Ended reports that the incarnation announced its end, or that another instance has its address.
 	Ended bool
+	// hash of its id, by which shards and preferred instances are found.
+	hash uint64
+	// counted is its state in the index of its service.
+	counted usability
 	// incUnknown reports that its end was announced without an incarnation, and none was known.
 	incUnknown bool
 	// Evacuated reports that its availability zone is evacuated.
@@ -74,10 +77,11 @@
 	instances map[string]*Instance
 	// byAddress holds the instance that is assumed to be at an address.
 	byAddress map[string]*Instance
-	byService map[string][]*Instance
+	byService map[string]*serviceIndex
+	// contested holds the instances that wait for their address.
+	contested map[*Instance]bool
 	// evacuated holds the evacuated availability zones.
 	evacuated map[string]bool
-	changes   uint64
 	// log holds the ids of the instances in the order of their last change.
 	log *changelog.Log
 	// self is this host as a receiver. own holds the instances that announce themselves here.
@@ -94,7 +98,8 @@
 		cfg:       cfg,
 		instances: make(map[string]*Instance),
 		byAddress: make(map[string]*Instance),
-		byService: make(map[string][]*Instance),
+		byService: make(map[string]*serviceIndex),
+		contested: make(map[*Instance]bool),
 		log:       changelog.New(),
 		self:      Receiver{Host: cfg.Host},
 		own:       make(map[string]*Instance),
@@ -236,6 +241,7 @@
 	current := r.byAddress[a.Address]
 	if current != nil && !current.Ended && r.Fresh(announced, current) {
 		i.contested = true
+		r.contested[i] = true
 		return
 	}
 	r.claimAddress(i)
@@ -243,12 +249,12 @@
 
 // add adds an instance to the registry, without an address yet.
 func (r *Registry) add(announced time.Time, a report) *Instance {
-	i := &Instance{Announcement: a.Announcement, LastAnnounced: announced, Evacuated: r.evacuated[a.Zone]}
+	i := &Instance{
+		Announcement: a.Announcement, LastAnnounced: announced, Evacuated: r.evacuated[a.Zone], hash: rendezvous.Hash(a.ID),
+	}
 	r.instances[a.ID] = i
 	r.setReceiver(i, a)
-	r.byService[a.Service] = append(r.byService[a.Service], i)
-	r.sortService(a.Service)
-	r.changes++
+	r.index(a.Service).add(i)
 	return i
 }
 
@@ -256,11 +262,10 @@
 func (r *Registry) remove(i *Instance) {
 	delete(r.instances, i.ID)
 	delete(r.own, i.ID)
+	delete(r.contested, i)
 	r.log.Remove(i.ID)
 	r.releaseAddress(i)
-	same := func(x *Instance) bool { return x == i }
-	r.byService[i.Service] = slices.DeleteFunc(r.byService[i.Service], same)
-	r.changes++
+	r.index(i.Service).remove(i)
 }
 
 // releaseAddress records that the instance is no longer at its address.
@@ -270,20 +275,17 @@
 	}
 }
 
-func (r *Registry) sortService(service string) {
-	slices.SortFunc(r.byService[service], func(a, b *Instance) int { return strings.Compare(a.ID, b.ID) })
-}
-
 // claimAddress makes i the only instance at its address.
 func (r *Registry) claimAddress(i *Instance) {
 	i.contested = false
+	delete(r.contested, i)
+	r.index(i.Service).refresh(i)
 	if old := r.byAddress[i.Address]; old != nil && old != i && !old.Ended {
 		old.Ended = true
 		old.LastAnnounced = latest(old.LastAnnounced, i.LastAnnounced)
 		r.record(old.ID, true, "")
 	}
 	r.byAddress[i.Address] = i
-	r.changes++
 }
 
 // End records that an incarnation has ended, by its own announcement or because another instance
@@ -340,15 +342,14 @@
 	}
 	i.Ended = true
 	i.LastAnnounced = latest(i.LastAnnounced, at)
-	r.changes++
 	r.promoteWaiting(i.Address)
 	return true
 }
 
 // promoteWaiting gives the address to an instance that waits for it.
 func (r *Registry) promoteWaiting(address string) {
-	for _, other := range r.instances {
-		if other.Address == address && other.contested && !other.Ended {
+	for other := range r.contested {
+		if other.Address == address && !other.Ended {
 			r.claimAddress(other)
 			return
 		}
@@ -373,18 +374,6 @@
 	return ok && (inc.Started < i.Started || inc.Started == i.Started && i.Ended)
 }
 
-// Serving returns the instances of a service that may get requests, ordered by id. The list must not
-// be changed.
-func (r *Registry) Serving(service string) []*Instance {
-	var out []*Instance
-	for _, i := range r.byService[service] {
-		if i.Usable() {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
 // Usable reports whether the instance may get requests.
 func (i *Instance) Usable() bool { return i.accepts() && !i.Evacuated }
 
@@ -397,20 +386,8 @@
 	r.evacuated = zones
 	for _, i := range r.instances {
 		i.Evacuated = zones[i.Zone]
+		r.index(i.Service).refresh(i)
 	}
-	r.changes++
-}
-
-// Evacuated returns the number of a service's instances that would get requests if their zones were
-// not evacuated.
-func (r *Registry) Evacuated(service string) int {
-	n := 0
-	for _, i := range r.byService[service] {
-		if i.accepts() && i.Evacuated {
-			n++
-		}
-	}
-	return n
 }
 
 // Fresh reports whether the instance's last sign of life is younger than Lapse.
@@ -418,9 +395,6 @@
 	return !i.Silent && now.Sub(i.lastSign()) < r.cfg.Lapse
 }
 
-// Changes counts the changes of the set of instances that may get requests.
-func (r *Registry) Changes() uint64 { return r.changes }
-
 // Expire drops instances without a sign of life for Forget. Call it periodically.
 func (r *Registry) Expire(now time.Time) {
 	for _, i := range r.instances {
