--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -281,10 +281,6 @@
 	return rounds
 }
 
-// StartingInLargeFleet reports whether this host has just started and gets updates from most hosts
-// through others.
-func (t *Table) StartingInLargeFleet() bool { return t.starting() && !t.fullMesh() }
-
 // starting reports whether this host has just started.
 func (t *Table) starting() bool { return t.now-t.registeredAt <= startTicks }
 
