Keep a starting fleet from overloading its seeds

Before registration a host knows nobody but the seeds: it sends them heartbeats as to neighbors, asks them ten times a second for a confirmation of its table, and, as the calls time out, opens a new connection each second or so. 985 hosts do so, and each answer to a registration would list all of them. Change: before registration a host contacts one host each second, less often while that is not answered, and asks for confirmations twice a second; questions that are not answered become rare. A connection on which no call was answered is not replaced at the same rate again. The answer to a registration and to a reader of new hosts has 256 hosts at most; readers get the others in turn, and heartbeats spread them.

--- a/internal/apply/query.go
+++ b/internal/apply/query.go
@@ -25,7 +25,7 @@
 	case *pb.Query_Config:
 		out.ValueJson, out.Version, err = s.View().Value(body.Config.GetPath())
 	case *pb.Query_Hosts:
-		out.Hosts = s.ledger.HostsAfter(body.Hosts.GetAfter())
+		out.Hosts = s.hosts(body.Hosts)
 	case *pb.Query_History:
 		out.History = s.settings.History(body.History.GetPath(), int(body.History.GetLimit()))
 	case *pb.Query_Claim:
@@ -64,3 +64,11 @@
 	}
 	return lines, nil
 }
+
+// hosts answers a query for the registered hosts.
+func (s *State) hosts(q *pb.HostsQuery) []*pb.HostInfo {
+	if q.After == nil {
+		return s.ledger.Hosts()
+	}
+	return s.ledger.HostsAfter(q.GetAfter())
+}
--- a/internal/controller/routes/confirm.go
+++ b/internal/controller/routes/confirm.go
@@ -16,8 +16,12 @@
 // nextControl returns the next control host in turn that is not being asked for a confirmation, and
 // marks it as being asked.
 func (c *Controller) nextControl(sources []Source) (Source, bool) {
+	registered := c.cfg.Registered == nil || c.cfg.Registered()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.confirmations.mayAsk(c.uptime(), registered) {
+		return Source{}, false
+	}
 	for range sources {
 		c.nextControlSource++
 		s := sources[c.nextControlSource%len(sources)]
@@ -29,15 +33,15 @@
 	return Source{}, false
 }
 
-// askToConfirm asks a control host whether the table in force is the newest.
-func (c *Controller) askToConfirm(ctx context.Context, source Source) {
+// askToConfirm asks a control host whether the table in force is the newest, and reports whether it answered.
+func (c *Controller) askToConfirm(ctx context.Context, source Source) (answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	reply, err := c.cfg.Fetch(ctx, source.Address, &pb.FetchRoutesRequest{Have: c.Revision(), RevisionOnly: true})
 	if err != nil {
 		c.cfg.Log.Debug().Str("event", "routes-not-confirmed").Str("from", source.Address).
 			Uint64("have", c.Revision()).Err(err).Send()
-		return
+		return false
 	}
 	if !reply.GetWithoutQuorum() {
 		c.quorumSeenAt.Store(int64(c.uptime()))
@@ -46,13 +50,15 @@
 	c.reportedRevisions[source.Address] = reply.GetRoutes().GetRevision()
 	c.mu.Unlock()
 	c.Apply(source.Address, reply)
+	return true
 }
 
 // endConfirm records that a control host is no longer being asked.
-func (c *Controller) endConfirm(address string) {
+func (c *Controller) endConfirm(address string, answered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.confirming, address)
+	c.confirmations.ended(c.uptime(), answered)
 }
 
 // confirm records that a quorum confirmed the table in force; c.mu is held.
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -81,6 +81,9 @@
 	// FirstSource is the index of the source that this host asks first. It should differ between
 	// hosts, so that those that start together don't ask the same one.
 	FirstSource int
+	// Registered reports whether this host is registered. Before that it can hardly serve and asks control
+	// hosts less often. Nil: it is.
+	Registered func() bool
 	// Now is the clock; the default is time.Now.
 	Now func() time.Time
 	Log zerolog.Logger
@@ -122,6 +125,8 @@
 	// confirming holds the control hosts that are being asked for a confirmation.
 	confirming        map[string]bool
 	nextControlSource int
+	// confirmations paces the questions to control hosts.
+	confirmations pacer
 }
 
 // New returns a Controller without a table.
@@ -185,8 +190,7 @@
 	if s, ok := c.nextControl(sources); ok {
 		c.fetches.Go(func() {
 			defer panics.Log(c.cfg.Log, "confirming routes")
-			defer c.endConfirm(s.Address)
-			c.askToConfirm(ctx, s)
+			c.endConfirm(s.Address, c.askToConfirm(ctx, s))
 		})
 	}
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -167,7 +167,7 @@
 	t.runUntilPanic("records", e.records.Run)
 	t.runUntilPanic("grants", e.grants.Run)
 	t.run("follow fleet", e.followFleet)
-	t.run("learn hosts", func(ctx context.Context) { e.d.learnHosts(ctx, reg.Hosts, e.members.MergeRegistered) })
+	t.run("learn hosts", func(ctx context.Context) { e.d.learnHosts(ctx, e.members.MergeRegistered) })
 	e.startRepair(t)
 	if err := e.http.Start(); err != nil {
 		return errors.Wrap(err, "callers' address")
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -195,6 +195,7 @@
 	g.routes = routesctl.New(routesctl.Config{
 		Sources: g.sources, Fetch: g.fetchRoutes, OnChange: g.tableChanged, Missing: g.missing, Log: d.tel.Log,
 		Evacuations: d.evacuations.Current, OnEvacuations: d.mergeEvacuations,
+		Registered:  func() bool { return g.holder().GetIncarnation() > 0 },
 		FirstSource: int(rendezvous.Hash(cfg.Host) % maxFirstSource),
 	})
 	d.client.SetAddresses(g.controlAddresses)
@@ -258,7 +259,7 @@
 	g.grants.Store(manager)
 	close(g.registered)
 	g.d.tasks.runUntilPanic("grants", manager.Run)
-	g.d.tasks.run("learn hosts", func(ctx context.Context) { g.d.learnHosts(ctx, reg.Hosts, g.members.MergeRegistered) })
+	g.d.tasks.run("learn hosts", func(ctx context.Context) { g.d.learnHosts(ctx, g.members.MergeRegistered) })
 }
 
 // servesCallers reports whether this host forwards callers' requests and so needs the
--- a/internal/daemon/group.go
+++ b/internal/daemon/group.go
@@ -34,11 +34,18 @@
 }
 
 // Hosts lists the registered hosts.
-func (g group) Hosts(ctx context.Context) ([]*pb.HostInfo, error) { return g.HostsAfter(ctx, 0) }
+func (g group) Hosts(ctx context.Context) ([]*pb.HostInfo, error) {
+	return g.queryHosts(ctx, &pb.HostsQuery{})
+}
 
-// HostsAfter returns the hosts that are removed or have registered after an incarnation.
+// HostsAfter returns the hosts that are removed, and the first of those that have registered after an
+// incarnation.
 func (g group) HostsAfter(ctx context.Context, incarnation uint64) ([]*pb.HostInfo, error) {
-	res, err := g.client.Read(ctx, &pb.Query{Body: &pb.Query_Hosts{Hosts: &pb.HostsQuery{After: incarnation}}})
+	return g.queryHosts(ctx, &pb.HostsQuery{After: &incarnation})
+}
+
+func (g group) queryHosts(ctx context.Context, q *pb.HostsQuery) ([]*pb.HostInfo, error) {
+	res, err := g.client.Read(ctx, &pb.Query{Body: &pb.Query_Hosts{Hosts: q}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -59,10 +59,10 @@
 	return res, nil
 }
 
-// learnHosts reads the hosts that have registered since the last read, to find peers that are neither seeds
-// nor known from heartbeats. known are the hosts known at the start.
-func (d *Daemon) learnHosts(ctx context.Context, known []*pb.HostInfo, merge func([]*pb.HostInfo)) {
-	after := lastIncarnation(0, known)
+// learnHosts reads the registered hosts in turn, to find peers that are neither seeds nor known from
+// heartbeats.
+func (d *Daemon) learnHosts(ctx context.Context, merge func([]*pb.HostInfo)) {
+	after := uint64(0)
 	every(ctx, learnEvery, func() {
 		readCtx, cancel := context.WithTimeout(ctx, learnTimeout)
 		defer cancel()
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -576,3 +576,39 @@
 		t.Errorf("after a removal and a registration: %v", got)
 	}
 }
+
+// Guards against answers to registrations that grow with the fleet, and a reader that never gets all hosts of a
+// large one because each answer is bounded.
+func TestHostsOfALargeFleetComeInParts(t *testing.T) {
+	const hosts = 1000
+	r := newTestLedger(t, Options{}, 1000)
+	for i := range hosts {
+		_, err := r.ledger.RegisterHost(r.record(), &pb.RegisterHost{Host: fmt.Sprint("h", i), BootId: "b", Control: i < 7})
+		testutil.NoError(t, err)
+	}
+	res, err := r.ledger.RegisterHost(r.record(), &pb.RegisterHost{Host: "new", BootId: "b"})
+	testutil.NoError(t, err)
+	control := 0
+	for _, h := range res.GetHosts() {
+		if h.GetControl() {
+			control++
+		}
+	}
+	if len(res.GetHosts()) != hostsPerAnswer || control != 7 {
+		t.Errorf("%d hosts in the answer, %d of them with a replica", len(res.GetHosts()), control)
+	}
+	known, after := make(map[string]bool), uint64(0)
+	for range hosts/hostsPerAnswer + 1 {
+		part := r.ledger.HostsAfter(after)
+		if len(part) > hostsPerAnswer {
+			t.Fatalf("%d hosts in one answer", len(part))
+		}
+		for _, h := range part {
+			known[h.GetHost()] = true
+			after = max(after, h.GetIncarnation())
+		}
+	}
+	if len(known) != hosts+1 {
+		t.Errorf("%d hosts known", len(known))
+	}
+}
--- a/internal/ledger/registry.go
+++ b/internal/ledger/registry.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -10,6 +11,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/grant/reserve"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/rendezvous"
 )
 
 const (
@@ -161,10 +163,35 @@
 	return &pb.RegisterHostResult{
 		Holder:            &pb.Holder{Host: c.Host, Incarnation: b.Incarnation},
 		FormerIncarnation: b.Former,
-		Hosts:             g.hostInfos(0),
+		Hosts:             g.hostsFor(c.Host),
 	}
 }
 
+// hostsPerAnswer bounds the hosts, of some 100 bytes each, in the answer to a registration and in one answer
+// to a reader that asks for those that it does not know. In a large fleet a host learns the others by
+// heartbeats; if all hosts of such a fleet registered at once, and each got all, the leader would have no
+// time for anything else.
+const hostsPerAnswer = 256
+
+// hostsFor returns hosts for the answer to a host's registration: those that run a replica, and others chosen
+// by rendezvous hash.
+func (g *registry) hostsFor(name string) []*pb.HostInfo {
+	all := slices.Collect(maps.Values(g.hosts))
+	if len(all) > hostsPerAnswer {
+		key := rendezvous.Hash(name)
+		ranks := make(map[string]uint64, len(all))
+		for _, h := range all {
+			ranks[h.Name] = rendezvous.Rank(key, rendezvous.Hash(h.Name)) >> 1
+			if h.Control {
+				ranks[h.Name] |= 1 << 63
+			}
+		}
+		slices.SortFunc(all, func(a, b *host) int { return cmp.Compare(ranks[b.Name], ranks[a.Name]) })
+		all = all[:hostsPerAnswer]
+	}
+	return g.describe(all)
+}
+
 func (h *host) boot(id string) (boot, bool) {
 	for _, b := range h.Boots {
 		if b.ID == id {
@@ -214,12 +241,24 @@
 }
 
 // Hosts returns the hosts, sorted by name.
-func (s *State) Hosts() []*pb.HostInfo { return s.HostsAfter(0) }
+func (s *State) Hosts() []*pb.HostInfo {
+	return s.registry.describe(slices.Collect(maps.Values(s.registry.hosts)))
+}
 
-// HostsAfter returns the hosts that are removed or that have registered after an incarnation, sorted by name.
-// Incarnations increase over all hosts.
+// HostsAfter returns the hosts that are removed, and the first hostsPerAnswer of those that have registered
+// after an incarnation, sorted by name. Incarnations increase over all hosts.
 func (s *State) HostsAfter(incarnation uint64) []*pb.HostInfo {
-	return s.registry.hostInfos(incarnation)
+	var removed, later []*host
+	for _, h := range s.registry.hosts {
+		switch {
+		case h.Removed:
+			removed = append(removed, h)
+		case h.Incarnation > incarnation:
+			later = append(later, h)
+		}
+	}
+	slices.SortFunc(later, func(a, b *host) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return s.registry.describe(append(removed, later[:min(len(later), hostsPerAnswer)]...))
 }
 
 // Live returns an error unless the holder is its host's current live incarnation.
@@ -228,7 +267,8 @@
 	return err
 }
 
-func (g *registry) hostInfos(after uint64) []*pb.HostInfo {
+// describe returns descriptions of hosts, sorted by name.
+func (g *registry) describe(hosts []*host) []*pb.HostInfo {
 	unrecovered := make(map[string][]uint64)
 	for _, number := range slices.Sorted(maps.Keys(g.unrecovered)) {
 		if inc := g.unrecovered[number]; inc.Dead {
@@ -236,10 +276,7 @@
 		}
 	}
 	var out []*pb.HostInfo
-	for _, h := range g.hosts {
-		if h.Incarnation <= after && !h.Removed {
-			continue
-		}
+	for _, h := range hosts {
 		out = append(out, &pb.HostInfo{
 			Host: h.Name, Zone: h.Zone, CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Control: h.Control,
 			Incarnation: h.Incarnation, Removed: h.Removed, Unrecovered: unrecovered[h.Name],
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -164,6 +164,10 @@
 	nextDead     int
 	nextDigest   int
 	nextSeed     int
+
+	// nextContact is the tick of the next heartbeat before registration, contactPause the mean number
+	// of ticks between two.
+	nextContact, contactPause int64
 }
 
 // firstTick is the first value of the tick count. It is large, so that the ages of events
@@ -175,7 +179,7 @@
 	return &Table{
 		cfg: withDefaults(cfg),
 		rng: rng,
-		now: firstTick, registeredAt: firstTick,
+		now: firstTick, registeredAt: firstTick, contactPause: contactPeriod,
 		selfHash: xxhash.Sum64String(cfg.Self.Host),
 		hosts:    make(map[string]*entry),
 		removed:  make(map[string]uint64),
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -127,9 +127,10 @@
 // there: evidence may be taken for older than it is, but never for younger, however many hosts
 // it passes through.
 func (t *Table) ReceiveReply(sentAt int64, to string, reply *pb.HeartbeatReply) {
+	t.contactAnswered(true)
 	m := reply.GetState()
 	if m.GetFrom().GetHost() != to || m.GetFrom().GetIncarnation() == 0 {
-		t.MarkUnanswered(sentAt, to)
+		t.markUnanswered(sentAt, to)
 	}
 	e := t.senderEntry(m)
 	if e == nil {
@@ -144,6 +145,11 @@
 
 // MarkUnanswered records that the heartbeat sent to a host at tick sentAt got no reply in time.
 func (t *Table) MarkUnanswered(sentAt int64, host string) {
+	t.contactAnswered(false)
+	t.markUnanswered(sentAt, host)
+}
+
+func (t *Table) markUnanswered(sentAt int64, host string) {
 	e := t.hosts[host]
 	if e == nil || e.lastAlive > sentAt {
 		return
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -12,6 +12,10 @@
 	maxProbesPerTick = 2
 	// rotateInterval is the number of ticks after which one random neighbor is replaced.
 	rotateInterval = 240
+	// contactPeriod is the mean number of ticks between two heartbeats of a host that is not registered
+	// yet, and maxContactPeriod the largest one while they are not answered.
+	contactPeriod    = 4
+	maxContactPeriod = 32
 )
 
 // Target is a host to send a heartbeat to.
@@ -27,8 +31,12 @@
 func (t *Table) Tick() []Target {
 	t.now++
 	t.forget()
-	t.chooseNeighbors()
 	targets := new(targetSet)
+	if t.cfg.Self.Incarnation == 0 {
+		t.addContact(targets)
+		return targets.list
+	}
+	t.chooseNeighbors()
 	t.addNeighbors(targets)
 	t.addDoubted(targets)
 	t.addProbed(targets)
@@ -38,6 +46,33 @@
 	return targets.list
 }
 
+// addContact adds one host, from time to time, while this host is not registered.
+//
+// Until then it hardly knows anybody but the seeds, and so does every other host of a fleet that starts.
+// If each sent them heartbeats as to neighbors, the seeds of a large fleet would have no time for the
+// registrations that all wait for.
+func (t *Table) addContact(targets *targetSet) {
+	if t.now < t.nextContact {
+		return
+	}
+	t.nextContact = t.now + t.contactPause/2 + 1 + t.rng.Int64N(t.contactPause)
+	t.addSeed(targets)
+	if len(targets.list) > 0 || len(t.order) == 0 {
+		return
+	}
+	t.nextNeighbor = (t.nextNeighbor + 1) % len(t.order)
+	targets.add(t.order[t.nextNeighbor])
+}
+
+// contactAnswered adapts the pause between contacts to whether they are answered.
+func (t *Table) contactAnswered(answered bool) {
+	if answered {
+		t.contactPause = contactPeriod
+		return
+	}
+	t.contactPause = min(2*t.contactPause, maxContactPeriod)
+}
+
 // Now returns the current tick.
 func (t *Table) Now() int64 { return t.now }
 
--- a/internal/peerconn/link.go
+++ b/internal/peerconn/link.go
@@ -11,6 +11,10 @@
 	"google.golang.org/grpc/status"
 )
 
+// maxUnanswered bounds the doublings of the number of timed-out calls after which a new connection is tried.
+// A peer that answers on no connection is overloaded, and each new one costs it more than a call.
+const maxUnanswered = 4
+
 // link is the connection to one address, with the count of timeouts that indicates a silent
 // connection. It implements grpc.ClientConnInterface.
 type link struct {
@@ -20,8 +24,11 @@
 	mu       sync.Mutex
 	conn     *grpc.ClientConn
 	timeouts int // consecutive calls on conn that timed out
-	trying   bool
-	closed   bool
+	// unanswered is the number of connections in a row that replaced another one and on which no
+	// call was answered.
+	unanswered int
+	trying     bool
+	closed     bool
 }
 
 var _ grpc.ClientConnInterface = (*link)(nil)
@@ -79,9 +86,9 @@
 	case codes.Canceled, codes.Unavailable:
 		return
 	default:
-		l.timeouts = 0
+		l.timeouts, l.unanswered = 0, 0
 	}
-	if l.timeouts < l.pool.cfg.SilentAfter || l.trying {
+	if l.timeouts < l.pool.cfg.SilentAfter<<min(l.unanswered, maxUnanswered) || l.trying {
 		return
 	}
 	l.trying = true
@@ -116,6 +123,7 @@
 	l.mu.Lock()
 	l.trying = false
 	l.timeouts = 0
+	l.unanswered++
 	old := l.conn
 	if l.closed {
 		l.mu.Unlock()
