Bound the garbage of a large fleet's hosts by a size

Change: the growth is adapted each 2 s so that garbage takes 12 MB, or half of the live heap if that is more; a live heap of up to 4 MB keeps the factor of four. Test: the factor by live heap.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -143,9 +143,6 @@
 	// memoryShare is the part of the memory limit, in percent, that is the Go runtime's
 	// limit. The rest is for memory that the runtime does not count, such as socket buffers.
 	memoryShare = 75
-	// gcPercent lets the heap grow to four times the live heap before a collection: the
-	// live heap of a process is a few megabytes, and collections cost processor time.
-	gcPercent = 300
 )
 
 // startRouted starts the parts: the peer address first, as replicas need it to find each
@@ -168,6 +165,9 @@
 		return err
 	}
 	d.tasks.run("heartbeats", g.members.Run)
+	if g.d.cfg.Limits.MemoryMB > 0 {
+		d.tasks.run("pace of collections", paceGC)
+	}
 	d.tasks.run("news", g.news.Run)
 	d.tasks.run("suspects", g.suspects.Run)
 	d.tasks.run("store suspects", g.suspects.RunStore)
