--- a/internal/controller/members/freshness_test.go
+++ b/internal/controller/members/freshness_test.go
@@ -90,6 +90,18 @@
 	return n, regs
 }
 
+// registered returns all hosts as the control group lists them.
+func (n *network) registered() []*pb.HostInfo {
+	var out []*pb.HostInfo
+	for _, c := range n.hosts {
+		self := c.cfg.Membership.Self
+		out = append(out, &pb.HostInfo{
+			Host: self.Host, Incarnation: self.Incarnation, Zone: self.Zone, PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress,
+		})
+	}
+	return out
+}
+
 // TestAnnouncementsReachLargeFleetWhileFresh has each server announce itself to one of 75
 // hosts every 1.2 s. Heartbeats to one neighbor every 250 ms pass the announcements on, and
 // most hosts receive them after 2 to 4 s. When states from a host with an unknown transit time
@@ -147,13 +159,7 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		n, regs := newLargeFleet(hosts, interval)
-		var registered []*pb.HostInfo
-		for _, c := range n.hosts {
-			self := c.cfg.Membership.Self
-			registered = append(registered, &pb.HostInfo{
-				Host: self.Host, Incarnation: self.Incarnation, Zone: self.Zone, PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress,
-			})
-		}
+		registered := n.registered()
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		for _, c := range n.hosts {
--- a/internal/controller/members/sync_test.go
+++ b/internal/controller/members/sync_test.go
@@ -62,13 +62,7 @@
 func startServerFleet(t testing.TB, hosts, serversPerHost int) *serverFleet {
 	n, registries := newLargeFleet(hosts, simInterval)
 	f := &serverFleet{network: n, registries: registries, servers: hosts * serversPerHost}
-	var registered []*pb.HostInfo
-	for _, c := range n.hosts {
-		self := c.cfg.Membership.Self
-		registered = append(registered, &pb.HostInfo{
-			Host: self.Host, Incarnation: self.Incarnation, Zone: self.Zone, PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress,
-		})
-	}
+	registered := n.registered()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for _, c := range n.hosts {
--- a/internal/membership/start_test.go
+++ b/internal/membership/start_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -97,3 +98,32 @@
 		}
 	}
 }
+
+// Guards against hosts of a large fleet that all start at once and whose heartbeats keep the few seeds, the only
+// hosts that they know, from registering them.
+func TestHostContactsSeedsRarelyBeforeItsRegistration(t *testing.T) {
+	contacts := func(answered bool) (n int) {
+		h := New(Config{Self: Self{Host: "h", PeerAddress: "h"}, Seeds: []string{"a", "b", "c"}}, rand.New(rand.NewPCG(1, 2)))
+		for range 120 {
+			for _, target := range h.Tick() {
+				n++
+				if !answered {
+					h.MarkUnanswered(h.Now(), target.Host)
+					continue
+				}
+				from := &pb.Holder{Host: "host-" + target.Address, Incarnation: 9}
+				if target.Host != "" {
+					from.Host = target.Host
+				}
+				h.ReceiveReply(h.Now(), target.Host, &pb.HeartbeatReply{From: from, State: &pb.HeartbeatRequest{From: from, PeerAddress: from.Host}})
+			}
+		}
+		return n
+	}
+	if n := contacts(true); n < 20 || n > 45 {
+		t.Errorf("%d contacts in 120 ticks that are all answered, want about 30", n)
+	}
+	if n := contacts(false); n < 3 || n > 12 {
+		t.Errorf("%d contacts in 120 ticks of which none is answered, want a few", n)
+	}
+}
