Predict the waits at servers by the speed that they tell

Cause: servers of the two new customers add a fourth figure to their load, how long work takes on their machine just now. The decoder wanted exactly three figures and dropped the report; and the load that was stored was read by no decision. The speed is averaged and multiplies the predicted time of the prefill and of the requests that run. The three other figures, which no decision needs, are no longer carried. Ruled out: following the last report (older than the changes it tells of).

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -73,7 +73,9 @@
 
 // Load is the load that a server reports with an answer.
 type Load struct {
-	Running, Waiting, Slots int
+	// Slowdown is how much longer than usual work takes on the server's machine at present, as a
+	// factor; 0: not reported.
+	Slowdown float64
 }
 
 // Result is the outcome of a request as far as it bears on the health of the server.
@@ -273,7 +275,7 @@
 	if w.Engine {
 		cand.cached = s.cache.cached(w.Prompt)
 		uncached := w.PromptTokens - min(cand.cached, w.PromptTokens)
-		cand.wait = prefillTime(s.backlog(now)+float64(uncached)) + s.residualLateness(now) + time.Duration(s.running)*runningPenalty
+		cand.wait = s.slowdown.scale(now, prefillTime(s.backlog(now)+float64(uncached))+time.Duration(s.running)*runningPenalty) + s.residualLateness(now)
 		cand.delayToOthers = time.Duration(float64(prefillTime(float64(uncached))) * queuedPerUtilization * s.utilization(now))
 	} else {
 		cand.wait = s.serviceTime(inst.Slots)
@@ -422,7 +424,7 @@
 
 // ReportLoad records the load that a server reports.
 func (c *Core) ReportLoad(now time.Time, inc instance.Incarnation, l Load) {
-	c.server(inc).recordReport(now, l)
+	c.server(inc).slowdown.record(now, l.Slowdown)
 }
 
 // HealthChange is the change of a server's health by the end of a request.
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -26,8 +26,7 @@
 	lateness   time.Duration
 	latenessAt time.Time
 
-	reportedAt time.Time
-	report     Load
+	slowdown slowdown
 
 	// answerTime is the moving average of a plain service's answer time.
 	answerTime time.Duration
@@ -142,8 +141,6 @@
 	}
 }
 
-func (s *server) recordReport(now time.Time, l Load) { s.reportedAt, s.report = now, l }
-
 // serviceTime predicts the answer time of a plain service for one more request.
 func (s *server) serviceTime(slots int) time.Duration {
 	took := max(s.answerTime, time.Millisecond)
--- a/internal/controller/assign/lease.go
+++ b/internal/controller/assign/lease.go
@@ -37,7 +37,7 @@
 
 // Report implements relay.Lease. The load is sent with the next report to the owner.
 func (l *remoteLease) Report(load balance.Load) {
-	l.load = &pb.ServerLoad{Running: int64(load.Running), Waiting: int64(load.Waiting), Slots: int64(load.Slots)}
+	l.load = &pb.ServerLoad{Slowdown: load.Slowdown}
 }
 
 // CoolDown implements relay.Lease.
--- a/internal/controller/assign/owner.go
+++ b/internal/controller/assign/owner.go
@@ -76,7 +76,7 @@
 		return
 	}
 	if l := r.GetLoad(); l != nil {
-		as.lease.Report(balance.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots())})
+		as.lease.Report(balance.Load{Slowdown: l.GetSlowdown()})
 	}
 	if r.GetFirst() {
 		as.lease.FirstByte()
