Let the digest of a registry cover all that hosts must agree on

Cause: reading the change: a peer that sends its position and a digest gets no change in the parts where the digests are equal, and the digest left out address, slots, service, zone, version and whether a server is cold. Such a change came by the broadcast (cold servers) or by the receiver's own heartbeats, but not by a third host. Change: the sum of an instance covers them. A server counts as cold in it until its announced warm-up ends, at every host by its own clock, so that registries agree afterwards.

--- a/internal/instance/receiver.go
+++ b/internal/instance/receiver.go
@@ -101,6 +101,7 @@
 			state.aliveAt = now
 		}
 	}
+	r.endWarmups(now)
 	for id, i := range r.own {
 		if i.Ended || i.Silent || now.Sub(i.LastAnnounced) < r.cfg.Lapse {
 			continue
@@ -133,6 +134,7 @@
 		return
 	}
 	r.index(i.Service).refresh(i)
+	r.setCold(i, i.WarmupLeft > 0 && !i.Ended)
 	class := changelog.Unnoted
 	switch {
 	case changed && (i.Draining || i.Ended):
@@ -150,17 +152,43 @@
 		return 0
 	}
 	flags := byte(0)
-	if i.Draining {
-		flags |= 1
-	}
-	if i.Silent {
-		flags |= 2
-	}
-	buf := make([]byte, 0, 128)
-	buf = append(buf, i.ID...)
-	buf = binary.LittleEndian.AppendUint64(buf, i.Started)
-	buf = append(buf, flags)
-	buf = append(buf, i.Receiver.Host...)
-	buf = binary.LittleEndian.AppendUint64(buf, i.Receiver.Incarnation)
-	return uint32(xxhash.Sum64(buf))
+	for bit, set := range []bool{i.Draining, i.Silent, i.cold} {
+		if set {
+			flags |= 1 << bit
+		}
+	}
+	buf := make([]byte, 0, 256)
+	for _, text := range []string{i.ID, i.Address, i.Service, i.Zone, i.Version, i.Receiver.Host} {
+		buf = append(append(buf, text...), 0)
+	}
+	for _, n := range []uint64{i.Started, uint64(i.Slots), i.Receiver.Incarnation} {
+		buf = binary.LittleEndian.AppendUint64(buf, n)
+	}
+	return uint32(xxhash.Sum64(append(buf, flags)))
+}
+
+// setCold records whether an instance counts as cold in the digest.
+func (r *Registry) setCold(i *Instance, cold bool) {
+	i.cold = cold
+	if cold {
+		r.cold[i.ID] = true
+	} else {
+		delete(r.cold, i.ID)
+	}
+}
+
+// endWarmups takes instances as warm whose announced warm-up has ended. Their receivers hear of it, but do not
+// report it.
+func (r *Registry) endWarmups(now time.Time) {
+	for id := range r.cold {
+		i := r.instances[id]
+		if i != nil && now.Before(i.LastAnnounced.Add(i.WarmupLeft)) {
+			continue
+		}
+		delete(r.cold, id)
+		if i != nil {
+			i.cold = false
+			r.log.Record(id, i.sum(), changelog.Unnoted, "")
+		}
+	}
 }
--- a/internal/instance/receiver_test.go
+++ b/internal/instance/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -169,3 +170,41 @@
 		t.Errorf("the warm-up ends after %v, want 20 s", end.Sub(start))
 	}
 }
+
+// Guards against a change that a peer never gets because its digest says that it has the newest state: one of
+// the address, the slots, or that the server has become cold.
+func TestChangesShowInTheDigest(t *testing.T) {
+	for name, change := range map[string]func(*Announcement){
+		"address": func(a *Announcement) { a.Address = "10.0.0.9:80" },
+		"slots":   func(a *Announcement) { a.Slots = 9 },
+		"cold":    func(a *Announcement) { a.WarmupLeft = 20 * time.Second },
+		"leaving": func(a *Announcement) { a.Draining = true },
+	} {
+		f := newReceiverFixture(t)
+		at := f.receiver.log.End()
+		a := ready("a", 2)
+		change(&a)
+		if !f.receiver.Announce(f.now, a) {
+			t.Errorf("%s: no change", name)
+		}
+		states, _ := f.receiver.ChangesSince(f.now, at, 10, "o", f.other.Digest())
+		if len(states) != 1 {
+			t.Errorf("%s: %d states for a peer that has the former one", name, len(states))
+		}
+	}
+}
+
+// Guards against registries that differ for ever after a server was cold, so that hosts send each other all.
+func TestDigestsAgreeAfterAWarmup(t *testing.T) {
+	f := newReceiverFixture(t)
+	cold := ready("a", 2)
+	cold.WarmupLeft = 5 * time.Second
+	f.receiver.Announce(f.now, cold)
+	f.exchange(t)
+	f.now = f.now.Add(6 * time.Second)
+	f.announce(3) // warm
+	f.pass(time.Second)
+	if !slices.Equal(f.receiver.Digest(), f.other.Digest()) {
+		t.Error("the digests differ after the warm-up has ended")
+	}
+}
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -62,6 +62,8 @@
 	hash uint64
 	// counted is its state in the index of its service.
 	counted usability
+	// cold reports that it counts as cold in the digest.
+	cold bool
 	// incUnknown reports that its end was announced without an incarnation, and none was known.
 	incUnknown bool
 	// Evacuated reports that its availability zone is evacuated.
@@ -85,8 +87,10 @@
 	// log holds the ids of the instances in the order of their last change.
 	log *changelog.Log
 	// self is this host as a receiver. own holds the instances that announce themselves here.
-	self      Receiver
-	own       map[string]*Instance
+	self Receiver
+	own  map[string]*Instance
+	// cold holds the ids of the instances that count as cold in the digest.
+	cold      map[string]bool
 	receivers map[Receiver]*receiverState
 }
 
@@ -103,6 +107,7 @@
 		log:       changelog.New(),
 		self:      Receiver{Host: cfg.Host},
 		own:       make(map[string]*Instance),
+		cold:      make(map[string]bool),
 		receivers: make(map[Receiver]*receiverState),
 	}
 }
