Answer a registration at a cost that does not grow with the fleet

Change: hosts are kept in the order of their names' hashes, and the answer has those that follow the host; dead incarnations are listed for readers of all hosts only, which repair them.

--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -612,3 +612,17 @@
 		t.Errorf("%d hosts known", len(known))
 	}
 }
+
+// BenchmarkRegisterHost prints, for docs/CAPACITY.md, what a registration costs each replica.
+func BenchmarkRegisterHost(b *testing.B) {
+	for _, hosts := range []int{100, 1000, 2000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			s := New(Options{})
+			for n := 0; b.Loop(); n++ {
+				if _, err := s.RegisterHost(Record{Index: uint64(n + 1)}, &pb.RegisterHost{Host: fmt.Sprint("h", n%hosts), BootId: fmt.Sprint(n)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/ledger/image.go
+++ b/internal/ledger/image.go
@@ -127,7 +127,7 @@
 	fresh.registry.lastIncarnation = im.LastHolder
 	fresh.registry.recovered = slices.Clone(im.Recovered)
 	for _, h := range im.Hosts {
-		fresh.registry.hosts[h.Name] = &h
+		fresh.registry.add(&h)
 	}
 	for _, inc := range im.Open {
 		fresh.registry.unrecovered[inc.Number] = &inc
--- a/internal/ledger/registry.go
+++ b/internal/ledger/registry.go
@@ -31,6 +31,8 @@
 	hosts           map[string]*host
 	unrecovered     map[uint64]*incarnation
 	recovered       []recovery
+	// order holds the hosts in the order of their names' hashes, control those that run a replica.
+	order, control []*host
 }
 
 // host is one entry host.
@@ -43,6 +45,8 @@
 	Incarnation   uint64 `json:"incarnation"`
 	Removed       bool   `json:"removed,omitempty"`
 	Boots         []boot `json:"boots"`
+	// hash of the name.
+	hash uint64
 }
 
 // boot is one start of a host's process.
@@ -154,7 +158,7 @@
 	h := g.hosts[c.Host]
 	if h == nil {
 		h = &host{Name: c.Host}
-		g.hosts[c.Host] = h
+		g.add(h)
 	}
 	b, known := h.boot(c.BootId)
 	if !known {
@@ -173,23 +177,46 @@
 // time for anything else.
 const hostsPerAnswer = 256
 
-// hostsFor returns hosts for the answer to a host's registration: those that run a replica, and others chosen
-// by rendezvous hash.
+// hostsFor returns hosts for the answer to a host's registration, without their dead incarnations: those that
+// run a replica, and those that follow the host in the order of their names' hashes.
 func (g *registry) hostsFor(name string) []*pb.HostInfo {
-	all := slices.Collect(maps.Values(g.hosts))
-	if len(all) > hostsPerAnswer {
-		key := rendezvous.Hash(name)
-		ranks := make(map[string]uint64, len(all))
-		for _, h := range all {
-			ranks[h.Name] = rendezvous.Rank(key, rendezvous.Hash(h.Name)) >> 1
-			if h.Control {
-				ranks[h.Name] |= 1 << 63
-			}
+	if len(g.order) <= hostsPerAnswer {
+		return describe(g.order, nil)
+	}
+	out := slices.Clone(g.control)
+	at, _ := slices.BinarySearchFunc(g.order, rendezvous.Hash(name), compareHash)
+	for i := range g.order {
+		h := g.order[(at+i)%len(g.order)]
+		if len(out) >= hostsPerAnswer {
+			break
+		}
+		if !h.Control {
+			out = append(out, h)
 		}
-		slices.SortFunc(all, func(a, b *host) int { return cmp.Compare(ranks[b.Name], ranks[a.Name]) })
-		all = all[:hostsPerAnswer]
 	}
-	return g.describe(all)
+	return describe(out, nil)
+}
+
+func compareHash(h *host, hash uint64) int { return cmp.Compare(h.hash, hash) }
+
+// add adds a host.
+func (g *registry) add(h *host) {
+	h.hash = rendezvous.Hash(h.Name)
+	g.hosts[h.Name] = h
+	at, _ := slices.BinarySearchFunc(g.order, h.hash, compareHash)
+	g.order = slices.Insert(g.order, at, h)
+	g.indexControl(h)
+}
+
+// indexControl records whether a host runs a replica.
+func (g *registry) indexControl(h *host) {
+	at := slices.Index(g.control, h)
+	switch {
+	case h.Control && at < 0:
+		g.control = append(g.control, h)
+	case !h.Control && at >= 0:
+		g.control = slices.Delete(g.control, at, at+1)
+	}
 }
 
 func (h *host) boot(id string) (boot, bool) {
@@ -207,6 +234,7 @@
 	b := boot{ID: c.BootId, Incarnation: g.lastIncarnation, Former: h.Incarnation}
 	h.Zone, h.CallerAddress, h.PeerAddress, h.Control = c.Zone, c.CallerAddress, c.PeerAddress, c.Control
 	h.Incarnation, h.Removed = g.lastIncarnation, false
+	g.indexControl(h)
 	h.Boots = append(h.Boots, b)
 	if len(h.Boots) > maxBoots {
 		h.Boots = slices.Delete(h.Boots, 0, 1)
@@ -240,9 +268,9 @@
 	return nil
 }
 
-// Hosts returns the hosts, sorted by name.
+// Hosts returns the hosts with their dead incarnations, sorted by name.
 func (s *State) Hosts() []*pb.HostInfo {
-	return s.registry.describe(slices.Collect(maps.Values(s.registry.hosts)))
+	return describe(s.registry.order, s.registry.deadByHost())
 }
 
 // HostsAfter returns the hosts that are removed, and the first hostsPerAnswer of those that have registered
@@ -258,7 +286,7 @@
 		}
 	}
 	slices.SortFunc(later, func(a, b *host) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-	return s.registry.describe(append(removed, later[:min(len(later), hostsPerAnswer)]...))
+	return describe(append(removed, later[:min(len(later), hostsPerAnswer)]...), nil)
 }
 
 // Live returns an error unless the holder is its host's current live incarnation.
@@ -267,19 +295,27 @@
 	return err
 }
 
-// describe returns descriptions of hosts, sorted by name.
-func (g *registry) describe(hosts []*host) []*pb.HostInfo {
-	unrecovered := make(map[string][]uint64)
-	for _, number := range slices.Sorted(maps.Keys(g.unrecovered)) {
-		if inc := g.unrecovered[number]; inc.Dead {
-			unrecovered[inc.Host] = append(unrecovered[inc.Host], number)
+// deadByHost returns the dead incarnations whose grants are still locked, by host.
+func (g *registry) deadByHost() map[string][]uint64 {
+	dead := make(map[string][]uint64)
+	for number, inc := range g.unrecovered {
+		if inc.Dead {
+			dead[inc.Host] = append(dead[inc.Host], number)
 		}
 	}
-	var out []*pb.HostInfo
+	for _, numbers := range dead {
+		slices.Sort(numbers)
+	}
+	return dead
+}
+
+// describe returns descriptions of hosts, sorted by name, with the given dead incarnations.
+func describe(hosts []*host, dead map[string][]uint64) []*pb.HostInfo {
+	out := make([]*pb.HostInfo, 0, len(hosts))
 	for _, h := range hosts {
 		out = append(out, &pb.HostInfo{
 			Host: h.Name, Zone: h.Zone, CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Control: h.Control,
-			Incarnation: h.Incarnation, Removed: h.Removed, Unrecovered: unrecovered[h.Name],
+			Incarnation: h.Incarnation, Removed: h.Removed, Unrecovered: dead[h.Name],
 		})
 	}
 	slices.SortFunc(out, func(a, b *pb.HostInfo) int { return strings.Compare(a.GetHost(), b.GetHost()) })
