Fetch servers repeatedly only from hosts without a replica

Cause: a host that lacks more servers than fit into a reply asks again at once, and before its registration the only hosts it knows are the seeds. Change: no repeated questions before registration, and none to control hosts. Test: which hosts may be asked.

--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -62,7 +62,7 @@
 // the servers that this host lacks, it sends further ones until the next tick, to one host at a time:
 // several hosts would send the same servers.
 func (c *Controller) send(ctx context.Context, b heartbeat) {
-	if !c.sendOnce(ctx, b) || !c.pulling.CompareAndSwap(false, true) {
+	if !c.sendOnce(ctx, b) || !c.mayPull(b.target.Host) || !c.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	defer c.pulling.Store(false)
@@ -73,6 +73,13 @@
 	}
 }
 
+// mayPull reports whether further heartbeats may be sent to a host within a tick. Hosts that run a replica are
+// left alone: all hosts of a fleet that starts know them, and none but them before it is registered.
+func (c *Controller) mayPull(host string) bool {
+	p, known := findPeer(c.Peers(), host)
+	return known && !p.Control && c.self().GetIncarnation() > 0
+}
+
 // sendOnce sends one heartbeat and reports whether another one would bring further servers.
 func (c *Controller) sendOnce(ctx context.Context, b heartbeat) (more bool) {
 	callCtx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
--- a/internal/controller/members/sync_test.go
+++ b/internal/controller/members/sync_test.go
@@ -249,3 +249,28 @@
 	reply.State.ServerSync = nil
 	return reply
 }
+
+// Guards against hosts of a fleet that starts and that all fetch all servers from the few hosts that they know,
+// those with a replica, which have no time for the registrations then.
+func TestHostsWithAReplicaAreNotAskedRepeatedly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startServerFleet(t, 3, 300)
+		defer f.stop()
+		for _, host := range []string{"h1", "h2"} {
+			f.hosts[host].mu.Lock()
+			f.hosts[host].table.SetIncarnation(7)
+			f.hosts[host].mu.Unlock()
+		}
+		c := f.hosts["h0"]
+		c.peers.Store(&[]PeerInfo{{Host: "h1", Control: true}, {Host: "h2"}})
+		if c.mayPull("h1") || !c.mayPull("h2") || c.mayPull("unknown") {
+			t.Error("only hosts without a replica may be asked repeatedly")
+		}
+		c.mu.Lock()
+		c.table.SetIncarnation(0)
+		c.mu.Unlock()
+		if c.mayPull("h2") {
+			t.Error("a host that is not registered asks repeatedly")
+		}
+	})
+}
