Compare registries now and then even if the position is known

Cause: reading the change: a host that forgets servers, as after a partition of more than two minutes, kept its position in its peers' changes, so that in a full mesh servers which did not change never came again. Change: each 60 heartbeats to a peer carry the digest in place of the position. Test: a host that forgets all servers knows them again within a minute (failed before). Measured: tests of members, daemon and docs.

--- a/internal/controller/members/sync.go
+++ b/internal/controller/members/sync.go
@@ -20,6 +20,11 @@
 // that size takes 25 ms on a link of 10 Mbit/s.
 const maxServers = 256
 
+// compareEvery is the number of heartbeats to a peer after which the registries are compared by digest even if
+// the position is known: this host may have forgotten servers that have not changed since, as it does in a long
+// network partition.
+const compareEvery = 60
+
 // serverSync holds how far this host and each peer to which it sends heartbeats have exchanged the states of
 // backend servers. It is safe for concurrent use.
 type serverSync struct {
@@ -36,6 +41,8 @@
 	// complete.
 	pulled   changelog.Position
 	complete bool
+	// replies is the number of replies of the peer.
+	replies int
 	// digest is a hash of this host's digest after the last reply.
 	digest uint64
 	// earlierVersion reports that the peer pulls nothing, so that it gets all changes pushed.
@@ -92,6 +99,9 @@
 // host has of the peer's.
 func (c *Controller) addServers(b *heartbeat) {
 	p := c.sync.get(b.target.Host)
+	if p.replies%compareEvery == compareEvery-1 {
+		p.complete = false
+	}
 	digest := c.cfg.Registry.ServerDigest()
 	b.request.ServerSync = &pb.ServerSync{
 		Incarnation: p.incarnation, Complete: p.complete, Urgent: p.pulled.Urgent, Normal: p.pulled.Normal,
@@ -133,6 +143,7 @@
 	s := reply.GetState().GetServerSync()
 	c.sync.update(reply.GetFrom(), func(p *peerSync) {
 		p.digest = digest
+		p.replies++
 		if p.earlierVersion != (s == nil) {
 			*p = peerSync{incarnation: p.incarnation, digest: digest, earlierVersion: s == nil}
 			return
--- a/internal/controller/members/sync_test.go
+++ b/internal/controller/members/sync_test.go
@@ -274,3 +274,23 @@
 		}
 	})
 }
+
+// Guards against a host that never gets servers again which it has forgotten, as after a long network partition:
+// its peers believe that it has them, and they do not change.
+func TestForgottenServersComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startServerFleet(t, 4, 10)
+		f.run(16 * time.Second)
+		f.registries[1].mu.Lock()
+		f.registries[1].reg = instance.New(instance.Config{Host: "h1"})
+		f.registries[1].reg.SetIncarnation(2)
+		f.registries[1].mu.Unlock()
+		f.run(60 * time.Second)
+		f.stop()
+		for s := range f.servers {
+			if _, known := f.registries[1].reg.Get(serverID(s)); !known {
+				t.Fatalf("server %d is not known a minute after it was forgotten", s)
+			}
+		}
+	})
+}
