Log and count how backend servers frame their answers

Cause: a truncated answer of a server that closes its connection in the regular way can't be told from a whole one in the logs, as they do not say whether the answer had a length or chunks.

Change: an attempt records the framing of the answer. The request's line says framing=none for an answer that ends with its connection; the counter routed.framings has all three. An answer to HEAD counts as framed.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -174,6 +174,9 @@
 		if a.Early {
 			event = event.Bool("early", true)
 		}
+		if a.Framing == relay.Unframed {
+			event = event.Str("framing", string(a.Framing))
+		}
 		if a.Detail != "" {
 			event = event.Str("detail", a.Detail)
 		}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -22,6 +22,8 @@
 	refused  expvar.Map
 	// earlyAnswers counts server answers that began before the whole request was sent.
 	earlyAnswers expvar.Int
+	// framings counts server answers by relay.Framing.
+	framings expvar.Map
 	// firstByte has the time to the first byte of a server's answer, took the duration of the
 	// whole request, both by kind of route.
 	firstByte map[string]*telemetry.Histogram
@@ -39,6 +41,7 @@
 	m.vars.Set("endings", &m.endings)
 	m.vars.Set("refused", &m.refused)
 	m.vars.Set("early_answers", &m.earlyAnswers)
+	m.vars.Set("framings", &m.framings)
 	for _, kind := range kindNames {
 		m.firstByte[kind], m.took[kind] = telemetry.NewHistogram(), telemetry.NewHistogram()
 		m.vars.Set("first_byte_"+kind, m.firstByte[kind])
@@ -66,6 +69,9 @@
 		if a.Early {
 			m.earlyAnswers.Add(1)
 		}
+		if a.Framing != "" {
+			m.framings.Add(string(a.Framing), 1)
+		}
 		if h := m.firstByte[kind]; h != nil && a.FirstByte > 0 {
 			h.Observe(a.FirstByte)
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -154,6 +154,33 @@
 	CooldownLeft, Cooldown time.Duration
 	// Early is set if the server answered before the whole request was sent to it.
 	Early bool
+	// Framing is how the server marked the end of its answer; empty without an answer.
+	Framing Framing
+}
+
+// Framing is how the sender of an answer marks the end of its body. The list is closed.
+type Framing string
+
+// Framings.
+const (
+	// FramedByLength: the answer has a Content-Length.
+	FramedByLength Framing = "length"
+	// FramedByChunks: the answer is chunked and ends with a last chunk.
+	FramedByChunks Framing = "chunks"
+	// Unframed: the answer ends when its connection does. The kernel closes the connections of a
+	// process that crashes in the same way, so that a truncated answer may look whole.
+	Unframed Framing = "none"
+)
+
+// FramingOf returns how the body of an answer is framed.
+func FramingOf(res *http.Response) Framing {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return FramedByChunks
+	case res.ContentLength >= 0, res.Request != nil && res.Request.Method == http.MethodHead:
+		return FramedByLength
+	}
+	return Unframed
 }
 
 // maxDetail bounds an error's text in the log, in bytes: it may quote what a server sent.
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		out = t.handleNoAnswer(err)
 	} else {
-		note.FirstByte = time.Since(started)
+		note.FirstByte, note.Framing = time.Since(started), relay.FramingOf(res)
 		if t.x.Service.Engine == nil && t.f.ObservePlain != nil {
 			t.f.ObservePlain(note.FirstByte)
 		}
@@ -74,10 +74,6 @@
 	return out
 }
 
-// framed reports whether the end of an answer can be distinguished from the end of its connection.
-// Where it can't, the truncated answer of a server that crashes looks complete.
-func framed(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
-
 // handleNoAnswer returns the outcome of an attempt that received no answer.
 func (t *task) handleNoAnswer(err error) outcome {
 	result := balance.Unreachable
@@ -109,7 +105,7 @@
 
 // servedOutcome returns the outcome of an attempt whose answer was sent to the caller.
 func servedOutcome(res *http.Response) outcome {
-	whole := framed(res) && res.StatusCode < http.StatusInternalServerError
+	whole := relay.FramingOf(res) != relay.Unframed && res.StatusCode < http.StatusInternalServerError
 	return outcome{cause: engineclient.CauseAnswered, result: balance.Served, complete: whole}
 }
 
