Tests: streams that end inside an event reach callers as whole answers

What callers see: a 200 with half a stream, properly ended.

The property test over sockets drew no such close (it made each short unframed answer end with a reset) and cut most answers within their headers. It now cuts in the body as well, and resets only what can't be told from a whole answer.

--- a/internal/relay/forward/property_test.go
+++ b/internal/relay/forward/property_test.go
@@ -29,8 +29,9 @@
 	// unframed is set if the answer has neither a length nor chunks and ends with its connection.
 	unframed bool
 	// sent is how much of the answer is sent, in thousandths of it; the constant whole means all of
-	// it.
-	sent int
+	// it. With inBody the header is sent in any case, and sent is in thousandths of the body.
+	sent   int
+	inBody bool
 	// piece is how much is written at a time, in bytes.
 	piece int
 	// reset is set if a connection that ends early ends with a reset.
@@ -39,19 +40,25 @@
 
 const whole = 1000
 
+// cut returns how many bytes of the answer are sent.
+func (a arrival) cut(answer string) int {
+	head := 0
+	if a.inBody {
+		head = strings.Index(answer, "\r\n\r\n") + len("\r\n\r\n")
+	}
+	return head + (len(answer)-head)*a.sent/whole
+}
+
 func arrivals(t *rapid.T) []arrival {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) arrival {
 		a := arrival{
 			unread: rapid.IntRange(0, 9).Draw(t, "unread") == 0, unframed: rapid.Bool().Draw(t, "unframed"),
 			sent: rapid.IntRange(0, whole).Draw(t, "sent"), piece: rapid.IntRange(1, 200).Draw(t, "piece"),
-			reset: rapid.Bool().Draw(t, "reset"),
+			reset: rapid.Bool().Draw(t, "reset"), inBody: rapid.Bool().Draw(t, "in body"),
 		}
 		if rapid.Bool().Draw(t, "sound") {
 			a.sent = whole
 		}
-		if a.unframed && a.sent < whole {
-			a.reset = true // a regular close would mark the end of the answer
-		}
 		return a
 	}), 2, 2).Draw(t, "arrivals")
 }
@@ -99,7 +106,10 @@
 		if a.unframed {
 			answer = unframed(req)
 		}
-		answer = answer[:len(answer)*a.sent/whole]
+		answer = answer[:a.cut(answer)]
+		if a.unframed && a.sent < whole && looksWhole(answer) {
+			a.reset = true // nothing in the bytes tells a regular close from the end of the answer
+		}
 		for len(answer) > 0 {
 			n := min(a.piece, len(answer))
 			if _, err := io.WriteString(c, answer[:n]); err != nil {
@@ -114,6 +124,17 @@
 	}
 }
 
+// looksWhole reports whether an unframed answer of which only the given part was sent looks like a
+// whole one if its connection is closed in the regular way: a stream that ends between two events,
+// and any other body.
+func looksWhole(sent string) bool {
+	head, body, begun := strings.Cut(sent, "\r\n\r\n")
+	if !begun {
+		return false
+	}
+	return !strings.Contains(head, "text/event-stream") || body == "" || strings.HasSuffix(body, "\n\n")
+}
+
 // unframed returns the answer to a request in a form that ends with its connection.
 func unframed(req *http.Request) string {
 	head := "HTTP/1.1 200 OK\r\n" + hID + ": " + req.Header.Get(hID) + "\r\nConnection: close\r\n"
--- /dev/null
+++ b/internal/relay/forward/truncated_test.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
+)
+
+// framings are the ways in which a server may mark the end of a stream.
+var framings = map[relay.Framing]func(*http.Response){
+	relay.Unframed:       func(res *http.Response) { res.ContentLength = -1 },
+	relay.FramedByChunks: func(res *http.Response) { res.ContentLength, res.TransferEncoding = -1, []string{"chunked"} },
+	relay.FramedByLength: func(*http.Response) {},
+}
+
+// closedStream returns a stream of the given content whose connection is then closed in the regular
+// way.
+func closedStream(content string, frame func(*http.Response)) *http.Response {
+	res := stream(content, nil)
+	frame(res)
+	return res
+}
+
+// Guards against ending the caller's answer properly when a server's stream ends inside an event
+// without a read error.
+func TestStreamThatEndsInsideAnEventIsResumed(t *testing.T) {
+	all := event(1) + event(2) + event(3) + event(4)
+	for framing, frame := range framings {
+		t.Run(string(framing), func(t *testing.T) {
+			r := newRun(t, routes.Stream, answers(closedStream(event(1)+event(2)+"id: 3\nda", frame)), answers(closedStream(event(3)+event(4), frame)))
+			r.route.Resumable = true
+			if err := r.do(); err != nil || r.aborted {
+				t.Fatalf("got %v, aborted %v", err, r.aborted)
+			}
+			if got := r.w.Body.String(); got != all {
+				t.Errorf("the caller got %q", got)
+			}
+			if len(r.servers.got) != 2 || r.servers.got[1].Header.Get(hAfter) != "2" {
+				t.Errorf("%d attempts, want a second one that resumes after event 2", len(r.servers.got))
+			}
+		})
+	}
+}
+
+// Guards against the same on a route whose streams can't be resumed.
+func TestStreamThatEndsInsideAnEventIsAborted(t *testing.T) {
+	for framing, frame := range framings {
+		t.Run(string(framing), func(t *testing.T) {
+			r := newRun(t, routes.Stream, answers(closedStream(event(1)+"id: 2\ndata: x\n", frame)))
+			wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanYes)
+			if !r.aborted || r.w.Body.String() != event(1) {
+				t.Errorf("aborted %v, the caller got %q", r.aborted, r.w.Body)
+			}
+		})
+	}
+}
+
+// Guards against a stream of half an event that is passed on as a whole answer.
+func TestStreamThatEndsInsideItsFirstEvent(t *testing.T) {
+	for framing, frame := range framings {
+		t.Run(string(framing), func(t *testing.T) {
+			r := newRun(t, routes.Stream, answers(closedStream("id: 1\nda", frame)), answers(closedStream(event(1), frame)))
+			r.route.Resumable = true
+			if err := r.do(); err != nil || r.w.Body.String() != event(1) {
+				t.Errorf("resumable: got %v, %q", err, r.w.Body)
+			}
+			r = newRun(t, routes.Stream, answers(closedStream("id: 1\nda", frame)))
+			wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanUnknown)
+			if r.aborted || r.w.Body.Len() > 0 {
+				t.Errorf("not resumable: aborted %v, the caller got %q", r.aborted, r.w.Body)
+			}
+		})
+	}
+}
