Split streams at lines that end in CR, and skip a byte-order mark

Cause: the splitter knew events whose lines end in LF or CR LF. A stream whose lines end in CR alone, which the format allows, was held back and passed on at its end. A byte-order mark hid the ID of the first event, after which a stream would have been resumed.

Change: both parsers of streams find line ends with the same code. The splitter searches each byte once; before, it searched the buffer anew with each read.

--- a/internal/sse/counter.go
+++ b/internal/sse/counter.go
@@ -6,14 +6,19 @@
 // maxLine bounds how many bytes of a line are kept; IDs are short.
 const maxLine = 256
 
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\xEF\xBB\xBF")
+
 // Counter counts the events of a stream and remembers the ID of the last complete one. Its
 // zero value is ready for the beginning of a stream.
 type Counter struct {
+	lines   lines
 	events  int
 	lastID  string
 	id      string
 	line    []byte
 	hasLine bool // the current event has a line
+	begun   bool // the first line has ended
 	offset  int64
 	end     int64
 }
@@ -21,16 +26,16 @@
 // Write processes the next bytes of the stream.
 func (c *Counter) Write(b []byte) {
 	for len(b) > 0 {
-		i := bytes.IndexByte(b, '\n')
-		if i < 0 {
-			c.appendToLine(b)
-			c.offset += int64(len(b))
-			return
+		text, taken, ended := c.lines.next(b)
+		c.appendToLine(text)
+		c.offset += int64(taken)
+		b = b[taken:]
+		if ended {
+			c.endLine()
+		}
+		if !c.hasLine && len(c.line) == 0 {
+			c.end = c.offset
 		}
-		c.appendToLine(b[:i])
-		c.offset += int64(i + 1)
-		c.endLine()
-		b = b[i+1:]
 	}
 }
 
@@ -41,8 +46,11 @@
 }
 
 func (c *Counter) endLine() {
-	line := bytes.TrimSuffix(c.line, []byte("\r"))
-	c.line = c.line[:0]
+	line := c.line
+	if !c.begun {
+		line = bytes.TrimPrefix(line, byteOrderMark)
+	}
+	c.line, c.begun = c.line[:0], true
 	if len(line) == 0 {
 		c.endEvent()
 		return
@@ -60,7 +68,6 @@
 	c.hasLine = false
 	c.events++
 	c.lastID = c.id
-	c.end = c.offset
 }
 
 // Events returns the number of complete events.
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -1,44 +1,55 @@
 package sse
 
-import "bytes"
-
 // maxBuffered bounds the bytes of one event that are buffered until it is complete. A longer
 // event is passed on in parts.
 const maxBuffered = 1 << 20
 
 // Splitter splits a stream at the ends of events. Its zero value is ready for the beginning of
 // a stream.
-type Splitter struct{ buffered []byte }
+type Splitter struct {
+	lines    lines
+	buffered []byte
+	// scanned is how many bytes of buffered have been searched for the end of an event.
+	scanned int
+	// inLine is set once the current line has a byte, inEvent once the current event has a line.
+	inLine, inEvent bool
+}
 
 // Split appends the next bytes of the stream and returns the events that are now complete. The
 // result is valid until the next call.
 func (s *Splitter) Split(b []byte) []byte {
 	s.buffered = append(s.buffered, b...)
-	end := lastEnd(s.buffered)
+	end := s.scan()
 	if end == 0 && len(s.buffered) > maxBuffered {
 		end = len(s.buffered)
 	}
 	whole := s.buffered[:end:end]
 	s.buffered = append([]byte(nil), s.buffered[end:]...)
+	s.scanned -= end
 	return whole
 }
 
+// scan searches the bytes not searched yet and returns the position after the last complete event;
+// 0: none ends there.
+func (s *Splitter) scan() int {
+	end := 0
+	for s.scanned < len(s.buffered) {
+		text, taken, ended := s.lines.next(s.buffered[s.scanned:])
+		s.scanned += taken
+		s.inLine = s.inLine || len(text) > 0
+		if ended {
+			s.inEvent, s.inLine = s.inLine, false
+		}
+		if !s.inLine && !s.inEvent {
+			end = s.scanned
+		}
+	}
+	return end
+}
+
 // Rest returns and removes the buffered bytes of an incomplete event.
 func (s *Splitter) Rest() []byte {
 	rest := s.buffered
-	s.buffered = nil
+	s.buffered, s.scanned = nil, 0
 	return rest
 }
-
-// lastEnd returns the position after the last complete event; 0: there is none.
-func lastEnd(b []byte) int {
-	return max(lastAfter(b, "\n\n"), lastAfter(b, "\n\r\n"))
-}
-
-func lastAfter(b []byte, end string) int {
-	i := bytes.LastIndex(b, []byte(end))
-	if i < 0 {
-		return 0
-	}
-	return i + len(end)
-}
