Treat a stream that ends inside an event as truncated

What callers saw: status 200 with part of a stream, properly ended, after the server had crashed; never sent to a second server although the route allows it.

Cause: the relay took the end of the server's body for the end of the stream. An answer without a length and without chunks ends when its connection does, and the kernel closes the connections of a crashed process in the regular way. The rest of the buffer, half an event, was passed on, and our answer ended with its last chunk. Class: the absence of a read error is taken for proof that a message is complete.

Change: a stream is whole only if its last event is; otherwise it is resumed where the route allows it, else the caller's connection is aborted or, before the first event, the request fails as one that may have run. Half an event is never passed on. An event too large to be buffered is passed on in parts; such a stream is no longer resumed within it (TestStreamTruncatedInsideALargeEvent- IsNotResumed got a second attempt before).

A stream that ends between two events can still not be told from a whole one by its bytes.

--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -132,9 +132,10 @@
 	return t.serversReached < t.x.Route.MaxAttempts && t.f.Retries.Allow(t.x.Service.Name)
 }
 
-// mayResume reports whether another server can continue an answer that has begun.
+// mayResume reports whether another server can continue an answer that has begun. It can't if the
+// caller has part of an event, since that server sends the event from its beginning.
 func (t *task) mayResume() bool {
-	return t.x.Route.Kind == routes.Stream && t.x.Route.Resumable && t.events.LastID() != ""
+	return t.x.Route.Kind == routes.Stream && t.x.Route.Resumable && t.events.LastID() != "" && t.events.IncompleteBytes() == 0
 }
 
 // takeRetryEarly is takeRetry called before the attempt fails. The attempt that it allows has to be
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -4,17 +4,23 @@
 	"io"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/sse"
 )
 
+// errEndInsideEvent is the read error of a stream whose last event is incomplete.
+var errEndInsideEvent = errors.New("it ended inside an event")
+
 // copyBuffer is the size of the reads from a stream, in bytes.
 const copyBuffer = 8 << 10
 
 // relayStream passes on the events of a stream as they arrive, whole events only: a server may stop
-// in the middle of an event, and the server that resumes the stream sends the whole event.
+// in the middle of an event, and the server that resumes the stream sends the whole event. A stream
+// that ends inside an event is truncated, however its end is framed.
 //
 // The status line is sent with the first event, so that a stream that is interrupted before its
 // first event can be replaced by that of another server, with headers of its own.
@@ -28,9 +34,11 @@
 			t.x.PromptConsumed = true
 			t.writeEvents(res, splitter.Split(buf[:n]))
 		}
+		if readErr == io.EOF && splitter.InsideEvent() {
+			readErr = errEndInsideEvent
+		}
 		switch {
 		case readErr == io.EOF:
-			t.writeEvents(res, splitter.Rest())
 			t.writeStatus(res) // the status line of a stream without events
 			return servedOutcome(res)
 		case t.ctx.Err() != nil:
--- a/internal/relay/forward/truncated_test.go
+++ b/internal/relay/forward/truncated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -75,3 +76,15 @@
 		})
 	}
 }
+
+// Guards against joining a resumed stream to part of an event: an event too large to be buffered is
+// passed on in parts.
+func TestStreamTruncatedInsideALargeEventIsNotResumed(t *testing.T) {
+	large := "id: 2\ndata: " + strings.Repeat("x", 2<<20)
+	r := newRun(t, routes.Stream, answers(closedStream(event(1)+large, framings[relay.Unframed])))
+	r.route.Resumable = true
+	wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanYes)
+	if !r.aborted {
+		t.Error("the answer was not aborted")
+	}
+}
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -47,9 +47,6 @@
 	return end
 }
 
-// Rest returns and removes the buffered bytes of an incomplete event.
-func (s *Splitter) Rest() []byte {
-	rest := s.buffered
-	s.buffered, s.scanned = nil, 0
-	return rest
-}
+// InsideEvent reports whether the stream would be truncated if it ended here: bytes have arrived
+// since the end of the last complete event.
+func (s *Splitter) InsideEvent() bool { return s.inLine || s.inEvent }
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -57,8 +57,8 @@
 			c.Write([]byte(whole))
 			left = left[cut:]
 		}
-		if got != stream.String() || string(s.Rest()) != tail {
-			t.Fatalf("got %q", got)
+		if got != stream.String() || string(s.buffered) != tail || s.InsideEvent() != (tail != "") {
+			t.Fatalf("got %q, %q is buffered, inside an event: %v", got, s.buffered, s.InsideEvent())
 		}
 		if c.Events() != n || c.IncompleteBytes() != 0 {
 			t.Fatalf("%d events of %d, %d bytes incomplete", c.Events(), n, c.IncompleteBytes())
@@ -75,8 +75,8 @@
 	if got := string(s.Split([]byte("ta: b\r\r"))); got != "id: 2\rdata: b\r\r" {
 		t.Errorf("the second event is passed on as %q", got)
 	}
-	if rest := s.Rest(); len(rest) > 0 {
-		t.Errorf("%q is left over", rest)
+	if len(s.buffered) > 0 || s.InsideEvent() {
+		t.Errorf("%q is left over", s.buffered)
 	}
 }
 
