Let the opening of connections to backend servers be replaced

Preparation for the incident of hosts without servers: engineclient.Direct is the function that opens connections, a Client may be given another one, and the environment of a process may wrap it, so that tests can cut a host off from servers below TCP's own time limits. No change of behavior.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
 	"github.com/bluebellsail/bluebellsail/internal/controller/evacuations"
 	settingsctl "github.com/bluebellsail/bluebellsail/internal/controller/settings"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/lastrun"
 	"github.com/bluebellsail/bluebellsail/internal/linkdelay"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -56,6 +57,18 @@
 	Files wal.FS
 	// Wall reads the wall clock; nil means time.Now.
 	Wall func() time.Time
+	// ServerDial wraps the function that opens direct connections to backend servers; nil means that
+	// it is used as it is.
+	ServerDial func(engineclient.DialFunc) engineclient.DialFunc
+}
+
+// directDial returns the function that opens direct connections to backend servers.
+func (d *Daemon) directDial(cfg engineclient.Config) engineclient.DialFunc {
+	dial := engineclient.Direct(cfg)
+	if d.env.ServerDial == nil {
+		return dial
+	}
+	return d.env.ServerDial(dial)
 }
 
 // wall reads the wall clock.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -185,10 +185,13 @@
 
 func newGateway(d *Daemon, p surface.Protocol) *gateway {
 	cfg := d.cfg
-	g := &gateway{d: d, protocol: p, run: newRun(cfg.Host), registered: make(chan struct{}), metrics: newRoutedMetrics(), client: engineclient.New(engineclient.Config{
+	g := &gateway{d: d, protocol: p, run: newRun(cfg.Host), registered: make(chan struct{}), metrics: newRoutedMetrics()}
+	client := engineclient.Config{
 		DialTimeout: dialServerTimeout, IdleTimeout: idleServerTimeout, Unacknowledged: unacknowledgedTimeout, Source: cfg.Listen.Source,
 		ObserveDial: d.observeRoundTrip,
-	})}
+	}
+	client.Dial = d.directDial(client)
+	g.client = engineclient.New(client)
 	g.setSeeds(cfg.SeedPeers())
 	d.tel.Metrics.Set("routed", &g.metrics.vars)
 	g.self.Store(&pb.Holder{Host: cfg.Host})
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -62,9 +61,9 @@
 	Unacknowledged time.Duration
 	// Source is the IP address that connections are opened from; empty: chosen by the system.
 	Source string
-	// Dial opens connections; nil: TCP.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// ObserveDial is called with how long the opening of a connection took; nil: no call.
+	// Dial opens connections; nil: Direct.
+	Dial DialFunc
+	// ObserveDial is called with how long Direct took to open a connection; nil: no call.
 	ObserveDial func(took time.Duration)
 	// MaxAnswer bounds the body of a plain service's answer, in bytes.
 	MaxAnswer int64
@@ -110,10 +109,10 @@
 func (c *Client) newTransport() *http.Transport {
 	dial := c.cfg.Dial
 	if dial == nil {
-		dial = tcpDialer(c.cfg).DialContext
+		dial = Direct(c.cfg)
 	}
 	return &http.Transport{
-		DialContext:            withCounting(withTiming(dial, c.cfg.ObserveDial)),
+		DialContext:            withCounting(dial),
 		ResponseHeaderTimeout:  c.cfg.HeaderTimeout,
 		MaxIdleConnsPerHost:    c.cfg.IdlePerServer,
 		IdleConnTimeout:        c.cfg.IdleTimeout,
--- a/internal/engineclient/conn.go
+++ b/internal/engineclient/conn.go
@@ -146,7 +146,7 @@
 }
 
 // withCounting wraps dial so that it returns countingConns.
-func withCounting(dial dialFunc) dialFunc {
+func withCounting(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/engineclient/dial.go
+++ b/internal/engineclient/dial.go
@@ -38,11 +38,14 @@
 	return d
 }
 
-// dialFunc opens a connection.
-type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Direct returns the function that opens TCP connections as cfg says; its Dial is ignored.
+func Direct(cfg Config) DialFunc { return withTiming(tcpDialer(cfg).DialContext, cfg.ObserveDial) }
 
 // withTiming wraps dial so that observe is called with how long each connection took to open.
-func withTiming(dial dialFunc, observe func(time.Duration)) dialFunc {
+func withTiming(dial DialFunc, observe func(time.Duration)) DialFunc {
 	if observe == nil {
 		return dial
 	}
