Tell comments and half line ends from events in streams

Change: a comment belongs to no event. Where the line before ended in CR LF, a CR at the end of what has arrived ends the line only with what follows.

Tests: TestCommentIsNotInsideAnEvent, TestLineEndIsNotCutInHalf, TestBufferedBytesAreNotCopiedAgain fail without the change. TestAnyChunking has its strict check back, which had loosened by the cut within CR LF.

--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -11,8 +11,10 @@
 	buffered []byte
 	// scanned is how many bytes of buffered have been searched for the end of an event.
 	scanned int
-	// inLine is set once the current line has a byte, inEvent once the current event has a line.
+	// inLine is set once the current line has a byte, inEvent once the current event has a line other
+	// than a comment.
 	inLine, inEvent bool
+	comment         bool // the current line is a comment
 }
 
 // Split appends the next bytes of the stream and returns the events that are now complete. The
@@ -23,6 +25,9 @@
 	if end == 0 && len(s.buffered) > maxBuffered {
 		end = len(s.buffered)
 	}
+	if end == 0 {
+		return nil
+	}
 	whole := s.buffered[:end:end]
 	s.buffered = append([]byte(nil), s.buffered[end:]...)
 	s.scanned -= end
@@ -36,17 +41,30 @@
 	for s.scanned < len(s.buffered) {
 		text, taken, ended := s.lines.next(s.buffered[s.scanned:])
 		s.scanned += taken
-		s.inLine = s.inLine || len(text) > 0
+		if !s.inLine && len(text) > 0 {
+			s.inLine, s.comment = true, text[0] == ':'
+		}
 		if ended {
-			s.inEvent, s.inLine = s.inLine, false
+			s.endLine()
 		}
-		if !s.inLine && !s.inEvent {
+		if !s.inLine && !s.inEvent && !s.lines.halfEnd {
 			end = s.scanned
 		}
 	}
 	return end
 }
 
-// InsideEvent reports whether the stream would be truncated if it ended here: bytes have arrived
-// since the end of the last complete event.
-func (s *Splitter) InsideEvent() bool { return s.inLine || s.inEvent }
+// endLine records the end of a line. A blank one ends the event, and a comment belongs to none.
+func (s *Splitter) endLine() {
+	switch {
+	case !s.inLine:
+		s.inEvent = false
+	case !s.comment:
+		s.inEvent = true
+	}
+	s.inLine = false
+}
+
+// InsideEvent reports whether the stream would be truncated if it ended here: an event or a line has
+// begun and has not ended.
+func (s *Splitter) InsideEvent() bool { return s.inLine || s.inEvent || s.lines.halfEnd }
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -23,15 +24,6 @@
 	}
 }
 
-// endsEvent reports whether an event ends after got. Where lines end in CR LF, the last LF may still
-// be to come: an event is complete with its CR.
-func endsEvent(got, left, newline string) bool {
-	if strings.HasSuffix(got, newline+newline) {
-		return true
-	}
-	return newline == "\r\n" && strings.HasSuffix(got, "\r\n\r") && strings.HasPrefix(left, "\n")
-}
-
 // However a stream is divided into chunks, the Splitter returns complete events, nothing is
 // lost, and the Counter counts the same.
 func TestAnyChunking(t *testing.T) {
@@ -50,10 +42,10 @@
 		for len(left) > 0 {
 			cut := rapid.IntRange(1, len(left)).Draw(t, "cut")
 			whole := string(s.Split(left[:cut]))
-			got += whole
-			if n := len(got); whole != "" && !endsEvent(got, stream.String()[n:], newline) {
-				t.Fatalf("%q is not a sequence of complete events", got)
+			if whole != "" && !strings.HasSuffix(whole, newline+newline) {
+				t.Fatalf("%q is not a sequence of complete events", whole)
 			}
+			got += whole
 			c.Write([]byte(whole))
 			left = left[cut:]
 		}
@@ -80,6 +72,29 @@
 	}
 }
 
+// Guards against a stream that lacks the last byte of a line end: the connection ends between the CR and
+// the LF.
+func TestLineEndIsNotCutInHalf(t *testing.T) {
+	var s Splitter
+	if got := string(s.Split([]byte("id: 1\r\ndata: a\r\n\r"))); got != "" || !s.InsideEvent() {
+		t.Errorf("%q is passed on, inside an event: %v", got, s.InsideEvent())
+	}
+	if got := string(s.Split([]byte("\n"))); got != "id: 1\r\ndata: a\r\n\r\n" || s.InsideEvent() {
+		t.Errorf("%q is passed on, inside an event: %v", got, s.InsideEvent())
+	}
+}
+
+// Guards against taking a comment after the last event for the beginning of another one.
+func TestCommentIsNotInsideAnEvent(t *testing.T) {
+	var s Splitter
+	if got := string(s.Split([]byte("id: 1\ndata: a\n\n: keep-alive\n"))); !strings.HasSuffix(got, ": keep-alive\n") || s.InsideEvent() {
+		t.Errorf("%q is passed on, inside an event: %v", got, s.InsideEvent())
+	}
+	if s.Split([]byte("id: 2\n: comment\n")); !s.InsideEvent() {
+		t.Error("a comment ends an event")
+	}
+}
+
 // Guards against losing the first event's ID to a byte-order mark before it.
 func TestByteOrderMark(t *testing.T) {
 	var c Counter
@@ -89,8 +104,24 @@
 	}
 }
 
-// Guards against a pass over the whole buffered event for each piece of it that arrives: the time for
-// an event of a megabyte in small pieces would grow with the square of its size.
+// Guards against copying the whole buffered event for each piece of it that arrives: the time for an
+// event of a megabyte in small pieces would grow with the square of its size.
+func TestBufferedBytesAreNotCopiedAgain(t *testing.T) {
+	const size, piece, limit = 1 << 20, 1 << 10, 16 << 20
+	var s Splitter
+	b := []byte(strings.Repeat("x", piece))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range size / piece {
+		s.Split(b)
+	}
+	runtime.ReadMemStats(&after)
+	if copied := after.TotalAlloc - before.TotalAlloc; copied > limit {
+		t.Errorf("an event of %d bytes took %d bytes of memory", size, copied)
+	}
+}
+
+// Guards against searching it anew as well.
 func TestScannedBytesAreNotScannedAgain(t *testing.T) {
 	var s Splitter
 	for range 1000 {
