Close three more ways in which a truncated stream is passed on or blamed wrongly

Found by the review of the fix, with the test for each. - An answer whose Content-Type has a parameter that can't be parsed was not taken for a stream, so that half an event was passed on as a whole answer (TestStreamWithMalformedContentTypeParameter). - A byte-order mark at the start of a resumed part hid the ID of its first event, which the caller then got twice after a further break; the mark also stood within the stream (TestByteOrderMarkOfAResumedStream). - A stream with a length or a last chunk that ends inside an event was reported as a lost connection, and its request blamed for a crash; its cause is now incomplete_event (TestFramedEndInsideAnEventIsNoLostConnection).

--- a/internal/engineclient/cause.go
+++ b/internal/engineclient/cause.go
@@ -65,6 +65,8 @@
 	// CauseStreamTruncated: the answer was truncated after its beginning was passed to the
 	// caller.
 	CauseStreamTruncated Cause = "cut_in_stream"
+	// CauseIncompleteEvent: the server ended its stream within an event.
+	CauseIncompleteEvent Cause = "incomplete_event"
 	// CauseNoStream: the server answered with something other than the rest of a stream.
 	CauseNoStream Cause = "no_stream"
 	// CauseServerFault: the server answered with an error status, and the request was sent to
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -292,7 +291,9 @@
 	t.x.Status = res.StatusCode
 }
 
+// isEventStream looks at the media type alone: a parameter that can't be parsed makes an answer no
+// other kind of answer.
 func isEventStream(res *http.Response) bool {
-	kind, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream"
+	kind, _, _ := strings.Cut(res.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
 }
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -26,16 +26,17 @@
 // first event can be replaced by that of another server, with headers of its own.
 func (t *task) relayStream(lease relay.Lease, res *http.Response) outcome {
 	var splitter sse.Splitter
+	part := sse.Part{Continues: t.x.Begun}
 	buf := make([]byte, copyBuffer)
 	for {
 		n, readErr := res.Body.Read(buf)
 		if n > 0 {
 			lease.FirstByte()
 			t.x.PromptConsumed = true
-			t.writeEvents(res, splitter.Split(buf[:n]))
+			t.writeEvents(res, part.Events(splitter.Split(buf[:n])))
 		}
 		if readErr == io.EOF && splitter.InsideEvent() {
-			readErr = errEndInsideEvent
+			return t.endInsideEvent(res)
 		}
 		switch {
 		case readErr == io.EOF:
@@ -49,6 +50,16 @@
 	}
 }
 
+// endInsideEvent returns the outcome of a stream whose last event is incomplete. If the end was framed,
+// the server itself ended the stream there, and no connection was lost.
+func (t *task) endInsideEvent(res *http.Response) outcome {
+	cause := engineclient.CauseIncompleteEvent
+	if relay.FramingOf(res) == relay.Unframed {
+		cause = t.cutCause()
+	}
+	return t.truncated(cause, "stream", errEndInsideEvent)
+}
+
 // writeEvents sends whole events to the caller.
 func (t *task) writeEvents(res *http.Response, events []byte) {
 	if len(events) == 0 {
--- a/internal/relay/forward/truncated_test.go
+++ b/internal/relay/forward/truncated_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
@@ -88,3 +89,44 @@
 		t.Error("the answer was not aborted")
 	}
 }
+
+// Guards against passing on half an event as a whole answer because a parameter of the Content-Type
+// can't be parsed.
+func TestStreamWithMalformedContentTypeParameter(t *testing.T) {
+	for _, kind := range []string{"text/event-stream; charset", "Text/Event-Stream; charset=utf-8; charset=utf-8", "text/event-stream;charset=\"utf-8"} {
+		res := closedStream(event(1)+"id: 2\nda", framings[relay.Unframed])
+		res.Header.Set("Content-Type", kind)
+		r := newRun(t, routes.Stream, answers(res))
+		if err := r.do(); err == nil {
+			t.Errorf("%s: the caller got %q as a whole answer", kind, r.w.Body)
+		}
+	}
+}
+
+// Guards against an event that the caller gets twice: a server that resumes a stream begins its part
+// with a byte-order mark, which hides the ID of its first event, and then breaks off as well.
+func TestByteOrderMarkOfAResumedStream(t *testing.T) {
+	const mark = "\xEF\xBB\xBF"
+	r := newRun(t, routes.Stream, answers(stream(mark+event(1), errReset)), answers(stream(mark+event(2), errReset)), answers(stream(event(3), nil)))
+	r.route.Resumable, r.route.MaxAttempts = true, 3
+	if err := r.do(); err != nil || r.w.Body.String() != mark+event(1)+event(2)+event(3) {
+		t.Errorf("got %v, %q", err, r.w.Body)
+	}
+	if after := r.servers.got[2].Header.Get(hAfter); after != "2" {
+		t.Errorf("resumed after %q, want 2", after)
+	}
+}
+
+// Guards against blaming a request for a crash where no connection was lost: a stream has its last
+// chunk or byte, so that the server goes on, although its last event is incomplete.
+func TestFramedEndInsideAnEventIsNoLostConnection(t *testing.T) {
+	for _, framing := range []relay.Framing{relay.FramedByLength, relay.FramedByChunks} {
+		got := &admission{}
+		r := newRun(t, routes.Stream, answers(closedStream(event(1)+"id: 2\nda", framings[framing])))
+		r.route.MaxAttempts, r.admission = 1, got
+		_ = r.do()
+		if got.broke > 0 || got.answered > 0 || r.x.Attempts[0].Cause != engineclient.CauseIncompleteEvent {
+			t.Errorf("%s: %+v, cause %s", framing, *got, r.x.Attempts[0].Cause)
+		}
+	}
+}
