Do not take the end of a server's process for the end of its answer

What callers could still get: a stream that a crash ended between two events, or before the first one, as a whole answer; the same for any body without a length or chunks.

Cause: as before, the regular close of a connection is taken for the end of the answer. Nothing in the bytes tells the two apart.

Change: where an answer without framing ends, and the output cap does not show that it is whole, the host opens a connection to the server. If that is refused, also through another host where this one has no direct path, the process has ended, and the answer counts as truncated; unless the server had announced its end, after which it may stop with its last answer. An unframed stream, or part of one, without any event is truncated in any case.

Cost: a connection for each answer without framing. Not covered: a crash after which the server is back within milliseconds.

The property test no longer takes an empty stream for one that looks whole, and found the empty part of a resumed stream.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -51,7 +51,7 @@
 			&quarantine.Filter{Quarantine: g.suspects},
 			bandwidth.New(g.d.cfg.Limits.LinkMbps), &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
-				Dialect: g.protocol, Client: g.client, ObservePlain: g.d.observeRoundTrip, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Abort: httpserver.Abort,
+				Dialect: g.protocol, Client: g.client, Accepts: g.client.Accepts, ObservePlain: g.d.observeRoundTrip, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Abort: httpserver.Abort,
 			})
 		g.requests = httpserver.New(httpserver.Config{
 			Name: "requests", Address: r.Requests, Handler: handler, Limits: g.callerLimits,
--- a/internal/engineclient/answers.go
+++ b/internal/engineclient/answers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/url"
+	"syscall"
 )
 
 // Answers reports whether a server answers a GET of a path, with any status, over a new
@@ -24,3 +26,18 @@
 	_ = res.Body.Close()
 	return res.StatusCode != http.StatusMisdirectedRequest
 }
+
+// Accepts reports whether a server's machine accepts a new connection to the server. It is false only if
+// the connection is refused, as it is once a server's process has ended.
+func (c *Client) Accepts(ctx context.Context, address string) bool {
+	dial := c.cfg.Dial
+	if dial == nil {
+		dial = Direct(c.cfg)
+	}
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return true
+}
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -195,22 +195,26 @@
 		return out
 	}
 	t.markMayHaveRun()
+	a := received{Response: res, server: lease.Choice().Instance.Address, leaving: reply.Leaving}
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		return t.failure(balance.Broken, engineclient.CauseSwitchedProtocols, "the backend server switched protocols without a request to do so")
 	}
 	if res.StatusCode < http.StatusMultipleChoices && isEventStream(res) {
-		return t.relayStream(lease, res)
+		return t.relayStream(lease, a)
 	}
 	if t.x.Begun {
 		return t.failure(balance.Broken, engineclient.CauseNoStream, "the backend server answered %d instead of resuming the stream", res.StatusCode)
 	}
-	return t.relayBuffered(lease, res)
+	return t.relayBuffered(lease, a)
 }
 
 // relayBuffered passes on an answer that is not a stream once it is complete: the caller never
 // receives half of it, and another server may be asked if it is truncated.
-func (t *task) relayBuffered(lease relay.Lease, res *http.Response) outcome {
+func (t *task) relayBuffered(lease relay.Lease, res received) outcome {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered+1))
+	if err == nil && len(body) <= maxBuffered && t.serverEndedWith(res) {
+		err = errServerEnded
+	}
 	if err != nil {
 		t.x.PromptConsumed = t.x.PromptConsumed || t.ctx.Err() == nil
 		return t.truncated(engineclient.CauseBodyTruncated, "answer", err)
@@ -220,19 +224,19 @@
 	if res.StatusCode >= http.StatusInternalServerError && t.x.Route.Kind == routes.Idempotent && t.takeRetryEarly() {
 		return t.failure(balance.Served, engineclient.CauseServerFault, "the backend server answered %d", res.StatusCode)
 	}
-	t.writeHeader(res)
-	if length := t.contentLength(res, body); length != "" {
+	t.writeHeader(res.Response)
+	if length := t.contentLength(res.Response, body); length != "" {
 		t.w.Header().Set("Content-Length", length)
 	}
 	t.w.WriteHeader(res.StatusCode)
 	if !t.writeToCaller(body) || len(body) <= maxBuffered {
-		return servedOutcome(res) // the request's context detects that the caller left
+		return servedOutcome(res.Response) // the request's context detects that the caller left
 	}
 	return t.copyRest(res)
 }
 
 // copyRest passes on the rest of an answer that is too long to be buffered.
-func (t *task) copyRest(res *http.Response) outcome {
+func (t *task) copyRest(res received) outcome {
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := res.Body.Read(buf)
@@ -241,8 +245,11 @@
 			out.retryable = false
 			return out
 		}
+		if err == io.EOF && t.serverEndedWith(res) {
+			err = errServerEnded
+		}
 		if err == io.EOF {
-			return servedOutcome(res)
+			return servedOutcome(res.Response)
 		}
 		if err != nil {
 			out := t.truncated(engineclient.CauseStreamTruncated, "answer", err)
--- /dev/null
+++ b/internal/relay/forward/ending.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/relay"
+)
+
+// acceptTimeout bounds the check whether a server accepts connections.
+const acceptTimeout = 250 * time.Millisecond
+
+var (
+	// errEndInsideEvent is the read error of a stream whose last event is incomplete.
+	errEndInsideEvent = errors.New("it ended inside an event")
+	// errServerEnded is that of an answer that ended together with its server's process.
+	errServerEnded = errors.New("its connection ended, and the server accepts no others")
+	// errNoEvent is that of an unframed stream without events.
+	errNoEvent = errors.New("its connection ended before the first event")
+)
+
+// received is the answer of a server with what is known of the server.
+type received struct {
+	*http.Response
+	// server is the server's address.
+	server string
+	// leaving is set if the server has announced that it stops.
+	leaving bool
+}
+
+// serverEndedWith reports whether the end of an answer that was read without an error is likely to be
+// that of the server's process. Only an unframed answer can end so: its end is that of its connection,
+// and the kernel closes all connections of a process that crashes.
+//
+// A server that has announced its end may stop right after its last answer.
+func (t *task) serverEndedWith(res received) bool {
+	if relay.FramingOf(res.Response) != relay.Unframed || t.f.Accepts == nil || res.leaving || t.outputCapReached() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, acceptTimeout)
+	defer cancel()
+	return !t.f.Accepts(ctx, res.server)
+}
+
+// outputCapReached reports whether a stream has all the output that the request allows.
+func (t *task) outputCapReached() bool { return t.x.OutputCap > 0 && t.x.OutputTokens >= t.x.OutputCap }
+
+// endError returns why a stream that was read to its end without an error is truncated; nil if it counts
+// as whole. insideEvent is whether it ended inside an event, events how many whole ones the server has
+// sent.
+func (t *task) endError(res received, insideEvent bool, events int) error {
+	switch {
+	case insideEvent:
+		return errEndInsideEvent
+	case relay.FramingOf(res.Response) == relay.Unframed && events == 0:
+		return errNoEvent
+	case t.serverEndedWith(res):
+		return errServerEnded
+	}
+	return nil
+}
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -26,6 +26,9 @@
 	Limits   relay.Limits
 	// ObservePlain is called with how long a plain service took to answer; nil: no call.
 	ObservePlain func(took time.Duration)
+	// Accepts reports whether a server accepts connections, true if that can't be found out; nil: not
+	// asked.
+	Accepts func(ctx context.Context, address string) bool
 	// Abort breaks the caller's connection, so that the caller sees that a begun answer is
 	// incomplete.
 	Abort func(w http.ResponseWriter)
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -190,6 +190,9 @@
 	admission filter.Admission
 	// account is the request's; nil if it needs none.
 	account *routes.Account
+	// accepts is whether a server accepts connections; nil: not asked. outputCap is the request's.
+	accepts   func(address string) bool
+	outputCap uint64
 	// onWrite is called before each write to the caller. If writeErr is set, the writes fail with
 	// it.
 	onWrite  func()
@@ -223,7 +226,7 @@
 func (r *run) do() error {
 	r.x = &relay.Exchange{
 		Admission: r.admission, Account: r.account,
-		Request: &relay.Request{ID: requestID, Method: r.method, Target: "/p", Header: http.Header{}, PromptTokens: 100},
+		Request: &relay.Request{ID: requestID, Method: r.method, Target: "/p", Header: http.Header{}, PromptTokens: 100, OutputCap: r.outputCap},
 		Route:   &r.route, Deadline: time.Now().Add(time.Minute),
 		Service: &routes.Service{Name: "pool", Engine: &routes.Engine{TokensPerEvent: 4}},
 	}
@@ -231,6 +234,9 @@
 		Dialect: dialect{}, Client: r.servers, Balancer: r.leases, Retries: &r.allowed, Limits: &r.limits,
 		Abort: func(http.ResponseWriter) { r.aborted = true },
 	}
+	if r.accepts != nil {
+		f.Accepts = func(_ context.Context, address string) bool { return r.accepts(address) }
+	}
 	req := httptest.NewRequest(http.MethodPost, "/p", nil).WithContext(relay.WithExchange(r.ctx, r.x))
 	return f.ServeHTTP(writer{r.w, r}, req, nil)
 }
--- a/internal/relay/forward/property_test.go
+++ b/internal/relay/forward/property_test.go
@@ -132,7 +132,7 @@
 	if !begun {
 		return false
 	}
-	return !strings.Contains(head, "text/event-stream") || body == "" || strings.HasSuffix(body, "\n\n")
+	return !strings.Contains(head, "text/event-stream") || strings.HasSuffix(body, "\n\n")
 }
 
 // unframed returns the answer to a request in a form that ends with its connection.
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -4,17 +4,12 @@
 	"io"
 	"net/http"
 
-	"github.com/pkg/errors"
-
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/sse"
 )
 
-// errEndInsideEvent is the read error of a stream whose last event is incomplete.
-var errEndInsideEvent = errors.New("it ended inside an event")
-
 // copyBuffer is the size of the reads from a stream, in bytes.
 const copyBuffer = 8 << 10
 
@@ -24,24 +19,20 @@
 //
 // The status line is sent with the first event, so that a stream that is interrupted before its
 // first event can be replaced by that of another server, with headers of its own.
-func (t *task) relayStream(lease relay.Lease, res *http.Response) outcome {
+func (t *task) relayStream(lease relay.Lease, res received) outcome {
 	var splitter sse.Splitter
-	part := sse.Part{Continues: t.x.Begun}
+	part, before := sse.Part{Continues: t.x.Begun}, t.events.Events()
 	buf := make([]byte, copyBuffer)
 	for {
 		n, readErr := res.Body.Read(buf)
 		if n > 0 {
 			lease.FirstByte()
 			t.x.PromptConsumed = true
-			t.writeEvents(res, part.Events(splitter.Split(buf[:n])))
-		}
-		if readErr == io.EOF && splitter.InsideEvent() {
-			return t.endInsideEvent(res)
+			t.writeEvents(res.Response, part.Events(splitter.Split(buf[:n])))
 		}
 		switch {
 		case readErr == io.EOF:
-			t.writeStatus(res) // the status line of a stream without events
-			return servedOutcome(res)
+			return t.endStream(res, t.endError(res, splitter.InsideEvent(), t.events.Events()-before))
 		case t.ctx.Err() != nil:
 			return t.failure(balance.Abandoned, engineclient.CauseRequestEnded, "%v", t.ctx.Err())
 		case readErr != nil:
@@ -50,14 +41,18 @@
 	}
 }
 
-// endInsideEvent returns the outcome of a stream whose last event is incomplete. If the end was framed,
-// the server itself ended the stream there, and no connection was lost.
-func (t *task) endInsideEvent(res *http.Response) outcome {
-	cause := engineclient.CauseIncompleteEvent
-	if relay.FramingOf(res) == relay.Unframed {
-		cause = t.cutCause()
+// endStream returns the outcome of a stream that was read to its end without an error, and is truncated
+// if err is not nil.
+func (t *task) endStream(res received, err error) outcome {
+	switch {
+	case err == nil:
+		t.writeStatus(res.Response) // the status line of a stream without events
+		return servedOutcome(res.Response)
+	case relay.FramingOf(res.Response) == relay.Unframed:
+		return t.truncated(t.cutCause(), "stream", err)
 	}
-	return t.truncated(cause, "stream", errEndInsideEvent)
+	// The server itself ended the stream there; no connection was lost.
+	return t.truncated(engineclient.CauseIncompleteEvent, "stream", err)
 }
 
 // writeEvents sends whole events to the caller.
