--- a/internal/engineclient/cause.go
+++ b/internal/engineclient/cause.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	pkgerrors "github.com/pkg/errors"
+
+	"github.com/bluebellsail/bluebellsail/internal/peertunnel"
 )
 
 // Cause is the outcome of one exchange with a backend server. The set of values is fixed, so
@@ -41,6 +43,8 @@
 	CauseHeadTruncated Cause = "cut_in_head"
 	// CauseGarbled: the bytes received are not an HTTP answer.
 	CauseGarbled Cause = "garbled"
+	// CausePeerLost: the peer host through which the connection went was lost or ended it.
+	CausePeerLost Cause = "peer_lost"
 	// CauseRequestEnded: the exchange ended because the request did: its caller left or its
 	// deadline passed.
 	CauseRequestEnded Cause = "ended_by_request"
@@ -61,6 +65,8 @@
 	// CauseStreamTruncated: the answer was truncated after its beginning was passed to the
 	// caller.
 	CauseStreamTruncated Cause = "cut_in_stream"
+	// CauseIncompleteEvent: the server ended its stream within an event.
+	CauseIncompleteEvent Cause = "incomplete_event"
 	// CauseNoStream: the server answered with something other than the rest of a stream.
 	CauseNoStream Cause = "no_stream"
 	// CauseServerFault: the server answered with an error status, and the request was sent to
@@ -108,6 +114,8 @@
 		return CauseRequestEnded
 	case trace.unsent():
 		return CauseUnsent
+	case PeerLost(err), PeerLost(trace.conn.writeFailure()):
+		return CausePeerLost
 	case errors.Is(trace.conn.writeFailure(), syscall.ETIMEDOUT):
 		return CauseSilent
 	case !trace.answerBegun() && !trace.fullyWritten():
@@ -124,6 +132,13 @@
 	return CauseClosed
 }
 
+// PeerLost reports whether the connection to a server ended because of the peer host through which it
+// went, which says nothing about the server.
+func PeerLost(err error) bool {
+	var lost *peertunnel.PeerError
+	return errors.As(err, &lost)
+}
+
 func timedOut(err error) bool {
 	var timeout net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) ||
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -52,7 +51,7 @@
 	var out outcome
 	outgoing := t.outgoing(choice)
 	res, err := t.f.Client.Forward(ctx, outgoing)
-	note.Early = outgoing.Early
+	note.Early, note.Via = outgoing.Early, outgoing.Via
 	if err != nil {
 		out = t.handleNoAnswer(err)
 	} else {
@@ -83,7 +82,19 @@
 		result = balance.Broken
 		t.x.PromptConsumed = t.x.PromptConsumed || t.ctx.Err() == nil
 	}
-	return t.failure(result, engineclient.CauseOf(err), "%v", err)
+	cause := engineclient.CauseOf(err)
+	if cause == engineclient.CausePeerLost {
+		result = balance.Abandoned
+	}
+	return t.failure(result, cause, "%v", err)
+}
+
+// truncated returns the outcome of an attempt whose answer ended with err before it was complete.
+func (t *task) truncated(cause engineclient.Cause, what string, err error) outcome {
+	if engineclient.PeerLost(err) {
+		return t.failure(balance.Abandoned, engineclient.CausePeerLost, "the %s was truncated: %v", what, err)
+	}
+	return t.failure(balance.Broken, cause, "the %s was truncated: %v", what, err)
 }
 
 // markReached records that a server has received the request.
@@ -184,44 +195,48 @@
 		return out
 	}
 	t.markMayHaveRun()
+	a := received{Response: res, server: lease.Choice().Instance.Address, leaving: reply.Leaving}
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		return t.failure(balance.Broken, engineclient.CauseSwitchedProtocols, "the backend server switched protocols without a request to do so")
 	}
 	if res.StatusCode < http.StatusMultipleChoices && isEventStream(res) {
-		return t.relayStream(lease, res)
+		return t.relayStream(lease, a)
 	}
 	if t.x.Begun {
 		return t.failure(balance.Broken, engineclient.CauseNoStream, "the backend server answered %d instead of resuming the stream", res.StatusCode)
 	}
-	return t.relayBuffered(lease, res)
+	return t.relayBuffered(lease, a)
 }
 
 // relayBuffered passes on an answer that is not a stream once it is complete: the caller never
 // receives half of it, and another server may be asked if it is truncated.
-func (t *task) relayBuffered(lease relay.Lease, res *http.Response) outcome {
+func (t *task) relayBuffered(lease relay.Lease, res received) outcome {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered+1))
+	if err == nil && len(body) <= maxBuffered && t.serverEndedWith(res) {
+		err = errServerEnded
+	}
 	if err != nil {
 		t.x.PromptConsumed = t.x.PromptConsumed || t.ctx.Err() == nil
-		return t.failure(balance.Broken, engineclient.CauseBodyTruncated, "the answer was truncated: %v", err)
+		return t.truncated(engineclient.CauseBodyTruncated, "answer", err)
 	}
 	lease.FirstByte()
 	t.x.PromptConsumed = true
 	if res.StatusCode >= http.StatusInternalServerError && t.x.Route.Kind == routes.Idempotent && t.takeRetryEarly() {
 		return t.failure(balance.Served, engineclient.CauseServerFault, "the backend server answered %d", res.StatusCode)
 	}
-	t.writeHeader(res)
-	if length := t.contentLength(res, body); length != "" {
+	t.writeHeader(res.Response)
+	if length := t.contentLength(res.Response, body); length != "" {
 		t.w.Header().Set("Content-Length", length)
 	}
 	t.w.WriteHeader(res.StatusCode)
 	if !t.writeToCaller(body) || len(body) <= maxBuffered {
-		return servedOutcome(res) // the request's context detects that the caller left
+		return servedOutcome(res.Response) // the request's context detects that the caller left
 	}
 	return t.copyRest(res)
 }
 
 // copyRest passes on the rest of an answer that is too long to be buffered.
-func (t *task) copyRest(res *http.Response) outcome {
+func (t *task) copyRest(res received) outcome {
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := res.Body.Read(buf)
@@ -230,11 +245,14 @@
 			out.retryable = false
 			return out
 		}
+		if err == io.EOF && t.serverEndedWith(res) {
+			err = errServerEnded
+		}
 		if err == io.EOF {
-			return servedOutcome(res)
+			return servedOutcome(res.Response)
 		}
 		if err != nil {
-			out := t.failure(balance.Broken, engineclient.CauseStreamTruncated, "the answer was truncated: %v", err)
+			out := t.truncated(engineclient.CauseStreamTruncated, "answer", err)
 			out.retryable = false
 			return out
 		}
@@ -280,7 +298,9 @@
 	t.x.Status = res.StatusCode
 }
 
+// isEventStream looks at the media type alone: a parameter that can't be parsed makes an answer no
+// other kind of answer.
 func isEventStream(res *http.Response) bool {
-	kind, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream"
+	kind, _, _ := strings.Cut(res.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
 }
