Let answers under way outlast a server's silence of 1.5 s

Callers: a sound server whose machine acknowledges nothing for a second or so lost the answers that it was working on; non-idempotent requests ended as 502.

Cause: connections to servers had a TCP_USER_TIMEOUT of 800 ms. While it is set, Linux ignores the number of keepalive probes: an idle connection, such as one on which an answer is awaited, is aborted at the first keepalive timer at which the time since the last packet has reached the timeout and one probe is out, 2 s after the server was last heard, that is 1 to 2 s after its silence began. Unacknowledged requests were aborted after 800 ms.

Change: the timeout is 2,250 ms, between the second and the third keepalive timer. With a silence that begins at 0, the server was last heard between -1 and 0 s. Derived: connections with an awaited answer are aborted between 2 and 3 s, never before 1.5 s, and the last of a partition's connections at 3 s. Unacknowledged bytes are aborted 2,250 ms after they were sent.

Not covered, derived from the kernel's rules only: if packets are dropped and not delayed by the silence, an awaited answer survives only if one of the two probes falls behind its end, and a request sent in the first 0.1 s of a silence longer than 1.4 s has its next retransmission after 3 s. Probes can't be sent more often than each second.

TestUserTimeoutIsSet keeps its check; its comment that loopback can't leave bytes unacknowledged was wrong.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -126,9 +126,11 @@
 	// connections: it is unknown whether a request that was sent while the server closed the
 	// connection has run.
 	idleServerTimeout = 8 * time.Second
-	// unacknowledgedTimeout is how long a backend server may leave bytes unacknowledged. Round
-	// trips take milliseconds; a lost packet is retransmitted within this time.
-	unacknowledgedTimeout = 800 * time.Millisecond
+	// unacknowledgedTimeout is how long a backend server may leave bytes unacknowledged. A sound
+	// server may be silent for a second or so. While an answer is awaited, TCP aborts the
+	// connection at the first of the keepalive timers, 2 s and 3 s after the server was last
+	// heard, that comes after this time.
+	unacknowledgedTimeout = 2250 * time.Millisecond
 	// maxFirstSource bounds the index of the host that is asked first for a routing table.
 	maxFirstSource = 1 << 16
 	// followEvery is how often the replica is checked for a newer routing table.
--- a/internal/engineclient/dial.go
+++ b/internal/engineclient/dial.go
@@ -14,22 +14,23 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
-	// fastKeepAliveIdle, fastKeepAliveInterval and fastKeepAliveCount are for connections with
-	// a bound on unacknowledged bytes. TCP counts keepalive times in whole seconds.
+	// fastKeepAliveIdle and fastKeepAliveInterval are for connections with a bound on
+	// unacknowledged bytes, which also decides how many probes are sent. TCP counts keepalive
+	// times in whole seconds.
 	fastKeepAliveIdle     = time.Second
 	fastKeepAliveInterval = time.Second
-	fastKeepAliveCount    = 1
 )
 
 // tcpDialer returns a dialer with TCP keepalive. A connection that the network has lost is
 // detected by its missing keepalive acknowledgments after keepAliveIdle +
-// keepAliveCount*keepAliveInterval, or, with a bound on unacknowledged bytes, when that bound
-// is reached.
+// keepAliveCount*keepAliveInterval. With a bound on unacknowledged bytes it is detected when that
+// bound is reached, or, while it is idle or an answer is awaited, at the first probe that is due
+// after the bound while an earlier one is unacknowledged.
 func tcpDialer(cfg Config) *net.Dialer {
 	d := &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
 	if cfg.Unacknowledged > 0 {
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: fastKeepAliveIdle, Interval: fastKeepAliveInterval, Count: fastKeepAliveCount}
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: fastKeepAliveIdle, Interval: fastKeepAliveInterval}
 		d.Control = boundUnacknowledged(cfg.Unacknowledged)
 	}
 	if cfg.Source != "" {
--- a/internal/engineclient/forward_test.go
+++ b/internal/engineclient/forward_test.go
@@ -209,8 +209,6 @@
 }
 
 func TestUserTimeoutIsSet(t *testing.T) {
-	// Reaching the bound on unacknowledged bytes needs a peer that is cut off, which loopback
-	// can't provide. The test checks that the option is set on the socket.
 	d := tcpDialer(Config{DialTimeout: time.Second, Unacknowledged: 800 * time.Millisecond})
 	l := testutil.Listen(t)
 	defer l.Close()
