Stop sending requests on connections whose other end has gone quiet

Callers: requests at a host that is cut off from servers were held on connections from before the cut, of which there are many, one after the other, though a new connection would have told at once whether the server can be reached.

Cause: an idle connection counted as usable until TCP aborted it, which it does late because answers under way have to outlast a server's silence. A request that is not under way yet needs no such patience.

Change: connections with a bound on unacknowledged bytes are watched (engineclient/ watched.go). Before a request's first byte the kernel is asked when the other end was last heard (TCP_INFO; the minimum of the two times that the keepalive timer uses). A live one answers a keepalive probe each second; a connection that was quiet for 1.2 s gets no request: the request counts as unsent and goes over another connection. A request that is unacknowledged 1,750 ms after its first byte is given up as silent. 1.2 + 1.75 s is below 3 s. Where TCP_INFO can't be read (derived, not run), only TCP's own bounds hold: picks until 3 s after the cut, each held for up to 2,250 ms.

--- a/internal/engineclient/dial.go
+++ b/internal/engineclient/dial.go
@@ -43,7 +43,13 @@
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Direct returns the function that opens TCP connections as cfg says; its Dial is ignored.
-func Direct(cfg Config) DialFunc { return withTiming(tcpDialer(cfg).DialContext, cfg.ObserveDial) }
+func Direct(cfg Config) DialFunc {
+	dial := tcpDialer(cfg).DialContext
+	if cfg.Unacknowledged > 0 {
+		dial = withWatch(dial)
+	}
+	return withTiming(dial, cfg.ObserveDial)
+}
 
 // withTiming wraps dial so that observe is called with how long each connection took to open.
 func withTiming(dial DialFunc, observe func(time.Duration)) DialFunc {
--- a/internal/engineclient/silent_test.go
+++ b/internal/engineclient/silent_test.go
@@ -116,6 +116,32 @@
 	}
 }
 
+// Guards against idle connections from before a partition: requests on them wait although a new
+// connection would have been answered, or refused, at once.
+func TestIdleConnectionOfSilentServerIsNotUsed(t *testing.T) {
+	t.Parallel()
+	address := startRawServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n > 1 {
+			answerEach(c, r)
+			return
+		}
+		_, _ = http.ReadRequest(r)
+		_, _ = r.ReadByte()
+		_, _ = c.Write([]byte(wholeAnswer))
+		time.Sleep(50 * time.Millisecond)
+		setSilent(t, c, true)
+		<-t.Context().Done()
+	})
+	client := boundedClient(t)
+	if _, _, err := forward(t, client, plainRequest(address)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(longSilence)
+	if _, body, err := forward(t, client, plainRequest(address)); err != nil || body != "ok" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
 // Guards against new connections for each request to a server that is asked now and then.
 func TestIdleConnectionOfSoundServerIsUsedAgain(t *testing.T) {
 	t.Parallel()
@@ -178,3 +204,17 @@
 	address, began := silentAfterRequest(t, 0)
 	checkGivenUp(t, boundedClient(t), address, 500*time.Millisecond, func() time.Time { return <-began })
 }
+
+// Guards against a request that waits until its deadline on a connection whose other end a partition
+// has taken away a second before.
+func TestPartitionEndsRequestSentIntoIt(t *testing.T) {
+	t.Parallel()
+	address, began := silentAfterRequest(t, 1)
+	client := boundedClient(t)
+	if _, _, err := forward(t, client, plainRequest(address)); err != nil {
+		t.Fatal(err)
+	}
+	silentSince := <-began
+	time.Sleep(900 * time.Millisecond)
+	checkGivenUp(t, client, address, 200*time.Millisecond, func() time.Time { return silentSince })
+}
