Don't blame requests for servers that were silent in the middle of an answer

Cause: an answer whose connection timed out counted as truncated, and a truncated answer counts as ended by the server's side. A timeout is this side's verdict: the machine was silent or could not be reached. Before the answer's first byte it was told apart already (silent), in the answer not. The callers' own interface (filter/dispatch) didn't tell it apart in either place.

Change: such an attempt's outcome is silent. IsSilent excludes it in filter/dispatch. A request that crashes servers so that their machine resets or closes the connection is counted as before; one under which whole machines vanish was not counted before its answer began, and now isn't in it either.

--- a/internal/engineclient/cause.go
+++ b/internal/engineclient/cause.go
@@ -34,8 +34,8 @@
 	CauseReset Cause = "reset_before_answer"
 	// CauseClosed: the connection was closed normally (FIN) before the answer's first byte.
 	CauseClosed Cause = "closed_before_answer"
-	// CauseSilent: no byte of an answer arrived in time, or the server's machine acknowledged
-	// none of the bytes sent.
+	// CauseSilent: no byte of an answer arrived in time, or the server's machine no longer
+	// acknowledged anything, before the answer or in it.
 	CauseSilent Cause = "silent"
 	// CauseHeadTruncated: the connection ended within the answer's status line and headers.
 	CauseHeadTruncated Cause = "cut_in_head"
@@ -124,6 +124,25 @@
 	return CauseClosed
 }
 
+// TruncationCause returns the cause of an exchange whose answer was truncated by a read error:
+// CauseSilent if the server's machine no longer acknowledged anything, otherwise cut.
+func TruncationCause(err error, cut Cause) Cause {
+	if timedOut(err) {
+		return CauseSilent
+	}
+	return cut
+}
+
+// IsSilent reports whether a call, or the reading of its answer, failed because nothing arrived
+// from the server's machine. This says nothing about the server's process.
+func IsSilent(err error) bool {
+	var e *Error
+	if pkgerrors.As(err, &e) {
+		return e.Cause == CauseSilent
+	}
+	return timedOut(err)
+}
+
 func timedOut(err error) bool {
 	var timeout net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) ||
--- a/internal/filter/dispatch/crash.go
+++ b/internal/filter/dispatch/crash.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 )
@@ -13,8 +14,11 @@
 const healthPath = "/healthz"
 
 // crashLike reports whether reading a run ended as it does when the engine crashes. Errors that the
-// engine reported itself and runs that this host ended are excluded.
+// engine reported itself, runs that this host ended and machines that were silent are excluded.
 func crashLike(err error) bool {
+	if engineclient.IsSilent(err) {
+		return false
+	}
 	for _, other := range []error{errSilent, errNoAnswer, errOverCap, errDiverged, errEngine, errStopped} {
 		if errors.Is(err, other) {
 			return false
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -202,7 +202,7 @@
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered+1))
 	if err != nil {
 		t.x.PromptConsumed = t.x.PromptConsumed || t.ctx.Err() == nil
-		return t.failure(balance.Broken, engineclient.CauseBodyTruncated, "the answer was truncated: %v", err)
+		return t.failure(balance.Broken, engineclient.TruncationCause(err, engineclient.CauseBodyTruncated), "the answer was truncated: %v", err)
 	}
 	lease.FirstByte()
 	t.x.PromptConsumed = true
@@ -234,7 +234,7 @@
 			return servedOutcome(res)
 		}
 		if err != nil {
-			out := t.failure(balance.Broken, engineclient.CauseStreamTruncated, "the answer was truncated: %v", err)
+			out := t.failure(balance.Broken, engineclient.TruncationCause(err, engineclient.CauseStreamTruncated), "the answer was truncated: %v", err)
 			out.retryable = false
 			return out
 		}
--- a/internal/relay/forward/pass_test.go
+++ b/internal/relay/forward/pass_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
@@ -42,12 +46,17 @@
 	return res
 }
 
+// errTimedOut is the read error of a connection whose other end no longer acknowledges anything.
+var errTimedOut = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+
 // Guards against not recording a crash, and against blaming or clearing a request because of
 // attempts that say nothing about it.
 func TestAttemptsAreReportedToQuarantine(t *testing.T) {
 	cut := func() *http.Response { return stream("id: 1\n", io.ErrUnexpectedEOF) }
 	chunked := stream("id: 1\n\n", nil)
 	chunked.TransferEncoding = []string{"chunked"}
+	longAnswer := answer(http.StatusOK, strings.Repeat("x", 2*maxBuffered))
+	longAnswer.Body.(*body).err = errTimedOut
 	endless := answer(http.StatusOK, "ok")
 	endless.ContentLength = -1
 	for name, c := range map[string]struct {
@@ -58,6 +67,9 @@
 		"closed before it":        {breaks(engineclient.CauseClosed, errkind.RanUnknown), admission{reached: 1, broke: 1}},
 		"cut in its head":         {breaks(engineclient.CauseHeadTruncated, errkind.RanUnknown), admission{reached: 1, broke: 1}},
 		"cut in its body":         {answers(cut()), admission{reached: 1, broke: 1}},
+		"silent in its body":      {answers(stream("id: 1\n", errTimedOut)), admission{reached: 1}},
+		"silent in a stream":      {answers(stream(event(1), errTimedOut)), admission{reached: 1}},
+		"silent in a long answer": {answers(longAnswer), admission{reached: 1}},
 		"half sent":               {breaks(engineclient.CauseHalfSent, errkind.RanUnknown), admission{reached: 1}},
 		"silent":                  {breaks(engineclient.CauseSilent, errkind.RanUnknown), admission{reached: 1}},
 		"garbled":                 {breaks(engineclient.CauseGarbled, errkind.RanUnknown), admission{reached: 1}},
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -44,7 +44,7 @@
 		case t.ctx.Err() != nil:
 			return t.failure(balance.Abandoned, engineclient.CauseRequestEnded, "%v", t.ctx.Err())
 		case readErr != nil:
-			return t.failure(balance.Broken, t.cutCause(), "the stream was truncated: %v", readErr)
+			return t.failure(balance.Broken, t.cutCause(readErr), "the stream was truncated: %v", readErr)
 		}
 	}
 }
@@ -63,12 +63,12 @@
 	}
 }
 
-// cutCause returns the cause to log for a truncated stream.
-func (t *task) cutCause() engineclient.Cause {
+// cutCause returns the cause to log for a stream that was truncated by a read error.
+func (t *task) cutCause(err error) engineclient.Cause {
 	if t.x.Begun {
-		return engineclient.CauseStreamTruncated
+		return engineclient.TruncationCause(err, engineclient.CauseStreamTruncated)
 	}
-	return engineclient.CauseBodyTruncated
+	return engineclient.TruncationCause(err, engineclient.CauseBodyTruncated)
 }
 
 // writeStatus sends the status line and the headers, those of the first server that sent an event.
