Don't take a silent machine for the crash of its server

Callers: a request whose connection was reset became suspected of crashing its server, and then ran only once at a time in the fleet, if the server's machine was silent for longer than 400 ms afterwards.

Cause: the probe that tells a crash from a reset had 400 ms in all and did not distinguish a machine that refuses connections from one from which nothing arrives. A sound server may be silent for a second or so.

Change: a probe is Gone, Unheard or Alive. Three times Gone within some 30 ms is a crash, as before. A machine from which nothing arrives is probed again for 2 s before its server counts as ended.

Real crashes: a process that crashes leaves a machine that refuses connections, which is detected as before. Where the machine vanishes with the server, the crash is known after 2.1 s (derived: five probes of 400 ms, 15 ms apart) in place of 0.4 s; the bound of docs/incidents/crashing-requests.md counts arrivals later than 3 s after the third crash. A host that is cut off and whose connections were reset still blames their requests after 2 s, once each, unless its probes take another way than its own connections.

--- a/internal/controller/quarantine/probe.go
+++ b/internal/controller/quarantine/probe.go
@@ -4,17 +4,22 @@
 	"context"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 )
 
 const (
-	// A probe is tried probeTries times, probePause apart, because servers reset some connections.
+	// A server has ended if its machine refuses probeTries probes, or resets their connections, as
+	// servers do with some of them.
 	probeTries = 3
-	probePause = 15 * time.Millisecond
-	// probeTimeout bounds all tries of one probe.
+	// probePause is the pause between probes, probeTimeout bounds each.
+	probePause   = 15 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
+	// silenceTimeout is how long a machine may be silent until its server counts as ended. A sound
+	// one may be silent for a second or so.
+	silenceTimeout = 2 * time.Second
 )
 
 // probe is a check in progress whether a server still answers.
@@ -86,16 +91,23 @@
 	}
 }
 
+// answers probes a server until it is known whether it answers.
 func (g *Guard) answers(b filter.ConnectionLoss) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	for n := range probeTries {
-		if n > 0 {
-			time.Sleep(probePause)
-		}
-		if g.cfg.Responds(ctx, b.Address, b.HealthPath) {
+	for began, gone := time.Now(), 0; ; time.Sleep(probePause) {
+		switch g.probeOnce(b) {
+		case engineclient.Alive:
 			return true
+		case engineclient.Gone:
+			gone++
+		}
+		if gone == probeTries || time.Since(began) >= silenceTimeout {
+			return false
 		}
 	}
-	return false
+}
+
+func (g *Guard) probeOnce(b filter.ConnectionLoss) engineclient.Liveness {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return g.cfg.Probe(ctx, b.Address, b.HealthPath)
 }
--- a/internal/controller/quarantine/quarantine.go
+++ b/internal/controller/quarantine/quarantine.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
@@ -65,8 +66,8 @@
 	Peers func() []string
 	// Broadcast notifies all hosts.
 	Broadcast func(*pb.Suspect)
-	// Responds reports whether a server answers a request at all, whatever the answer.
-	Responds func(ctx context.Context, address, path string) bool
+	// Probe finds out whether a server is alive.
+	Probe func(ctx context.Context, address, path string) engineclient.Liveness
 	// Store is nil at hosts without a disk.
 	Store Store
 	Log   zerolog.Logger
--- a/internal/controller/quarantine/quarantine_test.go
+++ b/internal/controller/quarantine/quarantine_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
@@ -55,7 +56,12 @@
 	h := &host{fleet: f, name: name}
 	h.Guard = New(Config{
 		Host: name, Incarnation: name, Owners: h, Client: h.client, Peers: h.peers, Broadcast: h.broadcast, Store: store, Log: zerolog.Nop(),
-		Responds: func(context.Context, string, string) bool { return f.alive.Load() },
+		Probe: func(context.Context, string, string) engineclient.Liveness {
+			if f.alive.Load() {
+				return engineclient.Alive
+			}
+			return engineclient.Gone
+		},
 	})
 	f.hosts = append(f.hosts, h)
 	t.Cleanup(h.background.Wait)
--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -40,7 +40,7 @@
 // newQuarantine creates the quarantine guard of a gateway.
 func (g *gateway) newQuarantine() *quarantinectl.Guard {
 	return g.d.newGuard(quarantinectl.Config{
-		Incarnation: g.run, Owners: g.owners, Peers: g.sourceAddresses, Responds: g.client.Answers,
+		Incarnation: g.run, Owners: g.owners, Peers: g.sourceAddresses, Probe: g.client.Probe,
 		Broadcast: func(s *pb.Suspect) { g.news.BroadcastSuspect(s) },
 	})
 }
@@ -48,7 +48,7 @@
 // makeQuarantine creates the quarantine guard of an entry host and the broadcaster of its updates.
 func (e *entry) makeQuarantine() {
 	e.suspects = e.d.newGuard(quarantinectl.Config{
-		Incarnation: newRun(e.d.cfg.Host), Owners: e.owners, Peers: e.relayAddresses, Responds: e.client.Answers,
+		Incarnation: newRun(e.d.cfg.Host), Owners: e.owners, Peers: e.relayAddresses, Probe: e.client.Probe,
 		Broadcast: func(s *pb.Suspect) { e.news.BroadcastSuspect(s) },
 	})
 	e.news = news.New(news.Config{
--- a/internal/engineclient/answers.go
+++ b/internal/engineclient/answers.go
@@ -6,21 +6,51 @@
 	"net/url"
 )
 
-// Answers reports whether a server answers a GET of a path, with any status, over a new
-// connection. A server that accepts the connection and sends nothing until ctx ends is busy
-// and also counts as answering. A 421 (Misdirected Request) does not count: another server has
-// taken over the address.
-func (c *Client) Answers(ctx context.Context, address, path string) bool {
+// Liveness is what one probe shows about a server.
+type Liveness int
+
+// Results of a probe.
+const (
+	// Gone: the machine refused the connection or ended it, or another server has taken over the
+	// address and answers 421 (Misdirected Request).
+	Gone Liveness = iota
+	// Unheard: nothing arrived from the machine, which says nothing about the server.
+	Unheard
+	// Alive: the server gave any other answer, or accepted the connection and sent nothing, as
+	// busy servers do.
+	Alive
+)
+
+// Probe sends a GET of a path over a new connection, and waits for an answer until ctx ends.
+func (c *Client) Probe(ctx context.Context, address, path string) Liveness {
 	u := &url.URL{Scheme: "http", Host: address, Path: path}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return false
+		return Gone
 	}
 	var trace exchangeTrace
 	res, err := c.oneShot.RoundTrip(req.WithContext(trace.withTrace(ctx)))
 	if err != nil {
-		return trace.conn != nil && ctx.Err() != nil
+		return livenessOf(ctx, &trace, err)
 	}
 	_ = res.Body.Close()
-	return res.StatusCode != http.StatusMisdirectedRequest
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return Gone
+	}
+	return Alive
+}
+
+// livenessOf returns what a probe without an answer shows.
+func livenessOf(ctx context.Context, trace *exchangeTrace, err error) Liveness {
+	if trace.hasConn() {
+		if ctx.Err() != nil {
+			return Alive
+		}
+		return Gone
+	}
+	switch dialCause(ctx, err) {
+	case CauseRequestEnded, CauseDialTimeout:
+		return Unheard
+	}
+	return Gone
 }
--- a/internal/engineclient/silent_test.go
+++ b/internal/engineclient/silent_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,10 +24,10 @@
 	partitionBound = 3 * time.Second
 )
 
-// setSilent makes the kernel drop everything that arrives on c, so that nothing that its peer sends is
-// acknowledged, or makes it accept packets again.
-func setSilent(t *testing.T, c net.Conn, silent bool) {
-	raw, err := c.(*net.TCPConn).SyscallConn()
+// setSilent makes the kernel drop everything that arrives at a socket, so that nothing that its peer
+// sends is acknowledged, or makes it accept packets again.
+func setSilent(t *testing.T, socket syscall.Conn, silent bool) {
+	raw, err := socket.SyscallConn()
 	testutil.NoError(t, err)
 	var setErr error
 	testutil.NoError(t, raw.Control(func(fd uintptr) {
@@ -41,7 +42,7 @@
 }
 
 // beSilent makes c silent for d.
-func beSilent(t *testing.T, c net.Conn, d time.Duration) {
+func beSilent(t *testing.T, c syscall.Conn, d time.Duration) {
 	setSilent(t, c, true)
 	time.Sleep(d)
 	setSilent(t, c, false)
@@ -82,7 +83,7 @@
 				_, _ = http.ReadRequest(r)
 				_, _ = c.Write([]byte(answer[:len(first)]))
 				time.Sleep(50 * time.Millisecond)
-				beSilent(t, c, longSilence)
+				beSilent(t, c.(*net.TCPConn), longSilence)
 				time.Sleep(time.Second) // goes on with its work
 				_, _ = c.Write([]byte(answer[len(first):]))
 			})
@@ -106,7 +107,7 @@
 	if _, _, err := forward(t, client, plainRequest(address)); err != nil {
 		t.Fatal(err)
 	}
-	go beSilent(t, <-accepted, longSilence)
+	go beSilent(t, (<-accepted).(*net.TCPConn), longSilence)
 	time.Sleep(200 * time.Millisecond)
 	if _, body, err := forward(t, client, plainRequest(address)); err != nil || body != "ok" {
 		t.Errorf("got %q, %v", body, err)
@@ -129,7 +130,7 @@
 		_, _ = r.ReadByte()
 		_, _ = c.Write([]byte(wholeAnswer))
 		time.Sleep(50 * time.Millisecond)
-		setSilent(t, c, true)
+		setSilent(t, c.(*net.TCPConn), true)
 		<-t.Context().Done()
 	})
 	client := boundedClient(t)
@@ -177,7 +178,7 @@
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
-		setSilent(t, c, true)
+		setSilent(t, c.(*net.TCPConn), true)
 		silentSince <- time.Now()
 		<-t.Context().Done()
 	})
