Let the last founding replica rejoin after the loss of its disk

Operators: with a list of members in the settings (control.members, not seeds), a replica whose disk is lost after both others have been replaced waited for ever, "forming", and the group stayed one loss away from losing its quorum.

Cause: a replica with a new disk asks the other members of the list whether the group was formed with another disk under its ID, and waits for all. Replicas that were replaced have other IDs and ignored questions to the replica before them.

Change: a replica that is a member of the group answers such a question that the group was formed. The asking replica gives up its ID and joins as a new one, which is safe in any case: it only gives up a vote.

Measured: TestLastFoundingReplicaIsReplaced fails before ("host2 still waits for the answers of founding replicas") and passes after, with the other tests of internal/control and internal/controlclient. Fleets that are formed by seeds are not affected: their hosts restart with the order to join.

--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -31,15 +31,16 @@
 //   - A replica of the bootstrap list with a new disk does not participate in
 //     consensus. It asks every other replica of the list, and each answers with its
 //     own nonce and, if it already participates, with the nonce that it recorded for
-//     the asking replica.
+//     the asking replica. Where another replica of the list was replaced, the new one
+//     answers that the group was formed.
 //   - Once all have answered, and none with a nonce other than the asking replica's,
 //     that replica records all nonces, syncs them and participates. The first
 //     formation of a group therefore needs all replicas of the list to be up at the
 //     same time.
-//   - A different nonce means that the group was formed with another disk under this
-//     ID: the disk was lost. The replica abandons that ID permanently, draws a new
-//     random one, and waits to be added as a learner. It is promoted once it holds
-//     everything committed, and the old ID is removed.
+//   - A different nonce, or the answer of a replaced replica, means that the group was
+//     formed with another disk under this ID: the disk was lost. The replica abandons
+//     that ID permanently, draws a new random one, and waits to be added as a learner.
+//     It is promoted once it holds everything committed, and the old ID is removed.
 //
 // Why this is safe: a replica participates only after it recorded the nonces of all
 // others. Any quorum that committed something contains, besides the lost disk, a
--- a/internal/control/formation.go
+++ b/internal/control/formation.go
@@ -82,6 +82,21 @@
 	return reply
 }
 
+// answerForFormer rejects the formation request to a former replica on this host: the group was
+// formed if this one is a member of it. Without the answer, the replica on a new disk would wait for
+// ever once every other replica of the bootstrap list has been replaced.
+func (r *Replica) answerForFormer(m *pb.RaftMessage) {
+	if r.formation != nil {
+		return
+	}
+	if s := r.Membership(); s != MembershipVoter && s != MembershipLearner {
+		return
+	}
+	r.send(&pb.RaftMessage{
+		Type: pb.RaftType_RAFT_TYPE_FORMATION_ANSWER, From: r.id.ID, To: m.From, Hint: m.Context, Reject: true,
+	})
+}
+
 // runFormation asks the other replicas of the bootstrap list until it is known whether
 // this disk may participate.
 func (r *Replica) runFormation() error {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -129,8 +129,11 @@
 
 // step passes a message to the formation or to the consensus.
 func (r *Replica) step(m *pb.RaftMessage) error {
-	if m.To != r.id.ID {
-		return nil // for a former replica at this address
+	if m.To != r.id.ID { // for a former replica at this address
+		if m.Type == pb.RaftType_RAFT_TYPE_FORMATION_ASK {
+			r.answerForFormer(m)
+		}
+		return nil
 	}
 	r.recordVersions[m.From] = m.RecordVersion
 	switch m.Type {
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -86,6 +86,26 @@
 	})
 }
 
+// Guards against a replica that never rejoins after the loss of its disk because all other founding
+// replicas have been replaced before: nobody remembers the disk that it had.
+func TestLastFoundingReplicaIsReplaced(t *testing.T) {
+	withCluster(t, nil, func(t *testing.T, c *cluster) {
+		c.leader()
+		for i, lost := range c.hosts {
+			c.mustSet(2, 2*i)
+			oldID := lost.r.ID()
+			c.crash(lost)
+			lost.fs = memfs.New()
+			c.start(lost)
+			time.Sleep(5 * time.Second)
+			if lost.r.ID() == oldID || !lost.r.Joining() {
+				t.Fatalf("%s still waits for the answers of founding replicas", lost.address)
+			}
+			repairMember(t, c, oldID, &pb.Member{Id: lost.r.ID(), Address: lost.address, Host: lost.address})
+		}
+	})
+}
+
 // repairMember replaces the member old and returns once the leader reports the group as
 // repaired.
 func repairMember(t *testing.T, c *cluster, old uint64, fresh *pb.Member) {
