--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -99,8 +99,8 @@
 // openDisk loads identity, log and snapshot.
 func (r *Replica) openDisk() error {
 	fs := r.cfg.FS
-	if err := fs.MkdirAll(r.cfg.DataDir); err != nil {
-		return errors.Wrap(err, "control: create data directory")
+	if err := makeDataDir(fs, r.cfg.DataDir); err != nil {
+		return err
 	}
 	id, err := loadIdentity(fs, r.cfg.DataDir)
 	if err != nil {
@@ -138,6 +138,15 @@
 	return nil
 }
 
+// makeDataDir creates the data directory if it does not exist. The directory around one that
+// exists is left alone, as the process may have no access to it.
+func makeDataDir(fs wal.FS, dir string) error {
+	if _, err := fs.List(dir); err == nil {
+		return nil
+	}
+	return errors.Wrap(wal.MakeDir(fs, dir), "control: data directory")
+}
+
 // openLog opens the log and returns its contents. id is the identity on the same disk,
 // nil for a new disk.
 func (r *Replica) openLog(id *identity) (wal.Contents, error) {
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -52,8 +52,8 @@
 
 // Open opens the directory and removes temporary files left by a crash.
 func Open(fs wal.FS, dir string) (*Store, error) {
-	if err := fs.MkdirAll(dir); err != nil {
-		return nil, errors.Wrap(err, "snapshot: create directory")
+	if err := wal.MakeDir(fs, dir); err != nil {
+		return nil, errors.Wrap(err, "snapshot")
 	}
 	s := &Store{fs: fs, dir: dir}
 	names, err := fs.List(dir)
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -16,7 +16,8 @@
 }
 
 // FS is the part of a file system that logs and snapshots need. A created, renamed or
-// removed name survives a crash only after SyncDir of its directory.
+// removed name, also that of a directory, survives a crash only after SyncDir of its
+// directory.
 type FS interface {
 	MkdirAll(dir string) error
 	// List returns the names in dir, sorted.
@@ -33,6 +34,15 @@
 	SyncDir(dir string) error
 }
 
+// MakeDir creates a directory in an existing one, unless it exists, and makes its name
+// durable. A sync of a file in it does not.
+func MakeDir(fs FS, dir string) error {
+	if err := fs.MkdirAll(dir); err != nil {
+		return errors.Wrap(err, "create directory")
+	}
+	return errors.Wrap(fs.SyncDir(filepath.Dir(dir)), "sync directory")
+}
+
 // WriteFile creates or replaces a file and syncs its content.
 func WriteFile(fs FS, path string, data []byte) error {
 	f, err := fs.Create(path)
--- a/internal/wal/memfs/memfs.go
+++ b/internal/wal/memfs/memfs.go
@@ -1,6 +1,6 @@
 // Package memfs implements an in-memory file system for tests of crash safety. A crash
-// loses everything that was not synced: bytes written since a file's last sync, and
-// names created, renamed or removed since the directory's last sync.
+// loses what was not synced: bytes written since a file's last sync, and names of files
+// and directories created, renamed or removed since the last sync of their directory.
 package memfs
 
 import (
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	names   map[string]*inode
 	durable map[string]*inode
+	// dirs are the directories, with whether their names are durable.
+	dirs    map[string]bool
 	crashes int
 	syncs   int
 	onSync  func(path string) error
@@ -32,21 +34,23 @@
 
 // New returns an empty file system.
 func New() *FS {
-	return &FS{names: map[string]*inode{}, durable: map[string]*inode{}}
+	return &FS{names: map[string]*inode{}, durable: map[string]*inode{}, dirs: map[string]bool{}}
 }
 
 var errNotExist = errors.New("memfs: no such file")
 var errCrashed = errors.New("memfs: the file was opened before a crash")
 
-// Crash discards what wasn't synced. With rnd, a part of the unsynced bytes may be
-// kept, because a disk may have written some of them.
+// Crash discards what wasn't synced. With rnd, a disk may have written some of it: a part
+// of a file's unsynced bytes may be kept, and each change of a name may be kept or lost,
+// independently of the others.
 func (f *FS) Crash(rnd *rand.Rand) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashes++
-	f.names = map[string]*inode{}
-	for _, name := range sortedNames(f.durable) {
-		n := f.durable[name]
+	survivors := f.survivingNames(rnd)
+	f.names, f.durable = map[string]*inode{}, map[string]*inode{}
+	for _, name := range sortedNames(survivors) {
+		n := survivors[name]
 		kept := n.synced
 		if extra := len(n.data) - len(n.synced); rnd != nil && extra > 0 {
 			kept = n.data[:len(n.synced)+rnd.Intn(extra+1)]
@@ -57,6 +61,39 @@
 	}
 }
 
+// survivingNames returns the names that are left after a crash, in directories that are.
+func (f *FS) survivingNames(rnd *rand.Rand) map[string]*inode {
+	for _, dir := range slices.Sorted(maps.Keys(f.dirs)) {
+		if !f.dirs[dir] && keepsOld(rnd) || !f.dirExists(path.Dir(dir)) {
+			delete(f.dirs, dir)
+			continue
+		}
+		f.dirs[dir] = true
+	}
+	out := map[string]*inode{}
+	all := maps.Clone(f.durable)
+	maps.Copy(all, f.names)
+	for _, name := range sortedNames(all) {
+		n := f.names[name]
+		if n != f.durable[name] && keepsOld(rnd) {
+			n = f.durable[name]
+		}
+		if n != nil && f.dirExists(path.Dir(name)) {
+			out[name] = n
+		}
+	}
+	return out
+}
+
+// keepsOld draws whether a crash undoes a change that was not synced.
+func keepsOld(rnd *rand.Rand) bool { return rnd == nil || rnd.Intn(2) == 0 }
+
+// dirExists reports whether dir exists. The root always does.
+func (f *FS) dirExists(dir string) bool {
+	_, made := f.dirs[dir]
+	return made || dir == "/" || dir == "."
+}
+
 func sortedNames(m map[string]*inode) []string { return slices.Sorted(maps.Keys(m)) }
 
 // SetOnSync sets a hook that is called before each sync of a file; its error fails the
@@ -84,12 +121,22 @@
 }
 
 // MkdirAll implements wal.FS.
-func (f *FS) MkdirAll(string) error { return nil }
+func (f *FS) MkdirAll(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for dir = path.Clean(dir); !f.dirExists(dir); dir = path.Dir(dir) {
+		f.dirs[dir] = false
+	}
+	return nil
+}
 
 // List implements wal.FS.
 func (f *FS) List(dir string) ([]string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.dirExists(path.Clean(dir)) {
+		return nil, errNotExist
+	}
 	var out []string
 	for _, name := range sortedNames(f.names) {
 		if path.Dir(name) == path.Clean(dir) {
@@ -114,6 +161,9 @@
 func (f *FS) Create(name string) (wal.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.dirExists(path.Dir(path.Clean(name))) {
+		return nil, errNotExist
+	}
 	n := &inode{}
 	f.names[path.Clean(name)] = n
 	return &file{fs: f, name: name, node: n, crash: f.crashes}, nil
@@ -178,6 +228,11 @@
 			f.durable[name] = n
 		}
 	}
+	for made := range f.dirs {
+		if path.Dir(made) == path.Clean(dir) {
+			f.dirs[made] = true
+		}
+	}
 	return nil
 }
 
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -90,8 +90,8 @@
 	defaults.Set(&opts.SegmentBytes, defaultSegmentBytes)
 	defaults.Set(&opts.MaxBytes, defaultMaxBytes)
 	l := &Log{fs: fs, dir: dir, opts: opts}
-	if err := fs.MkdirAll(dir); err != nil {
-		return nil, Contents{}, errors.Wrap(err, "wal: create directory")
+	if err := MakeDir(fs, dir); err != nil {
+		return nil, Contents{}, errors.Wrap(err, "wal")
 	}
 	c, err := l.load()
 	if err != nil {
