--- a/internal/peertunnel/conn.go
+++ b/internal/peertunnel/conn.go
@@ -2,8 +2,9 @@
 // Open is the side of the host that wants the connection, Serve that of the peer that opens it.
 //
 // Only bytes cross the stream. How the connection ended crosses it as well, since an answer may end
-// with its connection: a regular close by the server is io.EOF, a reset is syscall.ECONNRESET, and the
-// loss of the peer is a *PeerError.
+// with its connection: a regular close by the server is io.EOF, a reset is syscall.ECONNRESET, a
+// server's machine that acknowledges nothing is syscall.ETIMEDOUT, and the loss of the peer is a
+// *PeerError.
 package peertunnel
 
 import (
@@ -144,11 +145,17 @@
 	case err == io.EOF:
 		return io.EOF
 	case status.Code(err) == codes.Aborted:
-		return &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
+		return c.readOpError(syscall.ECONNRESET)
+	case status.Code(err) == codes.DeadlineExceeded: // of the server's connection, as the stream has no deadline
+		return c.readOpError(syscall.ETIMEDOUT)
 	}
 	return c.peerError(err)
 }
 
+func (c *Conn) readOpError(err error) error {
+	return &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Addr: c.RemoteAddr(), Err: err}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	written := 0
--- a/internal/peertunnel/serve.go
+++ b/internal/peertunnel/serve.go
@@ -78,6 +78,8 @@
 		switch {
 		case err == io.EOF:
 			return nil
+		case errors.Is(err, syscall.ETIMEDOUT):
+			return status.Error(codes.DeadlineExceeded, err.Error())
 		case err != nil:
 			return status.Error(codes.Aborted, err.Error())
 		}
--- a/internal/peertunnel/tunnel_test.go
+++ b/internal/peertunnel/tunnel_test.go
@@ -42,7 +42,7 @@
 }
 
 // startPeer serves p and returns a client of it, and a function that kills it.
-func startPeer(t *testing.T, p peer) (pb.PeerClient, func()) {
+func startPeer(t *testing.T, p pb.PeerServer) (pb.PeerClient, func()) {
 	t.Helper()
 	l := testutil.Listen(t)
 	server := grpc.NewServer()
@@ -126,6 +126,36 @@
 	}
 }
 
+// silentConn is a connection to a server whose machine acknowledges nothing.
+type silentConn struct{ net.Conn }
+
+func (silentConn) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+}
+
+// silentPeer opens tunnels to silent servers.
+type silentPeer struct{ pb.UnimplementedPeerServer }
+
+func (silentPeer) Tunnel(s pb.Peer_TunnelServer) error {
+	if _, err := s.Recv(); err != nil {
+		return err
+	}
+	near, _ := net.Pipe()
+	return Serve(s, silentConn{near})
+}
+
+// Guards against taking a server that is silent, as seen from the peer, for one that has reset its
+// connection, for which the request would be blamed.
+func TestSilenceOfTheServerCrosses(t *testing.T) {
+	client, _ := startPeer(t, silentPeer{})
+	c, err := Open(t.Context(), client, "peer", "10.0.0.1:1")
+	testutil.NoError(t, err)
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ETIMEDOUT) {
+		t.Errorf("the host reads %v, want a timeout", err)
+	}
+	testutil.NoError(t, c.Close())
+}
+
 // Guards against taking the loss of the peer for the end of the answer or for a failure of the server.
 func TestLossOfThePeerIsItsOwnError(t *testing.T) {
 	c, far, kill := open(t)
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -94,7 +94,7 @@
 	if engineclient.PeerLost(err) {
 		return t.failure(balance.Abandoned, engineclient.CausePeerLost, "the %s was truncated: %v", what, err)
 	}
-	return t.failure(balance.Broken, cause, "the %s was truncated: %v", what, err)
+	return t.failure(balance.Broken, engineclient.TruncationCause(err, cause), "the %s was truncated: %v", what, err)
 }
 
 // markReached records that a server has received the request.
