Name the number of keepalive probes beside the bound on unacknowledged bytes

Callers: streams under way at a host that lost its servers hung until their callers left, 4 s later, on a system that goes by the number of probes.

Cause: with the patience with silent servers the number was left to Go's default of nine, as Linux ignores it beside TCP_USER_TIMEOUT.

Change: two probes, which come to the same time as the bound, 3 s after the server was last heard.

--- a/internal/engineclient/dial.go
+++ b/internal/engineclient/dial.go
@@ -14,11 +14,13 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
-	// fastKeepAliveIdle and fastKeepAliveInterval are for connections with a bound on
-	// unacknowledged bytes, which also decides how many probes are sent. TCP counts keepalive
-	// times in whole seconds.
+	// fastKeepAliveIdle, fastKeepAliveInterval and fastKeepAliveCount are for connections with a
+	// bound on unacknowledged bytes. Linux lets that bound decide instead of the count; other
+	// systems give up after the count, which comes to the same time. TCP counts keepalive times in
+	// whole seconds.
 	fastKeepAliveIdle     = time.Second
 	fastKeepAliveInterval = time.Second
+	fastKeepAliveCount    = 2
 )
 
 // tcpDialer returns a dialer with TCP keepalive. A connection that the network has lost is
@@ -30,7 +32,8 @@
 	d := &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
 	if cfg.Unacknowledged > 0 {
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: fastKeepAliveIdle, Interval: fastKeepAliveInterval}
+		d.KeepAliveConfig = net.KeepAliveConfig{
+			Enable: true, Idle: fastKeepAliveIdle, Interval: fastKeepAliveInterval, Count: fastKeepAliveCount}
 		d.Control = boundUnacknowledged(cfg.Unacknowledged)
 	}
 	if cfg.Source != "" {
