Read engine streams with any line ends, and skip a byte-order mark

What callers saw: a stream or an assembled answer without its first event, ended with [DONE], from an engine whose streams begin with a byte-order mark; from an engine whose lines end in CR alone, a failure of every run after its deadline or its retries.

Cause: the reader of engine streams had a line parser of its own, which knew LF and CR LF. The mark became part of the first field's name, and fields of unknown names are skipped: what could not be read was taken for nothing.

Change: the reader finds lines with the parser of internal/sse, which is now exported.

--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -45,6 +46,9 @@
 	prefill    float64  // announced prefill speed
 	key        string   // idempotency key of the plain service's last call
 	open       int      // streams in progress
+	newline    string   // ends the lines of streams; empty: LF
+	mark       string   // sent before the first event of a stream
+	unframed   bool     // answers have neither a length nor chunks and end with their connections
 }
 
 func (f *fakeFleet) engine(resumes bool, fault string, at int) *fakeEngine {
@@ -168,7 +172,9 @@
 	e.count(func() { e.open++ })
 	defer e.count(func() { e.open-- })
 	w.Header().Set("Content-Type", "text/event-stream")
+	e.frame(w)
 	w.WriteHeader(http.StatusOK)
+	_, _ = io.WriteString(w, e.mark)
 	if !e.burst {
 		w.(http.Flusher).Flush()
 	}
@@ -180,6 +186,11 @@
 			switch fault {
 			case "dies in the stream":
 				panic(http.ErrAbortHandler)
+			case "ends in the stream":
+				return
+			case "ends inside an event":
+				_, _ = io.WriteString(w, `data: {"id":"x","choices":[{"index":0,"delta":{"content":"t`)
+				return
 			case "falls silent":
 				<-r.Context().Done()
 				return
@@ -211,8 +222,16 @@
 	time.Sleep(e.lateEnd)
 }
 
+// frame makes net/http send the answer without a length and without chunks if the engine is to.
+func (e *fakeEngine) frame(w http.ResponseWriter) {
+	if e.unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+}
+
 func (e *fakeEngine) send(w http.ResponseWriter, data string) {
-	_, _ = io.WriteString(w, "data: "+data+"\n\n")
+	newline := cmp.Or(e.newline, "\n")
+	_, _ = io.WriteString(w, "data: "+data+newline+newline)
 	if !e.burst {
 		w.(http.Flusher).Flush()
 	}
--- /dev/null
+++ b/internal/callerapi/truncated_test.go
@@ -0,0 +1,32 @@
+package callerapi
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
+)
+
+// Guards against tokens that are lost, or streams that are held back, because an engine ends its
+// lines in CR or begins with a byte-order mark.
+func TestStreamsWithAnyLineEnds(t *testing.T) {
+	for _, mark := range []string{"", "\xEF\xBB\xBF"} {
+		for _, newline := range []string{"\n", "\r\n", "\r"} {
+			t.Run(fmt.Sprintf("%q %q", mark, newline), func(t *testing.T) {
+				inFleet(t, func(t *testing.T, f *fakeFleet) {
+					e := f.engine(false, "", 0)
+					e.newline, e.mark = newline, mark
+					w := f.host("a").do(parse.PathChat, chatBody)
+					if text, whole := textOf(w.Body.String()); text != wholeText || !whole {
+						t.Errorf("got %d %q", w.Code, w.Body)
+					}
+					role := `"role":"assistant"`
+					if !strings.Contains(w.Body.String(), role) {
+						t.Errorf("the first event is missing: %q", w.Body)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/sse"
 )
 
 // Bounds of one event of a stream, in bytes.
@@ -36,9 +37,12 @@
 
 // Stream is an engine's open answer. One goroutine reads it; Close may be called from any.
 type Stream struct {
-	res  *http.Response
-	r    *bufio.Reader
-	data []byte
+	res   *http.Response
+	r     *bufio.Reader
+	lines sse.Lines
+	// begun is set once the first line has been read.
+	begun      bool
+	line, data []byte
 }
 
 func newStream(res *http.Response, id string) (*Stream, error) {
@@ -70,7 +74,7 @@
 	var ev Event
 	s.data = s.data[:0]
 	for {
-		line, err := s.line()
+		line, err := s.nextLine()
 		if err != nil {
 			return Event{}, err
 		}
@@ -102,32 +106,33 @@
 	}
 }
 
-// line returns the next line without its line ending. The result is valid until the next call.
-func (s *Stream) line() ([]byte, error) {
-	line, err := s.r.ReadSlice('\n')
-	if err == nil {
-		return trimEnd(line), nil
-	}
-	if !errors.Is(err, bufio.ErrBufferFull) {
-		return nil, readError(err)
-	}
-	long := append([]byte(nil), line...)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(long) > maxEvent {
+// nextLine returns the next line without its line ending. The result is valid until the next call.
+func (s *Stream) nextLine() ([]byte, error) {
+	s.line = s.line[:0]
+	for {
+		if _, err := s.r.Peek(1); err != nil {
+			return nil, readError(err)
+		}
+		arrived, _ := s.r.Peek(s.r.Buffered())
+		text, taken, ended := s.lines.Next(arrived)
+		s.line = append(s.line, text...)
+		_, _ = s.r.Discard(taken)
+		if len(s.line) > maxEvent {
 			return nil, errEventTooLong
 		}
-		line, err = s.r.ReadSlice('\n')
-		long = append(long, line...)
-	}
-	if err != nil {
-		return nil, readError(err)
+		if ended {
+			return s.withoutMark(), nil
+		}
 	}
-	return trimEnd(long), nil
 }
 
-func trimEnd(line []byte) []byte {
-	line = bytes.TrimSuffix(line, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r"))
+// withoutMark returns the line just read without the mark that may precede the first one.
+func (s *Stream) withoutMark() []byte {
+	if s.begun {
+		return s.line
+	}
+	s.begun = true
+	return bytes.TrimPrefix(s.line, []byte(sse.ByteOrderMark))
 }
 
 func readError(err error) error {
--- a/internal/sse/counter.go
+++ b/internal/sse/counter.go
@@ -6,13 +6,13 @@
 // maxLine bounds how many bytes of a line are kept; IDs are short.
 const maxLine = 256
 
-// byteOrderMark may precede the first line of a stream.
-var byteOrderMark = []byte("\xEF\xBB\xBF")
+// ByteOrderMark may precede the first line of a stream, of which it is no part.
+const ByteOrderMark = "\xEF\xBB\xBF"
 
 // Counter counts the events of a stream and remembers the ID of the last complete one. Its
 // zero value is ready for the beginning of a stream.
 type Counter struct {
-	lines   lines
+	lines   Lines
 	events  int
 	lastID  string
 	id      string
@@ -26,7 +26,7 @@
 // Write processes the next bytes of the stream.
 func (c *Counter) Write(b []byte) {
 	for len(b) > 0 {
-		text, taken, ended := c.lines.next(b)
+		text, taken, ended := c.lines.Next(b)
 		c.appendToLine(text)
 		c.offset += int64(taken)
 		b = b[taken:]
@@ -48,7 +48,7 @@
 func (c *Counter) endLine() {
 	line := c.line
 	if !c.begun {
-		line = bytes.TrimPrefix(line, byteOrderMark)
+		line = bytes.TrimPrefix(line, []byte(ByteOrderMark))
 	}
 	c.line, c.begun = c.line[:0], true
 	if len(line) == 0 {
--- a/internal/sse/lines.go
+++ b/internal/sse/lines.go
@@ -2,23 +2,23 @@
 
 import "bytes"
 
-// lines finds the ends of a stream's lines: LF, CR LF and CR. Its zero value is ready for the
+// Lines finds the ends of a stream's lines: LF, CR LF and CR. Its zero value is ready for the
 // beginning of a stream.
 //
 // A CR at the end of the bytes that have arrived is a line end of its own, or the first half of one.
 // Where the line before ended in CR LF it is taken for the latter, and the line ends with what
 // follows.
-type lines struct {
+type Lines struct {
 	// afterCR is set if the last byte was a CR that ended a line, halfEnd if it was one that has not.
 	afterCR, halfEnd bool
 	// crlf is set if the last line ended in CR LF.
 	crlf bool
 }
 
-// next returns the part of b up to the end of the line that b begins in, and how many bytes of b
+// Next returns the part of b up to the end of the line that b begins in, and how many bytes of b
 // that takes. ended is false if the line goes on after b, or if b begins with the LF of a line end
 // whose CR came before; that LF alone is then taken.
-func (l *lines) next(b []byte) (text []byte, taken int, ended bool) {
+func (l *Lines) Next(b []byte) (text []byte, taken int, ended bool) {
 	switch {
 	case l.halfEnd:
 		l.halfEnd = false
@@ -36,7 +36,7 @@
 }
 
 // cut finds the next line end in b.
-func (l *lines) cut(b []byte) (text []byte, taken int, ended bool) {
+func (l *Lines) cut(b []byte) (text []byte, taken int, ended bool) {
 	i := bytes.IndexAny(b, "\r\n")
 	switch {
 	case i < 0:
--- a/internal/sse/part.go
+++ b/internal/sse/part.go
@@ -17,7 +17,7 @@
 	}
 	p.begun = true
 	if p.Continues {
-		return bytes.TrimPrefix(events, byteOrderMark)
+		return bytes.TrimPrefix(events, []byte(ByteOrderMark))
 	}
 	return events
 }
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -7,7 +7,7 @@
 // Splitter splits a stream at the ends of events. Its zero value is ready for the beginning of
 // a stream.
 type Splitter struct {
-	lines    lines
+	lines    Lines
 	buffered []byte
 	// scanned is how many bytes of buffered have been searched for the end of an event.
 	scanned int
@@ -39,7 +39,7 @@
 func (s *Splitter) scan() int {
 	end := 0
 	for s.scanned < len(s.buffered) {
-		text, taken, ended := s.lines.next(s.buffered[s.scanned:])
+		text, taken, ended := s.lines.Next(s.buffered[s.scanned:])
 		s.scanned += taken
 		if !s.inLine && len(text) > 0 {
 			s.inLine, s.comment = true, text[0] == ':'
