Tests: engine streams that end early are read again in every framing

Engine streams are not affected by the cause of the incident: a run counts as finished only with a finish reason in a complete event. No test showed it for a connection that is closed in the regular way between two events, inside an event or without framing.

--- a/internal/callerapi/truncated_test.go
+++ b/internal/callerapi/truncated_test.go
@@ -30,3 +30,31 @@
 		}
 	}
 }
+
+// Guards against the end of an engine's stream that is taken for the end of the run, whichever way
+// the stream is framed.
+func TestStreamThatEndsEarlyIsReadAgain(t *testing.T) {
+	for _, fault := range []string{"ends in the stream", "ends inside an event"} {
+		for _, unframed := range []bool{false, true} {
+			for _, resumes := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, unframed %v, resumes %v", fault, unframed, resumes), func(t *testing.T) {
+					inFleet(t, func(t *testing.T, f *fakeFleet) {
+						first, second := f.engine(resumes, fault, 2), f.engine(false, "", 0)
+						first.unframed = unframed
+						h := f.host("a")
+						w := h.do(parse.PathChat, chatBody)
+						if text, whole := textOf(w.Body.String()); text != wholeText || !whole {
+							t.Errorf("got %q, complete %v", text, whole)
+						}
+						if elsewhere := second.runs == 1; elsewhere == resumes {
+							t.Errorf("%d resumed streams, %d runs elsewhere", len(first.resumed), second.runs)
+						}
+						if f.billed[h.call.Identity] != wholeUsage {
+							t.Errorf("billed %v", f.billed)
+						}
+					})
+				})
+			}
+		}
+	}
+}
