Reject a second run that ends with a token before the caller's last one

What callers saw: the tokens of a first run that broke off, then [DONE] of a second run that was shorter and sent its finish reason together with its last token.

Cause: that a second run is at least as long as what the caller has was checked only for finish reasons in events without a token. An event with both took the path of a token that is skipped; nothing was left that could diverge, and the end of the second run completed the answer of the first. Class: no sign of a fault is taken for proof that the message is complete.

Before: TestShorterSecondRunIsNoWholeAnswer got "t1 t2 t3 " with [DONE] although the second run had two tokens; with the finish reason in an event of its own it passed.

--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -48,6 +48,7 @@
 	open       int      // streams in progress
 	newline    string   // ends the lines of streams; empty: LF
 	mark       string   // sent before the first event of a stream
+	lastToken  bool     // the last token comes with the finish reason
 	unframed   bool     // answers have neither a length nor chunks and end with their connections
 }
 
@@ -214,9 +215,15 @@
 		}
 		time.Sleep(e.tokenDelay)
 		text, _ := json.Marshal(e.prefix + "t" + strconv.Itoa(i) + " ")
-		e.send(w, fmt.Sprintf(`{"id":"x","choices":[{"index":0,"delta":{"content":%s}}]}`, text))
+		finish := "null"
+		if e.lastToken && i == e.tokens {
+			finish = `"stop"`
+		}
+		e.send(w, fmt.Sprintf(`{"id":"x","choices":[{"index":0,"delta":{"content":%s},"finish_reason":%s}]}`, text, finish))
+	}
+	if !e.lastToken {
+		e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)
 	}
-	e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)
 	e.send(w, fmt.Sprintf(`{"id":"x","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":%d,"total_tokens":%d}}`, e.tokens, e.tokens+3))
 	e.send(w, "[DONE]")
 	time.Sleep(e.lateEnd)
--- a/internal/callerapi/truncated_test.go
+++ b/internal/callerapi/truncated_test.go
@@ -58,3 +58,19 @@
 		}
 	}
 }
+
+// Guards against the end of a second run that is shorter than what the caller has of the first: the
+// caller would take the joined part of two runs for one whole answer.
+func TestShorterSecondRunIsNoWholeAnswer(t *testing.T) {
+	for _, lastToken := range []bool{false, true} {
+		inFleet(t, func(t *testing.T, f *fakeFleet) {
+			f.engine(false, "dies in the stream", 3)
+			second := f.engine(false, "", 0)
+			second.tokens, second.lastToken = 2, lastToken
+			w := f.host("a").do(parse.PathChat, chatBody)
+			if text, whole := textOf(w.Body.String()); whole || text != "t1 t2 t3 " {
+				t.Errorf("finish reason with the last token %v: got %q, complete %v", lastToken, text, whole)
+			}
+		})
+	}
+}
--- a/internal/filter/dispatch/relay.go
+++ b/internal/filter/dispatch/relay.go
@@ -44,7 +44,8 @@
 		r.send(raw)
 		return nil
 	}
-	if r.seen == r.skip && r.hash.Sum64() != r.c.Answer.TextHash {
+	ended := r.seen < r.skip && ch.finishes()
+	if ended || r.seen == r.skip && r.hash.Sum64() != r.c.Answer.TextHash {
 		return errDiverged
 	}
 	return nil
