Treat a service's answer that ends inside its JSON as truncated

What callers saw: status 200 with a Content-Length of what had come, when a plain service that answers without a length and without chunks ended within its answer; billed at its fixed price, and replayed to everyone who asked again with the key.

Cause: the read of the body ends without an error whenever the connection is closed in the regular way, as the kernel does it for a crashed process. The host then framed what it had, so that its caller had no chance to see it.

Change: the end of an unframed body is judged by its content (internal/bodyend): a JSON text that stops inside a value is truncated; the attempt fails as one that may have run, and goes to another server where the request allows it. Content that isn't JSON despite its type, other types and a number at the end are passed on as before: they don't show their end, and HTTP takes such an answer for complete (RFC 9112, section 6.3). Which answers are unframed is decided in one place, which the relay uses too.

Before: TestPartOfAnAnswerIsNotPassedOn got the part with status 200, one bill and no run elsewhere.

--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -49,6 +49,7 @@
 	newline    string   // ends the lines of streams; empty: LF
 	mark       string   // sent before the first event of a stream
 	lastToken  bool     // the last token comes with the finish reason
+	answer     string   // what a plain service sends as JSON; empty: text made of the request
 	unframed   bool     // answers have neither a length nor chunks and end with their connections
 }
 
@@ -163,7 +164,15 @@
 			time.Sleep(e.delay(string(body)))
 		}
 		e.count(func() { e.key = r.Header.Get(filter.HeaderIdempotencyKey) })
-		_, _ = io.WriteString(w, "service:"+string(body))
+		e.frame(w)
+		if e.answer != "" {
+			w.Header().Set("Content-Type", "application/json")
+		}
+		_, _ = io.WriteString(w, cmp.Or(e.answer, "service:"+string(body)))
+		if e.fault == "dies in the answer" {
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
 		return
 	}
 	e.stream(w, r, 0, e.fault)
--- a/internal/callerapi/truncated_test.go
+++ b/internal/callerapi/truncated_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
 )
 
@@ -74,3 +76,30 @@
 		})
 	}
 }
+
+const entryAnswer = `{"id":"entry 1","run":1}`
+
+// Guards against a part of a service's answer that reaches its caller as the whole, is billed and is
+// replayed to a caller that asks again.
+func TestPartOfAnAnswerIsNotPassedOn(t *testing.T) {
+	for n := range entryAnswer {
+		inFleet(t, func(t *testing.T, f *fakeFleet) {
+			first, second := f.engine(false, "", 0), f.engine(false, "", 0)
+			first.unframed, first.answer, second.answer = true, entryAnswer[:n]+" ", entryAnswer
+			h := f.host("a")
+			for _, key := range []string{"k", "k"} {
+				w := h.do(service, "entry 1", filter.HeaderIdempotencyKey, key)
+				if w.Body.String() != entryAnswer || second.runs != 1 || h.settled != 1 {
+					t.Errorf("%d bytes: got %d %q, runs elsewhere %d, bills %d", n, w.Code, w.Body, second.runs, h.settled)
+				}
+			}
+			h.noRetry = true
+			for range 2 {
+				w := h.do(service, "entry 1", filter.HeaderNotIdempotent, "true", filter.HeaderIdempotencyKey, "once")
+				if got := refusalOf(t, w.Body.String()); got.Kind != errkind.OutcomeUnknown || first.runs != 2 {
+					t.Errorf("%d bytes, not idempotent: got %+v after %d runs", n, got, first.runs)
+				}
+			}
+		})
+	}
+}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/bluebellsail/bluebellsail/internal/bodyend"
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
@@ -344,6 +345,11 @@
 	if int64(len(body)) > c.cfg.MaxAnswer {
 		return nil, &Error{Ran: errkind.RanYes, Status: res.StatusCode, Message: "the answer is longer than the limit"}
 	}
+	if endOf(res, body) == bodyend.Truncated {
+		return nil, &Error{
+			Ran: errkind.RanUnknown, Cause: CauseBodyTruncated, Status: res.StatusCode, Message: "the connection ended inside the answer's content",
+		}
+	}
 	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -177,12 +177,12 @@
 // FramingOf returns how the body of an answer is framed.
 func FramingOf(res *http.Response) Framing {
 	switch {
+	case engineclient.Unframed(res):
+		return Unframed
 	case len(res.TransferEncoding) > 0:
 		return FramedByChunks
-	case res.ContentLength >= 0, res.Request != nil && res.Request.Method == http.MethodHead:
-		return FramedByLength
 	}
-	return Unframed
+	return FramedByLength
 }
 
 // maxDetail bounds an error's text in the log, in bytes: it may quote what a server sent.
