Clear a request of crashing servers only by answers shown to be whole

What operators saw: a request whose servers crash while they answer was not suspected, or was cleared by each crash.

Cause: two accounts of the same end. A service's answer that broke off with a read error carried no cause of its own and counted as garbled, which is no sign of a crash. An unframed answer that ended with its connection counted as whole whatever had come, and a whole answer clears the request.

Change: an answer of which only a part came is cut_in_body and reported as a lost connection; an unframed one clears the request only if its content shows its end, otherwise the request's explanation has a line that says so.

Before: TestOnlyAWholeAnswerClearsARequest counted one whole answer for "end not shown" and no lost connection for "connection lost". After: it passes; callerapi, engineclient and controller/quarantine pass.

--- a/internal/callerapi/truncated_test.go
+++ b/internal/callerapi/truncated_test.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/filter/parse"
+	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 )
 
 // Guards against tokens that are lost, or streams that are held back, because an engine ends its
@@ -103,3 +105,45 @@
 		})
 	}
 }
+
+// suspicions is a filter.Quarantine and filter.Admission that records what it is told.
+type suspicions struct{ answered, lost int }
+
+func (s *suspicions) Admit(context.Context, quarantine.ID) (filter.Admission, error) { return s, nil }
+func (s *suspicions) AdmitResumed(quarantine.ID) filter.Admission                    { return s }
+func (s *suspicions) ServerReached()                                                 {}
+func (s *suspicions) ConnectionLost(filter.ConnectionLoss)                           { s.lost++ }
+func (s *suspicions) AllowRetry(context.Context) error                               { return nil }
+func (s *suspicions) Answered()                                                      { s.answered++ }
+func (s *suspicions) Status() quarantine.Status                                      { return quarantine.Status{} }
+func (s *suspicions) Close()                                                         {}
+
+// Guards against a request that crashes its servers and is cleared of it by the part of an answer
+// that arrived before, or is never suspected.
+func TestOnlyAWholeAnswerClearsARequest(t *testing.T) {
+	for _, c := range []struct {
+		name, fault, answer string
+		unframed            bool
+		answered, lost      int
+	}{
+		{"whole", "", entryAnswer, false, 1, 0},
+		{"whole, unframed", "", entryAnswer, true, 1, 0},
+		{"end not shown", "", "", true, 0, 0},
+		{"ends inside its content", "", entryAnswer[:9], true, 0, 1},
+		{"connection lost", "dies in the answer", entryAnswer[:9], false, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
+				e := f.engine(false, c.fault, 0)
+				e.unframed, e.answer = c.unframed, c.answer
+				h, s := f.host("a"), &suspicions{}
+				h.noRetry, h.api.deps.Quarantine = true, s
+				h.api = New(h.api.deps)
+				h.do(service, "entry 1")
+				if s.answered != c.answered || s.lost != c.lost {
+					t.Errorf("%d whole answers and %d lost connections, want %d and %d", s.answered, s.lost, c.answered, c.lost)
+				}
+			})
+		})
+	}
+}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -323,6 +323,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// EndShown is set if the framing or the content of the body shows that it is whole.
+	EndShown bool
 }
 
 // Call makes one call to a plain service and reads the whole answer.
@@ -340,17 +342,23 @@
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.cfg.MaxAnswer+1))
 	if err != nil {
-		return nil, &Error{Ran: errkind.RanUnknown, Status: res.StatusCode, Message: err.Error()}
+		e := truncated(res, err.Error())
+		e.Cause = TruncationCause(err, e.Cause)
+		return nil, e
 	}
 	if int64(len(body)) > c.cfg.MaxAnswer {
 		return nil, &Error{Ran: errkind.RanYes, Status: res.StatusCode, Message: "the answer is longer than the limit"}
 	}
-	if endOf(res, body) == bodyend.Truncated {
-		return nil, &Error{
-			Ran: errkind.RanUnknown, Cause: CauseBodyTruncated, Status: res.StatusCode, Message: "the connection ended inside the answer's content",
-		}
+	end := endOf(res, body)
+	if end == bodyend.Truncated {
+		return nil, truncated(res, "the connection ended inside the answer's content")
 	}
-	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
+	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body, EndShown: end == bodyend.Whole}, nil
+}
+
+// truncated returns the error for an answer of which only a part arrived.
+func truncated(res *http.Response, message string) *Error {
+	return &Error{Ran: errkind.RanUnknown, Cause: CauseBodyTruncated, Status: res.StatusCode, Message: message}
 }
 
 // errOtherAnswer is returned for an answer with the ID of another run: one that arrived late
--- a/internal/filter/dispatch/service.go
+++ b/internal/filter/dispatch/service.go
@@ -32,9 +32,7 @@
 	}
 	if err == nil {
 		c.Outcome.OK = true
-		if answer.Status < http.StatusInternalServerError {
-			reportAnswered(c)
-		}
+		f.reportEnd(c, answer)
 		f.writeService(w, c, answer)
 		return nil
 	}
@@ -55,6 +53,16 @@
 	return attemptFailed(ran, server, err.Error())
 }
 
+// reportEnd reports an answer to the quarantine if it is shown to be whole and not a server error.
+func (f *Filter) reportEnd(c *filter.Call, answer *engineclient.Answer) {
+	switch {
+	case !answer.EndShown:
+		c.Note(f.Clock.Now(), "dispatch", "the answer ended with its connection, and its content doesn't show whether it is whole")
+	case answer.Status < http.StatusInternalServerError:
+		reportAnswered(c)
+	}
+}
+
 // tryContext returns the context of an attempt. For the first attempt of a call that may be
 // repeated it keeps half of the time for another server: the connection may have become silent,
 // which for a plain service can only be detected by waiting.
