Ask an engine again for the usage of a run whose stream ended without it

What callers saw: a bill over the upper bound of their prompt's tokens (82 tokens instead of 8 in the test) and no usage in the answer, when the engine's connection was closed in the regular way between the finish reason and the usage. If it was reset there instead, a whole text was generated a second time at another engine, or refused as outcome_unknown where it must not be.

Cause: the kind of the connection's end, not what had arrived, decided. Without a read error the stream counted as ended although its last events were missing; with one, the text counted as incomplete although its finish reason had arrived.

Change: the finish reason proves the text, [DONE] proves the end of the stream. A run whose text is whole is read again once, where the engine resumes, for its usage; if that brings nothing, the answer ends with what is known, and no second run is made. A run that can't be read again no longer waits for its deadline behind the finish reason. Only a stream with its end clears a request of crashing servers.

--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -233,6 +233,15 @@
 	if !e.lastToken {
 		e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)
 	}
+	switch fault {
+	case "ends before its usage":
+		return
+	case "dies before its usage":
+		panic(http.ErrAbortHandler)
+	case "falls silent before its usage":
+		<-r.Context().Done()
+		return
+	}
 	e.send(w, fmt.Sprintf(`{"id":"x","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":%d,"total_tokens":%d}}`, e.tokens, e.tokens+3))
 	e.send(w, "[DONE]")
 	time.Sleep(e.lateEnd)
--- a/internal/callerapi/truncated_test.go
+++ b/internal/callerapi/truncated_test.go
@@ -147,3 +147,40 @@
 		})
 	}
 }
+
+// Guards against a bill and an answer without the engine's usage because the stream ended between its
+// finish reason and its usage, and against a second run for a text that is whole.
+func TestStreamThatEndsBeforeItsUsage(t *testing.T) {
+	for _, fault := range []string{"ends before its usage", "dies before its usage", "falls silent before its usage"} {
+		for _, idempotent := range []string{"true", "false"} {
+			for _, engine := range []struct{ resumes, stuck bool }{{false, false}, {true, false}, {true, true}} {
+				t.Run(fmt.Sprintf("%s, idempotent %s, %+v", fault, idempotent, engine), func(t *testing.T) {
+					inFleet(t, func(t *testing.T, f *fakeFleet) {
+						first, second := f.engine(engine.resumes, fault, 0), f.engine(false, "", 0)
+						first.stuck = engine.stuck
+						h := f.host("a")
+						body := strings.Replace(chatBody, `"stream":true`, `"stream":true,"stream_options":{"include_usage":true}`, 1)
+						w := h.do(parse.PathChat, body, filter.HeaderNotIdempotent, fmt.Sprint(idempotent == "false"))
+						if text, whole := textOf(w.Body.String()); text != wholeText || !whole {
+							t.Errorf("got %q, complete %v", text, whole)
+						}
+						if first.runs+second.runs != 1 || len(first.resumed) > 1 {
+							t.Errorf("%d and %d runs, resumed %d times", first.runs, second.runs, len(first.resumed))
+						}
+						known := engine.resumes && !engine.stuck
+						if strings.Contains(w.Body.String(), `"usage"`) != known {
+							t.Errorf("want the usage %v: %q", known, w.Body)
+						}
+						want := h.call.PromptTokens + 5
+						if known {
+							want = wholeUsage
+						}
+						if got := f.billed[h.call.Identity]; got != want {
+							t.Errorf("billed %d, want %d", got, want)
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -78,7 +78,10 @@
 	// lastToken is when the last token arrived, or when the run began.
 	lastToken time.Time
 	usage     *engineclient.Usage
-	finished  bool
+	// finished is set once the finish reason has arrived: the text is whole. ended is set once the
+	// end of the stream has arrived, before which its usage may still come. askedForRest is set if a
+	// finished run is read again for that.
+	finished, ended, askedForRest bool
 }
 
 // model runs a completion and relays its stream.
@@ -106,7 +109,9 @@
 	}
 	if err == nil {
 		c.Outcome.OK = true
-		reportAnswered(c)
+		if a.ended {
+			reportAnswered(c)
+		}
 		return nil
 	}
 	if ctx.Err() == nil && a.reached && crashLike(err) {
@@ -136,7 +141,14 @@
 		if err == nil {
 			return a.sink.end()
 		}
-		if ctx.Err() != nil || !a.mayResume(err) {
+		if ctx.Err() != nil {
+			return err
+		}
+		if a.finished && readingBroke(err) && !(a.mayResume(err) && a.mayAskForRest()) {
+			a.c.Note(a.f.Clock.Now(), "dispatch", "the text is whole, but its stream had no end: "+err.Error())
+			return a.sink.end()
+		}
+		if !a.mayResume(err) {
 			return err
 		}
 		a.rereads++
@@ -147,6 +159,27 @@
 	}
 }
 
+// readingBroke reports whether the reading of a stream was interrupted, as opposed to ended by what
+// the engine sent.
+func readingBroke(err error) bool {
+	for _, other := range []error{errOverCap, errDiverged, errEngine, errStopped} {
+		if errors.Is(err, other) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayAskForRest reports whether a run whose text is whole is to be read again for its usage. It is
+// read once, since the caller waits for the end of its answer.
+func (a *attempt) mayAskForRest() bool {
+	if a.usage != nil || a.askedForRest {
+		return false
+	}
+	a.askedForRest = true
+	return true
+}
+
 // mayResume reports whether reading the run at the same engine may be resumed after err.
 func (a *attempt) mayResume(err error) bool {
 	switch {
@@ -251,7 +284,7 @@
 // connection that was silent as well: then the engine is slow rather than the connection lost.
 func (a *attempt) limit() time.Duration {
 	doublings := a.silences
-	if !a.resumable && !a.c.Idempotent {
+	if !a.resumable && !a.c.Idempotent && !a.finished {
 		return noLimit // the run can be neither read again nor repeated, so all it can do is wait
 	}
 	if !a.resumable {
@@ -286,27 +319,25 @@
 		return silence
 	}
 	if errors.Is(err, io.EOF) {
-		err = a.endError()
-	}
-	if err != nil {
-		a.failures++
+		err = errEarlyEnd
 	}
+	a.failures++
 	return err
 }
 
-// endError returns the error for a stream that ends without its last event; nil if the run was
-// finished.
-func (a *attempt) endError() error {
-	if a.finished {
-		return nil
+// endOfStream processes the last event of a stream.
+func (a *attempt) endOfStream() error {
+	if !a.finished {
+		return errEarlyEnd
 	}
-	return errEarlyEnd
+	a.ended = true
+	return nil
 }
 
 // handleEvent processes one event. done is set if it was the last event of the stream.
 func (a *attempt) handleEvent(ev engineclient.Event) (done bool, err error) {
 	if string(ev.Data) == doneData {
-		return true, a.endError()
+		return true, a.endOfStream()
 	}
 	if ev.Name == errorEvent {
 		return false, errEngine
