Resume a stream only if its last event has an ID

What callers saw: events twice, where a server sends events without IDs after one with an ID and the stream breaks off behind them.

Cause: the ID of the last event that had one was taken for the position of the stream. The relay had passed on what followed, and the server that resumes repeats it. An ID longer than the 256 bytes kept of a line was cut without a sign, and the stream would have been resumed after another ID than the caller has.

Change: an event with data but without an ID, or with one that was cut, leaves the position unknown; such a stream is aborted instead of resumed. Comments, and events without data, leave the position as it is.

--- a/internal/sse/counter.go
+++ b/internal/sse/counter.go
@@ -9,15 +9,18 @@
 // ByteOrderMark may precede the first line of a stream, of which it is no part.
 const ByteOrderMark = "\xEF\xBB\xBF"
 
-// Counter counts the events of a stream and remembers the ID of the last complete one. Its
-// zero value is ready for the beginning of a stream.
+// Counter counts the events of a stream and remembers the ID of the last one. Its zero value is
+// ready for the beginning of a stream.
 type Counter struct {
 	lines   Lines
 	events  int
 	lastID  string
 	id      string
 	line    []byte
+	cut     bool // the current line is longer than what is kept of it
 	hasLine bool // the current event has a line
+	hasID   bool // the current event has an ID
+	hasData bool // the current event has data
 	begun   bool // the first line has ended
 	offset  int64
 	end     int64
@@ -40,24 +43,31 @@
 }
 
 func (c *Counter) appendToLine(b []byte) {
-	if room := maxLine - len(c.line); room > 0 {
-		c.line = append(c.line, b[:min(len(b), room)]...)
-	}
+	kept := min(len(b), maxLine-len(c.line))
+	c.line = append(c.line, b[:kept]...)
+	c.cut = c.cut || kept < len(b)
 }
 
 func (c *Counter) endLine() {
-	line := c.line
+	line, cut := c.line, c.cut
 	if !c.begun {
 		line = bytes.TrimPrefix(line, []byte(ByteOrderMark))
 	}
-	c.line, c.begun = c.line[:0], true
+	c.line, c.cut, c.begun = c.line[:0], false, true
 	if len(line) == 0 {
 		c.endEvent()
 		return
 	}
 	c.hasLine = true
-	if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-		c.id = string(bytes.TrimPrefix(value, []byte(" ")))
+	field, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(field) {
+	case "data":
+		c.hasData = true
+	case "id":
+		c.hasID, c.id = true, ""
+		if !cut {
+			c.id = string(bytes.TrimPrefix(value, []byte(" ")))
+		}
 	}
 }
 
@@ -65,15 +75,21 @@
 	if !c.hasLine {
 		return
 	}
-	c.hasLine = false
 	c.events++
-	c.lastID = c.id
+	switch {
+	case c.hasID:
+		c.lastID = c.id
+	case c.hasData:
+		c.lastID = ""
+	}
+	c.hasLine, c.hasID, c.hasData = false, false, false
 }
 
 // Events returns the number of complete events.
 func (c *Counter) Events() int { return c.events }
 
-// LastID returns the ID of the last complete event; empty if no event has had one.
+// LastID returns the ID after which the stream goes on; empty if it isn't known, because the last
+// complete event with data had no ID or one that is too long. A comment changes nothing.
 func (c *Counter) LastID() string { return c.lastID }
 
 // IncompleteBytes returns how many bytes of an incomplete event have been processed.
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -131,3 +131,25 @@
 		}
 	}
 }
+
+// Guards against resuming a stream after an event that is not its last one: the server would repeat
+// the events that followed without an ID.
+func TestLastIDIsThatOfTheLastEvent(t *testing.T) {
+	for _, c := range []struct{ stream, want string }{
+		{"id: 1\ndata: a\n\ndata: b\n\n", ""},
+		{"id: 1\ndata: a\n\nid\ndata: b\n\n", ""},
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n: comment\n\n", "2"},
+		{"id: 1\ndata: a\n\nretry: 5\n\n", "1"},
+		{"id: 1\ndata: a\n\nevent: e\n\n", "1"},
+		{"id: 1\ndata: a\n\nid: 2\n\n", "2"},
+		{"data: a\n\nid: 2\ndata: b\n\n", "2"},
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: c\n\nid: 4\ndata: d\n\n", "4"},
+		{"id: 1\ndata: a\n\nid: " + strings.Repeat("9", 2*maxLine) + "\ndata: b\n\n", ""},
+	} {
+		var c1 Counter
+		c1.Write([]byte(c.stream))
+		if got := c1.LastID(); got != c.want {
+			t.Errorf("%.60q: last ID %.20q, want %q", c.stream, got, c.want)
+		}
+	}
+}
