Send a stream to a caller without chunks as a whole

What callers saw: with HTTP/1.0, a stream's first event as the whole answer, with its length as Content-Length, also if the stream was aborted later; on a kept connection, the rest of the stream in place of the next answer.

Cause: nbhttp sends chunks only to HTTP/1.1. At a flush without them it states the length of what is buffered then, and sends what follows without any framing. Our own answer was framed as complete before it was.

Change: to a caller that can't read chunks, an answer without a length is sent when the handler has returned; until then an abort leaves no answer at all, which can't be taken for a whole one. Such a caller gets its events at once, not as they are made. An answer that ends with its connection would keep them separate, but an abort would then have to reset the connection, as a regular close would mean the end.

Before: TestStreamToHTTP10CallerIsWhole got 9 bytes of the stream, then a malformed status line; TestAbortedStreamToHTTP10Caller got "data: a" without an error. After: both pass; httpserver passes.

--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -80,9 +80,14 @@
 	return written, nil
 }
 
-// Flush sends the buffered bytes.
+// Flush sends the buffered bytes. To a caller that can't read chunks, an answer without a length is
+// sent as a whole when the handler has returned: nbhttp would state the length of the part that is
+// buffered now, and the caller would take that part for the whole answer.
 func (r *response) Flush() {
 	r.begun = true
+	if !r.mayChunk && r.Header().Get("Content-Length") == "" {
+		return
+	}
 	r.buffered = 0
 	if f, ok := r.ResponseWriter.(http.Flusher); ok {
 		f.Flush()
