Load tool: count a stream that ends inside its last event as lost

Cause: the load tool read lines and took the text "data: [DONE]" for the end of a stream, also where the connection ended behind it, before the event was complete. It had the fault that it is to find.

Before: TestCutStreamIsLost counted 40 streams that ended inside [DONE] as answers (wrong ones, as they had no text), none as lost. After: it passes; the load package passes.

--- a/internal/load/attempt.go
+++ b/internal/load/attempt.go
@@ -229,18 +229,22 @@
 	}
 }
 
-// readStream reads server-sent events. A stream is complete only if it ends with [DONE]. If the
-// connection ends without it, the stream was cut.
+// readStream reads server-sent events. A stream is complete only if it ends with the event [DONE]. If
+// the connection ends before or inside it, the stream was cut.
 func (a *attempt) readStream(body io.Reader, onText func(string)) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLine)
-	for lines.Scan() {
+	for done := false; lines.Scan(); {
+		if done && lines.Text() == "" {
+			return
+		}
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
 			continue
 		}
 		if data == "[DONE]" {
-			return
+			done = true
+			continue
 		}
 		var j answerJSON
 		if err := json.Unmarshal([]byte(data), &j); err != nil {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -143,6 +144,15 @@
 	if r := run(t, o); r.Lost != o.Count {
 		t.Fatalf("a stream that ends without [DONE]: %+v", r)
 	}
+	for _, end := range []string{"data: [DONE]", "data: [DONE]\n"} {
+		o.Direct = fakeHost(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, end)
+		}))
+		if r := run(t, o); r.Lost != o.Count {
+			t.Fatalf("a stream that ends inside its last event: %+v", r)
+		}
+	}
 }
 
 func TestCallerRetriesElsewhereWithSameKey(t *testing.T) {
