Stand-in: answers without framing, and answers that are cut inside

Cause: the stand-in always framed its answers, and cut a plain service's answer only before its first byte, so that no test or demo with it could show an answer that ends with its connection. Two new faults: unframed and cut_service_answers.

TestFaultsOfStandinServers has two more cases (whole and cut streams without framing), TestCutAnswersOfStandinServices is new.

--- a/internal/callerapi/standin_test.go
+++ b/internal/callerapi/standin_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,6 +46,8 @@
 		"none":            {},
 		"refuses":         {faults: standin.Faults{Refuse: true}},
 		"drops":           {faults: standin.Faults{DropAfterTokens: 4}},
+		"unframed":        {faults: standin.Faults{Unframed: true}},
+		"drops unframed":  {faults: standin.Faults{Unframed: true, DropAfterTokens: 4}},
 		"falls silent":    {faults: standin.Faults{SilentAfterTokens: 4}},
 		"all silent":      {faults: standin.Faults{Silent: true}},
 		"ignores its cap": {faults: standin.Faults{IgnoreMaxTokens: true}, kind: errkind.ReservationExhausted},
@@ -83,3 +86,26 @@
 		})
 	}
 }
+
+// Guards against a part of a plain service's answer that is passed on as the whole, whichever way it
+// is framed.
+func TestCutAnswersOfStandinServices(t *testing.T) {
+	for name, faults := range map[string]standin.Faults{
+		"unframed":     {Unframed: true},
+		"cut":          {CutServiceAnswers: true},
+		"cut unframed": {CutServiceAnswers: true, Unframed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet()
+			standins(t, f, faults)
+			s := serve(t, f.host("a"))
+			res, err := post(s, "/services/ledger/entries", `{"id":"entry 1"}`)
+			testutil.NoError(t, err)
+			got, err := io.ReadAll(res.Body)
+			_ = res.Body.Close()
+			if want := `{"id":"entry 1","run":1}`; err != nil || strings.TrimSpace(string(got)) != want {
+				t.Errorf("got %d %q, %v", res.StatusCode, got, err)
+			}
+		})
+	}
+}
--- a/internal/standin/answers.go
+++ b/internal/standin/answers.go
@@ -196,3 +196,12 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(append(b, '\n'))
 }
+
+// cutJSON sends half of v and cuts the connection.
+func cutJSON(w http.ResponseWriter, v any) {
+	b, _ := json.Marshal(v) // the answers of plain services can be marshaled
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b[:len(b)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -25,6 +25,11 @@
 	DropAfterTokens int `json:"drop_after_tokens,omitempty"`
 	// DropServiceAnswers executes a call of a plain service and cuts the connection before the answer.
 	DropServiceAnswers bool `json:"drop_service_answers,omitempty"`
+	// CutServiceAnswers executes a call of a plain service and cuts the connection inside the answer.
+	CutServiceAnswers bool `json:"cut_service_answers,omitempty"`
+	// Unframed sends answers without a length and without chunks. They end with their connections, so
+	// that one that is cut looks like a whole one.
+	Unframed bool `json:"unframed,omitempty"`
 	// LateLoadMS is the age of the announced load, in milliseconds.
 	LateLoadMS int64 `json:"late_load_ms,omitempty"`
 	// HideLoadAge announces a stale load as if it were fresh.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -48,24 +48,28 @@
 // Handler returns the server's complete HTTP API.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", s.withRateLimitHeader(s.postCompletion))
-	mux.HandleFunc("POST /v1/completions", s.withRateLimitHeader(s.postCompletion))
+	mux.HandleFunc("POST /v1/chat/completions", s.withCommonHeaders(s.postCompletion))
+	mux.HandleFunc("POST /v1/completions", s.withCommonHeaders(s.postCompletion))
 	mux.HandleFunc("GET /v1/streams/{id}", s.getStream)
 	mux.HandleFunc("POST /v1/streams/{id}/cancel", s.cancelStream)
 	mux.HandleFunc("GET /kv/{id}", s.exportKV)
 	mux.HandleFunc("POST /kv/{id}", s.importKV)
 	mux.HandleFunc("POST /orders", s.postOrder)
 	mux.HandleFunc("GET /orders", s.getOrders)
-	mux.HandleFunc("/services/{name}/lookup", s.withRateLimitHeader(s.lookup))
-	mux.HandleFunc("POST /services/{name}/entries", s.withRateLimitHeader(s.postEntry))
+	mux.HandleFunc("/services/{name}/lookup", s.withCommonHeaders(s.lookup))
+	mux.HandleFunc("POST /services/{name}/entries", s.withCommonHeaders(s.postEntry))
 	mux.HandleFunc("POST /debug/faults", s.postFaults)
 	mux.HandleFunc("GET /debug/runs", s.getRuns)
 	return mux
 }
 
-// withRateLimitHeader adds the rate limit that is in force to the headers of each answer.
-func (s *Server) withRateLimitHeader(h http.HandlerFunc) http.HandlerFunc {
+// withCommonHeaders adds the rate limit that is in force to the headers of each answer, and removes
+// its framing if that fault is injected.
+func (s *Server) withCommonHeaders(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if s.faults.get().Unframed {
+			w.Header().Set("Transfer-Encoding", "identity") // net/http then sends no other framing
+		}
 		if limit := s.faults.get().RateLimit; limit != nil {
 			w.Header().Set(HeaderRateLimit, strconv.FormatFloat(*limit, 'g', -1, 64))
 		}
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -134,5 +134,8 @@
 	if f.DropServiceAnswers {
 		panic(http.ErrAbortHandler)
 	}
+	if f.CutServiceAnswers {
+		cutJSON(w, answer)
+	}
 	writeJSON(w, http.StatusOK, answer)
 }
