Do not take an engine's own early end for a crash

What operators saw: requests suspected of crashing engines that had not crashed: the engine ended a framed stream before its last event, answered for another run, or sent an event longer than the limit.

Cause: any end of a reading without an answer status counted as like a crash, so that how the connection had ended did not matter.

Change: an early end counts as a lost connection only where the connection's end was all that marked it. Answers for another run and events that are too long don't count.

Before: TestOnlyALostConnectionIsLikeACrash counted a lost connection in four of its seven cases that should count none. After: it passes; callerapi, engineclient, proof and controller/quarantine pass.

--- a/internal/callerapi/truncated_test.go
+++ b/internal/callerapi/truncated_test.go
@@ -184,3 +184,35 @@
 		}
 	}
 }
+
+// Guards against suspecting a request of crashing its server where the connection was not lost: the
+// engine ended its stream itself, or sent something that can't be used.
+func TestOnlyALostConnectionIsLikeACrash(t *testing.T) {
+	for _, c := range []struct {
+		name, fault, mark string
+		unframed          bool
+		lost              int
+	}{
+		{"dies", "dies in the stream", "", false, 1},
+		{"ends, unframed", "ends in the stream", "", true, 1},
+		{"ends inside an event, unframed", "ends inside an event", "", true, 1},
+		{"ends, framed", "ends in the stream", "", false, 0},
+		{"ends inside an event, framed", "ends inside an event", "", false, 0},
+		{"answers for another run", "answers for another run", "", false, 0},
+		{"event too long", "", "data: " + strings.Repeat("x", 2<<20), false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
+				e := f.engine(false, c.fault, 2)
+				e.unframed, e.mark = c.unframed, c.mark
+				h, s := f.host("a"), &suspicions{}
+				h.noRetry, h.api.deps.Quarantine = true, s
+				h.api = New(h.api.deps)
+				h.do(parse.PathChat, chatBody)
+				if s.answered != 0 || s.lost != c.lost {
+					t.Errorf("%d whole answers and %d lost connections, want none and %d", s.answered, s.lost, c.lost)
+				}
+			})
+		})
+	}
+}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -361,11 +361,11 @@
 	return &Error{Ran: errkind.RanUnknown, Cause: CauseBodyTruncated, Status: res.StatusCode, Message: message}
 }
 
-// errOtherAnswer is returned for an answer with the ID of another run: one that arrived late
+// ErrOtherAnswer is returned for an answer with the ID of another run: one that arrived late
 // or was delivered on the wrong connection. The answer is dropped.
-var errOtherAnswer = errors.New("the answer belongs to another run")
+var ErrOtherAnswer = errors.New("the answer belongs to another run")
 
-// CrossedAnswers counts the answers dropped with errOtherAnswer.
+// CrossedAnswers counts the answers dropped with ErrOtherAnswer.
 var CrossedAnswers atomic.Int64
 
 // checkID checks by ID that the answer belongs to this run, since the position on the
@@ -377,5 +377,5 @@
 	}
 	CrossedAnswers.Add(1)
 	_ = res.Body.Close()
-	return errors.Wrapf(errOtherAnswer, "want %s, got %s", id, got)
+	return errors.Wrapf(ErrOtherAnswer, "want %s, got %s", id, got)
 }
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -19,8 +19,8 @@
 	maxEvent   = 1 << 20
 )
 
-// errEventTooLong is returned if the engine sends an event longer than maxEvent.
-var errEventTooLong = errors.New("stream event is longer than the limit")
+// ErrEventTooLong is returned if the engine sends an event longer than maxEvent.
+var ErrEventTooLong = errors.New("stream event is longer than the limit")
 
 // Usage is the token usage that an engine reports.
 type Usage struct {
@@ -59,6 +59,9 @@
 	return &Stream{res: res, r: bufio.NewReaderSize(res.Body, lineBuffer)}, nil
 }
 
+// EndsWithConnection reports whether nothing but the end of its connection marks the stream's end.
+func (s *Stream) EndsWithConnection() bool { return Unframed(s.res) }
+
 // Close closes the stream, and its connection unless the stream was read to its end.
 func (s *Stream) Close() { _ = s.res.Body.Close() }
 
@@ -88,7 +91,7 @@
 		}
 		s.field(&ev, line)
 		if len(s.data) > maxEvent {
-			return Event{}, errEventTooLong
+			return Event{}, ErrEventTooLong
 		}
 	}
 }
@@ -118,7 +121,7 @@
 		s.line = append(s.line, text...)
 		_, _ = s.r.Discard(taken)
 		if len(s.line) > maxEvent {
-			return nil, errEventTooLong
+			return nil, ErrEventTooLong
 		}
 		if ended {
 			return s.withoutMark(), nil
--- a/internal/filter/dispatch/crash.go
+++ b/internal/filter/dispatch/crash.go
@@ -13,13 +13,15 @@
 // healthPath is the path at which servers report whether they accept work.
 const healthPath = "/healthz"
 
-// crashLike reports whether reading a run ended as it does when the engine crashes. Errors that the
-// engine reported itself, runs that this host ended and machines that were silent are excluded.
+// crashLike reports whether reading a run ended as it does when the engine crashes. Excluded are ends
+// and errors that the engine sent itself, runs that this host ended and machines that were silent.
 func crashLike(err error) bool {
 	if engineclient.IsSilent(err) {
 		return false
 	}
-	for _, other := range []error{errSilent, errNoAnswer, errOverCap, errDiverged, errEngine, errStopped} {
+	for _, other := range []error{
+		errSilent, errNoAnswer, errOverCap, errDiverged, errEngine, errStopped, errEarlyEnd, engineclient.ErrOtherAnswer, engineclient.ErrEventTooLong,
+	} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -44,7 +44,8 @@
 	errDiverged = errors.New("the second run does not repeat the tokens that the caller already has")
 	errEngine   = errors.New("the engine reported an error in its stream")
 	errStopped  = errors.New("the run was stopped from outside")
-	errEarlyEnd = errors.New("the stream ended before its last event")
+	errEarlyEnd = errors.New("the engine ended the stream before its last event")
+	errCut      = errors.New("the connection ended before the last event of the stream")
 )
 
 // sink receives a run's events.
@@ -250,7 +251,7 @@
 	for {
 		ev, err := stream.Next()
 		if err != nil {
-			return a.silenceOrError(l.ctx, err, errSilent)
+			return a.silenceOrError(l.ctx, endError(stream, err), errSilent)
 		}
 		done, err := a.handleEvent(ev)
 		silent.Reset(a.limit())
@@ -318,13 +319,21 @@
 		a.f.Client.DropConnections(a.server)
 		return silence
 	}
-	if errors.Is(err, io.EOF) {
-		err = errEarlyEnd
-	}
 	a.failures++
 	return err
 }
 
+// endError returns the error for a stream whose next event could not be read.
+func endError(stream *engineclient.Stream, err error) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case stream.EndsWithConnection():
+		return errCut
+	}
+	return errEarlyEnd
+}
+
 // endOfStream processes the last event of a stream.
 func (a *attempt) endOfStream() error {
 	if !a.finished {
