Do not take the end of a service's process for the end of its answer

What callers saw: part of a plain service's answer as the whole, where the service crashed while it sent an answer without a length, without chunks and without content that shows its end.

Cause and change are those of the relay, for the callers' own interface: if the content doesn't show whether such an answer is whole, and the server refuses a new connection, the answer is truncated; unless the server had announced its end.

Before: TestAnswerThatEndsWithItsServer got the answer of the server that had ended, with no run elsewhere. Not covered: a service that is back within the time of the check, and one that goes on.

--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -168,6 +168,9 @@
 		if e.answer != "" {
 			w.Header().Set("Content-Type", "application/json")
 		}
+		if e.fault == "dies with its answer" {
+			e.count(func() { e.down = true })
+		}
 		_, _ = io.WriteString(w, cmp.Or(e.answer, "service:"+string(body)))
 		if e.fault == "dies in the answer" {
 			w.(http.Flusher).Flush()
--- a/internal/callerapi/fake_test.go
+++ b/internal/callerapi/fake_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -269,7 +269,7 @@
 		return net.Dial(network, address)
 	}
 	if e == nil || e.refusesConnections() {
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
 	e.conns <- far
--- a/internal/callerapi/truncated_test.go
+++ b/internal/callerapi/truncated_test.go
@@ -216,3 +216,31 @@
 		})
 	}
 }
+
+// Guards against taking the crash of a service for the end of its answer where the answer ends with its
+// connection and its content doesn't show its end.
+func TestAnswerThatEndsWithItsServer(t *testing.T) {
+	for _, c := range []struct {
+		name, fault string
+		unframed    bool
+		elsewhere   int
+	}{
+		{"server goes on", "", true, 0},
+		{"server ends", "dies with its answer", true, 1},
+		{"server ends, framed", "dies with its answer", false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
+				first, second := f.engine(false, c.fault, 0), f.engine(false, "", 0)
+				first.unframed = c.unframed
+				h, s := f.host("a"), &suspicions{}
+				h.api.deps.Quarantine = s
+				h.api = New(h.api.deps)
+				w := h.do(service, "entry 1")
+				if w.Body.String() != "service:entry 1" || second.runs != c.elsewhere || s.lost != c.elsewhere || h.settled != 1 {
+					t.Errorf("got %d %q, %d runs elsewhere, %d lost connections, %d bills", w.Code, w.Body, second.runs, s.lost, h.settled)
+				}
+			})
+		})
+	}
+}
--- a/internal/engineclient/answers.go
+++ b/internal/engineclient/answers.go
@@ -6,8 +6,12 @@
 	"net/http"
 	"net/url"
 	"syscall"
+	"time"
 )
 
+// acceptTimeout bounds the check whether a server accepts connections.
+const acceptTimeout = 250 * time.Millisecond
+
 // Liveness is what one probe shows about a server.
 type Liveness int
 
@@ -71,3 +75,10 @@
 	_ = conn.Close()
 	return true
 }
+
+// serverEnded reports whether a server's process has ended, as far as a new connection shows.
+func (c *Client) serverEnded(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	return !c.Accepts(ctx, address)
+}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -181,6 +181,8 @@
 	// may resend a request by itself when an idle connection turns out to be closed, and an
 	// idle connection that no longer delivers anything leaves the outcome unknown.
 	Fresh bool
+	// Leaving is set if the server has announced its end: it may stop with its last answer.
+	Leaving bool
 }
 
 // Error is the error of a call, with what is known about the run.
@@ -350,8 +352,11 @@
 		return nil, &Error{Ran: errkind.RanYes, Status: res.StatusCode, Message: "the answer is longer than the limit"}
 	}
 	end := endOf(res, body)
-	if end == bodyend.Truncated {
+	switch {
+	case end == bodyend.Truncated:
 		return nil, truncated(res, "the connection ended inside the answer's content")
+	case end == bodyend.Unknown && !r.Leaving && c.serverEnded(ctx, r.Address):
+		return nil, truncated(res, "the connection ended, and the server accepts no others")
 	}
 	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body, EndShown: end == bodyend.Whole}, nil
 }
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -96,6 +96,7 @@
 	return engineclient.Request{
 		Address: server, Method: c.Method, Path: path, ContentType: c.ContentType, Body: c.Body,
 		EngineRequestID: id, Remaining: c.Deadline.Sub(f.Clock.Now()), Fresh: !c.Idempotent,
+		Leaving: c.Lease != nil && c.Lease.Server().GetLeaving(),
 	}
 }
 
