Require an event of a resumed stream where one is due

What callers saw: a stream that ended properly after its first server broke off inside an event and the second sent a framed answer without one, or a 204 or 206 without one.

Whether an event was due was not asked.

Change: a stream without an event is truncated also if a part of one had arrived before, or if its status is not that of the stream that it is to continue.

--- a/internal/relay/forward/ending.go
+++ b/internal/relay/forward/ending.go
@@ -18,8 +18,8 @@
 	errEndInsideEvent = errors.New("it ended inside an event")
 	// errServerEnded is that of an answer that ended together with its server's process.
 	errServerEnded = errors.New("its connection ended, and the server accepts no others")
-	// errNoEvent is that of an unframed stream without events.
-	errNoEvent = errors.New("its connection ended before the first event")
+	// errNoEvent is that of a stream without events that can't be whole.
+	errNoEvent = errors.New("it ended before the first event")
 )
 
 // received is the answer of a server with what is known of the server.
@@ -48,6 +48,13 @@
 // outputCapReached reports whether a stream has all the output that the request allows.
 func (t *task) outputCapReached() bool { return t.x.OutputCap > 0 && t.x.OutputTokens >= t.x.OutputCap }
 
+// owesEvent reports whether a stream without events can't be whole: nothing but the end of its
+// connection marks its end, a part of the next event had arrived from another server, or its status is
+// not that of the stream that it is to continue.
+func (t *task) owesEvent(res received) bool {
+	return relay.FramingOf(res.Response) == relay.Unframed || t.eventOwed || t.x.Begun && res.StatusCode != t.x.Status
+}
+
 // endError returns why a stream that was read to its end without an error is truncated; nil if it counts
 // as whole. insideEvent is whether it ended inside an event, events how many whole ones the server has
 // sent.
@@ -55,7 +62,7 @@
 	switch {
 	case insideEvent:
 		return errEndInsideEvent
-	case relay.FramingOf(res.Response) == relay.Unframed && events == 0:
+	case events == 0 && t.owesEvent(res):
 		return errNoEvent
 	case t.serverEndedWith(res):
 		return errServerEnded
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -76,6 +76,8 @@
 	retryTaken bool
 	// events counts the events of a stream that the caller has received.
 	events sse.Counter
+	// eventOwed is set once a stream has broken off inside an event.
+	eventOwed bool
 }
 
 // outcome is the result of one attempt.
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -30,6 +30,7 @@
 			t.x.PromptConsumed = true
 			t.writeEvents(res.Response, part.Events(splitter.Split(buf[:n])))
 		}
+		t.eventOwed = t.eventOwed || readErr != nil && splitter.InsideEvent()
 		switch {
 		case readErr == io.EOF:
 			return t.endStream(res, t.endError(res, splitter.InsideEvent(), t.events.Events()-before))
