Judge the end of an unframed answer by its content

What callers saw: status 200 with a Content-Length of what had come of a JSON answer, where its server broke it off without a length and without chunks and went on or was back at once; and the same of an error whose body is an event stream.

Change: as for plain services of the callers' own interface (internal/bodyend), an unframed answer of up to 1 MiB that ends inside its content is truncated, and one whose content ends by itself is whole without a connection to its server. What shows neither is judged by whether the server accepts connections, as before.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -351,7 +351,7 @@
 	if int64(len(body)) > c.cfg.MaxAnswer {
 		return nil, &Error{Ran: errkind.RanYes, Status: res.StatusCode, Message: "the answer is longer than the limit"}
 	}
-	end := endOf(res, body)
+	end := EndOf(res, body)
 	switch {
 	case end == bodyend.Truncated:
 		return nil, truncated(res, "the connection ended inside the answer's content")
--- a/internal/engineclient/framing.go
+++ b/internal/engineclient/framing.go
@@ -13,9 +13,9 @@
 	return len(res.TransferEncoding) == 0 && res.ContentLength < 0 && !isHead
 }
 
-// endOf returns what an answer shows about the end of its body, which has been read without an
+// EndOf returns what an answer shows about the end of its body, which has been read without an
 // error.
-func endOf(res *http.Response, body []byte) bodyend.Verdict {
+func EndOf(res *http.Response, body []byte) bodyend.Verdict {
 	if !Unframed(res) {
 		return bodyend.Whole
 	}
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -212,8 +212,8 @@
 // receives half of it, and another server may be asked if it is truncated.
 func (t *task) relayBuffered(lease relay.Lease, res received) outcome {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered+1))
-	if err == nil && len(body) <= maxBuffered && t.serverEndedWith(res) {
-		err = errServerEnded
+	if err == nil && len(body) <= maxBuffered {
+		err = t.bodyError(res, body)
 	}
 	if err != nil {
 		t.x.PromptConsumed = t.x.PromptConsumed || t.ctx.Err() == nil
--- a/internal/relay/forward/ending.go
+++ b/internal/relay/forward/ending.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/bodyend"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 )
 
@@ -18,6 +20,8 @@
 	errEndInsideEvent = errors.New("it ended inside an event")
 	// errServerEnded is that of an answer that ended together with its server's process.
 	errServerEnded = errors.New("its connection ended, and the server accepts no others")
+	// errEndInsideContent is that of an unframed answer whose content goes on.
+	errEndInsideContent = errors.New("its connection ended inside its content")
 	// errNoEvent is that of a stream without events that can't be whole.
 	errNoEvent = errors.New("it ended before the first event")
 )
@@ -48,6 +52,20 @@
 // outputCapReached reports whether a stream has all the output that the request allows.
 func (t *task) outputCapReached() bool { return t.x.OutputCap > 0 && t.x.OutputTokens >= t.x.OutputCap }
 
+// bodyError returns why an answer that is not a stream, and was read to its end without an error, is
+// truncated; nil if it counts as whole.
+func (t *task) bodyError(res received, body []byte) error {
+	switch engineclient.EndOf(res.Response, body) {
+	case bodyend.Truncated:
+		return errEndInsideContent
+	case bodyend.Unknown:
+		if t.serverEndedWith(res) {
+			return errServerEnded
+		}
+	}
+	return nil
+}
+
 // owesEvent reports whether a stream without events can't be whole: nothing but the end of its
 // connection marks its end, a part of the next event had arrived from another server, or its status is
 // not that of the stream that it is to continue.
