--- a/internal/engineclient/silent_test.go
+++ b/internal/engineclient/silent_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -143,6 +144,48 @@
 	}
 }
 
+// Guards against requests that wait one after the other on connections to a server that has just become
+// silent: after the first of them, the others are suspect as well.
+func TestIdleConnectionBesideAnUnacknowledgedRequestIsNotUsed(t *testing.T) {
+	t.Parallel()
+	const idle = 3
+	var begun sync.WaitGroup
+	begun.Add(idle)
+	silent := make(chan struct{})
+	address := startRawServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n > idle {
+			answerEach(c, r)
+			return
+		}
+		_, _ = http.ReadRequest(r)
+		_, _ = r.ReadByte()
+		begun.Done()
+		begun.Wait() // so that the others are not idle yet
+		_, _ = c.Write([]byte(wholeAnswer))
+		time.Sleep(50 * time.Millisecond)
+		setSilent(t, c.(*net.TCPConn), true)
+		<-silent
+	})
+	defer close(silent)
+	client := boundedClient(t)
+	var answered sync.WaitGroup
+	for range idle {
+		answered.Go(func() {
+			if _, _, err := forward(t, client, plainRequest(address)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	answered.Wait()
+	time.Sleep(100 * time.Millisecond)
+	answered.Go(func() { _, _, _ = forward(t, client, plainRequest(address)) }) // is left unacknowledged
+	defer answered.Wait()
+	time.Sleep(2 * ackCheckInterval)
+	if _, body, err := forward(t, client, plainRequest(address)); err != nil || body != "ok" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
 // Guards against new connections for each request to a server that is asked now and then.
 func TestIdleConnectionOfSoundServerIsUsedAgain(t *testing.T) {
 	t.Parallel()
