Tell a server that does not read from a silent one by its open packets

Callers: nothing new where the kernel fills in TCP_INFO in full. Where it leaves the times of the last packets empty, a request on a dead connection was held for the 2,250 ms of TCP_USER_TIMEOUT and not given up after 1,750 ms.

Cause: the check whether a server merely does not read, and so acknowledges only the probes of its closed window, relied on these times.

Change: with a closed window no packet is unacknowledged; if one is, the server is silent. The times still serve to find idle connections that have become quiet.

TestServerThatDoesNotReadIsNotSilent (new, a server that reads nothing for 2 s) passes; it was not run on the code before. All tests of internal/engineclient pass under -race.

--- a/internal/engineclient/silent_test.go
+++ b/internal/engineclient/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -186,6 +187,25 @@
 	}
 }
 
+// Guards against a long request that is given up because its server does not read it for a while.
+func TestServerThatDoesNotReadIsNotSilent(t *testing.T) {
+	t.Parallel()
+	address := startRawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		time.Sleep(requestAckTimeout + ackCheckInterval)
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = c.Write([]byte(wholeAnswer))
+	})
+	long := plainRequest(address)
+	long.Body = make([]byte, 32<<20)
+	if _, body, err := forward(t, boundedClient(t), long); err != nil || body != "ok" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
 // Guards against new connections for each request to a server that is asked now and then.
 func TestIdleConnectionOfSoundServerIsUsedAgain(t *testing.T) {
 	t.Parallel()
--- a/internal/engineclient/watched.go
+++ b/internal/engineclient/watched.go
@@ -165,8 +165,8 @@
 	if c.heard.Load() < c.server.suspectBefore.Load() {
 		return true
 	}
-	quiet, known := c.quietFor()
-	return known && quiet >= unheardTimeout
+	info, err := c.info()
+	return err == nil && quietFor(info) >= unheardTimeout
 }
 
 // checkAcknowledged checks how much of the request is acknowledged, and ends the connection if
@@ -183,9 +183,6 @@
 	if quiet >= ackCheckInterval {
 		c.server.suspect(since)
 	}
-	if heard, known := c.quietFor(); known {
-		quiet = min(quiet, heard) // a server that does not read acknowledges the probes of its window
-	}
 	if quiet >= requestAckTimeout {
 		_ = c.SetReadDeadline(time.Now()) // unlike Close, this ends the request as timed out
 		return
@@ -198,7 +195,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.watch.now()
-	if acknowledged := c.written - unacknowledged; c.writing || acknowledged > c.acknowledged {
+	if acknowledged := c.written - unacknowledged; c.writing || c.windowClosed() || acknowledged > c.acknowledged {
 		c.acknowledged, c.quietSince = max(acknowledged, c.acknowledged), now
 	}
 	return now - c.quietSince, c.quietSince
@@ -213,18 +210,25 @@
 	return n, err
 }
 
-// quietFor returns how long nothing, not even an acknowledgment, has arrived; known is false where
-// the system does not tell.
-func (c *watchedConn) quietFor() (quiet time.Duration, known bool) {
-	var info *unix.TCPInfo
-	err := c.control(func(fd int) (err error) {
+// windowClosed reports whether the rest of the request waits for a server that does not read,
+// but acknowledges the probes of its window.
+func (c *watchedConn) windowClosed() bool {
+	info, err := c.info()
+	return err == nil && info.Unacked == 0
+}
+
+// info returns the kernel's state of the connection.
+func (c *watchedConn) info() (info *unix.TCPInfo, err error) {
+	err = c.control(func(fd int) (err error) {
 		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		return err
 	})
-	if err != nil || info.State == 0 {
-		return 0, false
-	}
-	return time.Duration(min(info.Last_data_recv, info.Last_ack_recv)) * time.Millisecond, true
+	return info, err
+}
+
+// quietFor returns how long nothing, not even an acknowledgment, has arrived.
+func quietFor(info *unix.TCPInfo) time.Duration {
+	return time.Duration(min(info.Last_data_recv, info.Last_ack_recv)) * time.Millisecond
 }
 
 // control calls f with the connection's descriptor.
