Keep observations of what servers advertise in a type of their own

Cause: the order of observations of an incarnation (the newest answer counts, one without the word lifts it only if its request was sent later) is needed for a second word that servers advertise in their answers.

Change: ratelimit.Observations holds it; Table uses it. No change of behavior.

--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -8,7 +8,7 @@
 
 // Table holds the rate limits that this host has observed or was notified of, and its permits.
 type Table struct {
-	observed map[instance.Incarnation]Observation
+	observed Observations
 	permits  map[instance.Incarnation]*permits
 	warmups  map[instance.Incarnation]Warmup
 	// warmupRate returns the requests per second that a cold server of a service accepts from all hosts
@@ -21,20 +21,14 @@
 // nil.
 func NewTable(warmupRate func(service string) (perSecond float64, ok bool)) *Table {
 	return &Table{
-		observed: make(map[instance.Incarnation]Observation), permits: make(map[instance.Incarnation]*permits),
+		observed: make(Observations), permits: make(map[instance.Incarnation]*permits),
 		warmups: make(map[instance.Incarnation]Warmup), warmupRate: warmupRate,
 	}
 }
 
 // Observe records an observation. It returns the former one and whether the limit has changed.
 func (t *Table) Observe(inc instance.Incarnation, o Observation) (before Observation, changed bool) {
-	o = o.normalized()
-	before, known := t.observed[inc]
-	if o.At.IsZero() || known && !o.At.After(before.At) || !known && !o.Limited() {
-		return before, false
-	}
-	t.observed[inc] = o
-	changed = before.Limited() != o.Limited() || o.Limited() && before.Limit != o.Limit
+	before, changed = t.observed.Observe(inc, o)
 	if changed {
 		delete(t.permits, inc) // they were granted or refused under the former limit
 	}
@@ -54,21 +48,10 @@
 			}
 		}
 	}
-	for inc, o := range t.observed {
-		if o.At.Before(before) {
-			delete(t.observed, inc)
-			delete(t.permits, inc)
-		}
+	for _, inc := range t.observed.Expire(before) {
+		delete(t.permits, inc)
 	}
 }
 
 // Limited returns the limited incarnations with their observations.
-func (t *Table) Limited() map[instance.Incarnation]Observation {
-	out := make(map[instance.Incarnation]Observation)
-	for inc, o := range t.observed {
-		if o.Limited() {
-			out[inc] = o
-		}
-	}
-	return out
-}
+func (t *Table) Limited() map[instance.Incarnation]Observation { return t.observed.Limited() }
