Admit requests to brittle servers by one owner each, in a model

Cause: a backend server may advertise that it fails if it rejects more than N requests in a second. What hosts send together, and what has been rejected, is known to none of them.

Change: package admission (pure). The owner of a server admits a request if those that may still be rejected and the rejections of the last second stay below N, and if what is in flight fits a window. Nothing uses the package yet.

Conclusion: the bound holds for whatever way the room shrinks, as long as an owner learns of a rejection within 200 ms.

--- /dev/null
+++ b/internal/admission/fleet_test.go
@@ -0,0 +1,391 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellsail/bluebellsail/internal/instance"
+)
+
+const (
+	// detection is the longest time until hosts detect that another one stopped or is back.
+	detection = 2500 * time.Millisecond
+	// avoidTime is how long a host asks no host that did not answer.
+	avoidTime = 500 * time.Millisecond
+	// maxHop bounds each of the four messages between an admission and the report of a rejection, so
+	// that these take at most SettleTime together.
+	maxHop = SettleTime / 4
+	// callTimeout is how long a host waits for the answer to its request for an admission.
+	callTimeout = 2 * maxHop
+	// minUsed is the percentage of a server's room that must be used while demand exceeds it.
+	minUsed = 50
+)
+
+// epoch is the start time of the tests.
+var epoch = time.Unix(1_000_000, 0)
+
+var server = instance.Incarnation{ID: "s", Started: 1}
+
+// entitlement is the allowance of a host by its view since a time.
+type entitlement struct {
+	at        time.Time
+	allowance int
+}
+
+// modelHost is a host of the model.
+type modelHost struct {
+	up bool
+	// incarnation counts the starts.
+	incarnation int
+	owner       *Owner
+	lastID      uint64
+	// view is the side on which this host believes each other host to be; -1: it is down.
+	view    []int
+	numbers []int
+	avoided []time.Time
+	// deniedUntil is when the host may ask again.
+	deniedUntil time.Time
+	// entitlements are the allowances by its views, oldest first.
+	entitlements []entitlement
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// modelFleet models hosts that send to one brittle server. Host 0 owns it, host 1 ranks next, and so on.
+type modelFleet struct {
+	rng    *rand.Rand
+	now    time.Time
+	queue  events
+	order  int
+	hosts  []*modelHost
+	sides  []int
+	number int
+
+	tolerated, slots, room int
+	// took is how long the server takes for a request, firstAnswer when it shows that it accepted it.
+	took, firstAnswer time.Duration
+	running           int
+	busy              time.Duration
+	// rejections are the times of rejections; lost are those of which no report reached the owner.
+	rejections, lost []time.Time
+	accepted         int
+}
+
+func newModelFleet(seed uint64, hosts, tolerated, slots int) *modelFleet {
+	f := &modelFleet{
+		rng: rand.New(rand.NewPCG(seed, 0)), now: epoch, sides: make([]int, hosts), tolerated: tolerated, slots: slots, room: slots,
+		took: 300 * time.Millisecond, firstAnswer: 50 * time.Millisecond,
+	}
+	for range hosts {
+		f.hosts = append(f.hosts, &modelHost{up: true, view: make([]int, hosts), numbers: make([]int, hosts), avoided: make([]time.Time, hosts)})
+	}
+	for n, h := range f.hosts {
+		h.owner = NewOwner()
+		h.entitlements = []entitlement{{epoch.Add(-time.Hour), f.entitled(n)}}
+	}
+	return f
+}
+
+// after has do called after a time.
+func (f *modelFleet) after(d time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.queue, event{f.now.Add(d), f.order, do})
+}
+
+// run lets time pass.
+func (f *modelFleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// hop returns the time that a message takes.
+func (f *modelFleet) hop() time.Duration { return 1 + time.Duration(f.rng.Int64N(int64(maxHop)-1)) }
+
+// believes reports whether host n believes that it reaches host m.
+func (f *modelFleet) believes(n, m int) bool { return n == m || f.hosts[n].view[m] == f.sides[n] }
+
+// entitled returns the allowance of host n by its view.
+func (f *modelFleet) entitled(n int) int {
+	rank, alive := 0, 0
+	for m := range f.hosts {
+		if f.believes(n, m) {
+			alive++
+			if m < n {
+				rank++
+			}
+		}
+	}
+	return Allowance(f.tolerated, rank, float64(alive)/float64(len(f.hosts)))
+}
+
+// allowance returns the least allowance of host n in the last SettledTime.
+func (f *modelFleet) allowance(n int) int {
+	since, least := f.now.Add(-SettledTime), f.tolerated
+	e := f.hosts[n].entitlements
+	for i := len(e) - 1; i >= 0; i-- {
+		least = min(least, e[i].allowance)
+		if !e[i].at.After(since) {
+			return least
+		}
+	}
+	return 0
+}
+
+func (f *modelFleet) viewChanged(n int) {
+	h := f.hosts[n]
+	h.entitlements = append(h.entitlements, entitlement{f.now, f.entitled(n)})
+}
+
+// changed has all hosts detect the state of a host later.
+func (f *modelFleet) changed(host int) {
+	f.number++
+	number, side := f.number, -1
+	if f.hosts[host].up {
+		side = f.sides[host]
+	}
+	for viewer, h := range f.hosts {
+		f.after(time.Duration(f.rng.Int64N(int64(detection))), func() {
+			if h.up && number > h.numbers[host] {
+				h.view[host], h.numbers[host] = side, number
+				f.viewChanged(viewer)
+			}
+		})
+	}
+}
+
+func (f *modelFleet) kill(n int) {
+	f.hosts[n].up = false
+	f.changed(n)
+}
+
+func (f *modelFleet) start(n int) {
+	h := f.hosts[n]
+	if h.up {
+		f.kill(n)
+	}
+	h.up, h.owner, h.entitlements, h.deniedUntil = true, NewOwner(), nil, time.Time{}
+	h.incarnation++
+	clear(h.avoided)
+	for m := range f.hosts {
+		h.view[m], h.numbers[m] = -1, f.number
+		if f.hosts[m].up {
+			h.view[m] = f.sides[m]
+		}
+	}
+	f.viewChanged(n)
+	f.changed(n)
+}
+
+func (f *modelFleet) move(n, side int) {
+	f.sides[n] = side
+	f.viewChanged(n)
+	f.changed(n)
+}
+
+// reaches reports whether a message of host n, in an incarnation, reaches host m.
+func (f *modelFleet) reaches(n, incarnation, m int) bool {
+	return f.hosts[n].up && f.hosts[n].incarnation == incarnation && f.hosts[m].up && f.sides[n] == f.sides[m]
+}
+
+// ownerFor returns the host that n asks; -1 if there is none.
+func (f *modelFleet) ownerFor(n int) int {
+	for m := range f.hosts {
+		if f.believes(n, m) && !f.now.Before(f.hosts[n].avoided[m]) {
+			return m
+		}
+	}
+	return -1
+}
+
+// send has host n send a request, if it is admitted.
+func (f *modelFleet) send(n int) {
+	h := f.hosts[n]
+	m := f.ownerFor(n)
+	if !h.up || m < 0 || f.now.Before(h.deniedUntil) {
+		return
+	}
+	h.lastID++
+	k, incarnation, asked := Key{fmt.Sprint(n, ".", h.incarnation), h.lastID}, h.incarnation, f.now
+	f.after(f.hop(), func() {
+		if !f.reaches(n, incarnation, m) {
+			h.avoided[m] = f.now.Add(avoidTime)
+			return
+		}
+		ownerIncarnation := f.hosts[m].incarnation
+		d := f.hosts[m].owner.Admit(f.now, Request{Incarnation: server, Key: k, Slots: f.slots, Allowance: f.allowance(m), Lifetime: 2 * time.Second})
+		f.after(f.hop(), func() {
+			switch {
+			case !f.reaches(n, incarnation, m) || f.hosts[m].incarnation != ownerIncarnation || f.now.Sub(asked) > callTimeout:
+			case d.Denial != Admitted:
+				h.deniedUntil = f.now.Add(d.After)
+			default:
+				f.after(f.hop(), func() { f.arrive(n, incarnation, m, k) })
+			}
+		})
+	})
+}
+
+// arrive has a request of host n arrive at the server; host m has admitted it.
+func (f *modelFleet) arrive(n, incarnation, m int, k Key) {
+	if f.running >= f.room {
+		at := f.now
+		f.rejections = append(f.rejections, at)
+		f.report(n, incarnation, m, func(o *Owner) { o.Rejected(f.now, server, k) }, func() { f.lost = append(f.lost, at) })
+		return
+	}
+	f.running++
+	f.accepted++
+	nothing := func() {}
+	f.after(f.firstAnswer, func() {
+		f.report(n, incarnation, m, func(o *Owner) { o.Accepted(server, k) }, nothing)
+	})
+	f.after(f.took, func() {
+		f.running--
+		f.busy += f.took
+		f.report(n, incarnation, m, func(o *Owner) { o.Finished(server, k) }, nothing)
+	})
+}
+
+// report has host n report to the owner m after a message from the server and one between hosts.
+func (f *modelFleet) report(n, incarnation, m int, apply func(*Owner), lost func()) {
+	ownerIncarnation := f.hosts[m].incarnation
+	f.after(f.hop(), func() {
+		f.after(f.hop(), func() {
+			if !f.reaches(n, incarnation, m) || f.hosts[m].incarnation != ownerIncarnation {
+				lost()
+				return
+			}
+			apply(f.hosts[m].owner)
+		})
+	})
+}
+
+// demand has all hosts together send requests at a mean rate for a duration, and lets it pass.
+func (f *modelFleet) demand(perSecond float64, d time.Duration) {
+	end := f.now.Add(d)
+	for perSecond > 0 && f.now.Before(end) {
+		f.run(min(time.Duration(f.rng.ExpFloat64()/perSecond*float64(time.Second)), end.Sub(f.now)))
+		f.send(f.rng.IntN(len(f.hosts)))
+	}
+	f.run(end.Sub(f.now))
+}
+
+// excess returns by how many the rejections in any second exceed what is allowed: the tolerated number,
+// and those of which the owner did not hear.
+func (f *modelFleet) excess() (most int, at time.Time) {
+	count := func(times []time.Time, from time.Time) int {
+		n := 0
+		for _, t := range times {
+			if !t.Before(from) && t.Sub(from) < time.Second {
+				n++
+			}
+		}
+		return n
+	}
+	for _, from := range f.rejections {
+		if n := count(f.rejections, from) - count(f.lost, from) - f.tolerated; n > most {
+			most, at = n, from
+		}
+	}
+	return most, at
+}
+
+// Guards against a brittle server that falls over, because hosts that send to it at the same time, that
+// stop, start and are partitioned, cause more rejections in a second than it tolerates when its room
+// shrinks.
+func TestRejectionsStayWithinWhatTheServerTolerates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.SampledFrom([]int{1, 2, 3, 7, 20, 60}).Draw(t, "hosts")
+		tolerated := rapid.SampledFrom([]int{1, 1, 2, 3, 5, 12}).Draw(t, "tolerated")
+		slots := rapid.SampledFrom([]int{1, 4, 16, 64}).Draw(t, "slots")
+		f := newModelFleet(rapid.Uint64().Draw(t, "seed"), hosts, tolerated, slots)
+		f.took = time.Duration(rapid.IntRange(5, 3000).Draw(t, "took")) * time.Millisecond
+		f.firstAnswer = min(f.took, time.Duration(rapid.IntRange(5, 1000).Draw(t, "firstAnswer"))*time.Millisecond)
+		rate := 20.0
+		for range rapid.IntRange(5, 25).Draw(t, "changes") {
+			at := rapid.IntRange(0, hosts-1).Draw(t, "host")
+			switch rapid.IntRange(0, 7).Draw(t, "change") {
+			case 0:
+				f.kill(at)
+			case 1:
+				f.start(at)
+			case 2:
+				f.move(at, rapid.IntRange(0, 2).Draw(t, "side"))
+			case 3:
+				for m := range hosts {
+					f.move(m, 0)
+				}
+			case 4, 5, 6:
+				f.room = rapid.IntRange(0, 2*slots).Draw(t, "room")
+			case 7:
+				rate = rapid.SampledFrom([]float64{0, 3, 30, 300}).Draw(t, "rate")
+			}
+			f.demand(rate, time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms"))*time.Millisecond)
+		}
+		if n, at := f.excess(); n > 0 {
+			t.Fatalf("the server tolerates %d rejections in a second and had to reject %d more from %v on", tolerated, n, at.Sub(epoch))
+		}
+	})
+}
+
+// Guards against a brittle server that stays idle while callers are refused.
+func TestRoomIsUsedWhenDemandExceedsIt(t *testing.T) {
+	const span = 20 * time.Second
+	for _, c := range []struct {
+		name                          string
+		hosts, tolerated, slots, room int
+		took, firstAnswer             time.Duration
+	}{
+		{"all slots", 7, 2, 8, 8, 500 * time.Millisecond, 50 * time.Millisecond},
+		{"room below the slots", 7, 2, 16, 5, time.Second, 50 * time.Millisecond},
+		{"small room", 7, 2, 64, 2, 500 * time.Millisecond, 100 * time.Millisecond},
+		{"one rejection tolerated", 7, 1, 16, 4, time.Second, 50 * time.Millisecond},
+		{"late first answers", 7, 2, 8, 4, time.Second, 800 * time.Millisecond},
+		{"many hosts", 60, 3, 8, 6, 500 * time.Millisecond, 50 * time.Millisecond},
+		{"300 hosts", 300, 3, 8, 6, 500 * time.Millisecond, 50 * time.Millisecond},
+	} {
+		f := newModelFleet(1, c.hosts, c.tolerated, c.slots)
+		f.room, f.took, f.firstAnswer = c.room, c.took, c.firstAnswer
+		rate := 3 * float64(c.room) / c.took.Seconds()
+		f.demand(rate, 5*time.Second)
+		f.busy = 0
+		f.demand(rate, span)
+		used := int(100 * f.busy / (span * time.Duration(c.room)))
+		t.Logf("%s: %d%% of the room used, %d rejections, at most %d", c.name, used, len(f.rejections), f.tolerated)
+		if used < minUsed {
+			t.Errorf("%s: only %d%% of the room used", c.name, used)
+		}
+		if n, _ := f.excess(); n > 0 {
+			t.Errorf("%s: %d rejections in a second more than the %d tolerated", c.name, n, c.tolerated)
+		}
+	}
+}
