Send the limits of servers along with the servers

Cause: replies to heartbeats bring servers, but not their limits; a host gets these with the first heartbeat of another host, up to an interval later.

Change: whoever sends the state of a server sends its limits in the same message, and the receiver merges limits first. Servers without limits cost nothing.

Measured: TestServersComeWithTheirLimits failed without the change (two hosts knew no limit), passes 3 times with -race.

Conclusion: a host that starts knows a server's limits when it knows the server, unless the peer does not know them.

--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -39,6 +39,7 @@
 		request := beats[i].request
 		request.Recent, request.Limits, request.Evacuations = work, limits, evacuations
 		c.addServers(&beats[i])
+		request.Limits = append(limits[:len(limits):len(limits)], c.limitsOf(request.GetServers())...)
 	}
 	c.sync.retain(c.Peers())
 	return beats
@@ -124,6 +125,7 @@
 func (c *Controller) handleReply(b heartbeat, reply *pb.HeartbeatReply, sent time.Duration) {
 	c.countBytes(reply)
 	now := time.Since(c.start)
+	c.mergeLimits(reply.GetState())
 	c.cfg.Registry.Merge(reply.GetState().GetServers(), now-sent, reply.GetFrom().GetHost())
 	c.receiveServerSync(b, reply)
 	c.mergeEvacuations(reply.GetState())
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -55,6 +55,8 @@
 type Limits interface {
 	// Limits returns some of the limits in force.
 	Limits() []*pb.ServerLimit
+	// LimitsOf returns the limits in force for the given servers.
+	LimitsOf(servers []*pb.ServerState) []*pb.ServerLimit
 	// Merge merges limits that another host sent.
 	Merge([]*pb.ServerLimit)
 }
@@ -251,15 +253,14 @@
 // the peer lacks by what it tells of those it has.
 func (c *Controller) HandleHeartbeat(m *pb.HeartbeatRequest) *pb.HeartbeatReply {
 	from := m.GetFrom().GetHost()
+	c.mergeLimits(m)
 	c.cfg.Registry.Merge(m.GetServers(), c.transitOf(m), from)
-	if c.cfg.Limits != nil {
-		c.cfg.Limits.Merge(m.GetLimits())
-	}
 	c.mergeEvacuations(m)
 	if m.GetFrom().GetIncarnation() > 0 {
 		c.cfg.Registry.MergeWork(m.GetFrom(), m.GetRecent())
 	}
 	servers, sync := c.serversFor(m, c.self())
+	limits := c.limitsOf(servers)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.ReceiveRequest(m)
@@ -271,12 +272,29 @@
 	state := c.table.Reply(from)
 	c.publishChanges()
 	state.Servers, state.ServerSync, state.Evacuations = servers, sync, c.evacuations()
+	state.Limits = limits
 	state.SentMs = time.Since(c.start).Milliseconds()
 	reply := &pb.HeartbeatReply{From: state.GetFrom(), Seq: m.GetSeq(), State: state}
 	c.countBytes(m, reply)
 	return reply
 }
 
+// limitsOf returns the limits of servers that are sent to a peer: it must not send requests to a server before
+// it knows the server's limits.
+func (c *Controller) limitsOf(servers []*pb.ServerState) []*pb.ServerLimit {
+	if c.cfg.Limits == nil {
+		return nil
+	}
+	return c.cfg.Limits.LimitsOf(servers)
+}
+
+// mergeLimits merges the limits in a heartbeat or its reply.
+func (c *Controller) mergeLimits(m *pb.HeartbeatRequest) {
+	if c.cfg.Limits != nil {
+		c.cfg.Limits.Merge(m.GetLimits())
+	}
+}
+
 // evacuations returns the evacuated zones to send; nil if there are none to tell of.
 func (c *Controller) evacuations() *pb.Evacuations {
 	if c.cfg.Evacuations == nil {
--- a/internal/controller/members/members_test.go
+++ b/internal/controller/members/members_test.go
@@ -145,6 +145,7 @@
 	controllers []*Controller
 	registries  []*fakeRegistry
 	evacuations []*evacuations.View
+	limits      []*fakeLimits
 }
 
 func testAddress(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
@@ -157,15 +158,17 @@
 	for i := range n {
 		registry := newFakeRegistry()
 		view := evacuations.New(zerolog.Nop())
+		limits := &fakeLimits{registry: registry, limits: make(map[string]*pb.ServerLimit)}
 		c := New(Config{
 			Membership: membership.Config{
 				Self:  membership.Self{Host: fmt.Sprint("h", i), Incarnation: 1, Zone: "renca", CallerAddress: testAddress(i), PeerAddress: testAddress(i)},
 				Seeds: []string{testAddress(0), testAddress(1)},
 			},
-			Seed: uint64(i), Peers: f.network, Registry: registry, Evacuations: view,
+			Seed: uint64(i), Peers: f.network, Registry: registry, Evacuations: view, Limits: limits,
 			Load: func() Load { return Load{SparePermille: 700, ConfigRevision: 42} },
 		})
 		f.evacuations = append(f.evacuations, view)
+		f.limits = append(f.limits, limits)
 		f.hosts[testAddress(i)] = c
 		f.controllers = append(f.controllers, c)
 		f.registries = append(f.registries, registry)
--- a/internal/controller/ratelimits/peers.go
+++ b/internal/controller/ratelimits/peers.go
@@ -29,6 +29,23 @@
 	return out
 }
 
+// LimitsOf implements members.Limits.
+func (l *Limiter) LimitsOf(servers []*pb.ServerState) (out []*pb.ServerLimit) {
+	if len(servers) == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for _, s := range servers {
+		inc := instance.Incarnation{ID: s.GetId(), Started: s.GetIncarnation()}
+		if obs := l.table.Observed(inc); obs.Limited() {
+			out = append(out, encode(now, inc, obs))
+		}
+	}
+	return out
+}
+
 // Merge merges the limits that another host knows. Limits without a valid server ID or with an
 // invalid number are ignored.
 func (l *Limiter) Merge(limits []*pb.ServerLimit) {
