Count a rejection by a full server also if the caller has left

Cause: an attempt whose request ended meanwhile counts as abandoned, which says nothing about the server. An answer that rejects the request does, whether its caller is still there or not; the server got the next request without backoff.

Change: the result of a rejected attempt is always Shed.

Measured: TestRejectionCountsAlsoIfTheCallerHasLeft got Abandoned before, passes now, as do the other tests of internal/relay/forward.

--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -178,6 +178,7 @@
 	}
 	if reply.NotRun {
 		out := t.failure(balance.Shed, engineclient.CauseShed, "the backend server rejected the request without running it")
+		out.result = balance.Shed // also if the caller has left
 		if t.ran == errkind.RanNo {
 			out.err = errkind.New(errkind.Overloaded, "the backend server rejected the request without running it: status %d", res.StatusCode).After(shedRetryAfter)
 		}
--- a/internal/relay/forward/limits_test.go
+++ b/internal/relay/forward/limits_test.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/balance"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/ratelimit"
@@ -106,3 +109,18 @@
 		t.Errorf("leaving %v, by an answer to another request", r.leases.leaving)
 	}
 }
+
+// Guards against a rejection that nobody counts because the caller has left meanwhile.
+func TestRejectionCountsAlsoIfTheCallerHasLeft(t *testing.T) {
+	r := newRun(t, routes.Idempotent)
+	ctx, leave := context.WithCancel(t.Context())
+	r.ctx = ctx
+	r.servers.steps = append(r.servers.steps, func(c context.Context, f *engineclient.Forward) (*http.Response, error) {
+		leave()
+		return answers(answer(http.StatusServiceUnavailable, "", hNotRun, "1"))(c, f)
+	})
+	_ = r.do()
+	if want := []balance.Result{balance.Shed}; !slices.Equal(r.leases.results, want) {
+		t.Errorf("results %v, want %v", r.leases.results, want)
+	}
+}
