Keep brittle servers from rejecting more requests than they tolerate

What callers see without it: a server that says that it is brittle (Server-Brittle: N) falls over for seconds when it has to reject more than N requests in a second, its requests in flight break, and the others get its load.

Cause: nothing read the word. Hosts send what they choose, and what all of them together have at a server, and what it has rejected, is known to none: the class of the rate limits (docs/incidents/server-limits.md).

Change: requests to such a server need an admission by its owner (package admission, docs/design/brittle-servers.md). Limiter observes, broadcasts and merges the word like a rate limit, asks for admissions and gives them; balance.Core excludes servers that admit none, uses the admission and reports how the request went; Balancer asks, and waits 100 ms at most if no other server is left. While no server is brittle one atomic flag is read per candidate and per answer. owners keeps views for 5 s, as a new owner waits 4.2 s.

Open: the servers of a lost owner are idle for about 8 s; see 'Not covered' in the design.

--- a/internal/admission/fleet_test.go
+++ b/internal/admission/fleet_test.go
@@ -389,3 +389,22 @@
 		}
 	}
 }
+
+// Guards against a window that is too large because a server goes on with requests whose callers have left.
+func TestRequestWhoseCallerLeftStaysInFlight(t *testing.T) {
+	o, now := NewOwner(), epoch
+	admit := func(id uint64) Denial {
+		return o.Admit(now, Request{Incarnation: server, Key: Key{"h", id}, Slots: 1, Allowance: 5, Lifetime: time.Minute}).Denial
+	}
+	if d := admit(1); d != Admitted {
+		t.Fatal(d)
+	}
+	o.Left(now, server, Key{"h", 1})
+	if d := admit(2); d != WindowFull {
+		t.Errorf("%v just after the caller left", d)
+	}
+	now = now.Add(lingerTime)
+	if d := admit(3); d != Admitted {
+		t.Errorf("%v after %v", d, lingerTime)
+	}
+}
--- a/internal/admission/owner.go
+++ b/internal/admission/owner.go
@@ -13,10 +13,15 @@
 	SettleTime = 200 * time.Millisecond
 	// rejectionWindow is the time over which a server counts its rejections.
 	rejectionWindow = time.Second
-	// growInterval is the time without a rejection after which a window that is used up grows, by
-	// growthDivisor of itself and by at least one request.
-	growInterval  = 3 * time.Second
+	// growInterval is the time without a rejection after which a window that is used up grows, by one
+	// growthDivisor-th and at least one request. At the number of requests that were in flight at the
+	// last rejection it is probeInterval.
+	growInterval  = time.Second
+	probeInterval = 5 * time.Second
 	growthDivisor = 8
+	// lingerTime is how long a request counts as in flight after its caller has left: the server may
+	// not notice at once.
+	lingerTime = 500 * time.Millisecond
 	// keptShare is the share of the requests in flight that a window keeps at a rejection.
 	keptShare = 0.75
 	// maxLifetime bounds the time for which an admitted request counts as in flight.
@@ -88,7 +93,10 @@
 // gate is the state of one server.
 type gate struct {
 	// window is the number of requests that may be in flight; 0: none was admitted yet.
-	window    int
+	window int
+	// ceiling is the number of requests that were in flight at the last rejection, without the
+	// rejected one; 0: there was none.
+	ceiling   int
 	changedAt time.Time // when the window last changed
 	reducedAt time.Time // when it was last reduced by keptShare
 	// used is set if a request was denied because of the window since changedAt.
@@ -154,6 +162,16 @@
 	}
 }
 
+// Left records that the caller of a request has left: the server may go on with it for lingerTime.
+func (o *Owner) Left(now time.Time, inc instance.Incarnation, k Key) {
+	if g := o.gates[inc]; g != nil && g.open[k] != nil {
+		r := g.open[k]
+		if end := now.Add(lingerTime); end.Before(r.until) {
+			r.until = end
+		}
+	}
+}
+
 // Reduction is the change of a server's window by a rejection.
 type Reduction struct {
 	// Window is the new window; InFlight counts the requests that the server still has.
@@ -173,6 +191,7 @@
 		return Reduction{Rejections: len(g.rejections)}
 	}
 	window := min(g.window, len(g.open))
+	g.ceiling = max(window, 1)
 	if now.Sub(g.reducedAt) >= SettleTime { // else it follows from the same shrinking of the room
 		window = int(math.Ceil(keptShare * float64(window)))
 		g.reducedAt = now
@@ -204,10 +223,18 @@
 	g.rejections = g.rejections[n:]
 }
 
-// grow enlarges a window that was used up for growInterval, up to the server's slots.
+// grow enlarges a window that was used up, up to the server's slots.
 func (g *gate) grow(now time.Time, slots int) {
-	if g.used && now.Sub(g.changedAt) >= growInterval {
-		g.window += max(g.window/growthDivisor, 1)
+	interval := growInterval
+	if g.window == g.ceiling {
+		interval = probeInterval
+	}
+	if g.used && now.Sub(g.changedAt) >= interval {
+		grown := g.window + max(g.window/growthDivisor, 1)
+		if g.window < g.ceiling {
+			grown = min(grown, g.ceiling)
+		}
+		g.window = grown
 		g.changedAt, g.used = now, false
 	}
 	g.window = min(g.window, max(slots, 1))
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -27,6 +27,8 @@
 	Accepted Result = iota
 	// Finished: it has ended, or was never sent.
 	Finished
+	// Left: its caller has left.
+	Left
 	// Rejected: the server has rejected it without running it.
 	Rejected
 )
--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/admission"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/ratelimit"
@@ -50,6 +51,11 @@
 	Shard Shard
 	// HeldPermitsOnly excludes servers for which a permit would have to be requested first.
 	HeldPermitsOnly bool
+	// Admission is the admission of this request to a brittle server; the zero value if there is none.
+	// If that server may get the request, it is chosen.
+	Admission admission.Admission
+	// Lifetime is when the request has ended at the latest, for its admission; 0: not known.
+	Lifetime time.Duration
 }
 
 // Choice is the assignment of one request to a server.
@@ -69,6 +75,8 @@
 	Considered int
 	// CooldownLeft is the rest of the server's cooldown for this host.
 	CooldownLeft time.Duration
+	// Admission is the admission that the request used; the zero value if it needed none.
+	Admission admission.Admission
 }
 
 // Load is the load that a server reports with an answer.
@@ -112,6 +120,8 @@
 	Regions map[string]string
 	// Permits grants the permits for rate-limited servers; nil: no server is rate limited.
 	Permits ratelimit.Permits
+	// Admissions provides the admissions to brittle servers; nil: no server is brittle.
+	Admissions Admissions
 }
 
 const (
@@ -152,13 +162,15 @@
 
 // attempt is a request of this host at a server.
 type attempt struct {
-	server *server
+	server      *server
+	incarnation instance.Incarnation
 	// uncached is the number of prompt tokens to prefill before the first event.
 	uncached  uint64
 	started   time.Time
 	predicted time.Duration
 	engine    bool
 	firstSeen bool
+	admission admission.Admission
 }
 
 // New returns a Core that chooses among the instances of reg.
@@ -171,7 +183,7 @@
 }
 
 // Choose picks the server for w, or returns an error if no server may get it. After a
-// *PermitNeeded the caller requests the permit and calls Choose again.
+// *PermitNeeded or *AdmissionNeeded the caller requests the permit or the admission and calls Choose again.
 func (c *Core) Choose(now time.Time, w *Work) (Choice, error) {
 	eligible := c.eligible(now, w)
 	if len(eligible) == 0 {
@@ -185,29 +197,40 @@
 		if inst.ID == preferred {
 			preferredWait = cand.wait
 		}
+		if w.Admission.For(inst.Incarnation()) {
+			best = &cand
+			break
+		}
 		if best == nil || cand.cost < best.cost || cand.cost == best.cost && c.rng.IntN(i+1) == 0 {
 			best = &cand
 		}
 	}
-	if err := c.usePermit(now, best.inst.Incarnation()); err != nil {
+	inc := best.inst.Incarnation()
+	if c.needsAdmission(now, w, inc) {
+		return Choice{}, &AdmissionNeeded{Incarnation: inc, Slots: best.inst.Slots}
+	}
+	if err := c.usePermit(now, inc); err != nil {
 		return Choice{}, err
 	}
 	c.ticket++
 	r := &attempt{
-		server: best.server, uncached: w.PromptTokens - min(best.cached, w.PromptTokens), started: now, predicted: best.wait,
+		server: best.server, incarnation: inc, uncached: w.PromptTokens - min(best.cached, w.PromptTokens), started: now, predicted: best.wait,
 		engine: w.Engine,
 	}
+	if w.Admission.For(inc) {
+		r.admission = w.Admission
+	}
 	c.attempts[c.ticket] = r
 	best.server.begin(now, r)
 	if w.Engine {
 		best.server.cache.touch(w.Prompt, w.CacheTokens)
-		inc := best.inst.Incarnation()
 		c.dispatched[inc] = append(c.dispatched[inc], reversed(w.Prompt)...)
 	}
 	return Choice{
 		Ticket: c.ticket, Instance: best.inst.Announcement, Wait: best.wait, Cached: best.cached,
 		Shared: SharedTokens(w.Prompt), PreferredWait: preferredWait,
 		Running: best.server.running - 1, Considered: len(eligible), CooldownLeft: max(best.server.cooldownUntil.Sub(now), 0),
+		Admission: r.admission,
 	}, nil
 }
 
@@ -223,7 +246,7 @@
 	shed := false
 	for _, inst := range c.reg.ServingInShard(w.Service, w.Shard.Index, w.Shard.Of) {
 		if slices.Contains(w.Exclude, inst.Incarnation()) || !c.inRegion(w, inst.Zone) ||
-			!c.permitted(now, w, inst.Incarnation()) {
+			!c.permitted(now, w, inst.Incarnation()) || !c.admissible(now, w, inst.Incarnation()) {
 			continue
 		}
 		switch s := c.server(inst.Incarnation()); {
@@ -344,8 +367,9 @@
 		}
 		s := c.server(inst.Incarnation())
 		backoff, cooldown, noPermit := s.backoffUntil.Sub(now), s.cooldownUntil.Sub(now), c.permitWait(now, inst.Incarnation())
-		why.add(backoff, cooldown, noPermit)
-		byServer := max(cooldown, noPermit)
+		notAdmitted := c.admissionWait(now, inst.Incarnation())
+		why.add(backoff, cooldown, noPermit, notAdmitted)
+		byServer := max(cooldown, noPermit, notAdmitted)
 		if pause := max(backoff, byServer); pause > 0 && (wait == 0 || pause < wait) {
 			wait, setByServer = pause, pause == byServer
 		}
@@ -361,9 +385,9 @@
 }
 
 // exclusions counts the servers that may not get a request now, by reason.
-type exclusions struct{ servers, backingOff, coolingDown, atLimit, evacuated, otherRegion int }
+type exclusions struct{ servers, backingOff, coolingDown, atLimit, brittle, evacuated, otherRegion int }
 
-func (o *exclusions) add(backoff, cooldown, noPermit time.Duration) {
+func (o *exclusions) add(backoff, cooldown, noPermit, notAdmitted time.Duration) {
 	o.servers++
 	if backoff > 0 {
 		o.backingOff++
@@ -374,12 +398,18 @@
 	if noPermit > 0 {
 		o.atLimit++
 	}
+	if notAdmitted > 0 {
+		o.brittle++
+	}
 }
 
 // String implements fmt.Stringer.
 func (o exclusions) String() string {
 	text := fmt.Sprintf("of %d servers, %d back off after failures, %d are cooling down for this host, %d are at their rate limits",
 		o.servers, o.backingOff, o.coolingDown, o.atLimit)
+	if o.brittle > 0 {
+		text += fmt.Sprintf(", %d are brittle and admit no more", o.brittle)
+	}
 	if o.evacuated > 0 {
 		text += fmt.Sprintf("; %d more are in evacuated zones", o.evacuated)
 	}
@@ -418,6 +448,7 @@
 // FirstPart records that the first part of the answer has arrived.
 func (c *Core) FirstPart(now time.Time, ticket uint64) {
 	if r := c.attempts[ticket]; r != nil {
+		c.accepted(r)
 		r.server.firstPart(now, r)
 	}
 }
@@ -445,6 +476,7 @@
 	delete(c.attempts, ticket)
 	before := r.server.failures
 	r.server.end(now, r, result)
+	c.ended(now, r, result)
 	after := r.server.failures
 	return HealthChange{
 		Lost: before == 0 && after > 0, Regained: before > 0 && after == 0,
--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/admission"
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
@@ -42,19 +43,20 @@
 	Log    zerolog.Logger
 }
 
-// Limits provides the permits for rate-limited servers; *ratelimits.Limiter implements it.
+// Limits provides the permits for rate-limited servers and the admissions to brittle ones;
+// *ratelimits.Limiter implements it.
 type Limits interface {
 	ratelimit.Permits
 	// RequestPermits requests permits for a server. Check returns the outcome.
 	RequestPermits(ctx context.Context, inc instance.Incarnation)
+	balance.Admissions
+	// RequestAdmission asks to have a request admitted to a brittle server that runs slots requests at
+	// once; the request has ended after lifetime. The result is the zero value if it is not admitted.
+	RequestAdmission(ctx context.Context, inc instance.Incarnation, slots int, lifetime time.Duration) admission.Admission
 	// SetWarmup records the warm-up that a server announced last.
 	SetWarmup(inc instance.Incarnation, w ratelimit.Warmup)
 }
 
-// maxPermitRequests is for how many servers a request asks for permits. After that only servers that
-// need no permit, or for which this host holds one, are considered.
-const maxPermitRequests = 3
-
 // Balancer is safe for concurrent use. Its lock is always released by defer: callers recover panics,
 // and a lock that stayed held would block every later request for ever.
 type Balancer struct {
@@ -82,7 +84,9 @@
 	reg := instance.New(cfg.Instances)
 	rng := rand.New(rand.NewPCG(seed.Sum64(), 0))
 	return &Balancer{
-		cfg: cfg, reg: reg, core: balance.New(balance.Config{Zone: cfg.Zone, Regions: cfg.Regions, Permits: permitsOf(cfg.Limits)}, reg, rng),
+		cfg: cfg, reg: reg, core: balance.New(balance.Config{
+			Zone: cfg.Zone, Regions: cfg.Regions, Permits: permitsOf(cfg.Limits), Admissions: admissionsOf(cfg.Limits),
+		}, reg, rng),
 		retries: retry.NewWindow(cfg.Retry),
 	}
 }
@@ -95,6 +99,14 @@
 	return l
 }
 
+// admissionsOf is permitsOf for admissions.
+func admissionsOf(l Limits) balance.Admissions {
+	if l == nil {
+		return nil
+	}
+	return l
+}
+
 // Announce applies an announcement that a backend server sent to this host. An announcement
 // that does not describe a usable server returns an error and changes nothing.
 func (b *Balancer) Announce(a instance.Announcement) error {
@@ -187,20 +199,6 @@
 	}
 }
 
-// Acquire implements relay.Balancer.
-func (b *Balancer) Acquire(ctx context.Context, w *balance.Work) (relay.Lease, error) {
-	in := *w
-	for asked := 0; ; asked++ {
-		in.HeldPermitsOnly = asked == maxPermitRequests
-		l, err := b.choose(&in)
-		need, ok := err.(*balance.PermitNeeded)
-		if !ok {
-			return l, err
-		}
-		b.cfg.Limits.RequestPermits(ctx, need.Incarnation)
-	}
-}
-
 func (b *Balancer) choose(w *balance.Work) (relay.Lease, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/controller/balancer/balancer_test.go
+++ b/internal/controller/balancer/balancer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bluebellsail/bluebellsail/internal/admission"
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/changelog"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -239,11 +240,16 @@
 // warmups records the warm-ups that a Balancer passes on; no server is limited.
 type warmups struct {
 	ratelimit.Permits
+	balance.Admissions
 	until map[instance.Incarnation]time.Time
 }
 
 func (w *warmups) RequestPermits(context.Context, instance.Incarnation) {}
 
+func (w *warmups) RequestAdmission(context.Context, instance.Incarnation, int, time.Duration) admission.Admission {
+	return admission.Admission{}
+}
+
 func (w *warmups) SetWarmup(inc instance.Incarnation, u ratelimit.Warmup) { w.until[inc] = u.Until }
 
 // Guards against a server that becomes cold again, under load, without all hosts hearing of it at once: the
--- a/internal/controller/owners/owners.go
+++ b/internal/controller/owners/owners.go
@@ -89,7 +89,7 @@
 
 const (
 	// viewRetention is how long former views are kept.
-	viewRetention = 4 * time.Second
+	viewRetention = 5 * time.Second
 	// maxViews bounds them. If hosts change more often, the oldest ones are dropped, and EachRecent
 	// does not cover the whole time.
 	maxViews = 32
--- a/internal/controller/ratelimits/peers.go
+++ b/internal/controller/ratelimits/peers.go
@@ -20,13 +20,13 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	var out []*pb.ServerLimit
-	for inc, obs := range l.table.Limited() {
+	for inc := range l.table.Limited() {
 		if len(out) == maxLimits {
 			break
 		}
-		out = append(out, encode(now, inc, obs))
+		out = append(out, l.encodeLocked(now, inc))
 	}
-	return out
+	return append(out, l.brittleServers(now)...)
 }
 
 // LimitsOf implements members.Limits.
@@ -39,8 +39,8 @@
 	now := time.Now()
 	for _, s := range servers {
 		inc := instance.Incarnation{ID: s.GetId(), Started: s.GetIncarnation()}
-		if obs := l.table.Observed(inc); obs.Limited() {
-			out = append(out, encode(now, inc, obs))
+		if _, brittle := l.brittle.table.Tolerated(inc); brittle || l.table.Observed(inc).Limited() {
+			out = append(out, l.encodeLocked(now, inc))
 		}
 	}
 	return out
@@ -53,6 +53,7 @@
 	for _, limit := range limits {
 		inc, obs := decode(now, limit)
 		l.extendWarmup(now, inc, limit)
+		l.mergeBrittle(now, limit)
 		if instance.CheckID(inc.ID) != nil || obs.Limit != ratelimit.None && !ratelimit.Valid(obs.Limit) {
 			continue
 		}
--- a/internal/controller/ratelimits/ratelimits.go
+++ b/internal/controller/ratelimits/ratelimits.go
@@ -1,10 +1,10 @@
-// Package ratelimits binds package ratelimit to a host: it observes the rate limits that backend
-// servers advertise in their answers, notifies the other hosts, and requests and issues permits
-// for requests to rate-limited servers.
+// Package ratelimits binds packages ratelimit and admission to a host: it observes the rate limits that
+// backend servers advertise in their answers, notifies the other hosts, and requests and issues permits
+// for requests to rate-limited servers. It does the same for brittle servers and their admissions.
 //
 // The owner of a server's limit is the host that ranks first for it. Hosts learn a limit from the
 // server's answers, from updates that are broadcast as soon as it changes, or from heartbeats.
-// While no server advertises a limit, no messages are sent.
+// While no server advertises a limit or is brittle, no messages are sent.
 package ratelimits
 
 import (
@@ -65,6 +65,7 @@
 	unreadable telemetry.FirstSeen[instance.Incarnation]
 	// pending holds the calls for permits in progress; the channel is closed when the call ends.
 	pending map[instance.Incarnation]chan struct{}
+	brittle *brittle
 
 	metrics metrics
 }
@@ -82,7 +83,7 @@
 func New(cfg Config) *Limiter {
 	l := &Limiter{
 		cfg: cfg, table: ratelimit.NewTable(cfg.WarmupRate), issuer: ratelimit.NewIssuer(), lastExpiry: time.Now(),
-		pending: make(map[instance.Incarnation]chan struct{}),
+		pending: make(map[instance.Incarnation]chan struct{}), brittle: newBrittle(),
 	}
 	l.metrics.vars.Set("changes", &l.metrics.changes)
 	l.metrics.vars.Set("warmups", &l.metrics.warmups)
@@ -108,7 +109,7 @@
 		return
 	}
 	l.logChange(inc, before, obs, requestID)
-	l.cfg.Broadcast(encode(time.Now(), inc, obs))
+	l.cfg.Broadcast(l.encode(time.Now(), inc))
 }
 
 func (l *Limiter) observe(inc instance.Incarnation, obs ratelimit.Observation) (before ratelimit.Observation, changed bool) {
@@ -119,6 +120,7 @@
 		l.table.Expire(now.Add(-forgetAfter))
 		l.issuer.Expire(now)
 		l.unreadable.Forget()
+		l.expireBrittle(now)
 	}
 	return l.table.Observe(inc, obs)
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -117,6 +117,14 @@
 	return l.service().TakePermits(ctx, r)
 }
 
+func (l *deferredPeer) Admit(ctx context.Context, r *pb.AdmitRequest) (*pb.AdmitReply, error) {
+	return l.service().Admit(ctx, r)
+}
+
+func (l *deferredPeer) ReportAdmission(ctx context.Context, r *pb.ReportAdmissionRequest) (*pb.ReportAdmissionReply, error) {
+	return l.service().ReportAdmission(ctx, r)
+}
+
 func (l *deferredPeer) ReportRuns(ctx context.Context, r *pb.ReportRunsRequest) (*pb.ReportRunsReply, error) {
 	return l.service().ReportRuns(ctx, r)
 }
--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -26,6 +26,7 @@
 		Host: d.cfg.Host, Owners: o, Client: d.pool.Client, WarmupRate: warmupRate, Broadcast: broadcast, Log: d.tel.Log,
 	})
 	d.tel.Metrics.Set("server_limits", l.Metrics())
+	d.tel.Metrics.Set("brittle_servers", l.BrittleMetrics())
 	return l
 }
 
--- a/internal/peerservice/peerservice.go
+++ b/internal/peerservice/peerservice.go
@@ -37,9 +37,11 @@
 	HandleEnd(*pb.EndSuspectRequest) *pb.EndSuspectReply
 }
 
-// Permits issues permits for rate-limited servers.
+// Permits issues permits for rate-limited servers, and admits requests to brittle ones.
 type Permits interface {
 	HandleTake(*pb.TakePermitsRequest) *pb.TakePermitsReply
+	HandleAdmit(*pb.AdmitRequest) *pb.AdmitReply
+	HandleReportAdmission(*pb.ReportAdmissionRequest) *pb.ReportAdmissionReply
 }
 
 // Updates handles updates that are sent without waiting for the next heartbeat.
--- a/internal/peerservice/shared.go
+++ b/internal/peerservice/shared.go
@@ -37,6 +37,16 @@
 	return s.Permits.HandleTake(r), nil
 }
 
+// Admit admits a request to a brittle server.
+func (s Shared) Admit(_ context.Context, r *pb.AdmitRequest) (*pb.AdmitReply, error) {
+	return s.Permits.HandleAdmit(r), nil
+}
+
+// ReportAdmission records how far an admitted request has come.
+func (s Shared) ReportAdmission(_ context.Context, r *pb.ReportAdmissionRequest) (*pb.ReportAdmissionReply, error) {
+	return s.Permits.HandleReportAdmission(r), nil
+}
+
 // Tell handles an update that is sent without waiting for the next heartbeat.
 func (s Shared) Tell(_ context.Context, r *pb.TellRequest) (*pb.TellReply, error) {
 	return s.Updates.Handle(r), nil
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -134,6 +134,20 @@
 	t.f.Limits.Observe(inc, obs, t.x.ID)
 }
 
+// observeBrittle records how many rejections in a second the server tolerates, or that it no longer
+// advertises a number, as observeLimit does.
+func (t *task) observeBrittle(inc instance.Incarnation, reply relay.Reply, sent time.Time) {
+	obs := ratelimit.Observation{Limit: reply.Brittle, At: time.Now()}
+	if reply.BrittleUnreadable {
+		t.f.Limits.RecordBrittleUnreadable(inc, t.x.ID)
+		obs.Limit = ratelimit.None
+	}
+	if !obs.Limited() {
+		obs.At = sent
+	}
+	t.f.Limits.ObserveBrittle(inc, obs, t.x.ID)
+}
+
 // observeCooldown records the cooldown that a server asks for in its answer.
 func (t *task) observeCooldown(lease relay.Lease, reply relay.Reply) {
 	switch {
@@ -172,6 +186,7 @@
 		return t.failure(balance.Broken, engineclient.CauseOtherRequest, "the answer is for request %q", reply.ID)
 	}
 	t.observeLimit(lease.Choice().Instance.Incarnation(), reply, sent)
+	t.observeBrittle(lease.Choice().Instance.Incarnation(), reply, sent)
 	t.observeCooldown(lease, reply)
 	if reply.Leaving {
 		lease.Leaving()
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -33,6 +33,7 @@
 	hLimit    = "Limit"
 	hCooldown = "Cooldown"
 	hLeaving  = "Leaving"
+	hBrittle  = "Brittle"
 )
 
 type dialect struct{}
@@ -51,11 +52,16 @@
 	if !named {
 		limit = ratelimit.None
 	}
+	tolerated, brittleErr := strconv.ParseFloat(res.Header.Get(hBrittle), 64)
+	if res.Header.Get(hBrittle) == "" {
+		tolerated, brittleErr = ratelimit.None, nil
+	}
 	cooldown, readable := retryafter.Parse(res.Header.Get(hCooldown), time.Now())
 	return relay.Reply{
 		Leaving:  res.Header.Get(hLeaving) != "",
 		Cooldown: cooldown, CooldownUnreadable: !readable,
 		Limit: limit, LimitUnreadable: named && err != nil,
+		Brittle: tolerated, BrittleUnreadable: brittleErr != nil,
 		ID: res.Header.Get(hID), NotRun: res.Header.Get(hNotRun) != "", OtherInstance: res.StatusCode == http.StatusMisdirectedRequest,
 	}
 }
--- a/internal/relay/forward/limits_test.go
+++ b/internal/relay/forward/limits_test.go
@@ -20,8 +20,17 @@
 	observed   []ratelimit.Observation
 	unreadable int
 	sends      []ratelimit.Send
+
+	brittle           []ratelimit.Observation
+	brittleUnreadable int
+}
+
+func (l *recordedLimits) ObserveBrittle(_ instance.Incarnation, obs ratelimit.Observation, _ string) {
+	l.brittle = append(l.brittle, obs)
 }
 
+func (l *recordedLimits) RecordBrittleUnreadable(instance.Incarnation, string) { l.brittleUnreadable++ }
+
 func (l *recordedLimits) Observe(_ instance.Incarnation, obs ratelimit.Observation, _ string) {
 	l.observed = append(l.observed, obs)
 }
@@ -110,6 +119,24 @@
 	}
 }
 
+// Guards against a server that counts as brittle for ever because its later answers, or one that can't be
+// parsed, do not end it, and against an answer that ends it although its request was sent before the
+// server was known to be brittle.
+func TestBrittlenessIsObservedInEachAnswer(t *testing.T) {
+	r := newRun(t, routes.Idempotent,
+		answers(answer(http.StatusServiceUnavailable, "", hNotRun, "1", hBrittle, "3")), answers(answer(200, "ok", hBrittle, "many")))
+	began := time.Now()
+	if err := r.do(); err != nil {
+		t.Fatal(err)
+	}
+	if len(r.limits.brittle) != 2 || r.limits.brittle[0].Limit != 3 || r.limits.brittle[1].Limited() || r.limits.brittleUnreadable != 1 {
+		t.Fatalf("observed %v, %d unreadable", r.limits.brittle, r.limits.brittleUnreadable)
+	}
+	if at := r.limits.brittle[1].At; at.Before(began) || at.After(r.limits.brittle[0].At.Add(time.Since(began))) {
+		t.Errorf("the second observation is of %v", at)
+	}
+}
+
 // Guards against a rejection that nobody counts because the caller has left meanwhile.
 func TestRejectionCountsAlsoIfTheCallerHasLeft(t *testing.T) {
 	r := newRun(t, routes.Idempotent)
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -58,6 +58,10 @@
 	// limit is not a number.
 	Limit           float64
 	LimitUnreadable bool
+	// Brittle is the number of rejections in one second that the server tolerates, ratelimit.None if
+	// it is not brittle. BrittleUnreadable is set if the advertised number can't be parsed.
+	Brittle           float64
+	BrittleUnreadable bool
 	// Cooldown is the time for which the server asks this host to send it nothing; 0 if it does not
 	// ask for a cooldown. CooldownUnreadable is set if the advertised time can't be parsed.
 	Cooldown           time.Duration
@@ -117,12 +121,16 @@
 	Allow(service string) bool
 }
 
-// Limits tracks the rate limits that backend servers advertise.
+// Limits tracks what backend servers advertise in their answers about the load that they accept.
 type Limits interface {
 	// Observe records the rate limit observed in an answer.
 	Observe(inc instance.Incarnation, obs ratelimit.Observation, requestID string)
 	// RecordUnreadable records that a server advertised a limit that is not a number.
 	RecordUnreadable(inc instance.Incarnation, requestID string)
+	// ObserveBrittle records the number of rejections in one second that a server tolerates, as
+	// observed in an answer. RecordBrittleUnreadable records that the number can't be parsed.
+	ObserveBrittle(inc instance.Incarnation, obs ratelimit.Observation, requestID string)
+	RecordBrittleUnreadable(inc instance.Incarnation, requestID string)
 	// RecordSend records that a request is sent to a server, and returns the server's rate limit.
 	RecordSend(inc instance.Incarnation, reason ratelimit.Send) ratelimit.Observation
 }
