Let a new owner of a brittle server admit requests once all hosts agree on it

What was seen: in the e2e test the servers of a gateway that was killed for 4 s got nothing for all of the 8 s observed (2 to 4 of 8 servers, three runs): 4.2 s after each change of the owner nobody admits requests, once when the owner is lost and once when it is back.

Cause: a new owner waits 3 s because the other hosts may not know of the change yet, though it could know that they do.

Change: replies to heartbeats carry a digest of the hosts that serve callers and their incarnations, none while one of them is suspected or dead. A host that has got its own digest from all others, in replies to heartbeats sent since its view began, waits 1.2 s more, in which what the former owner admitted may still be rejected.

--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -18,5 +18,5 @@
 //
 // Two hosts may take themselves for the owner, or another host may become the owner. Allowance bounds
 // what they cause together: sides of a partition share the tolerated number, and a host that has
-// become the owner admits nothing before ratelimit.OwnerChangeTime has passed.
+// become the owner waits for AgreedTime if all hosts are known to agree on it, else for SettledTime.
 package admission
--- a/internal/admission/fleet_test.go
+++ b/internal/admission/fleet_test.go
@@ -22,6 +22,9 @@
 	maxHop = SettleTime / 4
 	// callTimeout is how long a host waits for the answer to its request for an admission.
 	callTimeout = 2 * maxHop
+	// heartbeat is the time between two heartbeats from one host to another in fleets of up to meshHosts.
+	heartbeat = 500 * time.Millisecond
+	meshHosts = 7
 	// minUsed is the percentage of a server's room that must be used while demand exceeds it.
 	minUsed = 50
 )
@@ -37,17 +40,37 @@
 	allowance int
 }
 
+// state is the state of a host as others detect it.
+type state struct {
+	// side is the side on which it is; down: it is down; left: it was stopped in order.
+	side        int
+	incarnation int
+}
+
+const (
+	down = -1
+	left = -2
+)
+
 // modelHost is a host of the model.
 type modelHost struct {
 	up bool
+	// stopped is set if it was stopped in order.
+	stopped bool
 	// incarnation counts the starts.
 	incarnation int
 	owner       *Owner
 	lastID      uint64
-	// view is the side on which this host believes each other host to be; -1: it is down.
-	view    []int
+	// admitted counts the requests that it admitted.
+	admitted int
+	// view is what this host believes of each host.
+	view    []state
 	numbers []int
-	avoided []time.Time
+	// viewSince is when the view last changed; agreeing are the hosts that had the same view since then,
+	// and agreedAt is when the last of them was heard of.
+	viewSince, agreedAt time.Time
+	agreeing            map[int]bool
+	avoided             []time.Time
 	// deniedUntil is when the host may ask again.
 	deniedUntil time.Time
 	// entitlements are the allowances by its views, oldest first.
@@ -101,11 +124,15 @@
 		took: 300 * time.Millisecond, firstAnswer: 50 * time.Millisecond,
 	}
 	for range hosts {
-		f.hosts = append(f.hosts, &modelHost{up: true, view: make([]int, hosts), numbers: make([]int, hosts), avoided: make([]time.Time, hosts)})
+		f.hosts = append(f.hosts, &modelHost{up: true, view: make([]state, hosts), numbers: make([]int, hosts), avoided: make([]time.Time, hosts)})
 	}
 	for n, h := range f.hosts {
 		h.owner = NewOwner()
 		h.entitlements = []entitlement{{epoch.Add(-time.Hour), f.entitled(n)}}
+		h.agreeing = make(map[int]bool)
+	}
+	if hosts <= meshHosts {
+		f.beat()
 	}
 	return f
 }
@@ -130,13 +157,89 @@
 // hop returns the time that a message takes.
 func (f *modelFleet) hop() time.Duration { return 1 + time.Duration(f.rng.Int64N(int64(maxHop)-1)) }
 
+// stateOf returns the state of a host.
+func (f *modelFleet) stateOf(n int) state {
+	h := f.hosts[n]
+	switch {
+	case h.stopped:
+		return state{left, h.incarnation}
+	case !h.up:
+		return state{down, h.incarnation}
+	}
+	return state{f.sides[n], h.incarnation}
+}
+
 // believes reports whether host n believes that it reaches host m.
-func (f *modelFleet) believes(n, m int) bool { return n == m || f.hosts[n].view[m] == f.sides[n] }
+func (f *modelFleet) believes(n, m int) bool { return n == m || f.hosts[n].view[m].side == f.sides[n] }
+
+// agreed reports whether host n knows that all others have had its view for AgreedTime.
+func (f *modelFleet) agreed(n int) bool {
+	h := f.hosts[n]
+	others := 0
+	for m := range f.hosts {
+		if m == n || h.view[m].side == left {
+			continue
+		}
+		if others++; !f.believes(n, m) || !h.agreeing[m] {
+			return false
+		}
+	}
+	return others > 0 && f.now.Sub(h.agreedAt) >= AgreedTime
+}
+
+// sameView reports whether hosts n and m believe the same of all hosts, and that none is down.
+func (f *modelFleet) sameView(n, m int) bool {
+	for i := range f.hosts {
+		a, b := f.viewOf(n, i), f.viewOf(m, i)
+		if (a.side == left) != (b.side == left) || a.side != left && (a.incarnation != b.incarnation || !f.believes(n, i) || !f.believes(m, i)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *modelFleet) viewOf(n, m int) state {
+	if n == m {
+		return f.stateOf(n)
+	}
+	return f.hosts[n].view[m]
+}
+
+// beat has each host send heartbeats to all others, whose replies tell whether they have the same view.
+func (f *modelFleet) beat() {
+	for n, h := range f.hosts {
+		asked, incarnation := f.now, h.incarnation
+		for m := range f.hosts {
+			if n == m || !h.up {
+				continue
+			}
+			f.after(f.hop(), func() {
+				if !f.reaches(n, incarnation, m) {
+					return
+				}
+				same := f.sameView(n, m)
+				f.after(f.hop(), func() {
+					switch {
+					case !f.reaches(n, incarnation, m) || asked.Before(h.viewSince):
+					case !same:
+						delete(h.agreeing, m)
+					case !h.agreeing[m]:
+						h.agreeing[m], h.agreedAt = true, f.now
+					}
+				})
+			})
+		}
+	}
+	f.after(heartbeat, f.beat)
+}
 
 // entitled returns the allowance of host n by its view.
 func (f *modelFleet) entitled(n int) int {
-	rank, alive := 0, 0
+	rank, alive, serving := 0, 0, 0
 	for m := range f.hosts {
+		if f.hosts[n].view[m].side != left || m == n {
+			serving++
+		}
 		if f.believes(n, m) {
 			alive++
 			if m < n {
@@ -144,11 +247,14 @@
 			}
 		}
 	}
-	return Allowance(f.tolerated, rank, float64(alive)/float64(len(f.hosts)))
+	return Allowance(f.tolerated, rank, float64(alive)/float64(serving))
 }
 
-// allowance returns the least allowance of host n in the last SettledTime.
+// allowance returns the allowance of host n if all hosts agree, else the least one in the last SettledTime.
 func (f *modelFleet) allowance(n int) int {
+	if f.agreed(n) {
+		return f.entitled(n)
+	}
 	since, least := f.now.Add(-SettledTime), f.tolerated
 	e := f.hosts[n].entitlements
 	for i := len(e) - 1; i >= 0; i-- {
@@ -163,19 +269,17 @@
 func (f *modelFleet) viewChanged(n int) {
 	h := f.hosts[n]
 	h.entitlements = append(h.entitlements, entitlement{f.now, f.entitled(n)})
+	h.viewSince, h.agreeing = f.now, make(map[int]bool)
 }
 
 // changed has all hosts detect the state of a host later.
 func (f *modelFleet) changed(host int) {
 	f.number++
-	number, side := f.number, -1
-	if f.hosts[host].up {
-		side = f.sides[host]
-	}
+	number, now := f.number, f.stateOf(host)
 	for viewer, h := range f.hosts {
 		f.after(time.Duration(f.rng.Int64N(int64(detection))), func() {
 			if h.up && number > h.numbers[host] {
-				h.view[host], h.numbers[host] = side, number
+				h.view[host], h.numbers[host] = now, number
 				f.viewChanged(viewer)
 			}
 		})
@@ -187,19 +291,22 @@
 	f.changed(n)
 }
 
+// stop stops a host in order.
+func (f *modelFleet) stop(n int) {
+	f.hosts[n].stopped = true
+	f.kill(n)
+}
+
 func (f *modelFleet) start(n int) {
 	h := f.hosts[n]
 	if h.up {
 		f.kill(n)
 	}
-	h.up, h.owner, h.entitlements, h.deniedUntil = true, NewOwner(), nil, time.Time{}
+	h.up, h.stopped, h.owner, h.entitlements, h.deniedUntil = true, false, NewOwner(), nil, time.Time{}
 	h.incarnation++
 	clear(h.avoided)
 	for m := range f.hosts {
-		h.view[m], h.numbers[m] = -1, f.number
-		if f.hosts[m].up {
-			h.view[m] = f.sides[m]
-		}
+		h.view[m], h.numbers[m] = f.stateOf(m), f.number
 	}
 	f.viewChanged(n)
 	f.changed(n)
@@ -242,6 +349,9 @@
 		}
 		ownerIncarnation := f.hosts[m].incarnation
 		d := f.hosts[m].owner.Admit(f.now, Request{Incarnation: server, Key: k, Slots: f.slots, Allowance: f.allowance(m), Lifetime: 2 * time.Second})
+		if d.Denial == Admitted {
+			f.hosts[m].admitted++
+		}
 		f.after(f.hop(), func() {
 			switch {
 			case !f.reaches(n, incarnation, m) || f.hosts[m].incarnation != ownerIncarnation || f.now.Sub(asked) > callTimeout:
@@ -333,7 +443,7 @@
 		rate := 20.0
 		for range rapid.IntRange(5, 25).Draw(t, "changes") {
 			at := rapid.IntRange(0, hosts-1).Draw(t, "host")
-			switch rapid.IntRange(0, 7).Draw(t, "change") {
+			switch rapid.IntRange(0, 8).Draw(t, "change") {
 			case 0:
 				f.kill(at)
 			case 1:
@@ -348,6 +458,8 @@
 				f.room = rapid.IntRange(0, 2*slots).Draw(t, "room")
 			case 7:
 				rate = rapid.SampledFrom([]float64{0, 3, 30, 300}).Draw(t, "rate")
+			case 8:
+				f.stop(at)
 			}
 			f.demand(rate, time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms"))*time.Millisecond)
 		}
@@ -390,6 +502,32 @@
 	}
 }
 
+// Guards against a brittle server that gets nothing for seconds after its owner was restarted, although all hosts
+// agree on the owner.
+func TestServerOfARestartedOwnerIsSoonUsed(t *testing.T) {
+	for name, stop := range map[string]func(*modelFleet){
+		"in order": func(f *modelFleet) { f.stop(0) }, "killed": func(f *modelFleet) { f.kill(0) },
+	} {
+		used, runs := 0, 20
+		for seed := range runs {
+			f := newModelFleet(uint64(seed), 5, 2, 8)
+			f.demand(20, 10*time.Second)
+			stop(f)
+			f.demand(20, 9*time.Second)
+			f.start(0)
+			f.demand(20, SettledTime-500*time.Millisecond)
+			before := f.hosts[0].admitted
+			f.demand(20, 400*time.Millisecond)
+			if f.hosts[0].admitted > before {
+				used++
+			}
+		}
+		if used < runs/2 {
+			t.Errorf("%s: the owner admits requests before %v in %d of %d runs", name, SettledTime, used, runs)
+		}
+	}
+}
+
 // Guards against a window that is too large because a server goes on with requests whose callers have left.
 func TestRequestWhoseCallerLeftStaysInFlight(t *testing.T) {
 	o, now := NewOwner(), epoch
--- a/internal/controller/members/beat.go
+++ b/internal/controller/members/beat.go
@@ -129,6 +129,9 @@
 	c.cfg.Registry.Merge(reply.GetState().GetServers(), now-sent, reply.GetFrom().GetHost())
 	c.receiveServerSync(b, reply)
 	c.mergeEvacuations(reply.GetState())
+	if c.cfg.OnViewDigest != nil {
+		c.cfg.OnViewDigest(reply.GetFrom().GetHost(), reply.GetState().GetViewDigest(), c.start.Add(sent))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.transitTracker.recordRoundTrip(now, b.target.Host, now-sent)
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -96,6 +96,10 @@
 	Registry Registry
 	// Load is called once per interval. If it is nil, heartbeats report no load.
 	Load func() Load
+	// ViewDigest returns the digest of the hosts that this host knows, for replies. OnViewDigest is called
+	// with that of a peer, which it had after asked. Both may be nil.
+	ViewDigest   func() uint64
+	OnViewDigest func(host string, digest uint64, asked time.Time)
 	// Limits provides the rate limits that heartbeats carry. If it is nil, they carry none.
 	Limits Limits
 	// Evacuations provides the evacuated zones that heartbeats and their replies carry. If it is nil,
@@ -261,6 +265,10 @@
 	}
 	servers, sync := c.serversFor(m, c.self())
 	limits := c.limitsOf(servers)
+	view := uint64(0)
+	if c.cfg.ViewDigest != nil {
+		view = c.cfg.ViewDigest()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.ReceiveRequest(m)
@@ -272,7 +280,7 @@
 	state := c.table.Reply(from)
 	c.publishChanges()
 	state.Servers, state.ServerSync, state.Evacuations = servers, sync, c.evacuations()
-	state.Limits = limits
+	state.Limits, state.ViewDigest = limits, view
 	state.SentMs = time.Since(c.start).Milliseconds()
 	reply := &pb.HeartbeatReply{From: state.GetFrom(), Seq: m.GetSeq(), State: state}
 	c.countBytes(m, reply)
--- a/internal/controller/owners/owners.go
+++ b/internal/controller/owners/owners.go
@@ -75,8 +75,9 @@
 	// aliveNames are the names in alive, ordered.
 	aliveNames []string
 	// views are the values of alive and serving that were current within viewRetention, newest last.
-	views    []view
-	backoffs map[string]backoff
+	views     []view
+	agreement agreement
+	backoffs  map[string]backoff
 }
 
 // view is which hosts counted as alive from a time on.
@@ -256,9 +257,11 @@
 	slices.Sort(alive)
 	changed := !t.isCurrentView(alive)
 	t.candidates, t.alive, t.aliveNames = rendezvous.New(names), rendezvous.New(alive), alive
+	now := time.Now()
 	if changed {
-		t.recordView(time.Now())
+		t.recordView(now)
 	}
+	t.restartAgreement(now, t.viewDigest(alive))
 }
 
 // MarkUnanswered records that a host did not answer. The host is skipped for a while.
--- a/internal/controller/ratelimits/admissions.go
+++ b/internal/controller/ratelimits/admissions.go
@@ -139,13 +139,16 @@
 }
 
 // allowance returns how many rejections of a server in a second this host may cause as its owner; 0 if it
-// is not the owner, or may not have been for all of admission.SettledTime.
+// is not the owner, or other hosts may have taken themselves for it within admission.SettledTime.
 func (l *Limiter) allowance(inc instance.Incarnation, tolerated int) int {
 	rank, owns := l.cfg.Owners.Rank(Key(inc))
 	if !owns {
 		return 0
 	}
 	least := admission.Allowance(tolerated, rank, l.cfg.Owners.AliveFraction())
+	if l.cfg.Owners.AgreedFor() >= admission.AgreedTime {
+		return least
+	}
 	complete := l.cfg.Owners.EachRecent(Key(inc), admission.SettledTime, func(rank int, alive float64) {
 		least = min(least, admission.Allowance(tolerated, rank, alive))
 	})
--- a/internal/controller/ratelimits/admissions_test.go
+++ b/internal/controller/ratelimits/admissions_test.go
@@ -132,6 +132,22 @@
 	}
 }
 
+// Guards against a server that gets nothing although all hosts have agreed on its owner.
+func TestOwnerOnWhichAllHostsAgreeAdmitsRequests(t *testing.T) {
+	for agreed, want := range map[time.Duration]bool{admission.AgreedTime: true, admission.AgreedTime - 1: false} {
+		l := newLimiter(&fakeOwners{fraction: 1, agreed: agreed}, nil)
+		l.ObserveBrittle(server, tolerates(2), "r")
+		if _, ok := admit(l, t); ok != want {
+			t.Errorf("agreed for %v: admitted %v", agreed, ok)
+		}
+	}
+	l := newLimiter(&fakeOwners{rank: 1, fraction: 1, agreed: time.Hour}, nil)
+	l.ObserveBrittle(server, tolerates(2), "r")
+	if _, ok := admit(l, t); ok {
+		t.Error("admitted by the second in rank")
+	}
+}
+
 // Guards against an admission that stays in flight because the owner's answer was lost.
 func TestLostAnswerReturnsTheAdmission(t *testing.T) {
 	owner := newLimiter(settled(), nil)
--- a/internal/controller/ratelimits/ratelimits.go
+++ b/internal/controller/ratelimits/ratelimits.go
@@ -34,6 +34,7 @@
 	FirstRanked(key string, n int) []owners.Host
 	Rank(key string) (rank int, ok bool)
 	AliveFraction() float64
+	AgreedFor() time.Duration
 	EachRecent(key string, d time.Duration, f func(rank int, alive float64)) (complete bool)
 	MarkUnanswered(host string)
 	MarkAnswered(host string)
--- a/internal/controller/ratelimits/ratelimits_test.go
+++ b/internal/controller/ratelimits/ratelimits_test.go
@@ -27,8 +27,12 @@
 	unanswered atomic.Int64
 	// settled is set if rank and fraction have been the same for long.
 	settled bool
+	// agreed is for how long all hosts are known to have the same view.
+	agreed time.Duration
 }
 
+func (o *fakeOwners) AgreedFor() time.Duration { return o.agreed }
+
 func (o *fakeOwners) EachRecent(_ string, _ time.Duration, f func(rank int, alive float64)) bool {
 	f(o.rank, o.fraction)
 	return o.settled
--- a/internal/controller/scheduler/limits_test.go
+++ b/internal/controller/scheduler/limits_test.go
@@ -22,6 +22,7 @@
 // onlyHost is the table of owners of a host that owns all limits.
 type onlyHost struct{}
 
+func (onlyHost) AgreedFor() time.Duration              { return 0 }
 func (onlyHost) FirstRanked(string, int) []owners.Host { return nil }
 func (onlyHost) Rank(string) (int, bool)               { return 0, true }
 func (onlyHost) AliveFraction() float64                { return 1 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -225,6 +225,7 @@
 			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
 		},
 		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: g.balancer, Limits: g.limits, Evacuations: d.evacuations, Load: g.load,
+		ViewDigest: g.owners.ViewDigest, OnViewDigest: g.owners.RecordViewDigest,
 		Log: d.tel.Log, Metrics: d.tel.Metrics, OnTick: d.watch.Tick,
 	})
 	g.suspects = g.newQuarantine()
