--- a/internal/peertunnel/tunnel_test.go
+++ b/internal/peertunnel/tunnel_test.go
@@ -42,7 +42,7 @@
 }
 
 // startPeer serves p and returns a client of it, and a function that kills it.
-func startPeer(t *testing.T, p pb.PeerServer) (pb.PeerClient, func()) {
+func startPeer(t testing.TB, p pb.PeerServer) (pb.PeerClient, func()) {
 	t.Helper()
 	l := testutil.Listen(t)
 	server := grpc.NewServer()
