--- a/internal/callerapi/engine_test.go
+++ b/internal/callerapi/engine_test.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -45,6 +46,11 @@
 	prefill    float64  // announced prefill speed
 	key        string   // idempotency key of the plain service's last call
 	open       int      // streams in progress
+	newline    string   // ends the lines of streams; empty: LF
+	mark       string   // sent before the first event of a stream
+	lastToken  bool     // the last token comes with the finish reason
+	answer     string   // what a plain service sends as JSON; empty: text made of the request
+	unframed   bool     // answers have neither a length nor chunks and end with their connections
 }
 
 func (f *fakeFleet) engine(resumes bool, fault string, at int) *fakeEngine {
@@ -158,7 +164,18 @@
 			time.Sleep(e.delay(string(body)))
 		}
 		e.count(func() { e.key = r.Header.Get(filter.HeaderIdempotencyKey) })
-		_, _ = io.WriteString(w, "service:"+string(body))
+		e.frame(w)
+		if e.answer != "" {
+			w.Header().Set("Content-Type", "application/json")
+		}
+		if e.fault == "dies with its answer" {
+			e.count(func() { e.down = true })
+		}
+		_, _ = io.WriteString(w, cmp.Or(e.answer, "service:"+string(body)))
+		if e.fault == "dies in the answer" {
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
 		return
 	}
 	e.stream(w, r, 0, e.fault)
@@ -168,7 +185,9 @@
 	e.count(func() { e.open++ })
 	defer e.count(func() { e.open-- })
 	w.Header().Set("Content-Type", "text/event-stream")
+	e.frame(w)
 	w.WriteHeader(http.StatusOK)
+	_, _ = io.WriteString(w, e.mark)
 	if !e.burst {
 		w.(http.Flusher).Flush()
 	}
@@ -180,6 +199,11 @@
 			switch fault {
 			case "dies in the stream":
 				panic(http.ErrAbortHandler)
+			case "ends in the stream":
+				return
+			case "ends inside an event":
+				_, _ = io.WriteString(w, `data: {"id":"x","choices":[{"index":0,"delta":{"content":"t`)
+				return
 			case "falls silent":
 				<-r.Context().Done()
 				return
@@ -203,16 +227,39 @@
 		}
 		time.Sleep(e.tokenDelay)
 		text, _ := json.Marshal(e.prefix + "t" + strconv.Itoa(i) + " ")
-		e.send(w, fmt.Sprintf(`{"id":"x","choices":[{"index":0,"delta":{"content":%s}}]}`, text))
+		finish := "null"
+		if e.lastToken && i == e.tokens {
+			finish = `"stop"`
+		}
+		e.send(w, fmt.Sprintf(`{"id":"x","choices":[{"index":0,"delta":{"content":%s},"finish_reason":%s}]}`, text, finish))
+	}
+	if !e.lastToken {
+		e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)
+	}
+	switch fault {
+	case "ends before its usage":
+		return
+	case "dies before its usage":
+		panic(http.ErrAbortHandler)
+	case "falls silent before its usage":
+		<-r.Context().Done()
+		return
 	}
-	e.send(w, `{"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)
 	e.send(w, fmt.Sprintf(`{"id":"x","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":%d,"total_tokens":%d}}`, e.tokens, e.tokens+3))
 	e.send(w, "[DONE]")
 	time.Sleep(e.lateEnd)
 }
 
+// frame makes net/http send the answer without a length and without chunks if the engine is to.
+func (e *fakeEngine) frame(w http.ResponseWriter) {
+	if e.unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+}
+
 func (e *fakeEngine) send(w http.ResponseWriter, data string) {
-	_, _ = io.WriteString(w, "data: "+data+"\n\n")
+	newline := cmp.Or(e.newline, "\n")
+	_, _ = io.WriteString(w, "data: "+data+newline+newline)
 	if !e.burst {
 		w.(http.Flusher).Flush()
 	}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/bluebellsail/bluebellsail/internal/bodyend"
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
@@ -180,6 +181,8 @@
 	// may resend a request by itself when an idle connection turns out to be closed, and an
 	// idle connection that no longer delivers anything leaves the outcome unknown.
 	Fresh bool
+	// Leaving is set if the server has announced its end: it may stop with its last answer.
+	Leaving bool
 }
 
 // Error is the error of a call, with what is known about the run.
@@ -322,6 +325,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// EndShown is set if the framing or the content of the body shows that it is whole.
+	EndShown bool
 }
 
 // Call makes one call to a plain service and reads the whole answer.
@@ -339,19 +344,33 @@
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.cfg.MaxAnswer+1))
 	if err != nil {
-		return nil, &Error{Ran: errkind.RanUnknown, Status: res.StatusCode, Message: err.Error()}
+		e := truncated(res, err.Error())
+		e.Cause = TruncationCause(err, e.Cause)
+		return nil, e
 	}
 	if int64(len(body)) > c.cfg.MaxAnswer {
 		return nil, &Error{Ran: errkind.RanYes, Status: res.StatusCode, Message: "the answer is longer than the limit"}
 	}
-	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
+	end := EndOf(res, body)
+	switch {
+	case end == bodyend.Truncated:
+		return nil, truncated(res, "the connection ended inside the answer's content")
+	case end == bodyend.Unknown && !r.Leaving && c.serverEnded(ctx, r.Address):
+		return nil, truncated(res, "the connection ended, and the server accepts no others")
+	}
+	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body, EndShown: end == bodyend.Whole}, nil
+}
+
+// truncated returns the error for an answer of which only a part arrived.
+func truncated(res *http.Response, message string) *Error {
+	return &Error{Ran: errkind.RanUnknown, Cause: CauseBodyTruncated, Status: res.StatusCode, Message: message}
 }
 
-// errOtherAnswer is returned for an answer with the ID of another run: one that arrived late
+// ErrOtherAnswer is returned for an answer with the ID of another run: one that arrived late
 // or was delivered on the wrong connection. The answer is dropped.
-var errOtherAnswer = errors.New("the answer belongs to another run")
+var ErrOtherAnswer = errors.New("the answer belongs to another run")
 
-// CrossedAnswers counts the answers dropped with errOtherAnswer.
+// CrossedAnswers counts the answers dropped with ErrOtherAnswer.
 var CrossedAnswers atomic.Int64
 
 // checkID checks by ID that the answer belongs to this run, since the position on the
@@ -363,5 +382,5 @@
 	}
 	CrossedAnswers.Add(1)
 	_ = res.Body.Close()
-	return errors.Wrapf(errOtherAnswer, "want %s, got %s", id, got)
+	return errors.Wrapf(ErrOtherAnswer, "want %s, got %s", id, got)
 }
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -145,6 +145,20 @@
 	t.f.Limits.Observe(inc, obs, t.x.ID)
 }
 
+// observeBrittle records how many rejections in a second the server tolerates, or that it no longer
+// advertises a number, as observeLimit does.
+func (t *task) observeBrittle(inc instance.Incarnation, reply relay.Reply, sent time.Time) {
+	obs := ratelimit.Observation{Limit: reply.Brittle, At: time.Now()}
+	if reply.BrittleUnreadable {
+		t.f.Limits.RecordBrittleUnreadable(inc, t.x.ID)
+		obs.Limit = ratelimit.None
+	}
+	if !obs.Limited() {
+		obs.At = sent
+	}
+	t.f.Limits.ObserveBrittle(inc, obs, t.x.ID)
+}
+
 // observeCooldown records the cooldown that a server asks for in its answer.
 func (t *task) observeCooldown(lease relay.Lease, reply relay.Reply) {
 	switch {
@@ -183,12 +197,14 @@
 		return t.failure(balance.Broken, engineclient.CauseOtherRequest, "the answer is for request %q", reply.ID)
 	}
 	t.observeLimit(lease.Choice().Instance.Incarnation(), reply, sent)
+	t.observeBrittle(lease.Choice().Instance.Incarnation(), reply, sent)
 	t.observeCooldown(lease, reply)
 	if reply.Leaving {
 		lease.Leaving()
 	}
 	if reply.NotRun {
 		out := t.failure(balance.Shed, engineclient.CauseShed, "the backend server rejected the request without running it")
+		out.result = balance.Shed // also if the caller has left
 		if t.ran == errkind.RanNo {
 			out.err = errkind.New(errkind.Overloaded, "the backend server rejected the request without running it: status %d", res.StatusCode).After(shedRetryAfter)
 		}
@@ -212,8 +228,8 @@
 // receives half of it, and another server may be asked if it is truncated.
 func (t *task) relayBuffered(lease relay.Lease, res received) outcome {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered+1))
-	if err == nil && len(body) <= maxBuffered && t.serverEndedWith(res) {
-		err = errServerEnded
+	if err == nil && len(body) <= maxBuffered {
+		err = t.bodyError(res, body)
 	}
 	if err != nil {
 		t.x.PromptConsumed = t.x.PromptConsumed || t.ctx.Err() == nil
