Let a new owner of a rate limit wait before it issues the backup share

What servers saw: 1,213 requests in 4 s at a limit of 200 a second, where 1,205 are allowed (a model's case, KNOWN-RED), while the hosts that rank first are killed and start again every 0.2 s.

Cause: each new bucket issued a fifth of the limit at once, and each of five owners in turn had a new one.

Change: a bucket issues that share from 0.5 s after it was first asked; hosts that are refused meanwhile are told to ask again then.

--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -17,6 +17,8 @@
 	burstTime = 100 * time.Millisecond
 	// backupShare is the share of a limit that a host issues while another may issue all of it.
 	backupShare = 0.2
+	// backupDelay is how long a new bucket issues no more than minRate, unless its share is settled.
+	backupDelay = 500 * time.Millisecond
 	// reachMargin lets a fleet that has lost one host of six issue the whole limit. The sides
 	// of a partition together issue at most that factor times the limit.
 	reachMargin = 1.2
@@ -50,8 +52,8 @@
 
 // bucket fills with permits at the rate at which the limit may be issued.
 type bucket struct {
-	filled, lastRequest time.Time
-	permits             float64
+	began, filled, lastRequest time.Time
+	permits                    float64
 	// share is the share of the limit that is issued, mayRise since when a larger one is allowed;
 	// zero: none is.
 	share   float64
@@ -87,13 +89,16 @@
 		return granted, 0
 	}
 	due := time.Duration((1 - b.permits) / rate * float64(time.Second))
+	if left := backupDelay - now.Sub(b.began); left > 0 {
+		due = min(due, left)
+	}
 	return 0, max(due, time.Duration(b.requesters(now))*requestSpacing)
 }
 
 func (i *Issuer) bucket(now time.Time, inc instance.Incarnation) *bucket {
 	b := i.buckets[inc]
 	if b == nil || now.Sub(b.lastRequest) >= bucketRetention {
-		b = &bucket{filled: now, requests: make(map[string]time.Time)}
+		b = &bucket{began: now, filled: now, requests: make(map[string]time.Time)}
 		i.buckets[inc] = b
 	}
 	return b
@@ -107,7 +112,8 @@
 }
 
 // setShare applies a smaller share at once, and a larger one only after OwnerChangeTime, when the
-// other hosts know of the change. Up to backupShare is applied at once.
+// other hosts know of the change. Up to backupShare is applied at once, but not in the first
+// backupDelay of a bucket: owners that restart in turn would each issue it.
 func (b *bucket) setShare(now time.Time, share float64) {
 	switch {
 	case share <= b.share:
@@ -117,7 +123,9 @@
 	case now.Sub(b.mayRise) >= OwnerChangeTime:
 		b.share, b.mayRise = share, time.Time{}
 	}
-	b.share = max(b.share, min(share, backupShare))
+	if now.Sub(b.began) >= backupDelay {
+		b.share = max(b.share, min(share, backupShare))
+	}
 }
 
 func (b *bucket) fill(now time.Time, rate float64) {
