Decide on a path at a cost that does not grow with the number of servers

Cause: each new connection looked through all servers that the host had connected to lately to count the failed paths, 10,000 on the whole fleet.

Change: the failed paths are kept apart, and servers are forgotten in one pass each 10 s. Found in reading.

--- a/internal/serverpath/table.go
+++ b/internal/serverpath/table.go
@@ -59,6 +59,10 @@
 // Table holds what a host knows of its paths to servers.
 type Table struct {
 	servers map[string]*path
+	// failing holds the servers whose direct path counts as failed, and those for which it no longer
+	// does that CutOff has not looked at since.
+	failing map[string]*path
+	swept   time.Time
 	// pausedUntil holds until when a peer is not used, by its address.
 	pausedUntil map[string]time.Time
 	rng         *rand.Rand
@@ -67,7 +71,7 @@
 // path is the direct path to one server.
 type path struct {
 	// failedAt is when a tunnel last won over the direct path, openedAt when a direct connection last
-	// opened after such a failure or while this host counted as cut off. At most one is set.
+	// opened. At most one is set.
 	failedAt, openedAt time.Time
 	probedAt           time.Time
 	// fruitlessUntil is until when no tunnel is opened. hung is set if connections hung on all paths.
@@ -77,13 +81,13 @@
 
 // New returns a Table in which all direct paths work.
 func New(rng *rand.Rand) *Table {
-	return &Table{servers: make(map[string]*path), pausedUntil: make(map[string]time.Time), rng: rng}
+	return &Table{servers: make(map[string]*path), failing: make(map[string]*path), pausedUntil: make(map[string]time.Time), rng: rng}
 }
 
 // Plan returns how to open a connection to a server.
 func (t *Table) Plan(now time.Time, server string) Plan {
-	cutOff := t.CutOff(now)
-	p := t.path(server)
+	t.sweep(now)
+	cutOff, p := t.CutOff(now), t.path(server)
 	switch {
 	case p.hung && now.Sub(p.probedAt) < fruitlessTime:
 		return Plan{}
@@ -103,16 +107,25 @@
 
 // CutOff reports whether this host counts as cut off from all servers.
 func (t *Table) CutOff(now time.Time) bool {
-	failed := 0
+	for server, p := range t.failing {
+		if !p.failed(now) {
+			delete(t.failing, server)
+		}
+	}
+	return len(t.failing) >= cutOffServers
+}
+
+// sweep forgets servers to which no connection was opened lately.
+func (t *Table) sweep(now time.Time) {
+	if now.Sub(t.swept) < memory {
+		return
+	}
+	t.swept = now
 	for server, p := range t.servers {
-		switch {
-		case p.failed(now):
-			failed++
-		case now.Sub(p.openedAt) > memory && now.Sub(p.probedAt) >= probeEvery && now.Sub(p.fruitlessUntil) > memory:
+		if !p.failed(now) && now.Sub(p.openedAt) > memory && now.Sub(p.probedAt) >= probeEvery && now.Sub(p.fruitlessUntil) > memory {
 			delete(t.servers, server)
 		}
 	}
-	return failed >= cutOffServers
 }
 
 func (p *path) failed(now time.Time) bool { return now.Sub(p.failedAt) <= memory }
@@ -131,7 +144,7 @@
 func (t *Table) DirectOpened(now time.Time, server string) (regained bool) {
 	p := t.servers[server]
 	if p == nil {
-		return false // neither has the path failed, nor was it planned while this host was cut off
+		return false // forgotten since the connection was planned
 	}
 	regained = p.failed(now)
 	*p = path{openedAt: now}
@@ -151,6 +164,7 @@
 		p.probedAt = now
 	}
 	p.failedAt, p.openedAt = now, time.Time{}
+	t.failing[server] = p
 	return !failed
 }
 
--- a/internal/serverpath/table_test.go
+++ b/internal/serverpath/table_test.go
@@ -129,8 +129,8 @@
 	if table.CutOff(later) || table.Plan(later, "a").TunnelAfter != tunnelDelay {
 		t.Error("paths that were not used since still count as failed")
 	}
-	if len(table.servers) > 2 {
-		t.Errorf("%d servers are remembered", len(table.servers))
+	if len(table.servers) != 1 || len(table.failing) > 0 {
+		t.Errorf("%d servers are remembered, %d as failing", len(table.servers), len(table.failing))
 	}
 }
 
@@ -195,8 +195,26 @@
 			},
 		})
 		now = now.Add(memory + 2*fruitlessTime + probeEvery)
-		if table.CutOff(now); len(table.servers) > 0 {
-			t.Fatalf("%d servers are remembered", len(table.servers))
+		if table.Plan(now, "s5"); len(table.servers) != 1 || len(table.failing) > 0 {
+			t.Fatalf("%d servers are remembered, %d as failing", len(table.servers), len(table.failing))
 		}
 	})
 }
+
+// BenchmarkPlan measures the decision for one connection at a host that has connected to many servers
+// lately.
+func BenchmarkPlan(b *testing.B) {
+	for _, servers := range []int{20, 10_000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			table, addresses := newTable(), make([]string, servers)
+			for i := range addresses {
+				addresses[i] = fmt.Sprint("10.0.0.1:", i)
+				table.Plan(start, addresses[i])
+				table.DirectOpened(start, addresses[i])
+			}
+			for i := 0; b.Loop(); i++ {
+				table.Plan(start, addresses[i%servers])
+			}
+		})
+	}
+}
