Log the software version at which each attempt runs, and what a caller resumes

What callers saw: streams with events of two software versions. The kept logs could not tell whether a host or the caller's next attempt had joined them: a request's line named servers without their versions, and neither the attempt nor the event after which a stream was taken up.

A request's line now has version and events of each attempt, resumes and resume_after; server-heard has the version; the counters routed.resumed and routed.mixed_versions are new. An assignment by another host carries the version, which a host of an earlier build leaves empty. No decision changes.

--- a/internal/controller/assign/assign.go
+++ b/internal/controller/assign/assign.go
@@ -226,7 +226,7 @@
 		return nil, err
 	}
 	l.choice = balance.Choice{
-		Instance: instance.Announcement{ID: reply.GetServer(), Started: reply.GetIncarnation(), Address: reply.GetAddress()},
+		Instance: instance.Announcement{ID: reply.GetServer(), Started: reply.GetIncarnation(), Address: reply.GetAddress(), Version: reply.GetVersion()},
 		Wait:     time.Duration(reply.GetWaitUs()) * time.Microsecond, Cached: reply.GetCached(), Shared: balance.SharedTokens(w.Prompt),
 		PreferredWait: time.Duration(reply.GetHomeWaitUs()) * time.Microsecond, Running: int(reply.GetRunning()),
 	}
--- a/internal/controller/assign/owner.go
+++ b/internal/controller/assign/owner.go
@@ -49,7 +49,7 @@
 	c := l.Choice()
 	return &pb.AssignReply{
 		Server: c.Instance.ID, Incarnation: c.Instance.Started, Address: c.Instance.Address, WaitUs: c.Wait.Microseconds(), Cached: c.Cached,
-		HomeWaitUs: c.PreferredWait.Microseconds(), Running: int64(c.Running),
+		HomeWaitUs: c.PreferredWait.Microseconds(), Running: int64(c.Running), Version: c.Instance.Version,
 	}
 }
 
--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -185,7 +185,7 @@
 // logUpdate logs an update about a server. from is its source: the server or the name of a peer.
 func (b *Balancer) logUpdate(st *pb.ServerState, from string) {
 	b.cfg.Log.Info().Str("event", "server-heard").Str("server", st.GetId()).Uint64("incarnation", st.GetIncarnation()).Strs("service", st.GetServices()).
-		Str("address", st.GetAddress()).Bool("draining", st.GetLeaving()).Bool("gone", st.GetGone()).
+		Str("address", st.GetAddress()).Str("version", st.GetVersion()).Bool("draining", st.GetLeaving()).Bool("gone", st.GetGone()).
 		Bool("silent", st.GetSilent()).Str("receiver", st.GetReceiver().GetHost()).Str("from", from).Int64("age_ms", st.GetAgeMs()).Send()
 }
 
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -158,8 +158,11 @@
 	if x.PromptTokens > 0 {
 		event = event.Uint64("reserved", x.Reserved).Str("tokens_of", x.Holder).Uint64("prompt", x.PromptTokens).Uint64("output", x.OutputTokens)
 	}
+	if x.ResumeAfter != "" {
+		event = event.Str("resumes", x.Resumes).Str("resume_after", x.ResumeAfter)
+	}
 	for _, a := range x.Attempts {
-		event = event.Str("server", a.Server).Dur("predicted", a.Wait).Uint64("cached", a.Cached).
+		event = event.Str("server", a.Server).Str("version", a.Version).Dur("predicted", a.Wait).Uint64("cached", a.Cached).
 			Uint64("shared", a.Shared).Dur("home_wait", a.PreferredWait).Int("running", a.Running).
 			Dur("first", a.FirstByte).Dur("ran", a.Took).Str("outcome", string(a.Cause))
 		if a.Limit.Limited() {
@@ -177,6 +180,9 @@
 		if a.Via != "" {
 			event = event.Str("via", a.Via)
 		}
+		if a.Events > 0 {
+			event = event.Int("events", a.Events)
+		}
 		if a.Framing == relay.Unframed {
 			event = event.Str("framing", string(a.Framing))
 		}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -22,6 +22,11 @@
 	refused  expvar.Map
 	// earlyAnswers counts server answers that began before the whole request was sent.
 	earlyAnswers expvar.Int
+	// resumed counts requests that resume a stream of an earlier attempt of their caller, by how they ended
+	// for it. mixedVersions
+	// counts those whose caller received events from servers of several software versions.
+	resumed       expvar.Map
+	mixedVersions expvar.Int
 	// framings counts server answers by relay.Framing.
 	framings expvar.Map
 	// firstByte has the time to the first byte of a server's answer, took the duration of the
@@ -41,6 +46,8 @@
 	m.vars.Set("endings", &m.endings)
 	m.vars.Set("refused", &m.refused)
 	m.vars.Set("early_answers", &m.earlyAnswers)
+	m.vars.Set("resumed", &m.resumed)
+	m.vars.Set("mixed_versions", &m.mixedVersions)
 	m.vars.Set("framings", &m.framings)
 	for _, kind := range kindNames {
 		m.firstByte[kind], m.took[kind] = telemetry.NewHistogram(), telemetry.NewHistogram()
@@ -59,6 +66,12 @@
 	if x.Route == nil {
 		return
 	}
+	if x.ResumeAfter != "" {
+		m.resumed.Add(string(x.Ending), 1)
+	}
+	if x.MixedVersions() {
+		m.mixedVersions.Add(1)
+	}
 	m.byRoute.Add(x.Route.Name+"/"+http.StatusText(x.Status), 1)
 	kind := string(x.Route.Kind)
 	if h := m.took[kind]; h != nil {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -43,6 +43,9 @@
 	OutputHint uint64
 	// ResumeAfter is the ID of the last event of a stream that the caller has; empty if none.
 	ResumeAfter string
+	// Resumes is the ID of the attempt that brought the first event of that stream, as the caller names
+	// it; empty if it names none.
+	Resumes string
 }
 
 // Exchange is a request on its way through the chain. The filters fill it in, from the outermost to
@@ -136,6 +139,7 @@
 // Attempt describes one attempt at a backend server, for the log.
 type Attempt struct {
 	Server        string
+	Version       string        // of the server's software
 	Wait          time.Duration // predicted
 	Cached        uint64
 	Shared        uint64
@@ -156,10 +160,29 @@
 	Early bool
 	// Via is the peer host through which the connection to the server went; empty: none.
 	Via string
+	// Events is the number of whole events of a stream that the caller received from the server.
+	Events int
 	// Framing is how the server marked the end of its answer; empty without an answer.
 	Framing Framing
 }
 
+// MixedVersions reports whether the caller received events of a stream from servers of several software
+// versions.
+func (x *Exchange) MixedVersions() bool {
+	first := ""
+	seen := false
+	for _, a := range x.Attempts {
+		if a.Events == 0 {
+			continue
+		}
+		if seen && a.Version != first {
+			return true
+		}
+		first, seen = a.Version, true
+	}
+	return false
+}
+
 // Framing is how the sender of an answer marks the end of its body. The list is closed.
 type Framing string
 
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -37,7 +37,7 @@
 	choice := lease.Choice()
 	t.work.Exclude = append(t.work.Exclude, choice.Instance.Incarnation())
 	t.x.Attempts = append(t.x.Attempts, relay.Attempt{
-		Server: choice.Instance.ID, Wait: choice.Wait, Cached: choice.Cached, Shared: choice.Shared, PreferredWait: choice.PreferredWait,
+		Server: choice.Instance.ID, Version: choice.Instance.Version, Wait: choice.Wait, Cached: choice.Cached, Shared: choice.Shared, PreferredWait: choice.PreferredWait,
 		Running: choice.Running,
 	})
 	note := &t.x.Attempts[len(t.x.Attempts)-1]
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -62,7 +62,9 @@
 		return
 	}
 	t.writeStatus(res)
+	before := t.events.Events()
 	t.events.Write(events)
+	t.x.Attempts[len(t.x.Attempts)-1].Events += t.events.Events() - before
 	t.x.OutputTokens = uint64(t.events.Events()) * t.tokensPerEvent()
 	t.writeToCaller(events) // the request's context detects that the caller left
 	if f, ok := t.w.(http.Flusher); ok {
