Continue an answer only at the software version that sent its first event

What callers saw: an answer with events of two software versions. After a break the relay asked for any other server of the service; versions were sent between hosts and read by nothing that decides.

A request may now be restricted to software versions as it is to regions, in every choice of a server: by this host, by the owner of a shard, for permits and admissions. An owner of an earlier build ignores the restriction, so the requester checks what it was assigned. The first event sets the version. Before an attempt's first event is passed on the registry is read once more: a server that came back under its ID since it was chosen is of no known version, and nothing may follow its events or precede them. Without a server of the version the answer is broken off at once.

--- a/internal/balance/admissions.go
+++ b/internal/balance/admissions.go
@@ -76,7 +76,7 @@
 		inc := inst.Incarnation()
 		state, wait := c.cfg.Admissions.CheckAdmission(now, inc)
 		if s := c.server(inc); state == ratelimit.Free || now.Before(s.cooldownUntil) || now.Before(s.backoffUntil) ||
-			slices.Contains(w.Exclude, inc) || !c.inRegion(w, inst.Zone) || !c.permitted(now, w, inc) {
+			slices.Contains(w.Exclude, inc) || !c.mayServe(w, inst) || !c.permitted(now, w, inc) {
 			continue
 		}
 		if !ok || wait < due {
--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -47,6 +47,8 @@
 	Exclude []instance.Incarnation
 	// Regions are the only regions whose servers may get the request; empty: all.
 	Regions []string
+	// Versions are the only software versions whose servers may get the request; empty: all.
+	Versions []string
 	// Shard restricts the choice to a part of the service's servers.
 	Shard Shard
 	// HeldPermitsOnly excludes servers for which a permit would have to be requested first.
@@ -103,6 +105,9 @@
 	Abandoned
 )
 
+// Restricted reports whether only some of the service's servers may ever get the request.
+func (w *Work) Restricted() bool { return len(w.Regions) > 0 || len(w.Versions) > 0 }
+
 // PermitNeeded is the error for a request whose best server requires a permit that this host does
 // not hold.
 type PermitNeeded struct{ Incarnation instance.Incarnation }
@@ -245,7 +250,7 @@
 	var healthy, failing []*instance.Instance
 	shed := false
 	for _, inst := range c.reg.ServingInShard(w.Service, w.Shard.Index, w.Shard.Of) {
-		if slices.Contains(w.Exclude, inst.Incarnation()) || !c.inRegion(w, inst.Zone) ||
+		if slices.Contains(w.Exclude, inst.Incarnation()) || !c.mayServe(w, inst) ||
 			!c.permitted(now, w, inst.Incarnation()) || !c.admissible(now, w, inst.Incarnation()) {
 			continue
 		}
@@ -266,19 +271,43 @@
 	return healthy
 }
 
+// mayServe reports whether regions and software versions allow w at an instance.
+func (c *Core) mayServe(w *Work, inst *instance.Instance) bool {
+	return c.inRegion(w, inst.Zone) && ofVersion(w, inst.Version)
+}
+
 // inRegion reports whether the servers of a zone may get w.
 func (c *Core) inRegion(w *Work, zone string) bool {
 	return len(w.Regions) == 0 || slices.Contains(w.Regions, c.cfg.Regions[zone])
 }
 
-// Allowed reports whether w may be sent to an incarnation of a server, as far as regions restrict it. A
-// server that is not known may not get a restricted request.
+// ofVersion reports whether the servers of a software version may get w.
+func ofVersion(w *Work, version string) bool {
+	return len(w.Versions) == 0 || slices.Contains(w.Versions, version)
+}
+
+// Allowed reports whether w may be sent to an incarnation of a server, as far as regions and software
+// versions restrict it. A server that is not known may not get a restricted request.
 func (c *Core) Allowed(w *Work, inc instance.Incarnation) bool {
-	if len(w.Regions) == 0 {
+	if !w.Restricted() {
 		return true
 	}
 	inst, known := c.reg.Get(inc.ID)
-	return known && inst.Started == inc.Started && c.inRegion(w, inst.Zone)
+	return known && inst.Started == inc.Started && c.mayServe(w, inst)
+}
+
+// Version returns the software version of the chosen incarnation of a server. known is false if the choice
+// and the registry differ on it, or if the registry holds a later incarnation under the server's ID: that
+// one may be what answers.
+func (c *Core) Version(chosen instance.Announcement) (version string, known bool) {
+	inst, held := c.reg.Get(chosen.ID)
+	switch {
+	case !held || inst.Started < chosen.Started:
+		return chosen.Version, chosen.Version != ""
+	case inst.Started > chosen.Started:
+		return "", false
+	}
+	return inst.Version, chosen.Version == "" || chosen.Version == inst.Version
 }
 
 // candidate is a server with its prediction.
@@ -365,6 +394,10 @@
 			why.otherRegion++
 			continue
 		}
+		if !ofVersion(w, inst.Version) {
+			why.otherVersion++
+			continue
+		}
 		s := c.server(inst.Incarnation())
 		backoff, cooldown, noPermit := s.backoffUntil.Sub(now), s.cooldownUntil.Sub(now), c.permitWait(now, inst.Incarnation())
 		notAdmitted := c.admissionWait(now, inst.Incarnation())
@@ -385,7 +418,7 @@
 }
 
 // exclusions counts the servers that may not get a request now, by reason.
-type exclusions struct{ servers, backingOff, coolingDown, atLimit, brittle, evacuated, otherRegion int }
+type exclusions struct{ servers, backingOff, coolingDown, atLimit, brittle, evacuated, otherRegion, otherVersion int }
 
 func (o *exclusions) add(backoff, cooldown, noPermit, notAdmitted time.Duration) {
 	o.servers++
@@ -416,6 +449,9 @@
 	if o.otherRegion > 0 {
 		text += fmt.Sprintf("; %d more are in regions that the request must not reach", o.otherRegion)
 	}
+	if o.otherVersion > 0 {
+		text += fmt.Sprintf("; %d more run other software versions than its stream", o.otherVersion)
+	}
 	return text
 }
 
--- a/internal/controller/assign/assign.go
+++ b/internal/controller/assign/assign.go
@@ -61,6 +61,7 @@
 	ShardOf(w *balance.Work) balance.Shard
 	Usable(inc instance.Incarnation) bool
 	Allowed(w *balance.Work, inc instance.Incarnation) bool
+	Version(chosen instance.Announcement) (version string, known bool)
 	CoolDown(inc instance.Incarnation, d time.Duration, requestID string)
 	CooldownUnreadable(inc instance.Incarnation, requestID string)
 	CooldownLeft(inc instance.Incarnation) time.Duration
@@ -138,8 +139,8 @@
 		}
 		in.Shard = in.Shard.Next()
 	}
-	if len(w.Regions) > 0 {
-		// The few servers of its regions may all be in other shards.
+	if w.Restricted() {
+		// The few servers that may get it may all be in other shards.
 		in.Shard = balance.Shard{}
 		if l, localErr := a.cfg.Local.Acquire(ctx, &in); localErr == nil {
 			return l, nil
@@ -243,7 +244,7 @@
 		Run: a.cfg.Incarnation, Attempt: attempt, Service: w.Service, Shard: w.Shard.Index, Shards: w.Shard.Of, Engine: w.Engine,
 		PromptTokens: w.PromptTokens, CacheTokens: w.CacheTokens, ObjectiveMs: w.Objective.Milliseconds(),
 		Exclude: encodeIncarnations(w.Exclude), LifetimeMs: lifetime.Milliseconds(), Prompt: encodeParts(w.Prompt),
-		Regions: w.Regions,
+		Regions: w.Regions, Versions: w.Versions,
 	}
 }
 
--- a/internal/controller/assign/assign_test.go
+++ b/internal/controller/assign/assign_test.go
@@ -37,8 +37,9 @@
 	// answer is lost.
 	lost func(method string) (call, answer bool)
 
-	// ownersIgnoreRegions is set if owners run an earlier version, which does not know of regions.
-	ownersIgnoreRegions bool
+	// ownersIgnoreRestrictions is set if owners run an earlier version, which knows neither of regions nor
+	// of software versions.
+	ownersIgnoreRestrictions bool
 
 	mu         sync.Mutex
 	unanswered []string
@@ -133,9 +134,9 @@
 }
 
 func (c *client) Assign(ctx context.Context, r *pb.AssignRequest, _ ...grpc.CallOption) (*pb.AssignReply, error) {
-	if c.f.ownersIgnoreRegions {
+	if c.f.ownersIgnoreRestrictions {
 		r = proto.CloneOf(r)
-		r.Regions = nil
+		r.Regions, r.Versions = nil, nil
 	}
 	return callPeer(c, "assign", func() *pb.AssignReply { return c.f.hosts[c.to].HandleAssign(ctx, r) })
 }
@@ -487,10 +488,10 @@
 	}
 }
 
-func testRestrictedRequest(t *testing.T, ownersIgnoreRegions bool) {
+func testRestrictedRequest(t *testing.T, ownersIgnoreRestrictions bool) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleetIn(t, map[string]string{"far": "south", "near": "north"}, 120, "owner", "b")
-		f.ownersIgnoreRegions = ownersIgnoreRegions
+		f.ownersIgnoreRestrictions = ownersIgnoreRestrictions
 		for _, b := range f.local {
 			for i := range 120 {
 				a := engine(i)
@@ -518,3 +519,44 @@
 		time.Sleep(time.Second) // the last reports are sent
 	})
 }
+
+// Guards against a resumed stream that is sent to a server of another software version by an owner that
+// knows nothing of versions, or refused because the few servers of its version are in shards that were
+// not tried.
+func TestResumedStreamReachesItsVersionOnly(t *testing.T) {
+	for _, ignored := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owners ignore versions %v", ignored), func(t *testing.T) { testRestrictedVersion(t, ignored) })
+	}
+}
+
+func testRestrictedVersion(t *testing.T, ownersIgnoreRestrictions bool) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 120, "owner", "b")
+		f.ownersIgnoreRestrictions = ownersIgnoreRestrictions
+		for _, b := range f.local {
+			for i := range 120 {
+				a := engine(i)
+				a.Seq++
+				a.Version = "v1"
+				if i == 7 {
+					a.Version = "v2"
+				}
+				testutil.NoError(t, b.Announce(a))
+			}
+		}
+		for i := range 40 {
+			w := prompt(uint64(i), 1000+uint64(i), 3000, 500)
+			w.Versions = []string{"v2"}
+			l := f.acquire(t, "b", w)
+			if version, known := l.Version(); l.Choice().Instance.ID != engine(7).ID || version != "v2" || !known {
+				t.Fatalf("the request goes to %+v of version %q, known %v", l.Choice().Instance, version, known)
+			}
+			l.Done(balance.Served)
+		}
+		w := prompt(1, 2, 3000, 500)
+		w.Versions = []string{"v3"}
+		_, err := f.hosts["b"].Acquire(t.Context(), w)
+		testutil.Refused(t, err, errkind.NoBackendServer, "a version without servers")
+		time.Sleep(time.Second) // the last reports are sent
+	})
+}
--- a/internal/controller/assign/lease.go
+++ b/internal/controller/assign/lease.go
@@ -26,6 +26,11 @@
 // Choice implements relay.Lease.
 func (l *remoteLease) Choice() balance.Choice { return l.choice }
 
+// Version implements relay.Lease.
+func (l *remoteLease) Version() (version string, known bool) {
+	return l.a.cfg.Local.Version(l.choice.Instance)
+}
+
 // FirstByte implements relay.Lease; only the first call counts.
 func (l *remoteLease) FirstByte() {
 	if l.firstReported {
--- a/internal/controller/assign/owner.go
+++ b/internal/controller/assign/owner.go
@@ -35,7 +35,7 @@
 	w := &balance.Work{
 		Service: req.GetService(), Engine: req.GetEngine(), CacheTokens: req.GetCacheTokens(), PromptTokens: req.GetPromptTokens(),
 		Objective: time.Duration(req.GetObjectiveMs()) * time.Millisecond, Exclude: decodeIncarnations(req.GetExclude()),
-		Prompt: decodeParts(req.GetPrompt()), Regions: req.GetRegions(),
+		Prompt: decodeParts(req.GetPrompt()), Regions: req.GetRegions(), Versions: req.GetVersions(),
 		Shard: balance.Shard{Index: req.GetShard(), Of: req.GetShards()}, Lifetime: time.Duration(req.GetLifetimeMs()) * time.Millisecond,
 	}
 	l, err := a.cfg.Local.Acquire(ctx, w)
--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -351,13 +351,20 @@
 	return i.Started == inc.Started && i.Usable() && b.core.CooldownLeft(time.Now(), inc) == 0
 }
 
-// Allowed reports whether regions allow a request at a server; see balance.Core.
+// Allowed reports whether regions and software versions allow a request at a server; see balance.Core.
 func (b *Balancer) Allowed(w *balance.Work, inc instance.Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.core.Allowed(w, inc)
 }
 
+// Version returns the software version of the chosen incarnation of a server; see balance.Core.
+func (b *Balancer) Version(chosen instance.Announcement) (version string, known bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Version(chosen)
+}
+
 // lease implements relay.Lease.
 type lease struct {
 	b      *Balancer
@@ -370,6 +377,9 @@
 // Choice implements relay.Lease.
 func (l *lease) Choice() balance.Choice { return l.choice }
 
+// Version implements relay.Lease.
+func (l *lease) Version() (version string, known bool) { return l.b.Version(l.choice.Instance) }
+
 // FirstByte implements relay.Lease; only the first call counts.
 func (l *lease) FirstByte() {
 	l.b.mu.Lock()
--- a/internal/engineclient/cause.go
+++ b/internal/engineclient/cause.go
@@ -69,6 +69,8 @@
 	CauseIncompleteEvent Cause = "incomplete_event"
 	// CauseNoStream: the server answered with something other than the rest of a stream.
 	CauseNoStream Cause = "no_stream"
+	// CauseOtherVersion: the server may run another software version than the stream that it continues.
+	CauseOtherVersion Cause = "other_version"
 	// CauseServerFault: the server answered with an error status, and the request was sent to
 	// another server.
 	CauseServerFault Cause = "server_fault"
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -159,7 +159,7 @@
 // update applies a newer announcement of the incarnation that is held.
 func (r *Registry) update(announced time.Time, i *Instance, a report) bool {
 	becameCold := i.WarmupLeft == 0 && a.WarmupLeft > 0
-	changed := i.Slots != a.Slots || !i.Draining && a.Draining || i.Address != a.Address || becameCold
+	changed := i.Slots != a.Slots || !i.Draining && a.Draining || i.Address != a.Address || i.Version != a.Version || becameCold
 	a.Draining = a.Draining || i.Draining
 	moved := i.Address != a.Address
 	if moved {
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -138,9 +138,11 @@
 }
 
 // mayResume reports whether another server can continue an answer that has begun. It can't if the
-// caller has part of an event, since that server sends the event from its beginning.
+// caller has part of an event, since that server sends the event from its beginning, or if the software
+// version that the server must run is not known.
 func (t *task) mayResume() bool {
-	return t.x.Route.Kind == routes.Stream && t.x.Route.Resumable && t.events.LastID() != "" && t.events.IncompleteBytes() == 0
+	return t.x.Route.Kind == routes.Stream && t.x.Route.Resumable && t.events.LastID() != "" && t.events.IncompleteBytes() == 0 &&
+		len(t.work.Versions) > 0
 }
 
 // takeRetryEarly is takeRetry called before the attempt fails. The attempt that it allows has to be
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -94,6 +94,10 @@
 	// unreadable counts the cooldowns that could not be parsed.
 	unreadable int
 	n          int
+	// versions holds the software versions of servers that run another one than "v1"; an empty one is not
+	// known. work is what was acquired last.
+	versions map[string]string
+	work     balance.Work
 }
 
 func (l *leases) Acquire(_ context.Context, w *balance.Work) (relay.Lease, error) {
@@ -104,6 +108,7 @@
 		return nil, errkind.New(errkind.Internal, "%d servers excluded at attempt %d", len(w.Exclude), l.n+1)
 	}
 	l.n++
+	l.work = *w
 	return &lease{l: l, id: l.servers[l.n-1]}, nil
 }
 
@@ -115,6 +120,13 @@
 func (l *lease) Choice() balance.Choice {
 	return balance.Choice{Instance: instance.Announcement{ID: l.id, Address: "10.0.0.1:80"}}
 }
+func (l *lease) Version() (string, bool) {
+	version, set := l.l.versions[l.id]
+	if !set {
+		version = "v1"
+	}
+	return version, version != ""
+}
 func (l *lease) CoolDown(d time.Duration, _ string) { l.l.cooldowns = append(l.l.cooldowns, d) }
 func (l *lease) Leaving()                           { l.l.leaving = append(l.l.leaving, l.id) }
 func (l *lease) CooldownUnreadable(string)          { l.l.unreadable++ }
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
@@ -28,7 +29,11 @@
 		if n > 0 {
 			lease.FirstByte()
 			t.x.PromptConsumed = true
-			t.writeEvents(res.Response, part.Events(splitter.Split(buf[:n])))
+			events := part.Events(splitter.Split(buf[:n]))
+			if len(events) > 0 && t.events.Events() == before && !t.sameVersion(lease) {
+				return t.failure(balance.Abandoned, engineclient.CauseOtherVersion, "server %s may run another software version than the stream", lease.Choice().Instance.ID)
+			}
+			t.writeEvents(res.Response, events)
 		}
 		t.eventOwed = t.eventOwed || readErr != nil && splitter.InsideEvent()
 		switch {
@@ -42,6 +47,19 @@
 	}
 }
 
+// sameVersion is called before the first event of an attempt is passed on. The first event of all sets the
+// version of the stream; it returns false if a later attempt may be of another one.
+func (t *task) sameVersion(lease relay.Lease) bool {
+	version, known := lease.Version()
+	if len(t.work.Versions) > 0 {
+		return known && slices.Contains(t.work.Versions, version)
+	}
+	if known {
+		t.work.Versions = []string{version}
+	}
+	return true
+}
+
 // endStream returns the outcome of a stream that was read to its end without an error, and is truncated
 // if err is not nil.
 func (t *task) endStream(res received, err error) outcome {
--- a/internal/relay/forward/wire_test.go
+++ b/internal/relay/forward/wire_test.go
@@ -68,6 +68,7 @@
 type inTurnLease struct{ choice balance.Choice }
 
 func (l inTurnLease) Choice() balance.Choice       { return l.choice }
+func (inTurnLease) Version() (string, bool)        { return "v1", true }
 func (inTurnLease) FirstByte()                     {}
 func (inTurnLease) Report(balance.Load)            {}
 func (inTurnLease) CoolDown(time.Duration, string) {}
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -98,6 +98,8 @@
 // Lease is the assignment of one request to a server. Done must be called exactly once.
 type Lease interface {
 	Choice() balance.Choice
+	// Version returns the software version of the server; known is false if it may be another one by now.
+	Version() (version string, known bool)
 	// FirstByte records that the first part of the answer has arrived.
 	FirstByte()
 	// Report records the load that the server reported.
