Resume a caller's stream only at the software version that began it

What callers saw: a stream that broke with its host, or that its caller broke off, went on at a server of another software version. The attempt that it names was passed on as any other header, and no host knew at which version that one had run.

The host that passes on the first event of a resumable stream now records the service and the version of the server that sent it, and sends copies to the two hosts that rank first for the attempt's ID; nothing waits for them, and an entry never changes. A host that is asked to resume looks the origin up here, then at the three hosts that rank first, chooses that service and restricts the choice of servers to that version. A stream of unknown origin is refused at once, as not run (stream_unknown): a host that knows of one version can't conclude that there is no other one, as servers of a new version may have announced themselves on the other side of a partition only.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/controller/grants"
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
 	"github.com/bluebellsail/bluebellsail/internal/controller/news"
+	"github.com/bluebellsail/bluebellsail/internal/controller/origins"
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	quarantinectl "github.com/bluebellsail/bluebellsail/internal/controller/quarantine"
 	"github.com/bluebellsail/bluebellsail/internal/controller/ratelimits"
@@ -61,6 +62,7 @@
 	owners   *owners.Table
 	budgets  *budgets.Reserver
 	assigner *assign.Assigner
+	origins  *origins.Keeper
 	// grants is nil until this host is registered; then registered is closed.
 	grants     atomic.Pointer[grants.Manager]
 	registered chan struct{}
@@ -180,6 +182,7 @@
 		d.tasks.run("routes", g.routes.Run)
 		d.tasks.run("budgets", g.budgets.Run)
 		d.tasks.run("assignments", g.assigner.Run)
+		d.tasks.run("origins of streams", g.origins.Run)
 	}
 	return g.serve()
 }
@@ -241,6 +244,8 @@
 	g.suspects = g.newQuarantine()
 	g.news = g.newBroadcaster()
 	g.budgets = g.newBudgets()
+	g.origins = origins.New(origins.Config{Owners: g.owners, Client: d.pool.Client, Log: d.tel.Log})
+	d.tel.Metrics.Set("stream_origins", g.origins.Metrics())
 	g.assigner = assign.New(assign.Config{
 		Incarnation: g.run, Self: g.holder, Local: g.balancer, Owners: g.owners, Client: d.pool.Client, Log: d.tel.Log,
 	})
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/relay/identify"
 	"github.com/bluebellsail/bluebellsail/internal/relay/match"
 	"github.com/bluebellsail/bluebellsail/internal/relay/quarantine"
+	"github.com/bluebellsail/bluebellsail/internal/relay/resume"
 )
 
 // maxHeaderBytes is the largest header size that a routing table may allow.
@@ -48,10 +49,10 @@
 	if r.Requests != "" {
 		handler := relay.NewHandler(g.protocol, g,
 			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, &deadline.Filter{Delay: &g.d.linkDelay},
-			&quarantine.Filter{Quarantine: g.suspects},
+			&resume.Filter{Origins: g.origins}, &quarantine.Filter{Quarantine: g.suspects},
 			bandwidth.New(g.d.cfg.Limits.LinkMbps), &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
-				Dialect: g.protocol, Client: g.client, Accepts: g.client.Accepts, ObservePlain: g.d.observeRoundTrip, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Abort: httpserver.Abort,
+				Dialect: g.protocol, Client: g.client, Accepts: g.client.Accepts, ObservePlain: g.d.observeRoundTrip, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Origins: g.origins, Abort: httpserver.Abort,
 			})
 		g.requests = httpserver.New(httpserver.Config{
 			Name: "requests", Address: r.Requests, Handler: handler, Limits: g.callerLimits,
@@ -160,6 +161,9 @@
 	}
 	if x.ResumeAfter != "" {
 		event = event.Str("resumes", x.Resumes).Str("resume_after", x.ResumeAfter)
+		if x.Origin != nil {
+			event = event.Str("origin", x.Origin.Service+"/"+x.Origin.Version).Str("origin_from", x.OriginFrom)
+		}
 	}
 	for _, a := range x.Attempts {
 		event = event.Str("server", a.Server).Str("version", a.Version).Dur("predicted", a.Wait).Uint64("cached", a.Cached).
--- a/internal/daemon/gatewaypeer.go
+++ b/internal/daemon/gatewaypeer.go
@@ -45,6 +45,16 @@
 	return p.g.assigner.HandleAssign(ctx, r), nil
 }
 
+// PutOrigins keeps the origins of streams that another host serves.
+func (p gatewayPeer) PutOrigins(_ context.Context, r *pb.PutOriginsRequest) (*pb.PutOriginsReply, error) {
+	return p.g.origins.HandlePut(r), nil
+}
+
+// FindOrigin returns where a stream began.
+func (p gatewayPeer) FindOrigin(_ context.Context, r *pb.FindOriginRequest) (*pb.FindOriginReply, error) {
+	return p.g.origins.HandleFind(r), nil
+}
+
 // ReportRuns receives the outcomes of another host's attempts.
 func (p gatewayPeer) ReportRuns(_ context.Context, r *pb.ReportRunsRequest) (*pb.ReportRunsReply, error) {
 	return p.g.assigner.HandleReportRuns(r), nil
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -113,6 +113,14 @@
 	return l.service().Assign(ctx, r)
 }
 
+func (l *deferredPeer) PutOrigins(ctx context.Context, r *pb.PutOriginsRequest) (*pb.PutOriginsReply, error) {
+	return l.service().PutOrigins(ctx, r)
+}
+
+func (l *deferredPeer) FindOrigin(ctx context.Context, r *pb.FindOriginRequest) (*pb.FindOriginReply, error) {
+	return l.service().FindOrigin(ctx, r)
+}
+
 func (l *deferredPeer) TakePermits(ctx context.Context, r *pb.TakePermitsRequest) (*pb.TakePermitsReply, error) {
 	return l.service().TakePermits(ctx, r)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 	"github.com/bluebellsail/bluebellsail/internal/ratelimit"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
+	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
 
 // Request is a caller's request, decoded by the Dialect.
@@ -69,6 +70,11 @@
 	// Admission reports the attempts to the quarantine; nil if there is no quarantine.
 	Admission filter.Admission
 
+	// Origin is where the stream began that the request resumes, or, once its first event was passed on, its
+	// own; nil if that is not known. OriginFrom names the host that knew the origin of a resumed stream.
+	Origin     *streamorigin.Origin
+	OriginFrom string
+
 	// Reserved is the number of reserved tokens. PromptConsumed is set once the request has
 	// certainly begun to run, with the first part of its answer, or once it may have begun to run
 	// at a server that did not answer. A request that was ended by its caller or its deadline
@@ -110,6 +116,17 @@
 	return nil
 }
 
+// SelectService sets the exchange's Service to one of the route's services. It returns false if the route
+// does not lead to the named one.
+func (x *Exchange) SelectService(name string) bool {
+	service, known := x.Table.Service(name)
+	if !known || !x.Route.LeadsTo(name) {
+		return false
+	}
+	x.Service = service
+	return true
+}
+
 // Ending is how a request ended for its caller. The list is closed.
 type Ending string
 
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -24,6 +24,7 @@
 	Balancer relay.Balancer
 	Retries  relay.Retries
 	Limits   relay.Limits
+	Origins  relay.Origins
 	// ObservePlain is called with how long a plain service took to answer; nil: no call.
 	ObservePlain func(took time.Duration)
 	// Accepts reports whether a server accepts connections, true if that can't be found out; nil: not
@@ -55,6 +56,9 @@
 	w := &balance.Work{
 		Service: x.Service.Name, Prompt: x.Prompt, PromptTokens: x.PromptTokens, Objective: x.Route.Objective.Std(),
 	}
+	if x.Origin != nil {
+		w.Versions = []string{x.Origin.Version}
+	}
 	if x.Service.Engine != nil {
 		w.Engine, w.CacheTokens = true, x.Service.Engine.CacheTokens
 	}
@@ -142,7 +146,7 @@
 // version that the server must run is not known.
 func (t *task) mayResume() bool {
 	return t.x.Route.Kind == routes.Stream && t.x.Route.Resumable && t.events.LastID() != "" && t.events.IncompleteBytes() == 0 &&
-		len(t.work.Versions) > 0
+		t.x.Origin != nil
 }
 
 // takeRetryEarly is takeRetry called before the attempt fails. The attempt that it allows has to be
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/retryafter"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
 	"github.com/bluebellsail/bluebellsail/internal/settings"
+	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
 
 // Headers of the test dialect.
@@ -135,6 +137,27 @@
 func (l *lease) WrongInstance()                     { l.l.wrong = append(l.l.wrong, l.id) }
 func (l *lease) Done(r balance.Result)              { l.l.results = append(l.l.results, r) }
 
+// recordedOrigins records the origins of streams by attempt.
+type recordedOrigins struct {
+	mu        sync.Mutex
+	origins   map[string][]streamorigin.Origin
+	lifetimes []time.Duration
+}
+
+func (o *recordedOrigins) Record(_, attempt string, origin streamorigin.Origin, lifetime time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.origins == nil {
+		o.origins = map[string][]streamorigin.Origin{}
+	}
+	o.origins[attempt] = append(o.origins[attempt], origin)
+	o.lifetimes = append(o.lifetimes, lifetime)
+}
+
+func (*recordedOrigins) Find(context.Context, string, string) (streamorigin.Origin, string, error) {
+	return streamorigin.Origin{}, "", errkind.New(errkind.StreamUnknown, "nothing is kept")
+}
+
 // allowance allows a fixed number of retries.
 type allowance struct{ left int }
 
@@ -204,6 +227,10 @@
 	method  string
 	x       *relay.Exchange
 	ctx     context.Context
+	// origins records the origins of streams. origin is that of the stream that the request resumes; nil if it
+	// resumes none.
+	origins recordedOrigins
+	origin  *streamorigin.Origin
 	// admission is the request's; nil if there is no quarantine.
 	admission filter.Admission
 	// account is the request's; nil if it needs none.
@@ -246,10 +273,10 @@
 		Admission: r.admission, Account: r.account,
 		Request: &relay.Request{ID: requestID, Method: r.method, Target: "/p", Header: http.Header{}, PromptTokens: 100, OutputCap: r.outputCap},
 		Route:   &r.route, Deadline: time.Now().Add(time.Minute),
-		Service: &routes.Service{Name: "pool", Engine: &routes.Engine{TokensPerEvent: 4}},
+		Service: &routes.Service{Name: "pool", Engine: &routes.Engine{TokensPerEvent: 4}}, Origin: r.origin,
 	}
 	f := &Filter{
-		Dialect: dialect{}, Client: r.servers, Balancer: r.leases, Retries: &r.allowed, Limits: &r.limits,
+		Dialect: dialect{}, Client: r.servers, Balancer: r.leases, Retries: &r.allowed, Limits: &r.limits, Origins: &r.origins,
 		Abort: func(http.ResponseWriter) { r.aborted = true },
 	}
 	if r.accepts != nil {
--- a/internal/relay/forward/wire_test.go
+++ b/internal/relay/forward/wire_test.go
@@ -208,7 +208,7 @@
 	client := engineclient.New(engineclient.Config{})
 	s := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: relay.NewHandler(wireDialect{}, seen,
 		routed{&route},
-		&Filter{Dialect: wireDialect{}, Client: client, Accepts: client.Accepts, Balancer: servers, Retries: &allowance{left: 1000}, Limits: &recordedLimits{}, Abort: httpserver.Abort})})
+		&Filter{Dialect: wireDialect{}, Client: client, Accepts: client.Accepts, Balancer: servers, Retries: &allowance{left: 1000}, Limits: &recordedLimits{}, Origins: &recordedOrigins{}, Abort: httpserver.Abort})})
 	testutil.NoError(t, s.Start())
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/ratelimit"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
+	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
 
 // Dialect translates between HTTP as callers and backend servers use it and the types of this
@@ -89,6 +90,16 @@
 	Spend(requestID string, tokens uint64)
 }
 
+// Origins keeps where streams began, so that they are resumed at the same software version.
+type Origins interface {
+	// Record records that the stream that an attempt of a client account began has its first event from
+	// the origin. The stream may be resumed for the given lifetime. Record does not block.
+	Record(account, attempt string, o streamorigin.Origin, lifetime time.Duration)
+	// Find returns the origin of the stream that an attempt began and the host that knew it, or a refusal
+	// if it is not known.
+	Find(ctx context.Context, account, attempt string) (o streamorigin.Origin, from string, err error)
+}
+
 // Balancer chooses backend servers.
 type Balancer interface {
 	// Acquire chooses a server for w.
--- a/internal/routes/index.go
+++ b/internal/routes/index.go
@@ -172,6 +172,11 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // TotalWeight returns the sum of the targets' weights.
 func (r *Route) TotalWeight() uint64 {
 	sum := uint64(0)
