--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -74,6 +74,7 @@
 var (
 	_ relay.Balancer = (*Balancer)(nil)
 	_ relay.Retries  = (*Balancer)(nil)
+	_ relay.Versions = (*Balancer)(nil)
 )
 
 // New returns a Balancer that knows no server.
@@ -365,6 +366,13 @@
 	return b.core.Version(chosen)
 }
 
+// SoleVersion implements relay.Versions.
+func (b *Balancer) SoleVersion(service string) (version string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reg.SoleVersion(time.Now(), service)
+}
+
 // lease implements relay.Lease.
 type lease struct {
 	b      *Balancer
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -49,7 +49,7 @@
 	if r.Requests != "" {
 		handler := relay.NewHandler(g.protocol, g,
 			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, &deadline.Filter{Delay: &g.d.linkDelay},
-			&resume.Filter{Origins: g.origins}, &quarantine.Filter{Quarantine: g.suspects},
+			&resume.Filter{Origins: g.origins, Versions: g.balancer}, &quarantine.Filter{Quarantine: g.suspects},
 			bandwidth.New(g.d.cfg.Limits.LinkMbps), &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
 				Dialect: g.protocol, Client: g.client, Accepts: g.client.Accepts, ObservePlain: g.d.observeRoundTrip, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Origins: g.origins, Abort: httpserver.Abort,
--- a/internal/instance/index.go
+++ b/internal/instance/index.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/rendezvous"
 )
@@ -29,13 +30,17 @@
 	hashes []uint64
 	parts  [indexParts][]*Instance
 	counts [evacuated + 1]int
+	// versions counts the instances by software version. goneVersions has when an instance of a version that
+	// is no longer held was last announced.
+	versions     map[string]int
+	goneVersions map[string]time.Time
 }
 
 // index returns the index of a service.
 func (r *Registry) index(service string) *serviceIndex {
 	x := r.byService[service]
 	if x == nil {
-		x = &serviceIndex{}
+		x = &serviceIndex{versions: make(map[string]int), goneVersions: make(map[string]time.Time)}
 		r.byService[service] = x
 	}
 	return x
@@ -51,6 +56,7 @@
 	*part = append(*part, i)
 	i.counted = i.usability()
 	x.counts[i.counted]++
+	x.versions[i.Version]++
 }
 
 func (x *serviceIndex) remove(i *Instance) {
@@ -60,6 +66,22 @@
 	part := &x.parts[i.hash%indexParts]
 	*part = slices.DeleteFunc(*part, func(other *Instance) bool { return other == i })
 	x.counts[i.counted]--
+	x.removeVersion(i)
+}
+
+// removeVersion counts an instance of its version less.
+func (x *serviceIndex) removeVersion(i *Instance) {
+	if x.versions[i.Version]--; x.versions[i.Version] == 0 {
+		delete(x.versions, i.Version)
+		x.goneVersions[i.Version] = latest(x.goneVersions[i.Version], i.LastAnnounced)
+	}
+}
+
+// changeVersion sets the software version of an instance.
+func (x *serviceIndex) changeVersion(i *Instance, version string) {
+	x.removeVersion(i)
+	i.Version = version
+	x.versions[version]++
 }
 
 // refresh counts an instance by its present state.
@@ -116,6 +138,24 @@
 	return out
 }
 
+// SoleVersion returns the software version of a service's instances if this host has known of no other one
+// for as long as instances are remembered.
+func (r *Registry) SoleVersion(now time.Time, service string) (version string, ok bool) {
+	x := r.index(service)
+	for v, last := range x.goneVersions {
+		if now.Sub(last) >= r.cfg.Forget || x.versions[v] > 0 {
+			delete(x.goneVersions, v)
+		}
+	}
+	if len(x.versions) != 1 || len(x.goneVersions) > 0 {
+		return "", false
+	}
+	for v := range x.versions {
+		version = v
+	}
+	return version, true
+}
+
 // Preferred returns the instance of a service that ranks first for a key by rendezvous hash, among those
 // that may get requests and that accept accepts; nil if there is none.
 func (r *Registry) Preferred(service string, key uint64, accept func(*Instance) bool) *Instance {
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -165,6 +165,7 @@
 	if moved {
 		r.releaseAddress(i)
 	}
+	r.index(i.Service).changeVersion(i, a.Version)
 	i.Announcement = a.Announcement
 	changed = r.setReceiver(i, a) || changed
 	i.Evacuated = r.evacuated[a.Zone]
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -100,6 +100,13 @@
 	Find(ctx context.Context, account, attempt string) (o streamorigin.Origin, from string, err error)
 }
 
+// Versions tells which software versions the backend servers of a service run.
+type Versions interface {
+	// SoleVersion returns the version of all servers of a service; ok is false if this host knows several, or
+	// has known several lately.
+	SoleVersion(service string) (version string, ok bool)
+}
+
 // Balancer chooses backend servers.
 type Balancer interface {
 	// Acquire chooses a server for w.
--- a/internal/relay/resume/resume.go
+++ b/internal/relay/resume/resume.go
@@ -3,6 +3,7 @@
 package resume
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
+	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
 
 // movedRetryAfter is when a caller may retry to resume a stream whose service only another routing table
@@ -17,7 +19,10 @@
 const movedRetryAfter = 4 * time.Second
 
 // Filter implements filter.Filter.
-type Filter struct{ Origins relay.Origins }
+type Filter struct {
+	Origins  relay.Origins
+	Versions relay.Versions
+}
 
 // ServeHTTP sets the exchange's Origin and Service. It rejects a request at once if the origin of its stream
 // is not known, or if the route no longer leads to the service.
@@ -26,10 +31,7 @@
 	if x.Route.Kind != routes.Stream || x.ResumeAfter == "" {
 		return next.ServeHTTP(w, r)
 	}
-	if x.Resumes == "" {
-		return errkind.New(errkind.StreamUnknown, "the request does not name the attempt that began its stream")
-	}
-	origin, from, err := f.Origins.Find(r.Context(), x.AccountName(), x.Resumes)
+	origin, from, err := f.find(r.Context(), x)
 	if err != nil {
 		return err
 	}
@@ -40,3 +42,19 @@
 	}
 	return next.ServeHTTP(w, r)
 }
+
+// soleVersion stands for a host in the exchange's OriginFrom.
+const soleVersion = "sole_version"
+
+// find returns the origin of the stream that a request resumes. Callers that know of one software version
+// only do not name the attempt that began it; they are served while there is one version.
+func (f *Filter) find(ctx context.Context, x *relay.Exchange) (o streamorigin.Origin, from string, err error) {
+	if x.Resumes != "" {
+		return f.Origins.Find(ctx, x.AccountName(), x.Resumes)
+	}
+	version, ok := f.Versions.SoleVersion(x.Service.Name)
+	if !ok {
+		return o, "", errkind.New(errkind.StreamUnknown, "the request does not name the attempt that began its stream, and servers of %q run several software versions", x.Service.Name)
+	}
+	return streamorigin.Origin{Service: x.Service.Name, Version: version}, soleVersion, nil
+}
