--- a/internal/controller/origins/origins.go
+++ b/internal/controller/origins/origins.go
@@ -31,6 +31,8 @@
 	asked = copies + 1
 	// putTimeout bounds a message with origins.
 	putTimeout = 500 * time.Millisecond
+	// resendInterval is how often messages without an answer are looked for.
+	resendInterval = time.Second
 )
 
 // Owners ranks the hosts that may keep the origin of a stream; *owners.Table implements it.
@@ -162,7 +164,7 @@
 
 // Run sends copies of origins until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	resend := time.NewTicker(putTimeout)
+	resend := time.NewTicker(resendInterval)
 	defer resend.Stop()
 	defer k.sends.Wait()
 	for {
