Bypass connections to servers that open and deliver nothing

What callers saw: on a host behind a network that accepts its connections to all servers and drops their bytes no first try was served, each ended at its deadline, while a peer stood beside it whose connections carry bytes. A path was judged by the opening of a connection alone.

The host now tracks which servers owe an answer. While all seem silent it asks two of them for their health, directly and through a peer; if both answer the peer only, it ends its direct connections and uses tunnels until a direct question is answered.

--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -261,6 +261,13 @@
 	return b.reg.AtAddress(address)
 }
 
+// ServiceAt returns the service of the known instance at an address.
+func (b *Balancer) ServiceAt(address string) (service string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reg.ServiceAt(address)
+}
+
 // SetEvacuated replaces the set of evacuated availability zones, whose servers get no requests.
 func (b *Balancer) SetEvacuated(zones map[string]bool) {
 	b.mu.Lock()
--- a/internal/controller/serverpaths/dialer.go
+++ b/internal/controller/serverpaths/dialer.go
@@ -60,6 +60,9 @@
 	Client func(address string) pb.PeerClient
 	// Known reports whether a backend server is known at an address. Tunnels are opened to no other.
 	Known func(address string) bool
+	// HealthPath returns the path of the health check of the server at an address; ok is false if that is
+	// not known.
+	HealthPath func(address string) (path string, ok bool)
 	// OnCutOff is called when this host begins to count as cut off from all servers; nil: no call.
 	OnCutOff func()
 	Seed     uint64
@@ -74,14 +77,17 @@
 	table *serverpath.Table
 	// cutOff is whether this host counted as cut off when it was last checked.
 	cutOff bool
+	// wanted is the server to which a connection was last opened.
+	wanted string
 
+	silence silence
 	tunnels tunnels
 	metrics metrics
 }
 
 // New returns Paths on which all direct paths count as working.
 func New(cfg Config) *Paths {
-	p := &Paths{cfg: cfg, table: serverpath.New(rand.New(rand.NewPCG(cfg.Seed, 1)))}
+	p := &Paths{cfg: cfg, table: serverpath.New(rand.New(rand.NewPCG(cfg.Seed, 1))), silence: newSilence()}
 	p.metrics.init(&p.tunnels)
 	return p
 }
@@ -107,6 +113,7 @@
 	defer p.checkCutOff() // failures that are too old no longer count
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.wanted = address
 	return p.table.Plan(time.Now(), address)
 }
 
@@ -192,10 +199,11 @@
 // find out whether the path works.
 func (r *race) direct(ctx context.Context) result {
 	conn, err := r.p.cfg.Direct(context.WithoutCancel(ctx), r.network, r.address)
-	if err == nil {
-		r.p.directOpened(r.address)
+	if err != nil {
+		return result{err: err}
 	}
-	return result{conn: conn, err: err}
+	r.p.directOpened(r.address)
+	return result{conn: r.p.observe(conn, r.address)}
 }
 
 // tunnel opens a tunnel through the first peer that has a path to the server.
--- a/internal/controller/serverpaths/paths_test.go
+++ b/internal/controller/serverpaths/paths_test.go
@@ -30,6 +30,8 @@
 	works fault = iota
 	hangs
 	refuses
+	// swallows: connections open and deliver nothing.
+	swallows
 )
 
 // host is one host with its paths, which serves tunnels over gRPC.
@@ -60,6 +62,10 @@
 		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
 	case refuses:
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	case swallows:
+		here, there := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, there) }()
+		return here, nil
 	}
 	return (&net.Dialer{}).DialContext(ctx, network, address)
 }
@@ -73,7 +79,7 @@
 	}
 	for i, h := range hosts {
 		h.paths = New(Config{
-			Direct: h.dial, Known: func(string) bool { return !h.unknown.Load() }, Seed: uint64(i), OnCutOff: func() { h.cutOff.Add(1) },
+			Direct: h.dial, Known: func(string) bool { return !h.unknown.Load() }, HealthPath: func(string) (string, bool) { return "/healthz", true }, Seed: uint64(i), OnCutOff: func() { h.cutOff.Add(1) },
 			Peers: func() []serverpath.Peer { return peersOf(hosts, h) },
 			Client: func(address string) pb.PeerClient {
 				for _, other := range hosts {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -171,6 +171,7 @@
 		return err
 	}
 	d.tasks.run("heartbeats", g.members.Run)
+	d.tasks.run("paths to servers", g.paths.Run)
 	if g.d.cfg.Limits.MemoryMB > 0 {
 		d.tasks.run("pace of collections", paceGC)
 	}
@@ -198,7 +199,7 @@
 		ObserveDial: d.observeRoundTrip,
 	}
 	g.paths = serverpaths.New(serverpaths.Config{
-		Direct: d.directDial(client), Peers: g.tunnelPeers, Client: d.pool.Client, Known: g.knowsServerAt, Seed: seedOf(cfg.Host), Log: d.tel.Log,
+		Direct: d.directDial(client), Peers: g.tunnelPeers, Client: d.pool.Client, Known: g.knowsServerAt, HealthPath: g.healthPathAt, Seed: seedOf(cfg.Host), Log: d.tel.Log,
 		// Connections from before a partition may no longer deliver anything.
 		OnCutOff: func() { g.client.DropAllConnections() },
 	})
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -112,6 +112,20 @@
 // knowsServerAt reports whether a backend server has announced the address.
 func (g *gateway) knowsServerAt(address string) bool { return g.balancer.ServerAt(address) }
 
+// healthPathAt returns the health path of the server at an address.
+func (g *gateway) healthPathAt(address string) (path string, ok bool) {
+	name, known := g.balancer.ServiceAt(address)
+	table, err := g.routes.Current()
+	if !known || err != nil {
+		return "", false
+	}
+	service, ok := table.Service(name)
+	if !ok {
+		return "", false
+	}
+	return service.HealthPath, true
+}
+
 // addressesPerCaller is how many hosts a caller gets: enough to continue when two of them are
 // lost before it asks again, and few enough that the fleet controls how callers spread over
 // the hosts.
--- a/internal/instance/registry.go
+++ b/internal/instance/registry.go
@@ -411,5 +411,13 @@
 	r.expireReceivers()
 }
 
+// ServiceAt returns the service of the instance that is assumed to be at an address.
+func (r *Registry) ServiceAt(address string) (service string, ok bool) {
+	if i := r.byAddress[address]; i != nil {
+		return i.Service, true
+	}
+	return "", false
+}
+
 // AtAddress reports whether an instance that has not ended is assumed to be at an address.
 func (r *Registry) AtAddress(address string) bool { return r.byAddress[address] != nil }
--- a/internal/serverpath/table.go
+++ b/internal/serverpath/table.go
@@ -63,6 +63,8 @@
 	// does that CutOff has not looked at since.
 	failing map[string]*path
 	swept   time.Time
+	// silenced is set while direct connections open and deliver nothing.
+	silenced bool
 	// pausedUntil holds until when a peer is not used, by its address.
 	pausedUntil map[string]time.Time
 	rng         *rand.Rand
@@ -89,6 +91,8 @@
 	t.sweep(now)
 	cutOff, p := t.CutOff(now), t.path(server)
 	switch {
+	case t.silenced:
+		return Plan{Tunnel: true, Wait: openTimeout}
 	case p.hung && now.Sub(p.probedAt) < fruitlessTime:
 		return Plan{}
 	case p.hung:
@@ -112,9 +116,16 @@
 			delete(t.failing, server)
 		}
 	}
-	return len(t.failing) >= cutOffServers
+	return t.silenced || len(t.failing) >= cutOffServers
 }
 
+// SetSilenced records whether direct connections open and deliver nothing. While they do, none is opened
+// for requests: one that opens would win over each tunnel.
+func (t *Table) SetSilenced(silenced bool) { t.silenced = silenced }
+
+// Silenced reports what SetSilenced recorded last.
+func (t *Table) Silenced() bool { return t.silenced }
+
 // sweep forgets servers to which no connection was opened lately.
 func (t *Table) sweep(now time.Time) {
 	if now.Sub(t.swept) < memory {
