Hand origins of streams over when a host leaves

A stream outlives the hosts that keep its origin if these are restarted one after the other; when its own host is lost then, nobody knows its version and its caller is refused. A leaving host now sends what it keeps to the hosts that rank first without it while its requests end. TestLeavingHostsHandOriginsOver fails without the call: unknown at all four hosts.

--- a/internal/controller/origins/origins.go
+++ b/internal/controller/origins/origins.go
@@ -82,15 +82,20 @@
 // Record implements relay.Origins.
 func (k *Keeper) Record(account, attempt string, o streamorigin.Origin, lifetime time.Duration) {
 	key, now := streamorigin.KeyOf(account, attempt), time.Now()
-	hosts := k.others(key, copies)
 	k.metrics.recorded.Add(1)
 	k.put(now, key, o, lifetime)
+	k.sendCopies(now, key, o, lifetime)
+	k.signal()
+}
+
+// sendCopies has an origin sent to the hosts that rank first for it.
+func (k *Keeper) sendCopies(now time.Time, key streamorigin.Key, o streamorigin.Origin, lifetime time.Duration) {
+	hosts := k.others(key, copies)
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	for _, h := range hosts {
 		k.outbox.Add(h.Receiver(), encode(key, o, lifetime), now.Add(lifetime))
 	}
-	k.mu.Unlock()
-	k.signal()
 }
 
 // put adds an origin to this host's table.
--- a/internal/controller/origins/origins_test.go
+++ b/internal/controller/origins/origins_test.go
@@ -197,6 +197,47 @@
 	})
 }
 
+// restart stops a host in the regular way and starts it again, at the rank that it had.
+func (f *fleet) restart(name string) {
+	f.mu.Lock()
+	rank := slices.Index(f.names, name)
+	f.names = slices.Delete(f.names, rank, rank+1) // the others know that it leaves
+	f.mu.Unlock()
+	f.host(name).HandOver(f.ctx)
+	f.join(name, rank)
+}
+
+// Guards against a stream that outlives all hosts that kept its origin, as each of them is restarted in the
+// regular way, one after the other and twice, and whose own host is then lost.
+func TestLeavingHostsHandOriginsOver(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.host("serves").Record(account, "x", first, lifetime)
+		time.Sleep(settle)
+		for _, name := range []string{"a", "b", "c", "d", "b", "a", "d", "c"} {
+			f.restart(name)
+			time.Sleep(settle)
+		}
+		f.set(f.dead, "serves", true)
+		for _, name := range []string{"a", "b", "c", "d"} {
+			f.wantOrigin(t, name, "x", "all hosts have restarted, "+name+" is asked")
+		}
+	})
+}
+
+// Guards against a host that does not exit because another one does not take its origins.
+func TestHandOverIsBounded(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.host("serves").Record(account, "x", first, lifetime)
+		time.Sleep(settle)
+		f.set(f.dead, "a", true)
+		start := time.Now()
+		f.host("serves").HandOver(f.ctx)
+		if took := time.Since(start); took > handOverTimeout+handOverPoll {
+			t.Errorf("took %v", took)
+		}
+	})
+}
+
 // Guards against guessing the origin of a stream, and against keeping its caller waiting for the refusal:
 // nobody knows it, hosts run an earlier version, or they don't answer.
 func TestUnknownOriginIsRefusedAtOnce(t *testing.T) {
@@ -220,7 +261,7 @@
 		refused("hosts of an earlier version", 100*time.Millisecond)
 		f.host("d").Record(account, "x", first, lifetime)
 		time.Sleep(settle)
-		if k := f.host("d"); !k.outbox.Empty() {
+		if !f.host("d").handedOver() {
 			t.Error("copies for hosts of an earlier version are kept")
 		}
 		for _, name := range []string{"a", "b", "c"} {
--- a/internal/controller/origins/send.go
+++ b/internal/controller/origins/send.go
@@ -10,8 +10,54 @@
 	"github.com/bluebellsail/bluebellsail/internal/outbox"
 	"github.com/bluebellsail/bluebellsail/internal/panics"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
 
+const (
+	// handOverTimeout bounds the time in which a leaving host hands its origins over.
+	handOverTimeout = 500 * time.Millisecond
+	// handOverPoll is how often it checks whether all have been acknowledged.
+	handOverPoll = 10 * time.Millisecond
+)
+
+// HandOver sends all origins that this host keeps to the hosts that rank first without it, and waits until
+// they are acknowledged, ctx ends or handOverTimeout has passed. While hosts are restarted one after the
+// other, a stream would otherwise lose one copy after the other. Run must be running.
+func (k *Keeper) HandOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	now := time.Now()
+	for key, held := range k.known(now) {
+		k.sendCopies(now, key, held.origin, held.lifetime)
+	}
+	for !k.handedOver() && ctx.Err() == nil {
+		k.signal()
+		sleep(ctx, handOverPoll)
+	}
+}
+
+// heldOrigin is an origin with the time for which it is still kept.
+type heldOrigin struct {
+	origin   streamorigin.Origin
+	lifetime time.Duration
+}
+
+func (k *Keeper) known(now time.Time) map[streamorigin.Key]heldOrigin {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make(map[streamorigin.Key]heldOrigin, k.table.Len())
+	k.table.Each(now, func(key streamorigin.Key, o streamorigin.Origin, expires time.Time) {
+		out[key] = heldOrigin{o, expires.Sub(now)}
+	})
+	return out
+}
+
+func (k *Keeper) handedOver() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.outbox.Empty()
+}
+
 // send sends the copies that are due, one message at a time to each host.
 func (k *Keeper) send(ctx context.Context) {
 	k.mu.Lock()
--- a/internal/daemon/gatewaydrain.go
+++ b/internal/daemon/gatewaydrain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,9 @@
 	defer cancel()
 	g.requests.CloseAfterAnswers()
 	wait(ctx, min(2*g.d.cfg.Routed.AddressTTL.Std(), whole/acceptDivisor))
+	var handOver sync.WaitGroup // of what other hosts may need, while this host's requests end
+	handOver.Go(func() { g.origins.HandOver(ctx) })
+	defer handOver.Wait()
 	streams, cancelStreams := context.WithDeadline(ctx, end.Add(-returnReserve))
 	defer cancelStreams()
 	err := g.requests.Drain(streams)
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -81,6 +81,15 @@
 	return e.origin, true
 }
 
+// Each calls f with each stream whose origin is known, and with when it expires.
+func (t *Table) Each(now time.Time, f func(k Key, o Origin, expires time.Time)) {
+	for k, e := range t.entries {
+		if !e.conflicting && !now.After(e.expires) {
+			f(k, e.origin, e.expires)
+		}
+	}
+}
+
 // dropOldest makes room for one entry, and drops the oldest ones that have expired.
 func (t *Table) dropOldest(now time.Time) {
 	for len(t.order) > 0 && (len(t.order) >= t.capacity || now.After(t.entries[t.order[0]].expires)) {
