Leave connections alone where new ones do not open

The detection of direct connections that deliver nothing ended open ones also in a plain partition, in which they may go on after a second or two and in which the race of paths bypasses what does not open. It now requires that the direct questions find connections that open. TestConnectionsThatDoNotOpenAreNoSilence guards that; before the change both of its requests ended as timed out.

--- a/internal/controller/serverpaths/silence.go
+++ b/internal/controller/serverpaths/silence.go
@@ -19,7 +19,9 @@
 // A device between this host and the servers may accept connections in the servers' name and deliver
 // nothing. Connections then open, and requests on them are never answered. While all servers seem
 // silent, two of them are asked for their health, directly and through a peer. If both answer the peer
-// only, requests go through peers until a direct question is answered.
+// only, although direct connections open, requests go through peers until a direct question is answered.
+// Connections that do not open are no matter of this: the race of paths bypasses them, and those that are
+// open may go on.
 
 const (
 	// silenceCheck is the interval of checks while requests are unanswered.
@@ -166,7 +168,7 @@
 			p.setSilenced(true, suspects)
 			regain.Reset(regainInterval)
 		case <-regain.C:
-			if address := p.lastWanted(); address != "" && p.answersDirectly(ctx, address) {
+			if address := p.lastWanted(); address != "" && p.askDirectly(ctx, address) == answered {
 				p.setSilenced(false, []string{address})
 				regain.Stop()
 			}
@@ -232,12 +234,24 @@
 	return all
 }
 
-// silentDirectly reports whether a server answers through a peer and not directly.
+// directAnswer is the outcome of a question on a new direct connection.
+type directAnswer int
+
+const (
+	// notOpened: no connection opened.
+	notOpened directAnswer = iota
+	// opened: a connection opened and brought no answer.
+	opened
+	answered
+)
+
+// silentDirectly reports whether a server answers through a peer, and not on a direct connection that
+// opens.
 func (p *Paths) silentDirectly(ctx context.Context, address string) bool {
 	direct, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answered := make(chan bool, 1)
-	go func() { answered <- p.answersDirectly(direct, address) }()
+	directly := make(chan directAnswer, 1)
+	go func() { directly <- p.askDirectly(direct, address) }()
 	r := &race{p: p, network: "tcp", address: address}
 	tunnelCtx, cancelTunnel := context.WithTimeout(ctx, healthTimeout)
 	defer cancelTunnel()
@@ -245,20 +259,22 @@
 	if res.err != nil || p.askHealth(tunnelCtx, res.conn, address) != nil {
 		return false
 	}
-	select {
-	case ok := <-answered:
-		return !ok
-	case <-time.After(directGrace):
-		return true
-	}
+	time.AfterFunc(directGrace, cancel)
+	return <-directly == opened
 }
 
-// answersDirectly reports whether a server answers on a new direct connection.
-func (p *Paths) answersDirectly(ctx context.Context, address string) bool {
+// askDirectly asks a server for its health on a new direct connection.
+func (p *Paths) askDirectly(ctx context.Context, address string) directAnswer {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	conn, err := p.cfg.Direct(ctx, "tcp", address)
-	return err == nil && p.askHealth(ctx, conn, address) == nil
+	switch {
+	case err != nil:
+		return notOpened
+	case p.askHealth(ctx, conn, address) != nil:
+		return opened
+	}
+	return answered
 }
 
 // askHealth asks a server for its health on a connection, which it closes, and waits for the first byte of
--- a/internal/controller/serverpaths/silence_test.go
+++ b/internal/controller/serverpaths/silence_test.go
@@ -135,3 +135,29 @@
 		t.Errorf("the host counted as silenced %d times", n)
 	}
 }
+
+// Guards against ending connections that may go on after a moment because the network delivers nothing on
+// them, where new ones do not open either.
+func TestConnectionsThatDoNotOpenAreNoSilence(t *testing.T) {
+	hosts := startHosts(t, 3)
+	servers := []string{startHTTPServer(t, 3*time.Second), startHTTPServer(t, 3*time.Second)}
+	h := hosts[0]
+	h.run(t)
+	answers := make(chan error, len(servers))
+	for _, server := range servers {
+		go func() {
+			_, err := h.request(t, server, time.Minute)
+			answers <- err
+		}()
+	}
+	time.Sleep(100 * time.Millisecond) // both are sent
+	h.fault.Store(int32(hangs))
+	for range servers {
+		if err := <-answers; err != nil {
+			t.Errorf("no answer: %v", err)
+		}
+	}
+	if n := h.paths.metrics.silenced.Value(); n > 0 {
+		t.Errorf("the host counted as silenced %d times", n)
+	}
+}
