Take the version of a connection's server for known only once a restart would be

Where incarnations share an ID, as servers that report their start may, a connection's version now counts as known 300 ms after it was opened: the kernel closes the connections of a process that ends, and an announcement reaches all hosts sooner. A new stream is passed on at once and its origin kept later; the first event of one that goes on waits. Servers that report no start have an ID for each, which they check, and nothing changes for them.

--- a/internal/engineclient/conn.go
+++ b/internal/engineclient/conn.go
@@ -37,6 +37,7 @@
 // attempts at servers that report rejections.
 type countingConn struct {
 	net.Conn
+	opened        time.Time
 	read, written atomic.Int64
 	// readEnded is set once a Read has failed; no further Read succeeds.
 	readEnded atomic.Bool
@@ -166,6 +167,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: c}, nil
+		return &countingConn{Conn: c, opened: time.Now()}, nil
 	}
 }
--- a/internal/engineclient/delivery.go
+++ b/internal/engineclient/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 )
@@ -44,6 +45,14 @@
 // hasConn reports whether the request was given a connection.
 func (t *exchangeTrace) hasConn() bool { return t.conn != nil }
 
+// opened returns when the connection was opened.
+func (t *exchangeTrace) opened() time.Time {
+	if t.conn == nil {
+		return time.Now()
+	}
+	return t.conn.opened
+}
+
 // via returns the peer through which the connection went; empty: none.
 func (t *exchangeTrace) via() string {
 	if t.conn == nil {
--- a/internal/engineclient/forward.go
+++ b/internal/engineclient/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 )
@@ -24,6 +25,8 @@
 	Body   []byte
 	// Early is set if the answer arrived before the whole request was sent.
 	Early bool
+	// Opened is when the connection of the answer was opened.
+	Opened time.Time
 	// Via is the peer host through which the connection went; empty: none.
 	Via string
 }
@@ -40,7 +43,7 @@
 		res, trace, err := c.forward(ctx, f)
 		f.Via = trace.via()
 		if err == nil {
-			f.Early = !trace.encoded.Load()
+			f.Early, f.Opened = !trace.encoded.Load(), trace.opened()
 			if f.Via != "" {
 				res.Body = connCloser{res.Body, trace.conn}
 			}
--- a/internal/engineclient/truncated_test.go
+++ b/internal/engineclient/truncated_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 )
@@ -66,14 +67,17 @@
 	}
 }
 
-// brokenConn is a connection on which the given bytes arrive, and then err.
+// brokenConn is a connection on which the given bytes arrive after the request, and then err.
 type brokenConn struct {
 	net.Conn
 	arrives io.Reader
 	err     error
+	written chan struct{}
+	once    sync.Once
 }
 
 func (c *brokenConn) Read(b []byte) (int, error) {
+	<-c.written
 	n, err := c.arrives.Read(b)
 	if err == io.EOF {
 		err = c.err
@@ -81,15 +85,19 @@
 	return n, err
 }
 
-func (c *brokenConn) Write(b []byte) (int, error) { return len(b), nil }
-func (c *brokenConn) Close() error                { return nil }
+func (c *brokenConn) Write(b []byte) (int, error) {
+	c.once.Do(func() { close(c.written) })
+	return len(b), nil
+}
+
+func (c *brokenConn) Close() error { return nil }
 
 // Guards against blaming a request for the crash of a server whose machine was silent in the middle of
 // an answer.
 func TestCauseOfAServicesTruncatedAnswer(t *testing.T) {
 	for err, want := range map[error]Cause{syscall.ECONNRESET: CauseBodyTruncated, syscall.ETIMEDOUT: CauseSilent, io.EOF: CauseBodyTruncated} {
 		client := New(Config{Dial: func(context.Context, string, string) (net.Conn, error) {
-			return &brokenConn{arrives: strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody"), err: err}, nil
+			return &brokenConn{arrives: strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody"), err: err, written: make(chan struct{})}, nil
 		}})
 		_, got := client.Call(t.Context(), Request{Address: "10.0.0.1:80", Method: http.MethodPost, Path: "/"})
 		if CauseOf(got) != want {
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -59,7 +59,7 @@
 		if t.x.Service.Engine == nil && t.f.ObservePlain != nil {
 			t.f.ObservePlain(note.FirstByte)
 		}
-		out = t.handleAnswer(lease, res, started, cancel)
+		out = t.handleAnswer(lease, received{Response: res, server: choice.Instance.Address, opened: outgoing.Opened}, started, cancel)
 	}
 	note.Took = time.Since(started)
 	note.SetOutcome(out.cause, out.err)
@@ -172,9 +172,9 @@
 
 // handleAnswer processes a server's answer to a request that was sent at the given time. cancel
 // closes the connection.
-func (t *task) handleAnswer(lease relay.Lease, res *http.Response, sent time.Time, cancel context.CancelFunc) outcome {
+func (t *task) handleAnswer(lease relay.Lease, res received, sent time.Time, cancel context.CancelFunc) outcome {
 	defer func() { _ = res.Body.Close() }() // on an error the connection is dropped
-	reply := t.f.Dialect.Reply(res)
+	reply := t.f.Dialect.Reply(res.Response)
 	if reply.OtherInstance {
 		t.serversReached++
 	} else {
@@ -211,17 +211,17 @@
 		return out
 	}
 	t.markMayHaveRun()
-	a := received{Response: res, server: lease.Choice().Instance.Address, leaving: reply.Leaving}
+	res.leaving = reply.Leaving
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		return t.failure(balance.Broken, engineclient.CauseSwitchedProtocols, "the backend server switched protocols without a request to do so")
 	}
-	if res.StatusCode < http.StatusMultipleChoices && isEventStream(res) {
-		return t.relayStream(lease, a)
+	if res.StatusCode < http.StatusMultipleChoices && isEventStream(res.Response) {
+		return t.relayStream(lease, res)
 	}
 	if t.x.Begun {
 		return t.failure(balance.Broken, engineclient.CauseNoStream, "the backend server answered %d instead of resuming the stream", res.StatusCode)
 	}
-	return t.relayBuffered(lease, a)
+	return t.relayBuffered(lease, res)
 }
 
 // relayBuffered passes on an answer that is not a stream once it is complete: the caller never
--- a/internal/relay/forward/ending.go
+++ b/internal/relay/forward/ending.go
@@ -31,6 +31,8 @@
 	*http.Response
 	// server is the server's address.
 	server string
+	// opened is when the connection was opened.
+	opened time.Time
 	// leaving is set if the server has announced that it stops.
 	leaving bool
 }
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,10 +97,13 @@
 	// unreadable counts the cooldowns that could not be parsed.
 	unreadable int
 	n          int
+	mu         sync.Mutex
 	// versions holds the software versions of servers that run another one than "v1"; an empty one is not
 	// known. work is what was acquired last.
 	versions map[string]string
 	work     balance.Work
+	// started is the start time that the servers report.
+	started uint64
 }
 
 func (l *leases) Acquire(_ context.Context, w *balance.Work) (relay.Lease, error) {
@@ -120,9 +124,19 @@
 }
 
 func (l *lease) Choice() balance.Choice {
-	return balance.Choice{Instance: instance.Announcement{ID: l.id, Address: "10.0.0.1:80"}}
+	return balance.Choice{Instance: instance.Announcement{ID: l.id, Started: l.l.started, Address: "10.0.0.1:80"}}
 }
+
+// setVersion changes the version of a server.
+func (l *leases) setVersion(server, version string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = map[string]string{server: version}
+}
+
 func (l *lease) Version() (string, bool) {
+	l.l.mu.Lock()
+	defer l.l.mu.Unlock()
 	version, set := l.l.versions[l.id]
 	if !set {
 		version = "v1"
@@ -154,6 +168,13 @@
 	o.lifetimes = append(o.lifetimes, lifetime)
 }
 
+// recorded returns the different origins recorded for an attempt.
+func (o *recordedOrigins) recorded(attempt string) []streamorigin.Origin {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Compact(slices.Clone(o.origins[attempt]))
+}
+
 func (*recordedOrigins) Find(context.Context, string, string) (streamorigin.Origin, string, error) {
 	return streamorigin.Origin{}, "", errkind.New(errkind.StreamUnknown, "nothing is kept")
 }
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -3,13 +3,11 @@
 import (
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/sse"
-	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
 
 // copyBuffer is the size of the reads from a stream, in bytes.
@@ -31,7 +29,7 @@
 			lease.FirstByte()
 			t.x.PromptConsumed = true
 			events := part.Events(splitter.Split(buf[:n]))
-			if len(events) > 0 && t.events.Events() == before && !t.sameVersion(lease) {
+			if len(events) > 0 && (t.x.Origin == nil || t.events.Events() == before) && !t.sameVersion(lease, res) {
 				return t.failure(balance.Abandoned, engineclient.CauseOtherVersion, "server %s may run another software version than the stream", lease.Choice().Instance.ID)
 			}
 			t.writeEvents(res.Response, events)
@@ -39,57 +37,18 @@
 		t.eventOwed = t.eventOwed || readErr != nil && splitter.InsideEvent()
 		switch {
 		case readErr == io.EOF:
-			return t.endStream(res, t.endError(res, splitter.InsideEvent(), t.events.Events()-before))
+			err := t.endError(res, splitter.InsideEvent(), t.events.Events()-before)
+			t.awaitOrigin(lease, res, err)
+			return t.endStream(res, err)
 		case t.ctx.Err() != nil:
 			return t.failure(balance.Abandoned, engineclient.CauseRequestEnded, "%v", t.ctx.Err())
 		case readErr != nil:
+			t.awaitOrigin(lease, res, readErr)
 			return t.truncated(t.cutCause(), "stream", readErr)
 		}
 	}
 }
 
-// sameVersion is called before the first event of an attempt is passed on. It returns false if the server
-// may run another software version than the one that began the stream. If no event came before, this one
-// begins the stream.
-func (t *task) sameVersion(lease relay.Lease) bool {
-	version, known := lease.Version()
-	if o := t.x.Origin; o != nil {
-		if !known || version != o.Version {
-			return false
-		}
-		if t.x.Begun {
-			return true // recorded with the first event
-		}
-	} else if known {
-		t.setOrigin(version)
-	}
-	t.recordOrigin()
-	return true
-}
-
-// setOrigin restricts all further attempts to the software version that began the stream.
-func (t *task) setOrigin(version string) {
-	t.x.Origin = &streamorigin.Origin{Service: t.x.Service.Name, Version: version}
-	t.work.Versions = []string{version}
-}
-
-const (
-	// originMargin is how much longer than the request may take the origin of its stream is kept, for callers
-	// that count the time for each attempt anew.
-	originMargin = 30 * time.Second
-	// maxOriginLifetime bounds that time, which callers choose.
-	maxOriginLifetime = 10 * time.Minute
-)
-
-// recordOrigin has the origin of the stream kept for callers that take it up again.
-func (t *task) recordOrigin() {
-	if t.x.Origin == nil || !t.x.Route.Resumable {
-		return
-	}
-	lifetime := min(max(t.x.CallerTimeout, t.x.Route.Timeout.Std())+originMargin, maxOriginLifetime)
-	t.f.Origins.Record(t.x.AccountName(), t.x.ID, *t.x.Origin, lifetime)
-}
-
 // endStream returns the outcome of a stream that was read to its end without an error, and is truncated
 // if err is not nil.
 func (t *task) endStream(res received, err error) outcome {
--- a/internal/relay/forward/version_test.go
+++ b/internal/relay/forward/version_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -97,3 +99,75 @@
 		t.Errorf("recorded %+v", got)
 	}
 }
+
+// openedAgo has a step's connection opened a while ago.
+func openedAgo(d time.Duration, step func(context.Context, *engineclient.Forward) (*http.Response, error)) func(context.Context, *engineclient.Forward) (*http.Response, error) {
+	return func(ctx context.Context, f *engineclient.Forward) (*http.Response, error) {
+		f.Opened = time.Now().Add(-d)
+		return step(ctx, f)
+	}
+}
+
+// Guards against taking a server that comes back under its ID for its former incarnation, whose version is
+// known, before the host can have heard of the new one.
+func TestVersionIsKnownOnceARestartWouldBe(t *testing.T) {
+	origin := streamorigin.Origin{Service: "pool", Version: "v1"}
+	for _, test := range []struct {
+		name     string
+		started  uint64
+		ago      time.Duration
+		recorded bool
+	}{
+		{"new connection to a server whose incarnations share an ID, none of which has followed", 7, 0, true},
+		{"connection from before any restart that is not known", 7, restartKnown, true},
+		{"new connection to a server whose incarnations have IDs of their own", 0, 0, true},
+	} {
+		r := newRun(t, routes.Stream, openedAgo(test.ago, answers(stream(event(1), errReset))), openedAgo(test.ago, answers(stream(event(2), nil))))
+		r.route.Resumable, r.leases.started = true, test.started
+		err := r.do()
+		if got := r.origins.recorded(requestID); (len(got) > 0) != test.recorded || test.recorded && got[0] != origin {
+			t.Errorf("%s: recorded %+v", test.name, got)
+		}
+		if (err == nil) != test.recorded || r.aborted == test.recorded {
+			t.Errorf("%s: got %v, aborted %v, %q", test.name, err, r.aborted, r.w.Body)
+		}
+	}
+}
+
+// Guards against keeping the version of the former incarnation, and against resuming a stream at it: the one
+// that has sent the first event is heard of only after that.
+func TestStreamOfARestartedServerIsOfUnknownVersion(t *testing.T) {
+	r := newRun(t, routes.Stream, openedAgo(0, answers(stream(event(1), errReset))))
+	r.route.Resumable, r.leases.started = true, 7
+	time.AfterFunc(restartKnown/2, func() { r.leases.setVersion("a", "") })
+	wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanYes)
+	time.Sleep(restartKnown)
+	if got := r.origins.recorded(requestID); !r.aborted || len(got) > 0 {
+		t.Errorf("aborted %v, recorded %+v", r.aborted, got)
+	}
+}
+
+// Guards against forgetting a stream whose caller has left before its version was known.
+func TestOriginIsKeptForCallersThatLeaveEarly(t *testing.T) {
+	r := newRun(t, routes.Stream, openedAgo(0, answers(stream(event(1), nil))))
+	r.route.Resumable, r.leases.started = true, 7
+	if err := r.do(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * restartKnown)
+	if got := r.origins.recorded(requestID); !slices.Equal(got, []streamorigin.Origin{{Service: "pool", Version: "v1"}}) {
+		t.Errorf("recorded %+v", got)
+	}
+}
+
+// Guards against events of a restarted server in a stream that goes on: the first one waits until a restart
+// would be known.
+func TestResumedStreamWaitsUntilARestartWouldBeKnown(t *testing.T) {
+	r := newRun(t, routes.Stream, openedAgo(0, answers(stream(event(4), nil))))
+	r.route.Resumable, r.route.MaxAttempts, r.origin, r.leases.started = true, 1, &streamorigin.Origin{Service: "pool", Version: "v1"}, 7
+	start := time.Now()
+	time.AfterFunc(restartKnown/2, func() { r.leases.setVersion("a", "v2") })
+	if err := r.do(); err == nil || r.w.Body.Len() > 0 {
+		t.Errorf("after %v: got %v, %q", time.Since(start), err, r.w.Body)
+	}
+}
