--- a/internal/controller/origins/find.go
+++ b/internal/controller/origins/find.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// findTimeout bounds one question. It takes a few milliseconds; a host that has used up its CPU quota is
-	// paused for up to 80 ms.
+	// findTimeout bounds one question.
 	findTimeout = 150 * time.Millisecond
 	// rounds is how often the hosts are asked, with a pause in between: a caller that breaks its connection
 	// right after the first event may overtake the copies.
--- a/internal/controller/serverpaths/silence.go
+++ b/internal/controller/serverpaths/silence.go
@@ -20,8 +20,7 @@
 // nothing. Connections then open, and requests on them are never answered. While all servers seem
 // silent, two of them are asked for their health, directly and through a peer. If both answer the peer
 // only, although direct connections open, requests go through peers until a direct question is answered.
-// Connections that do not open are no matter of this: the race of paths bypasses them, and those that are
-// open may go on.
+// Where direct connections do not open, the race of paths bypasses them, and open ones may go on.
 
 const (
 	// silenceCheck is the interval of checks while requests are unanswered.
@@ -251,7 +250,12 @@
 	direct, cancel := context.WithCancel(ctx)
 	defer cancel()
 	directly := make(chan directAnswer, 1)
-	go func() { directly <- p.askDirectly(direct, address) }()
+	go func() {
+		out := notOpened
+		defer func() { directly <- out }()
+		defer panics.Log(p.cfg.Log, "asking a server for its health")
+		out = p.askDirectly(direct, address)
+	}()
 	r := &race{p: p, network: "tcp", address: address}
 	tunnelCtx, cancelTunnel := context.WithTimeout(ctx, healthTimeout)
 	defer cancelTunnel()
--- a/internal/controller/serverpaths/silence_test.go
+++ b/internal/controller/serverpaths/silence_test.go
@@ -49,6 +49,18 @@
 	return "", nil
 }
 
+// requestAll sends a request to each server at once and returns a channel with how each ends.
+func (h *host) requestAll(t *testing.T, servers []string) <-chan error {
+	answers := make(chan error, len(servers))
+	for _, server := range servers {
+		go func() {
+			_, err := h.request(t, server, time.Minute)
+			answers <- err
+		}()
+	}
+	return answers
+}
+
 // run runs the detection at a host until the test ends.
 func (h *host) run(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
@@ -119,13 +131,7 @@
 	servers := []string{startHTTPServer(t, 3*time.Second), startHTTPServer(t, 3*time.Second)}
 	h := hosts[0]
 	h.run(t)
-	answers := make(chan error, len(servers))
-	for _, server := range servers {
-		go func() {
-			_, err := h.request(t, server, time.Minute)
-			answers <- err
-		}()
-	}
+	answers := h.requestAll(t, servers)
 	for range servers {
 		if err := <-answers; err != nil {
 			t.Errorf("no answer: %v", err)
@@ -143,13 +149,7 @@
 	servers := []string{startHTTPServer(t, 3*time.Second), startHTTPServer(t, 3*time.Second)}
 	h := hosts[0]
 	h.run(t)
-	answers := make(chan error, len(servers))
-	for _, server := range servers {
-		go func() {
-			_, err := h.request(t, server, time.Minute)
-			answers <- err
-		}()
-	}
+	answers := h.requestAll(t, servers)
 	time.Sleep(100 * time.Millisecond) // both are sent
 	h.fault.Store(int32(hangs))
 	for range servers {
--- a/internal/relay/forward/version.go
+++ b/internal/relay/forward/version.go
@@ -7,9 +7,9 @@
 	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
 
-// restartKnown is how long after a connection to a server was opened this host knows whether a later
-// incarnation of the server has accepted it. An incarnation announces itself as it starts, and hosts notify
-// each other at once.
+// restartKnown is how long after a connection to a server was opened a later incarnation of the server that
+// has accepted it counts as known. An incarnation announces itself as it starts, and hosts notify each other
+// at once; one whose announcement takes longer is mistaken for the former one.
 const restartKnown = 300 * time.Millisecond
 
 // sameVersion is called before the first event of an attempt is passed on, and before further ones while the
