Log the parts of a prompt that other requests may share

A request's line told the fingerprint of the whole request and nothing of its prompt but sizes, so that the logs could not tell which of the crashed requests had something in common.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -27,6 +27,9 @@
 	Tokens uint64
 }
 
+// SharedParts returns the parts of a prompt that other requests may share: all but the last one.
+func SharedParts(prompt []Part) []Part { return prompt[:max(len(prompt)-1, 0)] }
+
 // Work describes a request for the choice of a server.
 type Work struct {
 	Service string
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter/callergone"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
@@ -159,6 +162,9 @@
 	if x.PromptTokens > 0 {
 		event = event.Uint64("reserved", x.Reserved).Str("tokens_of", x.Holder).Uint64("prompt", x.PromptTokens).Uint64("output", x.OutputTokens)
 	}
+	if shared := balance.SharedParts(x.Prompt); len(shared) > 0 {
+		event = event.Str("parts", partIDs(shared))
+	}
 	if x.ResumeAfter != "" {
 		event = event.Str("resumes", x.Resumes).Str("resume_after", x.ResumeAfter)
 		if x.Origin != nil {
@@ -203,6 +209,18 @@
 	event.Send()
 }
 
+// maxLoggedParts bounds the parts of a prompt in a request's line.
+const maxLoggedParts = 8
+
+// partIDs returns the IDs of the first maxLoggedParts parts, as callers send them.
+func partIDs(parts []balance.Part) string {
+	var ids []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, strconv.FormatUint(p.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // close stops the servers that serve started.
 func (g *gateway) close() {
 	ctx, cancel := context.WithCancel(context.Background())
