--- a/internal/adminapi/quarantine.go
+++ b/internal/adminapi/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/quarantine"
@@ -31,7 +32,10 @@
 
 func quarantineView(e quarantine.Entry) QuarantinedRequest {
 	v := QuarantinedRequest{
-		Account: e.ID.Account, Fingerprint: e.ID.Fingerprint.String(), Level: string(e.Status.Level), Trials: e.Status.Trials,
+		Account: e.Account, Fingerprint: e.ID.Fingerprint.String(), Level: string(e.Status.Level), Trials: e.Status.Trials,
+	}
+	if part, ok := e.ID.Fingerprint.Part(); ok {
+		v.Part = strconv.FormatUint(part, 16)
 	}
 	if e.Status.Level == quarantine.Quarantined {
 		v.NextTrialMS = max(e.Status.NextTrial, 0).Milliseconds()
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -348,10 +348,13 @@
 	Requests []QuarantinedRequest `json:"requests"`
 }
 
-// QuarantinedRequest is a request that crashed backend servers.
+// QuarantinedRequest is a request, or a part of prompts, that crashed backend servers.
 type QuarantinedRequest struct {
+	// Account is the client account of the request, or of the first one known with the part.
 	Account     string `json:"account"`
 	Fingerprint string `json:"fingerprint"`
+	// Part is the ID of a part of prompts in hexadecimal; empty for a request.
+	Part string `json:"part,omitempty"`
 	// Level is "suspected" or "quarantined".
 	Level   string        `json:"level"`
 	Crashes []ServerCrash `json:"crashes"`
--- a/internal/admincli/quarantine.go
+++ b/internal/admincli/quarantine.go
@@ -14,9 +14,9 @@
 )
 
 func (a *app) quarantineCommand() *cli.Command {
-	return &cli.Command{Name: "quarantine", Usage: "requests that crashed backend servers", Commands: []*cli.Command{
-		{Name: "list", Usage: "list the requests, their crashes and the time until the next trial", Action: a.quarantineList},
-		{Name: "release", Usage: "make all hosts forget the crashes of a request", ArgsUsage: "FINGERPRINT", Action: a.quarantineRelease,
+	return &cli.Command{Name: "quarantine", Usage: "requests, and parts of their prompts, that crashed backend servers", Commands: []*cli.Command{
+		{Name: "list", Usage: "list them, their crashes and the time until the next trial", Action: a.quarantineList},
+		{Name: "release", Usage: "make all hosts forget the crashes of a request or part", ArgsUsage: "FINGERPRINT", Action: a.quarantineRelease,
 			Description: "FINGERPRINT is shown by quarantine list and in the request's log line."},
 	}}
 }
@@ -24,13 +24,13 @@
 func (a *app) quarantineList(ctx context.Context, cmd *cli.Command) error {
 	var out adminapi.QuarantineList
 	return a.read(ctx, cmd, "/v1/quarantine", &out, func(w io.Writer) {
-		fmt.Fprintln(w, "FINGERPRINT\tACCOUNT\tLEVEL\tCRASHES\tTRIALS\tNEXT TRIAL\tLAST SERVER\tAGO\tSEEN BY")
+		fmt.Fprintln(w, "FINGERPRINT\tPART\tACCOUNT\tLEVEL\tCRASHES\tTRIALS\tNEXT TRIAL\tLAST SERVER\tAGO\tSEEN BY")
 		for _, q := range out.Requests {
 			var last adminapi.ServerCrash
 			if n := len(q.Crashes); n > 0 {
 				last = q.Crashes[n-1]
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\n", q.Fingerprint, q.Account, q.Level, len(q.Crashes), q.Trials,
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\n", q.Fingerprint, q.Part, q.Account, q.Level, len(q.Crashes), q.Trials,
 				seconds(q.NextTrialMS), last.Server, seconds(last.AgoMS), last.Host)
 		}
 	})
--- a/internal/callerapi/truncated_test.go
+++ b/internal/callerapi/truncated_test.go
@@ -109,14 +109,17 @@
 // suspicions is a filter.Quarantine and filter.Admission that records what it is told.
 type suspicions struct{ answered, lost int }
 
-func (s *suspicions) Admit(context.Context, quarantine.ID) (filter.Admission, error) { return s, nil }
-func (s *suspicions) AdmitResumed(quarantine.ID) filter.Admission                    { return s }
-func (s *suspicions) ServerReached()                                                 {}
-func (s *suspicions) ConnectionLost(filter.ConnectionLoss)                           { s.lost++ }
-func (s *suspicions) AllowRetry(context.Context) error                               { return nil }
-func (s *suspicions) Answered()                                                      { s.answered++ }
-func (s *suspicions) Status() quarantine.Status                                      { return quarantine.Status{} }
-func (s *suspicions) Close()                                                         {}
+func (s *suspicions) Admit(context.Context, quarantine.Request) (filter.Admission, error) {
+	return s, nil
+}
+func (s *suspicions) AdmitResumed(quarantine.Request) filter.Admission { return s }
+func (s *suspicions) AllowSend(context.Context) error                  { return nil }
+func (s *suspicions) ServerReached()                                   {}
+func (s *suspicions) ConnectionLost(filter.ConnectionLoss)             { s.lost++ }
+func (s *suspicions) AllowRetry(context.Context) error                 { return nil }
+func (s *suspicions) Answered(filter.ServerAnswer)                     { s.answered++ }
+func (s *suspicions) Status() quarantine.Status                        { return quarantine.Status{} }
+func (s *suspicions) Close()                                           {}
 
 // Guards against a request that crashes its servers and is cleared of it by the part of an answer
 // that arrived before, or is never suspected.
--- a/internal/controller/quarantine/probe.go
+++ b/internal/controller/quarantine/probe.go
@@ -27,13 +27,13 @@
 
 // checkCrash finds out whether a server's incarnation ended while it ran a request, and if so records
 // the crash. The channel is closed when the check is done.
-func (g *Guard) checkCrash(id quarantine.ID, b filter.ConnectionLoss) <-chan struct{} {
+func (g *Guard) checkCrash(r quarantine.Request, b filter.ConnectionLoss) <-chan struct{} {
 	checked, observedAt := make(chan struct{}), time.Now()
 	g.background.Go(func() {
 		defer panics.Log(g.cfg.Log, "checking a broken connection")
 		defer close(checked)
 		if g.endedDuring(b, observedAt) {
-			g.recordCrash(id, b)
+			g.recordCrash(r, b)
 		}
 	})
 	return checked
--- a/internal/controller/quarantine/quarantine.go
+++ b/internal/controller/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,8 +129,8 @@
 func Key(id quarantine.ID) string { return "suspects/" + id.Account + "/" + id.Fingerprint.String() }
 
 // Admit implements filter.Quarantine.
-func (g *Guard) Admit(ctx context.Context, id quarantine.ID) (filter.Admission, error) {
-	a := g.newAdmission(id)
+func (g *Guard) Admit(ctx context.Context, r quarantine.Request) (filter.Admission, error) {
+	a := g.newAdmission(r)
 	if err := a.admit(ctx); err != nil {
 		a.Close()
 		return nil, err
@@ -138,24 +139,52 @@
 }
 
 // AdmitResumed implements filter.Quarantine.
-func (g *Guard) AdmitResumed(id quarantine.ID) filter.Admission { return g.newAdmission(id) }
+func (g *Guard) AdmitResumed(r quarantine.Request) filter.Admission { return g.newAdmission(r) }
 
-func (g *Guard) newAdmission(id quarantine.ID) *admission {
-	return &admission{g: g, id: id, name: g.cfg.Incarnation + "/" + strconv.FormatUint(g.admissions.Add(1), 10)}
+func (g *Guard) newAdmission(r quarantine.Request) *admission {
+	return &admission{g: g, request: r, name: g.cfg.Incarnation + "/" + strconv.FormatUint(g.admissions.Add(1), 10)}
+}
+
+// restrictions returns a request's restrictions as this host knows them, and the version of the table.
+func (g *Guard) restrictions(r quarantine.Request) ([]quarantine.Restriction, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Restrictions(time.Now(), r), g.table.Version()
+}
+
+// statusIn returns the quarantine status of a request, or of a part in a request with the given parts, as
+// this host knows it.
+func (g *Guard) statusIn(id quarantine.ID, parts []quarantine.Fingerprint) quarantine.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.StatusIn(time.Now(), id, parts)
 }
 
-// status returns the quarantine status of a request as this host knows it.
 func (g *Guard) status(id quarantine.ID) quarantine.Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.table.Status(time.Now(), id)
 }
 
+func (g *Guard) version() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Version()
+}
+
+// unproved reports whether a request has parts of which this host does not know that a server with the given
+// software has answered them.
+func (g *Guard) unproved(r quarantine.Request, software string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Unproved(time.Now(), r, software)
+}
+
 // decide decides at this host whether an execution is admitted.
-func (g *Guard) decide(id quarantine.ID, name string, lifetime time.Duration) quarantine.Verdict {
+func (g *Guard) decide(q quarantine.Query) quarantine.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Admit(time.Now(), id, name, lifetime)
+	return g.table.Admit(time.Now(), q)
 }
 
 // update applies a change to the table and, if the table has changed, notifies all hosts.
@@ -184,13 +213,53 @@
 	g.cfg.Broadcast(s)
 }
 
-// recordCrash records that a server crashed while it ran a request.
-func (g *Guard) recordCrash(id quarantine.ID, b filter.ConnectionLoss) {
-	if g.update(id, func(now time.Time, t *quarantine.Table) bool {
-		return t.RecordCrash(now, id, b.Incarnation, g.cfg.Host, b.OtherRequests)
+// recordCrash records that a server crashed while it ran a request, against the request and its unproved
+// parts.
+func (g *Guard) recordCrash(r quarantine.Request, b filter.ConnectionLoss) {
+	if g.update(r.ID, func(now time.Time, t *quarantine.Table) bool {
+		return t.RecordCrash(now, r.ID, b.Incarnation, g.cfg.Host, b.OtherRequests)
 	}) {
 		g.metrics.crashes.Add(1)
 	}
+	if len(r.Parts) == 0 {
+		return
+	}
+	accused := g.updateParts(func(now time.Time, t *quarantine.Table) []quarantine.ID {
+		return t.RecordPartCrashes(now, r, quarantine.Crash{
+			Incarnation: b.Incarnation, Host: g.cfg.Host, Others: b.OtherRequests, Software: b.Software, Begun: b.Output,
+		})
+	})
+	g.cfg.Log.Info().Str("event", "parts-accused").Str("request", b.RequestID).Str("server", b.Incarnation.ID).Str("software", b.Software).Bool("begun", b.Output).
+		Str("accused", partList(accused)).Int("proved", len(r.Parts)-len(accused)).Send()
+}
+
+// recordAnswer records that a server has answered a request with output.
+func (g *Guard) recordAnswer(r quarantine.Request, software string) {
+	if len(r.Parts) == 0 {
+		return
+	}
+	cleared := g.updateParts(func(now time.Time, t *quarantine.Table) []quarantine.ID { return t.RecordAnswer(now, r, software) })
+	g.metrics.cleared.Add(int64(len(cleared)))
+}
+
+// updateParts applies a change to the table and notifies all hosts of the parts that it returns.
+func (g *Guard) updateParts(apply func(now time.Time, t *quarantine.Table) []quarantine.ID) []quarantine.ID {
+	ids, changed := g.updatePartsTable(apply)
+	for _, s := range changed {
+		g.broadcast(s)
+	}
+	return ids
+}
+
+func (g *Guard) updatePartsTable(apply func(now time.Time, t *quarantine.Table) []quarantine.ID) (ids []quarantine.ID, changed []*pb.Suspect) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	ids = apply(now, g.table)
+	for _, id := range ids {
+		changed = append(changed, g.table.Suspect(now, id))
+	}
+	return ids, changed
 }
 
 // recordTrial records that a trial has reached a server.
@@ -211,15 +280,41 @@
 func (g *Guard) logChange(s *pb.Suspect, from string) {
 	id, _ := quarantine.IDFromProto(s)
 	st := g.status(id)
-	g.cfg.Log.Info().Str("event", "suspect-changed").Str("account", id.Account).Stringer("fingerprint", id.Fingerprint).
+	event := g.cfg.Log.Info().Str("event", "suspect-changed").Str("account", s.GetAccount()).Stringer("fingerprint", id.Fingerprint).
 		Str("level", string(st.Level)).Int("crashes", st.Crashes).Int("trials", st.Trials).Str("reporter", st.Reporter).
-		Dur("last_crash_ago", st.LastCrash).Uint64("epoch", s.GetEpoch()).Str("from", from).Send()
+		Dur("last_crash_ago", st.LastCrash).Uint64("epoch", s.GetEpoch()).Str("from", from)
+	logPart(event, id).Send()
 }
 
-// refusal returns the error for a request that must not run now.
-func refusal(st quarantine.Status, v quarantine.Verdict) error {
+// logPart adds the part of prompts that an ID is of to a log line, if it is of one.
+func logPart(event *zerolog.Event, id quarantine.ID) *zerolog.Event {
+	if part, ok := id.Fingerprint.Part(); ok {
+		return event.Str("part", formatPart(part))
+	}
+	return event
+}
+
+// formatPart formats a part as the line of a request does.
+func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
+
+// partList formats the parts of prompts that IDs are of.
+func partList(ids []quarantine.ID) string {
+	var parts []string
+	for _, id := range ids {
+		part, _ := id.Fingerprint.Part()
+		parts = append(parts, formatPart(part))
+	}
+	return strings.Join(parts, ",")
+}
+
+// refusal returns the error for a request that must not run now because of a restriction.
+func refusal(r quarantine.Restriction, v quarantine.Verdict) error {
+	what := "this request"
+	if part, ok := r.ID.Fingerprint.Part(); ok {
+		what = "requests with part " + formatPart(part) + " of its prompt"
+	}
 	if v.Decision == quarantine.Wait {
-		return errkind.New(errkind.RequestQuarantined, "a server crashed while it ran this request, and another execution of it is in progress").After(v.After)
+		return errkind.New(errkind.RequestQuarantined, "a server crashed while it ran %s, and another execution is in progress", what).After(v.After)
 	}
-	return errkind.New(errkind.RequestQuarantined, "%d servers crashed while they ran this request", st.Crashes).After(v.After)
+	return errkind.New(errkind.RequestQuarantined, "%d servers crashed while they ran %s", r.Status.Crashes, what).After(v.After)
 }
--- a/internal/controller/quarantine/quarantine_test.go
+++ b/internal/controller/quarantine/quarantine_test.go
@@ -146,13 +146,15 @@
 }
 
 // crash simulates a crash of a server while it runs a request of the host.
-func (h *host) crash(id quarantine.ID, server int) { <-h.checkCrash(id, breakAt(server, time.Second)) }
+func (h *host) crash(id quarantine.ID, server int) {
+	<-h.checkCrash(quarantine.Request{ID: id}, breakAt(server, time.Second))
+}
 
 func (h *host) level(id quarantine.ID) quarantine.Level { return h.status(id).Level }
 
 // admitted asks for an execution and ends it.
 func (h *host) admitted(id quarantine.ID) error {
-	p, err := h.Admit(context.Background(), id)
+	p, err := h.Admit(context.Background(), quarantine.Request{ID: id})
 	if err == nil {
 		p.Close()
 	}
@@ -180,7 +182,7 @@
 	late := poisonID
 	late.Fingerprint[0]++
 	for _, h := range f.hosts {
-		<-h.checkCrash(late, breakAt(1, 0))
+		<-h.checkCrash(quarantine.Request{ID: late}, breakAt(1, 0))
 		if got := h.level(late); got != quarantine.Free {
 			t.Errorf("%s: %s", h.name, got)
 		}
@@ -210,14 +212,14 @@
 func TestOneExecutionInTheFleetAtATime(t *testing.T) {
 	f := newFleet(t, 3)
 	f.hosts[1].crash(poisonID, 1)
-	first, err := f.hosts[1].Admit(t.Context(), poisonID)
+	first, err := f.hosts[1].Admit(t.Context(), quarantine.Request{ID: poisonID})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := f.hosts[2].admitted(poisonID); !errkind.Is(err, errkind.RequestQuarantined) {
 		t.Errorf("during another execution: %v", err)
 	}
-	first.Answered()
+	first.Answered(filter.ServerAnswer{Whole: true})
 	first.Close()
 	if err := f.hosts[2].admitted(poisonID); err != nil {
 		t.Errorf("after the answer: %v", err)
--- a/internal/controller/quarantine/sync.go
+++ b/internal/controller/quarantine/sync.go
@@ -131,10 +131,36 @@
 	for _, s := range states {
 		if g.merge(s) {
 			g.logChange(s, from)
+			g.refuteLater(s)
 		}
 	}
 }
 
+// maxRefuteDelay bounds the random delay before a host clears a part that it knows to be answered, so that few
+// of the hosts that know it do so.
+const maxRefuteDelay = 50 * time.Millisecond
+
+// refuteLater clears a part that another host accuses, if this host knows that servers answer it.
+func (g *Guard) refuteLater(s *pb.Suspect) {
+	id, _ := quarantine.IDFromProto(s)
+	if !g.refuted(id) {
+		return
+	}
+	g.background.Go(func() {
+		defer panics.Log(g.cfg.Log, "clearing a part that servers answer")
+		time.Sleep(rand.N(maxRefuteDelay))
+		if g.refuted(id) {
+			g.clear(id)
+		}
+	})
+}
+
+func (g *Guard) refuted(id quarantine.ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Refuted(time.Now(), id)
+}
+
 func (g *Guard) merge(s *pb.Suspect) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -217,7 +243,9 @@
 	if !ok {
 		return &pb.AdmitSuspectReply{Decision: string(quarantine.Run)}
 	}
-	v := g.decide(id, r.GetName(), time.Duration(r.GetLifetimeMs())*time.Millisecond)
+	v := g.decide(quarantine.Query{
+		ID: id, Parts: quarantine.FingerprintsFromProto(r.GetParts()), Name: r.GetName(), Lifetime: time.Duration(r.GetLifetimeMs()) * time.Millisecond,
+	})
 	return &pb.AdmitSuspectReply{Decision: string(v.Decision), AfterMs: v.After.Milliseconds(), Suspect: g.state(id)}
 }
 
--- a/internal/filter/dispatch/crash.go
+++ b/internal/filter/dispatch/crash.go
@@ -37,22 +37,25 @@
 	}
 }
 
-// reportAnswered reports a whole answer to the quarantine.
-func reportAnswered(c *filter.Call) {
+// reportAnswered reports a whole answer to the quarantine; output is whether it has output.
+func reportAnswered(c *filter.Call, output bool) {
 	if c.Admission != nil {
-		c.Admission.Answered()
+		c.Admission.Answered(filter.ServerAnswer{Whole: true, Output: output, Software: software(c)})
 	}
 }
 
+// software returns what the call's servers run. Engines do not announce a version.
+func software(c *filter.Call) string { return c.Service + "//" + c.Model + "/" + c.Adapter }
+
 // reportConnectionLoss reports to the quarantine a connection that the server's side ended. If
 // another host acquired the slot, the server's incarnation is not known here; the server is then
-// identified by its address alone.
-func reportConnectionLoss(c *filter.Call, server string, began time.Time) {
+// identified by its address alone. output is whether the attempt had output.
+func reportConnectionLoss(c *filter.Call, server string, began time.Time, output bool) {
 	if c.Admission == nil {
 		return
 	}
 	b := filter.ConnectionLoss{
-		Incarnation: instance.Incarnation{ID: server}, Address: server, HealthPath: healthPath, Started: began, RequestID: c.ID,
+		Incarnation: instance.Incarnation{ID: server}, Address: server, HealthPath: healthPath, Started: began, Software: software(c), Output: output, RequestID: c.ID,
 	}
 	if c.Resume == nil && c.Lease != nil {
 		b.Incarnation.Started, b.OtherRequests = c.Lease.Server().GetIncarnation(), int(c.Lease.Server().GetRunning())
--- a/internal/filter/dispatch/model.go
+++ b/internal/filter/dispatch/model.go
@@ -111,12 +111,12 @@
 	if err == nil {
 		c.Outcome.OK = true
 		if a.ended {
-			reportAnswered(c)
+			reportAnswered(c, a.received > 0)
 		}
 		return nil
 	}
 	if ctx.Err() == nil && a.reached && crashLike(err) {
-		reportConnectionLoss(c, server, a.began)
+		reportConnectionLoss(c, server, a.began, a.received > 0)
 	}
 	return a.classify(ctx, err, before)
 }
--- a/internal/filter/dispatch/service.go
+++ b/internal/filter/dispatch/service.go
@@ -47,7 +47,7 @@
 		c.Outcome.Silent = true
 		f.Client.DropConnections(server)
 	} else if engineclient.CauseOf(err).CrashLike() {
-		reportConnectionLoss(c, server, began)
+		reportConnectionLoss(c, server, began, false)
 	}
 	c.Note(f.Clock.Now(), "dispatch", "attempt failed with status "+strconv.Itoa(status)+": "+err.Error())
 	return attemptFailed(ran, server, err.Error())
@@ -59,7 +59,7 @@
 	case !answer.EndShown:
 		c.Note(f.Clock.Now(), "dispatch", "the answer ended with its connection, and its content doesn't show whether it is whole")
 	case answer.Status < http.StatusInternalServerError:
-		reportAnswered(c)
+		reportAnswered(c, len(answer.Body) > 0)
 	}
 }
 
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -100,6 +100,9 @@
 	// hits.
 	PromptTokens uint64
 	PromptHashes []uint64
+	// SharedParts are the hashes of the parts of the prompt that other requests may share: its messages
+	// but the last one.
+	SharedParts []uint64
 	// OutputCap is the output cap sent to the engine. PromptTokens + OutputCap is reserved.
 	OutputCap uint64
 	Reserved  uint64
--- a/internal/filter/parse/model.go
+++ b/internal/filter/parse/model.go
@@ -61,6 +61,7 @@
 	c.BodyHash = hash(c.Method, c.Path, "", body)
 	c.PromptTokens = promptBound(len(body), p.messages)
 	c.PromptHashes = PrefixHashes(c.Model, p.text)
+	c.SharedParts = p.shared
 	c.Reserved = c.PromptTokens + c.OutputCap
 	c.Body, err = req.engineBody(c.OutputCap)
 	return err
--- a/internal/filter/parse/parse_test.go
+++ b/internal/filter/parse/parse_test.go
@@ -142,3 +142,29 @@
 		t.Fatalf("%d hashes", n)
 	}
 }
+
+// Guards against messages that prompts share and that get other hashes beside other messages, and against
+// sharing the last one.
+func TestSharedPartsAreMessagesButTheLast(t *testing.T) {
+	parts := func(contents ...string) []uint64 {
+		var messages []string
+		for _, content := range contents {
+			messages = append(messages, `{"role":"user","content":"`+content+`"}`)
+		}
+		c, err := run(filter.WorkModel, PathChat, `{"model":"m","max_tokens":5,"messages":[`+strings.Join(messages, ",")+`]}`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c.SharedParts
+	}
+	first, second := parts("system", "shared", "mine"), parts("other", "shared", "yours")
+	if len(first) != 2 || len(second) != 2 || first[1] != second[1] || first[0] == second[0] {
+		t.Errorf("%x and %x", first, second)
+	}
+	if got := parts("alone"); len(got) != 0 {
+		t.Errorf("a single message: %x", got)
+	}
+	if got := parts(strings.Split(strings.Repeat("m ", 2*MaxSharedParts), " ")...); len(got) != MaxSharedParts {
+		t.Errorf("%d parts of a long prompt", len(got))
+	}
+}
--- a/internal/filter/parse/prompt.go
+++ b/internal/filter/parse/prompt.go
@@ -16,8 +16,14 @@
 	MaxBlocks = 64
 )
 
+// MaxSharedParts bounds the number of messages of one prompt that are known by hashes of their own.
+const MaxSharedParts = 64
+
 type prompt struct {
 	messages int
+	// shared are the hashes of the messages that other prompts may share: the first MaxSharedParts, without
+	// the last message.
+	shared []uint64
 	// text is what engines see, in the same order: the role and content of each message.
 	text []byte
 }
@@ -45,6 +51,7 @@
 	}
 	p := prompt{messages: len(list)}
 	for i, m := range list {
+		begin := len(p.text)
 		if err := textOnly(m.Content); err != nil {
 			return prompt{}, errkind.New(errkind.BadRequest, "message %d: %v", i, err.Message)
 		}
@@ -52,6 +59,9 @@
 		p.text = append(p.text, 0)
 		p.text = append(p.text, m.Content...)
 		p.text = append(p.text, 0)
+		if i < min(len(list)-1, MaxSharedParts) {
+			p.shared = append(p.shared, xxhash.Sum64(p.text[begin:]))
+		}
 	}
 	return p, nil
 }
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -12,9 +12,9 @@
 type Quarantine interface {
 	// Admit admits a request or rejects it. It may block until another execution of the same request
 	// has ended or ctx ends.
-	Admit(ctx context.Context, id quarantine.ID) (Admission, error)
+	Admit(ctx context.Context, r quarantine.Request) (Admission, error)
 	// AdmitResumed admits a request that resumes an execution that was admitted before.
-	AdmitResumed(id quarantine.ID) Admission
+	AdmitResumed(r quarantine.Request) Admission
 }
 
 // Admission is the permission of one request to use backend servers. It receives the outcomes of
@@ -25,16 +25,29 @@
 	// ConnectionLost reports an attempt whose connection was ended by the server's side before the
 	// answer was complete. It does not block.
 	ConnectionLost(b ConnectionLoss)
+	// AllowSend returns nil if the request may still be sent to a server after it has waited for one,
+	// else the refusal.
+	AllowSend(ctx context.Context) error
 	// AllowRetry returns nil if there may be a further attempt after one that lost its connection,
 	// else the refusal.
 	AllowRetry(ctx context.Context) error
-	// Answered records that a server sent its whole answer.
-	Answered()
+	// Answered records a server's answer.
+	Answered(a ServerAnswer)
 	// Status returns the request's quarantine status as of the last check.
 	Status() quarantine.Status
 	Close()
 }
 
+// ServerAnswer describes a server's answer that was passed on to its end.
+type ServerAnswer struct {
+	// Whole is set if the answer is known to be whole and is not a server error.
+	Whole bool
+	// Output is set if the answer has output: the server did not crash as it began to write.
+	Output bool
+	// Software is what the server runs: service, version and model.
+	Software string
+}
+
 // ConnectionLoss describes the unexpected end of an attempt's connection.
 type ConnectionLoss struct {
 	// Incarnation is the server's incarnation, and Address its address.
@@ -46,6 +59,10 @@
 	Started time.Time
 	// OtherRequests is the number of other requests that this host had at the server.
 	OtherRequests int
+	// Software is what the server ran: service, version and model. Output is set if the request had output
+	// from it in this attempt.
+	Software string
+	Output   bool
 	// RequestID is the ID of the request, for the log.
 	RequestID string
 }
--- a/internal/filter/quarantine/quarantine.go
+++ b/internal/filter/quarantine/quarantine.go
@@ -22,10 +22,11 @@
 	if c.Query != "" {
 		target += "?" + c.Query
 	}
-	id := quarantine.ID{Account: c.AccountName, Fingerprint: quarantine.FingerprintOf(c.AccountName, c.Service, target, c.Body)}
-	admission, err := f.admit(r, c, id)
+	fingerprint := quarantine.FingerprintOf(c.AccountName, c.Service, target, c.Body)
+	request := quarantine.NewRequest(quarantine.ID{Account: c.AccountName, Fingerprint: fingerprint}, c.SharedParts)
+	admission, err := f.admit(r, c, request)
 	if err != nil {
-		c.Note(f.Clock.Now(), "quarantine", "refused "+id.Fingerprint.String()+": "+err.Error())
+		c.Note(f.Clock.Now(), "quarantine", "refused "+fingerprint.String()+": "+err.Error())
 		return err
 	}
 	c.Admission = admission
@@ -33,9 +34,9 @@
 	return next.ServeHTTP(w, r)
 }
 
-func (f *Filter) admit(r *http.Request, c *filter.Call, id quarantine.ID) (filter.Admission, error) {
+func (f *Filter) admit(r *http.Request, c *filter.Call, request quarantine.Request) (filter.Admission, error) {
 	if c.Resume != nil {
-		return f.Quarantine.AdmitResumed(id), nil
+		return f.Quarantine.AdmitResumed(request), nil
 	}
-	return f.Quarantine.Admit(r.Context(), id)
+	return f.Quarantine.Admit(r.Context(), request)
 }
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -93,6 +93,12 @@
 		}
 		return err
 	}
+	if c.Admission != nil {
+		if err := c.Admission.AllowSend(r.Context()); err != nil {
+			lease.Done(filter.Outcome{})
+			return err
+		}
+	}
 	c.Lease = lease
 	c.Attempts++
 	c.Outcome = filter.Outcome{}
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -27,7 +27,7 @@
 	// Exclusive means that the request may be sent to one server, while other executions of it wait
 	// until End.
 	Exclusive Decision = "exclusive"
-	// Trial is Exclusive for a quarantined request.
+	// Trial is Exclusive for a quarantined request or part.
 	Trial Decision = "trial"
 	// Wait means that another execution of the request is in progress.
 	Wait Decision = "wait"
@@ -42,24 +42,33 @@
 	After time.Duration
 }
 
-// Admit decides whether a request may run. name is the name of the admission under which it would
-// run; lifetime bounds the execution. The host that owns a request decides for the whole fleet.
-func (t *Table) Admit(now time.Time, id ID, name string, lifetime time.Duration) Verdict {
-	st := t.Status(now, id)
-	held, taken := t.slots[id]
-	taken = taken && held.name != name && now.Before(held.until)
+// Query asks whether a request may run despite the restrictions of one of its identities.
+type Query struct {
+	ID ID
+	// Parts are the shared parts of the request's prompt.
+	Parts []Fingerprint
+	// Name is the name of the admission under which the request would run. Lifetime bounds the execution.
+	Name     string
+	Lifetime time.Duration
+}
+
+// Admit decides whether a request may run. The host that owns the ID decides for the whole fleet.
+func (t *Table) Admit(now time.Time, q Query) Verdict {
+	st := t.StatusIn(now, q.ID, q.Parts)
+	held, taken := t.slots[q.ID]
+	taken = taken && held.name != q.Name && now.Before(held.until)
 	switch {
 	case st.Level == Free:
 		return Verdict{Decision: Run}
 	case st.Level == Suspected && taken:
 		return Verdict{Decision: Wait, After: waitRetryAfter}
 	case st.Level == Suspected:
-		t.slots[id] = slot{name: name, until: now.Add(min(lifetime, exclusiveTime))}
+		t.slots[q.ID] = slot{name: q.Name, until: now.Add(min(q.Lifetime, exclusiveTime))}
 		return Verdict{Decision: Exclusive}
 	case taken, st.NextTrial > 0:
 		return Verdict{Decision: Refuse, After: max(st.NextTrial, waitRetryAfter)}
 	}
-	t.slots[id] = slot{name: name, until: now.Add(lifetime)}
+	t.slots[q.ID] = slot{name: q.Name, until: now.Add(q.Lifetime)}
 	return Verdict{Decision: Trial}
 }
 
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -44,6 +44,6 @@
 	}
 	id := request("account", maxPerAccount)
 	for b.Loop() {
-		table.Admit(epochStart, id, "pass", time.Second)
+		table.Admit(epochStart, Query{ID: id, Name: "pass", Lifetime: time.Second})
 	}
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -46,9 +46,23 @@
 	id.Account = msg.GetAccount()
 	ok = len(msg.GetFingerprint()) == len(id.Fingerprint)
 	copy(id.Fingerprint[:], msg.GetFingerprint())
+	if id.Fingerprint.isPart() {
+		id.Account = ""
+	}
 	return id, ok
 }
 
+// FingerprintsFromProto returns the fingerprints in a message, without those that are not valid.
+func FingerprintsFromProto(texts [][]byte) []Fingerprint {
+	var out []Fingerprint
+	for _, text := range texts {
+		if len(text) == len(Fingerprint{}) {
+			out = append(out, Fingerprint(text))
+		}
+	}
+	return out
+}
+
 // ParseFingerprint parses the result of String.
 func ParseFingerprint(text string) (Fingerprint, error) {
 	var f Fingerprint
@@ -60,8 +74,8 @@
 	return f, nil
 }
 
-// ID identifies a request in the fleet. The account is kept beside the hash, so that the number of
-// requests remembered can be limited per account.
+// ID identifies a request or a part of prompts in the fleet. The account is kept beside the hash, so that the
+// number of requests remembered can be limited per account; it is empty for a part.
 type ID struct {
 	Account     string
 	Fingerprint Fingerprint
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -19,11 +19,15 @@
 	if s == nil {
 		return nil
 	}
-	out := &pb.Suspect{Account: id.Account, Fingerprint: bytes.Clone(id.Fingerprint[:]), Epoch: s.epoch, AgeMs: now.Sub(s.lastChange).Milliseconds()}
+	account := id.Account
+	if id.Fingerprint.isPart() {
+		account = s.account
+	}
+	out := &pb.Suspect{Account: account, Fingerprint: bytes.Clone(id.Fingerprint[:]), Epoch: s.epoch, AgeMs: now.Sub(s.lastChange).Milliseconds()}
 	for _, c := range s.crashes {
 		out.Crashes = append(out.Crashes, &pb.ServerCrash{
 			Server: &pb.ServerRun{Id: c.inc.ID, Incarnation: c.inc.Started}, AgeMs: now.Sub(c.at).Milliseconds(),
-			Host: c.host, Others: uint32(max(c.others, 0)),
+			Host: c.host, Others: uint32(max(c.others, 0)), Software: c.software, Begun: c.begun,
 		})
 	}
 	for _, tr := range s.trials {
@@ -41,15 +45,17 @@
 	return out
 }
 
-// Entry describes a suspected or quarantined request.
+// Entry describes a suspected or quarantined request or part.
 type Entry struct {
-	ID     ID
-	Status Status
+	ID ID
+	// Account is the client account of the request, or the one whose request added the part.
+	Account string
+	Status  Status
 	// Crashes are the known crashes, oldest first.
 	Crashes []*pb.ServerCrash
 }
 
-// Entries returns the suspected and quarantined requests in order of their IDs.
+// Entries returns the suspected and quarantined requests and parts in order of their IDs.
 func (t *Table) Entries(now time.Time) []Entry {
 	var out []Entry
 	for _, id := range t.ids() {
@@ -57,9 +63,10 @@
 		if st.Level == Free {
 			continue
 		}
-		crashes := t.Suspect(now, id).GetCrashes()
+		suspect := t.Suspect(now, id)
+		crashes := suspect.GetCrashes()
 		slices.SortStableFunc(crashes, func(a, b *pb.ServerCrash) int { return cmp.Compare(b.GetAgeMs(), a.GetAgeMs()) })
-		out = append(out, Entry{ID: id, Status: st, Crashes: crashes})
+		out = append(out, Entry{ID: id, Account: suspect.GetAccount(), Status: st, Crashes: crashes})
 	}
 	return out
 }
@@ -89,6 +96,9 @@
 			out = append(out, ID{account, f})
 		}
 	}
+	for f := range t.parts {
+		out = append(out, partID(f))
+	}
 	slices.SortFunc(out, func(a, b ID) int {
 		if c := strings.Compare(a.Account, b.Account); c != 0 {
 			return c
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -11,8 +11,13 @@
 )
 
 const (
-	// MaxCrashes is the number of crashes after which a request is quarantined.
+	// MaxCrashes is the number of crashes after which a request is quarantined, and a part if the servers had
+	// not begun to answer.
 	MaxCrashes = 3
+	// crashWeight is the weight of a crash before the server had begun to answer; after that it is 1.
+	crashWeight = 2
+	// quarantineWeight is the weight of the crashes after which a request or part is quarantined.
+	quarantineWeight = MaxCrashes * crashWeight
 	// maxKeptCrashes bounds the crashes recorded per request.
 	maxKeptCrashes = 8
 	// maxPerAccount bounds the requests remembered per client account.
@@ -75,6 +80,18 @@
 	// at the server.
 	host   string
 	others int
+	// software is what the server ran; empty if that is not known. begun is set if the request had output
+	// from the server. Both are recorded for parts only.
+	software string
+	begun    bool
+}
+
+// weight is how much a crash counts. A server that had begun to answer a request hardly crashed because of it.
+func (c crash) weight() int {
+	if c.begun {
+		return 1
+	}
+	return crashWeight
 }
 
 type trial struct {
@@ -83,8 +100,10 @@
 	at   time.Time
 }
 
-// suspect is what is known of one request.
+// suspect is what is known of one request or part.
 type suspect struct {
+	// account is the client account whose request added a part; empty for requests.
+	account    string
 	epoch      uint64
 	crashes    []crash
 	trials     []trial
@@ -94,9 +113,11 @@
 	doubtfulVersion uint64
 }
 
-// Table holds the requests that were running when servers crashed.
+// Table holds the requests that were running when servers crashed, and the parts of their prompts.
 type Table struct {
 	accounts map[string]map[Fingerprint]*suspect
+	parts    map[Fingerprint]*suspect
+	answered answeredParts
 	slots    map[ID]slot
 	// version counts the changes. digest is the digest of version digestVersion.
 	version, digestVersion, digest uint64
@@ -104,13 +125,20 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{accounts: make(map[string]map[Fingerprint]*suspect), slots: make(map[ID]slot)}
+	return &Table{
+		accounts: make(map[string]map[Fingerprint]*suspect), parts: make(map[Fingerprint]*suspect), slots: make(map[ID]slot),
+	}
 }
 
 // Version changes whenever the contents change.
 func (t *Table) Version() uint64 { return t.version }
 
-func (t *Table) find(id ID) *suspect { return t.accounts[id.Account][id.Fingerprint] }
+func (t *Table) find(id ID) *suspect {
+	if id.Fingerprint.isPart() {
+		return t.parts[id.Fingerprint]
+	}
+	return t.accounts[id.Account][id.Fingerprint]
+}
 
 // findOrAdd returns the entry of a request, adding one if there is none. If its account has no
 // room, the new entry replaces the account's least severe one.
@@ -151,22 +179,31 @@
 	return s.lastChange.Before(than.lastChange)
 }
 
-// Status returns the status of a request.
+// Status returns the status of a request, or of a part regardless of the request that has it.
 func (t *Table) Status(now time.Time, id ID) Status {
 	s := t.find(id)
-	if s == nil || len(s.crashes) == 0 {
+	if s == nil || s.weight() < crashWeight {
 		return Status{Level: Free}
 	}
 	last := s.last()
 	out := Status{
 		Level: Suspected, Crashes: len(s.crashes), Trials: len(s.trials), LastCrash: now.Sub(last.at), Reporter: last.host,
 	}
-	if len(s.crashes) >= MaxCrashes {
-		out.Level, out.NextTrial = Quarantined, s.nextTrial(t.pauses(s)).Sub(now)
+	if s.weight() >= quarantineWeight {
+		out.Level, out.NextTrial = Quarantined, s.nextTrial(t.pauses(id, s)).Sub(now)
 	}
 	return out
 }
 
+// weight returns the weight of all crashes.
+func (s *suspect) weight() int {
+	sum := 0
+	for _, c := range s.crashes {
+		sum += c.weight()
+	}
+	return sum
+}
+
 // nextTrial returns when a quarantined request may run again: at its next trial, or when it is
 // forgotten.
 func (s *suspect) nextTrial(pauses []time.Duration) time.Time {
@@ -176,8 +213,11 @@
 	return s.lastChange.Add(pauses[len(s.trials)])
 }
 
-// pauses returns the pauses before the trials of a request.
-func (t *Table) pauses(s *suspect) []time.Duration {
+// pauses returns the pauses before the trials of a request or part.
+func (t *Table) pauses(id ID, s *suspect) []time.Duration {
+	if id.Fingerprint.isPart() {
+		return partTrialPauses
+	}
 	if s.doubtfulVersion != t.version {
 		s.doubtful, s.doubtfulVersion = t.isDoubtful(s), t.version
 	}
@@ -224,21 +264,22 @@
 // the crash was known.
 func (t *Table) RecordCrash(now time.Time, id ID, inc instance.Incarnation, host string, others int) bool {
 	s := t.findOrAdd(now, id)
-	if !s.addCrash(crash{inc: inc, at: now, host: host, others: others}) {
+	if !s.addCrash(crash{inc: inc, at: now, host: host, others: others}, maxKeptCrashes) {
 		return false
 	}
 	t.version++
 	return true
 }
 
-func (s *suspect) addCrash(c crash) bool {
+// addCrash adds a crash, of which at most limit are kept. It returns false if nothing has changed.
+func (s *suspect) addCrash(c crash, limit int) bool {
 	at, known := slices.BinarySearchFunc(s.crashes, c, crash.compare)
-	if known || at >= maxKeptCrashes {
+	if known || at >= limit {
 		return false
 	}
 	// Hosts that receive more crashes than are kept, in whatever order, must keep the same ones.
 	s.crashes = slices.Insert(s.crashes, at, c)
-	s.crashes = s.crashes[:min(len(s.crashes), maxKeptCrashes)]
+	s.crashes = s.crashes[:min(len(s.crashes), limit)]
 	s.touch(c.at)
 	return true
 }
@@ -285,38 +326,55 @@
 	if s == nil || len(s.crashes) == 0 {
 		return false
 	}
-	*s = suspect{epoch: s.epoch + 1, lastChange: now}
+	*s = suspect{account: s.account, epoch: s.epoch + 1, lastChange: now}
 	delete(t.slots, id)
 	t.version++
 	return true
 }
 
-// Expire removes old entries. It returns the removed requests that still had recorded crashes.
+// Expire removes old entries. It returns the IDs of those that still had recorded crashes.
 func (t *Table) Expire(now time.Time) []ID {
 	var out []ID
 	for account, suspects := range t.accounts {
-		for f, s := range suspects {
-			keep := retention
-			if len(s.crashes) == 0 {
-				keep = clearedRetention
-			}
-			if now.Sub(s.lastChange) < keep {
-				continue
-			}
-			if len(s.crashes) > 0 {
-				out = append(out, ID{account, f})
-			}
-			delete(suspects, f)
-			t.version++
+		for _, f := range expired(now, suspects) {
+			out = t.remove(out, ID{account, f}, suspects)
 		}
 		if len(suspects) == 0 {
 			delete(t.accounts, account)
 		}
 	}
+	for _, f := range expired(now, t.parts) {
+		out = t.remove(out, partID(f), t.parts)
+	}
 	t.expireSlots(now)
 	return out
 }
 
+// expired returns the fingerprints of the entries that are too old to be kept.
+func expired(now time.Time, suspects map[Fingerprint]*suspect) []Fingerprint {
+	var out []Fingerprint
+	for f, s := range suspects {
+		keep := retention
+		if len(s.crashes) == 0 {
+			keep = clearedRetention
+		}
+		if now.Sub(s.lastChange) >= keep {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// remove removes an entry, and appends its ID to list if it had recorded crashes.
+func (t *Table) remove(list []ID, id ID, suspects map[Fingerprint]*suspect) []ID {
+	if len(suspects[id.Fingerprint].crashes) > 0 {
+		list = append(list, id)
+	}
+	delete(suspects, id.Fingerprint)
+	t.version++
+	return list
+}
+
 // Merge adds what another host knows of a request. It returns false if nothing in it is new.
 func (t *Table) Merge(now time.Time, msg *pb.Suspect) (id ID, changed bool) {
 	id, ok := IDFromProto(msg)
@@ -326,18 +384,19 @@
 	s, lastChange := t.find(id), timeFromAge(now, msg.GetAgeMs())
 	switch {
 	case s == nil:
-		s = t.findOrAdd(now, id)
+		s = t.add(now, id, msg.GetAccount())
 		s.epoch, s.lastChange, changed = msg.GetEpoch(), lastChange, true
 	case msg.GetEpoch() < s.epoch:
 		return id, false
 	case msg.GetEpoch() > s.epoch:
-		*s = suspect{epoch: msg.GetEpoch(), lastChange: lastChange}
+		*s = suspect{account: s.account, epoch: msg.GetEpoch(), lastChange: lastChange}
 		delete(t.slots, id)
 		changed = true
 	}
 	for _, c := range msg.GetCrashes() {
 		inc := instance.Incarnation{ID: c.GetServer().GetId(), Started: c.GetServer().GetIncarnation()}
-		changed = s.addCrash(crash{inc: inc, at: timeFromAge(now, c.GetAgeMs()), host: c.GetHost(), others: int(c.GetOthers())}) || changed
+		added := crash{inc: inc, at: timeFromAge(now, c.GetAgeMs()), host: c.GetHost(), others: int(c.GetOthers()), software: c.GetSoftware(), begun: c.GetBegun()}
+		changed = s.addCrash(added, id.maxCrashes()) || changed
 	}
 	for _, tr := range msg.GetTrials() {
 		changed = s.addTrial(trial{name: tr.GetName(), at: timeFromAge(now, tr.GetAgeMs())}) || changed
@@ -348,6 +407,22 @@
 	return id, changed
 }
 
+// add adds the entry of a request, or of a part that a request of an account has added.
+func (t *Table) add(now time.Time, id ID, account string) *suspect {
+	if id.Fingerprint.isPart() {
+		return t.findOrAddPart(now, id.Fingerprint, account)
+	}
+	return t.findOrAdd(now, id)
+}
+
+// maxCrashes returns how many crashes are recorded of a request or part.
+func (id ID) maxCrashes() int {
+	if id.Fingerprint.isPart() {
+		return maxKeptPartCrashes
+	}
+	return maxKeptCrashes
+}
+
 // timeFromAge converts an age to a time. Ages out of range are clamped.
 func timeFromAge(now time.Time, ms int64) time.Time {
 	age := min(max(time.Duration(ms), 0), retention/time.Millisecond) * time.Millisecond
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -61,7 +61,7 @@
 
 func (f *fleet) admit(owner int, id ID) Verdict {
 	f.admissions++
-	return f.hosts[owner].Admit(f.now, id, f.admission(), 10*time.Second)
+	return f.hosts[owner].Admit(f.now, Query{ID: id, Name: f.admission(), Lifetime: 10 * time.Second})
 }
 
 // admission returns the name of the last admission.
@@ -233,7 +233,7 @@
 	at := epochStart
 	want := func(name string, decision Decision) {
 		t.Helper()
-		if v := table.Admit(at, id, name, time.Minute); v.Decision != decision {
+		if v := table.Admit(at, Query{ID: id, Name: name, Lifetime: time.Minute}); v.Decision != decision {
 			t.Errorf("%s after %v: %+v, want %s", name, at.Sub(epochStart), v, decision)
 		}
 	}
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -43,6 +43,7 @@
 	note := &t.x.Attempts[len(t.x.Attempts)-1]
 	note.CooldownLeft = choice.CooldownLeft
 	note.Limit = t.f.Limits.RecordSend(choice.Instance.Incarnation(), t.sendReason())
+	t.firstEventAt, t.proved = time.Time{}, false
 	started := time.Now()
 	// Canceling the context ends the exchange with the server: its connection is closed unless the
 	// answer was read completely.
@@ -67,7 +68,8 @@
 	if t.x.Admission != nil && out.cause.CrashLike() {
 		t.x.Admission.ConnectionLost(filter.ConnectionLoss{
 			Incarnation: choice.Instance.Incarnation(), Address: choice.Instance.Address, HealthPath: t.x.Service.HealthPath,
-			Started: started, OtherRequests: choice.Running, RequestID: t.x.ID,
+			Started: started, OtherRequests: choice.Running, Software: t.software(lease), Output: note.Events > 0,
+			RequestID: t.x.ID,
 		})
 	}
 	return out
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -82,6 +82,10 @@
 	events sse.Counter
 	// eventOwed is set once a stream has broken off inside an event.
 	eventOwed bool
+	// firstEventAt is when the attempt's first event arrived; proved is set once its server has gone on for
+	// provedAfter since then.
+	firstEventAt time.Time
+	proved       bool
 }
 
 // outcome is the result of one attempt.
@@ -104,11 +108,13 @@
 		if err != nil {
 			return t.giveUp(err)
 		}
-		out := t.attempt(lease)
-		if out.complete && t.x.Admission != nil {
-			t.x.Admission.Answered()
+		if err := t.allowSend(); err != nil {
+			lease.Done(balance.Abandoned)
+			return t.giveUp(err)
 		}
+		out := t.attempt(lease)
 		if out.err == nil {
+			t.reportAnswer(lease, out)
 			return nil
 		}
 		if t.ctx.Err() != nil {
@@ -126,6 +132,49 @@
 	}
 }
 
+// allowSend asks whether the request may still be sent, after it has waited for a server.
+func (t *task) allowSend() error {
+	if t.x.Admission == nil {
+		return nil
+	}
+	return t.x.Admission.AllowSend(t.ctx)
+}
+
+// reportAnswer reports an answer that was passed on to its end to the quarantine.
+func (t *task) reportAnswer(lease relay.Lease, out outcome) {
+	if t.x.Admission == nil {
+		return
+	}
+	output := t.x.BytesSent > 0
+	if t.x.Route.Kind == routes.Stream {
+		output = t.x.Attempts[len(t.x.Attempts)-1].Events > 0
+	}
+	t.x.Admission.Answered(filter.ServerAnswer{
+		Whole: out.complete, Output: output && t.x.Status < http.StatusMultipleChoices, Software: t.software(lease),
+	})
+}
+
+// provedAfter is how long a server has to go on after its first event to show that it did not crash as it
+// began to answer.
+const provedAfter = 300 * time.Millisecond
+
+// reportProgress reports to the quarantine once that a server goes on with a stream it has begun.
+func (t *task) reportProgress(lease relay.Lease) {
+	switch {
+	case t.x.Admission == nil || t.proved:
+	case t.firstEventAt.IsZero():
+		t.firstEventAt = time.Now()
+	case time.Since(t.firstEventAt) >= provedAfter:
+		t.proved = true
+		t.x.Admission.Answered(filter.ServerAnswer{Output: true, Software: t.software(lease)})
+	}
+}
+
+// software returns what the server of a lease runs.
+func (t *task) software(lease relay.Lease) string {
+	return t.x.Service.Name + "/" + lease.Choice().Instance.Version + "/" + t.x.Model
+}
+
 // takeRetry reports whether a further attempt is allowed, and takes it from the allowance.
 func (t *task) takeRetry() bool {
 	if t.x.Begun && !t.mayResume() {
--- a/internal/relay/forward/pass_test.go
+++ b/internal/relay/forward/pass_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
@@ -20,16 +22,24 @@
 // admission counts the calls to filter.Admission.
 type admission struct {
 	reached, broke, answered int
-	// retryErr is returned by AllowRetry.
-	retryErr error
+	// retryErr is returned by AllowRetry, sendErr by AllowSend.
+	retryErr, sendErr error
+	// last is the last answer reported.
+	last filter.ServerAnswer
 }
 
 func (p *admission) ServerReached()                       { p.reached++ }
 func (p *admission) ConnectionLost(filter.ConnectionLoss) { p.broke++ }
 func (p *admission) AllowRetry(context.Context) error     { return p.retryErr }
-func (p *admission) Answered()                            { p.answered++ }
-func (p *admission) Status() quarantine.Status            { return quarantine.Status{} }
-func (p *admission) Close()                               {}
+func (p *admission) AllowSend(context.Context) error      { return p.sendErr }
+func (p *admission) Answered(a filter.ServerAnswer) {
+	p.last = a
+	if a.Whole {
+		p.answered++
+	}
+}
+func (p *admission) Status() quarantine.Status { return quarantine.Status{} }
+func (p *admission) Close()                    {}
 
 // breaks returns a step in which the server's side ends the connection with a cause.
 func breaks(cause engineclient.Cause, ran errkind.Ran) func(context.Context, *engineclient.Forward) (*http.Response, error) {
@@ -59,6 +69,9 @@
 	longAnswer.Body.(*body).err = errTimedOut
 	endless := answer(http.StatusOK, "ok")
 	endless.ContentLength = -1
+	reported := func(whole, output bool) filter.ServerAnswer {
+		return filter.ServerAnswer{Whole: whole, Output: output, Software: "pool//"}
+	}
 	for name, c := range map[string]struct {
 		step func(context.Context, *engineclient.Forward) (*http.Response, error)
 		want admission
@@ -77,11 +90,11 @@
 		"another instance":        {answers(answer(http.StatusMisdirectedRequest, "")), admission{}},
 		"full":                    {answers(answer(http.StatusServiceUnavailable, "", hNotRun, "1")), admission{reached: 1}},
 		"another's answer":        {answers(answer(200, "ok", hID, "other")), admission{reached: 1}},
-		"answered":                {answers(framedAnswer(200)), admission{reached: 1, answered: 1}},
-		"answered that it is bad": {answers(framedAnswer(400)), admission{reached: 1, answered: 1}},
-		"failed":                  {answers(framedAnswer(500)), admission{reached: 1}},
-		"answered without an end": {answers(endless), admission{reached: 1}},
-		"a whole stream":          {answers(chunked), admission{reached: 1, answered: 1}},
+		"answered":                {answers(framedAnswer(200)), admission{reached: 1, answered: 1, last: reported(true, true)}},
+		"answered that it is bad": {answers(framedAnswer(400)), admission{reached: 1, answered: 1, last: reported(true, false)}},
+		"failed":                  {answers(framedAnswer(500)), admission{reached: 1, last: reported(false, false)}},
+		"answered without an end": {answers(endless), admission{reached: 1, last: reported(false, true)}},
+		"a whole stream":          {answers(chunked), admission{reached: 1, answered: 1, last: reported(true, true)}},
 	} {
 		got := &admission{}
 		r := newRun(t, routes.NonIdempotent, c.step)
@@ -104,3 +117,54 @@
 	r.admission = &admission{retryErr: refusal}
 	wantKind(t, r.do(), errkind.RequestQuarantined, errkind.RanNo)
 }
+
+// Guards against sending a request that was quarantined while it waited for a server.
+func TestQuarantineRejectsRequestAfterItsWait(t *testing.T) {
+	r := newRun(t, routes.Idempotent)
+	r.admission = &admission{sendErr: errkind.New(errkind.RequestQuarantined, "crashed").After(1)}
+	wantKind(t, r.do(), errkind.RequestQuarantined, errkind.RanNo)
+}
+
+// slowBody sends the events of a stream a pause apart, and then fails.
+type slowBody struct {
+	events int
+	pause  time.Duration
+	sent   int
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.sent == b.events {
+		return 0, errReset
+	}
+	time.Sleep(b.pause)
+	b.sent++
+	return copy(p, event(b.sent)), nil
+}
+
+func (b *slowBody) Close() error { return nil }
+
+// Guards against blaming parts of a prompt for the crash of a server that had gone on with its answer, and
+// against taking one for sound that crashes servers as they begin to answer.
+func TestServerThatGoesOnProvesParts(t *testing.T) {
+	for name, c := range map[string]struct {
+		body   slowBody
+		proved bool
+	}{
+		"goes on":        {slowBody{events: 4, pause: provedAfter / 2}, true},
+		"crashes soon":   {slowBody{events: 4, pause: provedAfter / 8}, false},
+		"one late event": {slowBody{events: 1, pause: 2 * provedAfter}, false},
+		"without events": {slowBody{}, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			res := stream("", nil)
+			res.Body = &c.body
+			got := &admission{}
+			r := newRun(t, routes.Stream, answers(res))
+			r.route.MaxAttempts, r.leases.servers, r.admission = 1, []string{"a"}, got
+			_ = r.do()
+			if got.last.Output != c.proved || got.last.Whole {
+				t.Errorf("%s: reported %+v", name, got.last)
+			}
+		})
+	}
+}
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -32,7 +32,10 @@
 			if len(events) > 0 && (t.x.Origin == nil || t.events.Events() == before) && !t.sameVersion(lease, res) {
 				return t.failure(balance.Abandoned, engineclient.CauseOtherVersion, "server %s may run another software version than the stream", lease.Choice().Instance.ID)
 			}
-			t.writeEvents(res.Response, events)
+			if len(events) > 0 {
+				t.reportProgress(lease)
+				t.writeEvents(res.Response, events)
+			}
 		}
 		t.eventOwed = t.eventOwed || readErr != nil && splitter.InsideEvent()
 		switch {
@@ -65,9 +68,6 @@
 
 // writeEvents sends whole events to the caller.
 func (t *task) writeEvents(res *http.Response, events []byte) {
-	if len(events) == 0 {
-		return
-	}
 	t.writeStatus(res)
 	before := t.events.Events()
 	t.events.Write(events)
--- a/internal/relay/quarantine/quarantine.go
+++ b/internal/relay/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 import (
 	"net/http"
 
+	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/filter"
 	"github.com/bluebellsail/bluebellsail/internal/quarantine"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
@@ -22,7 +23,11 @@
 		Account:     x.AccountName(),
 		Fingerprint: quarantine.FingerprintOf(x.AccountName(), x.Host, x.Target, x.Body),
 	}
-	admission, err := f.Quarantine.Admit(r.Context(), x.QuarantineID)
+	var parts []uint64
+	for _, part := range balance.SharedParts(x.Prompt) {
+		parts = append(parts, part.ID)
+	}
+	admission, err := f.Quarantine.Admit(r.Context(), quarantine.NewRequest(x.QuarantineID, parts))
 	if err != nil {
 		return err
 	}
