--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -101,6 +101,7 @@
 func onceFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "prompt", Value: "hello"},
+		&cli.StringSliceFlag{Name: "earlier", Usage: "a message before the prompt; may be given more than once"},
 		&cli.StringFlag{Name: "idempotency-key", Usage: "default: from the clock"},
 	}
 }
--- a/internal/load/once.go
+++ b/internal/load/once.go
@@ -19,6 +19,7 @@
 	if err := o.check(); err != nil {
 		return err
 	}
+	o.Earlier = c.StringSlice("earlier")
 	r := o.requestOf(0)
 	r.setPrompt(&o, c.String("prompt"))
 	if c.IsSet("idempotency-key") {
--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -46,6 +46,8 @@
 	// PromptBytes is the size of each prompt, SharedBytes the part that an account's requests share.
 	PromptBytes int
 	SharedBytes int
+	// Earlier are the messages of each chat before the last one.
+	Earlier []string
 	// Seed makes the prompts and keys of two runs differ.
 	Seed string
 
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/bluebellsail/bluebellsail/internal/standin"
@@ -76,22 +77,28 @@
 	r.setPrompt(o, o.prompt(r))
 }
 
-// setPrompt makes r a chat with one message and computes the expected answer.
+// setPrompt makes r a chat whose last message has the given content, and computes the expected answer.
 func (r *request) setPrompt(o *Options, content string) {
+	var messages []chatMessage
+	var prompt standin.Prompt
+	for _, text := range append(slices.Clone(o.Earlier), content) {
+		messages = append(messages, chatMessage{Role: "user", Content: text})
+		prompt.Roles, prompt.Contents = append(prompt.Roles, "user"), append(prompt.Contents, text)
+	}
 	var options *streamOptions
 	if r.stream {
 		options = &streamOptions{IncludeUsage: true}
 	}
 	r.body = mustJSON(chatRequest{
 		Model:     o.Model,
-		Messages:  []chatMessage{{Role: "user", Content: content}},
+		Messages:  messages,
 		MaxTokens: o.MaxTokens,
 		Stream:    r.stream,
 		IgnoreEOS: o.Exact,
 
 		StreamOptions: options,
 	})
-	r.hash = standin.Prompt{Roles: []string{"user"}, Contents: []string{content}}.Hash()
+	r.hash = prompt.Hash()
 	r.output = standin.OutputTokens(r.hash, o.MaxTokens, o.Exact)
 }
 
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -132,23 +132,16 @@
 // weight explains, except the given parts.
 func (t *Table) unexplained(f Fingerprint, except []Fingerprint) int {
 	s := t.parts[f]
-	least := max(s.weight(), quarantineWeight)
-	explained := make(map[instance.Incarnation]bool)
+	least, left := max(s.weight(), quarantineWeight), slices.Clone(s.crashes)
 	for other, o := range t.parts {
-		if o.weight() < least || slices.Contains(except, other) {
-			continue
-		}
-		for _, c := range o.crashes {
-			explained[c.inc] = true
+		if len(left) == 0 {
+			break
 		}
-	}
-	sum := 0
-	for _, c := range s.crashes {
-		if !explained[c.inc] {
-			sum += c.weight()
+		if o.weight() >= least && !slices.Contains(except, other) {
+			left = slices.DeleteFunc(left, func(c crash) bool { return o.ranAt(c.inc) })
 		}
 	}
-	return sum
+	return weightOf(left)
 }
 
 // RecordPartCrashes records a crash against those parts of a request that no server with the same software
@@ -211,16 +204,26 @@
 	if s := t.parts[f]; s != nil {
 		return s
 	}
-	added := make(map[Fingerprint]*suspect)
-	for other, s := range t.parts {
-		if s.account == account {
-			added[other] = s
-		}
+	added := t.partsOf[account]
+	if added == nil {
+		added = make(map[Fingerprint]*suspect)
+		t.partsOf[account] = added
 	}
 	if len(added) >= maxPartsPerAccount {
-		delete(t.parts, leastSevere(added))
+		least := leastSevere(added)
+		delete(t.parts, least)
+		delete(added, least)
 	}
 	s := &suspect{account: account, lastChange: now}
-	t.parts[f] = s
+	t.parts[f], added[f] = s, s
 	return s
 }
+
+func (t *Table) removePart(f Fingerprint) {
+	account := t.parts[f].account
+	delete(t.parts, f)
+	delete(t.partsOf[account], f)
+	if len(t.partsOf[account]) == 0 {
+		delete(t.partsOf, account)
+	}
+}
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -194,8 +194,26 @@
 	}
 }
 
+// Guards against a part that is no longer known as one after a host of an earlier build, which drops the fields
+// that it does not know, has passed it on.
+func TestPartsPassThroughOldHosts(t *testing.T) {
+	f := newFleet(2)
+	for range MaxCrashes {
+		f.crashUnder(0, false, f.withParts("account", 1))
+	}
+	for _, s := range f.hosts[0].Suspects(f.now) {
+		for _, c := range s.GetCrashes() {
+			c.Software, c.Begun = "", false
+		}
+		f.hosts[1].Merge(f.now, s)
+	}
+	if got := f.level(1, f.withParts("another", 1), 1); got != Quarantined {
+		t.Errorf("the part is %s", got)
+	}
+}
+
 // Guards against hosts that disagree on parts, whatever order they hear in and whichever account accused a
-// part first, and against what an old host drops.
+// part first.
 func TestPartsAreMerged(t *testing.T) {
 	f := newFleet(3)
 	for host := range f.hosts {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -117,6 +117,8 @@
 type Table struct {
 	accounts map[string]map[Fingerprint]*suspect
 	parts    map[Fingerprint]*suspect
+	// partsOf has the parts by the account that added them.
+	partsOf  map[string]map[Fingerprint]*suspect
 	answered answeredParts
 	slots    map[ID]slot
 	// version counts the changes. digest is the digest of version digestVersion.
@@ -126,7 +128,8 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		accounts: make(map[string]map[Fingerprint]*suspect), parts: make(map[Fingerprint]*suspect), slots: make(map[ID]slot),
+		accounts: make(map[string]map[Fingerprint]*suspect), parts: make(map[Fingerprint]*suspect),
+		partsOf: make(map[string]map[Fingerprint]*suspect), slots: make(map[ID]slot),
 	}
 }
 
@@ -196,9 +199,11 @@
 }
 
 // weight returns the weight of all crashes.
-func (s *suspect) weight() int {
+func (s *suspect) weight() int { return weightOf(s.crashes) }
+
+func weightOf(crashes []crash) int {
 	sum := 0
-	for _, c := range s.crashes {
+	for _, c := range crashes {
 		sum += c.weight()
 	}
 	return sum
@@ -337,14 +342,16 @@
 	var out []ID
 	for account, suspects := range t.accounts {
 		for _, f := range expired(now, suspects) {
-			out = t.remove(out, ID{account, f}, suspects)
+			out = t.noteRemoved(out, ID{account, f})
+			delete(suspects, f)
 		}
 		if len(suspects) == 0 {
 			delete(t.accounts, account)
 		}
 	}
 	for _, f := range expired(now, t.parts) {
-		out = t.remove(out, partID(f), t.parts)
+		out = t.noteRemoved(out, partID(f))
+		t.removePart(f)
 	}
 	t.expireSlots(now)
 	return out
@@ -365,14 +372,13 @@
 	return out
 }
 
-// remove removes an entry, and appends its ID to list if it had recorded crashes.
-func (t *Table) remove(list []ID, id ID, suspects map[Fingerprint]*suspect) []ID {
-	if len(suspects[id.Fingerprint].crashes) > 0 {
-		list = append(list, id)
-	}
-	delete(suspects, id.Fingerprint)
+// noteRemoved appends the ID of an entry that is to be removed if it has recorded crashes.
+func (t *Table) noteRemoved(list []ID, id ID) []ID {
 	t.version++
-	return list
+	if len(t.find(id).crashes) == 0 {
+		return list
+	}
+	return append(list, id)
 }
 
 // Merge adds what another host knows of a request. It returns false if nothing in it is new.
