--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -11,85 +11,86 @@
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
-// BenchmarkMemory measures the size of a request with three crashes in memory, and in the message
-// that sends it to another host.
-func BenchmarkMemory(b *testing.B) {
-	const accounts = 400
+// heapGrowth returns by how many bytes the heap grows when a value is made.
+func heapGrowth[T any](make func() T) (value T, bytes float64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	value = make()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return value, float64(after.HeapAlloc - before.HeapAlloc)
+}
+
+// benchmarkEntries measures the size of an entry in memory, and in the message that sends it to another host.
+func benchmarkEntries(b *testing.B, unit string, entries int, fill func(*Table)) {
 	for b.Loop() {
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		table := NewTable()
-		for a := range accounts {
+		table, bytes := heapGrowth(func() *Table {
+			t := NewTable()
+			fill(t)
+			return t
+		})
+		reply := &pb.FetchSuspectsReply{Suspects: table.Suspects(epochStart.Add(time.Second))}
+		b.ReportMetric(bytes/float64(entries), "B/"+unit)
+		b.ReportMetric(float64(proto.Size(reply))/float64(entries), "told-B/"+unit)
+	}
+}
+
+const benchAccounts = 400
+
+// BenchmarkMemory measures the size of a request with three crashes.
+func BenchmarkMemory(b *testing.B) {
+	benchmarkEntries(b, "request", benchAccounts*maxPerAccount, func(t *Table) {
+		for a := range benchAccounts {
 			for n := range maxPerAccount {
 				for c := range MaxCrashes {
-					table.RecordCrash(epochStart, request(fmt.Sprintf("account-%d", a), n), incarnation(a*n+c), "host-12", c)
+					t.RecordCrash(epochStart, request(fmt.Sprintf("account-%d", a), n), incarnation(a*n+c), "host-12", c)
 				}
 			}
 		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		entries := float64(accounts * maxPerAccount)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/entries, "B/request")
-		reply := &pb.FetchSuspectsReply{Suspects: table.Suspects(epochStart.Add(time.Second))}
-		b.ReportMetric(float64(proto.Size(reply))/entries, "told-B/request")
-	}
-}
-
-// BenchmarkAdmitFree measures the cost of admitting a request that has no recorded crashes.
-func BenchmarkAdmitFree(b *testing.B) {
-	table := NewTable()
-	for n := range maxPerAccount {
-		table.RecordCrash(epochStart, request("account", n), incarnation(n), "host", 0)
-	}
-	id := request("account", maxPerAccount)
-	for b.Loop() {
-		table.Admit(epochStart, Query{ID: id, Name: "pass", Lifetime: time.Second})
-	}
+	})
 }
 
-// BenchmarkPartMemory measures the size of a part with three crashes in memory, and in the message that sends
-// it to another host.
+// BenchmarkPartMemory measures the size of a part with three crashes.
 func BenchmarkPartMemory(b *testing.B) {
-	const accounts = 400
-	for b.Loop() {
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		table := NewTable()
-		for a := range accounts {
+	benchmarkEntries(b, "part", benchAccounts*maxPartsPerAccount, func(t *Table) {
+		for a := range benchAccounts {
 			var parts []uint64
 			for n := range maxPartsPerAccount {
 				parts = append(parts, uint64(a*maxPartsPerAccount+n))
 			}
 			r := NewRequest(request(fmt.Sprintf("account-%d", a), 0), parts)
 			for c := range MaxCrashes {
-				table.RecordPartCrashes(epochStart, r, Crash{Incarnation: incarnation(a + c), Host: "host-12", Software: "pool/v1/m"})
+				t.RecordPartCrashes(epochStart, r, Crash{Incarnation: incarnation(a + c), Host: "host-12", Software: software})
 			}
 		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		entries := float64(accounts * maxPartsPerAccount)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/entries, "B/part")
-		reply := &pb.FetchSuspectsReply{Suspects: table.Suspects(epochStart.Add(time.Second))}
-		b.ReportMetric(float64(proto.Size(reply))/entries, "told-B/part")
-	}
+	})
 }
 
 // BenchmarkAnsweredMemory measures the size of a full memory of answered parts.
 func BenchmarkAnsweredMemory(b *testing.B) {
 	for b.Loop() {
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		var a answeredParts
-		for n := range uint64(2 * maxGeneration) {
-			a.add(epochStart, PartFingerprint(n), "pool/v1/m")
-		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B")
-		runtime.KeepAlive(a)
+		answered, bytes := heapGrowth(func() *answeredParts {
+			a := &answeredParts{}
+			for n := range uint64(2 * maxGeneration) {
+				a.add(epochStart, PartFingerprint(n), software)
+			}
+			return a
+		})
+		b.ReportMetric(bytes, "B")
+		runtime.KeepAlive(answered)
+	}
+}
+
+// BenchmarkAdmitFree measures the cost of admitting a request that has no recorded crashes.
+func BenchmarkAdmitFree(b *testing.B) {
+	table := NewTable()
+	for n := range maxPerAccount {
+		table.RecordCrash(epochStart, request("account", n), incarnation(n), "host", 0)
+	}
+	id := request("account", maxPerAccount)
+	for b.Loop() {
+		table.Admit(epochStart, Query{ID: id, Name: "pass", Lifetime: time.Second})
 	}
 }
 
@@ -100,7 +101,7 @@
 	for n := range uint64(maxPartsPerAccount) {
 		r := NewRequest(request("account", 0), []uint64{n})
 		for c := range MaxCrashes {
-			table.RecordPartCrashes(epochStart, r, Crash{Incarnation: incarnation(c), Host: "host-12", Software: "pool/v1/m"})
+			table.RecordPartCrashes(epochStart, r, Crash{Incarnation: incarnation(c), Host: "host-12", Software: software})
 		}
 	}
 	r := NewRequest(request("account", 1), []uint64{1001, 1002, 1003})
@@ -111,7 +112,7 @@
 	})
 	b.Run("answer", func(b *testing.B) {
 		for b.Loop() {
-			table.RecordAnswer(epochStart, r, "pool/v1/m")
+			table.RecordAnswer(epochStart, r, software)
 		}
 	})
 	crashing := NewRequest(request("account", 2), []uint64{1, 2, 3})
