--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -113,7 +113,7 @@
 	{NoBackendServer, 503, RanNo, RetryAfter, "no backend server for this model or service is in service"},
 	{BackendServerFailed, 502, RanVaries, RetrySameKey, "the backend server failed and the request may not be sent again"},
 	{StreamUnknown, 503, RanNo, RetryAfter, "the stream to resume is not known here, nor to the hosts that keep such streams; it can only be begun anew if that lasts"},
-	{RequestQuarantined, 503, RanNo, RetryAfter, "backend servers crashed while they ran this request; it is tried again now and then, one run at a time"},
+	{RequestQuarantined, 503, RanNo, RetryAfter, "backend servers crashed while they ran this request, or others with the same part of their prompt; it is tried again now and then, one run at a time"},
 	{KeyExpired, 410, RanNo, RetryNever, "the idempotency key is older than the window in which it is remembered"},
 	{KeyConflict, 422, RanNo, RetryNever, "the idempotency key was used with another body"},
 	{InProgress, 409, RanYes, RetrySameKey, "the request with this idempotency key is still running"},
