--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -31,18 +31,18 @@
 	// AllowRetry returns nil if there may be a further attempt after one that lost its connection,
 	// else the refusal.
 	AllowRetry(ctx context.Context) error
-	// Answered records a server's answer.
+	// Answered records what a server has answered: once it goes on with a stream, and at the end.
 	Answered(a ServerAnswer)
 	// Status returns the request's quarantine status as of the last check.
 	Status() quarantine.Status
 	Close()
 }
 
-// ServerAnswer describes a server's answer that was passed on to its end.
+// ServerAnswer describes an answer of a server, as far as it has come.
 type ServerAnswer struct {
 	// Whole is set if the answer is known to be whole and is not a server error.
 	Whole bool
-	// Output is set if the answer has output: the server did not crash as it began to write.
+	// Output is set if the server has shown that it does not crash as it begins to answer.
 	Output bool
 	// Software is what the server runs: service, version and model.
 	Software string
