--- a/review/stand/lostleave.go
+++ b/review/stand/lostleave.go
@@ -15,7 +15,7 @@
 	serverCount  = 18
 	leavingCount = 2
 	// leaveGap is the time between the DELETE calls of the servers that leave together.
-	leaveGap = 12 * time.Millisecond
+	leaveGap = 5 * time.Millisecond
 	// downTime is how long the killed gateway is down: the largest for_s of node_kill in the site file.
 	downTime = 3300 * time.Millisecond
 	// servesOn is how long the servers go on serving after the confirmation: drainMs and some seconds.
