--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -14,9 +14,13 @@
 )
 
 func main() {
-	rec, err := newRecorder()
-	if err != nil || len(os.Args) != 2 {
-		fmt.Println("usage: REPO=... CASE=... stand CASE-NAME:", err)
+	if len(os.Args) != 3 {
+		fmt.Println("usage: REPO=... stand CASE-NAME RECORD-FILE")
+		os.Exit(cantRun)
+	}
+	rec, err := newRecorder(os.Args[2])
+	if err != nil {
+		fmt.Println(err)
 		os.Exit(cantRun)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -15,8 +14,8 @@
 	began time.Time
 }
 
-func newRecorder() (*recorder, error) {
-	out, err := os.Create(filepath.Join(os.Getenv("CASE"), "record.txt"))
+func newRecorder(path string) (*recorder, error) {
+	out, err := os.Create(path)
 	return &recorder{out: out, began: time.Now()}, err
 }
 
