A confirmed end of a server outlives the host that confirmed it

Cause: the confirmation is given for what one host has in memory. Its broadcast waits 20 ms for other changes; its heartbeats go out in rounds, one each 50 ms at most, so that the first server's change gets out at once and the one that follows 5 ms later doesn't.

The lines server-heard of its hosts have the first server's end at all nine hosts and the second one's at the killed host alone. Ruled out by them: that another host had the change and lost it, or ignored it.

Change: before it confirms that a server leaves or has ended, a host has four others hold the change, two with a replica and two without where there are such. They broadcast it themselves unless they hear within 500 ms that the confirming host has done so. A host that reaches nobody refuses with the new kind not_replicated, so that the server asks another one. Each round has a line changes-replicated, each takeover changes-taken-over; metrics under replication.

In virtual time, at 8, 75 and 1,000 hosts, every host has the change within two seconds although the confirming host is killed alone, with half of the gateways or with all control hosts; a confirmation takes one round trip and four messages at 8 hosts and at 1,000.

Why this works: the change is with hosts that are not lost together, and each of them goes on spreading it.

--- a/internal/controller/balancer/replication.go
+++ b/internal/controller/balancer/replication.go
@@ -29,6 +29,13 @@
 	return b.reg.OwnChangesSince(time.Now(), after, limit)
 }
 
+// ServerState returns a server as this host knows it, for peers.
+func (b *Balancer) ServerState(id string) *pb.ServerState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reg.State(time.Now(), id)
+}
+
 // ServerDigest implements members.Registry.
 func (b *Balancer) ServerDigest() changelog.Digest {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/controller/news/hold.go
@@ -0,0 +1,65 @@
+package news
+
+import (
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+const (
+	// takeoverDelay is how long a host holds another one's changes before it broadcasts them itself. A release takes
+	// releaseDelay, and up to 80 ms at each of the hosts if they have used up their processor time.
+	takeoverDelay = 500 * time.Millisecond
+	// maxHeld bounds the rounds whose changes a host holds; those beyond it are broadcast at once.
+	maxHeld = 4096
+)
+
+// held are the changes that this host holds for others, by the names of their rounds.
+type held map[string]*time.Timer
+
+// holdChanges has the changes of another host broadcast by this one unless they are released in time.
+func (s *Broadcaster) holdChanges(req *pb.TellRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.held[req.GetHold()]; known {
+		return
+	}
+	delay := takeoverDelay
+	if len(s.held) >= maxHeld {
+		delay = 0
+	}
+	s.held[req.GetHold()] = time.AfterFunc(delay, func() { s.takeOver(req) })
+}
+
+// releaseChanges forgets changes that their sender has broadcast.
+func (s *Broadcaster) releaseChanges(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		if timer, known := s.held[name]; known {
+			timer.Stop()
+			delete(s.held, name)
+		}
+	}
+}
+
+// takeOver broadcasts changes whose sender has not released them.
+func (s *Broadcaster) takeOver(req *pb.TellRequest) {
+	if !s.forgetHeld(req.GetHold()) {
+		return // released meanwhile
+	}
+	s.metrics.takenOver.Add(1)
+	s.cfg.Log.Info().Str("event", "changes-taken-over").Str("hold", req.GetHold()).Str("from", req.GetFromAddress()).
+		Int("servers", len(req.GetServers())).Send()
+	for _, st := range req.GetServers() {
+		s.BroadcastServer(st)
+	}
+}
+
+func (s *Broadcaster) forgetHeld(name string) (known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known = s.held[name]
+	delete(s.held, name)
+	return known
+}
--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -10,6 +10,9 @@
 // first host of each, which does the same with the rest of its group. 1,400 hosts are
 // notified in four rounds, with one message to each. A host that does not answer is skipped,
 // and the next one gets its group. A host that is missed gets the update later by heartbeats.
+//
+// A change that this host confirms to somebody must outlive it. It is replicated first: a few hosts hold it and
+// broadcast it themselves unless this host tells them soon that it has done so.
 package news
 
 import (
@@ -63,14 +66,18 @@
 	// FetchTable fetches the routing table from the host at an address if this host has an
 	// older revision, and reports whether this host has the revision then, so that others can fetch it here.
 	FetchTable func(ctx context.Context, address string, revision uint64) bool
-	Log        zerolog.Logger
+	// Holders returns the hosts that can hold a change. If it is nil, nothing may be replicated.
+	Holders func() Holders
+	Log     zerolog.Logger
 }
 
 // Broadcaster broadcasts updates and forwards those of other hosts. It is safe for concurrent
 // use.
 type Broadcaster struct {
-	cfg  Config
-	wake chan struct{}
+	cfg     Config
+	wake    chan struct{}
+	started time.Time
+	metrics metrics
 	// sends counts the messages in flight.
 	sends sync.WaitGroup
 
@@ -85,6 +92,9 @@
 	revision    uint64
 	// lastTable is when the last update about a table was sent.
 	lastTable time.Time
+
+	replication replication
+	held        held
 }
 
 // suspectKey identifies a suspect, a request under which servers crashed.
@@ -92,10 +102,13 @@
 
 // New returns a Broadcaster. It sends nothing before Run is called.
 func New(cfg Config) *Broadcaster {
-	return &Broadcaster{
-		cfg: cfg, wake: make(chan struct{}, 1), servers: make(map[string]*pb.ServerState), suspects: make(map[suspectKey]*pb.Suspect),
-		limits: make(map[string]*pb.ServerLimit),
+	s := &Broadcaster{
+		cfg: cfg, wake: make(chan struct{}, 1), started: time.Now(),
+		servers: make(map[string]*pb.ServerState), suspects: make(map[suspectKey]*pb.Suspect), limits: make(map[string]*pb.ServerLimit),
+		replication: replication{servers: make(map[serverState]time.Time)}, held: make(held),
 	}
+	s.metrics.init(s.heldRounds)
+	return s
 }
 
 // BroadcastServer schedules a broadcast of a backend server's state. Of several states of a
@@ -281,6 +294,13 @@
 	if req.GetEvacuations() != nil {
 		s.cfg.OnEvacuations(req.GetEvacuations(), req.GetFromAddress())
 	}
+	if req.GetHold() != "" {
+		s.holdChanges(req)
+	}
+	s.releaseChanges(req.GetReleased())
+	if len(req.GetOnward()) == 0 && req.GetRoutesRevision() == 0 {
+		return &pb.TellReply{} // there is nothing to forward
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx := s.ctx; ctx != nil {
--- a/internal/controller/news/news_test.go
+++ b/internal/controller/news/news_test.go
@@ -36,6 +36,8 @@
 	*Broadcaster
 	f       *fleet
 	address string
+	// stop ends the Broadcaster.
+	stop context.CancelFunc
 
 	mu               sync.Mutex
 	received         map[string]time.Time
@@ -57,10 +59,13 @@
 		h := &host{f: f, address: address(i), received: make(map[string]time.Time), receivedSuspects: make(map[string]bool)}
 		h.Broadcaster = New(Config{
 			Self: h.address, Peers: func() []string { return f.others(h.address) }, Client: func(to string) pb.PeerClient { return client{f: f, to: to} },
-			OnServers: h.recordServers, OnSuspects: h.recordSuspects, FetchTable: h.fetch, OnEvacuations: h.recordEvacuations, Log: zerolog.Nop(),
+			OnServers: h.recordServers, OnSuspects: h.recordSuspects, FetchTable: h.fetch, OnEvacuations: h.recordEvacuations,
+			Holders: func() Holders { return f.holders(h.address) }, Log: zerolog.Nop(),
 		})
 		f.hosts[h.address] = h
-		go h.Run(t.Context())
+		ctx, stop := context.WithCancel(t.Context())
+		h.stop = stop
+		go h.Run(ctx)
 	}
 	synctest.Wait()
 	return f
@@ -68,6 +73,14 @@
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
 
+// kill ends a host: it sends and answers nothing any more.
+func (h *host) kill() {
+	h.stop()
+	h.f.mu.Lock()
+	defer h.f.mu.Unlock()
+	h.f.down[h.address] = true
+}
+
 func (f *fleet) others(self string) []string {
 	var out []string
 	for i := range f.hosts {
@@ -124,13 +137,7 @@
 }
 
 func (c client) Tell(ctx context.Context, r *pb.TellRequest, _ ...grpc.CallOption) (*pb.TellReply, error) {
-	c.f.mu.Lock()
-	down := c.f.down[c.to]
-	if !down {
-		c.f.calls++
-	}
-	c.f.mu.Unlock()
-	if down {
+	if c.f.countCall(c.to) {
 		<-ctx.Done()
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
@@ -141,6 +148,16 @@
 	return c.f.hosts[c.to].Handle(r), nil
 }
 
+// countCall counts a message unless the host that it is for is down.
+func (f *fleet) countCall(to string) (down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.down[to] {
+		f.calls++
+	}
+	return f.down[to]
+}
+
 // slowestReceipt returns the time from begin until the last host that is not down received the
 // state of a server; false if one of them did not.
 func (f *fleet) slowestReceipt(begin time.Time, server string) (time.Duration, bool) {
--- /dev/null
+++ b/internal/controller/news/replicate_test.go
@@ -0,0 +1,321 @@
+package news
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/pb"
+)
+
+// controlHosts is the number of control hosts of a fleet: the first ones.
+const controlHosts = 3
+
+// zones is the number of availability zones.
+const zones = 3
+
+// confirmLimit is the longest time in which a host confirms a change: servers wait a second for it.
+const confirmLimit = time.Second
+
+// holders returns the hosts that can hold a change for the host at an address, down ones included.
+func (f *fleet) holders(self string) Holders {
+	h := Holders{Others: make([][]string, zones), Alone: len(f.hosts) == 1}
+	for i := range len(f.hosts) {
+		switch addr := address(i); {
+		case addr == self:
+		case i < controlHosts:
+			h.Control = append(h.Control, addr)
+		default:
+			h.Others[i%zones] = append(h.Others[i%zones], addr)
+		}
+	}
+	return h
+}
+
+// setDown sets whether hosts are down or partitioned from all others.
+func (f *fleet) setDown(down bool, hosts ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range hosts {
+		f.down[address(i)] = down
+	}
+}
+
+// callCount returns the number of messages that were answered.
+func (f *fleet) callCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// confirm replicates the end of a server at a host and returns how long that took.
+func (f *fleet) confirm(t *testing.T, host int, server string) (time.Duration, error) {
+	begin := time.Now()
+	err := f.hosts[address(host)].ReplicateServer(t.Context(), &pb.ServerState{Id: server, Gone: true})
+	return time.Since(begin), err
+}
+
+// lastReceipt returns the time from begin until the last host that is up received the state of a server; false if
+// one of them did not.
+func (f *fleet) lastReceipt(begin time.Time, server string, except int) (time.Duration, bool) {
+	worst := time.Duration(0)
+	for addr, h := range f.hosts {
+		if f.down[addr] || addr == address(except) {
+			continue
+		}
+		h.mu.Lock()
+		received := h.received[server]
+		h.mu.Unlock()
+		if received.IsZero() {
+			return 0, false
+		}
+		worst = max(worst, received.Sub(begin))
+	}
+	return worst, true
+}
+
+// Guards against a confirmed end of a server that is lost with the host that confirmed it, alone or together with
+// half of the gateways or with all control hosts: every other host gets the change within two seconds.
+func TestConfirmedChangeOutlivesItsHost(t *testing.T) {
+	for _, n := range []int{8, 75, 1000} {
+		for name, killed := range map[string]func(i int) bool{
+			"alone":                func(int) bool { return false },
+			"half of the gateways": func(i int) bool { return i >= controlHosts && i%2 == 0 },
+			"control hosts":        func(i int) bool { return i < controlHosts },
+		} {
+			t.Run(fmt.Sprint(n, " hosts, ", name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, n)
+					confirmer := n - 1
+					if _, err := f.confirm(t, confirmer, "s1"); err != nil {
+						t.Fatal(err)
+					}
+					confirmed := time.Now()
+					f.hosts[address(confirmer)].kill()
+					for i := range n {
+						if killed(i) {
+							f.hosts[address(i)].kill()
+						}
+					}
+					time.Sleep(5 * time.Second)
+					synctest.Wait()
+					if took, all := f.lastReceipt(confirmed, "s1", confirmer); !all || took > 2*time.Second {
+						t.Errorf("all hosts %v, the last one %v after the confirmation", all, took)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a confirmation whose cost grows with the fleet.
+func TestConfirmationCostsTheSameInLargeFleets(t *testing.T) {
+	for _, n := range []int{8, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, n)
+			took, err := f.confirm(t, n-1, "s1")
+			calls := f.callCount()
+			if err != nil || took > 2*roundTrip || calls != copies {
+				t.Errorf("%d hosts: %v, %d messages, took %v", n, err, calls, took)
+			}
+			time.Sleep(5 * time.Second)
+			synctest.Wait()
+			if got, want := f.callCount(), copies+n-1+copies; got != want {
+				t.Errorf("%d hosts: %d messages in all, want %d: each host is told once", n, got, want)
+			}
+		})
+	}
+}
+
+// Guards against confirmations that fail, or take longer than a server waits, while hosts are down that nobody knows
+// to be dead: half of the gateways, or all control hosts.
+func TestDeadHostsDoNotStopConfirmations(t *testing.T) {
+	const n = 75
+	for name, down := range map[string]func(i int) bool{
+		"half of the gateways": func(i int) bool { return i >= controlHosts && i%2 == 0 },
+		"control hosts":        func(i int) bool { return i < controlHosts },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, n)
+			for i := range n - 1 {
+				f.setDown(down(i), i)
+			}
+			for server := range 20 {
+				if took, err := f.confirm(t, n-1, fmt.Sprint("s", server)); err != nil || took > confirmLimit {
+					t.Errorf("%s down: %v after %v", name, err, took)
+				}
+			}
+			time.Sleep(5 * time.Second) // until all messages have ended
+		})
+	}
+}
+
+// Guards against a host that confirms a change although it reaches nobody, and against one that is alone in its fleet
+// and confirms nothing.
+func TestHostWithoutReachablePeersConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		for i := range 7 {
+			f.setDown(true, i)
+		}
+		took, err := f.confirm(t, 7, "s1")
+		if !errkind.Is(err, errkind.NotReplicated) || took > confirmLimit {
+			t.Errorf("cut off: %v after %v", err, took)
+		}
+		for i := range 7 {
+			f.setDown(false, i)
+		}
+		if _, err := f.confirm(t, 7, "s1"); err != nil {
+			t.Errorf("again after the partition: %v", err)
+		}
+		time.Sleep(5 * time.Second)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		if took, err := f.confirm(t, 0, "s1"); err != nil || took > 0 {
+			t.Errorf("alone: %v after %v", err, took)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against many servers that leave at once and wait for each other's confirmations, or cost a message each.
+func TestManyServersLeaveAtOnce(t *testing.T) {
+	const n, servers = 1000, 2*maxRoundChanges + 1
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, n)
+		begin := time.Now()
+		var wait sync.WaitGroup
+		for i := range servers {
+			wait.Go(func() {
+				if _, err := f.confirm(t, n-1, fmt.Sprint("s", i)); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wait.Wait()
+		if took := time.Since(begin); took > 200*time.Millisecond {
+			t.Errorf("%d servers were confirmed after %v", servers, took)
+		}
+		if calls := f.callCount(); calls > 4*copies+n-1 {
+			t.Errorf("%d messages for %d servers until the last confirmation", calls, servers)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against a message for each repeated announcement of a server that leaves.
+func TestRepeatedAnnouncementIsReplicatedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		leaving := &pb.ServerState{Id: "s1", Incarnation: 100, Leaving: true}
+		for range 10 {
+			if err := f.hosts[address(7)].ReplicateServer(t.Context(), leaving); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(replicatedRetention / 20)
+		}
+		before := f.callCount()
+		if want := copies + 7 + copies; before != want {
+			t.Errorf("%d messages, want %d", before, want)
+		}
+		if _, err := f.confirm(t, 7, "s1"); err != nil || f.callCount() == before {
+			t.Errorf("the end after that: %v, %d messages", err, f.callCount())
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against confirmations by a host that does not run yet or any more, and against callers that wait longer than
+// they said.
+func TestConfirmationEndsWithItsHostOrCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		if err := s.ReplicateServer(t.Context(), &pb.ServerState{Id: "s1", Gone: true}); !errkind.Is(err, errkind.NotReplicated) {
+			t.Errorf("before the start: %v", err)
+		}
+		f := newFleet(t, 8)
+		for i := range 7 {
+			f.setDown(true, i)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		begin := time.Now()
+		err := f.hosts[address(7)].ReplicateServer(ctx, &pb.ServerState{Id: "s1", Gone: true})
+		if took := time.Since(begin); !errkind.Is(err, errkind.NotReplicated) || took > 10*time.Millisecond {
+			t.Errorf("%v after %v", err, took)
+		}
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			f.hosts[address(7)].kill()
+		}()
+		if took, err := f.confirm(t, 7, "s2"); !errkind.Is(err, errkind.NotReplicated) || took > confirmLimit {
+			t.Errorf("host stopped meanwhile: %v after %v", err, took)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against a fleet in which control hosts or zones that come first hold all changes.
+func TestHoldersAreOfBothKindsAndOfSeveralZones(t *testing.T) {
+	h := (&fleet{hosts: make(map[string]*host)}).withHosts(75).holders(address(74))
+	seen := make(map[string]bool)
+	for range 1000 {
+		got := h.candidates()
+		if len(got) != maxCandidates {
+			t.Fatalf("%d candidates", len(got))
+		}
+		control, zone := 0, make(map[int]bool)
+		for _, addr := range got[:copies] {
+			seen[addr] = true
+			if i := indexOf(addr); i < controlHosts {
+				control++
+			} else {
+				zone[i%zones] = true
+			}
+		}
+		if control != 2 || len(zone) != 2 {
+			t.Fatalf("%d control hosts, %d zones of others in %v", control, len(zone), got[:copies])
+		}
+	}
+	if len(seen) != 74 {
+		t.Errorf("%d of 74 hosts ever hold a change", len(seen))
+	}
+	if got := (Holders{}).candidates(); len(got) != 0 {
+		t.Errorf("candidates of nobody: %v", got)
+	}
+}
+
+func (f *fleet) withHosts(n int) *fleet {
+	for i := range n {
+		f.hosts[address(i)] = nil
+	}
+	return f
+}
+
+func indexOf(addr string) (i int) {
+	_, _ = fmt.Sscanf(addr, "10.0.0.%d:7000", &i)
+	return i
+}
+
+// Guards against held changes without a bound, should a host send holds and no releases.
+func TestHeldChangesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		for i := range 2 * maxHeld {
+			f.hosts[address(1)].Handle(&pb.TellRequest{Hold: fmt.Sprint(i), Servers: []*pb.ServerState{{Id: "s1", Gone: true}}})
+		}
+		time.Sleep(time.Millisecond)
+		if held := f.hosts[address(1)].heldRounds(); held > maxHeld {
+			t.Errorf("%d rounds are held", held)
+		}
+		time.Sleep(5 * time.Second)
+		if held := f.hosts[address(1)].heldRounds(); held != 0 {
+			t.Errorf("%d rounds are held for ever", held)
+		}
+	})
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -275,6 +275,7 @@
 	d.tel.Metrics.Set("load_views", g.loadViews.Vars())
 	g.suspects = g.newQuarantine()
 	g.news = g.newBroadcaster()
+	d.tel.Metrics.Set("replication", g.news.Metrics())
 	g.budgets = g.newBudgets()
 	g.origins = origins.New(origins.Config{Owners: g.owners, Client: d.pool.Client, Log: d.tel.Log})
 	d.tel.Metrics.Set("stream_origins", g.origins.Metrics())
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -14,7 +14,6 @@
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/filter/callergone"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
-	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/relay/budget"
@@ -136,21 +135,6 @@
 	}
 }
 
-// Announce implements surface.Servers.
-func (g *gateway) Announce(a instance.Announcement) (next string, err error) {
-	next, own := g.announceTo(a)
-	if !own && g.largeFleet() {
-		return next, g.balancer.AnnounceRedirected(a)
-	}
-	return next, g.balancer.Announce(a)
-}
-
-// End implements surface.Servers.
-func (g *gateway) End(run instance.Incarnation) error { return g.balancer.End(run) }
-
-// EndCurrent implements surface.Servers.
-func (g *gateway) EndCurrent(id string) error { return g.balancer.EndCurrent(id) }
-
 // loggedLinkDelay is the delay above which a request's line in the log tells it.
 const loggedLinkDelay = 20 * time.Millisecond
 
--- a/internal/daemon/gatewaynews.go
+++ b/internal/daemon/gatewaynews.go
@@ -15,7 +15,7 @@
 		Self: g.d.cfg.PeerAddress(), Peers: g.livePeers, Client: g.d.pool.Client,
 		OnSuspects: g.suspects.HandleUpdates, OnLimits: g.limits.Merge,
 		OnServers:     func(states []*pb.ServerState) { g.balancer.Merge(states, backend.TransitUnknown, fromBroadcast) },
-		OnEvacuations: g.d.mergeEvacuations, FetchTable: g.fetchAdvertised, Log: g.d.tel.Log,
+		OnEvacuations: g.d.mergeEvacuations, FetchTable: g.fetchAdvertised, Holders: g.holders, Log: g.d.tel.Log,
 	})
 }
 
--- a/internal/daemon/gatewayview.go
+++ b/internal/daemon/gatewayview.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
+	"github.com/bluebellsail/bluebellsail/internal/controller/news"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -45,6 +46,8 @@
 	// serving is the number of hosts that serve callers, dead ones included.
 	serving   viewed[int]
 	receivers viewed[*receivers]
+	// holders are the hosts that can hold a change.
+	holders viewed[news.Holders]
 }
 
 func aliveGateways(peers []members.PeerInfo) []string {
--- a/internal/surface/surface.go
+++ b/internal/surface/surface.go
@@ -33,13 +33,15 @@
 type Servers interface {
 	// Announce processes an announcement. It returns the address to which the server should send
 	// its later announcements; empty for this host. If the announcement does not describe a usable
-	// server, it returns an error that says why and changes nothing.
-	Announce(a instance.Announcement) (next string, err error)
-	// End records that an incarnation of a backend server ends.
-	End(run instance.Incarnation) error
-	// EndCurrent records the end of a backend server that does not report which incarnation ends. It
-	// is the one that this host knows.
-	EndCurrent(id string) error
+	// server, it returns an error that says why and changes nothing. If the server leaves, Announce returns once other
+	// hosts hold the change; an error of the kind NotReplicated means that none is known to.
+	Announce(ctx context.Context, a instance.Announcement) (next string, err error)
+	// End records that an incarnation of a backend server ends, and returns once other hosts hold the change, as
+	// Announce does.
+	End(ctx context.Context, run instance.Incarnation) error
+	// EndCurrent is End for a backend server that does not report which incarnation ends. It is the one that this host
+	// knows.
+	EndCurrent(ctx context.Context, id string) error
 }
 
 // Tables reads and replaces the routing table. Errors are of type *errkind.Error.
