Evacuations and releases from the quarantine outlive the host that confirmed them

The same cause as of the lost end of a server, on two related paths: an operator's order is confirmed while its way to the other hosts has only been scheduled.

- A release from the quarantine is in one host's memory.
Lost with it, the request stays quarantined until a trial of it succeeds.
- An evacuation is committed by the control group, so it is not lost.
But if the host that confirmed it led the group and dies, nobody broadcasts it: the replicas that had applied it as followers don't, and it spreads by heartbeats.

Change: both are replicated as servers that leave are. A failed round refuses the release (not_replicated) and only logs for the evacuation, which is committed.

TestReleaseIsReplicatedBeforeItIsConfirmed covers the refusal.

--- a/internal/adminapi/evacuations.go
+++ b/internal/adminapi/evacuations.go
@@ -37,7 +37,7 @@
 	}
 	set := res.GetSetEvacuation()
 	if h.cfg.OnEvacuations != nil {
-		h.cfg.OnEvacuations(set.GetEvacuations())
+		h.cfg.OnEvacuations(ctx, set.GetEvacuations())
 	}
 	return EvacuationSet{
 		OpID: q.opID, Resend: res.GetResend(), Zone: zone, Evacuated: evacuated, Changed: set.GetChanged(),
--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -52,7 +52,7 @@
 	Loads Loads
 	// OnEvacuations is called with the evacuated zones after an order of this host's operators was
 	// committed; may be nil.
-	OnEvacuations func(*pb.Evacuations)
+	OnEvacuations func(context.Context, *pb.Evacuations)
 	// Replica returns the state of the control group's replica on this host. It is nil if
 	// the host has none.
 	Replica func() LocalReplica
--- a/internal/adminapi/quarantine.go
+++ b/internal/adminapi/quarantine.go
@@ -12,9 +12,9 @@
 type Quarantine interface {
 	// Entries returns the requests with recorded crashes.
 	Entries() []quarantine.Entry
-	// Release makes all hosts forget the crashes of a request. It returns false if there
-	// were none.
-	Release(quarantine.Fingerprint) bool
+	// Release makes all hosts forget the crashes of a request, and returns once the change would outlive this host. It
+	// returns false if there were none.
+	Release(context.Context, quarantine.Fingerprint) (released bool, err error)
 }
 
 // listQuarantine returns the entries that this host knows. All hosts that are in contact have
@@ -51,14 +51,23 @@
 
 // releaseRequest makes all hosts forget the crashes of a request. A resend releases the request
 // again, which has no effect unless the request crashed servers in the meantime.
-func (h *Handler) releaseRequest(_ context.Context, q *request) (any, error) {
+func (h *Handler) releaseRequest(ctx context.Context, q *request) (any, error) {
 	f, err := quarantine.ParseFingerprint(q.http.PathValue("fingerprint"))
 	if err != nil {
 		return nil, errkind.New(errkind.BadRequest, "%v", err).At("/fingerprint")
 	}
-	if h.cfg.Quarantine == nil || !h.cfg.Quarantine.Release(f) {
-		return nil, errkind.New(errkind.NotFound, "no crashes are recorded for request %s", f)
+	if err := h.release(ctx, f); err != nil {
+		return nil, err
 	}
 	h.cfg.Log.Info().Str("event", "suspect-released").Stringer("fingerprint", f).Str("actor", q.actor).Str("op_id", q.opID).Send()
 	return RequestReleased{OpID: q.opID, Fingerprint: f.String()}, nil
 }
+
+func (h *Handler) release(ctx context.Context, f quarantine.Fingerprint) error {
+	if h.cfg.Quarantine != nil {
+		if released, err := h.cfg.Quarantine.Release(ctx, f); released || err != nil {
+			return err
+		}
+	}
+	return errkind.New(errkind.NotFound, "no crashes are recorded for request %s", f)
+}
--- a/internal/controller/news/hold.go
+++ b/internal/controller/news/hold.go
@@ -50,10 +50,16 @@
 	}
 	s.metrics.takenOver.Add(1)
 	s.cfg.Log.Info().Str("event", "changes-taken-over").Str("hold", req.GetHold()).Str("from", req.GetFromAddress()).
-		Int("servers", len(req.GetServers())).Send()
+		Int("servers", len(req.GetServers())).Int("suspects", len(req.GetSuspects())).Uint64("evacuations", req.GetEvacuations().GetRevision()).Send()
 	for _, st := range req.GetServers() {
 		s.BroadcastServer(st)
 	}
+	for _, suspect := range req.GetSuspects() {
+		s.BroadcastSuspect(suspect)
+	}
+	if req.GetEvacuations() != nil {
+		s.BroadcastEvacuations(req.GetEvacuations())
+	}
 }
 
 func (s *Broadcaster) forgetHeld(name string) (known bool) {
--- a/internal/controller/news/metrics.go
+++ b/internal/controller/news/metrics.go
@@ -32,7 +32,7 @@
 
 func (m *metrics) observeRound(r *round, holders int, took time.Duration) {
 	m.rounds.Add(1)
-	m.changes.Add(int64(len(r.update.GetServers())))
+	m.changes.Add(int64(r.changes()))
 	if holders < copies {
 		m.fewCopies.Add(1)
 	}
--- a/internal/controller/news/replicate.go
+++ b/internal/controller/news/replicate.go
@@ -60,6 +60,24 @@
 	err  error
 }
 
+// add adds a change. Of evacuated zones the newest set counts.
+func (r *round) add(change *pb.TellRequest) {
+	r.update.Servers = append(r.update.Servers, change.GetServers()...)
+	r.update.Suspects = append(r.update.Suspects, change.GetSuspects()...)
+	if change.GetEvacuations().GetRevision() > r.update.GetEvacuations().GetRevision() {
+		r.update.Evacuations = change.GetEvacuations()
+	}
+}
+
+// changes returns the number of changes.
+func (r *round) changes() int {
+	n := len(r.update.GetServers()) + len(r.update.GetSuspects())
+	if r.update.GetEvacuations() != nil {
+		n++
+	}
+	return n
+}
+
 // ReplicateServer broadcasts that a server leaves or has ended, and returns once other hosts hold the change and will
 // broadcast it if this host can't. The error is of the kind NotReplicated: no other host is known to hold it.
 //
@@ -73,6 +91,18 @@
 	return s.replicate(ctx, &pb.TellRequest{Servers: []*pb.ServerState{st}})
 }
 
+// ReplicateEvacuations is like ReplicateServer for the evacuated zones.
+func (s *Broadcaster) ReplicateEvacuations(ctx context.Context, e *pb.Evacuations) error {
+	s.BroadcastEvacuations(e)
+	return s.replicate(ctx, &pb.TellRequest{Evacuations: e})
+}
+
+// ReplicateSuspect is like ReplicateServer for a suspect.
+func (s *Broadcaster) ReplicateSuspect(ctx context.Context, suspect *pb.Suspect) error {
+	s.BroadcastSuspect(suspect)
+	return s.replicate(ctx, &pb.TellRequest{Suspects: []*pb.Suspect{suspect}})
+}
+
 // isReplicated reports whether a state of a server was replicated. Servers repeat what they announce.
 func (s *Broadcaster) isReplicated(st *pb.ServerState) bool {
 	s.mu.Lock()
@@ -105,11 +135,11 @@
 		return nil
 	}
 	p := &s.replication
-	if n := len(p.rounds); n == 0 || len(p.rounds[n-1].update.GetServers()) >= maxRoundChanges {
+	if n := len(p.rounds); n == 0 || p.rounds[n-1].changes() >= maxRoundChanges {
 		p.rounds = append(p.rounds, &round{update: &pb.TellRequest{}, done: make(chan struct{})})
 	}
 	r := p.rounds[len(p.rounds)-1]
-	r.update.Servers = append(r.update.Servers, change.GetServers()...)
+	r.add(change)
 	if !p.running {
 		p.running = true
 		s.sends.Go(func() {
@@ -218,7 +248,9 @@
 
 // hold asks a host to hold changes; it returns the host's address, or nothing if the host did not answer.
 func (s *Broadcaster) hold(ctx context.Context, address, name string, update *pb.TellRequest) string {
-	_, err := s.cfg.Client(address).Tell(ctx, &pb.TellRequest{Servers: update.GetServers(), FromAddress: s.cfg.Self, Hold: name})
+	_, err := s.cfg.Client(address).Tell(ctx, &pb.TellRequest{
+		Servers: update.GetServers(), Suspects: update.GetSuspects(), Evacuations: update.GetEvacuations(), FromAddress: s.cfg.Self, Hold: name,
+	})
 	if err != nil {
 		return ""
 	}
@@ -273,6 +305,7 @@
 	}
 	slices.Sort(held)
 	event.Str("event", "changes-replicated").Str("hold", name).Int("servers", len(r.update.GetServers())).Strs("first", ids).
+		Int("suspects", len(r.update.GetSuspects())).Uint64("evacuations", r.update.GetEvacuations().GetRevision()).
 		Int("asked", len(asked)).Strs("held_by", held).Dur("took", took).Send()
 }
 
--- a/internal/controller/news/replicate_test.go
+++ b/internal/controller/news/replicate_test.go
@@ -112,6 +112,39 @@
 	}
 }
 
+// Guards against an evacuation, or a release from the quarantine, that is lost or spreads late as the host that confirmed it
+// to an operator is killed.
+func TestConfirmedOrderOutlivesItsHost(t *testing.T) {
+	const n = 75
+	for name, confirm := range map[string]func(context.Context, *host) error{
+		"evacuation": func(ctx context.Context, h *host) error {
+			return h.ReplicateEvacuations(ctx, &pb.Evacuations{Revision: 9, Zones: []*pb.Evacuation{{Zone: "z"}}})
+		},
+		"release": func(ctx context.Context, h *host) error {
+			return h.ReplicateSuspect(ctx, &pb.Suspect{Account: "a", Fingerprint: []byte("f"), Epoch: 2})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, n)
+				if err := confirm(t.Context(), f.hosts[address(0)]); err != nil {
+					t.Fatal(err)
+				}
+				f.hosts[address(0)].kill()
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				for addr, h := range f.hosts {
+					h.mu.Lock()
+					if addr != address(0) && h.evacuations.GetRevision() != 9 && !h.receivedSuspects["f"] {
+						t.Errorf("%s does not have the order", addr)
+					}
+					h.mu.Unlock()
+				}
+			})
+		})
+	}
+}
+
 // Guards against a confirmation whose cost grows with the fleet.
 func TestConfirmationCostsTheSameInLargeFleets(t *testing.T) {
 	for _, n := range []int{8, 1000} {
--- a/internal/controller/quarantine/quarantine.go
+++ b/internal/controller/quarantine/quarantine.go
@@ -67,6 +67,8 @@
 	Peers func() []string
 	// Broadcast notifies all hosts.
 	Broadcast func(*pb.Suspect)
+	// Replicate broadcasts a change and returns once other hosts hold it; see news.Broadcaster.
+	Replicate func(context.Context, *pb.Suspect) error
 	// Probe finds out whether a server is alive.
 	Probe func(ctx context.Context, address, path string) engineclient.Liveness
 	// Store is nil at hosts without a disk.
--- a/internal/controller/quarantine/quarantine_test.go
+++ b/internal/controller/quarantine/quarantine_test.go
@@ -33,6 +33,8 @@
 	name  string
 	// partitioned is set while the host can't reach any other.
 	partitioned atomic.Bool
+	// replicated counts the suspects that other hosts were asked to hold.
+	replicated int
 }
 
 type fleet struct {
@@ -55,7 +57,7 @@
 func (f *fleet) add(t *testing.T, name string, store Store) *host {
 	h := &host{fleet: f, name: name}
 	h.Guard = New(Config{
-		Host: name, Incarnation: name, Owners: h, Client: h.client, Peers: h.peers, Broadcast: h.broadcast, Store: store, Log: zerolog.Nop(),
+		Host: name, Incarnation: name, Owners: h, Client: h.client, Peers: h.peers, Broadcast: h.broadcast, Replicate: h.replicate, Store: store, Log: zerolog.Nop(),
 		Probe: func(context.Context, string, string) engineclient.Liveness {
 			if f.alive.Load() {
 				return engineclient.Alive
@@ -96,6 +98,37 @@
 	}
 }
 
+func (h *host) replicate(_ context.Context, s *pb.Suspect) error {
+	if h.partitioned.Load() {
+		return errkind.New(errkind.NotReplicated, "partitioned")
+	}
+	h.replicated++
+	h.broadcast(s)
+	return nil
+}
+
+// Guards against a release that is confirmed to the operator while only one host knows of it.
+func TestReleaseIsReplicatedBeforeItIsConfirmed(t *testing.T) {
+	f := newFleet(t, 3)
+	suspect := func() {
+		f.hosts[1].update(poisonID, func(now time.Time, t *quarantine.Table) bool {
+			return t.RecordCrash(now, poisonID, instance.Incarnation{ID: "s1", Started: 1}, "host-1", 0)
+		})
+	}
+	suspect()
+	if released, err := f.hosts[2].Release(t.Context(), poisonID.Fingerprint); !released || err != nil || f.hosts[2].replicated != 1 {
+		t.Errorf("released %v, %v, %d times replicated", released, err, f.hosts[2].replicated)
+	}
+	if released, err := f.hosts[2].Release(t.Context(), poisonID.Fingerprint); released || err != nil {
+		t.Errorf("nothing to release: %v, %v", released, err)
+	}
+	suspect()
+	f.hosts[2].partitioned.Store(true)
+	if _, err := f.hosts[2].Release(t.Context(), poisonID.Fingerprint); !errkind.Is(err, errkind.NotReplicated) {
+		t.Errorf("partitioned: %v", err)
+	}
+}
+
 func (h *host) client(address string) pb.PeerClient {
 	for _, other := range h.fleet.hosts {
 		if other.name == address {
--- a/internal/daemon/evacuations.go
+++ b/internal/daemon/evacuations.go
@@ -14,18 +14,25 @@
 // evacuationsCommitted applies evacuated zones that the control group has just committed on this
 // host, before the operator gets the answer, and notifies the other hosts. If only the control hosts
 // had them and were cut off from the others just after the commit, the order would be acknowledged
-// and not in force.
-func (d *Daemon) evacuationsCommitted(e *pb.Evacuations) {
+// and not in force. Other hosts hold them by then, so that they spread as quickly if this host is lost.
+func (d *Daemon) evacuationsCommitted(ctx context.Context, e *pb.Evacuations) {
 	if !d.evacuations.Merge(e, fromOperator) {
 		return
 	}
+	var replicate func(context.Context, *pb.Evacuations) error
 	switch {
 	case d.entry != nil:
-		d.entry.news.BroadcastEvacuations(e)
 		d.entry.members.Kick()
+		replicate = d.entry.news.ReplicateEvacuations
 	case d.gateway != nil:
-		d.gateway.news.BroadcastEvacuations(e)
 		d.gateway.members.Kick()
+		replicate = d.gateway.news.ReplicateEvacuations
+	default:
+		return
+	}
+	if err := replicate(ctx, e); err != nil {
+		// The order is committed all the same.
+		d.tel.Log.Warn().Str("event", "evacuation-not-replicated").Uint64("revision", e.GetRevision()).Err(err).Send()
 	}
 }
 
@@ -47,7 +54,7 @@
 	}
 	set := res.GetSetEvacuation()
 	event.Bool("changed", set.GetChanged()).Uint64("revision", set.GetEvacuations().GetRevision()).Send()
-	g.d.evacuationsCommitted(set.GetEvacuations())
+	g.d.evacuationsCommitted(ctx, set.GetEvacuations())
 	return nil
 }
 
--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -43,6 +43,7 @@
 	return g.d.newGuard(quarantinectl.Config{
 		Incarnation: g.run, Owners: g.owners, Peers: g.syncAddresses, Probe: g.client.Probe,
 		Broadcast: func(s *pb.Suspect) { g.news.BroadcastSuspect(s) },
+		Replicate: func(ctx context.Context, s *pb.Suspect) error { return g.news.ReplicateSuspect(ctx, s) },
 	})
 }
 
@@ -51,11 +52,14 @@
 	e.suspects = e.d.newGuard(quarantinectl.Config{
 		Incarnation: newRun(e.d.cfg.Host), Owners: e.owners, Peers: e.relayAddresses, Probe: e.client.Probe,
 		Broadcast: func(s *pb.Suspect) { e.news.BroadcastSuspect(s) },
+		Replicate: func(ctx context.Context, s *pb.Suspect) error { return e.news.ReplicateSuspect(ctx, s) },
 	})
 	e.news = news.New(news.Config{
 		Self: e.d.cfg.PeerAddress(), Peers: e.livePeers, Client: e.d.pool.Client, OnSuspects: e.suspects.HandleUpdates, OnLimits: e.limits.Merge,
 		OnServers: func([]*pb.ServerState) {}, OnEvacuations: e.d.mergeEvacuations, FetchTable: func(context.Context, string, uint64) bool { return true }, Log: e.d.tel.Log,
+		Holders: func() news.Holders { return newHolders(e.members.Peers()) },
 	})
+	e.d.tel.Metrics.Set("replication", e.news.Metrics())
 }
 
 // asOwner returns this host as an owner of keys; ok is false until it is registered.
