Hosts killed during a broadcast don't hide it from their groups

A related path of the lost end of a server: a host answers an update before it passes it on, so a host that is killed in between takes its group's update with it, though the sender lives. The group gets it by heartbeats, seconds later in a large fleet.

Updates that are not about a table go to up to 24 hosts directly. The word of a table stays as it was, as it makes its receivers fetch.

Cost: at most 72 questions a broadcast at 1,400 hosts; two rounds instead of three at 75 hosts, three instead of four at 1,400.

--- a/internal/controller/news/bench_test.go
+++ b/internal/controller/news/bench_test.go
@@ -46,7 +46,7 @@
 // countBytes returns the bytes that the hosts at these addresses and the one that notifies them
 // send in total, the bytes that the latter sends, and the number of rounds.
 func countBytes(n *pb.TellRequest, addresses []string) (total, here, rounds int) {
-	for _, group := range splitGroups(addresses) {
+	for _, group := range splitForUpdate(addresses) {
 		m := &pb.TellRequest{Servers: n.GetServers(), Evacuations: n.GetEvacuations(), FromAddress: group[0], Onward: group[1:]}
 		here += proto.Size(m)
 		below, _, deeper := countBytes(n, group[1:])
@@ -55,3 +55,30 @@
 	}
 	return total + here, here, rounds
 }
+
+// BenchmarkConfirmation counts the messages and bytes for the confirmation that one server leaves, without gRPC's framing,
+// and measures the processor time of the choice of hosts.
+func BenchmarkConfirmation(b *testing.B) {
+	for _, n := range []int{8, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := (&fleet{hosts: make(map[string]*host)}).withHosts(n)
+			holders := f.holders(address(n - 1))
+			process := New(Config{Self: address(n - 1)}).process
+			hold := &pb.TellRequest{
+				Servers: []*pb.ServerState{{
+					Id: "i-803669ecf7", Address: "10.3.64.53:8643", Zone: "boa-vista", Version: "v1", Services: []string{"pool"},
+					Slots: 64, Leaving: true, Seq: 41,
+				}},
+				FromAddress: address(n - 1), Hold: process + "/1",
+			}
+			release := &pb.TellRequest{Released: []string{hold.Hold}}
+			var asked int
+			b.ReportAllocs()
+			for b.Loop() {
+				asked = min(copies, len(holders.candidates()))
+			}
+			b.ReportMetric(float64(2*asked), "messages")
+			b.ReportMetric(float64(asked*(proto.Size(hold)+proto.Size(release))), "B")
+		})
+	}
+}
--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -8,8 +8,10 @@
 //
 // The host that broadcasts an update divides the other hosts into groups and notifies the
 // first host of each, which does the same with the rest of its group. 1,400 hosts are
-// notified in four rounds, with one message to each. A host that does not answer is skipped,
-// and the next one gets its group. A host that is missed gets the update later by heartbeats.
+// notified in three rounds, with one message to each. A host that does not answer is skipped,
+// and the next one gets its group, also if it answers and then ends before it has passed the
+// update on; the word of a table is not repeated like that, as hosts ask for the newest one.
+// A host that is missed gets the update later by heartbeats.
 //
 // A change that this host confirms to somebody must outlive it. It is replicated first: a few hosts hold it and
 // broadcast it themselves unless this host tells them soon that it has done so.
@@ -17,6 +19,7 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -29,8 +32,13 @@
 )
 
 const (
-	// fanOut is the number of hosts that a host notifies: two rounds reach 72 hosts, four 4,680.
+	// fanOut is the number of hosts that a host notifies of a table.
 	fanOut = 8
+	// maxDirect is the number of hosts up to which a host notifies each of them itself, if it is not about a table, which
+	// they would all fetch from this host.
+	maxDirect = 3 * fanOut
+	// passOnDelay is how long a host has to pass an update on to its group before it is asked whether it still runs.
+	passOnDelay = 250 * time.Millisecond
 	// callTimeout is the timeout of one message. A message takes a few milliseconds, but a host
 	// that has used up its processor time pauses for up to 80 ms.
 	callTimeout = 200 * time.Millisecond
@@ -74,9 +82,10 @@
 // Broadcaster broadcasts updates and forwards those of other hosts. It is safe for concurrent
 // use.
 type Broadcaster struct {
-	cfg     Config
-	wake    chan struct{}
-	started time.Time
+	cfg  Config
+	wake chan struct{}
+	// process identifies this run of the process.
+	process string
 	metrics metrics
 	// sends counts the messages in flight.
 	sends sync.WaitGroup
@@ -103,7 +112,7 @@
 // New returns a Broadcaster. It sends nothing before Run is called.
 func New(cfg Config) *Broadcaster {
 	s := &Broadcaster{
-		cfg: cfg, wake: make(chan struct{}, 1), started: time.Now(),
+		cfg: cfg, wake: make(chan struct{}, 1), process: cfg.Self + "/" + crand.Text(),
 		servers: make(map[string]*pb.ServerState), suspects: make(map[suspectKey]*pb.Suspect), limits: make(map[string]*pb.ServerLimit),
 		replication: replication{servers: make(map[serverState]time.Time)}, held: make(held),
 	}
@@ -242,7 +251,7 @@
 
 // broadcast notifies the hosts at these addresses in the background, of a table that they can fetch from the host at from.
 func (s *Broadcaster) broadcast(ctx context.Context, update *pb.TellRequest, from string, addresses []string) {
-	for _, group := range splitGroups(addresses) {
+	for _, group := range s.groupsFor(update, addresses) {
 		s.sends.Go(func() {
 			defer panics.Log(s.cfg.Log, "broadcast of an update")
 			s.notifyGroup(ctx, update, from, group)
@@ -250,10 +259,27 @@
 	}
 }
 
-// splitGroups divides addresses into up to fanOut groups of about the same size.
-func splitGroups(addresses []string) [][]string {
+// groupsFor divides the hosts that are to be notified of an update into groups, each with the host that notifies the rest
+// first.
+func (s *Broadcaster) groupsFor(update *pb.TellRequest, addresses []string) [][]string {
+	if update.GetRoutesRevision() > 0 {
+		return splitGroups(addresses, fanOut)
+	}
+	return splitForUpdate(addresses)
+}
+
+// splitForUpdate divides addresses for an update that is not about a table.
+func splitForUpdate(addresses []string) [][]string {
+	if len(addresses) <= maxDirect {
+		return splitGroups(addresses, maxDirect)
+	}
+	return splitGroups(addresses, fanOut)
+}
+
+// splitGroups divides addresses into up to n groups of about the same size.
+func splitGroups(addresses []string, n int) [][]string {
 	var out [][]string
-	for left := fanOut; len(addresses) > 0; left-- {
+	for left := n; len(addresses) > 0; left-- {
 		size := (len(addresses) + left - 1) / left
 		out = append(out, addresses[:size])
 		addresses = addresses[size:]
@@ -261,7 +287,9 @@
 	return out
 }
 
-// notifyGroup notifies the first host of a group that answers, which notifies the rest.
+// notifyGroup notifies the first host of a group, which notifies the rest. If it does not answer, or ends before it has done
+// so, the rest is divided anew, so that the delays of many dead hosts don't add up. The word of a table is passed to one
+// host after the other in place of that: few are to fetch a table from the same host.
 func (s *Broadcaster) notifyGroup(ctx context.Context, update *pb.TellRequest, from string, group []string) {
 	for len(group) > 0 && ctx.Err() == nil {
 		head := group[0]
@@ -270,14 +298,41 @@
 			Servers: update.GetServers(), Suspects: update.GetSuspects(), Limits: update.GetLimits(), RoutesRevision: update.GetRoutesRevision(),
 			Evacuations: update.GetEvacuations(), FromAddress: from, Onward: group,
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := s.cfg.Client(head).Tell(callCtx, req)
-		cancel()
-		if err == nil {
+		process, err := s.tell(ctx, head, req)
+		if err == nil && s.passedOn(ctx, head, process, req) {
 			return
 		}
 		s.cfg.Log.Debug().Str("event", "news-unanswered").Str("to", head).Int("left", len(group)).Err(err).Send()
+		if update.GetRoutesRevision() == 0 {
+			s.broadcast(ctx, update, from, group)
+			return
+		}
+	}
+}
+
+// tell sends a message to a host and returns the name of the process that answered; empty if the host runs an earlier
+// version.
+func (s *Broadcaster) tell(ctx context.Context, address string, req *pb.TellRequest) (process string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := s.cfg.Client(address).Tell(ctx, req)
+	return reply.GetProcess(), err
+}
+
+// passedOn reports whether a host that has answered an update has had the time to notify the rest of its group: if the
+// same process still answers after passOnDelay.
+func (s *Broadcaster) passedOn(ctx context.Context, head, process string, req *pb.TellRequest) bool {
+	onlyTable := len(req.GetServers()) == 0 && len(req.GetSuspects()) == 0 && req.GetEvacuations() == nil
+	if len(req.GetOnward()) == 0 || process == "" || onlyTable {
+		return true
+	}
+	select {
+	case <-time.After(passOnDelay):
+	case <-ctx.Done():
+		return true // this process is stopping
 	}
+	now, err := s.tell(ctx, head, &pb.TellRequest{})
+	return err == nil && now == process
 }
 
 // Handle handles an update from another host. It answers before it forwards the update.
@@ -299,7 +354,7 @@
 	}
 	s.releaseChanges(req.GetReleased())
 	if len(req.GetOnward()) == 0 && req.GetRoutesRevision() == 0 {
-		return &pb.TellReply{} // there is nothing to forward
+		return &pb.TellReply{Process: s.process} // there is nothing to forward
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -309,7 +364,7 @@
 			s.forward(ctx, req)
 		})
 	}
-	return &pb.TellReply{}
+	return &pb.TellReply{Process: s.process}
 }
 
 // forward forwards an update to the hosts in its Onward list. If the update is about a table, it
--- a/internal/controller/news/news_test.go
+++ b/internal/controller/news/news_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
@@ -27,8 +28,8 @@
 	down map[string]bool
 	// slow holds the hosts that answer, but whose tables come late over their links.
 	slow map[string]bool
-	// calls counts the messages that were answered.
-	calls int
+	// calls counts the messages that were answered, checks those that only asked whether a host still runs.
+	calls, checks int
 }
 
 // host is the Broadcaster of one host and the updates that it received.
@@ -137,7 +138,7 @@
 }
 
 func (c client) Tell(ctx context.Context, r *pb.TellRequest, _ ...grpc.CallOption) (*pb.TellReply, error) {
-	if c.f.countCall(c.to) {
+	if c.f.countCall(c.to, proto.Size(r) == 0) {
 		<-ctx.Done()
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
@@ -149,10 +150,14 @@
 }
 
 // countCall counts a message unless the host that it is for is down.
-func (f *fleet) countCall(to string) (down bool) {
+func (f *fleet) countCall(to string, check bool) (down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.down[to] {
+	switch {
+	case f.down[to]:
+	case check:
+		f.checks++
+	default:
 		f.calls++
 	}
 	return f.down[to]
@@ -192,8 +197,11 @@
 			if limit := batchDelay + 5*roundTrip; !all || took > limit {
 				t.Errorf("%d hosts: all %v after %v, want %v at most", n, all, took, limit)
 			}
-			if f.calls != n-1 {
-				t.Errorf("%d hosts: %d messages, want one for each other host", n, f.calls)
+			if calls := f.callCount(); calls != n-1 {
+				t.Errorf("%d hosts: %d messages, want one for each other host", n, calls)
+			}
+			if checks := f.checkCount(); checks > fanOut+fanOut*fanOut {
+				t.Errorf("%d hosts: %d hosts were asked whether they have passed the update on", n, checks)
 			}
 		})
 	}
--- a/internal/controller/news/replicate.go
+++ b/internal/controller/news/replicate.go
@@ -186,7 +186,7 @@
 	defer close(r.done)
 	r.err = errkind.New(errkind.NotReplicated, "the replication of the change failed")
 	holders := s.cfg.Holders()
-	name := s.cfg.Self + "/" + strconv.FormatInt(s.started.UnixNano(), 36) + "/" + strconv.FormatUint(number, 36)
+	name := s.process + "/" + strconv.FormatUint(number, 10)
 	asked, held := s.askToHold(ctx, name, r.update, holders.candidates())
 	r.err = s.outcome(holders, held)
 	s.logRound(r, name, asked, held)
@@ -283,10 +283,8 @@
 	for _, address := range addresses {
 		s.sends.Go(func() {
 			defer panics.Log(s.cfg.Log, "release of changes at a host")
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
 			// A host that is missed broadcasts the changes once more, which does no harm.
-			_, _ = s.cfg.Client(address).Tell(ctx, &pb.TellRequest{Released: []string{name}})
+			_, _ = s.tell(ctx, address, &pb.TellRequest{Released: []string{name}})
 		})
 	}
 }
--- a/internal/controller/news/replicate_test.go
+++ b/internal/controller/news/replicate_test.go
@@ -52,6 +52,13 @@
 	return f.calls
 }
 
+// checkCount returns the number of messages that only asked whether a host still runs.
+func (f *fleet) checkCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.checks
+}
+
 // confirm replicates the end of a server at a host and returns how long that took.
 func (f *fleet) confirm(t *testing.T, host int, server string) (time.Duration, error) {
 	begin := time.Now()
@@ -352,3 +359,29 @@
 		}
 	})
 }
+
+// Guards against a change that hosts miss because a host that should have passed it on to them was killed just after it
+// had got it, while the host that confirmed it goes on.
+func TestHostsKilledDuringABroadcastHideItFromNobody(t *testing.T) {
+	for _, n := range []int{75, 1000} {
+		for _, after := range []time.Duration{1, 2, 3, 4, 5, 6} {
+			after := batchDelay + after*roundTrip/2
+			t.Run(fmt.Sprint(n, " hosts, killed after ", after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, n)
+					begin := time.Now()
+					f.hosts[address(0)].BroadcastServer(&pb.ServerState{Id: "s1", Gone: true})
+					time.Sleep(after - time.Millisecond)
+					for i := controlHosts; i < n; i += 2 {
+						f.hosts[address(i)].kill()
+					}
+					time.Sleep(5 * time.Second)
+					synctest.Wait()
+					if took, all := f.lastReceipt(begin, "s1", 0); !all || took > 2*time.Second {
+						t.Errorf("all hosts %v, the last one after %v", all, took)
+					}
+				})
+			})
+		}
+	}
+}
