The control group forms although a founder lost its disk at the first start

The group never forms: no table is confirmed and no request is served, though all machines run.

Cause: a founder takes part only when every other founder has answered, so that no ID is used by two disks. The host that came back is a new replica and doesn't answer for its predecessor.

Change: the first use of a disk under `bootstrap` is recorded on the disk. A founder that has begun records the disk of a late one, once. Without that record a replica waits for all, as before.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -60,6 +60,11 @@
 	// added.
 	Join bool
 
+	// FirstStart asserts that the whole fleet starts for the first time: no disk that was
+	// used before under an ID of the bootstrap list has been lost. It is recorded on an empty
+	// disk and has no meaning later.
+	FirstStart bool
+
 	// TickInterval is the length of a consensus tick; default 50ms.
 	TickInterval time.Duration
 	// ElectionTicks, HeartbeatTicks and DriftPercent: see raft.Config; defaults 20, 2,
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -37,7 +37,9 @@
 //   - Once all have answered, and none with a nonce other than the asking replica's,
 //     that replica records all nonces, syncs them and participates. The first
 //     formation of a group therefore needs all replicas of the list to be up at the
-//     same time.
+//     same time, unless Config.FirstStart asserts that no disk was used before: a
+//     majority is then enough after firstStartPatience, as another one may have lost its
+//     disk meanwhile. That one, or a late one, joins the group as a new replica.
 //   - A different nonce, or the answer of a replaced replica, means that the group was
 //     formed with another disk under this ID: the disk was lost. The replica abandons
 //     that ID permanently, draws a new random one, and waits to be added as a learner.
@@ -46,7 +48,9 @@
 // Why this is safe: a replica participates only after it recorded the nonces of all
 // others. Any quorum that committed something contains, besides the lost disk, a
 // participating replica that recorded the lost disk's nonce. Since a replica with an
-// empty disk waits for the answers of all, it receives that replica's answer.
+// empty disk waits for the answers of all, it receives that replica's answer. A replica on
+// its first disk has granted and acknowledged nothing, so that it breaks no promise whoever
+// answers; the members and their IDs are the same for all, so that there is one group.
 //
 // A replica started with Config.Join has a random ID from the start and only waits to
 // be added.
--- a/internal/control/formation.go
+++ b/internal/control/formation.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"slices"
+	"time"
+
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/wal"
 )
@@ -39,14 +42,25 @@
 	return out
 }
 
-func (f *formation) state() formationState {
-	if f.lost {
+// firstStartPatience is how long a replica on its first disk waits for the answers of all others.
+const firstStartPatience = 2 * time.Second
+
+// state returns the progress of a replica that has been asking for a time.
+//
+// A replica on its first disk has promised nothing before, so it needs nobody's answer to be
+// safe, and another one that lost its disk before the group was formed will never answer. It
+// hears a majority all the same, so that most mistaken claims of a first start are found out.
+func (f *formation) state(asking time.Duration) formationState {
+	unanswered := len(f.unanswered())
+	switch {
+	case f.lost:
 		return formationLost
+	case unanswered == 0:
+		return formationDone
+	case f.self.FirstStart && asking >= firstStartPatience && 2*unanswered < len(f.self.Members):
+		return formationDone
 	}
-	if len(f.unanswered()) > 0 {
-		return formationAsking
-	}
-	return formationDone
+	return formationAsking
 }
 
 // request returns the formation request to one replica.
@@ -82,6 +96,37 @@
 	return reply
 }
 
+// recordLateFounder records the disk of a replica that asks after this one began to participate without
+// its answer. It returns false if that is not the case. Another disk under the same ID is rejected from then on.
+//
+// Without it a replica that hears a majority first would reject the others, and be left alone if one
+// of that majority loses its disk.
+func (id *identity) recordLateFounder(m *pb.RaftMessage) bool {
+	if !id.Formed || !id.FirstStart || id.Nonces[m.From] != 0 {
+		return false
+	}
+	if id.Nonces == nil {
+		id.Nonces = make(map[uint64]uint64)
+	}
+	id.Nonces[m.From] = m.Context
+	return true
+}
+
+// answerFounder answers a formation request.
+func (r *Replica) answerFounder(m *pb.RaftMessage) error {
+	if r.formation == nil && isMember(r.core.Members(), m.From) && r.id.recordLateFounder(m) {
+		if err := saveIdentity(r.cfg.FS, r.cfg.DataDir, r.id); err != nil {
+			return err
+		}
+	}
+	r.send(formationReply(r.id, m))
+	return nil
+}
+
+func isMember(members *pb.Members, id uint64) bool {
+	return slices.ContainsFunc(members.GetMembers(), func(m *pb.Member) bool { return m.Id == id })
+}
+
 // answerForFormer rejects the formation request to a former replica on this host: the group was
 // formed if this one is a member of it. Without the answer, the replica on a new disk would wait for
 // ever once every other replica of the bootstrap list has been replaced.
@@ -100,7 +145,7 @@
 // runFormation asks the other replicas of the bootstrap list until it is known whether
 // this disk may participate.
 func (r *Replica) runFormation() error {
-	switch r.formation.state() {
+	switch r.formation.state(r.cfg.Now().Sub(r.start)) {
 	case formationDone:
 		return r.finishFormation()
 	case formationLost:
@@ -124,8 +169,9 @@
 	if err != nil {
 		return err
 	}
+	unanswered := len(r.formation.unanswered())
 	r.formation = nil
-	r.log.Info().Uint64("replica", r.id.ID).Str("event", "group-formed").Send()
+	r.log.Info().Uint64("replica", r.id.ID).Int("without", unanswered).Str("event", "group-formed").Send()
 	return r.startCore(wal.Contents{Hard: hard})
 }
 
--- a/internal/control/identity.go
+++ b/internal/control/identity.go
@@ -25,6 +25,9 @@
 	// Joined is set for a replica that is added as a learner rather than by the
 	// bootstrap list.
 	Joined bool `json:"joined"`
+	// FirstStart is set if this disk was first used when the whole fleet started for the
+	// first time.
+	FirstStart bool `json:"first_start,omitempty"`
 	// Formed is set once the replica participates in consensus.
 	Formed bool `json:"formed"`
 	// Members is the bootstrap list at the first start; later changes of the
@@ -128,6 +131,7 @@
 		return id
 	}
 	id.ID = own.Id
+	id.FirstStart = cfg.FirstStart
 	id.Members = cfg.bootstrapMembers()
 	return id
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -157,8 +157,7 @@
 	r.recordVersions[m.From] = m.RecordVersion
 	switch m.Type {
 	case pb.RaftType_RAFT_TYPE_FORMATION_ASK:
-		r.send(formationReply(r.id, m))
-		return nil
+		return r.answerFounder(m)
 	case pb.RaftType_RAFT_TYPE_FORMATION_ANSWER:
 		if r.formation != nil {
 			r.formation.handleReply(m)
--- a/internal/procconfig/config.go
+++ b/internal/procconfig/config.go
@@ -104,7 +104,7 @@
 	// joins, its current ones. Required. With the role control one member must be this
 	// host, with the address of listen.peers.
 	Members []Member `json:"members"`
-	// Bootstrap declares that the fleet starts for the first time: replicas whose own address
+	// Bootstrap declares that the fleet starts for the first time, so that no disk was used before: replicas whose own address
 	// is among the seeds form the control group. Other replicas, and all later ones, join it.
 	// Only with seeds. Default false.
 	Bootstrap bool `json:"bootstrap,omitempty"`
