A long silent host is no longer named to callers

Cause: a suspected host stays in the answers with a hundredth of its weight until it counts as dead, 10 s after its first missed heartbeat.

Change: a host that has been suspected for 4 s is left out, unless half of the hosts are suspected. Duties still go by 10 s, and suspected hosts had a hundredth of their weight before, so that slow hosts lose nothing else.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -163,6 +163,9 @@
 	// meshTurns halves the heartbeats of such a fleet. In larger fleets updates pass from
 	// neighbor to neighbor, which needs heartbeats at each tick.
 	meshTurns = 2
+	// unlistAfter is the silence after which callers get a host's address no more. It is longer than a pause or a short
+	// cut, and the host's last addresses are used up before the six seconds in which callers must not meet a dead host.
+	unlistAfter = 4 * time.Second
 	// memoryShare is the part of the memory limit, in percent, that is the Go runtime's
 	// limit. The rest is for memory that the runtime does not count, such as socket buffers.
 	memoryShare = 75
@@ -265,6 +268,7 @@
 			Seeds: cfg.SeedPeers(), Interval: interval, Neighbors: gatewayNeighbors, MeshPeriod: meshTurns,
 			SuspectAfter: ticks(cfg.Timing.SuspectAfter.Std(), interval),
 			DeadAfter:    ticks(cfg.Timing.DeadAfter.Std(), interval),
+			UnlistAfter:  ticks(min(unlistAfter, cfg.Timing.DeadAfter.Std()), interval),
 		},
 		Seed: seedOf(cfg.Host), Peers: d.pool, Registry: g.balancer, Limits: g.limits, Evacuations: d.evacuations, Load: g.load,
 		ViewDigest: g.owners.ViewDigest, OnViewDigest: g.owners.RecordViewDigest,
--- a/internal/membership/addresses.go
+++ b/internal/membership/addresses.go
@@ -26,6 +26,8 @@
 	address Address
 	class   int
 	traffic uint32
+	// silent reports that the host has been suspected for UnlistAfter.
+	silent bool
 	// capacity is the host's weight by its capacity. fullWeight is the traffic in KiB per second up to which
 	// the host has its full weight in any case.
 	capacity, fullWeight float64
@@ -44,8 +46,8 @@
 
 // Addresses returns the addresses for a caller in the given availability zone: first
 // the hosts of that zone, then those of other zones, each in random order weighted by
-// spare capacity and by what hosts may use, so that callers spread, and suspected hosts last. Leaving and dead
-// hosts are left out. If all live hosts are leaving, those are returned, because a
+// spare capacity and by what hosts may use, so that callers spread, and suspected hosts last. Leaving, dead and
+// long silent hosts are left out. If all live hosts are leaving, those are returned, because a
 // refusal by one is better than no address. The result is empty only if no live host
 // serves callers.
 func (t *Table) Addresses(now time.Time, zone string, ttl time.Duration) []Address {
@@ -66,7 +68,8 @@
 }
 
 // candidates returns the hosts whose addresses may be returned; leaving ones only if all
-// are leaving.
+// are leaving, long silent ones only if half of the hosts or more are suspected: it is then
+// more likely that this host is cut off.
 func (t *Table) candidates(zone string) []candidate {
 	t.weigh()
 	all := make([]candidate, 0, len(t.order)+1)
@@ -78,7 +81,20 @@
 			all = append(all, t.candidate(e, zone))
 		}
 	}
-	return withoutLeaving(all)
+	return withoutSilent(withoutLeaving(all))
+}
+
+func withoutSilent(all []candidate) []candidate {
+	suspected := 0
+	for _, c := range all {
+		if c.class == classSuspect {
+			suspected++
+		}
+	}
+	if 2*suspected >= len(all) {
+		return all
+	}
+	return slices.DeleteFunc(all, func(c candidate) bool { return c.silent })
 }
 
 func withoutLeaving(all []candidate) []candidate {
@@ -115,7 +131,7 @@
 		traffic: e.traffic, capacity: e.weight, fullWeight: t.fullWeight(e.capacity),
 	}
 	if t.health(e) == pb.HostHealth_HOST_HEALTH_SUSPECT {
-		c.class = classSuspect
+		c.class, c.silent = classSuspect, t.ticksInDoubt(e) >= t.cfg.UnlistAfter
 	}
 	if e.leaving {
 		c.class = classLeaving
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -60,6 +60,9 @@
 	// SuspectAfter and DeadAfter are the numbers of this host's ticks after which a
 	// doubt makes a host suspected and dead.
 	SuspectAfter, DeadAfter int64
+	// UnlistAfter is the number of this host's ticks after which a doubt leaves a host out of
+	// the addresses for callers, while most others are alive; default DeadAfter.
+	UnlistAfter int64
 	// ForgetAfter is the number of ticks after which a dead host's entry is dropped
 	// if the control group doesn't list it.
 	ForgetAfter int64
@@ -216,6 +219,7 @@
 	defaults.Set(&cfg.Interval, DefaultInterval)
 	defaults.Set(&cfg.SuspectAfter, DefaultSuspectAfter)
 	defaults.Set(&cfg.DeadAfter, DefaultDeadAfter)
+	defaults.Set(&cfg.UnlistAfter, cfg.DeadAfter)
 	defaults.Set(&cfg.ForgetAfter, DefaultForgetAfter)
 	defaults.Set(&cfg.Neighbors, DefaultNeighbors)
 	defaults.Set(&cfg.MeshPeriod, 1)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -546,3 +546,33 @@
 		t.Errorf("hosts in zones %v if no host meets a condition, want %v", got, all)
 	}
 }
+
+// Guards against callers that get the address of a host until it counts as dead, although it has been silent for long;
+// a host that is cut off from most others must go on naming them, as it is the one that is silent.
+func TestLongSilentHostIsNotNamed(t *testing.T) {
+	const unlistAfter, deadAfter = 16, 40
+	f := newFleet(7, 1, Config{SuspectAfter: 8, DeadAfter: deadAfter, UnlistAfter: unlistAfter})
+	f.run(60)
+	f.wantAll(t, 7, "after the start")
+	f.hosts[3].running = false
+	f.run(unlistAfter - 2)
+	for i := range f.hosts {
+		if i != 3 && !slices.Contains(f.names(i), simName(3)) {
+			t.Errorf("host %d drops a host that is silent for a short time", i)
+		}
+	}
+	f.run(4)
+	for i := range f.hosts {
+		if got := f.names(i); i != 3 && (slices.Contains(got, simName(3)) || len(got) != 6) {
+			t.Errorf("host %d names %v, with a host that is silent for long", i, got)
+		}
+	}
+	f.hosts[3].running = true
+	f.run(4)
+	f.wantAll(t, 7, "after its pause")
+	f.isolate(5, true)
+	f.run(unlistAfter + 4)
+	if got := f.names(5); len(got) != 7 {
+		t.Errorf("the host that is cut off names %v only", got)
+	}
+}
