Connection can't drop headers of the protocol

Cause: fields that Connection names were removed before it was looked at whether the protocol needs them.

Everything else that Connection names is dropped as before.

--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -326,7 +326,9 @@
 	}
 	for _, field := range res.Header["Connection"] {
 		for _, key := range strings.Split(field, ",") {
-			h.Del(strings.TrimSpace(key))
+			if key = http.CanonicalHeaderKey(strings.TrimSpace(key)); !t.f.Dialect.EndToEnd(key) {
+				h.Del(key)
+			}
 		}
 	}
 	for _, key := range hopHeaders {
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -50,6 +50,8 @@
 	h.Set(hAfter, out.ResumeAfter)
 }
 
+func (dialect) EndToEnd(name string) bool { return name == hID }
+
 func (dialect) Reply(res *http.Response) relay.Reply {
 	limit, err := strconv.ParseFloat(res.Header.Get(hLimit), 64)
 	named := res.Header.Get(hLimit) != ""
@@ -601,6 +603,17 @@
 	}
 }
 
+// Guards against a server that has the ID of its own answer dropped by listing the header in Connection.
+func TestConnectionCannotDropTheAnswersID(t *testing.T) {
+	r := newRun(t, routes.Idempotent, answers(answer(http.StatusOK, "x", "Connection", "x-hop, "+hID, "X-Hop", "1")))
+	if err := r.do(); err != nil {
+		t.Fatal(err)
+	}
+	if h := r.w.Header(); h.Get(hID) == "" || h.Get("X-Hop") != "" {
+		t.Errorf("passed on %v", h)
+	}
+}
+
 func TestUnrequestedProtocolSwitch(t *testing.T) {
 	r := newRun(t, routes.NonIdempotent, answers(answer(http.StatusSwitchingProtocols, "")))
 	wantKind(t, r.do(), errkind.BackendServerFailed, errkind.RanUnknown)
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -22,6 +22,9 @@
 	Encode(h http.Header, x *Exchange, out Outgoing)
 	// Reply reads the headers of a backend server's answer.
 	Reply(res *http.Response) Reply
+	// EndToEnd reports whether a header field, in canonical form, is part of the protocol. A sender that names such a field
+	// in Connection can't have it dropped on the way.
+	EndToEnd(name string) bool
 	// Refuse writes err to the caller as a refusal.
 	Refuse(w http.ResponseWriter, x *Exchange, err error)
 }
