A table is fetched past control hosts that were stopped

Change: beside two fetches from control hosts one from another host may run.

Evidence: TestTableIsFetchedPastStoppedControlHosts failed before with four stopped control hosts and the fourth source first (still at the older table after 2 s); 2 to 7 stopped hosts and each first source now hold.

--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -120,8 +120,8 @@
 	nextSource int
 	// timeouts holds the timeout of the next fetch from a host; fetchTimeout if it has no entry.
 	timeouts map[string]time.Duration
-	// fetching holds the hosts from which a table is being fetched, and the start of the fetch.
-	fetching map[string]time.Time
+	// fetching holds the fetches that run, by the address of the host.
+	fetching map[string]fetch
 	// reportedRevisions holds the revisions that hosts reported when they were asked to confirm.
 	reportedRevisions map[string]uint64
 	// confirming holds the control hosts that are being asked for a confirmation.
@@ -138,7 +138,7 @@
 	}
 	return &Controller{
 		cfg: cfg, started: cfg.Now(), table: &pb.Routes{}, wake: make(chan struct{}, 1),
-		timeouts: make(map[string]time.Duration), fetching: make(map[string]time.Time), nextSource: cfg.FirstSource,
+		timeouts: make(map[string]time.Duration), fetching: make(map[string]fetch), nextSource: cfg.FirstSource,
 		reportedRevisions: make(map[string]uint64), confirming: make(map[string]bool), nextControlSource: cfg.FirstSource,
 	}
 }
@@ -196,7 +196,7 @@
 		c.fetches.Go(func() {
 			defer panics.Log(c.cfg.Log, "fetching routes")
 			defer c.endFetch(source.Address)
-			c.fetch(ctx, source)
+			c.fetchFrom(ctx, source)
 		})
 	}
 	if c.confirmed.Load() && int64(c.uptime()) >= c.confirmUntil.Load() {
--- a/internal/controller/routes/fetch.go
+++ b/internal/controller/routes/fetch.go
@@ -20,26 +20,37 @@
 	maxFetches = 2
 )
 
+// fetch is a fetch that runs.
+type fetch struct {
+	since time.Time
+	// control is set if it goes to a control host.
+	control bool
+}
+
 // FetchFrom fetches the table of the host at an address, which has reported this revision,
 // unless this host's table is as new.
 func (c *Controller) FetchFrom(ctx context.Context, address string, revision uint64) {
 	if c.Revision() < revision {
-		c.fetch(ctx, Source{Address: address, Revision: revision})
+		c.fetchFrom(ctx, Source{Address: address, Revision: revision})
 	}
 }
 
 // nextNewer returns the next host in turn that has a newer table, and marks it as being fetched from.
-// It returns false if there is none, or no further fetch may start yet.
+// It returns false if there is none, or no further fetch may start yet. Beside maxFetches from control hosts,
+// which may be lost together just after they have committed a table, one from another host may run.
 func (c *Controller) nextNewer(sources []Source) (Source, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
-	for _, since := range c.fetching {
-		if now.Sub(since) < hedgeAfter {
+	onlyControl := true
+	for _, running := range c.fetching {
+		if now.Sub(running.since) < hedgeAfter {
 			return Source{}, false
 		}
+		onlyControl = onlyControl && running.control
 	}
-	if len(c.fetching) >= maxFetches {
+	full := len(c.fetching) >= maxFetches
+	if full && !onlyControl {
 		return Source{}, false
 	}
 	have := c.table.GetRevision()
@@ -50,7 +61,7 @@
 	var candidates []Source
 	for _, s := range sources {
 		newer := s.Revision > have || reported > have && c.reportedRevisions[s.Address] > have
-		if !newer {
+		if !newer || full && s.Control {
 			continue
 		}
 		if _, asked := c.fetching[s.Address]; !asked {
@@ -62,7 +73,7 @@
 	}
 	c.nextSource++
 	source := candidates[c.nextSource%len(candidates)]
-	c.fetching[source.Address] = now
+	c.fetching[source.Address] = fetch{since: now, control: source.Control}
 	return source, true
 }
 
@@ -73,7 +84,7 @@
 	delete(c.fetching, address)
 }
 
-func (c *Controller) fetch(parent context.Context, source Source) {
+func (c *Controller) fetchFrom(parent context.Context, source Source) {
 	c.mu.Lock()
 	timeout := c.timeouts[source.Address]
 	if timeout == 0 {
