A confirmed table spreads although the leader is lost

Cause: the word of a table is the leader's to broadcast. The host that had it confirmed tells nobody but by heartbeats, and a host that is not registered yet, as a second after the start of a fleet, brings nobody its revision by them.

Ruled out as the cause: that both fetches go to stopped control hosts.

--- a/internal/controller/news/hold.go
+++ b/internal/controller/news/hold.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// HoldTable has this host, which has had a revision of the routing table confirmed, broadcast it unless the leader of the
+// control group does so soon. It must be called with revisions that this host has.
+func (s *Broadcaster) HoldTable(revision uint64) {
+	time.AfterFunc(takeoverDelay, func() {
+		if s.heardOfTable(revision) {
+			return
+		}
+		s.metrics.tablesTakenOver.Add(1)
+		s.cfg.Log.Info().Str("event", "table-taken-over").Uint64("revision", revision).Send()
+		s.BroadcastTable(revision)
+	})
+}
+
+// heardOfTable reports whether another host has broadcast a revision of the table, or a newer one.
+func (s *Broadcaster) heardOfTable(revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heardRevision >= revision
+}
+
+// recordTable records that another host has broadcast a revision of the table.
+func (s *Broadcaster) recordTable(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardRevision = max(s.heardRevision, revision)
+}
+
 func (s *Broadcaster) forgetHeld(name string) (known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/controller/news/metrics.go
+++ b/internal/controller/news/metrics.go
@@ -14,6 +14,8 @@
 	rounds, changes, fewCopies, failed expvar.Int
 	// takenOver counts the rounds of other hosts whose changes this host broadcast.
 	takenOver expvar.Int
+	// tablesTakenOver counts the tables that this host broadcast in place of the control group's leader.
+	tablesTakenOver expvar.Int
 	// took has how long rounds took.
 	took *telemetry.Histogram
 	vars expvar.Map
@@ -26,6 +28,7 @@
 	m.vars.Set("few_copies", &m.fewCopies)
 	m.vars.Set("failed", &m.failed)
 	m.vars.Set("taken_over", &m.takenOver)
+	m.vars.Set("tables_taken_over", &m.tablesTakenOver)
 	m.vars.Set("took", m.took)
 	m.vars.Set("held", expvar.Func(func() any { return held() }))
 }
--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -104,6 +104,8 @@
 
 	replication replication
 	held        held
+	// heardRevision is the newest revision of the table that another host has broadcast.
+	heardRevision uint64
 }
 
 // suspectKey identifies a suspect, a request under which servers crashed.
@@ -353,6 +355,7 @@
 		s.holdChanges(req)
 	}
 	s.releaseChanges(req.GetReleased())
+	s.recordTable(req.GetRoutesRevision())
 	if len(req.GetOnward()) == 0 && req.GetRoutesRevision() == 0 {
 		return &pb.TellReply{Process: s.process} // there is nothing to forward
 	}
--- a/internal/controller/news/replicate_test.go
+++ b/internal/controller/news/replicate_test.go
@@ -385,3 +385,34 @@
 		}
 	}
 }
+
+// Guards against a confirmed table that most hosts don't hear of because the control group's leader, which would broadcast
+// it, was lost just after the commit; and against a second broadcast while it isn't.
+func TestConfirmedTableSpreadsWithoutTheLeader(t *testing.T) {
+	for name, leads := range map[string]bool{"leader lost": false, "leader broadcasts": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const n = 75
+				f := newFleet(t, n)
+				leader, confirmer := f.hosts[address(0)], f.hosts[address(n-1)]
+				leader.revision, confirmer.revision = 9, 9
+				confirmer.HoldTable(9)
+				if leads {
+					leader.BroadcastTable(9)
+				} else {
+					leader.kill()
+				}
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				for addr, h := range f.hosts {
+					if !f.down[addr] && h.held(9, 1) != 1 {
+						t.Errorf("%s does not have the table", addr)
+					}
+				}
+				if calls := f.callCount(); calls > n-1 {
+					t.Errorf("%d messages for a table", calls)
+				}
+			})
+		})
+	}
+}
--- a/internal/daemon/gatewaytables.go
+++ b/internal/daemon/gatewaytables.go
@@ -92,12 +92,14 @@
 const fromOperator = "operator"
 
 // applyReplaced applies a table that the control group has just committed on this host, before
-// the operator gets the answer. Other hosts can then fetch it from here, too.
+// the operator gets the answer. Other hosts can then fetch it from here, too, and hear of it from
+// here if the leader is lost.
 //
 // If the control hosts were the only source and were lost just after the commit, the operator
 // would have a success answer, while no host that serves callers would have the table until
 // the control group is back.
 func (g *gateway) applyReplaced(packed *pb.ReplaceRoutes) {
+	defer g.news.HoldTable(packed.GetRevision())
 	g.routes.Apply(fromOperator, &pb.FetchRoutesReply{
 		Routes: &pb.Routes{Revision: packed.GetRevision(), TableJson: packed.GetTableJson()}, Confirmed: true,
 	})
