A round of replication that panics doesn't stop the next ones

Read again before the landing: a panic in a round would have left the rounds behind it waiting without a bound. Each round recovers its own, and a caller waits 800 ms at most in any case. The type of held changes is named apart from the hosts that hold them.

--- a/internal/controller/news/hold.go
+++ b/internal/controller/news/hold.go
@@ -14,21 +14,21 @@
 	maxHeld = 4096
 )
 
-// held are the changes that this host holds for others, by the names of their rounds.
-type held map[string]*time.Timer
+// holds are the changes that this host holds for others: the timers of their takeovers, by the names of the rounds.
+type holds map[string]*time.Timer
 
 // holdChanges has the changes of another host broadcast by this one unless they are released in time.
 func (s *Broadcaster) holdChanges(req *pb.TellRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.held[req.GetHold()]; known {
+	if _, known := s.holds[req.GetHold()]; known {
 		return
 	}
 	delay := takeoverDelay
-	if len(s.held) >= maxHeld {
+	if len(s.holds) >= maxHeld {
 		delay = 0
 	}
-	s.held[req.GetHold()] = time.AfterFunc(delay, func() { s.takeOver(req) })
+	s.holds[req.GetHold()] = time.AfterFunc(delay, func() { s.takeOver(req) })
 }
 
 // releaseChanges forgets changes that their sender has broadcast.
@@ -36,9 +36,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range names {
-		if timer, known := s.held[name]; known {
+		if timer, known := s.holds[name]; known {
 			timer.Stop()
-			delete(s.held, name)
+			delete(s.holds, name)
 		}
 	}
 }
@@ -89,10 +89,11 @@
 	s.heardRevision = max(s.heardRevision, revision)
 }
 
+// forgetHeld forgets the changes of a round, and reports whether they were held.
 func (s *Broadcaster) forgetHeld(name string) (known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, known = s.held[name]
-	delete(s.held, name)
+	_, known = s.holds[name]
+	delete(s.holds, name)
 	return known
 }
--- a/internal/controller/news/metrics.go
+++ b/internal/controller/news/metrics.go
@@ -51,5 +51,5 @@
 func (s *Broadcaster) heldRounds() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.held)
+	return len(s.holds)
 }
--- a/internal/controller/news/news.go
+++ b/internal/controller/news/news.go
@@ -103,7 +103,7 @@
 	lastTable time.Time
 
 	replication replication
-	held        held
+	holds       holds
 	// heardRevision is the newest revision of the table that another host has broadcast.
 	heardRevision uint64
 }
@@ -116,7 +116,7 @@
 	s := &Broadcaster{
 		cfg: cfg, wake: make(chan struct{}, 1), process: cfg.Self + "/" + crand.Text(),
 		servers: make(map[string]*pb.ServerState), suspects: make(map[suspectKey]*pb.Suspect), limits: make(map[string]*pb.ServerLimit),
-		replication: replication{servers: make(map[serverState]time.Time)}, held: make(held),
+		replication: replication{servers: make(map[serverState]time.Time)}, holds: make(holds),
 	}
 	s.metrics.init(s.heldRounds)
 	return s
--- a/internal/controller/news/replicate.go
+++ b/internal/controller/news/replicate.go
@@ -19,6 +19,8 @@
 	hedgeDelay = 60 * time.Millisecond
 	// roundTimeout bounds a round.
 	roundTimeout = 350 * time.Millisecond
+	// confirmTimeout bounds the wait for a round. Servers wait a second for an answer.
+	confirmTimeout = 800 * time.Millisecond
 	// roundInterval is the minimum time between the starts of two rounds. Changes that come meanwhile share one.
 	roundInterval = 20 * time.Millisecond
 	// maxRoundChanges bounds the changes in one round, of some 130 B each.
@@ -82,7 +84,7 @@
 // broadcast it if this host can't. The error is of the kind NotReplicated: no other host is known to hold it.
 //
 // The number of messages doesn't depend on the size of the fleet. The call takes a round trip to the hosts nearby, two
-// if another round is running, and returns after two times roundTimeout at most.
+// if another round is running, and returns after confirmTimeout at most.
 func (s *Broadcaster) ReplicateServer(ctx context.Context, st *pb.ServerState) error {
 	if s.isReplicated(st) {
 		return nil
@@ -113,6 +115,8 @@
 
 // replicate has a change take part in a round and waits for the round's end.
 func (s *Broadcaster) replicate(ctx context.Context, change *pb.TellRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
 	r := s.joinRound(change)
 	if r == nil {
 		return errkind.New(errkind.NotReplicated, "this host is starting or shutting down")
@@ -184,6 +188,7 @@
 // runRound sends the changes of a round to other hosts and ends it.
 func (s *Broadcaster) runRound(ctx context.Context, r *round, number uint64) {
 	defer close(r.done)
+	defer panics.Log(s.cfg.Log, "a round of replication") // the next round runs all the same
 	r.err = errkind.New(errkind.NotReplicated, "the replication of the change failed")
 	holders := s.cfg.Holders()
 	name := s.process + "/" + strconv.FormatUint(number, 10)
