A change that could not be replicated may have taken effect

Read again before the landing: the refusal not_replicated said that nothing had run, while the change is in force at the host that refuses and on its way to the others. TestHostWithoutReachablePeersConfirmsNothing checks it and fails on the former row.

--- a/internal/control/snapshottransport_test.go
+++ b/internal/control/snapshottransport_test.go
@@ -34,15 +34,11 @@
 
 // snapshotPath is a transport whose connections to a sink go through a middlebox.
 func snapshotPath(t *testing.T) (tr *GRPCTransport, box *middlebox, s *snapshotSink, address string) {
-	target, front := testutil.Listen(t), testutil.Listen(t)
 	s = &snapshotSink{received: make(chan uint64, 10)}
-	serveOn(t, target, s)
-	box = &middlebox{}
-	go box.serve(front, target.Addr().String())
-	t.Cleanup(func() { _ = front.Close() })
+	box, address = behindMiddlebox(t, s)
 	tr = NewGRPCTransport("self", zerolog.Nop(), insecureDial)
 	t.Cleanup(tr.Close)
-	return tr, box, s, front.Addr().String()
+	return tr, box, s, address
 }
 
 // awaitAcknowledgment waits until no snapshot for an address is on its way.
--- a/internal/control/transport_test.go
+++ b/internal/control/transport_test.go
@@ -109,17 +109,22 @@
 	}
 }
 
+// behindMiddlebox serves behind a middlebox until the test ends, and returns the address at which it forwards.
+func behindMiddlebox(t *testing.T, service pb.ControlServer) (box *middlebox, address string) {
+	target, front := testutil.Listen(t), testutil.Listen(t)
+	serveOn(t, target, service)
+	box = &middlebox{}
+	go box.serve(front, target.Addr().String())
+	t.Cleanup(func() { _ = front.Close() })
+	return box, front.Addr().String()
+}
+
 // A middlebox may lose the state of an open connection: writes keep succeeding, but
 // nothing arrives. Unless the transport asks for an acknowledgment, the replica is cut
 // off from its group permanently, although its host accepts new connections.
 func TestUnresponsiveConnectionIsReplaced(t *testing.T) {
-	target := testutil.Listen(t)
-	front := testutil.Listen(t)
 	s := &sink{receivedTerms: make(chan uint64, 1), snapshotComplete: make(chan bool, 10)}
-	serveOn(t, target, s)
-	box := &middlebox{}
-	go box.serve(front, target.Addr().String())
-	defer front.Close()
+	box, address := behindMiddlebox(t, s)
 
 	tr := NewGRPCTransport("self", zerolog.Nop(), insecureDial)
 	tr.lifetime, tr.ackTimeout = 50*time.Millisecond, 100*time.Millisecond
@@ -128,7 +133,7 @@
 	deliver := func(term uint64) {
 		t.Helper()
 		for range 2000 {
-			tr.Send(&pb.RaftMessage{Term: term}, front.Addr().String())
+			tr.Send(&pb.RaftMessage{Term: term}, address)
 			select {
 			case got := <-s.receivedTerms:
 				if got == term {
@@ -140,7 +145,7 @@
 		t.Fatalf("no message of term %d arrived", term)
 	}
 	// A snapshot that takes longer than a stream's lifetime must arrive complete.
-	tr.Send(&pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_SNAPSHOT}, front.Addr().String())
+	tr.Send(&pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_SNAPSHOT}, address)
 	deliver(1)
 	if !<-s.snapshotComplete {
 		t.Fatal("the snapshot's stream was cut off")
--- a/internal/controller/news/bench_test.go
+++ b/internal/controller/news/bench_test.go
@@ -75,7 +75,7 @@
 			var asked int
 			b.ReportAllocs()
 			for b.Loop() {
-				asked = min(copies, len(holders.candidates()))
+				asked = min(Copies, len(holders.candidates()))
 			}
 			b.ReportMetric(float64(2*asked), "messages")
 			b.ReportMetric(float64(asked*(proto.Size(hold)+proto.Size(release))), "B")
--- a/internal/controller/news/hold.go
+++ b/internal/controller/news/hold.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// takeoverDelay is how long a host holds another one's changes before it broadcasts them itself. A release takes
-	// releaseDelay, and up to 80 ms at each of the hosts if they have used up their processor time.
+	// takeoverDelay is how long a host holds another one's changes before it broadcasts them itself. It is longer than
+	// releaseDelay by the pauses of both hosts.
 	takeoverDelay = 500 * time.Millisecond
 	// maxHeld bounds the rounds whose changes a host holds; those beyond it are broadcast at once.
 	maxHeld = 4096
--- a/internal/controller/news/metrics.go
+++ b/internal/controller/news/metrics.go
@@ -10,7 +10,7 @@
 // metrics are the counters of a Broadcaster.
 type metrics struct {
 	// rounds counts the rounds in which changes were replicated, changes their changes, fewCopies the rounds after
-	// which fewer than copies hosts held them, failed those after which none did.
+	// which fewer than Copies hosts held them, failed those after which none did.
 	rounds, changes, fewCopies, failed expvar.Int
 	// takenOver counts the rounds of other hosts whose changes this host broadcast.
 	takenOver expvar.Int
@@ -36,7 +36,7 @@
 func (m *metrics) observeRound(r *round, holders int, took time.Duration) {
 	m.rounds.Add(1)
 	m.changes.Add(int64(r.changes()))
-	if holders < copies {
+	if holders < Copies {
 		m.fewCopies.Add(1)
 	}
 	if r.err != nil {
--- a/internal/controller/news/news_test.go
+++ b/internal/controller/news/news_test.go
@@ -166,20 +166,7 @@
 // slowestReceipt returns the time from begin until the last host that is not down received the
 // state of a server; false if one of them did not.
 func (f *fleet) slowestReceipt(begin time.Time, server string) (time.Duration, bool) {
-	worst := time.Duration(0)
-	for addr, h := range f.hosts {
-		if f.down[addr] || addr == address(0) {
-			continue
-		}
-		h.mu.Lock()
-		received := h.received[server]
-		h.mu.Unlock()
-		if received.IsZero() {
-			return 0, false
-		}
-		worst = max(worst, received.Sub(begin))
-	}
-	return worst, true
+	return f.lastReceipt(begin, server, 0)
 }
 
 // TestLeavingServerReachesLargeFleetQuickly guards against a request from one host of 67 to a
--- a/internal/controller/news/replicate.go
+++ b/internal/controller/news/replicate.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// copies is the number of other hosts that hold a change before it is confirmed: two control hosts and two others
+	// Copies is the number of other hosts that hold a change before it is confirmed: two control hosts and two others
 	// if they can be reached, as hosts of one kind are lost together more often than hosts of both.
-	copies = 4
+	Copies = 4
 	// hedgeDelay is how long a round waits for answers before it asks further hosts.
 	hedgeDelay = 60 * time.Millisecond
 	// roundTimeout bounds a round.
@@ -218,7 +218,7 @@
 func (s *Broadcaster) askToHold(ctx context.Context, name string, update *pb.TellRequest, candidates []string) (asked, held []string) {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
-	wanted := min(copies, len(candidates))
+	wanted := min(Copies, len(candidates))
 	answers := make(chan string, len(candidates))
 	ask := func(n int) {
 		for ; n > 0 && len(asked) < len(candidates); n-- {
--- a/internal/controller/news/replicate_test.go
+++ b/internal/controller/news/replicate_test.go
@@ -66,8 +66,8 @@
 	return time.Since(begin), err
 }
 
-// lastReceipt returns the time from begin until the last host that is up received the state of a server; false if
-// one of them did not.
+// lastReceipt returns the time from begin until the last host that is up, except one, received the state of a server;
+// false if one of them did not.
 func (f *fleet) lastReceipt(begin time.Time, server string, except int) (time.Duration, bool) {
 	worst := time.Duration(0)
 	for addr, h := range f.hosts {
@@ -159,12 +159,12 @@
 			f := newFleet(t, n)
 			took, err := f.confirm(t, n-1, "s1")
 			calls := f.callCount()
-			if err != nil || took > 2*roundTrip || calls != copies {
+			if err != nil || took > 2*roundTrip || calls != Copies {
 				t.Errorf("%d hosts: %v, %d messages, took %v", n, err, calls, took)
 			}
 			time.Sleep(5 * time.Second)
 			synctest.Wait()
-			if got, want := f.callCount(), copies+n-1+copies; got != want {
+			if got, want := f.callCount(), Copies+n-1+Copies; got != want {
 				t.Errorf("%d hosts: %d messages in all, want %d: each host is told once", n, got, want)
 			}
 		})
@@ -206,6 +206,9 @@
 		if !errkind.Is(err, errkind.NotReplicated) || took > confirmLimit {
 			t.Errorf("cut off: %v after %v", err, took)
 		}
+		if ran := errkind.From(err).Ran(); ran != errkind.RanUnknown {
+			t.Errorf("the refusal says %q of whether the change took effect", ran)
+		}
 		for i := range 7 {
 			f.setDown(false, i)
 		}
@@ -241,7 +244,7 @@
 		if took := time.Since(begin); took > 200*time.Millisecond {
 			t.Errorf("%d servers were confirmed after %v", servers, took)
 		}
-		if calls := f.callCount(); calls > 4*copies+n-1 {
+		if calls := f.callCount(); calls > 4*Copies+n-1 {
 			t.Errorf("%d messages for %d servers until the last confirmation", calls, servers)
 		}
 		time.Sleep(5 * time.Second)
@@ -260,7 +263,7 @@
 			time.Sleep(replicatedRetention / 20)
 		}
 		before := f.callCount()
-		if want := copies + 7 + copies; before != want {
+		if want := Copies + 7 + Copies; before != want {
 			t.Errorf("%d messages, want %d", before, want)
 		}
 		if _, err := f.confirm(t, 7, "s1"); err != nil || f.callCount() == before {
@@ -310,7 +313,7 @@
 			t.Fatalf("%d candidates", len(got))
 		}
 		control, zone := 0, make(map[int]bool)
-		for _, addr := range got[:copies] {
+		for _, addr := range got[:Copies] {
 			seen[addr] = true
 			if i := indexOf(addr); i < controlHosts {
 				control++
@@ -319,7 +322,7 @@
 			}
 		}
 		if control != 2 || len(zone) != 2 {
-			t.Fatalf("%d control hosts, %d zones of others in %v", control, len(zone), got[:copies])
+			t.Fatalf("%d control hosts, %d zones of others in %v", control, len(zone), got[:Copies])
 		}
 	}
 	if len(seen) != 74 {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -163,8 +163,8 @@
 	// meshTurns halves the heartbeats of such a fleet. In larger fleets updates pass from
 	// neighbor to neighbor, which needs heartbeats at each tick.
 	meshTurns = 2
-	// unlistAfter is the silence after which callers get a host's address no more. It is longer than a pause or a short
-	// cut, and the host's last addresses are used up before the six seconds in which callers must not meet a dead host.
+	// unlistAfter is the silence after which callers no longer get a host's address. It is longer than the pauses of a
+	// process that has used up its processor time.
 	unlistAfter = 4 * time.Second
 	// memoryShare is the part of the memory limit, in percent, that is the Go runtime's
 	// limit. The rest is for memory that the runtime does not count, such as socket buffers.
--- a/internal/daemon/gatewayservers.go
+++ b/internal/daemon/gatewayservers.go
@@ -64,18 +64,17 @@
 	return h
 }
 
-// minHolders is the number of hosts below which suspected ones are asked to hold changes too.
-const minHolders = 4
-
+// newHolders returns the hosts in a view that can hold a change.
 func newHolders(peers []members.PeerInfo) news.Holders {
 	h := holdersOf(peers, func(m members.PeerInfo) bool { return m.Health == pb.HostHealth_HOST_HEALTH_ALIVE && !m.Leaving })
-	if len(h.Control)+len(slices.Concat(h.Others...)) < minHolders {
+	if len(h.Control)+len(slices.Concat(h.Others...)) < news.Copies {
 		h = holdersOf(peers, func(m members.PeerInfo) bool { return m.Health != pb.HostHealth_HOST_HEALTH_DEAD })
 	}
 	h.Alone = len(peers) == 0
 	return h
 }
 
+// holdersOf returns the hosts that fit, by kind and availability zone.
 func holdersOf(peers []members.PeerInfo, fit func(members.PeerInfo) bool) (h news.Holders) {
 	zones := make(map[string][]string)
 	for _, m := range peers {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -132,7 +132,7 @@
 	{NotFound, 404, RanNo, RetryNever, "the named thing does not exist"},
 	{AlreadyExists, 409, RanNo, RetryNever, "the named thing exists"},
 	{NoQuorum, 503, RanUnknown, RetrySameKey, "the control group has no quorum here; a change that was sent may still take effect"},
-	{NotReplicated, 503, RanNo, RetryElsewhere, "this host has the change, but could not have any other host hold it: it may be lost with this host"},
+	{NotReplicated, 503, RanUnknown, RetryElsewhere, "no other host is known to hold the change: it is in force at this host at most, and may be lost with it"},
 	{StaleFence, 409, RanNo, RetryNever, "the order carries an old fencing number"},
 	{Internal, 500, RanUnknown, RetrySameKey, "a fault of bluebellsail itself"},
 }
