The leader logs changes of the members and learners without a vote

Change: `membership-change` for each change that a leader answers, `learner-without-vote` once a second for a member that waits, with its position and the commit index.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -26,6 +26,10 @@
 		return nil, err
 	}
 	_, err = r.submit(ctx, &proposal{members: edit, done: make(chan struct{})})
+	if asNotLeader(err) == nil {
+		r.log.Info().Str("verb", req.Verb).Uint64("replica", req.GetMember().GetId()).Str("address", req.GetMember().GetAddress()).
+			AnErr("error", err).Str("event", "membership-change").Send()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controller/voters/voters.go
+++ b/internal/controller/voters/voters.go
@@ -22,6 +22,9 @@
 // costs no more than that.
 const DefaultLostAfter = 3 * time.Second
 
+// learnersLogEvery is the shortest interval between two log lines on a learner.
+const learnersLogEvery = time.Second
+
 // Group is this host's replica.
 type Group interface {
 	// Leading reports whether this replica leads with a valid lease, in which term and since
@@ -51,6 +54,8 @@
 	// valid for one term.
 	silentSince map[uint64]time.Time
 	term        uint64
+	// learnersLogged is when the learners were last logged.
+	learnersLogged time.Time
 }
 
 // New returns a Controller.
@@ -71,7 +76,9 @@
 	if !leading {
 		return
 	}
-	lost := c.findLost(now, c.cfg.Group.Status())
+	group := c.cfg.Group.Status()
+	c.logLearners(now, group)
+	lost := c.findLost(now, group)
 	if lost == nil {
 		return
 	}
@@ -80,6 +87,21 @@
 		Dur("silent", now.Sub(c.silentSince[lost.GetId()])).AnErr("error", err).Send()
 }
 
+// logLearners logs how far the replicas without a vote are behind.
+func (c *Controller) logLearners(now time.Time, group *pb.GroupStatus) {
+	if now.Sub(c.learnersLogged) < learnersLogEvery {
+		return
+	}
+	for _, m := range group.GetMembers() {
+		if !m.GetMember().GetLearner() {
+			continue
+		}
+		c.learnersLogged = now
+		c.cfg.Log.Info().Str("event", "learner-without-vote").Uint64("replica", m.GetMember().GetId()).Str("address", m.GetMember().GetAddress()).
+			Bool("answers", m.GetActive()).Uint64("match", m.GetMatch()).Uint64("commit", group.GetCommit()).Send()
+	}
+}
+
 // findLost returns a lost voter to remove, or nil. A lost voter is only removed if enough
 // others answer.
 func (c *Controller) findLost(now time.Time, group *pb.GroupStatus) *pb.Member {
