A new replica gets its vote while entries are being committed

Cause: a learner was promoted, and a voter reported as repaired, only if it held everything committed at that very moment. The joining host looked five times a second, and the leader checked once more when the request arrived. So long the group is one voter short, and the next loss takes the majority for good.

Change: a member has caught up if it holds what was committed at most two election timeouts ago (rounds, thesis 4.2.1): a group that needs it at once waits no longer for it than for a leader. The leader promotes a learner that has caught up by itself, so that no call of the new replica has to arrive for it. Reports of a member as repaired follow the same definition.

Ruled out: that a vote before it holds everything makes the group weaker. What was committed before is on a majority of the former voters, and is still there after the loss of one; without the vote no loss at all is borne.

--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -311,7 +311,7 @@
 	// Match is the highest log index that the replica is known to store.
 	Match  uint64 `json:"match"`
 	Active bool   `json:"active"`
-	// Repaired is true if the replica stores all committed entries.
+	// Repaired is true if the replica has a vote and has caught up.
 	Repaired bool `json:"repaired"`
 }
 
--- a/internal/admincli/fleet.go
+++ b/internal/admincli/fleet.go
@@ -154,7 +154,7 @@
 func printGroup(w io.Writer, g *adminapi.GroupStatus) {
 	fmt.Fprintf(w, "control group: leader %d, term %d, committed %d, applied %d, log %d bytes, snapshot at %d\n",
 		g.Leader, g.Term, g.Commit, g.Applied, g.LogBytes, g.SnapshotIndex)
-	fmt.Fprintln(w, "ID\tHOST\tADDRESS\tVOTES\tACTIVE\tMATCH\tHOLDS ALL COMMITTED")
+	fmt.Fprintln(w, "ID\tHOST\tADDRESS\tVOTES\tACTIVE\tMATCH\tCAUGHT UP")
 	for _, m := range g.Members {
 		fmt.Fprintf(w, "%d\t%s\t%s\t%t\t%t\t%d\t%t\n", m.ID, m.Host, m.Address, !m.Learner, m.Active, m.Match, m.Repaired)
 	}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -60,6 +60,10 @@
 	// added.
 	Join bool
 
+	// PromoteLearners has this replica, while it leads, give a learner its vote as soon as
+	// it has caught up, without a request.
+	PromoteLearners bool
+
 	// FirstStart asserts that the whole fleet starts for the first time: no disk that was
 	// used before under an ID of the bootstrap list has been lost. It is recorded on an empty
 	// disk and has no meaning later.
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -43,7 +43,7 @@
 //   - A different nonce, or the answer of a replaced replica, means that the group was
 //     formed with another disk under this ID: the disk was lost. The replica abandons
 //     that ID permanently, draws a new random one, and waits to be added as a learner.
-//     It is promoted once it holds everything committed, and the old ID is removed.
+//     The leader promotes it once it has caught up, and the old ID is removed.
 //
 // Why this is safe: a replica participates only after it recorded the nonces of all
 // others. Any quorum that committed something contains, besides the lost disk, a
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -114,6 +114,7 @@
 		return r.runFormation()
 	}
 	r.propose(proposals)
+	r.promoteLearner()
 	r.core.Flush()
 	if err := r.process(); err != nil {
 		return err
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -110,6 +110,23 @@
 	return nil
 }
 
+// promoteLearner gives a learner that has caught up its vote. A learner that had to ask
+// for it could miss each moment at which it has caught up, and its calls may be lost.
+func (r *Replica) promoteLearner() {
+	if !r.cfg.PromoteLearners {
+		return
+	}
+	id, ok := r.core.CaughtUpLearner()
+	if !ok {
+		return
+	}
+	p := &proposal{members: func(old *pb.Members) *pb.Members { return promote(old, id) }, done: make(chan struct{})}
+	if err := r.proposeMembers(p); err != nil {
+		return // tried again in the next iteration
+	}
+	r.log.Info().Uint64("replica", id).Str("event", "learner-promoted").Send()
+}
+
 func sameMembers(a, b *pb.Members) bool {
 	if len(a.Members) != len(b.Members) {
 		return false
--- a/internal/raft/disk.go
+++ b/internal/raft/disk.go
@@ -111,7 +111,7 @@
 	r.log.stable = r.log.handed
 	r.countOwnVote()
 	if p := r.progress[r.cfg.ID]; r.role == Leader && p != nil {
-		p.match = r.log.stable
+		r.advance(p, r.log.stable)
 		r.maybeCommit()
 	}
 	r.noteUnsynced()
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -144,16 +144,12 @@
 }
 
 // ProposeMembers changes the membership by one member: adds a learner, promotes
-// a learner that holds everything committed, or removes a member.
+// a learner that has caught up, or removes a member.
 func (r *Raft) ProposeMembers(next *pb.Members) (index, term uint64, err error) {
 	if r.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
-	// Two memberships may differ only by one member while the older one isn't
-	// committed; otherwise two disjoint majorities could each elect a leader. The
-	// leader must also have committed an entry of its own term, or an uncommitted
-	// change of an earlier leader could come back (Ongaro, raft-dev, July 2015).
-	if r.members.index() > r.log.commit || r.log.commit < r.termStart {
+	if r.changePending() {
 		return 0, 0, ErrChangePending
 	}
 	if err := r.checkChange(next); err != nil {
@@ -168,6 +164,16 @@
 	return index, r.term, nil
 }
 
+// changePending reports whether no membership change may be proposed yet.
+//
+// Two memberships may differ only by one member while the older one isn't committed;
+// otherwise two disjoint majorities could each elect a leader. The leader must also have
+// committed an entry of its own term, or an uncommitted change of an earlier leader
+// could come back (Ongaro, raft-dev, July 2015).
+func (r *Raft) changePending() bool {
+	return r.members.index() > r.log.commit || r.log.commit < r.termStart
+}
+
 func (r *Raft) checkChange(next *pb.Members) error {
 	cur := r.members.current()
 	changes := 0
@@ -178,7 +184,7 @@
 			changes++
 		case old != nil && old.Learner == m.Learner:
 		case old != nil && old.Learner && !m.Learner:
-			if !r.holdsCommitted(m.Id) {
+			if !r.caughtUp(m.Id) {
 				return ErrNotCaughtUp
 			}
 			changes++
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -126,8 +126,9 @@
 	Member *pb.Member
 	Match  uint64
 	Active bool
-	// Repaired is set for a voter that answered recently and holds everything
-	// committed, including the entry of its own membership.
+	// Repaired is set for a voter that answered recently, holds the entry of its own
+	// membership, and lags behind the commit index by no more than a learner that may be
+	// promoted.
 	Repaired bool
 }
 
@@ -150,7 +151,7 @@
 		if p := r.progress[m.Id]; r.role == Leader && p != nil {
 			ms.Match = p.match
 			ms.Active = m.Id == r.cfg.ID || r.active(p)
-			ms.Repaired = settled && !m.Learner && r.holdsCommitted(m.Id)
+			ms.Repaired = settled && !m.Learner && p.match >= r.members.index() && r.caughtUp(m.Id)
 		}
 		st.Members = append(st.Members, ms)
 	}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -32,8 +32,20 @@
 	ackRound      uint64
 	lastStamp     uint64 // stamp of its last heartbeat reply
 	lastReplyTick int64  // tick of its last reply; 0: none
+
+	// The member is caught up in rounds (thesis, section 4.2.1): a round begins with the
+	// commit index at that tick as its target and ends once the member has synced it.
+	roundTarget uint64 // 0: no round has begun
+	roundTick   int64
+	heldTick    int64 // the member holds what was committed at this tick; 0: none known
 }
 
+// catchUpElections is the number of minimum election timeouts (ElectionTicks) by which a
+// member may lag behind the commit index and still counts as caught up: the longest
+// election timeout. A group that needs this member waits no longer for it than for a
+// new leader.
+const catchUpElections = 2
+
 func (r *Raft) otherMembers() []uint64 {
 	var ids []uint64
 	for id := range r.progress {
@@ -195,7 +207,7 @@
 	if m.LogIndex < p.match || m.LogIndex > r.log.lastIndex() {
 		return
 	}
-	p.match = m.LogIndex
+	r.advance(p, m.LogIndex)
 	if p.state != replicating {
 		p.state = replicating
 		p.awaitingReply = false
@@ -301,14 +313,44 @@
 	}
 }
 
-// holdsCommitted reports whether a member answered recently and holds everything
-// committed.
-func (r *Raft) holdsCommitted(id uint64) bool {
+// advance records that a member has synced the entries up to match.
+func (r *Raft) advance(p *progress, match uint64) {
+	p.match = match
+	if r.log.commit < r.termStart || match < p.roundTarget {
+		return // until an entry of this term is committed, more may be than the leader knows
+	}
+	if p.roundTarget > 0 {
+		p.heldTick = p.roundTick
+	}
+	p.roundTarget, p.roundTick = r.log.commit, r.now
+}
+
+// caughtUp reports whether a member answered recently and holds what was committed at
+// most catchUpElections election timeouts ago. It need not hold everything committed at
+// one moment: a member on a slow link never does while entries are being committed.
+func (r *Raft) caughtUp(id uint64) bool {
 	p := r.progress[id]
 	if r.role != Leader || p == nil || r.log.commit < r.termStart {
 		return false
 	}
-	return p.match >= r.log.commit && (id == r.cfg.ID || r.active(p))
+	if id != r.cfg.ID && !r.active(p) {
+		return false
+	}
+	recent := p.heldTick > 0 && r.now-p.heldTick <= int64(catchUpElections*r.cfg.ElectionTicks)
+	return p.match >= r.log.commit || recent
+}
+
+// CaughtUpLearner returns a learner that may be promoted now, if there is one.
+func (r *Raft) CaughtUpLearner() (id uint64, ok bool) {
+	if r.role != Leader || r.changePending() {
+		return 0, false
+	}
+	for _, m := range r.members.current().list {
+		if m.Learner && r.caughtUp(m.Id) {
+			return m.Id, true
+		}
+	}
+	return 0, false
 }
 
 func (r *Raft) active(p *progress) bool {
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -165,6 +165,31 @@
 	}
 }
 
+// A new replica whose link is slower than the others' is never level with a group that commits all the time. It must be
+// promoted all the same, or the next loss takes the quorum.
+func TestLearnerOnASlowLinkIsPromotedWhileEntriesAreCommitted(t *testing.T) {
+	for seed := range int64(20) {
+		s, l := startGroup(t, seed)
+		commitEntries(t, s, 30)
+		s.compact(l)
+		s.linkDelay = map[uint64]int64{4: 2 * unitsPerTick}
+		dead := replace(s, l.id%3+1, 4)
+		for range 8 * simElection {
+			if l := s.leader(); l != nil {
+				s.propose(l, "under way")
+				s.propose(l, "under way")
+			}
+			s.repair(dead)
+			if s.run(1); s.repaired() {
+				break
+			}
+		}
+		if !s.repaired() || s.violation != "" {
+			t.Fatalf("seed %d: not repaired (%s)", seed, s.violation)
+		}
+	}
+}
+
 // A new replica that was added, but whose connection broke before it held everything,
 // must not count as repaired: an operator who relies on the report may take a second
 // host away.
