A leader keeps the log that a new replica still needs

Cause, found while looking for what else keeps a new replica without a vote: a leader compacts its log by the number of entries only.

TestLogIsNotKeptForever: nothing is kept for a member that doesn't answer or is further behind.

--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -84,6 +84,18 @@
 	return l.entries[from-l.snapIndex-1 : to-l.snapIndex]
 }
 
+// entryBytes is the memory of an entry beside its data.
+const entryBytes = 200
+
+// bytes returns the memory of the entries with from <= index <= to, as far as they are
+// in the log.
+func (l *entryLog) bytes(from, to uint64) (n int) {
+	for _, e := range l.between(max(from, l.snapIndex+1), min(to, l.lastIndex())) {
+		n += entryBytes + len(e.Data)
+	}
+	return n
+}
+
 // batch returns entries from index on: at least one, and as many as fit into maxBytes.
 func (l *entryLog) batch(from uint64, maxBytes int) []*pb.LogEntry {
 	all := l.between(from, l.lastIndex())
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -452,3 +452,39 @@
 		t.Errorf("%d further snapshots while the second is on its way", n)
 	}
 }
+
+// Guards against a leader whose log grows without bound because a member never takes what is kept for it.
+func TestLogIsNotKeptForever(t *testing.T) {
+	const big = maxKeptBytes / 4
+	cases := []struct {
+		name    string
+		entries int // of big bytes each
+		silent  bool
+		kept    bool
+	}{
+		{"member is behind", 3, false, true},
+		{"member is too far behind", 5, false, false},
+		{"member doesn't answer", 3, true, false},
+	}
+	for _, tc := range cases {
+		r := newRaft(t, State{Members: members(1, 2, 3)})
+		electLeader(t, r)
+		acknowledge(r, 2, 1)
+		acknowledge(r, 3, 1)
+		for range tc.entries {
+			_, _, err := r.Propose(make([]byte, big-entryBytes))
+			testutil.NoError(t, err)
+		}
+		drainReady(r)
+		acknowledge(r, 2, r.log.lastIndex())
+		drainReady(r)
+		if tc.silent {
+			tick(r, 2)
+			r.progress[3].lastReplyTick = r.now - int64(r.cfg.ElectionTicks)
+		}
+		r.Compact(r.log.lastIndex())
+		if kept := r.log.snapIndex == 1; kept != tc.kept {
+			t.Errorf("%s: compacted up to %d of %d", tc.name, r.log.snapIndex, r.log.lastIndex())
+		}
+	}
+}
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -102,12 +102,6 @@
 // toApply returns the committed entries that are not applied yet.
 func (r *Raft) toApply() []*pb.LogEntry { return r.log.between(r.log.applied+1, r.log.commit) }
 
-// Compact discards the entries up to index, which a durable snapshot covers.
-func (r *Raft) Compact(index uint64) {
-	r.log.compact(index)
-	r.members.compact(r.log.snapIndex)
-}
-
 // Status is a replica's view of the group.
 type Status struct {
 	ID        uint64
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -28,6 +28,9 @@
 	inflight      []uint64
 	awaitingReply bool // probing or installing: a message is unanswered
 	snapshotLost  bool // installing: the snapshot did not arrive
+	// snapshotFrom is the index before the first entry of the log when the last snapshot
+	// was sent. The entries after that snapshot are among those after snapshotFrom.
+	snapshotFrom  uint64
 	sentTick      int64
 	ackRound      uint64
 	lastStamp     uint64 // stamp of its last heartbeat reply
@@ -95,6 +98,7 @@
 		p.state = installing
 		p.awaitingReply = true
 		p.snapshotLost = false
+		p.snapshotFrom = r.log.snapIndex
 		r.send(&pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_SNAPSHOT, To: id})
 		return
 	}
@@ -288,11 +292,15 @@
 // resendTicks returns how long to wait for a reply before sending again.
 func (r *Raft) resendTicks(p *progress) int64 {
 	if p.state == installing && !p.snapshotLost {
-		return int64(snapshotResendElections * r.cfg.ElectionTicks)
+		return r.snapshotResendTicks()
 	}
 	return int64(max(2, r.cfg.ElectionTicks/2))
 }
 
+func (r *Raft) snapshotResendTicks() int64 {
+	return int64(snapshotResendElections * r.cfg.ElectionTicks)
+}
+
 // maybeCommit commits what a majority of voters have synced. The leader counts itself
 // only for what its own disk has synced, and is not needed for a majority (thesis,
 // section 10.2.1).
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -190,6 +190,33 @@
 	}
 }
 
+// A snapshot takes longer than the group needs to compact its log beyond it. The new replica must not need another
+// snapshot each time, or it never gets its vote.
+func TestLogIsKeptWhileASnapshotIsOnItsWay(t *testing.T) {
+	for seed := range int64(20) {
+		s, l := startGroup(t, seed)
+		commitEntries(t, s, 30)
+		s.compact(l)
+		s.snapshotDelay = 5 * simElection * unitsPerTick
+		dead := replace(s, l.id%3+1, 4)
+		for i := range 20 * simElection {
+			if l := s.leader(); l != nil {
+				s.propose(l, "under way")
+				if i%simElection == 0 {
+					s.compact(l)
+				}
+			}
+			s.repair(dead)
+			if s.run(1); s.repaired() {
+				break
+			}
+		}
+		if !s.repaired() || s.violation != "" {
+			t.Fatalf("seed %d: not repaired (%s)", seed, s.violation)
+		}
+	}
+}
+
 // A new replica that was added, but whose connection broke before it held everything,
 // must not count as repaired: an operator who relies on the report may take a second
 // host away.
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -62,6 +62,8 @@
 	delay           int64 // maximum delay in time units
 	// linkDelay is added to the delay of each message from or to a replica, in time units.
 	linkDelay map[uint64]int64
+	// snapshotDelay is added to the delay of each snapshot, in time units.
+	snapshotDelay int64
 	// droppedTypes are the types of messages that are always lost.
 	droppedTypes map[pb.RaftType]bool
 
@@ -138,6 +140,9 @@
 			continue
 		}
 		at := s.now + s.rnd.Int63n(s.delay+1) + s.linkDelay[m.From] + s.linkDelay[m.To]
+		if m.Type == pb.RaftType_RAFT_TYPE_SNAPSHOT {
+			at += s.snapshotDelay
+		}
 		s.inTransit = append(s.inTransit, delivery{at, m})
 		if s.rnd.Intn(1000) < s.duplicate {
 			s.inTransit = append(s.inTransit, delivery{s.now + s.rnd.Int63n(4*s.delay+1), m})
