Replicas without a leader replace connections that went silent

Cause, found while looking for what waits for a silent connection: only a leader resets the connections to members that don't answer. If all connections become silent at once (the users' network may do so while new ones work), the leader loses its lease before it would reset any, and candidates go on asking for votes over silent streams until these end after up to 3 s. After a disk was lost two voters are left, which both must answer, so that one silent connection is enough.

Change: consensus records which voters leave a request for a vote, or a leader's last heartbeats, without an answer; the loop resets the connections to these after one election timeout, then at growing intervals, as members whose processors are overloaded answer late too. The reset comes before the next messages are sent.

A follower whose link to the leader alone is silent finds that out only once the leader has given up.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -27,6 +27,7 @@
 	mu       sync.Mutex
 	rnd      *rand.Rand
 	blocked  map[[2]string]bool
+	silent   map[[2]string]bool       // connections that carry nothing until they are reset
 	old      map[string]bool          // hosts whose messages look like those of a program without record versions
 	drop     int                      // permille
 	minDelay time.Duration            // minimum delay of each message
@@ -42,7 +43,7 @@
 
 func newCluster(t *testing.T, n int, edit func(*Config)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, configure: edit, rnd: rand.New(rand.NewSource(1)), blocked: map[[2]string]bool{}, old: map[string]bool{}, slow: map[string]time.Duration{}}
+	c := &cluster{t: t, configure: edit, rnd: rand.New(rand.NewSource(1)), blocked: map[[2]string]bool{}, old: map[string]bool{}, slow: map[string]time.Duration{}, silent: map[[2]string]bool{}}
 	for i := range n {
 		c.hosts = append(c.hosts, &host{address: fmt.Sprint("host", i), fs: memfs.New()})
 	}
@@ -137,7 +138,8 @@
 func (l link) Send(m *pb.RaftMessage, address string) {
 	l.c.mu.Lock()
 	defer l.c.mu.Unlock()
-	if l.c.blocked[[2]string{l.from, address}] || l.c.rnd.Intn(1000) < l.c.drop {
+	path := [2]string{l.from, address}
+	if l.c.blocked[path] || l.c.silent[path] || l.c.rnd.Intn(1000) < l.c.drop {
 		return
 	}
 	if l.c.old[l.from] {
@@ -159,7 +161,24 @@
 		}
 	})
 }
-func (l link) Reset(string) {}
+
+// Reset replaces a silent connection.
+func (l link) Reset(address string) {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	delete(l.c.silent, [2]string{l.from, address})
+}
+
+// silenceAll has the open connections between all hosts carry nothing more.
+func (c *cluster) silenceAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, from := range c.hosts {
+		for _, to := range c.hosts {
+			c.silent[[2]string{from.address, to.address}] = true
+		}
+	}
+}
 
 func (l link) FailedSnapshots() []uint64 { return nil }
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -116,10 +116,11 @@
 	r.propose(proposals)
 	r.promoteLearner()
 	r.core.Flush()
+	// Before messages are sent, so that a request for a vote goes out on the new connection.
+	r.resetUnresponsive()
 	if err := r.process(); err != nil {
 		return err
 	}
-	r.resetUnresponsive()
 	return r.maybeSnapshot()
 }
 
@@ -317,19 +318,34 @@
 	return r.addresses[id]
 }
 
-// resetUnresponsive resets the leader's connections to members that don't answer. A
-// connection whose state a middlebox has lost stays unresponsive, while a new
-// one would work.
+// resetUnresponsive resets the connections to members that don't answer. A connection
+// whose state a middlebox has lost stays unresponsive, while a new one would work.
 func (r *Replica) resetUnresponsive() {
-	if r.role != raft.Leader {
+	if !r.core.IsLeader() && r.leader != 0 {
 		return
 	}
-	now := r.core.Now()
 	for _, m := range r.core.Status().Members {
-		if m.Active || now-r.lastConnReset[m.Member.Id] < int64(r.cfg.ElectionTicks) {
+		if !r.unresponsive(m) {
 			continue
 		}
-		r.lastConnReset[m.Member.Id] = now
+		r.lastConnReset[m.Member.Id] = r.core.Now()
 		r.cfg.Transport.Reset(m.Member.Address)
 	}
 }
+
+// maxConnResetElections bounds the interval, in minimum election timeouts (ElectionTicks),
+// between two resets of a connection while no leader is known.
+const maxConnResetElections = 8
+
+// unresponsive reports whether a member doesn't answer and its connection was not reset
+// lately. While no leader is known the interval grows: the members of a group whose
+// processors are overloaded answer late, and new connections would cost them even more.
+func (r *Replica) unresponsive(m raft.MemberStatus) bool {
+	sinceReset := r.core.Now() - r.lastConnReset[m.Member.Id]
+	election := int64(r.cfg.ElectionTicks)
+	if r.core.IsLeader() {
+		return !m.Active && sinceReset >= election
+	}
+	unanswered, ok := r.core.Unanswered(m.Member.Id)
+	return ok && unanswered >= election && sinceReset >= min(unanswered/2, maxConnResetElections*election)
+}
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"strings"
 	"sync"
 	"testing"
@@ -144,6 +145,22 @@
 	}
 }
 
+// All connections between the replicas become silent at once, while new ones would work. The group must not wait for the
+// end of its streams until it has a leader again.
+func TestGroupElectsOverNewConnections(t *testing.T) {
+	for seed := range int64(10) {
+		withCluster(t, func(cfg *Config) { cfg.ElectionTicks = 8 }, func(t *testing.T, c *cluster) {
+			c.rnd = rand.New(rand.NewSource(seed))
+			c.leader()
+			c.mustSet(1, 0)
+			c.silenceAll()
+			if err := c.set("after", "/a", "x", 3*time.Second); err != nil {
+				t.Fatal("no leader 3 s after all connections became silent")
+			}
+		})
+	}
+}
+
 // A host that lost its disk has a slower link than the others, and the group commits all the time, so that its replica is
 // never level with it. It gets its vote without asking for it.
 func TestLearnerOnASlowLinkGetsItsVote(t *testing.T) {
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -54,6 +54,7 @@
 		if id == r.cfg.ID {
 			continue
 		}
+		r.expectAnswer(id)
 		m := &pb.RaftMessage{Type: t, To: id, Term: term, LogIndex: r.log.lastIndex(), LogTerm: r.log.lastTerm()}
 		if r.campaignByTransfer {
 			m.Context = transferContext
@@ -106,6 +107,7 @@
 }
 
 func (r *Raft) becomeLeader() {
+	clear(r.unansweredSince)
 	r.role = Leader
 	r.leader = r.cfg.ID
 	r.keepLeader(true)
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -95,7 +95,8 @@
 	electionDeadline   int64
 	patience           patience
 	votes              map[uint64]bool
-	campaignByTransfer bool // the campaign being started was requested by the leader
+	unansweredSince    map[uint64]int64 // see Unanswered
+	campaignByTransfer bool             // the campaign being started was requested by the leader
 
 	progress  map[uint64]*progress
 	lease     lease
@@ -119,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Raft{cfg: cfg, log: log, members: newMemberHistory(st), disk: diskState{synced: &pb.HardState{}}, lastContact: map[uint64]int64{}}
+	r := &Raft{cfg: cfg, log: log, members: newMemberHistory(st), disk: diskState{synced: &pb.HardState{}}, lastContact: map[uint64]int64{}, unansweredSince: map[uint64]int64{}}
 	for _, e := range log.entries {
 		r.members.record(e)
 	}
@@ -183,6 +184,7 @@
 	// for it.
 	if r.now-r.lease.quorumTick >= r.unansweredTicks() {
 		r.patience.giveUp(r.cfg.ID, r.now)
+		r.keepUnanswered()
 		r.becomeFollower(r.term, 0)
 		return
 	}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -9,6 +9,10 @@
 	}
 	r.lastContact[m.From] = r.now
 	r.heardFrom(m.From)
+	switch m.Type {
+	case pb.RaftType_RAFT_TYPE_PRE_VOTE_REPLY, pb.RaftType_RAFT_TYPE_VOTE_REPLY:
+		delete(r.unansweredSince, m.From)
+	}
 	if m.Term > r.term && !r.acceptHigherTerm(m) {
 		return
 	}
@@ -95,6 +99,7 @@
 	r.role = Follower
 	r.leader = m.From
 	r.votes = nil
+	clear(r.unansweredSince)
 	r.lastLeaderContact = r.now
 	r.resetElectionTimer()
 }
