Test: the leader is lost while a new replica catches up, five and seven voters

Cause: a new leader knows nothing of a learner's progress, and its commit index is behind until an entry of its term is committed; if it counted from there, a replica that lacks committed entries could get a vote.

Change: a scenario in virtual time, 20 seeds each with five and seven voters, a slower link to the learner and entries under way.

--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -190,6 +190,44 @@
 	}
 }
 
+// The leader is lost while a new replica catches up. The next leader knows nothing of its progress and must promote it all
+// the same; only what the group has committed by then may count.
+func TestLearnerIsPromotedAlthoughTheLeaderIsLost(t *testing.T) {
+	for _, ids := range [][]uint64{{1, 2, 3, 4, 5}, {1, 2, 3, 4, 5, 6, 7}} {
+		for seed := range int64(20) {
+			s := newSim(seed, ids...)
+			s.run(5 * simElection)
+			commitEntries(t, s, 30)
+			first := s.leader()
+			s.compact(first)
+			s.linkDelay = map[uint64]int64{9: unitsPerTick}
+			dead := replace(s, first.id%uint64(len(ids))+1, 9)
+			s.repairTo(dead, len(ids))
+			for range 2 { // the former replica is removed, the new one added
+				s.run(2)
+				s.repairTo(dead, len(ids))
+			}
+			s.run(2)
+			if m := first.r.members.current().find(9); m == nil || !m.Learner {
+				t.Fatalf("seed %d: the new replica is %v", seed, m)
+			}
+			s.stop(first)
+			promoted := false
+			for i := 0; i < 20*simElection && !promoted; i++ {
+				if l := s.leader(); l != nil {
+					s.propose(l, "under way")
+					id, ok := l.r.CaughtUpLearner()
+					promoted = ok && id == 9
+				}
+				s.run(1)
+			}
+			if !promoted || s.violation != "" {
+				t.Fatalf("%d voters, seed %d: not promoted (%s)", len(ids), seed, s.violation)
+			}
+		}
+	}
+}
+
 // A snapshot takes longer than the group needs to compact its log beyond it. The new replica must not need another
 // snapshot each time, or it never gets its vote.
 func TestLogIsKeptWhileASnapshotIsOnItsWay(t *testing.T) {
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -328,8 +328,11 @@
 // groupSize is the number of voters that a repair restores.
 const groupSize = 3
 
-// repair takes the next step in replacing dead replicas with learners under new IDs.
-func (s *sim) repair(dead map[uint64]bool) {
+// repair takes the next step in replacing dead replicas of a group of groupSize.
+func (s *sim) repair(dead map[uint64]bool) { s.repairTo(dead, groupSize) }
+
+// repairTo takes the next step in replacing dead replicas with learners under new IDs.
+func (s *sim) repairTo(dead map[uint64]bool, size int) {
 	l := s.leader()
 	if l == nil {
 		return
@@ -347,7 +350,7 @@
 		}
 	}
 	for _, n := range s.sortedNodes() {
-		if n.up && set.find(n.id) == nil && len(set.list) < groupSize {
+		if n.up && set.find(n.id) == nil && len(set.list) < size {
 			next.Members = append(next.Members, &pb.Member{Id: n.id, Learner: true})
 			break
 		}
