Compaction ignores what a member needs if it is gone already

Change: only what the log still has is kept. `bytes` needs no clipping then. A comment says for which leaders a joining host asks for its vote.

--- a/internal/controlclient/join.go
+++ b/internal/controlclient/join.go
@@ -68,6 +68,7 @@
 	case own == nil:
 		return &pb.ChangeMembersRequest{Verb: control.VerbAddLearner, Member: self}, false
 	case own.Member.Learner && own.Match >= group.Commit && own.Active:
+		// Leaders of earlier versions don't promote a learner by themselves.
 		return &pb.ChangeMembersRequest{Verb: control.VerbPromote, Member: self}, false
 	}
 	return nil, own.Repaired
--- a/internal/raft/compaction.go
+++ b/internal/raft/compaction.go
@@ -12,7 +12,7 @@
 	kept := index
 	for _, id := range r.otherMembers() {
 		held, ok := r.heldBy(r.progress[id])
-		if ok && held < kept && r.log.bytes(held+1, index) <= maxKeptBytes {
+		if ok && held >= r.log.snapIndex && held < kept && r.log.bytes(held+1, index) <= maxKeptBytes {
 			kept = held
 		}
 	}
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -87,10 +87,9 @@
 // entryBytes is the memory of an entry beside its data.
 const entryBytes = 200
 
-// bytes returns the memory of the entries with from <= index <= to, as far as they are
-// in the log.
+// bytes returns the memory of the entries with from <= index <= to.
 func (l *entryLog) bytes(from, to uint64) (n int) {
-	for _, e := range l.between(max(from, l.snapIndex+1), min(to, l.lastIndex())) {
+	for _, e := range l.between(from, to) {
 		n += entryBytes + len(e.Data)
 	}
 	return n
