A new leader keeps the connections to its members

Cause, seen in the log of a test: a leader that has just been elected has no answers yet, so that all members counted as not answering, and it reset every connection. Its first heartbeats and entries were lost with them or waited 100 ms for new ones, at each election.

Change: members get one election timeout after the election.

Before: TestNewLeaderKeepsConnections fails (two and one resets of connections to hosts that run).

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -28,6 +28,7 @@
 	rnd      *rand.Rand
 	blocked  map[[2]string]bool
 	silent   map[[2]string]bool       // connections that carry nothing until they are reset
+	resets   map[string]int           // resets of the connections to each host
 	old      map[string]bool          // hosts whose messages look like those of a program without record versions
 	drop     int                      // permille
 	minDelay time.Duration            // minimum delay of each message
@@ -43,7 +44,7 @@
 
 func newCluster(t *testing.T, n int, edit func(*Config)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, configure: edit, rnd: rand.New(rand.NewSource(1)), blocked: map[[2]string]bool{}, old: map[string]bool{}, slow: map[string]time.Duration{}, silent: map[[2]string]bool{}}
+	c := &cluster{t: t, configure: edit, rnd: rand.New(rand.NewSource(1)), blocked: map[[2]string]bool{}, old: map[string]bool{}, slow: map[string]time.Duration{}, silent: map[[2]string]bool{}, resets: map[string]int{}}
 	for i := range n {
 		c.hosts = append(c.hosts, &host{address: fmt.Sprint("host", i), fs: memfs.New()})
 	}
@@ -167,6 +168,7 @@
 	l.c.mu.Lock()
 	defer l.c.mu.Unlock()
 	delete(l.c.silent, [2]string{l.from, address})
+	l.c.resets[address]++
 }
 
 // silenceAll has the open connections between all hosts carry nothing more.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -321,7 +321,8 @@
 // resetUnresponsive resets the connections to members that don't answer. A connection
 // whose state a middlebox has lost stays unresponsive, while a new one would work.
 func (r *Replica) resetUnresponsive() {
-	if !r.core.IsLeader() && r.leader != 0 {
+	justElected := r.core.IsLeader() && r.role != raft.Leader
+	if justElected || !r.core.IsLeader() && r.leader != 0 {
 		return
 	}
 	for _, m := range r.core.Status().Members {
@@ -344,7 +345,7 @@
 	sinceReset := r.core.Now() - r.lastConnReset[m.Member.Id]
 	election := int64(r.cfg.ElectionTicks)
 	if r.core.IsLeader() {
-		return !m.Active && sinceReset >= election
+		return !m.Active && min(sinceReset, r.core.Now()-r.ledSince) >= election
 	}
 	unanswered, ok := r.core.Unanswered(m.Member.Id)
 	return ok && unanswered >= election && sinceReset >= min(unanswered/2, maxConnResetElections*election)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -48,6 +48,7 @@
 	lastTime             int64             // newest time stamped or applied, Unix milliseconds
 	lastFormationRequest int64             // when formation requests were last sent
 	lastConnReset        map[uint64]int64  // when the connection to each member was last reset
+	ledSince             int64             // when this replica became the leader, if it leads
 	recordVersions       map[uint64]uint32 // of the replicas heard from, by id
 	role                 raft.Role         // as last published
 	leader               uint64            // as last published; 0: none known
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -161,6 +161,28 @@
 	}
 }
 
+// A new leader has no answer of its members yet. It must not reset their connections for that, which would delay its first
+// heartbeats.
+func TestNewLeaderKeepsConnections(t *testing.T) {
+	withCluster(t, func(cfg *Config) { cfg.ElectionTicks = 8 }, func(t *testing.T, c *cluster) {
+		l := c.leader()
+		c.crash(l)
+		time.Sleep(5 * time.Second)
+		c.mustSet(1, 0)
+		for _, h := range c.hosts {
+			c.mu.Lock()
+			n := c.resets[h.address]
+			c.mu.Unlock()
+			if h != l && n != 0 {
+				t.Errorf("%d resets of connections to %s, which runs", n, h.address)
+			}
+			if h == l && n == 0 {
+				t.Errorf("no reset of a connection to %s, which doesn't answer", h.address)
+			}
+		}
+	})
+}
+
 // A host that lost its disk has a slower link than the others, and the group commits all the time, so that its replica is
 // never level with it. It gets its vote without asking for it.
 func TestLearnerOnASlowLinkGetsItsVote(t *testing.T) {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -77,6 +77,7 @@
 	}
 	r.role = v.role
 	if v.role == raft.Leader {
+		r.ledSince = r.core.Now()
 		r.metrics.Elected.Add(1)
 		r.log.Info().Uint64("term", v.term).Uint64("replica", v.id).Str("event", "became-leader").Send()
 	}
