--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -322,7 +322,8 @@
 // whose state a middlebox has lost stays unresponsive, while a new one would work.
 func (r *Replica) resetUnresponsive() {
 	justElected := r.core.IsLeader() && r.role != raft.Leader
-	if justElected || !r.core.IsLeader() && r.leader != 0 {
+	following := !r.core.IsLeader() && r.leader != 0
+	if justElected || following {
 		return
 	}
 	for _, m := range r.core.Status().Members {
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -324,8 +324,9 @@
 // advance records that a member has synced the entries up to match.
 func (r *Raft) advance(p *progress, match uint64) {
 	p.match = match
+	// A new leader's commit index may be too low until an entry of its term is committed.
 	if r.log.commit < r.termStart || match < p.roundTarget {
-		return // until an entry of this term is committed, more may be than the leader knows
+		return
 	}
 	if p.roundTarget > 0 {
 		p.heldTick = p.roundTick
