Test: a data race in the test of silent connections

Cause: the test replaced the network's source of randomness while replicas already sent. Found by the race detector on internal/control; the program is not concerned.

Change: under the network's lock.

Before: TestGroupElectsOverNewConnections fails under -race. After: it and the other new tests of the package pass under -race twice. The race detector on internal/raft, controlclient, controller/voters and daemon: clean.

--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -150,7 +150,9 @@
 func TestGroupElectsOverNewConnections(t *testing.T) {
 	for seed := range int64(10) {
 		withCluster(t, func(cfg *Config) { cfg.ElectionTicks = 8 }, func(t *testing.T, c *cluster) {
+			c.mu.Lock()
 			c.rnd = rand.New(rand.NewSource(seed))
+			c.mu.Unlock()
 			c.leader()
 			c.mustSet(1, 0)
 			c.silenceAll()
