--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -151,8 +151,8 @@
 }
 
 // A membership change must wait until the previous one is committed, or two disjoint
-// majorities may exist. A learner promoted before it holds everything committed would
-// make a lost disk count as repaired.
+// majorities may exist. A learner promoted before it has caught up would make a lost
+// disk count as repaired.
 func TestMembershipChangeWaitsForCommit(t *testing.T) {
 	r := newRaft(t, State{Members: members(1, 2, 3)})
 	electLeader(t, r)
--- a/internal/raft/unanswered.go
+++ b/internal/raft/unanswered.go
@@ -1,8 +1,8 @@
 package raft
 
-// Unanswered returns for how long a voter has left this replica without an answer, or
-// false if nothing is unanswered: requests for its vote, or the heartbeats of a leader
-// that gave up because of it. It is false for a leader and while a leader is known.
+// Unanswered returns for how long, in ticks, a voter has not answered requests for its
+// vote, or the heartbeats that this replica sent as the leader before it gave up. ok is
+// false if nothing is unanswered, if this replica leads, and once it follows a leader.
 func (r *Raft) Unanswered(id uint64) (ticks int64, ok bool) {
 	since, ok := r.unansweredSince[id]
 	return r.now - since, ok
