A stream without a name goes on only at a version that a quorum knows to be the only one

Callers saw a stream that had begun at a server of a new version go on at one of another version: taken up with Last-Event-Id alone at a host that had been cut off, or had stood still, while servers of the new version joined. The reverse was found on the way: the new servers announce themselves only to a host that is cut off, and the sound ones mix.

Cause: the host took the versions in its own registry for all there are. All mixed streams have origin_from=sole_version on their lines.

Now a host begins streams that may be taken up at a version only once a quorum of the control hosts has acknowledged the version, and takes one for the only version if a quorum of them, asked after the request came, knows of no other. Two quorums have a host in common, whatever each host has heard and when.

Instance.Versions replaces SoleVersion; its test wants the whole list.

--- a/internal/controller/balancer/balancer.go
+++ b/internal/controller/balancer/balancer.go
@@ -85,7 +85,6 @@
 var (
 	_ relay.Balancer = (*Balancer)(nil)
 	_ relay.Retries  = (*Balancer)(nil)
-	_ relay.Versions = (*Balancer)(nil)
 )
 
 // New returns a Balancer that knows no server.
@@ -403,11 +402,11 @@
 	return b.core.Version(chosen)
 }
 
-// SoleVersion implements relay.Versions.
-func (b *Balancer) SoleVersion(service string) (version string, ok bool) {
+// Versions returns the software versions of a service's servers that this host knows or has known lately, in order.
+func (b *Balancer) Versions(service string) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.reg.SoleVersion(time.Now(), service)
+	return b.reg.Versions(time.Now(), service)
 }
 
 // lease implements relay.Lease.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -29,6 +29,7 @@
 	routesctl "github.com/bluebellsail/bluebellsail/internal/controller/routes"
 	"github.com/bluebellsail/bluebellsail/internal/controller/serverpaths"
 	"github.com/bluebellsail/bluebellsail/internal/controller/slowreaders"
+	"github.com/bluebellsail/bluebellsail/internal/controller/versions"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/httpserver"
@@ -77,6 +78,7 @@
 	budgets  *budgets.Reserver
 	assigner *assign.Assigner
 	origins  *origins.Keeper
+	versions *versions.Keeper
 	// grants is nil until this host is registered; then registered is closed.
 	grants     atomic.Pointer[grants.Manager]
 	registered chan struct{}
@@ -287,6 +289,8 @@
 	g.budgets = g.newBudgets()
 	g.origins = origins.New(origins.Config{Owners: g.owners, Controls: g.rankedControlHosts, Client: d.pool.Client, Log: d.tel.Log})
 	d.tel.Metrics.Set("stream_origins", g.origins.Metrics())
+	g.versions = versions.New(versions.Config{Local: g.balancer.Versions, Controls: g.controlGroup, Client: d.pool.Client, Log: d.tel.Log})
+	d.tel.Metrics.Set("software_versions", g.versions.Metrics())
 	g.assigner = assign.New(assign.Config{
 		Incarnation: g.run, Self: g.holder, Local: g.balancer, Owners: g.owners, Client: d.pool.Client, Log: d.tel.Log,
 		Queue: g.overload().Waits(),
--- a/internal/daemon/gatewayhosts.go
+++ b/internal/daemon/gatewayhosts.go
@@ -9,9 +9,11 @@
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
 	"github.com/bluebellsail/bluebellsail/internal/controller/owners"
 	routesctl "github.com/bluebellsail/bluebellsail/internal/controller/routes"
+	"github.com/bluebellsail/bluebellsail/internal/controller/versions"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/procconfig"
 	"github.com/bluebellsail/bluebellsail/internal/rendezvous"
 	"github.com/bluebellsail/bluebellsail/internal/retry"
 	"github.com/bluebellsail/bluebellsail/internal/serverpath"
@@ -56,6 +58,23 @@
 // known to be dead.
 func (g *gateway) controlAddresses() []string { return g.controlHosts().known }
 
+// controlGroup returns all control hosts that this host knows; ok is false until it is registered, and with that has heard
+// of all.
+func (g *gateway) controlGroup() (group versions.ControlGroup, ok bool) {
+	group = g.view.controlGroup.get(g.members.Peers(), newControlGroup)
+	group.Self = g.d.cfg.Has(procconfig.RoleControl)
+	return group, g.grants.Load() != nil && (group.Self || len(group.Others) > 0)
+}
+
+func newControlGroup(peers []members.PeerInfo) (group versions.ControlGroup) {
+	for _, m := range peers {
+		if m.Control {
+			group.Others = append(group.Others, m.PeerAddress)
+		}
+	}
+	return group
+}
+
 // rankedHosts ranks hosts by rendezvous hashing.
 type rankedHosts struct {
 	members rendezvous.Members
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -53,10 +53,10 @@
 	if r.Requests != "" {
 		handler := relay.NewHandler(g.protocol, g,
 			&callergone.Filter{ID: requestID}, &match.Filter{Tables: g.routes}, &identify.Filter{Tables: g.routes}, &g.usage, &deadline.Filter{Delay: &g.d.linkDelay}, &leaving.Filter{ServesUntil: g.servesUntil},
-			&resume.Filter{Origins: g.origins, Versions: g.balancer}, &quarantine.Filter{Quarantine: g.suspects},
+			&resume.Filter{Origins: g.origins, Versions: g.versions}, &quarantine.Filter{Quarantine: g.suspects},
 			g.d.link.filter(g.d.cfg.Limits.LinkMbps), &budget.Filter{Budgets: g.budgets},
 			&forward.Filter{
-				Dialect: g.protocol, Client: g.client, Accepts: g.client.Accepts, ObservePlain: g.d.observeRoundTrip, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Origins: g.origins, Abort: httpserver.Abort,
+				Dialect: g.protocol, Client: g.client, Accepts: g.client.Accepts, ObservePlain: g.d.observeRoundTrip, Balancer: g.assigner, Retries: g.balancer, Limits: g.limits, Origins: g.origins, Versions: g.versions, Abort: httpserver.Abort,
 				Queue: g.overload().Waits(), EnginePriority: enginePriority(r.Overload),
 				Pacer: g.slow,
 			})
--- a/internal/daemon/gatewaypeer.go
+++ b/internal/daemon/gatewaypeer.go
@@ -60,6 +60,11 @@
 	return p.g.origins.HandleFind(r), nil
 }
 
+// ShareVersions keeps the software versions that another host knows, and returns those that this host knows.
+func (p gatewayPeer) ShareVersions(_ context.Context, r *pb.ShareVersionsRequest) (*pb.ShareVersionsReply, error) {
+	return p.g.versions.HandleShare(r), nil
+}
+
 // ReportRuns receives the outcomes of another host's attempts.
 func (p gatewayPeer) ReportRuns(_ context.Context, r *pb.ReportRunsRequest) (*pb.ReportRunsReply, error) {
 	return p.g.assigner.HandleReportRuns(r), nil
--- a/internal/daemon/gatewayview.go
+++ b/internal/daemon/gatewayview.go
@@ -5,6 +5,7 @@
 
 	"github.com/bluebellsail/bluebellsail/internal/controller/members"
 	"github.com/bluebellsail/bluebellsail/internal/controller/news"
+	"github.com/bluebellsail/bluebellsail/internal/controller/versions"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -40,6 +41,8 @@
 	// others are the hosts from which a routing table can be fetched, but for seeds that are not in the view.
 	others  viewed[knownSources]
 	control viewed[controlHosts]
+	// controlGroup has the control hosts, dead ones included.
+	controlGroup viewed[versions.ControlGroup]
 	// rankedControl are the control hosts that are not known to be dead.
 	rankedControl viewed[rankedHosts]
 	// alive has the names of the hosts that serve callers and are neither suspected nor dead, in order.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -132,6 +132,10 @@
 	return l.service().FindOrigin(ctx, r)
 }
 
+func (l *deferredPeer) ShareVersions(ctx context.Context, r *pb.ShareVersionsRequest) (*pb.ShareVersionsReply, error) {
+	return l.service().ShareVersions(ctx, r)
+}
+
 func (l *deferredPeer) TakePermits(ctx context.Context, r *pb.TakePermitsRequest) (*pb.TakePermitsReply, error) {
 	return l.service().TakePermits(ctx, r)
 }
--- a/internal/instance/index.go
+++ b/internal/instance/index.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -164,22 +165,20 @@
 	return out
 }
 
-// SoleVersion returns the software version of a service's instances if this host has known of no other one
-// for as long as instances are remembered.
-func (r *Registry) SoleVersion(now time.Time, service string) (version string, ok bool) {
+// Versions returns the software versions of a service's instances, in order: those of the known ones, and those that
+// others had for as long as instances are remembered.
+func (r *Registry) Versions(now time.Time, service string) []string {
 	x := r.index(service)
 	for v, last := range x.goneVersions {
 		if now.Sub(last) >= r.cfg.Forget || x.versions[v] > 0 {
 			delete(x.goneVersions, v)
 		}
 	}
-	if len(x.versions) != 1 || len(x.goneVersions) > 0 {
-		return "", false
-	}
-	for v := range x.versions {
-		version = v
-	}
-	return version, true
+	out := make([]string, 0, len(x.versions)+len(x.goneVersions))
+	out = slices.AppendSeq(out, maps.Keys(x.versions))
+	out = slices.AppendSeq(out, maps.Keys(x.goneVersions))
+	slices.Sort(out)
+	return out
 }
 
 // Preferred returns the instance of a service that ranks first for a key by rendezvous hash, among those
--- a/internal/instance/version_test.go
+++ b/internal/instance/version_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -12,32 +13,32 @@
 
 // Guards against taking a service for one of a single software version while streams of another one may go
 // on: the servers of that one have ended, or came back under their IDs with the new one.
-func TestSoleVersionRemembersFormerVersions(t *testing.T) {
+func TestVersionsIncludeFormerOnes(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := New(Config{Host: "h"})
-	want := func(at time.Time, version string, ok bool, when string) {
+	want := func(at time.Time, when string, versions ...string) {
 		t.Helper()
-		if got, sole := r.SoleVersion(at, "pool"); sole != ok || got != version {
-			t.Errorf("%s: got %q, %v, want %q, %v", when, got, sole, version, ok)
+		if got := r.Versions(at, "pool"); !slices.Equal(got, versions) {
+			t.Errorf("%s: got %q, want %q", when, got, versions)
 		}
 	}
-	want(now, "", false, "no server is known")
+	want(now, "no server is known")
 	r.Announce(now, ofVersion("a", "v1", 1, 1, "1"))
 	r.Announce(now, ofVersion("b", "v1", 1, 1, "2"))
-	want(now, "v1", true, "all servers run v1")
+	want(now, "all servers run v1", "v1")
 	r.Announce(now, ofVersion("c", "v2", 1, 1, "3"))
-	want(now, "", false, "one runs v2")
+	want(now, "one runs v2", "v1", "v2")
 	r.EndCurrent(now, "c")
-	want(now, "", false, "it has ended")
+	want(now, "it has ended", "v1", "v2")
 	r.Announce(now.Add(DefaultForget-1), ofVersion("a", "v1", 1, 2, "1"))
 	r.Announce(now.Add(DefaultForget-1), ofVersion("b", "v1", 1, 2, "2"))
 	now = now.Add(DefaultForget)
 	r.Expire(now)
-	want(now, "v1", true, "it is forgotten")
+	want(now, "it is forgotten", "v1")
 	r.Announce(now, ofVersion("a", "v3", 2, 1, "1"))
 	r.Announce(now, ofVersion("b", "v3", 2, 1, "2"))
-	want(now, "", false, "all servers have come back with v3")
-	want(now.Add(DefaultForget), "v3", true, "and v1 is forgotten")
+	want(now, "all servers have come back with v3", "v1", "v3")
+	want(now.Add(DefaultForget), "and v1 is forgotten", "v3")
 }
 
 // Guards against hosts that do not hear of the version of a server that has changed it within one
@@ -49,7 +50,7 @@
 	if !r.Announce(now, ofVersion("a", "v2", 0, 2, "1")) {
 		t.Error("the peers are not told")
 	}
-	if got, ok := r.SoleVersion(now, "pool"); ok {
-		t.Errorf("%q counts as the only version", got)
+	if got := r.Versions(now, "pool"); !slices.Equal(got, []string{"v1", "v2"}) {
+		t.Errorf("the versions are %q", got)
 	}
 }
--- a/internal/logreport/report.go
+++ b/internal/logreport/report.go
@@ -54,7 +54,7 @@
 	"registered", "not-registered", "ledger-lost", "ledger-regained", "settle-unanswered", "tokens-granted", "transfer-given", "transfer-received",
 	"routes-in-force", "routes-confirmed", "table-served", "routes-replaced", "routes-unreadable",
 	"peer-health", "server-lost", "server-paused", "connection-closed", "evacuation-ordered", "evacuation-in-force", "server-cold",
-	"service-pressed", "service-relieved", "slow-readers-refused", "caller-slow", "server-slow",
+	"version-shared", "version-not-shared", "service-pressed", "service-relieved", "slow-readers-refused", "caller-slow", "server-slow",
 	"link-full", "link-load", "link-relieved", "crash-at-full-memory",
 }
 
--- a/internal/relay/forward/forward.go
+++ b/internal/relay/forward/forward.go
@@ -25,6 +25,7 @@
 	Retries  relay.Retries
 	Limits   relay.Limits
 	Origins  relay.Origins
+	Versions relay.Versions
 	// ObservePlain is called with how long a plain service took to answer; nil: no call.
 	ObservePlain func(took time.Duration)
 	// Accepts reports whether a server accepts connections, true if that can't be found out; nil: not
@@ -147,6 +148,10 @@
 			}
 			return t.giveUp(err)
 		}
+		if !t.versionShared(lease) {
+			lease.Done(balance.Abandoned)
+			continue
+		}
 		release, err := t.allowSend()
 		if err != nil {
 			lease.Done(balance.Abandoned)
--- a/internal/relay/forward/forward_test.go
+++ b/internal/relay/forward/forward_test.go
@@ -169,6 +169,16 @@
 func (l *lease) WrongInstance()                     { l.l.wrong = append(l.l.wrong, l.id) }
 func (l *lease) Done(r balance.Result)              { l.l.results = append(l.l.results, r) }
 
+// sharedVersions are the software versions that other hosts know; nil: all.
+type sharedVersions struct {
+	relay.Versions
+	known []string
+}
+
+func (s sharedVersions) Share(_ context.Context, _, version string) (shared bool, others []string) {
+	return s.known == nil || slices.Contains(s.known, version), s.known
+}
+
 // recordedOrigins records the origins of streams by attempt.
 type recordedOrigins struct {
 	mu        sync.Mutex
@@ -275,6 +285,7 @@
 	// origins records the origins of streams. origin is that of the stream that the request resumes; nil if it
 	// resumes none.
 	origins recordedOrigins
+	shared  sharedVersions
 	origin  *streamorigin.Origin
 	// admission is the request's; nil if there is no quarantine.
 	admission filter.Admission
@@ -325,7 +336,7 @@
 		Service: &routes.Service{Name: "pool", Engine: &routes.Engine{TokensPerEvent: 4}}, Origin: r.origin,
 	}
 	f := &Filter{
-		Dialect: dialect{}, Client: r.servers, Balancer: r.leases, Retries: &r.allowed, Limits: &r.limits, Origins: &r.origins,
+		Dialect: dialect{}, Client: r.servers, Balancer: r.leases, Retries: &r.allowed, Limits: &r.limits, Origins: &r.origins, Versions: r.shared,
 		Abort: func(http.ResponseWriter) { r.aborted = true },
 		Pacer: r.pacer,
 	}
--- a/internal/relay/forward/version.go
+++ b/internal/relay/forward/version.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bluebellsail/bluebellsail/internal/relay"
+	"github.com/bluebellsail/bluebellsail/internal/routes"
 	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
 
@@ -12,6 +13,25 @@
 // at once; one whose announcement takes longer is mistaken for the former one.
 const restartKnown = 300 * time.Millisecond
 
+// versionShared reports whether a stream may begin at the server of a lease: other hosts, at which its caller may take it up
+// without naming it, know of the server's version. Else it restricts the request to the versions that they know. If they know
+// none, this host is cut off from those that keep versions, and any will do.
+func (t *task) versionShared(lease relay.Lease) bool {
+	if t.x.Origin != nil || t.x.Route.Kind != routes.Stream || !t.x.Route.Resumable {
+		return true
+	}
+	version, known := lease.Version()
+	if !known {
+		return true // the stream is of unknown version and is not taken up
+	}
+	shared, others := t.f.Versions.Share(t.ctx, t.x.Service.Name, version)
+	if shared || len(others) == 0 {
+		return true
+	}
+	t.work.Versions = others
+	return false
+}
+
 // sameVersion is called before the first event of an attempt is passed on, and before further ones while the
 // version of the stream is not known. It returns false if the server may run another software version than
 // the one that began the stream.
--- a/internal/relay/forward/version_test.go
+++ b/internal/relay/forward/version_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/balance"
 	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/relay"
 	"github.com/bluebellsail/bluebellsail/internal/routes"
 	"github.com/bluebellsail/bluebellsail/internal/streamorigin"
 )
@@ -27,6 +29,40 @@
 	}
 }
 
+// Guards against streams that begin at a version of which other hosts don't know, so that one of them takes another version for
+// the only one; and against refusing all streams at a host that is cut off from those that keep versions.
+func TestStreamBeginsAtASharedVersion(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		kind       routes.Kind
+		resumable  bool
+		origin     *streamorigin.Origin
+		version    string
+		known      []string
+		begins     bool
+		restricted []string
+	}{
+		{name: "shared", kind: routes.Stream, resumable: true, version: "v2", known: []string{"v1", "v2"}, begins: true},
+		{name: "not shared", kind: routes.Stream, resumable: true, version: "v2", known: []string{"v1"}, restricted: []string{"v1"}},
+		{name: "none shared", kind: routes.Stream, resumable: true, version: "v2", known: []string{}, begins: true},
+		{name: "not known", kind: routes.Stream, resumable: true, known: []string{"v1"}, begins: true},
+		{name: "resumed", kind: routes.Stream, resumable: true, origin: &streamorigin.Origin{Version: "v2"}, version: "v2", known: []string{"v1"}, begins: true},
+		{name: "not resumable", kind: routes.Stream, version: "v2", known: []string{"v1"}, begins: true},
+		{name: "no stream", kind: routes.Idempotent, version: "v2", known: []string{"v1"}, begins: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			x := &relay.Exchange{
+				Route: &routes.Route{Kind: test.kind, Resumable: test.resumable}, Service: &routes.Service{Name: "pool"}, Origin: test.origin,
+			}
+			task := &task{f: &Filter{Versions: sharedVersions{known: test.known}}, x: x, ctx: t.Context(), work: &balance.Work{}}
+			begins := task.versionShared(&lease{l: &leases{versions: map[string]string{"a": test.version}}, id: "a"})
+			if begins != test.begins || !slices.Equal(task.work.Versions, test.restricted) {
+				t.Errorf("begins %v, restricted to %q", begins, task.work.Versions)
+			}
+		})
+	}
+}
+
 // Guards against events of a server that came back under its ID with another software version after it was
 // chosen: they must not follow those of the first server.
 func TestEventsOfAnotherVersionAreDropped(t *testing.T) {
--- a/internal/relay/forward/wire_test.go
+++ b/internal/relay/forward/wire_test.go
@@ -260,7 +260,7 @@
 	client := engineclient.New(o.client)
 	o.server.Address, o.server.Handler = "127.0.0.1:0", relay.NewHandler(wireDialect{}, seen,
 		routed{&route},
-		&Filter{Dialect: wireDialect{}, Client: client, Accepts: client.Accepts, Balancer: servers, Retries: anyRetries{}, Limits: anyLimits{}, Origins: &recordedOrigins{}, Abort: httpserver.Abort, Pacer: o.pacer})
+		&Filter{Dialect: wireDialect{}, Client: client, Accepts: client.Accepts, Balancer: servers, Retries: anyRetries{}, Limits: anyLimits{}, Origins: &recordedOrigins{}, Versions: sharedVersions{}, Abort: httpserver.Abort, Pacer: o.pacer})
 	s := httpserver.New(o.server)
 	testutil.NoError(t, s.Start())
 	t.Cleanup(func() {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -103,11 +103,14 @@
 	Find(ctx context.Context, account, attempt string) (o streamorigin.Origin, from string, err error)
 }
 
-// Versions tells which software versions the backend servers of a service run.
+// Versions tells which software versions the backend servers of a service run anywhere in the fleet.
 type Versions interface {
-	// SoleVersion returns the version of all servers of a service; ok is false if this host knows several, or
-	// has known several lately.
-	SoleVersion(service string) (version string, ok bool)
+	// Sole returns the only version of a service at which streams can have begun before the call, or a refusal if there
+	// are several, or if there may be others.
+	Sole(ctx context.Context, service string) (version string, err error)
+	// Share has other hosts know of a version of a service before a stream begins at it, so that their Sole takes it
+	// into account. If they can't be reached, shared is false and others are the versions that they know.
+	Share(ctx context.Context, service, version string) (shared bool, others []string)
 }
 
 // Balancer chooses backend servers.
--- a/internal/relay/resume/resume.go
+++ b/internal/relay/resume/resume.go
@@ -52,9 +52,9 @@
 	if x.Resumes != "" {
 		return f.Origins.Find(ctx, x.AccountName(), x.Resumes)
 	}
-	version, ok := f.Versions.SoleVersion(x.Service.Name)
-	if !ok {
-		return o, "", errkind.New(errkind.StreamUnknown, "the request does not name the attempt that began its stream, and servers of %q run several software versions", x.Service.Name)
+	version, err := f.Versions.Sole(ctx, x.Service.Name)
+	if err != nil {
+		return o, "", err
 	}
 	return streamorigin.Origin{Service: x.Service.Name, Version: version}, soleVersion, nil
 }
--- a/internal/relay/resume/resume_test.go
+++ b/internal/relay/resume/resume_test.go
@@ -34,7 +34,13 @@
 // versions are the software versions of all services' servers.
 type versions []string
 
-func (v versions) SoleVersion(string) (string, bool) { return v[0], len(v) == 1 }
+func (v versions) Sole(context.Context, string) (string, error) {
+	if len(v) != 1 {
+		return "", errkind.New(errkind.StreamUnknown, "several")
+	}
+	return v[0], nil
+}
+func (v versions) Share(context.Context, string, string) (bool, []string) { return true, nil }
 
 // serve passes a request through the filter. It returns the exchange, and whether it was passed on.
 func serve(t *testing.T, k *kept, kind routes.Kind, req relay.Request) (x *relay.Exchange, passed bool, err error) {
