--- a/internal/engineclient/truncated_test.go
+++ b/internal/engineclient/truncated_test.go
@@ -1,6 +1,7 @@
 package engineclient
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"sync"
 	"syscall"
 	"testing"
+
+	"github.com/bluebellsail/bluebellsail/internal/testutil"
 )
 
 // Guards against a KV cache of which only a part arrived, and which another engine would continue
@@ -105,3 +108,55 @@
 		}
 	}
 }
+
+// Guards against taking a KV cache, a probe or a plain answer for good whose server stopped inside the head, the size of
+// a chunk or the trailer.
+func TestAnswersCutInTheirHeadOrFramingFail(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ncache",
+		"chunks":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ncache\r\n0\r\n\r\n",
+		"trailer":  "HTTP/1.1 200 OK\r\nTrailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ncache\r\n0\r\nSum: 1\r\n\r\n",
+		"unframed": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for cut := range len(answer) {
+				address := serveOnce(t, answer[:cut])
+				client := New(Config{})
+				if kv, err := client.ExportKV(t.Context(), address, "r1"); err == nil {
+					t.Errorf("cut after %d bytes: a KV cache of %q", cut, kv)
+				}
+				if a, err := client.Call(t.Context(), Request{Address: address, Method: http.MethodPost, Path: "/"}); err == nil {
+					t.Errorf("cut after %d bytes: an answer of %q", cut, a.Body)
+				}
+				if head, _, _ := strings.Cut(answer, "\r\n\r\n"); cut < len(head)+len("\r\n\r\n") {
+					if got := client.Probe(t.Context(), address, "/"); got != Gone {
+						t.Errorf("cut after %d bytes: the server counts as alive", cut)
+					}
+				}
+				client.Close()
+			}
+		})
+	}
+}
+
+// serveOnce starts a server that answers each request with text and closes the connection.
+func serveOnce(t *testing.T, text string) (address string) {
+	t.Helper()
+	l := testutil.Listen(t)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(c, text)
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
