Header values are read without the white space around them

Callers with a blank after their key or host got 401 or 404, and a header whose value is white space alone counted as given: a stream that was taken up with such a Resumes header was looked for under the name ' '.

Cause: nbhttp removes the blanks before a value and leaves those after it, a tab before it, and one blank of a value of blanks only. The server now trims all values and the host before a handler sees them. The test, over a socket, failed for six of nine values before and passes now.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -292,9 +293,20 @@
 		WriteError(res, "", errkind.New(errkind.Overloaded, "%d requests are in flight at this host", running).After(overloadedRetry))
 		return
 	}
+	trimValues(r)
 	s.cfg.Handler.ServeHTTP(res, r)
 }
 
+// trimValues removes the white space around the values of a request's headers, of which nbhttp leaves a part.
+func trimValues(r *http.Request) {
+	r.Host = strings.Trim(r.Host, " \t")
+	for _, values := range r.Header {
+		for i, value := range values {
+			values[i] = strings.Trim(value, " \t")
+		}
+	}
+}
+
 // isLastRequest counts a request on its connection and reports whether it is the last one
 // allowed there.
 func (s *Server) isLastRequest(c *trackedConn) bool {
