The log tells suspensions of the machine from standstills of the process

Of a machine that is suspended for seconds (a virtual machine that is paused) nothing was logged: the monotonic clock doesn't count the time, so that no tick is late. The lines of a host that answers by old knowledge right after that could not tell this from a sound host. stood-still now has suspended, from the difference between CLOCK_BOOTTIME and CLOCK_MONOTONIC, and is logged for it.

--- a/internal/procstat/watch.go
+++ b/internal/procstat/watch.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/bluebellsail/bluebellsail/internal/bootclock"
 )
 
 const (
@@ -43,6 +45,9 @@
 	// waitCounts and pauseCounts are the runtime's histogram counts at the last tick.
 	waitCounts, pauseCounts []uint64
 
+	// suspended is for how long the machine had been suspended at the last tick; see package bootclock.
+	suspended time.Duration
+
 	unlogged      pauseSummary
 	lastPauseLine time.Time
 	total         Pauses
@@ -59,8 +64,8 @@
 
 // pauseSummary summarizes the pauses since the last log line.
 type pauseSummary struct {
-	times          int
-	late, wait, gc time.Duration
+	times                     int
+	late, wait, gc, suspended time.Duration
 }
 
 // Indexes of the samples.
@@ -73,7 +78,7 @@
 
 // NewWatch returns a Watch for a ticker with the given period.
 func NewWatch(period time.Duration, log zerolog.Logger) *Watch {
-	return &Watch{log: log, period: period, samples: newSamples(metricMapped, metricReleased, metricWaits, metricPauses)}
+	return &Watch{log: log, period: period, suspended: bootclock.Suspended(), samples: newSamples(metricMapped, metricReleased, metricWaits, metricPauses)}
 }
 
 // Tick must be called at each tick of the ticker. It takes some microseconds (BenchmarkTick).
@@ -83,9 +88,11 @@
 	metrics.Read(w.samples)
 	late := w.lateness(now)
 	waits, pauses := w.samples[sampleWaits].Value.Float64Histogram(), w.samples[samplePauses].Value.Float64Histogram()
+	suspended := bootclock.Suspended()
 	if w.waitCounts != nil {
-		w.recordPauses(now, late, longest(waits, w.waitCounts), longest(pauses, w.pauseCounts))
+		w.recordPauses(now, late, longest(waits, w.waitCounts), longest(pauses, w.pauseCounts), suspended-w.suspended)
 	}
+	w.suspended = suspended
 	w.waitCounts = append(w.waitCounts[:0], waits.Counts...)
 	w.pauseCounts = append(w.pauseCounts[:0], pauses.Counts...)
 	w.checkMemory(now, w.samples[sampleMapped].Value.Uint64()-w.samples[sampleReleased].Value.Uint64(), runtimeLimit())
@@ -108,13 +115,13 @@
 }
 
 // recordPauses records the last period: how late the tick was, the longest time that a
-// goroutine waited for a processor, and the longest pause of a garbage collection. It logs the
-// pauses since the last line, if there are any and the last line is old enough.
-func (w *Watch) recordPauses(now time.Time, late, wait, gc time.Duration) {
-	if longest := max(late, wait, gc); longest >= MinPause {
+// goroutine waited for a processor, the longest pause of a garbage collection, and how long the machine was suspended, which
+// makes no tick late. It logs the pauses since the last line, if there are any and the last line is old enough.
+func (w *Watch) recordPauses(now time.Time, late, wait, gc, suspended time.Duration) {
+	if longest := max(late, wait, gc, suspended); longest >= MinPause {
 		s := &w.unlogged
 		s.times++
-		s.late, s.wait, s.gc = max(s.late, late), max(s.wait, wait), max(s.gc, gc)
+		s.late, s.wait, s.gc, s.suspended = max(s.late, late), max(s.wait, wait), max(s.gc, gc), max(s.suspended, suspended)
 		w.total.Times++
 		w.total.LongestMs = max(w.total.LongestMs, milliseconds(longest))
 	}
@@ -123,8 +130,8 @@
 	}
 	s := w.unlogged
 	w.unlogged, w.lastPauseLine = pauseSummary{}, now
-	w.log.Warn().Str("event", "stood-still").Dur("longest", max(s.late, s.wait, s.gc)).Int("periods", s.times).
-		Dur("tick_late", s.late).Dur("waited_for_processor", s.wait).Dur("gc_pause", s.gc).Send()
+	w.log.Warn().Str("event", "stood-still").Dur("longest", max(s.late, s.wait, s.gc, s.suspended)).Int("periods", s.times).
+		Dur("tick_late", s.late).Dur("waited_for_processor", s.wait).Dur("gc_pause", s.gc).Dur("suspended", s.suspended).Send()
 }
 
 // checkMemory logs if the Go runtime uses much of its memory limit; a limit of 0 means none.
--- a/internal/procstat/watch_test.go
+++ b/internal/procstat/watch_test.go
@@ -50,7 +50,7 @@
 			t.Errorf("the tick at %v is late by %v, want %v", tick.at, late, tick.late)
 		}
 	}
-	w.recordPauses(begin, 61*time.Millisecond, 0, 0)
+	w.recordPauses(begin, 61*time.Millisecond, 0, 0, 0)
 	if lines(out, "stood-still") != 1 || !strings.Contains(out.String(), `"longest":61`) {
 		t.Errorf("logged %q", out.String())
 	}
@@ -58,9 +58,9 @@
 
 func TestPausesBetweenTicksAreDetected(t *testing.T) {
 	w, out := newTestWatch()
-	w.recordPauses(begin, 0, 70*time.Millisecond, 0)
-	w.recordPauses(begin.Add(pauseLineInterval), 0, 0, 90*time.Millisecond)
-	w.recordPauses(begin.Add(2*pauseLineInterval), 0, 40*time.Millisecond, 10*time.Millisecond)
+	w.recordPauses(begin, 0, 70*time.Millisecond, 0, 0)
+	w.recordPauses(begin.Add(pauseLineInterval), 0, 0, 90*time.Millisecond, 0)
+	w.recordPauses(begin.Add(2*pauseLineInterval), 0, 40*time.Millisecond, 10*time.Millisecond, 0)
 	if got := lines(out, "stood-still"); got != 2 {
 		t.Errorf("%d lines, want 2: %s", got, out.String())
 	}
@@ -74,7 +74,7 @@
 	w, out := newTestWatch()
 	const ticks = 40
 	for n := range ticks {
-		w.recordPauses(begin.Add(time.Duration(n)*period), 60*time.Millisecond, 0, 0)
+		w.recordPauses(begin.Add(time.Duration(n)*period), 60*time.Millisecond, 0, 0, 0)
 		w.checkMemory(begin.Add(time.Duration(n)*period), uint64(60+n%2*30), 100)
 	}
 	if got, most := lines(out, "stood-still"), int(ticks*period/pauseLineInterval); got != most {
