Leases and confirmations age by a clock that counts suspensions

The platform's machines may be suspended for seconds, which their monotonic clock doesn't count. The leader of the control group measured its lease by that clock, and each host the age of its last confirmation. Whether it is what the users saw isn't known.

Evidence: TestStoppedClockOutlastsTheLease, in virtual time, has a suspended leader answer 'before' after another one has committed 'after'. TestSteadyClockCountsSuspensions failed before.

Now the control group, the routing table, the settings and shared software versions use CLOCK_BOOTTIME. The handover of placement keeps the clock that stands still, by which it waits longer.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -101,8 +101,8 @@
 
 	// FS is the file system; default the operating system's.
 	FS wal.FS
-	// Now is the clock for leases and ticks; default time.Now. It must include a
-	// monotonic reading.
+	// Now is the clock for leases and ticks; default time.Now. It must never be set, and must
+	// go on while the machine is suspended, as that of package bootclock does.
 	Now func() time.Time
 	// Wall is the clock for the timestamps of commands; default time.Now.
 	Wall func() time.Time
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -12,13 +12,13 @@
 //
 // # Reads
 //
-// Only a leader with a lease answers reads. The lease is compared with the monotonic
-// clock at the moment of the read, not with the ticks passed to the consensus, so that
-// a process that was suspended finds its lease expired when it resumes.
+// Only a leader with a lease answers reads. The lease is compared with Config.Now at the
+// moment of the read, not with the ticks passed to the consensus, so that a process that
+// was suspended finds its lease expired when it resumes.
 //
-// The monotonic clock must keep running while the process or the machine is suspended.
-// A virtual machine that is paused and whose clock is not set forward on resume breaks
-// this; such hosts must not run a replica.
+// That clock must go on while the process or the machine is suspended. A virtual machine
+// that is paused and whose CLOCK_BOOTTIME is not set forward on resume breaks this; such
+// hosts must not run a replica.
 //
 // # Identity and lost disks
 //
--- a/internal/control/leading.go
+++ b/internal/control/leading.go
@@ -20,7 +20,8 @@
 		return
 	}
 	if l := r.leadership.Load(); l == nil || l.term != v.term {
-		r.leadership.Store(&leadership{term: v.term, since: r.cfg.Now()})
+		// By the clock of those who wait from then on, which stands still while the machine is suspended: they wait longer.
+		r.leadership.Store(&leadership{term: v.term, since: time.Now()})
 	}
 }
 
--- a/internal/controller/routes/controller.go
+++ b/internal/controller/routes/controller.go
@@ -86,7 +86,7 @@
 	// Registered reports whether this host is registered. Before that it can hardly serve and asks control
 	// hosts less often. Nil: it is.
 	Registered func() bool
-	// Now is the clock; the default is time.Now.
+	// Now is the clock by which confirmations age; the default is time.Now. It must go on while the machine is suspended.
 	Now func() time.Time
 	Log zerolog.Logger
 }
--- a/internal/controller/versions/versions.go
+++ b/internal/controller/versions/versions.go
@@ -58,7 +58,7 @@
 	Controls func() (group ControlGroup, ok bool)
 	Client   func(address string) pb.PeerClient
 	Log      zerolog.Logger
-	// Now is the clock; the default is time.Now.
+	// Now is the clock by which knowledge ages; the default is time.Now. It must go on while the machine is suspended.
 	Now func() time.Time
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellsail/bluebellsail/internal/apply"
+	"github.com/bluebellsail/bluebellsail/internal/bootclock"
 	"github.com/bluebellsail/bluebellsail/internal/control"
 	"github.com/bluebellsail/bluebellsail/internal/controlclient"
 	"github.com/bluebellsail/bluebellsail/internal/controller/evacuations"
@@ -83,6 +84,10 @@
 	return d.env.Wall()
 }
 
+// steady reads the clock for leases and for the age of what other hosts have confirmed. It is never set, and goes on while
+// the machine is suspended.
+func steady() time.Time { return bootclock.Now() }
+
 // Run starts the process and serves until ctx ends; then it shuts down gracefully.
 func Run(ctx context.Context, cfg *procconfig.Config) error {
 	if cfg.Routed != nil {
@@ -151,7 +156,7 @@
 	d.client = controlclient.New(memberAddresses(cfg), d.dialOptions(), d.replica)
 	d.evacuations = evacuations.New(d.tel.Log)
 	d.tel.Metrics.Set("evacuations", d.evacuations.Metrics())
-	d.settings = settingsctl.New(d.client, d.tel.Log, time.Now)
+	d.settings = settingsctl.New(d.client, d.tel.Log, steady)
 	d.settings.SetEvacuations(d.evacuations)
 	return d, nil
 }
@@ -213,7 +218,7 @@
 		TickInterval: d.cfg.Control.Tick.Std(), ElectionTicks: d.cfg.Control.ElectionTicks,
 		LogBytes:     d.cfg.Control.MaxLogBytes,
 		StateMachine: apply.New(apply.Options{}), Transport: d.transport, Logger: d.tel.Log,
-		FS: d.env.Files, Wall: d.env.Wall,
+		FS: d.env.Files, Wall: d.env.Wall, Now: steady,
 	})
 	if err != nil {
 		return errors.Wrap(err, "open the replica")
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -238,7 +238,7 @@
 	d.tel.Metrics.Set("routed", &g.metrics.vars)
 	g.self.Store(&pb.Holder{Host: cfg.Host})
 	g.routes = routesctl.New(routesctl.Config{
-		Sources: g.sources, Fetch: g.fetchRoutes, OnChange: g.tableChanged, Missing: g.missing, Log: d.tel.Log,
+		Sources: g.sources, Fetch: g.fetchRoutes, OnChange: g.tableChanged, Missing: g.missing, Now: steady, Log: d.tel.Log,
 		Evacuations: d.evacuations.Current, OnEvacuations: d.mergeEvacuations,
 		Registered:  func() bool { return g.holder().GetIncarnation() > 0 },
 		FirstSource: int(rendezvous.Hash(cfg.Host) % maxFirstSource),
@@ -289,7 +289,7 @@
 	g.budgets = g.newBudgets()
 	g.origins = origins.New(origins.Config{Owners: g.owners, Controls: g.rankedControlHosts, Client: d.pool.Client, Log: d.tel.Log})
 	d.tel.Metrics.Set("stream_origins", g.origins.Metrics())
-	g.versions = versions.New(versions.Config{Local: g.balancer.Versions, Controls: g.controlGroup, Client: d.pool.Client, Log: d.tel.Log})
+	g.versions = versions.New(versions.Config{Local: g.balancer.Versions, Controls: g.controlGroup, Client: d.pool.Client, Now: steady, Log: d.tel.Log})
 	d.tel.Metrics.Set("software_versions", g.versions.Metrics())
 	g.assigner = assign.New(assign.Config{
 		Incarnation: g.run, Self: g.holder, Local: g.balancer, Owners: g.owners, Client: d.pool.Client, Log: d.tel.Log,
@@ -363,7 +363,7 @@
 		g.applied.Store(table.GetRevision())
 		g.d.tel.Log.Info().Str("event", "routes-applied").Uint64("revision", table.GetRevision()).Send()
 		if g.servesCallers() {
-			g.routes.Apply(ownReplica, routesctl.FromReplica(g.d.replica, &pb.FetchRoutesRequest{Have: g.routes.Revision()}))
+			g.routes.ApplyAnswer(ownReplica, steady(), routesctl.FromReplica(g.d.replica, &pb.FetchRoutesRequest{Have: g.routes.Revision()}))
 		}
 		g.members.Kick()
 		if _, _, leads := g.d.replica.Leading(); leads {
--- a/internal/daemon/gatewaytables.go
+++ b/internal/daemon/gatewaytables.go
@@ -97,7 +97,7 @@
 	if c.GetRevision() == 0 {
 		return g.acknowledgeRevisionZero(ctx)
 	}
-	asked := time.Now()
+	asked := steady()
 	res, err := g.d.client.Propose(ctx, &pb.Command{Actor: g.d.cfg.Host, Body: &pb.Command_ReplaceRoutes{ReplaceRoutes: packed}})
 	event := g.d.tel.Log.Info().Str("event", "routes-replaced").Uint64("revision", c.GetRevision())
 	if err != nil {
