Control hosts acknowledge only software versions that they keep

A control host that is full of versions (4,096) dropped further ones and acknowledged them, and a host that is full itself took its own version for the only one though a control host had told it of another. With the former lines put back TestKeptVersionsAreBounded fails for the first and TestFullHostStillCountsTheAnswers for the second.

--- a/internal/controller/versions/ask.go
+++ b/internal/controller/versions/ask.go
@@ -74,16 +74,13 @@
 		"the request does not name the attempt that began its stream, and servers of %q run several software versions or none that is known: %q", service, versions)
 }
 
-// learn keeps the versions that control hosts know, and returns all that this host knows then.
+// learn keeps the versions that control hosts know and this host does not, and returns all of both, in order.
 func (k *Keeper) learn(service string, versions []string) []string {
 	now := k.cfg.Now()
 	here := k.known(now, service)
 	unknown := slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return slices.Contains(here, v) })
-	if len(unknown) == 0 {
-		return here
-	}
 	k.keep(now, service, unknown)
-	return k.known(now, service)
+	return sorted(append(here, unknown...))
 }
 
 // ask tells all control hosts of versions, which may be none, and sums up their answers until enough is true or none is
@@ -96,7 +93,9 @@
 	t := tally{quorum: group.quorum()}
 	req := &pb.ShareVersionsRequest{Service: service, Versions: versions}
 	if group.Self {
-		t.add(k.HandleShare(req))
+		if reply, err := k.HandleShare(req); err == nil {
+			t.add(reply)
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/internal/controller/versions/versions.go
+++ b/internal/controller/versions/versions.go
@@ -18,6 +18,8 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/singleflight"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/bluebellsail/bluebellsail/internal/instance"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
@@ -89,28 +91,34 @@
 	return k
 }
 
-// HandleShare keeps the versions that another host knows, and returns all that this host knows.
-func (k *Keeper) HandleShare(req *pb.ShareVersionsRequest) *pb.ShareVersionsReply {
+// HandleShare keeps the versions that another host knows, and returns all that this host knows. It returns an error if it can't
+// keep all of them.
+func (k *Keeper) HandleShare(req *pb.ShareVersionsRequest) (*pb.ShareVersionsReply, error) {
 	now, service := k.cfg.Now(), req.GetService()
-	k.keep(now, service, req.GetVersions())
-	return &pb.ShareVersionsReply{Versions: k.known(now, service), Incomplete: now.Sub(k.started) < settleTime}
+	if !k.keep(now, service, req.GetVersions()) {
+		return nil, status.Error(codes.ResourceExhausted, "this host can't keep further software versions")
+	}
+	return &pb.ShareVersionsReply{Versions: k.known(now, service), Incomplete: now.Sub(k.started) < settleTime}, nil
 }
 
-// keep records versions that other hosts know.
-func (k *Keeper) keep(now time.Time, service string, versions []string) {
+// keep records versions that other hosts know, and reports whether it has kept all of them.
+func (k *Keeper) keep(now time.Time, service string, versions []string) (all bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.kept)+len(versions) > maxKept {
 		maps.DeleteFunc(k.kept, func(_ named, told time.Time) bool { return now.Sub(told) >= instance.DefaultForget })
 	}
+	all = true
 	for _, version := range versions {
 		n := named{service, version}
 		if _, known := k.kept[n]; len(service) > maxText || len(version) > maxText || !known && len(k.kept) >= maxKept {
 			k.metrics.dropped.Add(1)
+			all = false
 			continue
 		}
 		k.kept[n] = now
 	}
+	return all
 }
 
 // known returns the versions of a service that this host knows, in order.
@@ -123,6 +131,11 @@
 			out = append(out, n.version)
 		}
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	return sorted(out)
+}
+
+// sorted returns the versions in order, each once.
+func sorted(versions []string) []string {
+	slices.Sort(versions)
+	return slices.Compact(versions)
 }
--- a/internal/controller/versions/versions_test.go
+++ b/internal/controller/versions/versions_test.go
@@ -118,7 +118,7 @@
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
 	time.Sleep(time.Millisecond)
-	return c.f.host(c.to).HandleShare(r), nil
+	return c.f.host(c.to).HandleShare(r)
 }
 
 // inFleet runs a test with three control hosts and three others, all of which have been up for long.
@@ -273,7 +273,7 @@
 	})
 }
 
-// Guards against memory that grows with what other hosts send.
+// Guards against memory that grows with what other hosts send, and against acknowledging a version that is not kept.
 func TestKeptVersionsAreBounded(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
 		k := f.host("c1")
@@ -282,16 +282,34 @@
 			for n := range maxKept {
 				many = append(many, fmt.Sprint("v", half, n))
 			}
-			k.HandleShare(&pb.ShareVersionsRequest{Service: service, Versions: many})
+			if _, err := k.HandleShare(&pb.ShareVersionsRequest{Service: service, Versions: many}); (err == nil) != (half == 0) {
+				t.Errorf("half %d: got %v", half, err)
+			}
+		}
+		if _, err := k.HandleShare(&pb.ShareVersionsRequest{Service: "other", Versions: []string{string(make([]byte, maxText+1))}}); err == nil {
+			t.Error("a version of more than the longest text is acknowledged")
 		}
-		k.HandleShare(&pb.ShareVersionsRequest{Service: "other", Versions: []string{string(make([]byte, maxText+1))}})
 		if len(k.kept) != maxKept {
 			t.Errorf("%d are kept, want %d", len(k.kept), maxKept)
 		}
 		time.Sleep(instance.DefaultForget)
-		if got := k.HandleShare(&pb.ShareVersionsRequest{Service: service}).GetVersions(); len(got) > 0 {
-			t.Errorf("%d versions are known after the time for which they are kept", len(got))
+		if reply, err := k.HandleShare(&pb.ShareVersionsRequest{Service: service, Versions: []string{"v1"}}); err != nil || len(reply.GetVersions()) != 1 {
+			t.Errorf("%d versions are known after the time for which they are kept, %v", len(reply.GetVersions()), err)
+		}
+	})
+}
+
+// Guards against a host that can't keep what the control hosts know, and takes its own version for the only one.
+func TestFullHostStillCountsTheAnswers(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.announceEverywhere("v1")
+		for n := range maxKept {
+			f.host("g1").kept[named{"other", fmt.Sprint(n)}] = time.Now()
 		}
+		if shared, _ := f.host("g2").Share(t.Context(), service, "v2"); !shared {
+			t.Fatal("v2 is not shared")
+		}
+		f.wantRefusal(t, "g1", "another host has begun a stream at v2")
 	})
 }
 
--- a/internal/daemon/gatewaypeer.go
+++ b/internal/daemon/gatewaypeer.go
@@ -62,7 +62,7 @@
 
 // ShareVersions keeps the software versions that another host knows, and returns those that this host knows.
 func (p gatewayPeer) ShareVersions(_ context.Context, r *pb.ShareVersionsRequest) (*pb.ShareVersionsReply, error) {
-	return p.g.versions.HandleShare(r), nil
+	return p.g.versions.HandleShare(r)
 }
 
 // ReportRuns receives the outcomes of another host's attempts.
