A watched confirmation that waited during a standstill doesn't count

A host that stood still, or whose machine was suspended, read the events that had waited in its sockets and counted their confirmations from that moment: it could refuse a key as unknown that had been added during the pause. The timer that leaves silent sources may run after the event is read, and doesn't run while a machine is suspended.

--- a/internal/controlclient/silent_test.go
+++ b/internal/controlclient/silent_test.go
@@ -108,6 +108,37 @@
 	}
 }
 
+// Guards against taking what waited in a socket for fresh, while this host stood still or its machine was suspended: a
+// confirmation counted from when it was read.
+func TestEventsThatWaitedDuringAStandstillConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newMemNetwork()
+		b.serve(t, "good", &fakeReplica{watch: func(out watchStream) error {
+			for {
+				_ = out.Send(treeEvent(2, true))
+				select {
+				case <-time.After(time.Second):
+				case <-out.Context().Done():
+					return nil
+				}
+			}
+		}})
+		c := b.client(t, "good")
+		delivered, suspended := 0, time.Duration(0)
+		w := &watcher{c: c, now: func() time.Time { return time.Now().Add(suspended) }}
+		w.fn = func(*pb.WatchEvent) error {
+			if delivered++; delivered == 3 {
+				suspended = silenceTimeout
+			}
+			return nil
+		}
+		err := w.follow(testutil.Within(t, time.Minute), "passthrough:///good")
+		if !errors.Is(err, errSilent) || delivered != 3 {
+			t.Errorf("%d events were delivered, then %v", delivered, err)
+		}
+	})
+}
+
 // When the connection to the leader becomes unresponsive and a call on it times out,
 // the next call must use a new connection. Otherwise the host cannot propose for
 // minutes, although the leader answers others.
--- a/internal/controlclient/watch.go
+++ b/internal/controlclient/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/bootclock"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -35,7 +36,7 @@
 // events without changes, which show that the source is reachable and whether a quorum
 // recently confirmed the revision.
 func (c *Client) Watch(ctx context.Context, fromRevision uint64, fn func(*pb.WatchEvent) error) error {
-	w := &watcher{c: c, revision: fromRevision, started: fromRevision > 0, fn: fn}
+	w := &watcher{c: c, revision: fromRevision, started: fromRevision > 0, fn: fn, now: bootclock.Now}
 	for ctx.Err() == nil {
 		for _, target := range c.sources() {
 			err := w.follow(ctx, target)
@@ -78,6 +79,8 @@
 	revision uint64
 	started  bool // the watcher has a whole tree
 	fn       func(*pb.WatchEvent) error
+	// now is the clock by which the pauses between two events are measured. It goes on while the machine is suspended.
+	now func() time.Time
 }
 
 // receive waits for the next event of a source.
@@ -96,16 +99,19 @@
 		w.c.drop(target)
 		return err
 	}
-	confirmed := time.Now()
+	heard, confirmed := w.now(), time.Now()
 	for {
 		e, err := recv()
 		if err != nil {
 			w.c.drop(target)
 			return err
 		}
-		if !silent.Reset(silenceTimeout) {
+		silence := w.now().Sub(heard)
+		if !silent.Reset(silenceTimeout) || silence > silenceTimeout {
+			// What is read after a standstill of this host or a suspension may have waited since it began.
 			return errSilent
 		}
+		heard = heard.Add(silence)
 		if w.confirms(e) {
 			confirmed = time.Now()
 		}
