--- a/internal/relay/forward/head_test.go
+++ b/internal/relay/forward/head_test.go
@@ -32,8 +32,8 @@
 // withID sets the request's ID in an answer.
 func withID(answer, id string) string { return strings.ReplaceAll(answer, "Name: ID", hID+": "+id) }
 
-// cutServer sends the first bytes of an answer, as many as length, and ends the connection, by a reset if reset is set. It answers the first
-// request of a connection whole if kept is set. It goes on accepting connections.
+// cutServer sends the first bytes of an answer, as many as length, and ends the connection, by a reset if reset is set. It
+// answers the first request of a connection whole if kept is set. It goes on accepting connections.
 func cutServer(answer string, length *atomic.Int64, reset, kept bool) func(b *backend) serve {
 	return func(b *backend) serve {
 		whole := healthy(b)
