A reset that a Write was told of ends the answer as a reset

Callers got a part of an answer as a whole one: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the error that ended a connection to one call only. If that is the Write of the upload, whose errors countingConn hides so that an early answer is read, the next Read returns io.EOF, as after a regular close, and for an answer without a length the end of the connection is its end.

Change: connections that engineclient.Direct opens keep the error that a Write returned, and Read returns it in place of io.EOF if the kernel's state says that the connection is closed in both directions. Only then does Read wait for a Write in progress, which fails at once on such a connection; a server that closes its side and reads on is not waited for. EPIPE is left alone: the kernel uses it for a reset that follows a regular close, and there the answer is whole (TestUnframedAnswerClosedBeforeAResetIsWhole, which held before too).

Excluded: a reset that Read is told of, and answers with a length or chunks, were recognized before.

--- a/internal/controller/serverpaths/paths_test.go
+++ b/internal/controller/serverpaths/paths_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/peertunnel"
 	"github.com/bluebellsail/bluebellsail/internal/serverpath"
@@ -67,9 +68,12 @@
 		go func() { _, _ = io.Copy(io.Discard, there) }()
 		return here, nil
 	}
-	return (&net.Dialer{}).DialContext(ctx, network, address)
+	return openDirect(ctx, network, address)
 }
 
+// openDirect opens connections as hosts do.
+var openDirect = engineclient.Direct(engineclient.Config{})
+
 // startHosts starts hosts that may open tunnels for one another.
 func startHosts(t *testing.T, n int) []*host {
 	t.Helper()
--- a/internal/engineclient/dial.go
+++ b/internal/engineclient/dial.go
@@ -45,9 +45,10 @@
 // DialFunc opens a connection.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Direct returns the function that opens TCP connections as cfg says; its Dial is ignored.
+// Direct returns the function that opens TCP connections as cfg says; its Dial is ignored. Read of such a connection returns
+// io.EOF only after a regular close by the other end.
 func Direct(cfg Config) DialFunc {
-	dial := tcpDialer(cfg).DialContext
+	dial := withResets(tcpDialer(cfg).DialContext)
 	if cfg.Unacknowledged > 0 {
 		dial = withWatch(dial)
 	}
--- a/internal/engineclient/watched.go
+++ b/internal/engineclient/watched.go
@@ -59,15 +59,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := c.(*net.TCPConn); ok {
+		if tcp, ok := c.(*resetConn); ok {
 			return w.newConn(tcp, address), nil
 		}
 		return c, nil
 	}
 }
 
-func (w *watch) newConn(tcp *net.TCPConn, address string) *watchedConn {
-	c := &watchedConn{TCPConn: tcp, watch: w, server: w.server(address)}
+func (w *watch) newConn(tcp *resetConn, address string) *watchedConn {
+	c := &watchedConn{resetConn: tcp, watch: w, server: w.server(address)}
 	c.heard.Store(int64(w.now()))
 	c.ackTimer = time.AfterFunc(ackCheckInterval, c.checkAcknowledged)
 	c.ackTimer.Stop()
@@ -97,7 +97,7 @@
 //
 // Requests and answers alternate on a connection, as in HTTP/1.1 without pipelining.
 type watchedConn struct {
-	*net.TCPConn
+	*resetConn
 	watch  *watch
 	server *watchedServer
 	// heard is when something was last read, since the watch began.
@@ -122,7 +122,7 @@
 		return 0, errUnheard
 	}
 	c.beginWrite(begins)
-	n, err := c.TCPConn.Write(b)
+	n, err := c.resetConn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = false
@@ -144,7 +144,7 @@
 
 // Read reads into b.
 func (c *watchedConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.resetConn.Read(b)
 	if n > 0 {
 		c.heard.Store(int64(c.watch.now()))
 		if c.waiting.Swap(false) {
@@ -157,7 +157,7 @@
 // Close closes the connection.
 func (c *watchedConn) Close() error {
 	c.ackTimer.Stop()
-	return c.TCPConn.Close()
+	return c.resetConn.Close()
 }
 
 // unheard reports whether the other end of an idle connection no longer responds.
@@ -165,7 +165,7 @@
 	if c.heard.Load() < c.server.suspectBefore.Load() {
 		return true
 	}
-	info, err := c.info()
+	info, err := tcpInfo(c)
 	return err == nil && quietFor(info) >= unheardTimeout
 }
 
@@ -203,7 +203,7 @@
 
 // unacknowledged returns how many written bytes are not acknowledged.
 func (c *watchedConn) unacknowledged() (n int, err error) {
-	err = c.control(func(fd int) (err error) {
+	err = control(c, func(fd int) (err error) {
 		n, err = unix.IoctlGetInt(fd, unix.TIOCOUTQ)
 		return err
 	})
@@ -213,33 +213,11 @@
 // windowClosed reports whether the rest of the request waits for a server that does not read,
 // but acknowledges the probes of its window.
 func (c *watchedConn) windowClosed() bool {
-	info, err := c.info()
+	info, err := tcpInfo(c)
 	return err == nil && info.Unacked == 0
 }
 
-// info returns the kernel's state of the connection.
-func (c *watchedConn) info() (info *unix.TCPInfo, err error) {
-	err = c.control(func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return err
-	})
-	return info, err
-}
-
 // quietFor returns how long nothing, not even an acknowledgment, has arrived.
 func quietFor(info *unix.TCPInfo) time.Duration {
 	return time.Duration(min(info.Last_data_recv, info.Last_ack_recv)) * time.Millisecond
 }
-
-// control calls f with the connection's descriptor.
-func (c *watchedConn) control(f func(fd int) error) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var callErr error
-	if err := raw.Control(func(fd uintptr) { callErr = f(int(fd)) }); err != nil {
-		return err
-	}
-	return callErr
-}
--- a/internal/peertunnel/serve.go
+++ b/internal/peertunnel/serve.go
@@ -26,7 +26,8 @@
 }
 
 // Serve copies bytes between an opened connection to a server and the stream until either ends, and
-// closes the connection. Its result is that of the call.
+// closes the connection. Its result is that of the call. conn tells a reset from a regular close, as the connections of
+// engineclient.Direct do.
 func Serve(s Stream, conn net.Conn) error {
 	if err := s.Send(&pb.TunnelDown{Opened: &pb.TunnelOpened{}}); err != nil {
 		_ = conn.Close()
