Answers of servers with a damaged head fail

Callers got the answer of a server in trouble in whose head the name of a field held a blank or a control byte, with that line passed on or with a body that was not the server's.

Cause: net/http, which reads the answers, keeps a blank within or after a name, appends a line that begins with a blank to the field before it, and takes an LF before a name for the empty line that ends the head, so that the rest of the head becomes the body. A length lost that way also makes the end of the connection the end of the answer. Other control bytes it rejects.

Change: connections to servers check the bytes of each head before net/http reads them (internal/engineclient/answerhead): each line is a field with a valid name, no line continues the one before, and all lines of a head end alike. Interim heads are checked too. Such an attempt counts as "garbled", as other bytes that are no answer: the request may have run, and goes to another server only where it may. Orders of model placement use the same transport. A probe that gets such an answer still finds the server alive.

--- a/internal/controller/placement/placement.go
+++ b/internal/controller/placement/placement.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bluebellsail/bluebellsail/internal/defaults"
+	"github.com/bluebellsail/bluebellsail/internal/engineclient"
 	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 	"github.com/bluebellsail/bluebellsail/internal/placement"
@@ -79,7 +80,7 @@
 	defaults.Set(&cfg.Planner.OrderTimeout, placement.DefaultOrderTimeout)
 	if cfg.Client == nil {
 		cfg.Client = &http.Client{
-			Transport:     &http.Transport{DisableKeepAlives: true},
+			Transport:     engineclient.New(engineclient.Config{}).OneShot(),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
--- a/internal/engineclient/answers.go
+++ b/internal/engineclient/answers.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"syscall"
 	"time"
+
+	"github.com/bluebellsail/bluebellsail/internal/engineclient/answerhead"
 )
 
 // acceptTimeout bounds the check whether a server accepts connections.
@@ -22,7 +24,7 @@
 	Gone Liveness = iota
 	// Unheard: nothing arrived from the machine, which says nothing about the server.
 	Unheard
-	// Alive: the server gave any other answer, or accepted the connection and sent nothing, as
+	// Alive: the server gave any other answer, a malformed one too, or accepted the connection and sent nothing, as
 	// busy servers do.
 	Alive
 )
@@ -49,7 +51,7 @@
 // livenessOf returns what a probe without an answer shows.
 func livenessOf(ctx context.Context, trace *exchangeTrace, err error) Liveness {
 	if trace.hasConn() {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, answerhead.ErrMalformed) {
 			return Alive
 		}
 		return Gone
--- a/internal/engineclient/answers_test.go
+++ b/internal/engineclient/answers_test.go
@@ -24,6 +24,10 @@
 	_ = ended.Close()
 	silent := listenSilently(t)
 	busy := startRawServer(t, func(_ int, _ net.Conn, _ *bufio.Reader) { <-t.Context().Done() })
+	damaged := startRawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent Length: 0\r\n\r\n"))
+	})
 	resets := startRawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		_, _ = http.ReadRequest(r)
 		_ = c.(*net.TCPConn).SetLinger(0)
@@ -36,6 +40,7 @@
 		"leaving":               {answerWith("503 Service Unavailable"), Alive},
 		"busy":                  {busy, Alive},
 		"another server":        {answerWith("421 Misdirected Request"), Gone},
+		"damaged answer":        {damaged, Alive},
 		"resets the connection": {resets, Gone},
 		"ended":                 {ended.Addr().String(), Gone},
 		"silent":                {silent.Addr().String(), Unheard},
--- a/internal/engineclient/cause.go
+++ b/internal/engineclient/cause.go
@@ -9,6 +9,7 @@
 
 	pkgerrors "github.com/pkg/errors"
 
+	"github.com/bluebellsail/bluebellsail/internal/engineclient/answerhead"
 	"github.com/bluebellsail/bluebellsail/internal/peertunnel"
 )
 
@@ -41,7 +42,7 @@
 	CauseSilent Cause = "silent"
 	// CauseHeadTruncated: the connection ended within the answer's status line and headers.
 	CauseHeadTruncated Cause = "cut_in_head"
-	// CauseGarbled: the bytes received are not an HTTP answer.
+	// CauseGarbled: the bytes received are not an HTTP answer, or its head is malformed.
 	CauseGarbled Cause = "garbled"
 	// CausePeerLost: the peer host through which the connection went was lost or ended it.
 	CausePeerLost Cause = "peer_lost"
@@ -127,6 +128,8 @@
 		return CauseHalfSent
 	case timedOut(err):
 		return CauseSilent
+	case errors.Is(err, answerhead.ErrMalformed):
+		return CauseGarbled
 	case trace.answerBegun() && trace.conn.readEnded.Load():
 		return CauseHeadTruncated
 	case trace.answerBegun():
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -156,6 +156,10 @@
 	}
 }
 
+// OneShot returns a transport with a new connection for each request, for calls that the Client has no method for. It fails the
+// same broken answers as the Client does.
+func (c *Client) OneShot() http.RoundTripper { return c.oneShot }
+
 // Close closes idle connections.
 func (c *Client) Close() { c.DropAllConnections() }
 
--- a/internal/engineclient/conn.go
+++ b/internal/engineclient/conn.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/bluebellsail/bluebellsail/internal/engineclient/answerhead"
 )
 
 // answerAfterWrite bounds the wait for an answer after a write has failed. What the server
@@ -22,8 +25,8 @@
 // errSingleUse ends a connection through a peer that net/http took for a reusable one.
 var errSingleUse = errors.New("the connection through a peer is used for one request")
 
-// countingConn counts the bytes read and written on a connection to a backend server. Once
-// part of a request was written, it hides write errors, so that only the reading side decides
+// countingConn counts the bytes read and written on a connection to a backend server, and fails the
+// reading of an answer whose head is malformed. Once part of a request was written, it hides write errors, so that only the reading side decides
 // how the request ends.
 //
 // The counts are needed because net/http does not tell whether any byte of a request that
@@ -45,6 +48,9 @@
 	// writeErr is the first failure of a Write.
 	writeErr atomic.Pointer[error]
 
+	headMu sync.Mutex
+	head   answerhead.Checker
+
 	// startRead and startWritten are the byte counts when the request under way was given the
 	// connection. checkBeforeWrite is set if the connection was idle before that and is
 	// cleared by the first Write.
@@ -56,18 +62,32 @@
 // was used or idle before.
 func (c *countingConn) begin(reused bool) {
 	c.startRead, c.startWritten, c.checkBeforeWrite = c.read.Load(), c.written.Load(), reused
+	if reused {
+		c.headMu.Lock()
+		defer c.headMu.Unlock()
+		c.head.Expect()
+	}
 }
 
-// Read counts the bytes read.
+// Read counts the bytes read. It passes none on of a read that shows that the answer's head is malformed.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.read.Add(int64(n))
 	if err != nil {
 		c.readEnded.Store(true)
 	}
+	if malformed := c.checkHead(b[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
+func (c *countingConn) checkHead(b []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.Check(b)
+}
+
 // Write writes b and counts the bytes that the kernel accepted. It writes nothing of a request
 // to a reused connection that is no longer usable. Once part of a request was written, the
 // first error is kept for writeFailure and the remaining bytes are dropped.
--- a/internal/engineclient/truncated_test.go
+++ b/internal/engineclient/truncated_test.go
@@ -140,6 +140,24 @@
 	}
 }
 
+// Guards against taking a KV cache, a stream or a plain answer for good whose head is damaged.
+func TestAnswersWithADamagedHeadFail(t *testing.T) {
+	for _, field := range []string{"Content Length: 5", "Content-Length : 5", " Content-Length: 5", "\nContent-Length: 5"} {
+		address := serveOnce(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"+field+"\r\n\r\ncache")
+		client := New(Config{})
+		defer client.Close()
+		_, exported := client.ExportKV(t.Context(), address, "r1")
+		_, called := client.Call(t.Context(), Request{Address: address, Method: http.MethodPost, Path: "/"})
+		_, opened := client.Open(t.Context(), Request{Address: address, Method: http.MethodPost, Path: "/"})
+		imported := client.ImportKV(t.Context(), address, "r1", []byte("cache"))
+		for call, err := range map[string]error{"export": exported, "call": called, "open": opened, "import": imported} {
+			if err == nil || CauseOf(err) != CauseGarbled {
+				t.Errorf("%q, %s: %v", field, call, err)
+			}
+		}
+	}
+}
+
 // serveOnce starts a server that answers each request with text and closes the connection.
 func serveOnce(t *testing.T, text string) (address string) {
 	t.Helper()
