Answers whose status HTTP doesn't have fail

Reported from other systems of this kind: a server in trouble sent an answer with the status 000, and the client got it as an answer. It happens here.

Cause: net/http takes any three characters that make a number of 0 or more for a status. 000 counted as a success (below 300), so that an event stream was relayed as a stream, and httpserver, which can't send such a status, sent 500 with the server's headers and body: an answer that the server didn't give.

Evidence, on: 000, 001, 020, 099, 600, 999, -00 and +20 each reached the caller as a 500 with the server's body, on routes of both kinds and on first and second answers (TestAnswerWithAnInvalidStatusIsNotPassedOn, 32 of 64 cases; the others net/http rejects). Elsewhere: 000 and 099 counted as success of service calls, KV caches and cancels (TestAnswersWithoutAFinalStatusFail). Orders of model placement took 000 for unknown already.

Change: the check of heads accepts the statuses 100 to 599 only, which are those that RFC 9110, section 15, calls valid. Such an attempt counts as "garbled" and may have run.

After: none of the 64 passes, each is logged as garbled.

--- a/internal/engineclient/answerhead/answerhead.go
+++ b/internal/engineclient/answerhead/answerhead.go
@@ -4,7 +4,7 @@
 // net/http accepts what RFC 9112 forbids or lets a gateway reject. It keeps a blank in the name of a field, appends a line that
 // begins with a blank to the field before it, and takes an empty line for the end of the head however the lines before it
 // ended. A server that sends damaged heads would so lose the field that tells the length of its answer, or have a part of the
-// head taken for the body.
+// head taken for the body. It also accepts any status from -00 to 999.
 package answerhead
 
 import (
@@ -69,8 +69,7 @@
 func (c *Checker) endLine(line []byte) error {
 	text, crlf := bytes.CutSuffix(line, []byte("\r"))
 	if c.state == statusLine {
-		c.state, c.crlf, c.interim = fieldLine, crlf, isInterim(text)
-		return nil
+		return c.endStatusLine(text, crlf)
 	}
 	switch {
 	case crlf != c.crlf:
@@ -89,19 +88,29 @@
 	}
 }
 
-// isInterim reports whether a status line is that of an interim answer. 101 (Switching Protocols) is a final one.
-func isInterim(line []byte) bool {
-	code := status(line)
-	return len(code) == 3 && code[0] == '1' && string(code) != "101"
+// endStatusLine processes a status line without its end. 101 (Switching Protocols) is the status of a final answer.
+func (c *Checker) endStatusLine(line []byte, crlf bool) error {
+	code := statusCode(line)
+	if !isStatus(code) {
+		return malformed("status line", line)
+	}
+	c.state, c.crlf, c.interim = fieldLine, crlf, code[0] == '1' && string(code) != "101"
+	return nil
 }
 
-// status returns the status code in a status line.
-func status(line []byte) []byte {
+// statusCode returns the status code in a status line.
+func statusCode(line []byte) []byte {
 	_, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	return code
 }
 
+// isStatus reports whether a code is from 100 to 599; others are invalid (RFC 9110, section 15).
+func isStatus(code []byte) bool {
+	isDigit := func(b byte) bool { return '0' <= b && b <= '9' }
+	return len(code) == 3 && '1' <= code[0] && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
+}
+
 // checkField rejects a line that is not one field with a valid name, such as one that continues the field before it
 // (RFC 9112, sections 5.1 and 5.2).
 func checkField(line []byte) error {
--- a/internal/engineclient/answerhead/answerhead_test.go
+++ b/internal/engineclient/answerhead/answerhead_test.go
@@ -32,6 +32,14 @@
 	"no colon":                      "HTTP/1.1 200 OK\r\nContent-Length\r\n\r\n",
 	"lines end differently":         "HTTP/1.1 200 OK\nX: y\r\n\n",
 	"in an interim answer":          "HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\n" + wellFormed,
+	"status 000":                    "HTTP/1.1 000 OK\r\n\r\n",
+	"status 099":                    "HTTP/1.1 099 OK\r\n\r\n",
+	"status 600":                    "HTTP/1.1 600 OK\r\n\r\n",
+	"signed status":                 "HTTP/1.1 +20 OK\r\n\r\n",
+	"status of four digits":         "HTTP/1.1 2000 OK\r\n\r\n",
+	"no status":                     "HTTP/1.1\r\n\r\n",
+	"empty status line":             "\r\nHTTP/1.1 200 OK\r\n\r\n",
+	"status 000 after an interim":   interim + "HTTP/1.1 000 OK\r\n\r\n",
 	"after an interim answer":       interim + "HTTP/1.1 200 OK\r\nX : y\r\n\r\n",
 }
 
--- a/internal/engineclient/truncated_test.go
+++ b/internal/engineclient/truncated_test.go
@@ -146,11 +146,7 @@
 		address := serveOnce(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"+field+"\r\n\r\ncache")
 		client := New(Config{})
 		defer client.Close()
-		_, exported := client.ExportKV(t.Context(), address, "r1")
-		_, called := client.Call(t.Context(), Request{Address: address, Method: http.MethodPost, Path: "/"})
-		_, opened := client.Open(t.Context(), Request{Address: address, Method: http.MethodPost, Path: "/"})
-		imported := client.ImportKV(t.Context(), address, "r1", []byte("cache"))
-		for call, err := range map[string]error{"export": exported, "call": called, "open": opened, "import": imported} {
+		for call, err := range allCalls(t, client, address) {
 			if err == nil || CauseOf(err) != CauseGarbled {
 				t.Errorf("%q, %s: %v", field, call, err)
 			}
@@ -158,6 +154,32 @@
 	}
 }
 
+// Guards against taking a KV cache, a stream or a plain answer for good whose status HTTP doesn't have.
+func TestAnswersWithoutAFinalStatusFail(t *testing.T) {
+	for status, cause := range map[string]Cause{"000": CauseGarbled, "099": CauseGarbled, "600": CauseGarbled} {
+		address := serveOnce(t, "HTTP/1.1 "+status+" OK\r\nContent-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: x\n\n\n")
+		client := New(Config{})
+		defer client.Close()
+		for call, err := range allCalls(t, client, address) {
+			if err == nil || CauseOf(err) != cause {
+				t.Errorf("status %s, %s: %v", status, call, err)
+			}
+		}
+	}
+}
+
+// allCalls makes each kind of call to a server and returns their errors.
+func allCalls(t *testing.T, client *Client, address string) map[string]error {
+	t.Helper()
+	_, exported := client.ExportKV(t.Context(), address, "r1")
+	_, called := client.Call(t.Context(), Request{Address: address, Method: http.MethodPost, Path: "/"})
+	_, opened := client.Open(t.Context(), Request{Address: address, Method: http.MethodPost, Path: "/"})
+	_, resumed := client.Resume(t.Context(), address, "r1", 0)
+	_, canceled := client.Cancel(t.Context(), address, "r1")
+	imported := client.ImportKV(t.Context(), address, "r1", []byte("cache"))
+	return map[string]error{"export": exported, "call": called, "open": opened, "resume": resumed, "cancel": canceled, "import": imported}
+}
+
 // serveOnce starts a server that answers each request with text and closes the connection.
 func serveOnce(t *testing.T, text string) (address string) {
 	t.Helper()
--- a/internal/relay/forward/malformed_test.go
+++ b/internal/relay/forward/malformed_test.go
@@ -109,3 +109,33 @@
 		}
 	}
 }
+
+// Guards against an answer with a status that HTTP doesn't have, 000 for example: the caller got its body with another status.
+func TestAnswerWithAnInvalidStatusIsNotPassedOn(t *testing.T) {
+	for kind, answered := range map[routes.Kind]string{
+		routes.NonIdempotent: "Content-Length: 14\r\n\r\n" + wholeBody,
+		routes.Stream:        "Content-Type: text/event-stream\r\n\r\n" + event(1),
+	} {
+		for _, kept := range []bool{false, true} {
+			var answer atomic.Value
+			host, seen := entryHost(t, routes.Route{Kind: kind}, newBackend(t, fixedServer(&answer, kept)))
+			caller := dialCaller(t, host)
+			for n, status := range []string{"000", "001", "020", "099", "600", "999", "-00", "+20", "-01", "1e2", "0x1", "00", "0000", "20", "2000", ""} {
+				id := fmt.Sprint("r", n)
+				if kept {
+					if first := caller.ask("first"+id, "/", ""); !first.whole || first.body != wholeBody {
+						t.Fatalf("the first answer of the connection is %+v", first)
+					}
+				}
+				answer.Store("HTTP/1.1 " + status + " OK\r\nName: ID\r\nSeal: s\r\n" + answered)
+				a := caller.ask(id, "/", "")
+				if a.status != http.StatusBadGateway || a.header.Get("Seal") != "" || a.header.Get("Ran") != string(errkind.RanUnknown) {
+					t.Errorf("%s, status %q: the caller got %+v", kind, status, a)
+				}
+				if x := seen.wait(t, id); x.Attempts[0].Cause != engineclient.CauseGarbled {
+					t.Errorf("%s, status %q: cause %s", kind, status, x.Attempts[0].Cause)
+				}
+			}
+		}
+	}
+}
