Calls take no unasked 101 for a final answer

Found while looking for the cause of the invalid statuses elsewhere: a server that answers 101 (Switching Protocols) without being asked to. Routed requests fail then; calls of the callers' own interface took 101 for the answer of a service, and for a success of KV caches and cancels, as it is below 300.

Evidence, on: TestAnswersWithoutAFinalStatusFail with 101: call, export, import and cancel returned no error.

Change: such an exchange fails, as one that may have run, with the cause that routed requests have.

After: all six kinds of call fail.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -233,6 +233,10 @@
 	if err != nil {
 		return nil, trace.failure(ctx, err)
 	}
+	if res.StatusCode == http.StatusSwitchingProtocols {
+		_ = res.Body.Close()
+		return nil, &Error{Ran: errkind.RanUnknown, Cause: CauseSwitchedProtocols, Message: "the server switched protocols without a request to do so"}
+	}
 	c.observe(r, res, sent)
 	return res, nil
 }
--- a/internal/engineclient/truncated_test.go
+++ b/internal/engineclient/truncated_test.go
@@ -154,9 +154,10 @@
 	}
 }
 
-// Guards against taking a KV cache, a stream or a plain answer for good whose status HTTP doesn't have.
+// Guards against taking a KV cache, a stream or a plain answer for good whose status HTTP doesn't have, or is that of no final
+// answer.
 func TestAnswersWithoutAFinalStatusFail(t *testing.T) {
-	for status, cause := range map[string]Cause{"000": CauseGarbled, "099": CauseGarbled, "600": CauseGarbled} {
+	for status, cause := range map[string]Cause{"000": CauseGarbled, "099": CauseGarbled, "600": CauseGarbled, "101": CauseSwitchedProtocols} {
 		address := serveOnce(t, "HTTP/1.1 "+status+" OK\r\nContent-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: x\n\n\n")
 		client := New(Config{})
 		defer client.Close()
