Connections to servers: comments, no allocation for each write

endsConnection takes the address of its variable, which put it on the heap at each successful write. Read as a newcomer: why a connection that is given its first request isn't told to expect a head, and what headMu guards.

--- a/internal/engineclient/conn.go
+++ b/internal/engineclient/conn.go
@@ -25,9 +25,9 @@
 // errSingleUse ends a connection through a peer that net/http took for a reusable one.
 var errSingleUse = errors.New("the connection through a peer is used for one request")
 
-// countingConn counts the bytes read and written on a connection to a backend server, and fails the
-// reading of an answer whose head is malformed. Once part of a request was written, it hides write errors, so that only the reading side decides
-// how the request ends.
+// countingConn counts the bytes read and written on a connection to a backend server. Once
+// part of a request was written, it hides write errors, so that only the reading side decides
+// how the request ends. It passes no answer on whose head is malformed.
 //
 // The counts are needed because net/http does not tell whether any byte of a request that
 // failed on a reused connection was written. A request that certainly did not reach the server
@@ -48,6 +48,7 @@
 	// writeErr is the first failure of a Write.
 	writeErr atomic.Pointer[error]
 
+	// headMu guards head: net/http reads while it gives the connection a request.
 	headMu sync.Mutex
 	head   answerhead.Checker
 
@@ -62,14 +63,14 @@
 // was used or idle before.
 func (c *countingConn) begin(reused bool) {
 	c.startRead, c.startWritten, c.checkBeforeWrite = c.read.Load(), c.written.Load(), reused
-	if reused {
+	if reused { // a new connection expects a head already, of which a part may have arrived
 		c.headMu.Lock()
 		defer c.headMu.Unlock()
 		c.head.Expect()
 	}
 }
 
-// Read counts the bytes read. It passes none on of a read that shows that the answer's head is malformed.
+// Read counts the bytes read. It fails if they show that the answer's head is malformed.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.read.Add(int64(n))
@@ -82,6 +83,7 @@
 	return n, err
 }
 
+// checkHead checks bytes that were read.
 func (c *countingConn) checkHead(b []byte) error {
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
--- a/internal/engineclient/reset.go
+++ b/internal/engineclient/reset.go
@@ -46,7 +46,7 @@
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	n, err := c.TCPConn.Write(b)
-	if c.ended == nil && endsConnection(err) {
+	if err != nil && c.ended == nil && endsConnection(err) {
 		c.ended = err
 	}
 	return n, err
