--- a/internal/engineclient/reset_test.go
+++ b/internal/engineclient/reset_test.go
@@ -50,6 +50,8 @@
 					if err.Ran != errkind.RanUnknown || err.Cause != CauseBodyTruncated {
 						t.Errorf("ran %s, cause %s: %v", err.Ran, err.Cause, err)
 					}
+				default:
+					t.Error(err)
 				}
 			}
 			if whole > 0 {
--- a/internal/relay/forward/malformed_test.go
+++ b/internal/relay/forward/malformed_test.go
@@ -15,7 +15,7 @@
 	"github.com/bluebellsail/bluebellsail/internal/routes"
 )
 
-// invalidInNames returns the blanks, the control bytes and others that no field's name has.
+// invalidInNames returns bytes that no field's name has, all control bytes among them.
 func invalidInNames() []byte {
 	invalid := []byte(" \x7f\x80\xff\"(),/;<=>?@[\\]{}")
 	for b := range byte(' ') {
@@ -24,7 +24,7 @@
 	return invalid
 }
 
-// damagedNames returns the heads that have one invalid byte in or beside the name of a field, by where it is.
+// damagedNames returns heads of answers by their damage, a field's name with one invalid byte at each place.
 func damagedNames() map[string]string {
 	fields := []string{"Other: x", "Content-Length: 14", "Seal: s"}
 	heads := map[string]string{}
@@ -42,7 +42,8 @@
 	return heads
 }
 
-// fixedServer gives the answer that is stored, the second time on a connection if kept is set, and closes the connection.
+// fixedServer gives the stored answer and closes the connection. If kept is set, it answers the first request of the connection
+// whole before.
 func fixedServer(answer *atomic.Value, kept bool) func(*backend) serve {
 	return func(b *backend) serve {
 		whole := healthy(b)
