--- a/internal/engineclient/reset_test.go
+++ b/internal/engineclient/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -60,3 +61,27 @@
 		})
 	}
 }
+
+// Guards against waiting for the rest of an upload before the end of an answer is reported: a server may close its side of the
+// connection and never read on.
+func TestEndOfAnAnswerDoesNotWaitForTheUpload(t *testing.T) {
+	answered := make(chan struct{})
+	address := startRawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nwhole")
+		time.Sleep(20 * time.Millisecond) // until the client waits for room to write
+		_ = c.(*net.TCPConn).CloseWrite()
+		<-answered
+	})
+	defer close(answered)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	client := New(Config{})
+	defer client.Close()
+	a, err := client.Call(ctx, Request{Address: address, Method: http.MethodPost, Path: "/", Body: make([]byte, 8<<20)})
+	if err != nil || ctx.Err() != nil || string(a.Body) != "whole" {
+		t.Errorf("got %+v, %v, context: %v", a, err, ctx.Err())
+	}
+}
--- a/internal/relay/forward/head_test.go
+++ b/internal/relay/forward/head_test.go
@@ -81,9 +81,7 @@
 					for n := range cuts {
 						length.Store(int64(n))
 						if kept {
-							if first := caller.ask("first"+strconv.Itoa(n), "/", ""); !first.whole || first.body != wholeBody {
-								t.Fatalf("the first answer of the connection is %+v", first)
-							}
+							caller.askWhole("first" + strconv.Itoa(n))
 						}
 						id := "cut" + strconv.Itoa(1000+n)
 						a := caller.ask(id, "/", "body")
--- a/internal/relay/forward/malformed_test.go
+++ b/internal/relay/forward/malformed_test.go
@@ -74,9 +74,7 @@
 				n++
 				id := fmt.Sprint("r", n)
 				if kept {
-					if first := caller.ask("first"+id, "/", ""); !first.whole || first.body != wholeBody {
-						t.Fatalf("the first answer of the connection is %+v", first)
-					}
+					caller.askWhole("first" + id)
 				}
 				answer.Store(head + wholeBody)
 				a := caller.ask(id, "/", "")
@@ -124,9 +122,7 @@
 			for n, status := range []string{"000", "001", "020", "099", "600", "999", "-00", "+20", "-01", "1e2", "0x1", "00", "0000", "20", "2000", ""} {
 				id := fmt.Sprint("r", n)
 				if kept {
-					if first := caller.ask("first"+id, "/", ""); !first.whole || first.body != wholeBody {
-						t.Fatalf("the first answer of the connection is %+v", first)
-					}
+					caller.askWhole("first" + id)
 				}
 				answer.Store("HTTP/1.1 " + status + " OK\r\nName: ID\r\nSeal: s\r\n" + answered)
 				a := caller.ask(id, "/", "")
--- a/internal/relay/forward/wire_test.go
+++ b/internal/relay/forward/wire_test.go
@@ -322,6 +322,14 @@
 	return got{status: res.StatusCode, header: res.Header, body: string(content), whole: err == nil}
 }
 
+// askWhole sends a request that must get a whole answer.
+func (c *keptCaller) askWhole(id string) {
+	c.t.Helper()
+	if a := c.ask(id, "/", ""); !a.whole || a.body != wholeBody {
+		c.t.Fatalf("the answer to %s is %+v", id, a)
+	}
+}
+
 func allEvents() string {
 	var s strings.Builder
 	for id := 1; id <= wholeEvents; id++ {
