--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -30,6 +30,7 @@
 	machine               *machine
 	sent                  time.Time
 	status                int
+	seal                  string
 	complete              bool
 	events                int
 }
@@ -189,7 +190,7 @@
 		return
 	}
 	defer func() { _ = res.Body.Close() }()
-	r.status = res.StatusCode
+	r.status, r.seal = res.StatusCode, res.Header.Get("Bluebellsail-Server-Seal")
 	lines := bufio.NewScanner(res.Body)
 	for lines.Scan() {
 		if strings.HasPrefix(lines.Text(), "data: event ") {
--- a/review/stand-2/crossed.go
+++ b/review/stand-2/crossed.go
@@ -126,7 +126,7 @@
 	s.mu.Unlock()
 	time.Sleep(s.work)
 	body := "answer to " + attempt
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sBluebellsail-Server-Seal: seal-%s-%s\r\nContent-Length: %d\r\n\r\n%s", head, s.id, attempt, len(body), body), false
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sBluebellsail-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", head, s.seal(attempt), len(body), body), false
 }
 
 // Times of the case.
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -30,6 +30,7 @@
 	"cold":       playCold,
 	"homes":      playHomes,
 	"crossed":    playCrossed,
+	"statuses":   playStatuses,
 }
 
 // play is what a case has to work with.
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -24,6 +24,8 @@
 	at      time.Time
 	attempt string
 	cold    bool
+	// status is what the server answered, if it failed the request.
+	status int
 	// from is the address of the machine from which its channel came.
 	from string
 }
@@ -44,6 +46,8 @@
 	closeOneIn int
 	// busy has the server accept no channels for short times.
 	busy bool
+	// failing returns the status with which the server fails a request; 0: it runs well.
+	failing func() int
 
 	mu        sync.Mutex
 	sequence  int
@@ -80,7 +84,7 @@
 }
 
 func (s *server) beat() {
-	time.Sleep(time.Duration(rand.Int64N(int64(beatEvery / 4))))
+	time.Sleep(time.Duration(rand.Int64N(int64(beatEvery))))
 	for {
 		s.sendBeat()
 		select {
@@ -148,6 +152,9 @@
 	s.coldUntil = time.Now().Add(d)
 }
 
+// seal returns what the server's answers to an attempt bear.
+func (s *server) seal(attempt string) string { return "seal-" + s.id + "-" + attempt }
+
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set("Bluebellsail-Instance-Id", s.id)
@@ -177,7 +184,10 @@
 	s.running++
 	now := time.Now()
 	from, _, _ := net.SplitHostPort(r.RemoteAddr)
-	a := arrival{now, attempt, now.Before(s.coldUntil), from}
+	a := arrival{at: now, attempt: attempt, cold: now.Before(s.coldUntil), from: from}
+	if s.failing != nil {
+		a.status = s.failing()
+	}
 	s.arrivals = append(s.arrivals, a)
 	s.mu.Unlock()
 	defer func() {
@@ -189,7 +199,7 @@
 	if s.closeOneIn > 0 && rand.IntN(s.closeOneIn) == 0 {
 		h.Set("Connection", "close")
 	}
-	h.Set("Bluebellsail-Server-Seal", "seal-"+s.id+"-"+attempt)
+	h.Set("Bluebellsail-Server-Seal", s.seal(attempt))
 	if count := r.Header.Get("Bluebellsail-Token-Count"); count != "" {
 		s.stream(w, r)
 		return
@@ -197,6 +207,9 @@
 	time.Sleep(s.work)
 	body := "answer to " + attempt
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if a.status > 0 {
+		w.WriteHeader(a.status)
+	}
 	_, _ = io.WriteString(w, body)
 }
 
