--- a/review/stand-2/cold.go
+++ b/review/stand-2/cold.go
@@ -24,7 +24,7 @@
 		return false, err
 	}
 	defer in.end()
-	c := &clients{fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/work/", timeout: 2 * time.Second}
+	c := &clients{fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/jobs/", timeout: 2 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.run(ctx, 240) }()
--- a/review/stand-2/crossed.go
+++ b/review/stand-2/crossed.go
@@ -169,7 +169,7 @@
 	if err := in.serve(state{tenants: tenants, kind: "non_idempotent"}); err != nil {
 		return false, err
 	}
-	c := &clients{fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/work/", timeout: 2 * time.Second, post: true}
+	c := &clients{fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/jobs/", timeout: 2 * time.Second, post: true}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.run(ctx, 40) }()
--- a/review/stand-2/homes.go
+++ b/review/stand-2/homes.go
@@ -15,7 +15,7 @@
 	}
 	defer in.end()
 	c := &clients{
-		fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/work/", timeout: 2 * time.Second, region: region1, zone: in.zones[0], post: true,
+		fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/jobs/", timeout: 2 * time.Second, region: region1, zone: in.zones[0], post: true,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/review/stand-2/installation.go
+++ b/review/stand-2/installation.go
@@ -22,7 +22,7 @@
 
 func (s state) document(version int) []byte {
 	route := map[string]any{
-		"name": "r-1", "host": clientHost, "pathPrefix": "/work/", "routeKind": s.kind, "timeoutMs": 2000, "goalMs": 100, "priority": 0,
+		"name": "r-1", "host": clientHost, "pathPrefix": "/jobs/", "routeKind": s.kind, "timeoutMs": 2000, "goalMs": 100, "priority": 0,
 		"service": "pool", "maxAttempts": 2, "anonymous": false, "sticky": false, "resumable": false,
 	}
 	if len(s.homes) > 0 {
--- a/review/stand-2/statuses.go
+++ b/review/stand-2/statuses.go
@@ -24,7 +24,7 @@
 		return false, err
 	}
 	defer in.end()
-	c := &clients{fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/work/", timeout: 2 * time.Second, post: true}
+	c := &clients{fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/jobs/", timeout: 2 * time.Second, post: true}
 	began := time.Now()
 	if p.trouble {
 		s := in.servers[0]
--- a/review/stand-2/stranded.go
+++ b/review/stand-2/stranded.go
@@ -37,7 +37,7 @@
 		return false, err
 	}
 	defer in.end()
-	c := &clients{fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/work/", stream: true, timeout: 6 * time.Second}
+	c := &clients{fleet: in.fleet, rec: p.rec, tenants: tenants, path: "/jobs/", stream: true, timeout: 6 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	began := time.Now()
