A late answer to another request says nothing about this one

Cause: handleAnswer read the status before it compared the request's ID, so that a 421 sent once more, where the answer to the next request was due, was taken for "did not run". The load that the server reports and the time that it took were read before the comparison too. Besides, net/http takes back the connection of an answer without a body before it returns the answer, so that the connection stayed out of step after the mismatch was found; and a second attempt at the same address has the same ID as the first, so that the ID tells no late copy of its 421 from the answer of the instance that is there now. A call of a plain service by our own interface took a late "did not run" of another run for its own.

Change: the ID is compared first, and an answer to another request is used for nothing. Whether a connection may be used again is decided before the next request is written to it: not after an answer to another request, nor after one of another instance. A 421 without an ID counts only as the first answer of its connection.

Conclusion: matched by ID, not by order. The 502 of a request whose answer is another one's remains, as it may have run.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -231,8 +231,10 @@
 	sent := time.Now()
 	res, err := transport.RoundTrip(req)
 	if err != nil {
+		defer trace.decideReuse(false)
 		return nil, trace.failure(ctx, err)
 	}
+	trace.decideReuse(answersRun(res, r.EngineRequestID))
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		_ = res.Body.Close()
 		return nil, &Error{Ran: errkind.RanUnknown, Cause: CauseSwitchedProtocols, Message: "the server switched protocols without a request to do so"}
@@ -244,8 +246,7 @@
 // observe passes on what a server reports in an answer. A late answer to another request is
 // skipped, because it may come from an earlier incarnation of the server.
 func (c *Client) observe(r Request, res *http.Response, sent time.Time) {
-	id := res.Header.Get(HeaderEngineRequest)
-	if c.cfg.Observe == nil || r.EngineRequestID != "" && id != "" && id != r.EngineRequestID {
+	if c.cfg.Observe == nil || !answersRun(res, r.EngineRequestID) {
 		return
 	}
 	obs := Observation{Address: r.Address, RequestID: r.EngineRequestID, Sent: sent, RateLimit: res.Header.Get(HeaderRateLimit)}
@@ -349,12 +350,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if strings.EqualFold(res.Header.Get(HeaderRan), string(errkind.RanNo)) {
-		return nil, statusError(res)
-	}
 	if err := checkID(res, r.EngineRequestID); err != nil {
 		return nil, err
 	}
+	if strings.EqualFold(res.Header.Get(HeaderRan), string(errkind.RanNo)) {
+		return nil, statusError(res)
+	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.cfg.MaxAnswer+1))
 	if err != nil {
@@ -387,14 +388,19 @@
 // CrossedAnswers counts the answers dropped with ErrOtherAnswer.
 var CrossedAnswers atomic.Int64
 
+// answersRun reports whether an answer belongs to a run, as far as IDs tell. An empty id is that of a request about no run.
+func answersRun(res *http.Response, id string) bool {
+	got := res.Header.Get(HeaderEngineRequest)
+	return id == "" || got == "" || got == id
+}
+
 // checkID checks by ID that the answer belongs to this run, since the position on the
 // connection does not prove it. On a mismatch it closes the body.
 func checkID(res *http.Response, id string) error {
-	got := res.Header.Get(HeaderEngineRequest)
-	if id == "" || got == "" || got == id {
+	if answersRun(res, id) {
 		return nil
 	}
 	CrossedAnswers.Add(1)
 	_ = res.Body.Close()
-	return errors.Wrapf(ErrOtherAnswer, "want %s, got %s", id, got)
+	return errors.Wrapf(ErrOtherAnswer, "want %s, got %s", id, res.Header.Get(HeaderEngineRequest))
 }
--- a/internal/engineclient/conn.go
+++ b/internal/engineclient/conn.go
@@ -57,17 +57,21 @@
 	// cleared by the first Write.
 	startRead, startWritten int64
 	checkBeforeWrite        bool
+	// reuse and previous are the decisions after the request under way and after the one before it; nil: there is none.
+	reuse, previous *reuse
 }
 
-// begin records that a request was given the connection. reused reports whether the connection
-// was used or idle before.
-func (c *countingConn) begin(reused bool) {
+// begin records that a request was given the connection, and returns the decision that is due after it. reused reports
+// whether the connection was used or idle before.
+func (c *countingConn) begin(reused bool) *reuse {
 	c.startRead, c.startWritten, c.checkBeforeWrite = c.read.Load(), c.written.Load(), reused
+	c.previous, c.reuse = c.reuse, newReuse()
 	if reused { // a new connection expects a head already, of which a part may have arrived
 		c.headMu.Lock()
 		defer c.headMu.Unlock()
 		c.head.Expect()
 	}
+	return c.reuse
 }
 
 // Read counts the bytes read. It fails if they show that the answer's head is malformed.
@@ -141,6 +145,9 @@
 // resets and mismatched answers show within the first millisecond after an idle period. Asking
 // the kernel right before the write leaves only what is still in transit.
 func (c *countingConn) checkIdle() error {
+	if !c.previous.wait() {
+		return errOutOfStep
+	}
 	if err := c.writeFailure(); err != nil {
 		return err // of the previous request, whose answer arrived nevertheless
 	}
--- a/internal/engineclient/delivery.go
+++ b/internal/engineclient/delivery.go
@@ -16,6 +16,8 @@
 	conn *countingConn
 	// reused: the connection was used or idle before this request.
 	reused bool
+	// reuse is the decision whether the connection may be used again.
+	reuse *reuse
 	// readBefore and writtenBefore are the connection's byte counts before this request.
 	readBefore, writtenBefore int64
 	// encoded: the whole request was written to the connection's buffer.
@@ -39,7 +41,18 @@
 	}
 	t.conn, t.reused = c, info.Reused
 	t.readBefore, t.writtenBefore = c.read.Load(), c.written.Load()
-	c.begin(info.Reused)
+	t.reuse = c.begin(info.Reused)
+}
+
+// decideReuse decides whether the connection may be used again. Else it is closed.
+func (t *exchangeTrace) decideReuse(allowed bool) {
+	if t.conn == nil {
+		return
+	}
+	t.reuse.decide(allowed)
+	if !allowed {
+		_ = t.conn.Close()
+	}
 }
 
 // hasConn reports whether the request was given a connection.
--- a/internal/engineclient/forward.go
+++ b/internal/engineclient/forward.go
@@ -25,10 +25,15 @@
 	Body   []byte
 	// Sent is called, possibly more than once, when the body is sent or given up; nil: no call.
 	Sent func()
+	// MayReuse reports whether the connection of an answer may be used again; nil: it may. It is called once for each answer.
+	MayReuse func(res *http.Response, reused bool) bool
 	// Early is set if the answer arrived before the whole request was sent.
 	Early bool
 	// Opened is when the connection of the answer was opened.
 	Opened time.Time
+	// Reused is set if the connection of the answer had been used before. What arrives on it may then be a late answer to an
+	// earlier request.
+	Reused bool
 	// Via is the peer host through which the connection went; empty: none.
 	Via string
 }
@@ -45,7 +50,7 @@
 		res, trace, err := c.forward(ctx, f)
 		f.Via = trace.via()
 		if err == nil {
-			f.Early, f.Opened = !trace.encoded.Load(), trace.opened()
+			f.Early, f.Opened, f.Reused = !trace.encoded.Load(), trace.opened(), trace.reused
 			if f.Via != "" {
 				res.Body = connCloser{res.Body, trace.conn}
 			}
@@ -75,8 +80,10 @@
 	}
 	res, err := c.pool(f.Address).RoundTrip(req)
 	if err != nil {
+		defer trace.decideReuse(false)
 		return nil, trace, trace.failure(ctx, err)
 	}
+	trace.decideReuse(f.MayReuse == nil || f.MayReuse(res, trace.reused))
 	return res, trace, nil
 }
 
--- a/internal/relay/forward/attempt.go
+++ b/internal/relay/forward/attempt.go
@@ -54,16 +54,14 @@
 	var out outcome
 	outgoing := t.outgoing(choice)
 	outgoing.Sent = release
+	outgoing.MayReuse = t.mayReuse
 	res, err := t.f.Client.Forward(ctx, outgoing)
 	note.Early, note.Via = outgoing.Early, outgoing.Via
 	if err != nil {
 		out = t.handleNoAnswer(err)
 	} else {
 		note.FirstByte, note.Framing = time.Since(started), relay.FramingOf(res)
-		if t.x.Service.Engine == nil && t.f.ObservePlain != nil {
-			t.f.ObservePlain(note.FirstByte)
-		}
-		out = t.handleAnswer(lease, received{Response: res, server: choice.Instance.Address, opened: outgoing.Opened}, started, cancel)
+		out = t.handleAnswer(lease, received{Response: res, server: choice.Instance.Address, opened: outgoing.Opened, reused: outgoing.Reused}, started, cancel)
 	}
 	note.Took = time.Since(started)
 	note.SetOutcome(out.cause, out.err)
@@ -186,29 +184,23 @@
 func (t *task) handleAnswer(lease relay.Lease, res received, sent time.Time, cancel context.CancelFunc) outcome {
 	defer func() { _ = res.Body.Close() }() // on an error the connection is dropped
 	reply := t.f.Dialect.Reply(res.Response)
-	if reply.OtherInstance {
-		t.serversReached++
-	} else {
-		t.markReached()
+	if !t.isAnswered(reply, res.reused) {
+		return t.otherAnswer(res, reply, cancel)
+	}
+	if t.x.Service.Engine == nil && t.f.ObservePlain != nil {
+		t.f.ObservePlain(t.x.Attempts[len(t.x.Attempts)-1].FirstByte)
 	}
 	if reply.Load != nil {
 		load := *reply.Load
 		load.Failed = !reply.NotRun && res.StatusCode >= http.StatusInternalServerError
 		lease.Report(load)
 	}
-	switch {
-	case reply.OtherInstance:
+	if reply.OtherInstance {
+		t.serversReached++
 		lease.WrongInstance()
 		return t.failure(balance.Served, engineclient.CauseOtherInstance, "the server's address now belongs to another instance")
-	case reply.ID != t.x.ID:
-		// This is a late answer to another request, or not an answer at all. The connection is out
-		// of step: if it were kept, the answer to this request would be taken for the answer to the
-		// next one.
-		cancel()
-		t.markMayHaveRun()
-		t.x.PromptConsumed = true
-		return t.failure(balance.Broken, engineclient.CauseOtherRequest, "the answer is for request %q", reply.ID)
 	}
+	t.markReached()
 	t.observeLimit(lease.Choice().Instance.Incarnation(), reply, sent)
 	t.observeBrittle(lease.Choice().Instance.Incarnation(), reply, sent)
 	t.observeCooldown(lease, reply)
@@ -237,6 +229,32 @@
 	return t.relayBuffered(lease, res)
 }
 
+// isAnswered reports whether an answer belongs to this request, by the request's ID. An instance at the address that is not the
+// one addressed may not know the protocol, and answer without an ID: that is the answer to this request if it is the first one
+// on its connection.
+func (t *task) isAnswered(reply relay.Reply, reused bool) bool {
+	return reply.ID == t.x.ID || reply.ID == "" && reply.OtherInstance && !reused
+}
+
+// mayReuse reports whether a connection may be used again after an answer. After one to another request it is out of step: the
+// answer to this request would be taken for the answer to the next one. After one of another instance the request may be sent to
+// the same address again, to the instance that is there now, and its ID would not tell a late copy of the answer from that
+// instance's.
+func (t *task) mayReuse(res *http.Response, reused bool) bool {
+	reply := t.f.Dialect.Reply(res)
+	return t.isAnswered(reply, reused) && !reply.OtherInstance
+}
+
+// otherAnswer returns the outcome of an attempt that received a late answer to another request, or no answer at all. Nothing that
+// it says applies to the request or to its server.
+func (t *task) otherAnswer(res received, reply relay.Reply, cancel context.CancelFunc) outcome {
+	cancel()
+	t.markReached()
+	t.markMayHaveRun()
+	t.x.PromptConsumed = true
+	return t.failure(balance.Broken, engineclient.CauseOtherRequest, "the answer, with status %d, is for request %q", res.StatusCode, reply.ID)
+}
+
 // relayBuffered passes on an answer that is not a stream once it is complete: the caller never
 // receives half of it, and another server may be asked if it is truncated.
 func (t *task) relayBuffered(lease relay.Lease, res received) outcome {
--- a/internal/relay/forward/ending.go
+++ b/internal/relay/forward/ending.go
@@ -33,6 +33,8 @@
 	server string
 	// opened is when the connection was opened.
 	opened time.Time
+	// reused is set if the connection had been used before.
+	reused bool
 	// leaving is set if the server has announced that it stops.
 	leaving bool
 }
