An order about an evacuation holds only under the revision its caller got

A host that stood still for 3.5 s ended the evacuation of a zone that had been ordered anew and acknowledged meanwhile: 144 of 479 requests reached the zone's servers on.

Cause: the order has neither an identity nor a precondition, and the host proposes what it reads from its socket, however old it is. It is the same in the other direction, and at control hosts.

Change: an order that would change something is answered with a 307 to the same path with the present revision of the evacuated zones; callers follow one. The control group commits it only if the set still has that revision, else the answer is a 307 with the new one. What is acknowledged elsewhere in between has changed the set, or found the zone in the ordered state, which then has changed since the redirect was made: a late copy is outdated in both cases. No clock is compared, and the time in the network and at a replica that stands still is covered too. Replicas of an earlier version don't know the precondition, so there is a new record version.

Conclusion: the mend needs callers that follow redirects, which the protocol promises.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -29,7 +29,7 @@
 	blocked  map[[2]string]bool
 	silent   map[[2]string]bool       // connections that carry nothing until they are reset
 	resets   map[string]int           // resets of the connections to each host
-	old      map[string]bool          // hosts whose messages look like those of a program without record versions
+	old      map[string]uint32        // hosts whose messages look like those of a program with an earlier record version
 	drop     int                      // permille
 	minDelay time.Duration            // minimum delay of each message
 	steady   bool                     // all messages take equally long
@@ -47,7 +47,7 @@
 
 func newCluster(t *testing.T, n int, edit func(*Config)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, configure: edit, rnd: rand.New(rand.NewSource(1)), blocked: map[[2]string]bool{}, old: map[string]bool{}, slow: map[string]time.Duration{}, silent: map[[2]string]bool{}, resets: map[string]int{}}
+	c := &cluster{t: t, configure: edit, rnd: rand.New(rand.NewSource(1)), blocked: map[[2]string]bool{}, old: map[string]uint32{}, slow: map[string]time.Duration{}, silent: map[[2]string]bool{}, resets: map[string]int{}}
 	for i := range n {
 		c.hosts = append(c.hosts, &host{address: fmt.Sprint("host", i), fs: memfs.New()})
 	}
@@ -156,9 +156,9 @@
 	if l.c.blocked[path] || l.c.silent[path] || l.c.rnd.Intn(1000) < l.c.drop {
 		return
 	}
-	if l.c.old[l.from] {
+	if version, old := l.c.old[l.from]; old {
 		m = proto.CloneOf(m)
-		m.RecordVersion = 0
+		m.RecordVersion = version
 	}
 	delay := l.c.minDelay + l.c.slow[l.from] + l.c.slow[address] + time.Millisecond
 	if !l.c.steady {
--- a/internal/control/recordversion.go
+++ b/internal/control/recordversion.go
@@ -6,16 +6,26 @@
 )
 
 // recordVersion is the version of the log records that this program can apply. It is incremented
-// when a kind of record is added. A program that does not know a kind of record applies it as a
-// refusal: its state, and its snapshots, would lack what the others have.
-const recordVersion = 1
+// when a kind of record is added, or a precondition of one. A program that does not know a kind of record applies it as a
+// refusal, and one that does not know a precondition applies the record whether it holds or not: its state, and its snapshots,
+// would differ from those of the others.
+const recordVersion = 2
+
+// Record versions.
+const (
+	versionEvacuations         = 1
+	versionEvacuationRevisions = 2
+)
 
 // requiredVersion returns the record version that a replica must have to apply a command.
 func requiredVersion(cmd *pb.Command) uint32 {
-	if cmd.GetSetEvacuation() != nil {
-		return 1
+	switch set := cmd.GetSetEvacuation(); {
+	case set == nil:
+		return 0
+	case set.IfRevision != nil:
+		return versionEvacuationRevisions
 	}
-	return 0
+	return versionEvacuations
 }
 
 // checkVersions returns an error if a member is known to run a program that can't apply cmd. A member
--- a/internal/daemon/evacuations.go
+++ b/internal/daemon/evacuations.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
+	"github.com/bluebellsail/bluebellsail/internal/evacuation"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
+	"github.com/bluebellsail/bluebellsail/internal/surface"
 	"github.com/bluebellsail/bluebellsail/internal/wire"
 )
 
@@ -37,27 +41,78 @@
 }
 
 // SetEvacuation implements surface.Evacuations.
-func (g *gateway) SetEvacuation(ctx context.Context, zone string, evacuated bool) error {
+//
+// Orders of the operator have no identity: a host that stood still reads one that has long been sent again elsewhere, as does a host
+// to which the network delivers it late. So an order is carried out only under the revision that its caller got from this host,
+// for which the caller still had to be there, and not after a later change.
+func (g *gateway) SetEvacuation(ctx context.Context, o surface.EvacuationOrder) error {
+	if err := evacuation.CheckZone(o.Zone); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, g.tableCallTimeout())
 	defer cancel()
-	res, err := g.d.client.Propose(ctx, &pb.Command{Actor: g.d.cfg.Host, Body: &pb.Command_SetEvacuation{
-		SetEvacuation: &pb.SetEvacuation{Zone: zone, Evacuated: evacuated},
-	}})
-	if err == nil {
-		err = wire.DecodeError(res.GetError())
+	set, err := g.setEvacuation(ctx, o)
+	event := g.d.tel.Log.Info().Str("event", "evacuation-ordered").Str("zone", o.Zone).Bool("evacuated", o.Evacuated)
+	if o.Revision != nil {
+		event.Uint64("if_revision", *o.Revision)
 	}
-	event := g.d.tel.Log.Info().Str("event", "evacuation-ordered").Str("zone", zone).Bool("evacuated", evacuated)
 	if err != nil {
-		err = g.redirect(err)
 		event.Err(err).Send()
 		return err
 	}
-	set := res.GetSetEvacuation()
-	event.Bool("changed", set.GetChanged()).Uint64("revision", set.GetEvacuations().GetRevision()).Send()
+	event.Bool("changed", set.GetChanged()).Bool("outdated", set.GetOutdated()).Uint64("revision", set.GetEvacuations().GetRevision()).Send()
+	if set.GetOutdated() {
+		return g.evacuationPrecondition(set.GetEvacuations().GetRevision())
+	}
 	g.d.evacuationsCommitted(ctx, set.GetEvacuations())
 	return nil
 }
 
+// setEvacuation proposes an order that names a revision. Of one that names none it returns whether it is outdated, which it is unless
+// the zone is in the ordered state.
+func (g *gateway) setEvacuation(ctx context.Context, o surface.EvacuationOrder) (*pb.SetEvacuationResult, error) {
+	if o.Revision == nil {
+		present, err := g.readEvacuations(ctx)
+		if err != nil {
+			return nil, err
+		}
+		evacuated := slices.ContainsFunc(present.GetZones(), func(e *pb.Evacuation) bool { return e.GetZone() == o.Zone })
+		return &pb.SetEvacuationResult{Evacuations: present, Outdated: evacuated != o.Evacuated}, nil
+	}
+	res, err := g.d.client.Propose(ctx, &pb.Command{Actor: g.d.cfg.Host, Body: &pb.Command_SetEvacuation{
+		SetEvacuation: &pb.SetEvacuation{Zone: o.Zone, Evacuated: o.Evacuated, IfRevision: o.Revision},
+	}})
+	if err == nil {
+		err = wire.DecodeError(res.GetError())
+	}
+	if err != nil {
+		return nil, g.redirect(err)
+	}
+	return res.GetSetEvacuation(), nil
+}
+
+// readEvacuations returns the evacuated zones as the control group has committed them.
+func (g *gateway) readEvacuations(ctx context.Context) (*pb.Evacuations, error) {
+	res, err := g.d.client.Read(ctx, &pb.Query{Body: &pb.Query_Evacuations{Evacuations: &pb.EvacuationsQuery{}}})
+	if err == nil {
+		err = wire.DecodeError(res.GetError())
+	}
+	if err != nil {
+		return nil, g.redirect(err)
+	}
+	return res.GetEvacuations(), nil
+}
+
+// evacuationPrecondition returns the error of an order that has to name the present revision.
+func (g *gateway) evacuationPrecondition(revision uint64) error {
+	refusal := errkind.New(errkind.HostNotReady, "the order has to name revision %d of the evacuated zones", revision)
+	address, ok := g.registryOf(g.d.cfg.PeerAddress())
+	if !ok {
+		return refusal
+	}
+	return &surface.Precondition{Address: address, Revision: revision, Refusal: refusal}
+}
+
 // followReplicaEvacuations passes newer evacuated zones that this host's replica has applied to this
 // host, and notifies the other hosts if the replica leads.
 func (g *gateway) followReplicaEvacuations() {
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -40,7 +40,8 @@
 
 // Set begins or ends the evacuation of a zone. An order that changes nothing is acknowledged, since
 // operators send an order again if its acknowledgement was lost. The zone need not have servers or
-// hosts: they may start later. Errors are of the kind BadRequest.
+// hosts: they may start later. An order for another revision than the present one changes nothing and is reported as outdated,
+// unless the zone is in the ordered state. Errors are of the kind BadRequest.
 func (s *State) Set(r Record, c *pb.SetEvacuation) (*pb.SetEvacuationResult, error) {
 	if err := CheckZone(c.GetZone()); err != nil {
 		return nil, err
@@ -49,6 +50,8 @@
 	switch {
 	case evacuated == c.GetEvacuated():
 		return &pb.SetEvacuationResult{Evacuations: s.Current()}, nil
+	case c.IfRevision != nil && c.GetIfRevision() != s.revision:
+		return &pb.SetEvacuationResult{Evacuations: s.Current(), Outdated: true}, nil
 	case evacuated:
 		s.zones = slices.Delete(slices.Clone(s.zones), at, at+1)
 	case len(s.zones) == maxZones:
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -49,6 +49,28 @@
 	}
 }
 
+// Guards against an order that undoes a later one because it was delayed on its way.
+func TestOrderForAnotherRevisionChangesNothing(t *testing.T) {
+	s := NewState()
+	set(t, s, 7, "a", true)
+	order := func(index, ifRevision uint64, evacuated bool) *pb.SetEvacuationResult {
+		t.Helper()
+		res, err := s.Set(Record{Index: index}, &pb.SetEvacuation{Zone: "a", Evacuated: evacuated, IfRevision: &ifRevision})
+		testutil.NoError(t, err)
+		return res
+	}
+	if res := order(8, 7, false); !res.GetChanged() || res.GetOutdated() {
+		t.Errorf("for the present revision: %v", res)
+	}
+	set(t, s, 9, "a", true)
+	if res := order(10, 7, false); res.GetChanged() || !res.GetOutdated() || res.GetEvacuations().GetRevision() != 9 {
+		t.Errorf("for a former revision: %v", res)
+	}
+	if res := order(11, 7, true); res.GetChanged() || res.GetOutdated() {
+		t.Errorf("for a former revision, but already in force: %v", res)
+	}
+}
+
 func TestInvalidZonesAreRefused(t *testing.T) {
 	s := NewState()
 	for _, zone := range []string{"", "a\nb", "\xff", strings.Repeat("z", maxZoneBytes+1)} {
@@ -72,11 +94,16 @@
 		for index := range rapid.Uint64Range(1, 30).Draw(t, "orders") {
 			zone := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "zone")
 			evacuated := rapid.Bool().Draw(t, "evacuated")
-			if want[zone] != evacuated {
-				revision = index + 1
+			order := &pb.SetEvacuation{Zone: zone, Evacuated: evacuated}
+			if rapid.Bool().Draw(t, "names a revision") {
+				named := rapid.Uint64Range(0, 30).Draw(t, "revision")
+				order.IfRevision = &named
+			}
+			outdated := want[zone] != evacuated && order.IfRevision != nil && *order.IfRevision != revision
+			if want[zone] != evacuated && !outdated {
+				revision, want[zone] = index+1, evacuated
 			}
-			want[zone] = evacuated
-			res, err := s.Set(Record{Index: index + 1}, &pb.SetEvacuation{Zone: zone, Evacuated: evacuated})
+			res, err := s.Set(Record{Index: index + 1}, order)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -87,7 +114,7 @@
 				}
 			}
 			got := res.GetEvacuations()
-			if !slices.Equal(names(got), expect) || got.GetRevision() != revision || res.GetChanged() != (revision == index+1) {
+			if !slices.Equal(names(got), expect) || got.GetRevision() != revision || res.GetChanged() != (revision == index+1) || res.GetOutdated() != outdated {
 				t.Fatalf("got %v, want %v at revision %d", res, expect, revision)
 			}
 			if before != nil && !slices.Equal(names(before), beforeNames) {
--- a/internal/surface/elsewhere.go
+++ b/internal/surface/elsewhere.go
@@ -15,3 +15,19 @@
 
 // Unwrap returns the refusal for errors.As.
 func (e *Redirect) Unwrap() error { return e.Refusal }
+
+// Precondition is the refusal of a call that has to be made again under a revision that it then names.
+type Precondition struct {
+	// Address is where this host accepts the call, "ip:port".
+	Address string
+	// Revision is the present one of what the call changes.
+	Revision uint64
+	// Refusal is the answer for a caller that can't be redirected.
+	Refusal *errkind.Error
+}
+
+// Error implements error.
+func (e *Precondition) Error() string { return e.Refusal.Error() }
+
+// Unwrap returns the refusal for errors.As.
+func (e *Precondition) Unwrap() error { return e.Refusal }
--- a/internal/surface/surface.go
+++ b/internal/surface/surface.go
@@ -53,11 +53,21 @@
 	Present(ctx context.Context) (*pb.Routes, error)
 }
 
-// Evacuations begins and ends evacuations of availability zones. Errors are of type *errkind.Error.
+// Evacuations begins and ends evacuations of availability zones. Errors are of type *errkind.Error, *Redirect or
+// *Precondition.
 type Evacuations interface {
-	// SetEvacuation commits whether a zone is evacuated and returns once that is acknowledged. An
-	// order that changes nothing is acknowledged too.
-	SetEvacuation(ctx context.Context, zone string, evacuated bool) error
+	// SetEvacuation commits an order and returns once it is acknowledged. An order that changes nothing is
+	// acknowledged too. One that would change something is carried out only if it names the present revision; else the error is
+	// a *Precondition.
+	SetEvacuation(ctx context.Context, o EvacuationOrder) error
+}
+
+// EvacuationOrder begins or ends the evacuation of a zone.
+type EvacuationOrder struct {
+	Zone      string
+	Evacuated bool
+	// Revision is that of the evacuated zones that the order changes; nil if it names none.
+	Revision *uint64
 }
 
 // Directory provides the addresses that callers use.
