Statuses without a text reach callers as the server gave them

Cause: nbhttp takes the status line from http.StatusText and sends 200 for a status without one, so httpserver replaced such a status by the first one of its class. That held for all of them, in all framings and versions of HTTP and on both interfaces; the first is 209.

Change: the status goes with the protocol version, which nbhttp writes before its own status line, so that this becomes the reason phrase. A status that no final answer may have is a 500, also one from 100 to 199, which went out as an interim answer.

--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 )
 
@@ -15,10 +16,11 @@
 	chunkFraming = 16
 )
 
-// response records whether the answer has begun and restricts status codes to those that
-// nbhttp can send.
+// response records whether the answer has begun and sends statuses that nbhttp does not know.
 type response struct {
 	http.ResponseWriter
+	// request is nbhttp's, not a copy.
+	request *http.Request
 	// conn is the caller's connection; nil in tests without one.
 	conn *trackedConn
 	// handlerReturned: the handler has returned.
@@ -40,15 +42,25 @@
 	}
 }
 
-// WriteHeader sends status. nbhttp sends 200 for a status that net/http has no text for, which
-// would turn a refusal into a success. Such a status is replaced by the x00 of its class,
-// which is how RFC 9110 section 15 has clients interpret it.
+// Statuses of final answers (RFC 9110, section 15).
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// WriteHeader sends status, or 500 in place of one that no final answer may have.
+//
+// nbhttp sends 200 for a status that net/http has no text for. It gets the first one of the class for that, and the status
+// itself goes with the protocol version, which nbhttp writes before it: "HTTP/1.1 520 500 Internal Server Error". What
+// nbhttp writes is then the reason phrase, which has no meaning to clients (RFC 9112, section 4).
 func (r *response) WriteHeader(status int) {
-	if http.StatusText(status) == "" {
-		status = status / 100 * 100
-	}
-	if http.StatusText(status) == "" {
+	switch {
+	case r.begun || http.StatusText(status) != "":
+	case status < minStatus || status > maxStatus:
 		status = http.StatusInternalServerError
+	default:
+		r.request.Proto += " " + strconv.Itoa(status)
+		status -= status % 100
 	}
 	r.begun = true
 	r.ResponseWriter.WriteHeader(status)
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -275,7 +275,7 @@
 	if conn != nil && conn.closeReason.Load() != nil {
 		return // the answer to an earlier request was aborted, so this one can't be answered
 	}
-	res := &response{ResponseWriter: w, conn: conn, mayChunk: r.ProtoAtLeast(1, 1)}
+	res := &response{ResponseWriter: w, request: r, conn: conn, mayChunk: r.ProtoAtLeast(1, 1)}
 	defer res.handlerReturned.Store(true)
 	// nbhttp closes the connection right after an answer to "Connection: close", even if part
 	// of the answer is still queued; the caller would get a truncated answer. Instead the
