Orders of the operators' interface can name the state that they change

What operators could see: an evacuation that was withdrawn, or the removal of a host, is sent to a host that stands still; the operator gives it up and orders the opposite, or starts the host again. When the first host goes on it carries the order out.

Change: If-Match with the revision of the evacuated zones, or with a host's incarnation, which the command-line tool reads first. An operation that is resent has its first answer whatever was expected. As for routed fleets, such records wait until no replica of an earlier version is left.

--- a/internal/adminapi/config.go
+++ b/internal/adminapi/config.go
@@ -83,6 +83,19 @@
 	return nil
 }
 
+// expected returns the number in If-Match; nil if the operator expects none.
+func expected(q *request) (*uint64, error) {
+	match := q.http.Header.Get("If-Match")
+	if match == "" || match == anyVersion {
+		return nil, nil
+	}
+	v, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "the header If-Match must be a number, such as \"7\", or * for any")
+	}
+	return &v, nil
+}
+
 func changeAnswer(q *request, res *pb.CommandResult) ChangeAnswer {
 	set := res.GetSetConfig()
 	return ChangeAnswer{OpID: q.opID, Resend: res.GetResend(), Revision: set.GetRevision(), Version: set.GetVersion()}
--- a/internal/adminapi/evacuations.go
+++ b/internal/adminapi/evacuations.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bluebellsail/bluebellsail/internal/errkind"
 	"github.com/bluebellsail/bluebellsail/internal/pb"
 )
 
@@ -28,14 +29,26 @@
 	return h.setEvacuation(ctx, q, false)
 }
 
-// setEvacuation begins or ends the evacuation of a zone. An order that changes nothing is acknowledged.
+// setEvacuation begins or ends the evacuation of a zone. An order that changes nothing is acknowledged. With If-Match it changes
+// the set of that revision only, so that one that is read late undoes no later one.
 func (h *Handler) setEvacuation(ctx context.Context, q *request, evacuated bool) (any, error) {
 	zone := q.http.PathValue("zone")
-	res, err := h.propose(ctx, q, &pb.Command{Body: &pb.Command_SetEvacuation{SetEvacuation: &pb.SetEvacuation{Zone: zone, Evacuated: evacuated}}})
+	expected, err := expected(q)
+	if err != nil {
+		return nil, err
+	}
+	res, err := h.propose(ctx, q, &pb.Command{Body: &pb.Command_SetEvacuation{
+		SetEvacuation: &pb.SetEvacuation{Zone: zone, Evacuated: evacuated, IfRevision: expected},
+	}})
 	if err != nil {
 		return nil, err
 	}
 	set := res.GetSetEvacuation()
+	if set.GetOutdated() {
+		e := errkind.New(errkind.VersionConflict, "the evacuated zones have revision %d, which the order did not expect", set.GetEvacuations().GetRevision())
+		e.PresentVersion = set.GetEvacuations().GetRevision()
+		return nil, e
+	}
 	if h.cfg.OnEvacuations != nil {
 		h.cfg.OnEvacuations(ctx, set.GetEvacuations())
 	}
--- a/internal/adminapi/fleet.go
+++ b/internal/adminapi/fleet.go
@@ -60,9 +60,19 @@
 	host.HeardMS = s.GetHeardMs()
 }
 
+// removeHost removes a host. With If-Match it removes that incarnation only, so that an order that is read late doesn't remove a run
+// that has started since.
 func (h *Handler) removeHost(ctx context.Context, q *request) (any, error) {
 	name := q.http.PathValue("name")
-	res, err := h.propose(ctx, q, &pb.Command{Body: &pb.Command_RemoveHost{RemoveHost: &pb.RemoveHost{Host: name}}})
+	expected, err := expected(q)
+	if err != nil {
+		return nil, err
+	}
+	remove := &pb.RemoveHost{Host: name}
+	if expected != nil {
+		remove.Incarnation = *expected
+	}
+	res, err := h.propose(ctx, q, &pb.Command{Body: &pb.Command_RemoveHost{RemoveHost: remove}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/admincli/evacuate.go
+++ b/internal/admincli/evacuate.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -45,8 +46,13 @@
 	if err != nil {
 		return err
 	}
+	revision, err := a.evacuationsRevision(ctx, cmd)
+	if err != nil {
+		return err
+	}
 	var out adminapi.EvacuationSet
-	return a.change(ctx, cmd, call{method: method, path: "/v1/evacuations/" + url.PathEscape(args[0])}, &out, func(w io.Writer) {
+	c := call{method: method, path: "/v1/evacuations/" + url.PathEscape(args[0]), ifMatch: revision}
+	return a.change(ctx, cmd, c, &out, func(w io.Writer) {
 		fmt.Fprintf(w, "zone %s %s\n", out.Zone, state)
 		if !out.Changed {
 			fmt.Fprintln(w, "that was so before")
@@ -54,3 +60,16 @@
 		printOperation(w, out.OpID, out.Resend)
 	})
 }
+
+// evacuationsRevision returns the present revision of the evacuated zones, which the order changes.
+func (a *app) evacuationsRevision(ctx context.Context, cmd *cli.Command) (string, error) {
+	cl, err := a.client(cmd)
+	if err != nil {
+		return "", err
+	}
+	var present adminapi.EvacuationList
+	if err := cl.do(ctx, call{method: http.MethodGet, path: "/v1/evacuations"}, &present); err != nil {
+		return "", err
+	}
+	return strconv.FormatUint(present.Revision, 10), nil
+}
--- a/internal/admincli/fleet.go
+++ b/internal/admincli/fleet.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -85,14 +87,35 @@
 	if err != nil {
 		return err
 	}
+	incarnation, err := a.incarnationOf(ctx, cmd, args[0])
+	if err != nil {
+		return err
+	}
 	var out adminapi.HostRemoved
 	path := "/v1/hosts/" + url.PathEscape(args[0]) + "/remove"
-	return a.change(ctx, cmd, call{method: http.MethodPost, path: path}, &out, func(w io.Writer) {
+	return a.change(ctx, cmd, call{method: http.MethodPost, path: path, ifMatch: incarnation}, &out, func(w io.Writer) {
 		fmt.Fprintf(w, "host %s is removed\n", out.Host)
 		printOperation(w, out.OpID, out.Resend)
 	})
 }
 
+// incarnationOf returns the incarnation of a host that the control group knows; empty if none is known.
+func (a *app) incarnationOf(ctx context.Context, cmd *cli.Command, host string) (string, error) {
+	cl, err := a.client(cmd)
+	if err != nil {
+		return "", err
+	}
+	var list adminapi.HostList
+	if err := cl.do(ctx, call{method: http.MethodGet, path: "/v1/hosts"}, &list); err != nil {
+		return "", err
+	}
+	i := slices.IndexFunc(list.Hosts, func(h adminapi.Host) bool { return h.Host == host })
+	if i < 0 || list.Hosts[i].Incarnation == 0 || !list.RegisteredKnown {
+		return "", nil
+	}
+	return strconv.FormatUint(list.Hosts[i].Incarnation, 10), nil
+}
+
 func (a *app) serverCommand() *cli.Command {
 	return &cli.Command{Name: "server", Usage: "backend servers", Commands: []*cli.Command{
 		{Name: "list", Usage: "list the backend servers that one host knows", Action: a.serverList},
--- a/internal/apply/operations.go
+++ b/internal/apply/operations.go
@@ -88,13 +88,20 @@
 	}
 }
 
-// fingerprint hashes the body of a command, without actor and time. For a change of
-// settings it hashes only the path, as the fingerprint of package settings does.
+// fingerprint hashes the body of a command, without actor, time and what the operator expected to find, which
+// may be another state when the operation is resent. For a change of settings it hashes only the path, as the
+// fingerprint of package settings does.
 func fingerprint(cmd *pb.Command) uint64 {
 	asked := &pb.Command{Body: cmd.Body}
 	if set := cmd.GetSetConfig(); set != nil {
 		asked.Body = &pb.Command_SetConfig{SetConfig: &pb.SetConfig{Path: set.Path}}
 	}
+	if set := cmd.GetSetEvacuation(); set != nil {
+		asked.Body = &pb.Command_SetEvacuation{SetEvacuation: &pb.SetEvacuation{Zone: set.Zone, Evacuated: set.Evacuated}}
+	}
+	if remove := cmd.GetRemoveHost(); remove != nil {
+		asked.Body = &pb.Command_RemoveHost{RemoveHost: &pb.RemoveHost{Host: remove.Host}}
+	}
 	key := window.KeyOf(string(encode(asked)))
 	return binary.BigEndian.Uint64(key[:])
 }
--- a/internal/control/recordversion.go
+++ b/internal/control/recordversion.go
@@ -13,19 +13,24 @@
 
 // Record versions.
 const (
-	versionEvacuations         = 1
-	versionEvacuationRevisions = 2
+	versionEvacuations   = 1
+	versionPreconditions = 2
 )
 
 // requiredVersion returns the record version that a replica must have to apply a command.
 func requiredVersion(cmd *pb.Command) uint32 {
-	switch set := cmd.GetSetEvacuation(); {
-	case set == nil:
-		return 0
-	case set.IfRevision != nil:
-		return versionEvacuationRevisions
+	switch body := cmd.Body.(type) {
+	case *pb.Command_SetEvacuation:
+		if body.SetEvacuation.IfRevision != nil {
+			return versionPreconditions
+		}
+		return versionEvacuations
+	case *pb.Command_RemoveHost:
+		if cmd.OpId != "" && body.RemoveHost.Incarnation != 0 {
+			return versionPreconditions
+		}
 	}
-	return versionEvacuations
+	return 0
 }
 
 // checkVersions returns an error if a member is known to run a program that can't apply cmd. A member
