--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -225,6 +225,30 @@
 	})
 }
 
+// Guards against a new replica that gets the whole kept log, which may be many times the size of the state, and has no vote for as
+// long as that takes on its link.
+func TestNewReplicaGetsTheSnapshotInPlaceOfALargerLog(t *testing.T) {
+	withCluster(t, func(cfg *Config) { cfg.SnapshotEntries = 20 }, func(t *testing.T, c *cluster) {
+		c.leader()
+		for i := range retainedEntries / 4 {
+			_, err := c.leader().r.Propose(t.Context(), set(fmt.Sprint("one value", i), "/a", strings.Repeat("1", 500)))
+			testutil.NoError(t, err)
+		}
+		lost := c.follower()
+		oldID := lost.r.ID()
+		c.crash(lost)
+		lost.fs = memfs.New()
+		c.start(lost)
+		time.Sleep(time.Second)
+		changeMembers(t, c, VerbRemove, &pb.Member{Id: oldID})
+		changeMembers(t, c, VerbAddLearner, &pb.Member{Id: lost.r.ID(), Address: lost.address, Host: lost.address})
+		time.Sleep(time.Second)
+		if n, applied := lost.r.metrics.Installed.Value(), lost.r.Status().GetApplied(); n != 1 || applied < retainedEntries/4 {
+			t.Errorf("%d snapshots installed, entries applied up to %d", n, applied)
+		}
+	})
+}
+
 // Two of three hosts lose their disks while the third is down. The two empty replicas
 // must not form a new group on each other's answers alone.
 func TestEmptyDisksWaitForAll(t *testing.T) {
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -146,6 +146,7 @@
 		return nil // a newer snapshot of a leader was installed meanwhile
 	}
 	r.snapIndex, r.snapBytes = job.snap.Index, int64(len(job.snap.Data))
+	r.core.SnapshotTaken(job.snap.Index, len(job.snap.Data))
 	r.metrics.Snapshots.Add(1)
 	r.log.Info().Uint64("index", job.snap.Index).Int("bytes", len(job.snap.Data)).Str("event", "snapshot-taken").Send()
 	if job.snap.Index > retainedEntries {
--- a/internal/raft/compaction.go
+++ b/internal/raft/compaction.go
@@ -27,3 +27,15 @@
 	}
 	return p.match, p.match > 0 && r.active(p)
 }
+
+// SnapshotTaken records the newest durable snapshot, which covers the entries up to index, and its size in bytes.
+func (r *Raft) SnapshotTaken(index uint64, bytes int) {
+	r.snapshotIndex, r.snapshotBytes = index, bytes
+}
+
+// snapshotIsSmaller reports whether a member that is probed lacks more bytes of entries than the snapshot that covers them
+// has. A group whose entries replace large values keeps many times the size of its state, which a new replica on a lossy link
+// may not get before the next loss.
+func (r *Raft) snapshotIsSmaller(p *progress) bool {
+	return p.state != replicating && p.next <= r.snapshotIndex && r.log.bytes(p.next, r.snapshotIndex) > r.snapshotBytes
+}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -112,11 +112,14 @@
 
 	messagesBeforeSync []*pb.RaftMessage // see Ready.MessagesBeforeSync
 	messagesAfterSync  []*pb.RaftMessage // see Ready.MessagesAfterSync
-	receivedSnapshot   *pb.Snapshot      // from a leader, not on disk yet
-	disk               diskState
-	givenUp            *GivenUp        // see Ready.GivenUp
-	electionEvents     []ElectionEvent // see Ready.Elections
-	postponedTick      int64           // tick of the last ElectionPostponed; 0: none
+	// snapshotIndex and snapshotBytes describe the newest snapshot that was taken here; 0: none since the start.
+	snapshotIndex    uint64
+	snapshotBytes    int
+	receivedSnapshot *pb.Snapshot // from a leader, not on disk yet
+	disk             diskState
+	givenUp          *GivenUp        // see Ready.GivenUp
+	electionEvents   []ElectionEvent // see Ready.Elections
+	postponedTick    int64           // tick of the last ElectionPostponed; 0: none
 }
 
 // New creates a replica from its persisted state. For ElectionTicks after the start the
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -453,6 +453,42 @@
 	}
 }
 
+// Guards against a new replica that gets all entries since the group was formed, many times the size of the state, and has no vote for
+// as long as they take.
+func TestMemberGetsTheSnapshotIfItIsSmallerThanTheEntries(t *testing.T) {
+	const entry, entries = 1000, 8
+	for name, tc := range map[string]struct {
+		bytes int // of the snapshot
+		has   uint64
+		want  pb.RaftType
+	}{
+		"no entries, small snapshot":       {2 * entry, 0, pb.RaftType_RAFT_TYPE_SNAPSHOT},
+		"no entries, large snapshot":       {2 * entry * entries, 0, pb.RaftType_RAFT_TYPE_APPEND},
+		"all but one entry":                {2 * entry, entries - 1, pb.RaftType_RAFT_TYPE_APPEND},
+		"all but one entry, tiny snapshot": {1, entries - 1, pb.RaftType_RAFT_TYPE_SNAPSHOT},
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := State{Members: members(1, 2, 3), Hard: &pb.HardState{Term: 1, Commit: entries}}
+			for i := range uint64(entries) {
+				st.Entries = append(st.Entries, &pb.LogEntry{Index: i + 1, Term: 1, Data: make([]byte, entry)})
+			}
+			r := newRaft(t, st)
+			electLeader(t, r)
+			r.SnapshotTaken(entries, tc.bytes)
+			r.Step(&pb.RaftMessage{Type: pb.RaftType_RAFT_TYPE_APPEND_REPLY, From: 3, To: 1, Term: r.term, Reject: true, LogIndex: entries, Hint: tc.has})
+			var sent []pb.RaftType
+			for _, m := range drainReady(r) {
+				if m.To == 3 {
+					sent = append(sent, m.Type)
+				}
+			}
+			if len(sent) == 0 || sent[0] != tc.want {
+				t.Errorf("sent %v, want %v", sent, tc.want)
+			}
+		})
+	}
+}
+
 // Guards against a leader whose log grows without bound because a member never takes what is kept for it.
 func TestLogIsNotKeptForever(t *testing.T) {
 	const big = maxKeptBytes / 4
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -94,7 +94,7 @@
 func (r *Raft) sendAppend(id uint64, p *progress) {
 	p.sentTick = r.now
 	prevTerm, ok := r.log.term(p.next - 1)
-	if !ok {
+	if !ok || r.snapshotIsSmaller(p) {
 		p.state = installing
 		p.awaitingReply = true
 		p.snapshotLost = false
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -257,6 +257,13 @@
 	}
 }
 
+const (
+	// snapshotSize is the size of a snapshot that is smaller than any entries that it covers, in bytes.
+	snapshotSize = 1
+	// simRetained bounds the entries that a replica keeps after it has taken a snapshot of them.
+	simRetained = 16
+)
+
 // compact has a replica take a snapshot of the entries it applied.
 func (s *sim) compact(n *simNode) {
 	term, ok := n.r.TermAt(n.applied)
@@ -265,7 +272,8 @@
 	}
 	n.disk.Snapshot = &pb.Snapshot{Index: n.applied, Term: term, Members: n.r.MembersAt(n.applied)}
 	n.disk.Entries = n.disk.Entries[len(entriesUpTo(n.disk.Entries, n.applied)):]
-	n.r.Compact(n.applied)
+	n.r.SnapshotTaken(n.applied, snapshotSize)
+	n.r.Compact(n.applied - n.applied%simRetained)
 }
 
 // entriesUpTo returns the leading entries up to index.
