The test of unusual heads keeps its connections open

Now the server keeps the connection where the answer has a length; what is asked of the answers is the same.

--- a/internal/relay/forward/malformed_test.go
+++ b/internal/relay/forward/malformed_test.go
@@ -89,10 +89,25 @@
 	}
 }
 
+// openServer gives the answer to each request. It closes the connection only where that ends the answer.
+func openServer(answer *atomic.Value) func(*backend) serve {
+	return func(b *backend) serve {
+		return func(_ int, c net.Conn, r *bufio.Reader) bool {
+			req, ok := b.read(r)
+			if !ok {
+				return false
+			}
+			text := answer.Load().(string)
+			_, err := io.WriteString(c, withID(text, req.Header.Get(hID)))
+			return err == nil && strings.Contains(strings.ToLower(text), "content-length:")
+		}
+	}
+}
+
 // Guards against failing an answer whose head is unusual and allowed.
 func TestAnswerWithAnUnusualHeadIsPassedOn(t *testing.T) {
 	var answer atomic.Value
-	host, _ := entryHost(t, routes.Route{Kind: routes.NonIdempotent}, newBackend(t, fixedServer(&answer, false)))
+	host, _ := entryHost(t, routes.Route{Kind: routes.NonIdempotent}, newBackend(t, openServer(&answer)))
 	for _, head := range []string{
 		"HTTP/1.1 200 OK\nName: ID\nContent-Length: 14\n\n",
 		"HTTP/1.1 200\r\nName: ID\r\nContent-Length: 14\r\n\r\n",
