--- a/internal/control/recordversion.go
+++ b/internal/control/recordversion.go
@@ -11,9 +11,10 @@
 // would differ from those of the others.
 const recordVersion = 2
 
-// Record versions.
 const (
-	versionEvacuations   = 1
+	// versionEvacuations knows SetEvacuation.
+	versionEvacuations = 1
+	// versionPreconditions also knows its revision, and operations that remove a host's incarnation.
 	versionPreconditions = 2
 )
 
--- a/internal/engineclient/reuse.go
+++ b/internal/engineclient/reuse.go
@@ -2,7 +2,7 @@
 
 import "errors"
 
-// errOutOfStep ends a connection on which an answer to another request has arrived, or one that may arrive again.
+// errOutOfStep ends a connection that must not be used again after its last answer.
 var errOutOfStep = errors.New("the connection is out of step with its requests")
 
 // reuse is the decision whether a connection may be used again after an answer.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -127,7 +127,7 @@
 	{HostLeaving, 503, RanNo, RetryElsewhere, "this host is shutting down"},
 	{HostNotReady, 503, RanNo, RetryElsewhere, "this host has not yet the settings in force"},
 	{CallerGone, 499, RanVaries, RetrySameKey, "the caller closed its connection"},
-	{VersionConflict, 409, RanNo, RetryNever, "the subtree has another version than the change expected"},
+	{VersionConflict, 409, RanNo, RetryNever, "what is to be changed has another version than the change expected"},
 	{InvalidSettings, 422, RanNo, RetryNever, "the settings have a fault, at the path given"},
 	{NotFound, 404, RanNo, RetryNever, "the named thing does not exist"},
 	{AlreadyExists, 409, RanNo, RetryNever, "the named thing exists"},
@@ -163,7 +163,7 @@
 	Path string
 	// RetryAfter is the time after which to retry; 0 if none is given.
 	RetryAfter time.Duration
-	// PresentVersion is the current version of the subtree; set with VersionConflict.
+	// PresentVersion is the current version of what is to be changed; set with VersionConflict.
 	PresentVersion uint64
 	ran            Ran
 }
--- a/internal/relay/forward/reset_path_test.go
+++ b/internal/relay/forward/reset_path_test.go
@@ -77,8 +77,8 @@
 	return got{status: res.StatusCode, header: res.Header, body: string(content), whole: err == nil}
 }
 
-// Guards against a part of an answer that a caller takes for the whole one, by another path than that of a request which is not
-// idempotent, comes by HTTP/1.1 and goes to its server directly.
+// Guards against a part of an answer that a caller takes for the whole one: through a peer, by HTTP/1.0, beyond what is buffered, and
+// for each kind of route.
 func TestPartOfAResetAnswerIsNeverWholeOnAnyPath(t *testing.T) {
 	const rounds = 8 // which goroutine is told of the reset varies
 	head := "HTTP/1.1 200 OK\r\nName: ID\r\n"
